--- /dev/null
+++ b/internal/testkit/doc.go
@@ -0,0 +1,2 @@
+// Package testkit holds the few helpers that tests of several packages share.
+package testkit
--- /dev/null
+++ b/internal/testkit/rapid.go
@@ -0,0 +1,29 @@
+package testkit
+
+import (
+	"flag"
+	"strconv"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// rapidFlags guards the process-wide flags of the rapid library.
+var rapidFlags sync.Mutex
+
+// Check runs a rapid property with a fixed seed, so that every run of the
+// test draws the same cases and gives the same verdict. Seed must not be 0,
+// which the library takes for "choose one at random".
+func Check(t *testing.T, seed uint64, property func(*rapid.T)) {
+	t.Helper()
+	rapidFlags.Lock()
+	defer rapidFlags.Unlock()
+	if err := flag.Set("rapid.seed", strconv.FormatUint(seed, 10)); err != nil {
+		t.Fatalf("set rapid seed %d: %v", seed, err)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatalf("set rapid.nofailfile: %v", err)
+	}
+	rapid.Check(t, property)
+}
