port: settle identifiers, verdict, commands and interfaces

Cause: the parts are to be built side by side and need one contract. Change: typed ids, the verdict and error type, the configuration document with edits, the commands and results of the control log, the view that nodes watch, the engine and trainer messages, decision records, and the HTTP bodies that adapters and stand-ins share. Conclusion: parts can start.

--- /dev/null
+++ b/internal/port/duration.go
@@ -0,0 +1,23 @@
+package port
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that is written as text ("250ms", "5s") in
+// settings files and JSON, and as nanoseconds in CBOR.
+type Duration time.Duration
+
+// MarshalText gives the text form.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads the text form; a number without a unit is refused.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q: want a number with a unit, such as 250ms or 5s", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/internal/port/generation.go
@@ -0,0 +1,176 @@
+package port
+
+import "time"
+
+// GenerateRequest asks for one completion from a generation pool.
+type GenerateRequest struct {
+	ID     RequestID  `cbor:"1,keyasint"`
+	Pool   PoolName   `cbor:"2,keyasint"`
+	Tenant TenantName `cbor:"3,keyasint,omitempty"`
+	// Prompt is the text; PromptTokens its estimated length in tokens.
+	Prompt       string   `cbor:"4,keyasint"`
+	PromptTokens int      `cbor:"5,keyasint"`
+	MaxTokens    int      `cbor:"6,keyasint"`
+	Priority     Priority `cbor:"7,keyasint"`
+	// Seed makes two samples of one prompt differ.
+	Seed uint64 `cbor:"8,keyasint,omitempty"`
+	// Resume is text already generated, to continue from, with its token count.
+	Resume       string `cbor:"9,keyasint,omitempty"`
+	ResumeTokens int    `cbor:"10,keyasint,omitempty"`
+	// KVHandle names an exported KV cache to import; empty means none.
+	KVHandle string `cbor:"11,keyasint,omitempty"`
+	// MinVersion is the oldest weight version that may serve it; 0 means any.
+	MinVersion WeightVersion `cbor:"12,keyasint,omitempty"`
+	// Safe says that the request may run more than once.
+	Safe bool `cbor:"13,keyasint,omitempty"`
+	// PrefixHashes are the block hashes of the prompt, for prefix affinity.
+	PrefixHashes []uint64 `cbor:"14,keyasint,omitempty"`
+	// Replica, if set, is the replica the sending node chose; its home decides
+	// whether it still takes the request.
+	Replica ReplicaID `cbor:"15,keyasint,omitempty"`
+}
+
+// Span says which version produced a run of tokens.
+type Span struct {
+	Version WeightVersion `cbor:"1,keyasint" json:"version"`
+	Tokens  int           `cbor:"2,keyasint" json:"tokens"`
+}
+
+// OldestVersion gives the lowest version of the spans, 0 if there are none or
+// one of them is not known.
+func OldestVersion(spans []Span) WeightVersion {
+	var oldest WeightVersion
+	for index, span := range spans {
+		if index == 0 || span.Version < oldest {
+			oldest = span.Version
+		}
+	}
+	return oldest
+}
+
+// AppendTokens adds tokens of a version to spans, joining equal neighbours.
+func AppendTokens(spans []Span, version WeightVersion, tokens int) []Span {
+	last := len(spans) - 1
+	if last >= 0 && spans[last].Version == version {
+		spans[last].Tokens += tokens
+		return spans
+	}
+	return append(spans, Span{Version: version, Tokens: tokens})
+}
+
+// GenerateChunk is a piece of a streamed completion.
+type GenerateChunk struct {
+	Text    string        `cbor:"1,keyasint"`
+	Tokens  int           `cbor:"2,keyasint"`
+	Version WeightVersion `cbor:"3,keyasint"`
+	// Finish is set on the last chunk only.
+	Finish FinishReason `cbor:"4,keyasint,omitempty"`
+}
+
+// FinishReason says why a completion ended.
+type FinishReason string
+
+// The reasons.
+const (
+	FinishStop   FinishReason = "stop"
+	FinishLength FinishReason = "length"
+)
+
+// LoadReport is what an engine says of itself, some time late.
+type LoadReport struct {
+	Running     int           `cbor:"1,keyasint" json:"running"`
+	Waiting     int           `cbor:"2,keyasint" json:"waiting"`
+	KVUsed      int           `cbor:"3,keyasint" json:"kv_used_blocks"`
+	KVTotal     int           `cbor:"4,keyasint" json:"kv_total_blocks"`
+	Version     WeightVersion `cbor:"5,keyasint" json:"version"`
+	Staged      WeightVersion `cbor:"6,keyasint" json:"staged_version"`
+	Role        EngineRole    `cbor:"7,keyasint" json:"role"`
+	Fence       Epoch         `cbor:"8,keyasint" json:"highest_fence"`
+	Adapters    []string      `cbor:"9,keyasint,omitempty" json:"adapters,omitempty"`
+	Incarnation uint64        `cbor:"10,keyasint" json:"incarnation"`
+	// AgeMillis is how old the report was when it was sent.
+	AgeMillis int64 `cbor:"11,keyasint" json:"age_ms"`
+}
+
+// EngineRole says which phases an engine serves.
+type EngineRole string
+
+// The roles.
+const (
+	RoleBoth    EngineRole = "both"
+	RolePrefill EngineRole = "prefill"
+	RoleDecode  EngineRole = "decode"
+)
+
+// OrderKind names a fenced order to an engine.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderStage       OrderKind = "stage"
+	OrderActivate    OrderKind = "activate"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderSetRole     OrderKind = "set_role"
+)
+
+// Order tells an engine to change what it serves. An engine refuses an order
+// whose fence is lower than the highest it has seen.
+type Order struct {
+	Kind    OrderKind     `cbor:"1,keyasint" json:"kind"`
+	Fence   Epoch         `cbor:"2,keyasint" json:"fence"`
+	Version WeightVersion `cbor:"3,keyasint" json:"version,omitempty"`
+	// Source is the URL to load weights from, for OrderStage.
+	Source  string     `cbor:"4,keyasint" json:"source,omitempty"`
+	Adapter string     `cbor:"5,keyasint" json:"adapter,omitempty"`
+	Role    EngineRole `cbor:"6,keyasint" json:"role,omitempty"`
+}
+
+// CacheEvent says that an engine stored or evicted a prefix block.
+type CacheEvent struct {
+	Sequence uint64 `cbor:"1,keyasint" json:"sequence"`
+	Block    uint64 `cbor:"2,keyasint" json:"block"`
+	Evicted  bool   `cbor:"3,keyasint,omitempty" json:"evicted,omitempty"`
+}
+
+// MachineState is what the machine list says of a machine.
+type MachineState string
+
+// The states of a machine.
+const (
+	MachineLive    MachineState = "live"
+	MachineLeaving MachineState = "leaving"
+)
+
+// Machine is an entry of the machine list.
+type Machine struct {
+	Address string       `json:"address"`
+	State   MachineState `json:"state"`
+	// Since is the time of the last change in milliseconds since 1970.
+	Since int64 `json:"since_ms"`
+}
+
+// ApplicationRequest is a short call that passes through to an application
+// back end.
+type ApplicationRequest struct {
+	ID       RequestID
+	Pool     PoolName
+	Tenant   TenantName
+	Method   string
+	Path     string // with query
+	Header   []HeaderField
+	Body     []byte
+	Priority Priority
+	Safe     bool
+	Key      string // the caller's request key; empty means none
+	Deadline time.Time
+}
+
+// HeaderField is one HTTP header line.
+type HeaderField struct{ Name, Value string }
+
+// ApplicationResponse is a whole answer.
+type ApplicationResponse struct {
+	Status int
+	Header []HeaderField
+	Body   []byte
+}
