--- /dev/null
+++ b/internal/adapter/settings/check.go
@@ -0,0 +1,125 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+// Bounds of settings.
+const (
+	minTick            = 5 * time.Millisecond
+	maxTick            = 5 * time.Second
+	minSnapshotEntries = 100
+	maxSnapshotEntries = 1_000_000
+	minLease           = 500 * time.Millisecond
+	maxLease           = 10 * time.Minute
+	maxRingLines       = 1_000_000
+)
+
+// namePattern holds for names of clusters, nodes, zones and regions.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 lower-case letters, digits and inner hyphens"
+
+// checker gathers the faults of one file.
+type checker struct{ faults []*Error }
+
+func (f *File) check() []*Error {
+	var c checker
+	c.name("cluster", f.Cluster)
+	c.numberRange("log.ring_lines", int64(f.Log.RingLines), 1, maxRingLines)
+	if (f.Control == nil) == (f.Node == nil) {
+		c.fault("control", "", "exactly one of the sections control and node")
+	}
+	if f.Control != nil {
+		c.control(f.Control)
+	}
+	if f.Node != nil {
+		c.node(f.Node)
+	}
+	return c.faults
+}
+
+func (c *checker) control(control *Control) {
+	if control.ID == 0 {
+		c.fault("control.id", "0", "a whole number over 0")
+	}
+	c.present("control.data_folder", control.DataFolder)
+	c.address("control.peer_listen", control.PeerListen)
+	c.address("control.operator_listen", control.OperatorListen)
+	c.durationRange("control.tick", control.Tick, minTick, maxTick)
+	c.numberRange("control.snapshot_entries", int64(control.SnapshotEntries), minSnapshotEntries, maxSnapshotEntries)
+	if len(control.Members) == 0 {
+		c.fault("control.members", "", "at least one member")
+	}
+	seen := map[uint64]bool{}
+	for index, member := range control.Members {
+		key := fmt.Sprintf("control.members[%d]", index)
+		if member.ID == 0 || seen[member.ID] {
+			c.fault(key+".id", strconv.FormatUint(member.ID, 10), "a whole number over 0 that no other member has")
+		}
+		seen[member.ID] = true
+		c.address(key+".address", member.Address)
+	}
+	if !control.Join && !seen[control.ID] {
+		c.fault("control.id", strconv.FormatUint(control.ID, 10), "the id of one of control.members, unless join is true")
+	}
+}
+
+func (c *checker) node(node *Node) {
+	c.name("node.id", string(node.ID))
+	c.name("node.zone", string(node.Zone))
+	if node.Region != "" {
+		c.name("node.region", string(node.Region))
+	}
+	c.address("node.http_listen", node.HTTPListen)
+	c.address("node.peer_listen", node.PeerListen)
+	c.durationRange("node.configuration_lease", node.ConfigurationLease, minLease, maxLease)
+	if len(node.ControlMembers) == 0 {
+		c.fault("node.control_members", "", "at least one address")
+	}
+	for index, address := range node.ControlMembers {
+		c.address(fmt.Sprintf("node.control_members[%d]", index), address)
+	}
+}
+
+func (c *checker) fault(key, value, allowed string) {
+	c.faults = append(c.faults, &Error{Key: key, Value: value, Allowed: allowed})
+}
+
+func (c *checker) present(key, value string) {
+	if value == "" {
+		c.fault(key, "", "a path")
+	}
+}
+
+func (c *checker) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		c.fault(key, value, nameAllowed)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fault(key, value, "IP:port, by number")
+	}
+}
+
+func (c *checker) numberRange(key string, value, low, high int64) {
+	if value < low || value > high {
+		c.fault(key, strconv.FormatInt(value, 10), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) durationRange(key string, duration Duration, low, high time.Duration) {
+	allowed := fmt.Sprintf("%s to %s, with a unit", low, high)
+	switch {
+	case duration.malformed != "":
+		c.fault(key, duration.malformed, allowed)
+	case duration.value < low || duration.value > high:
+		c.fault(key, duration.value.String(), allowed)
+	}
+}
