lab: add the engine model

Cause: the stand-in, the fault tests and the virtual-time simulator need one engine to be measured against. Change: a pure model of continuous batching, KV blocks with prefix reuse and preemption, priorities, KV moves, staged weights, swaps, fences and crashes. Conclusion: property tests hold (work conserved, memory never over, merged steps equal single steps).

--- /dev/null
+++ b/internal/lab/engine/config.go
@@ -0,0 +1,105 @@
+package engine
+
+import "time"
+
+// Config describes one engine. The zero value of a field stands for the
+// default named in its comment.
+//
+// The step times of the engines that are modelled are not known. The defaults
+// are chosen to resemble a small model on one accelerator and are meant to be
+// swept in experiments, not to be believed.
+type Config struct {
+	// StepBase is the fixed time of one step. Default 12 ms.
+	StepBase time.Duration
+	// StepPerSequence is added for each sequence that decodes in the step.
+	// Default 150 µs.
+	StepPerSequence time.Duration
+	// StepPerPrefillToken is added for each prompt token that is computed in
+	// the step. Default 25 µs.
+	StepPerPrefillToken time.Duration
+	// MaxSequences bounds the batch. Default 32.
+	MaxSequences int
+	// MaxWaiting bounds the waiting queue; a request beyond it is refused
+	// with ErrQueueFull. Default 1024.
+	MaxWaiting int
+	// PrefillTokensPerStep bounds the prompt tokens of one step. Default 2048.
+	PrefillTokensPerStep int
+	// BlockTokens is the size of a KV block in tokens. Default 16.
+	BlockTokens int
+	// KVBlocks is the size of the KV memory in blocks. Default 8192.
+	KVBlocks int
+	// CacheGenerated keeps the blocks of generated tokens in the prefix cache
+	// when a sequence ends, so that it can be resumed here cheaply.
+	CacheGenerated bool
+	// CacheEvents makes the model report changes of its prefix cache.
+	CacheEvents bool
+	// KVBytesPerToken is the size of one token's KV state. Default 64 KiB.
+	KVBytesPerToken int64
+	// KVBytesPerSecond is the bandwidth of KV export and import, shared by
+	// all transfers of this engine. Default 1 GiB/s.
+	KVBytesPerSecond int64
+	// WeightBytes is the size of one weight version. Default 2 GiB.
+	WeightBytes int64
+	// Store carries staged weights. When it is nil the driver carries them
+	// and reports the end with CompleteStaging.
+	Store *Store
+	// StagedSlots bounds the weights kept staged. Default 2.
+	StagedSlots int
+	// SwapPause is how long activation stops all steps. Default 400 ms.
+	SwapPause time.Duration
+	// AdapterLoadTime is how long loading an adapter takes. Default 200 ms.
+	AdapterLoadTime time.Duration
+	// Weights are the weights served after a start.
+	Weights Weights
+	// Role is the role after a start.
+	Role Role
+
+	// maxRunSteps bounds the decode steps merged into one event; tests set it
+	// to 1 to compare merged runs with single steps.
+	maxRunSteps int
+}
+
+const (
+	defaultStepBase             = 12 * time.Millisecond
+	defaultStepPerSequence      = 150 * time.Microsecond
+	defaultStepPerPrefillToken  = 25 * time.Microsecond
+	defaultMaxSequences         = 32
+	defaultMaxWaiting           = 1024
+	defaultPrefillTokensPerStep = 2048
+	defaultBlockTokens          = 16
+	defaultKVBlocks             = 8192
+	defaultKVBytesPerToken      = 64 << 10
+	defaultKVBytesPerSecond     = 1 << 30
+	defaultWeightBytes          = 2 << 30
+	defaultStagedSlots          = 2
+	defaultSwapPause            = 400 * time.Millisecond
+	defaultAdapterLoadTime      = 200 * time.Millisecond
+	unlimitedRunSteps           = 1 << 30
+)
+
+// withDefaults fills in every field left at zero.
+func (c Config) withDefaults() Config {
+	setDefault(&c.StepBase, defaultStepBase)
+	setDefault(&c.StepPerSequence, defaultStepPerSequence)
+	setDefault(&c.StepPerPrefillToken, defaultStepPerPrefillToken)
+	setDefault(&c.MaxSequences, defaultMaxSequences)
+	setDefault(&c.MaxWaiting, defaultMaxWaiting)
+	setDefault(&c.PrefillTokensPerStep, defaultPrefillTokensPerStep)
+	setDefault(&c.BlockTokens, defaultBlockTokens)
+	setDefault(&c.KVBlocks, defaultKVBlocks)
+	setDefault(&c.KVBytesPerToken, defaultKVBytesPerToken)
+	setDefault(&c.KVBytesPerSecond, defaultKVBytesPerSecond)
+	setDefault(&c.WeightBytes, defaultWeightBytes)
+	setDefault(&c.StagedSlots, defaultStagedSlots)
+	setDefault(&c.SwapPause, defaultSwapPause)
+	setDefault(&c.AdapterLoadTime, defaultAdapterLoadTime)
+	setDefault(&c.maxRunSteps, unlimitedRunSteps)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/lab/engine/hash.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BytesPerToken is the length of text that the model counts as one token.
+const BytesPerToken = 4
+
+// CountTokens returns the number of tokens of a text.
+func CountTokens(text string) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
+
+// HashBlocks returns the chained hashes of the full blocks of a text. Two
+// texts share the first n hashes when they share the first n blocks.
+func HashBlocks(text string, blockTokens int) []uint64 {
+	size := blockTokens * BytesPerToken
+	hashes := make([]uint64, 0, len(text)/size)
+	previous := uint64(0)
+	for len(text) >= size {
+		previous = chainHash(previous, xxhash.Sum64String(text[:size]))
+		hashes = append(hashes, previous)
+		text = text[size:]
+	}
+	return hashes
+}
+
+// chainHash combines the hash of a block with that of all blocks before it.
+func chainHash(previous, block uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], previous)
+	binary.LittleEndian.PutUint64(buffer[8:], block)
+	return xxhash.Sum64(buffer[:])
+}
--- /dev/null
+++ b/internal/lab/engine/load.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"slices"
+	"time"
+)
+
+// Load is what an engine reports about itself.
+type Load struct {
+	At          time.Duration
+	Up          bool
+	Incarnation uint64
+	Running     int
+	Waiting     int // importing requests included
+	KVUsed      int // blocks referenced by sequences
+	KVTotal     int // blocks
+	Weights     Weights
+	Swapping    bool
+	Staged      []Weights
+	Staging     []Weights
+	Adapters    map[string]int64
+	Role        Role
+	Fence       uint64
+	Totals      Totals
+}
+
+// Load reports the engine's state as of the last call.
+func (m *Model) Load() Load {
+	load := Load{
+		At: m.clock, Up: m.up, Incarnation: m.incarnation,
+		KVTotal: m.config.KVBlocks, KVUsed: m.memory.used - m.memory.cached,
+		Running: len(m.running), Waiting: len(m.sequences) - len(m.running),
+		Weights: m.weights, Swapping: m.swapping,
+		Staged: slices.Clone(m.staged), Staging: slices.Clone(m.staging),
+		Role: m.role, Fence: m.fence, Totals: m.totals,
+	}
+	if len(m.adapters) > 0 {
+		load.Adapters = make(map[string]int64, len(m.adapters))
+		for name, version := range m.adapters {
+			load.Adapters[name] = version
+		}
+	}
+	return load
+}
+
+// InFlight returns the number of requests on the engine.
+func (m *Model) InFlight() int { return len(m.sequences) }
+
+// CacheSnapshot returns the hashes of all reusable blocks in ascending order
+// and the number of the last cache event that they include.
+func (m *Model) CacheSnapshot() (hashes []uint64, sequence uint64) {
+	hashes = m.memory.hashes()
+	slices.Sort(hashes)
+	return hashes, m.cacheCounter
+}
+
+// Crash stops the engine at once and returns the ids of the requests that
+// are lost, in ascending order. Nothing of its state survives.
+func (m *Model) Crash(now time.Duration) []string {
+	m.interrupt(now)
+	lost := make([]string, 0, len(m.sequences))
+	for id := range m.sequences {
+		lost = append(lost, id)
+	}
+	slices.Sort(lost)
+	m.totals.LostInCrashes += uint64(len(lost))
+	*m = Model{
+		config: m.config, clock: m.clock, incarnation: m.incarnation,
+		memory: newMemory(m.config.KVBlocks, m.cacheChanged), slowdown: m.slowdown,
+		events: m.events, spare: m.spare, totals: m.totals,
+	}
+	return lost
+}
+
+// Restart brings a crashed engine up with the weights and role of its
+// configuration, under the next incarnation.
+func (m *Model) Restart(now time.Duration) {
+	if m.up {
+		return
+	}
+	m.clock = max(m.clock, now)
+	m.start()
+}
+
+// SetSlowdown multiplies the time of all steps that start from now on.
+func (m *Model) SetSlowdown(now time.Duration, factor float64) {
+	m.interrupt(now)
+	m.slowdown = factor
+}
+
+// FailNextSwap makes the next activation fail partway: the engine then serves
+// an unknown version and says so.
+func (m *Model) FailNextSwap() { m.swapFault = swapFails }
+
+// MisdirectNextSwap makes the next activation end on other weights than
+// ordered. The engine reports what it truly serves.
+func (m *Model) MisdirectNextSwap(weights Weights) {
+	m.swapFault, m.swapLandsOn = swapLandsElsewhere, weights
+}
--- /dev/null
+++ b/internal/lab/engine/memory.go
@@ -0,0 +1,141 @@
+package engine
+
+// block is a KV block that can be shared by its hash.
+type block struct {
+	hash     uint64
+	refs     int
+	orphaned bool // no longer found by its hash
+	previous *block
+	next     *block
+}
+
+// memory accounts for the KV blocks of an engine. Blocks are either private
+// to a sequence (only counted) or shared (refcounted and found by hash). A
+// shared block without references stays cached until its space is needed.
+type memory struct {
+	total  int
+	used   int // private and shared blocks, cached ones included
+	cached int // shared blocks without references
+	byHash map[uint64]*block
+	lru    block // list head; lru.next is the least recently used
+	free   []*block
+	report func(CacheEventKind, uint64)
+}
+
+func newMemory(total int, report func(CacheEventKind, uint64)) *memory {
+	m := &memory{total: total, byHash: make(map[uint64]*block), report: report}
+	m.lru.previous, m.lru.next = &m.lru, &m.lru
+	return m
+}
+
+// available returns how many blocks can be taken, by eviction if need be.
+func (m *memory) available() int { return m.total - m.used + m.cached }
+
+// take claims count private blocks. The caller has checked available.
+func (m *memory) take(count int) {
+	for m.total-m.used < count {
+		m.evict()
+	}
+	m.used += count
+}
+
+// give returns count private blocks.
+func (m *memory) give(count int) { m.used -= count }
+
+func (m *memory) evict() {
+	victim := m.lru.next
+	m.unlink(victim)
+	delete(m.byHash, victim.hash)
+	m.used--
+	m.report(CacheRemoved, victim.hash)
+	m.free = append(m.free, victim)
+}
+
+func (m *memory) unlink(b *block) {
+	b.previous.next, b.next.previous = b.next, b.previous
+	b.previous, b.next = nil, nil
+	m.cached--
+}
+
+func (m *memory) link(b *block) {
+	last := m.lru.previous
+	b.previous, b.next = last, &m.lru
+	last.next, m.lru.previous = b, b
+	m.cached++
+}
+
+// find returns the shared block with this hash and references it.
+func (m *memory) find(hash uint64) *block {
+	b := m.byHash[hash]
+	if b == nil {
+		return nil
+	}
+	if b.refs == 0 {
+		m.unlink(b)
+	}
+	b.refs++
+	return b
+}
+
+// share turns one private block into the shared block of this hash and
+// returns it referenced. When the hash is already known the private block is
+// given back and the known one is used.
+func (m *memory) share(hash uint64) *block {
+	if known := m.find(hash); known != nil {
+		m.give(1)
+		return known
+	}
+	b := m.newBlock()
+	*b = block{hash: hash, refs: 1}
+	m.byHash[hash] = b
+	m.report(CacheStored, hash)
+	return b
+}
+
+func (m *memory) newBlock() *block {
+	if count := len(m.free); count > 0 {
+		b := m.free[count-1]
+		m.free = m.free[:count-1]
+		return b
+	}
+	return new(block)
+}
+
+// drop releases one reference to a shared block.
+func (m *memory) drop(b *block) {
+	b.refs--
+	if b.refs > 0 {
+		return
+	}
+	if b.orphaned {
+		m.used--
+		m.free = append(m.free, b)
+		return
+	}
+	m.link(b)
+}
+
+// clear makes every shared block unreachable. Sequences keep those they
+// reference; the others are freed.
+func (m *memory) clear() {
+	for b := m.lru.next; b != &m.lru; b = m.lru.next {
+		m.unlink(b)
+		m.used--
+		m.free = append(m.free, b)
+		delete(m.byHash, b.hash)
+	}
+	for _, b := range m.byHash {
+		b.orphaned = true
+	}
+	clear(m.byHash)
+	m.report(CacheCleared, 0)
+}
+
+// hashes returns the hashes of all shared blocks in no particular order.
+func (m *memory) hashes() []uint64 {
+	list := make([]uint64, 0, len(m.byHash))
+	for hash := range m.byHash {
+		list = append(list, hash)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/lab/engine/model_test.go
@@ -0,0 +1,276 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// smallConfig has little memory, so that preemption and eviction happen.
+func smallConfig() Config {
+	return Config{
+		KVBlocks: 40, BlockTokens: 8, MaxSequences: 4, PrefillTokensPerStep: 64,
+		CacheGenerated: true, CacheEvents: true, KVBytesPerSecond: 64 << 20,
+		Weights: Weights{Model: "m", Version: 1},
+	}
+}
+
+// script is a seeded list of calls from outside, at times of their own.
+type script struct {
+	requests []Request
+	at       []time.Duration
+	cancels  map[int]time.Duration
+	swapAt   time.Duration
+}
+
+func drawScript(t *rapid.T) script {
+	s := script{cancels: map[int]time.Duration{}}
+	now := time.Duration(0)
+	for i := range rapid.IntRange(1, 25).Draw(t, "requests") {
+		// Odd nanoseconds keep calls off the boundaries of steps.
+		now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap"))*time.Millisecond + 1
+		prompt := rapid.IntRange(1, 120).Draw(t, "prompt")
+		request := Request{
+			ID: fmt.Sprint("r", i), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			PromptTokens: prompt, ContentKey: uint64(i % 3),
+			OutputTokens: rapid.IntRange(1, 150).Draw(t, "output"),
+		}
+		for b := range prompt / 8 {
+			request.PromptBlocks = append(request.PromptBlocks, uint64(i%4)<<32|uint64(b)+1)
+		}
+		s.requests, s.at = append(s.requests, request), append(s.at, now)
+		if rapid.IntRange(0, 5).Draw(t, "cancel") == 0 {
+			s.cancels[i] = time.Duration(rapid.IntRange(1, 400).Draw(t, "after")) * time.Millisecond
+		}
+	}
+	s.swapAt = time.Duration(rapid.IntRange(0, 2000).Draw(t, "swap"))*time.Millisecond + 7
+	return s
+}
+
+// play runs a script and returns every event but those that only split
+// stretches of tokens. After each event check is called.
+func play(s script, config Config, tick time.Duration, check func(*Model)) []Event {
+	type call struct {
+		at time.Duration
+		do func(*Model, time.Duration)
+	}
+	var calls []call
+	for i, request := range s.requests {
+		calls = append(calls, call{s.at[i], func(m *Model, now time.Duration) { _ = m.Submit(now, request) }})
+		if after, cancelled := s.cancels[i]; cancelled {
+			calls = append(calls, call{s.at[i] + after, func(m *Model, now time.Duration) { m.Cancel(now, request.ID) }})
+		}
+	}
+	next := Weights{Model: "m", Version: 2}
+	calls = append(calls, call{s.swapAt, func(m *Model, now time.Duration) {
+		_ = m.Order(now, Order{Kind: OrderStage, Weights: next})
+		_ = m.CompleteStaging(now, next, true)
+		_ = m.Order(now, Order{Kind: OrderActivate, Weights: next})
+	}})
+	slices.SortStableFunc(calls, func(a, b call) int { return int(a.at - b.at) })
+	m := New(config)
+	var seen []Event
+	collect := func(now time.Duration) {
+		seen = append(seen, m.Advance(now)...)
+		check(m)
+	}
+	for len(calls) > 0 || m.InFlight() > 0 {
+		at, ok := m.Next()
+		if tick > 0 && ok && at > m.clock+tick {
+			at = m.clock + tick
+		}
+		if len(calls) > 0 && (!ok || calls[0].at <= at) {
+			calls[0].do(m, calls[0].at)
+			calls = calls[1:]
+			check(m)
+			continue
+		}
+		collect(at)
+	}
+	return seen
+}
+
+func ignore(*Model) {}
+
+// outcomes lists how sequences ended, token events left out.
+func outcomes(events []Event) []string {
+	var list []string
+	for _, e := range events {
+		switch e.Kind {
+		case EventFinished:
+			list = append(list, fmt.Sprint(e.At, e.ID, *e.Completion))
+		case EventPreempted, EventActivated, EventCache:
+			list = append(list, fmt.Sprint(e.At, e.Kind, e.ID, e.Weights, e.Cache))
+		}
+	}
+	return list
+}
+
+func TestSameScriptSameResult(t *testing.T) {
+	testkit.Check(t, 11, func(t *rapid.T) {
+		s := drawScript(t)
+		first := outcomes(play(s, smallConfig(), 0, ignore))
+		if second := outcomes(play(s, smallConfig(), 0, ignore)); !slices.Equal(first, second) {
+			t.Fatalf("two plays differ:\n%v\n%v", first, second)
+		}
+	})
+}
+
+// Cache events carry the clock of the call that settles them, so they are
+// left out where the granularity of calls differs.
+func withoutCache(list []Event) []Event {
+	return slices.DeleteFunc(list, func(e Event) bool { return e.Kind == EventCache })
+}
+
+func TestMergedStepsEqualSingleSteps(t *testing.T) {
+	testkit.Check(t, 12, func(t *rapid.T) {
+		s := drawScript(t)
+		merged := outcomes(withoutCache(play(s, smallConfig(), 0, ignore)))
+		single := smallConfig()
+		single.maxRunSteps = 1
+		if got := outcomes(withoutCache(play(s, single, 0, ignore))); !slices.Equal(merged, got) {
+			t.Fatalf("single steps differ:\n%v\n%v", merged, got)
+		}
+		if got := outcomes(withoutCache(play(s, smallConfig(), 5*time.Millisecond, ignore))); !slices.Equal(merged, got) {
+			t.Fatalf("fine-grained advance differs:\n%v\n%v", merged, got)
+		}
+	})
+}
+
+func TestWorkIsConserved(t *testing.T) {
+	testkit.Check(t, 13, func(t *rapid.T) {
+		s := drawScript(t)
+		events := play(s, smallConfig(), 0, ignore)
+		tokens, finished := map[string]int{}, map[string]*Completion{}
+		for _, e := range events {
+			switch e.Kind {
+			case EventTokens:
+				tokens[e.ID] += e.Count
+			case EventFinished:
+				if finished[e.ID] != nil {
+					t.Fatalf("%s finished twice", e.ID)
+				}
+				finished[e.ID] = e.Completion
+			}
+		}
+		for i, request := range s.requests {
+			done := finished[request.ID]
+			if _, cancelled := s.cancels[i]; done == nil && !cancelled {
+				t.Fatalf("%s never finished", request.ID)
+			}
+			if done == nil {
+				continue
+			}
+			spanned := 0
+			for _, span := range done.Spans {
+				spanned += span.Tokens
+			}
+			if tokens[request.ID] != request.OutputTokens || spanned != request.OutputTokens {
+				t.Fatalf("%s: %d token events, %d in spans, want %d", request.ID, tokens[request.ID], spanned, request.OutputTokens)
+			}
+		}
+	})
+}
+
+// checkMemory recounts the blocks and compares with the books.
+func checkMemory(t *rapid.T, m *Model) {
+	private, references := 0, map[*block]int{}
+	for _, s := range m.sequences {
+		private += s.private
+		for _, b := range s.shared {
+			references[b]++
+		}
+	}
+	for b, count := range references {
+		if b.refs != count {
+			t.Fatalf("block has %d references, counted %d", b.refs, count)
+		}
+	}
+	counted := private + len(references) + m.memory.cached
+	if counted != m.memory.used || m.memory.used > m.memory.total {
+		t.Fatalf("counted %d blocks, books say %d of %d", counted, m.memory.used, m.memory.total)
+	}
+	for _, s := range m.running {
+		if s.blocks() < m.blocksFor(s.context) {
+			t.Fatalf("%s has %d blocks for %d tokens", s.request.ID, s.blocks(), s.context)
+		}
+	}
+	if len(m.running) > m.config.MaxSequences {
+		t.Fatalf("batch of %d", len(m.running))
+	}
+}
+
+func TestMemoryIsNeverOver(t *testing.T) {
+	preemptions := uint64(0)
+	testkit.Check(t, 14, func(t *rapid.T) {
+		play(drawScript(t), smallConfig(), 0, func(m *Model) {
+			checkMemory(t, m)
+			preemptions = max(preemptions, m.totals.Preemptions)
+		})
+	})
+	if preemptions == 0 {
+		t.Fatal("no script preempted anything; the check is vacuous")
+	}
+}
+
+func TestWaitingIsInOrderOfPriority(t *testing.T) {
+	testkit.Check(t, 15, func(t *rapid.T) {
+		play(drawScript(t), smallConfig(), 0, func(m *Model) {
+			idle := !m.run.active && !m.dirty && !m.swapping && m.pending == nil
+			if idle && len(m.waiting) > 0 && len(m.running) == 0 {
+				t.Fatal("engine idles while a request waits")
+			}
+		})
+	})
+	m := New(Config{MaxSequences: 1})
+	for i, priority := range []int{0, 1, 3, 2, 3} {
+		request := Request{ID: fmt.Sprint(i), Priority: priority, PromptTokens: 4, OutputTokens: 3}
+		if err := m.Submit(0, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var order []string
+	for _, e := range m.Advance(time.Minute) {
+		if e.Kind == EventFinished {
+			order = append(order, e.ID)
+		}
+	}
+	if want := []string{"2", "4", "3", "1", "0"}; !slices.Equal(order, want) {
+		t.Fatalf("finished in order %v, want %v", order, want)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	valid := Request{ID: "a", PromptTokens: 8, OutputTokens: 4}
+	with := func(change func(*Request)) Request { r := valid; change(&r); return r }
+	cases := []struct {
+		name    string
+		config  Config
+		request Request
+		want    error
+	}{
+		{"duplicate id", Config{}, with(func(r *Request) { r.ID = "taken" }), ErrDuplicateID},
+		{"no prompt", Config{}, with(func(r *Request) { r.PromptTokens = 0 }), ErrEmpty},
+		{"no output", Config{}, with(func(r *Request) { r.OutputTokens = 0 }), ErrEmpty},
+		{"too large", Config{KVBlocks: 2, BlockTokens: 4}, valid, ErrTooLarge},
+		{"queue full", Config{MaxWaiting: 1}, valid, ErrQueueFull},
+		{"decode without import", Config{Role: RoleDecode}, valid, ErrRole},
+		{"prefill asked to decode", Config{Role: RolePrefill}, valid, ErrRole},
+		{"adapter missing", Config{}, with(func(r *Request) { r.Adapter = "x" }), ErrAdapterNotLoaded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(c.config)
+			_ = m.Submit(0, Request{ID: "taken", PromptTokens: 1, OutputTokens: 1})
+			if err := m.Submit(0, c.request); !errors.Is(err, c.want) {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/engine/orders.go
@@ -0,0 +1,243 @@
+package engine
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// OrderKind says what an Order asks for.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	OrderStage         OrderKind = iota // fetch Weights ahead of use
+	OrderActivate                       // serve staged Weights
+	OrderLoadAdapter                    // load Adapter at AdapterVersion
+	OrderUnloadAdapter                  // unload Adapter
+	OrderSetRole                        // change Role
+)
+
+// Order is a fenced instruction to an engine.
+type Order struct {
+	Kind OrderKind
+	// Fence is the epoch of whoever gives the order. An order with a fence
+	// below the highest seen is refused.
+	Fence uint64
+	// Incarnation, if not 0, is the engine incarnation that the order is
+	// meant for.
+	Incarnation    uint64
+	Weights        Weights
+	Adapter        string
+	AdapterVersion int64
+	Role           Role
+}
+
+// Errors of Order. An order that was refused had no effect.
+var (
+	ErrStaleFence       = errors.New("fence is older than the highest seen")
+	ErrWrongIncarnation = errors.New("order is for another incarnation")
+	ErrNotStaged        = errors.New("weights are not staged")
+	ErrModelInUse       = errors.New("another model cannot be activated while requests are in flight")
+	ErrAdapterInUse     = errors.New("adapter is used by requests in flight")
+)
+
+// swapFault is what the next activation does wrong.
+type swapFault uint8
+
+const (
+	swapFine swapFault = iota
+	swapFails
+	swapLandsElsewhere
+)
+
+// timer is a future internal event.
+type timer struct {
+	at       time.Duration
+	kind     timerKind
+	sequence *sequence
+	weights  Weights
+	adapter  string
+	version  int64
+}
+
+type timerKind uint8
+
+const (
+	timerStaged timerKind = iota
+	timerAdapter
+	timerTransfer
+)
+
+// Order carries out or refuses a fenced order. Staging, activation and
+// adapter loads end later, with an event.
+func (m *Model) Order(now time.Duration, order Order) error {
+	m.interrupt(now)
+	switch {
+	case !m.up:
+		return ErrDown
+	case order.Fence < m.fence:
+		return ErrStaleFence
+	case order.Incarnation != 0 && order.Incarnation != m.incarnation:
+		return ErrWrongIncarnation
+	}
+	m.fence = order.Fence
+	switch order.Kind {
+	case OrderStage:
+		m.stage(now, order.Weights)
+		return nil
+	case OrderActivate:
+		return m.activate(order.Weights)
+	case OrderLoadAdapter:
+		m.timers = append(m.timers, timer{
+			at: now + m.config.AdapterLoadTime, kind: timerAdapter,
+			adapter: order.Adapter, version: order.AdapterVersion,
+		})
+		return nil
+	case OrderUnloadAdapter:
+		return m.unloadAdapter(order.Adapter)
+	default:
+		m.role = order.Role
+		return nil
+	}
+}
+
+// stage begins to fetch weights unless they are there or on the way.
+func (m *Model) stage(now time.Duration, weights Weights) {
+	if slices.Contains(m.staged, weights) || slices.Contains(m.staging, weights) {
+		return
+	}
+	m.staging = append(m.staging, weights)
+	if m.config.Store != nil {
+		ready := m.config.Store.Reserve(now, m.config.WeightBytes)
+		m.timers = append(m.timers, timer{at: ready, kind: timerStaged, weights: weights})
+	}
+}
+
+// CompleteStaging reports that a transfer that the driver carries has ended.
+// It returns ErrNotStaged when the engine has not asked for these weights,
+// as after a restart.
+func (m *Model) CompleteStaging(now time.Duration, weights Weights, complete bool) error {
+	m.interrupt(now)
+	if !slices.Contains(m.staging, weights) {
+		return ErrNotStaged
+	}
+	if !complete {
+		m.staging = slices.DeleteFunc(m.staging, func(w Weights) bool { return w == weights })
+		return nil
+	}
+	m.finishStaging(now, weights)
+	return nil
+}
+
+func (m *Model) finishStaging(at time.Duration, weights Weights) {
+	m.staging = slices.DeleteFunc(m.staging, func(w Weights) bool { return w == weights })
+	m.staged = append(m.staged, weights)
+	if len(m.staged) > m.config.StagedSlots {
+		m.staged = slices.Delete(m.staged, 0, 1)
+	}
+	m.emit(Event{At: at, Kind: EventStaged, Weights: weights})
+}
+
+// activate asks for a switch at the end of the step in progress.
+func (m *Model) activate(weights Weights) error {
+	if m.destination() == weights {
+		return nil
+	}
+	if !slices.Contains(m.staged, weights) {
+		return ErrNotStaged
+	}
+	if weights.Model != m.weights.Model && len(m.sequences) > 0 {
+		return ErrModelInUse
+	}
+	m.pending = &weights
+	return nil
+}
+
+// destination returns the weights that the orders so far lead to.
+func (m *Model) destination() Weights {
+	switch {
+	case m.pending != nil:
+		return *m.pending
+	case m.swapping:
+		return m.swapTarget
+	default:
+		return m.weights
+	}
+}
+
+// beginSwap stops all steps for the swap pause.
+func (m *Model) beginSwap(at time.Duration) {
+	m.swapping, m.swapTarget, m.pending = true, *m.pending, nil
+	m.pausedUntil = at + m.config.SwapPause
+	m.dropCache()
+}
+
+// dropCache empties the prefix cache, whose KV state belongs to the weights
+// that are being replaced. Sequences in flight keep their state but stop
+// sharing it.
+func (m *Model) dropCache() {
+	m.memory.clear()
+	for _, s := range m.sequences {
+		s.unshareable = true
+	}
+}
+
+// finishSwap puts the ordered weights into service, or does what the armed
+// fault says.
+func (m *Model) finishSwap(at time.Duration) {
+	ordered, fault := m.swapTarget, m.swapFault
+	m.swapping, m.swapFault = false, swapFine
+	m.dirty = true
+	switch fault {
+	case swapFails:
+		m.weights = Weights{Model: ordered.Model, Version: UnknownVersion}
+		m.emit(Event{At: at, Kind: EventSwapFailed, Weights: ordered})
+		return
+	case swapLandsElsewhere:
+		m.weights = m.swapLandsOn
+	default:
+		m.weights = ordered
+	}
+	m.emit(Event{At: at, Kind: EventActivated, Weights: m.weights})
+}
+
+func (m *Model) unloadAdapter(adapter string) error {
+	for _, s := range m.sequences {
+		if s.request.Adapter == adapter {
+			return ErrAdapterInUse
+		}
+	}
+	delete(m.adapters, adapter)
+	return nil
+}
+
+// fireTimers handles the timers that are due, oldest first.
+func (m *Model) fireTimers(at time.Duration) {
+	for {
+		due := -1
+		for i := range m.timers {
+			if m.timers[i].at <= at && (due < 0 || m.timers[i].at < m.timers[due].at) {
+				due = i
+			}
+		}
+		if due < 0 {
+			return
+		}
+		t := m.timers[due]
+		m.timers = slices.Delete(m.timers, due, due+1)
+		m.fire(at, t)
+	}
+}
+
+func (m *Model) fire(at time.Duration, t timer) {
+	switch t.kind {
+	case timerStaged:
+		m.finishStaging(at, t.weights)
+	case timerAdapter:
+		m.adapters[t.adapter] = t.version
+		m.emit(Event{At: at, Kind: EventAdapterLoaded, Adapter: t.adapter, Version: t.version})
+	case timerTransfer:
+		m.finishTransfer(at, t.sequence)
+	}
+}
--- /dev/null
+++ b/internal/lab/engine/plan.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// watermarkDivisor sets the share of KV memory that admission leaves free for
+// growth of the running sequences: one part in this many.
+const watermarkDivisor = 100
+
+// plan chooses the batch that starts at this time and how many equal steps
+// can run before anything can change.
+func (m *Model) plan(at time.Duration) {
+	m.dirty = false
+	m.preemptForGrowth(at)
+	prefillTokens := m.continuePrefill()
+	prefillTokens += m.admit(m.config.PrefillTokensPerStep - prefillTokens)
+	r := &m.run
+	clear(r.batch)
+	r.batch = r.batch[:0]
+	for _, s := range m.running {
+		if s.prefilled() {
+			r.batch = append(r.batch, s)
+		}
+	}
+	if len(m.running) == 0 {
+		return
+	}
+	r.active, r.start, r.settled = true, at, 0
+	r.step = m.stepTime(len(r.batch), prefillTokens)
+	r.steps = 1
+	if prefillTokens == 0 {
+		r.steps = m.mergeableSteps()
+	}
+}
+
+func (m *Model) stepTime(decoding, prefillTokens int) time.Duration {
+	step := m.config.StepBase +
+		time.Duration(decoding)*m.config.StepPerSequence +
+		time.Duration(prefillTokens)*m.config.StepPerPrefillToken
+	return max(time.Duration(float64(step)*m.slowdown), 1)
+}
+
+// mergeableSteps returns for how many steps the batch stays as it is: until
+// the first sequence ends or memory runs out. A waiting request that does not
+// fit now will not fit earlier, as memory only fills up meanwhile.
+func (m *Model) mergeableSteps() int {
+	steps := m.config.maxRunSteps
+	for _, s := range m.run.batch {
+		steps = min(steps, s.remaining())
+	}
+	if m.growth(steps) <= m.memory.available() {
+		return max(steps, 1)
+	}
+	tooMany := sort.Search(steps, func(n int) bool { return m.growth(n) > m.memory.available() })
+	return max(tooMany-1, 1)
+}
+
+// growth returns the blocks that the running sequences lack for so many more
+// tokens each.
+func (m *Model) growth(steps int) int {
+	total := 0
+	for _, s := range m.running {
+		if s.prefilled() {
+			total += max(m.blocksFor(s.context+steps)-s.blocks(), 0)
+		}
+	}
+	return total
+}
+
+// preemptForGrowth frees memory until every decoding sequence can take its
+// next token. The lowest in priority, and of these the latest, go first.
+func (m *Model) preemptForGrowth(at time.Duration) {
+	for len(m.running) > 0 && m.growth(1) > m.memory.available() {
+		victim := m.running[0]
+		for _, s := range m.running[1:] {
+			if victim.before(s) {
+				victim = s
+			}
+		}
+		m.preempt(victim, at)
+	}
+}
+
+// preempt takes a sequence's memory away and puts it back into the queue.
+func (m *Model) preempt(s *sequence, at time.Duration) {
+	m.detach(s)
+	m.release(s)
+	s.preemptions++
+	m.totals.Preemptions++
+	m.enqueue(s)
+	m.dirty = false
+	m.emit(Event{At: at, Kind: EventPreempted, ID: s.request.ID})
+}
+
+// continuePrefill schedules prompt tokens of sequences that were admitted in
+// earlier steps and returns how many.
+func (m *Model) continuePrefill() int {
+	scheduled := 0
+	for _, s := range m.running {
+		if !s.prefilled() {
+			scheduled += m.schedulePrefill(s, m.config.PrefillTokensPerStep-scheduled)
+		}
+	}
+	return scheduled
+}
+
+// schedulePrefill computes up to budget context tokens of a sequence in the
+// step being planned. Full blocks become shareable at once, also within the
+// same step.
+func (m *Model) schedulePrefill(s *sequence, budget int) int {
+	tokens := min(s.context-s.computed, budget)
+	s.computed += tokens
+	m.totals.Prefilled += uint64(tokens)
+	m.shareBlocks(s, s.computed/m.config.BlockTokens)
+	return tokens
+}
+
+// shareBlocks makes the first count blocks of a sequence shareable.
+func (m *Model) shareBlocks(s *sequence, count int) {
+	if s.unshareable {
+		return
+	}
+	previous := s.lastSharedHash()
+	for i := len(s.shared); i < count && s.private > 0; i++ {
+		previous = s.blockHash(i, previous)
+		s.private--
+		s.shared = append(s.shared, m.memory.share(previous))
+	}
+}
+
+// admit moves waiting sequences into the batch in order of priority, as long
+// as slots, memory and the budget of prompt tokens allow, and returns the
+// prompt tokens scheduled.
+func (m *Model) admit(budget int) int {
+	scheduled := 0
+	for len(m.waiting) > 0 && len(m.running) < m.config.MaxSequences && scheduled < budget {
+		s := m.waiting[0]
+		if !m.place(s) {
+			break
+		}
+		heap.Pop(&m.waiting)
+		s.state = stateRunning
+		m.running = append(m.running, s)
+		scheduled += m.schedulePrefill(s, budget-scheduled)
+	}
+	return scheduled
+}
+
+// place reserves memory for a waiting sequence and reuses cached blocks; it
+// reports whether the sequence fits.
+func (m *Model) place(s *sequence) bool {
+	m.reuseCached(s)
+	needed := m.blocksFor(s.context+1) - len(s.shared)
+	reserve := 0
+	if len(m.running) > 0 {
+		reserve = m.config.KVBlocks/watermarkDivisor + m.growth(1)
+	}
+	if needed+reserve > m.memory.available() {
+		m.dropShared(s)
+		return false
+	}
+	m.memory.take(needed)
+	s.private = needed
+	s.unshareable = false
+	s.computed = max(len(s.shared)*m.config.BlockTokens, s.imported)
+	if s.imported < s.context {
+		// At least the last token is computed to continue from it.
+		s.computed = min(s.computed, s.context-1)
+	}
+	if !s.admitted {
+		s.admitted = true
+		s.cachedHits = len(s.shared) * m.config.BlockTokens
+	}
+	m.totals.CacheHits += uint64(len(s.shared) * m.config.BlockTokens)
+	s.imported = 0
+	return true
+}
+
+// reuseCached references the longest cached prefix of the context.
+func (m *Model) reuseCached(s *sequence) {
+	previous := uint64(0)
+	for i := range s.context / m.config.BlockTokens {
+		previous = s.blockHash(i, previous)
+		b := m.memory.find(previous)
+		if b == nil {
+			return
+		}
+		s.shared = append(s.shared, b)
+	}
+}
+
+// grow takes the blocks that a sequence's new tokens need. The plan has made
+// sure that they are there.
+func (m *Model) grow(s *sequence) {
+	if missing := m.blocksFor(s.context) - s.blocks(); missing > 0 {
+		m.memory.take(missing)
+		s.private += missing
+	}
+}
+
+// release frees a sequence's memory. Generated blocks go into the prefix
+// cache when the configuration says so.
+func (m *Model) release(s *sequence) {
+	if m.config.CacheGenerated && s.blocks() > 0 && s.prefilled() {
+		m.shareBlocks(s, s.context/m.config.BlockTokens)
+	}
+	m.memory.give(s.private)
+	s.private = 0
+	m.dropShared(s)
+	s.computed = 0
+}
+
+// dropShared releases shared blocks from the end, so that the front of a
+// prefix stays cached longest.
+func (m *Model) dropShared(s *sequence) {
+	for i := len(s.shared) - 1; i >= 0; i-- {
+		m.memory.drop(s.shared[i])
+	}
+	s.shared = s.shared[:0]
+}
--- /dev/null
+++ b/internal/lab/engine/store.go
@@ -0,0 +1,24 @@
+package engine
+
+import "time"
+
+// Store models a weight store or link with a limited rate. Transfers are
+// served one after another at the full rate, so that the total never exceeds
+// it. It is not safe for concurrent use.
+type Store struct {
+	bytesPerSecond int64
+	busyUntil      time.Duration
+}
+
+// NewStore returns a store that hands out bytesPerSecond in total.
+func NewStore(bytesPerSecond int64) *Store {
+	return &Store{bytesPerSecond: max(bytesPerSecond, 1)}
+}
+
+// Reserve books a transfer asked for at time now and returns when it ends.
+func (s *Store) Reserve(now time.Duration, bytes int64) time.Duration {
+	start := max(now, s.busyUntil)
+	seconds := float64(bytes) / float64(s.bytesPerSecond)
+	s.busyUntil = start + time.Duration(seconds*float64(time.Second))
+	return s.busyUntil
+}
