port: let pools share replicas by adapter

Cause: three trainers of one site wait on one set of engines; a pool that owned its replicas alone would split the engines in fixed thirds. Change: a pool may name another pool whose replicas it uses and the adapter that its trainer publishes; load reports carry a version for each adapter.

--- a/internal/port/configuration.go
+++ b/internal/port/configuration.go
@@ -32,6 +32,21 @@
 	RefuseUnconfirmed bool `cbor:"6,keyasint,omitempty" json:"refuse_unconfirmed,omitempty"`
 	// Sampling is set for pools that feed a trainer.
 	Sampling *Sampling `cbor:"7,keyasint,omitempty" json:"sampling,omitempty"`
+	// ReplicasOf, if set, makes this pool share the replicas of another
+	// generation pool, so that several trainers can feed from one set of
+	// engines; the pool then has no replicas of its own.
+	ReplicasOf PoolName `cbor:"8,keyasint,omitempty" json:"replicas_of,omitempty"`
+	// Adapter, if set, is the adapter that this pool's requests use and its
+	// trainer publishes; versions are then the adapter's, not the base model's.
+	Adapter string `cbor:"9,keyasint,omitempty" json:"adapter,omitempty"`
+}
+
+// EnginePool names the pool whose replicas serve this one.
+func (p *Pool) EnginePool() PoolName {
+	if p.ReplicasOf != "" {
+		return p.ReplicasOf
+	}
+	return p.Name
 }
 
 // Admission bounds what waits and what runs.
--- a/internal/port/generation.go
+++ b/internal/port/generation.go
@@ -28,6 +28,8 @@
 	// Replica, if set, is the replica the sending node chose; its home decides
 	// whether it still takes the request.
 	Replica ReplicaID `cbor:"15,keyasint,omitempty"`
+	// Adapter names the adapter to use; empty means the base model.
+	Adapter string `cbor:"16,keyasint,omitempty"`
 }
 
 // Span says which version produced a run of tokens.
@@ -78,20 +80,43 @@
 
 // LoadReport is what an engine says of itself, some time late.
 type LoadReport struct {
-	Running     int           `cbor:"1,keyasint" json:"running"`
-	Waiting     int           `cbor:"2,keyasint" json:"waiting"`
-	KVUsed      int           `cbor:"3,keyasint" json:"kv_used_blocks"`
-	KVTotal     int           `cbor:"4,keyasint" json:"kv_total_blocks"`
-	Version     WeightVersion `cbor:"5,keyasint" json:"version"`
-	Staged      WeightVersion `cbor:"6,keyasint" json:"staged_version"`
-	Role        EngineRole    `cbor:"7,keyasint" json:"role"`
-	Fence       Epoch         `cbor:"8,keyasint" json:"highest_fence"`
-	Adapters    []string      `cbor:"9,keyasint,omitempty" json:"adapters,omitempty"`
-	Incarnation uint64        `cbor:"10,keyasint" json:"incarnation"`
+	Running int           `cbor:"1,keyasint" json:"running"`
+	Waiting int           `cbor:"2,keyasint" json:"waiting"`
+	KVUsed  int           `cbor:"3,keyasint" json:"kv_used_blocks"`
+	KVTotal int           `cbor:"4,keyasint" json:"kv_total_blocks"`
+	Version WeightVersion `cbor:"5,keyasint" json:"version"`
+	Staged  WeightVersion `cbor:"6,keyasint" json:"staged_version"`
+	Role    EngineRole    `cbor:"7,keyasint" json:"role"`
+	Fence   Epoch         `cbor:"8,keyasint" json:"highest_fence"`
+	// Adapters lists the adapters loaded, with their versions.
+	Adapters    []AdapterVersion `cbor:"9,keyasint,omitempty" json:"adapters,omitempty"`
+	Incarnation uint64           `cbor:"10,keyasint" json:"incarnation"`
 	// AgeMillis is how old the report was when it was sent.
 	AgeMillis int64 `cbor:"11,keyasint" json:"age_ms"`
 }
 
+// AdapterVersion says which version of an adapter an engine serves and which it
+// has staged.
+type AdapterVersion struct {
+	Name    string        `cbor:"1,keyasint" json:"name"`
+	Version WeightVersion `cbor:"2,keyasint" json:"version"`
+	Staged  WeightVersion `cbor:"3,keyasint" json:"staged_version"`
+}
+
+// Serves gives the version that the engine serves of an adapter, or of the base
+// model where the adapter is empty, and the version it has staged; 0 means none.
+func (r *LoadReport) Serves(adapter string) (version, staged WeightVersion) {
+	if adapter == "" {
+		return r.Version, r.Staged
+	}
+	for _, loaded := range r.Adapters {
+		if loaded.Name == adapter {
+			return loaded.Version, loaded.Staged
+		}
+	}
+	return 0, 0
+}
+
 // EngineRole says which phases an engine serves.
 type EngineRole string
 
