--- a/internal/port/command.go
+++ b/internal/port/command.go
@@ -18,6 +18,8 @@
 	ReleaseLease        *ReleaseLease        `cbor:"6,keyasint,omitempty"`
 	RegisterConsumer    *RegisterConsumer    `cbor:"7,keyasint,omitempty"`
 	CommitBatch         *CommitBatch         `cbor:"8,keyasint,omitempty"`
+	RegisterNode        *RegisterNode        `cbor:"9,keyasint,omitempty"`
+	RemoveNode          *RemoveNode          `cbor:"10,keyasint,omitempty"`
 }
 
 // ChangeConfiguration replaces parts of the configuration, if its revision is
@@ -71,6 +73,17 @@
 	RewindTo BatchNumber `cbor:"3,keyasint,omitempty"`
 }
 
+// RegisterNode makes a node known to all others, or replaces its address or
+// draining mark. It needs no change id: repeating it changes nothing.
+type RegisterNode struct {
+	Node NodeAddress `cbor:"1,keyasint"`
+}
+
+// RemoveNode takes a node that left or fell silent out of the view.
+type RemoveNode struct {
+	ID NodeID `cbor:"1,keyasint"`
+}
+
 // CommittedSample is one sample of a batch as the log records it.
 type CommittedSample struct {
 	ID     SampleID      `cbor:"1,keyasint" json:"id"`
