policy: compile and run the programs of rollout pools

A pool's rules are operators' Starlark programs: def plan(pool) gets a frozen view and returns a struct or dict. Steps, source size and ranges are bounded; load, print output, recursion and while are not available.

--- /dev/null
+++ b/internal/core/policy/program.go
@@ -0,0 +1,131 @@
+package policy
+
+import (
+	_ "embed" // for the default program
+	"errors"
+	"fmt"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/starlarkstruct"
+	"go.starlark.net/syntax"
+)
+
+// Limits of a program.
+const (
+	// DefaultMaxSteps bounds the interpreter steps of one run.
+	DefaultMaxSteps = 500_000
+	// MaxSourceBytes bounds a program's source.
+	MaxSourceBytes = 64 << 10
+	// MaxRange bounds the length of a range, which one step could turn into a
+	// list of any size.
+	MaxRange = 10_000
+
+	functionName = "plan"
+	fileName     = "policy.star"
+)
+
+// Default is the source of the program for pools that name none.
+//
+//go:embed default.star
+var Default string
+
+// ErrStepLimit says that a program ran past its step limit.
+var ErrStepLimit = errors.New("policy program ran past its step limit")
+
+// Program is a compiled program. It is immutable: runs share nothing.
+type Program struct {
+	source   string
+	function *starlark.Function
+	maxSteps uint64
+}
+
+// Compile parses and initialises a program. An empty source is Default. The
+// error names file, line and column.
+func Compile(source string) (*Program, error) {
+	return CompileLimited(source, DefaultMaxSteps)
+}
+
+// CompileLimited is Compile with a step limit other than DefaultMaxSteps.
+func CompileLimited(source string, maxSteps uint64) (*Program, error) {
+	if source == "" {
+		source = Default
+	}
+	if len(source) > MaxSourceBytes {
+		return nil, fmt.Errorf("policy program has %d bytes, allowed are %d", len(source), MaxSourceBytes)
+	}
+	thread := newThread(maxSteps)
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true}, thread, fileName, source, predeclared())
+	if err != nil {
+		return nil, describe(err, thread, maxSteps)
+	}
+	globals.Freeze()
+	function, isFunction := globals[functionName].(*starlark.Function)
+	if !isFunction || function.NumParams() != 1 {
+		return nil, fmt.Errorf("%s: the program must define %s(pool)", fileName, functionName)
+	}
+	return &Program{source: source, function: function, maxSteps: maxSteps}, nil
+}
+
+// Source gives the program's text.
+func (p *Program) Source() string { return p.source }
+
+// Run calls plan(pool) and gives the checked plan with the steps it took. After
+// an error the caller keeps the last plan that was good.
+func (p *Program) Run(view View) (Plan, uint64, error) {
+	thread := newThread(p.maxSteps)
+	result, err := starlark.Call(thread, p.function, starlark.Tuple{viewValue(view)}, nil)
+	steps := thread.ExecutionSteps()
+	if err != nil {
+		return Plan{}, steps, describe(err, thread, p.maxSteps)
+	}
+	plan, err := readPlan(result, view)
+	return plan, steps, err
+}
+
+// newThread makes a thread without load and print, with bounded steps.
+func newThread(maxSteps uint64) *starlark.Thread {
+	thread := &starlark.Thread{
+		Name:  fileName,
+		Print: func(*starlark.Thread, string) {},
+	}
+	thread.SetMaxExecutionSteps(maxSteps)
+	return thread
+}
+
+// predeclared lists the names a program has besides the language's own.
+func predeclared() starlark.StringDict {
+	return starlark.StringDict{
+		"struct": starlark.NewBuiltin("struct", starlarkstruct.Make),
+		"range":  starlark.NewBuiltin("range", boundedRange),
+	}
+}
+
+// boundedRange is the language's range with a bounded length.
+func boundedRange(thread *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple, keywords []starlark.Tuple) (starlark.Value, error) {
+	value, err := starlark.Call(thread, starlark.Universe["range"], args, keywords)
+	if err != nil {
+		return nil, err
+	}
+	if length := starlark.Len(value); length > MaxRange {
+		return nil, fmt.Errorf("range has %d elements, allowed are %d", length, MaxRange)
+	}
+	return value, nil
+}
+
+// describe adds the line to an interpreter error.
+func describe(err error, thread *starlark.Thread, maxSteps uint64) error {
+	if thread.ExecutionSteps() >= maxSteps {
+		return fmt.Errorf("%w: allowed are %d", ErrStepLimit, maxSteps)
+	}
+	var evaluation *starlark.EvalError
+	if !errors.As(err, &evaluation) {
+		return err
+	}
+	for depth := range evaluation.CallStack {
+		frame := evaluation.CallStack.At(depth)
+		if frame.Pos.Filename() == fileName {
+			return fmt.Errorf("%s: %w", frame.Pos, err)
+		}
+	}
+	return err
+}
