--- /dev/null
+++ b/internal/core/consensus/harness_test.go
@@ -0,0 +1,277 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+const (
+	testElectionTicks  = 10
+	testHeartbeatTicks = 2
+)
+
+// disk is what survives a crash of a test member.
+type disk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// persist writes a Ready as the log storage would.
+func (d *disk) persist(ready Ready) {
+	if snapshot := ready.Snapshot; snapshot != nil {
+		d.install(*snapshot)
+	}
+	for _, entry := range ready.Entries {
+		keep := entry.Index - d.snapshot.Index - 1
+		d.entries = append(d.entries[:keep:keep], entry)
+	}
+	if ready.HardState != nil {
+		d.hard = *ready.HardState
+	}
+}
+
+func (d *disk) install(snapshot Snapshot) {
+	offset := int(snapshot.Index - d.snapshot.Index)
+	matches := offset > 0 && offset <= len(d.entries) && d.entries[offset-1].Term == snapshot.Term
+	if matches {
+		d.entries = slices.Clone(d.entries[offset:])
+	} else {
+		d.entries = nil
+	}
+	d.snapshot = snapshot
+}
+
+// testMember is a Node with its disk and a state machine that keeps the hash
+// chain of the commands that it applied.
+type testMember struct {
+	node    *Node
+	disk    disk
+	state   []byte
+	applied uint64
+	reads   []ReadState
+	// skipSync drops what is written, as if the sync were left out.
+	skipSync bool
+	down     bool
+}
+
+// network is a group of members in one process, stepped by the test.
+type network struct {
+	t       testing.TB
+	config  Config
+	members map[MemberID]*testMember
+	order   []MemberID
+	queue   []Message
+	cut     map[[2]MemberID]bool
+	oneHop  func(Message) bool
+	leaders map[uint64]MemberID
+	history map[uint64]Entry
+	faults  []string
+}
+
+func newNetwork(t testing.TB, voters int, adjust func(*Config)) *network {
+	t.Helper()
+	net := &network{
+		t: t, config: Config{ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks, Seed: 42},
+		members: map[MemberID]*testMember{}, cut: map[[2]MemberID]bool{},
+		leaders: map[uint64]MemberID{}, history: map[uint64]Entry{},
+	}
+	if adjust != nil {
+		adjust(&net.config)
+	}
+	var membership Membership
+	for id := MemberID(1); id <= MemberID(voters); id++ {
+		membership.Voters = append(membership.Voters, id)
+	}
+	for _, id := range membership.Voters {
+		net.add(id, Restored{Snapshot: Snapshot{Membership: membership}})
+	}
+	return net
+}
+
+func (net *network) add(id MemberID, restored Restored) *testMember {
+	member := &testMember{disk: disk{snapshot: restored.Snapshot}}
+	net.members[id] = member
+	net.order = append(net.order, id)
+	net.start(id)
+	return member
+}
+
+func (net *network) start(id MemberID) {
+	net.t.Helper()
+	member := net.members[id]
+	config := net.config
+	config.ID = id
+	node, err := New(config, Restored{HardState: member.disk.hard, Snapshot: member.disk.snapshot, Entries: member.disk.entries})
+	if err != nil {
+		net.fault("start member %d: %v", id, err)
+		return
+	}
+	member.node, member.down = node, false
+	member.state, member.applied = bytes.Clone(member.disk.snapshot.Data), member.disk.snapshot.Index
+	member.reads = nil
+}
+
+func (net *network) fault(format string, arguments ...any) {
+	net.faults = append(net.faults, fmt.Sprintf(format, arguments...))
+}
+
+func (net *network) crash(id MemberID) {
+	net.members[id].down = true
+}
+
+func (net *network) isolate(id MemberID, isolated bool) {
+	for _, other := range net.order {
+		net.cut[[2]MemberID{id, other}] = isolated
+		net.cut[[2]MemberID{other, id}] = isolated
+	}
+}
+
+// settle carries out every member's work and delivers messages until none are
+// left.
+func (net *network) settle() {
+	for range 10000 {
+		net.work()
+		if len(net.queue) == 0 {
+			return
+		}
+		message := net.queue[0]
+		net.queue = net.queue[1:]
+		net.deliver(message)
+	}
+	net.t.Fatal("network does not settle")
+}
+
+func (net *network) work() {
+	for _, id := range net.order {
+		for !net.members[id].down && net.members[id].node.HasReady() {
+			net.carryOut(id)
+		}
+	}
+}
+
+func (net *network) carryOut(id MemberID) {
+	member := net.members[id]
+	ready := member.node.Ready()
+	if !member.skipSync {
+		member.disk.persist(ready)
+	}
+	net.queue = append(net.queue, ready.Messages...)
+	if ready.Snapshot != nil {
+		member.state, member.applied = bytes.Clone(ready.Snapshot.Data), ready.Snapshot.Index
+	}
+	for _, entry := range ready.Committed {
+		net.apply(id, entry)
+	}
+	member.reads = append(member.reads, ready.ReadStates...)
+	member.node.Advance(ready)
+	net.checkLeader(id)
+}
+
+func (net *network) apply(id MemberID, entry Entry) {
+	member := net.members[id]
+	if entry.Index != member.applied+1 {
+		net.fault("member %d applied %d after %d", id, entry.Index, member.applied)
+	}
+	member.applied = entry.Index
+	known, seen := net.history[entry.Index]
+	if seen && (known.Term != entry.Term || !bytes.Equal(known.Data, entry.Data)) {
+		net.fault("member %d committed (%d, term %d), another one (term %d)", id, entry.Index, entry.Term, known.Term)
+	}
+	net.history[entry.Index] = entry
+	if entry.Kind == EntryNormal {
+		member.state = append(member.state, entry.Data...)
+	}
+}
+
+func (net *network) checkLeader(id MemberID) {
+	status := net.members[id].node.Status()
+	if status.Role != RoleLeader {
+		return
+	}
+	if other, known := net.leaders[status.Term]; known && other != id {
+		net.fault("members %d and %d both lead term %d", other, id, status.Term)
+	}
+	net.leaders[status.Term] = id
+}
+
+func (net *network) deliver(message Message) {
+	member := net.members[message.To]
+	if member == nil || member.down || net.cut[[2]MemberID{message.From, message.To}] {
+		return
+	}
+	if net.oneHop != nil && !net.oneHop(message) {
+		return
+	}
+	if err := member.node.Step(message); err != nil {
+		net.fault("member %d, %v from %d: %v", message.To, message.Kind, message.From, err)
+	}
+}
+
+func (net *network) tick(count int) {
+	for range count {
+		for _, id := range net.order {
+			if !net.members[id].down {
+				net.members[id].node.Tick()
+			}
+		}
+		net.settle()
+	}
+}
+
+// leader returns the leader of the highest term.
+func (net *network) leader() MemberID {
+	best, term := None, uint64(0)
+	for _, id := range net.order {
+		status := net.members[id].node.Status()
+		if !net.members[id].down && status.Role == RoleLeader && status.Term >= term {
+			best, term = id, status.Term
+		}
+	}
+	return best
+}
+
+func (net *network) elect() MemberID {
+	net.t.Helper()
+	for range 20 * testElectionTicks {
+		net.tick(1)
+		if id := net.leader(); id != None {
+			net.tick(testHeartbeatTicks)
+			return id
+		}
+	}
+	net.t.Fatal("no leader elected")
+	return None
+}
+
+func (net *network) node(id MemberID) *Node {
+	return net.members[id].node
+}
+
+func (net *network) propose(id MemberID, data string) uint64 {
+	net.t.Helper()
+	index, _, err := net.node(id).Propose([]byte(data))
+	if err != nil {
+		net.t.Fatalf("propose on %d: %v", id, err)
+	}
+	net.settle()
+	return index
+}
+
+func (net *network) noFaults() {
+	net.t.Helper()
+	for _, fault := range net.faults {
+		net.t.Error(fault)
+	}
+}
+
+func (net *network) sameState(want string, ids ...MemberID) {
+	net.t.Helper()
+	for _, id := range ids {
+		if got := string(net.members[id].state); got != want {
+			net.t.Errorf("member %d: state %q, want %q", id, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/consensus/log.go
@@ -0,0 +1,127 @@
+package consensus
+
+// raftLog is the log after a base position, whose entries are compacted.
+type raftLog struct {
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []Entry
+	// taken is the last position handed out for writing, stable the last one
+	// known to be durable.
+	taken   uint64
+	stable  uint64
+	commit  uint64
+	applied uint64
+}
+
+func newRaftLog(snapshot Snapshot, entries []Entry, commit uint64) raftLog {
+	last := snapshot.Index + uint64(len(entries))
+	return raftLog{
+		baseIndex: snapshot.Index,
+		baseTerm:  snapshot.Term,
+		entries:   entries[:len(entries):len(entries)],
+		taken:     last,
+		stable:    last,
+		commit:    max(commit, snapshot.Index),
+		applied:   snapshot.Index,
+	}
+}
+
+func (l *raftLog) lastIndex() uint64 {
+	return l.baseIndex + uint64(len(l.entries))
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term at index, and whether the log still knows it.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	if index == l.baseIndex {
+		return l.baseTerm, true
+	}
+	if index < l.baseIndex || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.baseIndex-1].Term, true
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	own, known := l.term(index)
+	return known && own == term
+}
+
+// isUpToDate reports whether a log that ends in (index, term) holds at least
+// as much as this one (section 5.4.1 of the paper).
+func (l *raftLog) isUpToDate(index, term uint64) bool {
+	last := l.lastTerm()
+	return term > last || term == last && index >= l.lastIndex()
+}
+
+// from returns entries from index on. It stops before maxBytes of data but
+// returns at least one entry if there is one.
+func (l *raftLog) from(index uint64, maxBytes int) []Entry {
+	if index <= l.baseIndex || index > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[index-l.baseIndex-1:]
+	size := 0
+	for i := range rest {
+		size += len(rest[i].Data)
+		if i > 0 && size > maxBytes {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// between returns the entries in (after, to].
+func (l *raftLog) between(after, to uint64) []Entry {
+	if to <= after {
+		return nil
+	}
+	low, high := after-l.baseIndex, to-l.baseIndex
+	return l.entries[low:high:high]
+}
+
+func (l *raftLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncateFrom drops the entries from index on. Slices that were handed out
+// keep their contents.
+func (l *raftLog) truncateFrom(index uint64) {
+	keep := index - l.baseIndex - 1
+	l.entries = l.entries[:keep:keep]
+	l.taken = min(l.taken, index-1)
+	l.stable = min(l.stable, index-1)
+}
+
+// compact drops the entries up to and including index.
+func (l *raftLog) compact(index uint64) {
+	term, known := l.term(index)
+	if !known || index <= l.baseIndex {
+		return
+	}
+	l.entries = append([]Entry(nil), l.entries[index-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+// reset replaces the whole log by a snapshot's position.
+func (l *raftLog) reset(index, term uint64) {
+	*l = raftLog{baseIndex: index, baseTerm: term, taken: index, stable: index, commit: index, applied: index}
+}
+
+// lastAtOrBelow returns the largest index up to limit whose term is at most
+// term, or the base index.
+func (l *raftLog) lastAtOrBelow(limit, term uint64) (uint64, uint64) {
+	index := min(limit, l.lastIndex())
+	for index > l.baseIndex {
+		own, _ := l.term(index)
+		if own <= term {
+			return index, own
+		}
+		index--
+	}
+	return l.baseIndex, l.baseTerm
+}
--- /dev/null
+++ b/internal/core/consensus/membership.go
@@ -0,0 +1,290 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MembershipChangeKind says what a MembershipChange does.
+type MembershipChangeKind uint8
+
+const (
+	// AddLearner adds a member that receives the log but has no vote.
+	AddLearner MembershipChangeKind = iota + 1
+	// PromoteLearner makes a learner a voter.
+	PromoteLearner
+	// RemoveMember takes a voter or learner out of the group.
+	RemoveMember
+)
+
+// MembershipChange adds, promotes or removes one member.
+type MembershipChange struct {
+	Kind   MembershipChangeKind `cbor:"1,keyasint"`
+	Member MemberID             `cbor:"2,keyasint"`
+	// Context is for the state machine, such as the member's address.
+	Context []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// MembershipEntry is the data of an entry of kind EntryMembership.
+type MembershipEntry struct {
+	Change MembershipChange `cbor:"1,keyasint"`
+	Result Membership       `cbor:"2,keyasint"`
+}
+
+// DecodeMembershipEntry reads the data of an entry of kind EntryMembership.
+func DecodeMembershipEntry(data []byte) (MembershipEntry, error) {
+	var entry MembershipEntry
+	if err := cbor.Unmarshal(data, &entry); err != nil {
+		return MembershipEntry{}, fmt.Errorf("%w: membership entry: %v", ErrMalformed, err)
+	}
+	if len(entry.Result.Voters) == 0 || !entry.Result.valid() {
+		return MembershipEntry{}, fmt.Errorf("%w: invalid membership", ErrMalformed)
+	}
+	return entry, nil
+}
+
+// membershipAt is the membership from a log position on.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+// membershipAt returns the membership in force after the entry at index.
+func (n *Node) membershipAt(index uint64) Membership {
+	for _, at := range slices.Backward(n.history) {
+		if at.index <= index {
+			return at.membership
+		}
+	}
+	return n.history[0].membership
+}
+
+func membershipsIn(entries []Entry) ([]membershipAt, error) {
+	var found []membershipAt
+	for _, entry := range entries {
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		decoded, err := DecodeMembershipEntry(entry.Data)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, membershipAt{entry.Index, decoded.Result})
+	}
+	return found, nil
+}
+
+func (n *Node) recordMemberships(memberships []membershipAt) {
+	if len(memberships) == 0 {
+		return
+	}
+	n.history = append(n.history, memberships...)
+	n.membership = n.history[len(n.history)-1].membership
+}
+
+// forgetMemberships drops the memberships from index on.
+func (n *Node) forgetMemberships(index uint64) {
+	for len(n.history) > 1 && n.history[len(n.history)-1].index >= index {
+		n.history = n.history[:len(n.history)-1]
+	}
+	n.membership = n.history[len(n.history)-1].membership
+}
+
+// pruneMemberships drops those that were replaced at or before index.
+func (n *Node) pruneMemberships(index uint64) {
+	for len(n.history) > 1 && n.history[1].index <= index {
+		n.history = n.history[1:]
+	}
+}
+
+// ProposeMembership appends a membership change, one at a time (section 4.1 of
+// the dissertation). It is in force as soon as it is in a member's log. Besides
+// the errors of Propose it fails with ErrChangePending, ErrAlreadyMember,
+// ErrReusedID, ErrNotMember, ErrNotCaughtUp or ErrUnsafeChange.
+func (n *Node) ProposeMembership(change MembershipChange) (index, term uint64, err error) {
+	if err := n.checkProposal(change.Context); err != nil {
+		return 0, 0, err
+	}
+	if n.history[len(n.history)-1].index > n.log.commit || n.log.commit < n.leadership.termStart {
+		return 0, 0, ErrChangePending
+	}
+	result, err := n.changedMembership(change)
+	if err != nil {
+		return 0, 0, err
+	}
+	data, err := cbor.Marshal(MembershipEntry{Change: change, Result: result})
+	if err != nil {
+		return 0, 0, fmt.Errorf("encode membership entry: %w", err)
+	}
+	entry := n.appendEntry(EntryMembership, data)
+	n.recordMemberships([]membershipAt{{entry.Index, result}})
+	n.reconcilePeers()
+	return entry.Index, entry.Term, nil
+}
+
+func (n *Node) changedMembership(change MembershipChange) (Membership, error) {
+	result := n.membership.Clone()
+	switch change.Kind {
+	case AddLearner:
+		if result.Contains(change.Member) {
+			return Membership{}, ErrAlreadyMember
+		}
+		if change.Member <= result.HighestID {
+			return Membership{}, ErrReusedID
+		}
+		result.Learners = append(result.Learners, change.Member)
+	case PromoteLearner:
+		if !result.IsLearner(change.Member) {
+			return Membership{}, ErrNotMember
+		}
+		if !n.caughtUp(change.Member) {
+			return Membership{}, ErrNotCaughtUp
+		}
+		result.Learners = without(result.Learners, change.Member)
+		result.Voters = append(result.Voters, change.Member)
+	case RemoveMember:
+		if !result.Contains(change.Member) {
+			return Membership{}, ErrNotMember
+		}
+		result.Learners = without(result.Learners, change.Member)
+		result.Voters = without(result.Voters, change.Member)
+	default:
+		return Membership{}, ErrMalformed
+	}
+	if change.Kind != AddLearner && !n.activeQuorum(result) {
+		return Membership{}, ErrUnsafeChange
+	}
+	return result.normalized(), nil
+}
+
+// caughtUp reports whether a learner is in touch and has made durable what was
+// committed one heartbeat ago.
+func (n *Node) caughtUp(id MemberID) bool {
+	peer := n.leadership.peers[id]
+	return peer != nil && n.active(peer) && peer.match >= n.leadership.promotionFloor
+}
+
+// activeQuorum reports whether the voters in touch are a quorum of membership.
+func (n *Node) activeQuorum(membership Membership) bool {
+	count := 0
+	for _, id := range membership.Voters {
+		peer := n.leadership.peers[id]
+		if id == n.config.ID || peer != nil && n.active(peer) {
+			count++
+		}
+	}
+	return len(membership.Voters) > 0 && count >= membership.Quorum()
+}
+
+func without(members []MemberID, id MemberID) []MemberID {
+	return slices.DeleteFunc(members, func(member MemberID) bool { return member == id })
+}
+
+func sameMembers(a, b Membership) bool {
+	a, b = a.normalized(), b.normalized()
+	return slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Learners, b.Learners)
+}
+
+// reconcilePeers makes the leader's peers those of the membership. A removed
+// member still gets the log until it knows that its removal is committed.
+func (n *Node) reconcilePeers() {
+	lead := &n.leadership
+	if lead.peers == nil {
+		lead.peers = map[MemberID]*progress{}
+	}
+	for _, id := range n.membership.Members() {
+		if id != n.config.ID && lead.peers[id] == nil {
+			lead.peers[id] = &progress{next: n.log.lastIndex() + 1, contactTick: n.now, progressTick: n.now}
+		}
+	}
+	for id, peer := range lead.peers {
+		if !n.membership.Contains(id) && peer.departing == 0 {
+			peer.departing = n.history[len(n.history)-1].index
+		}
+	}
+	n.orderPeers()
+}
+
+func (n *Node) orderPeers() {
+	order := make([]MemberID, 0, len(n.leadership.peers))
+	for id := range n.leadership.peers {
+		order = append(order, id)
+	}
+	slices.Sort(order)
+	n.leadership.peerOrder = order
+}
+
+func (n *Node) dropPeer(id MemberID) {
+	delete(n.leadership.peers, id)
+	n.orderPeers()
+}
+
+// dropDeparted forgets removed members that do not answer.
+func (n *Node) dropDeparted() {
+	for _, id := range slices.Clone(n.leadership.peerOrder) {
+		peer := n.leadership.peers[id]
+		if peer.departing > 0 && n.log.commit >= peer.departing && !n.active(peer) {
+			n.dropPeer(id)
+		}
+	}
+}
+
+// checkRemoval stops this member once its removal is committed. A member that
+// joins reads memberships from before it was added and is not stopped by them.
+func (n *Node) checkRemoval() {
+	if n.membershipAt(n.log.commit).Contains(n.config.ID) {
+		n.wasMember = true
+		return
+	}
+	if n.wasMember {
+		n.stopAsRemoved()
+	}
+}
+
+func (n *Node) stopAsRemoved() {
+	if n.role == RoleLeader {
+		n.broadcastHeartbeat()
+		n.offerLeadership()
+		n.resign()
+	}
+	n.role = RoleRemoved
+	n.leader = None
+}
+
+// offerLeadership asks the voter with the longest log to take over.
+func (n *Node) offerLeadership() {
+	best := None
+	for _, id := range n.membership.Voters {
+		peer := n.leadership.peers[id]
+		if peer == nil || !n.active(peer) {
+			continue
+		}
+		if best == None || peer.match > n.leadership.peers[best].match {
+			best = id
+		}
+	}
+	if best != None {
+		n.send(Message{Kind: MessageTimeoutNow, To: best})
+	}
+}
+
+// tellRemoved answers a pre-vote of a member that is not in the committed
+// membership, and reports whether it did.
+func (n *Node) tellRemoved(message Message) bool {
+	committed := n.history[len(n.history)-1].index <= n.log.commit
+	if n.role != RoleLeader || !committed || n.membership.Contains(message.From) {
+		return false
+	}
+	n.send(Message{Kind: MessageRemoved, To: message.From})
+	return true
+}
+
+// handleRemoved believes a leader of this or a later term. A leader that does
+// not know of this member yet has an earlier term.
+func (n *Node) handleRemoved(message Message) {
+	if message.Term >= n.term && n.role != RoleLeader {
+		n.stopAsRemoved()
+	}
+}
--- /dev/null
+++ b/internal/core/consensus/replication.go
@@ -0,0 +1,331 @@
+package consensus
+
+import "slices"
+
+// quorumValue returns the largest value that a quorum of voters has reached.
+func (n *Node) quorumValue(value func(MemberID) uint64) uint64 {
+	voters := n.membership.Voters
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, 0, 8)
+	for _, id := range voters {
+		values = append(values, value(id))
+	}
+	slices.Sort(values)
+	return values[len(values)-n.membership.Quorum()]
+}
+
+// peerValue returns own for this member and the peer's value for others.
+func (n *Node) peerValue(id MemberID, own uint64, value func(*progress) uint64) uint64 {
+	if id == n.config.ID {
+		return own
+	}
+	if peer := n.leadership.peers[id]; peer != nil {
+		return value(peer)
+	}
+	return 0
+}
+
+// active reports whether the peer answered within the election timeout.
+func (n *Node) active(peer *progress) bool {
+	return n.now-peer.contactTick < uint64(n.config.ElectionTicks)
+}
+
+// quorumActive reports whether a quorum answered within the election timeout.
+func (n *Node) quorumActive() bool {
+	contact := n.quorumValue(func(id MemberID) uint64 {
+		return n.peerValue(id, n.now, func(p *progress) uint64 { return p.contactTick })
+	})
+	return n.now-contact < uint64(n.config.ElectionTicks)
+}
+
+func (n *Node) tickLeader() {
+	if !n.quorumActive() && !n.config.Safeguards.NoCheckQuorum {
+		n.becomeFollower(n.term, None)
+		return
+	}
+	n.tickTransfer()
+	n.heartbeatElapsed++
+	if n.heartbeatElapsed >= n.config.HeartbeatTicks {
+		n.heartbeatElapsed = 0
+		n.leadership.promotionFloor = max(n.log.commit, n.leadership.termStart)
+		n.broadcastHeartbeat()
+	}
+	for _, id := range n.leadership.peerOrder {
+		n.retransmit(n.leadership.peers[id])
+	}
+	n.dropDeparted()
+}
+
+// retransmit gives up waiting for an acknowledgement that is overdue.
+func (n *Node) retransmit(peer *progress) {
+	if !peer.outstanding() || n.now-peer.progressTick < n.config.retransmitTicks() {
+		return
+	}
+	peer.progressTick = n.now
+	if peer.state == ProgressReplicate {
+		peer.becomeProbe()
+	}
+	if peer.state == ProgressSnapshot && !n.active(peer) {
+		peer.becomeProbe()
+	}
+	peer.waiting = false
+	n.outbox.dirty = true
+}
+
+func (n *Node) broadcastHeartbeat() {
+	for _, id := range n.leadership.peerOrder {
+		n.sendHeartbeat(id, n.leadership.peers[id])
+	}
+}
+
+func (n *Node) sendHeartbeat(id MemberID, peer *progress) {
+	commit := min(peer.match, n.log.commit)
+	peer.sentCommit = max(peer.sentCommit, commit)
+	n.sendAsLeader(Message{Kind: MessageHeartbeat, To: id, Commit: commit})
+}
+
+func (n *Node) sendAsLeader(message Message) {
+	message.SentTick = n.now
+	message.Round = n.leadership.round
+	n.send(message)
+}
+
+// sendAppends sends every peer what its window allows.
+func (n *Node) sendAppends() {
+	for _, id := range n.leadership.peerOrder {
+		peer := n.leadership.peers[id]
+		switch peer.state {
+		case ProgressProbe:
+			n.sendProbe(id, peer)
+		case ProgressReplicate:
+			n.sendWindow(id, peer)
+		case ProgressSnapshot:
+			n.sendChunk(id, peer)
+		}
+	}
+}
+
+func (n *Node) sendProbe(id MemberID, peer *progress) {
+	if peer.waiting {
+		return
+	}
+	var entries []Entry
+	if n.active(peer) {
+		entries = n.log.from(peer.next, n.config.MaxBatchBytes)
+	}
+	n.startWaiting(peer)
+	peer.waiting = true
+	n.sendEntries(id, peer, entries)
+}
+
+func (n *Node) sendWindow(id MemberID, peer *progress) {
+	sent := false
+	for peer.next <= n.log.lastIndex() && len(peer.inflight) < n.config.MaxInflight {
+		entries := n.log.from(peer.next, n.config.MaxBatchBytes)
+		if !n.sendEntries(id, peer, entries) {
+			return
+		}
+		sent = true
+		n.startWaiting(peer)
+		peer.next += uint64(len(entries))
+		peer.inflight = append(peer.inflight, peer.next-1)
+	}
+	if !sent && peer.sentCommit < min(peer.match, n.log.commit) {
+		n.sendHeartbeat(id, peer)
+	}
+}
+
+func (n *Node) startWaiting(peer *progress) {
+	if !peer.outstanding() {
+		peer.progressTick = n.now
+	}
+}
+
+// sendEntries sends entries from peer.next on. If the position before them is
+// compacted, it starts a snapshot instead and reports false.
+func (n *Node) sendEntries(id MemberID, peer *progress, entries []Entry) bool {
+	previous := peer.next - 1
+	term, known := n.log.term(previous)
+	if !known {
+		n.startSnapshot(id, peer)
+		return false
+	}
+	peer.sentCommit = max(peer.sentCommit, min(n.log.commit, previous+uint64(len(entries))))
+	n.sendAsLeader(Message{
+		Kind: MessageAppend, To: id, Index: previous, LogTerm: term,
+		Entries: entries, Commit: n.log.commit,
+	})
+	return true
+}
+
+// handleFromLeader handles what only the leader of this term sends.
+func (n *Node) handleFromLeader(message Message) error {
+	if n.role == RoleLeader {
+		return ErrMalformed
+	}
+	if n.role != RoleFollower || n.leader != message.From {
+		n.becomeFollower(n.term, message.From)
+	}
+	n.electionElapsed = 0
+	n.sinceLeader = 0
+	switch message.Kind {
+	case MessageAppend:
+		return n.handleAppend(message)
+	case MessageHeartbeat:
+		n.commitTo(message.Commit)
+		n.reply(message, Message{Kind: MessageHeartbeatReply})
+		return nil
+	default:
+		return n.handleChunk(message)
+	}
+}
+
+// reply answers a leader's message and carries back its tick and round.
+func (n *Node) reply(request, reply Message) {
+	reply.To = request.From
+	reply.SentTick = request.SentTick
+	reply.Round = request.Round
+	reply.Commit = n.log.commit
+	n.send(reply)
+}
+
+func (n *Node) handleAppend(message Message) error {
+	if message.Index < n.log.commit {
+		n.reply(message, Message{Kind: MessageAppendReply, Index: n.log.commit})
+		return nil
+	}
+	if !n.log.matches(message.Index, message.LogTerm) {
+		if message.Index == n.log.commit {
+			n.failed = ErrCommittedConflict
+			return n.failed
+		}
+		hint, term := n.log.lastAtOrBelow(message.Index, message.LogTerm)
+		n.reply(message, Message{
+			Kind: MessageAppendReply, Index: message.Index, Reject: true, HintIndex: hint, HintTerm: term,
+		})
+		return nil
+	}
+	last, err := n.acceptEntries(message.Index, message.Entries)
+	if err != nil {
+		return err
+	}
+	n.commitTo(min(message.Commit, last))
+	n.reply(message, Message{Kind: MessageAppendReply, Index: last})
+	return nil
+}
+
+// acceptEntries adds the entries that the log lacks after previous, in place
+// of any that contradict them. It returns the index of the last one.
+func (n *Node) acceptEntries(previous uint64, entries []Entry) (uint64, error) {
+	for i, entry := range entries {
+		if entry.Index != previous+uint64(i)+1 || entry.Term > n.term {
+			return 0, ErrMalformed
+		}
+	}
+	last := previous + uint64(len(entries))
+	for len(entries) > 0 && n.log.matches(entries[0].Index, entries[0].Term) {
+		entries = entries[1:]
+	}
+	if len(entries) == 0 {
+		return last, nil
+	}
+	memberships, err := membershipsIn(entries)
+	if err != nil {
+		return 0, err
+	}
+	if entries[0].Index <= n.log.lastIndex() {
+		n.log.truncateFrom(entries[0].Index)
+		n.forgetMemberships(entries[0].Index)
+	}
+	n.log.append(entries...)
+	n.recordMemberships(memberships)
+	return last, nil
+}
+
+// handleFromFollower handles the answers to a leader's messages.
+func (n *Node) handleFromFollower(message Message) {
+	peer := n.leadership.peers[message.From]
+	if n.role != RoleLeader || peer == nil {
+		return
+	}
+	n.noteContact(message, peer)
+	switch message.Kind {
+	case MessageAppendReply:
+		if message.Reject {
+			n.handleAppendRejected(message, peer)
+		} else {
+			n.handleAppended(message.Index, peer)
+		}
+	case MessageSnapshotReply:
+		n.handleSnapshotReply(message, peer)
+	}
+	if n.role != RoleLeader {
+		return
+	}
+	n.serveReads()
+	if peer.departing > 0 && message.Commit >= peer.departing {
+		n.dropPeer(message.From)
+	}
+}
+
+func (n *Node) noteContact(message Message, peer *progress) {
+	peer.contactTick = n.now
+	if message.SentTick <= n.now {
+		peer.leaseTick = max(peer.leaseTick, message.SentTick)
+	}
+	peer.round = max(peer.round, min(message.Round, n.leadership.round))
+}
+
+func (n *Node) handleAppendRejected(message Message, peer *progress) {
+	stale := message.Index <= peer.match || peer.state == ProgressProbe && message.Index != peer.next-1
+	if stale || peer.state == ProgressSnapshot {
+		return
+	}
+	meeting, _ := n.log.lastAtOrBelow(message.HintIndex, message.HintTerm)
+	peer.becomeProbe()
+	peer.next = max(peer.match+1, min(meeting+1, message.Index))
+	n.outbox.dirty = true
+}
+
+func (n *Node) handleAppended(index uint64, peer *progress) {
+	if index > n.log.lastIndex() {
+		return
+	}
+	met := peer.state == ProgressProbe && index >= peer.next-1
+	news := peer.acknowledge(index)
+	if news {
+		peer.progressTick = n.now
+	}
+	if met {
+		peer.becomeReplicate()
+	}
+	if peer.state == ProgressSnapshot && peer.match >= peer.snapshot.Index {
+		peer.becomeProbe()
+	}
+	n.outbox.dirty = n.outbox.dirty || met || news
+	if news {
+		n.advanceCommit()
+		n.continueTransfer()
+	}
+}
+
+// advanceCommit commits what a quorum has made durable. Only an entry of the
+// leader's own term is committed by counting (section 5.4.2 of the paper).
+func (n *Node) advanceCommit() {
+	index := n.quorumValue(func(id MemberID) uint64 {
+		return n.peerValue(id, n.log.stable, func(p *progress) uint64 { return p.match })
+	})
+	term, known := n.log.term(index)
+	if index <= n.log.commit || !known {
+		return
+	}
+	if term != n.term && !n.config.Safeguards.NoTermCommitRule {
+		return
+	}
+	n.commitTo(index)
+	if n.role == RoleLeader {
+		n.serveReads()
+	}
+}
--- /dev/null
+++ b/internal/core/consensus/snapshot.go
@@ -0,0 +1,165 @@
+package consensus
+
+import "fmt"
+
+// incomingSnapshot is a snapshot of which a part has arrived.
+type incomingSnapshot struct {
+	from MemberID
+	term uint64
+	head SnapshotChunk
+	data []byte
+}
+
+func (s *incomingSnapshot) continues(message Message) bool {
+	chunk := message.Chunk
+	return s != nil && s.from == message.From && s.term == message.Term &&
+		s.head.Index == chunk.Index && s.head.Term == chunk.Term &&
+		s.head.Total == chunk.Total && s.head.Checksum == chunk.Checksum
+}
+
+// BuildSnapshot returns the snapshot to store and then to pass to Compact: the
+// state machine's data after the entry at index, with that entry's term and
+// membership. It fails with ErrNotApplied, ErrCompacted or ErrNoMembership.
+func (n *Node) BuildSnapshot(index uint64, data []byte) (Snapshot, error) {
+	if index > n.log.applied {
+		return Snapshot{}, ErrNotApplied
+	}
+	term, known := n.log.term(index)
+	if !known || index < n.snapshot.Index {
+		return Snapshot{}, ErrCompacted
+	}
+	membership := n.membershipAt(index).Clone()
+	if len(membership.Voters) == 0 {
+		return Snapshot{}, ErrNoMembership
+	}
+	return Snapshot{Index: index, Term: term, Membership: membership, Data: data}, nil
+}
+
+// Compact drops the log up to a snapshot that is durable. A zero Term or empty
+// Membership is filled in. It fails with ErrNotApplied, ErrCompacted or
+// ErrSnapshotMismatch.
+func (n *Node) Compact(snapshot Snapshot) error {
+	built, err := n.BuildSnapshot(snapshot.Index, snapshot.Data)
+	if err != nil {
+		return err
+	}
+	if snapshot.Index <= n.snapshot.Index {
+		return ErrCompacted
+	}
+	if snapshot.Term != 0 && snapshot.Term != built.Term {
+		return fmt.Errorf("%w: term %d, the log has %d", ErrSnapshotMismatch, snapshot.Term, built.Term)
+	}
+	if len(snapshot.Membership.Voters) > 0 && !sameMembers(snapshot.Membership, built.Membership) {
+		return fmt.Errorf("%w: membership differs", ErrSnapshotMismatch)
+	}
+	n.setSnapshot(built)
+	if retained := uint64(n.config.RetainEntries); built.Index > retained {
+		n.log.compact(built.Index - retained)
+	}
+	return nil
+}
+
+func (n *Node) setSnapshot(snapshot Snapshot) {
+	n.snapshot = snapshot
+	n.snapshotChecksum = checksum(snapshot.Data)
+	n.pruneMemberships(snapshot.Index)
+}
+
+// startSnapshot begins to send the snapshot to a member whose next entry is
+// compacted. A member that does not answer is only probed.
+func (n *Node) startSnapshot(id MemberID, peer *progress) {
+	if !n.active(peer) {
+		peer.becomeProbe()
+		n.startWaiting(peer)
+		peer.waiting = true
+		return
+	}
+	snapshot := n.snapshot
+	peer.becomeSnapshot(&snapshot, n.snapshotChecksum)
+	n.sendChunk(id, peer)
+}
+
+func (n *Node) sendChunk(id MemberID, peer *progress) {
+	if peer.waiting {
+		return
+	}
+	n.startWaiting(peer)
+	peer.waiting = true
+	snapshot := peer.snapshot
+	total := uint64(len(snapshot.Data))
+	end := min(total, peer.offset+uint64(n.config.SnapshotChunkBytes))
+	n.sendAsLeader(Message{Kind: MessageSnapshotChunk, To: id, Chunk: &SnapshotChunk{
+		Index: snapshot.Index, Term: snapshot.Term, Membership: snapshot.Membership,
+		Offset: peer.offset, Total: total, Checksum: peer.checksum, Data: snapshot.Data[peer.offset:end],
+	}})
+}
+
+func (n *Node) handleSnapshotReply(message Message, peer *progress) {
+	if peer.state != ProgressSnapshot || message.Index != peer.snapshot.Index {
+		return
+	}
+	total := uint64(len(peer.snapshot.Data))
+	switch {
+	case message.Done:
+		n.handleAppended(message.Index, peer)
+		return
+	case message.Offset > total:
+		return
+	case message.Reject || message.Offset > peer.offset:
+		peer.offset = message.Offset
+		peer.waiting = false
+		peer.progressTick = n.now
+		n.outbox.dirty = true
+	}
+}
+
+// handleChunk collects a snapshot and installs it when it is whole.
+func (n *Node) handleChunk(message Message) error {
+	chunk := message.Chunk
+	if chunk == nil || chunk.Total > MaxSnapshotBytes || chunk.Offset+uint64(len(chunk.Data)) > chunk.Total || !chunk.Membership.valid() {
+		return ErrMalformed
+	}
+	if chunk.Index <= n.log.commit || n.log.matches(chunk.Index, chunk.Term) {
+		n.commitTo(chunk.Index)
+		n.incoming = nil
+		n.reply(message, Message{Kind: MessageAppendReply, Index: n.log.commit})
+		return nil
+	}
+	if !n.incoming.continues(message) {
+		n.incoming = &incomingSnapshot{from: message.From, term: message.Term, head: *chunk}
+	}
+	n.addChunk(message)
+	return nil
+}
+
+func (n *Node) addChunk(message Message) {
+	incoming, chunk := n.incoming, message.Chunk
+	have := uint64(len(incoming.data))
+	if chunk.Offset != have {
+		n.reply(message, Message{Kind: MessageSnapshotReply, Index: chunk.Index, Offset: have, Reject: chunk.Offset > have})
+		return
+	}
+	incoming.data = append(incoming.data, chunk.Data...)
+	have = uint64(len(incoming.data))
+	if have < chunk.Total {
+		n.reply(message, Message{Kind: MessageSnapshotReply, Index: chunk.Index, Offset: have})
+		return
+	}
+	n.incoming = nil
+	if checksum(incoming.data) != chunk.Checksum {
+		n.reply(message, Message{Kind: MessageSnapshotReply, Index: chunk.Index, Reject: true})
+		return
+	}
+	n.installSnapshot(Snapshot{Index: chunk.Index, Term: chunk.Term, Membership: chunk.Membership.normalized(), Data: incoming.data})
+	n.reply(message, Message{Kind: MessageSnapshotReply, Index: chunk.Index, Done: true})
+}
+
+// installSnapshot replaces log and state by the leader's snapshot.
+func (n *Node) installSnapshot(snapshot Snapshot) {
+	n.log.reset(snapshot.Index, snapshot.Term)
+	n.history = []membershipAt{{snapshot.Index, snapshot.Membership}}
+	n.membership = snapshot.Membership
+	n.setSnapshot(snapshot)
+	n.outbox.pendingSnapshot = &snapshot
+	n.checkRemoval()
+}
