wire: add the protocol between own processes

Cause: nodes and control members need calls, streams and one-way messages whose errors say whether the request may have run. Change: multiplexed CBOR sequences over TCP with a handshake (version, cluster, token), connection epochs, per-stream windows, deadlines carried across the hop, full-jitter redial and byte counters.

--- /dev/null
+++ b/internal/adapter/wire/codec.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits of the CBOR decoder. They bound what one message of a faulty or
+// hostile peer can cost, besides the limit on the size of a frame.
+const (
+	maxNestedLevels  = 32
+	maxArrayElements = 1 << 20
+	maxMapPairs      = 1 << 20
+)
+
+var (
+	encodeMode = mustEncodeMode()
+	decodeMode = mustDecodeMode()
+)
+
+func mustEncodeMode() cbor.EncMode {
+	options := cbor.EncOptions{
+		Sort:        cbor.SortBytewiseLexical,
+		Time:        cbor.TimeRFC3339Nano,
+		IndefLength: cbor.IndefLengthForbidden,
+	}
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecodeMode() cbor.DecMode {
+	options := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes a message the way it travels between processes: keys are
+// sorted, so equal messages have equal bytes.
+func Marshal(message any) ([]byte, error) {
+	return encodeMode.Marshal(message)
+}
+
+// Unmarshal decodes exactly one message under the package's limits. Duplicate
+// keys, tags, indefinite lengths and trailing bytes are errors.
+func Unmarshal(data []byte, message any) error {
+	return decodeMode.Unmarshal(data, message)
+}
--- /dev/null
+++ b/internal/adapter/wire/errors.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"context"
+	"errors"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// CodeProtocol is the code of an answer that breaks the protocol.
+const CodeProtocol port.Code = "protocol"
+
+// VerdictOf returns the verdict of an error, MayHaveRun where it has none.
+func VerdictOf(err error) port.Verdict {
+	var known *port.Error
+	if errors.As(err, &known) && known.Verdict != port.VerdictUnset {
+		return known.Verdict
+	}
+	return port.MayHaveRun
+}
+
+// CodeOf returns the code of an error, empty where it has none.
+func CodeOf(err error) port.Code {
+	var known *port.Error
+	if errors.As(err, &known) {
+		return known.Code
+	}
+	return ""
+}
+
+// contextError turns the end of a context into an error with a verdict.
+func contextError(ctx context.Context, verdict port.Verdict) *port.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return port.NewError(verdict, port.CodeDeadline, "the deadline passed")
+	}
+	return port.NewError(verdict, port.CodeCancelled, "the caller gave up")
+}
+
+// toError returns what a handler's error says to the caller. An error without
+// a verdict of its own may have had effects.
+func toError(err error) *port.Error {
+	var known *port.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return port.NewError(port.MayHaveRun, port.CodeDeadline, "the deadline passed")
+	}
+	return port.NewError(port.MayHaveRun, port.CodeInternal, "%s", err.Error())
+}
+
+// sendError gives a frame that was not sent its verdict.
+func sendError(err error) *port.Error {
+	var known *port.Error
+	switch {
+	case errors.As(err, &known):
+		return port.NewError(port.NotRun, known.Code, "%s", known.Message)
+	case errors.Is(err, ErrFrameTooLarge):
+		return port.NewError(port.NotRun, port.CodeTooLarge, "%s", err.Error())
+	case errors.Is(err, errQueueFull):
+		return port.NewError(port.NotRun, port.CodeQueueFull, "%s", err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return port.NewError(port.NotRun, port.CodeDeadline, "the deadline passed before sending")
+	case errors.Is(err, context.Canceled):
+		return port.NewError(port.NotRun, port.CodeCancelled, "the caller gave up before sending")
+	}
+	return port.NewError(port.NotRun, port.CodeUnavailable, "%s", err.Error())
+}
+
+// decodeError returns the error a peer sent. An undecodable one may have run.
+func decodeError(body []byte) *port.Error {
+	refusal := &port.Error{}
+	if err := Unmarshal(body, refusal); err != nil {
+		return port.NewError(port.MayHaveRun, CodeProtocol, "undecodable error: %s", err.Error())
+	}
+	if refusal.Verdict < port.NotRun || refusal.Verdict > port.Ran {
+		refusal.Verdict = port.MayHaveRun
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/adapter/wire/server.go
@@ -0,0 +1,186 @@
+package wire
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Handler serves one call. What it sends through the call reaches the caller
+// in order; returning nil ends the answer, returning an error makes the whole
+// answer an error. An error that is no *Error counts as MayHaveRun.
+type Handler func(ctx context.Context, call *Call) error
+
+// MessageHandler takes a one-way message. Messages of one connection come in
+// order, one at a time; a slow handler costs messages, which are counted.
+type MessageHandler func(ctx context.Context, call *Call)
+
+// Server answers calls. Handlers are registered before Serve.
+type Server struct {
+	options  Options
+	handlers map[string]Handler
+	messages map[string]MessageHandler
+	counters Counters
+
+	mutex     sync.Mutex
+	closed    bool
+	draining  bool
+	listeners map[net.Listener]struct{}
+	links     map[*serverLink]struct{}
+	calls     sync.WaitGroup
+	loops     sync.WaitGroup
+}
+
+// NewServer returns a server without handlers.
+func NewServer(options Options) *Server {
+	return &Server{
+		options:   options.normalized(),
+		handlers:  make(map[string]Handler),
+		messages:  make(map[string]MessageHandler),
+		listeners: make(map[net.Listener]struct{}),
+		links:     make(map[*serverLink]struct{}),
+	}
+}
+
+// Handle registers the handler of a method.
+func (s *Server) Handle(method string, handler Handler) { s.handlers[method] = handler }
+
+// HandleMessage registers the handler of a one-way method.
+func (s *Server) HandleMessage(method string, handler MessageHandler) { s.messages[method] = handler }
+
+// Totals returns the traffic of all connections of this server.
+func (s *Server) Totals() Totals { return s.counters.Totals() }
+
+// Serve accepts connections until the listener or the server is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	if !s.addListener(listener) {
+		_ = listener.Close()
+		return ErrClosed
+	}
+	for {
+		netConn, err := listener.Accept()
+		if err != nil {
+			if s.isClosed() || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return eris.Wrap(err, "accept")
+		}
+		s.loops.Add(1)
+		go func() {
+			defer s.loops.Done()
+			s.serveConn(netConn)
+		}()
+	}
+}
+
+func (s *Server) addListener(listener net.Listener) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[listener] = struct{}{}
+	return true
+}
+
+func (s *Server) isClosed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closed
+}
+
+// Shutdown refuses new calls as NotRun, waits for those in flight or the end
+// of the context, and closes.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.mutex.Lock()
+	s.draining = true
+	s.mutex.Unlock()
+	finished := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+	}
+	for _, connection := range s.openLinks() {
+		connection.link.drain(ctx)
+	}
+	s.Close()
+}
+
+func (s *Server) openLinks() []*serverLink {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	links := make([]*serverLink, 0, len(s.links))
+	for connection := range s.links {
+		links = append(links, connection)
+	}
+	return links
+}
+
+// Close ends every connection and cancels the contexts of their handlers.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	s.closed = true
+	s.draining = true
+	for listener := range s.listeners {
+		_ = listener.Close()
+	}
+	s.mutex.Unlock()
+	for _, connection := range s.openLinks() {
+		connection.link.close(ErrClosed)
+	}
+	s.loops.Wait()
+}
+
+func (s *Server) addLink(connection *serverLink) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return false
+	}
+	s.links[connection] = struct{}{}
+	return true
+}
+
+func (s *Server) removeLink(connection *serverLink) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.links, connection)
+}
+
+// beginCall counts a call in, unless the server drains.
+func (s *Server) beginCall() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.draining {
+		return false
+	}
+	s.calls.Add(1)
+	return true
+}
+
+// checkHello returns the refusal of a greeting, nil when it is accepted.
+func (s *Server) checkHello(greeting hello) *port.Error {
+	if greeting.Version != ProtocolVersion {
+		return port.NewError(port.NotRun, CodeProtocol, "protocol version %d, want %d", greeting.Version, ProtocolVersion)
+	}
+	if greeting.ClusterID != s.options.ClusterID {
+		return port.NewError(port.NotRun, port.CodeUnauthorized, "cluster %q, this is %q", greeting.ClusterID, s.options.ClusterID)
+	}
+	if s.options.Token != "" && subtle.ConstantTimeCompare([]byte(greeting.Token), []byte(s.options.Token)) != 1 {
+		return port.NewError(port.NotRun, port.CodeUnauthorized, "wrong token")
+	}
+	if greeting.Window == 0 {
+		return port.NewError(port.NotRun, CodeProtocol, "window 0, at least 1")
+	}
+	return nil
+}
