lab: let the engine model swap adapters and write attributable text

Cause: pools share replicas by adapter, and an audit must tell from a sample's text alone which version produced each token. Change: weights may name an adapter; versions are port.WeightVersion with 0 for unknown; cache event numbers grow across restarts, so that a reader sees a crash as a gap; token text carries a digit of its version; output lengths are log-normal by content key.

--- a/internal/lab/engine/load.go
+++ b/internal/lab/engine/load.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // Load is what an engine reports about itself.
@@ -18,7 +20,7 @@
 	Swapping    bool
 	Staged      []Weights
 	Staging     []Weights
-	Adapters    map[string]int64
+	Adapters    map[string]port.WeightVersion
 	Role        Role
 	Fence       uint64
 	Totals      Totals
@@ -35,7 +37,7 @@
 		Role: m.role, Fence: m.fence, Totals: m.totals,
 	}
 	if len(m.adapters) > 0 {
-		load.Adapters = make(map[string]int64, len(m.adapters))
+		load.Adapters = make(map[string]port.WeightVersion, len(m.adapters))
 		for name, version := range m.adapters {
 			load.Adapters[name] = version
 		}
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // run is a stretch of equal steps over an unchanged batch.
@@ -38,10 +40,10 @@
 	weights      Weights
 	staged       []Weights // oldest first
 	staging      []Weights
-	adapters     map[string]int64
+	adapters     map[string]port.WeightVersion
 	role         Role
 	fence        uint64
-	pending      *Weights // activation that waits for the end of a step
+	pending      []Weights // activations that wait for the end of a step
 	pausedUntil  time.Duration
 	swapping     bool
 	swapTarget   Weights
@@ -75,16 +77,20 @@
 	return m
 }
 
+// incarnationShift places the incarnation above the numbers of cache events.
+const incarnationShift = 32
+
 // start brings up an empty engine.
 func (m *Model) start() {
 	m.up = true
 	m.incarnation++
+	m.cacheCounter = m.incarnation << incarnationShift
 	m.memory = newMemory(m.config.KVBlocks, m.cacheChanged)
 	m.sequences = make(map[string]*sequence)
 	m.kvLink = NewStore(m.config.KVBytesPerSecond)
 	m.weights = m.config.Weights
 	m.role = m.config.Role
-	m.adapters = make(map[string]int64)
+	m.adapters = make(map[string]port.WeightVersion)
 }
 
 // Submit hands a request to the engine. A request that is refused with an
@@ -190,7 +196,7 @@
 		consider(m.run.end())
 	case m.swapping:
 		consider(m.pausedUntil)
-	case m.dirty || m.pending != nil:
+	case m.dirty || len(m.pending) > 0:
 		consider(m.clock)
 	}
 	return at, ok
@@ -224,7 +230,7 @@
 	if m.swapping && at >= m.pausedUntil {
 		m.finishSwap(at)
 	}
-	if m.pending != nil && !m.swapping {
+	if len(m.pending) > 0 && !m.swapping {
 		m.beginSwap(at)
 	}
 	if !m.swapping && m.dirty {
@@ -343,12 +349,9 @@
 }
 
 // versionOf returns the version that produces a sequence's next token.
-func (m *Model) versionOf(s *sequence) int64 {
+func (m *Model) versionOf(s *sequence) port.WeightVersion {
 	if s.request.Adapter != "" {
-		if version, loaded := m.adapters[s.request.Adapter]; loaded {
-			return version
-		}
-		return UnknownVersion
+		return m.adapters[s.request.Adapter]
 	}
 	return m.weights.Version
 }
--- a/internal/lab/engine/model_test.go
+++ b/internal/lab/engine/model_test.go
@@ -222,7 +222,7 @@
 func TestWaitingIsInOrderOfPriority(t *testing.T) {
 	testkit.Check(t, 15, func(t *rapid.T) {
 		play(drawScript(t), smallConfig(), 0, func(m *Model) {
-			idle := !m.run.active && !m.dirty && !m.swapping && m.pending == nil
+			idle := !m.run.active && !m.dirty && !m.swapping && len(m.pending) == 0
 			if idle && len(m.waiting) > 0 && len(m.running) == 0 {
 				t.Fatal("engine idles while a request waits")
 			}
--- a/internal/lab/engine/orders.go
+++ b/internal/lab/engine/orders.go
@@ -13,8 +13,8 @@
 const (
 	OrderStage         OrderKind = iota // fetch Weights ahead of use
 	OrderActivate                       // serve staged Weights
-	OrderLoadAdapter                    // load Adapter at AdapterVersion
-	OrderUnloadAdapter                  // unload Adapter
+	OrderLoadAdapter                    // load the adapter in Weights without staging
+	OrderUnloadAdapter                  // unload the adapter in Weights
 	OrderSetRole                        // change Role
 )
 
@@ -26,11 +26,9 @@
 	Fence uint64
 	// Incarnation, if not 0, is the engine incarnation that the order is
 	// meant for.
-	Incarnation    uint64
-	Weights        Weights
-	Adapter        string
-	AdapterVersion int64
-	Role           Role
+	Incarnation uint64
+	Weights     Weights
+	Role        Role
 }
 
 // Errors of Order. An order that was refused had no effect.
@@ -57,8 +55,6 @@
 	kind     timerKind
 	sequence *sequence
 	weights  Weights
-	adapter  string
-	version  int64
 }
 
 type timerKind uint8
@@ -89,13 +85,11 @@
 	case OrderActivate:
 		return m.activate(order.Weights)
 	case OrderLoadAdapter:
-		m.timers = append(m.timers, timer{
-			at: now + m.config.AdapterLoadTime, kind: timerAdapter,
-			adapter: order.Adapter, version: order.AdapterVersion,
-		})
+		ready := now + m.config.AdapterLoadTime
+		m.timers = append(m.timers, timer{at: ready, kind: timerAdapter, weights: order.Weights})
 		return nil
 	case OrderUnloadAdapter:
-		return m.unloadAdapter(order.Adapter)
+		return m.unloadAdapter(order.Weights.Adapter)
 	default:
 		m.role = order.Role
 		return nil
@@ -141,38 +135,59 @@
 
 // activate asks for a switch at the end of the step in progress.
 func (m *Model) activate(weights Weights) error {
-	if m.destination() == weights {
+	if m.destination(weights.Adapter) == weights {
 		return nil
 	}
 	if !slices.Contains(m.staged, weights) {
 		return ErrNotStaged
 	}
-	if weights.Model != m.weights.Model && len(m.sequences) > 0 {
+	if weights.Adapter == "" && weights.Model != m.weights.Model && len(m.sequences) > 0 {
 		return ErrModelInUse
 	}
-	m.pending = &weights
+	m.pending = slices.DeleteFunc(m.pending, func(w Weights) bool { return w.Adapter == weights.Adapter })
+	m.pending = append(m.pending, weights)
 	return nil
 }
 
-// destination returns the weights that the orders so far lead to.
-func (m *Model) destination() Weights {
-	switch {
-	case m.pending != nil:
-		return *m.pending
-	case m.swapping:
+// destination returns the weights that the orders so far lead to, for the
+// base model or an adapter.
+func (m *Model) destination(adapter string) Weights {
+	for _, weights := range m.pending {
+		if weights.Adapter == adapter {
+			return weights
+		}
+	}
+	if m.swapping && m.swapTarget.Adapter == adapter {
 		return m.swapTarget
-	default:
+	}
+	if adapter == "" {
 		return m.weights
 	}
+	return Weights{Adapter: adapter, Version: m.adapters[adapter]}
 }
 
 // beginSwap stops all steps for the swap pause.
 func (m *Model) beginSwap(at time.Duration) {
-	m.swapping, m.swapTarget, m.pending = true, *m.pending, nil
-	m.pausedUntil = at + m.config.SwapPause
+	m.swapTarget = m.pending[0]
+	m.pending = slices.Delete(m.pending, 0, 1)
+	m.swapping = true
+	pause := m.config.SwapPause
+	if m.swapTarget.Adapter != "" {
+		pause = m.config.AdapterLoadTime
+	}
+	m.pausedUntil = at + pause
 	m.dropCache()
 }
 
+// serve puts weights into service.
+func (m *Model) serve(weights Weights) {
+	if weights.Adapter == "" {
+		m.weights = weights
+		return
+	}
+	m.adapters[weights.Adapter] = weights.Version
+}
+
 // dropCache empties the prefix cache, whose KV state belongs to the weights
 // that are being replaced. Sequences in flight keep their state but stop
 // sharing it.
@@ -189,17 +204,18 @@
 	ordered, fault := m.swapTarget, m.swapFault
 	m.swapping, m.swapFault = false, swapFine
 	m.dirty = true
-	switch fault {
-	case swapFails:
-		m.weights = Weights{Model: ordered.Model, Version: UnknownVersion}
+	if fault == swapFails {
+		broken := ordered
+		broken.Version = UnknownVersion
+		m.serve(broken)
 		m.emit(Event{At: at, Kind: EventSwapFailed, Weights: ordered})
 		return
-	case swapLandsElsewhere:
-		m.weights = m.swapLandsOn
-	default:
-		m.weights = ordered
 	}
-	m.emit(Event{At: at, Kind: EventActivated, Weights: m.weights})
+	if fault == swapLandsElsewhere {
+		ordered = m.swapLandsOn
+	}
+	m.serve(ordered)
+	m.emit(Event{At: at, Kind: EventActivated, Weights: ordered})
 }
 
 func (m *Model) unloadAdapter(adapter string) error {
@@ -235,8 +251,8 @@
 	case timerStaged:
 		m.finishStaging(at, t.weights)
 	case timerAdapter:
-		m.adapters[t.adapter] = t.version
-		m.emit(Event{At: at, Kind: EventAdapterLoaded, Adapter: t.adapter, Version: t.version})
+		m.serve(t.weights)
+		m.emit(Event{At: at, Kind: EventAdapterLoaded, Weights: t.weights})
 	case timerTransfer:
 		m.finishTransfer(at, t.sequence)
 	}
--- a/internal/lab/engine/orders_test.go
+++ b/internal/lab/engine/orders_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 var (
@@ -36,7 +38,7 @@
 	cases := []struct {
 		name string
 		arm  func(*Model)
-		want int64
+		want port.WeightVersion
 		kind EventKind
 	}{
 		{"clean", func(*Model) {}, 2, EventActivated},
@@ -45,7 +47,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			m := New(Config{Weights: Weights{Model: "m", Version: 0}, Store: NewStore(2 << 30)})
+			m := New(Config{Weights: Weights{Model: "m", Version: 7}, Store: NewStore(2 << 30)})
 			c.arm(m)
 			if err := m.Submit(0, Request{ID: "a", PromptTokens: 10, OutputTokens: 400}); err != nil {
 				t.Fatal(err)
@@ -67,7 +69,7 @@
 				t.Fatalf("events %v", got)
 			}
 			spans := finishedEvent(events).Spans
-			if len(spans) != 2 || spans[0].Version != 0 || spans[1].Version != c.want {
+			if len(spans) != 2 || spans[0].Version != 7 || spans[1].Version != c.want {
 				t.Fatalf("spans %v", spans)
 			}
 			if got := m.Load().Weights.Version; got != c.want {
@@ -170,7 +172,7 @@
 		t.Fatal(err)
 	}
 	completion := finishedEvent(target.Advance(time.Minute))
-	if completion == nil || completion.Spans[0] != (Span{Version: 2, Tokens: 50 - done}) {
+	if completion == nil || completion.Spans[0] != (port.Span{Version: 2, Tokens: 50 - done}) {
 		t.Fatalf("completion %+v", completion)
 	}
 	if prefilled := target.Load().Totals.Prefilled; prefilled != 0 {
@@ -253,3 +255,28 @@
 		t.Fatalf("second transfer ends at %v", got)
 	}
 }
+
+func TestAdapterSwapKeepsBase(t *testing.T) {
+	m := New(Config{Weights: first})
+	bulletins := Weights{Adapter: "bulletins", Version: 3}
+	request := Request{ID: "a", Adapter: "bulletins", PromptTokens: 4, OutputTokens: 100}
+	if err := m.Submit(0, request); !errors.Is(err, ErrAdapterNotLoaded) {
+		t.Fatalf("got %v", err)
+	}
+	_ = m.Order(0, Order{Kind: OrderLoadAdapter, Weights: bulletins})
+	m.Advance(time.Second)
+	if err := m.Submit(time.Second, request); err != nil {
+		t.Fatal(err)
+	}
+	bulletins.Version = 4
+	_ = m.Order(time.Second, Order{Kind: OrderStage, Weights: bulletins})
+	_ = m.CompleteStaging(time.Second, bulletins, true)
+	m.Advance(1500 * time.Millisecond)
+	if err := m.Order(1500*time.Millisecond, Order{Kind: OrderActivate, Weights: bulletins}); err != nil {
+		t.Fatal(err)
+	}
+	spans := finishedEvent(m.Advance(time.Minute)).Spans
+	if len(spans) != 2 || spans[0].Version != 3 || spans[1].Version != 4 || m.Load().Weights != first {
+		t.Fatalf("spans %v, base %v", spans, m.Load().Weights)
+	}
+}
--- a/internal/lab/engine/request.go
+++ b/internal/lab/engine/request.go
@@ -3,16 +3,20 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // UnknownVersion is reported when the engine cannot tell which weights it
 // serves, as after a swap that failed partway.
-const UnknownVersion int64 = -1
+const UnknownVersion port.WeightVersion = 0
 
-// Weights names one set of model weights.
+// Weights names one set of weights: of a base model, or of an adapter when
+// Adapter is not empty.
 type Weights struct {
 	Model   string
-	Version int64
+	Adapter string
+	Version port.WeightVersion
 }
 
 // Role limits the requests that an engine accepts.
@@ -75,12 +79,6 @@
 	return r.OutputTokens
 }
 
-// Span counts consecutive tokens generated under one version.
-type Span struct {
-	Version int64
-	Tokens  int
-}
-
 // FinishReason says why a sequence ended.
 type FinishReason uint8
 
@@ -94,7 +92,7 @@
 // Completion describes a finished sequence.
 type Completion struct {
 	Reason       FinishReason
-	Spans        []Span
+	Spans        []port.Span
 	SubmittedAt  time.Duration
 	FirstTokenAt time.Duration
 	// CachedTokens counts context tokens found in the prefix cache at the
@@ -116,7 +114,7 @@
 	EventStaged                         // Weights
 	EventActivated                      // Weights
 	EventSwapFailed                     // Weights (those that were ordered)
-	EventAdapterLoaded                  // Adapter, Version
+	EventAdapterLoaded                  // Weights
 	EventCache                          // Cache
 )
 
@@ -126,9 +124,8 @@
 	Kind       EventKind
 	ID         string
 	Count      int
-	Version    int64
+	Version    port.WeightVersion
 	Weights    Weights
-	Adapter    string
 	Completion *Completion
 	Cache      CacheEvent
 }
@@ -144,7 +141,8 @@
 )
 
 // CacheEvent is one change of the prefix cache. Sequence numbers are
-// consecutive within an incarnation of the engine and start at 1.
+// consecutive within an incarnation of the engine and start above
+// incarnation << incarnationShift, so that they also grow across restarts.
 type CacheEvent struct {
 	Sequence uint64
 	Kind     CacheEventKind
--- a/internal/lab/engine/sequence.go
+++ b/internal/lab/engine/sequence.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // sequenceState says where a sequence is.
@@ -29,7 +31,7 @@
 	computed    int      // context tokens whose KV state is held
 	imported    int      // context tokens received and not yet placed
 	generated   int      // tokens generated here
-	spans       []Span
+	spans       []port.Span
 	submittedAt time.Duration
 	firstToken  time.Duration
 	cachedHits  int
@@ -76,7 +78,7 @@
 }
 
 // record adds generated tokens to the spans.
-func (s *sequence) record(count int, version int64) {
+func (s *sequence) record(count int, version port.WeightVersion) {
 	s.generated += count
 	s.context += count
 	s.computed = s.context
@@ -84,7 +86,7 @@
 		s.spans[last].Tokens += count
 		return
 	}
-	s.spans = append(s.spans, Span{Version: version, Tokens: count})
+	s.spans = append(s.spans, port.Span{Version: version, Tokens: count})
 }
 
 // completion describes the sequence so far.
--- /dev/null
+++ b/internal/lab/engine/text.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// digits writes the numbers inside generated tokens.
+const digits = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// ContentKey identifies the text that a prompt and a seed lead to.
+func ContentKey(prompt string, seed uint64) uint64 {
+	return chainHash(xxhash.Sum64String(prompt), seed)
+}
+
+// TokenText returns the token at a position of a generated text. Every token
+// is BytesPerToken long: one digit tells the version that produced it, two
+// tell the content key and the position, and a space ends it. An audit can
+// therefore read from a text which versions truly produced it.
+func TokenText(key uint64, position int, version port.WeightVersion) string {
+	content := chainHash(key, uint64(position)) % uint64(len(digits)*len(digits))
+	return string([]byte{
+		VersionDigit(version),
+		digits[content/uint64(len(digits))],
+		digits[content%uint64(len(digits))],
+		' ',
+	})
+}
+
+// VersionDigit returns the digit that stands for a version in generated text:
+// '?' for the unknown version, else one that repeats after 61 versions.
+func VersionDigit(version port.WeightVersion) byte {
+	if version == UnknownVersion {
+		return '?'
+	}
+	return digits[version%port.WeightVersion(len(digits)-1)]
+}
+
+// Text returns count tokens of a generated text from a position on.
+func Text(key uint64, position, count int, version port.WeightVersion) string {
+	var text strings.Builder
+	text.Grow(count * BytesPerToken)
+	for i := range count {
+		text.WriteString(TokenText(key, position+i, version))
+	}
+	return text.String()
+}
+
+// SameContent reports whether a text holds the tokens of a content key from
+// position 0 on, whatever versions produced them.
+func SameContent(text string, key uint64) bool {
+	if len(text)%BytesPerToken != 0 {
+		return false
+	}
+	for position := range len(text) / BytesPerToken {
+		want := TokenText(key, position, UnknownVersion)
+		if text[position*BytesPerToken+1:(position+1)*BytesPerToken] != want[1:] {
+			return false
+		}
+	}
+	return true
+}
+
+// Lengths is a log-normal distribution of output lengths in tokens: most
+// outputs are short and a few are very long.
+type Lengths struct {
+	Median float64
+	// Sigma is the standard deviation of the logarithm; 0 makes all equal.
+	Sigma float64
+	Max   int
+}
+
+// Of returns the length that belongs to a content key, at least 1.
+func (l Lengths) Of(key uint64) int {
+	normal := rand.New(rand.NewPCG(key, 0)).NormFloat64()
+	length := int(l.Median * math.Exp(l.Sigma*normal))
+	if l.Max > 0 {
+		length = min(length, l.Max)
+	}
+	return max(length, 1)
+}
