--- /dev/null
+++ b/internal/adapter/wal/filesystem.go
@@ -0,0 +1,127 @@
+package wal
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FileSystem is what a Log needs of a file system. Names are paths.
+type FileSystem interface {
+	// MkdirAll makes a folder and its parents.
+	MkdirAll(directory string) error
+	// Lock takes the folder for this process until the result is closed. It
+	// fails with ErrLocked.
+	Lock(directory string) (io.Closer, error)
+	// ReadDir returns the names of the files in a folder, sorted. It fails
+	// with fs.ErrNotExist if there is no folder.
+	ReadDir(directory string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes an empty file for writing, in place of any other.
+	Create(name string) (File, error)
+	// OpenAppend opens a file for writing at its end.
+	OpenAppend(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes creations, renames and removals in a folder durable.
+	SyncDir(directory string) error
+}
+
+// File is a file that is written from front to back.
+type File interface {
+	io.WriteCloser
+	// Sync makes what was written durable.
+	Sync() error
+	// Truncate cuts the file off; later writes go to the new end.
+	Truncate(size int64) error
+}
+
+const (
+	filePermission   = 0o600
+	folderPermission = 0o700
+	lockName         = "lock"
+)
+
+// OS is the operating system's file system.
+type OS struct{}
+
+// MkdirAll implements FileSystem. It syncs the parent of a folder it made.
+func (OS) MkdirAll(directory string) error {
+	if _, err := os.Stat(directory); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(directory, folderPermission); err != nil {
+		return err
+	}
+	return OS{}.SyncDir(filepath.Dir(directory))
+}
+
+// Lock implements FileSystem with an advisory lock on a file.
+func (OS) Lock(directory string) (io.Closer, error) {
+	file, err := os.OpenFile(filepath.Join(directory, lockName), os.O_CREATE|os.O_RDWR, filePermission)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return file, nil
+	}
+	_ = file.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, ErrLocked
+	}
+	return nil, err
+}
+
+// ReadDir implements FileSystem.
+func (OS) ReadDir(directory string) ([]string, error) {
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		if entry.Type()&fs.ModeType == 0 {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, nil
+}
+
+// ReadFile implements FileSystem.
+func (OS) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(name)
+}
+
+// Create implements FileSystem.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, filePermission)
+}
+
+// OpenAppend implements FileSystem.
+func (OS) OpenAppend(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, filePermission)
+}
+
+// Rename implements FileSystem.
+func (OS) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove implements FileSystem.
+func (OS) Remove(name string) error {
+	return os.Remove(name)
+}
+
+// SyncDir implements FileSystem.
+func (OS) SyncDir(directory string) error {
+	folder, err := os.Open(directory)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	return errors.Join(err, folder.Close())
+}
