--- /dev/null
+++ b/internal/core/decision/store.go
@@ -0,0 +1,124 @@
+package decision
+
+import (
+	"unsafe"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// DefaultMaxBytes is the memory that a Store takes when no bound is given.
+const DefaultMaxBytes = 16 << 20
+
+// Store keeps the latest decisions by subject within a bound of memory; the
+// oldest is dropped first. It is not safe for concurrent use.
+type Store struct {
+	maxBytes int
+	bytes    int
+	// records is a queue of the kept decisions; first is the sequence number of
+	// records[head], and the dropped ones stand before head until compacted.
+	records []port.Decision
+	head    int
+	first   uint64
+	// bySubject lists the sequence numbers of a subject's records, rising.
+	bySubject map[string][]uint64
+	dropped   uint64
+}
+
+// NewStore makes an empty store; maxBytes below 1 takes DefaultMaxBytes.
+func NewStore(maxBytes int) *Store {
+	if maxBytes < 1 {
+		maxBytes = DefaultMaxBytes
+	}
+	return &Store{maxBytes: maxBytes, bySubject: make(map[string][]uint64)}
+}
+
+// Add keeps a decision. One that alone is over the bound is dropped and
+// counted.
+func (s *Store) Add(decision port.Decision) {
+	size := sizeOf(&decision)
+	if size > s.maxBytes {
+		s.dropped++
+		return
+	}
+	for s.bytes+size > s.maxBytes {
+		s.dropOldest()
+	}
+	sequence := s.first + uint64(s.Len())
+	s.records = append(s.records, decision)
+	s.bySubject[decision.Subject] = append(s.bySubject[decision.Subject], sequence)
+	s.bytes += size
+}
+
+// Get gives the decisions about a subject, oldest first.
+func (s *Store) Get(subject string) []port.Decision {
+	sequences := s.bySubject[subject]
+	if len(sequences) == 0 {
+		return nil
+	}
+	found := make([]port.Decision, 0, len(sequences))
+	for _, sequence := range sequences {
+		found = append(found, s.records[s.head+int(sequence-s.first)])
+	}
+	return found
+}
+
+// Recent gives up to count of the latest decisions, oldest first.
+func (s *Store) Recent(count int) []port.Decision {
+	count = min(max(count, 0), s.Len())
+	return append([]port.Decision(nil), s.records[len(s.records)-count:]...)
+}
+
+// Len gives the number of kept decisions.
+func (s *Store) Len() int { return len(s.records) - s.head }
+
+// Bytes estimates the memory of the kept decisions.
+func (s *Store) Bytes() int { return s.bytes }
+
+// Dropped counts the decisions dropped since the start.
+func (s *Store) Dropped() uint64 { return s.dropped }
+
+// dropOldest drops one decision; the store is not empty.
+func (s *Store) dropOldest() {
+	oldest := &s.records[s.head]
+	s.bytes -= sizeOf(oldest)
+	if sequences := s.bySubject[oldest.Subject]; len(sequences) > 1 {
+		s.bySubject[oldest.Subject] = sequences[1:]
+	} else {
+		delete(s.bySubject, oldest.Subject)
+	}
+	*oldest = port.Decision{}
+	s.head++
+	s.first++
+	s.dropped++
+	s.compact()
+}
+
+// compact moves the kept records to the front once half the slice is dropped
+// ones, so that the cost of a record stays constant on average.
+func (s *Store) compact() {
+	if s.head*2 < len(s.records) {
+		return
+	}
+	kept := copy(s.records, s.records[s.head:])
+	clear(s.records[kept:])
+	s.records = s.records[:kept]
+	s.head = 0
+}
+
+// indexOverhead estimates the memory of a record's place in the index.
+const indexOverhead = 64
+
+// sizeOf estimates the memory that a record takes.
+func sizeOf(decision *port.Decision) int {
+	size := int(unsafe.Sizeof(*decision)) + indexOverhead
+	size += len(decision.Subject) + len(decision.Node) + len(decision.Pool) + len(decision.Replica) + len(decision.Detail)
+	size += len(decision.Filtered) * int(unsafe.Sizeof(port.FilterCount{}))
+	for _, score := range decision.Scores {
+		size += int(unsafe.Sizeof(score)) + len(score.Parts)*int(unsafe.Sizeof(port.ScorePart{}))
+	}
+	size += len(decision.Spans) * int(unsafe.Sizeof(port.Span{}))
+	for _, related := range decision.Related {
+		size += int(unsafe.Sizeof(related)) + len(related)
+	}
+	return size
+}
