--- a/internal/core/controlstate/snapshot.go
+++ b/internal/core/controlstate/snapshot.go
@@ -70,6 +70,7 @@
 	AnswerFloor   int64                   `cbor:"13,keyasint"`
 	History       []registry.HistoryEntry `cbor:"14,keyasint,omitempty"`
 	Ledger        ledger.Export           `cbor:"15,keyasint"`
+	Members       map[uint64]string       `cbor:"16,keyasint,omitempty"`
 }
 
 // Snapshot encodes the whole state. Members with equal states give equal bytes.
@@ -82,6 +83,7 @@
 		Configuration: s.document.Configuration(),
 		Weights:       s.weights.List(), Leases: s.leases.List(), Nodes: s.nodes.List(),
 		Answers: answers, AnswerFloor: floor, History: s.history.List(), Ledger: s.ledger.Export(),
+		Members: s.members,
 	})
 }
 
@@ -103,6 +105,9 @@
 	restored.answers.Import(decoded.Answers, decoded.AnswerFloor)
 	restored.history.Import(decoded.History)
 	restored.ledger.Import(decoded.Ledger)
+	for id, address := range decoded.Members {
+		restored.members[id] = address
+	}
 	restored.applied, restored.time, restored.epoch = decoded.Applied, decoded.Time, decoded.Epoch
 	restored.revision, restored.position, restored.term = decoded.Revision, decoded.Position, decoded.Term
 	restored.changes.floor = decoded.Position
--- a/internal/core/controlstate/state.go
+++ b/internal/core/controlstate/state.go
@@ -24,13 +24,20 @@
 	position uint64 // index of the last change that a view shows
 	term     uint64 // term at position
 
+	// members holds the addresses of the control members by member id.
+	members map[uint64]string
+
 	changes changeLog
 	view    *port.View // nil after a change
 }
 
 // New makes the empty state before the first entry of the log.
 func New() *State {
-	return &State{document: registry.NewDocument(), answers: registry.NewAnswers(registry.MaxAnswers)}
+	return &State{
+		document: registry.NewDocument(),
+		answers:  registry.NewAnswers(registry.MaxAnswers),
+		members:  map[uint64]string{},
+	}
 }
 
 // Applied gives the index of the last entry applied or skipped.
@@ -60,6 +67,23 @@
 // Skip notes an entry of the log that is no command.
 func (s *State) Skip(index uint64) { s.applied = max(s.applied, index) }
 
+// SetMember notes the address that a membership entry gave for a control
+// member; an empty address forgets the member.
+func (s *State) SetMember(id uint64, address string) {
+	if address == "" {
+		delete(s.members, id)
+		return
+	}
+	s.members[id] = address
+}
+
+// MemberAddress gives the address of a control member that joined through the
+// log; first members stand in the settings and are not known here.
+func (s *State) MemberAddress(id uint64) (string, bool) {
+	address, found := s.members[id]
+	return address, found
+}
+
 // View gives the present view. It is immutable; calls without a change between
 // them give the same pointer.
 func (s *State) View() *port.View {
