--- /dev/null
+++ b/internal/core/coordinator/batches.go
@@ -0,0 +1,256 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/ledger"
+	"github.com/loomgrade/loomgrade/internal/core/policy"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// notReadyRetryAfter is when a trainer should ask again for a batch that is not
+// whole yet.
+const notReadyRetryAfter = time.Second
+
+// waiter is a question for a batch without an answer so far.
+type waiter struct {
+	token    uint64
+	number   port.BatchNumber
+	epoch    port.Epoch
+	deadline time.Time
+	// checked is set once the ledger was read after the question came.
+	checked bool
+}
+
+// heldBatch is the payload of the last committed batch.
+type heldBatch struct {
+	number  port.BatchNumber
+	attempt uint32
+	version port.WeightVersion
+	oldest  port.WeightVersion
+	samples []DeliveredSample
+	prompts []port.Prompt
+}
+
+func (c *Coordinator) batchRequested(event BatchRequested) {
+	c.waiters = append(c.waiters, waiter{
+		token: event.Token, number: event.Number, epoch: event.ConsumerEpoch, deadline: event.Deadline,
+	})
+	if event.ConsumerEpoch == c.ledger.Consumer.Epoch && event.Number <= c.ledger.Committed+1 {
+		c.asked = max(c.asked, event.Number)
+	}
+}
+
+func (c *Coordinator) dropWaiter(token uint64) {
+	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool { return w.token == token })
+}
+
+// serveWaiters answers every question that can be answered and starts the
+// commit that the others wait for.
+func (c *Coordinator) serveWaiters() {
+	if len(c.waiters) == 0 {
+		return
+	}
+	kept := c.waiters[:0]
+	for _, w := range c.waiters {
+		if !c.serve(w) {
+			kept = append(kept, w)
+		}
+	}
+	c.waiters = kept
+	if c.pending == nil && len(c.waiters) > 0 {
+		c.formBatch()
+	}
+}
+
+// serve answers one question if it can.
+func (c *Coordinator) serve(w waiter) (answered bool) {
+	consumer := c.ledger.Consumer.Epoch
+	if w.epoch > consumer {
+		return c.serveUnknownConsumer(w)
+	}
+	if w.epoch < consumer {
+		c.refuse(w.token, port.NotRun, port.CodeFenced, "consumer epoch %d is fenced off by %d", w.epoch, consumer)
+		return true
+	}
+	if w.number <= c.ledger.Acknowledged || w.number < c.asked {
+		c.refuse(w.token, port.NotRun, port.CodeFenced, "batch %d is acknowledged", w.number)
+		return true
+	}
+	if w.number > c.ledger.Committed+1 {
+		c.refuse(w.token, port.NotRun, port.CodeConflict, "batch %d is not the next one, %d is", w.number, c.ledger.Committed+1)
+		return true
+	}
+	if c.heldFor(w.number) && c.pending == nil && c.leaseValid() {
+		c.deliver(w)
+		return true
+	}
+	if c.draining && c.pending == nil {
+		c.refuse(w.token, port.NotRun, port.CodeDraining, "coordinator is stopping")
+		return true
+	}
+	return false
+}
+
+// serveUnknownConsumer handles a consumer newer than the known ledger state:
+// it counts only once the ledger confirms it.
+func (c *Coordinator) serveUnknownConsumer(w waiter) (answered bool) {
+	if w.checked {
+		c.refuse(w.token, port.NotRun, port.CodeInvalid, "consumer epoch %d is not registered", w.epoch)
+		return true
+	}
+	c.readLedger()
+	return false
+}
+
+// heldFor says whether the payload of a batch is at hand and fresh enough to be
+// delivered again.
+func (c *Coordinator) heldFor(number port.BatchNumber) bool {
+	held := c.held
+	if held == nil || held.number != number || held.attempt != c.ledger.Attempt || number != c.ledger.Committed {
+		return false
+	}
+	return c.age(held.oldest) <= c.config.Sampling.StalenessBound
+}
+
+// deliver answers a question with the held batch.
+func (c *Coordinator) deliver(w waiter) {
+	held := c.held
+	c.counters.Delivered++
+	c.emit(Deliver{
+		Token: w.token, Number: held.number, Attempt: held.attempt,
+		TrainerVersion: held.version, Samples: held.samples,
+	})
+	c.record(port.Decision{
+		Kind: port.DecisionDelivered, Subject: batchName(c.config.Pool, held.number, held.attempt),
+		Attempt: int(held.attempt), Version: held.version,
+		Detail: fmt.Sprintf("%d samples to consumer epoch %d", len(held.samples), w.epoch),
+	})
+}
+
+// refuse answers a question with an error.
+func (c *Coordinator) refuse(token uint64, verdict port.Verdict, code port.Code, format string, arguments ...any) {
+	err := port.NewError(verdict, code, format, arguments...)
+	if code == port.CodeNotReady || code == port.CodeDraining || code == port.CodeUnavailable {
+		err.RetryAfter = notReadyRetryAfter
+	}
+	c.emit(Refuse{Token: token, Err: err})
+}
+
+// expireWaiters answers questions whose time is up.
+func (c *Coordinator) expireWaiters() {
+	kept := c.waiters[:0]
+	for _, w := range c.waiters {
+		if c.now.Before(w.deadline) {
+			kept = append(kept, w)
+			continue
+		}
+		c.refuseLate(w)
+	}
+	c.waiters = kept
+}
+
+func (c *Coordinator) refuseLate(w waiter) {
+	if !c.leaseValid() {
+		c.refuse(w.token, port.NotRun, port.CodeUnavailable, "the pool's lease is not confirmed")
+		return
+	}
+	c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d is not whole yet", w.number)
+}
+
+// formBatch proposes the batch that the trainer asks for, if enough whole groups
+// are within the bound.
+func (c *Coordinator) formBatch() {
+	number, wanted := c.wantedNumber()
+	if !wanted || c.draining || !c.leaseValid() || c.now.Before(c.commitAfter) {
+		return
+	}
+	groups := c.selectGroups()
+	if groups == nil {
+		return
+	}
+	attempt := uint32(1)
+	if number == c.ledger.Committed {
+		attempt = c.ledger.Attempt + 1
+	}
+	c.propose(number, attempt, groups)
+}
+
+// wantedNumber gives the batch that waiting questions need committed.
+func (c *Coordinator) wantedNumber() (port.BatchNumber, bool) {
+	for _, w := range c.waiters {
+		if w.epoch == c.ledger.Consumer.Epoch && w.number > c.ledger.Acknowledged && !c.heldFor(w.number) {
+			return w.number, true
+		}
+	}
+	return 0, false
+}
+
+// selectGroups picks whole groups for a batch in the plan's order; nil when
+// there are too few.
+func (c *Coordinator) selectGroups() []*group {
+	wanted := c.config.Sampling.BatchSamples / c.config.Sampling.GroupSize
+	candidates := make([]*group, 0, wanted)
+	for _, g := range c.order {
+		if c.ready(g) && !slices.ContainsFunc(g.samples, c.tooOld) {
+			candidates = append(candidates, g)
+		}
+	}
+	if len(candidates) < wanted {
+		return nil
+	}
+	freshest := c.planning.plan.Selection == policy.SelectFreshest
+	slices.SortStableFunc(candidates, func(a, b *group) int {
+		if order := cmp.Compare(a.oldest(), b.oldest()); order != 0 && freshest {
+			return -order
+		} else if order != 0 {
+			return order
+		}
+		return cmp.Compare(a.prompt.Index, b.prompt.Index)
+	})
+	if c.promptsAboveWith(candidates[:wanted]) <= ledger.MaxPromptsAbove {
+		return candidates[:wanted]
+	}
+	// Too many prompts beyond the lowest open one: the lowest go first.
+	slices.SortFunc(candidates, func(a, b *group) int { return cmp.Compare(a.prompt.Index, b.prompt.Index) })
+	if c.promptsAboveWith(candidates[:wanted]) <= max(ledger.MaxPromptsAbove, len(c.prompts.above)) {
+		return candidates[:wanted]
+	}
+	return nil
+}
+
+// promptsAboveWith counts the committed prompts beyond the lowest open one as
+// they would be after a commit of the groups.
+func (c *Coordinator) promptsAboveWith(groups []*group) int {
+	count := len(c.prompts.above) + len(groups)
+	if count <= ledger.MaxPromptsAbove {
+		return count
+	}
+	added := make(map[port.PromptIndex]struct{}, len(groups))
+	for _, g := range groups {
+		added[g.prompt.Index] = struct{}{}
+	}
+	for index := c.prompts.below; ; index++ {
+		if _, selected := added[index]; !selected && !c.prompts.committed(index) {
+			return count
+		}
+		count--
+	}
+}
+
+// oldest gives the oldest version of a whole group's samples.
+func (g *group) oldest() port.WeightVersion {
+	oldest := port.OldestVersion(g.samples[0].spans)
+	for _, s := range g.samples[1:] {
+		oldest = min(oldest, port.OldestVersion(s.spans))
+	}
+	return oldest
+}
+
+// batchName is the subject of decisions on a batch.
+func batchName(pool port.PoolName, number port.BatchNumber, attempt uint32) string {
+	return fmt.Sprintf("b-%s-%d-%d", pool, number, attempt)
+}
--- /dev/null
+++ b/internal/core/coordinator/staleness.go
@@ -0,0 +1,145 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// age gives how many versions a version lies behind the published one.
+func (c *Coordinator) age(version port.WeightVersion) uint64 {
+	if version >= c.version {
+		return 0
+	}
+	return uint64(c.version - version)
+}
+
+// tooOld says whether a whole sample may no longer be delivered.
+func (c *Coordinator) tooOld(s *sample) bool {
+	return c.age(port.OldestVersion(s.spans)) > c.config.Sampling.StalenessBound
+}
+
+// undeliverable says why a whole sample cannot be delivered; empty if it can.
+func (c *Coordinator) undeliverable(s *sample) string {
+	if c.tooOld(s) {
+		return "older than the staleness bound when it finished"
+	}
+	limit := c.planning.plan.MaxVersions
+	if limit > 0 && distinctVersions(s.spans, s.spans[0].Version) > limit {
+		return "made by more weight versions than the policy allows"
+	}
+	return ""
+}
+
+// hopeless says why a running sample is given up; empty to let it run.
+func (c *Coordinator) hopeless(s *sample) string {
+	oldest, known := s.oldest()
+	if !known {
+		return ""
+	}
+	plan := &c.planning.plan
+	if c.age(oldest) > min(plan.AbandonAge, c.config.Sampling.StalenessBound) {
+		return "unfinished and older than the policy's abandon age"
+	}
+	if plan.MaxVersions > 0 && distinctVersions(joinSpans(s.spans, s.now.spans), oldest) > plan.MaxVersions {
+		return "split over more weight versions than the policy allows"
+	}
+	if plan.PredictStale && c.willBeStale(s, oldest) {
+		return "expected to be over the staleness bound when it finishes"
+	}
+	return ""
+}
+
+// willBeStale predicts the age at the end from the lengths of finished samples,
+// this sample's own speed and the rate of publications. It gives no sample up
+// that would not do better from the start.
+func (c *Coordinator) willBeStale(s *sample, oldest port.WeightVersion) bool {
+	interval := c.publications.interval
+	elapsed := c.now.Sub(s.now.started)
+	if interval <= 0 || elapsed <= 0 || s.now.tokens == 0 {
+		return false
+	}
+	perToken := elapsed / time.Duration(s.now.tokens)
+	remaining, known := c.lengths.expectedRemaining(s.totalTokens())
+	if !known {
+		return false
+	}
+	untilEnd := perToken * time.Duration(remaining)
+	again := perToken * time.Duration(s.totalTokens()+remaining)
+	bound := c.config.Sampling.StalenessBound
+	if uint64(again/interval) >= bound {
+		return false
+	}
+	return c.age(oldest)+uint64(untilEnd/interval) > bound
+}
+
+// weightsPublished takes a newer version over.
+func (c *Coordinator) weightsPublished(weights port.PublishedWeights) {
+	if weights.Version <= c.version {
+		return
+	}
+	c.publications.published(c.now)
+	c.raiseVersion(weights.Version)
+}
+
+// raiseVersion gives up what the newer version makes too old.
+func (c *Coordinator) raiseVersion(version port.WeightVersion) {
+	if version <= c.version {
+		return
+	}
+	c.version = version
+	c.planning.due = true
+	c.dropStaleSamples()
+}
+
+// dropStaleSamples looks at everything that is not part of a pending commit.
+func (c *Coordinator) dropStaleSamples() {
+	for _, g := range c.liveGroups() {
+		if g.pinned {
+			continue
+		}
+		for _, s := range slices.Clone(g.samples) {
+			c.reviewAge(s)
+		}
+	}
+}
+
+func (c *Coordinator) reviewAge(s *sample) {
+	switch {
+	case s.whole() && c.tooOld(s):
+		c.dropStale(s, "older than the staleness bound while it waited")
+	case s.state == stateRunning:
+		if reason := c.hopeless(s); reason != "" {
+			c.dropStale(s, reason)
+		}
+	}
+}
+
+// dropStale gives a sample up; a new one of the same prompt takes its place.
+func (c *Coordinator) dropStale(s *sample, reason string) {
+	c.counters.DroppedStale++
+	c.record(port.Decision{
+		Kind: port.DecisionStale, Subject: s.id.String(), Replica: s.replica, Attempt: int(s.attempt),
+		Code: port.CodeStale, Detail: reason, Spans: joinSpans(s.spans, s.now.spans),
+	})
+	c.replaceSample(s, 0)
+}
+
+// publicationRate estimates the time between publications.
+type publicationRate struct {
+	last     time.Time
+	interval time.Duration
+}
+
+// published takes one publication into the moving average.
+func (r *publicationRate) published(now time.Time) {
+	if !r.last.IsZero() {
+		between := now.Sub(r.last)
+		if r.interval == 0 {
+			r.interval = between
+		}
+		r.interval += (between - r.interval) / 4
+	}
+	r.last = now
+}
