--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -20,9 +20,7 @@
 	// latencyTolerance is how far the recent latency may rise over the usual
 	// one before the limit falls.
 	latencyTolerance = 1.5
-	// longSmoothing and limitSmoothing weigh one window in the usual latency
-	// and in the limit.
-	longSmoothing  = 0.05
+	// limitSmoothing weighs one window in the limit.
 	limitSmoothing = 0.2
 	// failureBackoff multiplies the limit after a window with failures.
 	failureBackoff = 0.7
@@ -30,19 +28,34 @@
 	failureShare = 0.1
 	// leastGradient bounds the fall of one window.
 	leastGradient = 0.5
+	// measureEvery is the number of windows between two measurements of the
+	// usual latency, firstMeasure that before the first one.
+	measureEvery = 120
+	firstMeasure = 4
+	// measureDivisor divides the limit for a measurement.
+	measureDivisor = 4
+	// measureWindows bounds the windows that a measurement takes.
+	measureWindows = 20
 )
 
 // Limiter adapts a replica's concurrency limit. It follows the gradient of
 // latency (as Netflix's concurrency-limits does): while the recent latency is
 // near the usual one the limit grows by its square root, above it the limit
-// falls in proportion; failures cut it by a fixed factor. It is not safe for
-// concurrent use.
+// falls in proportion; failures cut it by a fixed factor. The usual latency
+// only falls, or else a slow overload would become usual; now and then it is
+// measured anew at a quarter of the limit (as BBR measures the round trip). It is not
+// safe for concurrent use.
 type Limiter struct {
 	min, max float64
 	limit    float64
-	// usual is the long-term mean latency in nanoseconds.
+	// usual is the latency in nanoseconds of a replica without overload.
 	usual  float64
 	window window
+	// windows counts those since the last measurement began.
+	windows   int
+	measuring bool
+	// restored is the limit after the measurement.
+	restored float64
 }
 
 // window gathers answers between two changes.
@@ -58,7 +71,10 @@
 func NewLimiter(config LimiterConfig) *Limiter {
 	low := max(config.Min, 1)
 	high := max(config.Max, low)
-	return &Limiter{min: float64(low), max: float64(high), limit: float64(low+high) / 2}
+	return &Limiter{
+		min: float64(low), max: float64(high), limit: float64(low+high) / 2,
+		windows: measureEvery - firstMeasure,
+	}
 }
 
 // SetBounds changes the bounds and brings the limit between them.
@@ -94,8 +110,10 @@
 
 // adjust ends a window.
 func (l *Limiter) adjust() {
+	l.windows++
 	total := l.window.answers + l.window.failures
 	if float64(l.window.failures) > failureShare*float64(total) {
+		l.measuring = false
 		l.set(l.limit * failureBackoff)
 		return
 	}
@@ -103,11 +121,39 @@
 		return
 	}
 	recent := float64(l.window.sum) / float64(l.window.answers)
-	if l.usual == 0 {
+	switch {
+	case l.measuring:
+		l.measure(recent)
+	case l.windows >= measureEvery:
+		l.windows = 0
+		l.measuring = true
+		l.restored = l.limit
+		l.set(l.limit / measureDivisor)
+	default:
+		l.follow(recent)
+	}
+}
+
+// measure ends a measurement once no more requests are in flight than its
+// lower limit allows, or when that takes too long.
+func (l *Limiter) measure(recent float64) {
+	settled := l.window.inflight <= l.Limit()
+	if !settled && l.windows < measureWindows {
+		return
+	}
+	if settled {
+		l.usual = recent
+	}
+	l.measuring = false
+	l.set(l.restored)
+}
+
+// follow moves the limit along the gradient.
+func (l *Limiter) follow(recent float64) {
+	if l.usual == 0 || recent < l.usual {
 		l.usual = recent
 	}
 	gradient := min(max(latencyTolerance*l.usual/max(recent, 1), leastGradient), 1)
-	l.remember(recent)
 	target := l.limit*gradient + math.Sqrt(l.limit)
 	if target > l.limit && float64(l.window.inflight) < l.limit/2 {
 		return // too little in flight to tell whether more would do
@@ -115,14 +161,4 @@
 	l.set(l.limit + limitSmoothing*(target-l.limit))
 }
 
-// remember moves the usual latency: down at once, up slowly, so that a long
-// overload does not become usual soon.
-func (l *Limiter) remember(recent float64) {
-	if recent < l.usual {
-		l.usual = (l.usual + recent) / 2
-		return
-	}
-	l.usual += longSmoothing * (recent - l.usual)
-}
-
 func (l *Limiter) set(limit float64) { l.limit = min(max(limit, l.min), l.max) }
--- /dev/null
+++ b/internal/core/admission/queue_test.go
@@ -0,0 +1,250 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+type testItem = Item[int]
+
+func after(duration time.Duration) time.Time { return start.Add(duration) }
+
+// order serves everything and gives the ids in order.
+func order(queue *Queue[int], now time.Time) string {
+	served := ""
+	for {
+		item, found := queue.Next(now)
+		if !found {
+			return served
+		}
+		served += string(item.ID)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	tests := map[string]struct {
+		items []testItem
+		want  string
+	}{
+		"first come, first served": {[]testItem{{ID: "a"}, {ID: "b"}, {ID: "c"}}, "abc"},
+		"priority first":           {[]testItem{{ID: "a"}, {ID: "b", Priority: 5}, {ID: "c", Priority: -1}}, "bac"},
+		"earliest deadline first": {[]testItem{
+			{ID: "a"}, {ID: "b", Deadline: after(2 * time.Second)}, {ID: "c", Deadline: after(time.Second)}}, "cba"},
+		"tenants take turns": {[]testItem{
+			{ID: "a", Tenant: "x"}, {ID: "b", Tenant: "x"}, {ID: "c", Tenant: "x"}, {ID: "d", Tenant: "y"}, {ID: "e", Tenant: "y"}}, "adbec"},
+		"shares weigh": {[]testItem{
+			{ID: "a", Tenant: "x", TenantShare: 1}, {ID: "b", Tenant: "x", TenantShare: 1}, {ID: "c", Tenant: "x", TenantShare: 1},
+			{ID: "d", Tenant: "y", TenantShare: 0.5}, {ID: "e", Tenant: "y", TenantShare: 0.5}}, "adbce"},
+		"priority goes before fairness": {[]testItem{
+			{ID: "a", Tenant: "x", Priority: 1}, {ID: "b", Tenant: "x", Priority: 1}, {ID: "c", Tenant: "y"}}, "abc"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			queue := NewQueue[int](Config{Length: 10})
+			for _, item := range test.items {
+				if refusal := queue.Offer(start, item); refusal != nil {
+					t.Fatalf("offer %s: %v", item.ID, refusal)
+				}
+			}
+			if got := order(queue, start); got != test.want {
+				t.Errorf("served %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	waiting := []testItem{{ID: "a", Tenant: "x"}, {ID: "b", Tenant: "y"}, {ID: "c", Tenant: "y"}}
+	tests := map[string]struct {
+		length int
+		offer  testItem
+		want   port.Code
+		ended  string
+	}{
+		"room":                            {4, testItem{ID: "d"}, "", ""},
+		"full":                            {3, testItem{ID: "d"}, port.CodeQueueFull, ""},
+		"full, higher priority displaces": {3, testItem{ID: "d", Tenant: "z", Priority: 1}, "", "c"},
+		"full, lower priority":            {3, testItem{ID: "d", Priority: -1}, port.CodeQueueFull, ""},
+		"tenant over its share":           {4, testItem{ID: "d", Tenant: "y", TenantShare: 0.5}, port.CodeQueueFull, ""},
+		"tenant within its share":         {4, testItem{ID: "d", Tenant: "x", TenantShare: 0.5}, "", ""},
+		"deadline passed":                 {4, testItem{ID: "d", Deadline: start}, port.CodeDeadline, ""},
+		"same id twice":                   {4, testItem{ID: "a"}, port.CodeConflict, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			queue := NewQueue[int](Config{Length: test.length})
+			for _, item := range waiting {
+				queue.Offer(start, item)
+			}
+			refusal := queue.Offer(start, test.offer)
+			code := port.Code("")
+			if refusal != nil {
+				code = refusal.Code
+				if refusal.Verdict != port.NotRun {
+					t.Errorf("refused with verdict %s", refusal.Verdict)
+				}
+				if code != port.CodeConflict && refusal.RetryAfter <= 0 {
+					t.Error("refused without a time to come back")
+				}
+			}
+			if code != test.want {
+				t.Errorf("refusal %v, want code %q", refusal, test.want)
+			}
+			ended := ""
+			for _, one := range queue.Expire(start) {
+				ended += string(one.Item.ID)
+				if one.Error.Verdict != port.NotRun {
+					t.Errorf("%s ended with verdict %s", one.Item.ID, one.Error.Verdict)
+				}
+			}
+			if ended != test.ended {
+				t.Errorf("ended %q, want %q", ended, test.ended)
+			}
+		})
+	}
+}
+
+// backlogged makes a queue that drains one request each 100 ms, whose
+// requests take a second, and in which five wait.
+func backlogged(t *testing.T) (*Queue[int], time.Time) {
+	t.Helper()
+	queue := NewQueue[int](Config{Length: 100})
+	now := start
+	for index := range 15 {
+		queue.Offer(now, testItem{ID: port.RequestID(fmt.Sprint(index))})
+	}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		queue.Next(now)
+		queue.ObserveService(time.Second)
+	}
+	return queue, now
+}
+
+func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		left     time.Duration
+		priority port.Priority
+		refused  bool
+	}{
+		"waiting and service fit":          {1600 * time.Millisecond, 0, false},
+		"service does not fit":             {1400 * time.Millisecond, 0, true},
+		"ahead of all by priority":         {1100 * time.Millisecond, 1, false},
+		"not even without any that wait":   {900 * time.Millisecond, 1, true},
+		"behind those of higher priority":  {1400 * time.Millisecond, -1, true},
+		"in good time with lower priority": {time.Minute, -1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			queue, now := backlogged(t)
+			refusal := queue.Offer(now, testItem{ID: "new", Priority: test.priority, Deadline: now.Add(test.left)})
+			if (refusal != nil) != test.refused {
+				t.Fatalf("refusal %v, want refused %v", refusal, test.refused)
+			}
+			if refusal != nil && refusal.RetryAfter != 500*time.Millisecond {
+				t.Errorf("retry after %v, want the 500ms that five take to leave", refusal.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestStalledQueueEstimatesItsStall(t *testing.T) {
+	queue, now := backlogged(t)
+	if got := queue.EstimatedWait(now.Add(10*time.Second), 0); got != 50*time.Second {
+		t.Errorf("estimated wait %v after a stall of 10s with five waiting, want 50s", got)
+	}
+}
+
+func TestIdleTimeDoesNotCountAsSlow(t *testing.T) {
+	queue := NewQueue[int](Config{Length: 10})
+	for index := range 20 {
+		now := after(time.Duration(index) * time.Minute)
+		queue.Offer(now, testItem{ID: "a"})
+		queue.Next(now)
+	}
+	queue.Offer(after(time.Hour), testItem{ID: "b"})
+	if got := queue.EstimatedWait(after(time.Hour), 0); got != 0 {
+		t.Errorf("estimated wait %v after calm, want 0", got)
+	}
+}
+
+// Whatever is done, the bound holds, no expired request is served, and each
+// request accepted has exactly one end.
+func TestQueueKeepsItsPromises(t *testing.T) {
+	const length = 6
+	testkit.Check(t, 41, func(t *rapid.T) {
+		queue := NewQueue[int](Config{Length: length})
+		now := start
+		ends := make(map[port.RequestID]int)
+		accepted := make(map[port.RequestID]bool)
+		end := func(id port.RequestID) {
+			ends[id]++
+			if ends[id] > 1 || !accepted[id] {
+				t.Fatalf("%s ended %d times, accepted %v", id, ends[id], accepted[id])
+			}
+		}
+		for step := range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1, 2:
+				item := testItem{
+					ID: port.RequestID(fmt.Sprint(step)), Tenant: port.TenantName(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "tenant")),
+					Priority: port.Priority(rapid.IntRange(0, 2).Draw(t, "priority")), TenantShare: 0.5,
+				}
+				if rapid.Bool().Draw(t, "bounded") {
+					item.Deadline = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "left")) * time.Millisecond)
+				}
+				if refusal := queue.Offer(now, item); refusal == nil {
+					accepted[item.ID] = true
+				} else if refusal.Verdict != port.NotRun {
+					t.Fatalf("refused with %s", refusal.Verdict)
+				}
+			case 3:
+				if item, found := queue.Next(now); found {
+					end(item.ID)
+					if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
+						t.Fatalf("served %s after its deadline", item.ID)
+					}
+				}
+			case 4:
+				for _, ended := range queue.Expire(now) {
+					end(ended.Item.ID)
+				}
+			case 5:
+				id := port.RequestID(fmt.Sprint(rapid.IntRange(0, step).Draw(t, "cancel")))
+				if _, found := queue.Cancel(id); found {
+					end(id)
+				}
+			}
+			if queue.Len() > length {
+				t.Fatalf("%d wait, bound %d", queue.Len(), length)
+			}
+		}
+		for _, ended := range queue.Drain() {
+			end(ended.Item.ID)
+		}
+		if queue.Len() != 0 || len(ends) != len(accepted) {
+			t.Fatalf("%d accepted, %d ended, %d left", len(accepted), len(ends), queue.Len())
+		}
+	})
+}
+
+func BenchmarkOfferNext(b *testing.B) {
+	queue := NewQueue[int](Config{Length: 1000})
+	for index := range 500 {
+		queue.Offer(start, testItem{ID: port.RequestID(fmt.Sprint(index)), Tenant: port.TenantName(fmt.Sprint(index % 10))})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		item, _ := queue.Next(start)
+		queue.Offer(start, item)
+	}
+}
--- a/internal/core/decision/explain.go
+++ b/internal/core/decision/explain.go
@@ -53,7 +53,7 @@
 			return kind.name + " " + subject
 		}
 	}
-	return "Subject " + subject
+	return subject
 }
 
 // action tells what was decided.
--- /dev/null
+++ b/internal/core/membership/bench_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// measuredTime is the virtual time over which traffic is counted.
+const measuredTime = 10 * time.Second
+
+// BenchmarkDetector runs one zone of n nodes in virtual time and reports, per
+// node and second of that time: messages, encoded bytes and processor time of
+// a quiet zone, and the bytes of the busiest node while a death spreads.
+func BenchmarkDetector(b *testing.B) {
+	for _, size := range []int{20, 60, 200, 660} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			f := newFleet(size, 1)
+			f.run(2 * measuredTime)
+			quiet := f.countBytes(b)
+			f.stopped[f.nodes[size/2]] = true
+			death := f.countBytes(b)
+			clear(f.sent)
+			virtual := time.Duration(0)
+			for b.Loop() {
+				f.run(DefaultInterval)
+				virtual += DefaultInterval
+			}
+			messages := 0
+			for _, sent := range f.sent {
+				messages += sent
+			}
+			nodeSeconds := virtual.Seconds() * float64(size)
+			b.ReportMetric(float64(messages)/nodeSeconds, "messages/node/s")
+			b.ReportMetric(quiet, "quiet-B/node/s")
+			b.ReportMetric(death, "death-B/node/s")
+			b.ReportMetric(b.Elapsed().Seconds()*1e6/nodeSeconds, "µs-CPU/node/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// countBytes runs the fleet and gives the encoded bytes a second of the node
+// that sent most.
+func (f *fleet) countBytes(b *testing.B) float64 {
+	sent := make(map[port.NodeID]int)
+	f.observe = func(envelope Envelope) {
+		encoded, err := cbor.Marshal(envelope.Message)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sent[envelope.Message.From] += len(encoded)
+	}
+	f.run(measuredTime)
+	f.observe = nil
+	most := 0
+	for _, bytes := range sent {
+		most = max(most, bytes)
+	}
+	return float64(most) / measuredTime.Seconds()
+}
--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -26,6 +26,8 @@
 	sent      map[port.NodeID]int
 	changes   map[port.NodeID][]Change
 	flight    []Envelope
+	// observe, if set, sees each message that is sent.
+	observe func(Envelope)
 }
 
 func newFleet(size int, seed uint64) *fleet {
@@ -63,6 +65,9 @@
 	f.changes[from] = append(f.changes[from], output.Changes...)
 	for _, envelope := range output.Messages {
 		f.sent[from]++
+		if f.observe != nil {
+			f.observe(envelope)
+		}
 		f.flight = append(f.flight, envelope)
 	}
 }
--- /dev/null
+++ b/internal/core/membership/summary_test.go
@@ -0,0 +1,118 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+func TestOldSummariesAreDropped(t *testing.T) {
+	tests := map[string]struct {
+		incarnation, sequence uint64
+		want                  bool
+	}{
+		"the same again":           {5, 7, false},
+		"earlier":                  {5, 6, false},
+		"later":                    {5, 8, true},
+		"of an earlier process":    {4, 99, false},
+		"of a later process, anew": {6, 1, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			summaries, aggregates := NewSummaries(), NewAggregates()
+			summaries.Apply(testStart, HomeSummary{Node: "n", Incarnation: 5, Sequence: 7})
+			aggregates.Apply(testStart, PoolAggregate{Node: "n", Incarnation: 5, Sequence: 7})
+			next := HomeSummary{Node: "n", Incarnation: test.incarnation, Sequence: test.sequence, Replicas: []ReplicaSummary{{Replica: "r"}}}
+			if got := summaries.Apply(testStart, next); got != test.want {
+				t.Errorf("summary taken %v, want %v", got, test.want)
+			}
+			if _, _, found := summaries.Replica(testStart, "n", "r"); found != test.want {
+				t.Errorf("replica of the new summary found %v, want %v", found, test.want)
+			}
+			aggregate := PoolAggregate{Node: "n", Incarnation: test.incarnation, Sequence: test.sequence}
+			if got := aggregates.Apply(testStart, aggregate); got != test.want {
+				t.Errorf("aggregate taken %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// While two homes tell of one replica, only the present one is followed.
+func TestOnlyThePresentHomeIsFollowed(t *testing.T) {
+	homes := NewAssigner(nodeIDs(2))
+	home, _ := homes.Home("r")
+	former := nodeIDs(2)[0]
+	if former == home {
+		former = nodeIDs(2)[1]
+	}
+	summaries := NewSummaries()
+	summaries.Apply(testStart, HomeSummary{Node: former, Sequence: 9, Replicas: []ReplicaSummary{{Replica: "r", Pool: "p", Inflight: 9}}})
+	summaries.Apply(testStart, HomeSummary{Node: home, Sequence: 1, Replicas: []ReplicaSummary{{Replica: "r", Pool: "p", Inflight: 1}}})
+	visits := 0
+	summaries.Each(testStart.Add(time.Second), homes, func(node port.NodeID, replica *ReplicaSummary, age time.Duration) {
+		visits++
+		if node != home || replica.Inflight != 1 || age != time.Second {
+			t.Errorf("visited %s of %s, age %v", replica.Replica, node, age)
+		}
+	})
+	if visits != 1 {
+		t.Errorf("%d visits, want one", visits)
+	}
+	summaries.Retain([]port.NodeID{former})
+	summaries.Each(testStart, homes, func(port.NodeID, *ReplicaSummary, time.Duration) { t.Error("visited a former home") })
+}
+
+func TestAggregateCountsWhatIsRoutable(t *testing.T) {
+	homes := NewAssigner([]port.NodeID{"n"})
+	summaries := NewSummaries()
+	summaries.Apply(testStart, HomeSummary{Node: "n", Sequence: 1, Replicas: []ReplicaSummary{
+		{Replica: "a", Pool: "lm", Version: 5, Limit: 8, Inflight: 3, Queued: 2},
+		{Replica: "b", Pool: "lm", Version: 4, Limit: 8, Inflight: 9},
+		{Replica: "c", Pool: "lm", Version: 5, Limit: 8},
+		{Replica: "d", Pool: "lm", Version: 5, Limit: 8, Ejected: true},
+		{Replica: "e", Pool: "lm", Version: 5, Limit: 8, Probing: true},
+		{Replica: "f", Pool: "lm", Version: 5, Limit: 8, Draining: true},
+		{Replica: "g", Pool: "lm", Version: 5, Limit: 8, Leaving: true},
+		{Replica: "h", Pool: "lm", Version: 5, Limit: 8, VersionUnknown: true},
+		{Replica: "i", Pool: "api", Limit: 4},
+	}})
+	got := summaries.Aggregate(testStart, homes)
+	if len(got) != 2 || got[0].Pool != "api" || got[0].Free != 4 {
+		t.Fatalf("aggregates %+v", got)
+	}
+	lm := got[1]
+	versions := []VersionCount{{Version: 4, Replicas: 1, Free: 0}, {Version: 5, Replicas: 2, Free: 13}}
+	if lm.Replicas != 8 || lm.Routable != 3 || lm.Free != 13 || lm.Queued != 2 || !slices.Equal(lm.Versions, versions) {
+		t.Errorf("aggregate %+v, want versions %+v", lm, versions)
+	}
+}
+
+func TestAggregatesOfOtherZones(t *testing.T) {
+	aggregates := NewAggregates()
+	later := testStart.Add(10 * time.Second)
+	aggregates.Apply(testStart, PoolAggregate{Zone: "old", Pool: "lm", Node: "a", Sequence: 1, Free: 99})
+	aggregates.Apply(later, PoolAggregate{Zone: "east", Pool: "lm", Node: "b", Sequence: 5, Free: 1})
+	aggregates.Apply(later, PoolAggregate{Zone: "east", Pool: "lm", Node: "c", Sequence: 1, Free: 2})
+	aggregates.Apply(later, PoolAggregate{Zone: "west", Pool: "lm", Node: "d", Sequence: 1, Free: 3})
+	aggregates.Apply(later, PoolAggregate{Zone: "west", Pool: "api", Node: "d", Sequence: 1, Free: 9})
+	var free []int
+	for _, aggregate := range aggregates.Pool(later, "lm", 5*time.Second) {
+		free = append(free, aggregate.Free)
+	}
+	if !slices.Equal(free, []int{3, 2}) {
+		t.Errorf("free places %v, want the fresh zones, the freest first", free)
+	}
+}
+
+func TestSummaryIntervalKeepsTheBudget(t *testing.T) {
+	for _, test := range []struct {
+		peers, bytes, budget int
+		want                 time.Duration
+	}{{19, 200, 8000, time.Second}, {99, 200, 6600, 3 * time.Second}, {99, 200, 0, time.Second}, {0, 200, 100, time.Second}} {
+		if got := SummaryInterval(time.Second, test.peers, test.bytes, test.budget); got != test.want {
+			t.Errorf("%+v: %v", test, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,159 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }
+
+func policy() Policy {
+	return FromConfiguration(port.Retry{
+		MaxAttempts: 3, BaseBackoff: port.Duration(10 * time.Millisecond), MaxBackoff: port.Duration(40 * time.Millisecond),
+	})
+}
+
+func TestDecide(t *testing.T) {
+	base := Attempt{Made: 1, Owner: true, Verdict: port.MayHaveRun, Code: port.CodeBackEnd, Safe: true, Deadline: start.Add(time.Second)}
+	change := func(edit func(*Attempt)) Attempt {
+		attempt := base
+		edit(&attempt)
+		return attempt
+	}
+	tests := map[string]struct {
+		attempt Attempt
+		want    Reason
+	}{
+		"safe, may have run":         {base, ReasonRetry},
+		"safe, ran and failed":       {change(func(a *Attempt) { a.Verdict = port.Ran }), ReasonRetry},
+		"unsafe, not run":            {change(func(a *Attempt) { a.Safe, a.Verdict = false, port.NotRun }), ReasonRetry},
+		"unsafe, may have run":       {change(func(a *Attempt) { a.Safe = false }), ReasonMayHaveRun},
+		"unsafe, ran":                {change(func(a *Attempt) { a.Safe, a.Verdict = false, port.Ran }), ReasonMayHaveRun},
+		"unsafe, verdict forgotten":  {change(func(a *Attempt) { a.Safe, a.Verdict = false, port.VerdictUnset }), ReasonMayHaveRun},
+		"another layer's":            {change(func(a *Attempt) { a.Owner = false }), ReasonNotOwner},
+		"invalid":                    {change(func(a *Attempt) { a.Code, a.Verdict = port.CodeInvalid, port.NotRun }), ReasonPermanent},
+		"caller gave up":             {change(func(a *Attempt) { a.Code = port.CodeCancelled }), ReasonPermanent},
+		"last attempt":               {change(func(a *Attempt) { a.Made = 3 }), ReasonAttempts},
+		"deadline passed":            {change(func(a *Attempt) { a.Deadline = start.Add(-time.Second) }), ReasonDeadline},
+		"cannot end in time":         {change(func(a *Attempt) { a.Expected = time.Second }), ReasonDeadline},
+		"asked to wait too long":     {change(func(a *Attempt) { a.RetryAfter = time.Second }), ReasonDeadline},
+		"no deadline":                {change(func(a *Attempt) { a.Deadline, a.Expected = time.Time{}, time.Hour }), ReasonRetry},
+		"just enough time":           {change(func(a *Attempt) { a.Expected = 989 * time.Millisecond }), ReasonRetry},
+		"fenced elsewhere, try anew": {change(func(a *Attempt) { a.Code, a.Verdict = port.CodeFenced, port.NotRun }), ReasonRetry},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := policy().Decide(start, test.attempt, NewBudget(0.1, start), seeded())
+			if got.Reason != test.want || got.Retry != (test.want == ReasonRetry) {
+				t.Errorf("decision %+v, want reason %q", got, test.want)
+			}
+		})
+	}
+	off := Policy{MaxAttempts: 1}
+	if got := off.Decide(start, base, NewBudget(1, start), seeded()); got.Retry || got.Reason != ReasonUnconfigured {
+		t.Errorf("retries off: %+v", got)
+	}
+}
+
+// For every attempt: an unsafe one that may have run is never repeated, only
+// the owner repeats, never past the attempts nor the deadline; and a refusal
+// spends no budget.
+func TestDecideKeepsItsPromises(t *testing.T) {
+	verdicts := []port.Verdict{port.VerdictUnset, port.NotRun, port.MayHaveRun, port.Ran}
+	codes := []port.Code{port.CodeBackEnd, port.CodeUnavailable, port.CodeInvalid, port.CodeQueueFull, port.CodeDeadline, ""}
+	testkit.Check(t, 21, func(t *rapid.T) {
+		attempt := Attempt{
+			Made: rapid.IntRange(1, 5).Draw(t, "made"), Owner: rapid.Bool().Draw(t, "owner"),
+			Verdict: rapid.SampledFrom(verdicts).Draw(t, "verdict"), Code: rapid.SampledFrom(codes).Draw(t, "code"),
+			Safe: rapid.Bool().Draw(t, "safe"), Deadline: start.Add(time.Duration(rapid.IntRange(-5, 200).Draw(t, "left")) * time.Millisecond),
+			Expected:   time.Duration(rapid.IntRange(0, 100).Draw(t, "expected")) * time.Millisecond,
+			RetryAfter: time.Duration(rapid.IntRange(0, 100).Draw(t, "after")) * time.Millisecond,
+		}
+		budget := NewBudget(0.1, start)
+		before := budget.Balance()
+		got := policy().Decide(start, attempt, budget, seeded())
+		if !got.Retry {
+			if budget.Balance() != before {
+				t.Fatalf("a refusal spent budget: %+v", got)
+			}
+			return
+		}
+		if !attempt.Safe && attempt.Verdict != port.NotRun {
+			t.Fatalf("unsafe request repeated: %+v", attempt)
+		}
+		if !attempt.Owner || attempt.Made >= 3 || !start.Add(got.After+attempt.Expected).Before(attempt.Deadline) {
+			t.Fatalf("repeated against the rules: %+v, %+v", attempt, got)
+		}
+		if got.After < attempt.RetryAfter || got.After > max(attempt.RetryAfter, 40*time.Millisecond) {
+			t.Fatalf("wait %v out of range", got.After)
+		}
+	})
+}
+
+// However much fails, retries stay within the floor plus a share of successes.
+func TestBudgetBoundsRetries(t *testing.T) {
+	tests := map[string]struct {
+		ratio     float64
+		successes int
+		elapsed   time.Duration
+		want      int
+	}{
+		"all fail at once":        {0.1, 0, 0, 3},
+		"a share of successes":    {0.1, 100, 0, 13},
+		"no share":                {0, 1000, 0, 3},
+		"the floor does not pile": {0.1, 0, time.Hour, 3},
+		"bounded after long calm": {1, 100000, 0, 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			budget := NewBudget(test.ratio, start)
+			for range test.successes {
+				budget.Success(start)
+			}
+			granted := 0
+			for range 1000 {
+				if budget.Withdraw(start.Add(test.elapsed)) {
+					granted++
+				}
+			}
+			if granted != test.want {
+				t.Errorf("%d retries, want %d", granted, test.want)
+			}
+		})
+	}
+}
+
+func TestBudgetFloorRefillsAndIgnoresClockJumps(t *testing.T) {
+	budget := NewBudget(0.1, start)
+	for budget.Withdraw(start) {
+	}
+	if budget.Withdraw(start.Add(-time.Hour)) || budget.Withdraw(start.Add(4*time.Second)) {
+		t.Error("a retry was granted before the floor refilled")
+	}
+	if !budget.Withdraw(start.Add(6 * time.Second)) {
+		t.Error("the floor did not refill")
+	}
+}
+
+func TestBackoffIsFullJitter(t *testing.T) {
+	random := seeded()
+	for made, ceiling := range map[int]time.Duration{1: 10, 2: 20, 3: 40, 9: 40} {
+		low, high := time.Hour, time.Duration(0)
+		for range 2000 {
+			wait := policy().backoff(made, random)
+			low, high = min(low, wait), max(high, wait)
+		}
+		ceiling *= time.Millisecond
+		if high > ceiling || high < ceiling*9/10 || low > ceiling/10 {
+			t.Errorf("after %d attempts: waits from %v to %v, want the whole range to %v", made, low, high, ceiling)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/scheduling/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package scheduling
+
+const raceEnabled = false
