control: add the control member's process, its client and operators' interface

Cause: the consensus and control state cores need a process around them. Change: one loop owns core and log and makes groups of writes durable with one sync; proposals and reads go to the leader with verdicts and a time to retry; watches stream deltas or whole views; a first member without a folder starts only once the others confirm that the group is new, so that a lost folder is refused; silent nodes leave the view; planned stops hand leadership over. controlclient moves between members and resends under one change id. operatorapi serves configuration, weights, replicas, members and status.

--- /dev/null
+++ b/internal/adapter/operatorapi/config.go
@@ -0,0 +1,200 @@
+package operatorapi
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/loomgrade/loomgrade/internal/core/registry"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// silentAfterMillis is the age of a report from which a node counts as silent.
+const silentAfterMillis = 10_000
+
+func (s *Server) view(request *http.Request) (*port.View, error) {
+	return s.config.Backend.View(request.Context(), request.URL.Query().Get(QueryLocal) == "true")
+}
+
+func (s *Server) getConfig(writer http.ResponseWriter, request *http.Request) error {
+	view, err := s.view(request)
+	if err != nil {
+		return err
+	}
+	writeJSON(writer, http.StatusOK, configOf(view))
+	return nil
+}
+
+func configOf(view *port.View) *Config {
+	return &Config{Revision: view.Revision, Position: view.Position, Configuration: view.Configuration}
+}
+
+func (s *Server) putConfig(writer http.ResponseWriter, request *http.Request) error {
+	var change ConfigChange
+	if err := readJSON(writer, request, MaxBodyBytes, &change); err != nil {
+		return err
+	}
+	if err := checkChange(change); err != nil {
+		return err
+	}
+	if change.Configuration != nil {
+		edits, err := s.editsTo(request, *change.ExpectedRevision, *change.Configuration)
+		if err != nil {
+			return s.answerChange(writer, request, port.Result{}, err)
+		}
+		change.Edits = edits
+	}
+	return s.proposeEdits(writer, request, change)
+}
+
+func checkChange(change ConfigChange) error {
+	if change.ExpectedRevision == nil {
+		return port.InvalidField("expected_revision", "", "the revision that the change starts from")
+	}
+	if _, err := registry.ParseChangeID(change.ChangeID); err != nil {
+		return err
+	}
+	if (len(change.Edits) == 0) == (change.Configuration == nil) {
+		return port.InvalidField("edits", "", "exactly one of edits and configuration")
+	}
+	return nil
+}
+
+// editsTo turns a whole configuration into edits of the expected revision.
+func (s *Server) editsTo(request *http.Request, expected port.Revision, wanted port.Configuration) ([]port.Edit, error) {
+	view, err := s.config.Backend.View(request.Context(), false)
+	if err != nil {
+		return nil, err
+	}
+	if view.Revision != expected {
+		return nil, port.NewError(port.NotRun, port.CodeConflict, "the configuration is at revision %d", view.Revision)
+	}
+	edits := registry.DiffConfiguration(view.Configuration, wanted)
+	if len(edits) == 0 {
+		return nil, port.InvalidField("configuration", "the present one", "a configuration that changes something")
+	}
+	return edits, nil
+}
+
+// proposeEdits checks where the edits lead and puts them through the log.
+func (s *Server) proposeEdits(writer http.ResponseWriter, request *http.Request, change ConfigChange) error {
+	if err := s.checkOutcome(request, change); err != nil {
+		return err
+	}
+	result, err := s.config.Backend.Propose(request.Context(), port.Command{
+		ChangeID: change.ChangeID,
+		ChangeConfiguration: &port.ChangeConfiguration{
+			Expected: *change.ExpectedRevision,
+			Edits:    change.Edits,
+			Author:   change.Author,
+			Note:     change.Note,
+		},
+	})
+	if err == nil && result.Error != nil {
+		err = result.Error
+	}
+	return s.answerChange(writer, request, result, err)
+}
+
+// checkOutcome runs the check on what the edits lead to, where the expected
+// revision is this member's; the log judges all else.
+func (s *Server) checkOutcome(request *http.Request, change ConfigChange) error {
+	if s.config.CheckConfiguration == nil {
+		return nil
+	}
+	view, err := s.config.Backend.View(request.Context(), true)
+	if err != nil || view.Revision != *change.ExpectedRevision {
+		return nil
+	}
+	outcome, err := registry.ApplyEdits(view.Configuration, change.Edits)
+	if err != nil {
+		return nil
+	}
+	return s.config.CheckConfiguration(outcome)
+}
+
+// answerChange answers an accepted change or shows a conflicting one what is
+// in force.
+func (s *Server) answerChange(writer http.ResponseWriter, request *http.Request, result port.Result, err error) error {
+	if err == nil {
+		writeJSON(writer, http.StatusOK, Accepted{Revision: result.Revision, Index: result.Index})
+		return nil
+	}
+	var refusal *port.Error
+	if !errors.As(err, &refusal) || refusal.Code != port.CodeConflict {
+		return err
+	}
+	body := ConflictBody{ErrorBody: api.ErrorBody{Error: detailOf(refusal)}}
+	if view, viewErr := s.config.Backend.View(request.Context(), false); viewErr == nil {
+		body.Current = configOf(view)
+	}
+	writeErrorBody(writer, refusal, body)
+	return nil
+}
+
+func (s *Server) getHistory(writer http.ResponseWriter, request *http.Request) error {
+	changes, err := s.config.Backend.History(request.Context())
+	if err != nil {
+		return err
+	}
+	writeJSON(writer, http.StatusOK, ConfigHistory{Changes: changes})
+	return nil
+}
+
+func (s *Server) getConfigStatus(writer http.ResponseWriter, request *http.Request) error {
+	view, err := s.view(request)
+	if err != nil {
+		return err
+	}
+	reports, err := s.config.Backend.Reports(request.Context())
+	if err != nil {
+		return err
+	}
+	writeJSON(writer, http.StatusOK, configStatus(view, reports))
+	return nil
+}
+
+// configStatus says for each registered node which revision it has in force.
+func configStatus(view *port.View, reports Reports) ConfigStatus {
+	byNode := make(map[port.NodeID]NodeReport, len(reports.Nodes))
+	for _, report := range reports.Nodes {
+		byNode[report.Report.Node.ID] = report
+	}
+	status := ConfigStatus{
+		Revision:           view.Revision,
+		Nodes:              make([]NodeConfig, 0, len(view.Nodes)),
+		UnreachableMembers: reports.Unreachable,
+	}
+	for _, node := range view.Nodes {
+		line := NodeConfig{Node: node.ID, Zone: node.Zone, State: StateSilent, ReportAgeMillis: -1}
+		if report, known := byNode[node.ID]; known {
+			line.Revision, line.Since = report.Report.Revision, report.RevisionSince
+			line.ReportAgeMillis = report.AgeMillis
+			line.State = stateOf(report, view.Revision)
+		}
+		status.count(line.State)
+		status.Nodes = append(status.Nodes, line)
+	}
+	return status
+}
+
+func stateOf(report NodeReport, revision port.Revision) string {
+	switch {
+	case report.AgeMillis > silentAfterMillis:
+		return StateSilent
+	case report.Report.Revision < revision:
+		return StateBehind
+	}
+	return StateInForce
+}
+
+func (s *ConfigStatus) count(state string) {
+	switch state {
+	case StateInForce:
+		s.InForce++
+	case StateBehind:
+		s.Behind++
+	default:
+		s.Silent++
+	}
+}
--- /dev/null
+++ b/internal/app/control/control_test.go
@@ -0,0 +1,369 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/core/controlstate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// TestProposalThroughAnyMember sends changes to each member in turn.
+func TestProposalThroughAnyMember(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	for id := uint64(1); id <= 3; id++ {
+		group.change(group.client(id), 2)
+	}
+	if revision := group.revision(); revision != 6 {
+		t.Fatalf("revision %d, want 6", revision)
+	}
+}
+
+// TestKilledLeaderLosesNothing kills the leader between changes, and restarts
+// it.
+func TestKilledLeaderLosesNothing(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	client := group.client(1)
+	var last port.Revision
+	for range 3 {
+		last = group.change(client, 5)
+		leader := group.leader().config.ID
+		group.kill(leader)
+		if revision := group.revision(); revision != last {
+			t.Fatalf("revision %d after the leader was killed, %d was accepted", revision, last)
+		}
+		last = group.change(client, 1)
+		member := group.restart(leader)
+		<-member.Ready()
+	}
+	for id, member := range group.running {
+		group.eventually("every member to catch up", func() bool {
+			view, err := member.View(group.context(), true)
+			return err == nil && view.Revision == last
+		})
+		if view, err := member.View(group.context(), false); err != nil || view.Revision != last {
+			t.Fatalf("member %d reads %+v: %v", id, view, err)
+		}
+	}
+}
+
+// TestResendGetsTheFirstAnswer sends a change again under its id, to another
+// member, after the leader is gone and after a snapshot.
+func TestResendGetsTheFirstAnswer(t *testing.T) {
+	group := startGroup(t, 3, func(config *Config) { config.SnapshotEntries, config.RetainEntries = 20, 5 })
+	command := machineListChange(0, 1)
+	first := group.mustAccept(group.client(1), command)
+	again := group.mustAccept(group.client(2), command)
+	if again.Index != first.Index || again.Revision != first.Revision {
+		t.Fatalf("resend got %+v, first answer was %+v", again, first)
+	}
+	group.change(group.client(1), 50)
+	leader := group.leader().config.ID
+	group.kill(leader)
+	client := group.client(leader%3 + 1)
+	if result := group.mustAccept(client, command); result.Index != first.Index {
+		t.Fatalf("resend to a new leader got %+v, first answer was %+v", result, first)
+	}
+	other := machineListChange(first.Revision, 2)
+	other.ChangeID = command.ChangeID
+	result, err := client.Propose(group.context(), other)
+	if err != nil || result.Error == nil || result.Error.Code != port.CodeChangeIDReused {
+		t.Fatalf("another change under the same id got %+v, %v", result, err)
+	}
+	if revision := group.revision(); revision != 51 {
+		t.Fatalf("revision %d, want 51", revision)
+	}
+}
+
+// TestRacingEqualRevisions lets clients race with one expected revision.
+func TestRacingEqualRevisions(t *testing.T) {
+	const racers, rounds = 4, 5
+	group := startGroup(t, 3, nil)
+	clients := make([]*controlclient.Client, racers)
+	for index := range clients {
+		clients[index] = group.client(uint64(index%3 + 1))
+	}
+	for round := range rounds {
+		results := make([]port.Result, racers)
+		failures := make([]error, racers)
+		var racing sync.WaitGroup
+		for index, client := range clients {
+			racing.Go(func() {
+				command := machineListChange(port.Revision(round), round*racers+index)
+				results[index], failures[index] = client.Propose(group.context(), command)
+			})
+		}
+		racing.Wait()
+		accepted := 0
+		for index, result := range results {
+			switch {
+			case failures[index] != nil:
+				t.Fatal(failures[index])
+			case result.Error == nil:
+				accepted++
+			case result.Error.Code != port.CodeConflict || result.Error.Verdict != port.NotRun:
+				t.Fatal(result.Error)
+			}
+		}
+		if accepted != 1 {
+			t.Fatalf("%d changes accepted in round %d", accepted, round)
+		}
+	}
+}
+
+// follow runs a watch that applies every update to an observer.
+type follow struct {
+	mutex    sync.Mutex
+	observer *controlstate.Observer
+	full     int
+	fault    error
+	cancel   context.CancelFunc
+	ended    chan struct{}
+}
+
+func startFollow(client *controlclient.Client, observer *controlstate.Observer) *follow {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &follow{observer: observer, cancel: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(f.ended)
+		_ = client.Watch(ctx, observer.Position(), f.take)
+	}()
+	return f
+}
+
+func (f *follow) take(update port.ViewUpdate) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	before := f.observer.View()
+	if update.Full != nil {
+		f.full++
+	}
+	if _, err := f.observer.Apply(update); err != nil {
+		f.fault = err
+	}
+	if after := f.observer.View(); after.Revision < before.Revision || after.Position < before.Position {
+		f.fault = errors.New("the observer went back")
+	}
+}
+
+func (f *follow) revision() port.Revision {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.observer.View().Revision
+}
+
+func (f *follow) stop(t *testing.T) {
+	t.Helper()
+	f.cancel()
+	<-f.ended
+	if f.fault != nil {
+		t.Fatal(f.fault)
+	}
+}
+
+// TestWatchResumesAfterMissedChanges stops a watch, makes hundreds of changes
+// past a compaction and restarts, and resumes from the old position.
+func TestWatchResumesAfterMissedChanges(t *testing.T) {
+	group := startGroup(t, 3, func(config *Config) { config.SnapshotEntries, config.RetainEntries = 50, 10 })
+	client := group.client(1)
+	observer := controlstate.NewObserver()
+	watch := startFollow(group.client(1), observer)
+	last := group.change(client, 5)
+	group.eventually("the first changes", func() bool { return watch.revision() == last })
+	watch.stop(t)
+
+	last = group.change(client, 300)
+	for id := uint64(1); id <= 3; id++ {
+		group.kill(id)
+		<-group.restart(id).Ready()
+		group.leader()
+	}
+	resumed := startFollow(group.client(2), observer)
+	group.eventually("the missed changes", func() bool { return resumed.revision() == last })
+	last = group.change(client, 3)
+	group.eventually("the new changes", func() bool { return resumed.revision() == last })
+	resumed.stop(t)
+	if resumed.full == 0 {
+		t.Fatal("the gap was not filled by a whole view, though the members restarted after it was compacted")
+	}
+}
+
+// TestWatchMovesFromAMemberWithoutQuorum leaves one member alone, which the
+// watch must leave; no update of that member may be confirmed.
+func TestWatchMovesFromAMemberWithoutQuorum(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	watch := startFollow(group.client(1), controlstate.NewObserver())
+	last := group.change(group.client(2), 3)
+	group.eventually("the first changes", func() bool { return watch.revision() == last })
+	group.kill(1)
+	last = group.change(group.client(2), 3)
+	group.eventually("changes after the watched member died", func() bool { return watch.revision() == last })
+	watch.stop(t)
+
+	group.kill(2)
+	alone := group.running[3]
+	group.eventually("the member left alone to notice", func() bool {
+		status, err := alone.Status(group.context())
+		return err == nil && !status.QuorumActive
+	})
+	update, err := alone.updateAfter(group.context(), 0)
+	if err != nil || update.Confirmed {
+		t.Fatalf("a member without a quorum confirmed %+v: %v", update, err)
+	}
+	ctx, cancel := context.WithTimeout(group.context(), time.Second)
+	defer cancel()
+	_, err = alone.Propose(ctx, machineListChange(last, 9))
+	if refusal := port.AsError(err); refusal == nil || refusal.RetryAfter == 0 {
+		t.Fatalf("a proposal without a quorum got %v, want a refusal with a time to retry", err)
+	}
+	if _, err := alone.View(ctx, false); err == nil {
+		t.Fatal("a read that asks for the newest state was served without a quorum")
+	}
+}
+
+// TestLostDataFolderIsRefused removes a voter's folder: it must not come back
+// under its old id, and may come back as a learner under a new one.
+func TestLostDataFolderIsRefused(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	client := group.client(1)
+	group.change(client, 3)
+	group.kill(3)
+	if err := os.RemoveAll(group.dataFolder(3)); err != nil {
+		t.Fatal(err)
+	}
+	for _, join := range []bool{false, true} {
+		lost := group.startOn(3, listenLoopback(t, group.members[2].Peer), func(config *Config) { config.Join = join })
+		if err := lost.Wait(); !errors.Is(err, ErrDataLost) {
+			t.Fatalf("join %v: a voter without its folder ended with %v", join, err)
+		}
+		delete(group.running, 3)
+	}
+	group.replace(3, 4)
+	group.change(client, 3)
+}
+
+// replace removes a lost member and brings a new one in as learner and voter.
+func (g *testGroup) replace(lost, id uint64) {
+	g.t.Helper()
+	g.changeMember(operatorapi.MemberChange{Action: operatorapi.MemberRemove, ID: lost})
+	listener := listenLoopback(g.t, "127.0.0.1:0")
+	address := listener.Addr().String()
+	joined := g.startOn(id, listener, func(config *Config) { config.Join = true })
+	g.changeMember(operatorapi.MemberChange{Action: operatorapi.MemberAdd, ID: id, Address: address})
+	<-joined.Ready()
+	g.changeMember(operatorapi.MemberChange{Action: operatorapi.MemberPromote, ID: id})
+}
+
+// changeMember repeats a change until the group is ready for it.
+func (g *testGroup) changeMember(change operatorapi.MemberChange) {
+	g.t.Helper()
+	g.eventually("the group to accept "+string(change.Action), func() bool {
+		err := g.leader().ChangeMember(g.context(), change)
+		if err != nil && port.AsError(err).Code != port.CodeUnavailable {
+			g.t.Fatal(err)
+		}
+		return err == nil
+	})
+}
+
+// TestSecondMachineLostAfterARepair loses another voter right after the repair
+// of the first: what was accepted must still be there.
+func TestSecondMachineLostAfterARepair(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	last := group.change(group.client(1), 10)
+	group.kill(3)
+	group.replace(3, 4)
+	group.kill(group.leader().config.ID)
+	if revision := group.revision(); revision != last {
+		t.Fatalf("revision %d after the second loss, want %d", revision, last)
+	}
+}
+
+// TestBadFolderIsRefused starts members on folders that they must not use.
+func TestBadFolderIsRefused(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	group.change(group.client(1), 3)
+	group.kill(3)
+	config := group.config(3)
+	config.PeerAddress = "127.0.0.1:0"
+	cases := []struct {
+		name string
+		make func(*testing.T, Config) Config
+		want error
+	}{
+		{"another member's", func(_ *testing.T, c Config) Config { c.ID = 2; return c }, wal.ErrForeign},
+		{"another cluster's", func(_ *testing.T, c Config) Config { c.Cluster = "other"; return c }, wal.ErrForeign},
+		{"one in use", func(_ *testing.T, c Config) Config { c.ID, c.DataFolder = 1, group.dataFolder(1); return c }, wal.ErrLocked},
+		{"a corrupt one", corruptFolder, wal.ErrCorrupt},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if _, err := Start(test.make(t, config)); !errors.Is(err, test.want) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// corruptFolder changes a byte in the middle of the first segment.
+func corruptFolder(t *testing.T, config Config) Config {
+	t.Helper()
+	segments, err := filepath.Glob(filepath.Join(config.DataFolder, "wal-*.log"))
+	if err != nil || len(segments) == 0 {
+		t.Fatalf("no segments: %v", err)
+	}
+	data, err := os.ReadFile(segments[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/2] ^= 0xff
+	if err := os.WriteFile(segments[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+// TestPlannedStopHandsOver stops the leader as planned: the watch and the
+// proposals go on at another member.
+func TestPlannedStopHandsOver(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	client := group.client(1)
+	last := group.change(client, 2)
+	leader := group.leader()
+	if err := leader.Stop(group.context()); err != nil {
+		t.Fatal(err)
+	}
+	delete(group.running, leader.config.ID)
+	if revision := group.revision(); revision != last {
+		t.Fatalf("revision %d, want %d", revision, last)
+	}
+	group.change(client, 1)
+}
+
+// TestSilentNodeLeavesTheView registers two nodes of which one reports.
+func TestSilentNodeLeavesTheView(t *testing.T) {
+	group := startGroup(t, 3, func(config *Config) { config.NodeTimeout = 2 * time.Second })
+	client := group.client(1)
+	node := func(id port.NodeID, peer string) port.NodeAddress {
+		return port.NodeAddress{ID: id, Zone: "zone-a", PeerAddress: peer, HTTPAddress: peer}
+	}
+	alive, silent := node("alive", "127.0.0.1:1001"), node("silent", "127.0.0.1:1002")
+	for _, address := range []port.NodeAddress{alive, silent} {
+		group.mustAccept(client, port.Command{RegisterNode: &port.RegisterNode{Node: address}})
+	}
+	group.eventually("the silent node to go", func() bool {
+		if err := client.Report(group.context(), port.NodeReport{Node: alive}); err != nil {
+			t.Fatal(err)
+		}
+		view, err := group.leader().View(group.context(), false)
+		return err == nil && len(view.Nodes) == 1 && view.Nodes[0].ID == "alive"
+	})
+}
--- /dev/null
+++ b/internal/app/control/housekeeping.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const houseInterval = time.Second
+
+// keepHouse does what no request asks for: it learns the addresses of members
+// that joined, and as the leader takes silent nodes out of the view.
+func (m *Member) keepHouse(ctx context.Context) error {
+	ticker := time.NewTicker(houseInterval)
+	defer ticker.Stop()
+	var watcher silenceWatcher
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		m.learnAddresses(ctx)
+		published := m.loop().published.Load()
+		if published.status.Role != consensus.RoleLeader || !published.status.QuorumActive {
+			watcher.reset()
+			continue
+		}
+		m.removeSilent(ctx, &watcher, published.view)
+	}
+}
+
+// learnAddresses takes over the addresses of members that joined by the log.
+func (m *Member) learnAddresses(ctx context.Context) {
+	_ = m.inLoop(ctx, func(l *loop) {
+		for _, id := range l.member.Status().Membership.Members() {
+			if address, known := l.member.State().MemberAddress(uint64(id)); known {
+				m.peers.learn(id, address)
+			}
+		}
+	})
+}
+
+// silenceWatcher knows since when the leader has heard nothing of a node.
+type silenceWatcher struct {
+	lastHeard map[port.NodeID]time.Time
+}
+
+func (w *silenceWatcher) reset() { w.lastHeard = nil }
+
+// silent gives the registered nodes that no member heard of for the timeout.
+// A leader that is new, or a node that just registered, starts from now.
+func (w *silenceWatcher) silent(nodes []port.NodeAddress, ages map[port.NodeID]time.Duration, now time.Time, timeout time.Duration) []port.NodeID {
+	heard := make(map[port.NodeID]time.Time, len(nodes))
+	var silent []port.NodeID
+	for _, node := range nodes {
+		last, known := w.lastHeard[node.ID]
+		if !known {
+			last = now
+		}
+		if age, reported := ages[node.ID]; reported && now.Add(-age).After(last) {
+			last = now.Add(-age)
+		}
+		heard[node.ID] = last
+		if now.Sub(last) >= timeout {
+			silent = append(silent, node.ID)
+		}
+	}
+	w.lastHeard = heard
+	return silent
+}
+
+// removeSilent proposes the removal of silent nodes. A node that lives on finds
+// itself missing from the view and registers again.
+func (m *Member) removeSilent(ctx context.Context, watcher *silenceWatcher, view *port.View) {
+	reports := m.gatherReports(ctx)
+	ages := make(map[port.NodeID]time.Duration, len(reports.Nodes))
+	for _, report := range reports.Nodes {
+		ages[report.Report.Node.ID] = time.Duration(report.AgeMillis) * time.Millisecond
+	}
+	for _, id := range watcher.silent(view.Nodes, ages, time.Now(), m.config.NodeTimeout) {
+		attempt, cancel := context.WithTimeout(ctx, controlclient.DefaultAttemptTimeout)
+		_, err := m.propose(attempt, port.Command{RemoveNode: &port.RemoveNode{ID: id}}, true)
+		cancel()
+		m.config.Logger.Warn().Str("node", string(id)).Err(err).Msg("removed a silent node from the view")
+	}
+}
--- /dev/null
+++ b/internal/app/control/peers.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// peers holds the connections to the other members.
+type peers struct {
+	options wire.Options
+	mutex   sync.Mutex
+	// addresses of members, from the configuration and from the log.
+	addresses map[consensus.MemberID]string
+	clients   map[consensus.MemberID]*wire.Client
+	closed    bool
+}
+
+func newPeers(config Config) *peers {
+	p := &peers{
+		options:   config.Wire,
+		addresses: make(map[consensus.MemberID]string),
+		clients:   make(map[consensus.MemberID]*wire.Client),
+	}
+	for _, member := range config.Members {
+		p.addresses[consensus.MemberID(member.ID)] = member.Peer
+	}
+	return p
+}
+
+// learn notes the address of a member that joined through the log.
+func (p *peers) learn(id consensus.MemberID, address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if address == "" || p.addresses[id] == address {
+		return
+	}
+	p.addresses[id] = address
+	if client := p.clients[id]; client != nil {
+		client.Close()
+		delete(p.clients, id)
+	}
+}
+
+func (p *peers) address(id consensus.MemberID) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.addresses[id]
+}
+
+func (p *peers) client(id consensus.MemberID) *wire.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if client := p.clients[id]; client != nil {
+		return client
+	}
+	address, known := p.addresses[id]
+	if !known || p.closed {
+		return nil
+	}
+	client := wire.NewClient(address, p.options)
+	p.clients[id] = client
+	return client
+}
+
+// send hands a consensus message to the network. It may be lost; the core
+// sends again.
+func (p *peers) send(message consensus.Message) {
+	if client := p.client(message.To); client != nil {
+		_ = client.Send(context.Background(), methodConsensus, message)
+	}
+}
+
+func (p *peers) call(ctx context.Context, id consensus.MemberID, method string, request, response any) error {
+	client := p.client(id)
+	if client == nil {
+		return port.NewError(port.NotRun, port.CodeUnavailable, "the address of member %d is not known", id)
+	}
+	return client.Call(ctx, method, request, response)
+}
+
+func (p *peers) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, client := range p.clients {
+		client.Close()
+	}
+}
+
+func uintText(value uint64) string { return strconv.FormatUint(value, 10) }
--- /dev/null
+++ b/internal/app/control/reports.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/registry"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	// reportLifetime is how long the last report of a silent node is kept.
+	reportLifetime = 10 * time.Minute
+	reportsTimeout = time.Second
+)
+
+// reports holds the last report of each node that told this member. Other
+// members are asked for theirs when an operator wants to know.
+type reports struct {
+	mutex sync.Mutex
+	nodes map[port.NodeID]receivedReport
+}
+
+type receivedReport struct {
+	report port.NodeReport
+	at     time.Time
+	// revisionSince is when the node first reported its revision here.
+	revisionSince time.Time
+}
+
+func newReports() *reports { return &reports{nodes: make(map[port.NodeID]receivedReport)} }
+
+// add keeps a report. Past the largest number of nodes it drops old ones, and
+// refuses if there is none.
+func (r *reports) add(report port.NodeReport, now time.Time) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	previous, known := r.nodes[report.Node.ID]
+	if !known && len(r.nodes) >= registry.MaxNodes && !r.expire(now) {
+		return port.NewError(port.NotRun, port.CodeTooLarge, "reports of %d nodes are held, the most there may be", registry.MaxNodes)
+	}
+	received := receivedReport{report: report, at: now, revisionSince: now}
+	if known && previous.report.Revision == report.Revision {
+		received.revisionSince = previous.revisionSince
+	}
+	r.nodes[report.Node.ID] = received
+	return nil
+}
+
+func (r *reports) expire(now time.Time) (dropped bool) {
+	for id, received := range r.nodes {
+		if now.Sub(received.at) > reportLifetime {
+			delete(r.nodes, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (r *reports) list(now time.Time) []operatorapi.NodeReport {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	list := make([]operatorapi.NodeReport, 0, len(r.nodes))
+	for _, received := range r.nodes {
+		list = append(list, operatorapi.NodeReport{
+			Report:        received.report,
+			AgeMillis:     now.Sub(received.at).Milliseconds(),
+			RevisionSince: received.revisionSince.UnixMilli(),
+		})
+	}
+	return list
+}
+
+// gatherReports asks all members and keeps the youngest report of each node.
+func (m *Member) gatherReports(ctx context.Context) operatorapi.Reports {
+	ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	merged := mergeReports(nil, m.reports.list(time.Now()))
+	var unreachable []uint64
+	var group errgroup.Group
+	for _, id := range m.loop().published.Load().status.Membership.Members() {
+		if uint64(id) == m.config.ID {
+			continue
+		}
+		group.Go(func() error {
+			answer, err := m.askReports(ctx, id)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, uint64(id))
+				return nil
+			}
+			merged = mergeReports(merged, answer.Nodes)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(unreachable)
+	return operatorapi.Reports{Nodes: sortedReports(merged), Unreachable: unreachable}
+}
+
+func (m *Member) askReports(ctx context.Context, id consensus.MemberID) (reportsAnswer, error) {
+	var answer reportsAnswer
+	err := m.peers.call(ctx, id, methodReports, empty{}, &answer)
+	return answer, err
+}
+
+// mergeReports keeps the youngest report of each node, with the earliest time
+// from which its revision was reported.
+func mergeReports(merged map[port.NodeID]operatorapi.NodeReport, more []operatorapi.NodeReport) map[port.NodeID]operatorapi.NodeReport {
+	if merged == nil {
+		merged = make(map[port.NodeID]operatorapi.NodeReport, len(more))
+	}
+	for _, report := range more {
+		other, known := merged[report.Report.Node.ID]
+		if !known {
+			merged[report.Report.Node.ID] = report
+			continue
+		}
+		older, younger := other, report
+		if younger.AgeMillis > older.AgeMillis {
+			older, younger = younger, older
+		}
+		if older.Report.Revision == younger.Report.Revision {
+			younger.RevisionSince = min(older.RevisionSince, younger.RevisionSince)
+		}
+		merged[report.Report.Node.ID] = younger
+	}
+	return merged
+}
+
+func sortedReports(merged map[port.NodeID]operatorapi.NodeReport) []operatorapi.NodeReport {
+	list := make([]operatorapi.NodeReport, 0, len(merged))
+	for _, report := range merged {
+		list = append(list, report)
+	}
+	slices.SortFunc(list, func(a, b operatorapi.NodeReport) int {
+		return cmp.Compare(a.Report.Node.ID, b.Report.Node.ID)
+	})
+	return list
+}
