node: serve calls, completions and trainers over homes and coordinators

Cause: the routing decisions, the coordinator and the rollout had no process that carries them out. Conclusion: in-process tests serve a call, completions over four nodes in two zones, and three batches to a trainer while weights change.

--- /dev/null
+++ b/internal/app/node/application.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// callApplication serves an application call that was accepted here: it chooses
+// a back end, sends the call, and tries again where the verdict allows.
+func (n *Node) callApplication(ctx context.Context, request port.ApplicationRequest) (port.ApplicationResponse, *port.Error) {
+	ctx, cancel, accepted, refusal := n.accept(ctx, request.Pool, port.PoolApplication)
+	if refusal != nil {
+		n.recordRefusal(string(request.ID), request.Pool, refusal)
+		return port.ApplicationResponse{}, refusal
+	}
+	defer cancel()
+	request.Deadline = accepted.deadline
+	subject := string(request.ID)
+	tried := &attempts{safe: request.Safe, started: time.Now()}
+	verdict := port.NotRun
+	for {
+		tried.made++
+		response, replica, failure := n.applicationAttempt(ctx, accepted, request, tried)
+		if failure == nil {
+			n.budgets.succeeded(accepted.pool)
+			n.recordAnswer(accepted, subject, tried, replica)
+			return response, nil
+		}
+		verdict = worst(verdict, failure.Verdict)
+		if !n.next(ctx, accepted, subject, tried, replica, failure) {
+			return port.ApplicationResponse{}, withVerdict(failure, verdict)
+		}
+	}
+}
+
+// applicationAttempt makes one attempt on the back end that the gate chooses.
+func (n *Node) applicationAttempt(ctx context.Context, accepted acceptance, request port.ApplicationRequest, tried *attempts) (port.ApplicationResponse, port.ReplicaID, *port.Error) {
+	grant, refusal := n.acquireApplication(ctx, accepted, request, tried)
+	if refusal != nil {
+		return port.ApplicationResponse{}, "", refusal
+	}
+	n.recordPlaced(accepted, string(request.ID), tried.made, grant)
+	// The list of machines or the operator may have spoken since the snapshot.
+	replica, configured := n.snapshot.Load().replicas[grant.Replica]
+	if !configured {
+		grant.Release(gate.Outcome{Abandoned: true})
+		return port.ApplicationResponse{}, grant.Replica, port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", grant.Replica)
+	}
+	started := time.Now()
+	response, err := n.backEnds.application(replica.Address).Call(ctx, request)
+	elapsed := time.Since(started)
+	failure := port.AsError(err)
+	n.endApplication(ctx, grant, response, failure, elapsed)
+	return response, grant.Replica, failure
+}
+
+func (n *Node) acquireApplication(ctx context.Context, accepted acceptance, request port.ApplicationRequest, tried *attempts) (*gate.Grant, *port.Error) {
+	return accepted.route.gate.Acquire(ctx, gate.Request{
+		ID:          request.ID,
+		Tenant:      request.Tenant,
+		TenantShare: accepted.snapshot.tenantShare(request.Tenant),
+		Deadline:    accepted.deadline,
+		Avoid:       lastOf(tried.exclude),
+		Pick: scheduling.Request{
+			Pool:     request.Pool,
+			Zone:     n.config.Zone,
+			Region:   n.config.Region,
+			Priority: request.Priority,
+		},
+	}, func(waiting int) { n.recordHeld(accepted, string(request.ID), waiting) })
+}
+
+// lastOf gives the replica of the last attempt, to be avoided by the next.
+func lastOf(replicas []port.ReplicaID) port.ReplicaID {
+	if len(replicas) == 0 {
+		return ""
+	}
+	return replicas[len(replicas)-1]
+}
+
+// endApplication gives the place back and tells how the call ended.
+func (n *Node) endApplication(ctx context.Context, grant *gate.Grant, response port.ApplicationResponse, failure *port.Error, elapsed time.Duration) {
+	if failure != nil && (ctx.Err() == context.Canceled || failure.Code == port.CodeInvalid) {
+		grant.Release(gate.Outcome{Abandoned: true})
+		return
+	}
+	failed := failure != nil || response.Status >= http.StatusInternalServerError
+	outcome := gate.Outcome{Overloaded: failed, Latency: elapsed}
+	if !failed {
+		outcome.Service = elapsed
+	}
+	grant.Release(outcome)
+	n.post(callEnded{callOutcome{Replica: grant.Replica, Failed: failed, LatencyMicros: elapsed.Microseconds()}})
+}
+
+// recordPlaced records the choice of a replica.
+func (n *Node) recordPlaced(accepted acceptance, subject string, attempt int, grant *gate.Grant) {
+	n.recorder.record(placedDecision(accepted, subject, attempt, grant))
+}
+
+func placedDecision(accepted acceptance, subject string, attempt int, grant *gate.Grant) port.Decision {
+	return port.Decision{
+		Kind: port.DecisionPlaced, Subject: subject, Pool: accepted.pool.Name, Replica: grant.Replica,
+		Revision: accepted.snapshot.view.Revision, Attempt: attempt, Considered: grant.Result.Considered,
+		Filtered: grant.Result.Filtered, Scores: grant.Result.Scores,
+	}
+}
+
+func heldDecision(accepted acceptance, subject string, waiting int) port.Decision {
+	return port.Decision{
+		Kind: port.DecisionHeld, Subject: subject, Pool: accepted.pool.Name,
+		Revision: accepted.snapshot.view.Revision, Detail: heldDetail(waiting),
+	}
+}
+
+func (n *Node) recordHeld(accepted acceptance, subject string, waiting int) {
+	n.recorder.record(heldDecision(accepted, subject, waiting))
+}
+
+func (n *Node) recordAnswer(accepted acceptance, subject string, tried *attempts, replica port.ReplicaID) {
+	n.recorder.record(port.Decision{
+		Kind: port.DecisionAnswered, Subject: subject, Pool: accepted.pool.Name, Replica: replica,
+		Revision: accepted.snapshot.view.Revision, Attempt: tried.made, Verdict: port.Ran,
+	})
+}
+
+func (n *Node) recordRefusal(subject string, pool port.PoolName, refusal *port.Error) {
+	n.recorder.record(port.Decision{
+		Kind: port.DecisionRefused, Subject: subject, Pool: pool, Revision: n.snapshot.Load().view.Revision,
+		Verdict: refusal.Verdict, Code: refusal.Code, Detail: refusal.Message,
+	})
+}
--- /dev/null
+++ b/internal/app/node/budgets.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/retry"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// budgetTable holds the retry budget of each pool. It is safe for use by many
+// goroutines.
+type budgetTable struct {
+	mutex   sync.Mutex
+	random  *rand.Rand
+	budgets map[port.PoolName]*retry.Budget
+}
+
+func newBudgetTable(seed uint64) *budgetTable {
+	return &budgetTable{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		budgets: make(map[port.PoolName]*retry.Budget),
+	}
+}
+
+func (t *budgetTable) of(pool *port.Pool, now time.Time) *retry.Budget {
+	budget := t.budgets[pool.Name]
+	if budget == nil {
+		budget = retry.NewBudget(pool.Retry.BudgetRatio, now)
+		t.budgets[pool.Name] = budget
+	}
+	budget.SetRatio(pool.Retry.BudgetRatio)
+	return budget
+}
+
+// succeeded earns a share of a retry.
+func (t *budgetTable) succeeded(pool *port.Pool) {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.of(pool, now).Success(now)
+}
+
+// decide says whether a failed attempt is made again.
+func (t *budgetTable) decide(pool *port.Pool, attempt retry.Attempt) retry.Decision {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return retry.FromConfiguration(pool.Retry).Decide(now, attempt, t.of(pool, now), t.random)
+}
+
+// draw gives a random number below bound.
+func (t *budgetTable) draw(bound int) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.random.IntN(bound)
+}
--- /dev/null
+++ b/internal/app/node/explain.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/loomgrade/loomgrade/internal/core/decision"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// maxAsked bounds the nodes that are asked about a subject whose holder isn't
+// known.
+const maxAsked = 64
+
+// Explain tells the decisions about a subject in plain words, with the records.
+// It looks here, asks the node that the id names, and for what has no such node
+// every node that may hold a record.
+func (n *Node) Explain(ctx context.Context, subject string) ([]string, []port.Decision, error) {
+	decisions := n.recorder.get(subject)
+	for _, answer := range n.askAbout(ctx, subject, n.holders(subject, len(decisions) > 0)) {
+		decisions = append(decisions, answer...)
+	}
+	decisions = distinct(decisions)
+	return decision.Explain(subject, decisions), decisions, nil
+}
+
+// holders lists the nodes to ask about a subject.
+func (n *Node) holders(subject string, found bool) []port.NodeAddress {
+	current := n.snapshot.Load()
+	if id, named := nodeOfRequest(subject); named {
+		if holder, known := current.nodes[id]; known && id != n.config.ID {
+			return []port.NodeAddress{holder}
+		}
+		return nil
+	}
+	if strings.HasPrefix(subject, "replica/") {
+		if home, known := n.homeNode(port.ReplicaID(strings.TrimPrefix(subject, "replica/"))); known && found && home.ID == n.config.ID {
+			return nil
+		}
+	}
+	var others []port.NodeAddress
+	for id, node := range current.nodes {
+		if id != n.config.ID && len(others) < maxAsked {
+			others = append(others, node)
+		}
+	}
+	return others
+}
+
+// askAbout asks nodes at the same time and gives the answers that came.
+func (n *Node) askAbout(ctx context.Context, subject string, holders []port.NodeAddress) [][]port.Decision {
+	ctx, cancel := context.WithTimeout(ctx, n.config.Intervals.CallTimeout)
+	defer cancel()
+	answers := make([][]port.Decision, len(holders))
+	var asking sync.WaitGroup
+	for index, holder := range holders {
+		asking.Go(func() {
+			var answer explainAnswer
+			if n.peers.call(ctx, holder.PeerAddress, methodExplain, explainCall{Subject: subject}, &answer) == nil {
+				answers[index] = answer.Decisions
+			}
+		})
+	}
+	asking.Wait()
+	return answers
+}
+
+// distinct orders decisions by time and drops those that came twice.
+func distinct(decisions []port.Decision) []port.Decision {
+	slices.SortStableFunc(decisions, func(a, b port.Decision) int { return cmp.Compare(a.Time, b.Time) })
+	return slices.CompactFunc(decisions, func(a, b port.Decision) bool {
+		return a.Time == b.Time && a.Kind == b.Kind && a.Node == b.Node && a.Replica == b.Replica &&
+			a.Attempt == b.Attempt && a.Detail == b.Detail
+	})
+}
--- /dev/null
+++ b/internal/app/node/machines.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/platform"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Numbers of the watch over the machine list.
+const (
+	// pollersPerZone is the number of nodes of a zone that poll the list and
+	// tell the others, so that the load on the list doesn't grow with the zone.
+	pollersPerZone = 2
+	// pollerSilence is the time after which a poller's word no longer counts.
+	pollerSilence = 10 * time.Second
+)
+
+// leavingList is what one poller last told.
+type leavingList struct {
+	told     time.Time
+	machines []port.Machine
+}
+
+func (e machinesMessage) apply(c *controller, now time.Time) {
+	known := c.leaving[e.Node]
+	c.leaving[e.Node] = leavingList{told: now, machines: e.Leaving}
+	if !slices.Equal(known.machines, e.Leaving) {
+		c.changed = true
+		c.rebuiltAt = time.Time{}
+		c.lastSummary = time.Time{}
+		c.detector.SetMachines(c.node.peerAddress, c.allLeaving())
+	}
+}
+
+func (c *controller) allLeaving() []port.Machine {
+	var all []port.Machine
+	for _, list := range c.leaving {
+		all = append(all, list.machines...)
+	}
+	return all
+}
+
+func (c *controller) dropSilentPollers(now time.Time) {
+	for node, list := range c.leaving {
+		if now.Sub(list.told) > pollerSilence && len(c.leaving) > 1 {
+			delete(c.leaving, node)
+			c.changed = true
+		}
+	}
+}
+
+// isLeaving says whether some poller told that the machine of an address leaves.
+// The list may name the machine with or without a port.
+func (c *controller) isLeaving(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	for _, list := range c.leaving {
+		for _, machine := range list.machines {
+			if machine.Address == address || machine.Address == host {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pollMachines asks the machine list while this node is one of its zone's
+// pollers, and tells the zone.
+func (n *Node) pollMachines(ctx context.Context) {
+	ticker := time.NewTicker(n.config.Intervals.MachineList)
+	defer ticker.Stop()
+	for {
+		current := n.snapshot.Load()
+		if base := current.view.Configuration.MachineList; base != "" && n.isPoller(current) {
+			n.pollMachinesOnce(ctx, base)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// isPoller says whether this node is among the first of its zone by rendezvous.
+func (n *Node) isPoller(current *snapshot) bool {
+	nodes := slices.Clone(current.zoneNodes)
+	for range pollersPerZone {
+		id, found := membership.NewAssigner(nodes).HomeOf("machine-list")
+		if !found {
+			return true
+		}
+		if id == n.config.ID {
+			return true
+		}
+		nodes = slices.DeleteFunc(nodes, func(node port.NodeID) bool { return node == id })
+	}
+	return len(nodes) == 0
+}
+
+func (n *Node) pollMachinesOnce(ctx context.Context, base string) {
+	asking, cancel := context.WithTimeout(ctx, n.config.Intervals.CallTimeout)
+	defer cancel()
+	machines, err := platform.NewMachineList(n.backEnds.control, base, 0).Machines(asking)
+	if err != nil {
+		return
+	}
+	message := machinesMessage{Node: n.config.ID}
+	for _, machine := range machines {
+		if machine.State == port.MachineLeaving {
+			message.Leaving = append(message.Leaving, machine)
+		}
+	}
+	n.post(message)
+	for _, node := range n.zonePeers() {
+		n.peers.send(node.PeerAddress, methodMachines, message)
+	}
+}
+
+// zonePeers lists the other live nodes of the zone.
+func (n *Node) zonePeers() []port.NodeAddress {
+	current := n.snapshot.Load()
+	var peers []port.NodeAddress
+	for _, id := range current.zoneNodes {
+		if address, known := current.nodes[id]; known && id != n.config.ID {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/app/node/node_test.go
@@ -0,0 +1,105 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/lab/standin"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+func call(under interface {
+	Application(context.Context, port.ApplicationRequest) (port.ApplicationResponse, error)
+}, name string, safe bool) (port.ApplicationResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return under.Application(ctx, port.ApplicationRequest{
+		Pool: "pages", Method: "POST", Path: "/read?" + standin.QueryCall + "=" + name, Safe: safe,
+	})
+}
+
+func TestApplicationCall(t *testing.T) {
+	fleet := newFleet(t)
+	back := startApplication(t)
+	fleet.control.configure(t, port.Edit{PutPool: pool("pages", port.PoolApplication)}, replica("p1", "pages", "z1", back.Addr()))
+	first := fleet.start("n1", "z1")
+	fleet.waitForNodes()
+	response, err := call(first, "one", true)
+	if err != nil || response.Status != 200 {
+		t.Fatalf("status %d, error %v", response.Status, err)
+	}
+	if runs := len(back.Observations().Executions); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+// complete generates one completion and gives its text and token count.
+func complete(under interface {
+	Generate(context.Context, port.GenerateRequest, func(port.GenerateChunk) error) error
+}, prompt string, safe bool) (text string, tokens int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err = under.Generate(ctx, port.GenerateRequest{Pool: "lm", Prompt: prompt, MaxTokens: 200, Safe: safe},
+		func(chunk port.GenerateChunk) error {
+			text += chunk.Text
+			tokens += chunk.Tokens
+			return nil
+		})
+	return text, tokens, err
+}
+
+func TestGenerationThroughHomes(t *testing.T) {
+	fleet := newFleet(t)
+	edits := []port.Edit{{PutPool: pool("lm", port.PoolGeneration)}}
+	var engines []*standin.Engine
+	for number := range 4 {
+		started := startEngine(t)
+		engines = append(engines, started)
+		zone := port.ZoneName(fmt.Sprintf("z%d", number%2+1))
+		edits = append(edits, replica(port.ReplicaID(fmt.Sprintf("e%d", number)), "lm", zone, started.Addr()))
+	}
+	fleet.control.configure(t, edits...)
+	for number := range 4 {
+		fleet.start(port.NodeID(fmt.Sprintf("n%d", number)), port.ZoneName(fmt.Sprintf("z%d", number%2+1)))
+	}
+	fleet.waitForNodes()
+	for _, started := range fleet.nodes {
+		eventually(t, "a completion", func() bool {
+			_, tokens, err := complete(started, "prompt for "+string(started.ID()), true)
+			return err == nil && tokens > 0
+		})
+	}
+	runs := 0
+	for _, started := range engines {
+		runs += len(started.Observations().Generations)
+	}
+	if runs != len(fleet.nodes) {
+		t.Errorf("%d runs for %d completions", runs, len(fleet.nodes))
+	}
+}
+
+func TestCoordinatorDeliversToATrainer(t *testing.T) {
+	fleet := newFleet(t)
+	prompts := startPrompts(t)
+	scorer := startScorer(t)
+	store := startStore(t)
+	made := pool("lm", port.PoolGeneration)
+	made.Sampling = sampling(prompts.URL(), scorer.URL(), store.URL())
+	edits := []port.Edit{{PutPool: made}}
+	for number := range 2 {
+		edits = append(edits, replica(port.ReplicaID(fmt.Sprintf("e%d", number)), "lm", "z1", startEngine(t).Addr()))
+	}
+	fleet.control.configure(t, edits...)
+	for number := range 3 {
+		fleet.start(port.NodeID(fmt.Sprintf("n%d", number)), "z1")
+	}
+	fleet.waitForNodes()
+	trainer := newTrainer(t, fleet, "lm")
+	trainer.publish(1)
+	for number := range 3 {
+		trainer.train(port.BatchNumber(number + 1))
+		trainer.publish(port.WeightVersion(number + 2))
+	}
+	trainer.check(3 * made.Sampling.BatchSamples)
+}
--- /dev/null
+++ b/internal/app/node/rebuild.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// maxAggregateAge is the age after which another zone's word no longer counts.
+const maxAggregateAge = 10 * time.Second
+
+// rebuild brings gates, trackers and pollers in line with what is known, and
+// publishes a new snapshot.
+func (c *controller) rebuild(now time.Time) {
+	began := time.Now()
+	c.changed = false
+	view := c.observer.View()
+	zones := newZoneTable(view.Nodes)
+	homes := c.detector.Assigner()
+	next := &snapshot{
+		view:      view,
+		pools:     make(map[port.PoolName]*poolRoute, len(view.Configuration.Pools)),
+		replicas:  make(map[port.ReplicaID]port.Replica, len(view.Configuration.Replicas)),
+		nodes:     make(map[port.NodeID]port.NodeAddress, len(view.Nodes)),
+		zoneNodes: c.detector.Live(),
+		homes:     homes,
+	}
+	for _, node := range view.Nodes {
+		next.nodes[node.ID] = node
+	}
+	byPool := make(map[port.PoolName][]port.Replica)
+	for _, replica := range view.Configuration.Replicas {
+		next.replicas[replica.ID] = replica
+		byPool[replica.Pool] = append(byPool[replica.Pool], replica)
+	}
+	owned := c.owned(view, byPool, zones, homes)
+	c.setHomes(owned)
+	c.tellOwn(now)
+	c.summaries.Retain(next.zoneNodes)
+	for index := range view.Configuration.Pools {
+		pool := view.Configuration.Pools[index]
+		c.configureTracker(pool, byPool[pool.Name], owned)
+		c.configureGate(now, pool, byPool[pool.Name], owned)
+		next.pools[pool.Name] = c.route(now, view, pool, next.replicas)
+	}
+	c.dropUnused(next)
+	c.node.counters.retain(next.replicas)
+	c.node.snapshot.Store(next)
+	c.rebuiltAt = now
+	c.rebuildCost = time.Since(began)
+}
+
+// Bounds of the time between two rebuilds, so that a large configuration under
+// steady news takes a small share of a core.
+const (
+	rebuildShare       = 30
+	maxRebuildInterval = 100 * time.Millisecond
+	// refreshInterval is the time between rebuilds without news.
+	refreshInterval = time.Second
+)
+
+// rebuildDue says whether there is something to rebuild and whether it is time.
+func (c *controller) rebuildDue(now time.Time) bool {
+	passed := now.Sub(c.rebuiltAt)
+	if !c.changed {
+		return passed >= refreshInterval
+	}
+	return passed >= min(rebuildShare*c.rebuildCost, maxRebuildInterval)
+}
+
+// owned lists the replicas that this node is the home of.
+func (c *controller) owned(view *port.View, byPool map[port.PoolName][]port.Replica, zones *zoneTable, homes *membership.Assigner) map[port.ReplicaID]ownedReplica {
+	owned := make(map[port.ReplicaID]ownedReplica)
+	for _, pool := range view.Configuration.Pools {
+		for _, replica := range byPool[pool.Name] {
+			if zones.caretaker(replica.Zone) != c.node.config.Zone {
+				continue
+			}
+			if home, found := homes.Home(replica.ID); found && home == c.node.config.ID {
+				owned[replica.ID] = ownedReplica{replica: replica, kind: pool.Kind, gate: c.gate(pool)}
+			}
+		}
+	}
+	return owned
+}
+
+// gate gives the pool's gate and makes it when it is first needed.
+func (c *controller) gate(pool port.Pool) *gate.Gate {
+	known := c.gates[pool.Name]
+	if known == nil {
+		profile := scheduling.Generation()
+		if pool.Kind == port.PoolApplication {
+			profile = scheduling.Application()
+		}
+		known = gate.New(profile, c.node.config.Seed)
+		c.gates[pool.Name] = known
+	}
+	return known
+}
+
+// configureTracker tells the pool's judge which replicas it judges: those this
+// node is the home of, and of an application pool also those of other zones,
+// whose homes this node doesn't hear of.
+func (c *controller) configureTracker(pool port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+	tracker := c.trackers[pool.Name]
+	settings := ejection.FromConfiguration(pool.Ejection)
+	if tracker == nil {
+		tracker = ejection.New(settings)
+		c.trackers[pool.Name] = tracker
+	}
+	tracker.Configure(settings)
+	var judged []port.ReplicaID
+	for _, replica := range replicas {
+		if _, own := owned[replica.ID]; own {
+			judged = append(judged, replica.ID)
+		}
+	}
+	tracker.SetReplicas(judged)
+	tracker.SetPool(ejection.Pool{Size: len(replicas), OutElsewhere: c.outElsewhere(pool.Name, owned)})
+}
+
+// outElsewhere counts the zone's replicas of a pool that other homes hold out.
+func (c *controller) outElsewhere(pool port.PoolName, owned map[port.ReplicaID]ownedReplica) int {
+	count := 0
+	c.summaries.Each(time.Now(), c.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
+		if _, own := owned[replica.Replica]; !own && replica.Pool == pool && (replica.Ejected || replica.Probing) {
+			count++
+		}
+	})
+	return count
+}
+
+// configureGate tells the pool's gate of its replicas: all of an application
+// pool, and those that this node is the home of for an engine pool.
+func (c *controller) configureGate(now time.Time, pool port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+	if pool.Kind == port.PoolGeneration && c.gates[pool.Name] == nil {
+		return
+	}
+	held := c.gate(pool)
+	settings := gate.Settings{
+		MinInflight: pool.Admission.MinInflight,
+		MaxInflight: pool.Admission.MaxInflight,
+		QueueLength: pool.Admission.QueueLength,
+	}
+	honoured := c.honoured(now, pool, len(replicas))
+	var told []gate.Replica
+	for _, replica := range replicas {
+		_, own := owned[replica.ID]
+		if pool.Kind == port.PoolGeneration && !own {
+			continue
+		}
+		told = append(told, c.gateReplica(replica, honoured))
+	}
+	held.Configure(now, settings, told)
+}
+
+// health is the standing of a replica that is out of routing or probed.
+type health struct{ ejected, probing bool }
+
+// honoured gives the replicas of a pool that are out, by the word of their
+// homes, within the bound that the pool sets.
+func (c *controller) honoured(now time.Time, pool port.Pool, size int) map[port.ReplicaID]health {
+	states := make(map[port.ReplicaID]health)
+	var claims []ejection.Claim
+	c.summaries.Each(now, c.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
+		if replica.Pool != pool.Name {
+			return
+		}
+		if replica.Probing {
+			states[replica.Replica] = health{probing: true}
+		}
+		if replica.Ejected {
+			claims = append(claims, ejection.Claim{Replica: replica.Replica, Since: time.UnixMilli(replica.EjectedSince)})
+		}
+	})
+	for _, id := range ejection.Honour(claims, size, pool.Ejection.MaxShare) {
+		states[id] = health{ejected: true}
+	}
+	return states
+}
+
+func (c *controller) gateReplica(replica port.Replica, honoured map[port.ReplicaID]health) gate.Replica {
+	told := gate.Replica{
+		ID:       replica.ID,
+		Zone:     replica.Zone,
+		Region:   c.node.config.Region,
+		Draining: replica.State == port.ReplicaDrain,
+		Leaving:  c.isLeaving(replica.Address),
+		Ejected:  honoured[replica.ID].ejected,
+		Probing:  honoured[replica.ID].probing,
+	}
+	if held := c.homes[replica.ID]; held != nil && held.cancel != nil {
+		told.Report = held.report
+		told.ReportedAt = held.reportedAt
+		told.VersionUnknown = c.versionUnknown(held)
+	}
+	return told
+}
+
+// versionUnknown says whether it isn't known what a replica serves: before its
+// first report, after it fell silent, and while a rollout keeps it out.
+func (c *controller) versionUnknown(held *home) bool {
+	return held.reportedAt.IsZero() || held.silent >= silentPolls || time.Now().Before(held.outUntil)
+}
+
+// route gives where a pool's requests can go.
+func (c *controller) route(now time.Time, view *port.View, pool port.Pool, configured map[port.ReplicaID]port.Replica) *poolRoute {
+	enginePool := pool.EnginePool()
+	route := &poolRoute{pool: pool, gate: c.gates[enginePool]}
+	if pool.Kind == port.PoolApplication {
+		return route
+	}
+	c.summaries.Each(now, c.detector.Assigner(), func(home port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
+		if replica.Pool == enginePool {
+			route.zone = append(route.zone, c.zoneReplica(now, home, configured[replica.Replica], replica, age))
+		}
+	})
+	for _, aggregate := range c.aggregates.Pool(now, enginePool, maxAggregateAge) {
+		route.elsewhere = append(route.elsewhere, zoneOffer{aggregate: aggregate, nodes: zoneNodes(view, aggregate.Zone)})
+	}
+	return route
+}
+
+func (c *controller) zoneReplica(now time.Time, home port.NodeID, configured port.Replica, replica *membership.ReplicaSummary, age time.Duration) zoneReplica {
+	counters := c.node.counters.of(replica.Replica)
+	reported := now.Add(-age)
+	mark, known := c.marks[replica.Replica]
+	if !known || reported.After(mark.reported.Add(time.Millisecond)) {
+		mark = reportMark{reported: reported, sent: counters.sent.Load(), finished: counters.finished.Load()}
+		c.marks[replica.Replica] = mark
+	}
+	return zoneReplica{
+		home:         home,
+		reported:     reported,
+		counters:     counters,
+		sentMark:     mark.sent,
+		finishedMark: mark.finished,
+		candidate: scheduling.Candidate{
+			Replica:        replica.Replica,
+			Zone:           configured.Zone,
+			Region:         c.node.config.Region,
+			Home:           home,
+			Version:        replica.Version,
+			Staged:         replica.Staged,
+			VersionUnknown: replica.VersionUnknown,
+			Role:           replica.Role,
+			Adapters:       replica.Adapters,
+			Draining:       replica.Draining || configured.State == port.ReplicaDrain,
+			Leaving:        replica.Leaving || c.isLeaving(configured.Address),
+			Ejected:        replica.Ejected,
+			Probing:        replica.Probing,
+			Running:        replica.Inflight,
+			Waiting:        replica.Queued,
+			KVUsed:         replica.KVUsed,
+			KVTotal:        replica.KVTotal,
+			Limit:          replica.Limit,
+		},
+	}
+}
+
+func zoneNodes(view *port.View, zone port.ZoneName) []port.NodeAddress {
+	var nodes []port.NodeAddress
+	for _, node := range view.Nodes {
+		if node.Zone == zone && !node.Draining {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// dropUnused forgets the pools and replicas that are no longer configured.
+func (c *controller) dropUnused(next *snapshot) {
+	for name, held := range c.gates {
+		if next.pools[name] == nil {
+			held.Configure(time.Now(), gate.Settings{}, nil)
+			delete(c.gates, name)
+		}
+	}
+	for name := range c.trackers {
+		if next.pools[name] == nil {
+			delete(c.trackers, name)
+		}
+	}
+	for id := range c.marks {
+		if _, configured := next.replicas[id]; !configured {
+			delete(c.marks, id)
+		}
+	}
+}
--- a/internal/app/node/requestkeys/memory.go
+++ b/internal/app/node/requestkeys/memory.go
@@ -83,7 +83,11 @@
 func (a *Attempt[T]) Done() <-chan struct{} { return a.done }
 
 // Outcome is valid once Done is closed.
-func (a *Attempt[T]) Outcome() T { return a.outcome }
+func (a *Attempt[T]) Outcome() T {
+	a.memory.mutex.Lock()
+	defer a.memory.mutex.Unlock()
+	return a.outcome
+}
 
 // Finish records the outcome, wakes those who wait and keeps it. Later calls
 // have no effect.
@@ -111,3 +115,26 @@
 	a.outcome = outcome
 	close(a.done)
 }
+
+// Revise replaces the outcome of a finished attempt; an unknown or unfinished
+// one is left alone.
+func (m *Memory[T]) Revise(key string, fingerprint uint64, outcome T) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known := m.entries[key]
+	if known != nil && known.element != nil && known.fingerprint == fingerprint {
+		known.outcome = outcome
+	}
+}
+
+// Drop forgets a finished attempt, so that the next request with its key runs
+// anew.
+func (m *Memory[T]) Drop(key string, fingerprint uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known := m.entries[key]
+	if known != nil && known.element != nil && known.fingerprint == fingerprint {
+		m.order.Remove(known.element)
+		delete(m.entries, key)
+	}
+}
--- a/internal/app/node/requestkeys/memory_test.go
+++ b/internal/app/node/requestkeys/memory_test.go
@@ -57,3 +57,20 @@
 		t.Errorf("%d keys", memory.Len())
 	}
 }
+
+func TestReviseAndDropConcernFinishedAttempts(t *testing.T) {
+	memory := requestkeys.New[string](time.Minute, 10)
+	attempt, _, _ := memory.Begin("key", 1, start)
+	memory.Revise("key", 1, "too early")
+	memory.Drop("key", 1)
+	attempt.Finish("unknown", start)
+	memory.Revise("key", 2, "other request")
+	memory.Revise("key", 1, "answer")
+	if again, first, _ := memory.Begin("key", 1, start); first || again.Outcome() != "answer" {
+		t.Fatalf("outcome %q, first %v", again.Outcome(), first)
+	}
+	memory.Drop("key", 1)
+	if _, first, _ := memory.Begin("key", 1, start); !first {
+		t.Error("a dropped key was kept")
+	}
+}
--- /dev/null
+++ b/internal/app/node/serve.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+func heldDetail(waiting int) string {
+	return fmt.Sprintf("every replica that can serve it is busy; %d requests wait", waiting)
+}
+
+// serveGenerate runs one attempt on a replica that this node is the home of. An
+// attempt without a replica comes from another zone: it goes to a replica of
+// this zone, through its home.
+func (n *Node) serveGenerate(ctx context.Context, call *generateCall, emit func(generateEvent) error) *port.Error {
+	current := n.snapshot.Load()
+	route := current.pools[call.Request.Pool]
+	if route == nil {
+		return notFoundPool(call.Request.Pool)
+	}
+	accepted := acceptance{snapshot: current, pool: &route.pool, route: route}
+	accepted.deadline, _ = ctx.Deadline()
+	if call.Request.Replica == "" {
+		return n.relayGenerate(ctx, accepted, call, emit)
+	}
+	if route.gate == nil {
+		return port.NewError(port.NotRun, port.CodeUnavailable, "%s is not the home of %s", n.config.ID, call.Request.Replica)
+	}
+	grant, refusal := n.acquireEngine(ctx, accepted, call, emit)
+	if refusal != nil {
+		return refusal
+	}
+	placed := placedDecision(accepted, string(call.Request.ID), call.Attempt, grant)
+	placed.Node = n.config.ID
+	if err := emit(generateEvent{Decision: &placed}); err != nil {
+		grant.Release(gate.Outcome{Abandoned: true})
+		return withVerdict(port.AsError(err), port.NotRun)
+	}
+	return n.runEngine(ctx, accepted, grant, call, emit)
+}
+
+// relayGenerate chooses a replica of this zone for a request of another one.
+func (n *Node) relayGenerate(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) *port.Error {
+	job := &generation{request: call.Request, avoid: call.Avoid}
+	place, _, refusal := n.chooseLocal(accepted, job, &attempts{exclude: call.Exclude})
+	if refusal != nil {
+		return refusal
+	}
+	relayed := *call
+	relayed.Request.Replica = place.replica
+	if place.node.ID == n.config.ID {
+		return n.serveGenerate(ctx, &relayed, emit)
+	}
+	return n.generateRemote(ctx, place.node, &relayed, emit)
+}
+
+func (n *Node) acquireEngine(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) (*gate.Grant, *port.Error) {
+	request := &call.Request
+	return accepted.route.gate.Acquire(ctx, gate.Request{
+		ID:          request.ID,
+		Tenant:      request.Tenant,
+		TenantShare: call.TenantShare,
+		Deadline:    accepted.deadline,
+		Preferred:   request.Replica,
+		Avoid:       call.Avoid,
+		Pick: scheduling.Request{
+			Pool:         request.Pool,
+			Zone:         n.config.Zone,
+			Region:       n.config.Region,
+			Priority:     request.Priority,
+			PromptTokens: request.PromptTokens + request.ResumeTokens,
+			MaxTokens:    request.MaxTokens,
+			MinVersion:   request.MinVersion,
+			Adapter:      request.Adapter,
+			PrefixHashes: request.PrefixHashes,
+			Exclude:      call.Exclude,
+		},
+	}, func(waiting int) {
+		held := heldDecision(accepted, string(request.ID), waiting)
+		held.Node = n.config.ID
+		_ = emit(generateEvent{Decision: &held})
+	})
+}
+
+// runEngine streams the completion from the engine that the grant names.
+func (n *Node) runEngine(ctx context.Context, accepted acceptance, grant *gate.Grant, call *generateCall, emit func(generateEvent) error) *port.Error {
+	replica, configured := n.snapshot.Load().replicas[grant.Replica]
+	if !configured {
+		grant.Release(gate.Outcome{Abandoned: true})
+		return port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", grant.Replica)
+	}
+	request := call.Request
+	request.Replica = grant.Replica
+	if call.Attempt > 1 {
+		request.ID = port.RequestID(fmt.Sprintf("%s.%d", request.ID, call.Attempt))
+	}
+	started := time.Now()
+	tokens := 0
+	var refused error
+	err := n.backEnds.engine(replica.Address).Generate(ctx, request, func(chunk port.GenerateChunk) error {
+		tokens += chunk.Tokens
+		refused = emit(generateEvent{Chunk: &chunk})
+		return refused
+	})
+	failure := port.AsError(err)
+	abandoned := refused != nil || ctx.Err() != nil
+	n.endGeneration(grant, tokens, failure, abandoned, time.Since(started))
+	return failure
+}
+
+// endGeneration gives the place back and tells the judge how it went.
+func (n *Node) endGeneration(grant *gate.Grant, tokens int, failure *port.Error, abandoned bool, elapsed time.Duration) {
+	if abandoned || failure != nil && blameless(failure) {
+		grant.Release(gate.Outcome{Abandoned: true})
+		return
+	}
+	perToken := elapsed / time.Duration(max(tokens, 1))
+	grant.Release(gate.Outcome{Overloaded: failure != nil, Latency: perToken})
+	n.post(outcomesTaken{[]callOutcome{{Replica: grant.Replica, Failed: failure != nil, LatencyMicros: perToken.Microseconds()}}})
+}
+
+// blameless says whether a failure says nothing about the replica's health.
+func blameless(failure *port.Error) bool {
+	switch failure.Code {
+	case port.CodeInvalid, port.CodeConflict, port.CodeCancelled, port.CodeStale, port.CodeTooLarge:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/app/node/snapshot.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// snapshot is what traffic goroutines know. It is immutable; the gates that it
+// points to guard themselves.
+type snapshot struct {
+	view     *port.View
+	pools    map[port.PoolName]*poolRoute
+	replicas map[port.ReplicaID]port.Replica
+	nodes    map[port.NodeID]port.NodeAddress
+	// zoneNodes are the live nodes of the own zone, in order.
+	zoneNodes []port.NodeID
+	// homes assigns replicas to the nodes of the own zone.
+	homes *membership.Assigner
+}
+
+// poolRoute says where a pool's requests can go.
+type poolRoute struct {
+	pool port.Pool
+	// gate is that of an application pool, or of the own home replicas of an
+	// engine pool; it may be nil for the latter.
+	gate *gate.Gate
+	// zone holds the zone's replicas of an engine pool.
+	zone []zoneReplica
+	// elsewhere is what other zones tell of an engine pool.
+	elsewhere []zoneOffer
+}
+
+// zoneReplica is a replica of the own zone as its home tells of it.
+type zoneReplica struct {
+	candidate scheduling.Candidate
+	home      port.NodeID
+	reported  time.Time
+	counters  *replicaCounters
+	// sentMark and finishedMark are the counters when the report came.
+	sentMark     int64
+	finishedMark int64
+}
+
+// zoneOffer is another zone's aggregate with the nodes that take its requests.
+type zoneOffer struct {
+	aggregate membership.PoolAggregate
+	nodes     []port.NodeAddress
+}
+
+// tenantShare gives the share of a queue that a tenant may fill; 0 means all.
+func (s *snapshot) tenantShare(name port.TenantName) float64 {
+	for _, tenant := range s.view.Configuration.Tenants {
+		if tenant.Name == name {
+			return tenant.QueueShare
+		}
+	}
+	return 0
+}
