operatorapi: add the client and the contract table

Cause: the command line needs the operators' interface with its verdicts. Change: a client that goes from member to member under one change id, and a table of calls and faults run against server and client. Conclusion: refused tokens, strict and bounded bodies, conflicts that show what is in force, cut off, oversize and wrong answers are each a case.

--- /dev/null
+++ b/internal/adapter/operatorapi/client.go
@@ -0,0 +1,261 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	maxAnswerBytes    = 16 << 20
+	clientDialTimeout = 2 * time.Second
+	clientAttempt     = 15 * time.Second
+	clientRounds      = 4
+	clientBackoffBase = 100 * time.Millisecond
+	clientBackoffMax  = 2 * time.Second
+)
+
+// ErrNoServers refuses a client without addresses.
+var ErrNoServers = errors.New("no operator addresses of control members")
+
+// Client calls the operators' interface of any control member. A call that one
+// member cannot serve goes to the next; changes carry a change id, so that the
+// repetition takes effect once. Errors are *port.Error, whose verdict covers
+// all attempts.
+type Client struct {
+	servers []string
+	token   string
+	http    *http.Client
+}
+
+// NewClient returns a client for members at IP:port addresses.
+func NewClient(servers []string, token string) (*Client, error) {
+	if len(servers) == 0 {
+		return nil, ErrNoServers
+	}
+	dialer := &net.Dialer{Timeout: clientDialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &Client{servers: servers, token: token, http: &http.Client{Transport: transport, Timeout: clientAttempt}}, nil
+}
+
+// Config gives the configuration in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	return call[Config](ctx, c, http.MethodGet, PathConfig, nil)
+}
+
+// ChangeConfig makes a configuration change.
+func (c *Client) ChangeConfig(ctx context.Context, change ConfigChange) (Accepted, error) {
+	return call[Accepted](ctx, c, http.MethodPut, PathConfig, change)
+}
+
+// History gives the accepted changes, oldest first.
+func (c *Client) History(ctx context.Context) (ConfigHistory, error) {
+	return call[ConfigHistory](ctx, c, http.MethodGet, PathConfigHistory, nil)
+}
+
+// ConfigStatus says where the revision is in force.
+func (c *Client) ConfigStatus(ctx context.Context) (ConfigStatus, error) {
+	return call[ConfigStatus](ctx, c, http.MethodGet, PathConfigStatus, nil)
+}
+
+// Weights gives the published versions and where they are served.
+func (c *Client) Weights(ctx context.Context) (Weights, error) {
+	return call[Weights](ctx, c, http.MethodGet, PathWeights, nil)
+}
+
+// PublishWeights publishes a version.
+func (c *Client) PublishWeights(ctx context.Context, publication PublishWeights) (Accepted, error) {
+	return call[Accepted](ctx, c, http.MethodPost, PathWeights, publication)
+}
+
+// Pools gives one line about each pool.
+func (c *Client) Pools(ctx context.Context) (Pools, error) {
+	return call[Pools](ctx, c, http.MethodGet, PathPools, nil)
+}
+
+// Pool gives the details of a pool.
+func (c *Client) Pool(ctx context.Context, name port.PoolName) (PoolDetail, error) {
+	return call[PoolDetail](ctx, c, http.MethodGet, withName(PathPool, "{pool}", string(name)), nil)
+}
+
+// Replicas gives all replicas.
+func (c *Client) Replicas(ctx context.Context) (Replicas, error) {
+	return call[Replicas](ctx, c, http.MethodGet, PathReplicas, nil)
+}
+
+// DrainReplica orders that a replica gets no new work.
+func (c *Client) DrainReplica(ctx context.Context, id port.ReplicaID, change ReplicaChange) (Accepted, error) {
+	return call[Accepted](ctx, c, http.MethodPost, withName(PathReplicaDrain, "{id}", string(id)), change)
+}
+
+// ReturnReplica takes the order to drain back.
+func (c *Client) ReturnReplica(ctx context.Context, id port.ReplicaID, change ReplicaChange) (Accepted, error) {
+	return call[Accepted](ctx, c, http.MethodPost, withName(PathReplicaReturn, "{id}", string(id)), change)
+}
+
+// Members gives the control members as one of them sees them.
+func (c *Client) Members(ctx context.Context) (Members, error) {
+	return call[Members](ctx, c, http.MethodGet, PathMembers, nil)
+}
+
+// AddMember adds a control member as a learner.
+func (c *Client) AddMember(ctx context.Context, id uint64, address string) (Members, error) {
+	return call[Members](ctx, c, http.MethodPost, PathMembers, MemberChange{ID: id, Address: address})
+}
+
+// PromoteMember makes a learner a voter.
+func (c *Client) PromoteMember(ctx context.Context, id uint64) (Members, error) {
+	path := withName(PathMemberPromote, "{id}", strconv.FormatUint(id, 10))
+	return call[Members](ctx, c, http.MethodPost, path, nil)
+}
+
+// RemoveMember takes a control member out of the group.
+func (c *Client) RemoveMember(ctx context.Context, id uint64) (Members, error) {
+	path := withName(PathMember, "{id}", strconv.FormatUint(id, 10))
+	return call[Members](ctx, c, http.MethodDelete, path, nil)
+}
+
+// Status gives one member's view of the group.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, PathStatus, nil)
+}
+
+func withName(path, placeholder, name string) string {
+	return strings.Replace(path, placeholder, url.PathEscape(name), 1)
+}
+
+// call makes one call and decodes its answer.
+func call[Answer any](ctx context.Context, c *Client, method, path string, body any) (Answer, error) {
+	var answer Answer
+	content, err := encodeBody(body)
+	if err != nil {
+		return answer, err
+	}
+	err = c.tryAll(ctx, method, path, content, &answer)
+	return answer, err
+}
+
+func encodeBody(body any) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, port.NewError(port.NotRun, port.CodeInvalid, "unencodable body: %s", err.Error())
+	}
+	return content, nil
+}
+
+// tryAll goes through the members, several rounds with backoff, while the
+// failures are of a kind that another member may mend.
+func (c *Client) tryAll(ctx context.Context, method, path string, content []byte, answer any) error {
+	mayHaveRun := false
+	var last *port.Error
+	for round := range clientRounds {
+		for _, server := range c.servers {
+			err := c.try(ctx, server, method, path, content, answer)
+			if err == nil {
+				return nil
+			}
+			last = port.AsError(err)
+			mayHaveRun = mayHaveRun || last.Verdict != port.NotRun
+			if !retriable(last.Code) || ctx.Err() != nil {
+				return withVerdict(last, mayHaveRun)
+			}
+		}
+		bound := min(clientBackoffBase<<round, clientBackoffMax)
+		select {
+		case <-time.After(rand.N(bound)):
+		case <-ctx.Done():
+			return withVerdict(last, mayHaveRun)
+		}
+	}
+	return withVerdict(last, mayHaveRun)
+}
+
+func retriable(code port.Code) bool {
+	switch code {
+	case port.CodeUnavailable, port.CodeDeadline, port.CodeDraining, port.CodeQueueFull:
+		return true
+	}
+	return false
+}
+
+// withVerdict keeps a refusal from claiming NotRun when an earlier attempt may
+// have run.
+func withVerdict(refusal *port.Error, mayHaveRun bool) *port.Error {
+	if mayHaveRun && refusal.Verdict == port.NotRun {
+		careful := *refusal
+		careful.Verdict = port.MayHaveRun
+		return &careful
+	}
+	return refusal
+}
+
+func (c *Client) try(ctx context.Context, server, method, path string, content []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(content))
+	if err != nil {
+		return port.NewError(port.NotRun, port.CodeInvalid, "%s", err.Error())
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	if content != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return transportError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return transportError(err)
+	}
+	if len(body) > maxAnswerBytes {
+		return port.NewError(port.MayHaveRun, port.CodeTooLarge, "the answer of %s is larger than %d bytes", server, maxAnswerBytes)
+	}
+	if response.StatusCode != http.StatusOK {
+		return answeredError(response, body)
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return port.NewError(port.MayHaveRun, port.CodeInternal, "undecodable answer of %s: %s", server, err.Error())
+	}
+	return nil
+}
+
+// transportError gives a failure of the connection its verdict: only a failed
+// dial proves that nothing was sent.
+func transportError(err error) *port.Error {
+	verdict := port.MayHaveRun
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		verdict = port.NotRun
+	}
+	return port.NewError(verdict, port.CodeUnavailable, "%s", eris.Cause(err).Error())
+}
+
+// answeredError reads an error answer. One that is not in the documented form,
+// such as a proxy's, may have run.
+func answeredError(response *http.Response, body []byte) *port.Error {
+	var decoded ConflictBody
+	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Code == "" {
+		return port.NewError(port.MayHaveRun, port.CodeInternal, "status %d without an error body", response.StatusCode)
+	}
+	refusal := errorOf(decoded.Error)
+	if decoded.Current != nil {
+		refusal.Message += "; it is shown by config get"
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/adapter/operatorapi/operatorapi_test.go
@@ -0,0 +1,322 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/controlstate"
+	"github.com/loomgrade/loomgrade/internal/core/registry"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const testToken = "operator-token"
+
+// stateBackend is a Backend on one state machine, without a group.
+type stateBackend struct {
+	state   *controlstate.State
+	index   uint64
+	reports Reports
+	failure *port.Error
+	members []MemberChange
+}
+
+func newStateBackend() *stateBackend { return &stateBackend{state: controlstate.New()} }
+
+func (b *stateBackend) Propose(_ context.Context, command port.Command) (port.Result, error) {
+	if b.failure != nil {
+		return port.Result{}, b.failure
+	}
+	b.index++
+	command.Time = time.Now().UnixMilli()
+	return b.state.Apply(b.index, 1, command), nil
+}
+
+func (b *stateBackend) View(context.Context, bool) (*port.View, error) {
+	if b.failure != nil {
+		return nil, b.failure
+	}
+	return b.state.View(), nil
+}
+
+func (b *stateBackend) History(context.Context) ([]registry.HistoryEntry, error) {
+	return b.state.History(), nil
+}
+
+func (b *stateBackend) Ledger(_ context.Context, pool port.PoolName) (port.LedgerState, error) {
+	return b.state.Ledger(pool), nil
+}
+
+func (b *stateBackend) Reports(context.Context) (Reports, error) { return b.reports, nil }
+
+func (b *stateBackend) Status(context.Context) (Status, error) {
+	return Status{Member: 1, QuorumActive: b.failure == nil}, nil
+}
+
+func (b *stateBackend) ChangeMember(_ context.Context, change MemberChange) error {
+	b.members = append(b.members, change)
+	return nil
+}
+
+func applicationPool(name port.PoolName) *port.Pool {
+	return &port.Pool{
+		Name: name, Kind: port.PoolApplication,
+		Admission: port.Admission{MinInflight: 1, MaxInflight: 8, QueueLength: 8, DefaultDeadline: port.Duration(time.Second)},
+		Retry:     port.Retry{MaxAttempts: 2, BudgetRatio: 0.1},
+	}
+}
+
+func testReplica(id port.ReplicaID, pool port.PoolName) *port.Replica {
+	return &port.Replica{ID: id, Pool: pool, Zone: "zone-a", Address: "127.0.0.1:9001", State: port.ReplicaActive}
+}
+
+// seeded gives a backend at revision 1, with a pool and a replica.
+func seeded(t *testing.T) *stateBackend {
+	t.Helper()
+	backend := newStateBackend()
+	result, _ := backend.Propose(context.Background(), port.Command{
+		ChangeID: changeID(1),
+		ChangeConfiguration: &port.ChangeConfiguration{Edits: []port.Edit{
+			{PutPool: applicationPool("page-api")}, {PutReplica: testReplica("page-1", "page-api")},
+		}},
+	})
+	if result.Error != nil {
+		t.Fatal(result.Error)
+	}
+	return backend
+}
+
+func changeID(number byte) string {
+	return registry.FormatChangeID(time.Now(), []byte{0, 0, 0, 0, 0, 0, 0, number})
+}
+
+func request(server *Server, method, path, token, body string) *httptest.ResponseRecorder {
+	call := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		call.Header.Set("Authorization", "Bearer "+token)
+	}
+	recorder := httptest.NewRecorder()
+	server.Handler().ServeHTTP(recorder, call)
+	return recorder
+}
+
+func put(t *testing.T, change ConfigChange) string {
+	t.Helper()
+	body, err := json.Marshal(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+func revision(number port.Revision) *port.Revision { return &number }
+
+// TestContract runs the interface's calls and faults against one server each.
+func TestContract(t *testing.T) {
+	machineList := "http://127.0.0.1:8000"
+	edits := []port.Edit{{MachineList: &machineList}}
+	good := put(t, ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: edits})
+	drain := `{"expected_revision":1,"change_id":"` + changeID(3) + `"}`
+	unavailable := port.NewError(port.NotRun, port.CodeUnavailable, "no leader")
+	unavailable.RetryAfter = time.Second
+	cases := []struct {
+		name, method, path, body string
+		token                    string
+		failure                  *port.Error
+		status                   int
+		// contains must stand in the answer.
+		contains []string
+	}{
+		{name: "no token", method: "GET", path: PathConfig, token: "none", status: 401, contains: []string{`"unauthorized"`, `"not-run"`}},
+		{name: "wrong token", method: "GET", path: PathStatus, token: testToken + "x", status: 401},
+		{name: "health needs no token", method: "GET", path: "/healthz", token: "none", status: 200},
+		{name: "ready", method: "GET", path: "/readyz", token: "none", status: 200},
+		{name: "not ready without a quorum", method: "GET", path: "/readyz", token: "none", failure: unavailable, status: 503},
+		{name: "configuration", method: "GET", path: PathConfig, status: 200, contains: []string{`"revision":1`, `"page-api"`}},
+		{name: "no leader", method: "GET", path: PathConfig, failure: unavailable, status: 503, contains: []string{`"retry_after_ms":1000`}},
+		{name: "change", method: "PUT", path: PathConfig, body: good, status: 200, contains: []string{`"revision":2`}},
+		{name: "conflict shows what is in force", method: "PUT", path: PathConfig, status: 409,
+			body:     put(t, ConfigChange{ExpectedRevision: revision(0), ChangeID: changeID(2), Edits: edits}),
+			contains: []string{`"conflict"`, `"current":{"revision":1`, `"page-api"`}},
+		{name: "change without expected revision", method: "PUT", path: PathConfig, status: 400,
+			body: put(t, ConfigChange{ChangeID: changeID(2), Edits: edits}), contains: []string{`"expected_revision"`}},
+		{name: "change without change id", method: "PUT", path: PathConfig, status: 400,
+			body: put(t, ConfigChange{ExpectedRevision: revision(1), Edits: edits}), contains: []string{`"change_id"`}},
+		{name: "change without edits", method: "PUT", path: PathConfig, status: 400,
+			body: put(t, ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2)}), contains: []string{`"edits"`}},
+		{name: "change of a field to what is not allowed", method: "PUT", path: PathConfig, status: 400,
+			body:     put(t, ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: []port.Edit{{PutPool: &port.Pool{Name: "x", Kind: "odd"}}}}),
+			contains: []string{`"field":"pools[x].kind"`, `"value":"odd"`, `"allowed":"generation or application"`}},
+		{name: "unknown field", method: "PUT", path: PathConfig, body: `{"expectedRevision":1}`, status: 400, contains: []string{"expectedRevision"}},
+		{name: "wrong type", method: "PUT", path: PathConfig, body: `{"expected_revision":"one"}`, status: 400, contains: []string{`"field":"expected_revision"`}},
+		{name: "cut off body", method: "PUT", path: PathConfig, body: good[:len(good)/2], status: 400},
+		{name: "two bodies", method: "PUT", path: PathConfig, body: good + good, status: 400},
+		{name: "oversize body", method: "PUT", path: PathConfig, body: `{"note":"` + strings.Repeat("x", MaxBodyBytes) + `"}`, status: 413},
+		{name: "history", method: "GET", path: PathConfigHistory, status: 200, contains: []string{`"revision":1`, `"edits":2`}},
+		{name: "pools", method: "GET", path: PathPools, status: 200, contains: []string{`"replicas":1`}},
+		{name: "pool", method: "GET", path: "/v1/pools/page-api", status: 200, contains: []string{`"page-1"`}},
+		{name: "no such pool", method: "GET", path: "/v1/pools/none", status: 404},
+		{name: "drain", method: "POST", path: "/v1/replicas/page-1/drain", body: drain, status: 200, contains: []string{`"revision":2`}},
+		{name: "no such replica", method: "POST", path: "/v1/replicas/none/drain", body: drain, status: 404},
+		{name: "weights of a pool without a trainer", method: "POST", path: PathWeights, status: 400,
+			body: `{"pool":"page-api","version":1,"bytes":1,"change_id":"` + changeID(4) + `"}`, contains: []string{`"field":"pool"`}},
+		{name: "member without an address", method: "POST", path: PathMembers, body: `{"id":4,"address":"host"}`, status: 400, contains: []string{`"address"`}},
+		{name: "member by a name", method: "DELETE", path: "/v1/members/four", status: 400},
+		{name: "unknown path", method: "GET", path: "/v1/none", status: 404},
+		{name: "wrong method", method: "PATCH", path: PathConfig, status: 405},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			backend := seeded(t)
+			backend.failure = test.failure
+			token := test.token
+			if token == "" {
+				token = testToken
+			}
+			server := NewServer(ServerConfig{Backend: backend, Token: testToken})
+			answer := request(server, test.method, test.path, token, test.body)
+			if answer.Code != test.status {
+				t.Fatalf("status %d, want %d: %s", answer.Code, test.status, answer.Body)
+			}
+			for _, want := range test.contains {
+				if !strings.Contains(answer.Body.String(), want) {
+					t.Errorf("%s is missing in %s", want, answer.Body)
+				}
+			}
+		})
+	}
+}
+
+func TestAnEmptyTokenOpensNothing(t *testing.T) {
+	server := NewServer(ServerConfig{Backend: seeded(t)})
+	call := httptest.NewRequest("GET", PathConfig, nil)
+	call.Header.Set("Authorization", "Bearer ")
+	recorder := httptest.NewRecorder()
+	server.Handler().ServeHTTP(recorder, call)
+	if recorder.Code != http.StatusUnauthorized {
+		t.Fatalf("status %d", recorder.Code)
+	}
+}
+
+func TestRefusedCheckKeepsAChangeOut(t *testing.T) {
+	backend := seeded(t)
+	check := func(port.Configuration) error { return port.InvalidField("policy", "", "a program that compiles") }
+	server := NewServer(ServerConfig{Backend: backend, Token: testToken, CheckConfiguration: check})
+	address := "http://127.0.0.1:8000"
+	change := ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: []port.Edit{{MachineList: &address}}}
+	answer := request(server, "PUT", PathConfig, testToken, put(t, change))
+	if answer.Code != http.StatusBadRequest || backend.state.Revision() != 1 {
+		t.Fatalf("status %d, revision %d", answer.Code, backend.state.Revision())
+	}
+}
+
+func TestConfigStatusTellsWhereARevisionIsInForce(t *testing.T) {
+	view := &port.View{Revision: 5, Nodes: []port.NodeAddress{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}}
+	report := func(id port.NodeID, revision port.Revision, age int64) NodeReport {
+		return NodeReport{Report: port.NodeReport{Node: port.NodeAddress{ID: id}, Revision: revision}, AgeMillis: age, RevisionSince: 77}
+	}
+	status := configStatus(view, Reports{
+		Nodes:       []NodeReport{report("a", 5, 100), report("b", 4, 100), report("c", 5, silentAfterMillis+1)},
+		Unreachable: []uint64{3},
+	})
+	want := []string{StateInForce, StateBehind, StateSilent, StateSilent}
+	for index, line := range status.Nodes {
+		if line.State != want[index] {
+			t.Errorf("node %s is %s, want %s", line.Node, line.State, want[index])
+		}
+	}
+	if status.InForce != 1 || status.Behind != 1 || status.Silent != 2 || status.Nodes[0].Since != 77 || len(status.UnreachableMembers) != 1 {
+		t.Errorf("%+v", status)
+	}
+}
+
+func TestLoadToken(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "token")
+	for content, want := range map[string]string{" secret\n": "secret", "\n": "", strings.Repeat("x", maxTokenBytes+1): ""} {
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if token, err := LoadToken(path); token != want || (err == nil) != (want != "") {
+			t.Errorf("%d bytes gave %q, %v", len(content), token, err)
+		}
+	}
+}
+
+// TestClientMovesOnUnderOneChangeID lets the first member accept the change and
+// cut the answer off: the second must see the same body.
+func TestClientMovesOnUnderOneChangeID(t *testing.T) {
+	backend := seeded(t)
+	server := NewServer(ServerConfig{Backend: backend, Token: testToken})
+	cut := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, call *http.Request) {
+		server.Handler().ServeHTTP(httptest.NewRecorder(), call)
+		panic(http.ErrAbortHandler)
+	}))
+	defer cut.Close()
+	whole := httptest.NewServer(server.Handler())
+	defer whole.Close()
+	client, err := NewClient([]string{closedAddress(t), cut.Listener.Addr().String(), whole.Listener.Addr().String()}, testToken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := "http://127.0.0.1:8000"
+	change := ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: []port.Edit{{MachineList: &address}}}
+	accepted, err := client.ChangeConfig(context.Background(), change)
+	if err != nil || accepted.Revision != 2 || backend.state.Revision() != 2 {
+		t.Fatalf("%+v, %v, revision %d", accepted, err, backend.state.Revision())
+	}
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// TestClientVerdicts lists what a client says when no member answers well.
+func TestClientVerdicts(t *testing.T) {
+	serve := func(handler http.HandlerFunc) string {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	cases := []struct {
+		name    string
+		server  string
+		verdict port.Verdict
+		code    port.Code
+	}{
+		{"nobody listens", closedAddress(t), port.NotRun, port.CodeUnavailable},
+		{"cut off", serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), port.MayHaveRun, port.CodeUnavailable},
+		{"not an error body", serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }), port.MayHaveRun, port.CodeInternal},
+		{"wrong content", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) }), port.MayHaveRun, port.CodeInternal},
+		{"oversize", serve(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(bytes.Repeat([]byte(" "), maxAnswerBytes+1))
+		}), port.MayHaveRun, port.CodeTooLarge},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client, err := NewClient([]string{test.server}, testToken)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = client.Config(context.Background())
+			var refusal *port.Error
+			if !errors.As(err, &refusal) || refusal.Verdict != test.verdict || refusal.Code != test.code {
+				t.Fatalf("got %v, want %s with verdict %s", err, test.code, test.verdict)
+			}
+		})
+	}
+}
