chaos: add the deterministic fault simulator; keep change ids usable behind a slow clock

Cause: the simulator found that no change was accepted for the rest of a run after an outage of over a minute, when the next leader's clock was an hour behind: log time lagged, and every change id counted as being from the future. Change: members run the log's clock on ticks also without a leader, a change id may be up to an hour ahead, and an answer is kept until log time has passed its id's birth, so that a clock ahead shuts nobody out.

--- a/internal/core/controlmember/clock.go
+++ b/internal/core/controlmember/clock.go
@@ -7,31 +7,34 @@
 const slewDivisor = 4
 
 // logClock gives the times that a leader stamps on commands, in milliseconds
-// since 1970. A new leader starts at its wall clock, or at the log's time if
-// that is later. From then on the clock follows the ticks, and closes a gap to
-// the wall clock only slowly, so that a wall clock that jumps in the middle of
-// a term takes no lease away from its holder.
+// since 1970. Every member runs it: from the log's time that the member has
+// seen it goes on with the ticks, also while there is no leader. A new leader
+// takes its wall clock if that is later. Within the leader's term the clock
+// closes a gap to the wall clock only slowly, so that a wall clock that jumps
+// takes no lease away from its holder.
 type logClock struct {
-	tick    time.Duration
-	time    time.Duration // since 1970
-	running bool
+	tick  time.Duration
+	time  time.Duration // since 1970
+	leads bool
 }
 
 // start begins a leader's term.
-func (c *logClock) start(wall time.Time, logTime int64) {
-	c.time = max(sinceEpoch(wall), time.Duration(logTime)*time.Millisecond)
-	c.running = true
+func (c *logClock) start(wall time.Time) {
+	c.time = max(sinceEpoch(wall), c.time)
+	c.leads = true
 }
 
-func (c *logClock) stop() { c.running = false }
+func (c *logClock) stop() { c.leads = false }
+
+// observe takes over the log's time if it is later.
+func (c *logClock) observe(logTime int64) {
+	c.time = max(c.time, time.Duration(logTime)*time.Millisecond)
+}
 
 // advance notes that one tick passed.
 func (c *logClock) advance(wall time.Time) {
-	if !c.running {
-		return
-	}
 	c.time += c.tick
-	if behind := sinceEpoch(wall) - c.time; behind > 0 {
+	if behind := sinceEpoch(wall) - c.time; c.leads && behind > 0 {
 		c.time += min(behind, c.tick/slewDivisor)
 	}
 }
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -186,11 +186,12 @@
 // refresh takes over the consensus status and reacts to won or lost leadership.
 func (m *Member) refresh() {
 	m.status = m.node.Status()
+	m.clock.observe(m.state.Time())
 	leads := m.IsLeader()
-	if leads && !m.clock.running {
-		m.clock.start(m.wall, m.state.Time())
+	if leads && !m.clock.leads {
+		m.clock.start(m.wall)
 	}
-	if !leads && m.clock.running {
+	if !leads && m.clock.leads {
 		m.clock.stop()
 		m.dropProposals()
 	}
--- a/internal/core/registry/answers.go
+++ b/internal/core/registry/answers.go
@@ -8,12 +8,15 @@
 
 // Limits of the answers kept for resent changes.
 const (
-	// AnswerLifetime is how long an answer is kept, in the log's time.
+	// AnswerLifetime is how long an answer is kept, in the log's time, from its
+	// application or the change id's birth, whichever is later.
 	AnswerLifetime = 10 * time.Minute
 	// MaxAnswers bounds the answers kept; the oldest go first.
 	MaxAnswers = 65536
-	// MaxBirthAhead is how far a change id may be ahead of the log's time.
-	MaxBirthAhead = time.Minute
+	// MaxBirthAhead is how far a change id may be ahead of the log's time. Log
+	// time can lag by the length of an outage if the clock of the leader after
+	// it is behind, and changes must go through then.
+	MaxBirthAhead = time.Hour
 )
 
 // Digest identifies the body of a command.
@@ -66,7 +69,7 @@
 			"answers to changes born at or before %d are no longer kept; look at the state and send a new change", a.floor)
 	}
 	if birth > now+MaxBirthAhead.Milliseconds() {
-		return port.Result{}, false, port.InvalidField("change_id", id, "not more than a minute ahead of the control members' time")
+		return port.Result{}, false, port.InvalidField("change_id", id, "not more than an hour ahead of the control members' time")
 	}
 	return port.Result{}, false, nil
 }
@@ -90,7 +93,10 @@
 func (a *Answers) Expire(now int64) {
 	drop := 0
 	for drop < len(a.queue) {
-		overdue := a.queue[drop].Time+AnswerLifetime.Milliseconds() < now
+		// Until log time has passed the birth too: otherwise one operator whose
+		// clock is ahead would raise the floor over everybody else's births.
+		start := max(a.queue[drop].Time, a.queue[drop].Birth)
+		overdue := start+AnswerLifetime.Milliseconds() < now
 		if !overdue && len(a.queue)-drop <= a.limit {
 			break
 		}
--- /dev/null
+++ b/internal/lab/chaos/admin.go
@@ -0,0 +1,82 @@
+package chaos
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+)
+
+// adminEvery is how often the operator of the machines looks at them.
+const adminEvery = 2 * time.Second
+
+// admin replaces machines that are lost: it adds a fresh one as a learner,
+// removes the lost one, and promotes the learner once it has caught up.
+type admin struct {
+	world *World
+	// replacement is the machine that is being brought in, or nil.
+	replacement *machine
+	// repaired counts completed replacements.
+	repaired int
+}
+
+func (a *admin) schedule() { a.world.after(adminEvery, a.look) }
+
+func (a *admin) look() {
+	a.schedule()
+	leader := a.world.leader()
+	if leader == nil || !leader.member.QuorumContact() {
+		return
+	}
+	membership := leader.member.Status().Membership
+	lost := a.lostMember(membership)
+	a.forgetLostReplacement()
+	switch {
+	case a.replacement == nil && lost != nil:
+		a.replacement = a.world.addMachine(consensus.Membership{})
+		a.replacement.start()
+		a.propose(leader, consensus.AddLearner, a.replacement.id)
+	case a.replacement == nil:
+		return
+	case !membership.Contains(a.replacement.id):
+		a.propose(leader, consensus.AddLearner, a.replacement.id)
+	case lost != nil:
+		a.propose(leader, consensus.RemoveMember, lost.id)
+	case membership.IsLearner(a.replacement.id):
+		a.propose(leader, consensus.PromoteLearner, a.replacement.id)
+	default:
+		a.world.tracef("replacement %d is a voter", a.replacement.id)
+		a.replacement = nil
+		a.repaired++
+		a.world.faults.repaired()
+	}
+}
+
+// forgetLostReplacement gives up a replacement that was lost itself.
+func (a *admin) forgetLostReplacement() {
+	if a.replacement != nil && a.replacement.gone {
+		a.replacement = nil
+	}
+}
+
+// lostMember finds a member whose machine is lost.
+func (a *admin) lostMember(membership consensus.Membership) *machine {
+	for _, id := range membership.Members() {
+		if machine := a.world.machine(id); machine.gone {
+			return machine
+		}
+	}
+	return nil
+}
+
+func (a *admin) propose(leader *machine, kind consensus.MembershipChangeKind, id consensus.MemberID) {
+	change := consensus.MembershipChange{Kind: kind, Member: id, Context: []byte("10.0.0.3:7000")}
+	leader.process(func() {
+		token := a.world.token()
+		leader.callers[token] = func(reply answer) {
+			if reply.err != nil {
+				a.world.tracef("membership change %d of member %d: %v", kind, id, reply.err)
+			}
+		}
+		leader.member.ChangeMembership(token, change)
+	})
+}
--- /dev/null
+++ b/internal/lab/chaos/books.go
@@ -0,0 +1,129 @@
+package chaos
+
+import (
+	"slices"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// reportFunc notes a broken invariant.
+type reportFunc func(check, format string, arguments ...any)
+
+// books is a plain second account of leases and deliveries, kept from the log's
+// commands and their results.
+type books struct {
+	published port.WeightVersion
+	lease     port.Lease
+	consumer  port.Consumer
+	// samples and prompts say which batch has them; voided samples stay.
+	samples map[port.SampleID]port.BatchNumber
+	prompts map[port.PromptIndex]port.BatchNumber
+	batches map[port.BatchNumber]port.CommitBatch
+	// delivered is what the trainer took.
+	delivered map[port.SampleID]port.BatchNumber
+	epochs    map[port.Epoch]port.NodeID
+}
+
+func newBooks() books {
+	return books{
+		samples: map[port.SampleID]port.BatchNumber{}, prompts: map[port.PromptIndex]port.BatchNumber{},
+		batches: map[port.BatchNumber]port.CommitBatch{}, delivered: map[port.SampleID]port.BatchNumber{},
+		epochs: map[port.Epoch]port.NodeID{},
+	}
+}
+
+// check takes in one command with its result. Refused commands count for
+// nothing.
+func (b *books) check(report reportFunc, command port.Command, result port.Result) {
+	if result.Error != nil {
+		return
+	}
+	switch {
+	case command.PublishWeights != nil:
+		if command.PublishWeights.Version <= b.published {
+			report("versions count up", "version %d after %d", command.PublishWeights.Version, b.published)
+		}
+		b.published = command.PublishWeights.Version
+	case command.AcquireLease != nil:
+		b.checkLease(report, *result.Lease)
+	case command.RegisterConsumer != nil:
+		b.consumer = *result.Consumer
+	case command.CommitBatch != nil:
+		b.checkCommit(report, *command.CommitBatch)
+	}
+}
+
+// checkLease demands that an epoch has one holder and that epochs count up.
+func (b *books) checkLease(report reportFunc, lease port.Lease) {
+	if holder, seen := b.epochs[lease.Epoch]; seen && holder != lease.Holder {
+		report("one holder by fence", "epoch %d granted to %s and %s", lease.Epoch, holder, lease.Holder)
+	}
+	if lease.Epoch < b.lease.Epoch {
+		report("one holder by fence", "epoch %d granted after %d", lease.Epoch, b.lease.Epoch)
+	}
+	b.epochs[lease.Epoch], b.lease = lease.Holder, lease
+}
+
+func (b *books) checkCommit(report reportFunc, command port.CommitBatch) {
+	previous, exists := b.batches[command.Number]
+	if exists && previous.Attempt == command.Attempt {
+		if !slices.Equal(previous.Samples, command.Samples) {
+			report("batch committed once", "batch %d attempt %d has two contents", command.Number, command.Attempt)
+		}
+		return
+	}
+	if exists {
+		b.void(report, command, previous)
+	}
+	if command.CoordinatorEpoch != b.lease.Epoch || command.ConsumerEpoch != b.consumer.Epoch {
+		report("fenced commits refused", "batch %d under epochs %d and %d, current are %d and %d",
+			command.Number, command.CoordinatorEpoch, command.ConsumerEpoch, b.lease.Epoch, b.consumer.Epoch)
+	}
+	for _, sample := range command.Samples {
+		b.checkSample(report, command.Number, sample)
+	}
+	for _, prompt := range promptsOf(command.Samples) {
+		if other, taken := b.prompts[prompt]; taken {
+			report("batch committed once", "prompt %d is in batches %d and %d", prompt, other, command.Number)
+		}
+		b.prompts[prompt] = command.Number
+	}
+	b.batches[command.Number] = command
+}
+
+func (b *books) checkSample(report reportFunc, number port.BatchNumber, sample port.CommittedSample) {
+	if other, taken := b.samples[sample.ID]; taken {
+		report("batch committed once", "sample %s is in batches %d and %d", sample.ID, other, number)
+	}
+	b.samples[sample.ID] = number
+	if sample.Oldest == 0 || sample.Oldest+stalenessBound < b.published {
+		report("no stale batch", "sample %s of version %d committed at version %d", sample.ID, sample.Oldest, b.published)
+	}
+}
+
+// void returns the prompts of an attempt that a later one replaces. What the
+// trainer took must not be replaced.
+func (b *books) void(report reportFunc, command, previous port.CommitBatch) {
+	if _, later := b.batches[command.Number+1]; later {
+		report("batch committed once", "batch %d replaced after batch %d", command.Number, command.Number+1)
+	}
+	for _, prompt := range promptsOf(previous.Samples) {
+		delete(b.prompts, prompt)
+	}
+	if _, taken := b.delivered[previous.Samples[0].ID]; taken {
+		report("batch committed once", "batch %d attempt %d voided after the trainer took it", command.Number, previous.Attempt)
+	}
+}
+
+// noteDelivered checks a batch that the trainer took against the log.
+func (b *books) noteDelivered(report reportFunc, batch port.CommitBatch) {
+	if committed := b.batches[batch.Number]; !slices.Equal(committed.Samples, batch.Samples) {
+		report("batch committed once", "the trainer took batch %d, which the log does not have so", batch.Number)
+	}
+	for _, sample := range batch.Samples {
+		if other, twice := b.delivered[sample.ID]; twice {
+			report("batch delivered once", "sample %s in batches %d and %d", sample.ID, other, batch.Number)
+		}
+		b.delivered[sample.ID] = batch.Number
+	}
+}
--- /dev/null
+++ b/internal/lab/chaos/machine.go
@@ -0,0 +1,393 @@
+package chaos
+
+import (
+	"errors"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/controlmember"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	dataFolder   = "data"
+	segmentBytes = 32 << 10
+	// maxBacklog bounds the messages that wait for a paused process.
+	maxBacklog = 512
+)
+
+// machine is one control machine: a disk, a clock and, while it is up, a
+// process with a control member.
+type machine struct {
+	world   *World
+	id      consensus.MemberID
+	initial consensus.Membership
+	disk    *faultfs.FileSystem
+	offset  time.Duration // of its clock
+	// created is set once the data folder was made; gone once the machine is
+	// lost for ever or its disk must not be used again.
+	created, gone bool
+	// syncFault is set while a sync of the disk is going to fail.
+	syncFault bool
+
+	incarnation uint64
+	member      *controlmember.Member // nil while down
+	log         *wal.Log
+	busyUntil   time.Duration
+	callers     map[uint64]func(answer)
+	watchers    map[int]uint64 // position by observer
+	pushed      uint64
+	paused      bool
+	missed      int // ticks during a pause
+	backlog     []func()
+}
+
+func newMachine(world *World, id consensus.MemberID, initial consensus.Membership) *machine {
+	machine := &machine{world: world, id: id, initial: initial, disk: faultfs.New(world.random.Uint64())}
+	machine.disk.SkipSync(world.options.Weakness == WeaknessSkipSync)
+	return machine
+}
+
+func (m *machine) running() bool { return m.member != nil }
+
+// start brings the process up from what the disk holds.
+func (m *machine) start() {
+	if m.running() || m.gone {
+		return
+	}
+	restored, err := m.open()
+	if err != nil {
+		m.openFailed(err)
+		return
+	}
+	member, err := controlmember.New(m.config(), restored, m.world.wall(m.offset))
+	if err != nil {
+		m.world.violation("restart", "member %d: %v", m.id, err)
+		m.gone = true
+		return
+	}
+	m.member = member
+	m.incarnation++
+	m.callers, m.watchers = map[uint64]func(answer){}, map[int]uint64{}
+	m.paused, m.missed, m.backlog = false, 0, nil
+	m.pushed = 0
+	m.world.tracef("member %d starts at applied %d", m.id, member.State().Applied())
+	m.tickAfter(m.world.between(0, tickInterval), m.incarnation)
+}
+
+func (m *machine) config() controlmember.Config {
+	weakness := m.world.options.Weakness
+	return controlmember.Config{
+		Consensus: consensus.Config{
+			ID: m.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			Seed: m.world.random.Uint64(), RetainEntries: snapshotEntries / 2, SnapshotChunkBytes: 2048,
+			Safeguards: consensus.Safeguards{
+				NoPreVote:     weakness == WeaknessNoPreVote,
+				NoCheckQuorum: weakness == WeaknessNoCheckQuorum,
+			},
+		},
+		TickInterval:    tickInterval,
+		SnapshotEntries: snapshotEntries,
+	}
+}
+
+func (m *machine) open() (consensus.Restored, error) {
+	options := wal.Options{
+		FileSystem: m.disk, Directory: dataFolder, SegmentBytes: segmentBytes,
+		Identity: wal.Identity{Cluster: clusterName, Member: m.id},
+	}
+	if !m.created {
+		log, restored, err := wal.Create(options, m.initial)
+		if err != nil {
+			return restored, err
+		}
+		m.created, m.log = true, log
+		return restored, nil
+	}
+	log, recovery, err := wal.Open(options)
+	if err != nil {
+		return consensus.Restored{}, err
+	}
+	m.log = log
+	return recovery.Restored, nil
+}
+
+func (m *machine) openFailed(err error) {
+	if errors.Is(err, wal.ErrFailed) {
+		m.diskFailed(err)
+		return
+	}
+	m.world.violation("restart", "member %d cannot use its folder after a crash: %v", m.id, err)
+	m.gone = true
+}
+
+// tickAfter keeps the ticks going for one incarnation of the process.
+func (m *machine) tickAfter(delay time.Duration, incarnation uint64) {
+	m.world.after(delay, func() {
+		if m.incarnation != incarnation || !m.running() {
+			return
+		}
+		m.tickAfter(tickInterval, incarnation)
+		if m.paused {
+			m.missed++
+			return
+		}
+		m.process(m.tick)
+	})
+}
+
+func (m *machine) tick() {
+	m.member.Tick(m.world.wall(m.offset))
+	m.world.audit.checkQuorumContact(m)
+}
+
+// process does work in the member's process and carries out what follows.
+func (m *machine) process(work func()) {
+	if !m.running() {
+		return
+	}
+	if m.paused {
+		if len(m.backlog) < maxBacklog {
+			m.backlog = append(m.backlog, work)
+		}
+		return
+	}
+	if m.world.now < m.busyUntil {
+		incarnation := m.incarnation
+		m.world.at(m.busyUntil, func() {
+			if m.incarnation == incarnation {
+				m.process(work)
+			}
+		})
+		return
+	}
+	work()
+	m.carryOut()
+}
+
+// carryOut does what the member's Ready asks for, and may crash between any two
+// steps of it.
+func (m *machine) carryOut() {
+	for m.running() && m.member.HasReady() {
+		if !m.carryOutOne(m.member.Ready()) {
+			return
+		}
+	}
+	if !m.running() {
+		return
+	}
+	m.answerCallers()
+	if m.member.WantsSnapshot() && !m.snapshot() {
+		return
+	}
+	m.push()
+}
+
+func (m *machine) carryOutOne(ready consensus.Ready) bool {
+	m.world.audit.noteCommitted(m, ready)
+	if m.mayCrash("before the write") {
+		return false
+	}
+	if err := m.log.Persist(ready); err != nil {
+		m.diskFailed(err)
+		return false
+	}
+	if ready.MustSync {
+		m.busyUntil = max(m.busyUntil, m.world.now) + syncTime
+	}
+	if m.mayCrash("between write and send") {
+		return false
+	}
+	for _, message := range ready.Messages {
+		m.send(message)
+		if m.mayCrash("between two sends") {
+			return false
+		}
+	}
+	if err := m.member.Advance(ready); err != nil {
+		m.world.violation("advance", "member %d: %v", m.id, err)
+		m.down()
+		return false
+	}
+	m.world.audit.noteApplied(m)
+	m.answerCallers()
+	return !m.mayCrash("after the answers")
+}
+
+func (m *machine) send(message consensus.Message) {
+	target := m.world.machine(message.To)
+	if target == nil {
+		return
+	}
+	m.world.network.carry(m.id, message.To, max(m.world.now, m.busyUntil), func() {
+		target.process(func() {
+			if err := target.member.Step(message); errors.Is(err, consensus.ErrCommittedConflict) {
+				m.world.violation("committed entries kept", "member %d was asked to replace a committed entry", target.id)
+			}
+		})
+	})
+}
+
+func (m *machine) answerCallers() {
+	if !m.running() {
+		return
+	}
+	for _, reply := range m.member.TakeReplies() {
+		caller, waiting := m.callers[reply.Token]
+		if !waiting {
+			continue
+		}
+		delete(m.callers, reply.Token)
+		caller(answer{result: reply.Result, err: reply.Error, leader: m.member.Leader()})
+	}
+}
+
+// call hands a command, or a read, to the member.
+func (m *machine) call(token uint64, command *port.Command) {
+	if command != nil {
+		m.member.Propose(token, *command)
+		return
+	}
+	if m.world.options.Weakness == WeaknessLocalReads {
+		caller := m.callers[token]
+		delete(m.callers, token)
+		caller(answer{result: port.Result{Revision: m.member.State().Revision()}})
+		return
+	}
+	m.member.Read(token)
+}
+
+// snapshot stores a snapshot and drops the log that it covers.
+func (m *machine) snapshot() bool {
+	snapshot, err := m.member.BuildSnapshot()
+	if err != nil {
+		return true
+	}
+	m.world.audit.noteSnapshot(m, snapshot)
+	if m.mayCrash("before the snapshot") {
+		return false
+	}
+	if err := m.log.SaveSnapshot(snapshot); err != nil && !errors.Is(err, wal.ErrOldSnapshot) {
+		m.diskFailed(err)
+		return false
+	}
+	if m.mayCrash("after the snapshot") {
+		return false
+	}
+	if err := m.member.Compact(snapshot); err != nil {
+		m.world.violation("compaction", "member %d: %v", m.id, err)
+	}
+	return true
+}
+
+// push sends updates to the observers that watch this member.
+func (m *machine) push() {
+	position := m.member.State().Position()
+	if position == m.pushed {
+		return
+	}
+	m.pushed = position
+	for _, number := range sortedKeys(m.watchers) {
+		m.pushTo(number)
+	}
+}
+
+func (m *machine) pushTo(number int) {
+	update := m.member.Update(m.watchers[number])
+	m.watchers[number] = max(update.Position, m.watchers[number])
+	m.world.network.carry(m.id, outside, max(m.world.now, m.busyUntil), func() {
+		m.world.observers[number].receive(m.id, update)
+	})
+}
+
+// mayCrash draws whether the machine loses power here.
+func (m *machine) mayCrash(where string) bool {
+	if m.world.crashChance == 0 || m.world.random.Float64() >= m.world.crashChance {
+		return false
+	}
+	m.world.faults.count++
+	m.world.tracef("member %d loses power %s", m.id, where)
+	m.powerLoss()
+	return true
+}
+
+// powerLoss stops the process, loses what was not synced, and comes back later.
+func (m *machine) powerLoss() {
+	m.down()
+	m.disk.Crash()
+	m.world.after(m.world.between(100*time.Millisecond, 5*time.Second), m.start)
+}
+
+// kill stops the process and keeps what was written.
+func (m *machine) kill() {
+	m.down()
+	m.disk.Stop()
+	m.world.after(m.world.between(100*time.Millisecond, 5*time.Second), m.start)
+}
+
+func (m *machine) down() {
+	m.member, m.log = nil, nil
+	m.incarnation++
+	m.paused, m.backlog = false, nil
+}
+
+// diskFailed stops a member whose log refuses. After a full disk the process
+// comes back once there is room; after a failed sync nobody knows what is on
+// the disk, and the machine must be replaced under a new id.
+func (m *machine) diskFailed(err error) {
+	m.world.tracef("member %d stops: %v", m.id, err)
+	m.down()
+	m.disk.Stop()
+	if errors.Is(err, wal.ErrFull) {
+		m.world.after(m.world.between(time.Second, 10*time.Second), func() {
+			m.disk.SetCapacity(0)
+			m.start()
+		})
+		return
+	}
+	m.lose()
+}
+
+// lose takes the machine away for ever, or, without the safeguard of fresh ids,
+// lets it come back under its id with an empty disk.
+func (m *machine) lose() {
+	m.down()
+	if m.world.options.Weakness == WeaknessSameID && len(m.initial.Voters) > 0 {
+		m.disk.RemoveAll(dataFolder)
+		m.created = false
+		m.world.after(time.Second, m.start)
+		return
+	}
+	m.gone = true
+}
+
+func (m *machine) pause() { m.paused = true }
+
+// resume lets a paused process go on: first it notes the time that passed.
+func (m *machine) resume() {
+	if !m.running() || !m.paused {
+		return
+	}
+	m.paused = false
+	missed, backlog := m.missed, m.backlog
+	m.missed, m.backlog = 0, nil
+	m.process(func() {
+		for range missed {
+			m.tick()
+		}
+	})
+	for _, work := range backlog {
+		m.process(work)
+	}
+}
+
+// recover ends everything that is wrong with the machine and can end.
+func (m *machine) recover() {
+	m.disk.FailSync(0)
+	m.syncFault = false
+	m.disk.SetCapacity(0)
+	m.resume()
+	m.start()
+}
--- /dev/null
+++ b/internal/lab/chaos/operator.go
@@ -0,0 +1,128 @@
+package chaos
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/registry"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Times of an operator.
+const (
+	answerTimeout = 1500 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+)
+
+// operator changes the configuration, one change after the other, and reads in
+// between. It sends a change again, to any member, until it has an answer.
+type operator struct {
+	world    *World
+	number   int
+	revision port.Revision
+	changes  int
+	offset   time.Duration // of its clock
+}
+
+func newOperator(world *World, number int) *operator {
+	operator := &operator{world: world, number: number, offset: world.between(-20*time.Second, 20*time.Second)}
+	world.after(world.between(time.Second, 3*time.Second), operator.next)
+	return operator
+}
+
+// next begins the operator's next action.
+func (o *operator) next() {
+	if o.world.random.IntN(3) == 0 {
+		o.read()
+		return
+	}
+	o.change()
+}
+
+func (o *operator) rest() {
+	o.world.after(o.world.between(100*time.Millisecond, 2*time.Second), o.next)
+}
+
+func (o *operator) read() {
+	operation := &operation{kind: operationRead, client: o.number, call: o.world.now}
+	o.world.history.add(operation)
+	o.send(nil, operation, consensus.None)
+}
+
+// change proposes a change that names itself, so that its traces can be told
+// from those of any other.
+func (o *operator) change() {
+	o.changes++
+	name := fmt.Sprintf("operator-%d-change-%d", o.number, o.changes)
+	edits := []port.Edit{{MachineList: address(name)}}
+	if o.revision == 0 {
+		pool := simulatedPool()
+		edits = append(edits, port.Edit{PutPool: &pool})
+	}
+	command := &port.Command{
+		ChangeID:            o.changeID(),
+		ChangeConfiguration: &port.ChangeConfiguration{Expected: o.revision, Edits: edits, Author: name},
+	}
+	operation := &operation{kind: operationChange, client: o.number, name: name, expected: o.revision, call: o.world.now}
+	o.world.history.add(operation)
+	o.send(command, operation, consensus.None)
+}
+
+func (o *operator) changeID() string {
+	random := fmt.Appendf(nil, "%08x", o.world.random.Uint32())
+	return registry.FormatChangeID(o.world.wall(o.offset), random)
+}
+
+func address(name string) *string {
+	text := "http://10.0.0.1/" + name
+	return &text
+}
+
+// send sends a command, or a read, and sends it again until it is answered.
+func (o *operator) send(command *port.Command, operation *operation, hint consensus.MemberID) {
+	target := o.world.machine(hint)
+	if target == nil || target.gone {
+		target = o.world.anyMachine()
+	}
+	o.world.submit(target, command, func(reply answer) { o.receive(command, operation, reply) })
+	attempt := operation.attempts
+	pause := answerTimeout
+	if o.world.random.IntN(20) == 0 {
+		pause = o.world.between(10*time.Second, 40*time.Second) // resend long after
+	}
+	o.world.after(pause, func() {
+		if !operation.done && operation.attempts == attempt {
+			o.again(command, operation, consensus.None)
+		}
+	})
+}
+
+func (o *operator) again(command *port.Command, operation *operation, hint consensus.MemberID) {
+	operation.attempts++
+	if command != nil && o.world.options.Weakness == WeaknessNoDeduplication {
+		copied := *command
+		copied.ChangeID = o.changeID()
+		command = &copied
+	}
+	o.send(command, operation, hint)
+}
+
+func (o *operator) receive(command *port.Command, operation *operation, reply answer) {
+	if operation.done {
+		return
+	}
+	if reply.err != nil {
+		attempt := operation.attempts
+		o.world.after(retryPause, func() {
+			if !operation.done && operation.attempts == attempt {
+				o.again(command, operation, reply.leader)
+			}
+		})
+		return
+	}
+	operation.finish(o.world.now, reply.result)
+	o.revision = max(o.revision, reply.result.Revision)
+	o.world.tracef("operator %d: %s", o.number, operation)
+	o.rest()
+}
--- /dev/null
+++ b/internal/lab/chaos/run.go
@@ -0,0 +1,53 @@
+package chaos
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Report is what one run found.
+type Report struct {
+	Scenario   string      `json:"scenario"`
+	Seed       uint64      `json:"seed"`
+	Steps      uint64      `json:"steps"`
+	Faults     int         `json:"faults"`
+	Accepted   int         `json:"accepted"`
+	Entries    int         `json:"entries"`
+	Batches    int         `json:"batches"`
+	Repairs    int         `json:"repairs"`
+	Violations []Violation `json:"violations,omitempty"`
+}
+
+// Run runs one scenario with one seed. Equal options give equal reports.
+func Run(options Options) Report {
+	world := newWorld(options)
+	world.audit.now = func() time.Duration { return world.now }
+	world.run()
+	return Report{
+		Scenario: options.Scenario.Name, Seed: options.Seed, Steps: world.steps,
+		Faults: world.faults.count, Accepted: len(world.audit.accepted), Entries: len(world.audit.entries),
+		Batches: len(world.audit.books.batches), Repairs: world.admin.repaired, Violations: world.audit.violations,
+	}
+}
+
+// RunMany runs a scenario with seeds first to first+count-1, some in parallel,
+// and gives the reports by seed.
+func RunMany(ctx context.Context, options Options, first uint64, count, parallel int) ([]Report, error) {
+	reports := make([]Report, count)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for number := range count {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			one := options
+			one.Seed, one.Trace = first+uint64(number), nil
+			reports[number] = Run(one)
+			return nil
+		})
+	}
+	return reports, group.Wait()
+}
--- /dev/null
+++ b/internal/lab/chaos/scenario.go
@@ -0,0 +1,84 @@
+package chaos
+
+import "time"
+
+// Scenario is a named mix of faults.
+type Scenario struct {
+	Name  string
+	Title string
+	// Faulty is how long faults are injected, in virtual time.
+	Faulty time.Duration
+	// Every is the mean time between two injections, Together how many faults
+	// one injection brings.
+	Every    time.Duration
+	Together int
+	// Network holds for the whole faulty time.
+	Network Network
+	Faults  []Fault
+	// Members is the number of voters; 0 lets the seed choose 3 or 5.
+	Members int
+}
+
+// Network says how the links between processes behave.
+type Network struct {
+	// Loss and Duplicate are probabilities of each message.
+	Loss, Duplicate float64
+	// Delay is the largest extra delay; messages overtake each other within it.
+	Delay time.Duration
+}
+
+// Scenarios gives the table of all scenarios.
+func Scenarios() []Scenario {
+	lossy := Network{Loss: 0.1, Duplicate: 0.1, Delay: 80 * time.Millisecond}
+	every := []Fault{
+		FaultCut, FaultIsolate, FaultIsolateLeader, FaultSplit, FaultPowerLoss, FaultKill, FaultCrashPoints,
+		FaultPause, FaultClock, FaultSync, FaultDiskFull, FaultLose, FaultStorm,
+	}
+	return []Scenario{
+		{Name: "calm", Title: "no faults", Faulty: time.Minute, Every: time.Hour},
+		{Name: "lossy", Title: "loss, delay, duplication and reordering of messages", Faulty: 90 * time.Second, Every: 10 * time.Second, Together: 1, Network: lossy, Faults: []Fault{FaultStorm}},
+		{Name: "cuts", Title: "one-way cuts and splits", Faulty: 90 * time.Second, Every: 4 * time.Second, Together: 1, Faults: []Fault{FaultCut, FaultCut, FaultSplit}},
+		{Name: "isolation", Title: "silent isolation for minutes, of the leader too", Faulty: 5 * time.Minute, Every: 60 * time.Second, Together: 1, Faults: []Fault{FaultIsolateLeader, FaultIsolate, FaultPause}},
+		{Name: "crashes", Title: "power loss and kills between any two steps, lost and torn writes", Faulty: 90 * time.Second, Every: 3 * time.Second, Together: 1, Faults: []Fault{FaultPowerLoss, FaultKill, FaultCrashPoints}},
+		{Name: "disks", Title: "failed syncs and full disks", Faulty: 2 * time.Minute, Every: 6 * time.Second, Together: 1, Faults: []Fault{FaultSync, FaultDiskFull, FaultPowerLoss}},
+		{Name: "clocks", Title: "clock jumps and pauses", Faulty: 90 * time.Second, Every: 5 * time.Second, Together: 1, Faults: []Fault{FaultClock, FaultClock, FaultPause, FaultKill}},
+		{Name: "replace", Title: "a machine lost and replaced, a second one lost right after", Faulty: 3 * time.Minute, Every: 40 * time.Second, Together: 1, Members: 3, Faults: []Fault{FaultLose, FaultLoseAfterRepair}},
+		{Name: "all", Title: "all faults, one at a time", Faulty: 3 * time.Minute, Every: 4 * time.Second, Together: 1, Network: Network{Loss: 0.02, Duplicate: 0.02, Delay: 20 * time.Millisecond}, Faults: every},
+		{Name: "together", Title: "all faults, two at once and twice", Faulty: 3 * time.Minute, Every: 6 * time.Second, Together: 2, Network: lossy, Faults: append(every, FaultLoseAfterRepair)},
+	}
+}
+
+// ScenarioNamed finds a scenario.
+func ScenarioNamed(name string) (Scenario, bool) {
+	for _, scenario := range Scenarios() {
+		if scenario.Name == name {
+			return scenario, true
+		}
+	}
+	return Scenario{}, false
+}
+
+// Weakness names a safeguard that is taken away. Only tests use others than
+// WeaknessNone.
+type Weakness string
+
+// The weaknesses.
+const (
+	WeaknessNone Weakness = ""
+	// WeaknessSkipSync lets syncs report success without doing anything.
+	WeaknessSkipSync Weakness = "skip-sync"
+	// WeaknessNoPreVote lets a member that comes back raise the term.
+	WeaknessNoPreVote Weakness = "no-pre-vote"
+	// WeaknessNoCheckQuorum lets a leader go on without a quorum.
+	WeaknessNoCheckQuorum Weakness = "no-check-quorum"
+	// WeaknessNoDeduplication gives each resend a change id of its own.
+	WeaknessNoDeduplication Weakness = "no-deduplication"
+	// WeaknessIgnoreFence lets the back end take orders under any fence.
+	WeaknessIgnoreFence Weakness = "ignore-fence"
+	// WeaknessObserversGoBack lets observers take any view they are sent.
+	WeaknessObserversGoBack Weakness = "observers-go-back"
+	// WeaknessLocalReads answers reads from any member without the leader.
+	WeaknessLocalReads Weakness = "local-reads"
+	// WeaknessSameID lets a machine that lost its disk rejoin under its old id.
+	WeaknessSameID Weakness = "same-id"
+)
--- /dev/null
+++ b/internal/lab/chaos/world.go
@@ -0,0 +1,250 @@
+package chaos
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Times of the simulated members.
+const (
+	tickInterval    = 50 * time.Millisecond
+	electionTicks   = 10
+	heartbeatTicks  = 2
+	snapshotEntries = 60
+	syncTime        = time.Millisecond
+	clusterName     = "chaos"
+	// settleTime is how long the members have, after the last fault, to get
+	// every observer up to date.
+	settleTime = 40 * time.Second
+	// epoch is the time of day at virtual time 0, in seconds since 1970.
+	epoch = 1_700_000_000
+)
+
+// Options says what to run.
+type Options struct {
+	Scenario Scenario
+	Seed     uint64
+	// Trace, if set, gets a line for each fault, election and answer.
+	Trace    io.Writer
+	Weakness Weakness
+	// Observers is the number of observers; 0 means 5.
+	Observers int
+}
+
+// World is one simulation.
+type World struct {
+	queue
+	options  Options
+	random   *rand.Rand
+	network  network
+	machines []*machine // by id
+	audit    *Auditor
+	history  history
+
+	observers []*observer
+	operators []*operator
+	holders   []*holder
+	trainer   *trainer
+	engine    engine
+	faults    injector
+	admin     admin
+
+	crashChance float64
+	lastID      consensus.MemberID
+	lastToken   uint64
+	steps       uint64
+	// settling is set after the last fault.
+	settling bool
+}
+
+// newWorld builds the processes; nothing has run yet.
+func newWorld(options Options) *World {
+	world := &World{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 0x6c6f6f6d)),
+		audit:   newAuditor(),
+	}
+	world.network = network{world: world, base: options.Scenario.Network, cuts: map[link]int{}}
+	world.audit.report = world.violation
+	members := options.Scenario.Members
+	if members == 0 {
+		members = 3 + 2*world.random.IntN(2)
+	}
+	var initial consensus.Membership
+	for id := range consensus.MemberID(members) {
+		initial.Voters = append(initial.Voters, id+1)
+	}
+	for range members {
+		world.addMachine(initial).start()
+	}
+	world.admin = admin{world: world}
+	world.admin.schedule()
+	world.addClients()
+	world.faults = injector{world: world}
+	world.faults.schedule()
+	return world
+}
+
+func (w *World) addClients() {
+	count := w.options.Observers
+	if count == 0 {
+		count = 5
+	}
+	for number := range count {
+		w.observers = append(w.observers, newObserver(w, number))
+	}
+	for number := range 3 {
+		w.operators = append(w.operators, newOperator(w, number))
+	}
+	w.engine = engine{world: w}
+	w.trainer = newTrainer(w)
+	for number := range 2 {
+		w.holders = append(w.holders, newHolder(w, number))
+	}
+}
+
+// addMachine adds a machine with an empty disk under a new member id.
+func (w *World) addMachine(initial consensus.Membership) *machine {
+	w.lastID++
+	machine := newMachine(w, w.lastID, initial)
+	w.machines = append(w.machines, machine)
+	return machine
+}
+
+// machine finds a machine by member id, or gives nil.
+func (w *World) machine(id consensus.MemberID) *machine {
+	if id == consensus.None || int(id) > len(w.machines) {
+		return nil
+	}
+	return w.machines[id-1]
+}
+
+// leader gives the running leader of the highest term, or nil.
+func (w *World) leader() *machine {
+	var found *machine
+	for _, machine := range w.machines {
+		if !machine.running() || !machine.member.IsLeader() {
+			continue
+		}
+		if found == nil || machine.member.Status().Term > found.member.Status().Term {
+			found = machine
+		}
+	}
+	return found
+}
+
+// anyMachine picks a machine that is not lost for ever.
+func (w *World) anyMachine() *machine {
+	var usable []*machine
+	for _, machine := range w.machines {
+		if !machine.gone {
+			usable = append(usable, machine)
+		}
+	}
+	return usable[w.random.IntN(len(usable))]
+}
+
+// between draws a time.
+func (w *World) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)))
+}
+
+// run goes through the scenario: faults, then rest, then the last checks.
+func (w *World) run() {
+	w.runUntil(w.options.Scenario.Faulty)
+	w.settle()
+	w.runUntil(w.now + settleTime)
+	w.checkProgress()
+	w.history.check(w)
+}
+
+func (w *World) runUntil(until time.Duration) {
+	for w.step(until) {
+		w.steps++
+		if len(w.audit.violations) >= maxViolations {
+			return
+		}
+	}
+}
+
+// settle ends all faults.
+func (w *World) settle() {
+	w.tracef("faults end")
+	w.settling = true
+	w.crashChance = 0
+	w.network.cuts = map[link]int{}
+	w.network.base, w.network.storm = Network{}, Network{}
+	for _, machine := range w.machines {
+		machine.recover()
+	}
+}
+
+// checkProgress demands that, after the faults, every observer shows the newest
+// revision and that there is one that was accepted since.
+func (w *World) checkProgress() {
+	if w.leader() == nil {
+		w.violation("no progress", "no leader %v after the last fault", settleTime)
+		return
+	}
+	if w.audit.lastAccepted < w.options.Scenario.Faulty {
+		w.violation("no progress", "no change accepted since the last fault")
+	}
+	newest := w.audit.revision
+	for _, observer := range w.observers {
+		// The newest change may still be on its way.
+		if shown := observer.view().Revision; shown+2 < newest {
+			w.violation("no progress", "observer %d shows revision %d of %d", observer.number, shown, newest)
+		}
+	}
+}
+
+// wall gives the time of day on a clock that is off by some time.
+func (w *World) wall(offset time.Duration) time.Time {
+	return time.Unix(epoch, 0).Add(w.now + offset)
+}
+
+func (w *World) token() uint64 {
+	w.lastToken++
+	return w.lastToken
+}
+
+func (w *World) tracef(format string, arguments ...any) {
+	if w.options.Trace == nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w.options.Trace, "%12v  %s\n", w.now, fmt.Sprintf(format, arguments...))
+}
+
+// violation notes a broken invariant.
+func (w *World) violation(check, format string, arguments ...any) {
+	found := Violation{Check: check, Time: w.now, Detail: fmt.Sprintf(format, arguments...)}
+	w.tracef("VIOLATION %s: %s", check, found.Detail)
+	w.audit.violations = append(w.audit.violations, found)
+}
+
+// submit sends a command to a machine and hands over the answer, if both
+// arrive. A read is a command without a body.
+func (w *World) submit(to *machine, command *port.Command, receive func(answer)) {
+	id := to.id
+	w.network.carry(outside, id, w.now, func() {
+		to.process(func() {
+			token := w.token()
+			to.callers[token] = func(reply answer) {
+				w.network.carry(id, outside, to.busyUntil, func() { receive(reply) })
+			}
+			to.call(token, command)
+		})
+	})
+}
+
+// answer is what a caller gets for a command.
+type answer struct {
+	result port.Result
+	err    *port.Error
+	leader consensus.MemberID
+}
