--- /dev/null
+++ b/cmd/loomgrade/cmd_status.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+)
+
+// statusCommand shows the state of the control group.
+type statusCommand struct {
+	operatorFlags `embed:""`
+}
+
+// Run shows the group as one member sees it.
+func (c *statusCommand) Run(std streams) error {
+	return query(&c.operatorFlags, std, (*operatorapi.Client).Status, func(lines *table, status operatorapi.Status) {
+		lines.row("asked member", status.Member, status.Role)
+		lines.row("leader", status.Leader, "term", status.Term)
+		lines.row("in touch with a quorum", status.QuorumActive)
+		lines.row("log", "committed", status.Commit, "applied", status.Applied, "snapshot", status.SnapshotIndex)
+		lines.row("configuration revision", status.Revision)
+		lines.row("nodes", status.Nodes, "watching this member", status.Watches)
+		showMembers(lines, operatorapi.Members{Members: status.Members})
+	})
+}
--- /dev/null
+++ b/cmd/loomgrade/exit.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/settings"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Exit codes, documented in docs/operators/command-line.md.
+const (
+	exitOK          = 0
+	exitFailure     = 1 // anything without a code of its own
+	exitUsage       = 2 // the command line, a settings file or a field is not allowed
+	exitConflict    = 3 // another change came first
+	exitUnavailable = 4 // no process answered, or none in touch with a quorum
+	exitNotFound    = 5 // the named thing does not exist
+	exitDenied      = 6 // no or wrong token
+	exitAudit       = 7 // the audit of a run found violations
+)
+
+// errAudit says that a run ended with violations of what must always hold.
+var errAudit = errors.New("the audit found violations")
+
+// usageError marks errors of the command line itself.
+type usageError struct{ error }
+
+// streams are the standard streams of one invocation.
+type streams struct{ stdout, stderr *os.File }
+
+// report prints an error in one line and gives its exit code.
+func report(stderr *os.File, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "loomgrade: %s\n", strings.TrimSpace(err.Error()))
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var setting *settings.Error
+	var known *port.Error
+	switch {
+	case errors.As(err, &usage), errors.As(err, &setting):
+		return exitUsage
+	case errors.Is(err, errAudit):
+		return exitAudit
+	case errors.As(err, &known):
+		return codeOf(known.Code)
+	default:
+		return exitFailure
+	}
+}
+
+func codeOf(code port.Code) int {
+	switch code {
+	case port.CodeInvalid, port.CodeTooLarge:
+		return exitUsage
+	case port.CodeConflict, port.CodeChangeIDReused, port.CodeFenced, port.CodeLeaseHeld:
+		return exitConflict
+	case port.CodeUnavailable, port.CodeDraining, port.CodeDeadline:
+		return exitUnavailable
+	case port.CodeNotFound:
+		return exitNotFound
+	case port.CodeUnauthorized:
+		return exitDenied
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/cmd/loomgrade/main.go
@@ -0,0 +1,50 @@
+// Command loomgrade runs the processes of a rollout service for reinforcement
+// learning and gives operators their commands.
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kong"
+)
+
+// commandLine is the root of the command line: one field a command, one file
+// a command.
+type commandLine struct {
+	Control  controlCommand  `cmd:"" help:"Run a control member from its settings file."`
+	Node     nodeCommand     `cmd:"" help:"Run a node from its settings file."`
+	Dev      devCommand      `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
+	Config   configCommand   `cmd:"" help:"Show and change the configuration."`
+	Pool     poolCommand     `cmd:"" help:"Show pools."`
+	Weights  weightsCommand  `cmd:"" help:"Publish weight versions and see where they are served."`
+	Replica  replicaCommand  `cmd:"" help:"List, drain and return replicas."`
+	Member   memberCommand   `cmd:"" help:"List, add, promote and remove control members."`
+	Status   statusCommand   `cmd:"" help:"Show the state of the control group."`
+	Settings settingsCommand `cmd:"" help:"Check settings files."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run parses and runs one command line and gives the exit code.
+func run(arguments []string, stdout, stderr *os.File) int {
+	var line commandLine
+	parser, err := kong.New(&line,
+		kong.Name(filepath.Base("loomgrade")),
+		kong.Description("Rollout service for reinforcement learning."),
+		kong.UsageOnError(),
+		kong.Writers(stdout, stderr),
+		kong.Bind(streams{stdout: stdout, stderr: stderr}),
+	)
+	if err != nil {
+		return report(stderr, err)
+	}
+	context, err := parser.Parse(arguments)
+	if err != nil {
+		return report(stderr, usageError{err})
+	}
+	return report(stderr, context.Run())
+}
