coordinator: check exactly-once delivery under random faults

A rapid state machine joins the coordinator with the real ledger, engines that crash and answer late, a failing scorer, lost commit answers, replaced and waking coordinators, and a trainer that asks twice, too late and again. It found two faults, both mended here: a sample removed twice made a group's counts negative, and a group with samples of unlike age could be generated again for ever. Such a group now starts again as a whole and goes ahead of the plan's order.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -15,12 +15,18 @@
 // whole yet.
 const notReadyRetryAfter = time.Second
 
+// redeliveryGrace is how long after a delivery no question voids the batch for
+// being stale: a question sent at the same time as the answered one may come
+// late, and the trainer may be using the batch already.
+const redeliveryGrace = 5 * time.Second
+
 // waiter is a question for a batch without an answer so far.
 type waiter struct {
 	token    uint64
 	number   port.BatchNumber
 	epoch    port.Epoch
 	deadline time.Time
+	arrived  time.Time
 	// checked is set once the ledger was read after the question came.
 	checked bool
 }
@@ -33,11 +39,14 @@
 	oldest  port.WeightVersion
 	samples []DeliveredSample
 	prompts []port.Prompt
+	// delivered is when it was last delivered; zero if it never was.
+	delivered time.Time
 }
 
 func (c *Coordinator) batchRequested(event BatchRequested) {
 	c.waiters = append(c.waiters, waiter{
 		token: event.Token, number: event.Number, epoch: event.ConsumerEpoch, deadline: event.Deadline,
+		arrived: c.now,
 	})
 	if event.ConsumerEpoch == c.ledger.Consumer.Epoch && event.Number <= c.ledger.Committed+1 {
 		c.asked = max(c.asked, event.Number)
@@ -88,6 +97,10 @@
 		c.deliver(w)
 		return true
 	}
+	if c.heldStale(w) {
+		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered a moment ago and is stale by now", w.number)
+		return true
+	}
 	if c.draining && c.pending == nil {
 		c.refuse(w.token, port.NotRun, port.CodeDraining, "coordinator is stopping")
 		return true
@@ -116,9 +129,20 @@
 	return c.age(held.oldest) <= c.config.Sampling.StalenessBound
 }
 
+// heldStale says whether a question came so soon after the batch was delivered
+// that it must not void it.
+func (c *Coordinator) heldStale(w waiter) bool {
+	held := c.held
+	if held == nil || held.number != w.number || held.delivered.IsZero() || c.pending != nil {
+		return false
+	}
+	return !c.heldFor(w.number) && w.arrived.Before(held.delivered.Add(redeliveryGrace))
+}
+
 // deliver answers a question with the held batch.
 func (c *Coordinator) deliver(w waiter) {
 	held := c.held
+	held.delivered = c.now
 	c.counters.Delivered++
 	c.emit(Deliver{
 		Token: w.token, Number: held.number, Attempt: held.attempt,
@@ -204,6 +228,9 @@
 	}
 	freshest := c.planning.plan.Selection == policy.SelectFreshest
 	slices.SortStableFunc(candidates, func(a, b *group) int {
+		if a.starved() != b.starved() {
+			return cmp.Compare(b.drops, a.drops)
+		}
 		if order := cmp.Compare(a.oldest(), b.oldest()); order != 0 && freshest {
 			return -order
 		} else if order != 0 {
@@ -241,6 +268,13 @@
 	}
 }
 
+// starvedDrops is how many samples a group may lose to staleness before it goes
+// ahead of the plan's order; otherwise one that is always passed over would be
+// generated again for ever.
+const starvedDrops = 4
+
+func (g *group) starved() bool { return g.drops >= starvedDrops }
+
 // oldest gives the oldest version of a whole group's samples.
 func (g *group) oldest() port.WeightVersion {
 	oldest := port.OldestVersion(g.samples[0].spans)
--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -15,6 +15,8 @@
 	// finished counts samples with their whole text, scored those with a reward.
 	finished int
 	scored   int
+	// drops counts whole samples that went stale before the group was delivered.
+	drops int
 	// pinned groups belong to the pending commit and do not change.
 	pinned bool
 	gone   bool
@@ -212,6 +214,10 @@
 	s.now = attemptProgress{}
 }
 
+// live says whether a sample still belongs to its group; handlers that go over a
+// copy of a group's samples may have removed some on the way.
+func (c *Coordinator) live(s *sample) bool { return c.samples[s.id] == s }
+
 // removeSample takes a sample out of its group for good.
 func (c *Coordinator) removeSample(s *sample) {
 	c.cancelAttempt(s)
--- a/internal/core/coordinator/samples.go
+++ b/internal/core/coordinator/samples.go
@@ -183,7 +183,9 @@
 			continue
 		}
 		for _, s := range slices.Clone(g.samples) {
-			c.sweepSample(s)
+			if c.live(s) {
+				c.sweepSample(s)
+			}
 		}
 	}
 	if c.prompts.fetching != nil && c.now.Sub(c.prompts.fetching.sent) > c.timeouts.Fetch {
--- a/internal/core/coordinator/staleness.go
+++ b/internal/core/coordinator/staleness.go
@@ -107,6 +107,7 @@
 
 func (c *Coordinator) reviewAge(s *sample) {
 	switch {
+	case !c.live(s):
 	case s.whole() && c.tooOld(s):
 		c.dropStale(s, "older than the staleness bound while it waited")
 	case s.state == stateRunning:
@@ -118,6 +119,25 @@
 
 // dropStale gives a sample up; a new one of the same prompt takes its place.
 func (c *Coordinator) dropStale(s *sample, reason string) {
+	g, whole := s.group, s.whole()
+	c.dropOne(s, reason)
+	if !whole {
+		return
+	}
+	g.drops++
+	if !g.starved() {
+		return
+	}
+	// Samples of unlike age go stale one after the other, and the group may never
+	// be whole at the right moment: it starts again with samples of one age.
+	for _, other := range slices.Clone(g.samples) {
+		if other.whole() && c.age(port.OldestVersion(other.spans)) > 0 {
+			c.dropOne(other, "its group lost samples to staleness again and again and starts anew")
+		}
+	}
+}
+
+func (c *Coordinator) dropOne(s *sample, reason string) {
 	c.counters.DroppedStale++
 	c.record(port.Decision{
 		Kind: port.DecisionStale, Subject: s.id.String(), Replica: s.replica, Attempt: int(s.attempt),
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"slices"
-	"testing"
+
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/ledger"
 	"github.com/loomgrade/loomgrade/internal/core/policy"
@@ -16,6 +18,9 @@
 
 var start = time.UnixMilli(1_800_000_000_000)
 
+// leaseTTL is how long a coordinator may deliver after its last renewal.
+const leaseTTL = 10 * time.Second
+
 func smallSampling() port.Sampling {
 	return port.Sampling{
 		StalenessBound: 2, BatchSamples: 6, GroupSize: 2, MaxTokens: 100, BufferBatches: 3, Priority: 5,
@@ -28,6 +33,7 @@
 	start coordinator.StartSample
 	text  string
 	spans []port.Span
+	ended bool
 }
 
 // question is a trainer's open question.
@@ -53,7 +59,7 @@
 // world joins coordinators with the real ledger and simple engines, scorer,
 // prompt source and trainer, and checks what the trainer sees.
 type world struct {
-	t        testing.TB
+	t        rapid.TB
 	now      time.Time
 	sampling port.Sampling
 	program  *policy.Program
@@ -65,6 +71,10 @@
 	answers   map[string]port.Result
 	commits   map[string]commitRecord
 
+	// steps counts events; before crashAt, if not 0, the coordinator is replaced.
+	steps   int
+	crashAt int
+
 	current   *coordinator.Coordinator
 	records   []port.Decision
 	fetches   []coordinator.FetchPrompts
@@ -79,14 +89,16 @@
 	refusals  map[uint64]*port.Error
 	arrived   map[uint64]coordinator.Deliver
 
-	trainer  port.Epoch
-	next     port.BatchNumber
-	used     map[port.BatchNumber]coordinator.Deliver
-	texts    map[port.SampleID]string
-	versions map[port.SampleID][]port.Span
+	trainer port.Epoch
+	next    port.BatchNumber
+	asked   port.BatchNumber
+	used    map[port.BatchNumber]coordinator.Deliver
+	// truths holds, for each sample, every text that engines made of it with the
+	// versions that truly made it.
+	truths map[port.SampleID]map[string][]port.Span
 }
 
-func newWorld(t testing.TB, sampling port.Sampling, source string) *world {
+func newWorld(t rapid.TB, sampling port.Sampling, source string) *world {
 	program, err := policy.Compile(source)
 	if err != nil {
 		t.Fatal(err)
@@ -96,7 +108,7 @@
 		answers: map[string]port.Result{}, commits: map[string]commitRecord{},
 		refusals: map[uint64]*port.Error{}, arrived: map[uint64]coordinator.Deliver{},
 		used: map[port.BatchNumber]coordinator.Deliver{}, next: 1,
-		texts: map[port.SampleID]string{}, versions: map[port.SampleID][]port.Span{},
+		truths: map[port.SampleID]map[string][]port.Span{},
 	}
 	w.registerConsumer()
 	w.takeOver()
@@ -110,18 +122,23 @@
 	if refusal != nil {
 		w.t.Fatal(refusal)
 	}
-	w.trainer, w.next = consumer.Epoch, consumer.Next
+	w.trainer, w.next, w.asked = consumer.Epoch, consumer.Next, 0
 	w.questions = nil
 }
 
-// takeOver starts a new coordinator under a new lease epoch. The former one is
-// not told.
+// takeOver starts a new coordinator under a new lease epoch, once the former
+// one's lease is over. The former one is not told.
 func (w *world) takeOver() {
+	if w.current != nil {
+		w.now = w.now.Add(leaseTTL)
+		w.fetches, w.reads = nil, 0
+		w.questions = nil
+	}
 	w.epochs++
 	w.lease = w.epochs
 	created, err := coordinator.New(coordinator.Config{
 		Pool: poolName, Sampling: w.sampling, Epoch: w.lease, Node: "node-1",
-		LeaseUntil: w.now.Add(time.Hour), Ledger: w.log.State(poolName),
+		LeaseUntil: w.now.Add(leaseTTL), Ledger: w.log.State(poolName),
 		Weights: port.PublishedWeights{Pool: poolName, Version: w.published},
 		Program: w.program, Seed: 7,
 	})
@@ -138,6 +155,11 @@
 
 // step feeds an event and queues what comes of it.
 func (w *world) step(to *coordinator.Coordinator, event coordinator.Event) {
+	w.steps++
+	if w.steps == w.crashAt {
+		w.takeOver()
+		return
+	}
 	for _, action := range to.Step(w.now, event) {
 		w.perform(to, action)
 	}
@@ -182,6 +204,7 @@
 // tick lets time pass.
 func (w *world) tick(by time.Duration) {
 	w.now = w.now.Add(by)
+	w.step(w.current, coordinator.LeaseRenewed{Until: w.now.Add(leaseTTL)})
 	w.step(w.current, coordinator.Tick{})
 }
 
@@ -227,8 +250,10 @@
 // finish ends an attempt with its whole text, progress reports one, fail ends it
 // with an error.
 func (w *world) finish(run *attemptRun) {
+	if !run.ended {
+		w.generate(run, 3)
+	}
 	w.remove(run)
-	w.generate(run, 3)
 	w.noteTruth(run)
 	w.step(run.owner, coordinator.SampleFinished{
 		ID: run.start.ID, Attempt: run.start.Attempt, Replica: "replica-1",
@@ -246,6 +271,7 @@
 
 func (w *world) fail(run *attemptRun, partial bool) {
 	w.remove(run)
+	w.noteTruth(run)
 	event := coordinator.SampleFailed{
 		ID: run.start.ID, Attempt: run.start.Attempt, Replica: "replica-1",
 		Err: port.NewError(port.MayHaveRun, port.CodeBackEnd, "engine crashed"),
@@ -256,17 +282,22 @@
 	w.step(run.owner, event)
 }
 
-// noteTruth remembers which text and versions a sample truly has.
+// noteTruth remembers which text and versions an attempt truly has.
 func (w *world) noteTruth(run *attemptRun) {
-	resumed := w.versions[run.start.ID]
-	if run.start.ResumeTokens == 0 {
-		resumed = nil
+	texts := w.truths[run.start.ID]
+	if texts == nil {
+		texts = map[string][]port.Span{}
+		w.truths[run.start.ID] = texts
+	}
+	resumed := texts[run.start.Resume]
+	if spanTokens(resumed) != run.start.ResumeTokens {
+		w.t.Fatalf("sample %v resumes from %q, which no engine made", run.start.ID, run.start.Resume)
 	}
-	w.texts[run.start.ID] = run.start.Resume + run.text
-	w.versions[run.start.ID] = append(slices.Clone(resumed), run.spans...)
+	texts[run.start.Resume+run.text] = append(slices.Clone(resumed), run.spans...)
 }
 
 func (w *world) remove(run *attemptRun) {
+	run.ended = true
 	w.attempts = slices.DeleteFunc(w.attempts, func(other *attemptRun) bool { return other == run })
 }
 
@@ -301,7 +332,9 @@
 	return result
 }
 
-func batchKey(number port.BatchNumber, attempt uint32) string { return fmt.Sprintf("%d/%d", number, attempt) }
+func batchKey(number port.BatchNumber, attempt uint32) string {
+	return fmt.Sprintf("%d/%d", number, attempt)
+}
 
 // commitOutcome says what becomes of a proposal.
 type commitOutcome int
@@ -355,6 +388,7 @@
 	w.tokens++
 	w.questions = append(w.questions, question{token: w.tokens, number: number, epoch: epoch, asked: w.current})
 	token := w.tokens
+	w.asked = max(w.asked, number)
 	w.step(w.current, coordinator.BatchRequested{
 		Token: token, Number: number, ConsumerEpoch: epoch, Deadline: w.now.Add(wait),
 	})
@@ -382,6 +416,9 @@
 		w.t.Fatalf("asked for batch %d, got %d", open.number, delivery.Number)
 	}
 	w.arrived[delivery.Token] = delivery
+	if delivery.Number == w.next && open.epoch == w.trainer {
+		w.closeOthers(open)
+	}
 	committed, found := w.commits[batchKey(delivery.Number, delivery.Attempt)]
 	if !found {
 		w.t.Fatalf("batch %d attempt %d left before it was committed", delivery.Number, delivery.Attempt)
@@ -392,6 +429,16 @@
 	}
 }
 
+// closeOthers is what a trainer does once it has its answer: its other questions
+// for the batch end.
+func (w *world) closeOthers(open question) {
+	for _, other := range slices.Clone(w.questions) {
+		if other.number == open.number && other.epoch == open.epoch && other.asked != open.asked {
+			w.closeQuestion(other.token)
+		}
+	}
+}
+
 func (w *world) checkBatch(delivery coordinator.Deliver, committed commitRecord) {
 	if len(delivery.Samples) != w.sampling.BatchSamples || len(committed.samples) != len(delivery.Samples) {
 		w.t.Fatalf("batch %d has %d samples, %d committed", delivery.Number, len(delivery.Samples), len(committed.samples))
@@ -402,10 +449,10 @@
 		if committed.samples[position].ID != sample.ID {
 			w.t.Fatalf("batch %d delivers %v, committed is %v", delivery.Number, sample.ID, committed.samples[position].ID)
 		}
-		if sample.Text != w.texts[sample.ID] {
-			w.t.Fatalf("sample %v has text %q, the engines made %q", sample.ID, sample.Text, w.texts[sample.ID])
+		truth, made := w.truths[sample.ID][sample.Text]
+		if !made {
+			w.t.Fatalf("sample %v has text %q, which no engine made", sample.ID, sample.Text)
 		}
-		truth := w.versions[sample.ID]
 		if port.OldestVersion(sample.Spans) != port.OldestVersion(truth) || spanTokens(sample.Spans) != spanTokens(truth) {
 			w.t.Fatalf("sample %v names spans %v, true are %v", sample.ID, sample.Spans, truth)
 		}
@@ -477,7 +524,6 @@
 	for _, move := range moves {
 		for _, run := range slices.Clone(w.attempts) {
 			if run.start.ID == move.ID && run.start.Attempt == move.Attempt {
-				w.noteTruth(run)
 				w.fail(run, true)
 			}
 		}
