control, operatorapi: publish before answering; keep trying until the deadline

Cause: an operator's command failed at once in a group that was electing its leader, and the list of members after a change could be the one before it. Change: the client goes on until its context ends; the loop publishes its state before it answers, and a member change waits until the asked member shows it.

--- a/internal/adapter/operatorapi/client.go
+++ b/internal/adapter/operatorapi/client.go
@@ -23,7 +23,7 @@
 	maxAnswerBytes    = 16 << 20
 	clientDialTimeout = 2 * time.Second
 	clientAttempt     = 15 * time.Second
-	clientRounds      = 4
+	clientTimeout     = 30 * time.Second
 	clientBackoffBase = 100 * time.Millisecond
 	clientBackoffMax  = 2 * time.Second
 )
@@ -159,12 +159,18 @@
 	return content, nil
 }
 
-// tryAll goes through the members, several rounds with backoff, while the
-// failures are of a kind that another member may mend.
+// tryAll goes through the members again and again, with backoff between the
+// rounds, while the failures are of a kind that time or another member may
+// mend and the context lasts.
 func (c *Client) tryAll(ctx context.Context, method, path string, content []byte, answer any) error {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, clientTimeout)
+		defer cancel()
+	}
 	mayHaveRun := false
-	var last *port.Error
-	for round := range clientRounds {
+	for round := 0; ; round++ {
+		var last *port.Error
 		for _, server := range c.servers {
 			err := c.try(ctx, server, method, path, content, answer)
 			if err == nil {
@@ -172,18 +178,29 @@
 			}
 			last = port.AsError(err)
 			mayHaveRun = mayHaveRun || last.Verdict != port.NotRun
-			if !retriable(last.Code) || ctx.Err() != nil {
+			if !retriable(last.Code) {
 				return withVerdict(last, mayHaveRun)
 			}
 		}
-		bound := min(clientBackoffBase<<round, clientBackoffMax)
-		select {
-		case <-time.After(rand.N(bound)):
-		case <-ctx.Done():
+		if !pause(ctx, round) {
 			return withVerdict(last, mayHaveRun)
 		}
 	}
-	return withVerdict(last, mayHaveRun)
+}
+
+// pause waits a full-jitter delay; it reports false when the context ended
+// first.
+func pause(ctx context.Context, round int) bool {
+	const maxShift = 8
+	bound := min(clientBackoffBase<<min(round, maxShift), clientBackoffMax)
+	timer := time.NewTimer(rand.N(bound))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func retriable(code port.Code) bool {
--- a/internal/adapter/operatorapi/operatorapi_test.go
+++ b/internal/adapter/operatorapi/operatorapi_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 
 // stateBackend is a Backend on one state machine, without a group.
 type stateBackend struct {
+	mutex   sync.Mutex
 	state   *controlstate.State
 	index   uint64
 	reports Reports
@@ -36,15 +38,26 @@
 	if b.failure != nil {
 		return port.Result{}, b.failure
 	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.index++
 	command.Time = time.Now().UnixMilli()
 	return b.state.Apply(b.index, 1, command), nil
 }
 
+// revision gives the configuration's revision.
+func (b *stateBackend) revision() port.Revision {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.state.Revision()
+}
+
 func (b *stateBackend) View(context.Context, bool) (*port.View, error) {
 	if b.failure != nil {
 		return nil, b.failure
 	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	return b.state.View(), nil
 }
 
@@ -214,8 +227,8 @@
 	address := "http://127.0.0.1:8000"
 	change := ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: []port.Edit{{MachineList: &address}}}
 	answer := request(server, "PUT", PathConfig, testToken, put(t, change))
-	if answer.Code != http.StatusBadRequest || backend.state.Revision() != 1 {
-		t.Fatalf("status %d, revision %d", answer.Code, backend.state.Revision())
+	if answer.Code != http.StatusBadRequest || backend.revision() != 1 {
+		t.Fatalf("status %d, revision %d", answer.Code, backend.revision())
 	}
 }
 
@@ -270,8 +283,8 @@
 	address := "http://127.0.0.1:8000"
 	change := ConfigChange{ExpectedRevision: revision(1), ChangeID: changeID(2), Edits: []port.Edit{{MachineList: &address}}}
 	accepted, err := client.ChangeConfig(context.Background(), change)
-	if err != nil || accepted.Revision != 2 || backend.state.Revision() != 2 {
-		t.Fatalf("%+v, %v, revision %d", accepted, err, backend.state.Revision())
+	if err != nil || accepted.Revision != 2 || backend.revision() != 2 {
+		t.Fatalf("%+v, %v, revision %d", accepted, err, backend.revision())
 	}
 }
 
@@ -312,7 +325,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, err = client.Config(context.Background())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err = client.Config(ctx)
 			var refusal *port.Error
 			if !errors.As(err, &refusal) || refusal.Verdict != test.verdict || refusal.Code != test.code {
 				t.Fatalf("got %v, want %s with verdict %s", err, test.code, test.verdict)
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// work carries out what the core wants done, then answers and publishes.
+// work carries out what the core wants done, then publishes and answers.
 func (l *loop) work() error {
 	for l.member.HasReady() {
 		if err := l.carryOut(l.member.Ready()); err != nil {
@@ -173,8 +173,9 @@
 			return err
 		}
 	}
-	l.answer()
+	// Published first: who gets an answer sees its effect.
 	l.publish()
+	l.answer()
 	return nil
 }
 
--- a/internal/app/control/operator.go
+++ b/internal/app/control/operator.go
@@ -73,8 +73,15 @@
 	if err := m.started(); err != nil {
 		return err
 	}
-	_, err := m.changeMember(ctx, change, false)
-	return err
+	result, err := m.changeMember(ctx, change, false)
+	if err != nil {
+		return err
+	}
+	// The change is accepted; that this member shows it is a courtesy.
+	if m.waitApplied(ctx, result.Index) == nil {
+		m.learnAddresses(ctx)
+	}
+	return nil
 }
 
 // Status implements operatorapi.Backend.
