rollout: test the faults of staging and switching

A coordinator that finds all replicas on the published version no longer reports a rollout it did not make.

--- /dev/null
+++ b/internal/core/rollout/fleet_test.go
@@ -0,0 +1,182 @@
+package rollout_test
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/rollout"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	fence     = port.Epoch(7)
+	stageTime = 5 * time.Second
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+// fakeEngine is one engine: it stages in stageTime and switches at once.
+type fakeEngine struct {
+	id          port.ReplicaID
+	report      port.LoadReport
+	loading     port.WeightVersion
+	loadedAt    time.Time
+	reachable   bool
+	routed      bool
+	swapFails   bool
+	landsOn     port.WeightVersion
+	answersLost bool
+	refuses     *port.Error
+	orders      []port.Order
+}
+
+// fleet joins a rollout with engines.
+type fleet struct {
+	t         rapid.TB
+	now       time.Time
+	rollout   *rollout.Rollout
+	engines   []*fakeEngine
+	completed []rollout.Completed
+	fencedOff bool
+	records   []port.Decision
+}
+
+func newFleet(t rapid.TB, config rollout.Config, replicas int) *fleet {
+	config.Pool, config.Fence, config.WeightStore = "captions", fence, "http://127.0.0.1:9"
+	config.Weights.Version = 1
+	created, err := rollout.New(config, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, now: start, rollout: created}
+	for index := range replicas {
+		f.engines = append(f.engines, &fakeEngine{
+			id: port.ReplicaID(rune('a' + index)), report: port.LoadReport{Version: 1, Incarnation: 1},
+			reachable: true, routed: true,
+		})
+	}
+	f.list()
+	f.reportAll()
+	return f
+}
+
+func (f *fleet) list() {
+	var listed []rollout.Replica
+	for _, engine := range f.engines {
+		listed = append(listed, rollout.Replica{ID: engine.id, Reachable: engine.reachable})
+	}
+	f.step(rollout.ReplicasChanged{Replicas: listed})
+}
+
+func (f *fleet) step(event rollout.Event) {
+	for _, action := range f.rollout.Step(f.now, event) {
+		switch action := action.(type) {
+		case rollout.SendOrder:
+			f.order(action)
+		case rollout.RouteOut:
+			f.engine(action.Replica).routed = false
+		case rollout.RouteIn:
+			f.engine(action.Replica).routed = true
+		case rollout.Completed:
+			f.completed = append(f.completed, action)
+		case rollout.FencedOff:
+			f.fencedOff = true
+		case rollout.Record:
+			f.records = append(f.records, action.Decision)
+		}
+	}
+}
+
+func (f *fleet) engine(id port.ReplicaID) *fakeEngine {
+	index := slices.IndexFunc(f.engines, func(engine *fakeEngine) bool { return engine.id == id })
+	return f.engines[index]
+}
+
+// order carries an order out and answers it.
+func (f *fleet) order(sent rollout.SendOrder) {
+	engine := f.engine(sent.Replica)
+	engine.orders = append(engine.orders, sent.Order)
+	answer := rollout.OrderAnswered{Replica: sent.Replica, Order: sent.Order}
+	if engine.refuses != nil {
+		answer.Err = engine.refuses
+		f.step(answer)
+		return
+	}
+	engine.execute(f.now, sent.Order)
+	if engine.answersLost {
+		answer.Err = port.NewError(port.MayHaveRun, port.CodeUnavailable, "connection lost")
+	}
+	answer.Report = engine.report
+	f.step(answer)
+}
+
+func (e *fakeEngine) execute(now time.Time, order port.Order) {
+	if order.Kind == port.OrderStage {
+		e.loading, e.loadedAt = order.Version, now.Add(stageTime)
+		return
+	}
+	switch {
+	case e.report.Staged != order.Version:
+	case e.swapFails:
+		e.report.Version, e.swapFails = 0, false
+	case e.landsOn != 0:
+		e.report.Version, e.landsOn = e.landsOn, 0
+	default:
+		e.report.Version = order.Version
+	}
+}
+
+// reportAll sends the load report of every reachable engine.
+func (f *fleet) reportAll() {
+	for _, engine := range f.engines {
+		if engine.loading != 0 && !f.now.Before(engine.loadedAt) {
+			engine.report.Staged, engine.loading = engine.loading, 0
+		}
+		if engine.reachable {
+			f.step(rollout.LoadReported{Replica: engine.id, Report: engine.report})
+		}
+	}
+}
+
+// run lets time pass with reports and ticks every half second.
+func (f *fleet) run(span time.Duration) {
+	for end := f.now.Add(span); f.now.Before(end); {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.reportAll()
+		f.step(rollout.Tick{})
+	}
+}
+
+func (f *fleet) publish(version port.WeightVersion) {
+	f.step(rollout.Published{Weights: port.PublishedWeights{Pool: "captions", Version: version}})
+}
+
+func (f *fleet) loadingNow() int {
+	count := 0
+	for _, engine := range f.engines {
+		if engine.loading != 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) versions() []port.WeightVersion {
+	var versions []port.WeightVersion
+	for _, engine := range f.engines {
+		versions = append(versions, engine.report.Version)
+	}
+	return versions
+}
+
+func (f *fleet) count(engine *fakeEngine, kind port.OrderKind) int {
+	count := 0
+	for _, order := range engine.orders {
+		if order.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -30,7 +30,9 @@
 	switching   bool
 	switchBegan time.Time
 	completed   bool
-	// announced is set once Completed was given for the target.
+	// ordered is set once an order was given for the target, announced once
+	// Completed was.
+	ordered   bool
 	announced bool
 	counter   uint64
 }
@@ -124,7 +126,8 @@
 func (r *Rollout) begin(version port.WeightVersion, heard time.Time) {
 	r.target, r.heard = version, heard
 	r.next = 0
-	r.switching, r.completed, r.announced = false, false, false
+	r.switching, r.completed = false, false
+	r.ordered, r.announced = false, false
 	for _, replica := range r.replicas {
 		replica.tries, replica.after = 0, time.Time{}
 		if replica.order != nil && replica.order.kind == port.OrderStage {
@@ -249,7 +252,7 @@
 		done.Switch = r.now.Sub(r.switchBegan)
 	}
 	r.completed, r.skipped = true, 0
-	if !r.announced {
+	if r.ordered && !r.announced {
 		r.announced = true
 		r.actions = append(r.actions, done)
 	}
@@ -284,6 +287,7 @@
 
 // send gives an order and records it.
 func (r *Rollout) send(to *replica, kind port.OrderKind) {
+	r.ordered = true
 	to.order = &outstanding{kind: kind, version: r.target, sent: r.now}
 	r.actions = append(r.actions, SendOrder{Replica: to.id, Order: r.config.order(kind, r.target)})
 	r.note(to.id, fmt.Sprintf("%s version %d, serves %d", kind, r.target, to.version))
