--- a/internal/lab/chaos/machine.go
+++ b/internal/lab/chaos/machine.go
@@ -45,9 +45,7 @@
 }
 
 func newMachine(world *World, id consensus.MemberID, initial consensus.Membership) *machine {
-	machine := &machine{world: world, id: id, initial: initial, disk: faultfs.New(world.random.Uint64())}
-	machine.disk.SkipSync(world.options.Weakness == WeaknessSkipSync)
-	return machine
+	return &machine{world: world, id: id, initial: initial, disk: faultfs.New(world.random.Uint64())}
 }
 
 func (m *machine) running() bool { return m.member != nil }
@@ -190,7 +188,7 @@
 	if m.mayCrash("before the write") {
 		return false
 	}
-	if err := m.log.Persist(ready); err != nil {
+	if err := m.persist(ready); err != nil {
 		m.diskFailed(err)
 		return false
 	}
@@ -216,6 +214,14 @@
 	return !m.mayCrash("after the answers")
 }
 
+// persist makes the writes of a Ready durable.
+func (m *machine) persist(ready consensus.Ready) error {
+	if m.world.options.Weakness == WeaknessSkipSync {
+		ready.MustSync = false
+	}
+	return m.log.Persist(ready)
+}
+
 func (m *machine) send(message consensus.Message) {
 	target := m.world.machine(message.To)
 	if target == nil {
--- a/internal/lab/chaos/pool.go
+++ b/internal/lab/chaos/pool.go
@@ -11,12 +11,13 @@
 
 // The simulated pool.
 const (
-	poolName       port.PoolName = "captions"
-	batchSamples                 = 4
-	groupSize                    = 2
-	stalenessBound               = 1
+	batchSamples   = 4
+	groupSize      = 2
+	stalenessBound = 1
 )
 
+const poolName port.PoolName = "captions"
+
 func simulatedPool() port.Pool {
 	return port.Pool{
 		Name: poolName, Kind: port.PoolGeneration,
--- a/internal/lab/chaos/scenario.go
+++ b/internal/lab/chaos/scenario.go
@@ -65,7 +65,7 @@
 // The weaknesses.
 const (
 	WeaknessNone Weakness = ""
-	// WeaknessSkipSync lets syncs report success without doing anything.
+	// WeaknessSkipSync sends messages without a sync before them.
 	WeaknessSkipSync Weakness = "skip-sync"
 	// WeaknessNoPreVote lets a member that comes back raise the term.
 	WeaknessNoPreVote Weakness = "no-pre-vote"
--- a/internal/lab/chaos/world.go
+++ b/internal/lab/chaos/world.go
@@ -146,6 +146,9 @@
 			usable = append(usable, machine)
 		}
 	}
+	if len(usable) == 0 {
+		usable = w.machines
+	}
 	return usable[w.random.IntN(len(usable))]
 }
 
--- a/internal/lab/engine/config.go
+++ b/internal/lab/engine/config.go
@@ -60,13 +60,13 @@
 }
 
 const (
+	defaultBlockTokens          = 16
 	defaultStepBase             = 12 * time.Millisecond
 	defaultStepPerSequence      = 150 * time.Microsecond
 	defaultStepPerPrefillToken  = 25 * time.Microsecond
 	defaultMaxSequences         = 32
 	defaultMaxWaiting           = 1024
 	defaultPrefillTokensPerStep = 2048
-	defaultBlockTokens          = 16
 	defaultKVBlocks             = 8192
 	defaultKVBytesPerToken      = 64 << 10
 	defaultKVBytesPerSecond     = 1 << 30
--- a/internal/lab/engine/feed.go
+++ b/internal/lab/engine/feed.go
@@ -39,6 +39,14 @@
 // Reset forgets all events, as a restart of the engine does.
 func (f *Feed) Reset() { f.entries = f.entries[:0] }
 
+// First returns the lowest sequence number that is kept, or 0 when none is.
+func (f *Feed) First() uint64 {
+	if len(f.entries) == 0 {
+		return 0
+	}
+	return f.entries[0].change.Sequence
+}
+
 // After returns up to limit events with a sequence number above after that
 // are visible at time now. A reader sees a gap as a jump in the numbers.
 func (f *Feed) After(now time.Duration, after uint64, limit int) []CacheEvent {
--- a/internal/lab/engine/hash.go
+++ b/internal/lab/engine/hash.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomgrade/loomgrade/internal/core/prefix"
 )
 
 // BytesPerToken is the length of text that the model counts as one token.
@@ -14,18 +16,10 @@
 	return (len(text) + BytesPerToken - 1) / BytesPerToken
 }
 
-// HashBlocks returns the chained hashes of the full blocks of a text. Two
-// texts share the first n hashes when they share the first n blocks.
+// HashBlocks returns the chained hashes of the full blocks of a text, by the
+// function that the protocol lays down for cache events.
 func HashBlocks(text string, blockTokens int) []uint64 {
-	size := blockTokens * BytesPerToken
-	hashes := make([]uint64, 0, len(text)/size)
-	previous := uint64(0)
-	for len(text) >= size {
-		previous = chainHash(previous, xxhash.Sum64String(text[:size]))
-		hashes = append(hashes, previous)
-		text = text[size:]
-	}
-	return hashes
+	return prefix.HashBlocks(text, blockTokens*BytesPerToken)
 }
 
 // chainHash combines the hash of a block with that of all blocks before it.
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -80,6 +80,9 @@
 // incarnationShift places the incarnation above the numbers of cache events.
 const incarnationShift = 32
 
+// Config returns the configuration with defaults filled in.
+func (m *Model) Config() Config { return m.config }
+
 // start brings up an empty engine.
 func (m *Model) start() {
 	m.up = true
--- /dev/null
+++ b/internal/lab/standin/completion.go
@@ -0,0 +1,226 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/lab/engine"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// defaultMaxTokens applies to a request that names no bound.
+const defaultMaxTokens = 4096
+
+func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	if e.disturbed(w, r) {
+		return
+	}
+	var body api.Completion
+	if !readJSON(w, r, &body) {
+		return
+	}
+	key := engine.ContentKey(body.Prompt, body.Seed)
+	if fault := resumeFault(body, key); fault != nil {
+		writeError(w, http.StatusBadRequest, fault)
+		return
+	}
+	imported := e.fetchBlob(r.Context(), body.KVHandle, key)
+	s, fault, status := e.submit(r, body, key, imported)
+	if fault != nil {
+		writeError(w, status, fault)
+		return
+	}
+	defer e.leave(s)
+	e.answer(w, r.Context(), s, key)
+}
+
+// resumeFault refuses a resume whose text is not the start of the output.
+func resumeFault(body api.Completion, key uint64) *port.Error {
+	if len(body.ResumeText) != body.ResumeTokens*engine.BytesPerToken || !engine.SameContent(body.ResumeText, key) {
+		return port.InvalidField("resume_text", body.ResumeText[:min(len(body.ResumeText), 32)], "the start of this request's own output, resume_tokens long")
+	}
+	return nil
+}
+
+// submit hands a request to the model and opens its stream.
+func (e *Engine) submit(r *http.Request, body api.Completion, key uint64, imported int) (*stream, *port.Error, int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	id := e.requestID(r)
+	if fault, status := e.versionFault(body); fault != nil {
+		return nil, fault, status
+	}
+	if body.MaxTokens <= 0 {
+		body.MaxTokens = defaultMaxTokens
+	}
+	request := e.modelRequest(id, body, key, imported)
+	whole := body.ResumeTokens + min(request.OutputTokens, request.MaxTokens)
+	s := newStream(id, body, &audit.Generation{
+		Engine: e.address, RequestID: id, Call: audit.PromptKey(body.Prompt),
+		Key: key, First: body.ResumeTokens, Whole: whole,
+	})
+	if request.OutputTokens > 0 || request.PrefillOnly {
+		if err := e.model.Submit(e.now(), request); err != nil {
+			fault, status := refusal(err)
+			return nil, fault, status
+		}
+		e.streams[id] = s
+		e.recorder.beginGeneration(s.seen)
+		e.poke()
+		return s, nil, 0
+	}
+	// The resumed text was whole already.
+	e.recorder.beginGeneration(s.seen)
+	e.recorder.endGeneration(s.seen, audit.EndFinished)
+	s.push(engine.Event{Kind: engine.EventFinished, ID: id, Completion: &engine.Completion{}})
+	return s, nil, 0
+}
+
+// versionFault refuses a request that wants newer weights than are served.
+func (e *Engine) versionFault(body api.Completion) (*port.Error, int) {
+	if body.MinVersion == 0 {
+		return nil, 0
+	}
+	report := e.loadReport()
+	if served, _ := report.Serves(body.Adapter); uint64(served) < body.MinVersion {
+		fault := port.NewError(port.NotRun, port.CodeStale, "serves version %d, asked for %d or newer", served, body.MinVersion)
+		return fault, http.StatusConflict
+	}
+	return nil, 0
+}
+
+func (e *Engine) modelRequest(id string, body api.Completion, key uint64, imported int) engine.Request {
+	remaining := e.config.Lengths.Of(key) - body.ResumeTokens
+	role := e.model.Load().Role
+	return engine.Request{
+		ID: id, Priority: body.Priority, Adapter: body.Adapter,
+		PromptTokens: engine.CountTokens(body.Prompt),
+		PromptBlocks: engine.HashBlocks(body.Prompt, e.model.Config().BlockTokens),
+		ContentKey:   key, ResumedTokens: body.ResumeTokens, ImportedTokens: imported,
+		OutputTokens: max(remaining, 0), MaxTokens: body.MaxTokens,
+		PrefillOnly: role == engine.RolePrefill,
+	}
+}
+
+// refusal translates the model's refusal of a request, which never ran.
+func refusal(err error) (*port.Error, int) {
+	code, status := port.CodeConflict, http.StatusConflict
+	switch {
+	case errors.Is(err, engine.ErrQueueFull):
+		code, status = port.CodeQueueFull, http.StatusServiceUnavailable
+	case errors.Is(err, engine.ErrDown):
+		code, status = port.CodeUnavailable, http.StatusServiceUnavailable
+	case errors.Is(err, engine.ErrTooLarge):
+		code, status = port.CodeTooLarge, http.StatusRequestEntityTooLarge
+	case errors.Is(err, engine.ErrEmpty):
+		code, status = port.CodeInvalid, http.StatusBadRequest
+	case errors.Is(err, engine.ErrAdapterNotLoaded), errors.Is(err, engine.ErrUnknownRequest):
+		code, status = port.CodeNotFound, http.StatusNotFound
+	}
+	return port.NewError(port.NotRun, code, "%v", err), status
+}
+
+// leave takes a request off the engine when its handler ends, unless its KV
+// state is held for an export or being exported.
+func (e *Engine) leave(s *stream) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.streams[s.id] != s || s.held || e.exports[s.id] != nil {
+		return
+	}
+	delete(e.streams, s.id)
+	e.model.Cancel(e.now(), s.id)
+	e.recorder.endGeneration(s.seen, audit.EndCancelled)
+}
+
+// answer writes a request's events as they come.
+func (e *Engine) answer(w http.ResponseWriter, ctx context.Context, s *stream, key uint64) {
+	writer := &answerWriter{http: w, id: s.id, body: s.body, key: key, position: s.body.ResumeTokens}
+	if fault, cut := e.faults.take(FaultCut); cut {
+		writer.cutAfter = max(s.seen.Whole/2, 1)
+		if fault.Factor > 0 {
+			writer.cutAfter = int(fault.Factor)
+		}
+	}
+	if _, mix := e.faults.take(FaultMix); mix {
+		writer.id, writer.key = "mixed-"+s.id, key+1
+	}
+	late, isLate := e.faults.take(FaultLate)
+	for {
+		select {
+		case <-s.notify:
+		case <-ctx.Done():
+			return
+		}
+		if isLate && !pause(ctx, late.Duration()) {
+			return
+		}
+		isLate = false
+		e.faults.waitWhileHung(ctx)
+		e.mutex.Lock()
+		events, aborted := s.pending, s.aborted
+		s.pending = nil
+		e.mutex.Unlock()
+		if aborted {
+			cutConnection()
+		}
+		if done, err := writeEvents(writer, s, events); done || err != nil {
+			return
+		}
+	}
+}
+
+func writeEvents(writer *answerWriter, s *stream, events []engine.Event) (done bool, err error) {
+	for _, event := range events {
+		switch event.Kind {
+		case engine.EventTokens:
+			if err := writer.tokens(event.Count, event.Version); err != nil {
+				return false, err
+			}
+		case engine.EventFinished:
+			return true, writer.finish(finishName(event.Completion.Reason), s.usage(writer, event.Completion))
+		case engine.EventExported:
+			return true, writer.finish(finishExported, s.usage(writer, event.Completion))
+		}
+	}
+	return false, nil
+}
+
+func (s *stream) usage(writer *answerWriter, completion *engine.Completion) api.Usage {
+	return api.Usage{PromptTokens: s.prompt, CompletionTokens: writer.written, CachedTokens: completion.CachedTokens}
+}
+
+func finishName(reason engine.FinishReason) string {
+	switch reason {
+	case engine.FinishLength:
+		return string(port.FinishLength)
+	case engine.FinishPrefilled:
+		return finishPrefilled
+	default:
+		return string(port.FinishStop)
+	}
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	if e.disturbed(w, r) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	id := r.PathValue("id")
+	found := e.model.Cancel(e.now(), id)
+	if s := e.streams[id]; s != nil {
+		e.recorder.endGeneration(s.seen, audit.EndCancelled)
+		delete(e.streams, id)
+		s.abort()
+	}
+	if !found {
+		fault, status := refusal(engine.ErrUnknownRequest)
+		writeError(w, status, fault)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/lab/standin/orders.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/loomgrade/loomgrade/internal/lab/engine"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	if e.disturbed(w, r) {
+		return
+	}
+	var body port.Order
+	if !readJSON(w, r, &body) {
+		return
+	}
+	order, fault := modelOrder(body)
+	if fault != nil {
+		writeError(w, http.StatusBadRequest, fault)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	already := slices.Contains(e.model.Load().Staging, order.Weights)
+	if err := e.model.Order(e.now(), order); err != nil {
+		code := port.CodeConflict
+		if errors.Is(err, engine.ErrStaleFence) {
+			code = port.CodeFenced
+		}
+		writeError(w, http.StatusConflict, port.NewError(port.NotRun, code, "%v", err))
+		return
+	}
+	needed := slices.Contains(e.model.Load().Staging, order.Weights)
+	if order.Kind == engine.OrderStage && needed && !already {
+		e.download(body.Source, order.Weights)
+	}
+	e.poke()
+	writeJSON(w, e.loadReport())
+}
+
+// modelOrder translates an order.
+func modelOrder(body port.Order) (engine.Order, *port.Error) {
+	order := engine.Order{
+		Fence:   uint64(body.Fence),
+		Weights: engine.Weights{Adapter: body.Adapter, Version: body.Version},
+	}
+	switch body.Kind {
+	case port.OrderStage:
+		order.Kind = engine.OrderStage
+	case port.OrderActivate:
+		order.Kind = engine.OrderActivate
+	case port.OrderLoadAdapter:
+		order.Kind = engine.OrderLoadAdapter
+	case port.OrderSetRole:
+		order.Kind = engine.OrderSetRole
+	default:
+		return order, port.InvalidField("kind", string(body.Kind), "stage, activate, load_adapter, set_role")
+	}
+	switch body.Role {
+	case port.RolePrefill:
+		order.Role = engine.RolePrefill
+	case port.RoleDecode:
+		order.Role = engine.RoleDecode
+	}
+	return order, nil
+}
+
+// download fetches weights in the background. The mutex must be held.
+func (e *Engine) download(source string, weights engine.Weights) {
+	epoch := e.epoch
+	e.work.Go(func() {
+		complete := e.fetchWeights(epoch, source)
+		if epoch.Err() != nil {
+			return
+		}
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		// A refusal means that the engine no longer wants these weights.
+		_ = e.model.CompleteStaging(e.now(), weights, complete)
+		e.poke()
+	})
+}
+
+func (e *Engine) fetchWeights(ctx context.Context, source string) bool {
+	if source == "" {
+		return true
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, source, nil)
+	if err != nil {
+		return false
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return false
+	}
+	received, err := io.Copy(io.Discard, response.Body)
+	return err == nil && (response.ContentLength < 0 || received == response.ContentLength)
+}
+
+// loadReport describes the engine as it is. The mutex must be held.
+func (e *Engine) loadReport() port.LoadReport {
+	load := e.model.Load()
+	report := port.LoadReport{
+		Running: load.Running, Waiting: load.Waiting, KVUsed: load.KVUsed, KVTotal: load.KVTotal,
+		Version: load.Weights.Version, Role: port.EngineRole(load.Role.String()),
+		Fence: port.Epoch(load.Fence), Incarnation: load.Incarnation,
+	}
+	names := make([]string, 0, len(load.Adapters))
+	for name := range load.Adapters {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		report.Adapters = append(report.Adapters, port.AdapterVersion{Name: name, Version: load.Adapters[name]})
+	}
+	for _, staged := range load.Staged {
+		addStaged(&report, staged)
+	}
+	if fault, on := e.faults.active(FaultLoadVersion); on {
+		report.Version = port.WeightVersion(fault.Version)
+	}
+	return report
+}
+
+// addStaged notes staged weights; the newest of a name shows.
+func addStaged(report *port.LoadReport, staged engine.Weights) {
+	if staged.Adapter == "" {
+		report.Staged = max(report.Staged, staged.Version)
+		return
+	}
+	for i := range report.Adapters {
+		if report.Adapters[i].Name == staged.Adapter {
+			report.Adapters[i].Staged = max(report.Adapters[i].Staged, staged.Version)
+			return
+		}
+	}
+	report.Adapters = append(report.Adapters, port.AdapterVersion{Name: staged.Adapter, Staged: staged.Version})
+}
+
+// laggedReport returns the newest report that is visible by now.
+func (e *Engine) laggedReport() port.LoadReport {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	report, _ := e.loads.Get(since())
+	report.AgeMillis = e.config.LoadLag.Milliseconds()
+	return report
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, r *http.Request) {
+	if !e.disturbed(w, r) {
+		writeJSON(w, e.laggedReport())
+	}
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	if e.disturbed(w, r) {
+		return
+	}
+	after, err := strconv.ParseUint(strings.TrimSpace(r.URL.Query().Get("after")), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	e.mutex.Lock()
+	visible := e.feed.After(since(), after, cacheEventsPage)
+	answer := api.CacheEvents{First: max(e.feed.First(), e.cacheEnd+1), Events: make([]port.CacheEvent, 0, len(visible))}
+	e.mutex.Unlock()
+	for _, change := range visible {
+		answer.Events = append(answer.Events, port.CacheEvent{
+			Sequence: change.Sequence, Block: change.Hash, Evicted: change.Kind == engine.CacheRemoved,
+		})
+	}
+	writeJSON(w, answer)
+}
+
+// handleMetrics serves the load as Prometheus text, under the names that
+// engines of the field use.
+func (e *Engine) handleMetrics(w http.ResponseWriter, r *http.Request) {
+	if e.disturbed(w, r) {
+		return
+	}
+	report := e.laggedReport()
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	gauge := func(name, help string, value float64) {
+		fmt.Fprintf(w, "# HELP %[1]s %[2]s\n# TYPE %[1]s gauge\n%[1]s %[3]g\n", name, help, value)
+	}
+	gauge("vllm:num_requests_running", "Requests in the batch.", float64(report.Running))
+	gauge("vllm:num_requests_waiting", "Requests that wait.", float64(report.Waiting))
+	gauge("vllm:kv_cache_usage_perc", "Share of the KV memory in use, 0 to 1.",
+		float64(report.KVUsed)/float64(max(report.KVTotal, 1)))
+}
--- /dev/null
+++ b/internal/lab/standin/trainer.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// PathTrainerStats serves TrainerStats.
+const PathTrainerStats = "/stats"
+
+// Trainer stands in for a trainer: it serves its prompts, asks loomgrade for
+// batches by number, trains on each for a set time and publishes versions.
+type Trainer struct {
+	*server
+	config TrainerConfig
+	client *http.Client
+
+	mutex   sync.Mutex
+	stats   TrainerStats
+	epoch   port.Epoch
+	life    context.Context // ends with a crash
+	endLife context.CancelFunc
+}
+
+// TrainerConfig describes a trainer.
+type TrainerConfig struct {
+	Common
+	// Nodes are the base URLs of loomgrade's nodes, tried in turn. Without any
+	// the trainer only serves prompts.
+	Nodes []string
+	Pool  string
+	// Name is the consumer's name. Default "trainer".
+	Name string
+	// Token, if set, is sent as bearer token.
+	Token string
+	// StepTime is how long training on a batch takes. Default 1 s.
+	StepTime time.Duration
+	// PublishEvery is the number of steps between publications. Default 1.
+	PublishEvery int
+	// FirstVersion is the version that the trainer starts from. Default 1.
+	FirstVersion uint64
+	// WeightBytes is the size that publications name. Default 4 MiB.
+	WeightBytes uint64
+	// MaxSteps ends the training after so many steps; 0 means never.
+	MaxSteps int
+	// Wait is how long a question for a batch may be held. Default 2 s.
+	Wait    time.Duration
+	Prompts PromptConfig
+}
+
+// TrainerStats sums up a trainer's time.
+type TrainerStats struct {
+	Steps      int           `json:"steps"`
+	Samples    int           `json:"samples"`
+	Version    uint64        `json:"version"`
+	NextBatch  uint64        `json:"next_batch"`
+	Training   time.Duration `json:"training_ns"`
+	Idle       time.Duration `json:"idle_ns"` // waiting for batches, the first one left out
+	Publishing time.Duration `json:"publishing_ns"`
+	LastError  string        `json:"last_error,omitempty"`
+}
+
+// IdleShare returns the share of the trainer's time that it waited for
+// batches.
+func (s TrainerStats) IdleShare() float64 {
+	total := s.Training + s.Idle + s.Publishing
+	if total == 0 {
+		return 0
+	}
+	return float64(s.Idle) / float64(total)
+}
+
+// StartTrainer starts a trainer. It runs until ctx ends or Close is called.
+func StartTrainer(ctx context.Context, config TrainerConfig) (*Trainer, error) {
+	setDefault(&config.Name, "trainer")
+	setDefault(&config.StepTime, time.Second)
+	setDefault(&config.PublishEvery, 1)
+	setDefault(&config.FirstVersion, 1)
+	setDefault(&config.WeightBytes, 4<<20)
+	setDefault(&config.Wait, 2*time.Second)
+	config.Prompts.applyDefaults()
+	t := &Trainer{config: config, client: &http.Client{Timeout: config.Wait + 10*time.Second}}
+	t.stats.Version = config.FirstVersion
+	t.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse,
+		FaultAskTwice, FaultAskPrevious)
+	t.inject = t.injectFault
+	t.mux.HandleFunc("GET "+api.PathPrompts, func(w http.ResponseWriter, r *http.Request) {
+		if !t.disturbed(w, r) {
+			config.Prompts.handlePrompts(w, r)
+		}
+	})
+	t.mux.HandleFunc("GET "+PathTrainerStats, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Stats()) })
+	t.life, t.endLife = context.WithCancel(t.ctx)
+	if err := t.open(config.Listen); err != nil {
+		return nil, err
+	}
+	if len(config.Nodes) > 0 {
+		t.startLife(t.life)
+	}
+	return t, nil
+}
+
+func (t *Trainer) startLife(life context.Context) {
+	t.work.Go(func() { t.train(life) })
+}
+
+// Stats returns the figures so far.
+func (t *Trainer) Stats() TrainerStats {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.stats
+}
+
+func (t *Trainer) injectFault(fault Fault) error {
+	if fault.Kind != FaultCrash {
+		return t.faults.set(fault)
+	}
+	t.crash(fault.Duration(), func() {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		t.endLife()
+	}, func() {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		t.life, t.endLife = context.WithCancel(t.ctx)
+		if len(t.config.Nodes) > 0 {
+			t.startLife(t.life)
+		}
+	})
+	return nil
+}
+
+// train is one life of the trainer. What it has learned survives from the
+// checkpoint that it writes before it asks for the next batch.
+func (t *Trainer) train(life context.Context) {
+	if !t.untilDone(life, func(node string) error { return t.register(life, node) }) {
+		return
+	}
+	for first := true; life.Err() == nil && !t.done(); first = false {
+		t.faults.waitWhileHung(life)
+		asked := time.Now()
+		delivery, ok := t.receive(life, t.Stats().NextBatch)
+		if !ok {
+			return
+		}
+		idle := time.Since(asked)
+		if first {
+			idle = 0
+		}
+		if !t.learn(life, delivery, idle) {
+			return
+		}
+	}
+}
+
+func (t *Trainer) done() bool {
+	return t.config.MaxSteps > 0 && t.Stats().Steps >= t.config.MaxSteps
+}
+
+// learn trains on a batch, writes the checkpoint and publishes. It reports
+// false when the life ended.
+func (t *Trainer) learn(life context.Context, delivery audit.Delivery, idle time.Duration) bool {
+	step := time.Duration(float64(t.config.StepTime) * t.faults.factor())
+	delivery.Trained = pause(life, step)
+	t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{delivery}})
+	if !delivery.Trained {
+		return false
+	}
+	t.mutex.Lock()
+	t.stats.Steps++
+	t.stats.Samples += len(delivery.Samples)
+	t.stats.Training += step
+	t.stats.Idle += idle
+	t.stats.NextBatch = delivery.Batch + 1
+	publish := t.stats.Steps%t.config.PublishEvery == 0
+	version := t.stats.Version + 1
+	t.mutex.Unlock()
+	if !publish {
+		return true
+	}
+	began := time.Now()
+	if !t.publish(life, version) {
+		return false
+	}
+	t.mutex.Lock()
+	t.stats.Version = version
+	t.stats.Publishing += time.Since(began)
+	t.mutex.Unlock()
+	return true
+}
+
+// observe turns a received batch into what the audit reads.
+func (t *Trainer) observe(batch api.Batch) audit.Delivery {
+	delivery := audit.Delivery{
+		Trainer: t.config.Name, Pool: t.config.Pool, Batch: batch.Number, Attempt: batch.Attempt,
+		Version: port.WeightVersion(t.Stats().Version), At: since(),
+	}
+	for _, sample := range batch.Samples {
+		delivery.Samples = append(delivery.Samples, audit.Sample{
+			ID: sample.ID, Prompt: sample.Prompt.Index, Call: audit.PromptKey(sample.Prompt.Text),
+			Text: sample.Text, Tokens: sample.Tokens, Spans: sample.Spans,
+		})
+	}
+	return delivery
+}
--- /dev/null
+++ b/internal/lab/standin/trainer_calls.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+const (
+	retryPause    = 100 * time.Millisecond
+	maxBatchBytes = 256 << 20
+)
+
+// statusError is an error answer of loomgrade.
+type statusError struct {
+	status int
+	detail api.ErrorDetail
+}
+
+// Error gives the answer in one line.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("status %d: %s (%s): %s", e.status, e.detail.Code, e.detail.Verdict, e.detail.Message)
+}
+
+// call sends one request to a node and decodes a good answer.
+func (t *Trainer) call(ctx context.Context, node, method, path string, body, answer any) error {
+	var content io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, node+path, content)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", contentTypeJSON)
+	if t.config.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+t.config.Token)
+	}
+	response, err := t.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	limited := io.LimitReader(response.Body, maxBatchBytes)
+	if response.StatusCode/100 != 2 {
+		var fault api.ErrorBody
+		_ = json.NewDecoder(limited).Decode(&fault) // the status says enough
+		return &statusError{response.StatusCode, fault.Error}
+	}
+	return json.NewDecoder(limited).Decode(answer)
+}
+
+// untilDone repeats a call over the nodes until it succeeds, which it
+// reports, or ctx ends. A trainer that was fenced off registers again.
+func (t *Trainer) untilDone(ctx context.Context, call func(node string) error) bool {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		node := t.config.Nodes[attempt%len(t.config.Nodes)]
+		err := call(node)
+		if err == nil {
+			return true
+		}
+		t.mutex.Lock()
+		t.stats.LastError = err.Error()
+		t.mutex.Unlock()
+		if hasCode(err, port.CodeFenced) {
+			// Without success the next attempt is fenced off and comes here again.
+			_ = t.register(ctx, node)
+		}
+		pause(ctx, retryPause)
+	}
+	return false
+}
+
+func (t *Trainer) path(pattern string, number uint64) string {
+	replacer := strings.NewReplacer("{pool}", url.PathEscape(t.config.Pool), "{number}", strconv.FormatUint(number, 10))
+	return replacer.Replace(pattern)
+}
+
+// hasCode reports whether an error is loomgrade's answer with this code.
+func hasCode(err error, code port.Code) bool {
+	var fault *statusError
+	return errors.As(err, &fault) && fault.detail.Code == string(code)
+}
+
+// register makes this trainer the pool's consumer.
+func (t *Trainer) register(ctx context.Context, node string) error {
+	var consumer port.Consumer
+	body := api.RegisterConsumer{Consumer: t.config.Name}
+	if err := t.call(ctx, node, http.MethodPost, t.path(api.PathConsumers, 0), body, &consumer); err != nil {
+		return err
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.epoch = consumer.Epoch
+	if t.stats.NextBatch == 0 {
+		t.stats.NextBatch = max(uint64(consumer.Next), 1)
+	}
+	return nil
+}
+
+// consumerEpoch returns the epoch of the last registration.
+func (t *Trainer) consumerEpoch() port.Epoch {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.epoch
+}
+
+// receive asks for a batch until it has come whole.
+func (t *Trainer) receive(life context.Context, number uint64) (audit.Delivery, bool) {
+	if _, again := t.faults.take(FaultAskPrevious); again && number > 1 {
+		t.askAgain(life, number-1)
+	}
+	var batch api.Batch
+	ok := t.untilDone(life, func(node string) error {
+		if _, twice := t.faults.take(FaultAskTwice); twice {
+			t.work.Go(func() { t.askAtOnce(life, number) })
+		}
+		batch = api.Batch{}
+		if err := t.ask(life, node, number, &batch); err != nil {
+			return err
+		}
+		if batch.Number != number {
+			return fmt.Errorf("asked for batch %d and got %d", number, batch.Number)
+		}
+		return nil
+	})
+	return t.observe(batch), ok
+}
+
+func (t *Trainer) ask(life context.Context, node string, number uint64, batch *api.Batch) error {
+	query := url.Values{}
+	query.Set(api.QueryConsumerEpoch, strconv.FormatUint(uint64(t.consumerEpoch()), 10))
+	query.Set(api.QueryWaitMs, strconv.FormatInt(t.config.Wait.Milliseconds(), 10))
+	return t.call(life, node, http.MethodGet, t.path(api.PathBatch, number)+"?"+query.Encode(), nil, batch)
+}
+
+// askAtOnce asks for the batch that is being asked for anyway, over the last
+// node, and throws the answer away after recording it.
+func (t *Trainer) askAtOnce(life context.Context, number uint64) {
+	var batch api.Batch
+	if t.ask(life, t.config.Nodes[len(t.config.Nodes)-1], number, &batch) == nil {
+		t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{t.observe(batch)}})
+	}
+}
+
+// askAgain asks for a batch that was acknowledged. Getting it would be a
+// second delivery, and is recorded as one.
+func (t *Trainer) askAgain(life context.Context, number uint64) {
+	var batch api.Batch
+	if t.ask(life, t.config.Nodes[0], number, &batch) == nil && len(batch.Samples) > 0 {
+		delivery := t.observe(batch)
+		delivery.Trained = true
+		t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{delivery}})
+	}
+}
+
+// publish announces a version until loomgrade has it. Resends under one
+// consumer epoch carry the same change id. A conflict means that an earlier
+// attempt was accepted and its answer lost.
+func (t *Trainer) publish(life context.Context, version uint64) bool {
+	return t.untilDone(life, func(node string) error {
+		epoch := t.consumerEpoch()
+		body := api.PublishWeights{
+			Version: version, Bytes: t.config.WeightBytes, ConsumerEpoch: uint64(epoch),
+			ChangeID: fmt.Sprintf("%s-%s-%d-%d", t.config.Name, t.config.Pool, epoch, version),
+		}
+		var published api.PublishedWeights
+		err := t.call(life, node, http.MethodPost, t.path(api.PathWeights, 0), body, &published)
+		if hasCode(err, port.CodeConflict) {
+			return nil
+		}
+		return err
+	})
+}
