--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -21,11 +21,14 @@
 	config TrainerConfig
 	client *http.Client
 
-	mutex   sync.Mutex
-	stats   TrainerStats
-	epoch   port.Epoch
-	life    context.Context // ends with a crash
-	endLife context.CancelFunc
+	mutex sync.Mutex
+	stats TrainerStats
+	epoch port.Epoch
+	// unpublished counts the steps since the last publication; like the
+	// stats it is part of the checkpoint.
+	unpublished int
+	life        context.Context // ends with a crash
+	endLife     context.CancelFunc
 }
 
 // TrainerConfig describes a trainer.
@@ -142,7 +145,13 @@
 	if !t.untilDone(life, func(node string) error { return t.register(life, node) }) {
 		return
 	}
-	for first := true; life.Err() == nil && !t.done(); first = false {
+	for first := true; life.Err() == nil; first = false {
+		if t.publicationDue() && !t.publishNext(life) {
+			return
+		}
+		if t.done() {
+			return
+		}
 		t.faults.waitWhileHung(life)
 		asked := time.Now()
 		delivery, ok := t.receive(life, t.Stats().NextBatch)
@@ -163,8 +172,8 @@
 	return t.config.MaxSteps > 0 && t.Stats().Steps >= t.config.MaxSteps
 }
 
-// learn trains on a batch, writes the checkpoint and publishes. It reports
-// false when the life ended.
+// learn trains on a batch and writes the checkpoint. It reports false when
+// the life ended before.
 func (t *Trainer) learn(life context.Context, delivery audit.Delivery, idle time.Duration) bool {
 	step := time.Duration(float64(t.config.StepTime) * t.faults.factor())
 	delivery.Trained = pause(life, step)
@@ -173,25 +182,35 @@
 		return false
 	}
 	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	t.stats.Steps++
+	t.unpublished++
 	t.stats.Samples += len(delivery.Samples)
 	t.stats.Training += step
 	t.stats.Idle += idle
 	t.stats.NextBatch = delivery.Batch + 1
-	publish := t.stats.Steps%t.config.PublishEvery == 0
-	version := t.stats.Version + 1
-	t.mutex.Unlock()
-	if !publish {
-		return true
-	}
+	return true
+}
+
+func (t *Trainer) publicationDue() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.unpublished >= t.config.PublishEvery
+}
+
+// publishNext publishes the next version. A crash before the end leaves it
+// due.
+func (t *Trainer) publishNext(life context.Context) bool {
+	version := t.Stats().Version + 1
 	began := time.Now()
 	if !t.publish(life, version) {
 		return false
 	}
 	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.unpublished = 0
 	t.stats.Version = version
 	t.stats.Publishing += time.Since(began)
-	t.mutex.Unlock()
 	return true
 }
 
