node: test the faults of back ends, homes, coordinators and control

Cause: the node's promises under faults had no test. Change: a table of faults over in-process fleets; retries no longer start on a refusal of the node's own, excluded replicas are taken when nothing else is left, and closing waits for what runs. Before: 8 of 8 safe completions failed once both engines cut one stream each, since refusals at the start had used up the retry budget.

--- /dev/null
+++ b/internal/app/control/faults_test.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/controlstate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// TestLeaderCutOffInSilence cuts the leader off while the others go on. It must
+// accept nothing, confirm nothing and serve no read of the newest state; a
+// client that only knows it is told that its change may have run; back again it
+// catches up, and no observer goes back.
+func TestLeaderCutOffInSilence(t *testing.T) {
+	network := newTestNetwork()
+	group := startGroup(t, 3, func(config *Config) {
+		config.Wire.Dial = network.dialer(config.addressOf(config.ID))
+	})
+	last := group.change(group.client(1), 3)
+	old := group.leader()
+	address := group.members[old.config.ID-1].Peer
+	watch := startFollow(group.client(old.config.ID), controlstate.NewObserver())
+	group.eventually("the first changes", func() bool { return watch.revision() == last })
+
+	network.set(address, true)
+	delete(group.running, old.config.ID)
+	lost := machineListChange(last, 77)
+	ctx, cancel := context.WithTimeout(group.context(), 3*time.Second)
+	defer cancel()
+	if result, err := old.Propose(ctx, lost); err == nil {
+		t.Fatalf("a leader that is cut off accepted %+v", result)
+	}
+	others := group.client(old.config.ID%3 + 1)
+	last = group.change(others, 5)
+	if _, err := old.View(ctx, false); err == nil {
+		t.Fatal("a member that is cut off served a read of the newest state")
+	}
+	if update, err := old.updateAfter(ctx, 0); err == nil && update.Confirmed {
+		t.Fatal("a member that is cut off confirmed its view")
+	}
+	group.eventually("the watch to move on", func() bool { return watch.revision() == last })
+
+	network.set(address, false)
+	group.running[old.config.ID] = old
+	group.eventually("the old leader to catch up", func() bool {
+		view, err := old.View(group.context(), false)
+		return err == nil && view.Revision == last
+	})
+	result, err := others.Propose(group.context(), lost)
+	if err != nil || result.Error == nil || result.Error.Code != port.CodeConflict {
+		t.Fatalf("the change that was given up got %+v, %v", result, err)
+	}
+	last = group.change(others, 1)
+	group.eventually("the last change", func() bool { return watch.revision() == last })
+	watch.stop(t)
+}
+
+// TestDiskFaultsStopAMember lets the disk of one member fail: it must stop and
+// say so, and the others go on.
+func TestDiskFaultsStopAMember(t *testing.T) {
+	cases := []struct {
+		name   string
+		inject func(*faultfs.FileSystem)
+		want   error
+	}{
+		{"failed sync", func(disk *faultfs.FileSystem) { disk.FailSync(1) }, wal.ErrFailed},
+		{"failed write", func(disk *faultfs.FileSystem) { disk.FailWrite(1) }, wal.ErrFailed},
+		{"full disk", func(disk *faultfs.FileSystem) { disk.SetCapacity(disk.Used()) }, wal.ErrFull},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			disks := map[uint64]*faultfs.FileSystem{}
+			group := startGroup(t, 3, func(config *Config) {
+				if disks[config.ID] == nil {
+					disks[config.ID] = faultfs.New(config.ID)
+				}
+				config.FileSystem = disks[config.ID]
+			})
+			client := group.client(1)
+			last := group.change(client, 3)
+			victim := group.leader()
+			test.inject(disks[victim.config.ID])
+			delete(group.running, victim.config.ID)
+			result, err := client.Propose(group.context(), machineListChange(last, 9))
+			if err != nil || result.Error != nil {
+				t.Fatalf("the others did not go on: %v, %v", result.Error, err)
+			}
+			if err := victim.Wait(); !errors.Is(err, test.want) {
+				t.Fatalf("the member ended with %v, want %v", err, test.want)
+			}
+			if revision := group.revision(); revision != last+1 {
+				t.Fatalf("revision %d, want %d", revision, last+1)
+			}
+		})
+	}
+}
+
+// TestPowerLossOfAllMembersKeepsWhatWasAccepted crashes all disks, which lose
+// what was not synced, in the middle of changes.
+func TestPowerLossOfAllMembersKeepsWhatWasAccepted(t *testing.T) {
+	disks := map[uint64]*faultfs.FileSystem{}
+	group := startGroup(t, 3, func(config *Config) {
+		if disks[config.ID] == nil {
+			disks[config.ID] = faultfs.New(config.ID)
+		}
+		config.FileSystem = disks[config.ID]
+		config.SnapshotEntries, config.RetainEntries = 20, 5
+	})
+	client := group.client(1)
+	for range 3 {
+		last := group.change(client, 15)
+		for id := uint64(1); id <= 3; id++ {
+			disks[id].Crash()
+			_ = group.running[id].Kill() // its log is gone from under it
+		}
+		for id := uint64(1); id <= 3; id++ {
+			group.restart(id)
+		}
+		if revision := group.revision(); revision != last {
+			t.Fatalf("revision %d after a loss of power, %d was accepted", revision, last)
+		}
+	}
+}
+
+// TestOnlyAMemberOfTheClusterIsHeard offers calls and messages with a wrong
+// token and cluster.
+func TestOnlyAMemberOfTheClusterIsHeard(t *testing.T) {
+	group := startGroup(t, 1, nil)
+	for _, options := range []wire.Options{{ClusterID: "test", Token: "wrong"}, {ClusterID: "other", Token: "peer"}} {
+		client := wire.NewClient(group.members[0].Peer, options)
+		err := client.Call(group.context(), controlclient.MethodPropose, machineListChange(0, 1), nil)
+		if wire.CodeOf(err) != port.CodeUnauthorized || wire.VerdictOf(err) != port.NotRun {
+			t.Errorf("got %v", err)
+		}
+		client.Close()
+	}
+	// A message that no member sends must not stop the loop.
+	client := wire.NewClient(group.members[0].Peer, wire.Options{ClusterID: "test", Token: "peer"})
+	defer client.Close()
+	_ = client.Call(group.context(), "none", 0, nil) // connects
+	if err := client.Send(group.context(), methodConsensus, consensus.Message{Kind: 99, To: 1, From: 9}); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Send(group.context(), methodConsensus, "no message"); err != nil {
+		t.Fatal(err)
+	}
+	group.change(group.client(1), 1)
+}
--- a/internal/app/node/accept.go
+++ b/internal/app/node/accept.go
@@ -52,17 +52,24 @@
 
 // attempts counts what was tried for one request.
 type attempts struct {
-	made    int
-	exclude []port.ReplicaID
-	safe    bool
-	started time.Time
+	made int
+	// failed are the replicas of earlier attempts.
+	failed []port.ReplicaID
+	safe   bool
+	// refusedHere is set when this node itself refused: nothing was sent, and
+	// another attempt would meet the same refusal.
+	refusedHere bool
 }
 
 // next decides after a failure whether to try again, records the decision and
 // waits. False means that the failure is final.
 func (n *Node) next(ctx context.Context, accepted acceptance, subject string, tried *attempts, replica port.ReplicaID, failure *port.Error) bool {
 	if replica != "" {
-		tried.exclude = append(tried.exclude, replica)
+		tried.failed = append(tried.failed, replica)
+	}
+	if tried.refusedHere {
+		n.recordEnd(accepted, subject, tried, replica, failure, "")
+		return false
 	}
 	decided := n.budgets.decide(accepted.pool, retry.Attempt{
 		Made: tried.made, Owner: true, Verdict: failure.Verdict, Code: failure.Code,
--- a/internal/app/node/actions.go
+++ b/internal/app/node/actions.go
@@ -21,7 +21,8 @@
 func (w *poolWorker) carryOut(action coordinator.Action) {
 	switch action := action.(type) {
 	case coordinator.FetchPrompts:
-		go w.fetchPrompts(action, w.sampling.PromptSource)
+		source := w.sampling.PromptSource
+		w.tasks.Go(func() { w.fetchPrompts(action, source) })
 	case coordinator.StartSample:
 		w.startSample(action)
 	case coordinator.CancelSample:
@@ -29,14 +30,15 @@
 			run.cancel()
 		}
 	case coordinator.ScoreSample:
-		go w.scoreSample(action, w.sampling.Scorer)
+		scorer := w.sampling.Scorer
+		w.tasks.Go(func() { w.scoreSample(action, scorer) })
 	case coordinator.Commit:
-		go w.commit(action)
+		w.tasks.Go(func() { w.commit(action) })
 	case coordinator.ReadLedger:
-		go func() {
+		w.tasks.Go(func() {
 			state, failure := w.readLedger(w.ctx)
 			w.tell(coordinator.LedgerRead{State: state, Err: failure})
-		}()
+		})
 	case coordinator.Deliver:
 		w.reply(action.Token, answer{batch: &action})
 	case coordinator.Refuse:
--- a/internal/app/node/application.go
+++ b/internal/app/node/application.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	request.Deadline = accepted.deadline
 	subject := string(request.ID)
-	tried := &attempts{safe: request.Safe, started: time.Now()}
+	tried := &attempts{safe: request.Safe}
 	verdict := port.NotRun
 	for {
 		tried.made++
@@ -42,6 +42,7 @@
 func (n *Node) applicationAttempt(ctx context.Context, accepted acceptance, request port.ApplicationRequest, tried *attempts) (port.ApplicationResponse, port.ReplicaID, *port.Error) {
 	grant, refusal := n.acquireApplication(ctx, accepted, request, tried)
 	if refusal != nil {
+		tried.refusedHere = true
 		return port.ApplicationResponse{}, "", refusal
 	}
 	n.recordPlaced(accepted, string(request.ID), tried.made, grant)
@@ -65,7 +66,7 @@
 		Tenant:      request.Tenant,
 		TenantShare: accepted.snapshot.tenantShare(request.Tenant),
 		Deadline:    accepted.deadline,
-		Avoid:       lastOf(tried.exclude),
+		Avoid:       lastOf(tried.failed),
 		Pick: scheduling.Request{
 			Pool:     request.Pool,
 			Zone:     n.config.Zone,
--- a/internal/app/node/backend.go
+++ b/internal/app/node/backend.go
@@ -9,10 +9,11 @@
 
 // Application serves a call to an application pool. An error is a *port.Error.
 func (n *Node) Application(ctx context.Context, request port.ApplicationRequest) (port.ApplicationResponse, error) {
-	if !n.traffic.begin() {
+	ctx, leave, entered := n.enter(ctx)
+	if !entered {
 		return port.ApplicationResponse{}, drainingError()
 	}
-	defer n.traffic.end()
+	defer leave()
 	if request.ID == "" {
 		request.ID = n.NewRequestID()
 	}
@@ -32,10 +33,11 @@
 // Generate serves a completion and hands its chunks to receive. An error is a
 // *port.Error; after the first chunk it may still come.
 func (n *Node) Generate(ctx context.Context, request port.GenerateRequest, receive func(port.GenerateChunk) error) error {
-	if !n.traffic.begin() {
+	ctx, leave, entered := n.enter(ctx)
+	if !entered {
 		return drainingError()
 	}
-	defer n.traffic.end()
+	defer leave()
 	if request.ID == "" {
 		request.ID = n.NewRequestID()
 	}
@@ -55,10 +57,11 @@
 
 // Batch answers a trainer's question for a batch, held for at most waitMillis.
 func (n *Node) Batch(ctx context.Context, pool port.PoolName, number port.BatchNumber, consumer port.Epoch, waitMillis int64) (api.Batch, error) {
-	if !n.traffic.begin() {
+	ctx, leave, entered := n.enter(ctx)
+	if !entered {
 		return api.Batch{}, drainingError()
 	}
-	defer n.traffic.end()
+	defer leave()
 	batch, failure := n.batch(ctx, batchCall{Pool: pool, Number: number, ConsumerEpoch: consumer, WaitMillis: waitMillis})
 	return batch, orNil(failure)
 }
@@ -80,3 +83,12 @@
 
 // View gives the control view that is in force here.
 func (n *Node) View() *port.View { return n.snapshot.Load().view }
+
+// Serving counts, by pool and version, the replicas that this node is the home
+// of.
+func (n *Node) Serving() []port.ServingCount {
+	if counts := n.serving.Load(); counts != nil {
+		return *counts
+	}
+	return nil
+}
--- a/internal/app/node/choose.go
+++ b/internal/app/node/choose.go
@@ -85,6 +85,11 @@
 	}
 	request := n.pick(job, tried)
 	result := c.scheduler.Pick(&request, c.scratch, c.random)
+	if result.Chosen < 0 && len(request.Exclude) > len(job.exclude) {
+		// A replica that failed before is better than none.
+		request.Exclude = job.exclude
+		result = c.scheduler.Pick(&request, c.scratch, c.random)
+	}
 	if result.Chosen < 0 {
 		return place{}, 0, noReplica(result.Filtered)
 	}
@@ -111,10 +116,10 @@
 		Adapter:      job.request.Adapter,
 		PrefixHashes: job.request.PrefixHashes,
 		Prefix:       n.chooser.index,
-		Exclude:      tried.exclude,
+		Exclude:      slices.Concat(job.exclude, tried.failed),
 	}
 	if job.avoid != "" {
-		request.Exclude = append(slices.Clone(tried.exclude), job.avoid)
+		request.Exclude = append(request.Exclude, job.avoid)
 	}
 	if request.Adapter != "" {
 		request.MinVersion = 0
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -150,6 +150,7 @@
 	}
 	view := c.observer.View()
 	c.send(c.detector.SetView(now, view.Nodes))
+	c.tellDetector()
 	c.node.peers.retain(view.Nodes)
 	c.node.backEnds.retain(view.Configuration.Replicas)
 	c.changed = true
--- a/internal/app/node/generate.go
+++ b/internal/app/node/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/loomgrade/loomgrade/internal/core/prefix"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -45,7 +44,7 @@
 	}
 	defer cancel()
 	n.prepare(accepted, job)
-	tried := &attempts{safe: job.request.Safe, started: time.Now(), exclude: job.exclude}
+	tried := &attempts{safe: job.request.Safe}
 	verdict := port.NotRun
 	progress := &generated{job: job, request: job.request}
 	for {
@@ -147,15 +146,19 @@
 func (n *Node) generateAttempt(ctx context.Context, accepted acceptance, job *generation, tried *attempts, progress *generated) (port.ReplicaID, *port.Error) {
 	place, refusal := n.choose(accepted, job, tried)
 	if refusal != nil {
+		tried.refusedHere = true
 		return "", refusal
 	}
 	call := generateCall{
 		Request:     job.request,
 		TenantShare: accepted.snapshot.tenantShare(job.request.Tenant),
 		Attempt:     tried.made,
-		Exclude:     tried.exclude,
+		Exclude:     job.exclude,
 		Avoid:       job.avoid,
 	}
+	if job.avoid == "" {
+		call.Avoid = lastOf(tried.failed)
+	}
 	call.Request.Replica = place.replica
 	run := &attemptRun{node: n, job: job, progress: progress, replica: place.replica}
 	defer run.end()
--- a/internal/app/node/harness_test.go
+++ b/internal/app/node/harness_test.go
@@ -243,7 +243,7 @@
 	return &port.Pool{
 		Name: name, Kind: kind,
 		Admission: port.Admission{MinInflight: 4, MaxInflight: 32, QueueLength: 256, DefaultDeadline: port.Duration(30 * time.Second)},
-		Retry:     port.Retry{MaxAttempts: 4, BudgetRatio: 0.5, BaseBackoff: port.Duration(5 * time.Millisecond), MaxBackoff: port.Duration(100 * time.Millisecond)},
+		Retry:     port.Retry{MaxAttempts: 4, BudgetRatio: 1, BaseBackoff: port.Duration(5 * time.Millisecond), MaxBackoff: port.Duration(100 * time.Millisecond)},
 		Ejection:  port.Ejection{ConsecutiveFailures: 5, BaseDuration: port.Duration(time.Second), MaxShare: 0.5},
 	}
 }
--- a/internal/app/node/lease.go
+++ b/internal/app/node/lease.go
@@ -49,13 +49,13 @@
 		TTL: w.node.config.Intervals.CoordinatorLease, Epoch: w.epoch,
 	}
 	until := w.leaseUntil
-	go func() {
+	w.tasks.Go(func() {
 		ctx, cancel := context.WithDeadline(w.ctx, until)
 		defer cancel()
 		sent := time.Now()
 		result, err := w.node.config.Control.Propose(ctx, port.Command{AcquireLease: &request})
 		w.post(renewed{sent: sent, result: result, err: err})
-	}()
+	})
 }
 
 // renewed is the outcome of a renewal.
--- a/internal/app/node/machines.go
+++ b/internal/app/node/machines.go
@@ -33,16 +33,24 @@
 		c.changed = true
 		c.rebuiltAt = time.Time{}
 		c.lastSummary = time.Time{}
-		c.detector.SetMachines(c.node.peerAddress, c.allLeaving())
+		c.tellDetector()
 	}
 }
 
-func (c *controller) allLeaving() []port.Machine {
-	var all []port.Machine
-	for _, list := range c.leaving {
-		all = append(all, list.machines...)
+// tellDetector tells the failure detector which nodes' machines leave. Only the
+// leaving machines are known here, so that every other node counts as listed.
+// The detector knows machines by IP: where nodes share one, the live ones, which
+// come last, win.
+func (c *controller) tellDetector() {
+	var leaving, live []port.Machine
+	for _, node := range c.observer.View().Nodes {
+		if c.isLeaving(node.PeerAddress) {
+			leaving = append(leaving, port.Machine{Address: node.PeerAddress, State: port.MachineLeaving})
+			continue
+		}
+		live = append(live, port.Machine{Address: node.PeerAddress, State: port.MachineLive})
 	}
-	return all
+	c.detector.SetMachines(c.node.peerAddress, append(leaving, live...))
 }
 
 func (c *controller) dropSilentPollers(now time.Time) {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -41,6 +41,7 @@
 	snapshot       atomic.Pointer[snapshot]
 	confirmedUntil atomic.Int64
 	reporting      atomic.Bool
+	serving        atomic.Pointer[[]port.ServingCount]
 	dropped        atomic.Uint64
 	events         chan event
 	rewatch        chan uint64
@@ -202,6 +203,7 @@
 		close(n.stopped)
 		_ = n.web.Close()
 		n.server.Close()
+		n.waitForTraffic()
 		n.sampling.wait()
 		n.peers.close()
 		n.work.Wait()
@@ -210,3 +212,12 @@
 		n.recorder.close()
 	})
 }
+
+// closeWait bounds the wait for requests that were cut off to end.
+const closeWait = 5 * time.Second
+
+func (n *Node) waitForTraffic() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	_ = n.traffic.wait(ctx)
+}
--- a/internal/app/node/peerserver.go
+++ b/internal/app/node/peerserver.go
@@ -57,10 +57,11 @@
 }
 
 func (n *Node) handleGenerate(ctx context.Context, call *wire.Call) error {
-	if !n.traffic.begin() {
+	ctx, leave, entered := n.enter(ctx)
+	if !entered {
 		return drainingError()
 	}
-	defer n.traffic.end()
+	defer leave()
 	var request generateCall
 	if err := call.Decode(&request); err != nil {
 		return err
@@ -69,10 +70,11 @@
 }
 
 func (n *Node) handleApplication(ctx context.Context, call *wire.Call) error {
-	if !n.traffic.begin() {
+	ctx, leave, entered := n.enter(ctx)
+	if !entered {
 		return drainingError()
 	}
-	defer n.traffic.end()
+	defer leave()
 	var request applicationCall
 	if err := call.Decode(&request); err != nil {
 		return err
--- a/internal/app/node/poolstate.go
+++ b/internal/app/node/poolstate.go
@@ -31,7 +31,7 @@
 	w.states.nextPoll = now.Add(poolStateInterval)
 	pool, _ := viewPool(w.node.snapshot.Load().view, w.pool)
 	call := poolStateCall{Pool: pool.EnginePool(), Fence: w.epoch, Out: w.routedOut()}
-	go func() { w.post(statesPolled{w.node.poolStates(w.ctx, call)}) }()
+	w.tasks.Go(func() { w.post(statesPolled{w.node.poolStates(w.ctx, call)}) })
 }
 
 // routedOut lists the replicas that some rollout keeps out of routing.
--- a/internal/app/node/poolworker.go
+++ b/internal/app/node/poolworker.go
@@ -38,6 +38,8 @@
 	cancel context.CancelFunc
 	drains chan struct{}
 	once   sync.Once
+	// tasks are the goroutines of actions.
+	tasks sync.WaitGroup
 
 	epoch       port.Epoch
 	leaseUntil  time.Time
@@ -49,7 +51,6 @@
 	sampling    port.Sampling
 	policy      string
 	weights     port.WeightVersion
-	ledgerRead  bool
 
 	rollouts map[port.PoolName]*rolloutState
 	states   poolStates
@@ -116,6 +117,7 @@
 func (w *poolWorker) end() {
 	w.cancel()
 	close(w.closed)
+	w.tasks.Wait()
 	for token, question := range w.questions {
 		question <- answer{err: notCoordinator(w.pool)}
 		delete(w.questions, token)
--- a/internal/app/node/report.go
+++ b/internal/app/node/report.go
@@ -17,11 +17,13 @@
 	}
 	c.lastReport = now
 	view := c.observer.View()
+	counts := c.serving()
+	c.node.serving.Store(&counts)
 	report := port.NodeReport{
 		Node:     c.node.address(c.draining),
 		Position: view.Position,
 		Revision: view.Revision,
-		Serving:  c.serving(),
+		Serving:  counts,
 	}
 	c.node.work.Go(func() {
 		defer c.node.reporting.Store(false)
--- a/internal/app/node/rolloutdriver.go
+++ b/internal/app/node/rolloutdriver.go
@@ -55,7 +55,7 @@
 	for _, action := range state.machine.Step(now, event) {
 		switch action := action.(type) {
 		case rollout.SendOrder:
-			go w.sendOrder(pool, action)
+			w.tasks.Go(func() { w.sendOrder(pool, action) })
 		case rollout.RouteOut:
 			state.out[action.Replica] = true
 			w.states.nextPoll = now
--- a/internal/app/node/samples.go
+++ b/internal/app/node/samples.go
@@ -47,10 +47,10 @@
 	key := attemptKey{action.ID, action.Attempt}
 	ctx, cancel := context.WithTimeout(w.ctx, sampleDeadline)
 	w.attempts[key] = &sampleRun{cancel: cancel}
-	go func() {
+	w.tasks.Go(func() {
 		event := w.runSample(ctx, action)
 		w.post(attemptEnded{key: key, event: event})
-	}()
+	})
 }
 
 // sampleText gathers what an attempt gives.
--- /dev/null
+++ b/internal/app/node/sampling_test.go
@@ -0,0 +1,129 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/lab/standin"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// samplingFleet starts a pool that feeds a trainer.
+func samplingFleet(t *testing.T, engines, nodes int) (*fleet, []*standin.Engine, *port.Pool) {
+	t.Helper()
+	made := newFleet(t)
+	sampled := pool("lm", port.PoolGeneration)
+	sampled.Sampling = sampling(startPrompts(t).URL(), startScorer(t).URL(), startStore(t).URL())
+	edits := []port.Edit{{PutPool: sampled}}
+	var started []*standin.Engine
+	for number := range engines {
+		started = append(started, startEngine(t))
+		edits = append(edits, replica(port.ReplicaID(fmt.Sprintf("e%d", number)), "lm", "z1", started[number].Addr()))
+	}
+	made.control.configure(t, edits...)
+	for number := range nodes {
+		made.start(port.NodeID(fmt.Sprintf("n%d", number)), "z1")
+	}
+	made.waitForNodes()
+	return made, started, sampled
+}
+
+func TestCoordinatorLostAnotherGoesOn(t *testing.T) {
+	cases := []struct {
+		name string
+		stop func(made *fleet, id port.NodeID)
+	}{
+		{"killed", func(made *fleet, id port.NodeID) { made.nodes[id].Close() }},
+		{"drained", func(made *fleet, id port.NodeID) {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			if err := made.nodes[id].Drain(ctx); err != nil {
+				made.t.Errorf("drain: %v", err)
+			}
+		}},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			made, _, sampled := samplingFleet(t, 2, 3)
+			fed := newTrainer(t, made, "lm")
+			fed.publish(1)
+			fed.train(1)
+			holder := made.control.leaseHolder("lm")
+			testCase.stop(made, holder)
+			delete(made.nodes, holder)
+			fed.publish(2)
+			fed.train(2)
+			fed.train(3)
+			fed.check(3 * sampled.Sampling.BatchSamples)
+			if next := made.control.leaseHolder("lm"); next == holder || next == "" {
+				t.Errorf("the lease is held by %q", next)
+			}
+		})
+	}
+}
+
+func TestCoordinatorCutOffFromControl(t *testing.T) {
+	made, _, sampled := samplingFleet(t, 2, 3)
+	fed := newTrainer(t, made, "lm")
+	fed.publish(1)
+	fed.train(1)
+	holder := made.control.leaseHolder("lm")
+	made.handles[holder].cut.Store(true)
+	isolated := made.nodes[holder]
+	delete(made.nodes, holder)
+	fed.train(2)
+	fed.train(3)
+	made.nodes[holder] = isolated
+	made.handles[holder].cut.Store(false)
+	fed.train(4)
+	fed.check(4 * sampled.Sampling.BatchSamples)
+}
+
+func TestNewTrainerFencesTheOldOneOff(t *testing.T) {
+	made, _, _ := samplingFleet(t, 1, 2)
+	old := newTrainer(t, made, "lm")
+	old.publish(1)
+	old.train(1)
+	fresh := newTrainer(t, made, "lm")
+	fresh.version = 1
+	fresh.train(1)
+	_, err := made.nodes["n0"].Batch(context.Background(), "lm", 2, old.epoch, 1000)
+	if failure := port.AsError(err); failure == nil || failure.Code != port.CodeFenced {
+		t.Errorf("the old trainer got %v", err)
+	}
+}
+
+func TestFailedSwapIsSeenAndRepaired(t *testing.T) {
+	faults := []standin.Fault{
+		{Kind: standin.FaultSwapFails, Count: 1},
+		{Kind: standin.FaultSwapMisdirected, Count: 1, Version: 1},
+	}
+	for _, fault := range faults {
+		t.Run(string(fault.Kind), func(t *testing.T) {
+			made, engines, sampled := samplingFleet(t, 2, 2)
+			fed := newTrainer(t, made, "lm")
+			fed.publish(1)
+			fed.train(1)
+			if err := engines[0].Inject(fault); err != nil {
+				t.Fatal(err)
+			}
+			fed.publish(2)
+			fed.train(2)
+			fed.publish(3)
+			fed.train(3)
+			fed.check(3 * sampled.Sampling.BatchSamples)
+			eventually(t, "both engines on version 3", func() bool {
+				served := 0
+				for _, under := range made.nodes {
+					for _, count := range under.Serving() {
+						if count.Version == 3 {
+							served += count.Replicas
+						}
+					}
+				}
+				return served == len(engines)
+			})
+		})
+	}
+}
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -46,8 +46,8 @@
 
 // relayGenerate chooses a replica of this zone for a request of another one.
 func (n *Node) relayGenerate(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) *port.Error {
-	job := &generation{request: call.Request, avoid: call.Avoid}
-	place, _, refusal := n.chooseLocal(accepted, job, &attempts{exclude: call.Exclude})
+	job := &generation{request: call.Request, exclude: call.Exclude, avoid: call.Avoid}
+	place, _, refusal := n.chooseLocal(accepted, job, &attempts{})
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/app/node/traffic.go
+++ b/internal/app/node/traffic.go
@@ -26,6 +26,22 @@
 	return true
 }
 
+// enter counts a request in and gives it a context that also ends with the node.
+// The returned function must be called at its end. False means that the node
+// drains.
+func (n *Node) enter(ctx context.Context) (context.Context, func(), bool) {
+	if !n.traffic.begin() {
+		return nil, nil, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.background, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+		n.traffic.end()
+	}, true
+}
+
 func (t *traffic) end() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -61,13 +77,6 @@
 	return t.draining
 }
 
-// count gives the number of requests in flight.
-func (t *traffic) count() int {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.inflight
-}
-
 // wait waits until nothing is in flight after drain.
 func (t *traffic) wait(ctx context.Context) error {
 	select {
--- a/internal/app/node/trainer_test.go
+++ b/internal/app/node/trainer_test.go
@@ -96,13 +96,19 @@
 func (r *trainer) train(number port.BatchNumber) {
 	r.t.Helper()
 	var batch api.Batch
+	var last error
+	defer func() {
+		if r.t.Failed() {
+			r.t.Logf("last error of batch %d: %v", number, last)
+		}
+	}()
 	eventually(r.t, "a batch", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		var err error
 		batch, err = r.anyNode().Batch(ctx, r.pool, number, r.epoch, 1000)
 		if err != nil {
-			r.t.Logf("batch %d: %v", number, err)
+			last = err
 		}
 		return err == nil
 	})
