admission: take the first request that fits

A dispatcher with room on some replicas only had to take requests out and offer them again, which counted as departures, cost the tenant its turn and could refuse a request that was accepted before. NextFitting looks at a bounded number of requests in order and leaves those that do not fit in their places.

Conclusion: Next is NextFitting with a predicate that is always true.

--- a/internal/core/admission/order.go
+++ b/internal/core/admission/order.go
@@ -19,6 +19,8 @@
 	order uint64
 	// position is the index in the tenant's heap.
 	position int
+	// passedAt is the tenant's virtual time when the request was passed over.
+	passedAt float64
 }
 
 // expired says whether the request's deadline has passed.
@@ -123,15 +125,47 @@
 	q.byID[item.ID] = added
 }
 
-// remove takes a request out. A level lives only as long as it holds requests,
-// which bounds what a queue remembers of past tenants.
+// first gives the request that is first in order, nil if none waits.
+func (q *Queue[T]) first() *entry[T] {
+	for _, level := range q.levels {
+		if level.count > 0 {
+			return level.next()
+		}
+	}
+	return nil
+}
+
+// remove takes a request out for good.
 func (q *Queue[T]) remove(removed *entry[T]) {
-	heap.Remove(&removed.tenant.entries, removed.position)
+	removed.unlink()
 	delete(q.byID, removed.item.ID)
-	removed.level.count--
-	if removed.level.count == 0 {
-		q.levels = slices.DeleteFunc(q.levels, func(l *level[T]) bool { return l == removed.level })
-	}
+	q.dropEmptyLevels()
+}
+
+// dropEmptyLevels bounds what a queue remembers of past tenants: a level lives
+// only as long as it holds requests.
+func (q *Queue[T]) dropEmptyLevels() {
+	q.levels = slices.DeleteFunc(q.levels, func(l *level[T]) bool { return l.count == 0 })
+}
+
+// unlink takes a request out of its tenant's line.
+func (e *entry[T]) unlink() {
+	heap.Remove(&e.tenant.entries, e.position)
+	e.level.count--
+}
+
+// passOver lets the other tenants' requests be looked at before the next one of
+// this tenant.
+func (e *entry[T]) passOver() {
+	e.passedAt = e.tenant.virtual
+	e.tenant.virtual += 1 / e.weight()
+}
+
+// putBack undoes unlink and passOver; the request passed over last goes first.
+func (e *entry[T]) putBack() {
+	e.tenant.virtual = e.passedAt
+	heap.Push(&e.tenant.entries, e)
+	e.level.count++
 }
 
 // levelOf gives the level of a priority, made if need be.
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -79,19 +80,44 @@
 // Next takes out the request to serve next; false means that none waits. It
 // never gives one whose deadline has passed.
 func (q *Queue[T]) Next(now time.Time) (Item[T], bool) {
-	for len(q.levels) > 0 {
-		entry := q.levels[0].next()
-		q.remove(entry)
-		if entry.expired(now) {
-			q.end(entry, q.deadlinePassed())
-			continue
+	return q.NextFitting(now, 1, func(*Item[T]) bool { return true })
+}
+
+// NextFitting takes out the first request, in the order of Next, that fits. It
+// looks at up to limit requests; those passed over keep their places. Fits must
+// not call the queue.
+func (q *Queue[T]) NextFitting(now time.Time, limit int, fits func(*Item[T]) bool) (Item[T], bool) {
+	var passed []*entry[T]
+	var chosen *entry[T]
+	for chosen == nil && len(passed) < limit {
+		first := q.first()
+		if first == nil {
+			break
+		}
+		first.unlink()
+		switch {
+		case first.expired(now):
+			delete(q.byID, first.item.ID)
+			q.end(first, q.deadlinePassed())
+		case fits(&first.item):
+			chosen = first
+		default:
+			first.passOver()
+			passed = append(passed, first)
 		}
-		entry.tenant.served(entry.weight())
-		q.drain.departed(now)
-		return entry.item, true
 	}
-	var none Item[T]
-	return none, false
+	for _, entry := range slices.Backward(passed) {
+		entry.putBack()
+	}
+	if chosen == nil {
+		q.dropEmptyLevels()
+		return Item[T]{}, false
+	}
+	delete(q.byID, chosen.item.ID)
+	chosen.tenant.served(chosen.weight())
+	q.dropEmptyLevels()
+	q.drain.departed(now)
+	return chosen.item, true
 }
 
 // Expire takes out every request whose deadline has passed or that lost its
@@ -122,8 +148,7 @@
 
 // Drain takes out all requests with a final answer, as at a planned stop.
 func (q *Queue[T]) Drain() []Ended[T] {
-	for len(q.levels) > 0 {
-		entry := q.levels[0].next()
+	for entry := q.first(); entry != nil; entry = q.first() {
 		q.remove(entry)
 		q.end(entry, port.NewError(port.NotRun, port.CodeDraining, "the node is stopping"))
 	}
--- a/internal/core/admission/queue_test.go
+++ b/internal/core/admission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,31 @@
 	}
 }
 
+// A request passed over keeps its place and costs its tenant nothing.
+func TestNextFittingPassesOver(t *testing.T) {
+	queue := NewQueue[int](Config{Length: 10})
+	for index, name := range []string{"a", "b", "c", "d", "e"} {
+		tenant := port.TenantName([]string{"x", "x", "x", "y", "y"}[index])
+		queue.Offer(start, testItem{ID: port.RequestID(name), Tenant: tenant, Value: index})
+	}
+	queue.Offer(start, testItem{ID: "f", Priority: 1, Value: 5})
+	fits := func(values ...int) func(*testItem) bool {
+		return func(item *testItem) bool { return slices.Contains(values, item.Value) }
+	}
+	if _, found := queue.NextFitting(start, 3, fits(4)); found {
+		t.Error("looked at more requests than the limit")
+	}
+	if item, _ := queue.NextFitting(start, 10, fits(3, 1)); item.ID != "d" {
+		t.Errorf("took %s, want d: tenants take turns among those looked at", item.ID)
+	}
+	if _, found := queue.NextFitting(start, 10, fits(9)); found || queue.Len() != 5 {
+		t.Errorf("took a request that does not fit; %d wait", queue.Len())
+	}
+	if got := order(queue, start); got != "fabec" {
+		t.Errorf("then served %s, want fabec: f by priority, the others as if none had been passed over", got)
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	waiting := []testItem{{ID: "a", Tenant: "x"}, {ID: "b", Tenant: "y"}, {ID: "c", Tenant: "y"}}
 	tests := map[string]struct {
