--- /dev/null
+++ b/internal/lab/chaos/measure.go
@@ -0,0 +1,133 @@
+package chaos
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Times of the measurements.
+const (
+	killAt      = 20 * time.Second
+	killLeaders = 5
+	killEvery   = 15 * time.Second
+	measureFor  = time.Minute
+	settledAt   = 10 * time.Second
+)
+
+// Times is a sorted list of measured times.
+type Times []time.Duration
+
+// Quantile gives the time below which a share of the times lies.
+func (t Times) Quantile(share float64) time.Duration {
+	if len(t) == 0 {
+		return 0
+	}
+	return t[min(len(t)-1, int(share*float64(len(t))))]
+}
+
+// String gives count, median, 95th percentile and maximum.
+func (t Times) String() string {
+	const grain = 100 * time.Microsecond
+	return fmt.Sprintf("n=%d p50=%v p95=%v max=%v", len(t),
+		t.Quantile(0.5).Round(grain), t.Quantile(0.95).Round(grain), t.Quantile(1).Round(grain))
+}
+
+// Failover is how long the members were without a leader after the leader's
+// process was killed, and how long until the next change was accepted.
+type Failover struct {
+	Leaderless Times
+	Unavailing Times
+}
+
+// MeasureFailover kills the leader of calm members again and again, over some
+// seeds, and measures in virtual time.
+func MeasureFailover(members int, seeds int) Failover {
+	var found Failover
+	for seed := range uint64(seeds) {
+		world := newWorld(Options{Seed: seed + 1, Scenario: Scenario{Name: "failover", Faulty: time.Hour, Every: time.Hour, Members: members}})
+		world.audit.now = func() time.Duration { return world.now }
+		for number := range killLeaders {
+			world.runUntil(killAt + time.Duration(number)*killEvery)
+			found.measureOne(world)
+		}
+	}
+	slices.Sort(found.Leaderless)
+	slices.Sort(found.Unavailing)
+	return found
+}
+
+func (f *Failover) measureOne(world *World) {
+	leader := world.leader()
+	if leader == nil {
+		return
+	}
+	killed, term := world.now, leader.member.Status().Term
+	leader.kill()
+	until := killed + killEvery
+	for world.step(until) {
+		if next := world.leader(); next != nil && next.member.Status().Term > term {
+			f.Leaderless = append(f.Leaderless, world.now-killed)
+			break
+		}
+	}
+	accepted := world.audit.lastAccepted
+	for world.step(until) {
+		if world.audit.lastAccepted > max(accepted, killed) {
+			f.Unavailing = append(f.Unavailing, world.audit.lastAccepted-killed)
+			return
+		}
+	}
+}
+
+// InForce is the time from a change's commit on the leader until all observers,
+// or half of them, show it.
+type InForce struct {
+	Half Times
+	All  Times
+}
+
+// MeasureInForce runs calm members with some observers in virtual time. The
+// links are not limited in bandwidth.
+func MeasureInForce(observers, seeds int) InForce {
+	var found InForce
+	for seed := range uint64(seeds) {
+		world := newWorld(Options{Seed: seed + 1, Observers: observers,
+			Scenario: Scenario{Name: "in-force", Faulty: time.Hour, Every: time.Hour, Members: 3}})
+		world.audit.now = func() time.Duration { return world.now }
+		world.runUntil(measureFor)
+		found.collect(world)
+	}
+	slices.Sort(found.Half)
+	slices.Sort(found.All)
+	return found
+}
+
+func (f *InForce) collect(world *World) {
+	for _, revision := range sortedKeys(world.audit.acceptedAt) {
+		at := world.audit.acceptedAt[revision]
+		if at < settledAt || at > measureFor-settledAt {
+			continue
+		}
+		delays := make(Times, 0, len(world.observers))
+		for _, observer := range world.observers {
+			delays = append(delays, observer.shownAt(revision)-at)
+		}
+		slices.Sort(delays)
+		f.Half = append(f.Half, delays[(len(delays)-1)/2])
+		f.All = append(f.All, delays[len(delays)-1])
+	}
+}
+
+// shownAt gives when the observer first showed a revision or a later one.
+func (o *observer) shownAt(revision port.Revision) time.Duration {
+	first := o.world.now
+	for shown, at := range o.reached {
+		if shown >= revision {
+			first = min(first, at)
+		}
+	}
+	return first
+}
