coordinator: add the fault tables; keep places for samples that start again

Tables of delivery and sample faults, and a run that replaces the coordinator before every single event, with its last proposal taken by the log or not.

--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -36,7 +36,6 @@
 	}
 	for _, g := range groups {
 		g.pinned = true
-		c.pinned++
 		for _, s := range g.samples {
 			batch.Samples = append(batch.Samples, port.CommittedSample{
 				ID: s.id, Prompt: g.prompt.Index, Oldest: port.OldestVersion(s.spans),
@@ -274,11 +273,7 @@
 	groups := c.pending.groups
 	c.pending = nil
 	for _, g := range groups {
-		if g.gone {
-			continue
-		}
 		g.pinned = false
-		c.pinned--
 	}
 	for _, g := range groups {
 		for _, s := range slices.Clone(g.samples) {
--- a/internal/core/coordinator/coordinator.go
+++ b/internal/core/coordinator/coordinator.go
@@ -32,9 +32,10 @@
 	groups  map[port.PromptIndex]*group
 	order   []*group
 	samples map[port.SampleID]*sample
-	// running counts attempts at replicas, pinned groups of a pending commit.
+	// running counts attempts at replicas, whole the samples with their whole
+	// text.
 	running  int
-	pinned   int
+	whole    int
 	sequence uint64
 
 	ledger  port.LedgerState
--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -99,7 +99,7 @@
 	if c.draining || !c.now.Before(c.leaseUntil) {
 		return
 	}
-	for c.running < c.planning.plan.TargetInFlight && len(c.groups)-c.pinned < c.bufferGroups() {
+	for c.unfinished() < c.planning.plan.TargetInFlight && len(c.groups) < c.bufferGroups() {
 		prompt, found := c.prompts.pop()
 		if !found {
 			return
@@ -108,6 +108,10 @@
 	}
 }
 
+// unfinished counts samples that run or wait to be started again. Those that wait
+// keep their place, so that new groups cannot hold up begun ones.
+func (c *Coordinator) unfinished() int { return len(c.samples) - c.whole }
+
 func (c *Coordinator) startGroup(prompt port.Prompt) {
 	size := c.config.Sampling.GroupSize + c.planning.plan.OverProvision
 	created := &group{prompt: prompt, samples: make([]*sample, 0, size)}
@@ -222,6 +226,7 @@
 func (c *Coordinator) removeSample(s *sample) {
 	c.cancelAttempt(s)
 	if s.whole() {
+		c.whole--
 		s.group.finished--
 	}
 	if s.state == stateScored {
@@ -265,11 +270,11 @@
 	}
 	for _, s := range g.samples {
 		c.cancelAttempt(s)
+		if s.whole() {
+			c.whole--
+		}
 		delete(c.samples, s.id)
 	}
-	if g.pinned {
-		c.pinned--
-	}
 	g.gone = true
 	if c.groups[g.prompt.Index] == g {
 		delete(c.groups, g.prompt.Index)
--- a/internal/core/coordinator/samples.go
+++ b/internal/core/coordinator/samples.go
@@ -82,6 +82,7 @@
 	c.lengths.add(s.tokens)
 	s.state = stateFinished
 	s.group.finished++
+	c.whole++
 	if reason := c.undeliverable(s); reason != "" {
 		c.dropStale(s, reason)
 		return
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -74,6 +74,10 @@
 	// steps counts events; before crashAt, if not 0, the coordinator is replaced.
 	steps   int
 	crashAt int
+	// crashTakes lets the log take the proposals that are out at that time.
+	crashTakes bool
+	// length is how many tokens an attempt makes before it finishes.
+	length int
 
 	current   *coordinator.Coordinator
 	records   []port.Decision
@@ -104,7 +108,7 @@
 		t.Fatal(err)
 	}
 	w := &world{
-		t: t, now: start, sampling: sampling, program: program, published: 1,
+		t: t, now: start, sampling: sampling, program: program, published: 1, length: 3,
 		answers: map[string]port.Result{}, commits: map[string]commitRecord{},
 		refusals: map[uint64]*port.Error{}, arrived: map[uint64]coordinator.Deliver{},
 		used: map[port.BatchNumber]coordinator.Deliver{}, next: 1,
@@ -157,6 +161,12 @@
 func (w *world) step(to *coordinator.Coordinator, event coordinator.Event) {
 	w.steps++
 	if w.steps == w.crashAt {
+		if w.crashTakes {
+			for _, out := range w.proposals {
+				w.apply(out.commit)
+			}
+		}
+		w.proposals = nil
 		w.takeOver()
 		return
 	}
@@ -251,7 +261,7 @@
 // with an error.
 func (w *world) finish(run *attemptRun) {
 	if !run.ended {
-		w.generate(run, 3)
+		w.generate(run, w.length)
 	}
 	w.remove(run)
 	w.noteTruth(run)
@@ -282,6 +292,17 @@
 	w.step(run.owner, event)
 }
 
+// running finds the attempt that runs for a sample.
+func (w *world) running(id port.SampleID) *attemptRun {
+	for _, run := range w.attempts {
+		if run.start.ID == id {
+			return run
+		}
+	}
+	w.t.Fatalf("sample %v does not run", id)
+	return nil
+}
+
 // noteTruth remembers which text and versions an attempt truly has.
 func (w *world) noteTruth(run *attemptRun) {
 	texts := w.truths[run.start.ID]
