--- a/internal/lab/engine/config.go
+++ b/internal/lab/engine/config.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
 
 // Config describes one engine. The zero value of a field stands for the
 // default named in its comment.
@@ -51,6 +55,8 @@
 	AdapterLoadTime time.Duration
 	// Weights are the weights served after a start.
 	Weights Weights
+	// Adapters are the adapters loaded after a start, with their versions.
+	Adapters map[string]port.WeightVersion
 	// Role is the role after a start.
 	Role Role
 
--- a/internal/lab/engine/model.go
+++ b/internal/lab/engine/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -94,6 +95,7 @@
 	m.weights = m.config.Weights
 	m.role = m.config.Role
 	m.adapters = make(map[string]port.WeightVersion)
+	maps.Copy(m.adapters, m.config.Adapters)
 }
 
 // Submit hands a request to the engine. A request that is refused with an
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -53,6 +53,8 @@
 	ChunkInterval time.Duration
 	// LoadLag is how late load reports are, CacheLag how late cache events.
 	LoadLag, CacheLag time.Duration
+	// Adapters are loaded after a start, at the version of Model.Weights.
+	Adapters []string
 	// CacheGapEvery loses every n-th cache event; 0 loses none.
 	CacheGapEvery uint64
 }
@@ -71,6 +73,10 @@
 	setDefault(&config.ChunkInterval, 20*time.Millisecond)
 	setDefault(&config.Model.Weights.Version, 1)
 	config.Model.CacheEvents = true
+	config.Model.Adapters = map[string]port.WeightVersion{}
+	for _, name := range config.Adapters {
+		config.Model.Adapters[name] = config.Model.Weights.Version
+	}
 	config.Model.Store = nil // weights are fetched from the order's source
 	e := &Engine{
 		config: config, client: &http.Client{}, wake: make(chan struct{}, 1),
