control: register a node by its report

Cause: nodes report where they are and leave their registration to control. Change: a member registers a reporting node that its view does not show as reported, so that a removed, moved or draining node is mended by its next report. Conclusion: TestSilentNodeLeavesTheView follows a node out of the view and back.

--- a/internal/app/control/control_test.go
+++ b/internal/app/control/control_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -348,7 +349,8 @@
 	group.change(client, 1)
 }
 
-// TestSilentNodeLeavesTheView registers two nodes of which one reports.
+// TestSilentNodeLeavesTheView lets two nodes report, of which one falls silent,
+// comes back at another address and drains.
 func TestSilentNodeLeavesTheView(t *testing.T) {
 	group := startGroup(t, 3, func(config *Config) { config.NodeTimeout = 2 * time.Second })
 	client := group.client(1)
@@ -356,14 +358,20 @@
 		return port.NodeAddress{ID: id, Zone: "zone-a", PeerAddress: peer, HTTPAddress: peer}
 	}
 	alive, silent := node("alive", "127.0.0.1:1001"), node("silent", "127.0.0.1:1002")
-	for _, address := range []port.NodeAddress{alive, silent} {
-		group.mustAccept(client, port.Command{RegisterNode: &port.RegisterNode{Node: address}})
-	}
-	group.eventually("the silent node to go", func() bool {
-		if err := client.Report(group.context(), port.NodeReport{Node: alive}); err != nil {
+	report := func(address port.NodeAddress) {
+		t.Helper()
+		if err := client.Report(group.context(), port.NodeReport{Node: address}); err != nil {
 			t.Fatal(err)
 		}
+	}
+	shows := func(nodes ...port.NodeAddress) bool {
 		view, err := group.leader().View(group.context(), false)
-		return err == nil && len(view.Nodes) == 1 && view.Nodes[0].ID == "alive"
-	})
+		return err == nil && slices.Equal(view.Nodes, nodes)
+	}
+	report(silent)
+	group.eventually("both nodes to be registered", func() bool { report(alive); return shows(alive, silent) })
+	group.eventually("the silent node to go", func() bool { report(alive); return shows(alive) })
+	silent.PeerAddress, silent.Draining = "127.0.0.1:1003", true
+	report(silent)
+	group.eventually("the node to be back", func() bool { return shows(alive, silent) })
 }
--- a/internal/app/control/housekeeping.go
+++ b/internal/app/control/housekeeping.go
@@ -73,8 +73,8 @@
 	return silent
 }
 
-// removeSilent proposes the removal of silent nodes. A node that lives on finds
-// itself missing from the view and registers again.
+// removeSilent proposes the removal of silent nodes. A node that lives on is
+// registered again by its next report.
 func (m *Member) removeSilent(ctx context.Context, watcher *silenceWatcher, view *port.View) {
 	reports := m.gatherReports(ctx)
 	ages := make(map[port.NodeID]time.Duration, len(reports.Nodes))
--- a/internal/app/control/serve.go
+++ b/internal/app/control/serve.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
@@ -65,12 +67,32 @@
 	}
 }
 
-func (m *Member) serveReport(_ context.Context, call *wire.Call) error {
+// serveReport keeps a node's report. A node that the view does not show as it
+// reports itself is registered; a failure to do so is mended by its next report.
+func (m *Member) serveReport(ctx context.Context, call *wire.Call) error {
 	var report port.NodeReport
 	if err := call.Decode(&report); err != nil {
 		return err
 	}
-	return m.reports.add(report, time.Now())
+	if err := m.reports.add(report, time.Now()); err != nil {
+		return err
+	}
+	if isRegistered(m.loop().published.Load().view, report.Node) {
+		return nil
+	}
+	result, err := m.propose(ctx, port.Command{RegisterNode: &port.RegisterNode{Node: report.Node}}, false)
+	if err == nil && result.Error != nil {
+		return result.Error
+	}
+	return nil
+}
+
+// isRegistered says whether a view shows a node with the same addresses and
+// draining mark.
+func isRegistered(view *port.View, node port.NodeAddress) bool {
+	byID := func(registered port.NodeAddress, id port.NodeID) int { return cmp.Compare(registered.ID, id) }
+	position, found := slices.BinarySearchFunc(view.Nodes, node.ID, byID)
+	return found && view.Nodes[position] == node
 }
 
 func (m *Member) serveReports(_ context.Context, call *wire.Call) error {
