lab: add the callers

Change: reader app, indexers, pilots and stitching jobs as open (Poisson) or closed loops, seeded and bounded; every attempt is recorded for the audit, and resends of unknown outcome carry the same request key.

--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/lab/engine"
+	"github.com/loomgrade/loomgrade/internal/lab/standin"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// classes are one open loop, one closed loop and one of completions.
+func classes() []Class {
+	return []Class{
+		{Name: "pilot", Pool: "app", Method: http.MethodGet, Path: "/readings", Rate: 2000},
+		{Name: "stitching", Pool: "app", Method: http.MethodPost, Path: "/stitch", BodyBytes: 64, Unsafe: true, Workers: 3},
+		{Name: "bulletin", Pool: "lm", MaxTokens: 10, PromptTokens: 20, Workers: 2},
+	}
+}
+
+func run(t *testing.T, url string, classes []Class) *Result {
+	t.Helper()
+	return Run(context.Background(), Config{
+		Targets: []string{url}, Classes: classes, Seed: 4, Duration: 20 * time.Second, MaxCalls: 12,
+	})
+}
+
+func startApplication(t *testing.T) *standin.Application {
+	t.Helper()
+	app, err := standin.StartApplication(context.Background(), standin.ApplicationConfig{ServiceTime: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(app.Close)
+	return app
+}
+
+func TestCallsAreAnsweredAndBounded(t *testing.T) {
+	app := startApplication(t)
+	result := run(t, app.URL(), classes()[:2])
+	for _, class := range result.Classes() {
+		if class.Outcomes[audit.OutcomeAnswered]+class.Overflow != 12 || class.Attempts+class.Overflow != 12 || class.P50 <= 0 {
+			t.Errorf("%+v", class)
+		}
+	}
+	seen := app.Observations()
+	seen.Merge(result.Observations())
+	if found := audit.Check(seen, audit.Bounds{}); len(found) > 0 {
+		t.Fatalf("violations: %v", found)
+	}
+}
+
+func TestCompletionsAreJudgedByContent(t *testing.T) {
+	e, err := standin.StartEngine(context.Background(), standin.EngineConfig{
+		TimeScale: 20, ChunkInterval: time.Millisecond, Lengths: engine.Lengths{Median: 30},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	result := run(t, e.URL(), classes()[2:])
+	if sum := result.Classes()[0]; sum.Outcomes[audit.OutcomeAnswered] != 12 {
+		t.Fatalf("%+v", sum)
+	}
+	seen := e.Observations()
+	seen.Merge(result.Observations())
+	if found := audit.Check(seen, audit.Bounds{}); len(found) > 0 {
+		t.Fatalf("violations: %v", found)
+	}
+	if err := e.Inject(standin.Fault{Kind: standin.FaultMix, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	mixed := run(t, e.URL(), []Class{{Name: "mixed", Pool: "lm", MaxTokens: 10, Workers: 1}})
+	if found := audit.Check(mixed.Observations(), audit.Bounds{}); len(found) == 0 {
+		t.Fatal("another's answer went unnoticed")
+	}
+}
+
+func TestOutcomesOfFailures(t *testing.T) {
+	refusing := func(verdict port.Verdict) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(api.HeaderVerdict, verdict.String())
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("{"))
+		panic(http.ErrAbortHandler)
+	}
+	failInStream := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("event: error\ndata: {\"error\":{\"verdict\":\"ran\"}}\n\n"))
+	}
+	cases := []struct {
+		name     string
+		handler  http.HandlerFunc
+		class    Class
+		want     audit.Outcome
+		attempts int
+	}{
+		{"refused", refusing(port.NotRun), Class{Method: http.MethodGet}, audit.OutcomeNotRun, 1},
+		{"ran", refusing(port.Ran), Class{Method: http.MethodGet}, audit.OutcomeRan, 1},
+		{"no verdict", refusing(port.VerdictUnset), Class{Method: http.MethodGet}, audit.OutcomeMayHaveRun, 1},
+		{"resent twice", refusing(port.MayHaveRun), Class{Method: http.MethodPost, Resends: 2}, audit.OutcomeMayHaveRun, 3},
+		{"cut", cut, Class{Method: http.MethodPost}, audit.OutcomeLost, 1},
+		{"stream without end", func(http.ResponseWriter, *http.Request) {}, Class{}, audit.OutcomeLost, 1},
+		{"error in stream", failInStream, Class{}, audit.OutcomeRan, 1},
+		{"not an answer", func(http.ResponseWriter, *http.Request) {}, Class{Method: http.MethodGet}, audit.OutcomeAnswered, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			front := httptest.NewServer(c.handler)
+			defer front.Close()
+			c.class.Name, c.class.Workers = c.name, 1
+			result := Run(context.Background(), Config{
+				Targets: []string{front.URL}, Classes: []Class{c.class}, Duration: time.Minute, MaxCalls: 1,
+			})
+			sum := result.Classes()[0]
+			if sum.Outcomes[c.want] != 1 || sum.Attempts != c.attempts {
+				t.Fatalf("%+v, calls %+v", sum, result.Observations().Calls)
+			}
+		})
+	}
+}
+
+func TestUnreachableTargetIsAvoided(t *testing.T) {
+	app := startApplication(t)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	result := Run(context.Background(), Config{
+		Targets: []string{gone.URL, app.URL()}, AvoidFor: time.Hour, Duration: time.Minute, MaxCalls: 20,
+		Classes: []Class{{Name: "reader", Method: http.MethodGet, Path: "/", Workers: 1}},
+	})
+	sum := result.Classes()[0]
+	if sum.Outcomes[audit.OutcomeNotRun] != 1 || sum.Outcomes[audit.OutcomeAnswered] != 19 {
+		t.Fatalf("%+v", sum)
+	}
+}
