--- /dev/null
+++ b/internal/core/consensus/explore_test.go
@@ -0,0 +1,337 @@
+package consensus
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// explorer drives a network through random faults. choose returns a number
+// below its argument.
+type explorer struct {
+	net      *network
+	choose   func(int) int
+	proposed int
+	requests uint64
+	floors   map[uint64]uint64
+	answered int
+	changes  int
+	actions  []action
+	// crashOdds is how many Readys are carried out for each crash of a kind.
+	crashOdds int
+	// slow is a member that messages mostly do not reach for now, or none.
+	slow MemberID
+	// unevenClocks lets members tick apart, which leases do not allow.
+	unevenClocks bool
+}
+
+func (e *explorer) member() MemberID {
+	return e.net.order[e.choose(len(e.net.order))]
+}
+
+// action is one kind of step, taken in proportion to its weight.
+type action struct {
+	weight int
+	take   func()
+}
+
+// drawActions weighs the kinds of step differently in every run, so that each
+// fault is at times frequent and at times absent.
+func (e *explorer) drawActions() {
+	net := e.net
+	actions := []action{
+		{1, func() { e.net.members[e.member()].down = true }},
+		{1, func() { net.cut[[2]MemberID{e.member(), e.member()}] = true }},
+		{1, func() { net.isolate(e.member(), true) }},
+		{1, func() { net.isolate(net.leader(), true) }},
+		{2, func() { e.compact(e.member()) }},
+		{3, func() { e.read(e.member()) }},
+		{2, e.changeMembership},
+		{1, func() { _ = net.node(e.member()).TransferLeadership(e.member()) }},
+		{1, func() { net.tick(1 + e.choose(2*testElectionTicks)) }},
+		{1, net.settle},
+	}
+	for i := range actions {
+		actions[i].weight *= []int{0, 1, 1, 2, 4}[e.choose(5)]
+	}
+	e.crashOdds = []int{40, 400, 4000}[e.choose(3)]
+	e.slow = MemberID(e.choose(6))
+	e.actions = append(actions,
+		action{42, e.deliverOne}, action{34, e.carryOutOne}, action{8, e.tick}, action{4, e.propose},
+		action{1, e.heal}, action{2, e.startOne},
+	)
+}
+
+// step takes one random action and checks the invariants.
+func (e *explorer) step() {
+	total := 0
+	for _, candidate := range e.actions {
+		total += candidate.weight
+	}
+	drawn := e.choose(total)
+	for _, candidate := range e.actions {
+		drawn -= candidate.weight
+		if drawn < 0 {
+			candidate.take()
+			break
+		}
+	}
+	e.checkReads()
+}
+
+// deliverOne delivers, loses or repeats one message, out of order.
+func (e *explorer) deliverOne() {
+	net := e.net
+	if len(net.queue) == 0 {
+		return
+	}
+	at := e.choose(len(net.queue))
+	message := net.queue[at]
+	if message.To == e.slow && e.choose(10) > 0 {
+		return
+	}
+	switch e.choose(20) {
+	case 0: // lost
+		net.queue = slices.Delete(net.queue, at, at+1)
+		return
+	case 1: // repeated later
+	default:
+		net.queue = slices.Delete(net.queue, at, at+1)
+	}
+	net.deliver(message)
+}
+
+// carryOutOne carries out a Ready, at times with a crash in the middle.
+func (e *explorer) carryOutOne() {
+	id := e.member()
+	member := e.net.members[id]
+	if member.down || !member.node.HasReady() {
+		return
+	}
+	switch e.choose(e.crashOdds) {
+	case 0: // crash before the write, after the sends that need not wait for it
+		ready := member.node.Ready()
+		for _, message := range ready.Messages {
+			if ready.MayPrecedeSync(message) {
+				e.net.queue = append(e.net.queue, message)
+			}
+		}
+		member.down = true
+	case 1: // crash between write and send
+		member.disk.persist(member.node.Ready())
+		member.down = true
+	case 2: // crash between send and apply
+		ready := member.node.Ready()
+		member.disk.persist(ready)
+		e.net.queue = append(e.net.queue, ready.Messages...)
+		member.down = true
+	default:
+		e.net.carryOut(id)
+	}
+}
+
+func (e *explorer) tick() {
+	if e.unevenClocks {
+		if member := e.net.members[e.member()]; !member.down {
+			member.node.Tick()
+		}
+		return
+	}
+	for _, id := range e.net.order {
+		if !e.net.members[id].down {
+			e.net.node(id).Tick()
+		}
+	}
+}
+
+func (e *explorer) propose() {
+	if id := e.net.leader(); id != None {
+		e.proposed++
+		_, _, _ = e.net.node(id).Propose([]byte{byte(e.proposed), byte(e.proposed >> 8)})
+	}
+}
+
+func (e *explorer) startOne() {
+	if id := e.member(); e.net.members[id].down {
+		e.net.start(id)
+	}
+}
+
+// heal ends all cuts and slows another member down.
+func (e *explorer) heal() {
+	e.net.cut = map[[2]MemberID]bool{}
+	e.slow = MemberID(e.choose(6))
+}
+
+func (e *explorer) compact(id MemberID) {
+	member := e.net.members[id]
+	if member.down {
+		return
+	}
+	index := min(member.applied, member.node.Status().Applied)
+	if index != member.applied {
+		return
+	}
+	snapshot, err := member.node.BuildSnapshot(index, bytes.Clone(member.state))
+	if err != nil || member.node.Compact(snapshot) != nil {
+		return
+	}
+	member.disk.install(snapshot)
+}
+
+func (e *explorer) read(id MemberID) {
+	if e.net.members[id].down {
+		return
+	}
+	e.requests++
+	if e.net.node(id).ReadIndex(e.requests) == nil {
+		e.floors[e.requests] = uint64(len(e.net.history))
+	}
+}
+
+func (e *explorer) checkReads() {
+	for _, id := range e.net.order {
+		member := e.net.members[id]
+		for _, read := range member.reads {
+			if read.Lost {
+				continue
+			}
+			e.answered++
+			if floor := e.floors[read.RequestID]; read.Index < floor {
+				e.net.fault("stale read on %d: index %d, %d was committed before", id, read.Index, floor)
+			}
+		}
+		member.reads = nil
+	}
+}
+
+// changeMembership adds, promotes or removes a member and keeps three voters
+// or more.
+func (e *explorer) changeMembership() {
+	id := e.net.leader()
+	if id == None {
+		return
+	}
+	node := e.net.node(id)
+	membership := node.Status().Membership
+	change := MembershipChange{Kind: AddLearner, Member: membership.HighestID + 1}
+	if len(membership.Learners) > 0 {
+		change = MembershipChange{Kind: PromoteLearner, Member: membership.Learners[0]}
+	} else if len(membership.Voters) > 3 {
+		change = MembershipChange{Kind: RemoveMember, Member: membership.Voters[e.choose(len(membership.Voters))]}
+	}
+	if _, _, err := node.ProposeMembership(change); err != nil {
+		return
+	}
+	e.changes++
+	if change.Kind == AddLearner && e.net.members[change.Member] == nil {
+		e.net.add(change.Member, Restored{})
+	}
+}
+
+// finish heals everything and checks that all members come to agree.
+func (e *explorer) finish() {
+	net := e.net
+	net.cut = map[[2]MemberID]bool{}
+	for _, id := range net.order {
+		if net.members[id].down {
+			net.start(id)
+		}
+	}
+	net.tick(30 * testElectionTicks)
+	leader := net.leader()
+	if leader == None {
+		net.fault("no leader after the faults ended")
+		return
+	}
+	if _, _, err := net.node(leader).Propose([]byte("end")); err != nil {
+		net.fault("propose after the faults ended: %v", err)
+		return
+	}
+	net.tick(5 * testElectionTicks)
+	want := net.members[leader]
+	if int(want.applied) != len(net.history) {
+		net.fault("leader %d applied %d of %d committed entries", leader, want.applied, len(net.history))
+	}
+	for _, id := range net.node(leader).Status().Membership.Members() {
+		if got := net.members[id]; !bytes.Equal(got.state, want.state) {
+			net.fault("member %d differs from leader %d: applied %d and %d", id, leader, got.applied, want.applied)
+		}
+	}
+	e.checkLogs()
+}
+
+// checkLogs verifies log matching between all pairs of members.
+func (e *explorer) checkLogs() {
+	for _, a := range e.net.order {
+		for _, b := range e.net.order {
+			logA, logB := &e.net.node(a).log, &e.net.node(b).log
+			agree := false
+			for index := min(logA.lastIndex(), logB.lastIndex()); index > max(logA.baseIndex, logB.baseIndex); index-- {
+				termA, _ := logA.term(index)
+				same := logB.matches(index, termA)
+				if agree && !same {
+					e.net.fault("logs of %d and %d agree after %d but not at it", a, b, index)
+				}
+				agree = agree || same
+			}
+		}
+	}
+}
+
+func explore(t reporter, choose func(int) int, steps int, uneven bool, adjust func(*Config)) *explorer {
+	t.Helper()
+	net := newNetwork(t, 3, func(c *Config) {
+		c.SnapshotChunkBytes, c.MaxBatchBytes, c.MaxInflight = 16, 8, 3
+		c.NoLeaseReads = uneven
+		if adjust != nil {
+			adjust(c)
+		}
+	})
+	e := &explorer{net: net, choose: choose, floors: map[uint64]uint64{}, unevenClocks: uneven}
+	e.drawActions()
+	for range steps {
+		e.step()
+		if uneven || e.proposed%16 == 0 {
+			e.checkLogs()
+		}
+		if len(net.faults) > 0 {
+			return e
+		}
+	}
+	e.finish()
+	return e
+}
+
+func TestPropertiesHoldUnderFaults(t *testing.T) {
+	testkit.Check(t, 20240601, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		e := explore(t, choose, 400, rapid.Bool().Draw(t, "uneven clocks"), nil)
+		for _, fault := range e.net.faults {
+			t.Error(fault)
+		}
+	})
+}
+
+func TestSeedsUnderFaults(t *testing.T) {
+	applied, answered, changes := 0, 0, 0
+	for seed := range uint64(150) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		e := explore(t, random.IntN, 1500, seed%2 == 0, nil)
+		for _, fault := range e.net.faults {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+		applied += len(e.net.history)
+		answered += e.answered
+		changes += e.changes
+	}
+	t.Logf("%d entries committed, %d reads answered, %d membership changes", applied, answered, changes)
+	if applied == 0 || answered == 0 || changes == 0 {
+		t.Error("the faults left nothing to check")
+	}
+}
--- a/internal/core/consensus/harness_test.go
+++ b/internal/core/consensus/harness_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"slices"
-	"testing"
 )
 
 const (
@@ -57,9 +56,18 @@
 	down     bool
 }
 
+// reporter is what the network needs of testing.TB and rapid.T.
+type reporter interface {
+	Helper()
+	Error(arguments ...any)
+	Errorf(format string, arguments ...any)
+	Fatal(arguments ...any)
+	Fatalf(format string, arguments ...any)
+}
+
 // network is a group of members in one process, stepped by the test.
 type network struct {
-	t       testing.TB
+	t       reporter
 	config  Config
 	members map[MemberID]*testMember
 	order   []MemberID
@@ -71,7 +79,7 @@
 	faults  []string
 }
 
-func newNetwork(t testing.TB, voters int, adjust func(*Config)) *network {
+func newNetwork(t reporter, voters int, adjust func(*Config)) *network {
 	t.Helper()
 	net := &network{
 		t: t, config: Config{ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks, Seed: 42},
--- /dev/null
+++ b/internal/core/consensus/membership_test.go
@@ -0,0 +1,157 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+)
+
+func (net *network) change(kind MembershipChangeKind, member MemberID) error {
+	net.t.Helper()
+	_, _, err := net.node(net.leader()).ProposeMembership(MembershipChange{Kind: kind, Member: member})
+	net.settle()
+	return err
+}
+
+func (net *network) mustChange(kind MembershipChangeKind, member MemberID) {
+	net.t.Helper()
+	if err := net.change(kind, member); err != nil {
+		net.t.Fatalf("change %d of member %d: %v", kind, member, err)
+	}
+}
+
+func TestLearnerIsPromotedOnceCaughtUp(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	for range 20 {
+		net.propose(leader, "x")
+	}
+	net.add(4, Restored{})
+	net.isolate(4, true)
+	net.mustChange(AddLearner, 4)
+	net.tick(testHeartbeatTicks)
+	if err := net.change(PromoteLearner, 4); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("promotion of an empty learner: %v", err)
+	}
+	net.isolate(4, false)
+	net.tick(testElectionTicks)
+	if role := net.node(4).Status().Role; role != RoleLearner {
+		t.Errorf("role %v before the promotion", role)
+	}
+	net.mustChange(PromoteLearner, 4)
+	net.tick(testHeartbeatTicks)
+	if status := net.node(4).Status(); status.Role != RoleFollower || !status.Membership.IsVoter(4) {
+		t.Errorf("status after the promotion: %+v", status)
+	}
+	net.sameState("xxxxxxxxxxxxxxxxxxxx", 1, 2, 3, 4)
+	net.noFaults()
+}
+
+func TestMembershipChangesRefused(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	follower := net.others(leader)[0]
+	cases := []struct {
+		name   string
+		change MembershipChange
+		want   error
+	}{
+		{"add a member", MembershipChange{Kind: AddLearner, Member: 2}, ErrAlreadyMember},
+		{"add with a lower id", MembershipChange{Kind: AddLearner, Member: None}, ErrReusedID},
+		{"promote a voter", MembershipChange{Kind: PromoteLearner, Member: 2}, ErrNotMember},
+		{"remove a stranger", MembershipChange{Kind: RemoveMember, Member: 9}, ErrNotMember},
+		{"no kind", MembershipChange{Member: 4}, ErrMalformed},
+	}
+	for _, test := range cases {
+		if _, _, err := net.node(leader).ProposeMembership(test.change); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, err, test.want)
+		}
+	}
+	if _, _, err := net.node(follower).ProposeMembership(MembershipChange{Kind: AddLearner, Member: 4}); !errors.Is(err, ErrNotLeader) {
+		t.Errorf("change on a follower: %v", err)
+	}
+	net.mustChange(AddLearner, 4)
+	net.isolate(leader, true)
+	if err := net.change(AddLearner, 5); err != nil {
+		t.Fatal(err)
+	}
+	if err := net.change(AddLearner, 6); !errors.Is(err, ErrChangePending) {
+		t.Errorf("second change at once: %v", err)
+	}
+}
+
+// With one voter lost, taking out another live one would leave no quorum.
+func TestRemovalMustLeaveActiveQuorum(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	lost, alive := net.others(leader)[0], net.others(leader)[1]
+	net.crash(lost)
+	net.tick(testElectionTicks + 1)
+	if err := net.change(RemoveMember, alive); !errors.Is(err, ErrUnsafeChange) {
+		t.Errorf("removal of the last live follower: %v", err)
+	}
+	net.mustChange(RemoveMember, lost)
+}
+
+func TestRemovedMemberStops(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		net := newNetwork(t, 4, nil)
+		leader := net.elect()
+		gone := net.others(leader)[0]
+		net.isolate(gone, cutOff)
+		net.mustChange(RemoveMember, gone)
+		net.tick(2 * testElectionTicks)
+		net.isolate(gone, false)
+		term := net.node(leader).Status().Term
+		net.tick(5 * testElectionTicks)
+		if role := net.node(gone).Status().Role; role != RoleRemoved {
+			t.Errorf("cut off %v: role %v", cutOff, role)
+		}
+		if after := net.node(net.leader()).Status().Term; after != term {
+			t.Errorf("cut off %v: term %d became %d", cutOff, term, after)
+		}
+		if err := net.change(AddLearner, gone); !errors.Is(err, ErrReusedID) {
+			t.Errorf("added again under its old id: %v", err)
+		}
+		net.noFaults()
+	}
+}
+
+func TestLeaderRemovesItself(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	first := net.elect()
+	net.mustChange(RemoveMember, first)
+	net.tick(3 * testElectionTicks)
+	second := net.leader()
+	if second == None || second == first || net.node(first).Status().Role != RoleRemoved {
+		t.Fatalf("leader %d after %d left as %v", second, first, net.node(first).Status().Role)
+	}
+	net.propose(second, "on")
+	net.noFaults()
+}
+
+// A lost machine is replaced; then a second one is lost at once.
+func TestSecondLossAfterRepair(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	net.propose(leader, "a")
+	lost, second := net.others(leader)[0], net.others(leader)[1]
+	net.crash(lost)
+	net.propose(leader, "b")
+	net.add(4, Restored{})
+	net.mustChange(AddLearner, 4)
+	net.tick(testElectionTicks + 1)
+	net.mustChange(RemoveMember, lost)
+	net.tick(testHeartbeatTicks)
+	net.mustChange(PromoteLearner, 4)
+	net.crash(second)
+	net.tick(testElectionTicks)
+	net.propose(net.elect(), "c")
+	net.tick(testHeartbeatTicks)
+	net.sameState("abc", leader, 4)
+	net.crash(leader)
+	net.start(second)
+	net.propose(net.elect(), "d")
+	net.tick(testHeartbeatTicks)
+	net.sameState("abcd", second, 4)
+	net.noFaults()
+}
