adapter: add the HTTP clients of engines, back ends and platform services, and metrics

Cause: nodes need exact verdicts from their calls. net/http reports a failure without saying whether a byte left, and resends idempotent requests by itself when a reused connection breaks. Change: httpcall counts the writes of each connection, seals it before it says not-run, and gives every request a body that cannot be rewound. The clients check ids, order, counts, content types and bounds, and deliver a completion's last chunk only after the end marker. One fault table runs against all calls.

--- /dev/null
+++ b/internal/adapter/appclient/header.go
@@ -0,0 +1,50 @@
+package appclient
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// connectionFields belong to one connection and are not passed on (RFC 9110,
+// section 7.6.1), together with every field that Connection names.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Host", "Content-Length",
+}
+
+// ownRequestFields are written anew on every request.
+var ownRequestFields = []string{api.HeaderRequestID, api.HeaderRequestKey, api.HeaderSafe, api.HeaderDeadline, api.HeaderPriority}
+
+// ownResponseFields are loomgrade's to write: a back end cannot speak for it.
+var ownResponseFields = []string{api.HeaderRequestID, api.HeaderVerdict, api.HeaderUnconfirmed}
+
+func dropConnectionFields(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionFields {
+		header.Del(name)
+	}
+}
+
+// incomingHeader gives the fields to pass on to the caller, sorted by name.
+func incomingHeader(header http.Header) []port.HeaderField {
+	dropConnectionFields(header)
+	for _, name := range ownResponseFields {
+		header.Del(name)
+	}
+	fields := make([]port.HeaderField, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, port.HeaderField{Name: name, Value: value})
+		}
+	}
+	slices.SortStableFunc(fields, func(a, b port.HeaderField) int { return strings.Compare(a.Name, b.Name) })
+	return fields
+}
--- /dev/null
+++ b/internal/adapter/contracttest/server.go
@@ -0,0 +1,211 @@
+package contracttest
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// answer is a response as the fault table may bend it before it is written.
+type answer struct {
+	status int
+	header http.Header
+	// pieces are the body; a stream has one piece for each event.
+	pieces  [][]byte
+	chunked bool
+	// noLength leaves out both Content-Length and chunked encoding.
+	noLength bool
+}
+
+// fault says what the server does with one request instead of answering it
+// well. A nil fault answers well.
+type fault func(server *faultServer, connection net.Conn, good answer) (keepOpen bool)
+
+// faultServer answers raw HTTP/1.1 connections; the n-th request gets the
+// n-th fault, and every request beyond the list a good answer.
+type faultServer struct {
+	listener net.Listener
+	handler  http.Handler
+	faults   []fault
+	// cancelled counts DELETE requests, which are not part of the script.
+	mutex     sync.Mutex
+	requests  int
+	cancelled int
+	previous  *answer
+	open      map[net.Conn]bool
+	// seen gets a value for each request of the script when it has been read.
+	seen chan struct{}
+	// release lets a fault that waits go on.
+	release chan struct{}
+	done    sync.WaitGroup
+}
+
+const seenBuffer = 64
+
+func newFaultServer(t *testing.T, handler http.Handler, faults []fault) *faultServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	server := &faultServer{
+		listener: listener,
+		handler:  handler,
+		faults:   faults,
+		open:     map[net.Conn]bool{},
+		seen:     make(chan struct{}, seenBuffer),
+		release:  make(chan struct{}),
+	}
+	server.done.Go(server.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.closeConnections()
+		server.done.Wait()
+	})
+	return server
+}
+
+func (s *faultServer) address() string { return s.listener.Addr().String() }
+
+func (s *faultServer) accept() {
+	for {
+		connection, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mutex.Lock()
+		s.open[connection] = true
+		s.mutex.Unlock()
+		s.done.Go(func() { s.serve(connection) })
+	}
+}
+
+// closeConnections ends what is left at the test's end: idle connections and
+// faults that wait for the client.
+func (s *faultServer) closeConnections() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for connection := range s.open {
+		_ = connection.Close()
+	}
+}
+
+// serve ends when the client closes the connection or a fault does.
+func (s *faultServer) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		if !s.respond(connection, request) {
+			return
+		}
+	}
+}
+
+func (s *faultServer) respond(connection net.Conn, request *http.Request) (keepOpen bool) {
+	if request.Method == http.MethodDelete {
+		s.mutex.Lock()
+		s.cancelled++
+		s.mutex.Unlock()
+		return answer{status: http.StatusNoContent, header: http.Header{}}.write(connection)
+	}
+	good := s.goodAnswer(request)
+	s.mutex.Lock()
+	number := s.requests
+	s.requests++
+	s.mutex.Unlock()
+	s.seen <- struct{}{}
+	if number < len(s.faults) && s.faults[number] != nil {
+		return s.faults[number](s, connection, good)
+	}
+	s.mutex.Lock()
+	s.previous = &good
+	s.mutex.Unlock()
+	return good.write(connection)
+}
+
+// counts gives the requests and cancellations so far.
+func (s *faultServer) counts() (requests, cancelled int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.requests, s.cancelled
+}
+
+// goodAnswer runs the subject's handler.
+func (s *faultServer) goodAnswer(request *http.Request) answer {
+	recorder := httptest.NewRecorder()
+	recorder.Header().Set(api.HeaderRequestID, request.Header.Get(api.HeaderRequestID))
+	s.handler.ServeHTTP(recorder, request)
+	result := answer{status: recorder.Code, header: recorder.Header().Clone()}
+	body := recorder.Body.Bytes()
+	if result.header.Get("Content-Type") != "text/event-stream" {
+		result.pieces = [][]byte{body}
+		return result
+	}
+	result.chunked = true
+	result.pieces = bytes.SplitAfter(body, []byte("\n\n"))
+	if last := len(result.pieces) - 1; len(result.pieces[last]) == 0 {
+		result.pieces = result.pieces[:last]
+	}
+	return result
+}
+
+// clone makes a copy that can be bent.
+func (a answer) clone() answer {
+	a.header = a.header.Clone()
+	pieces := make([][]byte, len(a.pieces))
+	for index, piece := range a.pieces {
+		pieces[index] = bytes.Clone(piece)
+	}
+	a.pieces = pieces
+	return a
+}
+
+// bytes gives the answer as it goes over the wire.
+func (a answer) bytes() []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	header := a.header.Clone()
+	switch {
+	case a.noLength:
+	case a.chunked:
+		header.Set("Transfer-Encoding", "chunked")
+	default:
+		header.Set("Content-Length", strconv.Itoa(len(bytes.Join(a.pieces, nil))))
+	}
+	_ = header.Write(&out)
+	out.WriteString("\r\n")
+	for _, piece := range a.pieces {
+		if a.chunked {
+			fmt.Fprintf(&out, "%x\r\n%s\r\n", len(piece), piece)
+		} else {
+			out.Write(piece)
+		}
+	}
+	if a.chunked {
+		out.WriteString("0\r\n\r\n")
+	}
+	return out.Bytes()
+}
+
+func (a answer) write(connection net.Conn) (keepOpen bool) {
+	_, err := connection.Write(a.bytes())
+	return err == nil
+}
--- /dev/null
+++ b/internal/adapter/httpcall/answer.go
@@ -0,0 +1,195 @@
+package httpcall
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+const (
+	contentTypeJSON = "application/json"
+	// errorBodyLimit bounds how much of an error answer is read.
+	errorBodyLimit = 16 << 10
+	// maxRetryAfter bounds the Retry-After that is believed.
+	maxRetryAfter = time.Hour
+)
+
+// Failure makes the error for a call that broke: CodeDeadline or CodeCancelled
+// when ctx ended, CodeBackEnd otherwise.
+func Failure(ctx context.Context, verdict port.Verdict, err error, action string) error {
+	code := port.CodeBackEnd
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+	case errors.Is(cause, context.DeadlineExceeded):
+		code = port.CodeDeadline
+	default:
+		code = port.CodeCancelled
+	}
+	return eris.Wrap(port.NewError(verdict, code, "%v", err), action)
+}
+
+// Malformed makes the error for an answer that breaks the protocol. The
+// request ran or may have run; its answer must not be delivered.
+func Malformed(format string, arguments ...any) error {
+	return eris.Wrap(port.NewError(port.MayHaveRun, port.CodeBackEnd, format, arguments...), "read answer")
+}
+
+// ReadWhole reads an answer's body, at most limit bytes, and closes it. It
+// refuses a body that is cut short, longer than limit, or whose end is marked
+// only by the end of the connection.
+func ReadWhole(response *http.Response, limit int64) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
+	ctx := response.Request.Context()
+	if response.ContentLength > limit && response.Request.Method != http.MethodHead {
+		return nil, tooLarge(limit)
+	}
+	if !hasExplicitEnd(response) {
+		return nil, Malformed("answer has neither Content-Length nor chunked encoding")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, Failure(ctx, port.MayHaveRun, err, "read answer")
+	}
+	if int64(len(body)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return body, nil
+}
+
+func tooLarge(limit int64) error {
+	return eris.Wrap(port.NewError(port.MayHaveRun, port.CodeTooLarge, "answer is longer than %d bytes", limit), "read answer")
+}
+
+func hasExplicitEnd(response *http.Response) bool {
+	if response.ContentLength >= 0 || response.Request.Method == http.MethodHead {
+		return true
+	}
+	return slices.Contains(response.TransferEncoding, "chunked")
+}
+
+// CheckContentType refuses an answer of another media type.
+func CheckContentType(response *http.Response, want string) error {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || mediaType != want {
+		return Malformed("answer has content type %q, want %q", response.Header.Get("Content-Type"), want)
+	}
+	return nil
+}
+
+// RefusedAsNotRun reports whether an answer says credibly that the request did
+// not run: status 4xx or 503 with the header HeaderVerdict "not-run".
+func RefusedAsNotRun(response *http.Response) bool {
+	clientError := response.StatusCode >= 400 && response.StatusCode < 500
+	if !clientError && response.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	return port.ParseVerdict(response.Header.Get(api.HeaderVerdict)) == port.NotRun
+}
+
+// ErrorOf reads an error answer and closes its body. Without a credible
+// not-run the verdict is MayHaveRun, or Ran if the answer says so. Code and
+// message come from an api.ErrorBody if there is one.
+func ErrorOf(response *http.Response) error {
+	failure := port.NewError(port.MayHaveRun, port.CodeBackEnd, "answered status %d", response.StatusCode)
+	switch {
+	case RefusedAsNotRun(response):
+		failure.Verdict = port.NotRun
+	case port.ParseVerdict(response.Header.Get(api.HeaderVerdict)) == port.Ran:
+		failure.Verdict = port.Ran
+	}
+	failure.RetryAfter = parseRetryAfter(response.Header.Get("Retry-After"))
+	fillFromBody(failure, response)
+	return eris.Wrap(failure, "back end refused")
+}
+
+func fillFromBody(failure *port.Error, response *http.Response) {
+	body, err := ReadWhole(response, errorBodyLimit)
+	if err != nil {
+		return
+	}
+	var decoded api.ErrorBody
+	if json.Unmarshal(body, &decoded) != nil || decoded.Error.Code == "" {
+		return
+	}
+	detail := decoded.Error
+	failure.Code = port.Code(detail.Code)
+	failure.Message = detail.Message
+	failure.Field, failure.Value, failure.Allowed = detail.Field, detail.Value, detail.Allowed
+	if detail.RetryAfterMs > 0 {
+		failure.RetryAfter = min(time.Duration(detail.RetryAfterMs)*time.Millisecond, maxRetryAfter)
+	}
+}
+
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
+// JSON sends a request with an optional JSON body and decodes the whole JSON
+// answer, at most limit bytes, into answer. Every status but 200 is an error.
+func (c *Client) JSON(ctx context.Context, method, url, id string, body, answer any, limit int64) error {
+	ctx, cancel := c.WithTimeout(ctx)
+	defer cancel()
+	header := http.Header{"Accept": {contentTypeJSON}}
+	encoded, err := encodeBody(header, body)
+	if err != nil {
+		return err
+	}
+	if id == "" {
+		id = c.nextID()
+	}
+	request, err := NewRequest(ctx, method, url, id, header, encoded)
+	if err != nil {
+		return err
+	}
+	response, err := c.Send(request)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(response, answer, limit)
+}
+
+func encodeBody(header http.Header, body any) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, eris.Wrap(port.NewError(port.NotRun, port.CodeInvalid, "%v", err), "encode request")
+	}
+	header.Set("Content-Type", contentTypeJSON)
+	return encoded, nil
+}
+
+func decodeAnswer(response *http.Response, answer any, limit int64) error {
+	if response.StatusCode != http.StatusOK {
+		return ErrorOf(response)
+	}
+	if err := CheckContentType(response, contentTypeJSON); err != nil {
+		_ = response.Body.Close()
+		return err
+	}
+	body, err := ReadWhole(response, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return Malformed("malformed JSON: %v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/httpcall/client.go
@@ -0,0 +1,192 @@
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// Limits bound what a Client uses. The zero value of a field means its default.
+type Limits struct {
+	// DialTimeout bounds setting up a connection; default 2s.
+	DialTimeout time.Duration
+	// Connections bounds open connections to one address; default 1024.
+	Connections int
+	// IdleConnections bounds those kept for reuse to one address; default 64.
+	IdleConnections int
+	// IdleTimeout closes unused connections; default 30s.
+	IdleTimeout time.Duration
+	// HeaderBytes bounds an answer's header; default 32 KiB.
+	HeaderBytes int64
+	// Timeout bounds a whole answer when the context has no deadline;
+	// default 30s.
+	Timeout time.Duration
+}
+
+// The defaults of Limits.
+const (
+	defaultDialTimeout     = 2 * time.Second
+	defaultConnections     = 1024
+	defaultIdleConnections = 64
+	defaultIdleTimeout     = 30 * time.Second
+	defaultHeaderBytes     = 32 << 10
+	defaultTimeout         = 30 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.DialTimeout, defaultDialTimeout)
+	setDefault(&l.Connections, defaultConnections)
+	setDefault(&l.IdleConnections, defaultIdleConnections)
+	setDefault(&l.IdleTimeout, defaultIdleTimeout)
+	setDefault(&l.HeaderBytes, defaultHeaderBytes)
+	setDefault(&l.Timeout, defaultTimeout)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Client sends requests over pooled connections. It is safe for concurrent use
+// and meant to be shared by the clients of many addresses.
+type Client struct {
+	transport *http.Transport
+	limits    Limits
+	// calls numbers the calls that come without an id of their own.
+	calls atomic.Uint64
+}
+
+// New makes a Client.
+func New(limits Limits) *Client {
+	limits = limits.withDefaults()
+	dialer := &net.Dialer{Timeout: limits.DialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConnection{Conn: connection}, nil
+	}
+	return &Client{limits: limits, transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        limits.Connections,
+		MaxIdleConnsPerHost:    limits.IdleConnections,
+		IdleConnTimeout:        limits.IdleTimeout,
+		MaxResponseHeaderBytes: limits.HeaderBytes,
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// WithTimeout gives ctx the client's timeout if it has no deadline of its own.
+func (c *Client) WithTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, limited := ctx.Deadline(); limited {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.limits.Timeout)
+}
+
+// nextID gives an id for a call that has none, so that an answer to another
+// call shows.
+func (c *Client) nextID() string { return "c-" + strconv.FormatUint(c.calls.Add(1), 10) }
+
+// NewRequest makes a request that net/http cannot resend by itself. It carries
+// what is left of ctx's deadline as HeaderDeadline, and id, if not empty, as
+// HeaderRequestID. A malformed method or URL gives NotRun.
+func NewRequest(ctx context.Context, method, url, id string, header http.Header, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(port.NewError(port.NotRun, port.CodeInvalid, "%v", err), "make request")
+	}
+	if header != nil {
+		request.Header = header
+	}
+	if id != "" {
+		request.Header.Set(api.HeaderRequestID, id)
+	}
+	if deadline, limited := ctx.Deadline(); limited {
+		left := max(1, time.Until(deadline).Milliseconds())
+		request.Header.Set(api.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	setSingleUseBody(request, body)
+	return request, nil
+}
+
+// singleUseBody is a body without GetBody, which net/http cannot rewind.
+type singleUseBody struct{ *bytes.Reader }
+
+// Close does nothing.
+func (singleUseBody) Close() error { return nil }
+
+// setSingleUseBody sets the body so that net/http finds the request neither
+// replayable nor rewindable, whatever its method and headers are. It resends
+// a request without body when the method is idempotent or a header such as
+// Idempotency-Key says so; an empty body of its own type keeps it from that.
+func setSingleUseBody(request *http.Request, body []byte) {
+	request.GetBody = nil
+	if len(body) == 0 && !looksReplayable(request) {
+		request.Body = http.NoBody
+		return
+	}
+	request.Body = singleUseBody{bytes.NewReader(body)}
+	request.ContentLength = int64(len(body))
+}
+
+// looksReplayable mirrors net/http's rule for requests without a body.
+func looksReplayable(request *http.Request) bool {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return len(request.Header["Idempotency-Key"]) > 0 || len(request.Header["X-Idempotency-Key"]) > 0
+}
+
+// Send sends a request of NewRequest once and gives the answer's head. Its
+// errors carry an exact verdict: NotRun if no byte of the request left,
+// MayHaveRun otherwise. The caller closes the answer's body.
+func (c *Client) Send(request *http.Request) (*http.Response, error) {
+	ctx := request.Context()
+	var attempt attempt
+	traced := request.WithContext(httptrace.WithClientTrace(ctx, attempt.trace()))
+	response, err := c.transport.RoundTrip(traced)
+	if err != nil {
+		return nil, attempt.failure(ctx, err)
+	}
+	if err := checkRequestID(request, response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+func (a *attempt) failure(ctx context.Context, err error) error {
+	verdict := port.NotRun
+	if a.mayHaveRun() {
+		verdict = port.MayHaveRun
+	}
+	return Failure(ctx, verdict, err, "send request")
+}
+
+// checkRequestID refuses an answer that names another request's id.
+func checkRequestID(request *http.Request, response *http.Response) error {
+	got := response.Header.Get(api.HeaderRequestID)
+	if got == "" || got == request.Header.Get(api.HeaderRequestID) {
+		return nil
+	}
+	return Malformed("answer is to another request: %s %q", api.HeaderRequestID, got)
+}
