node: cross zones by room for each replica

Cause: a pool with an engine in each of three zones used the coordinator's zone alone while it had a free place: two of three engines never ran a sample. Change: the accepting node compares free places for each replica, less what it has sent since the other zone's word. Conclusion: samples of one coordinator spread over the zones.

--- a/internal/app/control/housekeeping.go
+++ b/internal/app/control/housekeeping.go
@@ -9,7 +9,12 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-const houseInterval = time.Second
+const (
+	houseInterval = time.Second
+	// connectsATimeout is how often in an election timeout the connections to
+	// the other members are looked after.
+	connectsATimeout = 4
+)
 
 // keepHouse does what no request asks for: it learns the addresses of members
 // that joined, and as the leader takes silent nodes out of the view.
@@ -33,6 +38,26 @@
 	}
 }
 
+// keepConnected keeps connections to the other members open.
+func (m *Member) keepConnected(ctx context.Context) error {
+	ticker := time.NewTicker(m.config.electionTimeout() / connectsATimeout)
+	defer ticker.Stop()
+	for {
+		var others []consensus.MemberID
+		for _, id := range m.loop().published.Load().status.Membership.Members() {
+			if uint64(id) != m.config.ID {
+				others = append(others, id)
+			}
+		}
+		m.peers.connect(others)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // learnAddresses takes over the addresses of members that joined by the log.
 func (m *Member) learnAddresses(ctx context.Context) {
 	_ = m.inLoop(ctx, func(l *loop) {
--- a/internal/app/control/member.go
+++ b/internal/app/control/member.go
@@ -180,6 +180,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.run(ctx) })
 	group.Go(func() error { return m.keepHouse(ctx) })
+	group.Go(func() error { return m.keepConnected(ctx) })
 	err := group.Wait()
 	return errors.Join(err, l.log.Close())
 }
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -67,6 +67,16 @@
 	return client
 }
 
+// connect keeps connections to members open. Followers seldom talk to each
+// other, and without a connection the first request for a vote would be lost.
+func (p *peers) connect(ids []consensus.MemberID) {
+	for _, id := range ids {
+		if client := p.client(id); client != nil {
+			client.Connect()
+		}
+	}
+}
+
 // send hands a consensus message to the network. It may be lost; the core
 // sends again.
 func (p *peers) send(message consensus.Message) {
--- a/internal/app/node/actions.go
+++ b/internal/app/node/actions.go
@@ -54,6 +54,10 @@
 	if decided.Revision == 0 {
 		decided.Revision = w.node.snapshot.Load().view.Revision
 	}
+	decided.Subject = batchSubject(w.pool, decided.Subject)
+	for index, related := range decided.Related {
+		decided.Related[index] = batchSubject(w.pool, related)
+	}
 	w.node.recorder.record(decided)
 }
 
--- a/internal/app/node/choose.go
+++ b/internal/app/node/choose.go
@@ -16,9 +16,9 @@
 	// affinityFor is how long a replica is taken to have cached the prompt of a
 	// request that this node sent to it. The home knows better and decides.
 	affinityFor = time.Minute
-	// freePlaceMargin is the number of free places that another zone must have
-	// over what the own zone has before a request crosses zones.
-	freePlaceMargin = 2
+	// zoneMargin is the number of free places that each replica of another zone
+	// must have over one of the own zone before a request crosses zones.
+	zoneMargin = 2
 	// noFreePlaceRetry is the advised wait when no zone has a replica.
 	noFreePlaceRetry = time.Second
 )
@@ -51,21 +51,24 @@
 type place struct {
 	node    port.NodeAddress
 	replica port.ReplicaID
+	// crossing counts what goes to another zone; nil within the own one.
+	crossing *replicaCounters
 }
 
 // choose picks the place of an attempt: a replica of the own zone through its
 // home, or a node of another zone that has more room.
 func (n *Node) choose(accepted acceptance, job *generation, tried *attempts) (place, *port.Error) {
-	local, free, refusal := n.chooseLocal(accepted, job, tried)
-	if remote, better := n.chooseZone(accepted, job, tried, free, refusal != nil); better {
+	local, room, refusal := n.chooseLocal(accepted, job, tried)
+	if remote, better := n.chooseZone(accepted, job, room, refusal != nil); better {
+		remote.crossing.sent.Add(1)
 		return remote, nil
 	}
 	return local, refusal
 }
 
-// chooseLocal picks a replica of the own zone, and tells how many requests the
-// zone's replicas could start at once.
-func (n *Node) chooseLocal(accepted acceptance, job *generation, tried *attempts) (place, int, *port.Error) {
+// chooseLocal picks a replica of the own zone, and tells how many requests each
+// of the zone's replicas could start at once.
+func (n *Node) chooseLocal(accepted acceptance, job *generation, tried *attempts) (place, float64, *port.Error) {
 	if len(job.zones) > 0 && !slices.Contains(job.zones, n.config.Zone) {
 		return place{}, 0, noReplica(nil)
 	}
@@ -75,11 +78,12 @@
 	defer c.mutex.Unlock()
 	c.index.Expire(now)
 	c.scratch = c.scratch[:0]
-	free := 0
+	free, routable := 0, 0
 	for index := range accepted.route.zone {
 		candidate := accepted.route.zone[index].now(now)
-		if candidate.Limit > 0 {
-			free += max(candidate.Limit-candidate.Load(), 0)
+		if candidate.Limit > 0 && !candidate.Leaving && !candidate.Draining && !candidate.Ejected {
+			free += candidate.Limit - candidate.Load()
+			routable++
 		}
 		c.scratch = append(c.scratch, candidate)
 	}
@@ -99,7 +103,7 @@
 		return place{}, 0, noReplica(nil)
 	}
 	c.index.Sent(now, chosen.Replica, job.request.PrefixHashes)
-	return place{node: home, replica: chosen.Replica}, free, nil
+	return place{node: home, replica: chosen.Replica}, float64(free) / float64(max(routable, 1)), nil
 }
 
 // pick makes the scheduler's request. The versions of an adapter are known to
@@ -138,12 +142,12 @@
 	return candidate
 }
 
-// chooseZone picks a node of another zone if one has clearly more room, or if
-// the own zone has no replica for the request.
-func (n *Node) chooseZone(accepted acceptance, job *generation, tried *attempts, free int, none bool) (place, bool) {
-	offers := accepted.route.elsewhere
-	var usable []zoneOffer
-	for _, offer := range offers {
+// chooseZone picks a node of another zone if one has clearly more room for each
+// of its replicas, or if the own zone has no replica for the request.
+func (n *Node) chooseZone(accepted acceptance, job *generation, room float64, none bool) (place, bool) {
+	var usable []*zoneOffer
+	for index := range accepted.route.elsewhere {
+		offer := &accepted.route.elsewhere[index]
 		allowed := len(job.zones) == 0 || slices.Contains(job.zones, offer.aggregate.Zone)
 		if allowed && offer.aggregate.Routable > 0 && len(offer.nodes) > 0 {
 			usable = append(usable, offer)
@@ -153,15 +157,14 @@
 		return place{}, false
 	}
 	// Two draws keep the nodes of a zone from all following the same old word.
-	first, second := usable[n.budgets.draw(len(usable))], usable[n.budgets.draw(len(usable))]
-	if second.aggregate.Free-second.aggregate.Queued > first.aggregate.Free-first.aggregate.Queued {
-		first = second
+	chosen, other := usable[n.budgets.draw(len(usable))], usable[n.budgets.draw(len(usable))]
+	if other.room() > chosen.room() {
+		chosen = other
 	}
-	room := first.aggregate.Free - first.aggregate.Queued
-	if !none && (free > 0 || room < free+freePlaceMargin) {
+	if !none && chosen.room() < room+zoneMargin {
 		return place{}, false
 	}
-	return place{node: first.nodes[n.budgets.draw(len(first.nodes))]}, true
+	return place{node: chosen.nodes[n.budgets.draw(len(chosen.nodes))], crossing: chosen.counters}, true
 }
 
 func noReplica(filtered []port.FilterCount) *port.Error {
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -19,10 +19,11 @@
 	aggregates *membership.Aggregates
 	// gates are those of application pools and of engine pools with a replica
 	// that this node is the home of.
-	gates    map[port.PoolName]*gate.Gate
-	trackers map[port.PoolName]*ejection.Tracker
-	homes    map[port.ReplicaID]*home
-	marks    map[port.ReplicaID]reportMark
+	gates     map[port.PoolName]*gate.Gate
+	trackers  map[port.PoolName]*ejection.Tracker
+	homes     map[port.ReplicaID]*home
+	marks     map[port.ReplicaID]reportMark
+	zoneMarks map[zonePool]zoneMark
 	// fences are the highest fences that rollouts of engine pools came with.
 	fences map[port.PoolName]port.Epoch
 	// leaving are the machines that each poller of the list shows as leaving.
@@ -49,6 +50,12 @@
 	finished int64
 }
 
+// zoneMark remembers the own counter when another zone's word came.
+type zoneMark struct {
+	sequence uint64
+	sent     int64
+}
+
 // event is something the control goroutine takes in.
 type event interface{ apply(*controller, time.Time) }
 
@@ -64,6 +71,7 @@
 		trackers:    make(map[port.PoolName]*ejection.Tracker),
 		homes:       make(map[port.ReplicaID]*home),
 		marks:       make(map[port.ReplicaID]reportMark),
+		zoneMarks:   make(map[zonePool]zoneMark),
 		fences:      make(map[port.PoolName]port.Epoch),
 		leaving:     make(map[port.NodeID]leavingList),
 		outcomes:    make(map[port.NodeID][]callOutcome),
--- a/internal/app/node/counters.go
+++ b/internal/app/node/counters.go
@@ -7,40 +7,47 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// replicaCounters count what this node sent to a replica, through any home.
+// replicaCounters count what this node sent to a replica, through any home, or
+// to another zone.
 type replicaCounters struct {
 	sent     atomic.Int64
 	finished atomic.Int64
 }
 
-// counterTable finds the counters of replicas.
-type counterTable struct {
+// zonePool names what another zone serves of an engine pool.
+type zonePool struct {
+	zone port.ZoneName
+	pool port.PoolName
+}
+
+// counterTable finds the counters of replicas, or of other zones.
+type counterTable[K comparable] struct {
 	mutex  sync.Mutex
-	counts map[port.ReplicaID]*replicaCounters
+	counts map[K]*replicaCounters
 }
 
-func newCounterTable() *counterTable {
-	return &counterTable{counts: make(map[port.ReplicaID]*replicaCounters)}
+func newCounterTable[K comparable]() *counterTable[K] {
+	return &counterTable[K]{counts: make(map[K]*replicaCounters)}
 }
 
-func (t *counterTable) of(replica port.ReplicaID) *replicaCounters {
+func (t *counterTable[K]) of(key K) *replicaCounters {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.counts[replica]
+	known := t.counts[key]
 	if known == nil {
 		known = &replicaCounters{}
-		t.counts[replica] = known
+		t.counts[key] = known
 	}
 	return known
 }
 
-// retain forgets the counters of replicas that are no longer configured.
-func (t *counterTable) retain(keep map[port.ReplicaID]port.Replica) {
+// retain forgets the counters that keep refuses.
+func (t *counterTable[K]) retain(keep func(K) bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for id := range t.counts {
-		if _, configured := keep[id]; !configured {
-			delete(t.counts, id)
+	for key := range t.counts {
+		if !keep(key) {
+			delete(t.counts, key)
 		}
 	}
 }
--- a/internal/app/node/explain.go
+++ b/internal/app/node/explain.go
@@ -19,16 +19,45 @@
 // It looks here, asks the node that the id names, and for what has no such node
 // every node that may hold a record.
 func (n *Node) Explain(ctx context.Context, subject string) ([]string, []port.Decision, error) {
+	subject = n.canonical(subject)
 	decisions := n.recorder.get(subject)
-	for _, answer := range n.askAbout(ctx, subject, n.holders(subject, len(decisions) > 0)) {
+	for _, answer := range n.askAbout(ctx, subject, n.holders(subject)) {
 		decisions = append(decisions, answer...)
 	}
 	decisions = distinct(decisions)
 	return decision.Explain(subject, decisions), decisions, nil
 }
 
+// canonical gives the form under which records are kept: operators may name a
+// replica by its id alone.
+func (n *Node) canonical(subject string) string {
+	if _, configured := n.snapshot.Load().replicas[port.ReplicaID(subject)]; configured {
+		return replicaSubject(port.ReplicaID(subject))
+	}
+	return subject
+}
+
+// replicaSubject is the subject of records about a replica.
+func replicaSubject(id port.ReplicaID) string { return replicaPrefix + string(id) }
+
+const (
+	replicaPrefix = "replica/"
+	batchPrefix   = "batch/"
+)
+
+// batchSubject turns the coordinator's b-POOL-NUMBER-ATTEMPT into
+// batch/POOL/NUMBER, under which all attempts at a batch stand together.
+func batchSubject(pool port.PoolName, subject string) string {
+	rest, found := strings.CutPrefix(subject, "b-"+string(pool)+"-")
+	if !found {
+		return subject
+	}
+	number, _, _ := strings.Cut(rest, "-")
+	return batchPrefix + string(pool) + "/" + number
+}
+
 // holders lists the nodes to ask about a subject.
-func (n *Node) holders(subject string, found bool) []port.NodeAddress {
+func (n *Node) holders(subject string) []port.NodeAddress {
 	current := n.snapshot.Load()
 	if id, named := nodeOfRequest(subject); named {
 		if holder, known := current.nodes[id]; known && id != n.config.ID {
@@ -36,11 +65,6 @@
 		}
 		return nil
 	}
-	if strings.HasPrefix(subject, "replica/") {
-		if home, known := n.homeNode(port.ReplicaID(strings.TrimPrefix(subject, "replica/"))); known && found && home.ID == n.config.ID {
-			return nil
-		}
-	}
 	var others []port.NodeAddress
 	for id, node := range current.nodes {
 		if id != n.config.ID && len(others) < maxAsked {
--- a/internal/app/node/fault_test.go
+++ b/internal/app/node/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -350,3 +351,23 @@
 	}
 	eventually(t, "an explanation from another node after the restart", func() bool { return told(made.nodes["n2"]) })
 }
+
+func TestFailingReplicaIsEjectedAndReturns(t *testing.T) {
+	made, under, backs := applications(t, 2)
+	if err := backs[0].Inject(standin.Fault{Kind: standin.FaultCrash, DurationMs: 1500}); err != nil {
+		t.Fatal(err)
+	}
+	number := 0
+	recorded := func(kind port.DecisionKind) bool {
+		for range 10 {
+			number++
+			if _, err := call(under, fmt.Sprintf("call-%d", number), true); err != nil {
+				t.Fatalf("call %d: %v", number, err)
+			}
+		}
+		_, decisions, _ := made.nodes["n1"].Explain(context.Background(), "p0")
+		return slices.ContainsFunc(decisions, func(decided port.Decision) bool { return decided.Kind == kind })
+	}
+	eventually(t, "the ejection", func() bool { return recorded(port.DecisionEjected) })
+	eventually(t, "the return", func() bool { return recorded(port.DecisionReturned) })
+}
--- a/internal/app/node/harness_test.go
+++ b/internal/app/node/harness_test.go
@@ -97,6 +97,13 @@
 	return lease.Holder
 }
 
+func (m *memoryControl) leaseEpoch(pool port.PoolName) port.Epoch {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	lease, _ := m.state.Lease(port.CoordinatorLease(pool))
+	return lease.Epoch
+}
+
 // controlHandle is one node's way to the control state, which can be cut.
 type controlHandle struct {
 	control *memoryControl
--- a/internal/app/node/homes.go
+++ b/internal/app/node/homes.go
@@ -179,7 +179,7 @@
 		return
 	}
 	c.node.recorder.record(port.Decision{
-		Kind: kind, Subject: "replica/" + string(change.Replica), Pool: pool, Replica: change.Replica,
+		Kind: kind, Subject: replicaSubject(change.Replica), Pool: pool, Replica: change.Replica,
 		Revision: c.observer.View().Revision, Detail: string(change.Cause),
 	})
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -31,7 +31,8 @@
 	web      *http.Server
 	backEnds *backEnds
 	recorder *recorder
-	counters *counterTable
+	counters *counterTable[port.ReplicaID]
+	crossing *counterTable[zonePool]
 	keys     *requestkeys.Memory[keyOutcome]
 	budgets  *budgetTable
 	chooser  *chooser
@@ -106,7 +107,8 @@
 		server:         wire.NewServer(options),
 		backEnds:       newBackEnds(),
 		recorder:       newRecorder(config.ID, config.Limits.Decisions, time.Now()),
-		counters:       newCounterTable(),
+		counters:       newCounterTable[port.ReplicaID](),
+		crossing:       newCounterTable[zonePool](),
 		keys:           requestkeys.New[keyOutcome](config.Intervals.KeyMemory, config.Limits.Keys),
 		budgets:        newBudgetTable(config.Seed),
 		chooser:        newChooser(config.Seed),
--- a/internal/app/node/rebuild.go
+++ b/internal/app/node/rebuild.go
@@ -50,7 +50,8 @@
 		next.pools[pool.Name] = c.route(now, view, pool, next.replicas)
 	}
 	c.dropUnused(next)
-	c.node.counters.retain(next.replicas)
+	c.node.counters.retain(func(id port.ReplicaID) bool { _, configured := next.replicas[id]; return configured })
+	c.node.crossing.retain(func(key zonePool) bool { return next.pools[key.pool] != nil })
 	c.node.snapshot.Store(next)
 	c.rebuiltAt = now
 	c.rebuildCost = time.Since(began)
@@ -222,7 +223,7 @@
 		}
 	})
 	for _, aggregate := range c.aggregates.Pool(now, enginePool, maxAggregateAge) {
-		route.elsewhere = append(route.elsewhere, zoneOffer{aggregate: aggregate, nodes: zoneNodes(view, aggregate.Zone)})
+		route.elsewhere = append(route.elsewhere, c.zoneOffer(view, aggregate))
 	}
 	return route
 }
@@ -264,6 +265,19 @@
 	}
 }
 
+// zoneOffer gives what another zone offers, with this node's count of what it
+// sent there when the word came.
+func (c *controller) zoneOffer(view *port.View, aggregate membership.PoolAggregate) zoneOffer {
+	key := zonePool{aggregate.Zone, aggregate.Pool}
+	counters := c.node.crossing.of(key)
+	mark, known := c.zoneMarks[key]
+	if !known || mark.sequence != aggregate.Sequence {
+		mark = zoneMark{sequence: aggregate.Sequence, sent: counters.sent.Load()}
+		c.zoneMarks[key] = mark
+	}
+	return zoneOffer{aggregate: aggregate, nodes: zoneNodes(view, aggregate.Zone), counters: counters, sentMark: mark.sent}
+}
+
 func zoneNodes(view *port.View, zone port.ZoneName) []port.NodeAddress {
 	var nodes []port.NodeAddress
 	for _, node := range view.Nodes {
@@ -287,6 +301,11 @@
 			delete(c.trackers, name)
 		}
 	}
+	for key := range c.zoneMarks {
+		if next.pools[key.pool] == nil {
+			delete(c.zoneMarks, key)
+		}
+	}
 	for id := range c.marks {
 		if _, configured := next.replicas[id]; !configured {
 			delete(c.marks, id)
--- a/internal/app/node/rolloutdriver.go
+++ b/internal/app/node/rolloutdriver.go
@@ -74,7 +74,7 @@
 // for.
 func (w *poolWorker) recordOrder(decided port.Decision) {
 	if decided.Replica != "" {
-		decided.Subject = "replica/" + string(decided.Replica)
+		decided.Subject = replicaSubject(decided.Replica)
 	}
 	w.record(decided)
 }
--- a/internal/app/node/sampling_test.go
+++ b/internal/app/node/sampling_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/loomgrade/loomgrade/internal/lab/standin"
@@ -10,8 +11,11 @@
 )
 
 // samplingFleet starts a pool that feeds a trainer.
-func samplingFleet(t *testing.T, engines, nodes int) (*fleet, []*standin.Engine, *port.Pool) {
+func samplingFleet(t *testing.T, engines, nodes int, zones ...port.ZoneName) (*fleet, []*standin.Engine, *port.Pool) {
 	t.Helper()
+	if len(zones) == 0 {
+		zones = []port.ZoneName{"z1"}
+	}
 	made := newFleet(t)
 	sampled := pool("lm", port.PoolGeneration)
 	sampled.Sampling = sampling(startPrompts(t).URL(), startScorer(t).URL(), startStore(t).URL())
@@ -19,11 +23,11 @@
 	var started []*standin.Engine
 	for number := range engines {
 		started = append(started, startEngine(t))
-		edits = append(edits, replica(port.ReplicaID(fmt.Sprintf("e%d", number)), "lm", "z1", started[number].Addr()))
+		edits = append(edits, replica(port.ReplicaID(fmt.Sprintf("e%d", number)), "lm", zones[number%len(zones)], started[number].Addr()))
 	}
 	made.control.configure(t, edits...)
 	for number := range nodes {
-		made.start(port.NodeID(fmt.Sprintf("n%d", number)), "z1")
+		made.start(port.NodeID(fmt.Sprintf("n%d", number)), zones[number%len(zones)])
 	}
 	made.waitForNodes()
 	return made, started, sampled
@@ -64,16 +68,20 @@
 }
 
 func TestCoordinatorCutOffFromControl(t *testing.T) {
-	made, _, sampled := samplingFleet(t, 2, 3)
+	made, engines, sampled := samplingFleet(t, 2, 3)
 	fed := newTrainer(t, made, "lm")
 	fed.publish(1)
 	fed.train(1)
-	holder := made.control.leaseHolder("lm")
+	holder, epoch := made.control.leaseHolder("lm"), made.control.leaseEpoch("lm")
 	made.handles[holder].cut.Store(true)
 	isolated := made.nodes[holder]
 	delete(made.nodes, holder)
 	fed.train(2)
+	before := generationsOf(engines, epoch)
 	fed.train(3)
+	if after := generationsOf(engines, epoch); after != before {
+		t.Errorf("the coordinator that lost its lease started %d samples", after-before)
+	}
 	made.nodes[holder] = isolated
 	made.handles[holder].cut.Store(false)
 	fed.train(4)
@@ -127,3 +135,43 @@
 		})
 	}
 }
+
+// generationsOf counts the samples of a coordinator's epoch that engines saw.
+func generationsOf(engines []*standin.Engine, epoch port.Epoch) int {
+	count := 0
+	for _, started := range engines {
+		for _, generation := range started.Observations().Generations {
+			if strings.HasPrefix(generation.RequestID, fmt.Sprintf("s-lm-%d-", epoch)) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestSamplesUseTheEnginesOfAllZones(t *testing.T) {
+	made, engines, sampled := samplingFleet(t, 3, 3, "z1", "z2", "z3")
+	fed := newTrainer(t, made, "lm")
+	fed.publish(1)
+	for number := range 4 {
+		fed.train(port.BatchNumber(number + 1))
+		fed.publish(port.WeightVersion(number + 2))
+	}
+	fed.check(4 * sampled.Sampling.BatchSamples)
+	for number, started := range engines {
+		if len(started.Observations().Generations) == 0 {
+			t.Errorf("engine %d was never used", number)
+		}
+	}
+	_, decisions, err := made.nodes["n0"].Explain(context.Background(), "batch/lm/1")
+	if err != nil || len(decisions) < 2 {
+		t.Errorf("explain batch: %v, error %v", decisions, err)
+	}
+	for id := range fed.received {
+		lines, _, err := made.nodes["n1"].Explain(context.Background(), id)
+		if err != nil || len(lines) < 2 {
+			t.Errorf("explain %s: %v, error %v", id, lines, err)
+		}
+		break
+	}
+}
--- a/internal/app/node/snapshot.go
+++ b/internal/app/node/snapshot.go
@@ -49,6 +49,17 @@
 type zoneOffer struct {
 	aggregate membership.PoolAggregate
 	nodes     []port.NodeAddress
+	counters  *replicaCounters
+	// sentMark is the count of what was sent there when the word came.
+	sentMark int64
+}
+
+// room gives the free places for each replica there, less what waits and what
+// this node has sent since.
+func (o *zoneOffer) room() float64 {
+	sent := o.counters.sent.Load() - o.sentMark
+	free := o.aggregate.Free - o.aggregate.Queued - int(max(sent, 0))
+	return float64(free) / float64(max(o.aggregate.Routable, 1))
 }
 
 // tenantShare gives the share of a queue that a tenant may fill; 0 means all.
