--- a/internal/adapter/wire/client.go
+++ b/internal/adapter/wire/client.go
@@ -109,6 +109,12 @@
 	return connection.open(ctx, &Frame{Kind: KindCall, Method: method, DeadlineMillis: deadline, Body: body})
 }
 
+// Connect starts to connect in the background if there is no connection, so
+// that a later Send finds one.
+func (c *Client) Connect() {
+	_, _, _ = c.ready() // a refusal means that it is too early to dial again
+}
+
 // Send sends a one-way message without waiting: neither for a connection, which
 // it starts in the background when there is none, nor for room in the queue.
 // An error means that the message was not sent; no error is no delivery.
