scheduling: choose application replicas by own expected time

Two choices by reported load suffered from the report's age: short calls that it counts have ended long before. ShortestOfTwo multiplies the node's own requests in flight, the new one included, by the mean latency that it saw, and leaves out what others report.

Conclusion: the application profile uses ShortestOfTwo; two choices stays as the baseline two-choices. A further trial mutation found that bystanders' suspicions were kept though not counted; a test bounds them.

--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -334,6 +334,9 @@
 			}
 		}
 	}
+	if kept := len(detector.peers[target].suspecters); kept > DefaultSuccessors {
+		t.Errorf("keeps the suspicions of %d nodes, want those of monitors only", kept)
+	}
 	if died := slices.Contains(f.changes[watcher], Change{Node: target, Status: StatusDead}); died {
 		t.Error("declared dead on the word of nodes that do not watch it")
 	}
--- a/internal/core/scheduling/candidate.go
+++ b/internal/core/scheduling/candidate.go
@@ -48,6 +48,9 @@
 	// that the replica has no KV cache.
 	KVUsed  int
 	KVTotal int
+	// Latency is the mean time that this node's own requests took at the
+	// replica; 0 means not known.
+	Latency time.Duration
 	// Limit is the present concurrency limit; 0 means none.
 	Limit int
 }
--- a/internal/core/scheduling/filter_test.go
+++ b/internal/core/scheduling/filter_test.go
@@ -72,7 +72,7 @@
 // chosen if any may serve, and the counts add up. It fails when a filter is
 // left out of a profile.
 func TestEveryProfileKeepsThePromises(t *testing.T) {
-	names := []string{ProfileGeneration, ProfileApplication, ProfileRoundRobin, ProfileRandom, ProfileLeastInflight}
+	names := []string{ProfileGeneration, ProfileApplication, ProfileRoundRobin, ProfileRandom, ProfileLeastInflight, ProfileTwoChoices}
 	for _, name := range names {
 		profile, found := Named(name)
 		if !found {
--- a/internal/core/scheduling/picker.go
+++ b/internal/core/scheduling/picker.go
@@ -61,6 +61,33 @@
 	return first
 }
 
+// ShortestOfTwo draws two replicas and picks the one with the shorter expected
+// time: the mean latency that this node saw, times its own requests in flight
+// and the new one (as the peak EWMA balancer of Finagle). While the latency of
+// either is not known, the fewer in flight decide. Equals are decided by score.
+//
+// It leaves out the load that others report: a report that is older than the
+// requests are long tells of requests that have ended.
+type ShortestOfTwo struct{}
+
+// Pick implements Picker.
+func (ShortestOfTwo) Pick(candidates []Candidate, scored []Scored, random *rand.Rand) int {
+	first, second := drawTwo(len(scored), random)
+	one, other := &candidates[scored[first].Index], &candidates[scored[second].Index]
+	firstCost, secondCost := float64(one.Inflight+1), float64(other.Inflight+1)
+	if one.Latency > 0 && other.Latency > 0 {
+		firstCost *= float64(one.Latency)
+		secondCost *= float64(other.Latency)
+	}
+	if secondCost < firstCost {
+		return second
+	}
+	if secondCost == firstCost && scored[second].Score > scored[first].Score+scoreTie {
+		return second
+	}
+	return first
+}
+
 // BetterOfTwo draws two replicas and picks the one with the higher score.
 type BetterOfTwo struct{}
 
--- a/internal/core/scheduling/profile.go
+++ b/internal/core/scheduling/profile.go
@@ -22,6 +22,7 @@
 	ProfileRoundRobin    = "round-robin"
 	ProfileRandom        = "random"
 	ProfileLeastInflight = "least-inflight"
+	ProfileTwoChoices    = "two-choices"
 )
 
 // DefaultBlockTokens is the number of tokens in a KV cache block of the
@@ -65,7 +66,7 @@
 		Name:    ProfileApplication,
 		Filters: correctnessFilters(),
 		Scorers: []WeightedScorer{{ZoneScorer{}, 1}},
-		Picker:  TwoChoices{},
+		Picker:  ShortestOfTwo{},
 	}
 }
 
@@ -80,6 +81,8 @@
 		profile.Picker = Random{}
 	case ProfileLeastInflight:
 		profile.Picker = LeastInflight{}
+	case ProfileTwoChoices:
+		profile.Picker = TwoChoices{}
 	default:
 		return Profile{}, false
 	}
--- a/internal/core/scheduling/scheduler_test.go
+++ b/internal/core/scheduling/scheduler_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -30,6 +31,16 @@
 		}
 		return candidates
 	}
+	// latencies takes pairs of requests in flight and milliseconds.
+	latencies := func(pairs ...int) []Candidate {
+		candidates := make([]Candidate, len(pairs)/2)
+		for index := range candidates {
+			candidates[index].Inflight = pairs[2*index]
+			candidates[index].Latency = time.Duration(pairs[2*index+1]) * time.Millisecond
+			candidates[index].Running = 50 // of others, not looked at
+		}
+		return candidates
+	}
 	tests := map[string]struct {
 		picker Picker
 		loads  []Candidate
@@ -37,15 +48,19 @@
 		// counts are the picks of 6000, within a tenth.
 		counts []int
 	}{
-		"highest score":              {HighestScore{}, loads(0, 0, 0), []float64{1, 3, 2}, []int{0, 6000, 0}},
-		"ties are even":              {HighestScore{}, loads(0, 0, 0), []float64{3, 1, 3}, []int{3000, 0, 3000}},
-		"two choices":                {TwoChoices{}, loads(0, 1, 2), []float64{0, 0, 0}, []int{4000, 2000, 0}},
-		"two choices, ties by score": {TwoChoices{}, loads(1, 1), []float64{0, 1}, []int{0, 6000}},
-		"two choices of one":         {TwoChoices{}, loads(1), []float64{0}, []int{6000}},
-		"better of two":              {BetterOfTwo{}, loads(0, 0, 0), []float64{1, 3, 2}, []int{0, 4000, 2000}},
-		"least in flight":            {LeastInflight{}, loads(2, 1, 1), []float64{0, 0, 0}, []int{0, 3000, 3000}},
-		"random":                     {Random{}, loads(9, 0, 0), []float64{0, 0, 0}, []int{2000, 2000, 2000}},
-		"round robin":                {&RoundRobin{}, loads(9, 0, 0), []float64{0, 0, 0}, []int{2000, 2000, 2000}},
+		"highest score":                  {HighestScore{}, loads(0, 0, 0), []float64{1, 3, 2}, []int{0, 6000, 0}},
+		"ties are even":                  {HighestScore{}, loads(0, 0, 0), []float64{3, 1, 3}, []int{3000, 0, 3000}},
+		"two choices":                    {TwoChoices{}, loads(0, 1, 2), []float64{0, 0, 0}, []int{4000, 2000, 0}},
+		"two choices, ties by score":     {TwoChoices{}, loads(1, 1), []float64{0, 1}, []int{0, 6000}},
+		"two choices of one":             {TwoChoices{}, loads(1), []float64{0}, []int{6000}},
+		"shortest of two, by latency":    {ShortestOfTwo{}, latencies(0, 9, 0, 1, 0, 5), []float64{0, 0, 0}, []int{0, 4000, 2000}},
+		"shortest of two, by both":       {ShortestOfTwo{}, latencies(3, 2, 1, 9), []float64{0, 0}, []int{6000, 0}},
+		"shortest of two, not yet known": {ShortestOfTwo{}, latencies(1, 1, 0, 0), []float64{0, 0}, []int{0, 6000}},
+		"shortest of two, ties by score": {ShortestOfTwo{}, latencies(1, 1, 1, 1), []float64{0, 1}, []int{0, 6000}},
+		"better of two":                  {BetterOfTwo{}, loads(0, 0, 0), []float64{1, 3, 2}, []int{0, 4000, 2000}},
+		"least in flight":                {LeastInflight{}, loads(2, 1, 1), []float64{0, 0, 0}, []int{0, 3000, 3000}},
+		"random":                         {Random{}, loads(9, 0, 0), []float64{0, 0, 0}, []int{2000, 2000, 2000}},
+		"round robin":                    {&RoundRobin{}, loads(9, 0, 0), []float64{0, 0, 0}, []int{2000, 2000, 2000}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
