dev: run a whole fleet in one process; add explain

Cause: the first whole path. Change: the dev command with progress, a table and the audit; explain asks nodes.

--- a/cmd/loomgrade/main.go
+++ b/cmd/loomgrade/main.go
@@ -15,6 +15,7 @@
 	Control  controlCommand  `cmd:"" help:"Run a control member from its settings file."`
 	Node     nodeCommand     `cmd:"" help:"Run a node from its settings file."`
 	Dev      devCommand      `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
+	Explain  explainCommand  `cmd:"" help:"Tell why a request, sample, batch, replica or revision went as it did."`
 	Config   configCommand   `cmd:"" help:"Show and change the configuration."`
 	Pool     poolCommand     `cmd:"" help:"Show pools."`
 	Weights  weightsCommand  `cmd:"" help:"Publish weight versions and see where they are served."`
--- a/internal/lab/localfleet/fleet.go
+++ b/internal/lab/localfleet/fleet.go
@@ -75,7 +75,7 @@
 	if err := f.listenNodes(); err != nil {
 		return err
 	}
-	standIns, err := startStandIns(background, &f.plan, f.nodeURLs())
+	standIns, err := startStandIns(background, &f.plan, f.NodeURLs())
 	if err != nil {
 		return err
 	}
--- a/internal/lab/localfleet/members.go
+++ b/internal/lab/localfleet/members.go
@@ -108,7 +108,5 @@
 	return slot.start(f.memberConfig(slot))
 }
 
-// OperatorURL gives the base URL of a control member's operator interface.
-func (f *Fleet) OperatorURL(index int) string {
-	return "http://" + f.members[index].operatorAddress
-}
+// OperatorAddress gives IP:port of a control member's operator interface.
+func (f *Fleet) OperatorAddress(index int) string { return f.members[index].operatorAddress }
--- a/internal/lab/localfleet/nodes.go
+++ b/internal/lab/localfleet/nodes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/app/node"
@@ -96,7 +95,8 @@
 // NodeURL gives the base URL of a node.
 func (f *Fleet) NodeURL(index int) string { return "http://" + f.nodes[index].httpAddress }
 
-func (f *Fleet) nodeURLs() []string {
+// NodeURLs gives the base URLs of all nodes.
+func (f *Fleet) NodeURLs() []string {
 	urls := make([]string, len(f.nodes))
 	for index := range f.nodes {
 		urls[index] = f.NodeURL(index)
@@ -113,12 +113,12 @@
 // DrainNode stops a node as planned and notes the stop for the audit.
 func (f *Fleet) DrainNode(ctx context.Context, index int) error {
 	slot := f.nodes[index]
-	from := time.Duration(time.Now().UnixNano())
+	from := now()
 	err := slot.node.Drain(ctx)
 	f.stops = append(f.stops, audit.PlannedStop{
 		Process: slot.httpAddress,
 		From:    from,
-		To:      time.Duration(time.Now().UnixNano()),
+		To:      now(),
 	})
 	slot.client.Close()
 	slot.node, slot.client = nil, nil
--- a/internal/lab/localfleet/plan.go
+++ b/internal/lab/localfleet/plan.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/core/policy"
 	"github.com/loomgrade/loomgrade/internal/lab/engine"
+	"github.com/loomgrade/loomgrade/internal/lab/load"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -23,6 +24,8 @@
 	// whose pools share the engines by adapter.
 	Trainers    []TrainerPlan
 	Application ApplicationPlan
+	// Callers are the kinds of callers of the site.
+	Callers []load.Class
 	// Seed drives every random choice of stand-ins and load.
 	Seed uint64
 }
@@ -71,6 +74,7 @@
 			{Pool: "captions", Sampling: devSampling(), StepTime: 400 * time.Millisecond},
 		},
 		Application: ApplicationPlan{Pool: "pages", Replicas: 3, ServiceTime: 4 * time.Millisecond},
+		Callers:     append(on("pages", load.InkwellCallers(1)), completionCallers("captions")...),
 		Seed:        1,
 	}
 }
@@ -148,6 +152,7 @@
 			{Pool: "caption-lm", Sampling: devSampling(), StepTime: 400 * time.Millisecond},
 		},
 		Application: ApplicationPlan{Pool: "page-api", Replicas: 3, ServiceTime: 4 * time.Millisecond},
+		Callers:     append(load.InkwellCallers(1), completionCallers("caption-lm")...),
 		Seed:        1,
 	}
 }
@@ -165,6 +170,7 @@
 			Lengths: engine.Lengths{Median: 80, Sigma: 0.9, Max: 1200},
 		},
 		Application: ApplicationPlan{Pool: "buoy-api", Replicas: 4, ServiceTime: 4 * time.Millisecond},
+		Callers:     append(load.MareaCallers(1), completionCallers("bulletins")...),
 		Seed:        1,
 	}
 	for _, name := range []string{"bulletins", "anomaly-notes", "summaries"} {
@@ -174,3 +180,20 @@
 	}
 	return plan
 }
+
+// on moves callers to a pool.
+func on(pool string, callers []load.Class) []load.Class {
+	for index := range callers {
+		callers[index].Pool = pool
+	}
+	return callers
+}
+
+// completionCallers are a few callers who ask a generation pool directly, ahead
+// of the trainer's samples.
+func completionCallers(pool string) []load.Class {
+	return []load.Class{{
+		Name: "completion", Pool: pool, Rate: 2, MaxTokens: 64, PromptTokens: 96,
+		Priority: completionPriority, Timeout: generationDeadline,
+	}}
+}
--- a/internal/lab/localfleet/standins.go
+++ b/internal/lab/localfleet/standins.go
@@ -22,6 +22,7 @@
 	applicationInflight  = 64
 	applicationDeadline  = 5 * time.Second
 	samplingPoolPriority = 0
+	completionPriority   = 5
 )
 
 // standIns are the running stand-ins of a fleet.
