lab: prove five more safeguards of the model, stand-ins and callers

Change: tests for KV state of mixed weights, a wholly cached prompt, a foreign KV cache, a cleared cache seen as a gap, and no silent repeat by the HTTP client.

--- a/internal/lab/engine/orders_test.go
+++ b/internal/lab/engine/orders_test.go
@@ -280,3 +280,39 @@
 		t.Fatalf("spans %v, base %v", spans, m.Load().Weights)
 	}
 }
+
+// prepared returns a model on which second is staged.
+func prepared(t *testing.T, config Config) *Model {
+	t.Helper()
+	m := New(config)
+	_ = m.Order(0, Order{Kind: OrderStage, Weights: second})
+	if err := m.CompleteStaging(0, second, true); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestStateOfMixedWeightsIsNotReused(t *testing.T) {
+	m := prepared(t, Config{Weights: first, BlockTokens: 64, CacheGenerated: true})
+	request := Request{ID: "a", PromptTokens: 3, OutputTokens: 200}
+	_ = m.Submit(0, request)
+	m.Advance(50 * time.Millisecond)
+	_ = m.Order(50*time.Millisecond, Order{Kind: OrderActivate, Weights: second})
+	m.Advance(time.Minute)
+	request.ID, request.ResumedTokens = "b", 150
+	_ = m.Submit(time.Minute, request)
+	if done := finishedEvent(m.Advance(2 * time.Minute)); done.CachedTokens != 0 {
+		t.Fatalf("found %d tokens computed partly with the old weights", done.CachedTokens)
+	}
+}
+
+func TestWhollyCachedPromptComputesItsLastToken(t *testing.T) {
+	m := New(Config{BlockTokens: 4})
+	for _, id := range []string{"a", "b"} {
+		_ = m.Submit(m.clock, Request{ID: id, PromptTokens: 8, PromptBlocks: []uint64{1, 2}, OutputTokens: 2})
+		m.Advance(m.clock + time.Minute)
+	}
+	if got := m.Load().Totals.Prefilled; got != 9 {
+		t.Fatalf("computed %d prompt tokens, want 8 and then 1", got)
+	}
+}
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -141,3 +141,23 @@
 		t.Fatalf("%+v", sum)
 	}
 }
+
+// The HTTP client takes a request key as leave to repeat a request silently
+// when a kept connection breaks; the record of attempts would then be wrong.
+func TestNoAttemptIsSentTwice(t *testing.T) {
+	hits := 0
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if hits++; hits == 2 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer front.Close()
+	class := Class{Name: "stitching", Method: http.MethodPost, BodyBytes: 10, Unsafe: true, Resends: 1, Workers: 1}
+	result := Run(context.Background(), Config{
+		Targets: []string{front.URL}, Classes: []Class{class}, Duration: time.Minute, MaxCalls: 3,
+	})
+	front.Close()
+	if sum := result.Classes()[0]; sum.Attempts != hits || hits != 4 {
+		t.Fatalf("%d attempts, %d requests", sum.Attempts, hits)
+	}
+}
--- a/internal/lab/standin/engine_test.go
+++ b/internal/lab/standin/engine_test.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// computedTokens returns how many context tokens an engine has computed.
+func computedTokens(e *Engine) uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.model.Load().Totals.Prefilled
+}
+
 func TestExportMovesARequest(t *testing.T) {
 	slow := func(c *EngineConfig) { c.Lengths.Median, c.TimeScale = 400, 4 }
 	source, target := testEngine(t, slow), testEngine(t, slow)
@@ -231,22 +238,46 @@
 	if whole := first.text + rest.text; !rest.done || !engine.SameContent(whole, engine.ContentKey("a prompt to move", 0)) || len(whole) != 400*engine.BytesPerToken {
 		t.Fatalf("moved answer: %d tokens, then %+v", tokens, rest)
 	}
-	target.mutex.Lock()
-	defer target.mutex.Unlock()
-	if prefilled := target.model.Load().Totals.Prefilled; prefilled > 1 {
-		t.Fatalf("target computed %d context tokens", prefilled)
+	if computed := computedTokens(target); computed > 1 {
+		t.Fatalf("target computed %d context tokens", computed)
+	}
+	before := computedTokens(target)
+	foreign := api.Completion{Prompt: "another prompt, and long enough", MaxTokens: 2, KVHandle: handle.Handle}
+	if got := complete(t, target, "r2", foreign); !got.done || computedTokens(target) == before {
+		t.Fatalf("a foreign cache was used: %+v", got)
 	}
 }
 
-func TestCacheEventsLoadAndMetrics(t *testing.T) {
-	e := testEngine(t, func(c *EngineConfig) { c.CacheGapEvery = 3; c.LoadLag = time.Hour })
-	prompt := strings.Repeat("0123456789abcdef", 8)
-	complete(t, e, "r1", api.Completion{Prompt: prompt})
+func cacheEvents(t *testing.T, e *Engine) api.CacheEvents {
+	t.Helper()
 	_, data, _ := send(t, http.MethodGet, e.URL()+api.PathCacheEvents+"?after=0", "", nil)
 	var events api.CacheEvents
 	if err := json.Unmarshal(data, &events); err != nil || events.First == 0 {
 		t.Fatalf("%v %q", err, data)
 	}
+	return events
+}
+
+func TestSwapShowsAsGapInCacheEvents(t *testing.T) {
+	e := testEngine(t, nil)
+	complete(t, e, "r1", api.Completion{Prompt: strings.Repeat("0123456789abcdef", 8)})
+	before := cacheEvents(t, e)
+	order(t, e, port.Order{Kind: port.OrderStage, Version: 2})
+	eventually(t, "activation", func() bool {
+		_, report := order(t, e, port.Order{Kind: port.OrderActivate, Version: 2})
+		return report.Version == 2
+	})
+	last := before.Events[len(before.Events)-1].Sequence
+	if after := cacheEvents(t, e); after.First <= last+1 || len(after.Events) > 0 {
+		t.Fatalf("a reader at %d does not notice the cleared cache: %+v", last, after)
+	}
+}
+
+func TestCacheEventsLoadAndMetrics(t *testing.T) {
+	e := testEngine(t, func(c *EngineConfig) { c.CacheGapEvery = 3; c.LoadLag = time.Hour })
+	prompt := strings.Repeat("0123456789abcdef", 8)
+	complete(t, e, "r1", api.Completion{Prompt: prompt})
+	events := cacheEvents(t, e)
 	hashes := engine.HashBlocks(prompt, 4)
 	if len(events.Events) == 0 || len(events.Events) >= len(hashes) || events.Events[0].Block != hashes[0] {
 		t.Fatalf("%d events for %d blocks", len(events.Events), len(hashes))
@@ -254,7 +285,7 @@
 	if err := e.Inject(Fault{Kind: FaultLoadVersion, Version: 99, DurationMs: 60_000}); err != nil {
 		t.Fatal(err)
 	}
-	_, data, _ = send(t, http.MethodGet, e.URL()+api.PathEngineLoad, "", nil)
+	_, data, _ := send(t, http.MethodGet, e.URL()+api.PathEngineLoad, "", nil)
 	var report port.LoadReport
 	if err := json.Unmarshal(data, &report); err != nil || report.Version != 1 || report.AgeMillis != time.Hour.Milliseconds() {
 		t.Fatalf("a lagging report shows %+v", report)
