--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -113,10 +113,16 @@
 	}
 }
 
+// valid reports whether a correct leader may have sent the chunk.
+func (c *SnapshotChunk) valid() bool {
+	return c != nil && c.Index > 0 && c.Term > 0 && c.Total <= MaxSnapshotBytes && c.Offset <= c.Total &&
+		uint64(len(c.Data)) <= c.Total-c.Offset && len(c.Membership.Voters) > 0 && c.Membership.valid()
+}
+
 // handleChunk collects a snapshot and installs it when it is whole.
 func (n *Node) handleChunk(message Message) error {
 	chunk := message.Chunk
-	if chunk == nil || chunk.Total > MaxSnapshotBytes || chunk.Offset+uint64(len(chunk.Data)) > chunk.Total || !chunk.Membership.valid() {
+	if !chunk.valid() {
 		return ErrMalformed
 	}
 	if chunk.Index <= n.log.commit || n.log.matches(chunk.Index, chunk.Term) {
