--- a/cmd/loomgrade/operator.go
+++ b/cmd/loomgrade/operator.go
@@ -21,7 +21,7 @@
 
 // operatorFlags are common to the commands that talk to control members.
 type operatorFlags struct {
-	Server    []string      `env:"LOOMGRADE_SERVERS" default:"127.0.0.1:7610" help:"Operator addresses (IP:port) of control members, tried in order."`
+	Server    []string      `env:"LOOMGRADE_SERVERS" default:"127.0.0.1:7111,127.0.0.1:7112,127.0.0.1:7113" help:"Operator addresses (IP:port) of control members, tried in order."`
 	TokenFile string        `env:"LOOMGRADE_TOKEN_FILE" required:"" type:"path" help:"File that holds the operator token."`
 	Output    string        `enum:"table,json" default:"table" help:"Form of the output: table or json."`
 	Timeout   time.Duration `default:"30s" help:"How long to try."`
