standin: make the foreign cache test bite

Cause: the foreign prompt was longer than the cache, so the test passed with the content check taken away. Change: a prompt that the cache would cover. It now fails without the check.

--- a/internal/lab/standin/engine_test.go
+++ b/internal/lab/standin/engine_test.go
@@ -242,7 +242,7 @@
 		t.Fatalf("target computed %d context tokens", computed)
 	}
 	before := computedTokens(target)
-	foreign := api.Completion{Prompt: "another prompt, and long enough", MaxTokens: 2, KVHandle: handle.Handle}
+	foreign := api.Completion{Prompt: "abc", MaxTokens: 2, KVHandle: handle.Handle}
 	if got := complete(t, target, "r2", foreign); !got.done || computedTokens(target) == before {
 		t.Fatalf("a foreign cache was used: %+v", got)
 	}
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -175,10 +175,8 @@
 // attempt was accepted and its answer lost.
 func (t *Trainer) publish(life context.Context, version uint64) bool {
 	return t.untilDone(life, func(node string) error {
-		epoch := t.consumerEpoch()
 		body := api.PublishWeights{
-			Version: version, Bytes: t.config.WeightBytes, ConsumerEpoch: uint64(epoch),
-			ChangeID: fmt.Sprintf("%s-%s-%d-%d", t.config.Name, t.config.Pool, epoch, version),
+			Version: version, Bytes: t.config.WeightBytes, ConsumerEpoch: uint64(t.consumerEpoch()),
 		}
 		var published api.PublishedWeights
 		err := t.call(life, node, http.MethodPost, t.path(api.PathWeights, 0), body, &published)
