decision: name batches and policies, and read well without a replica

Explanations named no batch of the coordinator's form and told of a failure of no replica when scoring was tried again. A placement on the replica with the highest score now says so.

--- a/internal/core/decision/decision_test.go
+++ b/internal/core/decision/decision_test.go
@@ -29,11 +29,27 @@
 		},
 		"request refused": {
 			port.Decision{Kind: port.DecisionRefused, Subject: "r-n1-8", Code: port.CodeQueueFull, Verdict: port.NotRun, Detail: "the queue of 64 is full"},
-			"00:00:01.500 Request r-n1-8 was refused with queue_full (it did not run) because the queue of 64 is full.",
+			"00:00:01.500 Request r-n1-8 was refused with queue_full (it did not run): the queue of 64 is full.",
 		},
 		"request retried": {
 			port.Decision{Kind: port.DecisionRetried, Subject: "r-n1-9", Replica: "caption-1", Considered: 1},
-			"00:00:01.500 Request r-n1-9 was to be tried again after caption-1 failed. 1 replica considered, none filtered out.",
+			"00:00:01.500 Request r-n1-9 was to be tried again after a failure on caption-1. 1 replica considered, none filtered out.",
+		},
+		"retried without a replica": {
+			port.Decision{Kind: port.DecisionRetried, Subject: "s-lm-4-17", Detail: "no reward"},
+			"00:00:01.500 Sample s-lm-4-17 was to be tried again: no reward.",
+		},
+		"placed with the highest score": {
+			port.Decision{Kind: port.DecisionPlaced, Subject: "r-n1-9", Replica: "lm-1", Scores: []port.ReplicaScore{{Replica: "lm-1", Total: 1}}},
+			"00:00:01.500 Request r-n1-9 was placed on lm-1 because it had the highest score. Best scores: lm-1 1.00.",
+		},
+		"placed by draw": {
+			port.Decision{Kind: port.DecisionPlaced, Subject: "r-n1-9", Replica: "lm-2", Scores: []port.ReplicaScore{{Replica: "lm-1", Total: 1}}},
+			"00:00:01.500 Request r-n1-9 was placed on lm-2. Best scores: lm-1 1.00.",
+		},
+		"held": {
+			port.Decision{Kind: port.DecisionHeld, Subject: "policy-lm", Detail: "its program failed"},
+			"00:00:01.500 Policy policy-lm was held because its program failed.",
 		},
 		"answer unknown": {
 			port.Decision{Kind: port.DecisionAnswered, Subject: "r-n1-9", Replica: "caption-1", Code: port.CodeBackEnd},
@@ -47,8 +63,9 @@
 			"00:00:01.500 Sample s-lm-4-17 was dropped as too old to deliver because its oldest span is 3 versions old, and the bound is 2. " +
 				"It holds 120 tokens from version 6, 1 token from version 7. Weight version 9 was meant. See also batch/lm/4.",
 		},
+		"attempt":  {port.Decision{Kind: port.DecisionDelivered, Subject: "b-lm-4-1", Detail: "32 samples"}, "00:00:01.500 Batch b-lm-4-1 was delivered: 32 samples."},
 		"batch":    {port.Decision{Kind: port.DecisionCommitted, Subject: "batch/lm/4"}, "00:00:01.500 Batch lm/4 was committed."},
-		"replica":  {port.Decision{Kind: port.DecisionEjected, Subject: "replica/lm-1", Detail: "consecutive failures"}, "00:00:01.500 Replica lm-1 was taken out of routing because consecutive failures."},
+		"replica":  {port.Decision{Kind: port.DecisionEjected, Subject: "replica/lm-1", Detail: "consecutive failures"}, "00:00:01.500 Replica lm-1 was taken out of routing: consecutive failures."},
 		"revision": {port.Decision{Kind: port.DecisionRefused, Subject: "revision/12", Code: port.CodeConflict, Verdict: port.NotRun}, "00:00:01.500 Configuration revision 12 was refused with conflict (it did not run)."},
 		"other":    {port.Decision{Kind: "odd", Subject: "x"}, "00:00:01.500 x had decision odd."},
 	}
--- a/internal/core/decision/explain.go
+++ b/internal/core/decision/explain.go
@@ -29,21 +29,38 @@
 func explainOne(decision *port.Decision) string {
 	when := time.UnixMilli(decision.Time).UTC().Format(timeFormat)
 	text := fmt.Sprintf("%s %s %s", when, Describe(decision.Subject), action(decision))
-	if decision.Detail != "" {
-		text += " because " + decision.Detail
-	}
-	text += "."
+	text += reason(decision) + "."
 	for _, sentence := range sentences(decision) {
 		text += " " + sentence + "."
 	}
 	return text
 }
 
+// reason tells why, or what else is known of the decision.
+func reason(decision *port.Decision) string {
+	switch {
+	case decision.Detail == "" && decision.Kind == port.DecisionPlaced && hasHighestScore(decision):
+		return " because it had the highest score"
+	case decision.Detail == "":
+		return ""
+	case decision.Kind == port.DecisionPlaced, decision.Kind == port.DecisionHeld, decision.Kind == port.DecisionStale:
+		return " because " + decision.Detail
+	default:
+		return ": " + decision.Detail
+	}
+}
+
+// hasHighestScore says whether the replica leads the recorded scores, of which
+// the first is the best.
+func hasHighestScore(decision *port.Decision) bool {
+	return len(decision.Scores) > 0 && decision.Scores[0].Replica == decision.Replica
+}
+
 // Describe names a subject by its kind, as far as its form tells.
 func Describe(subject string) string {
 	kinds := []struct{ prefix, name string }{
-		{"r-", "Request"}, {"s-", "Sample"}, {"batch/", "Batch"},
-		{"replica/", "Replica"}, {"revision/", "Configuration revision"}, {"node/", "Node"},
+		{"r-", "Request"}, {"s-", "Sample"}, {"b-", "Batch"}, {"batch/", "Batch"},
+		{"policy-", "Policy"}, {"replica/", "Replica"}, {"revision/", "Configuration revision"}, {"node/", "Node"},
 	}
 	for _, kind := range kinds {
 		if rest, found := strings.CutPrefix(subject, kind.prefix); found {
@@ -65,7 +82,7 @@
 	case port.DecisionHeld:
 		return "was held"
 	case port.DecisionRetried:
-		return "was to be tried again after " + replica + " failed"
+		return "was to be tried again" + failureOf(replica) + outcome(decision)
 	case port.DecisionRefused:
 		return "was refused" + outcome(decision)
 	case port.DecisionAnswered:
@@ -109,9 +126,18 @@
 	}
 }
 
+// by and on name a replica, if there is one.
 func by(replica string) string { return withReplica(" by ", replica) }
 func on(replica string) string { return withReplica(" on ", replica) }
 
+// failureOf tells which replica the earlier attempt failed on.
+func failureOf(replica string) string {
+	if replica == "" {
+		return ""
+	}
+	return " after a failure on " + replica
+}
+
 // withReplica gives nothing for no replica.
 func withReplica(preposition, replica string) string {
 	if replica == "" {
