httpapi, node: serve callers, trainers and operators over HTTP

Cause: the node's listener for callers answered everything with 404; the server lived only beside the tree. Change: the adapter httpapi (completions with SSE, application calls, batches, explain, status, metrics, health and readiness, tokens, bounds) and its wiring into the node, with counters of attempts, queues, delivered and dropped samples; a publication needs no change id, since versions strictly increase.

--- a/internal/app/node/actions.go
+++ b/internal/app/node/actions.go
@@ -40,6 +40,7 @@
 			w.tell(coordinator.LedgerRead{State: state, Err: failure})
 		})
 	case coordinator.Deliver:
+		w.countDelivered(&action)
 		w.reply(action.Token, answer{batch: &action})
 	case coordinator.Refuse:
 		w.reply(action.Token, answer{err: action.Err})
@@ -54,6 +55,7 @@
 	if decided.Revision == 0 {
 		decided.Revision = w.node.snapshot.Load().view.Revision
 	}
+	w.countDropped(decided)
 	decided.Subject = batchSubject(w.pool, decided.Subject)
 	for index, related := range decided.Related {
 		decided.Related[index] = batchSubject(w.pool, related)
--- a/internal/app/node/application.go
+++ b/internal/app/node/application.go
@@ -52,6 +52,7 @@
 		grant.Release(gate.Outcome{Abandoned: true})
 		return port.ApplicationResponse{}, grant.Replica, port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", grant.Replica)
 	}
+	n.metrics.Attempt(request.Pool)
 	started := time.Now()
 	response, err := n.backEnds.application(replica.Address).Call(ctx, request)
 	elapsed := time.Since(started)
--- a/internal/app/node/config.go
+++ b/internal/app/node/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -41,6 +42,8 @@
 	Intervals Intervals
 	// Limits bound the node's memory; a zero one takes its default.
 	Limits Limits
+	// HTTPLimits bound what callers can use; a zero one takes its default.
+	HTTPLimits httpapi.Limits
 	// Logger may be nil.
 	Logger *log.Logger
 }
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -121,8 +121,10 @@
 	if c.rebuildDue(now) {
 		c.rebuild(now)
 	}
-	for _, held := range c.gates {
+	for pool, held := range c.gates {
 		held.Tick(now)
+		_, waiting := held.Loads()
+		c.node.metrics.Queued(pool, waiting)
 	}
 	c.sendSummaries(now)
 	c.sendAggregates(now)
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/requestkeys"
 	"github.com/loomgrade/loomgrade/internal/app/node/spool"
@@ -28,7 +29,8 @@
 
 	peers    *peers
 	server   *wire.Server
-	web      *http.Server
+	web      *httpapi.Server
+	metrics  *metrics.Node
 	backEnds *backEnds
 	recorder *recorder
 	counters *counterTable[port.ReplicaID]
@@ -121,6 +123,8 @@
 		traffic:        newTraffic(),
 	}
 	n.sampling = newSamplingManager(n)
+	n.metrics = metrics.NewNode()
+	n.web = newWeb(n)
 	n.snapshot.Store(&snapshot{view: &port.View{}, homes: newHomeTable(config.Zone, nil, nil)})
 	return n
 }
@@ -186,6 +190,7 @@
 // peers, finishes what is in flight, gives its leases back and stops. When ctx
 // ends first, what is left is cut off and ctx's error is returned.
 func (n *Node) Drain(ctx context.Context) error {
+	n.web.Drain()
 	n.traffic.drain()
 	n.postWaiting(drainStarted{})
 	n.sampling.drain(ctx)
@@ -202,7 +207,7 @@
 		n.traffic.drain()
 		n.cancel()
 		close(n.stopped)
-		_ = n.web.Close()
+		n.web.Close()
 		n.server.Close()
 		n.waitForTraffic()
 		n.sampling.wait()
--- a/internal/app/node/rebuild.go
+++ b/internal/app/node/rebuild.go
@@ -298,6 +298,7 @@
 	}
 	for name := range c.trackers {
 		if next.pools[name] == nil {
+			c.node.metrics.Forget(name)
 			delete(c.trackers, name)
 		}
 	}
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -99,6 +99,7 @@
 	if call.Attempt > 1 {
 		request.ID = port.RequestID(fmt.Sprintf("%s.%d", request.ID, call.Attempt))
 	}
+	n.metrics.Attempt(request.Pool)
 	started := time.Now()
 	tokens := 0
 	var refused error
--- a/internal/app/node/web.go
+++ b/internal/app/node/web.go
@@ -1,14 +1,53 @@
 package node
 
 import (
-	"net/http"
-	"time"
+	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
+	"github.com/loomgrade/loomgrade/internal/core/coordinator"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
+var _ httpapi.Backend = (*Node)(nil)
+
 // serve starts the listeners for peers and callers.
 func (n *Node) serve() {
 	n.servePeers()
 	n.work.Go(func() { _ = n.server.Serve(n.config.PeerListener) })
-	n.web = &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: 5 * time.Second}
-	n.work.Go(func() { _ = n.web.Serve(n.config.HTTPListener) })
+	n.web.Start(n.background, n.config.HTTPListener)
+}
+
+// newWeb makes the server for callers, trainers and operators.
+func newWeb(n *Node) *httpapi.Server {
+	return httpapi.New(httpapi.Config{
+		Backend:       n,
+		OperatorToken: n.config.OperatorToken,
+		Metrics:       n.metrics.Handler(),
+		Recorder:      n.metrics,
+		Panicked: func(recovered any, stack []byte) {
+			n.config.Logger.Error().Any("panic", recovered).Bytes("stack", stack).Msg("a request panicked")
+		},
+		Limits: n.config.HTTPLimits,
+	})
+}
+
+// countDelivered counts the samples of a delivered batch by their age.
+func (w *poolWorker) countDelivered(action *coordinator.Deliver) {
+	for _, sample := range action.Samples {
+		oldest := port.OldestVersion(sample.Spans)
+		age := uint64(0)
+		if action.TrainerVersion > oldest {
+			age = uint64(action.TrainerVersion - oldest)
+		}
+		w.node.metrics.SampleDelivered(w.pool, age)
+	}
+}
+
+// countDropped counts samples that won't be delivered.
+func (w *poolWorker) countDropped(decided port.Decision) {
+	switch decided.Kind {
+	case port.DecisionStale:
+		w.node.metrics.SampleDropped(w.pool, metrics.DropStale)
+	case port.DecisionVoided:
+		w.node.metrics.SampleDropped(w.pool, metrics.DropVoided)
+	}
 }
--- a/internal/port/api/trainer.go
+++ b/internal/port/api/trainer.go
@@ -72,7 +72,9 @@
 	Version       uint64 `json:"version"`
 	Bytes         uint64 `json:"bytes"`
 	ConsumerEpoch uint64 `json:"consumer_epoch,omitempty"`
-	ChangeID      string `json:"change_id"`
+	// ChangeID may be empty: versions strictly increase, so that a resend is
+	// answered with a conflict that shows the version as current.
+	ChangeID string `json:"change_id,omitempty"`
 }
 
 // PublishedWeights answers PublishWeights.
