controlstate: let leases outlive a jump of the log's time

Cause: a new leader whose wall clock was ahead moved the log's time, and with it ended leases whose holder by its own count still had them. Ruled out: limiting the jump, since after an outage the time must catch up at once. Change: a command tells which part of its time's advance did not pass by the leader's own count; leases run on for as long. The simulation checks that nobody holds a lease by its own clock when the log grants it to another, moves all clocks before an election, and sends messages that may precede a sync early.

--- a/internal/core/consensus/harness_test.go
+++ b/internal/core/consensus/harness_test.go
@@ -24,8 +24,10 @@
 		d.install(*snapshot)
 	}
 	for _, entry := range ready.Entries {
-		keep := entry.Index - d.snapshot.Index - 1
-		d.entries = append(d.entries[:keep:keep], entry)
+		if keep := entry.Index - d.snapshot.Index - 1; keep < uint64(len(d.entries)) {
+			d.entries = d.entries[:keep:keep]
+		}
+		d.entries = append(d.entries, entry)
 	}
 	if ready.HardState != nil {
 		d.hard = *ready.HardState
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -91,7 +91,7 @@
 // owner calls it as often as ticks passed, also after a pause.
 func (m *Member) Tick(wall time.Time) {
 	m.wall = wall
-	m.clock.advance(wall)
+	m.clock.advance()
 	m.node.Tick()
 	m.refresh()
 }
@@ -108,7 +108,7 @@
 // answer comes as a Reply: at once, with verdict NotRun, if the command did not
 // enter the log.
 func (m *Member) Propose(token uint64, command port.Command) {
-	command.Time = m.clock.now()
+	command.Time, command.TimeJump = m.clock.now(), m.clock.jumpMillis()
 	data, err := controlstate.EncodeCommand(command)
 	if err != nil {
 		m.fail(token, port.NewError(port.NotRun, port.CodeInvalid, "command cannot be encoded: %v", err))
@@ -119,6 +119,7 @@
 		m.fail(token, refusal(err))
 		return
 	}
+	m.clock.jump = 0
 	m.pending[index] = proposal{token: token, term: term}
 }
 
--- a/internal/core/controlstate/apply.go
+++ b/internal/core/controlstate/apply.go
@@ -17,7 +17,7 @@
 // commands may.
 func (s *State) Apply(index, term uint64, command port.Command) port.Result {
 	s.applied = index
-	s.time = max(s.time, command.Time)
+	s.publish(index, term, s.advanceTime(command))
 	s.answers.Expire(s.time)
 
 	digest, refusal := s.check(command)
@@ -40,6 +40,22 @@
 	return s.withLedger(command, result)
 }
 
+// advanceTime moves the log's time on, and the ends of leases by what of it is a
+// jump.
+func (s *State) advanceTime(command port.Command) []port.ViewChange {
+	before := s.time
+	s.time = max(s.time, command.Time)
+	jump := min(command.TimeJump, s.time-before)
+	if jump <= 0 {
+		return nil
+	}
+	var changes []port.ViewChange
+	for _, lease := range s.leases.Extend(before, jump) {
+		changes = append(changes, port.ViewChange{Lease: &lease})
+	}
+	return changes
+}
+
 func (s *State) refused(index uint64, refusal *port.Error) port.Result {
 	return port.Result{Index: index, Revision: s.revision, Error: refusal}
 }
@@ -65,7 +81,7 @@
 		}
 		return registry.Digest{}, nil
 	}
-	command.ChangeID, command.Time = "", 0
+	command.ChangeID, command.Time, command.TimeJump = "", 0, 0
 	body, err := encoding.Marshal(command)
 	if err != nil {
 		return registry.Digest{}, port.NewError(port.NotRun, port.CodeInvalid, "command cannot be encoded: %v", err)
--- a/internal/core/controlstate/doc.go
+++ b/internal/core/controlstate/doc.go
@@ -7,8 +7,7 @@
 // updates of any member and never goes back.
 //
 // Log time is the highest Command.Time applied so far. It never goes back, so a
-// leader whose clock is behind cannot revive an expired lease. A jump ahead is
-// not limited here, since after an outage the time must catch up at once; the
-// leader limits it when it stamps commands, and a jump that comes through costs
-// leases their remaining time but breaks no fence.
+// leader whose clock is behind cannot revive an expired lease. It may jump ahead,
+// since after an outage it must catch up at once; Command.TimeJump then says how
+// much of the advance is a jump, and leases run on for as long.
 package controlstate
--- a/internal/core/registry/leases.go
+++ b/internal/core/registry/leases.go
@@ -74,6 +74,21 @@
 	return held, false, nil
 }
 
+// Extend lets the leases that were valid at a time run on for longer by some
+// milliseconds, and gives them.
+func (l *Leases) Extend(validAt, by int64) []port.Lease {
+	var extended []port.Lease
+	for position := range l.list {
+		if l.list[position].Expires <= validAt {
+			continue
+		}
+		l.own()
+		l.list[position].Expires += by
+		extended = append(extended, l.list[position])
+	}
+	return extended
+}
+
 // Release removes a lease; releasing one that is gone already is no error.
 func (l *Leases) Release(request port.ReleaseLease) (removed bool, refusal *port.Error) {
 	position, exists := l.find(request.Name)
--- a/internal/lab/chaos/audit.go
+++ b/internal/lab/chaos/audit.go
@@ -65,6 +65,8 @@
 	orders       map[port.Epoch]port.NodeID
 	lastOrder    port.Epoch
 	books        books
+	// granted, if set, hears of each lease when the log grants it.
+	granted func(port.Lease)
 }
 
 // shownView is what a view at some position must show.
@@ -133,6 +135,9 @@
 	result := a.state.Apply(entry.Index, entry.Term, command)
 	a.checkChange(command, result, before)
 	a.books.check(a.report, command, result)
+	if a.granted != nil && command.AcquireLease != nil && result.Error == nil {
+		a.granted(*result.Lease)
+	}
 }
 
 func (a *Auditor) applyMembership(entry consensus.Entry) {
--- a/internal/lab/chaos/faults.go
+++ b/internal/lab/chaos/faults.go
@@ -28,6 +28,9 @@
 	FaultPause Fault = "pause"
 	// FaultClock moves a member's clock.
 	FaultClock Fault = "clock"
+	// FaultClockElection moves the clocks of all members but the leader, whose
+	// process it ends, so that a member with another clock leads next.
+	FaultClockElection Fault = "clock-election"
 	// FaultSync fails a sync to come.
 	FaultSync Fault = "sync"
 	// FaultDiskFull leaves no room on a disk.
@@ -99,6 +102,8 @@
 		i.end(i.long(), target.resume)
 	case FaultClock:
 		target.offset += i.world.between(-time.Hour, time.Hour)
+	case FaultClockElection:
+		i.clockElection()
 	case FaultSync:
 		target.syncFault = true
 		target.disk.FailSync(1 + i.world.random.IntN(20))
@@ -115,6 +120,18 @@
 	}
 }
 
+func (i *injector) clockElection() {
+	leader := i.world.leader()
+	for _, machine := range i.world.machines {
+		if machine != leader {
+			machine.offset = i.world.between(-time.Hour, time.Hour)
+		}
+	}
+	if leader != nil {
+		leader.kill()
+	}
+}
+
 // permits refuses what would lose a quorum of disks for ever, which no
 // replicated log survives.
 func (i *injector) permits(fault Fault, target *machine) bool {
--- a/internal/lab/chaos/holder.go
+++ b/internal/lab/chaos/holder.go
@@ -17,6 +17,11 @@
 	maxOrderStall = 8 * time.Second
 	// stallOdds is one in how many orders leaves late, as after a long pause.
 	stallOdds = 25
+	// lostAnswerOdds is one in how many batches is lost on the way.
+	lostAnswerOdds = 4
+	// leaseMargin is the share of a lease, one in so many, that its holder
+	// leaves unused.
+	leaseMargin = 8
 )
 
 // holder is a node that wants to coordinate the pool. While it holds the lease
@@ -43,9 +48,12 @@
 	return holder
 }
 
-// target gives the member to ask: the leader as far as known.
+// target gives the member to ask: the leader as far as known. The hint counts
+// once; the answer renews it.
 func (h *holder) target() *machine {
-	if machine := h.world.machine(h.hint); machine != nil && !machine.gone {
+	machine := h.world.machine(h.hint)
+	h.hint = consensus.None
+	if machine != nil && !machine.gone {
 		return machine
 	}
 	return h.world.anyMachine()
@@ -84,7 +92,7 @@
 		h.sequence, h.last = 0, port.CommitBatch{}
 		h.world.tracef("holder %d has the lease under epoch %d", h.number, lease.Epoch)
 	}
-	h.epoch, h.until = lease.Epoch, sent+leaseTTL
+	h.epoch, h.until = lease.Epoch, sent+leaseTTL-leaseTTL/leaseMargin
 }
 
 // order sends a fenced order to the back end. Some stall on the way out, after
@@ -102,17 +110,18 @@
 	h.world.network.carry(outside, outside, h.world.now+stall, func() { h.world.engine.take(fence, h.id) })
 }
 
-// serve answers the trainer's question for a batch. The commit goes through the
-// log also when the batch is in memory: only the log knows whether another
-// coordinator has voided it.
+// serve answers the trainer's question for a batch. The last committed batch is
+// served from memory while the lease lasts by the holder's own clock: nobody
+// else can have voided it as long as the log grants no other holder the lease.
 func (h *holder) serve(ask ask) {
 	if !h.holds() {
 		return
 	}
-	command := h.last
-	if command.Number != ask.number || command.CoordinatorEpoch != h.epoch {
-		command = h.compose(ask)
+	if h.last.Number == ask.number && h.last.ConsumerEpoch == ask.epoch {
+		h.deliver(ask, h.last)
+		return
 	}
+	command := h.compose(ask)
 	command.ConsumerEpoch, command.Acknowledge = ask.epoch, ask.number-1
 	h.world.submit(h.target(), &port.Command{CommitBatch: &command}, func(reply answer) {
 		h.hint = reply.leader
@@ -126,11 +135,22 @@
 			h.last = port.CommitBatch{}
 			return
 		}
+		if h.epoch != command.CoordinatorEpoch {
+			return
+		}
 		h.last = command
-		h.world.network.carry(outside, outside, h.world.now, func() { h.world.trainer.receive(ask, command) })
+		h.deliver(ask, command)
 	})
 }
 
+// deliver sends a batch to the trainer. The answer may be lost.
+func (h *holder) deliver(ask ask, batch port.CommitBatch) {
+	if h.world.random.IntN(lostAnswerOdds) == 0 {
+		return
+	}
+	h.world.network.carry(outside, outside, h.world.now, func() { h.world.trainer.receive(ask, batch) })
+}
+
 // compose makes a batch from the prompts that are open as far as the holder
 // knows.
 func (h *holder) compose(ask ask) port.CommitBatch {
--- a/internal/lab/chaos/machine.go
+++ b/internal/lab/chaos/machine.go
@@ -186,7 +186,7 @@
 
 func (m *machine) carryOutOne(ready consensus.Ready) bool {
 	m.world.audit.noteCommitted(m, ready)
-	if m.mayCrash("before the write") {
+	if !m.sendAll(ready, true) || m.mayCrash("before the write") {
 		return false
 	}
 	if err := m.persist(ready); err != nil {
@@ -199,11 +199,8 @@
 	if m.mayCrash("between write and send") {
 		return false
 	}
-	for _, message := range ready.Messages {
-		m.send(message)
-		if m.mayCrash("between two sends") {
-			return false
-		}
+	if !m.sendAll(ready, false) {
+		return false
 	}
 	if err := m.member.Advance(ready); err != nil {
 		m.world.violation("advance", "member %d: %v", m.id, err)
@@ -215,6 +212,21 @@
 	return !m.mayCrash("after the answers")
 }
 
+// sendAll sends the messages that may leave before the sync, or those that must
+// not.
+func (m *machine) sendAll(ready consensus.Ready, early bool) bool {
+	for _, message := range ready.Messages {
+		if ready.MayPrecedeSync(message) != early {
+			continue
+		}
+		m.send(message)
+		if m.mayCrash("between two sends") {
+			return false
+		}
+	}
+	return true
+}
+
 // persist makes the writes of a Ready durable.
 func (m *machine) persist(ready consensus.Ready) error {
 	if m.world.options.Weakness == WeaknessSkipSync {
--- a/internal/lab/chaos/measure.go
+++ b/internal/lab/chaos/measure.go
@@ -48,7 +48,6 @@
 	var found Failover
 	for seed := range uint64(seeds) {
 		world := newWorld(Options{Seed: seed + 1, Scenario: Scenario{Name: "failover", Faulty: time.Hour, Every: time.Hour, Members: members}})
-		world.audit.now = func() time.Duration { return world.now }
 		for number := range killLeaders {
 			world.runUntil(killAt + time.Duration(number)*killEvery)
 			found.measureOne(world)
@@ -96,7 +95,6 @@
 	for seed := range uint64(seeds) {
 		world := newWorld(Options{Seed: seed + 1, Observers: observers,
 			Scenario: Scenario{Name: "in-force", Faulty: time.Hour, Every: time.Hour, Members: 3}})
-		world.audit.now = func() time.Duration { return world.now }
 		world.runUntil(measureFor)
 		found.collect(world)
 	}
--- a/internal/lab/chaos/run.go
+++ b/internal/lab/chaos/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -23,7 +22,6 @@
 // Run runs one scenario with one seed. Equal options give equal reports.
 func Run(options Options) Report {
 	world := newWorld(options)
-	world.audit.now = func() time.Duration { return world.now }
 	world.run()
 	return Report{
 		Scenario: options.Scenario.Name, Seed: options.Seed, Steps: world.steps,
--- a/internal/lab/chaos/scenario.go
+++ b/internal/lab/chaos/scenario.go
@@ -32,7 +32,7 @@
 	lossy := Network{Loss: 0.1, Duplicate: 0.1, Delay: 80 * time.Millisecond}
 	every := []Fault{
 		FaultCut, FaultIsolate, FaultIsolateLeader, FaultSplit, FaultPowerLoss, FaultKill, FaultCrashPoints,
-		FaultPause, FaultClock, FaultSync, FaultDiskFull, FaultLose, FaultStorm,
+		FaultPause, FaultClock, FaultClockElection, FaultSync, FaultDiskFull, FaultLose, FaultStorm,
 	}
 	return []Scenario{
 		{Name: "calm", Title: "no faults", Faulty: time.Minute, Every: time.Hour},
@@ -41,7 +41,7 @@
 		{Name: "isolation", Title: "silent isolation for minutes, of the leader too", Faulty: 5 * time.Minute, Every: 60 * time.Second, Together: 1, Faults: []Fault{FaultIsolateLeader, FaultIsolate, FaultPause}},
 		{Name: "crashes", Title: "power loss and kills between any two steps, lost and torn writes", Faulty: 90 * time.Second, Every: 3 * time.Second, Together: 1, Faults: []Fault{FaultPowerLoss, FaultKill, FaultCrashPoints}},
 		{Name: "disks", Title: "failed syncs and full disks", Faulty: 2 * time.Minute, Every: 6 * time.Second, Together: 1, Faults: []Fault{FaultSync, FaultDiskFull, FaultPowerLoss}},
-		{Name: "clocks", Title: "clock jumps and pauses", Faulty: 90 * time.Second, Every: 5 * time.Second, Together: 1, Faults: []Fault{FaultClock, FaultClock, FaultPause, FaultKill}},
+		{Name: "clocks", Title: "clock jumps and pauses", Faulty: 90 * time.Second, Every: 5 * time.Second, Together: 1, Faults: []Fault{FaultClock, FaultClockElection, FaultPause, FaultKill}},
 		{Name: "replace", Title: "a machine lost and replaced, a second one lost right after", Faulty: 3 * time.Minute, Every: 40 * time.Second, Together: 1, Members: 3, Faults: []Fault{FaultLose, FaultLoseAfterRepair}},
 		{Name: "all", Title: "all faults, one at a time", Faulty: 3 * time.Minute, Every: 4 * time.Second, Together: 1, Network: Network{Loss: 0.02, Duplicate: 0.02, Delay: 20 * time.Millisecond}, Faults: every},
 		{Name: "together", Title: "all faults, two at once and twice", Faulty: 3 * time.Minute, Every: 6 * time.Second, Together: 2, Network: lossy, Faults: append(every, FaultLoseAfterRepair)},
--- a/internal/lab/chaos/world.go
+++ b/internal/lab/chaos/world.go
@@ -71,6 +71,8 @@
 	}
 	world.network = network{world: world, base: options.Scenario.Network, cuts: map[link]int{}}
 	world.audit.report = world.violation
+	world.audit.now = func() time.Duration { return world.now }
+	world.audit.granted = world.checkHolders
 	members := options.Scenario.Members
 	if members == 0 {
 		members = 3 + 2*world.random.IntN(2)
@@ -206,6 +208,17 @@
 	}
 }
 
+// checkHolders demands that nobody else holds the lease by its own clock when
+// the log grants it.
+func (w *World) checkHolders(lease port.Lease) {
+	for _, holder := range w.holders {
+		if holder.id != lease.Holder && holder.holds() {
+			w.violation("one holder at a time", "epoch %d granted to %s, %s holds epoch %d for another %v",
+				lease.Epoch, lease.Holder, holder.id, holder.epoch, holder.until-w.now)
+		}
+	}
+}
+
 // wall gives the time of day on a clock that is off by some time.
 func (w *World) wall(offset time.Duration) time.Time {
 	return time.Unix(epoch, 0).Add(w.now + offset)
--- a/internal/port/command.go
+++ b/internal/port/command.go
@@ -20,6 +20,11 @@
 	CommitBatch         *CommitBatch         `cbor:"8,keyasint,omitempty"`
 	RegisterNode        *RegisterNode        `cbor:"9,keyasint,omitempty"`
 	RemoveNode          *RemoveNode          `cbor:"10,keyasint,omitempty"`
+
+	// TimeJump is the part of Time's advance, in milliseconds, that did not pass
+	// by the leader's count of elapsed time: a new leader's wall clock was ahead.
+	// Leases run on for as long, so that a jump takes none away.
+	TimeJump int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // ChangeConfiguration replaces parts of the configuration, if its revision is
