--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -123,7 +123,7 @@
 // delivered again.
 func (c *Coordinator) heldFor(number port.BatchNumber) bool {
 	held := c.held
-	if held == nil || held.number != number || held.attempt != c.ledger.Attempt || number != c.ledger.Committed {
+	if held == nil || held.number != number || number != c.ledger.Committed {
 		return false
 	}
 	return c.age(held.oldest) <= c.config.Sampling.StalenessBound
@@ -219,7 +219,7 @@
 	wanted := c.config.Sampling.BatchSamples / c.config.Sampling.GroupSize
 	candidates := make([]*group, 0, wanted)
 	for _, g := range c.order {
-		if c.ready(g) && !slices.ContainsFunc(g.samples, c.tooOld) {
+		if c.ready(g) {
 			candidates = append(candidates, g)
 		}
 	}
--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -202,10 +202,6 @@
 // commitRefused handles the log's refusal.
 func (c *Coordinator) commitRefused(result port.Result) {
 	pending := c.pending
-	if result.Ledger != nil && shows(*result.Ledger, pending.batch) {
-		c.commitStands(result)
-		return
-	}
 	c.record(port.Decision{
 		Kind: port.DecisionRefused, Subject: batchName(c.config.Pool, pending.batch.Number, pending.batch.Attempt),
 		Verdict: result.Error.Verdict, Code: result.Error.Code, Detail: result.Error.Message,
@@ -338,18 +334,9 @@
 	if state.Consumer.Epoch > c.ledger.Consumer.Epoch {
 		c.asked = 0
 	}
-	if c.pending != nil && superseded(state, c.pending.batch) {
-		c.releasePending()
-	}
 	c.reconcile(state)
 }
 
-// superseded says that a proposal can no longer be accepted.
-func superseded(state port.LedgerState, batch port.CommitBatch) bool {
-	taken := state.Committed > batch.Number || (state.Committed == batch.Number && state.Attempt >= batch.Attempt)
-	return taken || state.Consumer.Epoch > batch.ConsumerEpoch
-}
-
 // older orders states of one pool's ledger as the log does.
 func older(state, than port.LedgerState) bool {
 	if state.Consumer.Epoch != than.Consumer.Epoch {
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -130,6 +130,23 @@
 	w.questions = nil
 }
 
+// rewind has an operator go back to a batch, for a new trainer process.
+func (w *world) rewind(number port.BatchNumber) {
+	w.epochs++
+	command := port.RegisterConsumer{Pool: poolName, Consumer: "trainer", RewindTo: number}
+	consumer, refusal := w.log.Register(command, w.epochs)
+	if refusal != nil {
+		w.t.Fatal(refusal)
+	}
+	w.trainer, w.next, w.asked = consumer.Epoch, consumer.Next, 0
+	for later := range w.used {
+		if later >= number {
+			delete(w.used, later)
+		}
+	}
+	w.step(w.current, coordinator.LedgerRead{State: w.log.State(poolName)})
+}
+
 // takeOver starts a new coordinator under a new lease epoch, once the former
 // one's lease is over. The former one is not told.
 func (w *world) takeOver() {
