rollout: test more faults of staging and switching

Cause: orders lost on the way and replicas that report another version than ordered had no row. Change: the rows. Conclusion: go test ./internal/core/rollout passes.

--- a/internal/core/rollout/fleet_test.go
+++ b/internal/core/rollout/fleet_test.go
@@ -28,8 +28,10 @@
 	swapFails   bool
 	landsOn     port.WeightVersion
 	answersLost bool
-	refuses     *port.Error
-	orders      []port.Order
+	// silent engines neither carry out nor answer orders.
+	silent  bool
+	refuses *port.Error
+	orders  []port.Order
 }
 
 // fleet joins a rollout with engines.
@@ -98,6 +100,9 @@
 func (f *fleet) order(sent rollout.SendOrder) {
 	engine := f.engine(sent.Replica)
 	engine.orders = append(engine.orders, sent.Order)
+	if engine.silent {
+		return
+	}
 	answer := rollout.OrderAnswered{Replica: sent.Replica, Order: sent.Order}
 	if engine.refuses != nil {
 		answer.Err = engine.refuses
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -215,6 +215,76 @@
 				t.Fatalf("versions %v", f.versions())
 			}
 		}},
+		{"no answer to the switch at all, then a report from before it was in doubt", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.run(stageTime - 500*time.Millisecond)
+			f.engines[0].silent = true
+			f.now = f.now.Add(500 * time.Millisecond)
+			f.reportAll()
+			f.step(rollout.Tick{})
+			f.now = f.now.Add(11 * time.Second)
+			f.step(rollout.Tick{})
+			if f.engines[0].routed {
+				t.Fatal("replica that never answered is in routing")
+			}
+			early := port.LoadReport{Version: 1, Staged: 2, Incarnation: 1, AgeMillis: 5000}
+			f.step(rollout.LoadReported{Replica: "a", Report: early})
+			if f.engines[0].routed {
+				t.Fatal("a report from before the doubt put the replica back")
+			}
+			f.engines[0].silent = false
+			f.run(time.Minute)
+			if !allServe(f, 2) || !f.engines[0].routed {
+				t.Fatalf("versions %v routed %v", f.versions(), f.engines[0].routed)
+			}
+		}},
+		{"report from before the last one is ignored", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.run(20 * time.Second)
+			orders := len(f.engines[0].orders)
+			f.step(rollout.LoadReported{Replica: "a", Report: port.LoadReport{Version: 1, Incarnation: 1, AgeMillis: 60000}})
+			if len(f.engines[0].orders) != orders {
+				t.Fatal("ordered again on old news")
+			}
+		}},
+		{"report from before the switch does not end the order", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.run(stageTime - 500*time.Millisecond)
+			f.engines[0].silent = true
+			staged := port.LoadReport{Version: 1, Staged: 2, Incarnation: 1}
+			f.step(rollout.LoadReported{Replica: "a", Report: staged})
+			f.step(rollout.LoadReported{Replica: "b", Report: staged})
+			f.now = f.now.Add(time.Second)
+			f.step(rollout.LoadReported{Replica: "c", Report: staged})
+			orders := f.count(f.engines[0], port.OrderActivate)
+			f.now = f.now.Add(time.Second)
+			f.step(rollout.LoadReported{Replica: "a", Report: port.LoadReport{Version: 5, Staged: 2, Incarnation: 1, AgeMillis: 1500}})
+			if again := f.count(f.engines[0], port.OrderActivate); orders != 1 || again != 1 {
+				t.Fatalf("%d orders, then %d, before the first had its time", orders, again)
+			}
+		}},
+		{"restart without any rollout before", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.engines[0].report = port.LoadReport{Version: 0, Incarnation: 2}
+			f.run(time.Minute)
+			if !allServe(f, 1) || !f.engines[0].routed {
+				t.Fatalf("versions %v routed %v", f.versions(), f.engines[0].routed)
+			}
+		}},
+		{"a replica that never switches does not hold the next version", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.run(stageTime - 500*time.Millisecond)
+			f.engines[0].silent = true
+			f.run(time.Second)
+			f.publish(3)
+			f.run(40 * time.Second)
+			if got := f.versions(); got[1] != 2 || got[2] != 2 {
+				t.Fatalf("switched before the deadline: %v", got)
+			}
+			f.run(4 * time.Minute)
+			if got := f.versions(); got[1] != 3 || got[2] != 3 {
+				t.Fatalf("versions %v", got)
+			}
+		}},
 		{"duplicate and older publications change nothing", rollout.Config{}, func(t *testing.T, f *fleet) {
 			f.publish(2)
 			f.run(20 * time.Second)
