--- a/cmd/loomgrade/cmd_dev.go
+++ b/cmd/loomgrade/cmd_dev.go
@@ -142,6 +142,11 @@
 		lines.row(trainer.Pool, trainer.Steps, trainer.Samples, fmt.Sprintf("%.3f", trainer.IdleShare),
 			fmt.Sprintf("%d/%d/%d", trainer.StalenessP50, trainer.StalenessP99, trainer.StalenessMax), trainer.Version)
 	}
+	for _, trainer := range fleet.Summary() {
+		if trainer.LastError != "" {
+			lines.row("", trainer.Pool, "last told: "+trainer.LastError)
+		}
+	}
 	lines.row("AUDIT", fmt.Sprintf("%d violations", len(violations)))
 	for _, violation := range violations {
 		lines.row("", violation)
--- a/internal/lab/localfleet/summary.go
+++ b/internal/lab/localfleet/summary.go
@@ -19,6 +19,8 @@
 	// Staleness in weight versions, over the delivered samples.
 	StalenessP50, StalenessP99, StalenessMax port.WeightVersion
 	Version                                  port.WeightVersion
+	// LastError is the last failure that the trainer was told of.
+	LastError string
 }
 
 // Summary sums up every trainer's run, in the order of the plan.
@@ -36,6 +38,7 @@
 			StalenessP99: quantile(ages, 0.99),
 			StalenessMax: quantile(ages, 1),
 			Version:      port.WeightVersion(stats.Version),
+			LastError:    stats.LastError,
 		}
 	}
 	return summaries
