settings: let other strict files use the decoder and its messages

A value of a wrong type now names its key, value and what is allowed; before, the decoder's own message named the Go type. The table has a row for it.

--- a/internal/adapter/settings/check.go
+++ b/internal/adapter/settings/check.go
@@ -115,11 +115,7 @@
 }
 
 func (c *checker) durationRange(key string, duration Duration, low, high time.Duration) {
-	allowed := fmt.Sprintf("%s to %s, with a unit", low, high)
-	switch {
-	case duration.malformed != "":
-		c.fault(key, duration.malformed, allowed)
-	case duration.value < low || duration.value > high:
-		c.fault(key, duration.value.String(), allowed)
+	if fault := duration.Outside(key, low, high); fault != nil {
+		c.faults = append(c.faults, fault)
 	}
 }
--- a/internal/adapter/settings/duration.go
+++ b/internal/adapter/settings/duration.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Duration is a time with a unit, as "250ms" or "5s". Reading one never fails:
 // a malformed text is kept, so that the check can name its key and line.
@@ -9,6 +12,26 @@
 	malformed string
 }
 
+// DurationOf gives the setting for a time.
+func DurationOf(value time.Duration) Duration { return Duration{value: value} }
+
+// Outside gives the fault of a duration that is malformed or not between low
+// and high, and nil for one that is.
+func (d Duration) Outside(key string, low, high time.Duration) *Error {
+	allowed := fmt.Sprintf("%s to %s, with a unit", low, high)
+	switch {
+	case d.malformed != "":
+		return &Error{Key: key, Value: d.malformed, Allowed: allowed}
+	case d.value < low || d.value > high:
+		return &Error{Key: key, Value: d.value.String(), Allowed: allowed}
+	default:
+		return nil
+	}
+}
+
+// IsZero says that the setting is absent.
+func (d Duration) IsZero() bool { return d.value == 0 && d.malformed == "" }
+
 // Value gives the time.
 func (d Duration) Value() time.Duration { return d.value }
 
@@ -28,7 +51,7 @@
 
 // setDefault gives an unset duration its default.
 func (d *Duration) setDefault(standard time.Duration) {
-	if d.value == 0 && d.malformed == "" {
+	if d.IsZero() {
 		d.value = standard
 	}
 }
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{"duplicate key", goodControl, "tick: 50ms", "id: 2", []string{"7:3", "id"}},
 		{"no unit", goodControl, "tick: 50ms", "tick: 50", []string{"demo.yaml:7", "control.tick", "50", "with a unit"}},
 		{"out of range", goodControl, "tick: 50ms", "tick: 1ms", []string{"demo.yaml:7", "control.tick", "1ms", "5ms to 5s"}},
+		{"wrong type", goodControl, "id: 1\n  data", "id: first\n  data", []string{"demo.yaml:3", "id", "first", "a whole number"}},
 		{"host name", goodControl, "peer_listen: 127.0.0.1:7101", "peer_listen: localhost:7101", []string{"demo.yaml:5", "control.peer_listen", "localhost:7101", "IP:port"}},
 		{"foreign id", goodControl, "id: 1\n  data", "id: 9\n  data", []string{"demo.yaml:3", "control.id", "9", "control.members"}},
 		{"bad member address", goodControl, "address: 127.0.0.1:7101", "address: nowhere", []string{"demo.yaml:10", "control.members[0].address", "nowhere"}},
