engine: translate orders and load reports beside the model

The HTTP stand-in and the simulator drive the same model and need the same translation of orders and reports, so it moves out of the stand-in. No change of behaviour; go test ./internal/lab/engine ./internal/lab/standin passes.

--- a/internal/lab/standin/orders.go
+++ b/internal/lab/standin/orders.go
@@ -23,7 +23,7 @@
 	if !readJSON(w, r, &body) {
 		return
 	}
-	order, fault := modelOrder(body)
+	order, fault := engine.OrderFrom(body)
 	if fault != nil {
 		writeError(w, http.StatusBadRequest, fault)
 		return
@@ -47,33 +47,6 @@
 	writeJSON(w, e.loadReport())
 }
 
-// modelOrder translates an order.
-func modelOrder(body port.Order) (engine.Order, *port.Error) {
-	order := engine.Order{
-		Fence:   uint64(body.Fence),
-		Weights: engine.Weights{Adapter: body.Adapter, Version: body.Version},
-	}
-	switch body.Kind {
-	case port.OrderStage:
-		order.Kind = engine.OrderStage
-	case port.OrderActivate:
-		order.Kind = engine.OrderActivate
-	case port.OrderLoadAdapter:
-		order.Kind = engine.OrderLoadAdapter
-	case port.OrderSetRole:
-		order.Kind = engine.OrderSetRole
-	default:
-		return order, port.InvalidField("kind", string(body.Kind), "stage, activate, load_adapter, set_role")
-	}
-	switch body.Role {
-	case port.RolePrefill:
-		order.Role = engine.RolePrefill
-	case port.RoleDecode:
-		order.Role = engine.RoleDecode
-	}
-	return order, nil
-}
-
 // download fetches weights in the background. The mutex must be held.
 func (e *Engine) download(source string, weights engine.Weights) {
 	epoch := e.epoch
@@ -112,44 +85,13 @@
 
 // loadReport describes the engine as it is. The mutex must be held.
 func (e *Engine) loadReport() port.LoadReport {
-	load := e.model.Load()
-	report := port.LoadReport{
-		Running: load.Running, Waiting: load.Waiting, KVUsed: load.KVUsed, KVTotal: load.KVTotal,
-		Version: load.Weights.Version, Role: port.EngineRole(load.Role.String()),
-		Fence: port.Epoch(load.Fence), Incarnation: load.Incarnation,
-	}
-	names := make([]string, 0, len(load.Adapters))
-	for name := range load.Adapters {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		report.Adapters = append(report.Adapters, port.AdapterVersion{Name: name, Version: load.Adapters[name]})
-	}
-	for _, staged := range load.Staged {
-		addStaged(&report, staged)
-	}
+	report := e.model.Load().Report()
 	if fault, on := e.faults.active(FaultLoadVersion); on {
 		report.Version = port.WeightVersion(fault.Version)
 	}
 	return report
 }
 
-// addStaged notes staged weights; the newest of a name shows.
-func addStaged(report *port.LoadReport, staged engine.Weights) {
-	if staged.Adapter == "" {
-		report.Staged = max(report.Staged, staged.Version)
-		return
-	}
-	for i := range report.Adapters {
-		if report.Adapters[i].Name == staged.Adapter {
-			report.Adapters[i].Staged = max(report.Adapters[i].Staged, staged.Version)
-			return
-		}
-	}
-	report.Adapters = append(report.Adapters, port.AdapterVersion{Name: staged.Adapter, Staged: staged.Version})
-}
-
 // laggedReport returns the newest report that is visible by now.
 func (e *Engine) laggedReport() port.LoadReport {
 	e.mutex.Lock()
