gate: make admission a pure state machine

Cause: admission, queue, limits and the choice of replica stood behind a mutex and channels in the node, so that neither the simulator nor fault tests could run them.

Change: internal/core/gate holds them as a state machine; time comes in with each call, random numbers from a given source, and each call gives back the tickets that it settled. internal/app/node/gate is a mutex and channels around it; its tests are unchanged.

Fault found on the way: a caller that left after its grant cancelled whatever waited under its request id, so that a second attempt of the same request at the same home could lose its place without an answer until its deadline. Cancelling now concerns the ticket itself.

Run: go test -race ./internal/core/gate ./internal/app/node/... passes.

--- a/internal/app/node/gate/doc.go
+++ b/internal/app/node/gate/doc.go
@@ -1,7 +1,5 @@
-// Package gate admits requests to the replicas of one pool: it holds the exact
-// count of requests in flight, an adaptive limit for each replica, one queue by
-// priority, tenant and deadline, and the prefix index that the choice of
-// replica uses.
+// Package gate puts a mutex and channels around the pure gate of
+// internal/core/gate, so that traffic goroutines can wait for a replica.
 //
 // The home node of engines has a gate for each engine pool over the replicas
 // that it is the home of. Every node has a gate for each application pool over
--- a/internal/app/node/gate/dispatch.go
+++ b/internal/core/gate/dispatch.go
@@ -15,28 +15,28 @@
 // retryWhenNone is the advised wait when no replica can serve a request.
 const retryWhenNone = time.Second
 
-// dispatch grants waiting requests while a replica has room. The caller holds
-// the mutex.
+// dispatch grants waiting requests while a replica has room, and ends those that
+// can't be served.
 func (g *Gate) dispatch(now time.Time) {
-	var setAside []admission.Item[*ticket]
+	var setAside []admission.Item[*Ticket]
 	for g.queue.Len() > 0 && len(setAside) < maxSetAside && g.hasRoom() {
 		item, found := g.queue.Next(now)
 		if !found {
 			break
 		}
-		if grant := g.place(now, item.Value); grant != nil {
-			item.Value.result <- outcome{grant: grant}
+		if g.place(now, item.Value) {
+			g.settled = append(g.settled, item.Value)
 			continue
 		}
-		if refusal := g.checkServable(item.Value); refusal != nil {
-			item.Value.result <- outcome{err: refusal}
+		if refusal := g.checkServable(now, item.Value); refusal != nil {
+			g.refuse(item.Value, refusal)
 			continue
 		}
 		setAside = append(setAside, item)
 	}
 	for _, item := range setAside {
 		if refusal := g.queue.Offer(now, item); refusal != nil {
-			item.Value.result <- outcome{err: refusal}
+			g.refuse(item.Value, refusal)
 		}
 	}
 	if !g.hasRoutable() {
@@ -45,6 +45,12 @@
 	g.expire(now)
 }
 
+// refuse settles a ticket that waited.
+func (g *Gate) refuse(ticket *Ticket, refusal *port.Error) {
+	ticket.refuse(refusal)
+	g.settled = append(g.settled, ticket)
+}
+
 // refuseWaiting ends what waits when no replica is left that could serve it.
 func (g *Gate) refuseWaiting(now time.Time) {
 	for {
@@ -52,15 +58,15 @@
 		if !found {
 			return
 		}
-		item.Value.result <- outcome{err: noBackEnd(nil)}
+		g.refuse(item.Value, noBackEnd(nil))
 	}
 }
 
 func (g *Gate) expire(now time.Time) { g.finish(g.queue.Expire(now)) }
 
-func (g *Gate) finish(ended []admission.Ended[*ticket]) {
+func (g *Gate) finish(ended []admission.Ended[*Ticket]) {
 	for _, end := range ended {
-		end.Item.Value.result <- outcome{err: end.Error}
+		g.refuse(end.Item.Value, end.Error)
 	}
 }
 
@@ -83,21 +89,15 @@
 	return false
 }
 
-func (s *slot) routable() bool {
-	replica := &s.replica
-	return !replica.Draining && !replica.Leaving && !replica.Ejected && !replica.VersionUnknown
-}
-
-// place chooses a replica with room and takes a place on it; nil means that
+// place chooses a replica with room and takes a place on it; false means that
 // there is none.
-func (g *Gate) place(now time.Time, waiting *ticket) *Grant {
-	request := waiting.request.Pick
+func (g *Gate) place(now time.Time, ticket *Ticket) bool {
+	request := ticket.Request.Pick
 	request.Prefix = g.index
 	request.Record = true
-	candidates := g.candidates(now, &waiting.request, true)
-	result := g.choose(&request, waiting.request, candidates)
+	result := g.choose(&request, &ticket.Request, g.candidates(now, &ticket.Request, true))
 	if result.Chosen < 0 {
-		return nil
+		return false
 	}
 	held := g.slots[result.Chosen]
 	held.inflight++
@@ -106,21 +106,18 @@
 	if len(request.PrefixHashes) > 0 {
 		g.index.Sent(now, held.replica.ID, request.PrefixHashes)
 	}
-	return &Grant{
-		Replica: held.replica.ID,
-		Result:  result,
-		Waited:  now.Sub(waiting.offered),
-		gate:    g,
-		slot:    held,
-		tokens:  request.MaxTokens,
-		started: now,
-	}
+	ticket.State = Granted
+	ticket.Replica = held.replica.ID
+	ticket.Result = result
+	ticket.Waited = now.Sub(ticket.offered)
+	ticket.slot = held
+	return true
 }
 
 // choose takes the preferred replica if it passes the filters, keeps off the
 // avoided one if another can serve, and otherwise leaves the choice to the
 // scheduler.
-func (g *Gate) choose(request *scheduling.Request, wanted Request, candidates []scheduling.Candidate) scheduling.Result {
+func (g *Gate) choose(request *scheduling.Request, wanted *Request, candidates []scheduling.Candidate) scheduling.Result {
 	if wanted.Preferred != "" {
 		if index := position(candidates, wanted.Preferred); index >= 0 {
 			result := g.scheduler.Pick(request, candidates[index:index+1], g.random)
@@ -151,9 +148,9 @@
 
 // checkServable gives the refusal of a request that no replica could serve even
 // if it had room.
-func (g *Gate) checkServable(waiting *ticket) *port.Error {
-	request := waiting.request.Pick
-	result := g.scheduler.Pick(&request, g.candidates(waiting.offered, &waiting.request, false), g.random)
+func (g *Gate) checkServable(now time.Time, ticket *Ticket) *port.Error {
+	request := ticket.Request.Pick
+	result := g.scheduler.Pick(&request, g.candidates(now, &ticket.Request, false), g.random)
 	if result.Chosen >= 0 {
 		return nil
 	}
@@ -188,53 +185,3 @@
 	}
 	return g.scratch
 }
-
-func (s *slot) candidate(now time.Time, adapter string) scheduling.Candidate {
-	report := &s.replica.Report
-	version, staged := report.Serves(adapter)
-	return scheduling.Candidate{
-		Replica:             s.replica.ID,
-		Zone:                s.replica.Zone,
-		Region:              s.replica.Region,
-		Version:             version,
-		Staged:              staged,
-		VersionUnknown:      s.replica.VersionUnknown,
-		Role:                report.Role,
-		Adapters:            adapterNames(report.Adapters),
-		Draining:            s.replica.Draining,
-		Leaving:             s.replica.Leaving,
-		Ejected:             s.replica.Ejected,
-		Probing:             s.replica.Probing,
-		Running:             report.Running,
-		Waiting:             report.Waiting,
-		ReportAge:           s.reportAge(now),
-		Inflight:            s.inflight,
-		SentSinceReport:     s.sent - s.sentMark,
-		FinishedSinceReport: s.finished - s.finishedMark,
-		InflightTokens:      s.tokens,
-		KVUsed:              report.KVUsed,
-		KVTotal:             report.KVTotal,
-		Limit:               s.limiter.Limit(),
-	}
-}
-
-// noReport is the age of a report that never came.
-const noReport = time.Hour
-
-func (s *slot) reportAge(now time.Time) time.Duration {
-	if s.replica.ReportedAt.IsZero() {
-		return noReport
-	}
-	return now.Sub(s.replica.ReportedAt)
-}
-
-func adapterNames(adapters []port.AdapterVersion) []string {
-	if len(adapters) == 0 {
-		return nil
-	}
-	names := make([]string, 0, len(adapters))
-	for _, adapter := range adapters {
-		names = append(names, adapter.Name)
-	}
-	return names
-}
