consensus: tell members how far they lag; control: new observers get the newest view only

And an observer that holds nothing, as a node does after a restart, took its first view from any member, also from one that is cut off from the quorum: the node then went back behind what it had shown before the restart, for as long as the cut lasted.

Change: leader messages carry the position that a state must have applied to show every entry committed when they were sent; a member confirms views only past it. The first view of an observer that holds nothing waits for a read of the newest state through the leader. Without a leader the watch is refused, and the observer goes to the next member.

Ruled out: taking a first view only when it is confirmed. A member may be a heartbeat behind and still confirm; the view could fall by a few changes.

Both tests fail without the change: the lagging follower's status has nothing that differs from its own commit index, and the lone member sends its view.

--- a/internal/app/control/control_test.go
+++ b/internal/app/control/control_test.go
@@ -221,6 +221,11 @@
 	}
 	ctx, cancel := context.WithTimeout(group.context(), time.Second)
 	defer cancel()
+	_ = group.client(3).Watch(ctx, 0, func(update port.ViewUpdate) {
+		t.Errorf("an observer that holds nothing got %+v without a quorum", update)
+	})
+	ctx, cancel = context.WithTimeout(group.context(), time.Second)
+	defer cancel()
 	_, err = alone.Propose(ctx, machineListChange(last, 9))
 	if refusal := port.AsError(err); refusal == nil || refusal.RetryAfter == 0 {
 		t.Fatalf("a proposal without a quorum got %v, want a refusal with a time to retry", err)
--- a/internal/app/control/watch.go
+++ b/internal/app/control/watch.go
@@ -7,12 +7,15 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/controlmember"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 const (
 	// watchInterval is the shortest time between two updates of one watch.
 	watchInterval = 10 * time.Millisecond
+	// newestTimeout bounds the wait for an observer's first view.
+	newestTimeout = 5 * time.Second
 	// maxWatches bounds the watches of a member.
 	maxWatches = 4096
 )
@@ -60,7 +63,9 @@
 }
 
 // serveWatch streams updates to one observer: what it lacks at once, then
-// changes as they come, and a heartbeat while there are none.
+// changes as they come, and a heartbeat while there are none. An observer that
+// holds nothing may have shown the newest view before it restarted, so that its
+// first view must be as new; without a leader it gets none.
 func (m *Member) serveWatch(ctx context.Context, call *wire.Call) error {
 	var request controlclient.WatchRequest
 	if err := call.Decode(&request); err != nil {
@@ -71,6 +76,11 @@
 		return port.NewError(port.NotRun, port.CodeQueueFull, "%d watches are open, the most there may be", maxWatches)
 	}
 	defer m.watches.remove(wake)
+	if request.After == 0 {
+		if err := m.awaitNewest(ctx); err != nil {
+			return err
+		}
+	}
 	heartbeat := time.NewTicker(controlclient.HeartbeatInterval)
 	defer heartbeat.Stop()
 	after := request.After
@@ -89,6 +99,14 @@
 	}
 }
 
+// awaitNewest waits until this member shows every change that was accepted
+// before the call.
+func (m *Member) awaitNewest(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	return m.readState(ctx, func(*controlmember.Member) {})
+}
+
 // waitForNews waits for a change, though not less than watchInterval, or for
 // the next heartbeat.
 func (m *Member) waitForNews(ctx context.Context, wake <-chan struct{}, heartbeat <-chan time.Time) error {
--- a/internal/core/consensus/message.go
+++ b/internal/core/consensus/message.go
@@ -79,6 +79,9 @@
 	Offset uint64 `cbor:"16,keyasint,omitempty"`
 	// Done is set once the whole snapshot at Index is durable.
 	Done bool `cbor:"17,keyasint,omitempty"`
+	// Required is the position that a state must have applied to show every
+	// entry that was committed when the leader sent the message.
+	Required uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // SnapshotChunk is a part of a snapshot's data.
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -30,7 +30,11 @@
 	electionTimeout  int
 	sinceLeader      int
 	heartbeatElapsed int
-	votes            map[MemberID]bool
+	// required is what the leader of requiredTerm last asked a state to have
+	// applied.
+	required     uint64
+	requiredTerm uint64
+	votes        map[MemberID]bool
 
 	leadership leadership
 	outbox     outbox
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -89,9 +89,26 @@
 func (n *Node) sendAsLeader(message Message) {
 	message.SentTick = n.now
 	message.Round = n.leadership.round
+	message.Required = n.requiredAsLeader()
 	n.send(message)
 }
 
+// requiredAsLeader gives the position that a state must have applied to show
+// every committed entry. Until its first entry is committed a leader does not
+// know which of those before it are.
+func (n *Node) requiredAsLeader() uint64 {
+	return max(n.log.commit, n.leadership.termStart)
+}
+
+// noteRequired takes over the leader's position. The term of the message is
+// this member's.
+func (n *Node) noteRequired(message Message) {
+	if n.requiredTerm != message.Term {
+		n.required, n.requiredTerm = 0, message.Term
+	}
+	n.required = max(n.required, message.Required)
+}
+
 // sendAppends sends every peer what its window allows.
 func (n *Node) sendAppends() {
 	for _, id := range n.leadership.peerOrder {
@@ -170,6 +187,7 @@
 	}
 	n.electionElapsed = 0
 	n.sinceLeader = 0
+	n.noteRequired(message)
 	switch message.Kind {
 	case MessageAppend:
 		return n.handleAppend(message)
--- a/internal/core/consensus/replication_test.go
+++ b/internal/core/consensus/replication_test.go
@@ -231,3 +231,31 @@
 		}
 	})
 }
+
+// A member that hears from the leader but lacks entries must know that it lags,
+// and a new leader that it does not know yet what is committed.
+func TestLaggingMembersKnowThatTheyLag(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	behind := net.others(leader)[0]
+	net.oneHop = func(m Message) bool { return m.To != behind || m.Kind != MessageAppend }
+	committed := net.propose(leader, "a")
+	net.tick(testHeartbeatTicks)
+	status := net.node(behind).Status()
+	if !status.QuorumActive || status.Commit >= committed || status.Required < committed {
+		t.Errorf("a follower without the entry at %d: %+v", committed, status)
+	}
+	net.oneHop = nil
+	net.tick(testElectionTicks)
+	if status := net.node(behind).Status(); status.Commit < status.Required {
+		t.Errorf("caught up at last: %+v", status)
+	}
+	net.crash(leader)
+	net.oneHop = func(m Message) bool { return m.Kind != MessageAppendReply }
+	for net.leader() == None || net.leader() == leader {
+		net.tick(1)
+	}
+	if status := net.node(net.leader()).Status(); status.Required < committed+1 || status.Commit >= status.Required {
+		t.Errorf("a leader before its first commit: %+v", status)
+	}
+}
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -22,6 +22,10 @@
 	// TicksSinceContact is how long ago a follower heard from a leader, or a
 	// leader from a quorum.
 	TicksSinceContact uint64
+	// Required is the position that this member must have applied to show every
+	// entry that was committed when it last heard from the leader, or is
+	// committed now if it leads itself.
+	Required uint64
 	// LeaseValid is set on a leader that may answer reads on its own.
 	LeaseValid bool
 }
@@ -56,6 +60,7 @@
 	}
 	if n.role != RoleLeader {
 		status.TicksSinceContact = uint64(n.sinceLeader)
+		status.Required = n.required
 		status.QuorumActive = n.leader != None && n.sinceLeader < n.config.ElectionTicks
 		return status
 	}
@@ -64,6 +69,7 @@
 	})
 	status.TicksSinceContact = n.now - contact
 	status.QuorumActive = n.quorumActive()
+	status.Required = n.requiredAsLeader()
 	status.LeaseValid = n.leaseValid()
 	status.Progress = n.peerStatuses()
 	return status
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -172,9 +172,11 @@
 // itself, else through the leader, which steps down when it loses the quorum.
 func (m *Member) QuorumContact() bool { return m.status.QuorumActive }
 
-// CaughtUp says whether the member has applied everything it knows to be
-// committed.
-func (m *Member) CaughtUp() bool { return m.state.Applied() >= m.status.Commit }
+// CaughtUp says whether the member has applied everything that was committed
+// when it last heard from the leader.
+func (m *Member) CaughtUp() bool {
+	return m.state.Applied() >= max(m.status.Commit, m.status.Required)
+}
 
 // Update gives what an observer at position after lacks. Confirmed is set only
 // while the member is in touch with a quorum and caught up.
