controlmember: hold the watch over silent nodes in the core

The rule that takes silent nodes out of the view was private to the process. The fleet emulation needs the same rule in virtual time, so it moves, unchanged, to the core package that both run. go test ./internal/app/control passes.

--- a/internal/app/control/housekeeping.go
+++ b/internal/app/control/housekeeping.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/controlmember"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -21,7 +22,7 @@
 func (m *Member) keepHouse(ctx context.Context) error {
 	ticker := time.NewTicker(houseInterval)
 	defer ticker.Stop()
-	var watcher silenceWatcher
+	var watcher controlmember.SilenceWatcher
 	for {
 		select {
 		case <-ticker.C:
@@ -31,7 +32,7 @@
 		m.learnAddresses(ctx)
 		published := m.loop().published.Load()
 		if published.status.Role != consensus.RoleLeader || !published.status.QuorumActive {
-			watcher.reset()
+			watcher.Reset()
 			continue
 		}
 		m.removeSilent(ctx, &watcher, published.view)
@@ -69,44 +70,15 @@
 	})
 }
 
-// silenceWatcher knows since when the leader has heard nothing of a node.
-type silenceWatcher struct {
-	lastHeard map[port.NodeID]time.Time
-}
-
-func (w *silenceWatcher) reset() { w.lastHeard = nil }
-
-// silent gives the registered nodes that no member heard of for the timeout.
-// A leader that is new, or a node that just registered, starts from now.
-func (w *silenceWatcher) silent(nodes []port.NodeAddress, ages map[port.NodeID]time.Duration, now time.Time, timeout time.Duration) []port.NodeID {
-	heard := make(map[port.NodeID]time.Time, len(nodes))
-	var silent []port.NodeID
-	for _, node := range nodes {
-		last, known := w.lastHeard[node.ID]
-		if !known {
-			last = now
-		}
-		if age, reported := ages[node.ID]; reported && now.Add(-age).After(last) {
-			last = now.Add(-age)
-		}
-		heard[node.ID] = last
-		if now.Sub(last) >= timeout {
-			silent = append(silent, node.ID)
-		}
-	}
-	w.lastHeard = heard
-	return silent
-}
-
 // removeSilent proposes the removal of silent nodes. A node that lives on is
 // registered again by its next report.
-func (m *Member) removeSilent(ctx context.Context, watcher *silenceWatcher, view *port.View) {
+func (m *Member) removeSilent(ctx context.Context, watcher *controlmember.SilenceWatcher, view *port.View) {
 	reports := m.gatherReports(ctx)
 	ages := make(map[port.NodeID]time.Duration, len(reports.Nodes))
 	for _, report := range reports.Nodes {
 		ages[report.Report.Node.ID] = time.Duration(report.AgeMillis) * time.Millisecond
 	}
-	for _, id := range watcher.silent(view.Nodes, ages, time.Now(), m.config.NodeTimeout) {
+	for _, id := range watcher.Silent(view.Nodes, ages, time.Now(), m.config.NodeTimeout) {
 		attempt, cancel := context.WithTimeout(ctx, controlclient.DefaultAttemptTimeout)
 		_, err := m.propose(attempt, port.Command{RemoveNode: &port.RemoveNode{ID: id}}, true)
 		cancel()
