cmd: wire the policy commands in, JSON output everywhere, exit codes as documented

The policy commands were written and not wired into the command line, so that nobody could call them. simulate showed the standard views alone; it now takes a view from a JSON file or from flags. Errors name the user's file and line in place of the program's inner name, one line for each thing that is wrong.

--- a/cmd/loomgrade/cmd_config.go
+++ b/cmd/loomgrade/cmd_config.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	return output(&c.operatorFlags, std, accepted, showAccepted)
+	return output(c.outputFlags, std, accepted, showAccepted)
 }
 
 func (c *configSetCommand) apply(ctx context.Context, client *operatorapi.Client, document configDocument) (operatorapi.Accepted, error) {
--- a/cmd/loomgrade/cmd_explain.go
+++ b/cmd/loomgrade/cmd_explain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -24,8 +23,9 @@
 	ID        string        `arg:"" help:"Id of a request (r-…), sample (s-…), batch (b-POOL-NUMBER-ATTEMPT), a replica's id or a revision."`
 	Node      []string      `env:"LOOMGRADE_NODES" default:"http://127.0.0.1:7121" help:"Base URLs of nodes, tried in order."`
 	TokenFile string        `env:"LOOMGRADE_TOKEN_FILE" required:"" type:"path" help:"File that holds the operator token."`
-	Output    string        `enum:"table,json" default:"table" help:"Form of the output: table or json."`
 	Timeout   time.Duration `default:"30s" help:"How long to try."`
+
+	outputFlags `embed:""`
 }
 
 // Run prints the decisions in plain words, oldest first.
@@ -40,13 +40,11 @@
 	if err != nil {
 		return err
 	}
-	if c.Output == outputJSON {
-		encoder := json.NewEncoder(std.stdout)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(explanation)
-	}
-	_, err = fmt.Fprintln(std.stdout, strings.Join(explanation.Text, "\n"))
-	return err
+	return output(c.outputFlags, std, explanation, func(lines *table, answer httpapi.Explanation) {
+		for _, line := range answer.Text {
+			lines.row(line)
+		}
+	})
 }
 
 // ask tries the nodes in order; an answer that the id is not known at one node
--- a/cmd/loomgrade/cmd_policy.go
+++ b/cmd/loomgrade/cmd_policy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -11,76 +12,137 @@
 // policyCommand groups the commands on policy programs. They need no fleet.
 type policyCommand struct {
 	Check    policyCheckCommand    `cmd:"" help:"Compile a policy program and run it on the standard views."`
-	Simulate policySimulateCommand `cmd:"" help:"Show what a policy program decides on each standard view."`
+	Simulate policySimulateCommand `cmd:"" help:"Show what a policy program decides on standard views or on a view of your own."`
 }
 
 // policyCheckCommand says whether a program would be accepted.
 type policyCheckCommand struct {
 	File string `arg:"" type:"existingfile" help:"Starlark file with def plan(pool)."`
+
+	outputFlags `embed:""`
+}
+
+// policyAccepted says that a program would be accepted.
+type policyAccepted struct {
+	File  string `json:"file"`
+	Views int    `json:"views"`
+	// Steps is the most interpreter steps that a view took, of MaxSteps allowed.
+	Steps    uint64 `json:"steps"`
+	MaxSteps uint64 `json:"max_steps"`
 }
 
 // Run checks the program; what is wrong comes with its line or field.
 func (c *policyCheckCommand) Run(std streams) error {
-	trials, err := checkPolicyFile(c.File)
+	program, err := compilePolicy(c.File)
 	if err != nil {
 		return err
 	}
-	var most uint64
+	views := policy.StandardViews()
+	trials, err := policy.CheckProgram(program, views)
+	if err != nil {
+		return policyError(c.File, err)
+	}
+	accepted := policyAccepted{File: c.File, Views: len(views), MaxSteps: policy.DefaultMaxSteps}
 	for _, trial := range trials {
-		most = max(most, trial.Steps)
+		accepted.Steps = max(accepted.Steps, trial.Steps)
 	}
-	_, err = fmt.Fprintf(std.stdout, "%s: accepted on %d views, at most %d of %d steps\n",
-		c.File, len(trials), most, policy.DefaultMaxSteps)
-	return err
+	return output(c.outputFlags, std, accepted, func(lines *table, accepted policyAccepted) {
+		lines.row(accepted.File, "accepted")
+		lines.row("views", accepted.Views)
+		lines.row("steps", accepted.Steps, "of", accepted.MaxSteps)
+	})
 }
 
 // policySimulateCommand shows a program's plans.
 type policySimulateCommand struct {
-	File string `arg:"" type:"existingfile" help:"Starlark file with def plan(pool)."`
+	File string            `arg:"" type:"existingfile" help:"Starlark file with def plan(pool)."`
+	View string            `type:"existingfile" help:"JSON file with a view: the fields of the program's argument, replicas among them."`
+	From string            `help:"Name of the standard view to start from, as shown without flags."`
+	Set  map[string]string `mapsep:"," help:"Fields of the view to change, as in_flight=12,trainer_waiting=true."`
+
+	outputFlags `embed:""`
 }
 
-// Run prints a row for each standard view.
+// Run shows a plan for each view, also where the program fails on some.
 func (c *policySimulateCommand) Run(std streams) error {
-	trials, err := checkPolicyFile(c.File)
-	lines := newTable(std.stdout)
-	lines.row("VIEW", "VERSION", "IN FLIGHT", "BUFFERED", "TARGET", "MIN VERSION", "EXTRA", "LONG FROM", "RESUME", "SELECTION", "ZONES", "EXCLUDED", "STEPS")
-	for _, trial := range trials {
-		showTrial(lines, trial)
+	program, err := compilePolicy(c.File)
+	if err != nil {
+		return err
+	}
+	views, err := c.views()
+	if err != nil {
+		return usageError{err}
+	}
+	trials, failure := policy.CheckProgram(program, views)
+	simulations := make([]simulation, len(trials))
+	for index, trial := range trials {
+		simulations[index] = newSimulation(trial)
+	}
+	if err := output(c.outputFlags, std, simulations, showSimulations); err != nil {
+		return err
+	}
+	if failure != nil {
+		return policyError(c.File, failure)
+	}
+	return nil
+}
+
+// views gives the one view that the flags describe, or the standard ones.
+func (c *policySimulateCommand) views() ([]policy.NamedView, error) {
+	if c.View == "" && c.From == "" && len(c.Set) == 0 {
+		return policy.StandardViews(), nil
+	}
+	if c.View != "" && c.From != "" {
+		return nil, errors.New("--view and --from: both given, allowed: one of them")
+	}
+	view, name, err := c.start()
+	if err != nil {
+		return nil, err
 	}
-	if flushErr := lines.flush(); flushErr != nil && err == nil {
-		err = flushErr
+	if err := changeView(&view, c.Set); err != nil {
+		return nil, err
 	}
-	return err
+	return []policy.NamedView{{Name: name, View: view}}, nil
 }
 
-func showTrial(lines *table, trial policy.Trial) {
-	if trial.Err != nil {
-		lines.row(trial.Name, trial.View.Version, trial.View.InFlight, trial.View.Buffered, "error: "+trial.Err.Error())
-		return
-	}
-	plan := trial.Plan
-	zones := make([]string, 0, len(plan.Zones))
-	for _, zone := range plan.Zones {
-		zones = append(zones, string(zone))
-	}
-	if len(zones) == 0 {
-		zones = append(zones, "all")
-	}
-	lines.row(trial.Name, trial.View.Version, trial.View.InFlight, trial.View.Buffered,
-		plan.TargetInFlight, plan.MinVersion, plan.OverProvision, plan.LongTokens, plan.Resume, plan.Selection,
-		strings.Join(zones, ","), len(plan.Exclude), trial.Steps)
+func (c *policySimulateCommand) start() (policy.View, string, error) {
+	if c.View != "" {
+		view, err := readView(c.View)
+		return view, c.View, err
+	}
+	from := c.From
+	if from == "" {
+		from = defaultView
+	}
+	var names []string
+	for _, named := range policy.StandardViews() {
+		if named.Name == from {
+			return named.View, from, nil
+		}
+		names = append(names, named.Name)
+	}
+	return policy.View{}, "", fmt.Errorf("--from = %q is not allowed, allowed: %s", from, strings.Join(names, "; "))
 }
 
-// checkPolicyFile reads a file and runs the program on the standard views. It is
-// a usage error when the program is not allowed.
-func checkPolicyFile(file string) ([]policy.Trial, error) {
+// compilePolicy reads and compiles a program.
+func compilePolicy(file string) (*policy.Program, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
 		return nil, usageError{err}
 	}
-	trials, err := policy.Check(string(source))
+	program, err := policy.Compile(string(source))
 	if err != nil {
-		return trials, usageError{fmt.Errorf("%s: %w", file, err)}
+		return nil, policyError(file, err)
+	}
+	return program, nil
+}
+
+// policyError is a usage error that names the file in place of the name that
+// programs have inside.
+func policyError(file string, err error) error {
+	text := strings.ReplaceAll(err.Error(), policy.FileName+":", file+":")
+	if !strings.Contains(text, file) {
+		text = file + ": " + text
 	}
-	return trials, nil
+	return usageError{errors.New(text)}
 }
--- a/cmd/loomgrade/cmd_replica.go
+++ b/cmd/loomgrade/cmd_replica.go
@@ -89,7 +89,7 @@
 	for range maxReplicaTries {
 		accepted, err = c.once(ctx, client, call)
 		if err == nil {
-			return output(&c.operatorFlags, std, accepted, showAccepted)
+			return output(c.outputFlags, std, accepted, showAccepted)
 		}
 		if c.Expected != nil || port.AsError(err).Code != port.CodeConflict {
 			return err
--- a/cmd/loomgrade/cmd_settings.go
+++ b/cmd/loomgrade/cmd_settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/settings"
@@ -14,18 +15,37 @@
 // settingsCheckCommand checks files without starting anything.
 type settingsCheckCommand struct {
 	Files []string `arg:"" type:"path" help:"Settings files."`
+
+	outputFlags `embed:""`
+}
+
+// checkedSettings is a settings file that a process would start from.
+type checkedSettings struct {
+	File string `json:"file"`
+	Role string `json:"role"`
 }
 
-// Run checks each file and stops at the first that is refused.
+// Run checks every file, lists the good ones and refuses the others.
 func (c *settingsCheckCommand) Run(std streams) error {
+	good := []checkedSettings{}
+	var refused error
 	for _, path := range c.Files {
 		file, err := settings.Load(path)
 		if err != nil {
-			return usageError{err}
+			refused = errors.Join(refused, err)
+			continue
+		}
+		good = append(good, checkedSettings{File: path, Role: roleOf(file)})
+	}
+	err := output(c.outputFlags, std, good, func(lines *table, files []checkedSettings) {
+		for _, file := range files {
+			lines.row(file.File, "good", file.Role)
 		}
-		fmt.Fprintf(std.stdout, "%s: good, role %s\n", path, roleOf(file))
+	})
+	if refused != nil {
+		return usageError{refused}
 	}
-	return nil
+	return err
 }
 
 func roleOf(file *settings.File) string {
--- a/cmd/loomgrade/cmd_version.go
+++ b/cmd/loomgrade/cmd_version.go
@@ -1,27 +1,44 @@
 package main
 
 import (
-	"fmt"
 	"runtime"
 	"runtime/debug"
 )
 
 // versionCommand prints what was built.
-type versionCommand struct{}
+type versionCommand struct {
+	outputFlags `embed:""`
+}
+
+// buildVersion says what was built.
+type buildVersion struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Go       string `json:"go"`
+}
 
 // Run prints the module version, the revision if known, and the Go release.
-func (versionCommand) Run(std streams) error {
-	version, revision := "(devel)", "unknown"
-	if info, found := debug.ReadBuildInfo(); found {
-		if info.Main.Version != "" {
-			version = info.Main.Version
-		}
-		for _, setting := range info.Settings {
-			if setting.Key == "vcs.revision" {
-				revision = setting.Value
-			}
+func (c *versionCommand) Run(std streams) error {
+	return output(c.outputFlags, std, readBuildVersion(), func(lines *table, built buildVersion) {
+		lines.row("loomgrade", built.Version)
+		lines.row("revision", built.Revision)
+		lines.row("go", built.Go)
+	})
+}
+
+func readBuildVersion() buildVersion {
+	built := buildVersion{Version: "(devel)", Revision: "unknown", Go: runtime.Version()}
+	info, found := debug.ReadBuildInfo()
+	if !found {
+		return built
+	}
+	if info.Main.Version != "" {
+		built.Version = info.Main.Version
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			built.Revision = setting.Value
 		}
 	}
-	fmt.Fprintf(std.stdout, "loomgrade %s, revision %s, %s\n", version, revision, runtime.Version())
-	return nil
+	return built
 }
--- a/cmd/loomgrade/cmd_weights.go
+++ b/cmd/loomgrade/cmd_weights.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return unsure(err, c.ChangeID)
 	}
-	return output(&c.operatorFlags, std, accepted, showAccepted)
+	return output(c.outputFlags, std, accepted, showAccepted)
 }
 
 // weightsStatusCommand shows versions.
--- a/cmd/loomgrade/exit.go
+++ b/cmd/loomgrade/exit.go
@@ -31,12 +31,15 @@
 // streams are the standard streams of one invocation.
 type streams struct{ stdout, stderr *os.File }
 
-// report prints an error in one line and gives its exit code.
+// report prints an error, one line for each thing that is wrong, and gives its
+// exit code.
 func report(stderr *os.File, err error) int {
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintf(stderr, "loomgrade: %s\n", strings.TrimSpace(err.Error()))
+	for line := range strings.Lines(strings.TrimSpace(err.Error())) {
+		fmt.Fprintf(stderr, "loomgrade: %s\n", strings.TrimSpace(line))
+	}
 	return exitCode(err)
 }
 
@@ -60,9 +63,9 @@
 	switch code {
 	case port.CodeInvalid, port.CodeTooLarge:
 		return exitUsage
-	case port.CodeConflict, port.CodeChangeIDReused, port.CodeFenced, port.CodeLeaseHeld:
+	case port.CodeConflict, port.CodeChangeIDReused, port.CodeChangeExpired, port.CodeFenced, port.CodeLeaseHeld:
 		return exitConflict
-	case port.CodeUnavailable, port.CodeDraining, port.CodeDeadline:
+	case port.CodeUnavailable, port.CodeDraining, port.CodeDeadline, port.CodeQueueFull, port.CodeNotReady:
 		return exitUnavailable
 	case port.CodeNotFound:
 		return exitNotFound
--- a/cmd/loomgrade/main.go
+++ b/cmd/loomgrade/main.go
@@ -18,6 +18,7 @@
 	Explain  explainCommand  `cmd:"" help:"Tell why a request, sample, batch, replica or revision went as it did."`
 	Config   configCommand   `cmd:"" help:"Show and change the configuration."`
 	Pool     poolCommand     `cmd:"" help:"Show pools."`
+	Policy   policyCommand   `cmd:"" help:"Check and simulate policy programs."`
 	Weights  weightsCommand  `cmd:"" help:"Publish weight versions and see where they are served."`
 	Replica  replicaCommand  `cmd:"" help:"List, drain and return replicas."`
 	Member   memberCommand   `cmd:"" help:"List, add, promote and remove control members."`
--- a/internal/core/policy/program.go
+++ b/internal/core/policy/program.go
@@ -20,8 +20,10 @@
 	// list of any size.
 	MaxRange = 10_000
 
+	// FileName stands for the program in its error messages.
+	FileName = "policy.star"
+
 	functionName = "plan"
-	fileName     = "policy.star"
 )
 
 // Default is the source of the program for pools that name none.
@@ -54,14 +56,14 @@
 		return nil, fmt.Errorf("policy program has %d bytes, allowed are %d", len(source), MaxSourceBytes)
 	}
 	thread := newThread(maxSteps)
-	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true}, thread, fileName, source, predeclared())
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{Set: true}, thread, FileName, source, predeclared())
 	if err != nil {
 		return nil, describe(err, thread, maxSteps)
 	}
 	globals.Freeze()
 	function, isFunction := globals[functionName].(*starlark.Function)
 	if !isFunction || function.NumParams() != 1 {
-		return nil, fmt.Errorf("%s: the program must define %s(pool)", fileName, functionName)
+		return nil, fmt.Errorf("%s: the program must define %s(pool)", FileName, functionName)
 	}
 	return &Program{source: source, function: function, maxSteps: maxSteps}, nil
 }
@@ -85,7 +87,7 @@
 // newThread makes a thread without load and print, with bounded steps.
 func newThread(maxSteps uint64) *starlark.Thread {
 	thread := &starlark.Thread{
-		Name:  fileName,
+		Name:  FileName,
 		Print: func(*starlark.Thread, string) {},
 	}
 	thread.SetMaxExecutionSteps(maxSteps)
@@ -123,7 +125,7 @@
 	}
 	for depth := range evaluation.CallStack {
 		frame := evaluation.CallStack.At(depth)
-		if frame.Pos.Filename() == fileName {
+		if frame.Pos.Filename() == FileName {
 			return fmt.Errorf("%s: %w", frame.Pos, err)
 		}
 	}
--- a/internal/lab/localfleet/summary.go
+++ b/internal/lab/localfleet/summary.go
@@ -10,17 +10,20 @@
 
 // TrainerSummary sums up one trainer's run.
 type TrainerSummary struct {
-	Pool    string
-	Steps   int
-	Samples int
+	Pool    string `json:"pool"`
+	Steps   int    `json:"steps"`
+	Samples int    `json:"samples"`
 	// IdleShare is the part of the trainer's time spent waiting for batches,
 	// the first one left out.
-	IdleShare float64
+	IdleShare float64 `json:"idle_share"`
 	// Staleness in weight versions, over the delivered samples.
-	StalenessP50, StalenessP99, StalenessMax port.WeightVersion
-	Version                                  port.WeightVersion
+	StalenessP50 port.WeightVersion `json:"staleness_p50"`
+	StalenessP99 port.WeightVersion `json:"staleness_p99"`
+	StalenessMax port.WeightVersion `json:"staleness_max"`
+	// Version is the newest that the trainer published.
+	Version port.WeightVersion `json:"version"`
 	// LastError is the last failure that the trainer was told of.
-	LastError string
+	LastError string `json:"last_error,omitempty"`
 }
 
 // Summary sums up every trainer's run, in the order of the plan.
