explain: answer about batches by their own id, and about revisions

The help promised batches as b-POOL-NUMBER-ATTEMPT and revisions. Records of a batch stand under batch/POOL/NUMBER, so its own id found nothing; revisions had no answer at all. The node now turns the id into the form of its records, and the command answers a number from the history and the status of the control members: who changed it, when, under which change id, how many nodes have it.

--- a/cmd/loomgrade/cmd_explain.go
+++ b/cmd/loomgrade/cmd_explain.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
-	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -20,23 +22,14 @@
 
 // explainCommand tells why something happened.
 type explainCommand struct {
-	ID        string        `arg:"" help:"Id of a request (r-…), sample (s-…), batch (b-POOL-NUMBER-ATTEMPT), a replica's id or a revision."`
-	Node      []string      `env:"LOOMGRADE_NODES" default:"http://127.0.0.1:7121" help:"Base URLs of nodes, tried in order."`
-	TokenFile string        `env:"LOOMGRADE_TOKEN_FILE" required:"" type:"path" help:"File that holds the operator token."`
-	Timeout   time.Duration `default:"30s" help:"How long to try."`
-
-	outputFlags `embed:""`
+	operatorFlags `embed:""`
+	ID            string   `arg:"" help:"Id of a request (r-…), sample (s-…), batch (b-POOL-NUMBER-ATTEMPT), a replica's id or the number of a revision."`
+	Node          []string `env:"LOOMGRADE_NODES" default:"http://127.0.0.1:7121" help:"Base URLs of nodes, tried in order."`
 }
 
 // Run prints the decisions in plain words, oldest first.
 func (c *explainCommand) Run(std streams) error {
-	token, err := operatorapi.LoadToken(c.TokenFile)
-	if err != nil {
-		return usageError{err}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	explanation, err := c.ask(ctx, token)
+	explanation, err := c.explain()
 	if err != nil {
 		return err
 	}
@@ -47,6 +40,73 @@
 	})
 }
 
+// explain asks control members about a revision, and nodes about all else.
+func (c *explainCommand) explain() (httpapi.Explanation, error) {
+	if revision, err := strconv.ParseUint(strings.TrimPrefix(c.ID, "revision/"), 10, 64); err == nil {
+		return c.explainRevision(port.Revision(revision))
+	}
+	token, err := operatorapi.LoadToken(c.TokenFile)
+	if err != nil {
+		return httpapi.Explanation{}, usageError{err}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	return c.ask(ctx, token)
+}
+
+// explainRevision tells how a revision came about and where it is in force.
+func (c *explainCommand) explainRevision(revision port.Revision) (httpapi.Explanation, error) {
+	explanation := httpapi.Explanation{Subject: fmt.Sprintf("revision/%d", revision), Decisions: []port.Decision{}}
+	client, ctx, cancel, err := c.connect()
+	if err != nil {
+		return explanation, err
+	}
+	defer cancel()
+	history, err := client.History(ctx)
+	if err != nil {
+		return explanation, err
+	}
+	status, err := client.ConfigStatus(ctx)
+	if err != nil {
+		return explanation, err
+	}
+	for _, change := range history.Changes {
+		if change.Revision == revision {
+			explanation.Text = []string{acceptedText(change), inForceText(revision, status)}
+			return explanation, nil
+		}
+	}
+	return explanation, port.NewError(port.NotRun, port.CodeNotFound, "revision %d is not among the %d accepted changes on record", revision, len(history.Changes))
+}
+
+func acceptedText(change registry.HistoryEntry) string {
+	text := fmt.Sprintf("%s Configuration revision %d was accepted at log position %d under change id %s with %d edits",
+		clock(change.Time), change.Revision, change.Index, change.ChangeID, change.Edits)
+	if change.Author != "" {
+		text += " by " + change.Author
+	}
+	if change.Note != "" {
+		text += ": " + change.Note
+	}
+	return text + "."
+}
+
+// inForceText counts the nodes that have reached a revision. Revisions only
+// rise, so that a node on a later one has it too.
+func inForceText(revision port.Revision, status operatorapi.ConfigStatus) string {
+	reached, silent := 0, 0
+	for _, node := range status.Nodes {
+		switch {
+		case node.State == operatorapi.StateSilent:
+			silent++
+		case node.Revision >= revision:
+			reached++
+		}
+	}
+	return fmt.Sprintf("Of %d nodes, %d are at this revision or a later one and %d are silent. The configuration is now at revision %d.",
+		len(status.Nodes), reached, silent, status.Revision)
+}
+
 // ask tries the nodes in order; an answer that the id is not known at one node
 // is final only if no other node knows it.
 func (c *explainCommand) ask(ctx context.Context, token string) (httpapi.Explanation, error) {
--- a/cmd/loomgrade/dev_test.go
+++ b/cmd/loomgrade/dev_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -42,12 +43,47 @@
 			t.Errorf("%v: exit code %d, %q is missing in:\n%s%s", command, code, wanted[index], answer, complained)
 		}
 	}
+	explainEachKind(t, ctx, fleet, steps)
 	steps.remove()
 	if _, err := os.Stat(steps.folder); !os.IsNotExist(err) {
 		t.Errorf("the token's folder is left behind: %v", err)
 	}
 }
 
+// explainEachKind asks about everything that the help of explain names.
+func explainEachKind(t *testing.T, ctx context.Context, fleet *localfleet.Fleet, steps *firstSteps) {
+	t.Helper()
+	trainer := fleet.Trainers()[0]
+	for trainer.Stats().Steps < 2 {
+		select {
+		case <-ctx.Done():
+			t.Fatal("the trainer got no second batch")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	sample := trainer.Observations().Deliveries[0].Samples[0].ID
+	token := filepath.Join(steps.folder, "operator.token")
+	for id, want := range map[string]string{
+		"b-captions-1-1":     "Batch captions/1 was committed",
+		"batch/captions/1":   "Batch captions/1 was committed",
+		sample:               "was answered by",
+		"captions-1":         "Replica captions-1 was ordered",
+		"1":                  "Configuration revision 1 was accepted",
+		"r-node-zone-a-1-99": "",
+		"999":                "",
+	} {
+		code, answer, complained := runAlone(t, "explain", id, "--node", fleet.NodeURL(0),
+			"--server", fleet.OperatorAddress(0), "--token-file", token)
+		wantCode := exitOK
+		if want == "" {
+			wantCode = exitNotFound
+		}
+		if code != wantCode || !strings.Contains(answer, want) {
+			t.Errorf("explain %s: exit code %d, %q is missing in:\n%s%s", id, code, want, answer, complained)
+		}
+	}
+}
+
 // printedCommands gives the arguments of the commands in a printed text.
 func printedCommands(printed string) [][]string {
 	var commands [][]string
--- a/internal/app/node/explain.go
+++ b/internal/app/node/explain.go
@@ -29,14 +29,28 @@
 }
 
 // canonical gives the form under which records are kept: operators may name a
-// replica by its id alone.
+// replica by its id alone, and a batch as b-POOL-NUMBER-ATTEMPT.
 func (n *Node) canonical(subject string) string {
 	if _, configured := n.snapshot.Load().replicas[port.ReplicaID(subject)]; configured {
 		return replicaSubject(port.ReplicaID(subject))
 	}
+	if pool, found := poolOfBatch(subject); found {
+		return batchSubject(pool, subject)
+	}
 	return subject
 }
 
+// poolOfBatch gives the pool of b-POOL-NUMBER-ATTEMPT; a pool's name may itself
+// hold hyphens.
+func poolOfBatch(subject string) (pool port.PoolName, found bool) {
+	rest, found := strings.CutPrefix(subject, "b-")
+	parts := strings.Split(rest, "-")
+	if !found || len(parts) < 3 {
+		return "", false
+	}
+	return port.PoolName(strings.Join(parts[:len(parts)-2], "-")), true
+}
+
 // replicaSubject is the subject of records about a replica.
 func replicaSubject(id port.ReplicaID) string { return replicaPrefix + string(id) }
 
