experiment, report: settings, statistics, results and reports of experiments

Variants of a site were to be compared side by side, with intervals and beside their physical limit; nothing could do so. An experiment file is now as strict as a settings file. Every variant runs with every seed; differences are paired by seed with Student's t, and compared results are judged better, worse or within noise. Results hold no wall clock: 1, 3 and 8 runs at a time give equal bytes. Reports are text tables and one HTML page with plots.

Ruled out: judging by overlapping intervals of the means, which hides a difference that every seed shows (a row of the statistics test). A report made from runs in memory rather than from the results file, since then an old result could not be shown again.

The simulator itself is not part of this; tests use a stand-in of it.

--- /dev/null
+++ b/internal/lab/experiment/check.go
@@ -0,0 +1,193 @@
+package experiment
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/settings"
+	"github.com/loomgrade/loomgrade/internal/lab/sim"
+)
+
+// Bounds of settings.
+const (
+	minLength       = time.Second
+	maxLength       = 30 * 24 * time.Hour
+	maxEngines      = 100_000
+	maxSamples      = 1_000_000
+	maxTokens       = 10_000_000
+	maxFactor       = 1000
+	minConfidence   = 0.5
+	maxConfidence   = 0.9999
+	maxSweepValues  = 50
+	maxPublishEvery = 1_000_000
+)
+
+// MaxSeeds is the largest number of seeds.
+const MaxSeeds = 1000
+
+// namePattern holds for the names of experiments and variants, which also name
+// folders.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 lower-case letters, digits and inner hyphens"
+
+// routings and parts are the allowed values, in the order of messages.
+var (
+	routings = []sim.Routing{sim.RoutingRoundRobin, sim.RoutingRandom, sim.RoutingLeastInFlight, sim.RoutingLoomgrade}
+	parts    = []sim.Part{
+		sim.PartPrefixAffinity, sim.PartLongSamples, sim.PartStaging, sim.PartPriorities, sim.PartAdmission,
+	}
+)
+
+// checker gathers the faults of one file.
+type checker struct{ faults []*settings.Error }
+
+func (s *Settings) check() []*settings.Error {
+	var c checker
+	c.name("name", s.Name)
+	if _, known := siteNamed(s.Site); !known {
+		c.fault("site", s.Site, siteInkwell+" or "+siteMarea)
+	}
+	c.duration("length", s.Length, minLength, maxLength)
+	c.duration("warm_up", s.WarmUp, 0, max(s.Length.Value()/2, 0))
+	c.whole("seeds", s.Seeds, 1, MaxSeeds)
+	c.number("confidence", s.Confidence, minConfidence, maxConfidence)
+	c.overrides(s.Overrides)
+	c.variants(s.Variants)
+	if _, known := s.variant(s.Reference); !known {
+		c.fault("reference", s.Reference, "the name of a variant")
+	}
+	for index, sweep := range s.Sweeps {
+		c.sweep(fmt.Sprintf("sweeps[%d]", index), s, sweep)
+	}
+	for index, bar := range s.Bars {
+		c.bar(fmt.Sprintf("bars[%d]", index), s, bar)
+	}
+	c.combined(s.Site, s.Overrides)
+	return c.faults
+}
+
+func (c *checker) variants(variants []Variant) {
+	if len(variants) == 0 {
+		c.fault("variants", "", "at least one variant")
+	}
+	seen := map[string]bool{}
+	for index, variant := range variants {
+		key := fmt.Sprintf("variants[%d]", index)
+		c.name(key+".name", variant.Name)
+		if seen[variant.Name] {
+			c.fault(key+".name", variant.Name, "a name that no other variant has")
+		}
+		seen[variant.Name] = true
+		if !slices.Contains(routings, variant.Routing) {
+			c.fault(key+".routing", string(variant.Routing), list(routings))
+		}
+		c.without(key+".without", variant)
+	}
+}
+
+// without allows one switch at a time, and only for loomgrade.
+func (c *checker) without(key string, variant Variant) {
+	if len(variant.Without) == 0 {
+		return
+	}
+	value := list(variant.Without)
+	if variant.Baseline() {
+		c.fault(key, value, "nothing, unless routing is "+string(sim.RoutingLoomgrade))
+	}
+	if len(variant.Without) > 1 {
+		c.fault(key, value, "one part, so that a difference has one cause")
+	}
+	if !slices.Contains(parts, variant.Without[0]) {
+		c.fault(key, value, list(parts))
+	}
+}
+
+func (c *checker) sweep(key string, s *Settings, sweep Sweep) {
+	setting, known := sweepable[sweep.Setting]
+	if !known {
+		c.fault(key+".setting", sweep.Setting, strings.Join(sweepableNames(), ", "))
+	}
+	if len(sweep.Values) == 0 || len(sweep.Values) > maxSweepValues {
+		c.fault(key+".values", strconv.Itoa(len(sweep.Values))+" values", fmt.Sprintf("1 to %d values", maxSweepValues))
+	}
+	for index, value := range sweep.Values {
+		if known && setting.set(&Overrides{}, value) != nil {
+			c.fault(fmt.Sprintf("%s.values[%d]", key, index), value, setting.allowed)
+		}
+	}
+	for index, name := range sweep.Variants {
+		if _, known := s.variant(name); !known {
+			c.fault(fmt.Sprintf("%s.variants[%d]", key, index), name, "the name of a variant")
+		}
+	}
+	c.whole(key+".seeds", sweep.Seeds, 0, MaxSeeds)
+}
+
+func (c *checker) bar(key string, s *Settings, bar Bar) {
+	if !slices.Contains(barFigures, bar.Figure) {
+		c.fault(key+".figure", bar.Figure, strings.Join(barFigures, ", "))
+	}
+	if _, known := s.variant(bar.Variant); !known {
+		c.fault(key+".variant", bar.Variant, "the name of a variant")
+	}
+	switch bar.Against {
+	case AgainstLimit:
+	case AgainstBestBaseline:
+		if !slices.ContainsFunc(s.Variants, Variant.Baseline) {
+			c.fault(key+".against", string(bar.Against), "limit, since no variant is a baseline")
+		}
+	default:
+		c.fault(key+".against", string(bar.Against), string(AgainstBestBaseline)+" or "+string(AgainstLimit))
+	}
+	c.number(key+".at_most", bar.AtMost, 0, maxFactor)
+	c.number(key+".throughput", bar.Throughput, 0, maxFactor)
+}
+
+func (c *checker) fault(key, value, allowed string) {
+	c.faults = append(c.faults, &settings.Error{Key: key, Value: value, Allowed: allowed})
+}
+
+func (c *checker) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		c.fault(key, value, nameAllowed)
+	}
+}
+
+func (c *checker) duration(key string, value settings.Duration, low, high time.Duration) {
+	if fault := value.Outside(key, low, high); fault != nil {
+		c.faults = append(c.faults, fault)
+	}
+}
+
+// optional checks a duration that may be left out.
+func (c *checker) optional(key string, value settings.Duration, low, high time.Duration) {
+	if !value.IsZero() {
+		c.duration(key, value, low, high)
+	}
+}
+
+func (c *checker) whole(key string, value, low, high int) {
+	if value < low || value > high {
+		c.fault(key, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) number(key string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		c.fault(key, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("%g to %g", low, high))
+	}
+}
+
+// list joins named values for a message.
+func list[T ~string](values []T) string {
+	texts := make([]string, 0, len(values))
+	for _, value := range values {
+		texts = append(texts, string(value))
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/internal/lab/experiment/compare.go
@@ -0,0 +1,98 @@
+package experiment
+
+import "math"
+
+// Verdict says how a figure changed between two results.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictBetter      Verdict = "better"
+	VerdictWorse       Verdict = "worse"
+	VerdictWithinNoise Verdict = "within noise"
+)
+
+// Change is how one figure of one variant differs between two results.
+type Change struct {
+	Point, Variant, Figure, Unit string
+	// Before and After are the means of the first and second results.
+	Before, After float64
+	// Difference is After less Before with its interval.
+	Difference Estimate
+	// Paired says that the interval comes from runs with equal seeds.
+	Paired  bool
+	Verdict Verdict
+}
+
+// Compare judges every figure that two results share, by point and variant. The
+// interval is that of the paired differences where both have at least two seeds
+// in common, and Welch's otherwise. A figure is better or worse only when the
+// whole interval lies on one side of 0.
+func Compare(before, after *Results, confidence float64) []Change {
+	var changes []Change
+	for _, point := range before.Points {
+		other, found := pointLike(after, point)
+		if !found {
+			continue
+		}
+		for _, variant := range point.Variants {
+			otherVariant, found := other.VariantNamed(variant.Name)
+			if !found {
+				continue
+			}
+			for _, summary := range variant.Summary {
+				change, known := compareFigure(summary, variant, otherVariant, confidence)
+				change.Point = point.Name()
+				if known {
+					changes = append(changes, change)
+				}
+			}
+		}
+	}
+	return changes
+}
+
+func pointLike(results *Results, wanted Point) (Point, bool) {
+	for _, point := range results.Points {
+		if point.Setting == wanted.Setting && point.Value == wanted.Value {
+			return point, true
+		}
+	}
+	return Point{}, false
+}
+
+func compareFigure(summary Summary, before, after VariantResult, confidence float64) (Change, bool) {
+	other, known := after.SummaryNamed(summary.Name)
+	if !known {
+		return Change{}, false
+	}
+	change := Change{
+		Variant: before.Name,
+		Figure:  summary.Name,
+		Unit:    summary.Unit,
+		Before:  summary.Mean,
+		After:   other.Mean,
+	}
+	first, second := pairedValues(before.Runs, after.Runs, summary.Name)
+	if len(first) >= 2 {
+		change.Paired = true
+		change.Difference = EstimatePaired(first, second, confidence)
+	} else {
+		first, _ = valuesOf(before.Runs, summary.Name)
+		second, _ = valuesOf(after.Runs, summary.Name)
+		change.Difference = EstimateUnpaired(first, second, confidence)
+	}
+	change.Verdict = Judge(change.Difference, summary.Better)
+	return change, true
+}
+
+// Judge says what a difference, with its interval, means for a figure. Without an interval nothing is judged.
+func Judge(difference Estimate, better Direction) Verdict {
+	if !difference.ExcludesZero() || math.IsNaN(difference.Mean) {
+		return VerdictWithinNoise
+	}
+	if (difference.Mean < 0) == (better == LowerIsBetter) {
+		return VerdictBetter
+	}
+	return VerdictWorse
+}
--- /dev/null
+++ b/internal/lab/experiment/distribution.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+)
+
+// Distribution is what results keep of a histogram.
+type Distribution struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	// Quantiles rise from the least to the largest value.
+	Quantiles []Quantile `json:"quantiles,omitempty"`
+}
+
+// Quantile is the value that a share of all values does not exceed.
+type Quantile struct {
+	Share float64 `json:"share"`
+	Value float64 `json:"value"`
+}
+
+// mergedShares are the quantiles kept of merged histograms: hundredths for the
+// plots, and the upper tail. runShares are those kept of one run.
+var (
+	mergedShares = append(evenShares(100), 0.995, 0.999, 0.9999, 1)
+	runShares    = append(evenShares(10), 0.95, 0.99, 0.999, 1)
+)
+
+// evenShares gives 0 and the multiples of 1/parts below 1.
+func evenShares(parts int) []float64 {
+	shares := make([]float64, 0, parts)
+	for part := range parts {
+		shares = append(shares, float64(part)/float64(parts))
+	}
+	return shares
+}
+
+// At gives the value at a share that results keep; false without values.
+func (d Distribution) At(share float64) (float64, bool) {
+	for _, quantile := range d.Quantiles {
+		if quantile.Share >= share {
+			return quantile.Value, true
+		}
+	}
+	return 0, false
+}
+
+// distributionOf reads a histogram, which may be nil, and divides its values.
+func distributionOf(histogram *hdrhistogram.Histogram, divisor float64, shares []float64) Distribution {
+	if histogram == nil || histogram.TotalCount() == 0 {
+		return Distribution{}
+	}
+	const percent = 100
+	distribution := Distribution{Count: histogram.TotalCount(), Mean: histogram.Mean() / divisor}
+	for _, share := range shares {
+		value := float64(histogram.ValueAtPercentile(share*percent)) / divisor
+		distribution.Quantiles = append(distribution.Quantiles, Quantile{Share: share, Value: value})
+	}
+	return distribution
+}
+
+// mergeHistograms adds histograms up; nil ones are passed over. The result is nil
+// when there are none.
+func mergeHistograms(histograms []*hdrhistogram.Histogram) (*hdrhistogram.Histogram, error) {
+	var merged *hdrhistogram.Histogram
+	for _, histogram := range histograms {
+		if histogram == nil {
+			continue
+		}
+		if merged == nil {
+			merged = histogram.Clone()
+			continue
+		}
+		if dropped := merged.Merge(histogram); dropped > 0 {
+			return nil, eris.Errorf("merge histograms: %d values are beyond the first one's range", dropped)
+		}
+	}
+	return merged, nil
+}
+
+// distributionsOf merges the histograms of each name and keeps the given
+// quantiles.
+func distributionsOf(list []namedHistogram, shares []float64) ([]NamedDistribution, error) {
+	var distributions []NamedDistribution
+	for _, named := range list {
+		merged, err := mergeHistograms(named.histograms)
+		if err != nil {
+			return nil, eris.Wrap(err, named.name)
+		}
+		distributions = append(distributions, NamedDistribution{
+			Name: named.name, Unit: named.unit, Distribution: distributionOf(merged, named.divisor, shares),
+		})
+	}
+	return distributions, nil
+}
--- /dev/null
+++ b/internal/lab/report/draw.go
@@ -0,0 +1,254 @@
+package report
+
+import (
+	"bytes"
+	"image/color"
+	"math"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+// Figure is a plot as PNG with its title and an explanation.
+type Figure struct {
+	Title string
+	Note  string
+	PNG   []byte
+}
+
+// Sizes of plots.
+const (
+	plotWidth     = 9 * vg.Inch
+	lineHeight    = 4 * vg.Inch
+	barHeight     = 0.3 * vg.Inch
+	barFrame      = 1.1 * vg.Inch
+	legendWidth   = 1.9 * vg.Inch
+	legendPadding = 0.15 * vg.Inch
+	barWidth      = 12 * vg.Inch / 72
+	lineWidth     = 1.5 * vg.Inch / 72
+)
+
+// palette is that of Okabe and Ito, which colour-blind readers can tell apart,
+// without its yellow, which is too faint for lines.
+var palette = []color.Color{
+	color.RGBA{R: 0x00, G: 0x72, B: 0xB2, A: 0xFF},
+	color.RGBA{R: 0xD5, G: 0x5E, B: 0x00, A: 0xFF},
+	color.RGBA{R: 0x00, G: 0x9E, B: 0x73, A: 0xFF},
+	color.RGBA{R: 0xCC, G: 0x79, B: 0xA7, A: 0xFF},
+	color.RGBA{R: 0x56, G: 0xB4, B: 0xE9, A: 0xFF},
+	color.RGBA{R: 0xE6, G: 0x9F, B: 0x00, A: 0xFF},
+	color.RGBA{R: 0x40, G: 0x40, B: 0x40, A: 0xFF},
+}
+
+// dashes tell lines apart whose colours repeat.
+var dashes = [][]vg.Length{nil, {vg.Length(6), vg.Length(3)}, {vg.Length(2), vg.Length(2)}}
+
+// lineStyle gives the style of the line at a position.
+func lineStyle(index int) draw.LineStyle {
+	return draw.LineStyle{
+		Color:  palette[index%len(palette)],
+		Width:  lineWidth,
+		Dashes: dashes[index/len(palette)%len(dashes)],
+	}
+}
+
+// line is one named line of a plot; errors, if set, are half widths of intervals.
+type line struct {
+	name   string
+	points plotter.XYs
+	errors []float64
+}
+
+// chart is a plot of lines.
+type chart struct {
+	xLabel, yLabel string
+	xTicks         plot.Ticker
+	logarithmicY   bool
+	fromZero       bool
+	lines          []line
+}
+
+// png draws the chart with its legend to the right. It gives nil where there is
+// nothing to draw.
+func (c chart) png() ([]byte, error) {
+	drawing := newPlot(c.xLabel, c.yLabel)
+	legend := newLegend()
+	drawn := 0
+	for index, line := range c.lines {
+		points := c.drawable(line.points)
+		if len(points) == 0 {
+			continue
+		}
+		drawn++
+		shape, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, eris.Wrapf(err, "plot line %s", line.name)
+		}
+		shape.LineStyle = lineStyle(index)
+		drawing.Add(shape)
+		legend.Add(line.name, shape)
+		if err := addErrors(drawing, line, shape.Color); err != nil {
+			return nil, err
+		}
+	}
+	if drawn == 0 {
+		return nil, nil
+	}
+	c.scale(drawing)
+	return render(drawing, &legend, lineHeight)
+}
+
+// drawable leaves out what a logarithmic axis cannot show.
+func (c chart) drawable(points plotter.XYs) plotter.XYs {
+	var kept plotter.XYs
+	for _, point := range points {
+		if !c.logarithmicY || point.Y > 0 {
+			kept = append(kept, point)
+		}
+	}
+	return kept
+}
+
+func (c chart) scale(drawing *plot.Plot) {
+	if c.xTicks != nil {
+		drawing.X.Tick.Marker = c.xTicks
+	}
+	if c.fromZero {
+		drawing.Y.Min = min(drawing.Y.Min, 0)
+	}
+	if c.logarithmicY {
+		drawing.Y.Scale = plot.LogScale{}
+		drawing.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+		// Whole decades keep at least two labelled ticks.
+		drawing.Y.Min = math.Pow(10, math.Floor(math.Log10(drawing.Y.Min)))
+		drawing.Y.Max = math.Pow(10, math.Ceil(math.Log10(drawing.Y.Max*1.01)))
+	}
+	widen(&drawing.X)
+	widen(&drawing.Y)
+}
+
+// widen gives an axis of one value a range.
+func widen(axis *plot.Axis) {
+	if axis.Max <= axis.Min {
+		axis.Max = axis.Min + 1
+	}
+}
+
+func addErrors(drawing *plot.Plot, line line, shade color.Color) error {
+	if line.errors == nil {
+		return nil
+	}
+	bars, err := plotter.NewYErrorBars(intervals{points: line.points, halves: line.errors})
+	if err != nil {
+		return eris.Wrapf(err, "plot intervals of %s", line.name)
+	}
+	bars.Color = shade
+	drawing.Add(bars)
+	return nil
+}
+
+// intervals are points with symmetric intervals, for both axes.
+type intervals struct {
+	points plotter.XYs
+	halves []float64
+}
+
+// Len gives the number of points.
+func (i intervals) Len() int { return len(i.points) }
+
+// XY gives a point.
+func (i intervals) XY(index int) (x, y float64) { return i.points[index].X, i.points[index].Y }
+
+// XError gives the ends of a point's interval, relative to it.
+func (i intervals) XError(index int) (low, high float64) { return i.halves[index], i.halves[index] }
+
+// YError gives the ends of a point's interval, relative to it.
+func (i intervals) YError(index int) (low, high float64) { return i.halves[index], i.halves[index] }
+
+// newPlot gives an empty plot with a grid.
+func newPlot(xLabel, yLabel string) *plot.Plot {
+	drawing := plot.New()
+	drawing.X.Label.Text = xLabel
+	drawing.Y.Label.Text = yLabel
+	grid := plotter.NewGrid()
+	grid.Horizontal.Color = color.Gray{Y: 0xDD}
+	grid.Vertical.Color = color.Gray{Y: 0xDD}
+	drawing.Add(grid)
+	return drawing
+}
+
+func newLegend() plot.Legend {
+	legend := plot.NewLegend()
+	legend.Top = true
+	legend.Left = true
+	return legend
+}
+
+// render draws a plot, with the legend to its right if there is one.
+func render(drawing *plot.Plot, legend *plot.Legend, height vg.Length) ([]byte, error) {
+	canvas := vgimg.New(plotWidth, height)
+	whole := draw.New(canvas)
+	area := whole
+	if legend != nil {
+		area = draw.Crop(whole, 0, -legendWidth, 0, 0)
+		legend.Draw(draw.Crop(whole, plotWidth-legendWidth+legendPadding, 0, 0, -legendPadding))
+	}
+	drawing.Draw(area)
+	var content bytes.Buffer
+	if _, err := (vgimg.PngCanvas{Canvas: canvas}).WriteTo(&content); err != nil {
+		return nil, eris.Wrap(err, "encode plot")
+	}
+	return content.Bytes(), nil
+}
+
+// bars draws one horizontal bar a name, with its interval and, if set, the limit
+// of each as a black line across it.
+func bars(xLabel string, names []string, values, halves []float64, limits []*float64) ([]byte, error) {
+	drawing := newPlot(xLabel, "")
+	shape, err := plotter.NewBarChart(plotter.Values(values), barWidth)
+	if err != nil {
+		return nil, eris.Wrap(err, "plot bars")
+	}
+	shape.Horizontal = true
+	shape.Color = palette[4]
+	shape.LineStyle.Width = 0
+	drawing.Add(shape)
+	points := make(plotter.XYs, len(values))
+	for index, value := range values {
+		points[index] = plotter.XY{X: value, Y: float64(index)}
+	}
+	whiskers, err := plotter.NewXErrorBars(intervals{points: points, halves: halves})
+	if err != nil {
+		return nil, eris.Wrap(err, "plot intervals")
+	}
+	drawing.Add(whiskers)
+	if err := addLimits(drawing, limits); err != nil {
+		return nil, err
+	}
+	drawing.NominalY(names...)
+	drawing.X.Min = min(drawing.X.Min, 0)
+	widen(&drawing.X)
+	return render(drawing, nil, barFrame+vg.Length(len(names))*barHeight)
+}
+
+// addLimits marks the limit of each bar.
+func addLimits(drawing *plot.Plot, limits []*float64) error {
+	const halfBar = 0.45
+	for index, limit := range limits {
+		if limit == nil {
+			continue
+		}
+		position := float64(index)
+		mark, err := plotter.NewLine(plotter.XYs{{X: *limit, Y: position - halfBar}, {X: *limit, Y: position + halfBar}})
+		if err != nil {
+			return eris.Wrap(err, "plot limit")
+		}
+		mark.Width = lineWidth
+		drawing.Add(mark)
+	}
+	return nil
+}
