--- a/cmd/loomlab/cmd_standin.go
+++ b/cmd/loomlab/cmd_standin.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/lab/engine"
 	"github.com/loomgrade/loomgrade/internal/lab/standin"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -29,7 +32,7 @@
 // standInCommon are the flags of every stand-in.
 type standInCommon struct {
 	Listen       string `default:"127.0.0.1:0" help:"Loopback address to listen on."`
-	Observations string `type:"path" help:"File that receives each observation as a line of JSON."`
+	Observations string `type:"path" help:"File that receives each observation as a line of JSON; a trainer goes on from what it holds."`
 }
 
 // running is a started stand-in.
@@ -47,9 +50,9 @@
 func (c standInCommon) serve(start func(context.Context, standin.Common) (running, error)) error {
 	common := standin.Common{Listen: c.Listen}
 	if c.Observations != "" {
-		file, err := os.OpenFile(c.Observations, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		file, err := openJournal(c.Observations)
 		if err != nil {
-			return eris.Wrap(err, "open the observations file")
+			return err
 		}
 		defer file.Close()
 		common.Lines = file
@@ -67,6 +70,24 @@
 	return standIn.Shutdown(drain)
 }
 
+// openJournal opens a file for appending. A line that a killed process left
+// unfinished is cut off.
+func openJournal(path string) (*os.File, error) {
+	content, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, eris.Wrap(err, "read the observations file")
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, eris.Wrap(err, "open the observations file")
+	}
+	whole := int64(bytes.LastIndexByte(content, '\n') + 1)
+	if err := file.Truncate(whole); err != nil {
+		return nil, eris.Wrap(err, "cut the observations file")
+	}
+	return file, nil
+}
+
 type standInEngine struct {
 	standInCommon
 	TimeScale       float64       `default:"1" help:"How many times faster than real time the engine runs."`
@@ -149,8 +170,13 @@
 	if err != nil {
 		return err
 	}
+	kept, err := c.kept()
+	if err != nil {
+		return err
+	}
 	return c.serve(func(ctx context.Context, common standin.Common) (running, error) {
 		return standin.StartTrainer(ctx, standin.TrainerConfig{
+			Kept:   kept,
 			Common: common, Nodes: c.Nodes, Pool: c.Pool, Name: c.Name, Token: token,
 			StepTime: c.StepTime, PublishEvery: c.PublishEvery, FirstVersion: c.FirstVersion,
 			MaxSteps: c.MaxSteps, Prompts: standin.PromptConfig{Seed: c.Seed},
@@ -158,6 +184,20 @@
 	})
 }
 
+// kept reads the deliveries of earlier lives.
+func (c *standInTrainer) kept() ([]audit.Delivery, error) {
+	file, err := os.Open(c.Observations)
+	if c.Observations == "" || errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "open the observations file")
+	}
+	defer file.Close()
+	seen, err := audit.ReadJournal(file)
+	return seen.Deliveries, err
+}
+
 func (c *standInTrainer) token() (string, error) {
 	if c.TokenFile == "" {
 		return "", nil
--- a/internal/lab/audit/observations.go
+++ b/internal/lab/audit/observations.go
@@ -24,6 +24,8 @@
 
 // Generation is one stay of a request on an engine.
 type Generation struct {
+	// Work names the stay in a journal; see Entry.
+	Work      string `json:"work,omitempty"`
 	Engine    string `json:"engine"` // address
 	RequestID string `json:"request_id"`
 	// Call is PromptKey of the prompt.
@@ -43,6 +45,8 @@
 
 // Execution is one run of a call on an application service.
 type Execution struct {
+	// Work names the run in a journal; see Entry.
+	Work      string        `json:"work,omitempty"`
 	BackEnd   string        `json:"back_end"` // address
 	RequestID string        `json:"request_id"`
 	Call      string        `json:"call"`
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -189,9 +189,7 @@
 	switch event.Kind {
 	case engine.EventTokens:
 		if s := e.streams[event.ID]; s != nil {
-			e.recorder.changeGeneration(s.seen, func() {
-				s.seen.Spans = port.AppendTokens(s.seen.Spans, event.Version, event.Count)
-			})
+			e.recorder.addTokens(s.seen, event.Version, event.Count)
 			s.push(event)
 		}
 	case engine.EventFinished:
--- a/internal/lab/standin/recorder.go
+++ b/internal/lab/standin/recorder.go
@@ -2,25 +2,32 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // recorder keeps what a stand-in saw. Work in progress is kept by pointer and
-// changed in place until it ends.
+// changed in place until it ends. With a file, all of it is written there too,
+// before anyone else can see its effect, so that it outlasts a killed process.
 type recorder struct {
 	mutex       sync.Mutex
 	past        audit.Observations
 	generations map[*audit.Generation]bool
 	executions  map[*audit.Execution]bool
 	lines       *json.Encoder // nil without a file
+	life        time.Duration // start, which keeps the names of work of two lives apart
+	begun       uint64
 }
 
 func newRecorder(lines io.Writer) *recorder {
-	r := &recorder{generations: map[*audit.Generation]bool{}, executions: map[*audit.Execution]bool{}}
+	r := &recorder{
+		generations: map[*audit.Generation]bool{}, executions: map[*audit.Execution]bool{}, life: since(),
+	}
 	if lines != nil {
 		r.lines = json.NewEncoder(lines)
 	}
@@ -39,24 +46,38 @@
 
 func (r *recorder) append(seen audit.Observations) {
 	r.past.Merge(seen)
+	r.write(audit.Entry{Observations: seen})
+}
+
+func (r *recorder) write(entry audit.Entry) {
 	if r.lines != nil {
 		// A failed write loses a copy; the record in memory is complete.
-		_ = r.lines.Encode(seen)
+		_ = r.lines.Encode(entry)
 	}
 }
 
+// nameWork gives the next piece of work its name. The mutex must be held.
+func (r *recorder) nameWork() string {
+	r.begun++
+	return fmt.Sprintf("%x-%d", int64(r.life), r.begun)
+}
+
 func (r *recorder) beginGeneration(g *audit.Generation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	g.StartedAt = since()
+	g.Work, g.StartedAt = r.nameWork(), since()
 	r.generations[g] = true
+	r.write(audit.Entry{Observations: audit.Observations{Generations: []audit.Generation{*g}}})
 }
 
-// changeGeneration lets change alter a generation in progress.
-func (r *recorder) changeGeneration(g *audit.Generation, change func()) {
+// addTokens notes tokens that a generation in progress produced.
+func (r *recorder) addTokens(g *audit.Generation, version port.WeightVersion, count int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	change()
+	g.Spans = port.AppendTokens(g.Spans, version, count)
+	if r.generations[g] {
+		r.write(audit.Entry{Tokens: &audit.WorkTokens{Work: g.Work, Version: version, Count: count}})
+	}
 }
 
 // endGeneration closes a generation; only the first end counts.
@@ -74,8 +95,9 @@
 func (r *recorder) beginExecution(e *audit.Execution) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	e.StartedAt = since()
+	e.Work, e.StartedAt = r.nameWork(), since()
 	r.executions[e] = true
+	r.write(audit.Entry{Observations: audit.Observations{Executions: []audit.Execution{*e}}})
 }
 
 // endExecution closes an execution; only the first end counts.
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -55,6 +55,9 @@
 	// Wait is how long a question for a batch may be held. Default 2 s.
 	Wait    time.Duration
 	Prompts PromptConfig
+	// Kept are the deliveries that earlier lives recorded. They are the
+	// checkpoint that a trainer of a new process goes on from.
+	Kept []audit.Delivery
 }
 
 // TrainerStats sums up a trainer's time.
@@ -90,6 +93,7 @@
 	config.Prompts.applyDefaults()
 	t := &Trainer{config: config, client: &http.Client{Timeout: config.Wait + 10*time.Second}}
 	t.stats.Version = config.FirstVersion
+	t.restore(config.Kept)
 	t.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse,
 		FaultAskTwice, FaultAskPrevious)
 	t.inject = t.injectFault
@@ -109,6 +113,23 @@
 	return t, nil
 }
 
+// restore goes on from the last batch that was trained on. Whether the version
+// that follows it was published is not known; publishing it again does no harm.
+func (t *Trainer) restore(kept []audit.Delivery) {
+	for _, delivery := range kept {
+		if !delivery.Trained || delivery.Batch < t.stats.NextBatch {
+			continue
+		}
+		if uint64(delivery.Version) != t.stats.Version {
+			t.stats.Version, t.unpublished = uint64(delivery.Version), 0
+		}
+		t.unpublished++
+		t.stats.Steps++
+		t.stats.Samples += len(delivery.Samples)
+		t.stats.NextBatch = delivery.Batch + 1
+	}
+}
+
 func (t *Trainer) startLife(life context.Context) {
 	t.work.Go(func() { t.train(life) })
 }
