attempt: follow a request over its attempts in a pure loop

Cause: which failure allows another attempt, the verdict over all attempts and the continuation of a completion stood inside the node's goroutines, out of reach of the simulator and of fault tables.

Change: internal/core/attempt holds the loop; the node keeps the waiting and the records. The budget and the random numbers come in through the function that decides on a retry, since the node's are shared under a mutex.

A completion that was cut after its first token, or whose caller left while it waited for another attempt, left no final record for explain; now it does. A completion whose tokens had all left needs no retry from the budget to be ended.

--- a/internal/app/node/accept.go
+++ b/internal/app/node/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/retry"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -50,41 +51,34 @@
 	return refusal
 }
 
-// attempts counts what was tried for one request.
-type attempts struct {
-	made int
-	// failed are the replicas of earlier attempts.
-	failed []port.ReplicaID
-	safe   bool
-	// refusedHere is set when this node itself refused: nothing was sent, and
-	// another attempt would meet the same refusal.
-	refusedHere bool
-}
-
-// next decides after a failure whether to try again, records the decision and
-// waits. False means that the failure is final.
-func (n *Node) next(ctx context.Context, accepted acceptance, subject string, tried *attempts, replica port.ReplicaID, failure *port.Error) bool {
-	if replica != "" {
-		tried.failed = append(tried.failed, replica)
-	}
-	if tried.refusedHere {
-		n.recordEnd(accepted, subject, tried, replica, failure, "")
-		return false
-	}
-	decided := n.budgets.decide(accepted.pool, retry.Attempt{
-		Made: tried.made, Owner: true, Verdict: failure.Verdict, Code: failure.Code,
-		Safe: tried.safe, Deadline: accepted.deadline, RetryAfter: waitAdvice(failure),
+// next takes the failure of an attempt, records what follows from it, and waits
+// before another attempt.
+func (n *Node) next(ctx context.Context, accepted acceptance, subject string, loop *attempt.Loop, failure attempt.Failure) attempt.Step {
+	step := loop.Failed(failure, func(made retry.Attempt) retry.Decision {
+		return n.budgets.decide(accepted.pool, made)
 	})
-	if !decided.Retry {
-		n.recordEnd(accepted, subject, tried, replica, failure, string(decided.Reason))
-		return false
+	switch step.Kind {
+	case attempt.Final:
+		// The layer that retries a single attempt records its end.
+		if !loop.Single() {
+			n.recordEnd(accepted, subject, loop.Made(), failure, string(step.Reason))
+		}
+	case attempt.Again:
+		n.recordRetry(accepted, subject, loop.Made(), failure)
+		if !wait(ctx, step.After) {
+			n.recordEnd(accepted, subject, loop.Made(), failure, leftInWait)
+			return attempt.Step{Kind: attempt.Final, Error: loop.GiveUp(failure.Error)}
+		}
 	}
-	n.recorder.record(port.Decision{
-		Kind: port.DecisionRetried, Subject: subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: tried.made, Verdict: failure.Verdict,
-		Code: failure.Code, Detail: failure.Message,
-	})
-	timer := time.NewTimer(decided.After)
+	return step
+}
+
+// leftInWait is the reason for the end of a request before its next attempt.
+const leftInWait = "the caller left, or its deadline passed, before another attempt"
+
+// wait waits; false means that ctx ended first.
+func wait(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -94,52 +88,27 @@
 	}
 }
 
-// waitAdvice is the wait that a failure asks for before a retry. A home that
-// stops or doesn't know the replica says nothing about the other homes.
-func waitAdvice(failure *port.Error) time.Duration {
-	switch failure.Code {
-	case port.CodeDraining, port.CodeUnavailable, port.CodeNoBackEnd, port.CodeQueueFull:
-		return 0
-	default:
-		return failure.RetryAfter
-	}
+func (n *Node) recordRetry(accepted acceptance, subject string, made int, failure attempt.Failure) {
+	n.recorder.record(port.Decision{
+		Kind: port.DecisionRetried, Subject: subject, Pool: accepted.pool.Name, Replica: failure.Replica,
+		Revision: accepted.snapshot.view.Revision, Attempt: made, Verdict: failure.Error.Verdict,
+		Code: failure.Error.Code, Detail: failure.Error.Message,
+	})
 }
 
 // recordEnd records the final answer of a request that failed.
-func (n *Node) recordEnd(accepted acceptance, subject string, tried *attempts, replica port.ReplicaID, failure *port.Error, reason string) {
+func (n *Node) recordEnd(accepted acceptance, subject string, made int, failure attempt.Failure, reason string) {
 	kind := port.DecisionAnswered
-	if failure.Verdict == port.NotRun {
+	if failure.Error.Verdict == port.NotRun {
 		kind = port.DecisionRefused
 	}
-	detail := failure.Message
+	detail := failure.Error.Message
 	if reason != "" && reason != string(retry.ReasonPermanent) {
 		detail += " (" + reason + ")"
 	}
 	n.recorder.record(port.Decision{
-		Kind: kind, Subject: subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: tried.made,
-		Verdict: failure.Verdict, Code: failure.Code, Detail: detail,
+		Kind: kind, Subject: subject, Pool: accepted.pool.Name, Replica: failure.Replica,
+		Revision: accepted.snapshot.view.Revision, Attempt: made,
+		Verdict: failure.Error.Verdict, Code: failure.Error.Code, Detail: detail,
 	})
 }
-
-// worst gives the verdict that holds for a request after several attempts: a
-// request that may have run once stays so, whatever later attempts say.
-func worst(earlier, later port.Verdict) port.Verdict {
-	if earlier == port.VerdictUnset || earlier == port.NotRun {
-		return later
-	}
-	if later == port.Ran || earlier == port.Ran {
-		return port.Ran
-	}
-	return earlier
-}
-
-// withVerdict gives the failure with a verdict that covers all attempts.
-func withVerdict(failure *port.Error, verdict port.Verdict) *port.Error {
-	if failure.Verdict == verdict {
-		return failure
-	}
-	covered := *failure
-	covered.Verdict = verdict
-	return &covered
-}
--- a/internal/app/node/application.go
+++ b/internal/app/node/application.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -21,36 +22,34 @@
 	defer cancel()
 	request.Deadline = accepted.deadline
 	subject := string(request.ID)
-	tried := &attempts{safe: request.Safe}
-	verdict := port.NotRun
+	loop := attempt.New(attempt.Rules{Safe: request.Safe, Deadline: accepted.deadline})
 	for {
-		tried.made++
-		response, replica, failure := n.applicationAttempt(ctx, accepted, request, tried)
-		if failure == nil {
+		loop.Begin()
+		response, failure := n.applicationAttempt(ctx, accepted, request, loop)
+		if failure.Error == nil {
 			n.budgets.succeeded(accepted.pool)
-			n.recordAnswer(accepted, subject, tried, replica)
+			n.recordAnswer(accepted, subject, loop.Made(), failure.Replica)
 			return response, nil
 		}
-		verdict = worst(verdict, failure.Verdict)
-		if !n.next(ctx, accepted, subject, tried, replica, failure) {
-			return port.ApplicationResponse{}, withVerdict(failure, verdict)
+		if step := n.next(ctx, accepted, subject, loop, failure); step.Kind == attempt.Final {
+			return port.ApplicationResponse{}, step.Error
 		}
 	}
 }
 
-// applicationAttempt makes one attempt on the back end that the gate chooses.
-func (n *Node) applicationAttempt(ctx context.Context, accepted acceptance, request port.ApplicationRequest, tried *attempts) (port.ApplicationResponse, port.ReplicaID, *port.Error) {
-	grant, refusal := n.acquireApplication(ctx, accepted, request, tried)
+// applicationAttempt makes one attempt on the back end that the gate chooses. The
+// failure names the replica also when there is no error.
+func (n *Node) applicationAttempt(ctx context.Context, accepted acceptance, request port.ApplicationRequest, loop *attempt.Loop) (port.ApplicationResponse, attempt.Failure) {
+	grant, refusal := n.acquireApplication(ctx, accepted, request, loop.LastTried())
 	if refusal != nil {
-		tried.refusedHere = true
-		return port.ApplicationResponse{}, "", refusal
+		return port.ApplicationResponse{}, attempt.Failure{Error: refusal, Here: true}
 	}
-	n.recordPlaced(accepted, string(request.ID), tried.made, grant)
+	n.recordPlaced(accepted, string(request.ID), loop.Made(), grant)
 	// The list of machines or the operator may have spoken since the snapshot.
 	replica, configured := n.snapshot.Load().replicas[grant.Replica]
 	if !configured {
 		grant.Release(gate.Outcome{Abandoned: true})
-		return port.ApplicationResponse{}, grant.Replica, port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", grant.Replica)
+		return port.ApplicationResponse{}, attempt.Failure{Replica: grant.Replica, Error: replicaRemoved(grant.Replica)}
 	}
 	n.metrics.Attempt(request.Pool)
 	started := time.Now()
@@ -58,16 +57,20 @@
 	elapsed := time.Since(started)
 	failure := port.AsError(err)
 	n.endApplication(ctx, grant, response, failure, elapsed)
-	return response, grant.Replica, failure
+	return response, attempt.Failure{Replica: grant.Replica, Error: failure}
 }
 
-func (n *Node) acquireApplication(ctx context.Context, accepted acceptance, request port.ApplicationRequest, tried *attempts) (*gate.Grant, *port.Error) {
+func replicaRemoved(replica port.ReplicaID) *port.Error {
+	return port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", replica)
+}
+
+func (n *Node) acquireApplication(ctx context.Context, accepted acceptance, request port.ApplicationRequest, avoid port.ReplicaID) (*gate.Grant, *port.Error) {
 	return accepted.route.gate.Acquire(ctx, gate.Request{
 		ID:          request.ID,
 		Tenant:      request.Tenant,
 		TenantShare: accepted.snapshot.tenantShare(request.Tenant),
 		Deadline:    accepted.deadline,
-		Avoid:       lastOf(tried.failed),
+		Avoid:       avoid,
 		Pick: scheduling.Request{
 			Pool:     request.Pool,
 			Zone:     n.config.Zone,
@@ -77,14 +80,6 @@
 	}, func(waiting int) { n.recordHeld(accepted, string(request.ID), waiting) })
 }
 
-// lastOf gives the replica of the last attempt, to be avoided by the next.
-func lastOf(replicas []port.ReplicaID) port.ReplicaID {
-	if len(replicas) == 0 {
-		return ""
-	}
-	return replicas[len(replicas)-1]
-}
-
 // endApplication gives the place back and tells how the call ended.
 func (n *Node) endApplication(ctx context.Context, grant *gate.Grant, response port.ApplicationResponse, failure *port.Error, elapsed time.Duration) {
 	if failure != nil && (ctx.Err() == context.Canceled || failure.Code == port.CodeInvalid) {
@@ -124,10 +119,10 @@
 	n.recorder.record(heldDecision(accepted, subject, waiting))
 }
 
-func (n *Node) recordAnswer(accepted acceptance, subject string, tried *attempts, replica port.ReplicaID) {
+func (n *Node) recordAnswer(accepted acceptance, subject string, made int, replica port.ReplicaID) {
 	n.recorder.record(port.Decision{
 		Kind: port.DecisionAnswered, Subject: subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: tried.made, Verdict: port.Ran,
+		Revision: accepted.snapshot.view.Revision, Attempt: made, Verdict: port.Ran,
 	})
 }
 
--- a/internal/app/node/choose.go
+++ b/internal/app/node/choose.go
@@ -57,7 +57,7 @@
 
 // choose picks the place of an attempt: a replica of the own zone through its
 // home, or a node of another zone that has more room.
-func (n *Node) choose(accepted acceptance, job *generation, tried *attempts) (place, *port.Error) {
+func (n *Node) choose(accepted acceptance, job *generation, tried []port.ReplicaID) (place, *port.Error) {
 	local, room, refusal := n.chooseLocal(accepted, job, tried)
 	if remote, better := n.chooseZone(accepted, job, room, refusal != nil); better {
 		remote.crossing.sent.Add(1)
@@ -68,7 +68,7 @@
 
 // chooseLocal picks a replica of the own zone, and tells how many requests each
 // of the zone's replicas could start at once.
-func (n *Node) chooseLocal(accepted acceptance, job *generation, tried *attempts) (place, float64, *port.Error) {
+func (n *Node) chooseLocal(accepted acceptance, job *generation, tried []port.ReplicaID) (place, float64, *port.Error) {
 	if len(job.zones) > 0 && !slices.Contains(job.zones, n.config.Zone) {
 		return place{}, 0, noReplica(nil)
 	}
@@ -108,7 +108,7 @@
 
 // pick makes the scheduler's request. The versions of an adapter are known to
 // the home only.
-func (n *Node) pick(job *generation, tried *attempts) scheduling.Request {
+func (n *Node) pick(job *generation, tried []port.ReplicaID) scheduling.Request {
 	request := scheduling.Request{
 		Pool:         job.request.Pool,
 		Zone:         n.config.Zone,
@@ -120,7 +120,7 @@
 		Adapter:      job.request.Adapter,
 		PrefixHashes: job.request.PrefixHashes,
 		Prefix:       n.chooser.index,
-		Exclude:      slices.Concat(job.exclude, tried.failed),
+		Exclude:      slices.Concat(job.exclude, tried),
 	}
 	if job.avoid != "" {
 		request.Exclude = append(request.Exclude, job.avoid)
--- a/internal/app/node/generate.go
+++ b/internal/app/node/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/prefix"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -44,33 +45,40 @@
 	}
 	defer cancel()
 	n.prepare(accepted, job)
-	tried := &attempts{safe: job.request.Safe}
-	verdict := port.NotRun
-	progress := &generated{job: job, request: job.request}
+	loop := attempt.New(attempt.Rules{
+		Safe: job.request.Safe, Single: job.single, Resume: job.resume,
+		Deadline: accepted.deadline, MaxTokens: job.request.MaxTokens,
+	})
+	progress := &generated{job: job, loop: loop}
+	original := job.request
 	for {
-		tried.made++
-		replica, failure := n.generateAttempt(ctx, accepted, job, tried, progress)
-		if failure == nil {
+		loop.Begin()
+		job.request = loop.Continue(original)
+		failure := n.generateAttempt(ctx, accepted, job, progress)
+		if failure.Error == nil {
 			n.budgets.succeeded(accepted.pool)
-			n.recordCompletion(accepted, job, tried, replica, progress)
+			n.recordCompletion(accepted, job, loop, failure.Replica)
 			return nil
 		}
-		verdict = worst(verdict, failure.Verdict)
-		if !n.mayGoOn(job, progress, failure) || !n.next(ctx, accepted, job.subject, tried, replica, failure) {
-			return withVerdict(failure, verdict)
-		}
-		if progress.continueWith(&job.request) {
-			continue
-		}
-		// All tokens had left already; only the end was missing.
-		if err := progress.take(port.GenerateChunk{Finish: port.FinishLength}); err != nil {
-			return withVerdict(port.AsError(err), port.Ran)
+		step := n.next(ctx, accepted, job.subject, loop, failure)
+		switch step.Kind {
+		case attempt.Final:
+			return step.Error
+		case attempt.Complete:
+			return n.complete(accepted, job, progress, failure.Replica)
 		}
-		n.recordCompletion(accepted, job, tried, replica, progress)
-		return nil
 	}
 }
 
+// complete gives the end of a completion whose tokens have all left already.
+func (n *Node) complete(accepted acceptance, job *generation, progress *generated, replica port.ReplicaID) *port.Error {
+	if err := progress.take(port.GenerateChunk{Finish: port.FinishLength}); err != nil {
+		return attempt.WithVerdict(port.AsError(err), port.Ran)
+	}
+	n.recordCompletion(accepted, job, progress.loop, replica)
+	return nil
+}
+
 // prepare fills in what the choice of a replica and the engine need.
 func (n *Node) prepare(accepted acceptance, job *generation) {
 	request := &job.request
@@ -85,88 +93,49 @@
 	}
 }
 
-// mayGoOn says whether another attempt could serve the caller: nothing has left
-// yet, or the completion can be continued.
-func (n *Node) mayGoOn(job *generation, progress *generated, failure *port.Error) bool {
-	if job.single || progress.refused != nil {
-		return false
-	}
-	if progress.tokens == 0 {
-		return true
-	}
-	return job.resume && job.request.Safe && failure.Code != port.CodeInvalid
-}
-
 // generated follows what has left to the caller, over all attempts.
 type generated struct {
-	job *generation
-	// request is the request as it was accepted.
-	request port.GenerateRequest
-	text    []byte
-	tokens  int
-	spans   []port.Span
-	// refused is the error with which the caller refused a chunk.
-	refused error
+	job  *generation
+	loop *attempt.Loop
 }
 
 // take hands a chunk to the caller and remembers it.
 func (g *generated) take(chunk port.GenerateChunk) error {
 	if err := g.job.receive(chunk); err != nil {
-		g.refused = err
+		g.loop.Refuse()
 		return err
 	}
-	g.text = append(g.text, chunk.Text...)
-	g.tokens += chunk.Tokens
-	if chunk.Tokens > 0 {
-		g.spans = port.AppendTokens(g.spans, chunk.Version, chunk.Tokens)
-	}
+	g.loop.Took(chunk)
 	return nil
 }
 
-// continueWith makes the request of the next attempt: what has left already is
-// carried as a resumed prefix. False means that no token is left to generate.
-func (g *generated) continueWith(request *port.GenerateRequest) bool {
-	if g.tokens == 0 {
-		return true
-	}
-	if g.request.MaxTokens > 0 && g.tokens >= g.request.MaxTokens {
-		return false
-	}
-	request.Resume = g.request.Resume + string(g.text)
-	request.ResumeTokens = g.request.ResumeTokens + g.tokens
-	if g.request.MaxTokens > 0 {
-		request.MaxTokens = g.request.MaxTokens - g.tokens
-	}
-	request.KVHandle = ""
-	return true
-}
-
 // generateAttempt makes one attempt at the place that it chooses, and says which
-// replica served it as far as that is known.
-func (n *Node) generateAttempt(ctx context.Context, accepted acceptance, job *generation, tried *attempts, progress *generated) (port.ReplicaID, *port.Error) {
-	place, refusal := n.choose(accepted, job, tried)
+// replica served it as far as that is known, also when there is no error.
+func (n *Node) generateAttempt(ctx context.Context, accepted acceptance, job *generation, progress *generated) attempt.Failure {
+	loop := progress.loop
+	place, refusal := n.choose(accepted, job, loop.Tried())
 	if refusal != nil {
-		tried.refusedHere = true
-		return "", refusal
+		return attempt.Failure{Error: refusal, Here: true}
 	}
 	call := generateCall{
 		Request:     job.request,
 		TenantShare: accepted.snapshot.tenantShare(job.request.Tenant),
-		Attempt:     tried.made,
+		Attempt:     loop.Made(),
 		Exclude:     job.exclude,
 		Avoid:       job.avoid,
 	}
 	if job.avoid == "" {
-		call.Avoid = lastOf(tried.failed)
+		call.Avoid = loop.LastTried()
 	}
 	call.Request.Replica = place.replica
 	run := &attemptRun{node: n, job: job, progress: progress, replica: place.replica}
 	defer run.end()
 	if place.node.ID == n.config.ID {
-		return run.replica, n.serveGenerate(ctx, &call, run.take)
+		failure := n.serveGenerate(ctx, &call, run.take)
+		return attempt.Failure{Replica: run.replica, Error: failure}
 	}
 	failure := n.generateRemote(ctx, place.node, &call, run.take)
-	return run.replica, failure
+	return attempt.Failure{Replica: run.replica, Error: failure}
 }
 
 // attemptRun follows one attempt: its replica and this node's count of it.
@@ -239,9 +208,9 @@
 	return nil
 }
 
-func (n *Node) recordCompletion(accepted acceptance, job *generation, tried *attempts, replica port.ReplicaID, progress *generated) {
+func (n *Node) recordCompletion(accepted acceptance, job *generation, loop *attempt.Loop, replica port.ReplicaID) {
 	n.recorder.record(port.Decision{
 		Kind: port.DecisionAnswered, Subject: job.subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: tried.made, Verdict: port.Ran, Spans: progress.spans,
+		Revision: accepted.snapshot.view.Revision, Attempt: loop.Made(), Verdict: port.Ran, Spans: loop.Spans(),
 	})
 }
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -39,7 +40,7 @@
 	placed.Node = n.config.ID
 	if err := emit(generateEvent{Decision: &placed}); err != nil {
 		grant.Release(gate.Outcome{Abandoned: true})
-		return withVerdict(port.AsError(err), port.NotRun)
+		return attempt.WithVerdict(port.AsError(err), port.NotRun)
 	}
 	return n.runEngine(ctx, accepted, grant, call, emit)
 }
@@ -47,7 +48,7 @@
 // relayGenerate chooses a replica of this zone for a request of another one.
 func (n *Node) relayGenerate(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) *port.Error {
 	job := &generation{request: call.Request, exclude: call.Exclude, avoid: call.Avoid}
-	place, _, refusal := n.chooseLocal(accepted, job, &attempts{})
+	place, _, refusal := n.chooseLocal(accepted, job, nil)
 	if refusal != nil {
 		return refusal
 	}
@@ -92,7 +93,7 @@
 	replica, configured := n.snapshot.Load().replicas[grant.Replica]
 	if !configured {
 		grant.Release(gate.Outcome{Abandoned: true})
-		return port.NewError(port.NotRun, port.CodeNoBackEnd, "replica %s was removed", grant.Replica)
+		return replicaRemoved(grant.Replica)
 	}
 	request := call.Request
 	request.Replica = grant.Replica
--- /dev/null
+++ b/internal/core/attempt/loop_test.go
@@ -0,0 +1,139 @@
+package attempt_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/attempt"
+	"github.com/loomgrade/loomgrade/internal/core/retry"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// route decides by a policy of four attempts with a budget.
+type route struct {
+	now    time.Time
+	budget *retry.Budget
+	random *rand.Rand
+}
+
+func newRoute() *route {
+	return &route{now: start, budget: retry.NewBudget(1, start), random: rand.New(rand.NewPCG(1, 2))}
+}
+
+func (r *route) decide(made retry.Attempt) retry.Decision {
+	policy := retry.Policy{MaxAttempts: 4, BaseBackoff: time.Millisecond, MaxBackoff: time.Second}
+	return policy.Decide(r.now, made, r.budget, r.random)
+}
+
+func TestFailed(t *testing.T) {
+	whole := attempt.Rules{Safe: true, Resume: true, MaxTokens: 10}
+	cases := []struct {
+		name  string
+		rules attempt.Rules
+		// tokens have left before the failure.
+		tokens  int
+		here    bool
+		refused bool
+		failure *port.Error
+		want    attempt.StepKind
+		verdict port.Verdict
+	}{
+		{"not run, unsafe", attempt.Rules{}, 0, false, false, failed(port.NotRun, port.CodeBackEnd), attempt.Again, 0},
+		{"may have run, unsafe", attempt.Rules{}, 0, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Final, port.MayHaveRun},
+		{"verdict forgotten, unsafe", attempt.Rules{}, 0, false, false, failed(port.VerdictUnset, port.CodeBackEnd), attempt.Final, port.MayHaveRun},
+		{"ran, unsafe", attempt.Rules{}, 0, false, false, failed(port.Ran, port.CodeBackEnd), attempt.Final, port.Ran},
+		{"may have run, safe", attempt.Rules{Safe: true}, 0, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Again, 0},
+		{"refused here", attempt.Rules{Safe: true}, 0, true, false, failed(port.NotRun, port.CodeQueueFull), attempt.Final, port.NotRun},
+		{"single", attempt.Rules{Safe: true, Single: true}, 0, false, false, failed(port.NotRun, port.CodeBackEnd), attempt.Final, port.NotRun},
+		{"invalid", attempt.Rules{Safe: true}, 0, false, false, failed(port.NotRun, port.CodeInvalid), attempt.Final, port.NotRun},
+		{"cut, continued", whole, 4, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Again, 0},
+		{"cut, all tokens had left", whole, 10, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Complete, 0},
+		{"cut, not to be continued", attempt.Rules{Safe: true}, 4, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Final, port.MayHaveRun},
+		{"cut, unsafe", attempt.Rules{Resume: true}, 4, false, false, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Final, port.MayHaveRun},
+		{"the caller refused a chunk", whole, 4, false, true, failed(port.MayHaveRun, port.CodeBackEnd), attempt.Final, port.MayHaveRun},
+		{"no time left", attempt.Rules{Safe: true, Deadline: start}, 0, false, false, failed(port.NotRun, port.CodeBackEnd), attempt.Final, port.NotRun},
+		{"asked to wait past the deadline", attempt.Rules{Safe: true, Deadline: start.Add(time.Second)}, 0, false, false,
+			&port.Error{Verdict: port.NotRun, Code: port.CodeBackEnd, RetryAfter: time.Minute}, attempt.Final, port.NotRun},
+		{"a home's advice says nothing of others", attempt.Rules{Safe: true, Deadline: start.Add(time.Second)}, 0, false, false,
+			&port.Error{Verdict: port.NotRun, Code: port.CodeDraining, RetryAfter: time.Minute}, attempt.Again, 0},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			loop := attempt.New(testCase.rules)
+			loop.Begin()
+			if testCase.tokens > 0 {
+				loop.Took(port.GenerateChunk{Text: "word", Tokens: testCase.tokens, Version: 3})
+			}
+			if testCase.refused {
+				loop.Refuse()
+			}
+			step := loop.Failed(attempt.Failure{Replica: "a", Error: testCase.failure, Here: testCase.here}, newRoute().decide)
+			if step.Kind != testCase.want {
+				t.Fatalf("step %+v", step)
+			}
+			if step.Kind == attempt.Final && step.Error.Verdict != testCase.verdict {
+				t.Errorf("verdict %v, want %v", step.Error.Verdict, testCase.verdict)
+			}
+			if loop.LastTried() != "a" {
+				t.Errorf("last tried %q", loop.LastTried())
+			}
+		})
+	}
+}
+
+func failed(verdict port.Verdict, code port.Code) *port.Error {
+	return &port.Error{Verdict: verdict, Code: code}
+}
+
+func TestContinueCarriesWhatHasLeft(t *testing.T) {
+	accepted := port.GenerateRequest{Resume: "a", ResumeTokens: 1, MaxTokens: 9, KVHandle: "kv"}
+	loop := attempt.New(attempt.Rules{Safe: true, Resume: true, MaxTokens: 9})
+	loop.Begin()
+	loop.Took(port.GenerateChunk{Text: "b", Tokens: 2, Version: 3})
+	loop.Took(port.GenerateChunk{Text: "c", Tokens: 1, Version: 4})
+	got := loop.Continue(accepted)
+	if got.Resume != "abc" || got.ResumeTokens != 4 || got.MaxTokens != 6 || got.KVHandle != "" {
+		t.Errorf("continued with %+v", got)
+	}
+	if spans := loop.Spans(); len(spans) != 2 || spans[0] != (port.Span{Version: 3, Tokens: 2}) {
+		t.Errorf("spans %v", spans)
+	}
+}
+
+// Over any failures an unsafe request makes another attempt only while none may
+// have run, and the final verdict says NotRun only if all attempts did.
+func TestUnsafeRunsAtMostOnce(t *testing.T) {
+	testkit.Check(t, 72, func(t *rapid.T) {
+		safe := rapid.Bool().Draw(t, "safe")
+		loop := attempt.New(attempt.Rules{Safe: safe, Deadline: start.Add(time.Minute)})
+		route := newRoute()
+		ran := false
+		for {
+			loop.Begin()
+			if ran && !safe {
+				t.Fatal("an unsafe request goes out again although it may have run")
+			}
+			verdict := rapid.SampledFrom([]port.Verdict{port.NotRun, port.MayHaveRun, port.Ran, port.VerdictUnset}).Draw(t, "verdict")
+			code := rapid.SampledFrom([]port.Code{port.CodeBackEnd, port.CodeUnavailable, port.CodeQueueFull}).Draw(t, "code")
+			ran = ran || verdict != port.NotRun
+			step := loop.Failed(attempt.Failure{Replica: "a", Error: failed(verdict, code)}, route.decide)
+			if step.Kind == attempt.Again {
+				route.now = route.now.Add(step.After)
+				continue
+			}
+			if (step.Error.Verdict == port.NotRun) == ran {
+				t.Fatalf("final verdict %v, some attempt may have run: %v", step.Error.Verdict, ran)
+			}
+			if loop.Made() > 4 {
+				t.Fatalf("%d attempts of at most 4", loop.Made())
+			}
+			return
+		}
+	})
+}
