--- a/internal/adapter/settings/check.go
+++ b/internal/adapter/settings/check.go
@@ -62,8 +62,10 @@
 			c.fault(key+".id", strconv.FormatUint(member.ID, 10), "a whole number over 0 that no other member has")
 		}
 		seen[member.ID] = true
-		c.address(key+".address", member.Address)
+		c.reachable(key+".address", member.Address)
 	}
+	c.distinct("control.members", addressesOf(control.Members))
+	c.distinct("control.operator_listen", []string{control.PeerListen, control.OperatorListen})
 	if !control.Join && !seen[control.ID] {
 		c.fault("control.id", strconv.FormatUint(control.ID, 10), "the id of one of control.members, unless join is true")
 	}
@@ -82,8 +84,18 @@
 		c.fault("node.control_members", "", "at least one address")
 	}
 	for index, address := range node.ControlMembers {
-		c.address(fmt.Sprintf("node.control_members[%d]", index), address)
+		c.reachable(fmt.Sprintf("node.control_members[%d]", index), address)
 	}
+	c.distinct("node.control_members", node.ControlMembers)
+	c.distinct("node.peer_listen", []string{node.HTTPListen, node.PeerListen})
+}
+
+func addressesOf(members []Member) []string {
+	addresses := make([]string, len(members))
+	for index, member := range members {
+		addresses[index] = member.Address
+	}
+	return addresses
 }
 
 func (c *checker) fault(key, value, allowed string) {
@@ -108,6 +120,29 @@
 	}
 }
 
+// reachable checks an address that others are reached at.
+func (c *checker) reachable(key, value string) {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+		c.fault(key, value, "IP:port, by number, of one machine")
+	}
+}
+
+// distinct refuses an address that stands twice. Port 0 takes any free port.
+func (c *checker) distinct(key string, addresses []string) {
+	seen := map[string]bool{}
+	for _, address := range addresses {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil || parsed.Port() == 0 {
+			continue
+		}
+		if seen[address] {
+			c.fault(key, address, "addresses that differ")
+		}
+		seen[address] = true
+	}
+}
+
 func (c *checker) numberRange(key string, value, low, high int64) {
 	if value < low || value > high {
 		c.fault(key, strconv.FormatInt(value, 10), fmt.Sprintf("%d to %d", low, high))
--- a/internal/adapter/settings/duration.go
+++ b/internal/adapter/settings/duration.go
@@ -40,18 +40,25 @@
 
 // UnmarshalText reads the text form.
 func (d *Duration) UnmarshalText(text []byte) error {
-	value, err := time.ParseDuration(string(text))
-	if err != nil {
-		d.malformed = string(text)
-		return nil
+	*d = readDuration(string(text))
+	return nil
+}
+
+// UnmarshalYAML reads the text form and keeps what is no text at all, such as a
+// list, as malformed too.
+func (d *Duration) UnmarshalYAML(decode func(any) error) error {
+	var written any
+	if err := decode(&written); err != nil {
+		return err
 	}
-	d.value = value
+	*d = readDuration(fmt.Sprint(written))
 	return nil
 }
 
-// setDefault gives an unset duration its default.
-func (d *Duration) setDefault(standard time.Duration) {
-	if d.IsZero() {
-		d.value = standard
+func readDuration(text string) Duration {
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return Duration{malformed: text}
 	}
+	return Duration{value: value}
 }
--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -20,11 +20,15 @@
 // Error says which setting is not allowed, and where it stands.
 type Error struct {
 	File string
-	// Line counts from 1; 0 means that the setting is missing.
+	// Line and Column count from 1; 0 means that the setting is missing, or that
+	// the line says enough.
 	Line    int
+	Column  int
 	Key     string
 	Value   string
 	Allowed string
+	// unknown says that there is no such key.
+	unknown bool
 }
 
 // Error gives one line: file, line, key, value and what is allowed.
@@ -33,6 +37,12 @@
 	if e.Line > 0 {
 		place = fmt.Sprintf("%s:%d", e.File, e.Line)
 	}
+	if e.Column > 0 {
+		place = fmt.Sprintf("%s:%d", place, e.Column)
+	}
+	if e.unknown {
+		return fmt.Sprintf("%s: %s is no known key, allowed: %s", place, e.Key, e.Allowed)
+	}
 	if e.Value == "" {
 		return fmt.Sprintf("%s: %s is missing or empty, allowed: %s", place, e.Key, e.Allowed)
 	}
@@ -58,37 +68,41 @@
 
 // Parse reads settings from memory; path stands in messages only.
 func Parse(path string, content []byte) (*File, error) {
-	var file File
-	check := func() []*Error {
-		file.applyDefaults()
-		return file.check()
-	}
-	if err := Decode(path, content, &file, check); err != nil {
+	file := File{Log: Log{RingLines: defaultRingLines}}
+	if err := Decode(path, content, &file, file.check); err != nil {
 		return nil, err
 	}
 	return &file, nil
 }
 
-// Decode reads strict YAML into a target and runs a check that completes and
-// judges it. Unknown and repeated keys are refused. The faults of the check name
-// their keys; Decode adds the file and the line, and returns all of them
-// together, one a line. Path stands in messages only.
+// Decode reads strict YAML into a target, a pointer to a struct, and runs a
+// check that completes and judges it. Unknown and repeated keys, further
+// documents and fractions in place of whole numbers are refused. The faults of
+// the check name their keys; Decode adds the file and the line, and returns all
+// of them together, one a line. Path stands in messages only.
 func Decode(path string, content []byte, target any, check func() []*Error) error {
+	document, err := parser.ParseBytes(content, 0)
+	if err != nil {
+		return decodeError(path, err)
+	}
+	if faults := strictFaults(document, reflect.TypeOf(target).Elem()); len(faults) > 0 {
+		return joinFaults(path, faults)
+	}
 	if err := yaml.UnmarshalWithOptions(content, target, yaml.Strict()); err != nil {
 		return decodeError(path, err)
 	}
 	faults := check()
-	if len(faults) == 0 {
-		return nil
-	}
-	document, err := parser.ParseBytes(content, 0)
-	if err != nil {
-		return eris.Wrapf(err, "settings file %s", path)
+	for _, fault := range faults {
+		fault.Line = lineOf(document, fault.Key)
 	}
+	return joinFaults(path, faults)
+}
+
+// joinFaults gives all faults as one error, or nil where there is none.
+func joinFaults(path string, faults []*Error) error {
 	var joined []error
 	for _, fault := range faults {
 		fault.File = path
-		fault.Line = lineOf(document, fault.Key)
 		joined = append(joined, fault)
 	}
 	return errors.Join(joined...)
@@ -99,7 +113,7 @@
 func decodeError(path string, err error) error {
 	var wrongType *yaml.TypeError
 	if !errors.As(err, &wrongType) || wrongType.Token == nil || wrongType.DstType == nil {
-		return eris.Errorf("%s: %s", path, firstLine(err))
+		return eris.Errorf("%s:%s", path, firstLine(err))
 	}
 	return &Error{
 		File:    path,
@@ -139,14 +153,31 @@
 }
 
 // firstLine keeps a decoder's message, which starts with [line:column], and
-// drops the excerpt that follows.
+// drops the excerpt that follows. It gives "line:column: message".
 func firstLine(err error) string {
 	text, _, _ := strings.Cut(err.Error(), "\n")
-	return text
+	if place, message, found := strings.Cut(strings.TrimPrefix(text, "["), "] "); found {
+		return place + ": " + message
+	}
+	return " " + text
 }
 
-// lineOf finds the line of a key such as control.members[1].address, or 0.
+// lineOf finds the line of a key such as control.members[1].address. For one
+// that is missing it is the line of the section that should hold it, or 0.
 func lineOf(document *ast.File, key string) int {
+	for {
+		if line := lineOfPresent(document, key); line > 0 {
+			return line
+		}
+		last := strings.LastIndexAny(key, ".[")
+		if last < 0 {
+			return 0
+		}
+		key = key[:last]
+	}
+}
+
+func lineOfPresent(document *ast.File, key string) int {
 	path, err := yaml.PathString("$." + key)
 	if err != nil {
 		return 0
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -79,21 +79,21 @@
 	defaultConfigurationLease = 5 * time.Second
 )
 
-func (f *File) applyDefaults() {
-	setDefault(&f.Log.RingLines, defaultRingLines)
-	if f.Control != nil {
-		f.Control.Tick.setDefault(defaultTick)
-		setDefault(&f.Control.SnapshotEntries, defaultSnapshotEntries)
-	}
-	if f.Node != nil {
-		f.Node.ConfigurationLease.setDefault(defaultConfigurationLease)
-	}
+// UnmarshalYAML reads a control section over its defaults, so that an explicit 0
+// is judged and not replaced.
+func (c *Control) UnmarshalYAML(decode func(any) error) error {
+	type plain Control
+	section := plain{Tick: DurationOf(defaultTick), SnapshotEntries: defaultSnapshotEntries}
+	err := decode(&section)
+	*c = Control(section)
+	return err
 }
 
-// setDefault gives an unset value its default.
-func setDefault[T comparable](value *T, standard T) {
-	var unset T
-	if *value == unset {
-		*value = standard
-	}
+// UnmarshalYAML reads a node section over its defaults.
+func (n *Node) UnmarshalYAML(decode func(any) error) error {
+	type plain Node
+	section := plain{ConfigurationLease: DurationOf(defaultConfigurationLease)}
+	err := decode(&section)
+	*n = Node(section)
+	return err
 }
