prefix: look for expired blocks only among the unconfirmed

Change: blocks without an event are listed by expiry; Expire ends at the first that is not due. Ruled out: a queue of the hashes sent, which grows with the rate of requests and not with the blocks.

--- a/internal/core/prefix/blocks.go
+++ b/internal/core/prefix/blocks.go
@@ -10,8 +10,10 @@
 // block is one cached block of a replica.
 type block struct {
 	hash uint64
-	// expires is set while no event has confirmed the block.
+	// expires is set while no event has confirmed the block, waiting is then its
+	// place among the unconfirmed.
 	expires time.Time
+	waiting *list.Element
 }
 
 // replicaBlocks is the index of one replica.
@@ -22,10 +24,13 @@
 	byHash   map[uint64]*list.Element
 	// recent orders the blocks by last use, the latest in front.
 	recent *list.List
+	// unconfirmed orders the blocks without an event by expiry, the first in
+	// front, so that looking for expired ones costs nothing while there are none.
+	unconfirmed *list.List
 }
 
 func newReplicaBlocks() *replicaBlocks {
-	return &replicaBlocks{byHash: make(map[uint64]*list.Element), recent: list.New()}
+	return &replicaBlocks{byHash: make(map[uint64]*list.Element), recent: list.New(), unconfirmed: list.New()}
 }
 
 // forget empties the index after a gap; the position stays.
@@ -33,6 +38,7 @@
 	r.gaps++
 	clear(r.byHash)
 	r.recent.Init()
+	r.unconfirmed.Init()
 }
 
 // apply enters one event.
@@ -41,7 +47,16 @@
 		r.remove(event.Block)
 		return
 	}
-	r.touch(event.Block, bound).expires = time.Time{}
+	r.confirm(r.touch(event.Block, bound))
+}
+
+// confirm notes that the engine said it has a block.
+func (r *replicaBlocks) confirm(entry *block) {
+	if entry.waiting != nil {
+		r.unconfirmed.Remove(entry.waiting)
+		entry.waiting = nil
+	}
+	entry.expires = time.Time{}
 }
 
 // insertOptimistic enters a block without an event; a confirmed one stays
@@ -49,9 +64,12 @@
 func (r *replicaBlocks) insertOptimistic(hash uint64, expires time.Time, bound int) {
 	_, known := r.byHash[hash]
 	entry := r.touch(hash, bound)
-	if !known || !entry.expires.IsZero() {
-		entry.expires = expires
+	if known && entry.expires.IsZero() {
+		return
 	}
+	r.confirm(entry)
+	entry.expires = expires
+	entry.waiting = r.unconfirmed.PushBack(entry)
 }
 
 // touch gives the block, made if need be, and counts it as the latest used.
@@ -71,6 +89,8 @@
 // remove drops a block if it is there.
 func (r *replicaBlocks) remove(hash uint64) {
 	if element, found := r.byHash[hash]; found {
+		entry := element.Value.(*block)
+		r.confirm(entry)
 		r.recent.Remove(element)
 		delete(r.byHash, hash)
 	}
@@ -78,11 +98,11 @@
 
 // expire drops unconfirmed blocks whose time has come.
 func (r *replicaBlocks) expire(now time.Time) {
-	for element := r.recent.Front(); element != nil; {
+	for element := r.unconfirmed.Front(); element != nil; element = r.unconfirmed.Front() {
 		entry := element.Value.(*block)
-		element = element.Next()
-		if !entry.expires.IsZero() && !now.Before(entry.expires) {
-			r.remove(entry.hash)
+		if now.Before(entry.expires) {
+			return
 		}
+		r.remove(entry.hash)
 	}
 }
