--- /dev/null
+++ b/internal/lab/sim/queue.go
@@ -0,0 +1,71 @@
+package sim
+
+import "time"
+
+// eventQueue orders what is to happen by time, and equal times by the order in
+// which they were entered, so that a run never hangs on chance.
+type eventQueue struct {
+	heap  []scheduled
+	order uint64
+}
+
+// scheduled is one thing to happen.
+type scheduled struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+func (s *scheduled) before(other *scheduled) bool {
+	if s.at != other.at {
+		return s.at < other.at
+	}
+	return s.order < other.order
+}
+
+// push enters something to happen.
+func (q *eventQueue) push(at time.Duration, run func()) {
+	q.order++
+	q.heap = append(q.heap, scheduled{at: at, order: q.order, run: run})
+	child := len(q.heap) - 1
+	for child > 0 {
+		parent := (child - 1) / 2
+		if !q.heap[child].before(&q.heap[parent]) {
+			return
+		}
+		q.heap[child], q.heap[parent] = q.heap[parent], q.heap[child]
+		child = parent
+	}
+}
+
+// pop takes out what happens next; false means that nothing does.
+func (q *eventQueue) pop() (scheduled, bool) {
+	if len(q.heap) == 0 {
+		return scheduled{}, false
+	}
+	first := q.heap[0]
+	last := len(q.heap) - 1
+	q.heap[0] = q.heap[last]
+	q.heap[last] = scheduled{}
+	q.heap = q.heap[:last]
+	q.sink(0)
+	return first, true
+}
+
+// sink moves an entry down to its place.
+func (q *eventQueue) sink(parent int) {
+	for {
+		child := 2*parent + 1
+		if child >= len(q.heap) {
+			return
+		}
+		if other := child + 1; other < len(q.heap) && q.heap[other].before(&q.heap[child]) {
+			child = other
+		}
+		if !q.heap[child].before(&q.heap[parent]) {
+			return
+		}
+		q.heap[child], q.heap[parent] = q.heap[parent], q.heap[child]
+		parent = child
+	}
+}
--- a/internal/lab/sim/types.go
+++ b/internal/lab/sim/types.go
@@ -56,7 +56,10 @@
 	// the same ones.
 	PromptTokens       int
 	SharedPrefixTokens int
-	Lengths            engine.Lengths
+	// SharedPrefixes is the number of different prefixes that prompts share; 0
+	// means one.
+	SharedPrefixes int
+	Lengths        engine.Lengths
 }
 
 // Burst multiplies the rate of all callers for a while.
@@ -84,6 +87,8 @@
 	Policy string
 	// Without names the parts of loomgrade that are switched off.
 	Without []Part
+	// ImportKV lets a long sample that is moved take its cache along.
+	ImportKV bool
 }
 
 // Part is a part of loomgrade that a variant can switch off.
