rollout: let one of the rollouts that share engines stage at a time

Cause: three trainers share the engines of one pool, each with its own adapter and its own rollout. An engine keeps two staged versions and drops the oldest. The rollouts staged side by side, each waited until all nine engines had its version staged, and took each other's staged weights away: no adapter was ever activated, no sample started, and every trainer was told for ever that batch 1 is not whole yet.

Ruled out: prompts, scorer and policy program (the coordinators had leases and asked for nothing because no replica was routable); the weight store (every engine reported two staged adapters and none served).

Change: rollouts of one set of engines share a staging turn. The turn ends with the switch, passes on in the order of asking, and lasts at most the stage deadline while others wait, so that a pool whose weights can't be fetched holds up no other one.

--- a/internal/app/node/poolworker.go
+++ b/internal/app/node/poolworker.go
@@ -53,7 +53,9 @@
 	weights     port.WeightVersion
 
 	rollouts map[port.PoolName]*rolloutState
-	states   poolStates
+	// turn is shared by the rollouts.
+	turn   rollout.StagingTurn
+	states poolStates
 
 	attempts  map[attemptKey]*sampleRun
 	questions map[uint64]chan answer
--- a/internal/app/node/rolloutdriver.go
+++ b/internal/app/node/rolloutdriver.go
@@ -32,8 +32,9 @@
 			w.stepRollout(now, pool.Name, state, rollout.Published{Weights: weights})
 		}
 	}
-	for name := range w.rollouts {
+	for name, state := range w.rollouts {
 		if !served[name] {
+			state.machine.Stop()
 			delete(w.rollouts, name)
 		}
 	}
@@ -42,7 +43,8 @@
 func (w *poolWorker) startRollout(pool *port.Pool, weights port.PublishedWeights, now time.Time) {
 	machine, err := rollout.New(rollout.Config{
 		Pool: pool.Name, Adapter: pool.Adapter, Fence: w.epoch, Node: w.node.config.ID,
-		WeightStore: pool.Sampling.WeightStore, Weights: weights, Seed: w.node.config.Seed,
+		WeightStore: pool.Sampling.WeightStore, Weights: weights, Turn: &w.turn,
+		Seed: w.node.config.Seed,
 	}, now)
 	if err != nil {
 		return
@@ -123,11 +125,12 @@
 	if !configured {
 		return port.LoadReport{}, port.NewError(port.NotRun, port.CodeNotFound, "no replica %s", call.Replica)
 	}
+	askedAt := time.Now()
 	report, err := n.backEnds.engine(replica.Address).Order(ctx, call.Order)
 	if err != nil {
 		return port.LoadReport{}, port.AsError(err)
 	}
-	n.post(loadReported{replica: call.Replica, report: report})
+	n.post(loadReported{replica: call.Replica, askedAt: askedAt, report: report})
 	return report, nil
 }
 
--- a/internal/core/rollout/config.go
+++ b/internal/core/rollout/config.go
@@ -48,6 +48,9 @@
 	// Rolling activates each replica as soon as it has staged, instead of all
 	// together.
 	Rolling bool
+	// Turn is shared by the rollouts of one set of engines; nil means that no
+	// other rollout stages on them.
+	Turn *StagingTurn
 	// Seed drives backoff jitter.
 	Seed uint64
 }
@@ -72,6 +75,9 @@
 	if c.ActivateTimeout == 0 {
 		c.ActivateTimeout = DefaultActivateTimeout
 	}
+	if c.Turn == nil {
+		c.Turn = &StagingTurn{}
+	}
 	return c
 }
 
--- a/internal/core/rollout/doc.go
+++ b/internal/core/rollout/doc.go
@@ -9,5 +9,6 @@
 //
 // Orders carry a fence, the epoch of a lease. Engines keep one highest fence, so
 // all rollouts that share a set of engines, one for each adapter, must run under
-// the lease of the pool that owns the engines.
+// the lease of the pool that owns the engines. They share a StagingTurn as well,
+// since an engine keeps few staged versions.
 package rollout
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -164,6 +164,7 @@
 		r.expire(replica)
 	}
 	r.decideSwitch()
+	mayStage := r.mayStage()
 	staging := r.countStaging()
 	for _, replica := range r.replicas {
 		if !r.needsOrder(replica) {
@@ -172,7 +173,7 @@
 		switch {
 		case replica.staged == r.target && (r.switching || r.config.Rolling):
 			r.send(replica, port.OrderActivate)
-		case replica.staged != r.target && staging < r.config.MaxStaging:
+		case replica.staged != r.target && mayStage && staging < r.config.MaxStaging:
 			staging++
 			r.send(replica, port.OrderStage)
 		}
@@ -180,6 +181,30 @@
 	r.decideCompleted()
 }
 
+// mayStage takes the staging turn before the switch, and gives it back after.
+// What must be staged again later, on a replica that came late, needs no turn:
+// it waits for no other replica.
+func (r *Rollout) mayStage() bool {
+	if r.switching || r.completed {
+		r.config.Turn.pass(r.config.Pool)
+		return true
+	}
+	behind := func(member *replica) bool {
+		return member.reachable && !member.reported.IsZero() && member.version != r.target
+	}
+	if !slices.ContainsFunc(r.replicas, behind) {
+		r.config.Turn.pass(r.config.Pool)
+		return true
+	}
+	return r.config.Turn.take(r.now, r.config.Pool, r.config.StageDeadline)
+}
+
+// Stop gives the staging turn back; the rollout must not be stepped any more.
+func (r *Rollout) Stop() {
+	r.fenced = true
+	r.config.Turn.pass(r.config.Pool)
+}
+
 // needsOrder says whether a replica could be given an order now.
 func (r *Rollout) needsOrder(member *replica) bool {
 	known := member.reachable && !member.reported.IsZero()
