home, placement: judge replicas and choose places in pure packages

Cause: what a home knows of a replica, and the accepting node's choice of replica and zone, stood in the node's control goroutine and behind its locks; the simulator and fault tests could not run them.

Change: internal/core/home keeps the record of a replica (late reports, silence, a rollout's word, ejection), the pool's standings within the bound, the union of the pollers' words on leaving machines, and what the end of a request tells of a replica. internal/core/placement holds the choice of replica and zone and the correction of late reports by own counts. The node keeps goroutines, locks and messages.

Fault found on the way: a poll of an engine that was answered late overwrote what the answer to a later order had said, so that a replica went on counting as of its former version, or the other way round, until the next poll. A report is no longer taken when one to a later question was (TestAnswersOutOfOrder).

--- a/internal/app/node/application.go
+++ b/internal/app/node/application.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -82,17 +82,11 @@
 
 // endApplication gives the place back and tells how the call ended.
 func (n *Node) endApplication(ctx context.Context, grant *gate.Grant, response port.ApplicationResponse, failure *port.Error, elapsed time.Duration) {
-	if failure != nil && (ctx.Err() == context.Canceled || failure.Code == port.CodeInvalid) {
-		grant.Release(gate.Outcome{Abandoned: true})
-		return
-	}
-	failed := failure != nil || response.Status >= http.StatusInternalServerError
-	outcome := gate.Outcome{Overloaded: failed, Latency: elapsed}
-	if !failed {
-		outcome.Service = elapsed
+	judged := home.JudgeCall(failure, ctx.Err() == context.Canceled, response.Status, elapsed)
+	grant.Release(judged.Outcome)
+	if judged.Counts {
+		n.post(callEnded{outcomeOf(grant.Replica, judged)})
 	}
-	grant.Release(outcome)
-	n.post(callEnded{callOutcome{Replica: grant.Replica, Failed: failed, LatencyMicros: elapsed.Microseconds()}})
 }
 
 // recordPlaced records the choice of a replica.
--- a/internal/app/node/budgets.go
+++ b/internal/app/node/budgets.go
@@ -49,10 +49,3 @@
 	defer t.mutex.Unlock()
 	return retry.FromConfiguration(pool.Retry).Decide(now, attempt, t.of(pool, now), t.random)
 }
-
-// draw gives a random number below bound.
-func (t *budgetTable) draw(bound int) int {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.random.IntN(bound)
-}
--- a/internal/app/node/choose.go
+++ b/internal/app/node/choose.go
@@ -6,45 +6,21 @@
 	"sync"
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/core/prefix"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// Constants of the choice of a place.
-const (
-	// affinityFor is how long a replica is taken to have cached the prompt of a
-	// request that this node sent to it. The home knows better and decides.
-	affinityFor = time.Minute
-	// zoneMargin is the number of free places that each replica of another zone
-	// must have over one of the own zone before a request crosses zones.
-	zoneMargin = 2
-	// noFreePlaceRetry is the advised wait when no zone has a replica.
-	noFreePlaceRetry = time.Second
-)
-
-// chooser picks replicas for the requests that a node accepts. It is safe for
-// use by many goroutines.
+// chooser guards the choice of places among traffic goroutines.
 type chooser struct {
-	mutex     sync.Mutex
-	scheduler *scheduling.Scheduler
-	random    *rand.Rand
-	index     *prefix.Index
-	scratch   []scheduling.Candidate
+	mutex   sync.Mutex
+	pure    *placement.Chooser
+	scratch []scheduling.Candidate
+	offers  []placement.Offer
 }
 
 func newChooser(seed uint64) *chooser {
-	profile := scheduling.Generation()
-	// The home queues what is over the limit, so that a full replica can still
-	// be chosen when all are full.
-	profile.Filters = slices.DeleteFunc(profile.Filters, func(filter scheduling.Filter) bool {
-		return filter.Name() == scheduling.FilterLimit
-	})
-	return &chooser{
-		scheduler: scheduling.New(profile),
-		random:    rand.New(rand.NewPCG(seed, 2)),
-		index:     prefix.New(prefix.Config{OptimisticFor: affinityFor}),
-	}
+	return &chooser{pure: placement.New(rand.New(rand.NewPCG(seed, 2)))}
 }
 
 // place is where an attempt goes. Without a replica the node there chooses.
@@ -70,46 +46,34 @@
 // of the zone's replicas could start at once.
 func (n *Node) chooseLocal(accepted acceptance, job *generation, tried []port.ReplicaID) (place, float64, *port.Error) {
 	if len(job.zones) > 0 && !slices.Contains(job.zones, n.config.Zone) {
-		return place{}, 0, noReplica(nil)
+		return place{}, 0, placement.NoReplica(nil)
 	}
 	now := time.Now()
 	c := n.chooser
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.index.Expire(now)
 	c.scratch = c.scratch[:0]
-	free, routable := 0, 0
 	for index := range accepted.route.zone {
-		candidate := accepted.route.zone[index].now(now)
-		if candidate.Limit > 0 && !candidate.Leaving && !candidate.Draining && !candidate.Ejected {
-			free += candidate.Limit - candidate.Load()
-			routable++
-		}
-		c.scratch = append(c.scratch, candidate)
+		c.scratch = append(c.scratch, accepted.route.zone[index].now(now))
 	}
-	request := n.pick(job, tried)
-	result := c.scheduler.Pick(&request, c.scratch, c.random)
-	if result.Chosen < 0 && len(request.Exclude) > len(job.exclude) {
-		// A replica that failed before is better than none.
-		request.Exclude = job.exclude
-		result = c.scheduler.Pick(&request, c.scratch, c.random)
+	if job.avoid != "" {
+		tried = append(slices.Clip(tried), job.avoid)
 	}
-	if result.Chosen < 0 {
-		return place{}, 0, noReplica(result.Filtered)
+	position, room, refusal := c.pure.Local(now, n.pick(job), tried, c.scratch)
+	if refusal != nil {
+		return place{}, 0, refusal
 	}
-	chosen := c.scratch[result.Chosen]
+	chosen := c.scratch[position]
 	home, known := accepted.snapshot.nodes[chosen.Home]
 	if !known {
-		return place{}, 0, noReplica(nil)
+		return place{}, 0, placement.NoReplica(nil)
 	}
-	c.index.Sent(now, chosen.Replica, job.request.PrefixHashes)
-	return place{node: home, replica: chosen.Replica}, float64(free) / float64(max(routable, 1)), nil
+	return place{node: home, replica: chosen.Replica}, room, nil
 }
 
-// pick makes the scheduler's request. The versions of an adapter are known to
-// the home only.
-func (n *Node) pick(job *generation, tried []port.ReplicaID) scheduling.Request {
-	request := scheduling.Request{
+// pick makes the scheduler's request.
+func (n *Node) pick(job *generation) scheduling.Request {
+	return scheduling.Request{
 		Pool:         job.request.Pool,
 		Zone:         n.config.Zone,
 		Region:       n.config.Region,
@@ -119,59 +83,36 @@
 		MinVersion:   job.request.MinVersion,
 		Adapter:      job.request.Adapter,
 		PrefixHashes: job.request.PrefixHashes,
-		Prefix:       n.chooser.index,
-		Exclude:      slices.Concat(job.exclude, tried),
+		Exclude:      job.exclude,
 	}
-	if job.avoid != "" {
-		request.Exclude = append(request.Exclude, job.avoid)
-	}
-	if request.Adapter != "" {
-		request.MinVersion = 0
-	}
-	return request
 }
 
 // now gives the candidate with this node's own counts of the moment.
 func (r *zoneReplica) now(now time.Time) scheduling.Candidate {
-	candidate := r.candidate
-	sent, finished := r.counters.sent.Load(), r.counters.finished.Load()
-	candidate.Inflight = int(max(sent-finished, 0))
-	candidate.SentSinceReport = int(max(sent-r.sentMark, 0))
-	candidate.FinishedSinceReport = int(max(finished-r.finishedMark, 0))
-	candidate.ReportAge = now.Sub(r.reported)
-	return candidate
+	return r.mark.Correct(now, r.reported, r.candidate, r.counters.counts())
 }
 
 // chooseZone picks a node of another zone if one has clearly more room for each
 // of its replicas, or if the own zone has no replica for the request.
 func (n *Node) chooseZone(accepted acceptance, job *generation, room float64, none bool) (place, bool) {
-	var usable []*zoneOffer
-	for index := range accepted.route.elsewhere {
-		offer := &accepted.route.elsewhere[index]
+	elsewhere := accepted.route.elsewhere
+	c := n.chooser
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.offers = c.offers[:0]
+	for index := range elsewhere {
+		offer := &elsewhere[index]
+		told := placement.Offer{Routable: offer.aggregate.Routable, Room: offer.room()}
 		allowed := len(job.zones) == 0 || slices.Contains(job.zones, offer.aggregate.Zone)
-		if allowed && offer.aggregate.Routable > 0 && len(offer.nodes) > 0 {
-			usable = append(usable, offer)
+		if !allowed || len(offer.nodes) == 0 {
+			told.Routable = 0
 		}
+		c.offers = append(c.offers, told)
 	}
-	if len(usable) == 0 {
-		return place{}, false
-	}
-	// Two draws keep the nodes of a zone from all following the same old word.
-	chosen, other := usable[n.budgets.draw(len(usable))], usable[n.budgets.draw(len(usable))]
-	if other.room() > chosen.room() {
-		chosen = other
-	}
-	if !none && chosen.room() < room+zoneMargin {
+	position, better := c.pure.Zone(c.offers, room, none)
+	if !better {
 		return place{}, false
 	}
-	return place{node: chosen.nodes[n.budgets.draw(len(chosen.nodes))], crossing: chosen.counters}, true
-}
-
-func noReplica(filtered []port.FilterCount) *port.Error {
-	refusal := port.NewError(port.NotRun, port.CodeNoBackEnd, "no replica can serve the request now")
-	for _, count := range filtered {
-		refusal.Message += "; " + count.Filter
-	}
-	refusal.RetryAfter = noFreePlaceRetry
-	return refusal
+	chosen := &elsewhere[position]
+	return place{node: chosen.nodes[c.pure.Draw(len(chosen.nodes))], crossing: chosen.counters}, true
 }
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -6,7 +6,9 @@
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
 	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -21,13 +23,12 @@
 	// that this node is the home of.
 	gates     map[port.PoolName]*gate.Gate
 	trackers  map[port.PoolName]*ejection.Tracker
-	homes     map[port.ReplicaID]*home
-	marks     map[port.ReplicaID]reportMark
+	homes     map[port.ReplicaID]*ownReplica
+	marks     map[port.ReplicaID]placement.Mark
 	zoneMarks map[zonePool]zoneMark
 	// fences are the highest fences that rollouts of engine pools came with.
-	fences map[port.PoolName]port.Epoch
-	// leaving are the machines that each poller of the list shows as leaving.
-	leaving  map[port.NodeID]leavingList
+	fences   map[port.PoolName]port.Epoch
+	leaving  *home.Leaving
 	outcomes map[port.NodeID][]callOutcome
 
 	incarnation     uint64
@@ -43,13 +44,6 @@
 	rebuildCost     time.Duration
 }
 
-// reportMark remembers the own counters when a replica's summary came.
-type reportMark struct {
-	reported time.Time
-	sent     int64
-	finished int64
-}
-
 // zoneMark remembers the own counter when another zone's word came.
 type zoneMark struct {
 	sequence uint64
@@ -69,11 +63,11 @@
 		aggregates:  membership.NewAggregates(),
 		gates:       make(map[port.PoolName]*gate.Gate),
 		trackers:    make(map[port.PoolName]*ejection.Tracker),
-		homes:       make(map[port.ReplicaID]*home),
-		marks:       make(map[port.ReplicaID]reportMark),
+		homes:       make(map[port.ReplicaID]*ownReplica),
+		marks:       make(map[port.ReplicaID]placement.Mark),
 		zoneMarks:   make(map[zonePool]zoneMark),
 		fences:      make(map[port.PoolName]port.Epoch),
-		leaving:     make(map[port.NodeID]leavingList),
+		leaving:     home.NewLeaving(),
 		outcomes:    make(map[port.NodeID][]callOutcome),
 		incarnation: incarnation,
 		homeTable:   newHomeTable(node.config.Zone, nil, nil),
@@ -117,7 +111,7 @@
 func (c *controller) tick(now time.Time) {
 	c.send(c.detector.Tick(now))
 	c.tickTrackers(now)
-	c.dropSilentPollers(now)
+	c.changed = c.leaving.DropSilent(now) || c.changed
 	if c.rebuildDue(now) {
 		c.rebuild(now)
 	}
--- a/internal/app/node/counters.go
+++ b/internal/app/node/counters.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -14,6 +15,10 @@
 	finished atomic.Int64
 }
 
+func (c *replicaCounters) counts() placement.Counts {
+	return placement.Counts{Sent: c.sent.Load(), Finished: c.finished.Load()}
+}
+
 // zonePool names what another zone serves of an engine pool.
 type zonePool struct {
 	zone port.ZoneName
--- a/internal/app/node/homes.go
+++ b/internal/app/node/homes.go
@@ -6,34 +6,21 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// home is a replica that this node is the home of.
-type home struct {
-	replica port.Replica
-	pool    port.PoolName
-	cancel  context.CancelFunc
-	// report is the last load report, taken at reportedAt; the zero time means
-	// that none came yet.
-	report     port.LoadReport
-	reportedAt time.Time
-	// ejectedSince is when the replica was first told as ejected, in milliseconds
-	// since 1970; 0 while it is not.
-	ejectedSince int64
-	// silent counts the polls that failed in a row.
-	silent int
-	// outUntil is how long a weights rollout keeps the replica out of routing.
-	outUntil time.Time
+// ownReplica is a replica that this node is the home of.
+type ownReplica struct {
+	home.Record
+	// cancel ends the poller of an engine.
+	cancel context.CancelFunc
 }
 
-// silentPolls is the number of failed polls in a row after which a replica's
-// report no longer holds.
-const silentPolls = 3
-
-// loadReported is the outcome of one poll of an engine.
+// loadReported is the outcome of one question to an engine.
 type loadReported struct {
 	replica port.ReplicaID
+	askedAt time.Time
 	report  port.LoadReport
 	err     *port.Error
 }
@@ -45,20 +32,15 @@
 	}
 	c.changed = true
 	if e.err != nil {
-		held.silent++
-		if held.silent >= silentPolls {
-			c.observe(now, held.pool, callOutcome{Replica: e.replica, Failed: true})
+		if held.Unanswered() {
+			c.observe(now, held.Replica.Pool, callOutcome{Replica: e.replica, Failed: true})
 		}
 		return
 	}
-	if held.report.Incarnation != e.report.Incarnation && !held.reportedAt.IsZero() {
-		if owned := c.gates[held.pool]; owned != nil {
-			owned.ResetCache(e.replica)
-		}
+	_, restarted := held.Reported(now, e.askedAt, e.report)
+	if owned := c.gates[held.Replica.Pool]; restarted && owned != nil {
+		owned.ResetCache(e.replica)
 	}
-	held.silent = 0
-	held.report = e.report
-	held.reportedAt = now.Add(-time.Duration(e.report.AgeMillis) * time.Millisecond)
 }
 
 // setHomes starts and stops the pollers so that they match the replicas that
@@ -66,8 +48,8 @@
 func (c *controller) setHomes(owned map[port.ReplicaID]ownedReplica) {
 	for id, held := range c.homes {
 		wanted, keep := owned[id]
-		if keep && wanted.replica.Address == held.replica.Address {
-			held.replica = wanted.replica
+		if keep && wanted.replica.Address == held.Replica.Address {
+			held.Replica = wanted.replica
 			continue
 		}
 		if held.cancel != nil {
@@ -79,9 +61,9 @@
 		if c.homes[id] != nil {
 			continue
 		}
-		held := &home{replica: wanted.replica, pool: wanted.replica.Pool}
+		held := &ownReplica{Record: home.Record{Replica: wanted.replica, Polled: wanted.kind == port.PoolGeneration}}
 		c.homes[id] = held
-		if wanted.kind == port.PoolGeneration {
+		if held.Polled {
 			var ctx context.Context
 			ctx, held.cancel = context.WithCancel(c.node.background)
 			c.node.work.Go(func() { c.node.pollEngine(ctx, wanted.replica, wanted.gate) })
@@ -122,11 +104,12 @@
 func (n *Node) pollOnce(ctx context.Context, engine port.Engine, replica port.ReplicaID, owned *gate.Gate) {
 	asking, cancel := context.WithTimeout(ctx, n.config.Intervals.CallTimeout)
 	defer cancel()
+	askedAt := time.Now()
 	report, err := engine.Load(asking)
 	if ctx.Err() != nil {
 		return
 	}
-	n.post(loadReported{replica: replica, report: report, err: port.AsError(err)})
+	n.post(loadReported{replica: replica, askedAt: askedAt, report: report, err: port.AsError(err)})
 	if err != nil {
 		return
 	}
@@ -142,7 +125,7 @@
 func (e outcomesTaken) apply(c *controller, now time.Time) {
 	for _, outcome := range e.outcomes {
 		if held := c.homes[outcome.Replica]; held != nil {
-			c.observe(now, held.pool, outcome)
+			c.observe(now, held.Replica.Pool, outcome)
 		}
 	}
 }
--- a/internal/app/node/machines.go
+++ b/internal/app/node/machines.go
@@ -2,34 +2,21 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/platform"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// Numbers of the watch over the machine list.
-const (
-	// pollersPerZone is the number of nodes of a zone that poll the list and
-	// tell the others, so that the load on the list doesn't grow with the zone.
-	pollersPerZone = 2
-	// pollerSilence is the time after which a poller's word no longer counts.
-	pollerSilence = 10 * time.Second
-)
-
-// leavingList is what one poller last told.
-type leavingList struct {
-	told     time.Time
-	machines []port.Machine
-}
+// pollersPerZone is the number of nodes of a zone that poll the machine list and
+// tell the others, so that the load on the list doesn't grow with the zone.
+const pollersPerZone = 2
 
 func (e machinesMessage) apply(c *controller, now time.Time) {
-	known := c.leaving[e.Node]
-	c.leaving[e.Node] = leavingList{told: now, machines: e.Leaving}
-	if !slices.Equal(known.machines, e.Leaving) {
+	if c.leaving.Told(now, e.Node, e.Leaving) {
 		c.changed = true
 		c.rebuiltAt = time.Time{}
 		c.lastSummary = time.Time{}
@@ -44,7 +31,7 @@
 func (c *controller) tellDetector() {
 	var leaving, live []port.Machine
 	for _, node := range c.observer.View().Nodes {
-		if c.isLeaving(node.PeerAddress) {
+		if c.leaving.Has(node.PeerAddress) {
 			leaving = append(leaving, port.Machine{Address: node.PeerAddress, State: port.MachineLeaving})
 			continue
 		}
@@ -53,32 +40,6 @@
 	c.detector.SetMachines(c.node.peerAddress, append(leaving, live...))
 }
 
-func (c *controller) dropSilentPollers(now time.Time) {
-	for node, list := range c.leaving {
-		if now.Sub(list.told) > pollerSilence && len(c.leaving) > 1 {
-			delete(c.leaving, node)
-			c.changed = true
-		}
-	}
-}
-
-// isLeaving says whether some poller told that the machine of an address leaves.
-// The list may name the machine with or without a port.
-func (c *controller) isLeaving(address string) bool {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		host = address
-	}
-	for _, list := range c.leaving {
-		for _, machine := range list.machines {
-			if machine.Address == address || machine.Address == host {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // pollMachines asks the machine list while this node is one of its zone's
 // pollers, and tells the zone.
 func (n *Node) pollMachines(ctx context.Context) {
@@ -120,12 +81,7 @@
 	if err != nil {
 		return
 	}
-	message := machinesMessage{Node: n.config.ID}
-	for _, machine := range machines {
-		if machine.State == port.MachineLeaving {
-			message.Leaving = append(message.Leaving, machine)
-		}
-	}
+	message := machinesMessage{Node: n.config.ID, Leaving: home.LeavingOf(machines)}
 	n.post(message)
 	for _, node := range n.zonePeers() {
 		n.peers.send(node.PeerAddress, methodMachines, message)
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -124,6 +124,7 @@
 	}
 	n.sampling = newSamplingManager(n)
 	n.metrics = metrics.NewNode()
+	n.countTraffic()
 	n.web = newWeb(n)
 	n.snapshot.Store(&snapshot{view: &port.View{}, homes: newHomeTable(config.Zone, nil, nil)})
 	return n
--- a/internal/app/node/poolstate.go
+++ b/internal/app/node/poolstate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/policy"
 	"github.com/loomgrade/loomgrade/internal/core/rollout"
@@ -159,26 +160,23 @@
 	}
 	loads, _ := owned.Loads()
 	for id, held := range c.homes {
-		if held.pool != e.call.Pool || held.cancel == nil {
-			continue
+		if held.Replica.Pool == e.call.Pool && held.Polled {
+			answer.Replicas = append(answer.Replicas, c.replicaState(now, held, loads[id]))
 		}
-		answer.Replicas = append(answer.Replicas, c.replicaState(now, id, held, loads[id].Inflight, loads[id].Limit))
 	}
 	e.reply <- answer
 }
 
-func (c *controller) replicaState(now time.Time, id port.ReplicaID, held *home, inflight, limit int) replicaState {
-	summary := c.replicaSummary(id, held)
-	state := replicaState{
-		Replica:   id,
-		Report:    held.report,
-		Reachable: !held.reportedAt.IsZero() && held.silent < silentPolls && !summary.Leaving,
+func (c *controller) replicaState(now time.Time, held *ownReplica, load gate.Load) replicaState {
+	summary := c.replicaSummary(now, held, load, 0)
+	return replicaState{
+		Replica:   held.Replica.ID,
+		Report:    held.Report(now),
+		Reachable: held.Reachable() && !summary.Leaving,
 		Routable:  summary.Routable(),
-		Inflight:  inflight,
-		Limit:     limit,
+		Inflight:  load.Inflight,
+		Limit:     load.Limit,
 	}
-	state.Report.AgeMillis = now.Sub(held.reportedAt).Milliseconds()
-	return state
 }
 
 // routeOut takes over which replicas a rollout keeps out of routing. A lower
@@ -189,7 +187,7 @@
 	}
 	c.fences[call.Pool] = call.Fence
 	for id, held := range c.homes {
-		if held.pool != call.Pool {
+		if held.Replica.Pool != call.Pool {
 			continue
 		}
 		until := time.Time{}
@@ -198,11 +196,10 @@
 				until = now.Add(routedOutFor)
 			}
 		}
-		if held.outUntil.IsZero() != until.IsZero() {
+		if held.RouteOut(until) {
 			c.changed = true
 			c.rebuiltAt = time.Time{}
 			c.lastSummary = time.Time{}
 		}
-		held.outUntil = until
 	}
 }
--- a/internal/app/node/rebuild.go
+++ b/internal/app/node/rebuild.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -149,65 +150,25 @@
 		MaxInflight: pool.Admission.MaxInflight,
 		QueueLength: pool.Admission.QueueLength,
 	}
-	honoured := c.honoured(now, pool, len(replicas))
+	standings := home.Standings(now, c.summaries, c.detector.Assigner(), &pool, len(replicas))
 	var told []gate.Replica
-	for _, replica := range replicas {
+	for index := range replicas {
+		replica := &replicas[index]
 		_, own := owned[replica.ID]
 		if pool.Kind == port.PoolGeneration && !own {
 			continue
 		}
-		told = append(told, c.gateReplica(replica, honoured))
+		told = append(told, c.gateReplica(now, replica, standings[replica.ID]))
 	}
 	held.Configure(now, settings, told)
 }
 
-// health is the standing of a replica that is out of routing or probed.
-type health struct{ ejected, probing bool }
-
-// honoured gives the replicas of a pool that are out, by the word of their
-// homes, within the bound that the pool sets.
-func (c *controller) honoured(now time.Time, pool port.Pool, size int) map[port.ReplicaID]health {
-	states := make(map[port.ReplicaID]health)
-	var claims []ejection.Claim
-	c.summaries.Each(now, c.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
-		if replica.Pool != pool.Name {
-			return
-		}
-		if replica.Probing {
-			states[replica.Replica] = health{probing: true}
-		}
-		if replica.Ejected {
-			claims = append(claims, ejection.Claim{Replica: replica.Replica, Since: time.UnixMilli(replica.EjectedSince)})
-		}
-	})
-	for _, id := range ejection.Honour(claims, size, pool.Ejection.MaxShare) {
-		states[id] = health{ejected: true}
+func (c *controller) gateReplica(now time.Time, replica *port.Replica, standing home.Standing) gate.Replica {
+	var record *home.Record
+	if held := c.homes[replica.ID]; held != nil {
+		record = &held.Record
 	}
-	return states
-}
-
-func (c *controller) gateReplica(replica port.Replica, honoured map[port.ReplicaID]health) gate.Replica {
-	told := gate.Replica{
-		ID:       replica.ID,
-		Zone:     replica.Zone,
-		Region:   c.node.config.Region,
-		Draining: replica.State == port.ReplicaDrain,
-		Leaving:  c.isLeaving(replica.Address),
-		Ejected:  honoured[replica.ID].ejected,
-		Probing:  honoured[replica.ID].probing,
-	}
-	if held := c.homes[replica.ID]; held != nil && held.cancel != nil {
-		told.Report = held.report
-		told.ReportedAt = held.reportedAt
-		told.VersionUnknown = c.versionUnknown(held)
-	}
-	return told
-}
-
-// versionUnknown says whether it isn't known what a replica serves: before its
-// first report, after it fell silent, and while a rollout keeps it out.
-func (c *controller) versionUnknown(held *home) bool {
-	return held.reportedAt.IsZero() || held.silent >= silentPolls || time.Now().Before(held.outUntil)
+	return home.ForGate(now, replica, c.node.config.Region, c.leaving.Has(replica.Address), standing, record)
 }
 
 // route gives where a pool's requests can go.
@@ -217,9 +178,9 @@
 	if pool.Kind == port.PoolApplication {
 		return route
 	}
-	c.summaries.Each(now, c.detector.Assigner(), func(home port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
+	c.summaries.Each(now, c.detector.Assigner(), func(homeNode port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
 		if replica.Pool == enginePool {
-			route.zone = append(route.zone, c.zoneReplica(now, home, configured[replica.Replica], replica, age))
+			route.zone = append(route.zone, c.zoneReplica(now, homeNode, configured[replica.Replica], replica, age))
 		}
 	})
 	for _, aggregate := range c.aggregates.Pool(now, enginePool, maxAggregateAge) {
@@ -228,32 +189,28 @@
 	return route
 }
 
-func (c *controller) zoneReplica(now time.Time, home port.NodeID, configured port.Replica, replica *membership.ReplicaSummary, age time.Duration) zoneReplica {
+func (c *controller) zoneReplica(now time.Time, homeNode port.NodeID, configured port.Replica, replica *membership.ReplicaSummary, age time.Duration) zoneReplica {
 	counters := c.node.counters.of(replica.Replica)
 	reported := now.Add(-age)
-	mark, known := c.marks[replica.Replica]
-	if !known || reported.After(mark.reported.Add(time.Millisecond)) {
-		mark = reportMark{reported: reported, sent: counters.sent.Load(), finished: counters.finished.Load()}
-		c.marks[replica.Replica] = mark
-	}
+	mark := c.marks[replica.Replica].Follow(reported, counters.counts())
+	c.marks[replica.Replica] = mark
 	return zoneReplica{
-		home:         home,
-		reported:     reported,
-		counters:     counters,
-		sentMark:     mark.sent,
-		finishedMark: mark.finished,
+		home:     homeNode,
+		reported: reported,
+		counters: counters,
+		mark:     mark,
 		candidate: scheduling.Candidate{
 			Replica:        replica.Replica,
 			Zone:           configured.Zone,
 			Region:         c.node.config.Region,
-			Home:           home,
+			Home:           homeNode,
 			Version:        replica.Version,
 			Staged:         replica.Staged,
 			VersionUnknown: replica.VersionUnknown,
 			Role:           replica.Role,
 			Adapters:       replica.Adapters,
 			Draining:       replica.Draining || configured.State == port.ReplicaDrain,
-			Leaving:        replica.Leaving || c.isLeaving(configured.Address),
+			Leaving:        replica.Leaving || c.leaving.Has(configured.Address),
 			Ejected:        replica.Ejected,
 			Probing:        replica.Probing,
 			Running:        replica.Inflight,
--- a/internal/app/node/report.go
+++ b/internal/app/node/report.go
@@ -17,7 +17,7 @@
 	}
 	c.lastReport = now
 	view := c.observer.View()
-	counts := c.serving()
+	counts := c.serving(now)
 	c.node.serving.Store(&counts)
 	report := port.NodeReport{
 		Node:     c.node.address(c.draining),
@@ -34,21 +34,18 @@
 }
 
 // serving counts the own home replicas by pool and version.
-func (c *controller) serving() []port.ServingCount {
+func (c *controller) serving(now time.Time) []port.ServingCount {
 	var counts []port.ServingCount
 	for _, held := range c.homes {
-		if held.cancel == nil {
+		if !held.Polled {
 			continue
 		}
-		version := held.report.Version
-		if c.versionUnknown(held) {
-			version = 0
-		}
+		version := held.Version(now)
 		index := slices.IndexFunc(counts, func(count port.ServingCount) bool {
-			return count.Pool == held.pool && count.Version == version
+			return count.Pool == held.Replica.Pool && count.Version == version
 		})
 		if index < 0 {
-			counts = append(counts, port.ServingCount{Pool: held.pool, Version: version})
+			counts = append(counts, port.ServingCount{Pool: held.Replica.Pool, Version: version})
 			index = len(counts) - 1
 		}
 		counts[index].Replicas++
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -117,21 +118,13 @@
 
 // endGeneration gives the place back and tells the judge how it went.
 func (n *Node) endGeneration(grant *gate.Grant, tokens int, failure *port.Error, abandoned bool, elapsed time.Duration) {
-	if abandoned || failure != nil && blameless(failure) {
-		grant.Release(gate.Outcome{Abandoned: true})
-		return
+	judged := home.JudgeGeneration(failure, abandoned, tokens, elapsed)
+	grant.Release(judged.Outcome)
+	if judged.Counts {
+		n.post(outcomesTaken{[]callOutcome{outcomeOf(grant.Replica, judged)}})
 	}
-	perToken := elapsed / time.Duration(max(tokens, 1))
-	grant.Release(gate.Outcome{Overloaded: failure != nil, Latency: perToken})
-	n.post(outcomesTaken{[]callOutcome{{Replica: grant.Replica, Failed: failure != nil, LatencyMicros: perToken.Microseconds()}}})
 }
 
-// blameless says whether a failure says nothing about the replica's health.
-func blameless(failure *port.Error) bool {
-	switch failure.Code {
-	case port.CodeInvalid, port.CodeConflict, port.CodeCancelled, port.CodeStale, port.CodeTooLarge:
-		return true
-	default:
-		return false
-	}
+func outcomeOf(replica port.ReplicaID, judged home.Judged) callOutcome {
+	return callOutcome{Replica: replica, Failed: judged.Failed, LatencyMicros: judged.Latency.Microseconds()}
 }
--- a/internal/app/node/snapshot.go
+++ b/internal/app/node/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -40,9 +41,8 @@
 	home      port.NodeID
 	reported  time.Time
 	counters  *replicaCounters
-	// sentMark and finishedMark are the counters when the report came.
-	sentMark     int64
-	finishedMark int64
+	// mark is what the counters were when the report came.
+	mark placement.Mark
 }
 
 // zoneOffer is another zone's aggregate with the nodes that take its requests.
--- a/internal/app/node/summaries.go
+++ b/internal/app/node/summaries.go
@@ -5,7 +5,6 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
-	"github.com/loomgrade/loomgrade/internal/core/ejection"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -16,67 +15,28 @@
 // tellOwn enters the state of the own home replicas among those of the zone.
 func (c *controller) tellOwn(now time.Time) {
 	c.sequence++
-	c.summaries.Apply(now, c.ownSummary())
+	c.summaries.Apply(now, c.ownSummary(now))
 }
 
 // ownSummary sums up the replicas that this node is the home of.
-func (c *controller) ownSummary() membership.HomeSummary {
+func (c *controller) ownSummary(now time.Time) membership.HomeSummary {
 	summary := membership.HomeSummary{Node: c.node.config.ID, Incarnation: c.incarnation, Sequence: c.sequence}
 	loads := make(map[port.PoolName]map[port.ReplicaID]gate.Load)
 	waiting := make(map[port.PoolName]int)
 	for id, held := range c.homes {
-		owned := c.gates[held.pool]
-		if owned != nil && loads[held.pool] == nil {
-			loads[held.pool], waiting[held.pool] = owned.Loads()
+		pool := held.Replica.Pool
+		owned := c.gates[pool]
+		if owned != nil && loads[pool] == nil {
+			loads[pool], waiting[pool] = owned.Loads()
 		}
-		replica := c.replicaSummary(id, held)
-		load := loads[held.pool][id]
-		replica.Inflight = load.Inflight
-		replica.Limit = load.Limit
-		replica.Queued = waiting[held.pool]
-		summary.Replicas = append(summary.Replicas, replica)
+		summary.Replicas = append(summary.Replicas, c.replicaSummary(now, held, loads[pool][id], waiting[pool]))
 	}
 	return summary
 }
 
-func (c *controller) replicaSummary(id port.ReplicaID, held *home) membership.ReplicaSummary {
-	summary := membership.ReplicaSummary{
-		Replica:        id,
-		Pool:           held.pool,
-		Version:        held.report.Version,
-		Staged:         held.report.Staged,
-		VersionUnknown: held.cancel != nil && c.versionUnknown(held),
-		Role:           held.report.Role,
-		KVUsed:         held.report.KVUsed,
-		KVTotal:        held.report.KVTotal,
-		Draining:       held.replica.State == port.ReplicaDrain,
-		Leaving:        c.isLeaving(held.replica.Address),
-	}
-	for _, adapter := range held.report.Adapters {
-		summary.Adapters = append(summary.Adapters, adapter.Name)
-	}
-	tracker := c.trackers[held.pool]
-	if tracker == nil {
-		return summary
-	}
-	state := tracker.State(id)
-	summary.Ejected = state == ejection.Ejected
-	summary.Probing = state == ejection.Probing
-	summary.LatencyMicros = tracker.Latency(id).Microseconds()
-	trackSince(held, &summary)
-	return summary
-}
-
-// trackSince keeps the time at which a replica was first told as ejected.
-func trackSince(held *home, summary *membership.ReplicaSummary) {
-	if !summary.Ejected {
-		held.ejectedSince = 0
-		return
-	}
-	if held.ejectedSince == 0 {
-		held.ejectedSince = time.Now().UnixMilli()
-	}
-	summary.EjectedSince = held.ejectedSince
+func (c *controller) replicaSummary(now time.Time, held *ownReplica, load gate.Load, queued int) membership.ReplicaSummary {
+	leaving := c.leaving.Has(held.Replica.Address)
+	return held.Summary(now, leaving, load, queued, c.trackers[held.Replica.Pool])
 }
 
 // sendSummaries tells the zone of the own home replicas when it is time: at
@@ -86,7 +46,7 @@
 		return
 	}
 	c.tellOwn(now)
-	summary := c.ownSummary()
+	summary := c.ownSummary(now)
 	sent := c.toZone(methodSummary, summary)
 	body, err := wire.Marshal(summary)
 	if err != nil {
@@ -154,7 +114,7 @@
 
 func (e callEnded) apply(c *controller, now time.Time) {
 	if held := c.homes[e.outcome.Replica]; held != nil {
-		c.observe(now, held.pool, e.outcome)
+		c.observe(now, held.Replica.Pool, e.outcome)
 		return
 	}
 	home, found := c.homeOf(e.outcome.Replica)
--- a/internal/app/node/web.go
+++ b/internal/app/node/web.go
@@ -30,6 +30,22 @@
 	})
 }
 
+// trafficCounter is a way to control that counts its bytes.
+type trafficCounter interface {
+	Traffic() (sent, received uint64)
+}
+
+// countTraffic lets the measures read the bytes of the internal protocol.
+func (n *Node) countTraffic() {
+	if counted, counts := n.config.Control.(trafficCounter); counts {
+		n.metrics.CountControlBytes(counted.Traffic)
+	}
+	n.metrics.CountPeerBytes(func() (sent, received uint64) {
+		totals := n.server.Totals()
+		return totals.BytesOut, totals.BytesIn
+	})
+}
+
 // countDelivered counts the samples of a delivered batch by their age.
 func (w *poolWorker) countDelivered(action *coordinator.Deliver) {
 	for _, sample := range action.Samples {
