metrics: serve what control members and nodes really do; a page held to the code

The measures of a control member were written and fed by nothing: the process served those of the Go runtime alone, and a node's control bytes stayed 0. The member's gauges are now read from its status when they are collected, commands are counted where nodes and operators are answered, and bytes come from the counters of the internal protocol. Reasons for dropped samples that nothing ever gave are gone. The time of a log sync is no longer promised; syncs are counted, as the member knows their number only.

A test holds the page's tables (name, type, labels) against what a used registry serves.

--- a/cmd/loomgrade/cmd_control.go
+++ b/cmd/loomgrade/cmd_control.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -31,10 +32,12 @@
 }
 
 func (p *process) runControl(std streams) error {
-	member, err := control.Start(p.controlConfig())
+	measures := metrics.NewControl()
+	member, err := control.Start(p.controlConfig(measures))
 	if err != nil {
 		return err
 	}
+	measures.Observe(func() metrics.ControlReading { return readMember(member) })
 	fmt.Fprintf(std.stdout, "control member %d: peers %s, operators %s\n",
 		p.file.Control.ID, member.PeerAddress(), member.OperatorAddress())
 	p.untilStopped(member.Done())
@@ -48,7 +51,31 @@
 	return member.Stop(stopping)
 }
 
-func (p *process) controlConfig() control.Config {
+// readMember reads a member's state for the measures; it is empty while the
+// member starts.
+func readMember(member *control.Member) metrics.ControlReading {
+	status, err := member.Status(context.Background())
+	if err != nil {
+		return metrics.ControlReading{}
+	}
+	sent, received := member.PeerTraffic()
+	return metrics.ControlReading{
+		Revision:     status.Revision,
+		Term:         status.Term,
+		Leads:        status.Leader == status.Member,
+		QuorumActive: status.QuorumActive,
+		Committed:    status.Commit,
+		Applied:      status.Applied,
+		Snapshot:     status.SnapshotIndex,
+		Syncs:        status.Syncs,
+		Nodes:        status.Nodes,
+		Watching:     status.Watches,
+		PeerSent:     sent,
+		PeerReceived: received,
+	}
+}
+
+func (p *process) controlConfig(measures *metrics.Control) control.Config {
 	section := p.file.Control
 	config := control.Config{
 		Cluster:            p.file.Cluster,
@@ -63,7 +90,8 @@
 		SnapshotEntries:    section.SnapshotEntries,
 		CheckConfiguration: policy.CheckConfiguration,
 		Seed:               uint64(time.Now().UnixNano()),
-		Metrics:            metrics.ProcessHandler(),
+		Metrics:            measures.Handler(),
+		Recorder:           measures,
 		Logger:             p.ring.Logger(),
 	}
 	for _, member := range section.Members {
--- a/internal/adapter/controlclient/client.go
+++ b/internal/adapter/controlclient/client.go
@@ -124,6 +124,12 @@
 	return stats
 }
 
+// Traffic gives the bytes exchanged with all members since the start.
+func (c *Client) Traffic() (sent, received uint64) {
+	stats := c.Stats()
+	return stats.BytesOut, stats.BytesIn
+}
+
 // NewChangeID draws a change id born now.
 func NewChangeID() string {
 	random := make([]byte, changeIDBytes)
--- a/internal/adapter/metrics/control.go
+++ b/internal/adapter/metrics/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,16 +10,27 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// The directions of counted bytes.
-const (
-	labelDirection    = "direction"
-	directionSent     = "sent"
-	directionReceived = "received"
-)
-
-func addBytes(counted *prometheus.CounterVec, sent, received uint64) {
-	counted.WithLabelValues(directionSent).Add(float64(sent))
-	counted.WithLabelValues(directionReceived).Add(float64(received))
+// ControlReading is the state of a control member at one moment.
+type ControlReading struct {
+	Revision port.Revision
+	Term     uint64
+	// Leads and QuorumActive say whether the member leads and whether it is in
+	// touch with a quorum.
+	Leads        bool
+	QuorumActive bool
+	// Committed, Applied and Snapshot are positions in the log.
+	Committed uint64
+	Applied   uint64
+	Snapshot  uint64
+	// Syncs counts syncs of the log since the start of the process.
+	Syncs uint64
+	// Nodes are those of the view, Watching those that watch this member.
+	Nodes    int
+	Watching int
+	// PeerSent and PeerReceived count bytes on connections that nodes and
+	// members opened.
+	PeerSent     uint64
+	PeerReceived uint64
 }
 
 // Control holds the measures of a control member. Its methods are safe for
@@ -27,38 +39,58 @@
 	registry    *prometheus.Registry
 	commands    *prometheus.CounterVec
 	commandTime prometheus.Histogram
-	syncTime    prometheus.Histogram
-	revision    prometheus.Gauge
-	term        prometheus.Gauge
-	leader      prometheus.Gauge
-	watches     prometheus.Gauge
-	peerBytes   *prometheus.CounterVec
+	read        atomic.Pointer[func() ControlReading]
 }
 
 // NewControl makes the measures of a control member.
 func NewControl() *Control {
-	single := func(name, help string) prometheus.Gauge {
-		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
-	}
-	timing := func(name, help string) prometheus.Histogram {
-		buckets := prometheus.ExponentialBuckets(0.0001, 2, 18)
-		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets})
-	}
 	c := &Control{
-		registry:    newRegistry(),
-		commands:    counter("commands_total", "Commands answered, by code.", labelCode),
-		commandTime: timing("command_seconds", "Time from a command's proposal to its answer."),
-		syncTime:    timing("log_sync_seconds", "Time of one sync of the log."),
-		revision:    single("configuration_revision", "Configuration revision applied here."),
-		term:        single("consensus_term", "Current term."),
-		leader:      single("consensus_leader", "1 while this member is the leader."),
-		watches:     single("watching_nodes", "Nodes that watch this member."),
-		peerBytes:   counter("peer_bytes_total", "Bytes exchanged with nodes and members, by direction.", labelDirection),
+		registry: newRegistry(),
+		commands: counter("commands_total", "Commands answered to nodes and operators, by code.", labelCode),
+		commandTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "command_seconds", Help: "Time from a command's proposal to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 18),
+		}),
 	}
-	c.registry.MustRegister(c.commands, c.commandTime, c.syncTime, c.revision, c.term, c.leader, c.watches, c.peerBytes)
+	c.registry.MustRegister(c.commands, c.commandTime)
+	c.gauge("configuration_revision", "Configuration revision applied here.", func(r ControlReading) float64 { return float64(r.Revision) })
+	c.gauge("consensus_term", "Current term.", func(r ControlReading) float64 { return float64(r.Term) })
+	c.gauge("consensus_leader", "1 while this member is the leader.", func(r ControlReading) float64 { return oneIf(r.Leads) })
+	c.gauge("consensus_quorum_active", "1 while this member is in touch with a quorum.", func(r ControlReading) float64 { return oneIf(r.QuorumActive) })
+	c.gauge("log_committed_index", "Position of the last committed log entry.", func(r ControlReading) float64 { return float64(r.Committed) })
+	c.gauge("log_applied_index", "Position of the last applied log entry.", func(r ControlReading) float64 { return float64(r.Applied) })
+	c.gauge("log_snapshot_index", "Position of the last snapshot.", func(r ControlReading) float64 { return float64(r.Snapshot) })
+	c.gauge("registered_nodes", "Nodes of the view.", func(r ControlReading) float64 { return float64(r.Nodes) })
+	c.gauge("watching_nodes", "Nodes that watch this member.", func(r ControlReading) float64 { return float64(r.Watching) })
+	c.registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: namespace, Name: "log_syncs_total", Help: "Syncs of the log."},
+		func() float64 { return float64(c.reading().Syncs) }))
+	countBytes(c.registry, "peer_bytes_total", "Bytes on connections that nodes and members opened, by direction.", func() (sent, received uint64) {
+		reading := c.reading()
+		return reading.PeerSent, reading.PeerReceived
+	})
 	return c
 }
 
+// gauge registers a gauge that is read when it is collected.
+func (c *Control) gauge(name, help string, value func(ControlReading) float64) {
+	c.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return value(c.reading()) }))
+}
+
+// reading gives the zero value before Observe and while the member starts.
+func (c *Control) reading() ControlReading {
+	read := c.read.Load()
+	if read == nil {
+		return ControlReading{}
+	}
+	return (*read)()
+}
+
+// Observe sets where the state of the member is read from.
+func (c *Control) Observe(read func() ControlReading) { c.read.Store(&read) }
+
 // Handler serves the measures.
 func (c *Control) Handler() http.Handler { return handlerOf(c.registry) }
 
@@ -72,22 +104,9 @@
 	c.commandTime.Observe(elapsed.Seconds())
 }
 
-// Synced measures one sync of the log.
-func (c *Control) Synced(elapsed time.Duration) { c.syncTime.Observe(elapsed.Seconds()) }
-
-// Position sets the applied revision, the term and whether this member leads.
-func (c *Control) Position(revision port.Revision, term uint64, leads bool) {
-	c.revision.Set(float64(revision))
-	c.term.Set(float64(term))
-	value := 0.0
-	if leads {
-		value = 1
+func oneIf(holds bool) float64 {
+	if holds {
+		return 1
 	}
-	c.leader.Set(value)
+	return 0
 }
-
-// Watches sets how many nodes watch this member.
-func (c *Control) Watches(count int) { c.watches.Set(float64(count)) }
-
-// PeerBytes adds bytes that were sent and received.
-func (c *Control) PeerBytes(sent, received uint64) { addBytes(c.peerBytes, sent, received) }
--- a/internal/adapter/metrics/node.go
+++ b/internal/adapter/metrics/node.go
@@ -22,35 +22,33 @@
 
 // Node holds the measures of a node. Its methods are safe for concurrent use.
 type Node struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	seconds      *prometheus.HistogramVec
-	attempts     *prometheus.CounterVec
-	queued       *prometheus.GaugeVec
-	inFlight     *prometheus.GaugeVec
-	delivered    *prometheus.CounterVec
-	dropped      *prometheus.CounterVec
-	staleness    *prometheus.HistogramVec
-	trainerWait  *prometheus.HistogramVec
-	controlBytes *prometheus.CounterVec
+	registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	seconds     *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	queued      *prometheus.GaugeVec
+	inFlight    *prometheus.GaugeVec
+	delivered   *prometheus.CounterVec
+	dropped     *prometheus.CounterVec
+	staleness   *prometheus.HistogramVec
+	trainerWait *prometheus.HistogramVec
 }
 
 // NewNode makes the measures of a node.
 func NewNode() *Node {
 	n := &Node{
-		registry:     newRegistry(),
-		requests:     counter("requests_total", "Requests answered, by pool, verdict and code.", labelPool, labelVerdict, labelCode),
-		seconds:      histogram("request_seconds", "Time from a request's acceptance to its last byte.", prometheus.ExponentialBuckets(0.001, 2, 18), labelPool),
-		attempts:     counter("attempts_total", "Attempts at back ends, by pool.", labelPool),
-		queued:       gauge("queued_requests", "Requests that wait for a replica.", labelPool),
-		inFlight:     gauge("inflight_requests", "Requests accepted and not yet answered.", labelPool),
-		delivered:    counter("samples_delivered_total", "Samples delivered to the trainer.", labelPool),
-		dropped:      counter("samples_dropped_total", "Samples dropped, by reason.", labelPool, labelReason),
-		staleness:    histogram("sample_staleness_versions", "Age of delivered samples in weight versions.", prometheus.LinearBuckets(0, 1, 12), labelPool),
-		trainerWait:  histogram("trainer_wait_seconds", "Time that a trainer waited for a batch.", prometheus.ExponentialBuckets(0.005, 2, 16), labelPool),
-		controlBytes: counter("control_bytes_total", "Bytes exchanged with control members, by direction.", labelDirection),
+		registry:    newRegistry(),
+		requests:    counter("requests_total", "Requests answered, by pool, verdict and code.", labelPool, labelVerdict, labelCode),
+		seconds:     histogram("request_seconds", "Time from a request's acceptance to its last byte.", prometheus.ExponentialBuckets(0.001, 2, 18), labelPool),
+		attempts:    counter("attempts_total", "Attempts at back ends, by pool.", labelPool),
+		queued:      gauge("queued_requests", "Requests that wait for a replica.", labelPool),
+		inFlight:    gauge("inflight_requests", "Requests accepted and not yet answered.", labelPool),
+		delivered:   counter("samples_delivered_total", "Samples delivered to the trainer.", labelPool),
+		dropped:     counter("samples_dropped_total", "Samples dropped, by reason.", labelPool, labelReason),
+		staleness:   histogram("sample_staleness_versions", "Age of delivered samples in weight versions.", prometheus.LinearBuckets(0, 1, 12), labelPool),
+		trainerWait: histogram("trainer_wait_seconds", "Time that a trainer waited for a batch.", prometheus.ExponentialBuckets(0.005, 2, 16), labelPool),
 	}
-	n.registry.MustRegister(n.requests, n.seconds, n.attempts, n.queued, n.inFlight, n.delivered, n.dropped, n.staleness, n.trainerWait, n.controlBytes)
+	n.registry.MustRegister(n.requests, n.seconds, n.attempts, n.queued, n.inFlight, n.delivered, n.dropped, n.staleness, n.trainerWait)
 	return n
 }
 
@@ -106,11 +104,8 @@
 
 // The reasons.
 const (
-	DropStale   DropReason = "stale"
-	DropVoided  DropReason = "voided"
-	DropPolicy  DropReason = "policy"
-	DropFailed  DropReason = "failed"
-	DropScoring DropReason = "scoring"
+	DropStale  DropReason = "stale"
+	DropVoided DropReason = "voided"
 )
 
 // SampleDropped counts a sample that was dropped.
@@ -123,9 +118,16 @@
 	n.trainerWait.WithLabelValues(string(pool)).Observe(waited.Seconds())
 }
 
-// ControlBytes adds bytes that were sent to and received from control members.
-func (n *Node) ControlBytes(sent, received uint64) {
-	addBytes(n.controlBytes, sent, received)
+// CountControlBytes sets where the bytes exchanged with control members are
+// read from. It is called at most once.
+func (n *Node) CountControlBytes(read func() (sent, received uint64)) {
+	countBytes(n.registry, "control_bytes_total", "Bytes exchanged with control members, by direction.", read)
+}
+
+// CountPeerBytes sets where the bytes on connections that other nodes opened are
+// read from. It is called at most once.
+func (n *Node) CountPeerBytes(read func() (sent, received uint64)) {
+	countBytes(n.registry, "peer_bytes_total", "Bytes on connections that other nodes opened, by direction.", read)
 }
 
 // Forget drops the measures of a pool that is no longer configured.
--- /dev/null
+++ b/internal/adapter/metrics/page_test.go
@@ -0,0 +1,108 @@
+package metrics_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// usedNode gives a node's measures after each of its methods was called.
+func usedNode() *metrics.Node {
+	node := metrics.NewNode()
+	node.RequestBegun("lm")()
+	node.RequestDone("lm", port.NewError(port.NotRun, port.CodeQueueFull, "full"), time.Second)
+	node.Attempt("lm")
+	node.Queued("lm", 3)
+	node.SampleDelivered("lm", 2)
+	node.SampleDropped("lm", metrics.DropStale)
+	node.TrainerWaited("lm", time.Second)
+	node.CountControlBytes(func() (sent, received uint64) { return 1, 1 })
+	node.CountPeerBytes(func() (sent, received uint64) { return 1, 1 })
+	return node
+}
+
+// usedControl gives a control member's measures after a command.
+func usedControl() *metrics.Control {
+	control := metrics.NewControl()
+	control.CommandDone(nil, time.Second)
+	return control
+}
+
+// families lists what a handler serves of loomgrade's own as "name type labels".
+func families(t *testing.T, handler http.Handler) map[string]bool {
+	t.Helper()
+	text := scrape(t, handler)
+	found := map[string]bool{}
+	for line := range strings.Lines(text) {
+		var name, kind string
+		if _, err := fmt.Sscanf(line, "# TYPE %s %s", &name, &kind); err == nil && strings.HasPrefix(name, "loomgrade_") {
+			found[name+" "+kind+" "+labelsOf(text, name)] = true
+		}
+	}
+	return found
+}
+
+// labelsOf gives the labels of a family's first series, without the bound of a
+// histogram's bucket, in the order of the alphabet.
+func labelsOf(text, name string) string {
+	for line := range strings.Lines(text) {
+		series, isFirst := strings.CutPrefix(line, name)
+		series = strings.TrimPrefix(series, "_bucket")
+		if !isFirst || strings.HasPrefix(series, "_") {
+			continue
+		}
+		inside, labelled := strings.CutPrefix(series, "{")
+		if !labelled {
+			return ""
+		}
+		inside, _, _ = strings.Cut(inside, "}")
+		var names []string
+		for pair := range strings.SplitSeq(inside, ",") {
+			if label, _, _ := strings.Cut(pair, "="); label != "le" {
+				names = append(names, label)
+			}
+		}
+		return strings.Join(names, ",")
+	}
+	return ""
+}
+
+// documentedFamilies reads the table under a heading of the page.
+func documentedFamilies(t *testing.T, heading string) map[string]bool {
+	t.Helper()
+	content, err := os.ReadFile("../../../docs/operators/metrics-and-logs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(content), "\n## "+heading+"\n")
+	section, _, _ = strings.Cut(section, "\n## ")
+	found := map[string]bool{}
+	for line := range strings.Lines(section) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 5 || !strings.Contains(cells[1], "`loomgrade_") {
+			continue
+		}
+		name := strings.Trim(strings.TrimSpace(cells[1]), "`")
+		labels := strings.ReplaceAll(strings.TrimSpace(cells[3]), ", ", ",")
+		found[name+" "+strings.TrimSpace(cells[2])+" "+labels] = true
+	}
+	return found
+}
+
+func TestMeasuresAreThoseOfThePage(t *testing.T) {
+	for heading, handler := range map[string]http.Handler{
+		"Nodes": usedNode().Handler(), "Control members": usedControl().Handler(),
+	} {
+		documented, served := documentedFamilies(t, heading), families(t, handler)
+		if !maps.Equal(documented, served) {
+			t.Errorf("%s: the page lists\n%v\nthe code serves\n%v", heading, documented, served)
+		}
+	}
+}
--- a/internal/adapter/metrics/process.go
+++ b/internal/adapter/metrics/process.go
@@ -27,5 +27,25 @@
 // maxScrapes bounds the collections that run at a time.
 const maxScrapes = 4
 
-// ProcessHandler serves the measures of the process and runtime alone.
-func ProcessHandler() http.Handler { return handlerOf(newRegistry()) }
+// The directions of counted bytes.
+const (
+	labelDirection    = "direction"
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// countBytes registers a pair of counters that are read when they are
+// collected.
+func countBytes(registry *prometheus.Registry, name, help string, read func() (sent, received uint64)) {
+	pick := map[string]func() uint64{
+		directionSent:     func() uint64 { sent, _ := read(); return sent },
+		directionReceived: func() uint64 { _, received := read(); return received },
+	}
+	for direction, value := range pick {
+		options := prometheus.CounterOpts{
+			Namespace: namespace, Name: name, Help: help,
+			ConstLabels: prometheus.Labels{labelDirection: direction},
+		}
+		registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(value()) }))
+	}
+}
--- a/internal/app/control/calls.go
+++ b/internal/app/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -98,11 +99,26 @@
 	if forwarded {
 		return m.viaLeader(ctx, start, nil)
 	}
-	return m.viaLeader(ctx, start, func(leader consensus.MemberID) (port.Result, error) {
+	began := time.Now()
+	result, err := m.viaLeader(ctx, start, func(leader consensus.MemberID) (port.Result, error) {
 		var result port.Result
 		err := m.peers.call(ctx, leader, methodForward, command, &result)
 		return result, err
 	})
+	m.measure(result, err, time.Since(began))
+	return result, err
+}
+
+// measure counts the answer to a command.
+func (m *Member) measure(result port.Result, err error, elapsed time.Duration) {
+	if m.config.Recorder == nil {
+		return
+	}
+	refusal := result.Error
+	if err != nil {
+		refusal = port.AsError(err)
+	}
+	m.config.Recorder.CommandDone(refusal, elapsed)
 }
 
 // readIndex gives a position that shows every change accepted before the call.
--- a/internal/app/control/config.go
+++ b/internal/app/control/config.go
@@ -81,12 +81,21 @@
 	CheckConfiguration func(port.Configuration) error
 	// Metrics, if set, is served to operators at /metrics.
 	Metrics http.Handler
+	// Recorder takes the measures of answered commands; it may be nil.
+	Recorder Recorder
 	// FileSystem keeps the data folder; nil takes the operating system's.
 	FileSystem wal.FileSystem
 	// Logger may be nil.
 	Logger *log.Logger
 }
 
+// Recorder takes the measures of a control member.
+type Recorder interface {
+	// CommandDone counts an answer to a node or an operator; refusal is nil for
+	// an accepted command.
+	CommandDone(refusal *port.Error, elapsed time.Duration)
+}
+
 // Errors of Start.
 var (
 	// ErrConfig refuses a Config that cannot work.
--- a/internal/app/control/operator.go
+++ b/internal/app/control/operator.go
@@ -112,6 +112,12 @@
 	}, nil
 }
 
+// PeerTraffic gives the bytes on connections that nodes and members opened.
+func (m *Member) PeerTraffic() (sent, received uint64) {
+	totals := m.server.Totals()
+	return totals.BytesOut, totals.BytesIn
+}
+
 func (m *Member) ticksToMillis(ticks uint64) int64 {
 	return int64(ticks) * m.config.Tick.Milliseconds()
 }
