--- a/internal/lab/experiment/checkoverrides.go
+++ b/internal/lab/experiment/checkoverrides.go
@@ -17,6 +17,7 @@
 	if o.SharedPrefix != nil {
 		c.whole("overrides.shared_prefix_tokens", *o.SharedPrefix, 0, maxTokens)
 	}
+	c.whole("overrides.shared_prefixes", o.SharedPrefixes, 0, maxTokens)
 	c.number("overrides.caller_scale", o.CallerScale, 0, maxFactor)
 	c.engine(o.Engine)
 	c.lengths(o.Lengths)
--- a/internal/lab/experiment/distribution.go
+++ b/internal/lab/experiment/distribution.go
@@ -11,6 +11,14 @@
 	Mean  float64 `json:"mean"`
 	// Quantiles rise from the least to the largest value.
 	Quantiles []Quantile `json:"quantiles,omitempty"`
+	// Counts are the numbers of each value, where values are whole and few.
+	Counts []ValueCount `json:"counts,omitempty"`
+}
+
+// ValueCount is how often a value was recorded.
+type ValueCount struct {
+	Value int64 `json:"value"`
+	Count int64 `json:"count"`
 }
 
 // Quantile is the value that a share of all values does not exceed.
@@ -59,6 +67,18 @@
 	return distribution
 }
 
+// countsOf lists the values of a histogram with their counts. It is meant for
+// small whole values, which histograms keep exactly.
+func countsOf(histogram *hdrhistogram.Histogram) []ValueCount {
+	var counts []ValueCount
+	for _, bar := range histogram.Distribution() {
+		if bar.Count > 0 {
+			counts = append(counts, ValueCount{Value: bar.To, Count: bar.Count})
+		}
+	}
+	return counts
+}
+
 // mergeHistograms adds histograms up; nil ones are passed over. The result is nil
 // when there are none.
 func mergeHistograms(histograms []*hdrhistogram.Histogram) (*hdrhistogram.Histogram, error) {
@@ -87,9 +107,11 @@
 		if err != nil {
 			return nil, eris.Wrap(err, named.name)
 		}
-		distributions = append(distributions, NamedDistribution{
-			Name: named.name, Unit: named.unit, Distribution: distributionOf(merged, named.divisor, shares),
-		})
+		distribution := distributionOf(merged, named.divisor, shares)
+		if named.unit == unitVersions && distribution.Count > 0 {
+			distribution.Counts = countsOf(merged)
+		}
+		distributions = append(distributions, NamedDistribution{Name: named.name, Unit: named.unit, Distribution: distribution})
 	}
 	return distributions, nil
 }
--- a/internal/lab/experiment/overrides.go
+++ b/internal/lab/experiment/overrides.go
@@ -22,7 +22,9 @@
 	BufferBatches  int               `yaml:"buffer_batches,omitempty" json:"buffer_batches,omitempty"`
 	PromptTokens   int               `yaml:"prompt_tokens,omitempty" json:"prompt_tokens,omitempty"`
 	SharedPrefix   *int              `yaml:"shared_prefix_tokens,omitempty" json:"shared_prefix_tokens,omitempty"`
-	Lengths        Lengths           `yaml:"lengths,omitempty" json:"lengths,omitzero"`
+	// SharedPrefixes is the number of different prefixes that prompts share.
+	SharedPrefixes int     `yaml:"shared_prefixes,omitempty" json:"shared_prefixes,omitempty"`
+	Lengths        Lengths `yaml:"lengths,omitempty" json:"lengths,omitzero"`
 	// WeightBytes is the size of a weight version, StoreRate what the weight
 	// store gives in a second, in bytes.
 	WeightBytes uint64 `yaml:"weight_bytes,omitempty" json:"weight_bytes,omitempty"`
@@ -85,6 +87,7 @@
 	replace(&trainer.PublishEvery, o.PublishEvery)
 	replace(&trainer.PromptTokens, o.PromptTokens)
 	replacePointed(&trainer.SharedPrefixTokens, o.SharedPrefix)
+	replace(&trainer.SharedPrefixes, o.SharedPrefixes)
 	replacePointed(&trainer.Sampling.StalenessBound, o.StalenessBound)
 	replace(&trainer.Sampling.BatchSamples, o.BatchSamples)
 	replace(&trainer.Sampling.GroupSize, o.GroupSize)
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -124,7 +124,8 @@
 			jobs = append(jobs, job{point: pointIndex, variant: variantIndex, options: sim.Options{
 				Site: site,
 				Variant: sim.Variant{
-					Name: variant.Name, Routing: variant.Routing, Policy: variant.policySource, Without: variant.Without,
+					Name: variant.Name, Routing: variant.Routing, Policy: variant.policySource,
+					Without: variant.Without, ImportKV: variant.ImportKV,
 				},
 				Seed:   uint64(seed) + 1,
 				Length: s.Length.Value(),
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -108,6 +108,13 @@
 	if got := variant.DistributionNamed(experiment.DistributionStaleness).Count; got != 3*3*100 {
 		t.Errorf("%d values, want those of 3 seeds and 3 trainers", got)
 	}
+	counted := int64(0)
+	for _, count := range variant.DistributionNamed(experiment.DistributionStaleness).Counts {
+		counted += count.Count
+	}
+	if counted != 3*3*100 {
+		t.Errorf("%d values counted by age", counted)
+	}
 	if got := variant.DistributionNamed(experiment.DistributionLatency + "/pilot").Count; got != 3*100 {
 		t.Errorf("%d values, want those of 3 seeds", got)
 	}
--- a/internal/lab/experiment/settings.go
+++ b/internal/lab/experiment/settings.go
@@ -36,12 +36,16 @@
 type Variant struct {
 	Name    string      `yaml:"name" json:"name"`
 	Routing sim.Routing `yaml:"routing" json:"routing"`
-	// Policy is the file of a policy program, relative to the experiment file;
+	// Policy is the file of a policy program, relative to the experiment file
+	// unless absolute;
 	// empty keeps that of the site.
 	Policy string `yaml:"policy,omitempty" json:"policy,omitempty"`
 	// Without switches off at most one part, so that a difference has one cause.
 	Without []sim.Part `yaml:"without,omitempty" json:"without,omitempty"`
 
+	// ImportKV lets a long sample that is moved take its cache along.
+	ImportKV bool `yaml:"import_kv,omitempty" json:"import_kv,omitempty"`
+
 	// policySource is the content of Policy.
 	policySource string
 }
@@ -104,7 +108,11 @@
 		if variant.Policy == "" {
 			continue
 		}
-		source, err := readBounded(filepath.Join(filepath.Dir(path), variant.Policy))
+		policy := variant.Policy
+		if !filepath.IsAbs(policy) {
+			policy = filepath.Join(filepath.Dir(path), policy)
+		}
+		source, err := readBounded(policy)
 		if err != nil {
 			return nil, eris.Wrapf(err, "variant %s", variant.Name)
 		}
--- a/internal/lab/report/tables.go
+++ b/internal/lab/report/tables.go
@@ -232,6 +232,9 @@
 	}
 	for _, point := range results.Points {
 		for _, variant := range point.Variants {
+			if !swept(results, variant.Name) {
+				continue
+			}
 			table.add(
 				point.Name(), variant.Name,
 				estimate(variant, experiment.FigureIdleShare), limit(variant, experiment.FigureIdleShare), ratio(variant, experiment.FigureIdleShare),
@@ -243,6 +246,16 @@
 	return table
 }
 
+// swept says whether a variant runs in any sweep.
+func swept(results *experiment.Results, name string) bool {
+	for _, point := range results.Points[1:] {
+		if _, ran := point.VariantNamed(name); ran {
+			return true
+		}
+	}
+	return false
+}
+
 // parts lists the pools or classes of a figure, in the order of the first
 // variant's summary.
 func parts(point experiment.Point, figure string) []string {
