httpserve: one place for error answers and bounded listeners

The servers for callers and for operators each had a bounded listener and a mapping from codes to statuses and bodies, and the mappings differed: queue_full was 503 here and 429 there, cancelled and back_end fell through to 500 at the operators' side. Both now use one package; queue_full is 503 at both, as the clients read it.

--- a/internal/adapter/httpapi/completionanswer.go
+++ b/internal/adapter/httpapi/completionanswer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -170,5 +171,5 @@
 }
 
 func (a *completionAnswer) writeWhole() {
-	writeJSON(a.writer, http.StatusOK, a.chunk(a.text.String(), a.finish, a.spans))
+	httpserve.WriteJSON(a.writer, http.StatusOK, a.chunk(a.text.String(), a.finish, a.spans))
 }
--- a/internal/adapter/httpapi/operator.go
+++ b/internal/adapter/httpapi/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -84,16 +85,16 @@
 
 // health says that the process runs and answers.
 func (s *Server) health(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, http.StatusOK, Health{statusAlive})
+	httpserve.WriteJSON(writer, http.StatusOK, Health{statusAlive})
 }
 
 // ready says whether callers should send requests here.
 func (s *Server) ready(writer http.ResponseWriter, _ *http.Request) {
 	if s.isReady() {
-		writeJSON(writer, http.StatusOK, Health{statusReady})
+		httpserve.WriteJSON(writer, http.StatusOK, Health{statusReady})
 		return
 	}
-	writeJSON(writer, http.StatusServiceUnavailable, Health{statusNotReady})
+	httpserve.WriteJSON(writer, http.StatusServiceUnavailable, Health{statusNotReady})
 }
 
 func (s *Server) isReady() bool { return !s.draining.Load() && s.backend.Ready() }
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -77,7 +78,7 @@
 // is cut off; Shutdown is the planned way.
 func (s *Server) Start(ctx context.Context, listener net.Listener) {
 	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
-	bounded := newBoundedListener(listener, s.limits.Connections)
+	bounded := httpserve.BoundListener(listener, s.limits.Connections)
 	s.serving.Go(func() { _ = s.http.Serve(bounded) })
 	context.AfterFunc(ctx, s.Close)
 }
--- a/internal/adapter/httpapi/trainer.go
+++ b/internal/adapter/httpapi/trainer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -153,5 +154,5 @@
 		s.fail(writer, failure)
 		return
 	}
-	writeJSON(writer, http.StatusOK, body)
+	httpserve.WriteJSON(writer, http.StatusOK, body)
 }
--- a/internal/adapter/httpapi/listener.go
+++ b/internal/adapter/httpserve/listener.go
@@ -1,4 +1,4 @@
-package httpapi
+package httpserve
 
 import (
 	"net"
@@ -14,7 +14,8 @@
 	once   sync.Once
 }
 
-func newBoundedListener(listener net.Listener, connections int) *boundedListener {
+// BoundListener bounds the connections that a listener has open at a time.
+func BoundListener(listener net.Listener, connections int) net.Listener {
 	return &boundedListener{
 		Listener: listener,
 		slots:    make(chan struct{}, connections),
--- /dev/null
+++ b/internal/adapter/operatorapi/bounds_test.go
@@ -0,0 +1,119 @@
+package operatorapi
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serve serves a backend with limits and gives the address.
+func serve(t *testing.T, limits Limits) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(ServerConfig{Backend: seeded(t), Token: testToken, Limits: limits})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection
+}
+
+// TestSlowClientsAreCutOff sends part of a request and then nothing.
+func TestSlowClientsAreCutOff(t *testing.T) {
+	limits := Limits{HeaderTimeout: 30 * time.Millisecond, BodyTimeout: 30 * time.Millisecond}
+	head := "PUT " + PathConfig + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testToken + "\r\n"
+	for name, sent := range map[string]string{
+		"nothing":     "",
+		"half a head": head,
+		"half a body": head + "Content-Length: 100\r\n\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, limits)
+			connection := dial(t, address)
+			_, _ = io.WriteString(connection, sent)
+			if answer, _ := io.ReadAll(connection); strings.HasPrefix(string(answer), "HTTP/1.1 200 ") {
+				t.Errorf("answer %q", answer)
+			}
+		})
+	}
+}
+
+// TestLongHeadersAreRefused looks at the status only where one comes: it may be
+// lost when the connection closes over what the client still sends.
+func TestLongHeadersAreRefused(t *testing.T) {
+	connection := dial(t, serve(t, Limits{}))
+	_, _ = io.WriteString(connection, "GET /healthz HTTP/1.1\r\nHost: x\r\nX-Long: "+strings.Repeat("x", 4*MaxHeaderBytes)+"\r\n\r\n")
+	if answer, _ := io.ReadAll(connection); len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 431 ") {
+		t.Errorf("answer %q", answer)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	address := serve(t, Limits{Connections: 1})
+	ask := func(connection net.Conn) error {
+		if _, err := io.WriteString(connection, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	first := dial(t, address)
+	if err := ask(first); err != nil {
+		t.Fatal(err)
+	}
+	second := dial(t, address)
+	_ = second.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if err := ask(second); err == nil {
+		t.Fatal("the second connection was served beside the first")
+	}
+	_ = first.Close()
+	_ = second.SetReadDeadline(time.Time{})
+	if _, err := http.ReadResponse(bufio.NewReader(second), nil); err != nil {
+		t.Fatalf("the second connection after the first closed: %v", err)
+	}
+}
+
+// TestStoppedServerIsNotAFailure covers the planned stop.
+func TestStoppedServerIsNotAFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(ServerConfig{Backend: seeded(t), Token: testToken})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	if _, err := http.Get("http://" + listener.Addr().String() + "/healthz"); err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("serve: %v", err)
+	}
+}
--- a/internal/adapter/operatorapi/client.go
+++ b/internal/adapter/operatorapi/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -270,7 +271,7 @@
 	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Code == "" {
 		return port.NewError(port.MayHaveRun, port.CodeInternal, "status %d without an error body", response.StatusCode)
 	}
-	refusal := errorOf(decoded.Error)
+	refusal := httpserve.ParseDetail(decoded.Error)
 	if decoded.Current != nil {
 		refusal.Message += "; it is shown by config get"
 	}
--- a/internal/adapter/operatorapi/config.go
+++ b/internal/adapter/operatorapi/config.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
@@ -21,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, configOf(view))
+	httpserve.WriteJSON(writer, http.StatusOK, configOf(view))
 	return nil
 }
 
@@ -117,18 +118,18 @@
 // in force.
 func (s *Server) answerChange(writer http.ResponseWriter, request *http.Request, result port.Result, err error) error {
 	if err == nil {
-		writeJSON(writer, http.StatusOK, Accepted{Revision: result.Revision, Index: result.Index})
+		httpserve.WriteJSON(writer, http.StatusOK, Accepted{Revision: result.Revision, Index: result.Index})
 		return nil
 	}
 	var refusal *port.Error
 	if !errors.As(err, &refusal) || refusal.Code != port.CodeConflict {
 		return err
 	}
-	body := ConflictBody{ErrorBody: api.ErrorBody{Error: detailOf(refusal)}}
+	body := ConflictBody{ErrorBody: api.ErrorBody{Error: httpserve.Detail(refusal)}}
 	if view, viewErr := s.config.Backend.View(request.Context(), false); viewErr == nil {
 		body.Current = configOf(view)
 	}
-	writeErrorBody(writer, refusal, body)
+	httpserve.WriteErrorBody(writer, refusal, body)
 	return nil
 }
 
@@ -137,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, ConfigHistory{Changes: changes})
+	httpserve.WriteJSON(writer, http.StatusOK, ConfigHistory{Changes: changes})
 	return nil
 }
 
@@ -150,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, configStatus(view, reports))
+	httpserve.WriteJSON(writer, http.StatusOK, configStatus(view, reports))
 	return nil
 }
 
--- a/internal/adapter/operatorapi/errors.go
+++ b/internal/adapter/operatorapi/errors.go
@@ -6,85 +6,13 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
-	"github.com/loomgrade/loomgrade/internal/port/api"
 )
 
-// statusOf gives the HTTP status of an error.
-func statusOf(code port.Code) int {
-	switch code {
-	case port.CodeInvalid:
-		return http.StatusBadRequest
-	case port.CodeUnauthorized:
-		return http.StatusUnauthorized
-	case port.CodeNotFound:
-		return http.StatusNotFound
-	case port.CodeConflict, port.CodeChangeIDReused, port.CodeFenced, port.CodeLeaseHeld, port.CodeStale:
-		return http.StatusConflict
-	case port.CodeChangeExpired:
-		return http.StatusGone
-	case port.CodeTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case port.CodeQueueFull:
-		return http.StatusTooManyRequests
-	case port.CodeUnavailable, port.CodeDraining, port.CodeNotReady:
-		return http.StatusServiceUnavailable
-	case port.CodeDeadline:
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusInternalServerError
-}
-
-// detailOf gives the JSON form of an error.
-func detailOf(refusal *port.Error) api.ErrorDetail {
-	return api.ErrorDetail{
-		Code:         string(refusal.Code),
-		Verdict:      refusal.Verdict.String(),
-		Message:      refusal.Message,
-		Field:        refusal.Field,
-		Value:        refusal.Value,
-		Allowed:      refusal.Allowed,
-		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
-	}
-}
-
-// errorOf reads the JSON form of an error.
-func errorOf(detail api.ErrorDetail) *port.Error {
-	verdict := port.ParseVerdict(detail.Verdict)
-	if verdict == port.VerdictUnset {
-		verdict = port.MayHaveRun
-	}
-	return &port.Error{
-		Verdict:    verdict,
-		Code:       port.Code(detail.Code),
-		Message:    detail.Message,
-		Field:      detail.Field,
-		Value:      detail.Value,
-		Allowed:    detail.Allowed,
-		RetryAfter: time.Duration(detail.RetryAfterMs) * time.Millisecond,
-	}
-}
-
 func writeError(writer http.ResponseWriter, err error) {
-	refusal := port.AsError(err)
-	writeErrorBody(writer, refusal, api.ErrorBody{Error: detailOf(refusal)})
-}
-
-func writeErrorBody(writer http.ResponseWriter, refusal *port.Error, body any) {
-	writer.Header().Set(api.HeaderVerdict, refusal.Verdict.String())
-	if refusal.RetryAfter > 0 {
-		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
-		writer.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	}
-	writeJSON(writer, statusOf(refusal.Code), body)
-}
-
-func writeJSON(writer http.ResponseWriter, status int, body any) {
-	writer.Header().Set("Content-Type", "application/json")
-	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(body) // a caller that left needs no answer
+	httpserve.WriteError(writer, port.AsError(err))
 }
 
 // readJSON reads one JSON value strictly: an unknown field, a wrong type, more
--- a/internal/adapter/operatorapi/fleet.go
+++ b/internal/adapter/operatorapi/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -24,7 +25,7 @@
 	for _, published := range view.Weights {
 		answer.Pools = append(answer.Pools, PoolWeights{PublishedWeights: published, Serving: serving(reports, published.Pool)})
 	}
-	writeJSON(writer, http.StatusOK, answer)
+	httpserve.WriteJSON(writer, http.StatusOK, answer)
 	return nil
 }
 
@@ -67,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, Accepted{Revision: result.Revision, Index: result.Index})
+	httpserve.WriteJSON(writer, http.StatusOK, Accepted{Revision: result.Revision, Index: result.Index})
 	return nil
 }
 
@@ -90,7 +91,7 @@
 		}
 		answer.Pools = append(answer.Pools, summary)
 	}
-	writeJSON(writer, http.StatusOK, answer)
+	httpserve.WriteJSON(writer, http.StatusOK, answer)
 	return nil
 }
 
@@ -130,7 +131,7 @@
 			return err
 		}
 	}
-	writeJSON(writer, http.StatusOK, answer)
+	httpserve.WriteJSON(writer, http.StatusOK, answer)
 	return nil
 }
 
@@ -157,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, Replicas{Revision: view.Revision, Replicas: view.Configuration.Replicas})
+	httpserve.WriteJSON(writer, http.StatusOK, Replicas{Revision: view.Revision, Replicas: view.Configuration.Replicas})
 	return nil
 }
 
@@ -199,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, status)
+	httpserve.WriteJSON(writer, http.StatusOK, status)
 	return nil
 }
 
@@ -208,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(writer, http.StatusOK, Members{Members: status.Members})
+	httpserve.WriteJSON(writer, http.StatusOK, Members{Members: status.Members})
 	return nil
 }
 
--- a/internal/adapter/operatorapi/server.go
+++ b/internal/adapter/operatorapi/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -22,14 +25,43 @@
 	MaxHeaderBytes = 16 << 10
 	MaxConnections = 256
 
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	writeTimeout      = 60 * time.Second
-	idleTimeout       = 60 * time.Second
-	callTimeout       = 20 * time.Second
-	maxTokenBytes     = 4096
+	defaultHeaderTimeout = 5 * time.Second
+	defaultBodyTimeout   = 30 * time.Second
+	defaultWriteTimeout  = 60 * time.Second
+	idleTimeout          = 60 * time.Second
+	callTimeout          = 20 * time.Second
+	maxTokenBytes        = 4096
 )
 
+// Limits bound what clients can use. The zero value of a field means its
+// default.
+type Limits struct {
+	// Connections bounds open connections; further ones wait. Default
+	// MaxConnections.
+	Connections int
+	// HeaderTimeout, BodyTimeout and WriteTimeout bound the time to send a
+	// header, to send a whole request, and to take the answer; defaults 5s, 30s
+	// and 60s.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	WriteTimeout  time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.Connections, MaxConnections)
+	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&l.BodyTimeout, defaultBodyTimeout)
+	setDefault(&l.WriteTimeout, defaultWriteTimeout)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 // ServerConfig sets a server up.
 type ServerConfig struct {
 	Backend Backend
@@ -41,6 +73,7 @@
 	CheckConfiguration func(port.Configuration) error
 	// Metrics, if set, serves api.PathMetrics without a token.
 	Metrics http.Handler
+	Limits  Limits
 	// Now gives the time, for ages in answers; nil takes the system's clock.
 	Now func() time.Time
 }
@@ -69,14 +102,16 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	config.Limits = config.Limits.withDefaults()
 	server := &Server{config: config}
 	server.http = &http.Server{
 		Handler:           server.routes(),
 		MaxHeaderBytes:    MaxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
+		ReadHeaderTimeout: config.Limits.HeaderTimeout,
+		ReadTimeout:       config.Limits.BodyTimeout,
+		WriteTimeout:      config.Limits.WriteTimeout,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	return server
 }
@@ -86,7 +121,7 @@
 
 // Serve serves until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(limitListener(listener, MaxConnections))
+	err := s.http.Serve(httpserve.BoundListener(listener, s.config.Limits.Connections))
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -105,7 +140,7 @@
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+api.PathHealth, func(writer http.ResponseWriter, _ *http.Request) {
-		writeJSON(writer, http.StatusOK, struct{}{})
+		httpserve.WriteJSON(writer, http.StatusOK, struct{}{})
 	})
 	mux.HandleFunc("GET "+api.PathReady, s.ready)
 	if s.config.Metrics != nil {
@@ -138,7 +173,6 @@
 func (s *Server) protect(call handler) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		if !s.authorized(request) {
-			writer.Header().Set("WWW-Authenticate", "Bearer")
 			writeError(writer, port.NewError(port.NotRun, port.CodeUnauthorized, "the operator token is missing or wrong"))
 			return
 		}
@@ -170,6 +204,6 @@
 	case !status.QuorumActive:
 		writeError(writer, port.NewError(port.NotRun, port.CodeUnavailable, "out of touch with a quorum"))
 	default:
-		writeJSON(writer, http.StatusOK, struct{}{})
+		httpserve.WriteJSON(writer, http.StatusOK, struct{}{})
 	}
 }
