--- a/cmd/loomgrade/page_test.go
+++ b/cmd/loomgrade/page_test.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"go/ast"
-	"go/parser"
-	"go/token"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,87 +9,31 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
-const commandLinePage = "../../docs/operators/command-line.md"
-
-// pageRows gives the cells of the table rows under a heading of the page.
-func pageRows(t *testing.T, heading string) [][]string {
-	t.Helper()
-	content, err := os.ReadFile(commandLinePage)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, section, found := strings.Cut(string(content), "\n## "+heading+"\n")
-	if !found {
-		t.Fatalf("%s has no section %q", commandLinePage, heading)
-	}
-	section, _, _ = strings.Cut(section, "\n## ")
-	var rows [][]string
-	for line := range strings.Lines(section) {
-		line = strings.TrimSpace(line)
-		if !strings.HasPrefix(line, "|") || strings.HasPrefix(line, "| ---") {
-			continue
-		}
-		cells := strings.Split(strings.Trim(line, "|"), "|")
-		for index := range cells {
-			cells[index] = strings.TrimSpace(cells[index])
-		}
-		rows = append(rows, cells)
-	}
-	if len(rows) < 2 {
-		t.Fatalf("section %q of %s has no table", heading, commandLinePage)
-	}
-	return rows[1:]
-}
-
-// declaredCodes reads the codes of errors from their declaration.
-func declaredCodes(t *testing.T) []port.Code {
-	t.Helper()
-	file, err := parser.ParseFile(token.NewFileSet(), "../../internal/port/verdict.go", nil, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var codes []port.Code
-	ast.Inspect(file, func(node ast.Node) bool {
-		spec, isValue := node.(*ast.ValueSpec)
-		if !isValue || !strings.HasPrefix(spec.Names[0].Name, "Code") || len(spec.Values) != 1 {
-			return true
-		}
-		text, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
-		if err != nil {
-			t.Fatal(err)
-		}
-		codes = append(codes, port.Code(text))
-		return true
-	})
-	return codes
-}
+const commandLinePage = "docs/operators/command-line.md"
 
 // TestExitCodesAreThoseOfThePage also holds every code of an error against the
 // exit code that the page gives it.
 func TestExitCodesAreThoseOfThePage(t *testing.T) {
 	documented := map[port.Code]int{}
 	var numbers []int
-	for _, row := range pageRows(t, "Exit codes") {
+	for _, row := range testkit.PageRows(t, commandLinePage, "Exit codes") {
 		number, err := strconv.Atoi(row[0])
 		if err != nil {
 			t.Fatalf("exit code %q: %v", row[0], err)
 		}
 		numbers = append(numbers, number)
-		for code := range strings.FieldsSeq(strings.ReplaceAll(row[2], ",", " ")) {
-			documented[port.Code(strings.Trim(code, "`"))] = number
+		for _, code := range testkit.Quoted(row[2]) {
+			documented[port.Code(code)] = number
 		}
 	}
 	want := []int{exitOK, exitFailure, exitUsage, exitConflict, exitUnavailable, exitNotFound, exitDenied, exitAudit}
 	if !slices.Equal(numbers, want) {
 		t.Errorf("the page lists %v, the code has %v", numbers, want)
 	}
-	codes := declaredCodes(t)
-	if len(codes) < 10 {
-		t.Fatalf("only %d codes found", len(codes))
-	}
-	for _, code := range codes {
+	for _, code := range testkit.ErrorCodes(t) {
 		number, found := documented[code]
 		if !found {
 			t.Errorf("the page does not list code %s", code)
@@ -133,7 +73,7 @@
 
 func TestCommandsAreThoseOfThePage(t *testing.T) {
 	commands := commandsOf(t)
-	for _, row := range pageRows(t, "Commands") {
+	for _, row := range testkit.PageRows(t, commandLinePage, "Commands") {
 		name, _, _ := strings.Cut(strings.Trim(row[0], "`"), " UPPER")
 		name = strings.TrimPrefix(name, "loomgrade ")
 		words := slices.DeleteFunc(strings.Fields(name), func(word string) bool {
@@ -160,7 +100,7 @@
 	}
 }
 
-// TestCommandsOfTheIssue names the commands that must not get lost.
+// TestCommandsExist names the commands that must not get lost.
 func TestCommandsExist(t *testing.T) {
 	commands := commandsOf(t)
 	for _, name := range []string{
--- a/internal/adapter/metrics/page_test.go
+++ b/internal/adapter/metrics/page_test.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 // usedNode gives a node's measures after each of its methods was called.
@@ -77,21 +77,10 @@
 // documentedFamilies reads the table under a heading of the page.
 func documentedFamilies(t *testing.T, heading string) map[string]bool {
 	t.Helper()
-	content, err := os.ReadFile("../../../docs/operators/metrics-and-logs.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, section, _ := strings.Cut(string(content), "\n## "+heading+"\n")
-	section, _, _ = strings.Cut(section, "\n## ")
 	found := map[string]bool{}
-	for line := range strings.Lines(section) {
-		cells := strings.Split(line, "|")
-		if len(cells) < 5 || !strings.Contains(cells[1], "`loomgrade_") {
-			continue
-		}
-		name := strings.Trim(strings.TrimSpace(cells[1]), "`")
-		labels := strings.ReplaceAll(strings.TrimSpace(cells[3]), ", ", ",")
-		found[name+" "+strings.TrimSpace(cells[2])+" "+labels] = true
+	for _, row := range testkit.PageRows(t, "docs/operators/metrics-and-logs.md", heading) {
+		name, kind, labels := testkit.Quoted(row[0])[0], row[1], strings.ReplaceAll(row[2], ", ", ",")
+		found[name+" "+kind+" "+labels] = true
 	}
 	return found
 }
--- a/internal/adapter/operatorapi/bounds_test.go
+++ b/internal/adapter/operatorapi/bounds_test.go
@@ -11,14 +11,19 @@
 	"time"
 )
 
-// serve serves a backend with limits and gives the address.
+// serve serves a seeded backend with limits and gives the address.
 func serve(t *testing.T, limits Limits) string {
+	t.Helper()
+	return serveBackend(t, seeded(t), limits)
+}
+
+func serveBackend(t *testing.T, backend Backend, limits Limits) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(ServerConfig{Backend: seeded(t), Token: testToken, Limits: limits})
+	server := NewServer(ServerConfig{Backend: backend, Token: testToken, Limits: limits})
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	t.Cleanup(func() {
--- a/internal/adapter/settings/page_test.go
+++ b/internal/adapter/settings/page_test.go
@@ -1,13 +1,13 @@
 package settings_test
 
 import (
-	"os"
 	"reflect"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/settings"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 // keysOf lists the keys of a struct of settings with those of its sections.
@@ -30,16 +30,9 @@
 }
 
 func TestKeysAreThoseOfThePage(t *testing.T) {
-	content, err := os.ReadFile("../../../docs/operators/settings.md")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var documented []string
-	for line := range strings.Lines(string(content)) {
-		cell, isKey := strings.CutPrefix(line, "| `")
-		if key, _, closed := strings.Cut(cell, "`"); isKey && closed {
-			documented = append(documented, key)
-		}
+	for _, row := range testkit.PageRows(t, "docs/operators/settings.md", "Keys") {
+		documented = append(documented, testkit.Quoted(row[0])...)
 	}
 	keys := keysOf(reflect.TypeFor[settings.File](), "")
 	slices.Sort(keys)
--- a/internal/lab/standin/application.go
+++ b/internal/lab/standin/application.go
@@ -117,7 +117,7 @@
 	if a.disturbed(w, r) {
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, port.NewError(port.NotRun, port.CodeInvalid, "body: %v", err))
 		return
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -22,8 +23,10 @@
 	PathObservations = "/observations" // GET audit.Observations
 )
 
+// MaxBody bounds the body of every request to a stand-in, in bytes.
+const MaxBody = 8 << 20
+
 const (
-	maxBody           = 8 << 20
 	readHeaderTimeout = 10 * time.Second
 	relistenEvery     = 20 * time.Millisecond
 	contentTypeJSON   = "application/json"
@@ -207,12 +210,16 @@
 func cutConnection() { panic(http.ErrAbortHandler) }
 
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	if err := decoder.Decode(into); err != nil {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, port.NewError(port.NotRun, port.CodeTooLarge, "body: %v", err))
+	case err != nil:
 		writeError(w, http.StatusBadRequest, port.NewError(port.NotRun, port.CodeInvalid, "body: %v", err))
-		return false
 	}
-	return true
+	return err == nil
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -53,8 +53,11 @@
 	// MaxSteps ends the training after so many steps; 0 means never.
 	MaxSteps int
 	// Wait is how long a question for a batch may be held. Default 2 s.
-	Wait    time.Duration
-	Prompts PromptConfig
+	Wait time.Duration
+	// Patience is how long over Wait an answer may take before the trainer asks
+	// again. Default 10 s.
+	Patience time.Duration
+	Prompts  PromptConfig
 	// Kept are the deliveries that earlier lives recorded. They are the
 	// checkpoint that a trainer of a new process goes on from.
 	Kept []audit.Delivery
@@ -90,8 +93,9 @@
 	setDefault(&config.FirstVersion, 1)
 	setDefault(&config.WeightBytes, 4<<20)
 	setDefault(&config.Wait, 2*time.Second)
+	setDefault(&config.Patience, 10*time.Second)
 	config.Prompts.applyDefaults()
-	t := &Trainer{config: config, client: &http.Client{Timeout: config.Wait + 10*time.Second}}
+	t := &Trainer{config: config, client: &http.Client{Timeout: config.Wait + config.Patience}}
 	t.stats.Version = config.FirstVersion
 	t.restore(config.Kept)
 	t.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse,
