home, gate: send nothing to engines that only staged an adapter; probe when all are out

Engines that had an adapter staged, but not in service, counted as having it loaded. Samples for it went there and were refused; the refusals counted against the engines, all nine were ejected, and the concurrency limits fell from 16 to 1. Each zone's home kept the ejection bound for itself alone, so three homes of three engines each put out all nine, with a bound of half. Probed replicas offered the policy no place: the default policy aims for no more than the places there are, aimed for none, and no request came to probe with.

Change, each with a test: - an adapter counts as loaded only when the engine serves a known version of it (gate, summaries); - a rollout of an adapter takes no replica out of routing for not having it, since its requests are kept away and those of other adapters may go on; - a probed replica offers one place; - the ejection bound of an engine pool counts the replicas that homes of other zones hold out, by the zones' aggregates.

--- a/internal/app/node/poolstate.go
+++ b/internal/app/node/poolstate.go
@@ -173,9 +173,9 @@
 		Replica:   held.Replica.ID,
 		Report:    held.Report(now),
 		Reachable: held.Reachable() && !summary.Leaving,
-		Routable:  summary.Routable(),
+		Routable:  summary.Takes() > 0,
 		Inflight:  load.Inflight,
-		Limit:     load.Limit,
+		Limit:     summary.Takes(),
 	}
 }
 
--- a/internal/app/node/rebuild.go
+++ b/internal/app/node/rebuild.go
@@ -124,17 +124,25 @@
 		}
 	}
 	tracker.SetReplicas(judged)
-	tracker.SetPool(ejection.Pool{Size: len(replicas), OutElsewhere: c.outElsewhere(pool.Name, owned)})
+	tracker.SetPool(ejection.Pool{Size: len(replicas), OutElsewhere: c.outElsewhere(pool, owned)})
 }
 
-// outElsewhere counts the zone's replicas of a pool that other homes hold out.
-func (c *controller) outElsewhere(pool port.PoolName, owned map[port.ReplicaID]ownedReplica) int {
+// outElsewhere counts the replicas of a pool that other homes hold out, of this
+// zone and, by the word of their aggregators, of the others. Those of an
+// application pool in other zones are judged here.
+func (c *controller) outElsewhere(pool port.Pool, owned map[port.ReplicaID]ownedReplica) int {
 	count := 0
 	c.summaries.Each(time.Now(), c.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
-		if _, own := owned[replica.Replica]; !own && replica.Pool == pool && (replica.Ejected || replica.Probing) {
+		if _, own := owned[replica.Replica]; !own && replica.Pool == pool.Name && (replica.Ejected || replica.Probing) {
 			count++
 		}
 	})
+	if pool.Kind == port.PoolApplication {
+		return count
+	}
+	for _, aggregate := range c.aggregates.Pool(time.Now(), pool.Name, maxAggregateAge) {
+		count += aggregate.Unhealthy
+	}
 	return count
 }
 
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -186,3 +186,27 @@
 		}
 	}
 }
+
+// A request for an adapter goes to a replica that serves it, not to one that has
+// only staged it or doesn't know its version.
+func TestStagedAdapterServesNothing(t *testing.T) {
+	replica := func(id port.ReplicaID, version, staged port.WeightVersion) gate.Replica {
+		adapters := []port.AdapterVersion{{Name: "notes", Version: version, Staged: staged}}
+		return gate.Replica{ID: id, ReportedAt: start, Report: port.LoadReport{Version: 1, Adapters: adapters}}
+	}
+	under := newGate(4, 4, replica("staged", 0, 2), replica("serving", 2, 0))
+	for index := range 4 {
+		wanted := ticket(fmt.Sprint(index))
+		wanted.Request.Pick.Adapter = "notes"
+		under.Offer(start, wanted)
+		if wanted.State != gate.Granted || wanted.Replica != "serving" {
+			t.Fatalf("request %d: state %v at %q", index, wanted.State, wanted.Replica)
+		}
+	}
+	under.Configure(start, gate.Settings{MaxInflight: 4, QueueLength: 4}, []gate.Replica{replica("staged", 0, 2)})
+	refused := ticket("refused")
+	refused.Request.Pick.Adapter = "notes"
+	if under.Offer(start, refused); refused.Refusal == nil || refused.Refusal.Code != port.CodeNoBackEnd {
+		t.Errorf("state %v, refusal %v", refused.State, refused.Refusal)
+	}
+}
--- a/internal/core/gate/slot.go
+++ b/internal/core/gate/slot.go
@@ -52,10 +52,7 @@
 		s.finishedMark = s.finished
 	}
 	s.replica = replica
-	s.adapters = s.adapters[:0]
-	for _, adapter := range replica.Report.Adapters {
-		s.adapters = append(s.adapters, adapter.Name)
-	}
+	s.adapters = replica.Report.Loaded()
 }
 
 // routable says whether the replica takes requests at all.
--- a/internal/core/home/record.go
+++ b/internal/core/home/record.go
@@ -132,9 +132,7 @@
 		Inflight:       load.Inflight,
 		Limit:          load.Limit,
 		Queued:         queued,
-	}
-	for _, adapter := range r.report.Adapters {
-		summary.Adapters = append(summary.Adapters, adapter.Name)
+		Adapters:       r.report.Loaded(),
 	}
 	if tracker != nil {
 		r.judge(now, tracker, &summary)
--- a/internal/core/membership/aggregate.go
+++ b/internal/core/membership/aggregate.go
@@ -24,6 +24,8 @@
 	Free     int            `cbor:"8,keyasint"`
 	Queued   int            `cbor:"9,keyasint,omitempty"`
 	Versions []VersionCount `cbor:"10,keyasint,omitempty"`
+	// Unhealthy counts the replicas that are ejected or probed.
+	Unhealthy int `cbor:"11,keyasint,omitempty"`
 }
 
 // VersionCount counts the routable replicas of a version and their free places.
@@ -57,6 +59,9 @@
 func (a *PoolAggregate) add(replica *ReplicaSummary) {
 	a.Replicas++
 	a.Queued += replica.Queued
+	if replica.Ejected || replica.Probing {
+		a.Unhealthy++
+	}
 	if !replica.Routable() {
 		return
 	}
--- a/internal/core/membership/summary.go
+++ b/internal/core/membership/summary.go
@@ -44,9 +44,27 @@
 	Adapters      []string `cbor:"18,keyasint,omitempty"`
 }
 
-// Routable says whether the replica takes requests at all.
+// Routable says whether the replica takes requests up to its limit.
 func (r *ReplicaSummary) Routable() bool {
-	return !r.Ejected && !r.Probing && !r.Draining && !r.Leaving && !r.VersionUnknown
+	return !r.Probing && !r.out()
+}
+
+func (r *ReplicaSummary) out() bool {
+	return r.Ejected || r.Draining || r.Leaving || r.VersionUnknown
+}
+
+// Takes gives the number of requests that the replica takes at a time. A probed
+// one takes a single request: were it to take none, a pool whose replicas are
+// all probed would send nothing and never learn that they are well again.
+func (r *ReplicaSummary) Takes() int {
+	switch {
+	case r.out():
+		return 0
+	case r.Probing:
+		return 1
+	default:
+		return r.Limit
+	}
 }
 
 // SummaryInterval gives the time between two summaries of a home, such that
--- a/internal/core/membership/summary_test.go
+++ b/internal/core/membership/summary_test.go
@@ -84,7 +84,7 @@
 	}
 	lm := got[1]
 	versions := []VersionCount{{Version: 4, Replicas: 1, Free: 0}, {Version: 5, Replicas: 2, Free: 13}}
-	if lm.Replicas != 8 || lm.Routable != 3 || lm.Free != 13 || lm.Queued != 2 || !slices.Equal(lm.Versions, versions) {
+	if lm.Replicas != 8 || lm.Routable != 3 || lm.Free != 13 || lm.Queued != 2 || lm.Unhealthy != 2 || !slices.Equal(lm.Versions, versions) {
 		t.Errorf("aggregate %+v, want versions %+v", lm, versions)
 	}
 }
@@ -116,3 +116,28 @@
 		}
 	}
 }
+
+func TestTakes(t *testing.T) {
+	tests := map[string]struct {
+		summary  ReplicaSummary
+		takes    int
+		routable bool
+	}{
+		"healthy":         {ReplicaSummary{Limit: 8}, 8, true},
+		"probed":          {ReplicaSummary{Limit: 8, Probing: true}, 1, false},
+		"ejected":         {ReplicaSummary{Limit: 8, Ejected: true}, 0, false},
+		"leaving":         {ReplicaSummary{Limit: 8, Leaving: true, Probing: true}, 0, false},
+		"draining":        {ReplicaSummary{Limit: 8, Draining: true}, 0, false},
+		"unknown version": {ReplicaSummary{Limit: 8, VersionUnknown: true}, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.summary.Takes(); got != test.takes {
+				t.Errorf("takes %d, want %d", got, test.takes)
+			}
+			if got := test.summary.Routable(); got != test.routable {
+				t.Errorf("routable %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/rollout/reports.go
+++ b/internal/core/rollout/reports.go
@@ -105,9 +105,11 @@
 }
 
 // settleRouting takes a replica out whose report names no version, and puts it
-// back once a report made after the doubt names one.
+// back once a report made after the doubt names one. A report that names none of
+// an adapter is no doubt: requests for the adapter go to replicas that have it
+// loaded, and those for other adapters may go on here.
 func (r *Rollout) settleRouting(member *replica, made time.Time) {
-	if member.version == 0 {
+	if member.version == 0 && r.config.Adapter == "" {
 		r.doubt(member, "reports no known version")
 		return
 	}
--- a/internal/core/rollout/turn_test.go
+++ b/internal/core/rollout/turn_test.go
@@ -19,6 +19,8 @@
 	adapters []port.PoolName
 	// cutOff pools get no weights: their orders to stage fail.
 	cutOff map[port.PoolName]bool
+	// routedOut counts the replicas that a rollout took out of routing.
+	routedOut int
 }
 
 func newSharedEngines(t *testing.T, adapters ...port.PoolName) *sharedEngines {
@@ -51,8 +53,11 @@
 
 func (s *sharedEngines) step(pool port.PoolName, event rollout.Event) {
 	for _, action := range s.rollouts[pool].Step(start.Add(s.now), event) {
-		if sent, isOrder := action.(rollout.SendOrder); isOrder {
-			s.order(pool, sent)
+		switch action := action.(type) {
+		case rollout.SendOrder:
+			s.order(pool, action)
+		case rollout.RouteOut:
+			s.routedOut++
 		}
 	}
 }
@@ -116,6 +121,10 @@
 			}
 		}
 	}
+	// An adapter that isn't loaded yet is no reason to take the others' replicas.
+	if shared.routedOut != 0 {
+		t.Errorf("%d times a replica was out of routing", shared.routedOut)
+	}
 }
 
 func TestPoolWithoutWeightsHoldsUpNoOther(t *testing.T) {
--- a/internal/port/generation.go
+++ b/internal/port/generation.go
@@ -117,6 +117,18 @@
 	return 0, 0
 }
 
+// Loaded lists the adapters that the engine serves a known version of. One that
+// is only staged, or was left in an unknown state by a swap, is not among them.
+func (r *LoadReport) Loaded() []string {
+	var names []string
+	for _, adapter := range r.Adapters {
+		if adapter.Version != 0 {
+			names = append(names, adapter.Name)
+		}
+	}
+	return names
+}
+
 // EngineRole says which phases an engine serves.
 type EngineRole string
 
