membership: bound the notices that wait, and the memory of the benchmark

One run of the benchmark was seen to grow to 24 GB.

Now a later notice about a node takes the place of an earlier one, unreached receivers first, so that a node holds one for each node of its zone at most; the test fleet stops at 2 million messages in flight; the benchmark keeps no changes. The new test fails when notices are only appended.

--- a/internal/core/membership/bench_test.go
+++ b/internal/core/membership/bench_test.go
@@ -25,6 +25,7 @@
 			f.stopped[f.nodes[size/2]] = true
 			death := f.countBytes(b)
 			clear(f.sent)
+			f.changes = nil // not kept, so that the state does not grow with b.N
 			virtual := time.Duration(0)
 			for b.Loop() {
 				f.run(DefaultInterval)
--- a/internal/core/membership/detector.go
+++ b/internal/core/membership/detector.go
@@ -69,7 +69,7 @@
 	nextBeat  time.Time
 	beats     uint64
 	nextProbe int
-	outbox    []Envelope
+	outbox    outbox
 	output    Output
 	// listed says that the control view lists this node, draining and leaving
 	// what the view and the machine list say of it.
@@ -280,9 +280,7 @@
 		receivers = append(receivers, id)
 	}
 	slices.Sort(receivers)
-	for _, receiver := range receivers {
-		d.outbox = append(d.outbox, Envelope{To: receiver, Message: message})
-	}
+	d.outbox.add(message, receivers)
 }
 
 // send asks for a message to be sent at once.
@@ -292,9 +290,7 @@
 
 // flush ends a step: it adds up to count queued notices and hands over.
 func (d *Detector) flush(count int) Output {
-	count = min(count, len(d.outbox))
-	d.output.Messages = append(d.output.Messages, d.outbox[:count]...)
-	d.outbox = slices.Delete(d.outbox, 0, count)
+	d.output.Messages = d.outbox.take(count, d.output.Messages)
 	output := d.output
 	d.output = Output{}
 	return output
--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -12,6 +12,10 @@
 
 const testZone = port.ZoneName("north")
 
+// maxFlight bounds the messages in flight, and with them the memory of a test or
+// benchmark whose nodes send ever more.
+const maxFlight = 1 << 21
+
 var testStart = time.UnixMilli(1_700_000_000_000)
 
 // fleet runs the detectors of one zone in virtual time over a faulty network.
@@ -63,7 +67,12 @@
 }
 
 func (f *fleet) handle(from port.NodeID, output Output) {
-	f.changes[from] = append(f.changes[from], output.Changes...)
+	if f.changes != nil {
+		f.changes[from] = append(f.changes[from], output.Changes...)
+	}
+	if len(f.flight)+len(output.Messages) > maxFlight {
+		panic(fmt.Sprintf("over %d messages in flight: the nodes answer each other without end", maxFlight))
+	}
 	for _, envelope := range output.Messages {
 		f.sent[from]++
 		if f.observe != nil {
@@ -341,3 +350,27 @@
 		t.Error("declared dead on the word of nodes that do not watch it")
 	}
 }
+
+// Notices that wait must not pile up while a zone loses messages: nodes that are
+// suspected again and again announce themselves faster than a small allowance
+// lets notices out.
+func TestWaitingNoticesAreBounded(t *testing.T) {
+	f := newFleet(60, 7)
+	for _, detector := range f.detectors {
+		detector.config.MessagesPerInterval = 1
+	}
+	f.loss = 0.5
+	f.run(5 * time.Minute)
+	for node, detector := range f.detectors {
+		about := make(map[port.NodeID]bool)
+		for _, queued := range detector.outbox.notices {
+			if about[queued.message.about()] {
+				t.Errorf("%s has two notices about %s waiting, want one at most", node, queued.message.about())
+			}
+			about[queued.message.about()] = true
+		}
+	}
+	f.loss = 0
+	f.run(10 * time.Minute)
+	f.wantLive(t, f.nodes)
+}
