--- a/cmd/loomlab/main.go
+++ b/cmd/loomlab/main.go
@@ -18,6 +18,7 @@
 	Run     runCommand     `cmd:"" help:"Run an experiment's variants side by side in virtual time."`
 	Compare compareCommand `cmd:"" help:"Say which figures of two results are better, worse or within noise."`
 	Chaos   chaosCommand   `cmd:"" help:"Run the control members under simulated faults and check invariants."`
+	Fleet   fleetCommand   `cmd:"" help:"Emulate a whole fleet in one process, in virtual time, and count what each role uses."`
 }
 
 // Exit codes, documented in docs/operators/experiments.md.
