cmd, docs: take signals before anything starts; one page of protocols

A process registered for signals after it had said that it runs: a SIGUSR1 or SIGTERM in between killed it. It now registers before anything starts, and a signal during a planned stop no longer ends it by default. A token file that is missing or empty is a usage error as a bad settings file is.

--- a/cmd/loomgrade/process.go
+++ b/cmd/loomgrade/process.go
@@ -4,11 +4,11 @@
 	"context"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/ringlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/settings"
 )
@@ -19,6 +19,8 @@
 	ring          *ringlog.Ring
 	peerToken     string
 	operatorToken string
+	// signals are taken from before anything starts, so that none is lost.
+	signals chan os.Signal
 }
 
 // newProcess reads a settings file and opens what it names.
@@ -27,17 +29,17 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	ring, err := ringlog.Open(file.Log.RingLines, file.Log.File)
-	if err != nil {
-		return nil, err
-	}
-	started := &process{file: file, ring: ring}
+	started := &process{file: file, signals: make(chan os.Signal, 1)}
 	if started.peerToken, err = readToken("peer_token_file", file.PeerTokenFile); err != nil {
 		return nil, err
 	}
 	if started.operatorToken, err = readToken("operator_token_file", file.OperatorTokenFile); err != nil {
 		return nil, err
 	}
+	if started.ring, err = ringlog.Open(file.Log.RingLines, file.Log.File); err != nil {
+		return nil, err
+	}
+	signal.Notify(started.signals, os.Interrupt, syscall.SIGTERM, syscall.SIGUSR1)
 	return started, nil
 }
 
@@ -46,13 +48,9 @@
 	if path == "" {
 		return "", nil
 	}
-	content, err := os.ReadFile(path)
+	token, err := operatorapi.LoadToken(path)
 	if err != nil {
-		return "", eris.Wrapf(err, "%s", key)
-	}
-	token := strings.TrimSpace(string(content))
-	if token == "" {
-		return "", eris.Errorf("%s: %s is empty, allowed: a file that holds a token", key, path)
+		return "", usageError{eris.Wrapf(err, "%s", key)}
 	}
 	return token, nil
 }
@@ -60,14 +58,11 @@
 // untilStopped waits for an interrupt or a termination signal, or until done
 // is closed. On SIGUSR1 it writes the log ring out and goes on waiting.
 func (p *process) untilStopped(done <-chan struct{}) {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM, syscall.SIGUSR1)
-	defer signal.Stop(stop)
 	for {
 		select {
 		case <-done:
 			return
-		case received := <-stop:
+		case received := <-p.signals:
 			if received != syscall.SIGUSR1 {
 				return
 			}
--- /dev/null
+++ b/internal/adapter/httpserve/httpserve_test.go
@@ -0,0 +1,112 @@
+package httpserve_test
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+func TestStatusesAreThoseOfThePage(t *testing.T) {
+	documented := map[port.Code]int{}
+	for _, row := range testkit.PageRows(t, "docs/PROTOCOLS.md", "Errors") {
+		status, err := strconv.Atoi(row[0])
+		if err != nil {
+			t.Fatalf("status %q: %v", row[0], err)
+		}
+		for _, code := range testkit.Quoted(row[1]) {
+			documented[port.Code(code)] = status
+		}
+	}
+	codes := testkit.ErrorCodes(t)
+	for _, code := range codes {
+		if got := httpserve.Status(code); got != documented[code] {
+			t.Errorf("%s is %d, the page says %d", code, got, documented[code])
+		}
+	}
+	if len(documented) != len(codes) {
+		t.Errorf("the page lists %d codes, there are %d", len(documented), len(codes))
+	}
+}
+
+func TestErrorsSurviveTheWay(t *testing.T) {
+	cases := []struct {
+		name          string
+		failure, want port.Error
+		retryAfter    string
+	}{
+		{"whole", port.Error{Verdict: port.NotRun, Code: port.CodeInvalid, Message: "m", Field: "f", Value: "v", Allowed: "a"},
+			port.Error{Verdict: port.NotRun, Code: port.CodeInvalid, Message: "m", Field: "f", Value: "v", Allowed: "a"}, ""},
+		{"unset verdict", port.Error{Code: port.CodeInternal}, port.Error{Verdict: port.MayHaveRun, Code: port.CodeInternal}, ""},
+		{"time to come back", port.Error{Verdict: port.NotRun, Code: port.CodeQueueFull, RetryAfter: 1001 * time.Millisecond},
+			port.Error{Verdict: port.NotRun, Code: port.CodeQueueFull, RetryAfter: 1001 * time.Millisecond}, "2"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			httpserve.WriteError(recorder, &test.failure)
+			var body api.ErrorBody
+			if err := json.Unmarshal(recorder.Body.Bytes(), &body); err != nil {
+				t.Fatal(err)
+			}
+			if got := httpserve.ParseDetail(body.Error); *got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			if got := recorder.Header().Get("Retry-After"); got != test.retryAfter {
+				t.Errorf("Retry-After %q, want %q", got, test.retryAfter)
+			}
+			if got := recorder.Header().Get(api.HeaderVerdict); got != test.want.Verdict.String() {
+				t.Errorf("%s %q, want %q", api.HeaderVerdict, got, test.want.Verdict)
+			}
+		})
+	}
+}
+
+func TestAnswersThatCannotBeEncodedAreErrors(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	httpserve.WriteJSON(recorder, http.StatusOK, func() {})
+	if recorder.Code != http.StatusInternalServerError || recorder.Header().Get(api.HeaderVerdict) != port.MayHaveRun.String() {
+		t.Errorf("status %d, header %v", recorder.Code, recorder.Header())
+	}
+}
+
+// TestBoundedListenerClosesWhileItWaits closes a listener whose Accept waits for
+// a slot.
+func TestBoundedListenerClosesWhileItWaits(t *testing.T) {
+	below, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := httpserve.BoundListener(below, 1)
+	client, err := net.Dial("tcp", below.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		waiting <- err
+	}()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-waiting; err == nil {
+		t.Error("a closed listener accepted")
+	}
+	// Closing a connection twice gives one slot back.
+	_ = accepted.Close()
+	_ = accepted.Close()
+}
