rollout: order weights again at once when an engine's load breaks off

Cause: with the weight store killed while engines loaded from it, no engine served anything new for StageTimeout, two minutes, and the trainer had no batch: the engines had given the broken load up, and the load report said nothing of it.

Ruled out: a shorter StageTimeout. It would order slow loads again and again and free their place among the few that may load at a time.

Change: load reports name the version being loaded (staging_version, left out when there is none). The rollout ends an order to stage once the engine said that it loads the version and later that it loads it no more without having staged it. An engine that never says so has its StageTimeout as before.

--- a/internal/core/rollout/fleet_test.go
+++ b/internal/core/rollout/fleet_test.go
@@ -120,6 +120,7 @@
 func (e *fakeEngine) execute(now time.Time, order port.Order) {
 	if order.Kind == port.OrderStage {
 		e.loading, e.loadedAt = order.Version, now.Add(stageTime)
+		e.report.Staging = order.Version
 		return
 	}
 	switch {
@@ -137,7 +138,7 @@
 func (f *fleet) reportAll() {
 	for _, engine := range f.engines {
 		if engine.loading != 0 && !f.now.Before(engine.loadedAt) {
-			engine.report.Staged, engine.loading = engine.loading, 0
+			engine.report.Staged, engine.report.Staging, engine.loading = engine.loading, 0, 0
 		}
 		if engine.reachable {
 			f.step(rollout.LoadReported{Replica: engine.id, Report: engine.report})
--- a/internal/core/rollout/reports.go
+++ b/internal/core/rollout/reports.go
@@ -80,6 +80,7 @@
 	before := member.version
 	member.version, member.staged = report.Serves(r.config.Adapter)
 	r.settleOrder(member, before, made)
+	r.settleLoading(member, report.Loads(r.config.Adapter))
 	r.settleRouting(member, made)
 }
 
@@ -104,6 +105,25 @@
 	}
 }
 
+// settleLoading ends an order to stage when the replica stopped loading without
+// having staged, as after a broken transfer, so that it need not wait for
+// StageTimeout. A replica that never says what it loads is not judged.
+func (r *Rollout) settleLoading(member *replica, loads port.WeightVersion) {
+	order := member.order
+	if order == nil || order.kind != port.OrderStage {
+		return
+	}
+	if loads == order.version {
+		order.loading = true
+		return
+	}
+	if order.loading {
+		member.order = nil
+		r.delay(member)
+		r.note(member.id, fmt.Sprintf("stopped loading version %d before it was whole; ordering again", order.version))
+	}
+}
+
 // settleRouting takes a replica out whose report names no version, and puts it
 // back once a report made after the doubt names one. A report that names none of
 // an adapter is no doubt: requests for the adapter go to replicas that have it
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -61,6 +61,8 @@
 	kind    port.OrderKind
 	version port.WeightVersion
 	sent    time.Time
+	// loading is set once a report showed that the replica loads the version.
+	loading bool
 }
 
 // maxSkipped bounds how often in a row a newer publication replaces a target
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -161,6 +161,23 @@
 				t.Fatalf("versions %v after %d orders to stage", f.versions(), f.count(engine, port.OrderStage))
 			}
 		}},
+		{"a load that breaks off is ordered again at once", rollout.Config{}, func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.run(2 * time.Second)
+			f.engines[1].loading, f.engines[1].report.Staging = 0, 0
+			f.run(2*stageTime + time.Second)
+			if !allServe(f, 2) || f.count(f.engines[1], port.OrderStage) != 2 {
+				t.Fatalf("versions %v after %d orders to stage", f.versions(), f.count(f.engines[1], port.OrderStage))
+			}
+		}},
+		{"an engine that does not say what it loads has its time", rollout.Config{StageTimeout: 20 * time.Second}, func(t *testing.T, f *fleet) {
+			f.engines[1].silent = true
+			f.publish(2)
+			f.run(19 * time.Second)
+			if f.count(f.engines[1], port.OrderStage) != 1 {
+				t.Fatalf("%d orders to stage", f.count(f.engines[1], port.OrderStage))
+			}
+		}},
 		{"restart on old weights after the switch", rollout.Config{}, func(t *testing.T, f *fleet) {
 			f.publish(2)
 			f.run(20 * time.Second)
--- a/internal/lab/engine/translate.go
+++ b/internal/lab/engine/translate.go
@@ -6,8 +6,8 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// Report gives the load in the form that engines answer in. Of several staged
-// versions of a name the newest shows.
+// Report gives the load in the form that engines answer in. Of several versions
+// of a name that are staged or loaded the newest shows.
 func (l Load) Report() port.LoadReport {
 	report := port.LoadReport{
 		Running: l.Running, Waiting: l.Waiting, KVUsed: l.KVUsed, KVTotal: l.KVTotal,
@@ -23,24 +23,31 @@
 		report.Adapters = append(report.Adapters, port.AdapterVersion{Name: name, Version: l.Adapters[name]})
 	}
 	for _, staged := range l.Staged {
-		addStaged(&report, staged)
+		version := versionsOf(&report, staged.Adapter).staged
+		*version = max(*version, staged.Version)
+	}
+	for _, staging := range l.Staging {
+		version := versionsOf(&report, staging.Adapter).staging
+		*version = max(*version, staging.Version)
 	}
 	return report
 }
 
-// addStaged notes staged weights; the newest of a name shows.
-func addStaged(report *port.LoadReport, staged Weights) {
-	if staged.Adapter == "" {
-		report.Staged = max(report.Staged, staged.Version)
-		return
+// versions are the places of a report for what is staged and what is loaded.
+type versions struct{ staged, staging *port.WeightVersion }
+
+// versionsOf finds the places for the base model or an adapter, which is added
+// if the report lacks it.
+func versionsOf(report *port.LoadReport, adapter string) versions {
+	if adapter == "" {
+		return versions{&report.Staged, &report.Staging}
 	}
-	for i := range report.Adapters {
-		if report.Adapters[i].Name == staged.Adapter {
-			report.Adapters[i].Staged = max(report.Adapters[i].Staged, staged.Version)
-			return
-		}
+	place := slices.IndexFunc(report.Adapters, func(known port.AdapterVersion) bool { return known.Name == adapter })
+	if place < 0 {
+		place = len(report.Adapters)
+		report.Adapters = append(report.Adapters, port.AdapterVersion{Name: adapter})
 	}
-	report.Adapters = append(report.Adapters, port.AdapterVersion{Name: staged.Adapter, Staged: staged.Version})
+	return versions{&report.Adapters[place].Staged, &report.Adapters[place].Staging}
 }
 
 // OrderFrom translates an order from the form that engines are sent.
--- a/internal/port/generation.go
+++ b/internal/port/generation.go
@@ -93,14 +93,31 @@
 	Incarnation uint64           `cbor:"10,keyasint" json:"incarnation"`
 	// AgeMillis is how old the report was when it was sent.
 	AgeMillis int64 `cbor:"11,keyasint" json:"age_ms"`
+	// Staging is the version being loaded from the weight store; 0 means none.
+	Staging WeightVersion `cbor:"12,keyasint,omitempty" json:"staging_version,omitempty"`
 }
 
-// AdapterVersion says which version of an adapter an engine serves and which it
-// has staged.
+// AdapterVersion says which version of an adapter an engine serves, which it has
+// staged and which it is loading.
 type AdapterVersion struct {
 	Name    string        `cbor:"1,keyasint" json:"name"`
 	Version WeightVersion `cbor:"2,keyasint" json:"version"`
 	Staged  WeightVersion `cbor:"3,keyasint" json:"staged_version"`
+	Staging WeightVersion `cbor:"4,keyasint,omitempty" json:"staging_version,omitempty"`
+}
+
+// Loads gives the version that the engine is loading of an adapter, or of the
+// base model where the adapter is empty; 0 means none.
+func (r *LoadReport) Loads(adapter string) WeightVersion {
+	if adapter == "" {
+		return r.Staging
+	}
+	for _, known := range r.Adapters {
+		if known.Name == adapter {
+			return known.Staging
+		}
+	}
+	return 0
 }
 
 // Serves gives the version that the engine serves of an adapter, or of the base
