--- a/internal/core/home/leaving.go
+++ b/internal/core/home/leaving.go
@@ -1,7 +1,7 @@
 package home
 
 import (
-	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -50,9 +50,9 @@
 // Has says whether some poller told that the machine of an address leaves. The
 // list may name the machine with or without a port.
 func (l *Leaving) Has(address string) bool {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		host = address
+	host := address
+	if parsed, err := netip.ParseAddrPort(address); err == nil {
+		host = parsed.Addr().String()
 	}
 	for _, list := range l.told {
 		for _, machine := range list.machines {
