--- /dev/null
+++ b/test/source/source_test.go
@@ -0,0 +1,192 @@
+package source_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// sourceFile is one parsed file, by its path from the root.
+type sourceFile struct {
+	path    string
+	syntax  *ast.File
+	imports map[string]string // path by the name that the file uses
+}
+
+// sources parses the Go files below a folder, without tests.
+func sources(t *testing.T, below string) []sourceFile {
+	t.Helper()
+	root := testkit.Root(t)
+	var found []sourceFile
+	err := filepath.WalkDir(filepath.Join(root, below), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		syntax, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		found = append(found, sourceFile{relative, syntax, importsOf(syntax)})
+		return err
+	})
+	if err != nil || len(found) < 10 {
+		t.Fatalf("%d files below %s, %v", len(found), below, err)
+	}
+	return found
+}
+
+func importsOf(syntax *ast.File) map[string]string {
+	imports := map[string]string{}
+	for _, spec := range syntax.Imports {
+		path, _ := strconv.Unquote(spec.Path.Value)
+		name := path[strings.LastIndex(path, "/")+1:]
+		if name == "v2" {
+			name = filepath.Base(strings.TrimSuffix(path, "/v2"))
+		}
+		if spec.Name != nil {
+			name = spec.Name.Name
+		}
+		imports[name] = path
+	}
+	return imports
+}
+
+// impureImports reach outside the process or hold hidden state.
+var impureImports = []string{
+	"os", "os/exec", "os/signal", "net", "net/http", "io/fs", "syscall", "crypto/rand", "math/rand", "log",
+	"github.com/phuslu/log", "golang.org/x/sync/errgroup",
+}
+
+// impureCalls read a clock or the global random source.
+var impureCalls = map[string][]string{
+	"time":         {"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"},
+	"math/rand/v2": {"Int", "IntN", "Int64", "Int64N", "Uint32", "Uint64", "Uint64N", "N", "Float64", "Perm", "Shuffle", "ExpFloat64", "NormFloat64"},
+}
+
+// TestCoreIsPure: the decisions of internal/core take time, ids and seeds as
+// arguments, so that the same code runs in processes and in virtual time.
+func TestCoreIsPure(t *testing.T) {
+	for _, file := range sources(t, "internal/core") {
+		for _, path := range file.imports {
+			if slices.Contains(impureImports, path) || strings.Contains(path, "/internal/adapter") || strings.Contains(path, "/internal/app") || strings.Contains(path, "/internal/lab") {
+				t.Errorf("%s imports %s", file.path, path)
+			}
+		}
+		ast.Inspect(file.syntax, func(node ast.Node) bool {
+			switch node := node.(type) {
+			case *ast.GoStmt:
+				t.Errorf("%s starts a goroutine", file.path)
+			case *ast.SelectorExpr:
+				if name, isName := node.X.(*ast.Ident); isName && slices.Contains(impureCalls[file.imports[name.Name]], node.Sel.Name) {
+					t.Errorf("%s uses %s.%s", file.path, name.Name, node.Sel.Name)
+				}
+			}
+			return true
+		})
+	}
+}
+
+// TestPortsKnowNoAdapter: dependencies point inwards.
+func TestPortsKnowNoAdapter(t *testing.T) {
+	for _, file := range sources(t, "internal/port") {
+		for _, path := range file.imports {
+			if strings.Contains(path, "loomgrade/internal/") && !strings.HasSuffix(path, "loomgrade/internal/port") {
+				t.Errorf("%s imports %s", file.path, path)
+			}
+		}
+	}
+	for _, file := range append(sources(t, "internal/adapter"), sources(t, "internal/app")...) {
+		isTestSupport := strings.HasPrefix(file.path, "internal/adapter/contracttest/")
+		for _, path := range file.imports {
+			if strings.Contains(path, "loomgrade/internal/lab") && !isTestSupport {
+				t.Errorf("%s imports %s: the product must not need the lab", file.path, path)
+			}
+		}
+	}
+}
+
+// TestNoProcessStartsAnother looks at everything that ends up in the programs.
+func TestNoProcessStartsAnother(t *testing.T) {
+	for _, below := range []string{"cmd", "internal"} {
+		for _, file := range sources(t, below) {
+			for name, path := range file.imports {
+				if path == "os/exec" || path == "plugin" {
+					t.Errorf("%s imports %s", file.path, path)
+				}
+				if path != "syscall" && path != "os" {
+					continue
+				}
+				ast.Inspect(file.syntax, func(node ast.Node) bool {
+					selector, isSelector := node.(*ast.SelectorExpr)
+					if !isSelector {
+						return true
+					}
+					within, isName := selector.X.(*ast.Ident)
+					forbidden := []string{"StartProcess", "ForkExec", "Exec", "Mmap", "SYS_IO_URING_SETUP"}
+					if isName && within.Name == name && slices.Contains(forbidden, selector.Sel.Name) {
+						t.Errorf("%s uses %s.%s", file.path, name, selector.Sel.Name)
+					}
+					return true
+				})
+			}
+		}
+	}
+}
+
+// agreedLibraries are the modules that the code may import, besides the standard
+// library; docs/design/0001-overview.md says what each is for.
+var agreedLibraries = []string{
+	"github.com/alecthomas/kong", "github.com/phuslu/log", "github.com/rotisserie/eris",
+	"github.com/fxamacker/cbor/v2", "golang.org/x/sync/errgroup", "github.com/goccy/go-yaml",
+	"go.starlark.net/", "github.com/prometheus/client_golang/", "github.com/HdrHistogram/hdrhistogram-go",
+	"github.com/cespare/xxhash/v2", "gonum.org/v1/", "github.com/anishathalye/porcupine", "pgregory.net/rapid",
+}
+
+func TestOnlyAgreedLibraries(t *testing.T) {
+	overview, err := os.ReadFile(filepath.Join(testkit.Root(t), "docs/design/0001-overview.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, library := range agreedLibraries {
+		if !strings.Contains(string(overview), strings.TrimSuffix(library, "/")) {
+			t.Errorf("the overview does not say what %s is for", library)
+		}
+	}
+	for _, below := range []string{"cmd", "internal"} {
+		for _, file := range sources(t, below) {
+			for _, path := range file.imports {
+				if !strings.Contains(path, ".") || strings.HasPrefix(path, "github.com/loomgrade/loomgrade/") {
+					continue
+				}
+				if !slices.ContainsFunc(agreedLibraries, func(library string) bool { return strings.HasPrefix(path, library) }) {
+					t.Errorf("%s imports %s, which is not agreed", file.path, path)
+				}
+			}
+		}
+	}
+}
+
+func TestEveryPackageIsDocumented(t *testing.T) {
+	documented := map[string]bool{}
+	for _, below := range []string{"cmd", "internal"} {
+		for _, file := range sources(t, below) {
+			folder := filepath.Dir(file.path)
+			documented[folder] = documented[folder] || file.syntax.Doc != nil
+		}
+	}
+	for folder, has := range documented {
+		if !has {
+			t.Errorf("%s has no package comment", folder)
+		}
+	}
+}
