coordinator: start no sample before a replica serves the weights that it needs

Cause: a trainer that publishes every step is ahead of the rollout of weights. The policy asks for a version that no engine serves yet, samples are started all the same, refused by the version filter, and wait for a backoff of a second and more that grows with each refusal, long after the weights have come.

Change: samples start only while some replica that takes samples serves the oldest version that the plan allows, by the last word of the homes. The simulated world of the tests tells the coordinator what its replicas serve; it used to tell once and then to generate with other versions.

What remains is the time that the rollout takes.

--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -99,7 +99,7 @@
 	if c.draining || !c.now.Before(c.leaseUntil) {
 		return
 	}
-	for c.unfinished() < c.planning.plan.TargetInFlight && len(c.groups) < c.bufferGroups() {
+	for c.mayStart() && c.unfinished() < c.planning.plan.TargetInFlight && len(c.groups) < c.bufferGroups() {
 		prompt, found := c.prompts.pop()
 		if !found {
 			return
@@ -108,6 +108,11 @@
 	}
 }
 
+// mayStart says whether some replica could take a sample. While the weights that
+// the plan wants are still on their way to the engines none can, and a sample
+// that is refused waits longer than the weights take.
+func (c *Coordinator) mayStart() bool { return c.replicas.serves(c.minVersion()) }
+
 // unfinished counts samples that run or wait to be started again. Those that wait
 // keep their place, so that new groups cannot hold up begun ones.
 func (c *Coordinator) unfinished() int { return len(c.samples) - c.whole }
--- a/internal/core/coordinator/planning.go
+++ b/internal/core/coordinator/planning.go
@@ -84,6 +84,8 @@
 	share    map[port.ReplicaID]float64
 	lowest   float64
 	capacity int
+	// newest is the newest version that one of them serves.
+	newest port.WeightVersion
 }
 
 // crowdedMargin is how much more loaded than the least loaded replica a replica
@@ -98,6 +100,7 @@
 			continue
 		}
 		loads.capacity += replica.Limit
+		loads.newest = max(loads.newest, replica.Version)
 		share := float64(replica.Running) / float64(replica.Limit)
 		loads.share[replica.ID] = share
 		loads.lowest = min(loads.lowest, share)
@@ -105,6 +108,13 @@
 	return loads
 }
 
+// serves says whether some replica that takes samples serves the version or a
+// newer one. A replica that serves none, as before its adapter is loaded, has
+// version 0.
+func (l *replicaLoads) serves(version port.WeightVersion) bool {
+	return l.newest >= max(version, 1)
+}
+
 // crowded says whether a replica is clearly more loaded than the least loaded.
 func (l *replicaLoads) crowded(id port.ReplicaID) bool {
 	share, known := l.share[id]
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -68,8 +68,12 @@
 	lease     port.Epoch
 	epochs    port.Epoch
 	published port.WeightVersion
-	answers   map[string]port.Result
-	commits   map[string]commitRecord
+	// serving is what the replicas serve; it follows published unless
+	// rolloutStopped is set.
+	serving        port.WeightVersion
+	rolloutStopped bool
+	answers        map[string]port.Result
+	commits        map[string]commitRecord
 
 	// steps counts events; before crashAt, if not 0, the coordinator is replaced.
 	steps   int
@@ -167,11 +171,20 @@
 		w.t.Fatal(err)
 	}
 	w.current = created
-	w.step(created, coordinator.CapacityChanged{Replicas: []policy.Replica{
-		{ID: "replica-1", Zone: "zone-a", Version: w.published, Running: 15, Limit: 16},
-		{ID: "replica-2", Zone: "zone-b", Version: w.published, Running: 2, Limit: 16},
+	w.look()
+}
+
+// look lets the coordinator see the time and the replicas, which serve the
+// published version unless the rollout of weights stands still.
+func (w *world) look() {
+	if !w.rolloutStopped {
+		w.serving = w.published
+	}
+	w.step(w.current, coordinator.CapacityChanged{Replicas: []policy.Replica{
+		{ID: "replica-1", Zone: "zone-a", Version: w.serving, Running: 15, Limit: 16},
+		{ID: "replica-2", Zone: "zone-b", Version: w.serving, Running: 2, Limit: 16},
 	}})
-	w.step(created, coordinator.Tick{})
+	w.step(w.current, coordinator.Tick{})
 }
 
 // step feeds an event and queues what comes of it.
@@ -232,7 +245,7 @@
 func (w *world) tick(by time.Duration) {
 	w.now = w.now.Add(by)
 	w.step(w.current, coordinator.LeaseRenewed{Until: w.now.Add(leaseTTL)})
-	w.step(w.current, coordinator.Tick{})
+	w.look()
 }
 
 func prompts(from port.PromptIndex, count int) []port.Prompt {
@@ -257,12 +270,12 @@
 	w.step(w.current, coordinator.PromptsArrived{From: fetch.From, Prompts: prompts(fetch.From, fetch.Count)})
 }
 
-// generate lets an attempt make tokens with the published version.
+// generate lets an attempt make tokens with the version that the replicas serve.
 func (w *world) generate(run *attemptRun, tokens int) {
 	tokens = min(tokens, run.start.MaxTokens-spanTokens(run.spans))
 	for range tokens {
-		run.text += fmt.Sprintf("%d/%d ", run.start.ID.Sequence, w.published)
-		run.spans = port.AppendTokens(slices.Clone(run.spans), w.published, 1)
+		run.text += fmt.Sprintf("%d/%d ", run.start.ID.Sequence, w.serving)
+		run.spans = port.AppendTokens(slices.Clone(run.spans), w.serving, 1)
 	}
 }
 
@@ -419,6 +432,7 @@
 func (w *world) publish() {
 	w.published++
 	w.step(w.current, coordinator.WeightsPublished{Weights: port.PublishedWeights{Pool: poolName, Version: w.published}})
+	w.look()
 }
 
 // ask sends the trainer's question for a batch and gives its token.
