--- a/internal/lab/sim/attempt.go
+++ b/internal/lab/sim/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/gate"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/lab/engine"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -29,6 +30,9 @@
 	placeHeld bool
 	ticket    *gate.Ticket
 	home      *homeNode
+	// acceptor is the node that chose the place, counted its count of the replica.
+	acceptor *homeNode
+	counted  *placement.Counts
 	// began is when it reached the engine.
 	began  time.Duration
 	tokens int
@@ -52,13 +56,35 @@
 func (a *attempt) request() engine.Request {
 	prompt := a.pool.prompt(a.start.Prompt.Index)
 	return engine.Request{
-		ID: a.name, Priority: int(a.start.Priority), Adapter: a.pool.settings.Adapter,
+		ID: a.name, Priority: int(a.priority()), Adapter: a.pool.settings.Adapter,
 		PromptTokens: prompt.tokens, PromptBlocks: prompt.blocks, ContentKey: a.sample.key,
 		ResumedTokens: a.start.ResumeTokens, ImportedTokens: a.imported,
 		OutputTokens: a.sample.length - a.start.ResumeTokens, MaxTokens: a.start.MaxTokens,
 	}
 }
 
+// priority is that of the coordinator, or none without priorities.
+func (a *attempt) priority() port.Priority {
+	if a.pool.world.options.Variant.with(PartPriorities) {
+		return a.start.Priority
+	}
+	return 0
+}
+
+// count lets the accepting node count the attempt at its replica.
+func (a *attempt) count(at port.ReplicaID) {
+	a.counted = a.acceptor.accepts.countsOf(at)
+	a.counted.Sent++
+}
+
+// countEnd lets the accepting node count the end of the attempt.
+func (a *attempt) countEnd() {
+	if a.counted != nil {
+		a.counted.Finished++
+		a.counted = nil
+	}
+}
+
 // placed notes that the attempt reached its engine.
 func (a *attempt) placed(at *replica) {
 	a.replica, a.at = at, at.zone
--- a/internal/lab/sim/home.go
+++ b/internal/lab/sim/home.go
@@ -27,24 +27,30 @@
 	gate     *gate.Gate
 	replicas []*replica
 	told     []gate.Replica
+	router   *homeRouter
+	accepts  acceptor
 }
 
-// homeRouter is loomgrade's way: the coordinator's node chooses a home, and the
-// home's gate a replica.
+// homeRouter is loomgrade's way: the coordinator's node chooses a replica of its
+// zone or another zone, and the home's gate decides in the end.
 type homeRouter struct {
 	world *world
 	nodes []*homeNode
 	home  map[port.ReplicaID]*homeNode
+	zones map[port.ZoneName]*zoneState
 }
 
 func newHomeRouter(w *world) *homeRouter {
-	r := &homeRouter{world: w, home: make(map[port.ReplicaID]*homeNode)}
+	r := &homeRouter{world: w, home: make(map[port.ReplicaID]*homeNode), zones: make(map[port.ZoneName]*zoneState)}
 	members := make(map[port.ZoneName][]port.NodeID)
 	byID := make(map[port.NodeID]*homeNode)
 	for index := range w.site.NodesPerZone * len(w.site.Zones) {
 		id := port.NodeID(fmt.Sprintf("node-%d", index+1))
 		random := rand.New(rand.NewPCG(w.options.Seed, nameSeed(string(id))))
-		made := &homeNode{world: w, id: id, zone: w.zoneOf(index), gate: gate.New(scheduling.Generation(), random)}
+		made := &homeNode{
+			world: w, id: id, zone: w.zoneOf(index), router: r,
+			gate: gate.New(scheduling.Generation(), random), accepts: newAcceptor(w, id),
+		}
 		members[made.zone] = append(members[made.zone], id)
 		byID[id] = made
 		r.nodes = append(r.nodes, made)
@@ -57,6 +63,7 @@
 		home.replicas = append(home.replicas, replica)
 		r.home[replica.id] = home
 	}
+	r.buildZones()
 	return r
 }
 
@@ -87,26 +94,19 @@
 // region names the one region of a site.
 func (w *world) region() port.RegionName { return port.RegionName(w.site.Name) }
 
-// route sends an attempt to a home.
-func (r *homeRouter) route(begun *attempt) {
-	target := r.choose(begun)
-	if target == nil {
-		begun.refused(port.NewError(port.NotRun, port.CodeNoBackEnd, "no replica can serve the request now"))
-		return
-	}
-	begun.at = target.zone
-	r.world.after(begun.way(), func() { target.offer(begun) })
-}
+// route lets the coordinator's node choose a place.
+func (r *homeRouter) route(begun *attempt) { r.zones[begun.pool.zone].nodes[0].accept(begun) }
 
-// offer puts an attempt before the home's gate.
-func (n *homeNode) offer(begun *attempt) {
+// offer puts an attempt before the home's gate, with the replica that the
+// choosing node prefers.
+func (n *homeNode) offer(begun *attempt, preferred port.ReplicaID) {
 	if begun.cancelled || begun.ended {
 		begun.refused(port.NewError(port.NotRun, port.CodeCancelled, "cancelled by the coordinator"))
 		return
 	}
 	begun.home = n
 	begun.placeHeld = true
-	begun.ticket = &gate.Ticket{Owner: begun, Request: n.request(begun)}
+	begun.ticket = &gate.Ticket{Owner: begun, Request: n.request(begun, preferred)}
 	settled, _ := n.gate.Offer(n.world.clock(), begun.ticket)
 	settled = slices.Clone(settled)
 	if begun.ticket.State != gate.Waiting && !slices.Contains(settled, begun.ticket) {
@@ -116,18 +116,25 @@
 }
 
 // request gives what the gate decides on.
-func (n *homeNode) request(begun *attempt) gate.Request {
+func (n *homeNode) request(begun *attempt, preferred port.ReplicaID) gate.Request {
 	start := &begun.start
 	request := gate.Request{
-		ID: port.RequestID(begun.name), Deadline: n.world.clock().Add(sampleDeadline), Avoid: start.Avoid,
-		Pick: scheduling.Request{
-			Pool: begun.pool.settings.Pool, Zone: n.zone, Region: n.world.region(), Priority: start.Priority,
-			PromptTokens: start.Prompt.Tokens + start.ResumeTokens, MaxTokens: start.MaxTokens,
-			MinVersion: start.MinVersion, Adapter: begun.pool.settings.Adapter, Exclude: start.Exclude,
-		},
+		ID: port.RequestID(begun.name), Deadline: n.world.clock().Add(sampleDeadline),
+		Preferred: preferred, Avoid: start.Avoid, Pick: n.pick(begun),
+	}
+	return request
+}
+
+// pick gives what the choice of a replica depends on.
+func (n *homeNode) pick(begun *attempt) scheduling.Request {
+	start := &begun.start
+	request := scheduling.Request{
+		Pool: begun.pool.settings.Pool, Zone: n.zone, Region: n.world.region(), Priority: begun.priority(),
+		PromptTokens: start.Prompt.Tokens + start.ResumeTokens, MaxTokens: start.MaxTokens,
+		MinVersion: start.MinVersion, Adapter: begun.pool.settings.Adapter, Exclude: start.Exclude,
 	}
 	if n.world.options.Variant.with(PartPrefixAffinity) {
-		request.Pick.PrefixHashes = begun.pool.prompt(start.Prompt.Index).blocks
+		request.PrefixHashes = begun.pool.prompt(start.Prompt.Index).blocks
 	}
 	return request
 }
@@ -145,6 +152,7 @@
 	switch ticket.State {
 	case gate.Granted:
 		chosen := n.world.byID[ticket.Replica]
+		begun.count(chosen.id)
 		n.world.after(n.world.between(n.zone, chosen.zone), func() { n.world.deliver(begun, chosen) })
 	case gate.Refused:
 		begun.placeHeld = false
@@ -155,6 +163,7 @@
 // leave gives an attempt's place back.
 func (r *homeRouter) leave(ended *attempt, outcome gate.Outcome) {
 	n := ended.home
+	ended.countEnd()
 	if ended.ticket.State == gate.Waiting {
 		n.settle(n.gate.Cancel(r.world.clock(), ended.ticket))
 		return
@@ -189,36 +198,3 @@
 	}
 	return total
 }
-
-// choose picks the home that has the most room for each of its replicas, the own
-// zone first among equals.
-func (r *homeRouter) choose(begun *attempt) *homeNode {
-	var best *homeNode
-	var most float64
-	for _, n := range r.nodes {
-		if len(n.replicas) == 0 || len(begun.start.Zones) > 0 && !slices.Contains(begun.start.Zones, n.zone) {
-			continue
-		}
-		room := n.room()
-		if n.zone == begun.pool.zone {
-			room += ownZoneLead
-		}
-		if best == nil || room > most {
-			best, most = n, room
-		}
-	}
-	return best
-}
-
-// ownZoneLead is the lead, in free places a replica, that the own zone gets.
-const ownZoneLead = 0.5
-
-// room gives the free places for each replica, less what waits.
-func (n *homeNode) room() float64 {
-	loads, waiting := n.gate.Loads()
-	free := -waiting
-	for _, load := range loads {
-		free += load.Limit - load.Inflight
-	}
-	return float64(free) / float64(len(n.replicas))
-}
