decision: find a sample by the batches that it went into

A sample's explanation ended with its answer: nothing said whether it was delivered or voided, as those records stand under the batch. Records of a commit and a void are now found by their samples too; the index is part of the store's bound. What else a batch holds is left out for those who ask about one sample.

--- a/cmd/loomgrade/dev_test.go
+++ b/cmd/loomgrade/dev_test.go
@@ -66,7 +66,7 @@
 	for id, want := range map[string]string{
 		"b-captions-1-1":     "Batch captions/1 was committed",
 		"batch/captions/1":   "Batch captions/1 was committed",
-		sample:               "was answered by",
+		sample:               "Batch captions/1 was committed",
 		"captions-1":         "Replica captions-1 was ordered",
 		"1":                  "Configuration revision 1 was accepted",
 		"r-node-zone-a-1-99": "",
--- a/internal/core/decision/decision_test.go
+++ b/internal/core/decision/decision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -131,6 +132,34 @@
 	}
 }
 
+// A sample is found by the batches that it was committed in and voided from.
+func TestSamplesAreFoundByTheirBatches(t *testing.T) {
+	store := NewStore(4000)
+	store.Add(port.Decision{Kind: port.DecisionAnswered, Subject: "s-lm-1-1", Time: 1})
+	store.Add(port.Decision{Kind: port.DecisionCommitted, Subject: "batch/lm/4", Time: 2, Related: []string{"s-lm-1-1", "s-lm-1-2"}})
+	store.Add(port.Decision{Kind: port.DecisionDelivered, Subject: "batch/lm/4", Time: 3})
+	store.Add(port.Decision{Kind: port.DecisionVoided, Subject: "batch/lm/4", Time: 4, Related: []string{"s-lm-1-2"}})
+	for subject, want := range map[string][]int64{"s-lm-1-1": {1, 2}, "s-lm-1-2": {2, 4}, "batch/lm/4": {2, 3, 4}} {
+		var times []int64
+		for _, decision := range store.Get(subject) {
+			times = append(times, decision.Time)
+		}
+		if !slices.Equal(times, want) {
+			t.Errorf("%s: decisions %v, want %v", subject, times, want)
+		}
+	}
+	lines := Explain("s-lm-1-1", store.Get("s-lm-1-1"))
+	if last := lines[len(lines)-1]; last != "00:00:00.002 Batch lm/4 was committed." {
+		t.Errorf("the sample's batch is told as %q", last)
+	}
+	for index := range 50 {
+		store.Add(port.Decision{Kind: port.DecisionPlaced, Subject: fmt.Sprint("r-", index)})
+	}
+	if left := store.Get("s-lm-1-2"); left != nil || len(store.bySubject) != store.Len() {
+		t.Errorf("dropped records left %v, %d subjects of %d records", left, len(store.bySubject), store.Len())
+	}
+}
+
 func BenchmarkAdd(b *testing.B) {
 	store := NewStore(1 << 20)
 	subjects := make([]string, 1000)
--- a/internal/core/decision/explain.go
+++ b/internal/core/decision/explain.go
@@ -20,17 +20,18 @@
 	}
 	lines := make([]string, 0, len(decisions))
 	for index := range decisions {
-		lines = append(lines, explainOne(&decisions[index]))
+		lines = append(lines, explainOne(subject, &decisions[index]))
 	}
 	return lines
 }
 
-// explainOne tells one decision.
-func explainOne(decision *port.Decision) string {
+// explainOne tells one decision to somebody who asked about a subject. What a
+// batch holds is left out for those who asked about one of its samples.
+func explainOne(subject string, decision *port.Decision) string {
 	when := time.UnixMilli(decision.Time).UTC().Format(timeFormat)
 	text := fmt.Sprintf("%s %s %s", when, Describe(decision.Subject), action(decision))
 	text += reason(decision) + "."
-	for _, sentence := range sentences(decision) {
+	for _, sentence := range sentences(decision, subject == decision.Subject) {
 		text += " " + sentence + "."
 	}
 	return text
@@ -147,7 +148,7 @@
 }
 
 // sentences tells the circumstances of a decision.
-func sentences(decision *port.Decision) []string {
+func sentences(decision *port.Decision, withRelated bool) []string {
 	var told []string
 	add := func(sentence string) {
 		if sentence != "" {
@@ -163,7 +164,7 @@
 	if decision.Version > 0 {
 		add(fmt.Sprintf("Weight version %d was meant", decision.Version))
 	}
-	if len(decision.Related) > 0 {
+	if withRelated && len(decision.Related) > 0 {
 		add("See also " + strings.Join(decision.Related, ", "))
 	}
 	add(origin(decision))
--- a/internal/core/decision/store.go
+++ b/internal/core/decision/store.go
@@ -19,7 +19,8 @@
 	records []port.Decision
 	head    int
 	first   uint64
-	// bySubject lists the sequence numbers of a subject's records, rising.
+	// bySubject lists the sequence numbers of a subject's records, rising: those
+	// about it, and those of batches that it is in.
 	bySubject map[string][]uint64
 	dropped   uint64
 }
@@ -45,7 +46,9 @@
 	}
 	sequence := s.first + uint64(s.Len())
 	s.records = append(s.records, decision)
-	s.bySubject[decision.Subject] = append(s.bySubject[decision.Subject], sequence)
+	for _, subject := range subjectsOf(&decision) {
+		s.bySubject[subject] = append(s.bySubject[subject], sequence)
+	}
 	s.bytes += size
 }
 
@@ -81,10 +84,12 @@
 func (s *Store) dropOldest() {
 	oldest := &s.records[s.head]
 	s.bytes -= sizeOf(oldest)
-	if sequences := s.bySubject[oldest.Subject]; len(sequences) > 1 {
-		s.bySubject[oldest.Subject] = sequences[1:]
-	} else {
-		delete(s.bySubject, oldest.Subject)
+	for _, subject := range subjectsOf(oldest) {
+		if sequences := s.bySubject[subject]; len(sequences) > 1 {
+			s.bySubject[subject] = sequences[1:]
+		} else {
+			delete(s.bySubject, subject)
+		}
 	}
 	*oldest = port.Decision{}
 	s.head++
@@ -105,6 +110,16 @@
 	s.head = 0
 }
 
+// subjectsOf lists what a decision is found by: its subject and, for a batch that
+// was committed or voided, the samples in it.
+func subjectsOf(decision *port.Decision) []string {
+	subjects := []string{decision.Subject}
+	if decision.Kind == port.DecisionCommitted || decision.Kind == port.DecisionVoided {
+		subjects = append(subjects, decision.Related...)
+	}
+	return subjects
+}
+
 // indexOverhead estimates the memory of a record's place in the index.
 const indexOverhead = 64
 
@@ -120,5 +135,6 @@
 	for _, related := range decision.Related {
 		size += int(unsafe.Sizeof(related)) + len(related)
 	}
+	size += (len(subjectsOf(decision)) - 1) * indexOverhead
 	return size
 }
