rollout: ask engines again how far an accepted order is

Cause: a rollout learned that weights are staged, and then that they serve, from load reports. Those lag by 0.2 s at the engine, are polled by the home every 0.2 s, and the homes every 0.5 s, twice for each version and once more for each wave of four engines. In the dev site, where staging takes about 0.3 s and a switch 0.1 s, that was the longest part of a trainer's step.

Ruled out: shorter poll intervals alone, since they pay for every replica all the time and leave the engine's own lag; letting the engine hold its answer until the order is done, since a held connection then decides what an order in doubt means.

Orders have no further effect when repeated, and the answer is the engine's state of that moment. An error of such a repetition undoes nothing, unless the engine refuses it.

--- /dev/null
+++ b/internal/core/rollout/ask_test.go
@@ -0,0 +1,42 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/rollout"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+func TestAcceptedOrdersAreAskedAfter(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, f *fleet)
+	}{
+		{"the effect of an order is asked for before a load report comes", func(t *testing.T, f *fleet) {
+			f.publish(2)
+			for range 10 * int(stageTime/time.Second) {
+				f.now = f.now.Add(100 * time.Millisecond)
+				f.finishLoads()
+				f.step(rollout.Tick{})
+			}
+			f.step(rollout.Tick{})
+			if !allServe(f, 2) || len(f.completed) != 1 || f.count(f.engines[0], port.OrderStage) != 1 {
+				t.Fatalf("versions %v, completed %+v", f.versions(), f.completed)
+			}
+		}},
+		{"a failed question does not undo an accepted order", func(t *testing.T, f *fleet) {
+			f.publish(2)
+			f.engines[0].answersLost = true
+			f.run(2 * time.Second)
+			f.engines[0].answersLost = false
+			f.run(stageTime)
+			if !allServe(f, 2) || !f.engines[0].routed || f.count(f.engines[0], port.OrderStage) != 1 {
+				t.Fatalf("versions %v routed %v", f.versions(), f.engines[0].routed)
+			}
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) { test.run(t, newFleet(t, rollout.Config{}, 3)) })
+	}
+}
--- a/internal/core/rollout/fleet_test.go
+++ b/internal/core/rollout/fleet_test.go
@@ -32,6 +32,10 @@
 	silent  bool
 	refuses *port.Error
 	orders  []port.Order
+	// asked counts the orders that were repeated to learn how far they are.
+	asked int
+	// loads counts the loads from the store that were begun.
+	loads int
 }
 
 // fleet joins a rollout with engines.
@@ -99,7 +103,11 @@
 // order carries an order out and answers it.
 func (f *fleet) order(sent rollout.SendOrder) {
 	engine := f.engine(sent.Replica)
-	engine.orders = append(engine.orders, sent.Order)
+	if sent.Again {
+		engine.asked++
+	} else {
+		engine.orders = append(engine.orders, sent.Order)
+	}
 	if engine.silent {
 		return
 	}
@@ -119,6 +127,10 @@
 
 func (e *fakeEngine) execute(now time.Time, order port.Order) {
 	if order.Kind == port.OrderStage {
+		if e.loading == order.Version || e.report.Staged == order.Version {
+			return
+		}
+		e.loads++
 		e.loading, e.loadedAt = order.Version, now.Add(stageTime)
 		e.report.Staging = order.Version
 		return
@@ -136,16 +148,23 @@
 
 // reportAll sends the load report of every reachable engine.
 func (f *fleet) reportAll() {
+	f.finishLoads()
 	for _, engine := range f.engines {
-		if engine.loading != 0 && !f.now.Before(engine.loadedAt) {
-			engine.report.Staged, engine.report.Staging, engine.loading = engine.loading, 0, 0
-		}
 		if engine.reachable {
 			f.step(rollout.LoadReported{Replica: engine.id, Report: engine.report})
 		}
 	}
 }
 
+// finishLoads ends the loads whose time is over.
+func (f *fleet) finishLoads() {
+	for _, engine := range f.engines {
+		if engine.loading != 0 && !f.now.Before(engine.loadedAt) {
+			engine.report.Staged, engine.report.Staging, engine.loading = engine.loading, 0, 0
+		}
+	}
+}
+
 // run lets time pass with reports and ticks every half second.
 func (f *fleet) run(span time.Duration) {
 	for end := f.now.Add(span); f.now.Before(end); {
--- a/internal/core/rollout/messages.go
+++ b/internal/core/rollout/messages.go
@@ -47,6 +47,9 @@
 type SendOrder struct {
 	Replica port.ReplicaID
 	Order   port.Order
+	// Again says that the same order was accepted before and is repeated to
+	// learn how far it is.
+	Again bool
 }
 
 // RouteOut takes a replica out of routing: what it serves is not known.
--- a/internal/core/rollout/reports.go
+++ b/internal/core/rollout/reports.go
@@ -35,6 +35,9 @@
 		return
 	}
 	if event.Err == nil {
+		if member.order.is(event.Order) {
+			member.order.accepted, member.order.asking = true, false
+		}
 		r.loadReported(event.Replica, event.Report)
 		return
 	}
@@ -43,7 +46,12 @@
 		return
 	}
 	order := member.order
-	if order == nil || order.kind != event.Order.Kind || order.version != event.Order.Version {
+	if !order.is(event.Order) {
+		return
+	}
+	order.asking = false
+	if order.accepted && (event.Err.Verdict != port.NotRun || event.Err.Code == port.CodeUnavailable) {
+		// Asking again came to nothing; the order was accepted before and stands.
 		return
 	}
 	member.order = nil
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -35,6 +35,8 @@
 	ordered   bool
 	announced bool
 	counter   uint64
+	// nextAsk is the place in replicas where asking again goes on.
+	nextAsk int
 }
 
 // replica is what is known of one replica.
@@ -63,6 +65,12 @@
 	sent    time.Time
 	// loading is set once a report showed that the replica loads the version.
 	loading bool
+	// accepted is set once the engine answered the order without an error.
+	accepted bool
+	// asked is when the order was last given, and asking whether the answer to
+	// that is still out.
+	asked  time.Time
+	asking bool
 }
 
 // maxSkipped bounds how often in a row a newer publication replaces a target
@@ -180,6 +188,7 @@
 			r.send(replica, port.OrderStage)
 		}
 	}
+	r.askAgain()
 	r.decideCompleted()
 }
 
@@ -315,7 +324,7 @@
 // send gives an order and records it.
 func (r *Rollout) send(to *replica, kind port.OrderKind) {
 	r.ordered = true
-	to.order = &outstanding{kind: kind, version: r.target, sent: r.now}
+	to.order = &outstanding{kind: kind, version: r.target, sent: r.now, asked: r.now, asking: true}
 	r.actions = append(r.actions, SendOrder{Replica: to.id, Order: r.config.order(kind, r.target)})
 	r.note(to.id, fmt.Sprintf("%s version %d, serves %d", kind, r.target, to.version))
 }
