--- a/internal/lab/experiment/results.go
+++ b/internal/lab/experiment/results.go
@@ -23,6 +23,8 @@
 	// Version is that of the program.
 	Version  string   `json:"version"`
 	Settings Settings `json:"settings"`
+	// Given holds the value that each sweep's setting has without the sweep.
+	Given []string `json:"given,omitempty"`
 	// Points holds the settings as given first, then those of the sweeps.
 	Points []Point `json:"points"`
 }
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -53,7 +53,13 @@
 			return nil, err
 		}
 	}
-	return &Results{Format: resultsFormat, Version: programVersion(), Settings: *plan.Settings, Points: points}, nil
+	return &Results{
+		Format:   resultsFormat,
+		Version:  programVersion(),
+		Settings: *plan.Settings,
+		Given:    plan.Settings.givenValues(),
+		Points:   points,
+	}, nil
 }
 
 // simulate fills in the outcomes of all jobs.
--- a/internal/lab/experiment/sweep.go
+++ b/internal/lab/experiment/sweep.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/settings"
+	"github.com/loomgrade/loomgrade/internal/lab/sim"
 )
 
 // sweepSetting sets one override from text.
@@ -14,6 +15,8 @@
 	name    string
 	allowed string
 	set     func(overrides *Overrides, value string) error
+	// given reads the value of a site.
+	given func(site sim.Site) string
 }
 
 // errOutside says that a swept value is not allowed.
@@ -22,13 +25,27 @@
 // sweepSettings are the overrides that a sweep can change, in the order of
 // messages.
 var sweepSettings = []sweepSetting{
-	sweptTime("engine.step_base", maxEngineTime, func(o *Overrides) *settings.Duration { return &o.Engine.StepBase }),
-	sweptTime("engine.step_per_sequence", maxEngineTime, func(o *Overrides) *settings.Duration { return &o.Engine.StepPerSequence }),
-	sweptTime("engine.step_per_prefill_token", maxEngineTime, func(o *Overrides) *settings.Duration { return &o.Engine.StepPerPrefillToken }),
-	sweptTime("engine.swap_pause", maxEngineTime, func(o *Overrides) *settings.Duration { return &o.Engine.SwapPause }),
-	sweptTime("trainer_step", maxTrainerStep, func(o *Overrides) *settings.Duration { return &o.TrainerStep }),
-	sweptNumber("engines", maxEngines, func(o *Overrides) *int { return &o.Engines }),
-	sweptNumber("publish_every", maxPublishEvery, func(o *Overrides) *int { return &o.PublishEvery }),
+	sweptTime("engine.step_base", maxEngineTime,
+		func(o *Overrides) *settings.Duration { return &o.Engine.StepBase },
+		func(site sim.Site) time.Duration { return site.Engine.StepBase }),
+	sweptTime("engine.step_per_sequence", maxEngineTime,
+		func(o *Overrides) *settings.Duration { return &o.Engine.StepPerSequence },
+		func(site sim.Site) time.Duration { return site.Engine.StepPerSequence }),
+	sweptTime("engine.step_per_prefill_token", maxEngineTime,
+		func(o *Overrides) *settings.Duration { return &o.Engine.StepPerPrefillToken },
+		func(site sim.Site) time.Duration { return site.Engine.StepPerPrefillToken }),
+	sweptTime("engine.swap_pause", maxEngineTime,
+		func(o *Overrides) *settings.Duration { return &o.Engine.SwapPause },
+		func(site sim.Site) time.Duration { return site.Engine.SwapPause }),
+	sweptTime("trainer_step", maxTrainerStep,
+		func(o *Overrides) *settings.Duration { return &o.TrainerStep },
+		func(site sim.Site) time.Duration { return site.Trainers[0].StepTime }),
+	sweptNumber("engines", maxEngines,
+		func(o *Overrides) *int { return &o.Engines },
+		func(site sim.Site) int { return site.Engines }),
+	sweptNumber("publish_every", maxPublishEvery,
+		func(o *Overrides) *int { return &o.PublishEvery },
+		func(site sim.Site) int { return site.Trainers[0].PublishEvery }),
 }
 
 var sweepable = func() map[string]sweepSetting {
@@ -47,7 +64,9 @@
 	return names
 }
 
-func sweptTime(name string, most time.Duration, field func(*Overrides) *settings.Duration) sweepSetting {
+func sweptTime(
+	name string, most time.Duration, field func(*Overrides) *settings.Duration, given func(sim.Site) time.Duration,
+) sweepSetting {
 	set := func(overrides *Overrides, value string) error {
 		parsed, err := time.ParseDuration(value)
 		if err != nil {
@@ -59,10 +78,15 @@
 		*field(overrides) = settings.DurationOf(parsed)
 		return nil
 	}
-	return sweepSetting{name: name, allowed: minEngineTime.String() + " to " + most.String() + ", with a unit", set: set}
+	return sweepSetting{
+		name:    name,
+		allowed: minEngineTime.String() + " to " + most.String() + ", with a unit",
+		set:     set,
+		given:   func(site sim.Site) string { return given(site).String() },
+	}
 }
 
-func sweptNumber(name string, most int, field func(*Overrides) *int) sweepSetting {
+func sweptNumber(name string, most int, field func(*Overrides) *int, given func(sim.Site) int) sweepSetting {
 	set := func(overrides *Overrides, value string) error {
 		parsed, err := strconv.Atoi(value)
 		if err != nil {
@@ -74,5 +98,31 @@
 		*field(overrides) = parsed
 		return nil
 	}
-	return sweepSetting{name: name, allowed: "1 to " + strconv.Itoa(most), set: set}
+	return sweepSetting{
+		name:    name,
+		allowed: "1 to " + strconv.Itoa(most),
+		set:     set,
+		given:   func(site sim.Site) string { return strconv.Itoa(given(site)) },
+	}
+}
+
+// givenValues reads the value of every sweep's setting without the sweep.
+func (s *Settings) givenValues() []string {
+	named, _ := siteNamed(s.Site)
+	site := s.Overrides.apply(named)
+	var values []string
+	for _, sweep := range s.Sweeps {
+		values = append(values, sweepable[sweep.Setting].given(site))
+	}
+	return values
+}
+
+// SweptValue orders values of one setting: times by their length, numbers by
+// their size.
+func SweptValue(value string) float64 {
+	if duration, err := time.ParseDuration(value); err == nil {
+		return duration.Seconds()
+	}
+	number, _ := strconv.ParseFloat(value, 64)
+	return number
 }
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -222,32 +223,67 @@
 // sweepMakers show how idle share and staleness change with each swept setting.
 func sweepMakers(results *experiment.Results) []figureMaker {
 	var makers []figureMaker
-	for _, sweep := range results.Settings.Sweeps {
+	for index := range results.Settings.Sweeps {
 		for _, figure := range []struct{ name, label string }{
 			{experiment.FigureIdleShare, "idle share of the trainers"},
 			{experiment.FigureStalenessMean, "mean staleness in versions"},
 		} {
-			makers = append(makers, func() (Figure, error) { return sweepFigure(results, sweep, figure.name, figure.label) })
+			makers = append(makers, func() (Figure, error) { return sweepFigure(results, index, figure.name, figure.label) })
 		}
 	}
 	return makers
 }
 
-// asGiven labels the settings without a sweep.
-const asGiven = "as given"
+// sweptPoint is one value on the axis of a sweep.
+type sweptPoint struct {
+	label string
+	value float64
+	point experiment.Point
+}
 
-func sweepFigure(results *experiment.Results, sweep experiment.Sweep, figure, label string) (Figure, error) {
-	labels := append([]string{asGiven}, sweep.Values...)
-	points := []experiment.Point{results.Base()}
+// sweptPoints gives the values of a sweep, that of the settings as given
+// included, in rising order.
+func sweptPoints(results *experiment.Results, index int) []sweptPoint {
+	given := results.Given[index]
+	points := []sweptPoint{{label: given + " (as given)", value: experiment.SweptValue(given), point: results.Base()}}
+	sweep := results.Settings.Sweeps[index]
 	for _, value := range sweep.Values {
-		points = append(points, pointOf(results, sweep.Setting, value))
+		if value == given {
+			continue
+		}
+		points = append(points, sweptPoint{
+			label: value, value: experiment.SweptValue(value), point: pointOf(results, sweep.Setting, value),
+		})
+	}
+	slices.SortStableFunc(points, func(a, b sweptPoint) int { return cmp.Compare(a.value, b.value) })
+	return points
+}
+
+// sweptVariants are the names of a sweep's variants, or of all.
+func sweptVariants(results *experiment.Results, sweep experiment.Sweep) []string {
+	if len(sweep.Variants) > 0 {
+		return sweep.Variants
+	}
+	var names []string
+	for _, variant := range results.Settings.Variants {
+		names = append(names, variant.Name)
+	}
+	return names
+}
+
+func sweepFigure(results *experiment.Results, sweepIndex int, figure, label string) (Figure, error) {
+	sweep := results.Settings.Sweeps[sweepIndex]
+	points := sweptPoints(results, sweepIndex)
+	var labels []string
+	for _, point := range points {
+		labels = append(labels, point.label)
 	}
 	picture := chart{xLabel: sweep.Setting, yLabel: label, xTicks: labelTicks(labels), fromZero: true}
 	limits := line{name: "limit", limit: true}
-	for index, variant := range points[len(points)-1].Variants {
-		course := line{name: variant.Name}
+	for index, name := range sweptVariants(results, sweep) {
+		course := line{name: name}
 		for position, point := range points {
-			result, _ := point.VariantNamed(variant.Name)
+			result, _ := point.point.VariantNamed(name)
 			summary, known := result.SummaryNamed(figure)
 			if !known {
 				continue
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -27,7 +27,7 @@
     routing: loomgrade
 sweeps:
   - setting: engines
-    values: [3, 9]
+    values: [30, 3]
 bars:
   - {figure: idle_share, variant: loomgrade, against: best_baseline, at_most: 0.7}
   - {figure: idle_share, variant: loomgrade, against: limit, at_most: 1.25}
@@ -78,7 +78,7 @@
 		{"loomgrade", "0.25 ±0", "0.2", "1.25"},
 		{"idle_share of loomgrade against round-robin", "0.625", "at most 0.7", "met"},
 		{"idle_share of loomgrade against limit", "1.25", "at most 1.25", "met"},
-		{"engines = 9", "loomgrade"},
+		{"engines = 30", "loomgrade"},
 		{"pilot", "loomgrade"},
 	} {
 		if !hasLine(output.String(), want) {
