--- a/internal/lab/localfleet/fleet_test.go
+++ b/internal/lab/localfleet/fleet_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestSamplesReachEveryTrainer(t *testing.T) {
-	plans := []localfleet.Plan{localfleet.DevPlan(), localfleet.MareaPlan()}
+	plans := []localfleet.Plan{localfleet.DevPlan(), localfleet.InkwellPlan(), localfleet.MareaPlan()}
 	for _, plan := range plans {
 		t.Run(plan.Cluster, func(t *testing.T) {
 			fleet, ctx := startFleet(t, plan)
