admission: measure the usual latency only after it held the limit down

Cause: every 120 windows the limiter cut a replica's limit to a quarter to measure the latency without load. A window of generation takes seconds and the measurement waits until what is in flight has fallen to a quarter, as long as the longest samples run. Ruled out: shorter measurements, which would measure the load that is still there. Change: measure only if latency lowered the limit since the last measurement; otherwise no result could raise it.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -28,7 +28,7 @@
 	failureShare = 0.1
 	// leastGradient bounds the fall of one window.
 	leastGradient = 0.5
-	// measureEvery is the number of windows between two measurements of the
+	// measureEvery is the least number of windows between two measurements of the
 	// usual latency, firstMeasure that before the first one.
 	measureEvery = 120
 	firstMeasure = 4
@@ -42,17 +42,21 @@
 // latency (as Netflix's concurrency-limits does): while the recent latency is
 // near the usual one the limit grows by its square root, above it the limit
 // falls in proportion; failures cut it by a fixed factor. The usual latency
-// only falls, or else a slow overload would become usual; now and then it is
-// measured anew at a quarter of the limit (as BBR measures the round trip). It is not
-// safe for concurrent use.
+// only falls, or else a slow overload would become usual; it is measured anew at
+// a quarter of the limit (as BBR measures the round trip), but only after latency
+// has held the limit down: otherwise no limit could come out higher, and a
+// measurement costs as long as the longest request in flight. It is not safe for
+// concurrent use.
 type Limiter struct {
 	min, max float64
 	limit    float64
 	// usual is the latency in nanoseconds of a replica without overload.
 	usual  float64
 	window window
-	// windows counts those since the last measurement began.
+	// windows counts those since the last measurement began, held says that
+	// latency lowered the limit in one of them.
 	windows   int
+	held      bool
 	measuring bool
 	// restored is the limit after the measurement.
 	restored float64
@@ -73,7 +77,7 @@
 	high := max(config.Max, low)
 	return &Limiter{
 		min: float64(low), max: float64(high), limit: float64(low+high) / 2,
-		windows: measureEvery - firstMeasure,
+		windows: measureEvery - firstMeasure, held: true,
 	}
 }
 
@@ -124,8 +128,9 @@
 	switch {
 	case l.measuring:
 		l.measure(recent)
-	case l.windows >= measureEvery:
+	case l.windows >= measureEvery && l.held:
 		l.windows = 0
+		l.held = false
 		l.measuring = true
 		l.restored = l.limit
 		l.set(l.limit / measureDivisor)
@@ -154,6 +159,7 @@
 		l.usual = recent
 	}
 	gradient := min(max(latencyTolerance*l.usual/max(recent, 1), leastGradient), 1)
+	l.held = l.held || gradient < 1
 	target := l.limit*gradient + math.Sqrt(l.limit)
 	if target > l.limit && float64(l.window.inflight) < l.limit/2 {
 		return // too little in flight to tell whether more would do
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// A limit that latency doesn't hold down is not lowered to measure: no result
+// could raise it.
+func TestLimiterIsNotLoweredToMeasureWithoutNeed(t *testing.T) {
+	limiter := NewLimiter(LimiterConfig{Min: 2, Max: 64})
+	serve := server{1000, 50 * time.Millisecond}
+	now := drive(limiter, start, serve, 1000, 60, 0)
+	for range 600 {
+		now = drive(limiter, now, serve, 1000, 1, 0)
+		if limiter.Limit() < 64 {
+			t.Fatalf("limit %d at %s, want 64 throughout", limiter.Limit(), now.Sub(start))
+		}
+	}
+}
+
 func TestLimiterStaysInBounds(t *testing.T) {
 	testkit.Check(t, 51, func(t *rapid.T) {
 		low := rapid.IntRange(1, 8).Draw(t, "min")
