admission: let the limiter's new test look at every answer

It now looks after every answer; run against the limiter before the change it fails (limit 16 at 1m3s).

--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -97,8 +97,9 @@
 	limiter := NewLimiter(LimiterConfig{Min: 2, Max: 64})
 	serve := server{1000, 50 * time.Millisecond}
 	now := drive(limiter, start, serve, 1000, 60, 0)
-	for range 600 {
-		now = drive(limiter, now, serve, 1000, 1, 0)
+	for range 60_000 {
+		now = now.Add(10 * time.Millisecond)
+		limiter.Observe(now, serve.latency(limiter.Limit()), false, limiter.Limit())
 		if limiter.Limit() < 64 {
 			t.Fatalf("limit %d at %s, want 64 throughout", limiter.Limit(), now.Sub(start))
 		}
