membership, home: keep live nodes, homes and the order by pool until they change

A rebuild of what a node's traffic sees asked, for each pool three times, for the live nodes (sorted anew), their hashes, and a pass over all replicas of the zone; and for the aggregates of each pool over those of all pools. With 16 pools that is 48 passes where one is enough.

The detector now keeps its assigner until a status, the view or the machine list changes; the summaries keep their order by pool until one comes or the homes change; aggregates are kept by pool. A property compares Pool with Each.

--- a/internal/core/home/health.go
+++ b/internal/core/home/health.go
@@ -14,10 +14,7 @@
 func Standings(now time.Time, summaries *membership.Summaries, homes *membership.Assigner, pool *port.Pool, size int) map[port.ReplicaID]Standing {
 	standings := make(map[port.ReplicaID]Standing)
 	var claims []ejection.Claim
-	summaries.Each(now, homes, func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
-		if replica.Pool != pool.Name {
-			return
-		}
+	summaries.Pool(now, homes, pool.Name, func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
 		if replica.Probing {
 			standings[replica.Replica] = Standing{Probing: true}
 		}
--- a/internal/core/membership/aggregate.go
+++ b/internal/core/membership/aggregate.go
@@ -79,12 +79,7 @@
 
 // Aggregates holds what other zones tell. It is not safe for concurrent use.
 type Aggregates struct {
-	held map[aggregateKey]heldAggregate
-}
-
-type aggregateKey struct {
-	zone port.ZoneName
-	pool port.PoolName
+	held map[port.PoolName]map[port.ZoneName]heldAggregate
 }
 
 type heldAggregate struct {
@@ -94,20 +89,24 @@
 
 // NewAggregates makes an empty table.
 func NewAggregates() *Aggregates {
-	return &Aggregates{held: make(map[aggregateKey]heldAggregate)}
+	return &Aggregates{held: make(map[port.PoolName]map[port.ZoneName]heldAggregate)}
 }
 
 // Apply takes an aggregate; false means that it is not newer than the one
 // held. One from another aggregator of the zone takes the place of the held
 // one: an aggregator that lost its office sends no more.
 func (a *Aggregates) Apply(now time.Time, aggregate PoolAggregate) bool {
-	key := aggregateKey{zone: aggregate.Zone, pool: aggregate.Pool}
-	held, found := a.held[key]
+	zones := a.held[aggregate.Pool]
+	if zones == nil {
+		zones = make(map[port.ZoneName]heldAggregate)
+		a.held[aggregate.Pool] = zones
+	}
+	held, found := zones[aggregate.Zone]
 	if found && held.aggregate.Node == aggregate.Node &&
 		!newer(aggregate.Incarnation, aggregate.Sequence, held.aggregate.Incarnation, held.aggregate.Sequence) {
 		return false
 	}
-	a.held[key] = heldAggregate{aggregate: aggregate, received: now}
+	zones[aggregate.Zone] = heldAggregate{aggregate: aggregate, received: now}
 	return true
 }
 
@@ -115,8 +114,8 @@
 // first.
 func (a *Aggregates) Pool(now time.Time, pool port.PoolName, maxAge time.Duration) []PoolAggregate {
 	var found []PoolAggregate
-	for key, held := range a.held {
-		if key.pool == pool && now.Sub(held.received) <= maxAge {
+	for _, held := range a.held[pool] {
+		if now.Sub(held.received) <= maxAge {
 			found = append(found, held.aggregate)
 		}
 	}
--- a/internal/core/membership/detector.go
+++ b/internal/core/membership/detector.go
@@ -76,6 +76,9 @@
 	listed   bool
 	draining bool
 	leaving  bool
+	// assigner gives the homes for the live nodes; nil after a change of what
+	// Live depends on.
+	assigner *Assigner
 }
 
 // peer is what the detector holds of another node of the zone.
@@ -147,8 +150,19 @@
 
 // Live lists the nodes of the zone that may be homes, in order: those in the
 // control view that are not dead, draining or leaving. This node is among them
-// by the same rules.
-func (d *Detector) Live() []port.NodeID {
+// by the same rules. The slice must not be changed.
+func (d *Detector) Live() []port.NodeID { return d.Assigner().nodes }
+
+// Assigner gives the homes for the present live nodes. Calls without a change
+// between them give the same pointer.
+func (d *Detector) Assigner() *Assigner {
+	if d.assigner == nil {
+		d.assigner = NewAssigner(d.live())
+	}
+	return d.assigner
+}
+
+func (d *Detector) live() []port.NodeID {
 	live := make([]port.NodeID, 0, len(d.peers)+1)
 	if d.listed && !d.draining && !d.leaving {
 		live = append(live, d.config.Self)
@@ -158,13 +172,9 @@
 			live = append(live, id)
 		}
 	}
-	slices.Sort(live)
 	return live
 }
 
-// Assigner gives the homes for the present live nodes.
-func (d *Detector) Assigner() *Assigner { return NewAssigner(d.Live()) }
-
 // sendHeartbeats sends to every successor.
 func (d *Detector) sendHeartbeats() {
 	d.sequence++
@@ -302,6 +312,7 @@
 		return
 	}
 	changed.status = status
+	d.assigner = nil
 	d.output.Changes = append(d.output.Changes, Change{Node: changed.id, Status: status})
 }
 
--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -67,6 +67,8 @@
 }
 
 func (f *fleet) handle(from port.NodeID, output Output) {
+	// Homes that are kept over a change must show in every test.
+	f.detectors[from].Assigner()
 	if f.changes != nil {
 		f.changes[from] = append(f.changes[from], output.Changes...)
 	}
--- a/internal/core/membership/summary.go
+++ b/internal/core/membership/summary.go
@@ -79,7 +79,20 @@
 }
 
 // Summaries merges the summaries of a zone. It is not safe for concurrent use.
-type Summaries struct{ homes map[port.NodeID]*heldSummary }
+type Summaries struct {
+	homes map[port.NodeID]*heldSummary
+	// byPool holds what Pool hands over, for the homes of assigned; nil after a
+	// change.
+	byPool   map[port.PoolName][]poolEntry
+	assigned *Assigner
+}
+
+// poolEntry is one replica of a pool.
+type poolEntry struct {
+	home     port.NodeID
+	replica  *ReplicaSummary
+	received time.Time
+}
 
 // heldSummary is the newest summary of a home, with the time it came.
 type heldSummary struct {
@@ -99,6 +112,7 @@
 		return false
 	}
 	s.homes[summary.Node] = &heldSummary{summary: summary, received: now}
+	s.byPool = nil
 	return true
 }
 
@@ -121,6 +135,7 @@
 	for node := range s.homes {
 		if !slices.Contains(live, node) {
 			delete(s.homes, node)
+			s.byPool = nil
 		}
 	}
 }
@@ -144,6 +159,21 @@
 	}
 }
 
+// Pool hands over what Each does of one pool. The order by pool is kept until a
+// summary comes or the homes change, so that a pass over all pools costs one
+// pass over the zone.
+func (s *Summaries) Pool(now time.Time, homes *Assigner, pool port.PoolName, visit func(home port.NodeID, replica *ReplicaSummary, age time.Duration)) {
+	if s.byPool == nil || s.assigned != homes {
+		s.byPool, s.assigned = make(map[port.PoolName][]poolEntry), homes
+		s.Each(now, homes, func(home port.NodeID, replica *ReplicaSummary, age time.Duration) {
+			s.byPool[replica.Pool] = append(s.byPool[replica.Pool], poolEntry{home: home, replica: replica, received: now.Add(-age)})
+		})
+	}
+	for _, entry := range s.byPool[pool] {
+		visit(entry.home, entry.replica, now.Sub(entry.received))
+	}
+}
+
 // newer orders (incarnation, sequence) pairs.
 func newer(incarnation, sequence, heldIncarnation, heldSequence uint64) bool {
 	return cmp.Or(cmp.Compare(incarnation, heldIncarnation), cmp.Compare(sequence, heldSequence)) > 0
--- a/internal/core/membership/summary_test.go
+++ b/internal/core/membership/summary_test.go
@@ -1,11 +1,15 @@
 package membership
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 func TestOldSummariesAreDropped(t *testing.T) {
@@ -141,3 +145,45 @@
 		})
 	}
 }
+
+// What Pool keeps must follow every summary, loss of a home and change of homes.
+func TestPoolHandsOverWhatEachDoes(t *testing.T) {
+	testkit.Check(t, 11, func(t *rapid.T) {
+		nodes := []port.NodeID{"a", "b", "c", "d"}
+		pools := []port.PoolName{"p", "q"}
+		summaries, now, homes := NewSummaries(), testStart, NewAssigner(nodes)
+		sequence := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"summary": func(t *rapid.T) {
+				sequence++
+				summary := HomeSummary{Node: rapid.SampledFrom(nodes).Draw(t, "node"), Sequence: sequence}
+				for number := range rapid.IntRange(0, 6).Draw(t, "replicas") {
+					summary.Replicas = append(summary.Replicas, ReplicaSummary{
+						Replica: port.ReplicaID(rune('r' + number)), Pool: rapid.SampledFrom(pools).Draw(t, "pool"), Inflight: int(sequence),
+					})
+				}
+				summaries.Apply(now, summary)
+			},
+			"homes":  func(t *rapid.T) { homes = NewAssigner(nodes[:rapid.IntRange(1, 4).Draw(t, "live")]) },
+			"retain": func(t *rapid.T) { summaries.Retain(nodes[:rapid.IntRange(1, 4).Draw(t, "kept")]) },
+			"time":   func(*rapid.T) { now = now.Add(time.Second) },
+			"": func(t *rapid.T) {
+				for _, pool := range pools {
+					var want, got []string
+					note := func(list *[]string) func(port.NodeID, *ReplicaSummary, time.Duration) {
+						return func(home port.NodeID, replica *ReplicaSummary, age time.Duration) {
+							if replica.Pool == pool {
+								*list = append(*list, fmt.Sprint(home, *replica, age))
+							}
+						}
+					}
+					summaries.Each(now, homes, note(&want))
+					summaries.Pool(now, homes, pool, note(&got))
+					if !slices.Equal(want, got) {
+						t.Fatalf("pool %s: got %v, want %v", pool, got, want)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -12,6 +12,7 @@
 func (d *Detector) SetView(now time.Time, nodes []port.NodeAddress) Output {
 	listed := make(map[port.NodeID]bool, len(nodes))
 	changed, listedBefore := false, d.listed
+	d.assigner = nil
 	d.listed = false
 	for _, node := range nodes {
 		if node.Zone != d.config.Zone {
@@ -57,6 +58,7 @@
 	for _, machine := range machines {
 		states[host(machine.Address)] = machine.State
 	}
+	d.assigner = nil
 	d.leaving = states[host(self)] == port.MachineLeaving
 	for _, peer := range d.peers {
 		state, found := states[host(peer.address)]
