--- /dev/null
+++ b/test/system/site_test.go
@@ -0,0 +1,234 @@
+package system
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/lab/standin"
+	"github.com/loomgrade/loomgrade/internal/port/api"
+)
+
+// Shape of the site.
+const (
+	clusterName  = "system-test"
+	samplingPool = "captions"
+	pagesPool    = "pages"
+	engines      = 4
+	applications = 2
+	groupSize    = 4
+	batchSamples = 16
+	staleness    = 2
+	weightBytes  = 1 << 20
+)
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// Names of the processes that there is one of.
+const (
+	weightStore = "weights"
+	scorer      = "scorer"
+	machineList = "machines"
+	trainer     = "trainer"
+)
+
+func member(number int) string      { return fmt.Sprintf("control-%d", number) }
+func engine(number int) string      { return fmt.Sprintf("engine-%d", number) }
+func application(number int) string { return fmt.Sprintf("application-%d", number) }
+
+// site is a running installation with its stand-ins.
+type site struct {
+	folder    string
+	host      string
+	processes map[string]*process
+	addresses map[string]string // IP:port by process, or by process + "/" + purpose
+	callers   *callers
+	stops     []audit.PlannedStop
+	faults    []audit.Fault
+}
+
+// loopbackHost gives an address of the loopback network that no other process
+// uses as its own, so that a port of a killed process stays free for it.
+func loopbackHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127)
+}
+
+// startSite starts every process, sets the configuration and waits until each
+// node is ready.
+func startSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{
+		folder: t.TempDir(), host: loopbackHost(),
+		processes: map[string]*process{}, addresses: map[string]string{},
+	}
+	s.reservePorts(t)
+	s.writeSettings(t)
+	s.addStandIns()
+	t.Cleanup(func() {
+		for _, process := range s.processes {
+			process.abandon()
+		}
+	})
+	for _, process := range s.processes {
+		process.start(t)
+	}
+	s.configure(t)
+	for _, zone := range zones {
+		s.untilReady(t, node(zone))
+	}
+	s.callers = startCallers(s.nodeURLs())
+	t.Cleanup(s.callers.stop)
+	return s
+}
+
+// reservePorts finds a free port for every listener.
+func (s *site) reservePorts(t *testing.T) {
+	t.Helper()
+	names := []string{weightStore, scorer, machineList, trainer}
+	for number := range zones {
+		names = append(names, member(number+1), member(number+1)+"/operators")
+	}
+	for _, zone := range zones {
+		names = append(names, node(zone), node(zone)+"/peers")
+	}
+	for number := range engines {
+		names = append(names, engine(number+1))
+	}
+	for number := range applications {
+		names = append(names, application(number+1))
+	}
+	for _, name := range names {
+		listener, err := net.Listen("tcp", s.host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		s.addresses[name] = listener.Addr().String()
+	}
+}
+
+func (s *site) path(name string) string { return filepath.Join(s.folder, name) }
+
+func (s *site) url(name string) string { return "http://" + s.addresses[name] }
+
+func (s *site) nodeURLs() []string {
+	var urls []string
+	for _, zone := range zones {
+		urls = append(urls, s.url(node(zone)))
+	}
+	return urls
+}
+
+func (s *site) add(name, program string, arguments ...string) {
+	s.processes[name] = &process{
+		name: name, program: program, arguments: arguments, logFile: s.path(name + ".log"),
+	}
+}
+
+// addStandIns adds the processes around loomgrade. Each keeps a journal.
+func (s *site) addStandIns() {
+	add := func(name, kind string, arguments ...string) {
+		common := []string{"stand-in", kind, "--listen", s.addresses[name], "--observations", s.path(name + ".journal")}
+		s.add(name, "loomlab", append(common, arguments...)...)
+	}
+	var live []string
+	for number := range engines {
+		name := engine(number + 1)
+		live = append(live, s.addresses[name])
+		add(name, "engine", "--time-scale", "4", "--batch", "8", "--median-tokens", "60", "--sigma", "0.8",
+			"--max-tokens", "400", "--cache-gap-every", "500")
+	}
+	for number := range applications {
+		name := application(number + 1)
+		live = append(live, s.addresses[name])
+		add(name, "app", "--service-time", "20ms")
+	}
+	add(weightStore, "weights", "--rate", "16777216", "--bytes", fmt.Sprint(weightBytes))
+	add(scorer, "scorer")
+	add(machineList, "machines", "--lag", "500ms", "--live", strings.Join(live, ","))
+	add(trainer, "trainer", "--pool", samplingPool, "--step-time", "200ms", "--nodes", strings.Join(s.nodeURLs(), ","))
+}
+
+// operate runs an operator's command, which must succeed, and decodes its JSON
+// output into answer, if there is one.
+func (s *site) operate(t *testing.T, answer any, arguments ...string) {
+	t.Helper()
+	code, stdout, stderr := invoke(t, append(arguments, s.operatorFlags()...)...)
+	if code != 0 {
+		t.Fatalf("loomgrade %v: exit code %d: %s", arguments, code, stderr)
+	}
+	if answer == nil {
+		return
+	}
+	if err := json.Unmarshal([]byte(stdout), answer); err != nil {
+		t.Fatalf("loomgrade %v: %v: %s", arguments, err, stdout)
+	}
+}
+
+func (s *site) operatorFlags() []string {
+	var servers []string
+	for number := range zones {
+		servers = append(servers, s.addresses[member(number+1)+"/operators"])
+	}
+	return []string{"--output", "json", "--token-file", s.path("operator.token"), "--server", strings.Join(servers, ",")}
+}
+
+// get reads JSON from a process; it reports false while that does not answer.
+func (s *site) get(name, path string, answer any) bool {
+	client := http.Client{Timeout: 5 * time.Second}
+	request, err := http.NewRequest(http.MethodGet, s.url(name)+path, nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK && json.NewDecoder(response.Body).Decode(answer) == nil
+}
+
+func (s *site) untilReady(t *testing.T, name string) {
+	t.Helper()
+	until(t, name+" is ready", func() bool {
+		var health map[string]any
+		return s.get(name, api.PathReady, &health)
+	})
+}
+
+// steps gives the number of batches that the trainer has trained on.
+func (s *site) steps(t *testing.T) int {
+	t.Helper()
+	var stats standin.TrainerStats
+	until(t, "the trainer answers", func() bool { return s.get(trainer, standin.PathTrainerStats, &stats) })
+	return stats.Steps
+}
+
+// untilProgress waits until the trainer has trained on further batches, and
+// further callers have been answered.
+func (s *site) untilProgress(t *testing.T, steps int) {
+	t.Helper()
+	wanted, answered := s.steps(t)+steps, s.callers.answered()+1
+	until(t, fmt.Sprintf("the trainer has done %d steps", wanted), func() bool { return s.steps(t) >= wanted })
+	until(t, "a caller is answered", func() bool { return s.callers.answered() >= answered })
+}
+
+// untilInForce waits until the configuration is in force at every node.
+func (s *site) untilInForce(t *testing.T) {
+	t.Helper()
+	until(t, "every node has the configuration", func() bool {
+		var status operatorapi.ConfigStatus
+		s.operate(t, &status, "config", "status")
+		return status.InForce == len(zones)
+	})
+}
