--- a/internal/lab/experiment/helpers_test.go
+++ b/internal/lab/experiment/helpers_test.go
@@ -20,6 +20,9 @@
   engine:
     step_base: 10ms
   lengths: {median: 100, sigma: 0.5, max: 800}
+  trainer_step: 10s
+  prompt_tokens: 1000
+  shared_prefix_tokens: 600
 length: 20m
 warm_up: 2m
 seeds: 3
@@ -62,7 +65,7 @@
 	noise := 0.1 * source.Float64()
 	idle := fakeIdle[options.Variant.Name] + noise
 	outcome := sim.Outcome{
-		Limits:          sim.Limits{IdleShare: 0.1, Staleness: 0.5},
+		Limits:          sim.Limits{IdleShare: 0.1, Staleness: 1},
 		LongSampleTimes: histogram(source, 60_000),
 		TokensGenerated: 1000,
 		PrefixHitShare:  0.5,
--- a/internal/lab/experiment/run_test.go
+++ b/internal/lab/experiment/run_test.go
@@ -103,11 +103,15 @@
 }
 
 func TestMergedDistributionsCountAllSeedsAndTrainers(t *testing.T) {
-	base := runFake(t, goodFile, fakeSimulate, 4).Base()
-	variant, _ := base.VariantNamed("loomgrade")
+	results := runFake(t, goodFile, fakeSimulate, 4)
+	variant, _ := results.Base().VariantNamed("loomgrade")
 	if got := variant.DistributionNamed(experiment.DistributionStaleness).Count; got != 3*3*100 {
 		t.Errorf("%d values, want those of 3 seeds and 3 trainers", got)
 	}
+	swept, _ := results.Points[1].VariantNamed("loomgrade")
+	if got := swept.DistributionNamed(experiment.DistributionStaleness).Count; got != 2*3*100 {
+		t.Errorf("%d values of a sweep, want those of 2 seeds and 3 trainers", got)
+	}
 	counted := int64(0)
 	for _, count := range variant.DistributionNamed(experiment.DistributionStaleness).Counts {
 		counted += count.Count
