chaos: prove more safeguards, count the hard cases, let members and observers be away

Cause: the runs had no learner of their own, no restart after hundreds of missed changes, and nothing told whether a resend met another member or a compacted log. Several checks had never been seen to fail.

Each must be found, as must a wiped disk under the old id, now in a scenario of its own. The auditor's own books get forged entries.

--- a/cmd/loomlab/cmd_chaos.go
+++ b/cmd/loomlab/cmd_chaos.go
@@ -53,6 +53,10 @@
 	if err := chaos.WriteTable(os.Stdout, summaries); err != nil {
 		return eris.Wrap(err, "write table")
 	}
+	fmt.Println()
+	if err := chaos.WriteCoverage(os.Stdout, summaries); err != nil {
+		return eris.Wrap(err, "write table")
+	}
 	return verdict(summaries)
 }
 
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -20,6 +20,9 @@
 	// SnapshotEntries is the number of applied entries after which a snapshot is
 	// due; 0 takes DefaultSnapshotEntries.
 	SnapshotEntries uint64
+	// NoTimeJump lets a leader keep silent about a jump of the log's time. Only
+	// tests that show what the telling is for set it.
+	NoTimeJump bool
 }
 
 // Member is one control member. It is not safe for concurrent use.
@@ -109,6 +112,9 @@
 // enter the log.
 func (m *Member) Propose(token uint64, command port.Command) {
 	command.Time, command.TimeJump = m.clock.now(), m.clock.jumpMillis()
+	if m.config.NoTimeJump {
+		command.TimeJump = 0
+	}
 	data, err := controlstate.EncodeCommand(command)
 	if err != nil {
 		m.fail(token, port.NewError(port.NotRun, port.CodeInvalid, "command cannot be encoded: %v", err))
--- a/internal/lab/chaos/admin.go
+++ b/internal/lab/chaos/admin.go
@@ -15,6 +15,8 @@
 	world *World
 	// replacement is the machine that is being brought in, or nil.
 	replacement *machine
+	// learner is set if the lost machine had no vote.
+	learner bool
 	// repaired counts completed replacements.
 	repaired int
 }
@@ -33,6 +35,7 @@
 	switch {
 	case a.replacement == nil && lost != nil:
 		a.replacement = a.world.addMachine(consensus.Membership{})
+		a.learner = membership.IsLearner(lost.id)
 		a.replacement.start()
 		a.propose(leader, consensus.AddLearner, a.replacement.id)
 	case a.replacement == nil:
@@ -41,10 +44,10 @@
 		a.propose(leader, consensus.AddLearner, a.replacement.id)
 	case lost != nil:
 		a.propose(leader, consensus.RemoveMember, lost.id)
-	case membership.IsLearner(a.replacement.id):
+	case membership.IsLearner(a.replacement.id) && !a.learner:
 		a.propose(leader, consensus.PromoteLearner, a.replacement.id)
 	default:
-		a.world.tracef("replacement %d is a voter", a.replacement.id)
+		a.world.tracef("replacement %d is complete", a.replacement.id)
 		a.replacement = nil
 		a.repaired++
 		a.world.faults.repaired()
--- a/internal/lab/chaos/audit.go
+++ b/internal/lab/chaos/audit.go
@@ -18,6 +18,10 @@
 	// digestEvery is the distance of the log positions at which whole states
 	// are compared.
 	digestEvery = 8
+	// confirmedAge is how old a confirmed view may be: the time until a leader
+	// without a quorum steps down, until its follower notices, and the longest
+	// delays of the messages between.
+	confirmedAge = 3 * time.Second
 	// quorumPatience is how many ticks a leader may go without a quorum.
 	quorumPatience = 3 * electionTicks
 )
@@ -243,6 +247,21 @@
 	}
 }
 
+// checkConfirmed demands that a view that a member confirms is not old. A
+// process that was paused finds old messages of its leader first.
+func (a *Auditor) checkConfirmed(m *machine, update port.ViewUpdate) {
+	now := a.now()
+	if !update.Confirmed || now-m.resumed < confirmedAge {
+		return
+	}
+	for revision := a.revision; revision > update.Revision; revision-- {
+		if accepted := a.acceptedAt[revision]; now-accepted > confirmedAge {
+			a.report("confirmed views are fresh", "member %d confirms revision %d, %d was accepted %v before", m.id, update.Revision, revision, now-accepted)
+			return
+		}
+	}
+}
+
 // noteOrder demands that each fence has one holder, and that no order is taken
 // after one of a higher fence.
 func (a *Auditor) noteOrder(fence port.Epoch, holder port.NodeID) {
--- a/internal/lab/chaos/chaos_test.go
+++ b/internal/lab/chaos/chaos_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -47,6 +48,81 @@
 	}
 }
 
+// wipedScenario loses disks while leaders change.
+var wipedScenario = Scenario{
+	Name: "wiped", Faulty: 3 * time.Minute, Every: 5 * time.Second, Together: 2, Members: 3,
+	Faults: []Fault{FaultLose, FaultKill, FaultIsolate, FaultIsolateLeader},
+}
+
+// restartScenario restarts observers while members are cut off.
+var restartScenario = Scenario{
+	Name: "restarts", Faulty: 2 * time.Minute, Every: 3 * time.Second, Together: 1, Members: 3,
+	Faults: []Fault{FaultObserverAway, FaultObserverAway, FaultIsolate},
+}
+
+// TestScenariosCoverHardCases demands that a few seeds go through every
+// situation that is counted.
+func TestScenariosCoverHardCases(t *testing.T) {
+	var total Coverage
+	for name, seeds := range map[string]int{"absence": 2, "together": 4, "clocks": 4} {
+		scenario, _ := ScenarioNamed(name)
+		reports, err := RunMany(context.Background(), Options{Scenario: scenario}, 1, seeds, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total.add(Summarize(scenario, reports).Coverage)
+	}
+	counts := reflect.ValueOf(total)
+	for field := range counts.NumField() {
+		if counts.Field(field).IsZero() {
+			t.Errorf("no run had %s", counts.Type().Field(field).Name)
+		}
+	}
+	if total.MostMissed < 200 {
+		t.Errorf("observers missed %d revisions at most, want hundreds", total.MostMissed)
+	}
+}
+
+// TestAuditorFindsForgedEntries applies changes that a correct log never has.
+func TestAuditorFindsForgedEntries(t *testing.T) {
+	change := func(number int, expected port.Revision, author string) port.Command {
+		return port.Command{
+			Time:                epoch * 1000,
+			ChangeID:            fmt.Sprintf("%d-00000000", epoch*1000+number),
+			ChangeConfiguration: &port.ChangeConfiguration{Expected: expected, Edits: []port.Edit{{MachineList: address(author)}}, Author: author},
+		}
+	}
+	tests := []struct {
+		name    string
+		second  port.Command
+		result  port.Result
+		skipped bool
+		check   string
+	}{
+		{"correct", change(2, 1, "b"), port.Result{Revision: 2}, false, ""},
+		{"same change under another id", change(2, 1, "a"), port.Result{Revision: 2}, false, "each change once"},
+		{"revision of another answer", change(2, 1, "b"), port.Result{Revision: 3}, false, "revisions count up"},
+		{"unexpected revision accepted", change(2, 0, "b"), port.Result{Revision: 2}, true, "revisions count up"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			audit, found := newAuditor(), ""
+			audit.report = func(check, format string, arguments ...any) { found = check }
+			first := change(1, 0, "a")
+			audit.checkChange(first, audit.state.Apply(1, 1, first), 0)
+			applied := test.second
+			if test.skipped {
+				applied = change(3, 1, "c") // stands for a state machine that ignored the expected revision
+			}
+			audit.state.Apply(2, 1, applied)
+			audit.checkChange(test.second, test.result, 1)
+			if found != test.check {
+				t.Fatalf("found %q, want %q", found, test.check)
+			}
+		})
+	}
+}
+
 // TestMissingSafeguardsAreFound takes one safeguard away at a time, and demands
 // that the check for it fails within a few seeds.
 func TestMissingSafeguardsAreFound(t *testing.T) {
@@ -64,12 +140,27 @@
 		{WeaknessIgnoreFence, "crashes", "one holder by fence"},
 		{WeaknessObserversGoBack, "crashes", "observers never go back"},
 		{WeaknessLocalReads, "crashes", "configuration is linearizable"},
-		{WeaknessSameID, "together", "committed entries kept"},
+		{WeaknessSameID, wipedScenario.Name, "committed entries kept"},
+		{WeaknessSameID, wipedScenario.Name, "one leader a term"},
+		{WeaknessConfirmBehind, "isolation", "confirmed views are fresh"},
+		{WeaknessStaleStart, restartScenario.Name, "observers never go back"},
+		{WeaknessNoTimeJump, "clocks", "one holder at a time"},
+		{WeaknessKeepTornTail, "disks", "restart"},
+		{WeaknessLeaderReads, "cuts", "configuration is linearizable"},
+		{WeaknessForgetAnswers, "crashes", "states equal"},
+		{WeaknessSkipSync, "together", "leases are linearizable"},
+		{WeaknessSkipSync, "together", "views equal"},
+		{WeaknessSkipSync, "crashes", "no progress"},
 	}
 	for _, test := range tests {
 		t.Run(string(test.weakness)+" "+test.check, func(t *testing.T) {
 			t.Parallel()
-			scenario, _ := ScenarioNamed(test.scenario)
+			scenario, found := ScenarioNamed(test.scenario)
+			for _, other := range []Scenario{wipedScenario, restartScenario} {
+				if !found && other.Name == test.scenario {
+					scenario = other
+				}
+			}
 			for seed := range uint64(8) {
 				report := Run(Options{Scenario: scenario, Seed: seed + 1, Weakness: test.weakness})
 				for _, violation := range report.Violations {
--- a/internal/lab/chaos/faults.go
+++ b/internal/lab/chaos/faults.go
@@ -39,10 +39,19 @@
 	FaultLose Fault = "lose"
 	// FaultLoseAfterRepair loses a machine right after the next repair.
 	FaultLoseAfterRepair Fault = "lose-after-repair"
+	// FaultAbsence ends a process for minutes.
+	FaultAbsence Fault = "absence"
+	// FaultObserverAway lets an observer be deaf for a while; half of them come
+	// back with nothing.
+	FaultObserverAway Fault = "observer-away"
 	// FaultStorm makes the network very bad for a while.
 	FaultStorm Fault = "storm"
 )
 
+// longScenario is the faulty time from which on isolation and absence take
+// minutes.
+const longScenario = 4 * time.Minute
+
 // calmCheck is how long a leader must outlast the return of a cut-off member.
 const calmCheck = 3 * time.Second
 
@@ -97,6 +106,11 @@
 	case FaultCrashPoints:
 		i.world.crashChance = 0.004
 		i.end(i.short(), func() { i.world.crashChance = 0 })
+	case FaultAbsence:
+		target.killFor(i.silence())
+	case FaultObserverAway:
+		observers := i.world.observers
+		observers[i.world.random.IntN(len(observers))].leave(i.silence())
 	case FaultPause:
 		target.pause()
 		i.end(i.long(), target.resume)
@@ -138,7 +152,7 @@
 	switch fault {
 	case FaultSync, FaultLose, FaultLoseAfterRepair:
 		return i.spareDisks() > 0 && !i.syncFaultPending()
-	case FaultPowerLoss, FaultKill, FaultPause, FaultDiskFull:
+	case FaultPowerLoss, FaultKill, FaultAbsence, FaultPause, FaultDiskFull:
 		return target.running()
 	default:
 		return true
@@ -178,7 +192,9 @@
 		return
 	}
 	i.loseAfterRepair = false
+	before := i.count
 	i.one(FaultLose)
+	i.world.coverage.SecondLosses += i.count - before
 }
 
 func (i *injector) short() time.Duration { return i.world.between(500*time.Millisecond, 8*time.Second) }
@@ -187,7 +203,7 @@
 // silence is the length of an isolation; where it is the scenario's subject it
 // takes minutes.
 func (i *injector) silence() time.Duration {
-	if i.world.options.Scenario.Faulty >= 5*time.Minute {
+	if i.world.options.Scenario.Faulty >= longScenario {
 		return i.world.between(60*time.Second, 150*time.Second)
 	}
 	return i.long()
--- a/internal/lab/chaos/history.go
+++ b/internal/lab/chaos/history.go
@@ -7,6 +7,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -31,6 +32,10 @@
 	name     string
 	expected port.Revision
 	attempts int
+	// unanswered is set if an attempt may have run though its answer was lost.
+	unanswered bool
+	// first is the member that was asked first.
+	first consensus.MemberID
 	// holder and expectedEpoch are for leases; 0 asks for a new epoch.
 	holder        port.NodeID
 	expectedEpoch port.Epoch
--- a/internal/lab/chaos/machine.go
+++ b/internal/lab/chaos/machine.go
@@ -37,14 +37,21 @@
 	log         *wal.Log
 	busyUntil   time.Duration
 	callers     map[uint64]func(answer)
-	watchers    map[int]uint64 // position by observer
+	watchers    map[int]watch // by observer
 	pushed      uint64
 	audited     uint64 // last applied index that the auditor compared
 	paused      bool
 	missed      int // ticks during a pause
+	resumed     time.Duration
 	backlog     []func()
 }
 
+// watch is an observer's subscription at one member.
+type watch struct {
+	position uint64
+	session  uint64 // of the observer
+}
+
 func newMachine(world *World, id consensus.MemberID, initial consensus.Membership) *machine {
 	return &machine{world: world, id: id, initial: initial, disk: faultfs.New(world.random.Uint64())}
 }
@@ -69,7 +76,7 @@
 	}
 	m.member = member
 	m.incarnation++
-	m.callers, m.watchers = map[uint64]func(answer){}, map[int]uint64{}
+	m.callers, m.watchers = map[uint64]func(answer){}, map[int]watch{}
 	m.paused, m.missed, m.backlog = false, 0, nil
 	m.pushed, m.audited = 0, 0
 	m.world.tracef("member %d starts at applied %d", m.id, member.State().Applied())
@@ -84,11 +91,12 @@
 			Seed: m.world.random.Uint64(), RetainEntries: snapshotEntries / 2, SnapshotChunkBytes: 2048,
 			Safeguards: consensus.Safeguards{
 				NoPreVote:     weakness == WeaknessNoPreVote,
-				NoCheckQuorum: weakness == WeaknessNoCheckQuorum,
+				NoCheckQuorum: weakness == WeaknessNoCheckQuorum || weakness == WeaknessLeaderReads,
 			},
 		},
 		TickInterval:    tickInterval,
 		SnapshotEntries: snapshotEntries,
+		NoTimeJump:      weakness == WeaknessNoTimeJump,
 	}
 }
 
@@ -97,6 +105,9 @@
 		FileSystem: m.disk, Directory: dataFolder, SegmentBytes: segmentBytes,
 		Identity: wal.Identity{Cluster: clusterName, Member: m.id},
 	}
+	if m.world.options.Weakness == WeaknessKeepTornTail {
+		options.FileSystem = keepTail{m.disk}
+	}
 	if !m.created {
 		log, restored, err := wal.Create(options, m.initial)
 		if err != nil {
@@ -110,6 +121,9 @@
 		return consensus.Restored{}, err
 	}
 	m.log = log
+	if m.world.options.Weakness == WeaknessForgetAnswers && recovery.Restored.Snapshot.Index > 0 {
+		recovery.Restored.Snapshot.Data = withoutAnswers(recovery.Restored.Snapshot.Data)
+	}
 	return recovery.Restored, nil
 }
 
@@ -207,6 +221,9 @@
 		m.down()
 		return false
 	}
+	if ready.Snapshot != nil {
+		m.world.coverage.Installed++
+	}
 	m.world.audit.noteApplied(m)
 	m.answerCallers()
 	return !m.mayCrash("after the answers")
@@ -269,7 +286,8 @@
 		m.member.Propose(token, *command)
 		return
 	}
-	if m.world.options.Weakness == WeaknessLocalReads {
+	weakness := m.world.options.Weakness
+	if weakness == WeaknessLocalReads || weakness == WeaknessLeaderReads && m.member.IsLeader() {
 		caller := m.callers[token]
 		delete(m.callers, token)
 		caller(answer{result: port.Result{Revision: m.member.State().Revision()}})
@@ -314,99 +332,15 @@
 }
 
 func (m *machine) pushTo(number int) {
-	update := m.member.Update(m.watchers[number])
-	m.watchers[number] = max(update.Position, m.watchers[number])
+	watch := m.watchers[number]
+	update := m.member.Update(watch.position)
+	if m.world.options.Weakness == WeaknessConfirmBehind {
+		update.Confirmed = m.member.QuorumContact() && m.member.State().Applied() >= m.member.Status().Commit
+	}
+	m.world.audit.checkConfirmed(m, update)
+	watch.position = max(update.Position, watch.position)
+	m.watchers[number] = watch
 	m.world.network.carry(m.id, outside, max(m.world.now, m.busyUntil), func() {
-		m.world.observers[number].receive(m.id, update)
-	})
-}
-
-// mayCrash draws whether the machine loses power here.
-func (m *machine) mayCrash(where string) bool {
-	if m.world.crashChance == 0 || m.world.random.Float64() >= m.world.crashChance {
-		return false
-	}
-	m.world.faults.count++
-	m.world.tracef("member %d loses power %s", m.id, where)
-	m.powerLoss()
-	return true
-}
-
-// powerLoss stops the process, loses what was not synced, and comes back later.
-func (m *machine) powerLoss() {
-	m.down()
-	m.disk.Crash()
-	m.world.after(m.world.between(100*time.Millisecond, 5*time.Second), m.start)
-}
-
-// kill stops the process and keeps what was written.
-func (m *machine) kill() {
-	m.down()
-	m.disk.Stop()
-	m.world.after(m.world.between(100*time.Millisecond, 5*time.Second), m.start)
-}
-
-func (m *machine) down() {
-	m.member, m.log = nil, nil
-	m.incarnation++
-	m.paused, m.backlog = false, nil
-}
-
-// diskFailed stops a member whose log refuses. After a full disk the process
-// comes back once there is room; after a failed sync nobody knows what is on
-// the disk, and the machine must be replaced under a new id.
-func (m *machine) diskFailed(err error) {
-	m.world.tracef("member %d stops: %v", m.id, err)
-	m.down()
-	m.disk.Stop()
-	if errors.Is(err, wal.ErrFull) {
-		m.world.after(m.world.between(time.Second, 10*time.Second), func() {
-			m.disk.SetCapacity(0)
-			m.start()
-		})
-		return
-	}
-	m.lose()
-}
-
-// lose takes the machine away for ever, or, without the safeguard of fresh ids,
-// lets it come back under its id with an empty disk.
-func (m *machine) lose() {
-	m.down()
-	if m.world.options.Weakness == WeaknessSameID && len(m.initial.Voters) > 0 {
-		m.disk.RemoveAll(dataFolder)
-		m.created = false
-		m.world.after(time.Second, m.start)
-		return
-	}
-	m.gone = true
-}
-
-func (m *machine) pause() { m.paused = true }
-
-// resume lets a paused process go on: first it notes the time that passed.
-func (m *machine) resume() {
-	if !m.running() || !m.paused {
-		return
-	}
-	m.paused = false
-	missed, backlog := m.missed, m.backlog
-	m.missed, m.backlog = 0, nil
-	m.process(func() {
-		for range missed {
-			m.tick()
-		}
+		m.world.observers[number].receive(m.id, watch.session, update)
 	})
-	for _, work := range backlog {
-		m.process(work)
-	}
-}
-
-// recover ends everything that is wrong with the machine and can end.
-func (m *machine) recover() {
-	m.disk.FailSync(0)
-	m.syncFault = false
-	m.disk.SetCapacity(0)
-	m.resume()
-	m.start()
 }
--- a/internal/lab/chaos/operator.go
+++ b/internal/lab/chaos/operator.go
@@ -13,6 +13,7 @@
 const (
 	answerTimeout = 1500 * time.Millisecond
 	retryPause    = 200 * time.Millisecond
+	longestRest   = 2 * time.Second
 )
 
 // operator changes the configuration, one change after the other, and reads in
@@ -23,6 +24,9 @@
 	revision port.Revision
 	changes  int
 	offset   time.Duration // of its clock
+	// hint is the last known leader; only operators that are in haste ask it
+	// first.
+	hint consensus.MemberID
 }
 
 func newOperator(world *World, number int) *operator {
@@ -41,13 +45,17 @@
 }
 
 func (o *operator) rest() {
-	o.world.after(o.world.between(100*time.Millisecond, 2*time.Second), o.next)
+	longest := o.world.options.Scenario.Rest
+	if longest == 0 {
+		longest = longestRest
+	}
+	o.world.after(o.world.between(longest/20, longest), o.next)
 }
 
 func (o *operator) read() {
 	operation := &operation{kind: operationRead, client: o.number, call: o.world.now}
 	o.world.history.add(operation)
-	o.send(nil, operation, consensus.None)
+	o.send(nil, operation, o.hint)
 }
 
 // change proposes a change that names itself, so that its traces can be told
@@ -66,7 +74,7 @@
 	}
 	operation := &operation{kind: operationChange, client: o.number, name: name, expected: o.revision, call: o.world.now}
 	o.world.history.add(operation)
-	o.send(command, operation, consensus.None)
+	o.send(command, operation, o.hint)
 }
 
 func (o *operator) changeID() string {
@@ -85,7 +93,15 @@
 	if target == nil || target.gone {
 		target = o.world.anyMachine()
 	}
-	o.world.submit(target, command, func(reply answer) { o.receive(command, operation, reply) })
+	if operation.attempts == 0 {
+		operation.first = target.id
+	}
+	o.world.submit(target, command, func(reply answer) {
+		if !operation.done && reply.err == nil {
+			o.world.coverage.noteAnswer(operation, target, reply.result)
+		}
+		o.receive(command, operation, reply)
+	})
 	attempt := operation.attempts
 	pause := answerTimeout
 	if o.world.random.IntN(20) == 0 {
@@ -93,6 +109,7 @@
 	}
 	o.world.after(pause, func() {
 		if !operation.done && operation.attempts == attempt {
+			operation.unanswered = true
 			o.again(command, operation, consensus.None)
 		}
 	})
@@ -114,6 +131,7 @@
 	}
 	if reply.err != nil {
 		attempt := operation.attempts
+		operation.unanswered = operation.unanswered || reply.err.Verdict != port.NotRun
 		o.world.after(retryPause, func() {
 			if !operation.done && operation.attempts == attempt {
 				o.again(command, operation, reply.leader)
@@ -122,6 +140,9 @@
 		return
 	}
 	operation.finish(o.world.now, reply.result)
+	if o.world.options.Scenario.Rest > 0 {
+		o.hint = reply.leader
+	}
 	o.revision = max(o.revision, reply.result.Revision)
 	o.world.tracef("operator %d: %s", o.number, operation)
 	o.rest()
--- a/internal/lab/chaos/report.go
+++ b/internal/lab/chaos/report.go
@@ -17,6 +17,7 @@
 	Batches    int
 	Repairs    int
 	Violations int
+	Coverage   Coverage
 	// Failing lists the seeds with violations.
 	Failing []uint64
 }
@@ -30,6 +31,7 @@
 		summary.Accepted += report.Accepted
 		summary.Batches += report.Batches
 		summary.Repairs += report.Repairs
+		summary.Coverage.add(report.Coverage)
 		summary.Violations += len(report.Violations)
 		if len(report.Violations) > 0 {
 			summary.Failing = append(summary.Failing, report.Seed)
--- a/internal/lab/chaos/run.go
+++ b/internal/lab/chaos/run.go
@@ -16,6 +16,7 @@
 	Entries    int         `json:"entries"`
 	Batches    int         `json:"batches"`
 	Repairs    int         `json:"repairs"`
+	Coverage   Coverage    `json:"coverage"`
 	Violations []Violation `json:"violations,omitempty"`
 }
 
@@ -26,7 +27,7 @@
 	return Report{
 		Scenario: options.Scenario.Name, Seed: options.Seed, Steps: world.steps,
 		Faults: world.faults.count, Accepted: len(world.audit.accepted), Entries: len(world.audit.entries),
-		Batches: len(world.audit.books.batches), Repairs: world.admin.repaired, Violations: world.audit.violations,
+		Batches: len(world.audit.books.batches), Repairs: world.admin.repaired, Coverage: world.coverage, Violations: world.audit.violations,
 	}
 }
 
--- a/internal/lab/chaos/scenario.go
+++ b/internal/lab/chaos/scenario.go
@@ -17,6 +17,10 @@
 	Faults  []Fault
 	// Members is the number of voters; 0 lets the seed choose 3 or 5.
 	Members int
+	// Learners is the number of members without a vote.
+	Learners int
+	// Rest is the longest pause of an operator between two actions; 0 takes 2 s.
+	Rest time.Duration
 }
 
 // Network says how the links between processes behave.
@@ -32,7 +36,7 @@
 	lossy := Network{Loss: 0.1, Duplicate: 0.1, Delay: 80 * time.Millisecond}
 	every := []Fault{
 		FaultCut, FaultIsolate, FaultIsolateLeader, FaultSplit, FaultPowerLoss, FaultKill, FaultCrashPoints,
-		FaultPause, FaultClock, FaultClockElection, FaultSync, FaultDiskFull, FaultLose, FaultStorm,
+		FaultPause, FaultClock, FaultClockElection, FaultSync, FaultDiskFull, FaultLose, FaultStorm, FaultObserverAway,
 	}
 	return []Scenario{
 		{Name: "calm", Title: "no faults", Faulty: time.Minute, Every: time.Hour},
@@ -43,8 +47,9 @@
 		{Name: "disks", Title: "failed syncs and full disks", Faulty: 2 * time.Minute, Every: 6 * time.Second, Together: 1, Faults: []Fault{FaultSync, FaultDiskFull, FaultPowerLoss}},
 		{Name: "clocks", Title: "clock jumps and pauses", Faulty: 90 * time.Second, Every: 5 * time.Second, Together: 1, Faults: []Fault{FaultClock, FaultClockElection, FaultPause, FaultKill}},
 		{Name: "replace", Title: "a machine lost and replaced, a second one lost right after", Faulty: 3 * time.Minute, Every: 40 * time.Second, Together: 1, Members: 3, Faults: []Fault{FaultLose, FaultLoseAfterRepair}},
-		{Name: "all", Title: "all faults, one at a time", Faulty: 3 * time.Minute, Every: 4 * time.Second, Together: 1, Network: Network{Loss: 0.02, Duplicate: 0.02, Delay: 20 * time.Millisecond}, Faults: every},
-		{Name: "together", Title: "all faults, two at once and twice", Faulty: 3 * time.Minute, Every: 6 * time.Second, Together: 2, Network: lossy, Faults: append(every, FaultLoseAfterRepair)},
+		{Name: "absence", Title: "members and observers away for minutes and hundreds of changes", Faulty: 4 * time.Minute, Every: 12 * time.Second, Together: 1, Learners: 1, Rest: 600 * time.Millisecond, Faults: []Fault{FaultAbsence, FaultKill, FaultObserverAway, FaultObserverAway, FaultIsolate}},
+		{Name: "all", Title: "all faults, one at a time", Faulty: 3 * time.Minute, Every: 4 * time.Second, Together: 1, Learners: 1, Network: Network{Loss: 0.02, Duplicate: 0.02, Delay: 20 * time.Millisecond}, Faults: every},
+		{Name: "together", Title: "all faults, two at once and twice", Faulty: 3 * time.Minute, Every: 6 * time.Second, Together: 2, Learners: 1, Network: lossy, Faults: append(every, FaultLoseAfterRepair)},
 	}
 }
 
@@ -57,28 +62,3 @@
 	}
 	return Scenario{}, false
 }
-
-// Weakness names a safeguard that is taken away. Only tests use others than
-// WeaknessNone.
-type Weakness string
-
-// The weaknesses.
-const (
-	WeaknessNone Weakness = ""
-	// WeaknessSkipSync sends messages without a sync before them.
-	WeaknessSkipSync Weakness = "skip-sync"
-	// WeaknessNoPreVote lets a member that comes back raise the term.
-	WeaknessNoPreVote Weakness = "no-pre-vote"
-	// WeaknessNoCheckQuorum lets a leader go on without a quorum.
-	WeaknessNoCheckQuorum Weakness = "no-check-quorum"
-	// WeaknessNoDeduplication gives each resend a change id of its own.
-	WeaknessNoDeduplication Weakness = "no-deduplication"
-	// WeaknessIgnoreFence lets the back end take orders under any fence.
-	WeaknessIgnoreFence Weakness = "ignore-fence"
-	// WeaknessObserversGoBack lets observers take any view they are sent.
-	WeaknessObserversGoBack Weakness = "observers-go-back"
-	// WeaknessLocalReads answers reads from any member without the leader.
-	WeaknessLocalReads Weakness = "local-reads"
-	// WeaknessSameID lets a machine that lost its disk rejoin under its old id.
-	WeaknessSameID Weakness = "same-id"
-)
--- a/internal/lab/chaos/world.go
+++ b/internal/lab/chaos/world.go
@@ -45,6 +45,7 @@
 	machines []*machine // by id
 	audit    *Auditor
 	history  history
+	coverage Coverage
 
 	observers []*observer
 	operators []*operator
@@ -81,7 +82,10 @@
 	for id := range consensus.MemberID(members) {
 		initial.Voters = append(initial.Voters, id+1)
 	}
-	for range members {
+	for id := range consensus.MemberID(options.Scenario.Learners) {
+		initial.Learners = append(initial.Learners, consensus.MemberID(members)+id+1)
+	}
+	for range initial.Members() {
 		world.addMachine(initial).start()
 	}
 	world.admin = admin{world: world}
@@ -187,6 +191,9 @@
 	for _, machine := range w.machines {
 		machine.recover()
 	}
+	for _, observer := range w.observers {
+		observer.away = 0
+	}
 }
 
 // checkProgress demands that, after the faults, every observer shows the newest
