--- a/cmd/loomlab/cmd_fleet.go
+++ b/cmd/loomlab/cmd_fleet.go
@@ -25,10 +25,11 @@
 	WeightBytes float64       `default:"17179869184" help:"Size of a weight version, in bytes."`
 	StoreRate   float64       `default:"1099511627776" help:"What the weight store gives in a second, in bytes."`
 	Sizes       []int         `help:"Numbers of nodes to run one after the other, with replicas and samples in proportion, and fit."`
-	Output      string        `default:"table" enum:"table,json" help:"Form of the results: ${enum}."`
+	Output      string        `default:"table" enum:"table,json,markdown" help:"Form of the results: ${enum}."`
 }
 
-// fleetOutput is the JSON form.
+// fleetOutput is the JSON form, of which markdown gives the tables of
+// docs/CAPACITY.md.
 type fleetOutput struct {
 	Results []*fleet.Result `json:"results"`
 	Slopes  []fleet.Slope   `json:"slopes,omitempty"`
@@ -75,7 +76,7 @@
 
 // show prints one run's table as soon as it is there.
 func (c *fleetCommand) show(result *fleet.Result) error {
-	if c.Output == "json" {
+	if c.Output != "table" {
 		fmt.Fprintf(os.Stderr, "%d nodes done in %v\n", result.Options.Nodes, result.Process.Wall.Round(time.Second))
 		return nil
 	}
@@ -83,6 +84,9 @@
 }
 
 func (c *fleetCommand) write(output fleetOutput) error {
+	if c.Output == "markdown" {
+		return eris.Wrap(fleet.WriteMarkdown(os.Stdout, output.Results, output.Slopes), "write tables")
+	}
 	if c.Output == "json" {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
