standin: let the trainer ask the node that answered last, and record cut-off calls

Cause: a trainer began every call with the first node of its list. With that node silent each call waited for its timeout first: 12 s a call, 78 s for three steps, measured in the row 'silence the coordinator' of test/system.

Change: the node that answered last is asked first, and after an error the next one. A call that ended without a whole answer is recorded, so that the audit can tell whether a planned stop cut it off.

--- a/internal/lab/standin/others_test.go
+++ b/internal/lab/standin/others_test.go
@@ -167,6 +167,9 @@
 	}
 	eventually(t, "all steps", func() bool { return trainer.Stats().Steps == 6 && trainer.Stats().Version == 4 })
 	trainer.Close()
+	if calls := trainer.Observations().Calls; len(calls) != 1 || calls[0].Outcome != audit.OutcomeLost {
+		t.Errorf("one answer was cut off, recorded are %+v", calls)
+	}
 	if found := audit.Check(trainer.Observations(), audit.Bounds{}); len(found) > 0 {
 		for _, violation := range found {
 			if violation.Rule != audit.RuleVersionsTrue { // the samples have no text
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -24,6 +24,8 @@
 	mutex sync.Mutex
 	stats TrainerStats
 	epoch port.Epoch
+	// good is the position of the node that answered last; it is asked first.
+	good int
 	// unpublished counts the steps since the last publication; like the
 	// stats it is part of the checkpoint.
 	unpublished int
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -52,8 +53,10 @@
 	if t.config.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+t.config.Token)
 	}
+	began := since()
 	response, err := t.client.Do(request)
 	if err != nil {
+		t.noteCutOff(ctx, node, method+" "+path, began, err)
 		return err
 	}
 	defer response.Body.Close()
@@ -63,20 +66,39 @@
 		_ = json.NewDecoder(limited).Decode(&fault) // the status says enough
 		return &statusError{response.StatusCode, fault.Error}
 	}
-	return json.NewDecoder(limited).Decode(answer)
+	err = json.NewDecoder(limited).Decode(answer)
+	if err != nil {
+		t.noteCutOff(ctx, node, method+" "+path, began, err)
+	}
+	return err
+}
+
+// noteCutOff records a call whose connection ended without a whole answer. One
+// whose connection was never made is none, nor is one that the trainer's own
+// end cut off.
+func (t *Trainer) noteCutOff(ctx context.Context, node, what string, began time.Duration, err error) {
+	var operation *net.OpError
+	if ctx.Err() != nil || errors.As(err, &operation) && operation.Op == "dial" {
+		return
+	}
+	t.recorder.add(audit.Observations{Calls: []audit.Call{{
+		Class: "trainer", Target: strings.TrimPrefix(node, "http://"), Call: fmt.Sprintf("%s at %d", what, began),
+		Outcome: audit.OutcomeLost, Detail: err.Error(), StartedAt: began, EndedAt: since(),
+	}}})
 }
 
-// untilDone repeats a call over the nodes until it succeeds, which it
-// reports, or ctx ends. A trainer that was fenced off registers again.
+// untilDone repeats a call over the nodes, beginning with the one that answered
+// last, until it succeeds, which it reports, or ctx ends. A trainer that was fenced off registers again.
 func (t *Trainer) untilDone(ctx context.Context, call func(node string) error) bool {
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		node := t.config.Nodes[attempt%len(t.config.Nodes)]
+	for ctx.Err() == nil {
+		position, node := t.goodNode()
 		err := call(node)
 		if err == nil {
 			return true
 		}
 		t.mutex.Lock()
 		t.stats.LastError = err.Error()
+		t.good = (position + 1) % len(t.config.Nodes)
 		t.mutex.Unlock()
 		if hasCode(err, port.CodeFenced) {
 			// Without success the next attempt is fenced off and comes here again.
@@ -87,6 +109,13 @@
 	return false
 }
 
+// goodNode returns the node to ask next.
+func (t *Trainer) goodNode() (position int, url string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.good, t.config.Nodes[t.good]
+}
+
 func (t *Trainer) path(pattern string, number uint64) string {
 	replacer := strings.NewReplacer("{pool}", url.PathEscape(t.config.Pool), "{number}", strconv.FormatUint(number, 10))
 	return replacer.Replace(pattern)
