coordinator: start replacements at once, and plan when the trainer asks

Cause: a sample that takes the place of one dropped as stale waited for the next tick, up to 100 ms, and so did all that waited for weights when the weights came. The policy program ran at ticks alone, up to a second after a trainer began to wait.

Change: both happen in the step that brings the news, the program at most every 20 ms. A tick still starts whatever became due by time.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -44,6 +44,7 @@
 }
 
 func (c *Coordinator) batchRequested(event BatchRequested) {
+	c.planning.due = true
 	c.waiters = append(c.waiters, waiter{
 		token: event.Token, number: event.Number, epoch: event.ConsumerEpoch, deadline: event.Deadline,
 		arrived: c.now,
--- a/internal/core/coordinator/coordinator.go
+++ b/internal/core/coordinator/coordinator.go
@@ -37,6 +37,8 @@
 	running  int
 	whole    int
 	sequence uint64
+	// startDue says that a waiting sample may start before the next tick.
+	startDue bool
 
 	ledger  port.LedgerState
 	asked   port.BatchNumber
@@ -126,6 +128,8 @@
 	c.dispatch(event)
 	if !c.lost {
 		c.serveWaiters()
+		c.replan()
+		c.startWaiting()
 		c.startGroups()
 		c.fetchPrompts()
 		c.reportDrained()
@@ -165,6 +169,7 @@
 	case CapacityChanged:
 		c.replicas = newReplicaLoads(event.Replicas)
 		c.planning.due = true
+		c.startDue = true
 	case SettingsChanged:
 		c.settingsChanged(event)
 	case LeaseRenewed:
--- a/internal/core/coordinator/coordinator_test.go
+++ b/internal/core/coordinator/coordinator_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/coordinator"
+	"github.com/loomgrade/loomgrade/internal/core/policy"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 func TestBatchesFollowEachOther(t *testing.T) {
@@ -50,3 +54,40 @@
 		})
 	}
 }
+
+// TestReplacementStartsAtOnce drops samples to staleness: what takes their place
+// starts in the same step, not at the next tick.
+func TestReplacementStartsAtOnce(t *testing.T) {
+	w := newWorld(t, smallSampling(), "")
+	w.answerFetch(false)
+	w.tick(time.Second)
+	run := w.attempts[0]
+	w.progress(run, 1)
+	w.published += 3
+	w.serving = w.published
+	w.step(w.current, coordinator.CapacityChanged{Replicas: []policy.Replica{
+		{ID: "replica-1", Zone: "zone-a", Version: w.published, Limit: 64},
+	}})
+	before := w.current.Status().Counters
+	w.step(w.current, coordinator.WeightsPublished{Weights: port.PublishedWeights{Pool: poolName, Version: w.published}})
+	after := w.current.Status().Counters
+	if after.DroppedStale == before.DroppedStale || after.Started == before.Started {
+		t.Fatalf("before %+v, after %+v", before, after)
+	}
+}
+
+// TestPlanFollowsTheTrainerBetweenTicks asks for a batch: the policy program sees
+// that the trainer waits without a tick in between.
+func TestPlanFollowsTheTrainerBetweenTicks(t *testing.T) {
+	source := "def plan(pool):\n  return struct(target_in_flight = 7 if pool.trainer_waiting else 3)"
+	w := newWorld(t, smallSampling(), source)
+	w.tick(time.Second)
+	if target := w.current.Status().Plan.TargetInFlight; target != 3 {
+		t.Fatalf("target %d before the trainer asked", target)
+	}
+	w.now = w.now.Add(time.Second / 10)
+	w.ask(1, w.trainer, time.Hour)
+	if target := w.current.Status().Plan.TargetInFlight; target != 7 {
+		t.Fatalf("target %d while the trainer waits", target)
+	}
+}
--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -247,6 +247,26 @@
 	c.removeSample(s)
 	if len(from.samples) < c.config.Sampling.GroupSize {
 		c.addSample(from).after = c.now.Add(delay)
+		c.startDue = true
+	}
+}
+
+// startWaiting starts the waiting samples that need not wait for a tick: those
+// that take the place of a dropped one, and all when the replicas changed.
+func (c *Coordinator) startWaiting() {
+	if !c.startDue {
+		return
+	}
+	c.startDue = false
+	for _, g := range c.order {
+		if g.gone || g.pinned {
+			continue
+		}
+		for _, s := range g.samples {
+			if s.state == stateWaiting {
+				c.sweepSample(s)
+			}
+		}
 	}
 }
 
--- a/internal/core/coordinator/planning.go
+++ b/internal/core/coordinator/planning.go
@@ -16,6 +16,17 @@
 	due     bool
 }
 
+// replanInterval is the least time between two runs of the program that changes
+// ask for.
+const replanInterval = 20 * time.Millisecond
+
+// replan runs the program between ticks when something changed that it sees.
+func (c *Coordinator) replan() {
+	if c.planning.due && c.now.Sub(c.planning.ran) >= replanInterval {
+		c.runPolicy()
+	}
+}
+
 // runPolicy runs the program when its time has come or something changed. A run
 // that fails leaves the last good plan in force and is recorded once.
 func (c *Coordinator) runPolicy() {
