sim: count delivered tokens, and as lost what is left of delivered groups

A policy that starts spare samples and delivers the first to finish gives the trainer shorter samples and so less idle time. Nothing showed it: the outcome had no count of delivered tokens, and the cancelled samples, of which the coordinator leaves no record of its own, counted as still in work.

Now the outcome counts tokens, and a sample of a prompt whose group was delivered without it is lost.

--- a/internal/lab/sim/tally.go
+++ b/internal/lab/sim/tally.go
@@ -29,9 +29,9 @@
 
 // tally is what a trainer saw after the warm-up.
 type tally struct {
-	steps, samples, dropped int
-	idle                    time.Duration
-	staleness, staleMillis  *hdrhistogram.Histogram
+	steps, samples, tokens, dropped int
+	idle                            time.Duration
+	staleness, staleMillis          *hdrhistogram.Histogram
 }
 
 func newTally() tally {
@@ -89,7 +89,7 @@
 	}
 	length := p.world.options.Length - p.world.options.Warmup
 	return TrainerOutcome{
-		Pool: p.settings.Pool, Steps: t.tally.steps, Samples: t.tally.samples,
+		Pool: p.settings.Pool, Steps: t.tally.steps, Samples: t.tally.samples, Tokens: t.tally.tokens,
 		IdleShare: float64(t.tally.idle) / float64(length),
 		Staleness: t.tally.staleness, StaleMillis: t.tally.staleMillis,
 		DroppedStale: t.tally.dropped, Version: t.version,
@@ -97,13 +97,13 @@
 }
 
 // tokensLost gives the generated tokens that were neither delivered nor are in
-// work at the end.
+// work at the end. What is left of a prompt whose group was delivered is lost.
 func (w *world) tokensLost(generated uint64) uint64 {
 	kept := w.books.deliveredTokens
 	for _, pool := range w.pools {
 		running := pool.running()
 		for id, record := range pool.records {
-			if !w.books.delivered[id] {
+			if !w.books.delivered[id] && !pool.trainer.seen[record.prompt] {
 				kept += uint64(record.made(running[record]))
 			}
 		}
--- a/internal/lab/sim/trainer.go
+++ b/internal/lab/sim/trainer.go
@@ -137,6 +137,7 @@
 	t.tally.steps++
 	t.tally.samples += len(batch.Samples)
 	for index := range batch.Samples {
+		t.tally.tokens += batch.Samples[index].Tokens
 		oldest := port.OldestVersion(batch.Samples[index].Spans)
 		t.tally.age(t.version-min(oldest, t.version), t.staleFor(oldest))
 	}
--- a/internal/lab/sim/types.go
+++ b/internal/lab/sim/types.go
@@ -134,9 +134,12 @@
 
 // TrainerOutcome is what one trainer saw.
 type TrainerOutcome struct {
-	Pool      port.PoolName
-	Steps     int
-	Samples   int
+	Pool    port.PoolName
+	Steps   int
+	Samples int
+	// Tokens counts those of the samples. A policy whose samples are shorter than
+	// those of another keeps the short ones and gives up the long ones.
+	Tokens    int
 	IdleShare float64
 	// Staleness counts delivered samples by age in versions, StaleSeconds by age
 	// in milliseconds since the sample's oldest version was replaced.
