docs: the operators' page on policies, held to the code

The error for an unknown field sent operators to a page that did not exist. It lists what a program sees and decides with bounds and defaults; a test compares the fields with the types and runs the page's example.

--- /dev/null
+++ b/internal/core/policy/page_test.go
@@ -0,0 +1,62 @@
+package policy_test
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/core/policy"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+const page = "docs/operators/policies.md"
+
+// fieldsOf lists the names of a struct's fields as programs know them.
+func fieldsOf(described reflect.Type) []string {
+	var names []string
+	for index := range described.NumField() {
+		names = append(names, described.Field(index).Tag.Get("json"))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// documented lists the quoted names of the first cells under a heading.
+func documented(t *testing.T, heading string) []string {
+	t.Helper()
+	var names []string
+	for _, row := range testkit.PageRows(t, page, heading) {
+		names = append(names, testkit.Quoted(row[0])...)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestFieldsAreThoseOfThePage(t *testing.T) {
+	seen := append(fieldsOf(reflect.TypeFor[policy.View]()), fieldsOf(reflect.TypeFor[policy.Replica]())...)
+	slices.Sort(seen)
+	if listed := documented(t, "What a program sees"); !slices.Equal(listed, seen) {
+		t.Errorf("the page lists\n%v\na program sees\n%v", listed, seen)
+	}
+	decided := fieldsOf(reflect.TypeFor[policy.Plan]())
+	if listed := documented(t, "What a program decides"); !slices.Equal(listed, decided) {
+		t.Errorf("the page lists\n%v\na program decides\n%v", listed, decided)
+	}
+}
+
+// TestPagesExampleIsAllowed runs the program of the page.
+func TestPagesExampleIsAllowed(t *testing.T) {
+	_, rest, found := strings.Cut(testkit.Page(t, page), "    def plan")
+	if !found {
+		t.Fatal("the page has no example")
+	}
+	example, _, _ := strings.Cut("    def plan"+rest, "\n\n")
+	var program strings.Builder
+	for line := range strings.Lines(example) {
+		program.WriteString(strings.TrimPrefix(line, "    "))
+	}
+	if _, err := policy.Check(program.String() + "\n"); err != nil {
+		t.Errorf("the page's example: %v", err)
+	}
+}
--- a/internal/core/policy/values.go
+++ b/internal/core/policy/values.go
@@ -204,7 +204,7 @@
 		unknown = append(unknown, name)
 	}
 	sort.Strings(unknown)
-	r.refuse(unknown[0], r.fields[unknown[0]], "no such field; see the operators' page on policies")
+	r.refuse(unknown[0], r.fields[unknown[0]], "a field of docs/operators/policies.md")
 }
 
 // shorten bounds a value in a message.
