admission, home: weigh the latency of a completion by its tokens

Cause: the limiter took the plain mean of the time for each token over the answers of a window. Ruled out: a greater tolerance, which would let true overload pass. Change: an answer weighs by its tokens. The new test fails without the weight.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -64,8 +64,10 @@
 
 // window gathers answers between two changes.
 type window struct {
-	started  time.Time
-	sum      time.Duration
+	started time.Time
+	// sum adds up the latencies in nanoseconds, each times its weight.
+	sum      float64
+	weight   float64
 	answers  int
 	failures int
 	inflight int
@@ -95,6 +97,13 @@
 // way that speaks of overload, and how many were in flight when it ended.
 // Latencies must be comparable: for generation, the time per output token.
 func (l *Limiter) Observe(now time.Time, latency time.Duration, failed bool, inflight int) {
+	l.ObserveWeighted(now, latency, 1, failed, inflight)
+}
+
+// ObserveWeighted is Observe for an answer that stands for weight equal ones: for
+// generation, the tokens of the answer. Otherwise a pause of the engine, spread
+// over the few tokens of a short answer, would look like overload.
+func (l *Limiter) ObserveWeighted(now time.Time, latency time.Duration, weight int, failed bool, inflight int) {
 	if l.window.started.IsZero() {
 		l.window.started = now
 	}
@@ -103,7 +112,8 @@
 		l.window.failures++
 	} else {
 		l.window.answers++
-		l.window.sum += latency
+		l.window.weight += float64(max(weight, 1))
+		l.window.sum += float64(latency) * float64(max(weight, 1))
 	}
 	total := l.window.answers + l.window.failures
 	if total >= limitSamples && now.Sub(l.window.started) >= limitWindow {
@@ -124,7 +134,7 @@
 	if l.window.answers == 0 {
 		return
 	}
-	recent := float64(l.window.sum) / float64(l.window.answers)
+	recent := l.window.sum / l.window.weight
 	switch {
 	case l.measuring:
 		l.measure(recent)
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// A pause of 200 ms weighs by its share of the time, not by the number of short
+// answers that it hits.
+func TestLimiterWeighsAnswersByTheirTokens(t *testing.T) {
+	limiter := NewLimiter(LimiterConfig{Min: 2, Max: 32})
+	now := drive(limiter, start, server{1000, 15 * time.Millisecond}, 1000, 60, 0)
+	for range 2000 {
+		for _, tokens := range []int{5, 1000} {
+			now = now.Add(100 * time.Millisecond)
+			took := time.Duration(tokens)*15*time.Millisecond + 200*time.Millisecond
+			limiter.ObserveWeighted(now, took/time.Duration(tokens), tokens, false, limiter.Limit())
+		}
+	}
+	if limiter.Limit() != 32 {
+		t.Errorf("limit %d, want 32", limiter.Limit())
+	}
+}
+
 func TestLimiterStaysInBounds(t *testing.T) {
 	testkit.Check(t, 51, func(t *rapid.T) {
 		low := rapid.IntRange(1, 8).Draw(t, "min")
--- a/internal/core/gate/ticket.go
+++ b/internal/core/gate/ticket.go
@@ -83,6 +83,9 @@
 	// Latency is comparable between requests: the time per output token, or of
 	// the whole call. 0 means not known.
 	Latency time.Duration
+	// Weight is the number of equal answers that this one stands for, such as its
+	// tokens; 0 means one.
+	Weight int
 	// Service is the time of the whole request for the check of deadlines; 0
 	// means not to be counted.
 	Service time.Duration
@@ -99,7 +102,7 @@
 	ticket.State = Released
 	held := ticket.slot
 	if !outcome.Abandoned && (outcome.Latency > 0 || outcome.Overloaded) {
-		held.limiter.Observe(now, outcome.Latency, outcome.Overloaded, held.inflight)
+		held.limiter.ObserveWeighted(now, outcome.Latency, outcome.Weight, outcome.Overloaded, held.inflight)
 	}
 	if outcome.Service > 0 {
 		g.queue.ObserveService(outcome.Service)
--- a/internal/core/home/health.go
+++ b/internal/core/home/health.go
@@ -47,7 +47,7 @@
 	perToken := elapsed / time.Duration(max(tokens, 1))
 	failed := failure != nil
 	return Judged{
-		Outcome: gate.Outcome{Overloaded: failed, Latency: perToken},
+		Outcome: gate.Outcome{Overloaded: failed, Latency: perToken, Weight: tokens},
 		Counts:  true, Failed: failed, Latency: perToken,
 	}
 }
