--- a/internal/lab/sim/attempt.go
+++ b/internal/lab/sim/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/gate"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/placement"
 	"github.com/loomgrade/loomgrade/internal/lab/engine"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -96,7 +97,7 @@
 func (a *attempt) finished(completion *engine.Completion) {
 	a.checkSpans(completion)
 	a.sample.ran(a.spans)
-	a.leaveGate(gate.Outcome{Latency: a.perToken()})
+	a.leaveGate(home.JudgeGeneration(nil, false, a.tokens, a.pool.world.now-a.began).Outcome)
 	a.pool.world.after(a.way(), func() {
 		a.conclude(coordinator.SampleFinished{
 			ID: a.start.ID, Attempt: a.start.Attempt, Replica: a.replica.id,
@@ -112,11 +113,6 @@
 	}
 }
 
-// perToken is the time for each token, which the limit of a replica follows.
-func (a *attempt) perToken() time.Duration {
-	return (a.pool.world.now - a.began) / time.Duration(max(a.tokens, 1))
-}
-
 // way is the latency from where the attempt is to the coordinator.
 func (a *attempt) way() time.Duration { return a.pool.world.between(a.at, a.pool.zone) }
 
--- a/internal/lab/sim/site.go
+++ b/internal/lab/sim/site.go
@@ -40,7 +40,7 @@
 		Application: "page-api", ApplicationReplicas: 3, ServiceTime: 8 * time.Millisecond,
 		ScoreTime: 100 * time.Millisecond, WeightBytes: 2 << 30, StoreRate: 1 << 30,
 		Trainers: []Trainer{{
-			Pool: "caption-lm", Sampling: samplingOf(192, 8, 2048), StepTime: 20 * time.Second, PublishEvery: 3,
+			Pool: "caption-lm", Sampling: samplingOf(384, 8, 2048, 2), StepTime: 20 * time.Second, PublishEvery: 6,
 			PromptTokens: 1024, SharedPrefixTokens: 512, SharedPrefixes: 16,
 			Lengths: engine.Lengths{Median: 220, Sigma: 0.9, Max: 2048},
 		}},
@@ -65,8 +65,8 @@
 	}
 	for _, name := range []string{"bulletins", "anomaly-notes", "summaries"} {
 		site.Trainers = append(site.Trainers, Trainer{
-			Pool: port.PoolName(name), Adapter: name, Sampling: samplingOf(256, 8, 4096),
-			StepTime: 20 * time.Second, PublishEvery: 6,
+			Pool: port.PoolName(name), Adapter: name, Sampling: samplingOf(256, 8, 4096, 3),
+			StepTime: 20 * time.Second, PublishEvery: 1,
 			PromptTokens: 1024, SharedPrefixTokens: 512, SharedPrefixes: 8,
 			Lengths: engine.Lengths{Median: 300, Sigma: 1, Max: 4096},
 		})
@@ -75,9 +75,9 @@
 }
 
 // samplingOf gives a trainer's settings; the rest is alike at both sites.
-func samplingOf(batch, group, maxTokens int) port.Sampling {
+func samplingOf(batch, group, maxTokens int, bound uint64) port.Sampling {
 	return port.Sampling{
-		StalenessBound: 2, BatchSamples: batch, GroupSize: group, MaxTokens: maxTokens, BufferBatches: 2,
+		StalenessBound: bound, BatchSamples: batch, GroupSize: group, MaxTokens: maxTokens, BufferBatches: 2,
 		PromptSource: "http://10.0.1.2:9000", Scorer: "http://10.0.1.3:9000", WeightStore: "http://10.0.1.1:9000",
 	}
 }
