experiment, report: show the tokens of delivered samples

Idle share alone made a policy look good that gives long samples up. Results and the table of trainers now have tokens a sample and tokens an hour. Tokens a sample is better neither way, so `compare` leaves it out.

--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -24,7 +24,8 @@
 	Verdict Verdict
 }
 
-// Compare judges every figure that two results share, by point and variant. The
+// Compare judges every figure that two results share, by point and variant, and
+// leaves out those of which neither more nor less is better. The
 // interval is that of the paired differences where both have at least two seeds
 // in common, and Welch's otherwise. A figure is better or worse only when the
 // whole interval lies on one side of 0.
@@ -41,6 +42,9 @@
 				continue
 			}
 			for _, summary := range variant.Summary {
+				if summary.Better == NeitherIsBetter {
+					continue
+				}
 				change, known := compareFigure(summary, variant, otherVariant, confidence)
 				change.Point = point.Name()
 				if known {
@@ -86,7 +90,8 @@
 	return change, true
 }
 
-// Judge says what a difference, with its interval, means for a figure. Without an interval nothing is judged.
+// Judge says what a difference, with its interval, means for a figure, of which
+// less or more is better. Without an interval nothing is judged.
 func Judge(difference Estimate, better Direction) Verdict {
 	if !difference.ExcludesZero() || math.IsNaN(difference.Mean) {
 		return VerdictWithinNoise
--- a/internal/lab/experiment/compare_test.go
+++ b/internal/lab/experiment/compare_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+func TestFiguresThatExplainOthersAreNotCompared(t *testing.T) {
+	results := runFake(t, goodFile, fakeSimulate, 4)
+	variant, _ := results.Base().VariantNamed("loomgrade")
+	// The seeds give 101, 102 and 103 tokens a sample.
+	if summary, known := variant.SummaryNamed(experiment.FigureTokensPerSample); !known || !near(summary.Mean, 102) {
+		t.Errorf("tokens a sample: %+v, want 102", summary)
+	}
+	for _, change := range experiment.Compare(results, results, 0.95) {
+		if change.Figure == experiment.FigureTokensPerSample {
+			t.Errorf("compared: %+v", change)
+		}
+	}
+}
+
 func TestOneSeedJudgesNothing(t *testing.T) {
 	before := runFake(t, goodFile, fakeSimulate, 4)
 	after := runFake(t, goodFile, shifted(map[uint64]float64{1: 0.5, 2: 0.5, 3: 0.5}, 900), 4)
--- a/internal/lab/experiment/figures.go
+++ b/internal/lab/experiment/figures.go
@@ -16,6 +16,8 @@
 const (
 	LowerIsBetter  Direction = "lower"
 	HigherIsBetter Direction = "higher"
+	// NeitherIsBetter is that of figures that explain others.
+	NeitherIsBetter Direction = "neither"
 )
 
 // The names of figures. Those of one pool or class of callers end in a slash and
@@ -23,6 +25,8 @@
 const (
 	FigureIdleShare        = "idle_share"
 	FigureSamplesPerHour   = "samples_per_hour"
+	FigureTokensPerHour    = "tokens_per_hour"
+	FigureTokensPerSample  = "tokens_per_sample"
 	FigureStalenessMean    = "staleness_mean"
 	FigureStalenessP99     = "staleness_p99"
 	FigureStaleSecondsMean = "stale_seconds_mean"
@@ -64,6 +68,8 @@
 	unitSeconds      = "s"
 	unitMilliseconds = "ms"
 	unitSamples      = "samples/h"
+	unitTokensHour   = "tokens/h"
+	unitTokens       = "tokens"
 )
 
 // Divisors of recorded values: milliseconds to seconds, microseconds to
@@ -112,10 +118,11 @@
 
 func (l *figureList) trainers(options sim.Options, outcome sim.Outcome) {
 	var idle []float64
-	samples, dropped := 0, 0
+	samples, tokens, dropped := 0, 0, 0
 	for _, trainer := range outcome.Trainers {
 		idle = append(idle, trainer.IdleShare)
 		samples += trainer.Samples
+		tokens += trainer.Tokens
 		dropped += trainer.DroppedStale
 	}
 	if len(idle) == 0 {
@@ -130,6 +137,10 @@
 	hours := (options.Length - options.Warmup).Hours()
 	rate := float64(samples) / hours
 	l.addLimited(FigureSamplesPerHour, unitSamples, HigherIsBetter, rate, mostSamplesPerHour(options.Site, outcome.Limits.IdleShare))
+	l.add(FigureTokensPerHour, unitTokensHour, HigherIsBetter, float64(tokens)/hours)
+	if samples > 0 {
+		l.add(FigureTokensPerSample, unitTokens, NeitherIsBetter, float64(tokens)/float64(samples))
+	}
 	if samples+dropped > 0 {
 		l.addLimited(FigureDroppedShare, unitShare, LowerIsBetter, float64(dropped)/float64(samples+dropped), 0)
 	}
--- a/internal/lab/experiment/helpers_test.go
+++ b/internal/lab/experiment/helpers_test.go
@@ -73,7 +73,7 @@
 	}
 	for _, trainer := range options.Site.Trainers {
 		outcome.Trainers = append(outcome.Trainers, sim.TrainerOutcome{
-			Pool: trainer.Pool, Samples: 900, IdleShare: idle,
+			Pool: trainer.Pool, Samples: 900, Tokens: 900 * int(100+options.Seed), IdleShare: idle,
 			Staleness: histogram(source, 3), StaleMillis: histogram(source, 30_000),
 		})
 	}
--- a/internal/lab/report/tables.go
+++ b/internal/lab/report/tables.go
@@ -61,15 +61,19 @@
 
 func trainerTable(point experiment.Point) Table {
 	table := Table{
-		Title:  "Trainers",
-		Note:   "Idle share is the mean over the trainers. The limit is what total work over capacity and the longest sample allow with perfect knowledge.",
-		Header: []string{"variant", "idle share", "limit", "x limit", "samples/h", "limit", "x limit", "dropped as stale", "violations"},
+		Title: "Trainers",
+		Note:  "Idle share is the mean over the trainers. The limit is what total work over capacity and the longest sample allow with perfect knowledge, for the samples that the variant delivered: one that delivers shorter samples has less to do and a lower limit.",
+		Header: []string{
+			"variant", "idle share", "limit", "x limit", "samples/h", "limit", "x limit", "tokens/sample", "tokens/h",
+			"dropped as stale", "violations",
+		},
 	}
 	for _, variant := range point.Variants {
 		table.add(
 			variant.Name,
 			estimate(variant, experiment.FigureIdleShare), limit(variant, experiment.FigureIdleShare), ratio(variant, experiment.FigureIdleShare),
 			estimate(variant, experiment.FigureSamplesPerHour), limit(variant, experiment.FigureSamplesPerHour), ratio(variant, experiment.FigureSamplesPerHour),
+			estimate(variant, experiment.FigureTokensPerSample), mean(variant, experiment.FigureTokensPerHour),
 			estimate(variant, experiment.FigureDroppedShare),
 			mean(variant, experiment.FigureViolations),
 		)
