examples: mend the policy for low staleness, say what the one for low idle costs

low-staleness.star took the freshest groups first, so older ones went stale and were dropped, and it counted a whole batch as wanted although finished samples of groups that are not whole are counted nowhere. It now takes the oldest first and aims for 7/8 of a batch until the trainer waits.

low-idle.star says that its extra samples make delivered samples shorter.

--- a/examples/policies/low-idle.star
+++ b/examples/policies/low-idle.star
@@ -1,5 +1,7 @@
 # For a pool whose trainers must not wait: work for the next batches runs ahead,
 # groups get extra samples, and long samples get priority and a second replica.
+# An extra sample lets a group do without its longest one: the trainer idles less
+# and learns from shorter samples. Leave over_provision out where that matters.
 
 def plan(pool):
     ahead = pool.buffer_batches * pool.batch_samples - pool.buffered
--- a/examples/policies/low-staleness.star
+++ b/examples/policies/low-staleness.star
@@ -1,11 +1,14 @@
 # For a pool whose readers see the newest weights: little work ahead of the
-# trainer, only replicas on the current version, freshest groups first.
+# trainer, only replicas on the current version, and no group left behind.
 
 def plan(pool):
-    # Start no more than the batch being made still lacks.
-    wanted = pool.batch_samples - pool.buffered
+    # Finished samples of groups that are not whole yet are counted nowhere, so
+    # aiming for a whole batch would start more than one. The rest of it starts
+    # when the trainer waits.
+    wanted = pool.batch_samples * 7 // 8
     if pool.trainer_waiting:
-        wanted += pool.batch_samples // 4
+        wanted = pool.batch_samples
+    wanted -= pool.buffered + pool.scoring
 
     behind = [r.id for r in pool.replicas if r.version != pool.version]
     if len(behind) == len(pool.replicas):
@@ -18,5 +21,6 @@
         resume = "failed",
         predict_stale = True,
         abandon_age = pool.staleness_bound,
-        selection = "freshest_first",
+        # Freshest first would leave older groups to go stale.
+        selection = "oldest_first",
     )
