loomlab: audit a site of separate nodes under faults, in virtual time

Change: go run ./cmd/loomlab audit simulates nine nodes in three zones, six engines (the engine model), six application back ends, callers, a trainer, a scorer, a lagging machine list and the control state, under 32 kinds of fault in 14 scenarios. The nodes run the decision code of the real ones: gate, attempt, home, placement, membership, coordinator, rollout, and two packages that are new: nodestate, what the control goroutine of a node decides, and poolworker, the worker of one pool with its lease.

The audit reads what the stand-ins saw only. A caller that left by itself is an outcome of its own there.

TestEachSafeguardIsNeeded switches off eleven safeguards, one at a time, and wants the audit to find each absence.

--- a/internal/core/home/leaving.go
+++ b/internal/core/home/leaving.go
@@ -16,7 +16,8 @@
 // machine list. The union holds, so that a poller with an old list doesn't bring
 // a leaving machine back. It is not safe for concurrent use.
 type Leaving struct {
-	told map[port.NodeID]leavingList
+	told   map[port.NodeID]leavingList
+	newest time.Time
 }
 
 // leavingList is what one poller last told.
@@ -32,9 +33,13 @@
 func (l *Leaving) Told(now time.Time, poller port.NodeID, machines []port.Machine) bool {
 	known := l.told[poller]
 	l.told[poller] = leavingList{at: now, machines: machines}
+	l.newest = now
 	return !slices.Equal(known.machines, machines)
 }
 
+// Newest gives when some poller was last heard; the zero time means never.
+func (l *Leaving) Newest() time.Time { return l.newest }
+
 // DropSilent forgets pollers that have been silent; true means that some were.
 func (l *Leaving) DropSilent(now time.Time) bool {
 	dropped := false
--- /dev/null
+++ b/internal/core/nodestate/home.go
@@ -0,0 +1,142 @@
+package nodestate
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/home"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// ownedReplica is a replica that this node is the home of, with its gate.
+type ownedReplica struct {
+	replica port.Replica
+	polled  bool
+	gate    Gate
+}
+
+// LoadReported takes the answer of an engine to a question asked at askedAt.
+func (s *State) LoadReported(now, askedAt time.Time, replica port.ReplicaID, report port.LoadReport, failure *port.Error) {
+	record := s.records[replica]
+	if record == nil {
+		return
+	}
+	s.changed = true
+	if failure != nil {
+		if record.Unanswered() {
+			s.observe(now, record.Replica.Pool, CallOutcome{Replica: replica, Failed: true})
+		}
+		return
+	}
+	_, restarted := record.Reported(now, askedAt, report)
+	if owned := s.gates[record.Replica.Pool]; restarted && owned != nil {
+		owned.ResetCache(replica)
+	}
+}
+
+// setHomes starts and stops the polls so that they match the replicas that this
+// node is the home of.
+func (s *State) setHomes(owned map[port.ReplicaID]ownedReplica) {
+	for _, id := range sortedKeys(s.records) {
+		record := s.records[id]
+		wanted, keep := owned[id]
+		if keep && wanted.replica.Address == record.Replica.Address {
+			record.Replica = wanted.replica
+			continue
+		}
+		if record.Polled {
+			s.output.Stopped = append(s.output.Stopped, id)
+		}
+		delete(s.records, id)
+	}
+	for _, id := range sortedKeys(owned) {
+		wanted := owned[id]
+		if s.records[id] != nil {
+			continue
+		}
+		s.records[id] = &home.Record{Replica: wanted.replica, Polled: wanted.polled}
+		if wanted.polled {
+			s.output.Started = append(s.output.Started, Poll{Replica: wanted.replica, Gate: wanted.gate})
+		}
+	}
+}
+
+// Outcomes takes how calls to the own home replicas ended.
+func (s *State) Outcomes(now time.Time, outcomes []CallOutcome) {
+	for _, outcome := range outcomes {
+		if record := s.records[outcome.Replica]; record != nil {
+			s.observe(now, record.Replica.Pool, outcome)
+		}
+	}
+}
+
+// CallEnded takes how an application call made by this node ended: the replica's
+// home judges it.
+func (s *State) CallEnded(now time.Time, outcome CallOutcome) {
+	if record := s.records[outcome.Replica]; record != nil {
+		s.observe(now, record.Replica.Pool, outcome)
+		return
+	}
+	replica, configured := s.snapshot.Replicas[outcome.Replica]
+	if !configured {
+		return
+	}
+	home, found := s.homes.Home(replica)
+	if found && len(s.outcomes[home]) < maxOutcomes {
+		s.outcomes[home] = append(s.outcomes[home], outcome)
+	}
+}
+
+// maxOutcomes bounds the outcomes kept for one home between two ticks.
+const maxOutcomes = 256
+
+// sendOutcomes tells other homes how calls to their replicas ended.
+func (s *State) sendOutcomes() {
+	for _, home := range sortedKeys(s.outcomes) {
+		s.tell(home, OutcomesMessage{Outcomes: s.outcomes[home]})
+		delete(s.outcomes, home)
+	}
+}
+
+// observe judges a replica by the outcome of one call.
+func (s *State) observe(now time.Time, pool port.PoolName, outcome CallOutcome) {
+	tracker := s.trackers[pool]
+	if tracker == nil {
+		return
+	}
+	latency := time.Duration(outcome.LatencyMicros) * time.Microsecond
+	if change, happened := tracker.Observe(now, outcome.Replica, outcome.Failed, latency); happened {
+		s.healthChanged(pool, change)
+	}
+}
+
+func (s *State) tickTrackers(now time.Time) {
+	for _, pool := range sortedKeys(s.trackers) {
+		for _, change := range s.trackers[pool].Tick(now) {
+			s.healthChanged(pool, change)
+		}
+	}
+}
+
+// healthChanged records a change of health and lets it be told at once.
+func (s *State) healthChanged(pool port.PoolName, change ejection.Change) {
+	s.changed = true
+	s.lastSummary = time.Time{}
+	kind := port.DecisionReturned
+	if change.State == ejection.Ejected {
+		kind = port.DecisionEjected
+	}
+	if change.State == ejection.Probing {
+		return
+	}
+	s.output.Decisions = append(s.output.Decisions, port.Decision{
+		Kind: kind, Subject: ReplicaSubject(change.Replica), Pool: pool, Replica: change.Replica,
+		Revision: s.observer.View().Revision, Detail: string(change.Cause),
+	})
+}
+
+// ReplicaPrefix begins the subject of records about a replica.
+const ReplicaPrefix = "replica/"
+
+// ReplicaSubject is the subject of records about a replica.
+func ReplicaSubject(id port.ReplicaID) string { return ReplicaPrefix + string(id) }
--- /dev/null
+++ b/internal/core/nodestate/rebuild.go
@@ -0,0 +1,288 @@
+package nodestate
+
+import (
+	"maps"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/ejection"
+	"github.com/loomgrade/loomgrade/internal/core/gate"
+	"github.com/loomgrade/loomgrade/internal/core/home"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// maxAggregateAge is the age after which another zone's word no longer counts.
+const maxAggregateAge = 10 * time.Second
+
+// rebuild brings gates, trackers and polls in line with what is known, and makes
+// a new snapshot.
+func (s *State) rebuild(now time.Time) {
+	s.changed = false
+	view := s.observer.View()
+	live := s.detector.Live()
+	if !s.homes.holds(view.Nodes, live) {
+		s.homes = NewHomeTable(s.config.Zone, view.Nodes, live)
+	}
+	next := s.emptySnapshot(view, live)
+	byPool := make(map[port.PoolName][]port.Replica)
+	for _, replica := range view.Configuration.Replicas {
+		next.Replicas[replica.ID] = replica
+		byPool[replica.Pool] = append(byPool[replica.Pool], replica)
+	}
+	owned := s.owned(view, byPool)
+	s.setHomes(owned)
+	s.tellOwn(now)
+	s.summaries.Retain(next.ZoneNodes)
+	routes := s.mayRoute(now)
+	for index := range view.Configuration.Pools {
+		pool := view.Configuration.Pools[index]
+		s.configureTracker(now, &pool, byPool[pool.Name], owned)
+		s.configureGate(now, &pool, byPool[pool.Name], owned)
+		if routes {
+			next.Pools[pool.Name] = s.route(now, view, pool, next.Replicas)
+		}
+	}
+	s.dropUnused(now, byName(view.Configuration.Pools), next.Replicas)
+	s.snapshot = next
+	s.output.Snapshot = next
+	s.rebuiltAt = now
+}
+
+// emptySnapshot makes a snapshot of the view without routes and replicas.
+func (s *State) emptySnapshot(view *port.View, live []port.NodeID) *Snapshot {
+	next := &Snapshot{
+		View:      view,
+		Pools:     make(map[port.PoolName]*PoolRoute, len(view.Configuration.Pools)),
+		Replicas:  make(map[port.ReplicaID]port.Replica, len(view.Configuration.Replicas)),
+		Nodes:     make(map[port.NodeID]port.NodeAddress, len(view.Nodes)),
+		ZoneNodes: live,
+		Homes:     s.homes,
+	}
+	for _, node := range view.Nodes {
+		next.Nodes[node.ID] = node
+	}
+	return next
+}
+
+// Bounds of the time between two rebuilds, so that a large configuration under
+// steady news takes a small share of a core.
+const (
+	rebuildShare       = 30
+	maxRebuildInterval = 100 * time.Millisecond
+	// refreshInterval is the time between rebuilds without news.
+	refreshInterval = time.Second
+)
+
+// RebuildIfDue rebuilds if there is something to rebuild and it is time.
+func (s *State) RebuildIfDue(now time.Time) {
+	passed := now.Sub(s.rebuiltAt)
+	due := passed >= min(rebuildShare*s.rebuildCost, maxRebuildInterval)
+	if !s.changed {
+		due = passed >= refreshInterval
+	}
+	if due {
+		s.rebuild(now)
+	}
+}
+
+// RebuildCost tells what the last rebuild took, which paces the next ones.
+func (s *State) RebuildCost(cost time.Duration) { s.rebuildCost = cost }
+
+// owned lists the replicas that this node is the home of.
+func (s *State) owned(view *port.View, byPool map[port.PoolName][]port.Replica) map[port.ReplicaID]ownedReplica {
+	owned := make(map[port.ReplicaID]ownedReplica)
+	for _, pool := range view.Configuration.Pools {
+		for _, replica := range byPool[pool.Name] {
+			if s.homes.caretaker(replica.Zone) != s.config.Zone {
+				continue
+			}
+			if home, found := s.homes.Home(replica); found && home == s.config.Self {
+				owned[replica.ID] = ownedReplica{replica: replica, polled: pool.Kind == port.PoolGeneration, gate: s.gate(&pool)}
+			}
+		}
+	}
+	return owned
+}
+
+// gate gives the pool's gate and makes it when it is first needed.
+func (s *State) gate(pool *port.Pool) Gate {
+	known := s.gates[pool.Name]
+	if known == nil {
+		known = s.config.NewGate(pool)
+		s.gates[pool.Name] = known
+	}
+	return known
+}
+
+// configureTracker tells the pool's judge which replicas it judges: those this
+// node is the home of, and of an application pool also those of other zones,
+// whose homes this node doesn't hear of.
+func (s *State) configureTracker(now time.Time, pool *port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+	tracker := s.trackers[pool.Name]
+	settings := ejection.FromConfiguration(pool.Ejection)
+	if tracker == nil {
+		tracker = ejection.New(settings)
+		s.trackers[pool.Name] = tracker
+	}
+	tracker.Configure(settings)
+	var judged []port.ReplicaID
+	for _, replica := range replicas {
+		if _, own := owned[replica.ID]; own {
+			judged = append(judged, replica.ID)
+		}
+	}
+	tracker.SetReplicas(judged)
+	tracker.SetPool(ejection.Pool{Size: len(replicas), OutElsewhere: s.outElsewhere(now, pool, owned)})
+}
+
+// outElsewhere counts the replicas of a pool that other homes hold out, of this
+// zone and, by the word of their aggregators, of the others. Those of an
+// application pool in other zones are judged here.
+func (s *State) outElsewhere(now time.Time, pool *port.Pool, owned map[port.ReplicaID]ownedReplica) int {
+	count := 0
+	s.summaries.Each(now, s.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
+		if _, own := owned[replica.Replica]; !own && replica.Pool == pool.Name && (replica.Ejected || replica.Probing) {
+			count++
+		}
+	})
+	if pool.Kind == port.PoolApplication {
+		return count
+	}
+	for _, aggregate := range s.aggregates.Pool(now, pool.Name, maxAggregateAge) {
+		count += aggregate.Unhealthy
+	}
+	return count
+}
+
+// configureGate tells the pool's gate of its replicas: all of an application
+// pool, and those that this node is the home of for an engine pool.
+func (s *State) configureGate(now time.Time, pool *port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+	if pool.Kind == port.PoolGeneration && s.gates[pool.Name] == nil {
+		return
+	}
+	held := s.gate(pool)
+	settings := gate.Settings{
+		MinInflight: pool.Admission.MinInflight,
+		MaxInflight: pool.Admission.MaxInflight,
+		QueueLength: pool.Admission.QueueLength,
+	}
+	standings := home.Standings(now, s.summaries, s.detector.Assigner(), pool, len(replicas))
+	var told []gate.Replica
+	for index := range replicas {
+		replica := &replicas[index]
+		_, own := owned[replica.ID]
+		if pool.Kind == port.PoolGeneration && !own {
+			continue
+		}
+		told = append(told, s.gateReplica(now, replica, standings[replica.ID]))
+	}
+	held.Configure(now, settings, told)
+}
+
+func (s *State) gateReplica(now time.Time, replica *port.Replica, standing home.Standing) gate.Replica {
+	return home.ForGate(now, replica, s.config.Region, s.leaving.Has(replica.Address), standing, s.records[replica.ID])
+}
+
+// route gives where a pool's requests can go.
+func (s *State) route(now time.Time, view *port.View, pool port.Pool, configured map[port.ReplicaID]port.Replica) *PoolRoute {
+	enginePool := pool.EnginePool()
+	route := &PoolRoute{Pool: pool, Gate: s.gates[enginePool]}
+	if pool.Kind == port.PoolApplication {
+		return route
+	}
+	s.summaries.Each(now, s.detector.Assigner(), func(homeNode port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
+		if replica.Pool == enginePool {
+			route.Zone = append(route.Zone, s.zoneReplica(now, homeNode, configured[replica.Replica], replica, age))
+		}
+	})
+	for _, aggregate := range s.aggregates.Pool(now, enginePool, maxAggregateAge) {
+		route.Elsewhere = append(route.Elsewhere, s.zoneOffer(view, aggregate))
+	}
+	return route
+}
+
+func (s *State) zoneReplica(now time.Time, homeNode port.NodeID, configured port.Replica, replica *membership.ReplicaSummary, age time.Duration) ZoneReplica {
+	counter := s.config.ReplicaCounter(replica.Replica)
+	reported := now.Add(-age)
+	mark := s.marks[replica.Replica].Follow(reported, counter.Counts())
+	s.marks[replica.Replica] = mark
+	return ZoneReplica{
+		Reported: reported,
+		Counter:  counter,
+		mark:     mark,
+		Candidate: scheduling.Candidate{
+			Replica:        replica.Replica,
+			Zone:           configured.Zone,
+			Region:         s.config.Region,
+			Home:           homeNode,
+			Version:        replica.Version,
+			Staged:         replica.Staged,
+			VersionUnknown: replica.VersionUnknown,
+			Role:           replica.Role,
+			Adapters:       replica.Adapters,
+			Draining:       replica.Draining || configured.State == port.ReplicaDrain,
+			Leaving:        replica.Leaving || s.leaving.Has(configured.Address),
+			Ejected:        replica.Ejected,
+			Probing:        replica.Probing,
+			Running:        replica.Inflight,
+			Waiting:        replica.Queued,
+			KVUsed:         replica.KVUsed,
+			KVTotal:        replica.KVTotal,
+			Limit:          replica.Limit,
+		},
+	}
+}
+
+// zoneOffer gives what another zone offers, with this node's count of what it
+// sent there when the word came.
+func (s *State) zoneOffer(view *port.View, aggregate membership.PoolAggregate) ZoneOffer {
+	key := ZonePool{aggregate.Zone, aggregate.Pool}
+	counter := s.config.ZoneCounter(key)
+	mark, known := s.zoneMarks[key]
+	if !known || mark.sequence != aggregate.Sequence {
+		mark = zoneMark{sequence: aggregate.Sequence, sent: counter.Counts().Sent}
+		s.zoneMarks[key] = mark
+	}
+	return ZoneOffer{Aggregate: aggregate, Nodes: zoneNodes(view, aggregate.Zone), Counter: counter, sentMark: mark.sent}
+}
+
+func zoneNodes(view *port.View, zone port.ZoneName) []port.NodeAddress {
+	var nodes []port.NodeAddress
+	for _, node := range view.Nodes {
+		if node.Zone == zone && !node.Draining {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+func byName(pools []port.Pool) map[port.PoolName]bool {
+	names := make(map[port.PoolName]bool, len(pools))
+	for index := range pools {
+		names[pools[index].Name] = true
+	}
+	return names
+}
+
+// dropUnused forgets the pools and replicas that are no longer configured.
+func (s *State) dropUnused(now time.Time, pools map[port.PoolName]bool, replicas map[port.ReplicaID]port.Replica) {
+	for _, name := range sortedKeys(s.gates) {
+		if !pools[name] {
+			s.gates[name].Configure(now, gate.Settings{}, nil)
+			delete(s.gates, name)
+		}
+	}
+	for _, name := range sortedKeys(s.trackers) {
+		if !pools[name] {
+			s.output.ForgottenPools = append(s.output.ForgottenPools, name)
+			delete(s.trackers, name)
+		}
+	}
+	maps.DeleteFunc(s.zoneMarks, func(key ZonePool, _ zoneMark) bool { return !pools[key.Pool] })
+	maps.DeleteFunc(s.marks, func(id port.ReplicaID, _ placement.Mark) bool {
+		_, configured := replicas[id]
+		return !configured
+	})
+}
--- a/internal/lab/audit/observations.go
+++ b/internal/lab/audit/observations.go
@@ -65,6 +65,7 @@
 	OutcomeMayHaveRun Outcome = "may_have_run" // failed with this verdict, or without one
 	OutcomeRan        Outcome = "ran"          // failed with this verdict
 	OutcomeLost       Outcome = "lost"         // the connection ended without a whole answer
+	OutcomeLeft       Outcome = "left"         // the caller itself gave up
 )
 
 // Call is one attempt of a caller. A resend is a further Call with the same
--- /dev/null
+++ b/internal/lab/sim/fault/node.go
@@ -0,0 +1,401 @@
+package fault
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/gate"
+	"github.com/loomgrade/loomgrade/internal/core/home"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
+	"github.com/loomgrade/loomgrade/internal/core/poolworker"
+	"github.com/loomgrade/loomgrade/internal/core/retry"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Pacing of the nodes, as their defaults.
+const (
+	nodeTick           = 50 * time.Millisecond
+	machineInterval    = time.Second
+	configurationLease = 5 * time.Second
+	callTimeout        = 2 * time.Second
+	summaryInterval    = 200 * time.Millisecond
+	aggregateInterval  = time.Second
+	reportInterval     = time.Second
+	// rebuildCost is what a node takes to rebuild its snapshot; it paces them.
+	rebuildCost = time.Millisecond
+	// summaryBytes is what one replica takes in a summary.
+	summaryBytes = 60
+)
+
+// node is one node process with the decision code of the real one.
+type node struct {
+	process
+	world *world
+	id    port.NodeID
+	// What follows is lost when the process dies.
+	state          *nodestate.State
+	snapshot       *nodestate.Snapshot
+	chooser        *placement.Chooser
+	random         *rand.Rand
+	budgets        map[port.PoolName]*retry.Budget
+	replicaCounts  map[port.ReplicaID]*counter
+	zoneCounts     map[nodestate.ZonePool]*counter
+	polled         map[port.ReplicaID]int
+	workers        map[port.PoolName]*worker
+	seeker         *poolworker.Seeker
+	confirmedUntil time.Time
+	machinesAsked  time.Time
+	requests       uint64
+	polls          int
+	// inflight counts the requests that were accepted and not answered.
+	inflight int
+	draining bool
+	stopped  func()
+}
+
+// counter counts what a node sent to a replica or a zone.
+type counter struct{ sent, finished int64 }
+
+// Counts implements nodestate.Counter.
+func (c *counter) Counts() placement.Counts {
+	return placement.Counts{Sent: c.sent, Finished: c.finished}
+}
+
+func (w *world) newNode(index int) *node {
+	zone := w.zone(index)
+	n := &node{
+		process: process{name: fmt.Sprintf("node-%d", index), zone: zone, internal: true},
+		world:   w, id: port.NodeID(fmt.Sprintf("n%d", index)),
+	}
+	return n
+}
+
+// start brings the process up, knowing nothing.
+func (n *node) start() {
+	w := n.world
+	n.up = true
+	n.draining, n.inflight, n.stopped = false, 0, nil
+	n.random = rand.New(rand.NewPCG(w.options.Seed, uint64(len(n.name))*1000+uint64(n.life)*17+hashOf(n.name)))
+	n.chooser = placement.New(n.random)
+	n.budgets = make(map[port.PoolName]*retry.Budget)
+	n.replicaCounts = make(map[port.ReplicaID]*counter)
+	n.zoneCounts = make(map[nodestate.ZonePool]*counter)
+	n.polled = make(map[port.ReplicaID]int)
+	n.workers = make(map[port.PoolName]*worker)
+	n.seeker = poolworker.NewSeeker(n.id)
+	n.confirmedUntil, n.machinesAsked = time.Time{}, time.Time{}
+	n.snapshot = nodestate.EmptySnapshot(n.zone)
+	n.state = nodestate.New(nodestate.Config{
+		Self: n.id, Zone: n.zone, Region: "region", PeerAddress: n.peerAddress(), HTTPAddress: n.peerAddress(),
+		Incarnation: uint64(w.clock().UnixMilli()),
+		Summary:     summaryInterval, Aggregate: aggregateInterval, Report: reportInterval,
+		NewGate:        n.newGate,
+		ReplicaCounter: func(id port.ReplicaID) nodestate.Counter { return n.replicaCounter(id) },
+		ZoneCounter:    func(key nodestate.ZonePool) nodestate.Counter { return n.zoneCounter(key) },
+		MessageBytes:   func(summary membership.HomeSummary) int { return summaryBytes * len(summary.Replicas) },
+	}, w.clock())
+	n.state.RebuildCost(rebuildCost)
+	w.control.watch(n)
+	n.every(nodeTick, n.tick)
+	n.every(nodestate.MachineLook(machineInterval), n.pollMachines)
+	n.every(workerTick, n.tickWorkers)
+	n.every(seekInterval, n.seek)
+}
+
+func (n *node) peerAddress() string { return "10.0.0." + string(n.id[1:]) + ":7000" }
+
+// every runs work again and again while the process lives.
+func (n *node) every(interval time.Duration, run func()) {
+	life := n.life
+	var again func()
+	again = func() {
+		if n.life == life && n.up {
+			run()
+			n.world.after(interval, again)
+		}
+	}
+	n.world.after(time.Duration(n.random.Int64N(int64(interval))), again)
+}
+
+func (n *node) replicaCounter(id port.ReplicaID) *counter {
+	if n.replicaCounts[id] == nil {
+		n.replicaCounts[id] = &counter{}
+	}
+	return n.replicaCounts[id]
+}
+
+func (n *node) zoneCounter(key nodestate.ZonePool) *counter {
+	if n.zoneCounts[key] == nil {
+		n.zoneCounts[key] = &counter{}
+	}
+	return n.zoneCounts[key]
+}
+
+func (n *node) tick() {
+	n.state.Tick(n.world.clock(), true)
+	n.carryOut()
+}
+
+// carryOut does what the state asks for.
+func (n *node) carryOut() {
+	output := n.state.Flush()
+	for _, message := range output.Messages {
+		n.sendTo(message)
+	}
+	for _, decided := range output.Decisions {
+		n.world.decided(n, decided)
+	}
+	if output.Snapshot != nil {
+		n.snapshot = output.Snapshot
+	}
+	for _, id := range output.Stopped {
+		delete(n.polled, id)
+	}
+	for _, poll := range output.Started {
+		n.polls++
+		n.polled[poll.Replica.ID] = n.polls
+		n.poll(poll, n.polls)
+	}
+	if output.Report != nil {
+		report := *output.Report
+		n.world.tell(&n.process, &n.world.control.process, func() { n.world.control.report(report) })
+	}
+}
+
+// sendTo sends a one-way message to another node.
+func (n *node) sendTo(message nodestate.Envelope) {
+	target := n.world.node(message.To.ID)
+	if target == nil {
+		return
+	}
+	n.world.tell(&n.process, &target.process, func() {
+		now := n.world.clock()
+		switch body := message.Body.(type) {
+		case membership.Message:
+			target.state.Member(now, body)
+		case membership.HomeSummary:
+			target.state.Summary(now, body)
+		case nodestate.AggregatesMessage:
+			target.state.Aggregates(now, body)
+		case nodestate.MachinesMessage:
+			target.state.Machines(now, body)
+		case nodestate.OutcomesMessage:
+			target.state.Outcomes(now, body.Outcomes)
+		}
+		target.state.RebuildIfDue(now)
+		target.carryOut()
+	})
+}
+
+// viewUpdate takes a view of the control state.
+func (n *node) viewUpdate(update port.ViewUpdate) {
+	_, confirmed, err := n.state.ViewUpdate(n.world.clock(), update)
+	if err == nil && confirmed {
+		n.confirmedUntil = n.world.clock().Add(configurationLease)
+	}
+	n.state.RebuildIfDue(n.world.clock())
+	n.carryOut()
+}
+
+func (n *node) confirmed() bool { return n.world.clock().Before(n.confirmedUntil) }
+
+// poll asks an engine for its load and cache events while this node is its home.
+func (n *node) poll(engaged nodestate.Poll, number int) {
+	life := n.life
+	target := n.world.engineAt(engaged.Replica.Address)
+	own := engaged.Gate.(*nodeGate)
+	var again func()
+	again = func() {
+		if n.life != life || !n.up || n.polled[engaged.Replica.ID] != number {
+			return
+		}
+		n.pollOnce(target, own)
+		n.world.after(loadInterval, again)
+	}
+	again()
+}
+
+func (n *node) pollOnce(target *modelEngine, own *nodeGate) {
+	w := n.world
+	askedAt := w.clock()
+	life := n.life
+	answered := false
+	w.after(callTimeout, func() {
+		if !answered && n.life == life {
+			n.reported(askedAt, target.id, port.LoadReport{}, port.NewError(port.MayHaveRun, port.CodeUnavailable, "no answer"))
+		}
+	})
+	after := own.pure.NextCacheEvent(target.id)
+	w.tell(&n.process, &target.process, func() {
+		report, visible := target.load()
+		events, gap := target.cacheEvents(after)
+		w.after(w.lateness(target), func() {
+			w.tell(&target.process, &n.process, func() {
+				if n.life != life || !visible {
+					return
+				}
+				answered = true
+				own.pure.CacheEvents(target.id, events, gap)
+				n.reported(askedAt, target.id, report, nil)
+			})
+		})
+	})
+}
+
+func (n *node) reported(askedAt time.Time, replica port.ReplicaID, report port.LoadReport, failure *port.Error) {
+	now := n.world.clock()
+	n.state.LoadReported(now, askedAt, replica, report, failure)
+	n.state.RebuildIfDue(now)
+	n.carryOut()
+}
+
+// pollMachines asks the machine list if this node has to, and tells the zone.
+func (n *node) pollMachines() {
+	w := n.world
+	now := w.clock()
+	if !nodestate.PollsMachines(now, machineInterval, n.snapshot.ZoneNodes, n.id, n.machinesAsked, n.state.MachinesHeard()) {
+		return
+	}
+	n.machinesAsked = now
+	w.tell(&n.process, &w.machines.process, func() {
+		leaving := home.LeavingOf(w.machines.list())
+		w.tell(&w.machines.process, &n.process, func() { n.tellMachines(leaving) })
+	})
+}
+
+func (n *node) tellMachines(leaving []port.Machine) {
+	now := n.world.clock()
+	message := nodestate.MachinesMessage{Node: n.id, Leaving: leaving}
+	n.state.Machines(now, message)
+	n.state.RebuildIfDue(now)
+	n.carryOut()
+	for _, id := range n.snapshot.ZoneNodes {
+		if address, known := n.snapshot.Nodes[id]; known && id != n.id {
+			n.sendTo(nodestate.Envelope{To: address, Body: message})
+		}
+	}
+}
+
+// decide decides on a retry by the pool's policy and budget.
+func (n *node) decide(pool *port.Pool) func(retry.Attempt) retry.Decision {
+	return func(made retry.Attempt) retry.Decision {
+		return retry.FromConfiguration(pool.Retry).Decide(n.world.clock(), made, n.budget(pool), n.random)
+	}
+}
+
+func (n *node) budget(pool *port.Pool) *retry.Budget {
+	budget := n.budgets[pool.Name]
+	if budget == nil {
+		budget = retry.NewBudget(pool.Retry.BudgetRatio, n.world.clock())
+		n.budgets[pool.Name] = budget
+	}
+	return budget
+}
+
+// die ends the process at once.
+func (n *node) die() {
+	if n.up {
+		n.world.kill(&n.process)
+	}
+}
+
+// drain stops the process as planned; done is called when it has stopped.
+func (n *node) drain(done func()) {
+	n.draining = true
+	n.stopped = done
+	n.state.Drain(n.world.clock())
+	n.carryOut()
+	for _, pool := range n.workerPools() {
+		run := n.workers[pool]
+		run.carryOut(run.machine.Drain(n.world.clock()))
+	}
+	n.stopIfIdle()
+}
+
+// stopIfIdle ends a draining process once nothing is left.
+func (n *node) stopIfIdle() {
+	if n.stopped == nil || n.inflight > 0 || len(n.workers) > 0 {
+		return
+	}
+	done := n.stopped
+	n.stopped = nil
+	life := n.life
+	// What was answered last is still on its way.
+	n.world.after(latencyBetween+2*latencyJitter, func() {
+		if n.life == life && n.up {
+			n.die()
+			done()
+		}
+	})
+}
+
+// begin counts a request in; end must be called once it was answered.
+func (n *node) begin() (end func()) {
+	n.inflight++
+	life := n.life
+	return func() {
+		if n.life == life {
+			n.inflight--
+			n.stopIfIdle()
+		}
+	}
+}
+
+// nodeGate puts the pure gate of a pool into virtual time.
+type nodeGate struct {
+	node *node
+	pure *gate.Gate
+}
+
+// settler is what waits for a ticket.
+type settler interface{ settled(ticket *gate.Ticket) }
+
+func (n *node) newGate(pool *port.Pool) nodestate.Gate {
+	return &nodeGate{node: n, pure: gate.New(n.world.profile(pool.Kind), n.random)}
+}
+
+// settle hands tickets to who waits for them, after the present step.
+func (g *nodeGate) settle(settled []*gate.Ticket) {
+	life := g.node.life
+	for _, ticket := range slices.Clone(settled) {
+		g.node.world.after(0, func() {
+			if g.node.life == life {
+				ticket.Owner.(settler).settled(ticket)
+			}
+		})
+	}
+}
+
+// Configure implements nodestate.Gate.
+func (g *nodeGate) Configure(now time.Time, settings gate.Settings, replicas []gate.Replica) {
+	g.settle(g.pure.Configure(now, settings, replicas))
+}
+
+// Tick implements nodestate.Gate.
+func (g *nodeGate) Tick(now time.Time) { g.settle(g.pure.Tick(now)) }
+
+// Loads implements nodestate.Gate.
+func (g *nodeGate) Loads() (map[port.ReplicaID]gate.Load, int) { return g.pure.Loads() }
+
+// ResetCache implements nodestate.Gate.
+func (g *nodeGate) ResetCache(replica port.ReplicaID) { g.pure.ResetCache(replica) }
+
+func (g *nodeGate) offer(ticket *gate.Ticket) {
+	settled, _ := g.pure.Offer(g.node.world.clock(), ticket)
+	if ticket.State != gate.Waiting && !slices.Contains(settled, ticket) {
+		settled = append(slices.Clone(settled), ticket)
+	}
+	g.settle(settled)
+}
+
+func (g *nodeGate) cancel(ticket *gate.Ticket) {
+	g.settle(g.pure.Cancel(g.node.world.clock(), ticket))
+}
+
+func (g *nodeGate) release(ticket *gate.Ticket, outcome gate.Outcome) {
+	g.settle(g.pure.Release(g.node.world.clock(), ticket, outcome))
+}
