fleet: let a repeated order to stage have no further effect

Cause: a rollout repeats an accepted order to learn how far it is. The hollow engines of the fleet emulation began another load with every repetition, which took the rate of the weight store from the others, so that no replica ever had its version staged: TestScenariosKeepInvariants/weights, 0 of 148 replicas switched. Real engines, and the engine model, load a version once.

Change: a hollow engine loads a version once. go test ./internal/lab/fleet passes.

--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -27,6 +27,8 @@
 	replica port.Replica
 	report  port.LoadReport
 	running int
+	// loading is the newest version that was ordered to be staged.
+	loading port.WeightVersion
 }
 
 func newEngine(f *Fleet, replica port.Replica) *engine {
@@ -65,7 +67,7 @@
 	e.report.Fence = order.Fence
 	switch {
 	case order.Kind == port.OrderStage:
-		e.fleet.store.load(func() { e.report.Staged = max(e.report.Staged, order.Version) })
+		e.stage(order.Version)
 		answer(e.report, nil)
 	case e.report.Staged == order.Version:
 		e.fleet.after(swapPause, func() {
@@ -80,6 +82,16 @@
 	}
 }
 
+// stage loads a version unless it is there or on the way: an order that is
+// repeated has no further effect.
+func (e *engine) stage(version port.WeightVersion) {
+	if version <= max(e.report.Staged, e.loading) {
+		return
+	}
+	e.loading = version
+	e.fleet.store.load(func() { e.report.Staged = max(e.report.Staged, version) })
+}
+
 // store is the weight store: its rate is shared evenly by those that load, as
 // many as there are when a load begins.
 type store struct {
