--- a/internal/core/scheduling/scheduler.go
+++ b/internal/core/scheduling/scheduler.go
@@ -111,12 +111,12 @@
 	scores := make([]port.ReplicaScore, 0, len(best))
 	for _, entry := range best {
 		candidate := &candidates[entry.Index]
-		score := port.ReplicaScore{Replica: candidate.Replica, Total: entry.Score}
+		parts := make([]port.ScorePart, 0, len(s.profile.Scorers))
 		for _, weighted := range s.profile.Scorers {
 			value := weighted.Weight * weighted.Scorer.Score(request, candidate)
-			score.Parts = append(score.Parts, port.ScorePart{Scorer: weighted.Scorer.Name(), Value: value})
+			parts = append(parts, port.ScorePart{Scorer: weighted.Scorer.Name(), Value: value})
 		}
-		scores = append(scores, score)
+		scores = append(scores, port.ReplicaScore{Replica: candidate.Replica, Total: entry.Score, Parts: parts})
 	}
 	return scores
 }
