test: put more unsafe calls in flight when an application server is killed

With calls of 20 ms the row 'kill an application server' passed even when unsafe calls were retried after they may have run: in most runs none was in flight. With 100 ms and 40 calls a second several are.

Trials of the whole test against broken copies: unsafe calls taken for safe, a node that closes at once in place of draining, and leaving back ends taken for live: each is found by the audit now (rules 'unsafe request runs at most once', 'a planned stop cuts nothing off', 'no new work on a leaving back end'). The second and third were found before this change as well.

--- a/test/system/site_test.go
+++ b/test/system/site_test.go
@@ -150,7 +150,7 @@
 	for number := range applications {
 		name := application(number + 1)
 		live = append(live, s.addresses[name])
-		add(name, "app", "--service-time", "20ms")
+		add(name, "app", "--service-time", "100ms")
 	}
 	add(weightStore, "weights", "--rate", "16777216", "--bytes", fmt.Sprint(weightBytes))
 	add(scorer, "scorer")
