gate: tell the choice of application back ends their own latency

Cause: the profile of application calls chooses by mean latency times requests in flight, but the gate never filled the latency in, so that it chose by requests in flight alone.

Change: the gate keeps the mean time of the calls that each replica served, for five seconds after the last one: a back end that was slow once and gets no calls since is tried again.

TestCallsKeepOffASlowBackEnd fails without it (4 of 8 in flight at the fast one).

--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -210,3 +210,38 @@
 		t.Errorf("state %v, refusal %v", refused.State, refused.Refusal)
 	}
 }
+
+// Calls go to the back end with the least expected time: one that is slow gets
+// few, though it has fewer in flight.
+func TestCallsKeepOffASlowBackEnd(t *testing.T) {
+	under := gate.New(scheduling.Application(), seeded())
+	under.Configure(start, gate.Settings{MinInflight: 8, MaxInflight: 8, QueueLength: 4}, []gate.Replica{{ID: "fast"}, {ID: "slow"}})
+	times := map[port.ReplicaID]time.Duration{"fast": 5 * time.Millisecond, "slow": 100 * time.Millisecond}
+	for range 20 {
+		asked := ticket("known")
+		under.Offer(start, asked)
+		under.Release(start, asked, gate.Outcome{Latency: times[asked.Replica], Service: times[asked.Replica]})
+	}
+	if counts := inFlightOfEight(under, start); counts["fast"] != 8 {
+		t.Errorf("in flight %v", counts)
+	}
+	later := start.Add(6 * time.Second)
+	if counts := inFlightOfEight(under, later); counts["fast"] != 4 {
+		t.Errorf("in flight %v after the latencies were forgotten", counts)
+	}
+}
+
+// inFlightOfEight offers eight calls and counts where they are before they end.
+func inFlightOfEight(under *gate.Gate, now time.Time) map[port.ReplicaID]int {
+	counts := make(map[port.ReplicaID]int)
+	var asked []*gate.Ticket
+	for number := range 8 {
+		asked = append(asked, ticket(fmt.Sprint(number)))
+		under.Offer(now, asked[number])
+		counts[asked[number].Replica]++
+	}
+	for _, ended := range asked {
+		under.Release(now, ended, gate.Outcome{Abandoned: true})
+	}
+	return counts
+}
--- a/internal/core/gate/slot.go
+++ b/internal/core/gate/slot.go
@@ -38,6 +38,10 @@
 	tokens   int
 	sent     int
 	finished int
+	// latency is the mean time of the calls that were served, the last one at
+	// servedAt; 0 while none was.
+	latency  time.Duration
+	servedAt time.Time
 	reported time.Time
 	// marks count what was sent and finished when the last report came.
 	sentMark     int
@@ -55,6 +59,31 @@
 	s.adapters = replica.Report.Loaded()
 }
 
+const (
+	// latencySmoothing is the weight of a new call in the mean latency.
+	latencySmoothing = 0.2
+	// latencyMemory is how long the mean latency counts without another call. A
+	// back end that was slow once and gets no calls is tried again after it.
+	latencyMemory = 5 * time.Second
+)
+
+// served counts the time of one call.
+func (s *slot) served(now time.Time, took time.Duration) {
+	if s.expected(now) == 0 {
+		s.latency = took
+	}
+	s.latency += time.Duration(latencySmoothing * float64(took-s.latency))
+	s.servedAt = now
+}
+
+// expected gives the mean latency as far as it still counts; 0 means not known.
+func (s *slot) expected(now time.Time) time.Duration {
+	if now.Sub(s.servedAt) > latencyMemory {
+		return 0
+	}
+	return s.latency
+}
+
 // routable says whether the replica takes requests at all.
 func (s *slot) routable() bool {
 	replica := &s.replica
@@ -87,6 +116,7 @@
 		InflightTokens:      s.tokens,
 		KVUsed:              report.KVUsed,
 		KVTotal:             report.KVTotal,
+		Latency:             s.expected(now),
 		Limit:               s.limiter.Limit(),
 	}
 }
--- a/internal/core/gate/ticket.go
+++ b/internal/core/gate/ticket.go
@@ -106,6 +106,7 @@
 	}
 	if outcome.Service > 0 {
 		g.queue.ObserveService(outcome.Service)
+		held.served(now, outcome.Service)
 	}
 	held.inflight--
 	held.finished++
