coordinator: let a replacement of a stale sample wait for the new weights

Cause: samples are dropped as stale when a version is published, while the engines still serve the one before. What took their place began at once, on the old weights, a whole version behind, and a sample that is long enough to go stale went stale again. Change: a replacement of a dropped sample starts on the version that dropped it or a newer one, and goes ahead of new samples. The new test was run with the version taken out again: it fails (no replacement was held).

--- a/internal/core/coordinator/coordinator_test.go
+++ b/internal/core/coordinator/coordinator_test.go
@@ -91,3 +91,41 @@
 		t.Fatalf("target %d while the trainer waits", target)
 	}
 }
+
+// TestReplacementOfAStaleSampleStartsOnTheNewWeights drops samples to staleness
+// while replicas still serve the old weights, which the plan allows: what takes
+// their place waits for the new ones, or it would begin a version behind.
+func TestReplacementOfAStaleSampleStartsOnTheNewWeights(t *testing.T) {
+	source := "def plan(pool):\n  return struct(target_in_flight = 16)"
+	w := newWorld(t, smallSampling(), source)
+	w.answerFetch(false)
+	w.tick(time.Second)
+	run := w.attempts[0]
+	w.progress(run, 1)
+	w.published += 3
+	w.serving = w.published - 1
+	serve := func() {
+		w.step(w.current, coordinator.CapacityChanged{Replicas: []policy.Replica{
+			{ID: "replica-1", Zone: "zone-a", Version: w.serving, Limit: 64},
+		}})
+	}
+	serve()
+	w.step(w.current, coordinator.WeightsPublished{Weights: port.PublishedWeights{Pool: poolName, Version: w.published}})
+	before := w.current.Status().Counters
+	if before.DroppedStale == 0 {
+		t.Fatalf("nothing was dropped: %+v", before)
+	}
+	started := len(w.attempts)
+	w.serving = w.published
+	serve()
+	w.tick(time.Second)
+	newest := 0
+	for _, begun := range w.attempts[started:] {
+		if begun.start.MinVersion == w.published {
+			newest++
+		}
+	}
+	if newest == 0 {
+		t.Errorf("no replacement was held for version %d: %d started at once, %d later", w.published, started, len(w.attempts)-started)
+	}
+}
--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -57,6 +57,9 @@
 	// is out.
 	scoreTries int
 	scoreSent  time.Time
+	// fresh is the version that it has to start on at least; 0 means any that the
+	// plan allows.
+	fresh port.WeightVersion
 }
 
 // attemptProgress is what the running attempt has reported.
@@ -113,6 +116,9 @@
 // that is refused waits longer than the weights take.
 func (c *Coordinator) mayStart() bool { return c.replicas.serves(c.minVersion()) }
 
+// versionFor is the oldest version that a sample may start on.
+func (c *Coordinator) versionFor(s *sample) port.WeightVersion { return max(c.minVersion(), s.fresh) }
+
 // unfinished counts samples that run or wait to be started again. Those that wait
 // keep their place, so that new groups cannot hold up begun ones.
 func (c *Coordinator) unfinished() int { return len(c.samples) - c.whole }
@@ -153,7 +159,7 @@
 	c.emit(StartSample{
 		ID: s.id, Attempt: s.attempt, Prompt: s.group.prompt, Seed: s.seed,
 		Priority:   c.priority(s),
-		MinVersion: c.minVersion(),
+		MinVersion: c.versionFor(s),
 		MaxTokens:  c.config.Sampling.MaxTokens - s.tokens,
 		Resume:     s.text, ResumeTokens: s.tokens,
 		Zones: plan.Zones, Exclude: plan.Exclude, Avoid: s.avoid,
@@ -165,7 +171,7 @@
 	plan := &c.planning.plan
 	priority := c.config.Sampling.Priority + plan.Priority
 	long := plan.LongTokens > 0 && s.tokens >= plan.LongTokens
-	if long || s.group.finished > 0 {
+	if long || s.fresh > 0 || s.group.finished > 0 {
 		priority += plan.LongPriority
 	}
 	return priority
@@ -242,13 +248,16 @@
 }
 
 // replaceSample removes a sample and adds a new one where the group needs it.
-func (c *Coordinator) replaceSample(s *sample, delay time.Duration) {
+func (c *Coordinator) replaceSample(s *sample, delay time.Duration) *sample {
 	from := s.group
 	c.removeSample(s)
-	if len(from.samples) < c.config.Sampling.GroupSize {
-		c.addSample(from).after = c.now.Add(delay)
-		c.startDue = true
+	if len(from.samples) >= c.config.Sampling.GroupSize {
+		return nil
 	}
+	added := c.addSample(from)
+	added.after = c.now.Add(delay)
+	c.startDue = true
+	return added
 }
 
 // startWaiting starts the waiting samples that need not wait for a tick: those
--- a/internal/core/coordinator/samples.go
+++ b/internal/core/coordinator/samples.go
@@ -197,7 +197,7 @@
 func (c *Coordinator) sweepSample(s *sample) {
 	switch s.state {
 	case stateWaiting:
-		if !c.draining && c.mayStart() && !c.now.Before(s.after) && c.running < c.planning.plan.TargetInFlight {
+		if !c.draining && c.replicas.serves(c.versionFor(s)) && !c.now.Before(s.after) && c.running < c.planning.plan.TargetInFlight {
 			c.startAttempt(s)
 		}
 	case stateRunning:
--- a/internal/core/coordinator/staleness.go
+++ b/internal/core/coordinator/staleness.go
@@ -143,7 +143,12 @@
 		Kind: port.DecisionStale, Subject: s.id.String(), Replica: s.replica, Attempt: int(s.attempt),
 		Code: port.CodeStale, Detail: reason, Spans: joinSpans(s.spans, s.now.spans),
 	})
-	c.replaceSample(s, 0)
+	if added := c.replaceSample(s, 0); added != nil {
+		// Samples are dropped when a version is published, and the weights in
+		// service are then the old ones: what takes the place of one that took too
+		// long would begin a version behind and take too long again.
+		added.fresh = c.version
+	}
 }
 
 // publicationRate estimates the time between publications.
