coordinator: read the ledger before a batch is delivered a second time

Cause: a batch is checked against the published version when it is committed. Found by a trainer stand-in that asks again right after it published.

Change: a held batch that was delivered before goes out again only after the ledger was read since the question came, and the answer names the published version of that position. A question that came before the commit was first sent is vouched for by the commit itself, so the first delivery needs no further entry. A read that began before a question does not vouch for it. Each has a row in the fault table; the row for asking again now answers the read.

--- a/internal/core/controlstate/apply.go
+++ b/internal/core/controlstate/apply.go
@@ -63,7 +63,7 @@
 // withLedger adds the pool's delivery state, which answers are kept without.
 func (s *State) withLedger(command port.Command, result port.Result) port.Result {
 	if command.CommitBatch != nil {
-		state := s.ledger.State(command.CommitBatch.Pool)
+		state := s.Ledger(command.CommitBatch.Pool)
 		result.Ledger = &state
 	}
 	return result
--- a/internal/core/controlstate/state.go
+++ b/internal/core/controlstate/state.go
@@ -56,7 +56,11 @@
 func (s *State) History() []registry.HistoryEntry { return s.history.List() }
 
 // Ledger gives the delivery state of a pool.
-func (s *State) Ledger(pool port.PoolName) port.LedgerState { return s.ledger.State(pool) }
+func (s *State) Ledger(pool port.PoolName) port.LedgerState {
+	state := s.ledger.State(pool)
+	state.Published = s.weights.Current(pool)
+	return state
+}
 
 // Lease finds a lease by name.
 func (s *State) Lease(name string) (port.Lease, bool) { return s.leases.Get(name) }
--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -95,8 +95,7 @@
 		return true
 	}
 	if c.heldFor(w.number) && c.pending == nil && c.leaseValid() {
-		c.deliver(w)
-		return true
+		return c.serveHeld(w)
 	}
 	if c.heldStale(w) {
 		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered a moment ago and is stale by now", w.number)
@@ -109,6 +108,18 @@
 	return false
 }
 
+// serveHeld delivers the held batch. A batch that was delivered before is not
+// delivered again before the ledger was read: a version may have been published
+// since its commit of which this node has not heard.
+func (c *Coordinator) serveHeld(w waiter) (answered bool) {
+	if !c.held.delivered.IsZero() && !w.checked {
+		c.readLedger()
+		return false
+	}
+	c.deliver(w)
+	return true
+}
+
 // serveUnknownConsumer handles a consumer newer than the known ledger state:
 // it counts only once the ledger confirms it.
 func (c *Coordinator) serveUnknownConsumer(w waiter) (answered bool) {
--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -16,7 +16,9 @@
 	batch    port.CommitBatch
 	groups   []*group
 	version  port.WeightVersion
-	sent     time.Time
+	// began is when it was first sent, sent when it was last.
+	began time.Time
+	sent  time.Time
 	// uncertain is set once an answer was lost: from then on only the log's own
 	// answer tells the outcome, not a later failure to ask.
 	uncertain bool
@@ -44,7 +46,7 @@
 	}
 	c.pending = &pendingCommit{
 		changeID: c.changeID(),
-		batch:    batch, groups: groups, version: c.version, sent: c.now,
+		batch:    batch, groups: groups, version: c.version, began: c.now, sent: c.now,
 	}
 	c.emit(Commit{ChangeID: c.pending.changeID, Batch: batch})
 }
@@ -104,6 +106,7 @@
 func (c *Coordinator) commitStands(result port.Result) {
 	pending := c.pending
 	c.pending = nil
+	c.checkWaiters(pending.began)
 	c.commitTries = 0
 	c.counters.Committed++
 	held := &heldBatch{
@@ -312,6 +315,7 @@
 		return
 	}
 	c.reading.out = false
+	c.raiseVersion(event.State.Published)
 	if c.pending != nil && shows(event.State, c.pending.batch) {
 		state := event.State
 		c.commitStands(port.Result{Ledger: &state})
@@ -321,8 +325,16 @@
 		c.releasePending()
 	}
 	c.takeLedger(event.State)
+	c.checkWaiters(c.reading.sent)
+}
+
+// checkWaiters notes the questions that came before a command went to the log that
+// was answered now. What a trainer published before it asked is in that answer.
+func (c *Coordinator) checkWaiters(sent time.Time) {
 	for index := range c.waiters {
-		c.waiters[index].checked = true
+		if !c.waiters[index].arrived.After(sent) {
+			c.waiters[index].checked = true
+		}
 	}
 }
 
--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -80,11 +80,41 @@
 			w.tick(lateRepeat)
 			w.next = 1
 			token := w.ask(1, w.trainer, time.Minute)
+			w.read()
 			w.wantDelivered(t, token, 1, 1)
 			if w.commitsMade() != 1 {
 				t.Fatalf("%d commits", w.commitsMade())
 			}
 		},
+		"asking again after publications that the coordinator has not heard of": func(t *testing.T, w *world) {
+			w.train()
+			w.tick(lateRepeat)
+			w.next = 1
+			delete(w.used, 1)
+			w.published += 3
+			token := w.ask(1, w.trainer, time.Minute)
+			if len(w.arrived) != 1 {
+				t.Fatal("a batch was delivered again before the ledger was read")
+			}
+			w.read()
+			w.settleAll(6)
+			w.wantDelivered(t, token, 1, 2)
+		},
+		"a ledger read that began before a question does not vouch for it": func(t *testing.T, w *world) {
+			w.train()
+			w.tick(lateRepeat)
+			w.next = 1
+			delete(w.used, 1)
+			w.ask(1, w.trainer, time.Minute)
+			state := w.log.State(poolName)
+			w.tick(time.Millisecond)
+			w.published += 3
+			token := w.ask(1, w.trainer, time.Minute)
+			w.step(w.current, coordinator.LedgerRead{State: state})
+			if _, delivered := w.arrived[token]; delivered {
+				t.Fatal("delivered by the word of an earlier state")
+			}
+		},
 		"asking again for a stale batch voids it": func(t *testing.T, w *world) {
 			w.train()
 			w.tick(lateRepeat)
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -425,7 +425,9 @@
 func (w *world) read() {
 	if w.reads > 0 {
 		w.reads--
-		w.step(w.current, coordinator.LedgerRead{State: w.log.State(poolName)})
+		state := w.log.State(poolName)
+		state.Published = w.published
+		w.step(w.current, coordinator.LedgerRead{State: state})
 	}
 }
 
--- a/internal/port/command.go
+++ b/internal/port/command.go
@@ -162,6 +162,9 @@
 	PromptsBelow PromptIndex   `cbor:"6,keyasint" json:"prompts_below"`
 	PromptsAbove []PromptIndex `cbor:"7,keyasint,omitempty" json:"prompts_above,omitempty"`
 	Consumer     Consumer      `cbor:"8,keyasint" json:"consumer"`
+	// Published is the pool's current weight version at this position of the log;
+	// 0 in states that are kept rather than answered.
+	Published WeightVersion `cbor:"9,keyasint,omitempty" json:"published,omitempty"`
 }
 
 // PublishedWeights is a pool's current version.
