--- a/internal/lab/localfleet/fleet.go
+++ b/internal/lab/localfleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/node"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -33,6 +34,8 @@
 	Folder string
 	// Logger may be nil.
 	Logger *log.Logger
+	// Intervals pace the nodes; zero fields take the nodes' defaults.
+	Intervals node.Intervals
 }
 
 // Fleet is a running fleet. Its methods are for one goroutine.
--- a/internal/lab/localfleet/nodes.go
+++ b/internal/lab/localfleet/nodes.go
@@ -60,6 +60,7 @@
 		DataFolder: f.dataFolder(string(slot.id)),
 		Seed:       f.plan.Seed + uint64(slot.index),
 		Logger:     f.options.Logger,
+		Intervals:  f.options.Intervals,
 	}
 	if slot.listeners != nil {
 		config.HTTPListener, config.PeerListener = slot.listeners[0], slot.listeners[1]
--- a/internal/lab/localfleet/standins.go
+++ b/internal/lab/localfleet/standins.go
@@ -225,5 +225,8 @@
 // Scorer gives the scoring service.
 func (f *Fleet) Scorer() *standin.Scorer { return f.standIns.scorer }
 
+// Weights gives the weight store.
+func (f *Fleet) Weights() *standin.WeightStore { return f.standIns.weights }
+
 // Machines gives the machine list.
 func (f *Fleet) Machines() *standin.MachineList { return f.standIns.machines }
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -157,8 +157,9 @@
 
 // receive asks for a batch until it has come whole.
 func (t *Trainer) receive(life context.Context, number uint64) (audit.Delivery, bool) {
-	if _, again := t.faults.take(FaultAskPrevious); again && number > 1 {
-		t.askAgain(life, number-1)
+	if _, again := t.faults.take(FaultAskPrevious); again && number > 2 {
+		// The batch before is acknowledged only by the question to come.
+		t.askAgain(life, number-2)
 	}
 	var batch api.Batch
 	ok := t.untilDone(life, func(node string) error {
