membership, node: tell other zones what moves requests; spread the relays

In the emulated fleet a node spent 46 KB/s on aggregates, half of its traffic: 16 pools x 13 other zones, each second, and one node of each zone relayed all zones of a pool.

A zone now tells of a pool at once when replicas or versions came or went or health changed, after 3 s when the room for each replica changed by the margin that moves a request, and else every 10 s. The relay of a zone's word is chosen by pool and zone. A node that starts asks its zone for what each relays, as it would wait for up to 10 s otherwise. Summaries are paced to 3,000 B/s of bodies (8,000 before), and a coordinator whose rollouts are complete asks at most 100 homes a second for the state of their replicas.

Small zones are as before: their summaries never reach the budget.

--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -19,6 +19,7 @@
 	detector   *membership.Detector
 	summaries  *membership.Summaries
 	aggregates *membership.Aggregates
+	teller     *membership.AggregateTeller
 	// gates are those of application pools and of engine pools with a replica
 	// that this node is the home of.
 	gates     map[port.PoolName]*gate.Gate
@@ -36,6 +37,7 @@
 	lastSummary     time.Time
 	summaryInterval time.Duration
 	lastAggregate   time.Time
+	asked           int // for aggregates
 	lastReport      time.Time
 	draining        bool
 	changed         bool
@@ -61,6 +63,7 @@
 		detector:    membership.NewDetector(membership.Config{Self: node.config.ID, Zone: node.config.Zone, Incarnation: incarnation}, now),
 		summaries:   membership.NewSummaries(),
 		aggregates:  membership.NewAggregates(),
+		teller:      membership.NewAggregateTeller(),
 		gates:       make(map[port.PoolName]*gate.Gate),
 		trackers:    make(map[port.PoolName]*ejection.Tracker),
 		homes:       make(map[port.ReplicaID]*ownReplica),
@@ -178,6 +181,10 @@
 }
 
 func (e aggregatesMessage) apply(c *controller, now time.Time) {
+	if e.Asker != "" {
+		c.tellNewcomer(e.Asker)
+		return
+	}
 	fresh := false
 	for _, aggregate := range e.Aggregates {
 		if aggregate.Zone != c.node.config.Zone && c.aggregates.Apply(now, aggregate) {
--- a/internal/app/node/messages.go
+++ b/internal/app/node/messages.go
@@ -114,6 +114,9 @@
 type aggregatesMessage struct {
 	Aggregates []membership.PoolAggregate `cbor:"1,keyasint"`
 	Relayed    bool                       `cbor:"2,keyasint,omitempty"`
+	// Asker, if set, is a node that has just started and asks for what the
+	// receiver relays.
+	Asker port.NodeID `cbor:"3,keyasint,omitempty"`
 }
 
 // machinesMessage tells the zone which machines the list shows as leaving.
--- a/internal/app/node/poolstate.go
+++ b/internal/app/node/poolstate.go
@@ -20,6 +20,8 @@
 type poolStates struct {
 	nextPoll time.Time
 	polling  bool
+	// homes is the number of homes that the last poll asked.
+	homes int
 }
 
 // pollStates asks the homes of the pool's replicas for their state when it is
@@ -29,10 +31,23 @@
 		return
 	}
 	w.states.polling = true
-	w.states.nextPoll = now.Add(poolStateInterval)
+	w.states.nextPoll = now.Add(w.pollInterval())
 	pool, _ := viewPool(w.node.snapshot.Load().view, w.pool)
 	call := poolStateCall{Pool: pool.EnginePool(), Fence: w.epoch, Out: w.routedOut()}
-	w.tasks.Go(func() { w.post(statesPolled{w.node.poolStates(w.ctx, call)}) })
+	w.tasks.Go(func() {
+		replicas, homes := w.node.poolStates(w.ctx, call)
+		w.post(statesPolled{replicas: replicas, homes: homes})
+	})
+}
+
+// pollInterval gives the time until the homes are asked again.
+func (w *poolWorker) pollInterval() time.Duration {
+	for _, state := range w.rollouts {
+		if _, completed := state.machine.Target(); !completed {
+			return poolStateInterval
+		}
+	}
+	return max(poolStateInterval, time.Duration(w.states.homes)*poolStatePerHome)
 }
 
 // routedOut lists the replicas that some rollout keeps out of routing.
@@ -46,11 +61,15 @@
 	return out
 }
 
-// statesPolled brings the state of the pool's replicas.
-type statesPolled struct{ replicas []replicaState }
+// statesPolled brings the state of the pool's replicas, of so many homes.
+type statesPolled struct {
+	replicas []replicaState
+	homes    int
+}
 
 func (e statesPolled) apply(w *poolWorker, now time.Time) {
 	w.states.polling = false
+	w.states.homes = e.homes
 	pool, _ := viewPool(w.node.snapshot.Load().view, w.pool)
 	w.step(now, coordinator.CapacityChanged{Replicas: w.capacity(pool.Adapter, e.replicas)})
 	members := make([]rollout.Replica, 0, len(e.replicas))
@@ -85,8 +104,8 @@
 }
 
 // poolStates asks every home of a pool's replicas. Replicas whose home doesn't
-// answer come back as not reachable.
-func (n *Node) poolStates(ctx context.Context, call poolStateCall) []replicaState {
+// answer come back as not reachable. It gives the number of homes too.
+func (n *Node) poolStates(ctx context.Context, call poolStateCall) ([]replicaState, int) {
 	homes := make(map[port.NodeID]port.NodeAddress)
 	known := make(map[port.ReplicaID]replicaState)
 	for id, replica := range n.snapshot.Load().replicas {
@@ -117,7 +136,7 @@
 	for _, state := range known {
 		states = append(states, state)
 	}
-	return states
+	return states, len(homes)
 }
 
 func (n *Node) askPoolState(ctx context.Context, home port.NodeAddress, call poolStateCall) poolStateAnswer {
--- a/internal/app/node/poolworker.go
+++ b/internal/app/node/poolworker.go
@@ -16,7 +16,11 @@
 const (
 	workerTick        = 100 * time.Millisecond
 	poolStateInterval = 500 * time.Millisecond
-	workerEvents      = 1024
+	// poolStatePerHome lengthens the interval of a pool with many homes while no
+	// weights are being rolled out, so that a coordinator asks 100 homes a second
+	// at most.
+	poolStatePerHome = 10 * time.Millisecond
+	workerEvents     = 1024
 	// leaseMargin is the share of the lease's length that is given up as a margin
 	// for the drift of clocks.
 	leaseMargin = 10
--- a/internal/app/node/rebuild.go
+++ b/internal/app/node/rebuild.go
@@ -11,9 +11,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// maxAggregateAge is the age after which another zone's word no longer counts.
-const maxAggregateAge = 10 * time.Second
-
 // rebuild brings gates, trackers and pollers in line with what is known, and
 // publishes a new snapshot.
 func (c *controller) rebuild(now time.Time) {
@@ -140,7 +137,7 @@
 	if pool.Kind == port.PoolApplication {
 		return count
 	}
-	for _, aggregate := range c.aggregates.Pool(time.Now(), pool.Name, maxAggregateAge) {
+	for _, aggregate := range c.aggregates.Pool(time.Now(), pool.Name, membership.MaxAggregateAge) {
 		count += aggregate.Unhealthy
 	}
 	return count
@@ -191,7 +188,7 @@
 			route.zone = append(route.zone, c.zoneReplica(now, homeNode, configured[replica.Replica], replica, age))
 		}
 	})
-	for _, aggregate := range c.aggregates.Pool(now, enginePool, maxAggregateAge) {
+	for _, aggregate := range c.aggregates.Pool(now, enginePool, membership.MaxAggregateAge) {
 		route.elsewhere = append(route.elsewhere, c.zoneOffer(view, aggregate))
 	}
 	return route
--- a/internal/app/node/summaries.go
+++ b/internal/app/node/summaries.go
@@ -9,9 +9,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// summaryBudget bounds a node's summaries to its zone, in bytes per second.
-const summaryBudget = 8000
-
 // tellOwn enters the state of the own home replicas among those of the zone.
 func (c *controller) tellOwn(now time.Time) {
 	c.sequence++
@@ -53,7 +50,7 @@
 		return
 	}
 	c.lastSummary = now
-	c.summaryInterval = membership.SummaryInterval(c.node.config.Intervals.Summary, sent, len(body), summaryBudget)
+	c.summaryInterval = membership.SummaryInterval(c.node.config.Intervals.Summary, sent, len(body), membership.SummaryBudget)
 }
 
 // sendAggregates tells the other zones of the pools that this node speaks for.
@@ -66,9 +63,10 @@
 	if len(c.homeTable.byZone) < 2 {
 		return
 	}
+	c.askForAggregates(view)
 	homes := c.detector.Assigner()
 	for _, aggregate := range c.summaries.Aggregate(now, homes) {
-		if speaker, found := homes.HomeOf(string(aggregate.Pool)); !found || speaker != c.node.config.ID {
+		if speaker, found := homes.HomeOf(string(aggregate.Pool)); !found || speaker != c.node.config.ID || !c.teller.Due(now, aggregate) {
 			continue
 		}
 		c.sequence++
@@ -81,14 +79,36 @@
 	}
 }
 
-// tellOtherZones sends a message to the node of each other zone that speaks for
-// the pool there, which relays it.
+// asksForAggregates is how often a node asks: its peers may learn of it a moment
+// after the first time.
+const asksForAggregates = 2
+
+// askForAggregates lets a node that has just started hear soon what other zones
+// told, of those that relay it: they tell it again only when it changes.
+func (c *controller) askForAggregates(view *port.View) {
+	if _, listed := viewNode(view, c.node.config.ID); !listed || c.asked == asksForAggregates {
+		return
+	}
+	c.asked++
+	c.toZone(methodAggregates, aggregatesMessage{Asker: c.node.config.ID})
+}
+
+// tellNewcomer tells a node that has just started what this one relays.
+func (c *controller) tellNewcomer(asker port.NodeID) {
+	target, known := viewNode(c.observer.View(), asker)
+	relayed := c.aggregates.RelayedBy(c.node.config.ID, c.detector.Assigner())
+	if known && len(relayed) > 0 {
+		c.node.peers.send(target.PeerAddress, methodAggregates, aggregatesMessage{Aggregates: relayed, Relayed: true})
+	}
+}
+
+// tellOtherZones sends a message to a node of each other zone, which relays it.
 func (c *controller) tellOtherZones(view *port.View, pool port.PoolName, message aggregatesMessage) {
 	for zone := range c.homeTable.byZone {
 		if zone == c.node.config.Zone {
 			continue
 		}
-		id, _ := c.homeTable.aggregator(zone, pool)
+		id, _ := c.homeTable.relay(zone, c.node.config.Zone, pool)
 		if target, known := viewNode(view, id); known {
 			c.node.peers.send(target.PeerAddress, methodAggregates, message)
 		}
--- a/internal/app/node/zones.go
+++ b/internal/app/node/zones.go
@@ -82,11 +82,11 @@
 	return id, found
 }
 
-// aggregator gives the node that speaks for a zone about a pool.
-func (t *homeTable) aggregator(zone port.ZoneName, pool port.PoolName) (port.NodeID, bool) {
+// relay gives the node of a zone that relays what another zone tells of a pool.
+func (t *homeTable) relay(zone, from port.ZoneName, pool port.PoolName) (port.NodeID, bool) {
 	homes := t.byZone[zone]
 	if homes == nil {
 		return "", false
 	}
-	return homes.HomeOf(string(pool))
+	return homes.Relay(from, pool)
 }
