--- a/cmd/loomlab/cmd_fleet.go
+++ b/cmd/loomlab/cmd_fleet.go
@@ -21,7 +21,7 @@
 	Scenario    string        `default:"steady" enum:"steady,failures,zone-loss,region-cut,weights" help:"What happens: ${enum}."`
 	Compression float64       `default:"24" help:"Factor on the daily rates of changes, failures and restarts."`
 	Samples     int           `default:"8192" help:"Samples in a step of each trainer; 0 leaves the coordinators' samples out."`
-	SampleTime  time.Duration `default:"20s" help:"Median time in which a sample is generated."`
+	SampleTime  time.Duration `default:"1m" help:"Median time in which a sample is generated."`
 	WeightBytes float64       `default:"17179869184" help:"Size of a weight version, in bytes."`
 	StoreRate   float64       `default:"1099511627776" help:"What the weight store gives in a second, in bytes."`
 	Sizes       []int         `help:"Numbers of nodes to run one after the other, with replicas and samples in proportion, and fit."`
--- a/internal/lab/fleet/coordination.go
+++ b/internal/lab/fleet/coordination.go
@@ -19,6 +19,7 @@
 	rankDelay         = 500 * time.Millisecond
 	workerTick        = 100 * time.Millisecond
 	poolStateInterval = 500 * time.Millisecond
+	poolStatePerHome  = 10 * time.Millisecond
 	leaseMargin       = 10
 	renewals          = 3
 	orderTimeout      = 15 * time.Second
@@ -257,7 +258,7 @@
 	if c.polling || now < c.nextPoll || c.rollout == nil {
 		return
 	}
-	c.polling, c.nextPoll = true, now+poolStateInterval
+	c.polling = true
 	states := make(map[port.ReplicaID]replicaState)
 	var homes []port.NodeID
 	for _, replica := range c.node.observer.View().Configuration.Replicas {
@@ -271,6 +272,10 @@
 	}
 	slices.Sort(homes)
 	homes = slices.Compact(homes)
+	c.nextPoll = now + poolStateInterval
+	if _, completed := c.rollout.Target(); completed {
+		c.nextPoll = now + max(poolStateInterval, time.Duration(len(homes))*poolStatePerHome)
+	}
 	open := len(homes)
 	for _, home := range homes {
 		c.askHome(home, func(answer poolStateAnswer) {
--- a/internal/lab/fleet/messages.go
+++ b/internal/lab/fleet/messages.go
@@ -34,6 +34,7 @@
 type aggregatesMessage struct {
 	Aggregates []membership.PoolAggregate `cbor:"1,keyasint"`
 	Relayed    bool                       `cbor:"2,keyasint,omitempty"`
+	Asker      port.NodeID                `cbor:"3,keyasint,omitempty"`
 }
 
 // orderCall asks a replica's home to pass on a fenced order.
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -23,6 +23,8 @@
 	detector   *membership.Detector
 	summaries  *membership.Summaries
 	aggregates *membership.Aggregates
+	teller     *membership.AggregateTeller
+	asked      int // for aggregates
 	// members are the control members, nearest first; current is the one
 	// watched.
 	members        []*member
@@ -54,6 +56,7 @@
 		Self: n.address.ID, Zone: n.address.Zone, Incarnation: n.incarnationTime,
 	}, now)
 	n.summaries, n.aggregates = membership.NewSummaries(), membership.NewAggregates()
+	n.teller, n.asked = membership.NewAggregateTeller(), 0
 	n.current, n.sequence = 0, 0
 	n.homes, n.owned, n.held = homeTable{}, nil, nil
 	n.free = make(map[port.PoolName]time.Duration)
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -54,7 +54,7 @@
 const (
 	DefaultLength      = 2 * time.Minute
 	DefaultCompression = 24
-	DefaultSampleTime  = 20 * time.Second
+	DefaultSampleTime  = time.Minute
 	DefaultWeightBytes = 16 << 30
 	DefaultStoreRate   = 1 << 40
 	minNodes           = regions
--- a/internal/lab/fleet/zone.go
+++ b/internal/lab/fleet/zone.go
@@ -10,10 +10,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// summaryBudget bounds a node's summaries to its zone, in bytes per second, as
-// the node process does.
-const summaryBudget = 8000
-
 // homeTable says which node is the home of a replica: within the own zone by the
 // failure detector, elsewhere by the view.
 type homeTable struct {
@@ -88,7 +84,7 @@
 	if err != nil {
 		n.fleet.violate("encoding", "summary: %v", err)
 	}
-	return membership.SummaryInterval(appnode.DefaultSummary, sent, len(body), summaryBudget)
+	return membership.SummaryInterval(appnode.DefaultSummary, sent, len(body), membership.SummaryBudget)
 }
 
 // toZone sends a message to the other live nodes of the zone.
@@ -106,13 +102,15 @@
 }
 
 // tellOtherZones sends the aggregates of the pools that this node speaks for to
-// the nodes that speak for them elsewhere, which relay them.
+// the nodes that relay them elsewhere.
 func (n *node) tellOtherZones() time.Duration {
 	if len(n.homes.byZone) < 2 || n.homes.own == nil {
 		return appnode.DefaultAggregate
 	}
-	for _, aggregate := range n.summaries.Aggregate(n.fleet.wall(), n.homes.own) {
-		if speaker, found := n.homes.own.HomeOf(string(aggregate.Pool)); !found || speaker != n.address.ID {
+	n.askForAggregates()
+	now := n.fleet.wall()
+	for _, aggregate := range n.summaries.Aggregate(now, n.homes.own) {
+		if speaker, found := n.homes.own.HomeOf(string(aggregate.Pool)); !found || speaker != n.address.ID || !n.teller.Due(now, aggregate) {
 			continue
 		}
 		n.sequence++
@@ -123,13 +121,36 @@
 	return appnode.DefaultAggregate
 }
 
+// asksForAggregates is how often a node that has started asks for what the others
+// of its zone relay, as the node process does.
+const asksForAggregates = 2
+
+func (n *node) askForAggregates() {
+	if n.asked == asksForAggregates {
+		return
+	}
+	n.asked++
+	asking := aggregatesMessage{Asker: n.address.ID}
+	n.toZone(message{workAggregates, wire.KindOneWay, methodAggregates, asking}, func(to *node, body []byte) { to.takeAggregates(body) })
+}
+
+func (n *node) tellNewcomer(asker port.NodeID) {
+	relayed := n.aggregates.RelayedBy(n.address.ID, n.homes.own)
+	if len(relayed) == 0 {
+		return
+	}
+	to := n.fleet.nodeOf(asker)
+	sent := aggregatesMessage{Aggregates: relayed, Relayed: true}
+	n.fleet.send(&n.endpoint, &to.endpoint, message{workAggregates, wire.KindOneWay, methodAggregates, sent}, to.takeAggregates)
+}
+
 func (n *node) tellSpeakers(aggregate membership.PoolAggregate) {
 	sent := aggregatesMessage{Aggregates: []membership.PoolAggregate{aggregate}}
 	for _, zone := range n.zoneNames() {
 		if zone == n.address.Zone {
 			continue
 		}
-		id, found := n.homes.byZone[zone].HomeOf(string(aggregate.Pool))
+		id, found := n.homes.byZone[zone].Relay(n.address.Zone, aggregate.Pool)
 		if !found {
 			continue
 		}
@@ -152,6 +173,10 @@
 func (n *node) takeAggregates(body []byte) {
 	var received aggregatesMessage
 	n.fleet.decode(body, &received)
+	if received.Asker != "" {
+		n.tellNewcomer(received.Asker)
+		return
+	}
 	fresh := false
 	for _, aggregate := range received.Aggregates {
 		if aggregate.Zone != n.address.Zone && n.aggregates.Apply(n.fleet.wall(), aggregate) {
