lab: count a pool as coordinated only outside a cut

The first run of region-cut at 660 nodes said that all pools had a coordinator 50 ms after the cut: holders inside it still ran on their leases. They no longer count.

--- a/internal/lab/fleet/recovery.go
+++ b/internal/lab/fleet/recovery.go
@@ -81,7 +81,7 @@
 // cut off.
 func (f *Fleet) allCoordinated() bool {
 	for _, holder := range f.holders {
-		if holder == nil || holder.done || !holder.node.up || holder.leaseUntil <= f.now {
+		if holder == nil || holder.done || !holder.node.up || holder.leaseUntil <= f.now || holder.node.place.region == f.network.cut {
 			return false
 		}
 	}
