--- a/internal/core/nodestate/report.go
+++ b/internal/core/nodestate/report.go
@@ -1,10 +1,10 @@
 package nodestate
 
 import (
-	"cmp"
-	"slices"
+	"maps"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -28,23 +28,5 @@
 
 // serving counts the own home replicas by pool and version.
 func (s *State) serving(now time.Time) []port.ServingCount {
-	var counts []port.ServingCount
-	for _, held := range s.records {
-		if !held.Polled {
-			continue
-		}
-		version := held.Version(now)
-		index := slices.IndexFunc(counts, func(count port.ServingCount) bool {
-			return count.Pool == held.Replica.Pool && count.Version == version
-		})
-		if index < 0 {
-			counts = append(counts, port.ServingCount{Pool: held.Replica.Pool, Version: version})
-			index = len(counts) - 1
-		}
-		counts[index].Replicas++
-	}
-	slices.SortFunc(counts, func(a, b port.ServingCount) int {
-		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Version, b.Version))
-	})
-	return counts
+	return home.Serving(now, s.observer.View().Configuration.Pools, maps.Values(s.records))
 }
--- /dev/null
+++ b/internal/core/nodestate/state_test.go
@@ -0,0 +1,170 @@
+package nodestate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/gate"
+	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
+	"github.com/loomgrade/loomgrade/internal/core/placement"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// seenGate notes what a gate was told last.
+type seenGate struct{ replicas []gate.Replica }
+
+func (g *seenGate) Configure(_ time.Time, _ gate.Settings, replicas []gate.Replica) {
+	g.replicas = replicas
+}
+func (g *seenGate) Tick(time.Time)                             {}
+func (g *seenGate) Loads() (map[port.ReplicaID]gate.Load, int) { return nil, 0 }
+func (g *seenGate) ResetCache(port.ReplicaID)                  {}
+
+type noCounts struct{}
+
+func (noCounts) Counts() placement.Counts { return placement.Counts{} }
+
+// newState makes the state of node n1 with a gate that notes what it is told.
+func newState(held *seenGate) *nodestate.State {
+	return nodestate.New(nodestate.Config{
+		Self: "n1", Zone: "z1", Region: "r", PeerAddress: "10.0.0.1:7000",
+		Summary: time.Second, Aggregate: time.Second, Report: time.Second,
+		NewGate:        func(*port.Pool) nodestate.Gate { return held },
+		ReplicaCounter: func(port.ReplicaID) nodestate.Counter { return noCounts{} },
+		ZoneCounter:    func(nodestate.ZonePool) nodestate.Counter { return noCounts{} },
+		MessageBytes:   func(membership.HomeSummary) int { return 100 },
+	}, start)
+}
+
+// view has one node, one engine and, if list is set, a machine list.
+func view(list string) *port.View {
+	return &port.View{
+		Position: 1, Revision: 1,
+		Nodes: []port.NodeAddress{{ID: "n1", Zone: "z1", PeerAddress: "10.0.0.1:7000"}},
+		Configuration: port.Configuration{
+			MachineList: list,
+			Pools:       []port.Pool{{Name: "lm", Kind: port.PoolGeneration}},
+			Replicas:    []port.Replica{{ID: "e1", Pool: "lm", Zone: "z1", Address: "10.1.0.1:8000"}},
+		},
+	}
+}
+
+func update(state *nodestate.State, now time.Time, shown *port.View) {
+	_, _, err := state.ViewUpdate(now, port.ViewUpdate{Position: shown.Position, Revision: shown.Revision, Full: shown, Confirmed: true})
+	if err != nil {
+		panic(err)
+	}
+	state.RebuildIfDue(now)
+}
+
+func TestNothingIsRoutedBeforeTheMachineListWasHeard(t *testing.T) {
+	cases := []struct {
+		name   string
+		list   string
+		heard  bool
+		waited float64
+		routes bool
+	}{
+		{"no list is configured", "", false, 0, true},
+		{"just started", "http://list", false, 1, false},
+		{"heard of it", "http://list", true, 1, true},
+		{"the list is down", "http://list", false, 3, true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			state := newState(&seenGate{})
+			update(state, at(0), view(testCase.list))
+			if testCase.heard {
+				state.Machines(at(0.5), nodestate.MachinesMessage{Node: "n2"})
+			}
+			state.Tick(at(testCase.waited), true)
+			snapshot := state.Flush().Snapshot
+			if routes := len(snapshot.Pools) > 0; routes != testCase.routes {
+				t.Errorf("routes: %v", routes)
+			}
+			if len(snapshot.Replicas) != 1 || snapshot.View.Position != 1 {
+				t.Errorf("snapshot %+v", snapshot)
+			}
+		})
+	}
+}
+
+func TestWordOfALeavingMachineReachesTheGateAtOnce(t *testing.T) {
+	held := &seenGate{}
+	state := newState(held)
+	update(state, at(0), view("http://list"))
+	state.Machines(at(0.5), nodestate.MachinesMessage{Node: "n1"})
+	state.RebuildIfDue(at(0.5))
+	gone := []port.Machine{{Address: "10.1.0.1", State: port.MachineLeaving}}
+	state.RebuildCost(time.Second)
+	state.Machines(at(0.51), nodestate.MachinesMessage{Node: "n2", Leaving: gone})
+	state.RebuildIfDue(at(0.51))
+	if len(held.replicas) != 1 || !held.replicas[0].Leaving {
+		t.Errorf("the gate was told %+v", held.replicas)
+	}
+}
+
+func TestPollsMachines(t *testing.T) {
+	zone := []port.NodeID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	pollers := 0
+	for _, node := range zone {
+		if nodestate.PollsMachines(at(10), time.Second, zone, node, at(9), at(9.9)) {
+			pollers++
+		}
+	}
+	if pollers != 2 {
+		t.Errorf("%d of 8 nodes poll", pollers)
+	}
+	cases := []struct {
+		name         string
+		asked, heard time.Time
+		want         bool
+	}{
+		{"asked a moment ago", at(9.5), at(0), false},
+		{"the pollers speak", at(0), at(9), false},
+		{"the pollers are silent", at(0), at(8.7), true},
+	}
+	for _, testCase := range cases {
+		t.Run(testCase.name, func(t *testing.T) {
+			polls := 0
+			for _, node := range zone {
+				if nodestate.PollsMachines(at(10), time.Second, zone, node, testCase.asked, testCase.heard) {
+					polls++
+				}
+			}
+			if all := polls > 2; all != testCase.want {
+				t.Errorf("%d of 8 nodes poll", polls)
+			}
+		})
+	}
+}
+
+func TestHomeFollowsItsReplicas(t *testing.T) {
+	state := newState(&seenGate{})
+	update(state, at(0), view(""))
+	started := state.Flush().Started
+	if len(started) != 1 || started[0].Replica.ID != "e1" {
+		t.Fatalf("polls %+v", started)
+	}
+	state.LoadReported(at(1), at(1), "e1", port.LoadReport{Version: 7, Incarnation: 1}, nil)
+	answer := state.PoolState(at(1), nodestate.PoolStateCall{Pool: "lm", Fence: 4, Out: []port.ReplicaID{"e1"}})
+	if len(answer.Replicas) != 1 || answer.Replicas[0].Routable || answer.Replicas[0].Report.Version != 7 {
+		t.Errorf("answer %+v", answer)
+	}
+	// An order of an earlier lease holder doesn't bring the replica back.
+	answer = state.PoolState(at(2), nodestate.PoolStateCall{Pool: "lm", Fence: 3})
+	if answer.Replicas[0].Routable {
+		t.Error("a lower fence was listened to")
+	}
+	empty := view("")
+	empty.Position, empty.Revision, empty.Configuration.Replicas = 2, 2, nil
+	update(state, at(3), empty)
+	if stopped := state.Flush().Stopped; len(stopped) != 1 || stopped[0] != "e1" {
+		t.Errorf("stopped %v", stopped)
+	}
+}
--- a/internal/lab/sim/fault/engine.go
+++ b/internal/lab/sim/fault/engine.go
@@ -53,7 +53,6 @@
 	key      uint64
 	position int
 	mixed    bool
-	gone     bool
 }
 
 // engineChunk is a piece of an answer as it stands on the wire: it names the
