--- /dev/null
+++ b/internal/lab/localfleet/bench_test.go
@@ -0,0 +1,82 @@
+package localfleet_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/lab/localfleet"
+)
+
+// measuredSpan is how long a fleet is measured.
+const measuredSpan = 5 * time.Second
+
+// BenchmarkNode measures what a node of the dev site spends: bytes of the internal
+// protocol both ways, and CPU time of the whole process, which also holds the
+// control members and the stand-ins. An idle fleet shows the cost of control, a
+// sampling one also carries the samples. Profile with -cpuprofile and focus on
+// internal/app/node.
+func BenchmarkNode(b *testing.B) {
+	idle, sampling := localfleet.DevPlan(), localfleet.DevPlan()
+	idle.Trainers, idle.Callers, sampling.Callers = nil, nil, nil
+	b.Run("idle", func(b *testing.B) { measureNodes(b, idle) })
+	b.Run("sampling", func(b *testing.B) { measureNodes(b, sampling) })
+}
+
+func measureNodes(b *testing.B, plan localfleet.Plan) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	fleet, err := localfleet.Start(ctx, plan, localfleet.Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer fleet.Close()
+	time.Sleep(time.Second)
+	for b.Loop() {
+		bytes, cpu := internalBytes(b, fleet), cpuTime(b)
+		time.Sleep(measuredSpan)
+		nodeSeconds := float64(fleet.Nodes()) * measuredSpan.Seconds()
+		b.ReportMetric((internalBytes(b, fleet)-bytes)/nodeSeconds, "B/s/node")
+		b.ReportMetric((cpuTime(b)-cpu).Seconds()*1000/nodeSeconds, "cpu-ms/s/node")
+	}
+}
+
+// internalBytes sums the bytes of the internal protocol over all nodes.
+func internalBytes(b *testing.B, fleet *localfleet.Fleet) float64 {
+	b.Helper()
+	sum := 0.0
+	for index := range fleet.Nodes() {
+		answer, err := http.Get(fleet.NodeURL(index) + "/metrics")
+		if err != nil {
+			b.Fatal(err)
+		}
+		lines := bufio.NewScanner(answer.Body)
+		for lines.Scan() {
+			name, value, found := strings.Cut(lines.Text(), " ")
+			if !found || !strings.HasPrefix(name, "loomgrade_") || !strings.Contains(name, "bytes_total") {
+				continue
+			}
+			counted, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			sum += counted
+		}
+		answer.Body.Close()
+	}
+	return sum
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
