lab: answer a newcomer in the hollow fleet also before the own homes are known

A node that had just started itself was asked for what it relays and used a table of homes that it did not have yet; the run at 660 nodes ended in a panic. The node process asks its failure detector and is not concerned. The scenario tests at 28 nodes do not start nodes that close together; the run at full size does.

--- a/internal/lab/fleet/zone.go
+++ b/internal/lab/fleet/zone.go
@@ -135,7 +135,7 @@
 }
 
 func (n *node) tellNewcomer(asker port.NodeID) {
-	relayed := n.aggregates.RelayedBy(n.address.ID, n.homes.own)
+	relayed := n.aggregates.RelayedBy(n.address.ID, n.detector.Assigner())
 	if len(relayed) == 0 {
 		return
 	}
