home: count what replicas serve for pools that share them too

Cause: with marea's site running over separate processes, 'loomgrade weights status' showed no replica for any pool ('-', 0): nodes counted the versions of their replicas under the engines' own pool only, with the base model's version.

--- a/internal/app/node/report.go
+++ b/internal/app/node/report.go
@@ -1,11 +1,10 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -35,23 +34,12 @@
 
 // serving counts the own home replicas by pool and version.
 func (c *controller) serving(now time.Time) []port.ServingCount {
-	var counts []port.ServingCount
-	for _, held := range c.homes {
-		if !held.Polled {
-			continue
+	records := func(yield func(*home.Record) bool) {
+		for _, held := range c.homes {
+			if !yield(&held.Record) {
+				return
+			}
 		}
-		version := held.Version(now)
-		index := slices.IndexFunc(counts, func(count port.ServingCount) bool {
-			return count.Pool == held.Replica.Pool && count.Version == version
-		})
-		if index < 0 {
-			counts = append(counts, port.ServingCount{Pool: held.Replica.Pool, Version: version})
-			index = len(counts) - 1
-		}
-		counts[index].Replicas++
 	}
-	slices.SortFunc(counts, func(a, b port.ServingCount) int {
-		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Version, b.Version))
-	})
-	return counts
+	return home.Serving(now, c.observer.View().Configuration.Pools, records)
 }
--- a/internal/core/home/home_test.go
+++ b/internal/core/home/home_test.go
@@ -76,12 +76,12 @@
 	if taken, _ := record.Reported(at(6), at(3), port.LoadReport{Version: 4, Incarnation: 1}); taken {
 		t.Error("took the answer to an earlier question")
 	}
-	if version := record.Version(at(6)); version != 5 {
+	if version := record.Version(at(6), ""); version != 5 {
 		t.Errorf("version %d", version)
 	}
 	taken, restarted := record.Reported(at(8), at(7), port.LoadReport{Version: 1, Incarnation: 2, AgeMillis: 500})
-	if !taken || !restarted || record.Version(at(8)) != 1 {
-		t.Errorf("taken %v, restarted %v, version %d", taken, restarted, record.Version(at(8)))
+	if !taken || !restarted || record.Version(at(8), "") != 1 {
+		t.Errorf("taken %v, restarted %v, version %d", taken, restarted, record.Version(at(8), ""))
 	}
 	if age := record.Report(at(9)).AgeMillis; age != 1500 {
 		t.Errorf("the report is %d ms old", age)
--- a/internal/core/home/record.go
+++ b/internal/core/home/record.go
@@ -82,12 +82,14 @@
 // Reachable says whether the replica answers its polls.
 func (r *Record) Reachable() bool { return r.known() && r.silent < silentPolls }
 
-// Version gives the base version that the replica serves; 0 means not known.
-func (r *Record) Version(now time.Time) port.WeightVersion {
+// Version gives the version that the replica serves of an adapter, or of the base
+// model where the adapter is empty; 0 means not known or not loaded.
+func (r *Record) Version(now time.Time, adapter string) port.WeightVersion {
 	if r.VersionUnknown(now) {
 		return 0
 	}
-	return r.report.Version
+	version, _ := r.report.Serves(adapter)
+	return version
 }
 
 func (r *Record) known() bool { return !r.reportedAt.IsZero() }
--- a/test/examples/examples_test.go
+++ b/test/examples/examples_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/lab/standin"
 	"github.com/loomgrade/loomgrade/internal/testkit"
@@ -36,12 +37,13 @@
 	cases := []struct {
 		name     string
 		killed   string
+		engines  int
 		trainers map[string]string // pool by process
 		calls    string            // path of an application call
 	}{
-		{"dev", "node-zone-b", map[string]string{"trainer-captions": "captions"}, "/app/pages/pages/1"},
-		{"inkwell", "engine-3", map[string]string{"trainer-caption-lm": "caption-lm"}, "/app/page-api/pages/1"},
-		{"marea", "trainer-summaries", map[string]string{
+		{"dev", "node-zone-b", 4, map[string]string{"trainer-captions": "captions"}, "/app/pages/pages/1"},
+		{"inkwell", "engine-3", 8, map[string]string{"trainer-caption-lm": "caption-lm"}, "/app/page-api/pages/1"},
+		{"marea", "trainer-summaries", 9, map[string]string{
 			"trainer-bulletins": "bulletins", "trainer-anomaly-notes": "anomaly-notes", "trainer-summaries": "summaries",
 		}, "/app/buoy-api/readings/latest"},
 	}
@@ -53,6 +55,7 @@
 			s.fleet(t, "up")
 			s.untilSteps(t)
 			s.call(t, c.calls)
+			s.untilServed(t, c.engines)
 			s.fleet(t, "kill", c.killed)
 			s.fleet(t, "start", c.killed)
 			s.untilSteps(t)
@@ -140,6 +143,45 @@
 	}
 }
 
+// untilServed waits until every engine is known to serve weights of every pool.
+func (s *site) untilServed(t *testing.T, engines int) {
+	t.Helper()
+	operator, err := os.ReadFile(filepath.Join(s.folder, "examples", s.name, "operator"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(patience)
+	for {
+		command := exec.Command(filepath.Join(s.folder, "bin", "loomgrade"), "weights", "status", "--output", "json",
+			"--server", strings.TrimSpace(string(operator)), "--token-file", filepath.Join("examples", s.name, "operator.token"))
+		command.Dir = s.folder
+		output, err := command.Output()
+		var weights operatorapi.Weights
+		if err == nil && json.Unmarshal(output, &weights) == nil && s.allServed(weights, engines) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("gave up waiting until %d engines serve each pool: %v\n%s", engines, err, output)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (s *site) allServed(weights operatorapi.Weights, engines int) bool {
+	for _, pool := range weights.Pools {
+		serving := 0
+		for _, count := range pool.Serving {
+			if count.Version > 0 {
+				serving += count.Replicas
+			}
+		}
+		if serving != engines {
+			return false
+		}
+	}
+	return len(weights.Pools) == len(s.trainers)
+}
+
 // stepsOf gives the number of batches that a trainer's journal holds.
 func (s *site) stepsOf(t *testing.T, name string) int {
 	t.Helper()
