test: make a change of the configuration during each fault of the system test

Each row that takes a process away has a change accepted meanwhile, and waits until it is in force at every node, the one that was away included; the revision must never go down.

--- a/test/system/faults_test.go
+++ b/test/system/faults_test.go
@@ -123,10 +123,11 @@
 }
 
 // killAndRestart kills a process that the site can do without, waits until the
-// site goes on without it, and starts it again.
+// site goes on and takes a change without it, and starts it again.
 func (s *site) killAndRestart(t *testing.T, target *process) {
 	s.disturb("kill", target, func() {
 		target.kill(t)
+		s.change(t)
 		s.untilProgress(t, stepsOfProgress)
 		target.start(t)
 		s.untilInForce(t)
@@ -148,6 +149,7 @@
 	s.disturb("silence", target, func() {
 		target.signal(t, syscall.SIGSTOP)
 		s.untilProgress(t, stepsOfProgress)
+		s.change(t)
 		target.signal(t, syscall.SIGCONT)
 		s.untilInForce(t)
 	})
@@ -162,6 +164,7 @@
 			s.operate(t, &status, "config", "status")
 			return status.InForce < len(zones)
 		})
+		s.change(t)
 		s.untilProgress(t, stepsOfProgress)
 		target.signal(t, syscall.SIGCONT)
 		s.untilInForce(t)
@@ -173,6 +176,7 @@
 	from := now()
 	target.stop(t)
 	s.stops = append(s.stops, audit.PlannedStop{Process: s.addresses[target.name], From: from, To: now()})
+	s.change(t)
 	s.untilProgress(t, stepsOfProgress)
 	target.start(t)
 	s.untilInForce(t)
--- a/test/system/settings_test.go
+++ b/test/system/settings_test.go
@@ -81,8 +81,10 @@
 		MaxTokens: 300, BufferBatches: 2,
 		PromptSource: s.url(trainer), Scorer: s.url(scorer), WeightStore: s.url(weightStore),
 	}
+	pages := pool(pagesPool, port.PoolApplication, 5*time.Second)
+	pages.Admission.QueueLength = s.queueLength
 	configuration := port.Configuration{
-		Pools:       []port.Pool{captions, pool(pagesPool, port.PoolApplication, 5*time.Second)},
+		Pools:       []port.Pool{captions, pages},
 		MachineList: s.url(machineList),
 	}
 	for number := range engines {
--- a/test/system/site_test.go
+++ b/test/system/site_test.go
@@ -14,6 +14,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/lab/standin"
+	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
 
@@ -51,8 +52,11 @@
 	processes map[string]*process
 	addresses map[string]string // IP:port by process, or by process + "/" + purpose
 	callers   *callers
-	stops     []audit.PlannedStop
-	faults    []audit.Fault
+	// queueLength and revision are those of the last accepted change.
+	queueLength int
+	revision    port.Revision
+	stops       []audit.PlannedStop
+	faults      []audit.Fault
 }
 
 // loopbackHost gives an address of the loopback network that no other process
@@ -68,7 +72,7 @@
 	t.Helper()
 	s := &site{
 		folder: t.TempDir(), host: loopbackHost(),
-		processes: map[string]*process{}, addresses: map[string]string{},
+		processes: map[string]*process{}, addresses: map[string]string{}, queueLength: 512,
 	}
 	s.reservePorts(t)
 	s.writeSettings(t)
@@ -223,12 +227,27 @@
 	until(t, "a caller is answered", func() bool { return s.callers.answered() >= answered })
 }
 
-// untilInForce waits until the configuration is in force at every node.
+// change makes a change that operators have accepted.
+func (s *site) change(t *testing.T) {
+	t.Helper()
+	s.queueLength++
+	var accepted operatorapi.Accepted
+	s.operate(t, &accepted, "config", "set", s.writeConfiguration(t, s.configuration()))
+	if accepted.Revision <= s.revision {
+		t.Fatalf("revision %d accepted after %d", accepted.Revision, s.revision)
+	}
+	s.revision = accepted.Revision
+}
+
+// untilInForce waits until the last accepted change is in force at every node.
 func (s *site) untilInForce(t *testing.T) {
 	t.Helper()
 	until(t, "every node has the configuration", func() bool {
 		var status operatorapi.ConfigStatus
 		s.operate(t, &status, "config", "status")
+		if status.Revision < s.revision {
+			t.Fatalf("revision went from %d to %d", s.revision, status.Revision)
+		}
 		return status.InForce == len(zones)
 	})
 }
