nodestate: keep what follows from the view alone between rebuilds

A node rebuilds what its traffic sees up to ten times a second, as summaries come all the time. Each rebuild copied the whole configuration into maps, looked for the own replicas among all, walked all nodes for each zone and pool, and sorted the aggregates of each pool twice.

Tables of replicas, pools, nodes and zones now stay while a view brings only leases or weights; own replicas stay as long as tables and homes do; aggregates keep their order until one comes.

Tests fail when the tables outlive a change of nodes, or when aggregates are told at each tick.

--- a/internal/core/membership/aggregate.go
+++ b/internal/core/membership/aggregate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,7 +80,14 @@
 
 // Aggregates holds what other zones tell. It is not safe for concurrent use.
 type Aggregates struct {
-	held map[port.PoolName]map[port.ZoneName]heldAggregate
+	held map[port.PoolName]*poolAggregates
+}
+
+// poolAggregates holds those of one pool. Sorted has the most free places first;
+// it is nil after a change.
+type poolAggregates struct {
+	byZone map[port.ZoneName]heldAggregate
+	sorted []heldAggregate
 }
 
 type heldAggregate struct {
@@ -89,38 +97,50 @@
 
 // NewAggregates makes an empty table.
 func NewAggregates() *Aggregates {
-	return &Aggregates{held: make(map[port.PoolName]map[port.ZoneName]heldAggregate)}
+	return &Aggregates{held: make(map[port.PoolName]*poolAggregates)}
 }
 
 // Apply takes an aggregate; false means that it is not newer than the one
 // held. One from another aggregator of the zone takes the place of the held
 // one: an aggregator that lost its office sends no more.
 func (a *Aggregates) Apply(now time.Time, aggregate PoolAggregate) bool {
-	zones := a.held[aggregate.Pool]
-	if zones == nil {
-		zones = make(map[port.ZoneName]heldAggregate)
-		a.held[aggregate.Pool] = zones
+	pool := a.held[aggregate.Pool]
+	if pool == nil {
+		pool = &poolAggregates{byZone: make(map[port.ZoneName]heldAggregate)}
+		a.held[aggregate.Pool] = pool
 	}
-	held, found := zones[aggregate.Zone]
+	held, found := pool.byZone[aggregate.Zone]
 	if found && held.aggregate.Node == aggregate.Node &&
 		!newer(aggregate.Incarnation, aggregate.Sequence, held.aggregate.Incarnation, held.aggregate.Sequence) {
 		return false
 	}
-	zones[aggregate.Zone] = heldAggregate{aggregate: aggregate, received: now}
+	pool.byZone[aggregate.Zone] = heldAggregate{aggregate: aggregate, received: now}
+	pool.sorted = nil
 	return true
 }
 
 // Pool lists what the zones told of a pool within maxAge, the most free places
 // first.
 func (a *Aggregates) Pool(now time.Time, pool port.PoolName, maxAge time.Duration) []PoolAggregate {
-	var found []PoolAggregate
-	for _, held := range a.held[pool] {
-		if now.Sub(held.received) <= maxAge {
-			found = append(found, held.aggregate)
+	held := a.held[pool]
+	if held == nil {
+		return nil
+	}
+	found := make([]PoolAggregate, 0, len(held.byZone))
+	for _, entry := range held.inOrder() {
+		if now.Sub(entry.received) <= maxAge {
+			found = append(found, entry.aggregate)
 		}
 	}
-	slices.SortFunc(found, func(x, y PoolAggregate) int {
-		return cmp.Or(cmp.Compare(y.Free, x.Free), cmp.Compare(x.Zone, y.Zone))
-	})
 	return found
 }
+
+// inOrder gives the aggregates, the most free places first.
+func (p *poolAggregates) inOrder() []heldAggregate {
+	if p.sorted == nil {
+		p.sorted = slices.SortedFunc(maps.Values(p.byZone), func(x, y heldAggregate) int {
+			return cmp.Or(cmp.Compare(y.aggregate.Free, x.aggregate.Free), cmp.Compare(x.aggregate.Zone, y.aggregate.Zone))
+		})
+	}
+	return p.sorted
+}
--- a/internal/core/membership/summary_test.go
+++ b/internal/core/membership/summary_test.go
@@ -187,3 +187,31 @@
 		})
 	})
 }
+
+// The order of a pool's aggregates is kept between questions; it must follow
+// every aggregate, and old ones must still drop out.
+func TestAggregatesOfAPoolAreInOrder(t *testing.T) {
+	aggregates := NewAggregates()
+	free := func(now time.Time) (list []int) {
+		for _, aggregate := range aggregates.Pool(now, "p", time.Minute) {
+			list = append(list, aggregate.Free)
+		}
+		return list
+	}
+	tell := func(at time.Time, zone port.ZoneName, sequence uint64, places int) {
+		aggregates.Apply(at, PoolAggregate{Zone: zone, Pool: "p", Node: "n", Sequence: sequence, Free: places})
+	}
+	tell(testStart, "x", 1, 3)
+	tell(testStart, "y", 1, 5)
+	if got := free(testStart); !slices.Equal(got, []int{5, 3}) {
+		t.Errorf("free places %v, want 5 and 3", got)
+	}
+	later := testStart.Add(40 * time.Second)
+	tell(later, "x", 2, 9)
+	if got := free(later); !slices.Equal(got, []int{9, 5}) {
+		t.Errorf("free places %v after news, want 9 and 5", got)
+	}
+	if got := free(later.Add(40 * time.Second)); !slices.Equal(got, []int{9}) {
+		t.Errorf("free places %v when one is too old, want 9", got)
+	}
+}
--- a/internal/core/membership/teller.go
+++ b/internal/core/membership/teller.go
@@ -87,7 +87,7 @@
 func (a *Aggregates) RelayedBy(node port.NodeID, homes *Assigner) []PoolAggregate {
 	var relayed []PoolAggregate
 	for pool, zones := range a.held {
-		for zone, held := range zones {
+		for zone, held := range zones.byZone {
 			if relay, found := homes.Relay(zone, pool); found && relay == node {
 				relayed = append(relayed, held.aggregate)
 			}
--- a/internal/core/nodestate/message.go
+++ b/internal/core/nodestate/message.go
@@ -10,6 +10,9 @@
 type AggregatesMessage struct {
 	Aggregates []membership.PoolAggregate `cbor:"1,keyasint"`
 	Relayed    bool                       `cbor:"2,keyasint,omitempty"`
+	// Asker, if set, is a node that has just started and asks for what the
+	// receiver relays.
+	Asker port.NodeID `cbor:"3,keyasint,omitempty"`
 }
 
 // MachinesMessage tells the zone which machines the list shows as leaving.
--- a/internal/core/nodestate/rebuild.go
+++ b/internal/core/nodestate/rebuild.go
@@ -13,9 +13,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// maxAggregateAge is the age after which another zone's word no longer counts.
-const maxAggregateAge = 10 * time.Second
-
 // rebuild brings gates, trackers and polls in line with what is known, and makes
 // a new snapshot.
 func (s *State) rebuild(now time.Time) {
@@ -25,26 +22,27 @@
 	if !s.homes.holds(view.Nodes, live) {
 		s.homes = NewHomeTable(s.config.Zone, view.Nodes, live)
 	}
-	next := s.emptySnapshot(view, live)
-	byPool := make(map[port.PoolName][]port.Replica)
-	for _, replica := range view.Configuration.Replicas {
-		next.Replicas[replica.ID] = replica
-		byPool[replica.Pool] = append(byPool[replica.Pool], replica)
+	fresh := s.tables == nil || !s.tables.holds(view)
+	if fresh {
+		s.tables = newTables(view)
 	}
-	owned := s.owned(view, byPool)
-	s.setHomes(owned)
+	next := s.emptySnapshot(view, live)
+	owned := s.owned()
+	s.setHomes(owned.byID)
 	s.tellOwn(now)
 	s.summaries.Retain(next.ZoneNodes)
 	routes := s.mayRoute(now)
 	for index := range view.Configuration.Pools {
 		pool := view.Configuration.Pools[index]
-		s.configureTracker(now, &pool, byPool[pool.Name], owned)
-		s.configureGate(now, &pool, byPool[pool.Name], owned)
+		s.configureTracker(now, &pool, owned)
+		s.configureGate(now, &pool, owned)
 		if routes {
-			next.Pools[pool.Name] = s.route(now, view, pool, next.Replicas)
+			next.Pools[pool.Name] = s.route(now, pool)
 		}
 	}
-	s.dropUnused(now, byName(view.Configuration.Pools), next.Replicas)
+	if fresh {
+		s.dropUnused(now, byName(view.Configuration.Pools), next.Replicas)
+	}
 	s.snapshot = next
 	s.output.Snapshot = next
 	s.rebuiltAt = now
@@ -52,18 +50,14 @@
 
 // emptySnapshot makes a snapshot of the view without routes and replicas.
 func (s *State) emptySnapshot(view *port.View, live []port.NodeID) *Snapshot {
-	next := &Snapshot{
+	return &Snapshot{
 		View:      view,
 		Pools:     make(map[port.PoolName]*PoolRoute, len(view.Configuration.Pools)),
-		Replicas:  make(map[port.ReplicaID]port.Replica, len(view.Configuration.Replicas)),
-		Nodes:     make(map[port.NodeID]port.NodeAddress, len(view.Nodes)),
+		Replicas:  s.tables.replicas,
+		Nodes:     s.tables.nodes,
 		ZoneNodes: live,
 		Homes:     s.homes,
 	}
-	for _, node := range view.Nodes {
-		next.Nodes[node.ID] = node
-	}
-	return next
 }
 
 // Bounds of the time between two rebuilds, so that a large configuration under
@@ -90,22 +84,6 @@
 // RebuildCost tells what the last rebuild took, which paces the next ones.
 func (s *State) RebuildCost(cost time.Duration) { s.rebuildCost = cost }
 
-// owned lists the replicas that this node is the home of.
-func (s *State) owned(view *port.View, byPool map[port.PoolName][]port.Replica) map[port.ReplicaID]ownedReplica {
-	owned := make(map[port.ReplicaID]ownedReplica)
-	for _, pool := range view.Configuration.Pools {
-		for _, replica := range byPool[pool.Name] {
-			if s.homes.caretaker(replica.Zone) != s.config.Zone {
-				continue
-			}
-			if home, found := s.homes.Home(replica); found && home == s.config.Self {
-				owned[replica.ID] = ownedReplica{replica: replica, polled: pool.Kind == port.PoolGeneration, gate: s.gate(&pool)}
-			}
-		}
-	}
-	return owned
-}
-
 // gate gives the pool's gate and makes it when it is first needed.
 func (s *State) gate(pool *port.Pool) Gate {
 	known := s.gates[pool.Name]
@@ -119,7 +97,7 @@
 // configureTracker tells the pool's judge which replicas it judges: those this
 // node is the home of, and of an application pool also those of other zones,
 // whose homes this node doesn't hear of.
-func (s *State) configureTracker(now time.Time, pool *port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+func (s *State) configureTracker(now time.Time, pool *port.Pool, owned *ownedReplicas) {
 	tracker := s.trackers[pool.Name]
 	settings := ejection.FromConfiguration(pool.Ejection)
 	if tracker == nil {
@@ -127,14 +105,13 @@
 		s.trackers[pool.Name] = tracker
 	}
 	tracker.Configure(settings)
-	var judged []port.ReplicaID
-	for _, replica := range replicas {
-		if _, own := owned[replica.ID]; own {
-			judged = append(judged, replica.ID)
-		}
+	own := owned.byPool[pool.Name]
+	judged := make([]port.ReplicaID, 0, len(own))
+	for index := range own {
+		judged = append(judged, own[index].ID)
 	}
 	tracker.SetReplicas(judged)
-	tracker.SetPool(ejection.Pool{Size: len(replicas), OutElsewhere: s.outElsewhere(now, pool, owned)})
+	tracker.SetPool(ejection.Pool{Size: len(s.tables.byPool[pool.Name]), OutElsewhere: s.outElsewhere(now, pool, owned.byID)})
 }
 
 // outElsewhere counts the replicas of a pool that other homes hold out, of this
@@ -142,15 +119,15 @@
 // application pool in other zones are judged here.
 func (s *State) outElsewhere(now time.Time, pool *port.Pool, owned map[port.ReplicaID]ownedReplica) int {
 	count := 0
-	s.summaries.Each(now, s.detector.Assigner(), func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
-		if _, own := owned[replica.Replica]; !own && replica.Pool == pool.Name && (replica.Ejected || replica.Probing) {
+	s.summaries.Pool(now, s.detector.Assigner(), pool.Name, func(_ port.NodeID, replica *membership.ReplicaSummary, _ time.Duration) {
+		if _, own := owned[replica.Replica]; !own && (replica.Ejected || replica.Probing) {
 			count++
 		}
 	})
 	if pool.Kind == port.PoolApplication {
 		return count
 	}
-	for _, aggregate := range s.aggregates.Pool(now, pool.Name, maxAggregateAge) {
+	for _, aggregate := range s.aggregates.Pool(now, pool.Name, membership.MaxAggregateAge) {
 		count += aggregate.Unhealthy
 	}
 	return count
@@ -158,7 +135,7 @@
 
 // configureGate tells the pool's gate of its replicas: all of an application
 // pool, and those that this node is the home of for an engine pool.
-func (s *State) configureGate(now time.Time, pool *port.Pool, replicas []port.Replica, owned map[port.ReplicaID]ownedReplica) {
+func (s *State) configureGate(now time.Time, pool *port.Pool, owned *ownedReplicas) {
 	if pool.Kind == port.PoolGeneration && s.gates[pool.Name] == nil {
 		return
 	}
@@ -168,15 +145,14 @@
 		MaxInflight: pool.Admission.MaxInflight,
 		QueueLength: pool.Admission.QueueLength,
 	}
-	standings := home.Standings(now, s.summaries, s.detector.Assigner(), pool, len(replicas))
-	var told []gate.Replica
-	for index := range replicas {
-		replica := &replicas[index]
-		_, own := owned[replica.ID]
-		if pool.Kind == port.PoolGeneration && !own {
-			continue
-		}
-		told = append(told, s.gateReplica(now, replica, standings[replica.ID]))
+	all := s.tables.byPool[pool.Name]
+	standings := home.Standings(now, s.summaries, s.detector.Assigner(), pool, len(all))
+	if pool.Kind == port.PoolGeneration {
+		all = owned.byPool[pool.Name]
+	}
+	told := make([]gate.Replica, 0, len(all))
+	for index := range all {
+		told = append(told, s.gateReplica(now, &all[index], standings[all[index].ID]))
 	}
 	held.Configure(now, settings, told)
 }
@@ -186,19 +162,17 @@
 }
 
 // route gives where a pool's requests can go.
-func (s *State) route(now time.Time, view *port.View, pool port.Pool, configured map[port.ReplicaID]port.Replica) *PoolRoute {
+func (s *State) route(now time.Time, pool port.Pool) *PoolRoute {
 	enginePool := pool.EnginePool()
 	route := &PoolRoute{Pool: pool, Gate: s.gates[enginePool]}
 	if pool.Kind == port.PoolApplication {
 		return route
 	}
-	s.summaries.Each(now, s.detector.Assigner(), func(homeNode port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
-		if replica.Pool == enginePool {
-			route.Zone = append(route.Zone, s.zoneReplica(now, homeNode, configured[replica.Replica], replica, age))
-		}
+	s.summaries.Pool(now, s.detector.Assigner(), enginePool, func(homeNode port.NodeID, replica *membership.ReplicaSummary, age time.Duration) {
+		route.Zone = append(route.Zone, s.zoneReplica(now, homeNode, s.tables.replicas[replica.Replica], replica, age))
 	})
-	for _, aggregate := range s.aggregates.Pool(now, enginePool, maxAggregateAge) {
-		route.Elsewhere = append(route.Elsewhere, s.zoneOffer(view, aggregate))
+	for _, aggregate := range s.aggregates.Pool(now, enginePool, membership.MaxAggregateAge) {
+		route.Elsewhere = append(route.Elsewhere, s.zoneOffer(aggregate))
 	}
 	return route
 }
@@ -237,7 +211,7 @@
 
 // zoneOffer gives what another zone offers, with this node's count of what it
 // sent there when the word came.
-func (s *State) zoneOffer(view *port.View, aggregate membership.PoolAggregate) ZoneOffer {
+func (s *State) zoneOffer(aggregate membership.PoolAggregate) ZoneOffer {
 	key := ZonePool{aggregate.Zone, aggregate.Pool}
 	counter := s.config.ZoneCounter(key)
 	mark, known := s.zoneMarks[key]
@@ -245,17 +219,7 @@
 		mark = zoneMark{sequence: aggregate.Sequence, sent: counter.Counts().Sent}
 		s.zoneMarks[key] = mark
 	}
-	return ZoneOffer{Aggregate: aggregate, Nodes: zoneNodes(view, aggregate.Zone), Counter: counter, sentMark: mark.sent}
-}
-
-func zoneNodes(view *port.View, zone port.ZoneName) []port.NodeAddress {
-	var nodes []port.NodeAddress
-	for _, node := range view.Nodes {
-		if node.Zone == zone && !node.Draining {
-			nodes = append(nodes, node)
-		}
-	}
-	return nodes
+	return ZoneOffer{Aggregate: aggregate, Nodes: s.tables.byZone[aggregate.Zone], Counter: counter, sentMark: mark.sent}
 }
 
 func byName(pools []port.Pool) map[port.PoolName]bool {
--- a/internal/core/nodestate/state.go
+++ b/internal/core/nodestate/state.go
@@ -1,6 +1,8 @@
 package nodestate
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
@@ -59,6 +61,9 @@
 	detector   *membership.Detector
 	summaries  *membership.Summaries
 	aggregates *membership.Aggregates
+	teller     *membership.AggregateTeller
+	// asked counts how often this node asked for aggregates.
+	asked int
 	// gates are those of application pools and of engine pools with a replica
 	// that this node is the home of.
 	gates     map[port.PoolName]Gate
@@ -81,6 +86,8 @@
 	draining        bool
 	changed         bool
 	homes           *HomeTable
+	tables          *tables
+	ownedNow        *ownedReplicas
 	snapshot        *Snapshot
 	rebuiltAt       time.Time
 	rebuildCost     time.Duration
@@ -101,6 +108,7 @@
 		detector:   membership.NewDetector(membership.Config{Self: config.Self, Zone: config.Zone, Incarnation: config.Incarnation}, now),
 		summaries:  membership.NewSummaries(),
 		aggregates: membership.NewAggregates(),
+		teller:     membership.NewAggregateTeller(),
 		gates:      make(map[port.PoolName]Gate),
 		trackers:   make(map[port.PoolName]*ejection.Tracker),
 		records:    make(map[port.ReplicaID]*home.Record),
@@ -169,12 +177,12 @@
 }
 
 func (s *State) node(id port.NodeID) (port.NodeAddress, bool) {
-	for _, node := range s.observer.View().Nodes {
-		if node.ID == id {
-			return node, true
-		}
+	nodes := s.observer.View().Nodes
+	place, found := slices.BinarySearchFunc(nodes, id, func(node port.NodeAddress, id port.NodeID) int { return cmp.Compare(node.ID, id) })
+	if !found {
+		return port.NodeAddress{}, false
 	}
-	return port.NodeAddress{}, false
+	return nodes[place], true
 }
 
 // tellZone sends a message to the other live nodes of the zone, and counts them.
@@ -192,6 +200,7 @@
 // ViewUpdate takes an update of the control view. Confirmed says that it renews
 // the configuration lease. An error asks for updates after Position again.
 func (s *State) ViewUpdate(now time.Time, update port.ViewUpdate) (advanced, confirmed bool, err error) {
+	before := s.observer.View().Nodes
 	advanced, err = s.observer.Apply(update)
 	if err != nil {
 		return false, false, err
@@ -200,8 +209,11 @@
 	if !advanced {
 		return false, confirmed, nil
 	}
-	s.send(s.detector.SetView(now, s.observer.View().Nodes))
-	s.tellDetector()
+	// Most updates bring leases alone.
+	if nodes := s.observer.View().Nodes; !sameSlice(before, nodes) {
+		s.send(s.detector.SetView(now, nodes))
+		s.tellDetector()
+	}
 	s.changed = true
 	return true, confirmed, nil
 }
@@ -220,6 +232,10 @@
 
 // Aggregates takes what another zone tells, and relays it to the own one.
 func (s *State) Aggregates(now time.Time, message AggregatesMessage) {
+	if message.Asker != "" {
+		s.tellNewcomer(message.Asker)
+		return
+	}
 	fresh := false
 	for _, aggregate := range message.Aggregates {
 		if aggregate.Zone != s.config.Zone && s.aggregates.Apply(now, aggregate) {
--- a/internal/core/nodestate/summaries.go
+++ b/internal/core/nodestate/summaries.go
@@ -9,9 +9,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// summaryBudget bounds a node's summaries to its zone, in bytes per second.
-const summaryBudget = 8000
-
 // tellOwn enters the state of the own home replicas among those of the zone.
 func (s *State) tellOwn(now time.Time) {
 	s.sequence++
@@ -50,7 +47,7 @@
 	summary := s.ownSummary(now)
 	sent := s.tellZone(summary)
 	s.lastSummary = now
-	s.summaryInterval = membership.SummaryInterval(s.config.Summary, sent, s.config.MessageBytes(summary), summaryBudget)
+	s.summaryInterval = membership.SummaryInterval(s.config.Summary, sent, s.config.MessageBytes(summary), membership.SummaryBudget)
 }
 
 // sendAggregates tells the other zones of the pools that this node speaks for.
@@ -62,9 +59,10 @@
 	if len(s.homes.byZone) < 2 {
 		return
 	}
+	s.askForAggregates()
 	homes := s.detector.Assigner()
 	for _, aggregate := range s.summaries.Aggregate(now, homes) {
-		if speaker, found := homes.HomeOf(string(aggregate.Pool)); !found || speaker != s.config.Self {
+		if speaker, found := homes.HomeOf(string(aggregate.Pool)); !found || speaker != s.config.Self || !s.teller.Due(now, aggregate) {
 			continue
 		}
 		s.sequence++
@@ -77,14 +75,34 @@
 	}
 }
 
-// tellOtherZones sends a message to the node of each other zone that speaks for
-// the pool there, which relays it.
+// asksForAggregates is how often a node asks: its peers may learn of it a moment
+// after the first time.
+const asksForAggregates = 2
+
+// askForAggregates lets a node that has just started hear soon what other zones
+// told, of those that relay it: they tell it again only when it changes.
+func (s *State) askForAggregates() {
+	if _, listed := s.node(s.config.Self); !listed || s.asked == asksForAggregates {
+		return
+	}
+	s.asked++
+	s.tellZone(AggregatesMessage{Asker: s.config.Self})
+}
+
+// tellNewcomer tells a node that has just started what this one relays.
+func (s *State) tellNewcomer(asker port.NodeID) {
+	if relayed := s.aggregates.RelayedBy(s.config.Self, s.detector.Assigner()); len(relayed) > 0 {
+		s.tell(asker, AggregatesMessage{Aggregates: relayed, Relayed: true})
+	}
+}
+
+// tellOtherZones sends a message to a node of each other zone, which relays it.
 func (s *State) tellOtherZones(pool port.PoolName, message AggregatesMessage) {
 	for _, zone := range sortedKeys(s.homes.byZone) {
 		if zone == s.config.Zone {
 			continue
 		}
-		if id, found := s.homes.Aggregator(zone, pool); found {
+		if id, found := s.homes.Relay(zone, s.config.Zone, pool); found {
 			s.tell(id, message)
 		}
 	}
--- /dev/null
+++ b/internal/core/nodestate/tables_test.go
@@ -0,0 +1,115 @@
+package nodestate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// What is kept between rebuilds must follow every kind of change of the view.
+func TestKeptTablesFollowTheView(t *testing.T) {
+	newReplica := port.Replica{ID: "new", Pool: "pool-00", Zone: "zone-03", Address: "10.9.9.9:8000", State: port.ReplicaActive}
+	newNode := port.NodeAddress{ID: "node-new", Zone: "zone-00", PeerAddress: "10.9.9.8:7000"}
+	tests := map[string]struct {
+		change port.ViewChange
+		shows  func(*Snapshot) bool
+		keeps  bool
+	}{
+		"lease":   {port.ViewChange{Lease: &port.Lease{Name: "second", Holder: "node-001", Epoch: 2}}, func(s *Snapshot) bool { return len(s.View.Leases) == 2 }, true},
+		"replica": {port.ViewChange{Edit: &port.Edit{PutReplica: &newReplica}}, func(s *Snapshot) bool { return s.Replicas["new"] == newReplica }, false},
+		"replica gone": {port.ViewChange{Edit: &port.Edit{RemoveReplica: "replica-0000"}}, func(s *Snapshot) bool {
+			_, found := s.Replicas["replica-0000"]
+			return !found
+		}, false},
+		"node": {port.ViewChange{Node: &newNode}, func(s *Snapshot) bool {
+			return s.Nodes["node-new"] == newNode && len(s.ZoneNodes) == 3
+		}, false},
+		"pool gone": {port.ViewChange{Edit: &port.Edit{RemovePool: "pool-01"}}, func(s *Snapshot) bool { return s.Pools["pool-01"] == nil }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := benchState(benchView(20))
+			update := func(after uint64, change port.ViewChange) {
+				_, _, err := s.ViewUpdate(benchStart, port.ViewUpdate{
+					After: after, Position: after + 1, Term: 1, Revision: port.Revision(after + 1), Changes: []port.ViewChange{change},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			// The first update after a whole view brings slices of its own.
+			update(1, port.ViewChange{Lease: &port.Lease{Name: "first", Holder: "node-001", Epoch: 1}})
+			s.RebuildIfDue(benchStart.Add(time.Second))
+			s.Flush()
+			before := s.tables
+			update(2, test.change)
+			s.RebuildIfDue(benchStart.Add(2 * time.Second))
+			snapshot := s.Flush().Snapshot
+			if snapshot == nil || !test.shows(snapshot) {
+				t.Fatalf("the snapshot does not show the change: %v", snapshot != nil)
+			}
+			if kept := s.tables == before; kept != test.keeps {
+				t.Errorf("tables kept: %v, want %v", kept, test.keeps)
+			}
+		})
+	}
+}
+
+// A node that has just started asks its zone, and hears what the asked one relays.
+func TestNewcomerIsToldAggregates(t *testing.T) {
+	s, _ := benchState(benchView(20))
+	s.RebuildIfDue(benchStart.Add(time.Second))
+	s.Flush()
+	s.Tick(benchStart.Add(2*time.Second), false)
+	asked := 0
+	for _, envelope := range s.Flush().Messages {
+		if message, isAggregates := envelope.Body.(AggregatesMessage); isAggregates && message.Asker == s.config.Self {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d nodes, want the other one of the zone", asked)
+	}
+	s.Aggregates(benchStart, AggregatesMessage{Asker: "node-014"})
+	messages := s.Flush().Messages
+	if len(messages) != 1 || messages[0].To.ID != "node-014" {
+		t.Fatalf("answered with %d messages", len(messages))
+	}
+	told, _ := messages[0].Body.(AggregatesMessage)
+	want := s.aggregates.RelayedBy(s.config.Self, s.detector.Assigner())
+	if !told.Relayed || len(told.Aggregates) != len(want) || len(want) == 0 || len(want) == (benchZones-1)*benchPools {
+		t.Errorf("told of %d aggregates, relayed %v; want the %d that it relays", len(told.Aggregates), told.Relayed, len(want))
+	}
+}
+
+// An aggregate that changes nothing is told once, not at every tick.
+func TestUnchangedAggregatesAreToldOnce(t *testing.T) {
+	view := benchView(20)
+	s, summaries := benchState(view)
+	told := 0
+	for second := range 8 {
+		now := benchStart.Add(time.Duration(second) * time.Second)
+		for _, summary := range summaries {
+			summary.Sequence = uint64(second + 1)
+			s.Summary(now, summary)
+		}
+		s.Tick(now, false)
+		for _, envelope := range s.Flush().Messages {
+			message, isAggregates := envelope.Body.(AggregatesMessage)
+			if isAggregates && message.Asker == "" && !message.Relayed && envelope.To.Zone == "zone-01" {
+				told += len(message.Aggregates)
+			}
+		}
+	}
+	spoken := 0
+	for _, pool := range view.Configuration.Pools {
+		if speaker, _ := s.detector.Assigner().HomeOf(string(pool.Name)); speaker == s.config.Self {
+			spoken++
+		}
+	}
+	// The own replicas come into the sums with the first rebuild, a tick later.
+	if spoken == 0 || told < spoken || told > 2*spoken {
+		t.Errorf("told %d aggregates in 8 s for %d pools", told, spoken)
+	}
+}
--- a/internal/core/nodestate/zones.go
+++ b/internal/core/nodestate/zones.go
@@ -54,7 +54,8 @@
 
 // holds says whether the table is still that of these nodes.
 func (t *HomeTable) holds(nodes []port.NodeAddress, live []port.NodeID) bool {
-	return slices.Equal(t.nodes, nodes) && slices.Equal(t.live, live)
+	sameNodes := sameSlice(t.nodes, nodes) || slices.Equal(t.nodes, nodes)
+	return sameNodes && (sameSlice(t.live, live) || slices.Equal(t.live, live))
 }
 
 // caretaker gives the zone whose nodes are homes of a zone's replicas.
@@ -84,11 +85,11 @@
 	return id, found
 }
 
-// Aggregator gives the node that speaks for a zone about a pool.
-func (t *HomeTable) Aggregator(zone port.ZoneName, pool port.PoolName) (port.NodeID, bool) {
+// Relay gives the node of a zone that relays what another zone tells of a pool.
+func (t *HomeTable) Relay(zone, from port.ZoneName, pool port.PoolName) (port.NodeID, bool) {
 	homes := t.byZone[zone]
 	if homes == nil {
 		return "", false
 	}
-	return homes.HomeOf(string(pool))
+	return homes.Relay(from, pool)
 }
--- a/internal/core/poolworker/rollouts.go
+++ b/internal/core/poolworker/rollouts.go
@@ -12,8 +12,13 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// pollInterval is the time between two questions to the homes.
-const pollInterval = 500 * time.Millisecond
+const (
+	// pollInterval is the least time between two questions to the homes.
+	pollInterval = 500 * time.Millisecond
+	// pollPerReplica lengthens it for a large pool while no weights are being
+	// rolled out, so that a coordinator asks for 100 replicas a second at most.
+	pollPerReplica = 10 * time.Millisecond
+)
 
 // rolloutState is the weights rollout of one sampling pool on the engines.
 type rolloutState struct {
@@ -104,10 +109,20 @@
 		return
 	}
 	w.polling = true
-	w.nextPoll = now.Add(pollInterval)
+	w.nextPoll = now.Add(w.untilPoll())
 	w.emit(AskHomes{Pool: pool.EnginePool(), Fence: w.epoch, Out: w.routedOut()})
 }
 
+// untilPoll gives the time until the homes are asked again.
+func (w *Worker) untilPoll() time.Duration {
+	for _, state := range w.rollouts {
+		if _, completed := state.machine.Target(); !completed {
+			return pollInterval
+		}
+	}
+	return max(pollInterval, time.Duration(w.replicas)*pollPerReplica)
+}
+
 // routedOut lists the replicas that some rollout keeps out of routing.
 func (w *Worker) routedOut() []port.ReplicaID {
 	var out []port.ReplicaID
@@ -121,6 +136,7 @@
 // StatesPolled brings the state of the pool's replicas.
 func (w *Worker) StatesPolled(now time.Time, replicas []nodestate.ReplicaState) []Action {
 	w.polling = false
+	w.replicas = len(replicas)
 	if w.phase != phaseRunning {
 		return w.flush()
 	}
--- a/internal/core/poolworker/worker.go
+++ b/internal/core/poolworker/worker.go
@@ -58,6 +58,8 @@
 	turn     rollout.StagingTurn
 	polling  bool
 	nextPoll time.Time
+	// replicas is the number of replicas that the last poll told of.
+	replicas int
 }
 
 // New makes a worker and gives its first actions.
