--- a/test/system/faults_test.go
+++ b/test/system/faults_test.go
@@ -44,6 +44,7 @@
 		{"stop the coordinator as planned", (*site).coordinator, (*site).stopAndRestart},
 		{"stop a home as planned", (*site).otherNode, (*site).stopAndRestart},
 		{"stop a member of control as planned", (*site).leader, (*site).stopAndRestart},
+		{"kill every process of loomgrade at once", (*site).coordinator, (*site).killEverything},
 		{"an engine leaves", named(engine(2)), (*site).leave},
 	}
 	for _, c := range cases {
@@ -143,6 +144,26 @@
 	})
 }
 
+// killEverything kills all members and nodes, as a loss of power does, and
+// starts them again.
+func (s *site) killEverything(t *testing.T, coordinator *process) {
+	s.change(t)
+	s.disturb("kill", coordinator, func() {
+		var killed []*process
+		for _, process := range s.processes {
+			if process.program == "loomgrade" {
+				killed = append(killed, process)
+				process.signal(t, syscall.SIGKILL)
+			}
+		}
+		for _, process := range killed {
+			<-process.ended
+			process.start(t)
+		}
+		s.untilInForce(t)
+	})
+}
+
 // silence halts a process while the site goes on without it, and lets it run
 // again.
 func (s *site) silence(t *testing.T, target *process) {
