control: forget the founding note once there is a log; prove bad folders with processes

Cause: a member kept its note of which others were new when the group was founded. If its log was lost and the note was left, it took the running group for one that was being founded, made an empty log and voted again: it could forget a vote and acknowledged entries. A process test that removes the only segment hung on it, as the member came up instead of refusing.

Change: the note is removed durably once the log is there, at founding and at each start.

--- a/internal/adapter/wal/log_test.go
+++ b/internal/adapter/wal/log_test.go
@@ -297,3 +297,26 @@
 		t.Error(err)
 	}
 }
+
+// A folder with a later snapshot had a log; it must not count as new.
+func TestSnapshotWithoutSegmentsIsCorrupt(t *testing.T) {
+	files := faultfs.New(1)
+	log := mustCreate(t, files)
+	mustWrite(t, log, &consensus.HardState{Term: 1}, entriesFrom(1, 4, 1))
+	if err := log.SaveSnapshot(consensus.Snapshot{Index: 3, Term: 1, Membership: voters, Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	files.Stop()
+	names, err := files.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if filepath.Ext(name) == ".log" {
+			remove(name)(t, files)
+		}
+	}
+	if _, _, err := wal.Open(optionsOn(files)); !errors.Is(err, wal.ErrCorrupt) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/adapter/wal/recover.go
+++ b/internal/adapter/wal/recover.go
@@ -115,7 +115,7 @@
 		}
 	}
 	if len(sequences) == 0 {
-		return ErrMissing
+		return r.withoutSegments(names)
 	}
 	for i, sequence := range sequences {
 		if i > 0 && sequence != sequences[i-1]+1 {
@@ -128,6 +128,17 @@
 	return nil
 }
 
+// withoutSegments tells a folder that never had a log from one that lost it. The
+// first snapshot, at index 0, may stand before the first segment.
+func (r *replay) withoutSegments(names []string) error {
+	for _, name := range names {
+		if isSnapshotName(name) && name != (snapshotMarker{}).fileName() {
+			return &CorruptError{File: name, Reason: "there is a snapshot and no segment"}
+		}
+	}
+	return ErrMissing
+}
+
 func (r *replay) segment(sequence uint64, last bool) error {
 	name := segmentName(sequence)
 	data, err := r.log.files.ReadFile(filepath.Join(r.log.directory, name))
--- a/internal/app/control/founding.go
+++ b/internal/app/control/founding.go
@@ -132,6 +132,20 @@
 	return eris.Wrap(files.SyncDir(f.config.DataFolder), "sync data folder")
 }
 
+// forgetFounding removes the note durably from the folder of a member that has a
+// log. Were it kept, a member whose log is lost would take the group for new.
+func forgetFounding(config Config) error {
+	files := config.FileSystem
+	err := files.Remove(filepath.Join(config.DataFolder, foundingFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "remove founding note")
+	}
+	return eris.Wrap(files.SyncDir(config.DataFolder), "sync data folder")
+}
+
 // settle waits until every other first member has answered that the group may
 // be founded. It fails with ErrDataLost.
 func (f *founding) settle(ctx context.Context, ask func(context.Context, Address) (foundingAnswer, error)) error {
--- a/internal/app/control/member.go
+++ b/internal/app/control/member.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := forgetFounding(m.config); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
 	if recovery.TornBytes > 0 {
 		m.config.Logger.Warn().Str("file", recovery.TornFile).Int64("bytes", recovery.TornBytes).Msg("cut off a torn write")
 	}
@@ -204,6 +207,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := forgetFounding(m.config); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
 	return newLoop(m.config, log, restored)
 }
 
