gate: serve waiting requests that prefer the replica that became free

Change: among the first 64 waiting requests of the highest priority one that prefers a replica with room goes first; the head is passed over 64 times at most. The new test fails with the plain order.

--- a/internal/core/gate/dispatch.go
+++ b/internal/core/gate/dispatch.go
@@ -20,7 +20,7 @@
 func (g *Gate) dispatch(now time.Time) {
 	var setAside []admission.Item[*Ticket]
 	for g.queue.Len() > 0 && len(setAside) < maxSetAside && g.hasRoom() {
-		item, found := g.queue.Next(now)
+		item, found := g.next(now)
 		if !found {
 			break
 		}
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -47,6 +47,43 @@
 	}
 }
 
+// When one replica becomes free, a waiting request that prefers it goes before one
+// that prefers another, up to a bound, and never before a higher priority.
+func TestWaitingRequestsGoToTheirPreferredReplica(t *testing.T) {
+	under := newGate(1, 4096, gate.Replica{ID: "a"}, gate.Replica{ID: "b"})
+	wish := func(id string, preferred port.ReplicaID, priority port.Priority) *gate.Ticket {
+		made := ticket(id)
+		made.Request.Preferred = preferred
+		made.Request.Pick.Priority = priority
+		under.Offer(start, made)
+		return made
+	}
+	onA, onB := wish("on a", "a", 0), wish("on b", "b", 0)
+	high, wantsA := wish("high", "a", 1), wish("wants a", "a", 0)
+	const more = 100
+	var wantB []*gate.Ticket
+	for index := range more {
+		wantB = append(wantB, wish(fmt.Sprint("wants b ", index), "b", 0))
+	}
+	under.Release(start, onB, gate.Outcome{})
+	if high.State != gate.Granted || high.Replica != "b" {
+		t.Fatalf("the higher priority is %v", high.State)
+	}
+	under.Release(start, high, gate.Outcome{})
+	if wantB[0].State != gate.Granted || wantsA.State != gate.Waiting {
+		t.Fatalf("first that prefers b is %v, the one that prefers a is %v", wantB[0].State, wantsA.State)
+	}
+	for _, served := range wantB {
+		under.Release(start, served, gate.Outcome{})
+	}
+	if wantsA.State != gate.Granted || wantsA.Replica != "b" {
+		t.Errorf("passed over for ever: %v", wantsA.State)
+	}
+	if onA.State != gate.Granted {
+		t.Errorf("the one on a is %v", onA.State)
+	}
+}
+
 // A gate never grants a place over a limit or on a replica that is out, settles
 // every ticket once, and lets none wait while a replica could take it.
 func TestEveryTicketIsSettledOnceWithinTheLimits(t *testing.T) {
--- a/internal/core/gate/ticket.go
+++ b/internal/core/gate/ticket.go
@@ -53,7 +53,9 @@
 	Waited  time.Duration
 
 	offered time.Time
-	slot    *slot
+	// passedOver counts the requests behind it that went first.
+	passedOver int
+	slot       *slot
 }
 
 // item gives the ticket as it stands in the queue.
