node, sim: count a request at its replica from when it is sent

Cause: a node counted a request of its own only once the home had granted it a place, and heard of what waits there up to 200 ms later. A coordinator that starts many samples in one step sent all of them to the one best place. Change: it counts from the time when the request is sent; a grant elsewhere moves the count. The simulator follows the node.

--- a/internal/app/node/generate.go
+++ b/internal/app/node/generate.go
@@ -130,6 +130,7 @@
 	call.Request.Replica = place.replica
 	run := &attemptRun{node: n, job: job, progress: progress, replica: place.replica}
 	defer run.end()
+	run.count(place.replica)
 	if place.node.ID == n.config.ID {
 		failure := n.serveGenerate(ctx, &call, run.take)
 		return attempt.Failure{Replica: run.replica, Error: failure}
@@ -163,11 +164,19 @@
 	return nil
 }
 
-func (r *attemptRun) begin(replica port.ReplicaID) {
+// count counts the attempt at a replica from when it is sent: until its home tells
+// of what waits there, this node would send all that comes at once to one place.
+func (r *attemptRun) count(replica port.ReplicaID) {
 	r.end()
+	if replica != "" {
+		r.counted = r.node.counters.of(replica)
+		r.counted.sent.Add(1)
+	}
+}
+
+func (r *attemptRun) begin(replica port.ReplicaID) {
 	r.replica = replica
-	r.counted = r.node.counters.of(replica)
-	r.counted.sent.Add(1)
+	r.count(replica)
 	if r.job.placed != nil {
 		r.job.placed(replica)
 	}
--- a/internal/lab/sim/accept.go
+++ b/internal/lab/sim/accept.go
@@ -144,6 +144,9 @@
 		return
 	}
 	begun.at = home.zone
+	if begun.acceptor == n {
+		begun.count(preferred)
+	}
 	n.world.after(n.world.between(n.zone, home.zone), func() { home.offer(begun, preferred) })
 }
 
--- a/internal/lab/sim/attempt.go
+++ b/internal/lab/sim/attempt.go
@@ -74,6 +74,7 @@
 
 // count lets the accepting node count the attempt at its replica.
 func (a *attempt) count(at port.ReplicaID) {
+	a.countEnd()
 	a.counted = a.acceptor.accepts.countsOf(at)
 	a.counted.Sent++
 }
@@ -172,6 +173,7 @@
 		return
 	}
 	a.ended = true
+	a.countEnd()
 	delete(a.pool.attempts, attemptKey{a.start.ID, a.start.Attempt})
 	a.pool.step(event)
 }
