--- a/cmd/loomgrade/cmd_member.go
+++ b/cmd/loomgrade/cmd_member.go
@@ -25,12 +25,20 @@
 }
 
 func showMembers(lines *table, members operatorapi.Members) {
-	lines.row("MEMBER", "ADDRESS", "ROLE", "LEADER", "MATCH", "ACTIVE", "CAUGHT UP", "SILENT")
+	showMemberColumns(lines)
 	for _, member := range members.Members {
-		lines.row(member.ID, member.Address, member.Role, member.Leader, member.Match, member.Active, member.CaughtUp, age(member.SilentMillis))
+		showMember(lines, member)
 	}
 }
 
+func showMemberColumns(lines *table) {
+	lines.row("MEMBER", "ADDRESS", "ROLE", "LEADER", "MATCH", "ACTIVE", "CAUGHT UP", "SILENT")
+}
+
+func showMember(lines *table, member operatorapi.Member) {
+	lines.row(member.ID, member.Address, member.Role, member.Leader, member.Match, member.Active, member.CaughtUp, age(member.SilentMillis))
+}
+
 // memberAddCommand adds a member.
 type memberAddCommand struct {
 	operatorFlags `embed:""`
