node: run nodestate and poolworker in the process

Change: the control goroutine drives a nodestate.State and carries its output out; a pool's goroutine drives a poolworker.Worker.

--- a/internal/app/node/accept.go
+++ b/internal/app/node/accept.go
@@ -5,15 +5,16 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/core/retry"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // acceptance is what a node settles when it accepts a request.
 type acceptance struct {
-	snapshot *snapshot
+	snapshot *nodestate.Snapshot
 	pool     *port.Pool
-	route    *poolRoute
+	route    *nodestate.PoolRoute
 	deadline time.Time
 }
 
@@ -21,22 +22,22 @@
 // its deadline. The context ends at the deadline; cancel must be called.
 func (n *Node) accept(ctx context.Context, name port.PoolName, kind port.PoolKind) (context.Context, context.CancelFunc, acceptance, *port.Error) {
 	current := n.snapshot.Load()
-	route := current.pools[name]
-	if route == nil || route.pool.Kind != kind {
-		if len(current.pools) == 0 {
+	route := current.Pools[name]
+	if route == nil || route.Pool.Kind != kind {
+		if len(current.Pools) == 0 {
 			return nil, nil, acceptance{}, notReady()
 		}
 		return nil, nil, acceptance{}, notFoundPool(name)
 	}
-	if route.pool.RefuseUnconfirmed && !n.confirmed() {
+	if route.Pool.RefuseUnconfirmed && !n.confirmed() {
 		return nil, nil, acceptance{}, unconfirmedError()
 	}
 	deadline, set := ctx.Deadline()
 	if !set {
-		deadline = time.Now().Add(time.Duration(route.pool.Admission.DefaultDeadline))
+		deadline = time.Now().Add(time.Duration(route.Pool.Admission.DefaultDeadline))
 	}
 	limited, cancel := context.WithDeadline(ctx, deadline)
-	return limited, cancel, acceptance{snapshot: current, pool: &route.pool, route: route, deadline: deadline}, nil
+	return limited, cancel, acceptance{snapshot: current, pool: &route.Pool, route: route, deadline: deadline}, nil
 }
 
 func notReady() *port.Error {
@@ -91,7 +92,7 @@
 func (n *Node) recordRetry(accepted acceptance, subject string, made int, failure attempt.Failure) {
 	n.recorder.record(port.Decision{
 		Kind: port.DecisionRetried, Subject: subject, Pool: accepted.pool.Name, Replica: failure.Replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: made, Verdict: failure.Error.Verdict,
+		Revision: accepted.snapshot.View.Revision, Attempt: made, Verdict: failure.Error.Verdict,
 		Code: failure.Error.Code, Detail: failure.Error.Message,
 	})
 }
@@ -108,7 +109,7 @@
 	}
 	n.recorder.record(port.Decision{
 		Kind: kind, Subject: subject, Pool: accepted.pool.Name, Replica: failure.Replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: made,
+		Revision: accepted.snapshot.View.Revision, Attempt: made,
 		Verdict: failure.Error.Verdict, Code: failure.Error.Code, Detail: detail,
 	})
 }
--- a/internal/app/node/actions.go
+++ b/internal/app/node/actions.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/platform"
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
+	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -16,13 +17,41 @@
 
 func (w *poolWorker) tell(event coordinator.Event) { w.post(coordinatorEvent{event}) }
 
-// carryOut starts an action; whatever waits runs on a goroutine of its own and
+// step hands an event to the coordinator and carries out what follows.
+func (w *poolWorker) step(now time.Time, event coordinator.Event) {
+	w.carryOut(w.machine.Coordinator(now, event))
+}
+
+// carryOut starts actions; whatever waits runs on a goroutine of its own and
 // posts its outcome.
-func (w *poolWorker) carryOut(action coordinator.Action) {
-	switch action := action.(type) {
+func (w *poolWorker) carryOut(actions []poolworker.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case poolworker.Propose:
+			w.tasks.Go(func() { w.propose(action) })
+		case poolworker.AskHomes:
+			w.tasks.Go(func() { w.askHomes(action) })
+		case poolworker.Order:
+			w.tasks.Go(func() { w.sendOrder(action) })
+		case poolworker.Coordinate:
+			w.coordinate(action)
+		case poolworker.Record:
+			w.record(action.Decision)
+		case poolworker.PolicyRefused:
+			w.node.config.Logger.Error().Str("pool", string(w.pool)).Err(action.Err).Msg("policy program refused")
+		case poolworker.Ended:
+			if action.Cause != nil {
+				w.node.config.Logger.Error().Str("pool", string(w.pool)).Err(action.Cause).Msg("coordinator can't start")
+			}
+		}
+	}
+}
+
+// coordinate carries out an action of the coordinator.
+func (w *poolWorker) coordinate(asked poolworker.Coordinate) {
+	switch action := asked.Action.(type) {
 	case coordinator.FetchPrompts:
-		source := w.sampling.PromptSource
-		w.tasks.Go(func() { w.fetchPrompts(action, source) })
+		w.tasks.Go(func() { w.fetchPrompts(action, asked.Sampling.PromptSource) })
 	case coordinator.StartSample:
 		w.startSample(action)
 	case coordinator.CancelSample:
@@ -30,30 +59,42 @@
 			run.cancel()
 		}
 	case coordinator.ScoreSample:
-		scorer := w.sampling.Scorer
-		w.tasks.Go(func() { w.scoreSample(action, scorer) })
-	case coordinator.Commit:
-		w.tasks.Go(func() { w.commit(action) })
-	case coordinator.ReadLedger:
-		w.tasks.Go(func() {
-			state, failure := w.readLedger(w.ctx)
-			w.tell(coordinator.LedgerRead{State: state, Err: failure})
-		})
+		w.tasks.Go(func() { w.scoreSample(action, asked.Sampling.Scorer) })
 	case coordinator.Deliver:
 		w.countDelivered(&action)
 		w.reply(action.Token, answer{batch: &action})
 	case coordinator.Refuse:
 		w.reply(action.Token, answer{err: action.Err})
-	case coordinator.Record:
-		w.record(action.Decision)
-	case coordinator.Drained:
-		w.releaseLease(time.Now())
 	}
 }
 
+// answered brings the outcome of a proposal.
+type answered struct {
+	token   uint64
+	result  port.Result
+	failure *port.Error
+}
+
+func (e answered) apply(w *poolWorker, now time.Time) {
+	w.carryOut(w.machine.Answered(now, e.token, e.result, e.failure))
+}
+
+// propose puts a command through the control log. A lease is given back also
+// when the worker has ended.
+func (w *poolWorker) propose(action poolworker.Propose) {
+	parent := w.ctx
+	if action.Command.ReleaseLease != nil {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithTimeout(parent, action.Timeout)
+	defer cancel()
+	result, err := w.node.config.Control.Propose(ctx, action.Command)
+	w.post(answered{token: action.Token, result: result, failure: port.AsError(err)})
+}
+
 func (w *poolWorker) record(decided port.Decision) {
 	if decided.Revision == 0 {
-		decided.Revision = w.node.snapshot.Load().view.Revision
+		decided.Revision = w.node.snapshot.Load().View.Revision
 	}
 	w.countDropped(decided)
 	decided.Subject = batchSubject(w.pool, decided.Subject)
@@ -84,13 +125,3 @@
 	}
 	w.tell(coordinator.Scored{ID: action.ID, Reward: reward})
 }
-
-func (w *poolWorker) commit(action coordinator.Commit) {
-	ctx, cancel := context.WithTimeout(w.ctx, coordinator.DefaultTimeouts().Commit)
-	defer cancel()
-	batch := action.Batch
-	result, err := w.node.config.Control.Propose(ctx, port.Command{ChangeID: action.ChangeID, CommitBatch: &batch})
-	w.tell(coordinator.CommitAnswered{
-		ChangeID: action.ChangeID, Number: batch.Number, Attempt: batch.Attempt, Result: result, Err: port.AsError(err),
-	})
-}
--- a/internal/app/node/application.go
+++ b/internal/app/node/application.go
@@ -46,7 +46,7 @@
 	}
 	n.recordPlaced(accepted, string(request.ID), loop.Made(), grant)
 	// The list of machines or the operator may have spoken since the snapshot.
-	replica, configured := n.snapshot.Load().replicas[grant.Replica]
+	replica, configured := n.snapshot.Load().Replicas[grant.Replica]
 	if !configured {
 		grant.Release(gate.Outcome{Abandoned: true})
 		return port.ApplicationResponse{}, attempt.Failure{Replica: grant.Replica, Error: replicaRemoved(grant.Replica)}
@@ -65,10 +65,10 @@
 }
 
 func (n *Node) acquireApplication(ctx context.Context, accepted acceptance, request port.ApplicationRequest, avoid port.ReplicaID) (*gate.Grant, *port.Error) {
-	return accepted.route.gate.Acquire(ctx, gate.Request{
+	return gateOf(accepted.route).Acquire(ctx, gate.Request{
 		ID:          request.ID,
 		Tenant:      request.Tenant,
-		TenantShare: accepted.snapshot.tenantShare(request.Tenant),
+		TenantShare: accepted.snapshot.TenantShare(request.Tenant),
 		Deadline:    accepted.deadline,
 		Avoid:       avoid,
 		Pick: scheduling.Request{
@@ -97,7 +97,7 @@
 func placedDecision(accepted acceptance, subject string, attempt int, grant *gate.Grant) port.Decision {
 	return port.Decision{
 		Kind: port.DecisionPlaced, Subject: subject, Pool: accepted.pool.Name, Replica: grant.Replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: attempt, Considered: grant.Result.Considered,
+		Revision: accepted.snapshot.View.Revision, Attempt: attempt, Considered: grant.Result.Considered,
 		Filtered: grant.Result.Filtered, Scores: grant.Result.Scores,
 	}
 }
@@ -105,7 +105,7 @@
 func heldDecision(accepted acceptance, subject string, waiting int) port.Decision {
 	return port.Decision{
 		Kind: port.DecisionHeld, Subject: subject, Pool: accepted.pool.Name,
-		Revision: accepted.snapshot.view.Revision, Detail: heldDetail(waiting),
+		Revision: accepted.snapshot.View.Revision, Detail: heldDetail(waiting),
 	}
 }
 
@@ -116,13 +116,13 @@
 func (n *Node) recordAnswer(accepted acceptance, subject string, made int, replica port.ReplicaID) {
 	n.recorder.record(port.Decision{
 		Kind: port.DecisionAnswered, Subject: subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: made, Verdict: port.Ran,
+		Revision: accepted.snapshot.View.Revision, Attempt: made, Verdict: port.Ran,
 	})
 }
 
 func (n *Node) recordRefusal(subject string, pool port.PoolName, refusal *port.Error) {
 	n.recorder.record(port.Decision{
-		Kind: port.DecisionRefused, Subject: subject, Pool: pool, Revision: n.snapshot.Load().view.Revision,
+		Kind: port.DecisionRefused, Subject: subject, Pool: pool, Revision: n.snapshot.Load().View.Revision,
 		Verdict: refusal.Verdict, Code: refusal.Code, Detail: refusal.Message,
 	})
 }
--- a/internal/app/node/backend.go
+++ b/internal/app/node/backend.go
@@ -74,7 +74,7 @@
 
 // Ready says whether the node has a configuration and takes requests.
 func (n *Node) Ready() bool {
-	return n.snapshot.Load().view.Position > 0 && !n.traffic.isDraining()
+	return n.snapshot.Load().View.Position > 0 && !n.traffic.isDraining()
 }
 
 // Unconfirmed says whether the configuration lease has run out, so that answers
@@ -82,7 +82,7 @@
 func (n *Node) Unconfirmed() bool { return !n.confirmed() }
 
 // View gives the control view that is in force here.
-func (n *Node) View() *port.View { return n.snapshot.Load().view }
+func (n *Node) View() *port.View { return n.snapshot.Load().View }
 
 // Serving counts, by pool and version, the replicas that this node is the home
 // of.
--- a/internal/app/node/choose.go
+++ b/internal/app/node/choose.go
@@ -53,8 +53,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.scratch = c.scratch[:0]
-	for index := range accepted.route.zone {
-		c.scratch = append(c.scratch, accepted.route.zone[index].now(now))
+	for index := range accepted.route.Zone {
+		c.scratch = append(c.scratch, accepted.route.Zone[index].Now(now))
 	}
 	if job.avoid != "" {
 		tried = append(slices.Clip(tried), job.avoid)
@@ -64,7 +64,7 @@
 		return place{}, 0, refusal
 	}
 	chosen := c.scratch[position]
-	home, known := accepted.snapshot.nodes[chosen.Home]
+	home, known := accepted.snapshot.Nodes[chosen.Home]
 	if !known {
 		return place{}, 0, placement.NoReplica(nil)
 	}
@@ -87,24 +87,19 @@
 	}
 }
 
-// now gives the candidate with this node's own counts of the moment.
-func (r *zoneReplica) now(now time.Time) scheduling.Candidate {
-	return r.mark.Correct(now, r.reported, r.candidate, r.counters.counts())
-}
-
 // chooseZone picks a node of another zone if one has clearly more room for each
 // of its replicas, or if the own zone has no replica for the request.
 func (n *Node) chooseZone(accepted acceptance, job *generation, room float64, none bool) (place, bool) {
-	elsewhere := accepted.route.elsewhere
+	elsewhere := accepted.route.Elsewhere
 	c := n.chooser
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.offers = c.offers[:0]
 	for index := range elsewhere {
 		offer := &elsewhere[index]
-		told := placement.Offer{Routable: offer.aggregate.Routable, Room: offer.room()}
-		allowed := len(job.zones) == 0 || slices.Contains(job.zones, offer.aggregate.Zone)
-		if !allowed || len(offer.nodes) == 0 {
+		told := placement.Offer{Routable: offer.Aggregate.Routable, Room: offer.Room()}
+		allowed := len(job.zones) == 0 || slices.Contains(job.zones, offer.Aggregate.Zone)
+		if !allowed || len(offer.Nodes) == 0 {
 			told.Routable = 0
 		}
 		c.offers = append(c.offers, told)
@@ -114,5 +109,5 @@
 		return place{}, false
 	}
 	chosen := &elsewhere[position]
-	return place{node: chosen.nodes[c.pure.Draw(len(chosen.nodes))], crossing: chosen.counters}, true
+	return place{node: chosen.Nodes[c.pure.Draw(len(chosen.Nodes))], crossing: chosen.Counter.(*replicaCounters)}, true
 }
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -1,80 +1,70 @@
 package node
 
 import (
+	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
-	"github.com/loomgrade/loomgrade/internal/core/controlstate"
-	"github.com/loomgrade/loomgrade/internal/core/ejection"
-	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
-	"github.com/loomgrade/loomgrade/internal/core/placement"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
+	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // controller owns the node's state. Only the control goroutine touches it.
 type controller struct {
-	node       *Node
-	observer   *controlstate.Observer
-	detector   *membership.Detector
-	summaries  *membership.Summaries
-	aggregates *membership.Aggregates
-	teller     *membership.AggregateTeller
-	// gates are those of application pools and of engine pools with a replica
-	// that this node is the home of.
-	gates     map[port.PoolName]*gate.Gate
-	trackers  map[port.PoolName]*ejection.Tracker
-	homes     map[port.ReplicaID]*ownReplica
-	marks     map[port.ReplicaID]placement.Mark
-	zoneMarks map[zonePool]zoneMark
-	// fences are the highest fences that rollouts of engine pools came with.
-	fences   map[port.PoolName]port.Epoch
-	leaving  *home.Leaving
-	outcomes map[port.NodeID][]callOutcome
-
-	incarnation     uint64
-	sequence        uint64
-	lastSummary     time.Time
-	summaryInterval time.Duration
-	lastAggregate   time.Time
-	asked           int // for aggregates
-	lastReport      time.Time
-	draining        bool
-	changed         bool
-	homeTable       *homeTable
-	rebuiltAt       time.Time
-	rebuildCost     time.Duration
-}
-
-// zoneMark remembers the own counter when another zone's word came.
-type zoneMark struct {
-	sequence uint64
-	sent     int64
+	node  *Node
+	state *nodestate.State
+	// polls end the polls of engines.
+	polls map[port.ReplicaID]context.CancelFunc
 }
 
 // event is something the control goroutine takes in.
 type event interface{ apply(*controller, time.Time) }
 
-func newController(node *Node, now time.Time) *controller {
-	incarnation := uint64(now.UnixMilli())
+func newController(n *Node, now time.Time) *controller {
 	return &controller{
-		node:        node,
-		observer:    controlstate.NewObserver(),
-		detector:    membership.NewDetector(membership.Config{Self: node.config.ID, Zone: node.config.Zone, Incarnation: incarnation}, now),
-		summaries:   membership.NewSummaries(),
-		aggregates:  membership.NewAggregates(),
-		teller:      membership.NewAggregateTeller(),
-		gates:       make(map[port.PoolName]*gate.Gate),
-		trackers:    make(map[port.PoolName]*ejection.Tracker),
-		homes:       make(map[port.ReplicaID]*ownReplica),
-		marks:       make(map[port.ReplicaID]placement.Mark),
-		zoneMarks:   make(map[zonePool]zoneMark),
-		fences:      make(map[port.PoolName]port.Epoch),
-		leaving:     home.NewLeaving(),
-		outcomes:    make(map[port.NodeID][]callOutcome),
-		incarnation: incarnation,
-		homeTable:   newHomeTable(node.config.Zone, nil, nil),
+		node:  n,
+		polls: make(map[port.ReplicaID]context.CancelFunc),
+		state: nodestate.New(nodestate.Config{
+			Self: n.config.ID, Zone: n.config.Zone, Region: n.config.Region,
+			PeerAddress: n.peerAddress, HTTPAddress: n.httpAddress,
+			Incarnation:    uint64(now.UnixMilli()),
+			Summary:        n.config.Intervals.Summary,
+			Aggregate:      n.config.Intervals.Aggregate,
+			Report:         n.config.Intervals.Report,
+			NewGate:        n.newGate,
+			ReplicaCounter: func(id port.ReplicaID) nodestate.Counter { return n.counters.of(id) },
+			ZoneCounter:    func(key nodestate.ZonePool) nodestate.Counter { return n.crossing.of(key) },
+			MessageBytes:   summaryBytes,
+		}, now),
+	}
+}
+
+func (n *Node) newGate(pool *port.Pool) nodestate.Gate {
+	profile := scheduling.Generation()
+	if pool.Kind == port.PoolApplication {
+		profile = scheduling.Application()
+	}
+	return gate.New(profile, n.config.Seed)
+}
+
+// gateOf gives the gate of a route; nil where the node is the home of none of
+// the pool's replicas.
+func gateOf(route *nodestate.PoolRoute) *gate.Gate {
+	held, _ := route.Gate.(*gate.Gate)
+	return held
+}
+
+// summaryBytes gives the size of a summary as it is sent; one that can't be sent
+// has none.
+func summaryBytes(summary membership.HomeSummary) int {
+	body, err := wire.Marshal(summary)
+	if err != nil {
+		return 0
 	}
+	return len(body)
 }
 
 // run is the control goroutine.
@@ -89,7 +79,7 @@
 		case now := <-ticker.C:
 			c.tick(now)
 		case <-c.node.stopped:
-			c.stopHomes()
+			c.stopPolls()
 			return
 		}
 	}
@@ -106,121 +96,127 @@
 		default:
 		}
 	}
-	if c.rebuildDue(now) {
-		c.rebuild(now)
+	c.publish(now)
+}
+
+// publish rebuilds what follows from the state when it is due, and carries out
+// what the state asks for.
+func (c *controller) publish(now time.Time) {
+	began := time.Now()
+	if c.state.RebuildIfDue(now) {
+		c.state.RebuildCost(time.Since(began))
 	}
+	c.carryOut(c.state.Flush())
 }
 
 func (c *controller) tick(now time.Time) {
-	c.send(c.detector.Tick(now))
-	c.tickTrackers(now)
-	c.changed = c.leaving.DropSilent(now) || c.changed
-	if c.rebuildDue(now) {
-		c.rebuild(now)
-	}
-	for pool, held := range c.gates {
-		held.Tick(now)
-		_, waiting := held.Loads()
+	c.publish(now)
+	c.state.Tick(now, !c.node.reporting.Load())
+	c.carryOut(c.state.Flush())
+	for pool, waiting := range c.state.Waiting() {
 		c.node.metrics.Queued(pool, waiting)
 	}
-	c.sendSummaries(now)
-	c.sendAggregates(now)
-	c.sendOutcomes()
-	c.report(now)
 }
 
-// send carries out what the failure detector asks for.
-func (c *controller) send(output membership.Output) {
-	for _, envelope := range output.Messages {
-		if target, known := viewNode(c.observer.View(), envelope.To); known {
-			c.node.peers.send(target.PeerAddress, methodMember, envelope.Message)
-		}
+// carryOut does what the state asks for.
+func (c *controller) carryOut(output nodestate.Output) {
+	n := c.node
+	if output.Snapshot != nil {
+		n.useSnapshot(output.Snapshot)
+	}
+	for _, id := range output.Stopped {
+		c.stopPoll(id)
+	}
+	for _, poll := range output.Started {
+		c.startPoll(poll)
 	}
-	if len(output.Changes) > 0 {
-		c.changed = true
+	for _, message := range output.Messages {
+		n.peers.send(message.To.PeerAddress, methodOf(message.Body), message.Body)
+	}
+	for _, decided := range output.Decisions {
+		n.recorder.record(decided)
+	}
+	for _, pool := range output.ForgottenPools {
+		n.metrics.Forget(pool)
+	}
+	if output.Report != nil {
+		n.report(*output.Report)
+	}
+}
+
+// methodOf gives the method that a one-way message goes to.
+func methodOf(body any) string {
+	switch body.(type) {
+	case membership.HomeSummary:
+		return methodSummary
+	case nodestate.AggregatesMessage:
+		return methodAggregates
+	case nodestate.MachinesMessage:
+		return methodMachines
+	case nodestate.OutcomesMessage:
+		return methodOutcomes
+	default:
+		return methodMember
 	}
 }
 
+// useSnapshot publishes a snapshot to traffic, and forgets the counters of what
+// is no longer configured.
+func (n *Node) useSnapshot(next *nodestate.Snapshot) {
+	n.counters.retain(func(id port.ReplicaID) bool { _, configured := next.Replicas[id]; return configured })
+	n.crossing.retain(func(key nodestate.ZonePool) bool { _, configured := viewPool(next.View, key.Pool); return configured })
+	n.snapshot.Store(next)
+}
+
+// report tells control about this node. The call runs on a goroutine of its own;
+// while it is under way no other is made.
+func (n *Node) report(report port.NodeReport) {
+	n.reporting.Store(true)
+	n.serving.Store(&report.Serving)
+	n.work.Go(func() {
+		defer n.reporting.Store(false)
+		asking, cancel := context.WithTimeout(n.background, n.config.Intervals.CallTimeout)
+		defer cancel()
+		_ = n.config.Control.Report(asking, report)
+	})
+}
+
 // viewUpdate is an update of the control view.
 type viewUpdate struct{ update port.ViewUpdate }
 
 func (e viewUpdate) apply(c *controller, now time.Time) {
-	advanced, err := c.observer.Apply(e.update)
+	n := c.node
+	advanced, confirmed, err := c.state.ViewUpdate(now, e.update)
 	if err != nil {
-		c.node.restartWatch(c.observer.Position())
+		n.restartWatch(c.state.Position())
 		return
 	}
-	if c.observer.Confirms(e.update) {
-		c.node.confirmedUntil.Store(now.Add(c.node.config.Intervals.ConfigurationLease).UnixNano())
+	if confirmed {
+		n.confirmedUntil.Store(now.Add(n.config.Intervals.ConfigurationLease).UnixNano())
 	}
-	if !advanced {
-		return
+	if advanced {
+		view := c.state.View()
+		n.peers.retain(view.Nodes)
+		n.backEnds.retain(view.Configuration.Replicas)
 	}
-	view := c.observer.View()
-	c.send(c.detector.SetView(now, view.Nodes))
-	c.tellDetector()
-	c.node.peers.retain(view.Nodes)
-	c.node.backEnds.retain(view.Configuration.Replicas)
-	c.changed = true
 }
 
 // memberMessage is a message of the failure detector.
 type memberMessage struct{ message membership.Message }
 
-func (e memberMessage) apply(c *controller, now time.Time) {
-	c.send(c.detector.Receive(now, e.message))
-}
+func (e memberMessage) apply(c *controller, now time.Time) { c.state.Member(now, e.message) }
 
 // summaryMessage is what a home tells its zone.
 type summaryMessage struct{ summary membership.HomeSummary }
 
-func (e summaryMessage) apply(c *controller, now time.Time) {
-	if c.summaries.Apply(now, e.summary) {
-		c.changed = true
-	}
-}
+func (e summaryMessage) apply(c *controller, now time.Time) { c.state.Summary(now, e.summary) }
 
-func (e aggregatesMessage) apply(c *controller, now time.Time) {
-	if e.Asker != "" {
-		c.tellNewcomer(e.Asker)
-		return
-	}
-	fresh := false
-	for _, aggregate := range e.Aggregates {
-		if aggregate.Zone != c.node.config.Zone && c.aggregates.Apply(now, aggregate) {
-			fresh = true
-		}
-	}
-	if !fresh {
-		return
-	}
-	c.changed = true
-	if !e.Relayed {
-		c.toZone(methodAggregates, aggregatesMessage{Aggregates: e.Aggregates, Relayed: true})
-	}
-}
+// aggregatesTold is what another zone tells.
+type aggregatesTold struct{ message nodestate.AggregatesMessage }
 
-// toZone sends a message to the other live nodes of the zone.
-func (c *controller) toZone(method string, message any) int {
-	view := c.observer.View()
-	count := 0
-	for _, id := range c.detector.Live() {
-		target, known := viewNode(view, id)
-		if id == c.node.config.ID || !known {
-			continue
-		}
-		c.node.peers.send(target.PeerAddress, method, message)
-		count++
-	}
-	return count
-}
+func (e aggregatesTold) apply(c *controller, now time.Time) { c.state.Aggregates(now, e.message) }
 
-// drainStarted makes the node refuse new work and tell its peers.
+// drainStarted makes the node tell its peers that it stops.
 type drainStarted struct{}
 
-func (drainStarted) apply(c *controller, now time.Time) {
-	c.draining = true
-	c.changed = true
-	c.lastReport = time.Time{}
-	c.report(now)
-}
+func (drainStarted) apply(c *controller, now time.Time) { c.state.Drain(now) }
--- a/internal/app/node/counters.go
+++ b/internal/app/node/counters.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 
 	"github.com/loomgrade/loomgrade/internal/core/placement"
-	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // replicaCounters count what this node sent to a replica, through any home, or
@@ -15,16 +14,11 @@
 	finished atomic.Int64
 }
 
-func (c *replicaCounters) counts() placement.Counts {
+// Counts implements nodestate.Counter.
+func (c *replicaCounters) Counts() placement.Counts {
 	return placement.Counts{Sent: c.sent.Load(), Finished: c.finished.Load()}
 }
 
-// zonePool names what another zone serves of an engine pool.
-type zonePool struct {
-	zone port.ZoneName
-	pool port.PoolName
-}
-
 // counterTable finds the counters of replicas, or of other zones.
 type counterTable[K comparable] struct {
 	mutex  sync.Mutex
--- a/internal/app/node/explain.go
+++ b/internal/app/node/explain.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/loomgrade/loomgrade/internal/core/decision"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -31,8 +32,8 @@
 // canonical gives the form under which records are kept: operators may name a
 // replica by its id alone, and a batch as b-POOL-NUMBER-ATTEMPT.
 func (n *Node) canonical(subject string) string {
-	if _, configured := n.snapshot.Load().replicas[port.ReplicaID(subject)]; configured {
-		return replicaSubject(port.ReplicaID(subject))
+	if _, configured := n.snapshot.Load().Replicas[port.ReplicaID(subject)]; configured {
+		return nodestate.ReplicaSubject(port.ReplicaID(subject))
 	}
 	if pool, found := poolOfBatch(subject); found {
 		return batchSubject(pool, subject)
@@ -51,12 +52,8 @@
 	return port.PoolName(strings.Join(parts[:len(parts)-2], "-")), true
 }
 
-// replicaSubject is the subject of records about a replica.
-func replicaSubject(id port.ReplicaID) string { return replicaPrefix + string(id) }
-
 const (
-	replicaPrefix = "replica/"
-	batchPrefix   = "batch/"
+	batchPrefix = "batch/"
 )
 
 // batchSubject turns the coordinator's b-POOL-NUMBER-ATTEMPT into
@@ -74,13 +71,13 @@
 func (n *Node) holders(subject string) []port.NodeAddress {
 	current := n.snapshot.Load()
 	if id, named := nodeOfRequest(subject); named {
-		if holder, known := current.nodes[id]; known && id != n.config.ID {
+		if holder, known := current.Nodes[id]; known && id != n.config.ID {
 			return []port.NodeAddress{holder}
 		}
 		return nil
 	}
 	var others []port.NodeAddress
-	for id, node := range current.nodes {
+	for id, node := range current.Nodes {
 		if id != n.config.ID && len(others) < maxAsked {
 			others = append(others, node)
 		}
--- a/internal/app/node/generate.go
+++ b/internal/app/node/generate.go
@@ -119,7 +119,7 @@
 	}
 	call := generateCall{
 		Request:     job.request,
-		TenantShare: accepted.snapshot.tenantShare(job.request.Tenant),
+		TenantShare: accepted.snapshot.TenantShare(job.request.Tenant),
 		Attempt:     loop.Made(),
 		Exclude:     job.exclude,
 		Avoid:       job.avoid,
@@ -220,6 +220,6 @@
 func (n *Node) recordCompletion(accepted acceptance, job *generation, loop *attempt.Loop, replica port.ReplicaID) {
 	n.recorder.record(port.Decision{
 		Kind: port.DecisionAnswered, Subject: job.subject, Pool: accepted.pool.Name, Replica: replica,
-		Revision: accepted.snapshot.view.Revision, Attempt: loop.Made(), Verdict: port.Ran, Spans: loop.Spans(),
+		Revision: accepted.snapshot.View.Revision, Attempt: loop.Made(), Verdict: port.Ran, Spans: loop.Spans(),
 	})
 }
--- a/internal/app/node/keyed.go
+++ b/internal/app/node/keyed.go
@@ -10,6 +10,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/node/requestkeys"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -41,9 +42,9 @@
 }
 
 // rank gives the nodes that remember a key, first one first.
-func rank(current *snapshot, key string) []port.NodeAddress {
+func rank(current *nodestate.Snapshot, key string) []port.NodeAddress {
 	var ids []port.NodeID
-	for id, node := range current.nodes {
+	for id, node := range current.Nodes {
 		if !node.Draining {
 			ids = append(ids, id)
 		}
@@ -54,7 +55,7 @@
 		if !found {
 			break
 		}
-		ranked = append(ranked, current.nodes[first])
+		ranked = append(ranked, current.Nodes[first])
 		ids = without(ids, first)
 	}
 	return ranked
--- a/internal/app/node/messages.go
+++ b/internal/app/node/messages.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -19,7 +18,8 @@
 	methodClaimKey = "node.claim_key"
 	// methodExplain takes an explainCall and answers an explainAnswer.
 	methodExplain = "node.explain"
-	// methodPoolState takes a poolStateCall and answers a poolStateAnswer.
+	// methodPoolState takes a nodestate.PoolStateCall and answers a
+	// nodestate.PoolStateAnswer.
 	methodPoolState = "node.pool_state"
 	// methodBatch takes a batchCall and answers a batchAnswer.
 	methodBatch = "node.batch"
@@ -28,11 +28,11 @@
 	methodMember = "node.member"
 	// methodSummary takes a membership.HomeSummary, one way.
 	methodSummary = "node.summary"
-	// methodAggregates takes an aggregatesMessage, one way.
+	// methodAggregates takes a nodestate.AggregatesMessage, one way.
 	methodAggregates = "node.aggregates"
-	// methodMachines takes a machinesMessage, one way.
+	// methodMachines takes a nodestate.MachinesMessage, one way.
 	methodMachines = "node.machines"
-	// methodOutcomes takes an outcomesMessage, one way.
+	// methodOutcomes takes a nodestate.OutcomesMessage, one way.
 	methodOutcomes = "node.outcomes"
 )
 
@@ -108,53 +108,3 @@
 type batchAnswer struct {
 	Batch api.Batch `cbor:"1,keyasint"`
 }
-
-// aggregatesMessage carries what a zone tells others. Relayed is set on its
-// second way, from an aggregator of the other zone to its peers.
-type aggregatesMessage struct {
-	Aggregates []membership.PoolAggregate `cbor:"1,keyasint"`
-	Relayed    bool                       `cbor:"2,keyasint,omitempty"`
-	// Asker, if set, is a node that has just started and asks for what the
-	// receiver relays.
-	Asker port.NodeID `cbor:"3,keyasint,omitempty"`
-}
-
-// machinesMessage tells the zone which machines the list shows as leaving.
-type machinesMessage struct {
-	Node    port.NodeID    `cbor:"1,keyasint"`
-	Leaving []port.Machine `cbor:"2,keyasint,omitempty"`
-}
-
-// outcomesMessage tells a home how calls to its replicas ended.
-type outcomesMessage struct {
-	Outcomes []callOutcome `cbor:"1,keyasint"`
-}
-
-// callOutcome is the end of one call to a replica.
-type callOutcome struct {
-	Replica       port.ReplicaID `cbor:"1,keyasint"`
-	Failed        bool           `cbor:"2,keyasint,omitempty"`
-	LatencyMicros int64          `cbor:"3,keyasint,omitempty"`
-}
-
-// poolStateCall asks a home for its replicas of an engine pool. Out lists the
-// replicas that the pool's weights rollout keeps out of routing, under Fence.
-type poolStateCall struct {
-	Pool  port.PoolName    `cbor:"1,keyasint"`
-	Fence port.Epoch       `cbor:"2,keyasint"`
-	Out   []port.ReplicaID `cbor:"3,keyasint,omitempty"`
-}
-
-type poolStateAnswer struct {
-	Replicas []replicaState `cbor:"1,keyasint,omitempty"`
-}
-
-// replicaState is a replica as its home sees it.
-type replicaState struct {
-	Replica   port.ReplicaID  `cbor:"1,keyasint"`
-	Report    port.LoadReport `cbor:"2,keyasint"`
-	Reachable bool            `cbor:"3,keyasint"`
-	Routable  bool            `cbor:"4,keyasint"`
-	Inflight  int             `cbor:"5,keyasint"`
-	Limit     int             `cbor:"6,keyasint"`
-}
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/requestkeys"
 	"github.com/loomgrade/loomgrade/internal/app/node/spool"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -34,14 +35,15 @@
 	backEnds *backEnds
 	recorder *recorder
 	counters *counterTable[port.ReplicaID]
-	crossing *counterTable[zonePool]
+	crossing *counterTable[nodestate.ZonePool]
 	keys     *requestkeys.Memory[keyOutcome]
 	budgets  *budgetTable
 	chooser  *chooser
 	sampling *samplingManager
 
-	snapshot       atomic.Pointer[snapshot]
+	snapshot       atomic.Pointer[nodestate.Snapshot]
 	confirmedUntil atomic.Int64
+	machinesHeard  atomic.Int64
 	reporting      atomic.Bool
 	serving        atomic.Pointer[[]port.ServingCount]
 	dropped        atomic.Uint64
@@ -73,7 +75,7 @@
 		return nil, err
 	}
 	control := newController(n, time.Now())
-	control.rebuild(time.Now())
+	control.publish(time.Now())
 	n.serve()
 	go control.run()
 	n.work.Go(n.watch)
@@ -110,7 +112,7 @@
 		backEnds:       newBackEnds(),
 		recorder:       newRecorder(config.ID, config.Limits.Decisions, time.Now()),
 		counters:       newCounterTable[port.ReplicaID](),
-		crossing:       newCounterTable[zonePool](),
+		crossing:       newCounterTable[nodestate.ZonePool](),
 		keys:           requestkeys.New[keyOutcome](config.Intervals.KeyMemory, config.Limits.Keys),
 		budgets:        newBudgetTable(config.Seed),
 		chooser:        newChooser(config.Seed),
@@ -126,7 +128,7 @@
 	n.metrics = metrics.NewNode()
 	n.countTraffic()
 	n.web = newWeb(n)
-	n.snapshot.Store(&snapshot{view: &port.View{}, homes: newHomeTable(config.Zone, nil, nil)})
+	n.snapshot.Store(nodestate.EmptySnapshot(config.Zone))
 	return n
 }
 
@@ -161,14 +163,6 @@
 // ID gives the node's id.
 func (n *Node) ID() port.NodeID { return n.config.ID }
 
-// address gives the node as it stands in views.
-func (n *Node) address(draining bool) port.NodeAddress {
-	return port.NodeAddress{
-		ID: n.config.ID, Zone: n.config.Zone,
-		PeerAddress: n.peerAddress, HTTPAddress: n.httpAddress, Draining: draining,
-	}
-}
-
 // post hands an event to the control goroutine; one too many is dropped and
 // counted. For news that comes again.
 func (n *Node) post(next event) {
--- a/internal/app/node/peerserver.go
+++ b/internal/app/node/peerserver.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -19,16 +20,16 @@
 	n.server.Handle(methodExplain, answering(func(_ context.Context, call explainCall) (explainAnswer, *port.Error) {
 		return explainAnswer{Decisions: n.recorder.get(call.Subject)}, nil
 	}))
-	n.server.Handle(methodPoolState, answering(func(ctx context.Context, call poolStateCall) (poolStateAnswer, *port.Error) {
+	n.server.Handle(methodPoolState, answering(func(ctx context.Context, call nodestate.PoolStateCall) (nodestate.PoolStateAnswer, *port.Error) {
 		return n.servePoolState(ctx, call), nil
 	}))
 	n.server.Handle(methodBatch, answering(n.handleBatch))
 
 	n.server.HandleMessage(methodMember, posting(n, func(message membership.Message) event { return memberMessage{message} }))
 	n.server.HandleMessage(methodSummary, posting(n, func(summary membership.HomeSummary) event { return summaryMessage{summary} }))
-	n.server.HandleMessage(methodAggregates, posting(n, func(message aggregatesMessage) event { return message }))
-	n.server.HandleMessage(methodMachines, posting(n, func(message machinesMessage) event { return message }))
-	n.server.HandleMessage(methodOutcomes, posting(n, func(message outcomesMessage) event { return outcomesTaken{message.Outcomes} }))
+	n.server.HandleMessage(methodAggregates, posting(n, func(message nodestate.AggregatesMessage) event { return aggregatesTold{message} }))
+	n.server.HandleMessage(methodMachines, posting(n, func(message nodestate.MachinesMessage) event { return machinesTold{message} }))
+	n.server.HandleMessage(methodOutcomes, posting(n, func(message nodestate.OutcomesMessage) event { return outcomesTaken{message.Outcomes} }))
 }
 
 // answering makes a handler of a function with one request and one answer.
--- a/internal/app/node/samplingmanager.go
+++ b/internal/app/node/samplingmanager.go
@@ -5,28 +5,21 @@
 	"sync"
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/core/membership"
+	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// Pacing of the search for pools without a coordinator.
-const (
-	managerInterval = 200 * time.Millisecond
-	// rankDelay is how long a node waits for each node that goes before it in a
-	// lease's rendezvous ranking.
-	rankDelay = 500 * time.Millisecond
-)
+// managerInterval paces the search for pools without a coordinator.
+const managerInterval = 200 * time.Millisecond
 
 // samplingManager looks for leases that nobody holds and runs a worker under
-// each one that this node acquires. There is a lease for each sampling pool, and
-// for each engine pool whose engines serve one: weights are ordered under the
-// lease of the pool that owns the engines.
+// each one that this node acquires.
 type samplingManager struct {
 	node *Node
 
 	mutex    sync.Mutex
 	workers  map[port.PoolName]*poolWorker
-	free     map[port.PoolName]time.Time
+	seeker   *poolworker.Seeker
 	draining bool
 	running  sync.WaitGroup
 }
@@ -35,7 +28,7 @@
 	return &samplingManager{
 		node:    node,
 		workers: make(map[port.PoolName]*poolWorker),
-		free:    make(map[port.PoolName]time.Time),
+		seeker:  poolworker.NewSeeker(node.config.ID),
 	}
 }
 
@@ -55,71 +48,16 @@
 	}
 }
 
-// leasedPools lists the pools that need a lease holder.
-func leasedPools(view *port.View) map[port.PoolName]bool {
-	wanted := make(map[port.PoolName]bool)
-	for _, pool := range view.Configuration.Pools {
-		if pool.Sampling != nil {
-			wanted[pool.Name] = true
-			wanted[pool.EnginePool()] = true
-		}
-	}
-	return wanted
-}
-
 func (m *samplingManager) look(now time.Time) {
-	current := m.node.snapshot.Load()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.draining {
 		return
 	}
-	wanted := leasedPools(current.view)
-	for pool := range m.free {
-		if !wanted[pool] {
-			delete(m.free, pool)
-		}
-	}
-	for pool := range wanted {
-		if m.workers[pool] == nil && m.mayAcquire(current, pool, now) {
-			m.start(pool)
-		}
-	}
-}
-
-// mayAcquire says whether it is this node's turn to ask for a lease: it is free,
-// and the nodes that go before had their chance.
-func (m *samplingManager) mayAcquire(current *snapshot, pool port.PoolName, now time.Time) bool {
-	name := port.CoordinatorLease(pool)
-	lease, exists := viewLease(current.view, name)
-	if exists && lease.Holder != m.node.config.ID && lease.Expires > now.UnixMilli() {
-		delete(m.free, pool)
-		return false
-	}
-	since, known := m.free[pool]
-	if !known {
-		since = now
-		m.free[pool] = now
-	}
-	return now.Sub(since) >= time.Duration(m.rank(current, name))*rankDelay
-}
-
-// rank gives the number of nodes that go before this one for a lease.
-func (m *samplingManager) rank(current *snapshot, lease string) int {
-	var ids []port.NodeID
-	for id, node := range current.nodes {
-		if !node.Draining {
-			ids = append(ids, id)
-		}
-	}
-	for before := range len(ids) {
-		first, _ := membership.NewAssigner(ids).HomeOf(lease)
-		if first == m.node.config.ID {
-			return before
-		}
-		ids = without(ids, first)
+	running := func(pool port.PoolName) bool { return m.workers[pool] != nil }
+	for _, pool := range m.seeker.Wanted(now, m.node.snapshot.Load().View, running) {
+		m.start(pool)
 	}
-	return len(current.nodes)
 }
 
 // start runs a worker; the caller holds the mutex.
@@ -131,8 +69,7 @@
 		m.mutex.Lock()
 		defer m.mutex.Unlock()
 		delete(m.workers, pool)
-		// The next attempt waits its turn again.
-		m.free[pool] = time.Now()
+		m.seeker.Ended(time.Now(), pool)
 	})
 }
 
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -8,6 +8,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/home"
+	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/core/scheduling"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -21,16 +22,16 @@
 // this zone, through its home.
 func (n *Node) serveGenerate(ctx context.Context, call *generateCall, emit func(generateEvent) error) *port.Error {
 	current := n.snapshot.Load()
-	route := current.pools[call.Request.Pool]
+	route := current.Pools[call.Request.Pool]
 	if route == nil {
 		return notFoundPool(call.Request.Pool)
 	}
-	accepted := acceptance{snapshot: current, pool: &route.pool, route: route}
+	accepted := acceptance{snapshot: current, pool: &route.Pool, route: route}
 	accepted.deadline, _ = ctx.Deadline()
 	if call.Request.Replica == "" {
 		return n.relayGenerate(ctx, accepted, call, emit)
 	}
-	if route.gate == nil {
+	if gateOf(route) == nil {
 		return port.NewError(port.NotRun, port.CodeUnavailable, "%s is not the home of %s", n.config.ID, call.Request.Replica)
 	}
 	grant, refusal := n.acquireEngine(ctx, accepted, call, emit)
@@ -63,7 +64,7 @@
 
 func (n *Node) acquireEngine(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) (*gate.Grant, *port.Error) {
 	request := &call.Request
-	return accepted.route.gate.Acquire(ctx, gate.Request{
+	return gateOf(accepted.route).Acquire(ctx, gate.Request{
 		ID:          request.ID,
 		Tenant:      request.Tenant,
 		TenantShare: call.TenantShare,
@@ -91,7 +92,7 @@
 
 // runEngine streams the completion from the engine that the grant names.
 func (n *Node) runEngine(ctx context.Context, accepted acceptance, grant *gate.Grant, call *generateCall, emit func(generateEvent) error) *port.Error {
-	replica, configured := n.snapshot.Load().replicas[grant.Replica]
+	replica, configured := n.snapshot.Load().Replicas[grant.Replica]
 	if !configured {
 		grant.Release(gate.Outcome{Abandoned: true})
 		return replicaRemoved(grant.Replica)
@@ -121,10 +122,10 @@
 	judged := home.JudgeGeneration(failure, abandoned, tokens, elapsed)
 	grant.Release(judged.Outcome)
 	if judged.Counts {
-		n.post(outcomesTaken{[]callOutcome{outcomeOf(grant.Replica, judged)}})
+		n.post(outcomesTaken{[]nodestate.CallOutcome{outcomeOf(grant.Replica, judged)}})
 	}
 }
 
-func outcomeOf(replica port.ReplicaID, judged home.Judged) callOutcome {
-	return callOutcome{Replica: replica, Failed: judged.Failed, LatencyMicros: judged.Latency.Microseconds()}
+func outcomeOf(replica port.ReplicaID, judged home.Judged) nodestate.CallOutcome {
+	return nodestate.CallOutcome{Replica: replica, Failed: judged.Failed, LatencyMicros: judged.Latency.Microseconds()}
 }
--- a/internal/app/node/trainers.go
+++ b/internal/app/node/trainers.go
@@ -108,11 +108,11 @@
 		return worker.ask(ctx, call)
 	}
 	current := n.snapshot.Load()
-	if pool, found := viewPool(current.view, call.Pool); !found || pool.Sampling == nil {
+	if pool, found := viewPool(current.View, call.Pool); !found || pool.Sampling == nil {
 		return api.Batch{}, notFoundPool(call.Pool)
 	}
-	lease, held := viewLease(current.view, port.CoordinatorLease(call.Pool))
-	holder, known := current.nodes[lease.Holder]
+	lease, held := viewLease(current.View, port.CoordinatorLease(call.Pool))
+	holder, known := current.Nodes[lease.Holder]
 	if !held || !known || holder.ID == n.config.ID {
 		return api.Batch{}, notCoordinator(call.Pool)
 	}
--- a/internal/app/node/view.go
+++ b/internal/app/node/view.go
@@ -12,16 +12,6 @@
 	return port.Pool{}, false
 }
 
-// viewWeights gives a pool's published weights; none give the zero value.
-func viewWeights(view *port.View, pool port.PoolName) port.PublishedWeights {
-	for _, weights := range view.Weights {
-		if weights.Pool == pool {
-			return weights
-		}
-	}
-	return port.PublishedWeights{Pool: pool}
-}
-
 // viewLease finds a lease of the view.
 func viewLease(view *port.View, name string) (port.Lease, bool) {
 	for _, lease := range view.Leases {
@@ -31,13 +21,3 @@
 	}
 	return port.Lease{}, false
 }
-
-// viewNode finds a live node of the view.
-func viewNode(view *port.View, id port.NodeID) (port.NodeAddress, bool) {
-	for _, node := range view.Nodes {
-		if node.ID == id {
-			return node, true
-		}
-	}
-	return port.NodeAddress{}, false
-}
--- a/internal/app/node/watch.go
+++ b/internal/app/node/watch.go
@@ -24,7 +24,7 @@
 		select {
 		case after = <-n.rewatch:
 		case <-ended:
-			after = n.snapshot.Load().view.Position
+			after = n.snapshot.Load().View.Position
 		case <-n.background.Done():
 		}
 		cancel()
--- a/internal/core/nodestate/rebuild.go
+++ b/internal/core/nodestate/rebuild.go
@@ -69,8 +69,9 @@
 	refreshInterval = time.Second
 )
 
-// RebuildIfDue rebuilds if there is something to rebuild and it is time.
-func (s *State) RebuildIfDue(now time.Time) {
+// RebuildIfDue rebuilds if there is something to rebuild and it is time; true
+// means that it did.
+func (s *State) RebuildIfDue(now time.Time) bool {
 	passed := now.Sub(s.rebuiltAt)
 	due := passed >= min(rebuildShare*s.rebuildCost, maxRebuildInterval)
 	if !s.changed {
@@ -79,6 +80,7 @@
 	if due {
 		s.rebuild(now)
 	}
+	return due
 }
 
 // RebuildCost tells what the last rebuild took, which paces the next ones.
--- a/internal/core/nodestate/report.go
+++ b/internal/core/nodestate/report.go
@@ -22,11 +22,6 @@
 		},
 		Position: view.Position,
 		Revision: view.Revision,
-		Serving:  s.serving(now),
+		Serving:  home.Serving(now, view.Configuration.Pools, maps.Values(s.records)),
 	}
 }
-
-// serving counts the own home replicas by pool and version.
-func (s *State) serving(now time.Time) []port.ServingCount {
-	return home.Serving(now, s.observer.View().Configuration.Pools, maps.Values(s.records))
-}
--- a/internal/core/nodestate/state.go
+++ b/internal/core/nodestate/state.go
@@ -129,6 +129,9 @@
 	return output
 }
 
+// View gives the present view of the control state.
+func (s *State) View() *port.View { return s.observer.View() }
+
 // Position gives the position to ask updates of the view after.
 func (s *State) Position() uint64 { return s.observer.Position() }
 
--- a/internal/lab/sim/fault/generate.go
+++ b/internal/lab/sim/fault/generate.go
@@ -68,6 +68,7 @@
 	}
 	call.Request.Replica = replica
 	g.replica = replica
+	g.count(replica)
 	present := func() bool { return !g.ended && g.attempts == number }
 	g.stop = g.node.serveOrDial(target, call, sink{
 		placed: func(id port.ReplicaID) {
@@ -97,11 +98,18 @@
 	return g.loop.Continue(g.request)
 }
 
-func (g *generation) placed(id port.ReplicaID) {
+// count counts the attempt at a replica from when it is sent.
+func (g *generation) count(id port.ReplicaID) {
 	g.uncount()
+	if id != "" {
+		g.counted = g.node.replicaCounter(id)
+		g.counted.sent++
+	}
+}
+
+func (g *generation) placed(id port.ReplicaID) {
 	g.replica = id
-	g.counted = g.node.replicaCounter(id)
-	g.counted.sent++
+	g.count(id)
 	if g.sink.placed != nil {
 		g.sink.placed(id)
 	}
