--- a/internal/core/coordinator/groups.go
+++ b/internal/core/coordinator/groups.go
@@ -60,6 +60,8 @@
 	// fresh is the version that it has to start on at least; 0 means any that the
 	// plan allows.
 	fresh port.WeightVersion
+	// removed is set once the sample left its group for good.
+	removed bool
 }
 
 // attemptProgress is what the running attempt has reported.
@@ -231,7 +233,7 @@
 
 // live says whether a sample still belongs to its group; handlers that go over a
 // copy of a group's samples may have removed some on the way.
-func (c *Coordinator) live(s *sample) bool { return c.samples[s.id] == s }
+func live(s *sample) bool { return !s.removed }
 
 // removeSample takes a sample out of its group for good.
 func (c *Coordinator) removeSample(s *sample) {
@@ -243,6 +245,7 @@
 	if s.state == stateScored {
 		s.group.scored--
 	}
+	s.removed = true
 	delete(c.samples, s.id)
 	s.group.samples = slices.DeleteFunc(s.group.samples, func(other *sample) bool { return other == s })
 }
@@ -307,6 +310,7 @@
 		if s.whole() {
 			c.whole--
 		}
+		s.removed = true
 		delete(c.samples, s.id)
 	}
 	g.gone = true
--- a/internal/core/coordinator/samples.go
+++ b/internal/core/coordinator/samples.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		for _, s := range slices.Clone(g.samples) {
-			if c.live(s) {
+			if live(s) {
 				c.sweepSample(s)
 			}
 		}
--- a/internal/core/coordinator/staleness.go
+++ b/internal/core/coordinator/staleness.go
@@ -107,7 +107,7 @@
 
 func (c *Coordinator) reviewAge(s *sample) {
 	switch {
-	case !c.live(s):
+	case !live(s):
 	case s.whole() && c.tooOld(s):
 		c.dropStale(s, "older than the staleness bound while it waited")
 	case s.state == stateRunning:
