node: be ready only once requests are routed

A node that waits for word of the machine list routes nothing yet; its readiness says so now, where load balancers look. A configuration without pools counts as ready.

--- a/internal/app/node/backend.go
+++ b/internal/app/node/backend.go
@@ -74,7 +74,9 @@
 
 // Ready says whether the node has a configuration and takes requests.
 func (n *Node) Ready() bool {
-	return n.snapshot.Load().View.Position > 0 && !n.traffic.isDraining()
+	current := n.snapshot.Load()
+	routes := len(current.Pools) > 0 || len(current.View.Configuration.Pools) == 0
+	return current.View.Position > 0 && routes && !n.traffic.isDraining()
 }
 
 // Unconfirmed says whether the configuration lease has run out, so that answers
