--- a/internal/app/control/distribution_bench_test.go
+++ b/internal/app/control/distribution_bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -136,6 +138,48 @@
 	b.ReportMetric(float64((processorTime(b)-cpuBefore).Microseconds())*share, "cpu-us/s/observer")
 }
 
+// BenchmarkReportingWatch measures what a node costs control and itself: a watch
+// without news and a report each second, as BenchmarkQuietWatch does.
+func BenchmarkReportingWatch(b *testing.B) {
+	const observers = 660
+	group := startGroup(b, 3, func(config *Config) { config.Tick = DefaultTick })
+	fleet := startObservers(group, observers)
+	fleet.report(group) // registers the nodes
+	bytesBefore, cpuBefore := fleet.traffic(), processorTime(b)
+	b.ResetTimer()
+	for range b.N {
+		next := time.Now().Add(time.Second)
+		fleet.report(group)
+		time.Sleep(time.Until(next))
+	}
+	b.StopTimer()
+	share := 1 / (float64(b.N) * observers)
+	b.ReportMetric(float64(fleet.traffic()-bytesBefore)*share, "bytes/s/node")
+	b.ReportMetric(float64((processorTime(b)-cpuBefore).Microseconds())*share, "cpu-us/s/node")
+}
+
+// report sends a report of each observer, some at a time.
+func (f *observerFleet) report(group *testGroup) {
+	group.t.Helper()
+	const together = 16
+	var reporting errgroup.Group
+	reporting.SetLimit(together)
+	for number, client := range f.clients {
+		reporting.Go(func() error {
+			return client.Report(group.context(), port.NodeReport{
+				Node: port.NodeAddress{
+					ID: port.NodeID(fmt.Sprintf("node-%d", number)), Zone: "zone-a",
+					PeerAddress: "127.0.0.1:1", HTTPAddress: "127.0.0.1:2",
+				},
+				Position: 1, Serving: []port.ServingCount{{Pool: "captions", Version: 1, Replicas: 5}},
+			})
+		})
+	}
+	if err := reporting.Wait(); err != nil {
+		group.t.Fatal(err)
+	}
+}
+
 func (f *observerFleet) traffic() uint64 {
 	var total uint64
 	for _, client := range f.clients {
--- a/internal/core/controlstate/state_test.go
+++ b/internal/core/controlstate/state_test.go
@@ -78,6 +78,13 @@
 	if expired := state.Apply(6, 2, late); code(expired) != port.CodeChangeExpired || state.Revision() != 1 {
 		t.Fatalf("late resend: %+v", expired)
 	}
+	restored := New()
+	if err := restored.Restore(mustSnapshot(t, state)); err != nil {
+		t.Fatal(err)
+	}
+	if expired := restored.Apply(7, 2, late); code(expired) != port.CodeChangeExpired || restored.Answers() != 0 {
+		t.Fatalf("late resend after a snapshot: %+v, %d answers kept", expired, restored.Answers())
+	}
 	if missing := state.Apply(7, 2, port.Command{ChangeConfiguration: &port.ChangeConfiguration{}}); code(missing) != port.CodeInvalid {
 		t.Fatalf("without a change id: %+v", missing)
 	}
