--- a/internal/app/control/process_test.go
+++ b/internal/app/control/process_test.go
@@ -31,6 +31,7 @@
 	ID      uint64
 	Members []Address
 	Folder  string
+	Tick    time.Duration
 }
 
 // TestMain runs the tests, or a member if this process is to be one.
@@ -51,7 +52,7 @@
 	defer stop()
 	config := Config{
 		Cluster: "test", ID: child.ID, Members: child.Members, DataFolder: child.Folder,
-		OperatorAddress: "127.0.0.1:0", Tick: 2 * testTick, Seed: child.ID,
+		OperatorAddress: "127.0.0.1:0", Tick: child.Tick, Seed: child.ID,
 		SnapshotEntries: 50, RetainEntries: 10,
 	}
 	config.PeerAddress = config.addressOf(child.ID)
@@ -64,7 +65,8 @@
 
 // processGroup is three members as processes.
 type processGroup struct {
-	t        *testing.T
+	t        testing.TB
+	tick     time.Duration
 	folder   string
 	members  []Address
 	children map[uint64]*child
@@ -75,9 +77,9 @@
 	stderr  *bytes.Buffer
 }
 
-func startProcesses(t *testing.T) *processGroup {
+func startProcesses(t testing.TB) *processGroup {
 	t.Helper()
-	group := &processGroup{t: t, folder: t.TempDir(), children: make(map[uint64]*child)}
+	group := &processGroup{t: t, tick: 2 * testTick, folder: t.TempDir(), children: make(map[uint64]*child)}
 	for id := uint64(1); id <= 3; id++ {
 		listener := listenLoopback(t, "127.0.0.1:0")
 		group.members = append(group.members, Address{ID: id, Peer: listener.Addr().String()})
@@ -95,7 +97,7 @@
 
 func (g *processGroup) start(id uint64) *child {
 	g.t.Helper()
-	encoded, err := json.Marshal(childConfig{ID: id, Members: g.members, Folder: g.dataFolder(id)})
+	encoded, err := json.Marshal(childConfig{ID: id, Members: g.members, Folder: g.dataFolder(id), Tick: g.tick})
 	if err != nil {
 		g.t.Fatal(err)
 	}
