audit, test: hold the trainer's prompts against what control holds for done

Cause: in a trial with slow processes the system test reported 'prompt 81 never arrived': it was late by more than the window of 48 prompts, which is a matter of time. The window is replaced, in that test, by a stricter rule without one: control's ledger must come to hold every prompt up to the highest delivered one for committed, and all of these must have reached the trainer.

--- a/internal/lab/audit/check.go
+++ b/internal/lab/audit/check.go
@@ -48,6 +48,10 @@
 	// PromptWindow is how far below the highest delivered prompt of a pool a
 	// prompt may still be missing; 0 turns the check off.
 	PromptWindow uint64
+	// PromptsDone is, by pool, the lowest prompt that loomgrade does not hold for
+	// delivered: all below must have reached the trainer. Unlike a window it
+	// holds however long a prompt takes.
+	PromptsDone map[string]port.PromptIndex
 }
 
 // Check returns every violation, ordered by rule and subject.
--- a/internal/lab/audit/check_test.go
+++ b/internal/lab/audit/check_test.go
@@ -60,7 +60,7 @@
 }
 
 func testBounds() Bounds {
-	return Bounds{Staleness: map[string]uint64{pool: 2}, PromptWindow: 1}
+	return Bounds{Staleness: map[string]uint64{pool: 2}, PromptWindow: 1, PromptsDone: map[string]port.PromptIndex{pool: 2}}
 }
 
 func TestGoodHistoryIsClean(t *testing.T) {
@@ -98,6 +98,9 @@
 		}, RuleSampleOnce},
 		{"batch left out", func(o *Observations) { o.Deliveries[2].Batch = 3 }, RuleSampleLost},
 		{"prompt left out", func(o *Observations) { o.Deliveries[2].Samples[0].Prompt = 5 }, RuleSampleLost},
+		{"prompt held for done left out", func(o *Observations) {
+			o.Deliveries[2].Samples[0].Prompt = 2
+		}, RuleSampleLost},
 		{"claims another version", func(o *Observations) {
 			o.Deliveries[2].Samples[0].Spans = []port.Span{{Version: 5, Tokens: 6}}
 		}, RuleVersionsTrue},
--- a/internal/lab/audit/samples.go
+++ b/internal/lab/audit/samples.go
@@ -84,12 +84,17 @@
 				found = append(found, Violation{RuleSampleLost, pool, fmt.Sprintf("batch %d never arrived", number)})
 			}
 		}
-		found = append(found, missingPrompts(pool, prompts[pool], bounds.PromptWindow)...)
+		found = append(found, promptsPassedOver(pool, prompts[pool], bounds.PromptWindow)...)
+	}
+	for pool, done := range bounds.PromptsDone {
+		found = append(found, missingPrompts(pool, prompts[pool], 0, done)...)
 	}
 	return found
 }
 
-func missingPrompts(pool string, seen map[port.PromptIndex]bool, window uint64) []Violation {
+// promptsPassedOver finds prompts that are more than a window below the highest
+// delivered one and did not arrive.
+func promptsPassedOver(pool string, seen map[port.PromptIndex]bool, window uint64) []Violation {
 	if window == 0 || len(seen) == 0 {
 		return nil
 	}
@@ -97,8 +102,16 @@
 	for prompt := range seen {
 		lowest, highest = min(lowest, prompt), max(highest, prompt)
 	}
+	if highest < port.PromptIndex(window) {
+		return nil
+	}
+	return missingPrompts(pool, seen, lowest, highest-port.PromptIndex(window))
+}
+
+// missingPrompts finds prompts from first to below end that did not arrive.
+func missingPrompts(pool string, seen map[port.PromptIndex]bool, first, end port.PromptIndex) []Violation {
 	var found []Violation
-	for prompt := lowest; prompt+port.PromptIndex(window) < highest; prompt++ {
+	for prompt := first; prompt < end; prompt++ {
 		if !seen[prompt] {
 			found = append(found, Violation{RuleSampleLost, pool, fmt.Sprintf("prompt %d never arrived", prompt)})
 		}
--- a/test/system/audit_test.go
+++ b/test/system/audit_test.go
@@ -1,18 +1,16 @@
 package system
 
 import (
+	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// promptWindow is how far below the highest delivered prompt one may still be
-// missing: those of four batches are under way at a time, and those that a lost
-// coordinator had handed out come after them.
-const promptWindow = 12 * batchSamples / groupSize
-
 // journal reads what a stand-in saw.
 func (s *site) journal(t *testing.T, name string) audit.Observations {
 	t.Helper()
@@ -45,10 +43,34 @@
 	return all
 }
 
+// untilDone waits until control holds every prompt up to the highest delivered
+// one for committed, and the trainer has learned from all batches of then. It
+// gives the lowest prompt that is not among them.
+func (s *site) untilDone(t *testing.T) port.PromptIndex {
+	t.Helper()
+	highest := port.PromptIndex(0)
+	for _, delivery := range s.journal(t, trainer).Deliveries {
+		for _, sample := range delivery.Samples {
+			highest = max(highest, sample.Prompt)
+		}
+	}
+	var detail operatorapi.PoolDetail
+	until(t, fmt.Sprintf("prompts up to %d are committed", highest), func() bool {
+		s.operate(t, &detail, "pool", "show", samplingPool)
+		return detail.Ledger != nil && detail.Ledger.PromptsBelow > highest
+	})
+	committed := int(detail.Ledger.Committed)
+	until(t, fmt.Sprintf("the trainer has learned from batch %d", committed), func() bool { return s.steps(t) >= committed })
+	return detail.Ledger.PromptsBelow
+}
+
 // check audits the run so far and shows what is on record about violations.
 func (s *site) check(t *testing.T) {
 	t.Helper()
-	bounds := audit.Bounds{Staleness: map[string]uint64{samplingPool: staleness}, PromptWindow: promptWindow}
+	bounds := audit.Bounds{
+		Staleness:   map[string]uint64{samplingPool: staleness},
+		PromptsDone: map[string]port.PromptIndex{samplingPool: s.untilDone(t)},
+	}
 	seen := s.observations(t)
 	for _, violation := range audit.Check(seen, bounds) {
 		t.Error(violation)
