operatorapi, explain: pass a silent member within 5 s, and ask it last from then on

Cause: with a control member halted (SIGSTOP), 'loomgrade config set' failed after 30 s with 'may have been accepted': its two calls each waited 15 s for the silent member, which stood first in the list, before they went to the next. Found by the system test, in the row 'silence the leader of control'. explain waited for a silent node as long as the whole command may take.

Change: an attempt at one member or node lasts 5 s at most, and the member that answered last is asked first. Changes carry a change id, so the repetition at another member takes effect once, as before.

--- a/cmd/loomgrade/cmd_explain.go
+++ b/cmd/loomgrade/cmd_explain.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
@@ -20,6 +21,9 @@
 // maxExplanationBytes bounds an explanation.
 const maxExplanationBytes = 16 << 20
 
+// askTimeout bounds the wait for one node, which may be cut off in silence.
+const askTimeout = 5 * time.Second
+
 // explainCommand tells why something happened.
 type explainCommand struct {
 	operatorFlags `embed:""`
@@ -122,6 +126,8 @@
 }
 
 func askNode(ctx context.Context, node, token, id string) (httpapi.Explanation, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	var explanation httpapi.Explanation
 	address := strings.TrimSuffix(node, "/") + strings.Replace(api.PathExplain, "{id}", url.PathEscape(id), 1)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
--- a/internal/adapter/operatorapi/client.go
+++ b/internal/adapter/operatorapi/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,7 +24,9 @@
 const (
 	maxAnswerBytes    = 16 << 20
 	clientDialTimeout = 2 * time.Second
-	clientAttempt     = 15 * time.Second
+	// clientAttempt bounds the wait for one member, which may be cut off in
+	// silence; the repetition at the next one takes effect once.
+	clientAttempt     = 5 * time.Second
 	clientTimeout     = 30 * time.Second
 	clientBackoffBase = 100 * time.Millisecond
 	clientBackoffMax  = 2 * time.Second
@@ -33,13 +36,15 @@
 var ErrNoServers = errors.New("no operator addresses of control members")
 
 // Client calls the operators' interface of any control member. A call that one
-// member cannot serve goes to the next; changes carry a change id, so that the
+// member cannot serve, or does not answer in time, goes to the next; changes carry a change id, so that the
 // repetition takes effect once. Errors are *port.Error, whose verdict covers
 // all attempts.
 type Client struct {
 	servers []string
 	token   string
 	http    *http.Client
+	// first is the place of the member that answered last; it is asked first.
+	first atomic.Int64
 }
 
 // NewClient returns a client for members at IP:port addresses.
@@ -172,9 +177,12 @@
 	mayHaveRun := false
 	for round := 0; ; round++ {
 		var last *port.Error
-		for _, server := range c.servers {
-			err := c.try(ctx, server, method, path, content, answer)
+		first := int(c.first.Load())
+		for offset := range c.servers {
+			place := (first + offset) % len(c.servers)
+			err := c.try(ctx, c.servers[place], method, path, content, answer)
 			if err == nil {
+				c.first.Store(int64(place))
 				return nil
 			}
 			last = port.AsError(err)
