lab: let hollow nodes run nodestate, poolworker, placement and the gate

The hollow nodes had their own table of homes, telling of summaries and aggregates, leases and polls, because that logic was private to the node process. It is in the core now, and the hollow nodes run it: nodestate.State with real gates, the seeker and worker of poolworker, and placement for each sample, which goes through its home's gate and over a second zone when that has more room. 400 lines went.

A state ticks twice a second here and twenty times in a process: rebuilds of the routing tables are then measured at 2 a second, and changes are in force up to half a second later than in a process.

Found on the way: an engine loaded anew at each stage order, and orders come again; 18,000 loads at a time. It has a test.

--- a/cmd/loomlab/cmd_fleet.go
+++ b/cmd/loomlab/cmd_fleet.go
@@ -13,19 +13,20 @@
 
 // fleetCommand emulates a whole fleet in one process, in virtual time.
 type fleetCommand struct {
-	Nodes       int           `default:"660" help:"Number of nodes."`
-	Replicas    int           `default:"3500" help:"Number of replicas."`
-	Members     int           `default:"6" help:"Number of control members: up to five voters, then learners."`
-	Length      time.Duration `default:"2m" help:"Virtual time that is counted, after 15 s of warm-up."`
-	Seed        uint64        `default:"1" help:"Seed; equal seeds give equal counts."`
-	Scenario    string        `default:"steady" enum:"steady,failures,zone-loss,region-cut,weights" help:"What happens: ${enum}."`
-	Compression float64       `default:"24" help:"Factor on the daily rates of changes, failures and restarts."`
-	Samples     int           `default:"8192" help:"Samples in a step of each trainer; 0 leaves the coordinators' samples out."`
-	SampleTime  time.Duration `default:"1m" help:"Median time in which a sample is generated."`
-	WeightBytes float64       `default:"17179869184" help:"Size of a weight version, in bytes."`
-	StoreRate   float64       `default:"1099511627776" help:"What the weight store gives in a second, in bytes."`
-	Sizes       []int         `help:"Numbers of nodes to run one after the other, with replicas and samples in proportion, and fit."`
-	Output      string        `default:"table" enum:"table,json,markdown" help:"Form of the results: ${enum}."`
+	Nodes        int           `default:"660" help:"Number of nodes."`
+	Replicas     int           `default:"3500" help:"Number of replicas."`
+	Members      int           `default:"6" help:"Number of control members: up to five voters, then learners."`
+	Length       time.Duration `default:"2m" help:"Virtual time that is counted, after 15 s of warm-up."`
+	Seed         uint64        `default:"1" help:"Seed; equal seeds give equal counts."`
+	Scenario     string        `default:"steady" enum:"steady,failures,zone-loss,region-cut,weights" help:"What happens: ${enum}."`
+	Compression  float64       `default:"24" help:"Factor on the daily rates of changes, failures and restarts."`
+	Samples      int           `default:"8192" help:"Samples in a step of each trainer; 0 leaves the coordinators' samples out."`
+	SampleTime   time.Duration `default:"1m" help:"Median time in which a sample is generated."`
+	LoadInterval time.Duration `default:"200ms" help:"Time between two polls of an engine by its home."`
+	WeightBytes  float64       `default:"17179869184" help:"Size of a weight version, in bytes."`
+	StoreRate    float64       `default:"1099511627776" help:"What the weight store gives in a second, in bytes."`
+	Sizes        []int         `help:"Numbers of nodes to run one after the other, with replicas and samples in proportion, and fit."`
+	Output       string        `default:"table" enum:"table,json,markdown" help:"Form of the results: ${enum}."`
 }
 
 // fleetOutput is the JSON form, of which markdown gives the tables of
@@ -40,7 +41,7 @@
 	options := fleet.Options{
 		Nodes: c.Nodes, Replicas: c.Replicas, Members: c.Members, Length: c.Length, Seed: c.Seed,
 		Scenario: fleet.Scenario(c.Scenario), Compression: c.Compression, Samples: c.Samples,
-		SampleTime: c.SampleTime, WeightBytes: c.WeightBytes, StoreRate: c.StoreRate,
+		SampleTime: c.SampleTime, LoadInterval: c.LoadInterval, WeightBytes: c.WeightBytes, StoreRate: c.StoreRate,
 	}
 	runs := []fleet.Options{options}
 	if len(c.Sizes) > 0 {
--- a/internal/lab/fleet/call.go
+++ b/internal/lab/fleet/call.go
@@ -25,7 +25,7 @@
 			f.answer(to, from, sent.kind, reply, func(body []byte) { end(body, body != nil) })
 		})
 	})
-	f.after(timeout, func() {
+	f.After(timeout, func() {
 		if !ended {
 			f.charge(from, sent.kind, func() { end(nil, false) })
 		}
--- a/internal/lab/fleet/changes.go
+++ b/internal/lab/fleet/changes.go
@@ -30,7 +30,7 @@
 	if mean == 0 {
 		return
 	}
-	c.fleet.after(c.fleet.exponential(mean), func() { c.begin(mean) })
+	c.fleet.After(c.fleet.exponential(mean), func() { c.begin(mean) })
 }
 
 func (c *changes) begin(mean time.Duration) {
@@ -38,12 +38,12 @@
 		return
 	}
 	c.number++
-	began := c.fleet.now
+	began := c.fleet.Now()
 	c.openSince = began
 	c.try(c.fleet.changeID(), c.edit(), 0, func() {
 		c.openSince = 0
-		c.longest = max(c.longest, c.fleet.now-began)
-		c.fleet.after(c.fleet.exponential(mean)-(c.fleet.now-began), func() { c.begin(mean) })
+		c.longest = max(c.longest, c.fleet.Now()-began)
+		c.fleet.After(c.fleet.exponential(mean)-(c.fleet.Now()-began), func() { c.begin(mean) })
 	})
 }
 
@@ -64,7 +64,7 @@
 // try proposes a change until it is accepted, at one member after the other.
 func (c *changes) try(id string, edit port.Edit, attempt int, accepted func()) {
 	f := c.fleet
-	retry := func() { f.after(changeRetry, func() { c.try(id, edit, attempt+1, accepted) }) }
+	retry := func() { f.After(changeRetry, func() { c.try(id, edit, attempt+1, accepted) }) }
 	to := f.members[(c.number+attempt)%len(f.members)]
 	if !to.up {
 		retry()
@@ -88,7 +88,7 @@
 			accepted()
 		})
 	})
-	f.after(proposeTimeout, func() {
+	f.After(proposeTimeout, func() {
 		if !answered {
 			answered = true
 			retry()
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -1,11 +1,11 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
-	appnode "github.com/loomgrade/loomgrade/internal/app/node"
-	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -18,16 +18,17 @@
 	kvBlocks  = 100_000
 	// engineLatency is the one-way time between a home and its engines.
 	engineLatency = inZone
+	// reportLag is how old an engine's load report is when it is sent.
+	reportLag = 100 * time.Millisecond
 )
 
-// engine is a hollow replica: it reports, stages and activates, and generates
-// samples as counts.
+// engine is a hollow replica: it reports, stages and activates; samples
+// take a place and a time.
 type engine struct {
 	fleet   *Fleet
 	replica port.Replica
 	report  port.LoadReport
-	running int
-	// loading is the newest version that was ordered to be staged.
+	// loading is the version that it loads; 0 while it loads none.
 	loading port.WeightVersion
 }
 
@@ -37,27 +38,6 @@
 	}}
 }
 
-// summary gives the engine as its home tells of it.
-func (e *engine) summary() membership.ReplicaSummary {
-	return membership.ReplicaSummary{
-		Replica: e.replica.ID, Pool: e.replica.Pool, Version: e.report.Version, Staged: e.report.Staged,
-		Role: e.report.Role, Inflight: e.running, Limit: poolLimit,
-		KVUsed: min(e.running*kvBlocks/poolLimit, kvBlocks), KVTotal: kvBlocks,
-		Draining: e.replica.State == port.ReplicaDrain,
-	}
-}
-
-// state gives the engine as its home tells a coordinator.
-func (e *engine) state() replicaState {
-	state := replicaState{
-		Replica: e.replica.ID, Report: e.report, Reachable: true,
-		Routable: e.replica.State == port.ReplicaActive, Inflight: e.running, Limit: poolLimit,
-	}
-	state.Report.Running = e.running
-	state.Report.AgeMillis = appnode.DefaultLoad.Milliseconds() / 2
-	return state
-}
-
 // order carries out a fenced order and answers with a report.
 func (e *engine) order(order port.Order, answer func(port.LoadReport, *port.Error)) {
 	if order.Fence < e.report.Fence {
@@ -70,7 +50,7 @@
 		e.stage(order.Version)
 		answer(e.report, nil)
 	case e.report.Staged == order.Version:
-		e.fleet.after(swapPause, func() {
+		e.fleet.After(swapPause, func() {
 			if e.report.Version < order.Version {
 				e.report.Version = order.Version
 				e.fleet.weights.switched(e, order.Version)
@@ -82,14 +62,17 @@
 	}
 }
 
-// stage loads a version unless it is there or on the way: an order that is
-// repeated has no further effect.
+// stage begins to load a version, unless it is there or on its way: an order may
+// come again.
 func (e *engine) stage(version port.WeightVersion) {
-	if version <= max(e.report.Staged, e.loading) {
+	if e.loading == version || e.report.Staged == version || e.report.Version == version {
 		return
 	}
 	e.loading = version
-	e.fleet.store.load(func() { e.report.Staged = max(e.report.Staged, version) })
+	e.fleet.store.load(func() {
+		e.loading = 0
+		e.report.Staged = max(e.report.Staged, version)
+	})
 }
 
 // store is the weight store: its rate is shared evenly by those that load, as
@@ -107,41 +90,70 @@
 	options := s.fleet.options
 	rate := min(linkRate, options.StoreRate/float64(s.loading))
 	s.bytes += options.WeightBytes
-	s.fleet.after(time.Duration(options.WeightBytes/rate*float64(time.Second)), func() {
+	s.fleet.After(time.Duration(options.WeightBytes/rate*float64(time.Second)), func() {
 		s.loading--
 		done()
 	})
 }
 
-// pollEngines counts the polls of the own home replicas in a second: each asks
-// for the load and for cache events over HTTP.
+// startPolling and stopPolling keep the engines that this node is the home of,
+// by id.
+func (n *node) startPolling(replica port.Replica) {
+	started := n.fleet.engines[replica.ID]
+	place, _ := slices.BinarySearchFunc(n.polled, replica.ID, compareEngine)
+	n.polled = slices.Insert(n.polled, place, started)
+}
+
+func (n *node) stopPolling(id port.ReplicaID) {
+	if place, found := slices.BinarySearchFunc(n.polled, id, compareEngine); found {
+		n.polled = slices.Delete(n.polled, place, place+1)
+	}
+}
+
+func compareEngine(held *engine, id port.ReplicaID) int { return cmp.Compare(held.replica.ID, id) }
+
+// pollEngines asks the own home replicas for their load and for cache events,
+// of which there are none. The HTTP exchanges are counted, not made.
 func (n *node) pollEngines() time.Duration {
-	polls := len(n.owned) * int(time.Second/appnode.DefaultLoad)
-	for range polls {
-		for _, cost := range n.fleet.pollCosts {
-			n.tally.countSent(n.fleet.now, workEngines, cost.request)
-			n.tally.countReceived(n.fleet.now, workEngines, cost.response)
+	f := n.fleet
+	asked := f.wall()
+	for _, polled := range n.polled {
+		for _, cost := range f.pollCosts {
+			n.tally.countSent(f.Now(), workEngines, cost.request)
+			n.tally.countReceived(f.Now(), workEngines, cost.response)
 		}
+		n.state.LoadReported(asked.Add(2*engineLatency), asked, polled.replica.ID, polled.load(n), nil)
+	}
+	return f.options.LoadInterval
+}
+
+// load gives the engine's load report, which lags.
+func (e *engine) load(home *node) port.LoadReport {
+	report := e.report
+	if held := home.gates[e.replica.Pool]; held != nil {
+		report.Running = held.inflight(e.replica.ID)
 	}
-	return time.Second
+	report.KVUsed = min(report.Running*kvBlocks/poolLimit, kvBlocks)
+	report.AgeMillis = reportLag.Milliseconds()
+	return report
 }
 
 // sendOrder passes an order to the replica's home, and from there to the engine.
-func (n *node) sendOrder(engine *engine, order port.Order, timeout time.Duration, done func(port.LoadReport, *port.Error)) {
-	id, found := n.homes.home(engine.replica.Zone, engine.replica.ID)
+func (n *node) sendOrder(replica port.ReplicaID, order port.Order, timeout time.Duration, done func(port.LoadReport, *port.Error)) {
+	address, found := n.snapshot.HomeOf(replica)
 	if !found {
-		done(port.LoadReport{}, port.NewError(port.NotRun, port.CodeUnavailable, "replica %s has no home", engine.replica.ID))
+		done(port.LoadReport{}, port.NewError(port.NotRun, port.CodeUnavailable, "replica %s has no home", replica))
 		return
 	}
-	home := n.fleet.nodeOf(id)
-	call := message{workOrders, wire.KindCall, methodOrder, orderCall{Replica: engine.replica.ID, Order: order}}
+	home := n.fleet.nodeOf(address.ID)
+	call := message{workOrders, wire.KindCall, methodOrder, orderCall{Replica: replica, Order: order}}
 	var refusal *port.Error
 	n.fleet.call(&n.endpoint, &home.endpoint, call, timeout, func(body []byte, reply func(any)) {
 		var received orderCall
 		n.fleet.decode(body, &received)
-		n.fleet.after(engineLatency, func() {
+		n.fleet.After(engineLatency, func() {
 			n.fleet.engines[received.Replica].order(received.Order, func(report port.LoadReport, err *port.Error) {
-				n.fleet.after(engineLatency, func() {
+				n.fleet.After(engineLatency, func() {
 					if refusal = err; err != nil {
 						reply(nil)
 						return
--- a/internal/lab/fleet/faults.go
+++ b/internal/lab/fleet/faults.go
@@ -27,13 +27,13 @@
 	case ScenarioFailures:
 		s.repeat(f.options.every(failuresADay), func() { s.failures++; s.takeDown(s.anyNode(), replaceTime) })
 		s.repeat(f.options.every(restartsADay), func() { s.restarts++; s.takeDown(s.anyNode(), restartTime) })
-		f.after(f.options.Length/3, s.loseRack)
+		f.After(f.options.Length/3, s.loseRack)
 	case ScenarioZoneLoss:
-		f.after(f.options.Length/4, s.loseZone)
+		f.After(f.options.Length/4, s.loseZone)
 	case ScenarioRegionCut:
-		f.after(f.options.Length/4, s.cutRegion)
+		f.After(f.options.Length/4, s.cutRegion)
 	case ScenarioWeights:
-		f.after(f.options.Length/12, f.weights.publishAll)
+		f.After(f.options.Length/12, f.weights.publishAll)
 	}
 }
 
@@ -48,9 +48,9 @@
 			return
 		}
 		bring()
-		s.fleet.after(s.fleet.exponential(mean), again)
+		s.fleet.After(s.fleet.exponential(mean), again)
 	}
-	s.fleet.after(s.fleet.exponential(mean), again)
+	s.fleet.After(s.fleet.exponential(mean), again)
 }
 
 // anyNode picks a node that is up.
@@ -68,7 +68,7 @@
 		return
 	}
 	s.fleet.stopNode(n)
-	s.fleet.after(length, n.start)
+	s.fleet.After(length, n.start)
 }
 
 // loseRack takes some nodes of one zone down for a third of the run.
@@ -81,7 +81,7 @@
 			lost++
 		}
 	}
-	s.fleet.after(s.fleet.options.Length/3, func() { s.recovery.returned(s.fleet) })
+	s.fleet.After(s.fleet.options.Length/3, func() { s.recovery.returned(s.fleet) })
 }
 
 // loseZone takes the leader's zone down for half of the run.
@@ -99,7 +99,7 @@
 			m.stop()
 		}
 	}
-	f.after(f.options.Length/2, func() { s.returnZone(zone) })
+	f.After(f.options.Length/2, func() { s.returnZone(zone) })
 }
 
 func (s *faults) returnZone(zone int) {
@@ -113,7 +113,7 @@
 	}
 	for _, n := range f.nodes {
 		if n.place.zone == zone {
-			f.after(f.between(0, time.Second), n.start)
+			f.After(f.between(0, time.Second), n.start)
 		}
 	}
 	s.recovery.returned(f)
@@ -127,15 +127,15 @@
 	s.recovery.begin(f)
 	for _, n := range f.nodes {
 		if n.place.region == cut {
-			n.behindSince = f.now
+			n.behindSince = f.Now()
 		}
 	}
-	f.after(f.options.Length/3, func() {
+	f.After(f.options.Length/3, func() {
 		s.recovery.countStale(f)
 		f.network.cut = -1
 		for _, n := range f.nodes {
 			if n.place.region == cut {
-				n.behindSince = f.now
+				n.behindSince = f.Now()
 			}
 		}
 		s.recovery.returned(f)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -12,7 +12,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/control"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
-	"github.com/loomgrade/loomgrade/internal/core/scheduling"
+	"github.com/loomgrade/loomgrade/internal/lab/virtual"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -37,7 +37,7 @@
 
 // Fleet is one run.
 type Fleet struct {
-	queue
+	virtual.Queue
 	options    Options
 	random     *rand.Rand
 	network    network
@@ -48,14 +48,16 @@
 	byPool     [trainers][]*engine
 	poolNumber map[port.PoolName]int
 	trainers   [trainers]*trainer
-	holders    [trainers]*coordination
+	holders    [trainers]*worker
 	store      store
 	inForce    inForce
 	changes    changes
 	faults     faults
 	weights    weights
 	placements placements
-	batches    batches
+	rebuilds   rebuilds
+	// commits are the times that commits of batches took.
+	commits    []time.Duration
 	pollCosts  []pollCost
 	promptText string
 	changeIDs  uint64
@@ -75,7 +77,6 @@
 	f.network = network{fleet: f, cut: -1, clients: make([][]*endpoint, options.Nodes)}
 	f.store.fleet, f.changes.fleet, f.faults.fleet, f.weights.fleet = f, f, f, f
 	f.inForce = inForce{fleet: f, lags: newHistogram(), catchUps: newHistogram()}
-	f.placements = placements{scheduler: scheduling.New(scheduling.Generation()), random: rand.New(rand.NewPCG(options.Seed, 7))}
 	costs, err := measurePolls()
 	if err != nil {
 		return nil, fmt.Errorf("measure polls of engines: %w", err)
@@ -182,7 +183,7 @@
 }
 
 // wall gives the time of day.
-func (f *Fleet) wall() time.Time { return time.Unix(wallStart, 0).Add(f.now) }
+func (f *Fleet) wall() time.Time { return time.Unix(wallStart, 0).Add(f.Now()) }
 
 // changeID gives a new id of a change.
 func (f *Fleet) changeID() string {
@@ -202,12 +203,6 @@
 
 func (f *Fleet) nodeOf(id port.NodeID) *node { return f.byID[id] }
 
-func (f *Fleet) engineOf(replica port.Replica) *engine {
-	found := f.engines[replica.ID]
-	found.replica = replica
-	return found
-}
-
 // leader gives the leading member of the highest term, or nil.
 func (f *Fleet) leader() *member {
 	var found *member
@@ -227,37 +222,36 @@
 }
 
 // later runs work in a coordinator some time from now, if it still is one.
-func (f *Fleet) later(c *coordination, delay time.Duration, run func()) {
-	f.after(delay, func() {
-		if !c.done && c.node.up {
-			f.charge(&c.node.endpoint, workSampling, run)
+func (f *Fleet) later(w *worker, delay time.Duration, run func()) {
+	f.After(delay, func() {
+		if !w.done && w.node.up {
+			f.charge(&w.node.endpoint, workSampling, run)
 		}
 	})
 }
 
 // granted notes a lease's new holder: nobody else may hold it by its own clock.
-func (f *Fleet) granted(to *coordination) {
-	before := f.holders[to.pool]
-	if before != nil && !before.done && before.node.up && before.leaseUntil > f.now && before != to {
+func (f *Fleet) granted(to *worker) {
+	if before := f.holders[to.pool]; before != to && before.holds() {
 		f.violate("one holder", "%s is granted to %s with epoch %d, %s holds epoch %d", to.name,
-			to.node.address.ID, to.epoch, before.node.address.ID, before.epoch)
+			to.node.address.ID, to.core.Epoch(), before.node.address.ID, before.core.Epoch())
 	}
 	f.holders[to.pool] = to
 }
 
-// stopNode takes a node down; runs through it are lost.
+// stopNode takes a node down; samples through it are lost.
 func (f *Fleet) stopNode(n *node) {
 	n.stop()
 	for _, holder := range f.holders {
-		if holder != nil && !holder.done {
-			holder.homeLost(n)
+		if holder.holds() {
+			holder.nodeLost(n)
 		}
 	}
 }
 
 func (f *Fleet) violate(check, format string, arguments ...any) {
 	if len(f.violations) < maxViolations {
-		f.violations = append(f.violations, Violation{Check: check, At: f.now, Detail: fmt.Sprintf(format, arguments...)})
+		f.violations = append(f.violations, Violation{Check: check, At: f.Now(), Detail: fmt.Sprintf(format, arguments...)})
 	}
 }
 
@@ -274,19 +268,19 @@
 		return nil, err
 	}
 	for _, n := range f.nodes {
-		f.after(f.between(control.DefaultTick, 2*time.Second), n.start)
+		f.After(f.between(control.DefaultTick, 2*time.Second), n.start)
 	}
-	f.runUntil(warmUp)
+	f.RunUntil(warmUp)
 	f.beginCount()
 	counted := processCPU()
 	f.changes.schedule()
 	f.faults.schedule()
-	f.runUntil(warmUp + options.Length)
+	f.RunUntil(warmUp + options.Length)
 	result := f.collect()
 	result.Process.CountedCPU = processCPU() - counted
 	f.settling = true
 	f.network.cut = -1
-	f.runUntil(f.now + settleTime)
+	f.RunUntil(f.Now() + settleTime)
 	f.checkConverged()
 	f.finish(result)
 	result.Process.CPU, result.Process.Wall = processCPU()-cpu, time.Since(began)
@@ -304,5 +298,5 @@
 	}
 	f.inForce.lags.Reset()
 	f.inForce.catchUps.Reset()
-	f.placements.count, f.placements.placed, f.placements.candidates, f.placements.busy = 0, 0, 0, 0
+	f.placements, f.rebuilds = placements{}, rebuilds{}
 }
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -69,7 +69,7 @@
 func counts(t *testing.T, result *Result) string {
 	t.Helper()
 	copied := *result
-	copied.Process, copied.Memory, copied.Placement.Each = Process{}, Memory{}, 0
+	copied.Process, copied.Memory, copied.Placement.Each, copied.Rebuild.Each = Process{}, Memory{}, 0, 0
 	for _, role := range []*RoleUsage{&copied.Node, &copied.Holder, &copied.Leader, &copied.Follower} {
 		role.CPU = Spread{}
 	}
@@ -99,14 +99,19 @@
 
 // A lease that is granted while another node still holds it must be noticed.
 func TestSecondHolderIsNoticed(t *testing.T) {
-	f := &Fleet{}
-	holder := func(number int) *coordination {
-		n := &node{fleet: f, address: nodeAddress(number)}
-		n.up = true
-		return &coordination{node: n, name: poolName(0), epoch: port.Epoch(number), leaseUntil: time.Second}
-	}
-	f.granted(holder(1))
-	f.granted(holder(2))
+	f, err := newFleet(small(ScenarioSteady))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	f.RunUntil(warmUp)
+	held := f.holders[0]
+	if !held.holds() || len(f.violations) > 0 {
+		t.Fatalf("pool 0 has no coordinator after the warm-up, or violations: %v", f.violations)
+	}
+	f.granted(&worker{node: held.node, pool: 0, name: held.name, core: held.core})
 	if len(f.violations) != 1 {
 		t.Errorf("%d violations, want 1", len(f.violations))
 	}
@@ -140,3 +145,20 @@
 		t.Errorf("a square is called linear: %+v", square)
 	}
 }
+
+// A stage order that comes again must not load the weights a second time.
+func TestRepeatedStageOrderLoadsOnce(t *testing.T) {
+	f := &Fleet{options: Default()}
+	f.store.fleet = f
+	staged := newEngine(f, replica(0))
+	for range 3 {
+		staged.order(port.Order{Kind: port.OrderStage, Fence: 1, Version: 2}, func(port.LoadReport, *port.Error) {})
+	}
+	if f.store.most != 1 {
+		t.Errorf("%d loads at a time, want 1", f.store.most)
+	}
+	f.RunUntil(time.Hour)
+	if staged.report.Staged != 2 {
+		t.Errorf("staged version %d, want 2", staged.report.Staged)
+	}
+}
--- a/internal/lab/fleet/housekeeping.go
+++ b/internal/lab/fleet/housekeeping.go
@@ -18,7 +18,7 @@
 // takeReport keeps a node's report and registers the node if the view does not
 // show it as it reports itself.
 func (m *member) takeReport(report port.NodeReport) {
-	m.reports[report.Node.ID] = heldReport{report: report, at: m.fleet.now}
+	m.reports[report.Node.ID] = heldReport{report: report, at: m.fleet.Now()}
 	for _, node := range m.core.State().View().Nodes {
 		if node == report.Node {
 			return
@@ -74,7 +74,7 @@
 	for _, node := range m.fleet.nodes {
 		if held, found := m.reports[node.address.ID]; found {
 			list = append(list, operatorapi.NodeReport{
-				Report: held.report, AgeMillis: (m.fleet.now - held.at).Milliseconds(),
+				Report: held.report, AgeMillis: (m.fleet.Now() - held.at).Milliseconds(),
 			})
 		}
 	}
--- a/internal/lab/fleet/inforce.go
+++ b/internal/lab/fleet/inforce.go
@@ -38,7 +38,7 @@
 // accept notes that the leader accepted a revision.
 func (i *inForce) accept(revision port.Revision) {
 	if int(revision-i.first) > len(i.accepted) {
-		i.accepted = append(i.accepted, i.fleet.now)
+		i.accepted = append(i.accepted, i.fleet.Now())
 	}
 }
 
@@ -52,14 +52,14 @@
 	}
 	if n.behindSince >= 0 {
 		if view.Revision >= i.newest() && i.fleet.network.reaches(n.place, i.fleet.leaderPlace()) {
-			record(i.catchUps, i.fleet.now-n.behindSince)
+			record(i.catchUps, i.fleet.Now()-n.behindSince)
 			n.behindSince = -1
 		}
 		return
 	}
 	for revision := max(before.Revision, i.first) + 1; revision <= view.Revision; revision++ {
 		if index := int(revision - i.first - 1); index < len(i.accepted) {
-			record(i.lags, i.fleet.now-i.accepted[index])
+			record(i.lags, i.fleet.Now()-i.accepted[index])
 		}
 	}
 }
--- a/internal/lab/fleet/layout.go
+++ b/internal/lab/fleet/layout.go
@@ -82,7 +82,7 @@
 func pool(number, samples int) port.Pool {
 	return port.Pool{
 		Name: poolName(number), Kind: port.PoolGeneration,
-		Admission: port.Admission{MinInflight: 1, MaxInflight: poolLimit, QueueLength: queueLength, DefaultDeadline: port.Duration(10 * time.Minute)},
+		Admission: port.Admission{MinInflight: poolLimit, MaxInflight: poolLimit, QueueLength: queueLength, DefaultDeadline: port.Duration(10 * time.Minute)},
 		Retry:     port.Retry{MaxAttempts: 3, BudgetRatio: 0.1, BaseBackoff: port.Duration(50 * time.Millisecond), MaxBackoff: port.Duration(time.Second)},
 		Ejection:  port.Ejection{ConsecutiveFailures: 5, LatencyFactor: 4, BaseDuration: port.Duration(10 * time.Second), MaxShare: 0.3},
 		Sampling: &port.Sampling{
--- a/internal/lab/fleet/markdown.go
+++ b/internal/lab/fleet/markdown.go
@@ -57,10 +57,10 @@
 	writeWorkRows(text, "node as coordinator", result.HolderWork)
 	writeWorkRows(text, "control leader", result.LeaderWork)
 	fmt.Fprintf(text, "\nIn force: %d times, p50 %v, p99 %v, max %v. Log %.1f KB/s, %.1f syncs/s, snapshot %.0f KB. "+
-		"Heap: node %.2f MB, coordinator %.2f MB, member %.1f MB. Run: %v wall, %v CPU, %.2f GB resident.\n\n",
+		"Rebuild: %d, %v each. Heap: node %.2f MB, coordinator %.2f MB, member %.1f MB. Run: %v wall, %v CPU, %.2f GB resident.\n\n",
 		result.InForce.Count, result.InForce.P50, result.InForce.P99, result.InForce.Max,
 		result.Log.BytesPerSecond/1000, result.Log.SyncsPerSecond, float64(result.Log.SnapshotBytes)/1000,
-		result.Memory.Node/1e6, result.Memory.Coordinator/1e6, result.Memory.Member/1e6,
+		result.Rebuild.Count, result.Rebuild.Each, result.Memory.Node/1e6, result.Memory.Coordinator/1e6, result.Memory.Member/1e6,
 		rounded(result.Process.Wall), rounded(result.Process.CPU), float64(result.Process.Peak)/1e9)
 }
 
--- a/internal/lab/fleet/member.go
+++ b/internal/lab/fleet/member.go
@@ -173,7 +173,7 @@
 
 func (m *member) afterSync(ready consensus.Ready) {
 	incarnation := m.incarnation
-	m.fleet.after(syncTime, func() {
+	m.fleet.After(syncTime, func() {
 		if !m.up || m.incarnation != incarnation {
 			return
 		}
@@ -290,9 +290,9 @@
 			continue
 		}
 		woken.waiting = true
-		pause := max(0, woken.last+watchPause-m.fleet.now)
+		pause := max(0, woken.last+watchPause-m.fleet.Now())
 		incarnation := m.incarnation
-		m.fleet.after(pause, func() {
+		m.fleet.After(pause, func() {
 			woken.waiting = false
 			if m.up && m.incarnation == incarnation && m.watches[woken.node.number] == woken {
 				m.fleet.charge(&m.endpoint, workWatch, func() { m.push(woken) })
@@ -310,7 +310,7 @@
 	update := m.core.Update(to.after)
 	update.Confirmed = update.Confirmed && update.Position >= update.After
 	to.after = max(to.after, update.Position)
-	to.last = m.fleet.now
+	to.last = m.fleet.Now()
 	m.fleet.send(&m.endpoint, &to.node.endpoint, message{workWatch, wire.KindData, "", update}, func(body []byte) {
 		var received port.ViewUpdate
 		m.fleet.decode(body, &received)
--- a/internal/lab/fleet/messages.go
+++ b/internal/lab/fleet/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
-	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -19,6 +18,7 @@
 	methodOrder      = "node.order"
 	methodPoolState  = "node.pool_state"
 	methodGenerate   = "node.generate"
+	methodOutcomes   = "node.outcomes"
 )
 
 // empty is a request or answer without contents.
@@ -29,14 +29,6 @@
 	Nodes []operatorapi.NodeReport `cbor:"1,keyasint"`
 }
 
-// aggregatesMessage carries what a zone tells others. Relayed is set on its
-// second way, from an aggregator of the other zone to its peers.
-type aggregatesMessage struct {
-	Aggregates []membership.PoolAggregate `cbor:"1,keyasint"`
-	Relayed    bool                       `cbor:"2,keyasint,omitempty"`
-	Asker      port.NodeID                `cbor:"3,keyasint,omitempty"`
-}
-
 // orderCall asks a replica's home to pass on a fenced order.
 type orderCall struct {
 	Replica port.ReplicaID `cbor:"1,keyasint"`
@@ -52,23 +44,8 @@
 	Avoid       port.ReplicaID       `cbor:"5,keyasint,omitempty"`
 }
 
-// poolStateCall asks a home for its replicas of an engine pool.
-type poolStateCall struct {
-	Pool  port.PoolName    `cbor:"1,keyasint"`
-	Fence port.Epoch       `cbor:"2,keyasint"`
-	Out   []port.ReplicaID `cbor:"3,keyasint,omitempty"`
-}
-
-type poolStateAnswer struct {
-	Replicas []replicaState `cbor:"1,keyasint,omitempty"`
-}
-
-// replicaState is a replica as its home sees it.
-type replicaState struct {
-	Replica   port.ReplicaID  `cbor:"1,keyasint"`
-	Report    port.LoadReport `cbor:"2,keyasint"`
-	Reachable bool            `cbor:"3,keyasint"`
-	Routable  bool            `cbor:"4,keyasint"`
-	Inflight  int             `cbor:"5,keyasint"`
-	Limit     int             `cbor:"6,keyasint"`
+// generateEvent is one step of a generation: exactly one field is set.
+type generateEvent struct {
+	Decision *port.Decision      `cbor:"1,keyasint,omitempty"`
+	Chunk    *port.GenerateChunk `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/lab/fleet/meter.go
+++ b/internal/lab/fleet/meter.go
@@ -7,7 +7,8 @@
 
 // The kinds of work.
 const (
-	workWatch work = iota
+	workState work = iota
+	workWatch
 	workMembership
 	workSummaries
 	workAggregates
@@ -25,7 +26,7 @@
 )
 
 var workNames = [works]string{
-	"watch", "membership", "summaries", "aggregates", "reports", "leases", "pool-states", "orders",
+	"state", "watch", "membership", "summaries", "aggregates", "reports", "leases", "pool-states", "orders",
 	"sampling", "placement", "engine-polls", "consensus", "proposals", "pings",
 }
 
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -47,8 +47,8 @@
 // countPing counts a ping and the pong that answers it.
 func (f *Fleet) countPing(from, to *endpoint) {
 	for range 2 {
-		from.tally.countSent(f.now, workPings, f.pingFrame)
-		to.tally.countReceived(f.now, workPings, f.pingFrame)
+		from.tally.countSent(f.Now(), workPings, f.pingFrame)
+		to.tally.countReceived(f.Now(), workPings, f.pingFrame)
 		from, to = to, from
 	}
 }
@@ -86,7 +86,7 @@
 // Receive gets the encoded body, within the receiver's time.
 func (f *Fleet) send(from, to *endpoint, sent message, receive func(body []byte)) {
 	body, size := f.encode(from, sent)
-	from.tally.countSent(f.now, sent.kind, size)
+	from.tally.countSent(f.Now(), sent.kind, size)
 	if sent.frame == wire.KindOneWay || sent.frame == wire.KindCall {
 		f.network.connected(from, to)
 	}
@@ -100,7 +100,7 @@
 		f.send(from, to, message{kind: kind, frame: wire.KindData, body: body}, receive)
 		receive = func([]byte) {}
 	}
-	from.tally.countSent(f.now, kind, f.endFrame)
+	from.tally.countSent(f.Now(), kind, f.endFrame)
 	f.carry(from, to, kind, f.endFrame, func() { receive(nil) })
 }
 
@@ -123,11 +123,11 @@
 // a process that is down, is lost.
 func (f *Fleet) carry(from, to *endpoint, kind work, size int, receive func()) {
 	incarnation := to.incarnation
-	f.after(latency(from.place, to.place), func() {
+	f.After(latency(from.place, to.place), func() {
 		if !to.up || to.incarnation != incarnation || !f.network.reaches(from.place, to.place) {
 			return
 		}
-		to.tally.countReceived(f.now, kind, size)
+		to.tally.countReceived(f.Now(), kind, size)
 		f.charge(to, kind, receive)
 	})
 }
@@ -150,7 +150,7 @@
 		}
 		var next time.Duration
 		f.charge(process, kind, func() { next = run() })
-		f.after(next, again)
+		f.After(next, again)
 	}
-	f.after(first, again)
+	f.After(first, again)
 }
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	appnode "github.com/loomgrade/loomgrade/internal/app/node"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -57,6 +58,7 @@
 	DefaultSampleTime  = time.Minute
 	DefaultWeightBytes = 16 << 30
 	DefaultStoreRate   = 1 << 40
+	minLoadInterval    = 50 * time.Millisecond
 	minNodes           = regions
 	minLength          = 10 * time.Second
 )
@@ -77,6 +79,8 @@
 	Samples int `json:"samples"`
 	// SampleTime is the median time in which a sample is generated.
 	SampleTime time.Duration `json:"sample_time_ns"`
+	// LoadInterval is the time between two polls of an engine by its home.
+	LoadInterval time.Duration `json:"load_interval_ns"`
 	// WeightBytes is the size of a version on one replica, StoreRate what the
 	// weight store gives to all replicas together, in bytes a second.
 	WeightBytes float64 `json:"weight_bytes"`
@@ -88,7 +92,7 @@
 	return Options{
 		Nodes: TargetNodes, Replicas: TargetReplicas, Members: TargetMembers, Length: DefaultLength,
 		Seed: 1, Scenario: ScenarioSteady, Compression: DefaultCompression, Samples: stepSamples,
-		SampleTime: DefaultSampleTime, WeightBytes: DefaultWeightBytes, StoreRate: DefaultStoreRate,
+		SampleTime: DefaultSampleTime, LoadInterval: appnode.DefaultLoad, WeightBytes: DefaultWeightBytes, StoreRate: DefaultStoreRate,
 	}
 }
 
@@ -116,6 +120,8 @@
 		return port.InvalidField("length", o.Length.String(), "at least "+minLength.String())
 	case o.Samples < 0 || o.Samples%groupSize != 0:
 		return port.InvalidField("samples", strconv.Itoa(o.Samples), fmt.Sprintf("a multiple of %d, 0 for none", groupSize))
+	case o.LoadInterval < minLoadInterval:
+		return port.InvalidField("load_interval", o.LoadInterval.String(), "at least "+minLoadInterval.String())
 	case o.Compression < 0:
 		return port.InvalidField("compression", fmt.Sprint(o.Compression), "0 or more")
 	case !slices.Contains(Scenarios(), o.Scenario):
--- a/internal/lab/fleet/recovery.go
+++ b/internal/lab/fleet/recovery.go
@@ -32,17 +32,17 @@
 
 // begin starts the measurement of a fault that has just begun.
 func (r *recovery) begin(f *Fleet) {
-	r.Began = f.now
+	r.Began = f.Now()
 	r.changes = len(f.inForce.accepted)
 	r.watch(f)
 }
 
 // returned notes the end of the fault.
-func (r *recovery) returned(f *Fleet) { r.back = f.now }
+func (r *recovery) returned(f *Fleet) { r.back = f.Now() }
 
 // watch looks again and again at what has been reached.
 func (r *recovery) watch(f *Fleet) {
-	passed := f.now - r.Began
+	passed := f.Now() - r.Began
 	note := func(reached *time.Duration, holds bool) {
 		if *reached == 0 && passed > 0 && holds {
 			*reached = passed
@@ -60,15 +60,15 @@
 			note(&r.Removed, f.lostRemoved())
 		}
 	}
-	if r.back != 0 && r.Current == 0 && f.now > r.back && f.allCurrent() {
-		r.Current = f.now - r.back
+	if r.back != 0 && r.Current == 0 && f.Now() > r.back && f.allCurrent() {
+		r.Current = f.Now() - r.back
 	}
-	f.after(recoveryStep, func() { r.watch(f) })
+	f.After(recoveryStep, func() { r.watch(f) })
 }
 
 func (r *recovery) countStale(f *Fleet) {
 	for _, n := range f.nodes {
-		if n.up && n.observer.View().Revision < f.inForce.newest() {
+		if n.up && n.snapshot.View.Revision < f.inForce.newest() {
 			r.Stale++
 		}
 		if n.up && !n.confirmed() {
@@ -81,7 +81,7 @@
 // cut off.
 func (f *Fleet) allCoordinated() bool {
 	for _, holder := range f.holders {
-		if holder == nil || holder.done || !holder.node.up || holder.leaseUntil <= f.now || holder.node.place.region == f.network.cut {
+		if !holder.holds() || holder.node.endpoint.place.region == f.network.cut {
 			return false
 		}
 	}
@@ -95,7 +95,7 @@
 		if !n.up {
 			continue
 		}
-		for _, id := range n.detector.Live() {
+		for _, id := range n.snapshot.ZoneNodes {
 			if !f.nodeOf(id).up {
 				return false
 			}
@@ -110,7 +110,7 @@
 		if !n.up || n.place.region == f.network.cut {
 			continue
 		}
-		for _, listed := range n.observer.View().Nodes {
+		for _, listed := range n.snapshot.View.Nodes {
 			if lost := f.nodeOf(listed.ID); !lost.up || lost.place.region == f.network.cut {
 				return false
 			}
@@ -124,7 +124,7 @@
 func (f *Fleet) allCurrent() bool {
 	newest := f.inForce.newest()
 	for _, n := range f.nodes {
-		if !n.up || n.behindSince >= 0 && n.observer.View().Revision+1 < newest {
+		if !n.up || n.behindSince >= 0 && n.snapshot.View.Revision+1 < newest {
 			return false
 		}
 	}
@@ -144,7 +144,7 @@
 		if !n.up {
 			continue
 		}
-		if view := n.observer.View(); view.Revision != want.Revision || !sameConfiguration(view, want) {
+		if view := n.snapshot.View; view.Revision != want.Revision || !sameConfiguration(view, want) {
 			f.violate("in force", "%s shows revision %d at the end, the leader %d", n.address.ID, view.Revision, want.Revision)
 		}
 	}
--- a/internal/lab/fleet/result.go
+++ b/internal/lab/fleet/result.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/loomgrade/loomgrade/internal/lab/virtual"
 )
 
 // Result is what a run measured.
@@ -30,6 +32,7 @@
 	Weights    *WeightsTime `json:"weights,omitempty"`
 	Samples    SamplesTime  `json:"samples"`
 	Placement  Placement    `json:"placement"`
+	Rebuild    Rebuild      `json:"rebuild"`
 	Memory     Memory       `json:"memory"`
 	Process    Process      `json:"process"`
 	Violations []Violation  `json:"violations"`
@@ -102,6 +105,12 @@
 	Each       time.Duration `json:"each_ns"`
 }
 
+// Rebuild is the cost of a tick that made anew what a node's traffic sees.
+type Rebuild struct {
+	Count int           `json:"count"`
+	Each  time.Duration `json:"each_ns"`
+}
+
 // Memory is the heap that goes when a role is released, for one process of it.
 type Memory struct {
 	Node        float64 `json:"node_bytes"`
@@ -126,7 +135,7 @@
 	var all, holders, leaders, followers []*tally
 	for _, n := range f.nodes {
 		all = append(all, &n.tally)
-		if len(n.held) > 0 {
+		if len(n.workers) > 0 {
 			holders = append(holders, &n.tally)
 		}
 	}
@@ -227,7 +236,7 @@
 		result.Samples.Steps += len(t.finished)
 		result.Samples.Longest = max(result.Samples.Longest, slices.Max(append(t.finished, 0)))
 	}
-	result.Samples.Commit = slices.Max(append(f.batches.commits, 0))
+	result.Samples.Commit = slices.Max(append(f.commits, 0))
 	if f.placements.count > 0 {
 		result.Placement = Placement{
 			Sampled: f.placements.count, Placed: f.placements.placed,
@@ -235,13 +244,16 @@
 			Each:       f.placements.busy / time.Duration(f.placements.count),
 		}
 	}
+	if f.rebuilds.count > 0 {
+		result.Rebuild = Rebuild{Count: f.rebuilds.count, Each: f.rebuilds.busy / time.Duration(f.rebuilds.count)}
+	}
 	if leader := f.leader(); leader != nil {
 		if data, err := leader.core.State().Snapshot(); err == nil {
 			result.Log.SnapshotBytes = len(data)
 		}
 	}
 	result.Violations = f.violations
-	result.Process.Events, result.Process.Peak = f.ran, peakResident()
+	result.Process.Events, result.Process.Peak = f.Steps(), peakResident()
 	result.Memory = f.measureMemory()
 }
 
@@ -254,14 +266,14 @@
 		runtime.ReadMemStats(&stats)
 		return float64(stats.HeapAlloc)
 	}
-	f.events = nil
+	f.Queue = virtual.Queue{}
 	whole := heap()
 	held := 0
 	for _, n := range f.nodes {
-		held += len(n.held)
-		n.held = nil
+		held += len(n.workers)
+		n.workers = nil
 	}
-	f.holders = [trainers]*coordination{}
+	f.holders = [trainers]*worker{}
 	for _, t := range f.trainers {
 		t.asking = nil
 	}
--- a/internal/lab/fleet/slopes.go
+++ b/internal/lab/fleet/slopes.go
@@ -44,6 +44,7 @@
 		{"node bytes out, max", "B/s", func(r *Result) float64 { return r.Node.BytesOut.Max }},
 		{"node CPU, mean", "% of a core", func(r *Result) float64 { return 100 * r.Node.CPU.Mean }},
 		{"node CPU, max", "% of a core", func(r *Result) float64 { return 100 * r.Node.CPU.Max }},
+		{"tick with a rebuild", "us", func(r *Result) float64 { return float64(r.Rebuild.Each.Nanoseconds()) / 1000 }},
 		{"node heap", "MB", func(r *Result) float64 { return r.Memory.Node / 1e6 }},
 		{"coordinator bytes both ways, mean", "B/s", func(r *Result) float64 { return r.Holder.Bytes.Mean }},
 		{"coordinator CPU, mean", "% of a core", func(r *Result) float64 { return 100 * r.Holder.CPU.Mean }},
--- a/internal/lab/fleet/table.go
+++ b/internal/lab/fleet/table.go
@@ -59,8 +59,8 @@
 			r.Change, r.Leases, r.Detected, r.Removed, r.Stale, r.Unconfirmed, r.Current)
 	}
 	if t := result.Weights; t != nil {
-		fmt.Fprintf(w, "weights\t%d switched, staged in %v, switch %v (spread %v), over all pools %v, known after %v, %d loading at most\n",
-			t.Switched, rounded(t.Staged), rounded(t.Switch), rounded(t.Spread), rounded(t.AllPools), rounded(t.Known), t.Loading)
+		fmt.Fprintf(w, "weights\t%d switched, staged in %v, switch %v (spread %v), over all pools %v, %d loading at most\n",
+			t.Switched, rounded(t.Staged), rounded(t.Switch), rounded(t.Spread), rounded(t.AllPools), t.Loading)
 	}
 }
 
@@ -74,6 +74,7 @@
 	fmt.Fprintf(w, "log\t%.2f KB/s, %.1f syncs/s, snapshot %.1f KB\n",
 		result.Log.BytesPerSecond/1000, result.Log.SyncsPerSecond, float64(result.Log.SnapshotBytes)/1000)
 	fmt.Fprintf(w, "placement\t%d sampled, %d placed, %.1f candidates, %v each\n", p.Sampled, p.Placed, p.Candidates, p.Each)
+	fmt.Fprintf(w, "rebuild\t%d ticks with one, %v each\n", result.Rebuild.Count, result.Rebuild.Each)
 	fmt.Fprintf(w, "heap\tnode %.2f MB, coordinator %.2f MB, member %.2f MB, all %.0f MB\n",
 		m.Node/1e6, m.Coordinator/1e6, m.Member/1e6, float64(m.Total)/1e6)
 	fmt.Fprintf(w, "emulation\t%v wall, %v CPU (%v while counting), %d events, %.2f GB resident at most\n",
--- a/internal/lab/fleet/trainer.go
+++ b/internal/lab/fleet/trainer.go
@@ -14,48 +14,42 @@
 	pool     int
 	epoch    port.Epoch
 	next     port.BatchNumber
-	asking   *coordination
+	asking   *worker
 	token    uint64
 	readyAt  time.Duration
 	began    time.Duration
 	finished []time.Duration // time of each step, from ask to delivery
 }
 
-// found lets a new coordinator be asked.
-func (t *trainer) found(*coordination) { t.asking = nil }
-
 // ask asks for the next batch, once the trainer is done with the last one.
-func (t *trainer) ask(by *coordination) {
-	if by.coordinator == nil || t.asking == by || t.fleet.now < t.readyAt {
+func (t *trainer) ask(by *worker) {
+	if t.fleet.options.Samples == 0 || t.asking == by || t.fleet.Now() < t.readyAt {
 		return
 	}
 	t.asking = by
 	t.token++
 	if t.began == 0 {
-		t.began = t.fleet.now
+		t.began = t.fleet.Now()
 	}
-	by.step(coordinator.BatchRequested{
+	by.tell(coordinator.BatchRequested{
 		Token: t.token, Number: t.next, ConsumerEpoch: t.epoch, Deadline: t.fleet.wall().Add(time.Hour),
 	})
 }
 
 // deliver takes a batch and checks that it comes in order and whole.
-func (t *trainer) deliver(by *coordination, batch coordinator.Deliver) {
+func (t *trainer) deliver(by *worker, batch coordinator.Deliver) {
 	if batch.Number != t.next || len(batch.Samples) != t.fleet.options.Samples {
 		t.fleet.violate("delivery", "pool %s delivers batch %d of %d samples, want %d of %d",
 			by.name, batch.Number, len(batch.Samples), t.next, t.fleet.options.Samples)
 	}
-	t.finished = append(t.finished, t.fleet.now-t.began)
+	t.finished = append(t.finished, t.fleet.Now()-t.began)
 	t.next++
 	t.asking, t.began = nil, 0
-	t.readyAt = t.fleet.now + trainTime
+	t.readyAt = t.fleet.Now() + trainTime
 }
 
 // refused lets the trainer ask again a little later.
-func (t *trainer) refused(*coordination) {
+func (t *trainer) refused() {
 	t.asking = nil
-	t.readyAt = t.fleet.now + time.Second
+	t.readyAt = t.fleet.Now() + time.Second
 }
-
-// batches are the commits of the run.
-type batches struct{ commits []time.Duration }
--- a/internal/lab/fleet/weights.go
+++ b/internal/lab/fleet/weights.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/core/rollout"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -26,12 +25,11 @@
 	first     time.Duration
 	last      time.Duration
 	switched  int
-	completed time.Duration
 }
 
 // publishAll lets every trainer publish, through any member.
 func (w *weights) publishAll() {
-	w.published = w.fleet.now
+	w.published = w.fleet.Now()
 	for number := range trainers {
 		w.publish(number, 0, w.fleet.changeID())
 	}
@@ -46,10 +44,10 @@
 	f.charge(&to.endpoint, workProposals, func() {
 		to.propose(command, false, func(result port.Result, done bool) {
 			if !done || result.Error != nil {
-				f.after(changeRetry, func() { w.publish(number, attempt+1, id) })
+				f.After(changeRetry, func() { w.publish(number, attempt+1, id) })
 				return
 			}
-			w.pools[number].accepted = f.now
+			w.pools[number].accepted = f.Now()
 		})
 	})
 }
@@ -57,7 +55,7 @@
 // ordered notes an order of a rollout.
 func (w *weights) ordered(pool int, order port.Order) {
 	if order.Kind == port.OrderActivate && w.pools[pool].activated == 0 {
-		w.pools[pool].activated = w.fleet.now
+		w.pools[pool].activated = w.fleet.Now()
 	}
 }
 
@@ -68,18 +66,12 @@
 	}
 	entry := &w.pools[w.fleet.poolNumber[engine.replica.Pool]]
 	if entry.first == 0 {
-		entry.first = w.fleet.now
+		entry.first = w.fleet.Now()
 	}
-	entry.last = w.fleet.now
+	entry.last = w.fleet.Now()
 	entry.switched++
 }
 
-func (w *weights) completed(pool int, done rollout.Completed) {
-	if done.Version == publishedVersion {
-		w.pools[pool].completed = w.fleet.now
-	}
-}
-
 // WeightsTime tells of a publication to all pools, from the publication on.
 type WeightsTime struct {
 	// Switched counts the replicas that serve the new version.
@@ -92,8 +84,6 @@
 	Spread time.Duration `json:"spread_ns"`
 	// AllPools is the time from the first switch of any pool to the last one.
 	AllPools time.Duration `json:"all_pools_ns"`
-	// Known is the longest time until a coordinator knew its pool as done.
-	Known time.Duration `json:"known_ns"`
 	// Loading is the most replicas that loaded at a time.
 	Loading int `json:"most_loading"`
 }
@@ -110,7 +100,6 @@
 		sum.Staged = max(sum.Staged, entry.activated-w.published)
 		sum.Switch = max(sum.Switch, entry.last-entry.activated)
 		sum.Spread = max(sum.Spread, entry.last-entry.first)
-		sum.Known = max(sum.Known, entry.completed-w.published)
 		if first == 0 || entry.first < first {
 			first = entry.first
 		}
