poolworker: refuse questions while there is no coordinator

Cause: a trainer's question that came while the worker was still asking for its lease was taken in by a state machine that had no coordinator, and dropped without an answer. The trainer hung until its HTTP client gave up, 12 s later, with two whole batches waiting for it. Before the worker became a state machine such a question waited in its inbox until the worker began or ended.

Ruled out: the commit path (nothing pending), the lease (4 s left), scoring and policy.

Change: a question without a coordinator is refused as not run with a time to come back, also at the holder of engines that feed no trainer, and after a stop.

A rollout whose pool was removed gives its staging turn back again.

--- a/internal/core/poolworker/rollouts.go
+++ b/internal/core/poolworker/rollouts.go
@@ -48,7 +48,12 @@
 			w.stepRollout(now, pool.Name, rollout.Published{Weights: weights})
 		}
 	}
-	maps.DeleteFunc(w.rollouts, func(name port.PoolName, _ *rolloutState) bool { return !served[name] })
+	for name, state := range w.rollouts {
+		if !served[name] {
+			state.machine.Stop()
+			delete(w.rollouts, name)
+		}
+	}
 }
 
 func (w *Worker) startRollout(now time.Time, pool *port.Pool, weights port.PublishedWeights) {
--- a/internal/core/poolworker/worker.go
+++ b/internal/core/poolworker/worker.go
@@ -103,14 +103,27 @@
 	return w.flush()
 }
 
-// Coordinator hands an event to the coordinator.
+// retryQuestion is the advised wait of a trainer whose question came before the
+// coordinator was there.
+const retryQuestion = 500 * time.Millisecond
+
+// Coordinator hands an event to the coordinator. While there is none, as before
+// the lease is acquired, a trainer's question is refused at once.
 func (w *Worker) Coordinator(now time.Time, event coordinator.Event) []Action {
-	if w.phase == phaseRunning {
+	if w.phase == phaseRunning && w.coordinator != nil {
 		w.step(now, event)
+	} else if asked, isQuestion := event.(coordinator.BatchRequested); isQuestion {
+		w.refuse(asked.Token)
 	}
 	return w.flush()
 }
 
+func (w *Worker) refuse(token uint64) {
+	refusal := port.NewError(port.NotRun, port.CodeUnavailable, "pool %s has no coordinator at this moment", w.config.Pool)
+	refusal.RetryAfter = retryQuestion
+	w.emit(Coordinate{Action: coordinator.Refuse{Token: token, Err: refusal}})
+}
+
 // Answered gives the outcome of a Propose.
 func (w *Worker) Answered(now time.Time, token uint64, result port.Result, failure *port.Error) []Action {
 	if take := w.proposals[token]; take != nil {
--- a/internal/core/poolworker/worker_test.go
+++ b/internal/core/poolworker/worker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/policy"
 	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -161,3 +162,34 @@
 		}
 	}
 }
+
+// A question that comes while the lease is asked for, or to the holder of a pool
+// of engines that feeds no trainer, gets an answer: nobody else gives one.
+func TestQuestionWithoutCoordinatorIsRefused(t *testing.T) {
+	question := coordinator.BatchRequested{Token: 7, Number: 1, ConsumerEpoch: 1, Deadline: at(9)}
+	refused := func(actions []poolworker.Action) bool {
+		for _, action := range actions {
+			coordinate, is := action.(poolworker.Coordinate)
+			if !is {
+				continue
+			}
+			refusal, is := coordinate.Action.(coordinator.Refuse)
+			if is && refusal.Token == 7 && refusal.Err.Verdict == port.NotRun && refusal.Err.RetryAfter > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	w := newWorld(t)
+	if !refused(w.worker.Coordinator(at(1), question)) {
+		t.Error("a question before the lease was acquired is not answered")
+	}
+	w.lead(at(2))
+	if refused(w.worker.Coordinator(at(2), question)) {
+		t.Error("a question to the coordinator is refused")
+	}
+	w.actions = append(w.actions, w.worker.Stop(at(3))...)
+	if !refused(w.worker.Coordinator(at(3), question)) {
+		t.Error("a question after the worker stopped is not answered")
+	}
+}
