node: be ready only once there is a configuration

Cause: one of ten runs of the system test failed at its first call: the node had said that it was ready and answered 'the node has no configuration yet'. A node that had heard of other nodes counted as ready before any configuration came, since it had a position of the log and no pools to route.

Change: readiness asks for a revision. The new test fails without it (ready is true at a position without a configuration).

--- a/internal/app/node/backend.go
+++ b/internal/app/node/backend.go
@@ -76,7 +76,7 @@
 func (n *Node) Ready() bool {
 	current := n.snapshot.Load()
 	routes := len(current.Pools) > 0 || len(current.View.Configuration.Pools) == 0
-	return current.View.Position > 0 && routes && !n.traffic.isDraining()
+	return current.View.Revision > 0 && routes && !n.traffic.isDraining()
 }
 
 // Unconfirmed says whether the configuration lease has run out, so that answers
--- a/internal/app/node/node_test.go
+++ b/internal/app/node/node_test.go
@@ -103,3 +103,16 @@
 	}
 	trainer.check(3 * made.Sampling.BatchSamples)
 }
+
+// A node that knows the others but no configuration refuses every call, and must
+// not tell that it is ready.
+func TestReadyOnlyWithAConfiguration(t *testing.T) {
+	fleet := newFleet(t)
+	started := fleet.start("n1", "z1")
+	fleet.waitForNodes()
+	if view := started.View(); view.Position == 0 || started.Ready() {
+		t.Fatalf("ready is %v at position %d, without a configuration", started.Ready(), view.Position)
+	}
+	fleet.control.configure(t, port.Edit{PutPool: pool("pages", port.PoolApplication)})
+	eventually(t, "the node to be ready", started.Ready)
+}
