--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	options.Scenario, options.Length, options.SampleTime = scenario, 24*time.Second, 2*time.Second
 	options.Compression = 24 * TargetNodes / 28
 	options.WeightBytes = 1 << 30
+	options.Samples = 10 * groupSize
 	return options
 }
 
@@ -87,6 +88,7 @@
 
 func TestEqualSeedsGiveEqualCounts(t *testing.T) {
 	options := small(ScenarioFailures)
+	options.Length = minLength
 	first, second := counts(t, runSmall(t, options)), counts(t, runSmall(t, options))
 	if first != second {
 		t.Errorf("two runs of one seed differ:\n%s\n%s", first, second)
