--- a/internal/lab/chaos/chaos_test.go
+++ b/internal/lab/chaos/chaos_test.go
@@ -12,25 +12,49 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// TestScenariosHold is the fixed set of seeds.
+// TestScenariosHold is the fixed set of seeds. Together they must go through every
+// situation that is counted.
 func TestScenariosHold(t *testing.T) {
-	for _, scenario := range Scenarios() {
-		t.Run(scenario.Name, func(t *testing.T) {
-			t.Parallel()
-			reports, err := RunMany(context.Background(), Options{Scenario: scenario}, 1, 2, 1)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, report := range reports {
-				for _, violation := range report.Violations {
-					t.Errorf("seed %d at %v: %s: %s", report.Seed, violation.Time, violation.Check, violation.Detail)
-				}
-				if report.Accepted == 0 || report.Batches == 0 {
-					t.Errorf("seed %d did nothing: %+v", report.Seed, report)
-				}
-			}
-		})
+	scenarios := Scenarios()
+	summaries := make([]Summary, len(scenarios))
+	t.Run("scenario", func(t *testing.T) {
+		for number, scenario := range scenarios {
+			t.Run(scenario.Name, func(t *testing.T) {
+				t.Parallel()
+				summaries[number] = runFixedSeeds(t, scenario)
+			})
+		}
+	})
+	var total Coverage
+	for _, summary := range summaries {
+		total.add(summary.Coverage)
+	}
+	counts := reflect.ValueOf(total)
+	for field := range counts.NumField() {
+		if counts.Field(field).IsZero() {
+			t.Errorf("no run had %s", counts.Type().Field(field).Name)
+		}
+	}
+	if total.MostMissed < 200 {
+		t.Errorf("observers missed %d revisions at most, want hundreds", total.MostMissed)
+	}
+}
+
+func runFixedSeeds(t *testing.T, scenario Scenario) Summary {
+	t.Helper()
+	reports, err := RunMany(context.Background(), Options{Scenario: scenario}, 1, 2, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, report := range reports {
+		for _, violation := range report.Violations {
+			t.Errorf("seed %d at %v: %s: %s", report.Seed, violation.Time, violation.Check, violation.Detail)
+		}
+		if report.Accepted == 0 || report.Batches == 0 {
+			t.Errorf("seed %d did nothing: %+v", report.Seed, report)
+		}
 	}
+	return Summarize(scenario, reports)
 }
 
 // TestHistoriesAreDecided replays two seeds whose many lost answers left the
@@ -71,29 +95,6 @@
 	Faults: []Fault{FaultObserverAway, FaultObserverAway, FaultIsolate},
 }
 
-// TestScenariosCoverHardCases demands that a few seeds go through every
-// situation that is counted.
-func TestScenariosCoverHardCases(t *testing.T) {
-	var total Coverage
-	for name, seeds := range map[string]int{"absence": 2, "together": 4, "clocks": 4} {
-		scenario, _ := ScenarioNamed(name)
-		reports, err := RunMany(context.Background(), Options{Scenario: scenario}, 1, seeds, 2)
-		if err != nil {
-			t.Fatal(err)
-		}
-		total.add(Summarize(scenario, reports).Coverage)
-	}
-	counts := reflect.ValueOf(total)
-	for field := range counts.NumField() {
-		if counts.Field(field).IsZero() {
-			t.Errorf("no run had %s", counts.Type().Field(field).Name)
-		}
-	}
-	if total.MostMissed < 200 {
-		t.Errorf("observers missed %d revisions at most, want hundreds", total.MostMissed)
-	}
-}
-
 // TestAuditorFindsForgedEntries applies changes that a correct log never has.
 func TestAuditorFindsForgedEntries(t *testing.T) {
 	change := func(number int, expected port.Revision, author string) port.Command {
