audit: hold the trainer's prompts against the ledger in the fault runs

The rule without a window, which the system test got, holds in the fault simulation too: every prompt below the lowest that control does not hold for delivered must have reached the trainer, the batch on its way left out.

--- a/internal/lab/sim/fault/run.go
+++ b/internal/lab/sim/fault/run.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // Report is what one run gave.
@@ -56,6 +57,7 @@
 		Violations: audit.Check(seen, audit.Bounds{
 			Staleness:    map[string]uint64{string(trainingPool): stalenessBound},
 			PromptWindow: promptWindow,
+			PromptsDone:  map[string]port.PromptIndex{string(trainingPool): w.promptsDone()},
 		}),
 	}
 	for _, call := range seen.Calls {
@@ -83,6 +85,20 @@
 	return seen
 }
 
+// promptsDone gives the lowest prompt that control doesn't hold for delivered: all
+// below must have reached the trainer. The last batch may still be on its way.
+func (w *world) promptsDone() port.PromptIndex {
+	ledger := w.control.state.Ledger(trainingPool)
+	done := ledger.PromptsBelow
+	if w.trainer.next > ledger.Committed {
+		return done
+	}
+	for _, sample := range ledger.Last {
+		done = min(done, sample.Prompt)
+	}
+	return done
+}
+
 // Work has to go on in the last part of the calm time.
 const (
 	lastCalls   = 8 * time.Second
