--- a/test/system/first_site_test.go
+++ b/test/system/first_site_test.go
@@ -14,6 +14,7 @@
 // TestFirstSitePage runs the commands of the page on the first site, as they
 // stand, with other folders and another loopback address.
 func TestFirstSitePage(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	script := commandsOf(testkit.Page(t, "docs/operators/first-site.md"))
 	script = strings.NewReplacer(
--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -19,6 +19,7 @@
 
 // TestSite takes one site through the whole path and through every fault.
 func TestSite(t *testing.T) {
+	t.Parallel()
 	s := startSite(t)
 	steps := []struct {
 		name string
