rollout: wait past the deadline while replicas still stage

The switch waits 3 minutes for the last replicas; then half of them are enough. With weights that take longer than that to reach 219 replicas of a pool, four at a time, half of them switched and the others followed one by one, minutes later: far from all replicas within 7 s.

Past the deadline the switch now waits as long as another replica has staged within a quarter of it. One that hangs holds the others up for that quarter at most; the cases of the deadline are as before. Weighed: a deadline that counts from the last progress alone; it makes every rollout with one dead replica wait longer. The new test fails without the condition.

--- a/internal/core/rollout/config.go
+++ b/internal/core/rollout/config.go
@@ -40,7 +40,8 @@
 	// is given again.
 	StageTimeout time.Duration
 	// StageDeadline is how long the switch waits for the last replicas; after it
-	// ActivateShare of the reachable ones is enough.
+	// ActivateShare of the reachable ones is enough, unless others still stage one
+	// after the other: a rollout to many replicas may take longer.
 	StageDeadline time.Duration
 	ActivateShare float64
 	// ActivateTimeout is how long a replica may take to report the new version.
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -26,6 +26,10 @@
 	nextHeard time.Time
 	// skipped counts targets given up for a newer one since the last switch.
 	skipped int
+	// mostStaged is the largest number of replicas that had staged the target, and
+	// progressed when it was reached.
+	mostStaged int
+	progressed time.Time
 	// switching is set once activation of the target began.
 	switching   bool
 	switchBegan time.Time
@@ -85,7 +89,7 @@
 	}
 	return &Rollout{
 		config: config.withDefaults(), byID: make(map[port.ReplicaID]*replica),
-		target: config.Weights.Version, heard: now, completed: config.Weights.Version == 0,
+		target: config.Weights.Version, heard: now, progressed: now, completed: config.Weights.Version == 0,
 	}, nil
 }
 
@@ -136,6 +140,7 @@
 func (r *Rollout) begin(version port.WeightVersion, heard time.Time) {
 	r.target, r.heard = version, heard
 	r.next = 0
+	r.mostStaged, r.progressed = 0, heard
 	r.switching, r.completed = false, false
 	r.ordered, r.announced = false, false
 	for _, replica := range r.replicas {
@@ -232,6 +237,10 @@
 	return count
 }
 
+// progressShare divides StageDeadline: past the deadline the switch still waits
+// while another replica has staged within this share of it.
+const progressShare = 4
+
 // decideSwitch begins the activation when all reachable replicas have staged,
 // or enough of them at the deadline.
 func (r *Rollout) decideSwitch() {
@@ -254,7 +263,10 @@
 	if reachable == 0 || behind == 0 {
 		return
 	}
-	late := r.now.Sub(r.heard) >= r.config.StageDeadline
+	if staged > r.mostStaged {
+		r.mostStaged, r.progressed = staged, r.now
+	}
+	late := r.now.Sub(r.heard) >= r.config.StageDeadline && r.now.Sub(r.progressed) >= r.config.StageDeadline/progressShare
 	enough := staged > 0 && float64(staged) >= r.config.ActivateShare*float64(reachable)
 	if staged == reachable || (late && enough) {
 		r.switching, r.switchBegan = true, r.now
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -391,3 +391,30 @@
 	f.step(rollout.LoadReported{Replica: engine.id, Report: engine.report})
 	return engine.report.Version == 0
 }
+
+// Many replicas take longer to stage than the deadline. As long as they get on, the
+// switch waits for all of them; one that hangs does not hold it up for good.
+func TestSwitchWaitsWhileReplicasStage(t *testing.T) {
+	f := newFleet(t, rollout.Config{StageDeadline: 30 * time.Second, MaxStaging: 4}, 40)
+	f.publish(2)
+	for range 90 {
+		f.run(500 * time.Millisecond)
+		if !allServe(f, 1) {
+			t.Fatalf("switched before all had staged: %v", f.versions())
+		}
+	}
+	f.run(15 * time.Second)
+	if !allServe(f, 2) {
+		t.Fatalf("not switched once all had staged: %v", f.versions())
+	}
+
+	f = newFleet(t, rollout.Config{StageDeadline: 30 * time.Second, MaxStaging: 4}, 40)
+	f.engines[0].silent = true
+	f.publish(2)
+	f.run(90 * time.Second)
+	for index, version := range f.versions() {
+		if index > 0 && version != 2 {
+			t.Fatalf("a hanging replica holds the others up: %v", f.versions())
+		}
+	}
+}
