admission: let latency rise as a batching engine's does

Cause: with engine steps of 600 us a sequence a token takes 31 ms in a batch of 32 and 17 ms in one of 8. The limiter took that for overload and cut the batch, though a fuller batch makes more tokens a second: loomgrade idled more than least in flight. Ruled out: hill climbing on tokens a second, whose steps are lost in the noise of windows of a few answers; a greater tolerance for all, which would let queues grow at servers that do not batch.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -18,8 +18,14 @@
 	limitWindow  = 500 * time.Millisecond
 	limitSamples = 8
 	// latencyTolerance is how far the recent latency may rise over the usual
-	// one before the limit falls.
+	// one before the limit falls, at least.
 	latencyTolerance = 1.5
+	// batchingExponent and batchingRatio let it rise further where more run than
+	// when the usual latency was measured: a server that batches takes longer for
+	// each answer and gives more of them. Latency may rise by the ratio of the
+	// counts, at most batchingRatio, to the power of batchingExponent.
+	batchingExponent = 0.6
+	batchingRatio    = measureDivisor
 	// limitSmoothing weighs one window in the limit.
 	limitSmoothing = 0.2
 	// failureBackoff multiplies the limit after a window with failures.
@@ -50,9 +56,11 @@
 type Limiter struct {
 	min, max float64
 	limit    float64
-	// usual is the latency in nanoseconds of a replica without overload.
-	usual  float64
-	window window
+	// usual is the latency in nanoseconds of a replica without overload, with
+	// usualInflight requests in flight.
+	usual         float64
+	usualInflight int
+	window        window
 	// windows counts those since the last measurement began, held says that
 	// latency lowered the limit in one of them.
 	windows   int
@@ -157,7 +165,7 @@
 		return
 	}
 	if settled {
-		l.usual = recent
+		l.setUsual(recent)
 	}
 	l.measuring = false
 	l.set(l.restored)
@@ -166,9 +174,9 @@
 // follow moves the limit along the gradient.
 func (l *Limiter) follow(recent float64) {
 	if l.usual == 0 || recent < l.usual {
-		l.usual = recent
+		l.setUsual(recent)
 	}
-	gradient := min(max(latencyTolerance*l.usual/max(recent, 1), leastGradient), 1)
+	gradient := min(max(l.tolerance()*l.usual/max(recent, 1), leastGradient), 1)
 	l.held = l.held || gradient < 1
 	target := l.limit*gradient + math.Sqrt(l.limit)
 	if target > l.limit && float64(l.window.inflight) < l.limit/2 {
@@ -177,4 +185,13 @@
 	l.set(l.limit + limitSmoothing*(target-l.limit))
 }
 
+func (l *Limiter) setUsual(latency float64) { l.usual, l.usualInflight = latency, l.window.inflight }
+
+// tolerance is how far latency may rise over the usual one at the present number
+// in flight.
+func (l *Limiter) tolerance() float64 {
+	ratio := float64(l.window.inflight) / float64(max(l.usualInflight, 1))
+	return max(latencyTolerance, math.Pow(min(ratio, batchingRatio), batchingExponent))
+}
+
 func (l *Limiter) set(limit float64) { l.limit = min(max(limit, l.min), l.max) }
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// An engine that batches takes longer for each token of a fuller batch and makes
+// more of them in a second: that is no overload.
+func TestLimiterLetsABatchingEngineFillItsBatch(t *testing.T) {
+	limiter := NewLimiter(LimiterConfig{Min: 1, Max: 32})
+	now := start
+	for range 30_000 {
+		now = now.Add(10 * time.Millisecond)
+		inflight := limiter.Limit()
+		latency := 12*time.Millisecond + time.Duration(inflight)*600*time.Microsecond
+		limiter.Observe(now, latency, false, inflight)
+	}
+	if limiter.Limit() != 32 {
+		t.Errorf("limit %d, want 32", limiter.Limit())
+	}
+}
+
 func TestLimiterStaysInBounds(t *testing.T) {
 	testkit.Check(t, 51, func(t *rapid.T) {
 		low := rapid.IntRange(1, 8).Draw(t, "min")
