--- a/internal/lab/fleet/result.go
+++ b/internal/lab/fleet/result.go
@@ -271,6 +271,10 @@
 	held := 0
 	for _, n := range f.nodes {
 		held += len(n.workers)
+		for _, released := range n.workers {
+			// Samples that gates hold point to their worker.
+			released.core, released.samples = nil, nil
+		}
 		n.workers = nil
 	}
 	f.holders = [trainers]*worker{}
