wire: let an ended call leave no context at its connection

Cause: a call with a deadline made two contexts, and the first one was never cancelled. It stayed with the connection's context until the connection closed, which is for as long as the two processes run.

Found by a soak of the dev site in one process with small bounds for decisions and request keys: in 140 s the heap grew by 17 MB, of which 11 MB belonged to what the stand-ins and callers remember for the audit and 3.1 MB to contexts made in serverLink.register; goroutines stayed at 510 to 720 without a trend. In a soak of 302 s with the standard bounds, contexts held about 10 MB more at the end than after 60 s.

Change: one context for each call.

--- a/internal/adapter/wire/serverlink.go
+++ b/internal/adapter/wire/serverlink.go
@@ -204,10 +204,7 @@
 }
 
 func (c *serverLink) register(frame *Frame) *Call {
-	ctx, cancel := context.WithCancel(c.context)
-	if frame.DeadlineMillis > 0 {
-		ctx, cancel = context.WithTimeout(c.context, time.Duration(frame.DeadlineMillis)*time.Millisecond)
-	}
+	ctx, cancel := callContext(c.context, time.Duration(frame.DeadlineMillis)*time.Millisecond)
 	call := &Call{
 		Method:     frame.Method,
 		Peer:       c.peer,
@@ -225,6 +222,16 @@
 	return call
 }
 
+// callContext gives the context of a call; 0 means that it has no deadline. Nothing
+// of it may stay at the connection's context once it is cancelled: that one lives
+// for as long as the two processes do.
+func callContext(connection context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
+	if deadline > 0 {
+		return context.WithTimeout(connection, deadline)
+	}
+	return context.WithCancel(connection)
+}
+
 func (c *serverLink) run(call *Call, handler Handler) {
 	defer c.server.calls.Done()
 	defer call.cancel()
