rollout: begin a load that breaks off each time more and more seldom

Cause: an accepted order is repeated every 100 ms until its effect is seen, and a repetition begins a broken load again. With the weight store down every engine that stages asked it ten times a second for as long as it was down. Ruled out: repeating at intervals that grow from the start: a test of prompt switches fails, since staging of seconds would be seen late. Change: after 3 s the interval grows with the order's age, up to 5 s. Conclusion: prompt where a switch takes a second, sparing where it can't succeed.

--- a/internal/core/rollout/ask.go
+++ b/internal/core/rollout/ask.go
@@ -8,8 +8,15 @@
 
 // Pacing of asking again.
 const (
-	// askInterval is the time after which an accepted order is repeated.
-	askInterval = 100 * time.Millisecond
+	// minAskInterval and maxAskInterval bound the time between two repetitions of
+	// an accepted order. It is the shortest while the order is younger than
+	// promptAge, and then grows with it, by one part in askShare: a load that breaks
+	// off each time, as with the weight store down, is begun again seldom, and of
+	// one that takes long the load reports tell soon enough.
+	minAskInterval = 100 * time.Millisecond
+	maxAskInterval = 5 * time.Second
+	promptAge      = 3 * time.Second
+	askShare       = 4
 	// maxAsking bounds the repeated orders whose answers are out, so that a switch
 	// of thousands of replicas does not flood their homes.
 	maxAsking = 32
@@ -44,7 +51,12 @@
 	if order == nil || !member.reachable || !order.accepted || order.asking {
 		return false
 	}
-	return r.now.Sub(order.asked) >= askInterval
+	return r.now.Sub(order.asked) >= askInterval(r.now.Sub(order.sent))
+}
+
+// askInterval gives the time between two repetitions of an order of some age.
+func askInterval(age time.Duration) time.Duration {
+	return min(max((age-promptAge)/askShare, minAskInterval), maxAskInterval)
 }
 
 func (r *Rollout) ask(member *replica) {
--- a/internal/core/rollout/ask_test.go
+++ b/internal/core/rollout/ask_test.go
@@ -35,6 +35,22 @@
 				t.Fatalf("versions %v routed %v", f.versions(), f.engines[0].routed)
 			}
 		}},
+		{"a load that breaks off each time is begun seldom", func(t *testing.T, f *fleet) {
+			f.engines[0].breaks = true
+			f.publish(2)
+			for range 600 {
+				f.now = f.now.Add(100 * time.Millisecond)
+				f.step(rollout.Tick{})
+			}
+			if loads := f.engines[0].loads; loads < 12 || loads > 75 {
+				t.Fatalf("%d loads in a minute, want 12 to 75", loads)
+			}
+			f.engines[0].breaks = false
+			f.run(10*time.Second + 2*stageTime)
+			if !allServe(f, 2) {
+				t.Fatalf("versions %v", f.versions())
+			}
+		}},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) { test.run(t, newFleet(t, rollout.Config{}, 3)) })
--- a/internal/core/rollout/fleet_test.go
+++ b/internal/core/rollout/fleet_test.go
@@ -32,6 +32,8 @@
 	silent  bool
 	refuses *port.Error
 	orders  []port.Order
+	// breaks makes every load end at once without having staged.
+	breaks bool
 	// asked counts the orders that were repeated to learn how far they are.
 	asked int
 	// loads counts the loads from the store that were begun.
@@ -131,6 +133,9 @@
 			return
 		}
 		e.loads++
+		if e.breaks {
+			return
+		}
 		e.loading, e.loadedAt = order.Version, now.Add(stageTime)
 		e.report.Staging = order.Version
 		return
