standin: report the engine as it is when load reports have no lag

Cause: TestStandInsKeepTheServersContract/order/good failed once on a fresh clone beside other work: the report was that of the driver's last look at the model, up to a turn of the driver before the order. Ruled out: the order itself, which had been answered. Change: a report is taken when it is asked for; with a lag nothing changes. Conclusion: the table reads the effect and not the driver's timing.

--- a/internal/lab/standin/orders.go
+++ b/internal/lab/standin/orders.go
@@ -92,10 +92,12 @@
 	return report
 }
 
-// laggedReport returns the newest report that is visible by now.
+// laggedReport returns the newest report that is visible by now. Without a lag
+// that is the engine as it is, also before its driver looks at the model again.
 func (e *Engine) laggedReport() port.LoadReport {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.loads.Put(since(), e.loadReport())
 	report, _ := e.loads.Get(since())
 	report.AgeMillis = e.config.LoadLag.Milliseconds()
 	return report
