audit: judge a departure for each zone that could see it

Cause: the exception of the 3 s for cut-off zones had been widened to all callers while any zone is cut off, which let new work from zones that see the list pass. Change: runs and generations name the sender's zone, as the stand-in sees it, and a departure counts from when that zone could see the list. Rows for both sides.

--- a/internal/lab/audit/check.go
+++ b/internal/lab/audit/check.go
@@ -159,26 +159,38 @@
 	return found
 }
 
+// route is a back end with the zone that its requests come from.
+type route struct {
+	backEnd, from string
+}
+
+// checkDepartures finds work that began on a back end later than the grace after
+// its departure was signalled to the zone of the sender.
 func checkDepartures(o Observations, bounds Bounds) []Violation {
-	limit := map[string]time.Duration{}
+	limit := map[route]time.Duration{}
 	for _, departure := range o.Departures {
+		way := route{departure.BackEnd, departure.From}
 		last := departure.SignalledAt + bounds.DepartureGrace
-		if earlier, known := limit[departure.BackEnd]; !known || last < earlier {
-			limit[departure.BackEnd] = last
+		if earlier, known := limit[way]; !known || last < earlier {
+			limit[way] = last
 		}
 	}
 	var found []Violation
-	check := func(backEnd, id string, startedAt time.Duration) {
-		if last, leaving := limit[backEnd]; leaving && startedAt > last {
+	check := func(way route, id string, startedAt time.Duration) {
+		last, leaving := limit[way]
+		if all, known := limit[route{backEnd: way.backEnd}]; known && (!leaving || all < last) {
+			last, leaving = all, true
+		}
+		if leaving && startedAt > last {
 			detail := fmt.Sprintf("request %s started %v after the limit", id, startedAt-last)
-			found = append(found, Violation{RuleDeparture, backEnd, detail})
+			found = append(found, Violation{RuleDeparture, way.backEnd, detail})
 		}
 	}
 	for _, generation := range o.Generations {
-		check(generation.Engine, generation.RequestID, generation.StartedAt)
+		check(route{generation.Engine, generation.From}, generation.RequestID, generation.StartedAt)
 	}
 	for _, execution := range o.Executions {
-		check(execution.BackEnd, execution.RequestID, execution.StartedAt)
+		check(route{execution.BackEnd, execution.From}, execution.RequestID, execution.StartedAt)
 	}
 	return found
 }
--- a/internal/lab/audit/check_test.go
+++ b/internal/lab/audit/check_test.go
@@ -126,6 +126,10 @@
 		{"new call while leaving", func(o *Observations) {
 			o.Departures[0].BackEnd, o.Executions[0].StartedAt = "app", 6*second
 		}, RuleDeparture},
+		{"new work from a zone that was told of the departure", func(o *Observations) {
+			o.Departures[0].From = "a"
+			o.Generations[1].From, o.Generations[1].StartedAt = "a", 6*second
+		}, RuleDeparture},
 		{"generation cut by a stop", func(o *Observations) {
 			o.Generations[0].End, o.Generations[0].EndedAt = EndCut, 25*second
 		}, RulePlannedStop},
@@ -168,3 +172,14 @@
 		t.Fatalf("violations: %v", found)
 	}
 }
+
+func TestDepartureConcernsOnlyTheZoneThatWasTold(t *testing.T) {
+	o := goodHistory()
+	o.Departures[0].From = "a"
+	o.Generations[1].From, o.Generations[1].StartedAt = "b", 6*second
+	for _, found := range Check(o, testBounds()) {
+		if found.Rule == RuleDeparture {
+			t.Errorf("%v", found)
+		}
+	}
+}
--- a/internal/lab/audit/observations.go
+++ b/internal/lab/audit/observations.go
@@ -28,6 +28,8 @@
 	Work      string `json:"work,omitempty"`
 	Engine    string `json:"engine"` // address
 	RequestID string `json:"request_id"`
+	// From is the zone of the process that sent the request, if it is known.
+	From string `json:"from,omitempty"`
 	// Call is PromptKey of the prompt.
 	Call string `json:"call"`
 	// Key is the content key of prompt and seed.
@@ -46,9 +48,11 @@
 // Execution is one run of a call on an application service.
 type Execution struct {
 	// Work names the run in a journal; see Entry.
-	Work      string        `json:"work,omitempty"`
-	BackEnd   string        `json:"back_end"` // address
-	RequestID string        `json:"request_id"`
+	Work      string `json:"work,omitempty"`
+	BackEnd   string `json:"back_end"` // address
+	RequestID string `json:"request_id"`
+	// From is the zone of the process that sent the request, if it is known.
+	From      string        `json:"from,omitempty"`
 	Call      string        `json:"call"`
 	StartedAt time.Duration `json:"started_at"`
 	EndedAt   time.Duration `json:"ended_at"`
@@ -115,7 +119,10 @@
 // Departure says that a back end is leaving.
 type Departure struct {
 	BackEnd string `json:"back_end"` // address
-	// SignalledAt is when the machine list first showed it as leaving.
+	// From limits the departure to requests from one zone; empty means all.
+	From string `json:"from,omitempty"`
+	// SignalledAt is when the machine list first showed it as leaving, to the
+	// zone.
 	SignalledAt time.Duration `json:"signalled_at"`
 }
 
--- a/internal/lab/sim/fault/application.go
+++ b/internal/lab/sim/fault/application.go
@@ -72,7 +72,7 @@
 func (b *backEnd) run(s *stream, request port.ApplicationRequest, call string, take func(callAnswer)) {
 	w := b.world
 	run := &execution{life: b.life, seen: &audit.Execution{
-		BackEnd: b.address, RequestID: string(request.ID), Call: call, StartedAt: w.queue.Now(),
+		BackEnd: b.address, RequestID: string(request.ID), From: string(s.client.zone), Call: call, StartedAt: w.queue.Now(),
 	}}
 	b.running = append(b.running, run)
 	w.seen.executions = append(w.seen.executions, run.seen)
--- a/internal/lab/sim/fault/engine.go
+++ b/internal/lab/sim/fault/engine.go
@@ -192,7 +192,7 @@
 	limit := request.MaxTokens
 	run := &engineRequest{id: string(request.ID), stream: s, take: take, key: key, position: request.ResumeTokens}
 	run.seen = &audit.Generation{
-		Engine: e.address, RequestID: run.id, Call: audit.PromptKey(request.Prompt), Key: key,
+		Engine: e.address, RequestID: run.id, From: string(s.client.zone), Call: audit.PromptKey(request.Prompt), Key: key,
 		First: request.ResumeTokens, Whole: request.ResumeTokens + min(max(remaining, 0), limit),
 		StartedAt: e.world.queue.Now(),
 	}
--- a/internal/lab/sim/fault/platform.go
+++ b/internal/lab/sim/fault/platform.go
@@ -31,19 +31,28 @@
 // departureGrace is how long a leaving back end may get new work.
 const departureGrace = 3 * time.Second
 
-// signal notes for the audit when every zone could see the departure: one that is
-// cut off from the list hears of nothing, and its nodes may use the back end as
-// soon as the cut ends, so that the time counts from there.
+// signal notes for the audit when each zone could see the departure.
 func (l *machineList) signal(address string) {
+	for index := range zones {
+		l.signalZone(address, l.world.zone(index))
+	}
+}
+
+// signalZone notes when a zone could see the departure: while it is cut off from
+// the list it hears of nothing, and its nodes may use the back end as soon as the
+// cut ends, so that the time counts from there.
+func (l *machineList) signalZone(address string, zone port.ZoneName) {
 	w := l.world
 	from := w.queue.Now()
 	var look func()
 	look = func() {
 		switch {
-		case len(w.cutZones) > 0:
+		case w.cutZones[zone]:
 			from = w.queue.Now()
 		case w.queue.Now()-from >= departureGrace:
-			w.seen.rest.Departures = append(w.seen.rest.Departures, audit.Departure{BackEnd: address, SignalledAt: from})
+			w.seen.rest.Departures = append(w.seen.rest.Departures, audit.Departure{
+				BackEnd: address, From: string(zone), SignalledAt: from,
+			})
 			return
 		}
 		w.after(lookForIdle, look)
