node: pace polls of engines by a byte budget

A home asked each engine five times a second, which was half of what a node spends on control. The time between two polls is now what a budget of 3 KB/s allows for all engines of the home, at most 1 s. It stays at the least, 200 ms, while a replica has not answered, failed a poll, is kept out by a rollout, has staged weights it is about to switch to, or is ejected or probed. The poller looks every 200 ms whether to ask, so that a shorter pace holds at once.

What it costs: load, versions and cache events of a settled engine are up to 1 s old instead of 0.2 s; a refusing engine is out of routing after three polls, 1 s and twice 0.2 s, where it was 0.6 s. Those two are worked out.

go test of app/node, core/home, core/nodestate, lab/fleet and lab/localfleet passes.

--- a/internal/app/node/config.go
+++ b/internal/app/node/config.go
@@ -58,7 +58,8 @@
 	Report time.Duration
 	// MachineList paces polls of the machine list.
 	MachineList time.Duration
-	// Load paces polls of a home replica's load and cache events.
+	// Load is the least time between two polls of a home replica's load and cache
+	// events.
 	Load time.Duration
 	// Summary paces summaries to the nodes of the zone.
 	Summary time.Duration
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -16,8 +16,7 @@
 type controller struct {
 	node  *Node
 	state *nodestate.State
-	// polls end the polls of engines.
-	polls map[port.ReplicaID]context.CancelFunc
+	polls map[port.ReplicaID]*enginePoll
 }
 
 // event is something the control goroutine takes in.
@@ -26,7 +25,7 @@
 func newController(n *Node, now time.Time) *controller {
 	return &controller{
 		node:  n,
-		polls: make(map[port.ReplicaID]context.CancelFunc),
+		polls: make(map[port.ReplicaID]*enginePoll),
 		state: nodestate.New(nodestate.Config{
 			Self: n.config.ID, Zone: n.config.Zone, Region: n.config.Region,
 			PeerAddress: n.peerAddress, HTTPAddress: n.httpAddress,
@@ -34,6 +33,7 @@
 			Summary:        n.config.Intervals.Summary,
 			Aggregate:      n.config.Intervals.Aggregate,
 			Report:         n.config.Intervals.Report,
+			Load:           n.config.Intervals.Load,
 			NewGate:        n.newGate,
 			ReplicaCounter: func(id port.ReplicaID) nodestate.Counter { return n.counters.of(id) },
 			ZoneCounter:    func(key nodestate.ZonePool) nodestate.Counter { return n.crossing.of(key) },
@@ -113,6 +113,7 @@
 	c.publish(now)
 	c.state.Tick(now, !c.node.reporting.Load())
 	c.carryOut(c.state.Flush())
+	c.pacePolls(now)
 	for pool, waiting := range c.state.Waiting() {
 		c.node.metrics.Queued(pool, waiting)
 	}
--- a/internal/app/node/homes.go
+++ b/internal/app/node/homes.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -21,33 +23,56 @@
 	c.state.LoadReported(now, e.askedAt, e.replica, e.report, e.err)
 }
 
+// enginePoll is the polling of one engine.
+type enginePoll struct {
+	// end stops it.
+	end context.CancelFunc
+	// interval is the time between two polls in nanoseconds; the control goroutine
+	// sets it.
+	interval atomic.Int64
+}
+
 // startPoll polls an engine from now on.
 func (c *controller) startPoll(poll nodestate.Poll) {
 	ctx, cancel := context.WithCancel(c.node.background)
-	c.polls[poll.Replica.ID] = cancel
-	c.node.work.Go(func() { c.node.pollEngine(ctx, poll.Replica, poll.Gate.(*gate.Gate)) })
+	started := &enginePoll{end: cancel}
+	c.polls[poll.Replica.ID] = started
+	c.node.work.Go(func() { c.node.pollEngine(ctx, started, poll.Replica, poll.Gate.(*gate.Gate)) })
 }
 
 func (c *controller) stopPoll(id port.ReplicaID) {
-	if cancel := c.polls[id]; cancel != nil {
-		cancel()
+	if held := c.polls[id]; held != nil {
+		held.end()
 		delete(c.polls, id)
 	}
 }
 
+// pacePolls sets the time between two polls of each engine.
+func (c *controller) pacePolls(now time.Time) {
+	for id, held := range c.polls {
+		held.interval.Store(int64(c.state.PollInterval(now, id)))
+	}
+}
+
 func (c *controller) stopPolls() {
 	for id := range c.polls {
 		c.stopPoll(id)
 	}
 }
 
-// pollEngine asks an engine for its load and cache events until ctx ends.
-func (n *Node) pollEngine(ctx context.Context, replica port.Replica, owned *gate.Gate) {
+// pollEngine asks an engine for its load and cache events until ctx ends. It
+// looks at the least interval whether to, so that a shorter pace holds at once.
+func (n *Node) pollEngine(ctx context.Context, poll *enginePoll, replica port.Replica, owned *gate.Gate) {
 	engine := n.backEnds.engine(replica.Address)
-	ticker := time.NewTicker(n.config.Intervals.Load)
+	look := n.config.Intervals.Load
+	ticker := time.NewTicker(look)
 	defer ticker.Stop()
+	var polled time.Time
 	for {
-		n.pollOnce(ctx, engine, replica.ID, owned)
+		if now := time.Now(); home.PollDue(now.Sub(polled), time.Duration(poll.interval.Load()), look) {
+			polled = now
+			n.pollOnce(ctx, engine, replica.ID, owned)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/core/home/pollpace_test.go
@@ -0,0 +1,79 @@
+package home_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/home"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+func TestPollIntervalKeepsTheBudget(t *testing.T) {
+	const least = 200 * time.Millisecond
+	cases := []struct {
+		name                   string
+		engines, bytes, budget int
+		want                   time.Duration
+	}{
+		{"none", 0, 720, 3000, least},
+		{"few", 1, 500, 3000, least},
+		{"paced", 2, 750, 3000, 500 * time.Millisecond},
+		{"bounded above", 40, 720, 3000, home.MaxPollInterval},
+		{"no budget", 40, 720, 0, least},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if got := home.PollInterval(least, test.engines, test.bytes, test.budget); got != test.want {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+		})
+	}
+	if got := home.PollInterval(2*time.Second, 1, 720, 3000); got != 2*time.Second {
+		t.Errorf("%v, less than the least", got)
+	}
+}
+
+func TestPollsAreDueAtTheNearestLook(t *testing.T) {
+	const look = 200 * time.Millisecond
+	cases := []struct {
+		passed, interval time.Duration
+		want             bool
+	}{
+		{199 * time.Millisecond, look, true},
+		{start.Sub(time.Time{}), time.Second, true}, // never polled: the longest duration
+		{799 * time.Millisecond, time.Second, false},
+		{999 * time.Millisecond, time.Second, true},
+	}
+	for _, test := range cases {
+		if got := home.PollDue(test.passed, test.interval, look); got != test.want {
+			t.Errorf("%+v: %v", test, got)
+		}
+	}
+}
+
+func TestPollsThatMustNotBePutOff(t *testing.T) {
+	serving := port.LoadReport{Version: 4, Staged: 4, Incarnation: 1}
+	staged := port.LoadReport{Version: 4, Staged: 5, Incarnation: 1}
+	cases := []struct {
+		name string
+		act  func(record *home.Record)
+		want bool
+	}{
+		{"before the first report", func(*home.Record) {}, true},
+		{"serving", func(r *home.Record) { r.Reported(at(1), at(1), serving) }, false},
+		{"one poll failed", func(r *home.Record) { r.Reported(at(1), at(1), serving); r.Unanswered() }, true},
+		{"answered again", func(r *home.Record) { r.Unanswered(); r.Reported(at(1), at(1), serving) }, false},
+		{"a rollout keeps it out", func(r *home.Record) { r.Reported(at(1), at(1), serving); r.RouteOut(at(9)) }, true},
+		{"the rollout's word ran out", func(r *home.Record) { r.Reported(at(1), at(1), serving); r.RouteOut(at(2)) }, false},
+		{"about to switch", func(r *home.Record) { r.Reported(at(1), at(1), staged) }, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			record := engine()
+			test.act(record)
+			if got := record.PollSoon(at(3)); got != test.want {
+				t.Errorf("soon %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/nodestate/state.go
+++ b/internal/core/nodestate/state.go
@@ -38,6 +38,8 @@
 	// Summary, Aggregate and Report are the least times between two summaries to
 	// the zone, two aggregates to other zones and two reports to control.
 	Summary, Aggregate, Report time.Duration
+	// Load is the least time between two polls of an own engine.
+	Load time.Duration
 	// NewGate makes the gate of a pool.
 	NewGate func(pool *port.Pool) Gate
 	// ReplicaCounter and ZoneCounter find the counters of a replica, and of what
--- a/internal/core/nodestate/state_test.go
+++ b/internal/core/nodestate/state_test.go
@@ -33,7 +33,7 @@
 func newState(held *seenGate) *nodestate.State {
 	return nodestate.New(nodestate.Config{
 		Self: "n1", Zone: "z1", Region: "r", PeerAddress: "10.0.0.1:7000",
-		Summary: time.Second, Aggregate: time.Second, Report: time.Second,
+		Summary: time.Second, Aggregate: time.Second, Report: time.Second, Load: 200 * time.Millisecond,
 		NewGate:        func(*port.Pool) nodestate.Gate { return held },
 		ReplicaCounter: func(port.ReplicaID) nodestate.Counter { return noCounts{} },
 		ZoneCounter:    func(nodestate.ZonePool) nodestate.Counter { return noCounts{} },
@@ -168,3 +168,38 @@
 		t.Errorf("stopped %v", stopped)
 	}
 }
+
+func TestPollsOfAnEngineFollowItsState(t *testing.T) {
+	state := newState(&seenGate{})
+	shown := view("")
+	shown.Configuration.Pools[0].Ejection = port.Ejection{ConsecutiveFailures: 3, MaxShare: 0.5, BaseDuration: port.Duration(time.Minute)}
+	// The only replica of a pool would not be ejected.
+	for _, id := range []port.ReplicaID{"e2", "e3", "e4"} {
+		shown.Configuration.Replicas = append(shown.Configuration.Replicas, port.Replica{ID: id, Pool: "lm", Zone: "z1", Address: string(id)})
+	}
+	update(state, at(0), shown)
+	const least, paced = 200 * time.Millisecond, 4 * 240 * time.Millisecond
+	steps := []struct {
+		name string
+		act  func()
+		want time.Duration
+	}{
+		{"unknown", func() {}, least},
+		{"serving", func() { state.LoadReported(at(1), at(1), "e1", port.LoadReport{Version: 7}, nil) }, paced},
+		{"a poll failed", func() {
+			state.LoadReported(at(2), at(2), "e1", port.LoadReport{}, port.NewError(port.NotRun, port.CodeUnavailable, "down"))
+		}, least},
+		{"answers again", func() { state.LoadReported(at(3), at(3), "e1", port.LoadReport{Version: 7}, nil) }, paced},
+		{"ejected", func() {
+			for range 50 {
+				state.Outcomes(at(3), []nodestate.CallOutcome{{Replica: "e1", Failed: true}})
+			}
+		}, least},
+	}
+	for _, step := range steps {
+		step.act()
+		if got := state.PollInterval(at(3), "e1"); got != step.want {
+			t.Errorf("%s: %v, want %v", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -30,6 +31,8 @@
 	report  port.LoadReport
 	// loading is the version that it loads; 0 while it loads none.
 	loading port.WeightVersion
+	// polled is when the home asked last.
+	polled time.Time
 }
 
 func newEngine(f *Fleet, replica port.Replica) *engine {
@@ -100,6 +103,7 @@
 // by id.
 func (n *node) startPolling(replica port.Replica) {
 	started := n.fleet.engines[replica.ID]
+	started.polled = time.Time{}
 	place, _ := slices.BinarySearchFunc(n.polled, replica.ID, compareEngine)
 	n.polled = slices.Insert(n.polled, place, started)
 }
@@ -112,12 +116,17 @@
 
 func compareEngine(held *engine, id port.ReplicaID) int { return cmp.Compare(held.replica.ID, id) }
 
-// pollEngines asks the own home replicas for their load and for cache events,
-// of which there are none. The HTTP exchanges are counted, not made.
+// pollEngines asks the own home replicas that are due for their load and for
+// cache events, of which there are none. The HTTP exchanges are counted, not made.
 func (n *node) pollEngines() time.Duration {
 	f := n.fleet
 	asked := f.wall()
 	for _, polled := range n.polled {
+		interval := n.state.PollInterval(asked, polled.replica.ID)
+		if !home.PollDue(asked.Sub(polled.polled), interval, f.options.LoadInterval) {
+			continue
+		}
+		polled.polled = asked
 		for _, cost := range f.pollCosts {
 			n.tally.countSent(f.Now(), workEngines, cost.request)
 			n.tally.countReceived(f.Now(), workEngines, cost.response)
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -82,6 +82,7 @@
 		PeerAddress: n.address.PeerAddress, HTTPAddress: n.address.HTTPAddress,
 		Incarnation: uint64(n.fleet.wall().UnixMilli()),
 		Summary:     appnode.DefaultSummary, Aggregate: appnode.DefaultAggregate, Report: appnode.DefaultReport,
+		Load:           n.fleet.options.LoadInterval,
 		NewGate:        n.newGate,
 		ReplicaCounter: func(id port.ReplicaID) nodestate.Counter { return n.counter(id) },
 		ZoneCounter:    func(key nodestate.ZonePool) nodestate.Counter { return n.crossingCounter(key) },
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -79,7 +79,7 @@
 	Samples int `json:"samples"`
 	// SampleTime is the median time in which a sample is generated.
 	SampleTime time.Duration `json:"sample_time_ns"`
-	// LoadInterval is the time between two polls of an engine by its home.
+	// LoadInterval is the least time between two polls of an engine by its home.
 	LoadInterval time.Duration `json:"load_interval_ns"`
 	// WeightBytes is the size of a version on one replica, StoreRate what the
 	// weight store gives to all replicas together, in bytes a second.
