--- a/internal/core/home/pollpace.go
+++ b/internal/core/home/pollpace.go
@@ -11,7 +11,8 @@
 	// quarter of what a node may spend on control.
 	PollBudget = 3000
 	// MaxPollInterval bounds the time between two polls of an engine, so that a
-	// restart or a new version is seen within 3 s also when two polls are lost.
+	// restart or a new version is seen within 3 s. An engine that takes questions
+	// and does not answer takes longer: each poll waits for its timeout.
 	MaxPollInterval = time.Second
 )
 
