peerapi: one place for messages between processes that two packages speak

Cause: the emulation of a large fleet repeated method names and messages of the nodes and control members, which were private there; a change on one side would have gone unseen in its byte counts. Change: adapter/peerapi holds them; names and fields are as before. Conclusion: the emulation encodes what the processes encode.

--- a/internal/app/control/calls.go
+++ b/internal/app/control/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/controlmember"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -102,7 +103,7 @@
 	began := time.Now()
 	result, err := m.viaLeader(ctx, start, func(leader consensus.MemberID) (port.Result, error) {
 		var result port.Result
-		err := m.peers.call(ctx, leader, methodForward, command, &result)
+		err := m.peers.call(ctx, leader, peerapi.MethodForward, command, &result)
 		return result, err
 	})
 	m.measure(result, err, time.Since(began))
@@ -126,7 +127,7 @@
 	start := func(l *loop, token uint64) { l.member.Read(token) }
 	forward := func(leader consensus.MemberID) (port.Result, error) {
 		var answer readIndexAnswer
-		err := m.peers.call(ctx, leader, methodReadIndex, empty{}, &answer)
+		err := m.peers.call(ctx, leader, methodReadIndex, peerapi.Empty{}, &answer)
 		return port.Result{Index: answer.Index}, err
 	}
 	if forwarded {
--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
@@ -146,10 +147,10 @@
 	client := wire.NewClient(group.members[0].Peer, wire.Options{ClusterID: "test", Token: "peer"})
 	defer client.Close()
 	_ = client.Call(group.context(), "none", 0, nil) // connects
-	if err := client.Send(group.context(), methodConsensus, consensus.Message{Kind: 99, To: 1, From: 9}); err != nil {
+	if err := client.Send(group.context(), peerapi.MethodConsensus, consensus.Message{Kind: 99, To: 1, From: 9}); err != nil {
 		t.Fatal(err)
 	}
-	if err := client.Send(group.context(), methodConsensus, "no message"); err != nil {
+	if err := client.Send(group.context(), peerapi.MethodConsensus, "no message"); err != nil {
 		t.Fatal(err)
 	}
 	group.change(group.client(1), 1)
--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -81,7 +82,7 @@
 // sends again.
 func (p *peers) send(message consensus.Message) {
 	if client := p.client(message.To); client != nil {
-		_ = client.Send(context.Background(), methodConsensus, message)
+		_ = client.Send(context.Background(), peerapi.MethodConsensus, message)
 	}
 }
 
--- a/internal/app/control/reports.go
+++ b/internal/app/control/reports.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -107,9 +108,9 @@
 	return operatorapi.Reports{Nodes: sortedReports(merged), Unreachable: unreachable}
 }
 
-func (m *Member) askReports(ctx context.Context, id consensus.MemberID) (reportsAnswer, error) {
-	var answer reportsAnswer
-	err := m.peers.call(ctx, id, methodReports, empty{}, &answer)
+func (m *Member) askReports(ctx context.Context, id consensus.MemberID) (peerapi.ReportsAnswer, error) {
+	var answer peerapi.ReportsAnswer
+	err := m.peers.call(ctx, id, peerapi.MethodReports, peerapi.Empty{}, &answer)
 	return answer, err
 }
 
--- a/internal/app/control/serve.go
+++ b/internal/app/control/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -15,14 +16,14 @@
 
 // register sets the handlers of the internal protocol.
 func (m *Member) register() {
-	m.server.HandleMessage(methodConsensus, m.takeMessage)
+	m.server.HandleMessage(peerapi.MethodConsensus, m.takeMessage)
 	m.server.Handle(methodFounding, m.serveFounding)
 	for method, handler := range map[string]wire.Handler{
 		controlclient.MethodPropose: m.serveProposal(false),
-		methodForward:               m.serveProposal(true),
+		peerapi.MethodForward:       m.serveProposal(true),
 		controlclient.MethodWatch:   m.serveWatch,
 		controlclient.MethodReport:  m.serveReport,
-		methodReports:               m.serveReports,
+		peerapi.MethodReports:       m.serveReports,
 		methodReadIndex:             m.serveReadIndex,
 		methodChangeMember:          m.serveMemberChange,
 	} {
@@ -96,7 +97,7 @@
 }
 
 func (m *Member) serveReports(_ context.Context, call *wire.Call) error {
-	return call.Send(reportsAnswer{Nodes: m.reports.list(time.Now())})
+	return call.Send(peerapi.ReportsAnswer{Nodes: m.reports.list(time.Now())})
 }
 
 func (m *Member) serveReadIndex(ctx context.Context, call *wire.Call) error {
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
@@ -149,15 +150,15 @@
 func methodOf(body any) string {
 	switch body.(type) {
 	case membership.HomeSummary:
-		return methodSummary
+		return peerapi.MethodSummary
 	case nodestate.AggregatesMessage:
-		return methodAggregates
+		return peerapi.MethodAggregates
 	case nodestate.MachinesMessage:
 		return methodMachines
 	case nodestate.OutcomesMessage:
-		return methodOutcomes
+		return peerapi.MethodOutcomes
 	default:
-		return methodMember
+		return peerapi.MethodMember
 	}
 }
 
--- a/internal/app/node/generate.go
+++ b/internal/app/node/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/prefix"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -117,7 +118,7 @@
 	if refusal != nil {
 		return attempt.Failure{Error: refusal, Here: true}
 	}
-	call := generateCall{
+	call := peerapi.GenerateCall{
 		Request:     job.request,
 		TenantShare: accepted.snapshot.TenantShare(job.request.Tenant),
 		Attempt:     loop.Made(),
@@ -149,7 +150,7 @@
 }
 
 // take handles one event of the attempt.
-func (r *attemptRun) take(next generateEvent) error {
+func (r *attemptRun) take(next peerapi.GenerateEvent) error {
 	if next.Decision != nil {
 		decided := *next.Decision
 		decided.Subject = r.job.subject
@@ -190,15 +191,15 @@
 }
 
 // generateRemote lets another node serve the attempt.
-func (n *Node) generateRemote(ctx context.Context, target port.NodeAddress, call *generateCall, take func(generateEvent) error) *port.Error {
-	stream, err := n.peers.client(target.PeerAddress).Stream(ctx, methodGenerate, call)
+func (n *Node) generateRemote(ctx context.Context, target port.NodeAddress, call *peerapi.GenerateCall, take func(peerapi.GenerateEvent) error) *port.Error {
+	stream, err := n.peers.client(target.PeerAddress).Stream(ctx, peerapi.MethodGenerate, call)
 	if err != nil {
 		return port.AsError(err)
 	}
 	defer stream.Close()
 	finished := false
 	for {
-		var next generateEvent
+		var next peerapi.GenerateEvent
 		err := stream.Recv(&next)
 		if errors.Is(err, io.EOF) {
 			break
--- a/internal/app/node/peerserver.go
+++ b/internal/app/node/peerserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
 	"github.com/loomgrade/loomgrade/internal/core/nodestate"
@@ -11,25 +12,25 @@
 
 // servePeers registers what the node serves to its peers.
 func (n *Node) servePeers() {
-	n.server.Handle(methodGenerate, n.handleGenerate)
+	n.server.Handle(peerapi.MethodGenerate, n.handleGenerate)
 	n.server.Handle(methodApplication, n.handleApplication)
-	n.server.Handle(methodOrder, answering(n.order))
+	n.server.Handle(peerapi.MethodOrder, answering(n.order))
 	n.server.Handle(methodClaimKey, answering(func(_ context.Context, call claimCall) (claimAnswer, *port.Error) {
 		return n.noteClaim(call)
 	}))
 	n.server.Handle(methodExplain, answering(func(_ context.Context, call explainCall) (explainAnswer, *port.Error) {
 		return explainAnswer{Decisions: n.recorder.get(call.Subject)}, nil
 	}))
-	n.server.Handle(methodPoolState, answering(func(ctx context.Context, call nodestate.PoolStateCall) (nodestate.PoolStateAnswer, *port.Error) {
+	n.server.Handle(peerapi.MethodPoolState, answering(func(ctx context.Context, call nodestate.PoolStateCall) (nodestate.PoolStateAnswer, *port.Error) {
 		return n.servePoolState(ctx, call), nil
 	}))
 	n.server.Handle(methodBatch, answering(n.handleBatch))
 
-	n.server.HandleMessage(methodMember, posting(n, func(message membership.Message) event { return memberMessage{message} }))
-	n.server.HandleMessage(methodSummary, posting(n, func(summary membership.HomeSummary) event { return summaryMessage{summary} }))
-	n.server.HandleMessage(methodAggregates, posting(n, func(message nodestate.AggregatesMessage) event { return aggregatesTold{message} }))
+	n.server.HandleMessage(peerapi.MethodMember, posting(n, func(message membership.Message) event { return memberMessage{message} }))
+	n.server.HandleMessage(peerapi.MethodSummary, posting(n, func(summary membership.HomeSummary) event { return summaryMessage{summary} }))
+	n.server.HandleMessage(peerapi.MethodAggregates, posting(n, func(message nodestate.AggregatesMessage) event { return aggregatesTold{message} }))
 	n.server.HandleMessage(methodMachines, posting(n, func(message nodestate.MachinesMessage) event { return machinesTold{message} }))
-	n.server.HandleMessage(methodOutcomes, posting(n, func(message nodestate.OutcomesMessage) event { return outcomesTaken{message.Outcomes} }))
+	n.server.HandleMessage(peerapi.MethodOutcomes, posting(n, func(message nodestate.OutcomesMessage) event { return outcomesTaken{message.Outcomes} }))
 }
 
 // answering makes a handler of a function with one request and one answer.
@@ -63,11 +64,11 @@
 		return drainingError()
 	}
 	defer leave()
-	var request generateCall
+	var request peerapi.GenerateCall
 	if err := call.Decode(&request); err != nil {
 		return err
 	}
-	return orNil(n.serveGenerate(ctx, &request, func(next generateEvent) error { return call.Send(next) }))
+	return orNil(n.serveGenerate(ctx, &request, func(next peerapi.GenerateEvent) error { return call.Send(next) }))
 }
 
 func (n *Node) handleApplication(ctx context.Context, call *wire.Call) error {
--- a/internal/app/node/poolstate.go
+++ b/internal/app/node/poolstate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -66,7 +67,7 @@
 		return n.servePoolState(ctx, call)
 	}
 	var answer nodestate.PoolStateAnswer
-	_ = n.peers.call(ctx, home.PeerAddress, methodPoolState, call, &answer)
+	_ = n.peers.call(ctx, home.PeerAddress, peerapi.MethodPoolState, call, &answer)
 	return answer
 }
 
--- a/internal/app/node/rolloutdriver.go
+++ b/internal/app/node/rolloutdriver.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/core/rollout"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -30,13 +31,13 @@
 	send := action.Send
 	event := rollout.OrderAnswered{Replica: send.Replica, Order: send.Order, Err: unconfirmedError()}
 	if w.node.confirmed() {
-		event.Report, event.Err = w.node.order(ctx, orderCall{Replica: send.Replica, Order: send.Order})
+		event.Report, event.Err = w.node.order(ctx, peerapi.OrderCall{Replica: send.Replica, Order: send.Order})
 	}
 	w.post(orderAnswered{pool: action.Rollout, event: event})
 }
 
 // order passes a fenced order on to the replica's home.
-func (n *Node) order(ctx context.Context, call orderCall) (port.LoadReport, *port.Error) {
+func (n *Node) order(ctx context.Context, call peerapi.OrderCall) (port.LoadReport, *port.Error) {
 	home, found := n.homeNode(call.Replica)
 	if !found {
 		return port.LoadReport{}, port.NewError(port.NotRun, port.CodeUnavailable, "replica %s has no home", call.Replica)
@@ -45,12 +46,12 @@
 		return n.serveOrder(ctx, call)
 	}
 	var report port.LoadReport
-	failure := n.peers.call(ctx, home.PeerAddress, methodOrder, call, &report)
+	failure := n.peers.call(ctx, home.PeerAddress, peerapi.MethodOrder, call, &report)
 	return report, failure
 }
 
 // serveOrder gives an order to the engine and takes its answer as a report.
-func (n *Node) serveOrder(ctx context.Context, call orderCall) (port.LoadReport, *port.Error) {
+func (n *Node) serveOrder(ctx context.Context, call peerapi.OrderCall) (port.LoadReport, *port.Error) {
 	replica, configured := n.snapshot.Load().Replicas[call.Replica]
 	if !configured {
 		return port.LoadReport{}, port.NewError(port.NotRun, port.CodeNotFound, "no replica %s", call.Replica)
--- a/internal/app/node/serve.go
+++ b/internal/app/node/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
 	"github.com/loomgrade/loomgrade/internal/core/attempt"
 	"github.com/loomgrade/loomgrade/internal/core/home"
@@ -20,7 +21,7 @@
 // serveGenerate runs one attempt on a replica that this node is the home of. An
 // attempt without a replica comes from another zone: it goes to a replica of
 // this zone, through its home.
-func (n *Node) serveGenerate(ctx context.Context, call *generateCall, emit func(generateEvent) error) *port.Error {
+func (n *Node) serveGenerate(ctx context.Context, call *peerapi.GenerateCall, emit func(peerapi.GenerateEvent) error) *port.Error {
 	current := n.snapshot.Load()
 	route := current.Pools[call.Request.Pool]
 	if route == nil {
@@ -40,7 +41,7 @@
 	}
 	placed := placedDecision(accepted, string(call.Request.ID), call.Attempt, grant)
 	placed.Node = n.config.ID
-	if err := emit(generateEvent{Decision: &placed}); err != nil {
+	if err := emit(peerapi.GenerateEvent{Decision: &placed}); err != nil {
 		grant.Release(gate.Outcome{Abandoned: true})
 		return attempt.WithVerdict(port.AsError(err), port.NotRun)
 	}
@@ -48,7 +49,7 @@
 }
 
 // relayGenerate chooses a replica of this zone for a request of another one.
-func (n *Node) relayGenerate(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) *port.Error {
+func (n *Node) relayGenerate(ctx context.Context, accepted acceptance, call *peerapi.GenerateCall, emit func(peerapi.GenerateEvent) error) *port.Error {
 	job := &generation{request: call.Request, exclude: call.Exclude, avoid: call.Avoid}
 	place, _, refusal := n.chooseLocal(accepted, job, nil)
 	if refusal != nil {
@@ -62,7 +63,7 @@
 	return n.generateRemote(ctx, place.node, &relayed, emit)
 }
 
-func (n *Node) acquireEngine(ctx context.Context, accepted acceptance, call *generateCall, emit func(generateEvent) error) (*gate.Grant, *port.Error) {
+func (n *Node) acquireEngine(ctx context.Context, accepted acceptance, call *peerapi.GenerateCall, emit func(peerapi.GenerateEvent) error) (*gate.Grant, *port.Error) {
 	request := &call.Request
 	return gateOf(accepted.route).Acquire(ctx, gate.Request{
 		ID:          request.ID,
@@ -86,12 +87,12 @@
 	}, func(waiting int) {
 		held := heldDecision(accepted, string(request.ID), waiting)
 		held.Node = n.config.ID
-		_ = emit(generateEvent{Decision: &held})
+		_ = emit(peerapi.GenerateEvent{Decision: &held})
 	})
 }
 
 // runEngine streams the completion from the engine that the grant names.
-func (n *Node) runEngine(ctx context.Context, accepted acceptance, grant *gate.Grant, call *generateCall, emit func(generateEvent) error) *port.Error {
+func (n *Node) runEngine(ctx context.Context, accepted acceptance, grant *gate.Grant, call *peerapi.GenerateCall, emit func(peerapi.GenerateEvent) error) *port.Error {
 	replica, configured := n.snapshot.Load().Replicas[grant.Replica]
 	if !configured {
 		grant.Release(gate.Outcome{Abandoned: true})
@@ -108,7 +109,7 @@
 	var refused error
 	err := n.backEnds.engine(replica.Address).Generate(ctx, request, func(chunk port.GenerateChunk) error {
 		tokens += chunk.Tokens
-		refused = emit(generateEvent{Chunk: &chunk})
+		refused = emit(peerapi.GenerateEvent{Chunk: &chunk})
 		return refused
 	})
 	failure := port.AsError(err)
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -155,10 +156,10 @@
 		return
 	}
 	home := n.fleet.nodeOf(address.ID)
-	call := message{workOrders, wire.KindCall, methodOrder, orderCall{Replica: replica, Order: order}}
+	call := message{workOrders, wire.KindCall, peerapi.MethodOrder, peerapi.OrderCall{Replica: replica, Order: order}}
 	var refusal *port.Error
 	n.fleet.call(&n.endpoint, &home.endpoint, call, timeout, func(body []byte, reply func(any)) {
-		var received orderCall
+		var received peerapi.OrderCall
 		n.fleet.decode(body, &received)
 		n.fleet.After(engineLatency, func() {
 			n.fleet.engines[received.Replica].order(received.Order, func(report port.LoadReport, err *port.Error) {
--- a/internal/lab/fleet/housekeeping.go
+++ b/internal/lab/fleet/housekeeping.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/control"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -43,7 +44,7 @@
 			continue
 		}
 		open++
-		m.askReports(other, func(answer reportsAnswer) {
+		m.askReports(other, func(answer peerapi.ReportsAnswer) {
 			m.mergeAges(ages, answer.Nodes)
 			if open--; open == 0 {
 				m.removeSilent(ages)
@@ -56,12 +57,12 @@
 	return houseInterval
 }
 
-func (m *member) askReports(other *member, take func(reportsAnswer)) {
-	call := message{workReports, wire.KindCall, methodReports, empty{}}
+func (m *member) askReports(other *member, take func(peerapi.ReportsAnswer)) {
+	call := message{workReports, wire.KindCall, peerapi.MethodReports, peerapi.Empty{}}
 	m.fleet.call(&m.endpoint, &other.endpoint, call, reportsTimeout, func(_ []byte, reply func(any)) {
-		reply(reportsAnswer{Nodes: other.listReports()})
+		reply(peerapi.ReportsAnswer{Nodes: other.listReports()})
 	}, func(body []byte, answered bool) {
-		var answer reportsAnswer
+		var answer peerapi.ReportsAnswer
 		if answered {
 			m.fleet.decode(body, &answer)
 		}
--- a/internal/lab/fleet/member.go
+++ b/internal/lab/fleet/member.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
@@ -197,7 +198,7 @@
 			continue
 		}
 		to := m.fleet.members[sent.To-1]
-		m.fleet.send(&m.endpoint, &to.endpoint, message{workConsensus, wire.KindOneWay, methodConsensus, sent}, func(body []byte) {
+		m.fleet.send(&m.endpoint, &to.endpoint, message{workConsensus, wire.KindOneWay, peerapi.MethodConsensus, sent}, func(body []byte) {
 			var received consensus.Message
 			m.fleet.decode(body, &received)
 			to.process(func() {
@@ -256,7 +257,7 @@
 }
 
 func (m *member) forward(leader *member, command port.Command, answer func(port.Result, bool)) {
-	call := message{workProposals, wire.KindCall, methodForward, command}
+	call := message{workProposals, wire.KindCall, peerapi.MethodForward, command}
 	m.fleet.call(&m.endpoint, &leader.endpoint, call, proposeTimeout, func(body []byte, reply func(any)) {
 		var received port.Command
 		m.fleet.decode(body, &received)
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	appnode "github.com/loomgrade/loomgrade/internal/app/node"
 	"github.com/loomgrade/loomgrade/internal/core/membership"
@@ -189,28 +190,28 @@
 	f := n.fleet
 	switch body := body.(type) {
 	case membership.Message:
-		f.send(&n.endpoint, &to.endpoint, message{workMembership, wire.KindOneWay, methodMember, body}, func(data []byte) {
+		f.send(&n.endpoint, &to.endpoint, message{workMembership, wire.KindOneWay, peerapi.MethodMember, body}, func(data []byte) {
 			var received membership.Message
 			f.decode(data, &received)
 			to.state.Member(f.wall(), received)
 			to.flush()
 		})
 	case membership.HomeSummary:
-		f.send(&n.endpoint, &to.endpoint, message{workSummaries, wire.KindOneWay, methodSummary, body}, func(data []byte) {
+		f.send(&n.endpoint, &to.endpoint, message{workSummaries, wire.KindOneWay, peerapi.MethodSummary, body}, func(data []byte) {
 			var received membership.HomeSummary
 			f.decode(data, &received)
 			to.state.Summary(f.wall(), received)
 			to.flush()
 		})
 	case nodestate.AggregatesMessage:
-		f.send(&n.endpoint, &to.endpoint, message{workAggregates, wire.KindOneWay, methodAggregates, body}, func(data []byte) {
+		f.send(&n.endpoint, &to.endpoint, message{workAggregates, wire.KindOneWay, peerapi.MethodAggregates, body}, func(data []byte) {
 			var received nodestate.AggregatesMessage
 			f.decode(data, &received)
 			to.state.Aggregates(f.wall(), received)
 			to.flush()
 		})
 	case nodestate.OutcomesMessage:
-		f.send(&n.endpoint, &to.endpoint, message{workSummaries, wire.KindOneWay, methodOutcomes, body}, func(data []byte) {
+		f.send(&n.endpoint, &to.endpoint, message{workSummaries, wire.KindOneWay, peerapi.MethodOutcomes, body}, func(data []byte) {
 			var received nodestate.OutcomesMessage
 			f.decode(data, &received)
 			to.state.Outcomes(f.wall(), received.Outcomes)
--- a/internal/lab/fleet/sample.go
+++ b/internal/lab/fleet/sample.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/gate"
@@ -99,7 +100,7 @@
 
 // forward sends the call on to another node.
 func (s *sample) forward(from, to *node, take func()) {
-	call := generateCall{Attempt: 1, Request: port.GenerateRequest{
+	call := peerapi.GenerateCall{Attempt: 1, Request: port.GenerateRequest{
 		ID: port.RequestID(s.action.ID.String()), Pool: s.worker.name, Prompt: s.fleet.promptText, PromptTokens: promptBytes / 4,
 		MaxTokens: s.action.MaxTokens, Seed: s.action.Seed, MinVersion: s.action.MinVersion, Safe: true, Replica: s.replica,
 	}}
@@ -107,8 +108,8 @@
 		s.fail(port.NewError(port.MayHaveRun, port.CodeUnavailable, "%s does not answer", to.address.ID), wire.DefaultIdleTimeout)
 		return
 	}
-	s.fleet.send(&from.endpoint, &to.endpoint, message{workSampling, wire.KindCall, methodGenerate, call}, func(body []byte) {
-		var received generateCall
+	s.fleet.send(&from.endpoint, &to.endpoint, message{workSampling, wire.KindCall, peerapi.MethodGenerate, call}, func(body []byte) {
+		var received peerapi.GenerateCall
 		s.fleet.decode(body, &received)
 		take()
 	})
@@ -168,8 +169,8 @@
 	}
 	s.path = s.path[:len(s.path)-1]
 	to := s.path[len(s.path)-1].node
-	s.fleet.send(&last.endpoint, &to.endpoint, message{workSampling, wire.KindData, "", generateEvent{Chunk: &chunk}}, func(body []byte) {
-		var received generateEvent
+	s.fleet.send(&last.endpoint, &to.endpoint, message{workSampling, wire.KindData, "", peerapi.GenerateEvent{Chunk: &chunk}}, func(body []byte) {
+		var received peerapi.GenerateEvent
 		s.fleet.decode(body, &received)
 		to.counter(s.replica).counts.Finished++
 		s.back(*received.Chunk)
--- a/internal/lab/fleet/worker.go
+++ b/internal/lab/fleet/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	appnode "github.com/loomgrade/loomgrade/internal/app/node"
 	"github.com/loomgrade/loomgrade/internal/core/nodestate"
@@ -163,7 +164,7 @@
 		f.After(0, func() { f.charge(&home.endpoint, workPoolStates, func() { take(answer) }) })
 		return
 	}
-	sent := message{workPoolStates, wire.KindCall, methodPoolState, call}
+	sent := message{workPoolStates, wire.KindCall, peerapi.MethodPoolState, call}
 	f.call(&w.node.endpoint, &home.endpoint, sent, appnode.DefaultCallTimeout, func(body []byte, reply func(any)) {
 		var received nodestate.PoolStateCall
 		f.decode(body, &received)
