--- a/internal/adapter/controlclient/client.go
+++ b/internal/adapter/controlclient/client.go
@@ -1,6 +1,7 @@
 package controlclient
 
 import (
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"errors"
@@ -50,20 +51,14 @@
 }
 
 func (c Config) normalized() Config {
-	setDefault(&c.ProposeTimeout, DefaultProposeTimeout)
-	setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
-	setDefault(&c.SilenceTimeout, DefaultSilenceTimeout)
-	setDefault(&c.RetryBase, DefaultRetryBase)
-	setDefault(&c.RetryMax, DefaultRetryMax)
+	c.ProposeTimeout = cmp.Or(c.ProposeTimeout, DefaultProposeTimeout)
+	c.AttemptTimeout = cmp.Or(c.AttemptTimeout, DefaultAttemptTimeout)
+	c.SilenceTimeout = cmp.Or(c.SilenceTimeout, DefaultSilenceTimeout)
+	c.RetryBase = cmp.Or(c.RetryBase, DefaultRetryBase)
+	c.RetryMax = cmp.Or(c.RetryMax, DefaultRetryMax)
 	return c
 }
 
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 // Client implements port.Control over the internal protocol. It is safe for
 // use by many goroutines.
 type Client struct {
--- a/internal/adapter/engineclient/client.go
+++ b/internal/adapter/engineclient/client.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -57,22 +58,15 @@
 var errSilence = errors.New("engine was silent for too long")
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.EventBytes, defaultEventBytes)
-	setDefault(&l.TextBytes, defaultTextBytes)
-	setDefault(&l.AnswerBytes, defaultAnswerBytes)
-	setDefault(&l.Silence, defaultSilence)
-	setDefault(&l.CancelTimeout, defaultCancelTimeout)
-	setDefault(&l.Cancels, defaultCancels)
+	l.EventBytes = cmp.Or(l.EventBytes, defaultEventBytes)
+	l.TextBytes = cmp.Or(l.TextBytes, defaultTextBytes)
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, defaultAnswerBytes)
+	l.Silence = cmp.Or(l.Silence, defaultSilence)
+	l.CancelTimeout = cmp.Or(l.CancelTimeout, defaultCancelTimeout)
+	l.Cancels = cmp.Or(l.Cancels, defaultCancels)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client talks to one engine. It is safe for concurrent use.
 type Client struct {
 	// streams carries completions, control everything else, so that orders and
--- a/internal/adapter/httpapi/backend.go
+++ b/internal/adapter/httpapi/backend.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -120,25 +121,18 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.BodyBytes, defaultBodyBytes)
-	setDefault(&l.CommandBytes, defaultCommandBytes)
-	setDefault(&l.HeaderBytes, defaultHeaderBytes)
-	setDefault(&l.TextBytes, defaultTextBytes)
-	setDefault(&l.Connections, defaultConnections)
-	setDefault(&l.Calls, defaultCalls)
-	setDefault(&l.Streams, defaultStreams)
-	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&l.BodyTimeout, defaultBodyTimeout)
-	setDefault(&l.WriteTimeout, defaultWriteTimeout)
-	setDefault(&l.IdleTimeout, defaultIdleTimeout)
-	setDefault(&l.GiveUpGrace, defaultGiveUpGrace)
-	setDefault(&l.DrainDelay, defaultDrainDelay)
+	l.BodyBytes = cmp.Or(l.BodyBytes, defaultBodyBytes)
+	l.CommandBytes = cmp.Or(l.CommandBytes, defaultCommandBytes)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.TextBytes = cmp.Or(l.TextBytes, defaultTextBytes)
+	l.Connections = cmp.Or(l.Connections, defaultConnections)
+	l.Calls = cmp.Or(l.Calls, defaultCalls)
+	l.Streams = cmp.Or(l.Streams, defaultStreams)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, defaultBodyTimeout)
+	l.WriteTimeout = cmp.Or(l.WriteTimeout, defaultWriteTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
+	l.GiveUpGrace = cmp.Or(l.GiveUpGrace, defaultGiveUpGrace)
+	l.DrainDelay = cmp.Or(l.DrainDelay, defaultDrainDelay)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -44,22 +45,15 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.DialTimeout, defaultDialTimeout)
-	setDefault(&l.Connections, defaultConnections)
-	setDefault(&l.IdleConnections, defaultIdleConnections)
-	setDefault(&l.IdleTimeout, defaultIdleTimeout)
-	setDefault(&l.HeaderBytes, defaultHeaderBytes)
-	setDefault(&l.Timeout, defaultTimeout)
+	l.DialTimeout = cmp.Or(l.DialTimeout, defaultDialTimeout)
+	l.Connections = cmp.Or(l.Connections, defaultConnections)
+	l.IdleConnections = cmp.Or(l.IdleConnections, defaultIdleConnections)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.Timeout = cmp.Or(l.Timeout, defaultTimeout)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client sends requests over pooled connections. It is safe for concurrent use
 // and meant to be shared by the clients of many addresses.
 type Client struct {
--- a/internal/adapter/operatorapi/server.go
+++ b/internal/adapter/operatorapi/server.go
@@ -1,6 +1,7 @@
 package operatorapi
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -48,20 +49,13 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Connections, MaxConnections)
-	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&l.BodyTimeout, defaultBodyTimeout)
-	setDefault(&l.WriteTimeout, defaultWriteTimeout)
+	l.Connections = cmp.Or(l.Connections, MaxConnections)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, defaultBodyTimeout)
+	l.WriteTimeout = cmp.Or(l.WriteTimeout, defaultWriteTimeout)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // ServerConfig sets a server up.
 type ServerConfig struct {
 	Backend Backend
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Limits and defaults of a Node.
 const (
@@ -57,19 +60,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxBatchBytes, defaultMaxBatchBytes)
-	setDefault(&c.MaxInflight, defaultMaxInflight)
-	setDefault(&c.SnapshotChunkBytes, defaultSnapshotChunkBytes)
-	setDefault(&c.MaxUncommitted, defaultMaxUncommitted)
+	c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, defaultMaxBatchBytes)
+	c.MaxInflight = cmp.Or(c.MaxInflight, defaultMaxInflight)
+	c.SnapshotChunkBytes = cmp.Or(c.SnapshotChunkBytes, defaultSnapshotChunkBytes)
+	c.MaxUncommitted = cmp.Or(c.MaxUncommitted, defaultMaxUncommitted)
 	return c
 }
 
-func setDefault(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 func (c Config) validate() error {
 	if c.ID == None {
 		return fmt.Errorf("%w: member id is 0", ErrConfig)
--- a/internal/lab/engine/config.go
+++ b/internal/lab/engine/config.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -85,27 +86,20 @@
 
 // withDefaults fills in every field left at zero.
 func (c Config) withDefaults() Config {
-	setDefault(&c.StepBase, defaultStepBase)
-	setDefault(&c.StepPerSequence, defaultStepPerSequence)
-	setDefault(&c.StepPerPrefillToken, defaultStepPerPrefillToken)
-	setDefault(&c.MaxSequences, defaultMaxSequences)
-	setDefault(&c.MaxWaiting, defaultMaxWaiting)
-	setDefault(&c.PrefillTokensPerStep, defaultPrefillTokensPerStep)
-	setDefault(&c.BlockTokens, defaultBlockTokens)
-	setDefault(&c.KVBlocks, defaultKVBlocks)
-	setDefault(&c.KVBytesPerToken, defaultKVBytesPerToken)
-	setDefault(&c.KVBytesPerSecond, defaultKVBytesPerSecond)
-	setDefault(&c.WeightBytes, defaultWeightBytes)
-	setDefault(&c.StagedSlots, defaultStagedSlots)
-	setDefault(&c.SwapPause, defaultSwapPause)
-	setDefault(&c.AdapterLoadTime, defaultAdapterLoadTime)
-	setDefault(&c.maxRunSteps, unlimitedRunSteps)
+	c.StepBase = cmp.Or(c.StepBase, defaultStepBase)
+	c.StepPerSequence = cmp.Or(c.StepPerSequence, defaultStepPerSequence)
+	c.StepPerPrefillToken = cmp.Or(c.StepPerPrefillToken, defaultStepPerPrefillToken)
+	c.MaxSequences = cmp.Or(c.MaxSequences, defaultMaxSequences)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, defaultMaxWaiting)
+	c.PrefillTokensPerStep = cmp.Or(c.PrefillTokensPerStep, defaultPrefillTokensPerStep)
+	c.BlockTokens = cmp.Or(c.BlockTokens, defaultBlockTokens)
+	c.KVBlocks = cmp.Or(c.KVBlocks, defaultKVBlocks)
+	c.KVBytesPerToken = cmp.Or(c.KVBytesPerToken, defaultKVBytesPerToken)
+	c.KVBytesPerSecond = cmp.Or(c.KVBytesPerSecond, defaultKVBytesPerSecond)
+	c.WeightBytes = cmp.Or(c.WeightBytes, defaultWeightBytes)
+	c.StagedSlots = cmp.Or(c.StagedSlots, defaultStagedSlots)
+	c.SwapPause = cmp.Or(c.SwapPause, defaultSwapPause)
+	c.AdapterLoadTime = cmp.Or(c.AdapterLoadTime, defaultAdapterLoadTime)
+	c.maxRunSteps = cmp.Or(c.maxRunSteps, unlimitedRunSteps)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/lab/standin/application.go
+++ b/internal/lab/standin/application.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -73,9 +74,9 @@
 // StartApplication starts an application service. It runs until ctx ends or
 // Close is called.
 func StartApplication(ctx context.Context, config ApplicationConfig) (*Application, error) {
-	setDefault(&config.ServiceTime, 5*time.Millisecond)
-	setDefault(&config.Workers, 64)
-	setDefault(&config.PayloadBytes, 256)
+	config.ServiceTime = cmp.Or(config.ServiceTime, 5*time.Millisecond)
+	config.Workers = cmp.Or(config.Workers, 64)
+	config.PayloadBytes = cmp.Or(config.PayloadBytes, 256)
 	a := &Application{config: config, slots: make(chan struct{}, config.Workers)}
 	a.server = newServer(ctx, config.Common,
 		FaultCrash, FaultHang, FaultSlow, FaultRefuse, FaultCut, FaultLate, FaultMix)
@@ -174,10 +175,3 @@
 		a.recorder.endExecution(execution, audit.EndFinished)
 	}
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -68,10 +69,10 @@
 
 // StartEngine starts an engine. It runs until ctx ends or Close is called.
 func StartEngine(ctx context.Context, config EngineConfig) (*Engine, error) {
-	setDefault(&config.TimeScale, 1)
-	setDefault(&config.Lengths, engine.Lengths{Median: 120, Sigma: 0.8, Max: 2000})
-	setDefault(&config.ChunkInterval, 20*time.Millisecond)
-	setDefault(&config.Model.Weights.Version, 1)
+	config.TimeScale = cmp.Or(config.TimeScale, 1)
+	config.Lengths = cmp.Or(config.Lengths, engine.Lengths{Median: 120, Sigma: 0.8, Max: 2000})
+	config.ChunkInterval = cmp.Or(config.ChunkInterval, 20*time.Millisecond)
+	config.Model.Weights.Version = cmp.Or(config.Model.Weights.Version, 1)
 	config.Model.CacheEvents = true
 	config.Model.Adapters = map[string]port.WeightVersion{}
 	for _, name := range config.Adapters {
--- a/internal/lab/standin/prompts.go
+++ b/internal/lab/standin/prompts.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -27,9 +28,9 @@
 const maxPromptsPerCall = 10_000
 
 func (c *PromptConfig) applyDefaults() {
-	setDefault(&c.Families, 8)
-	setDefault(&c.SharedTokens, 128)
-	setDefault(&c.OwnTokens, 32)
+	c.Families = cmp.Or(c.Families, 8)
+	c.SharedTokens = cmp.Or(c.SharedTokens, 128)
+	c.OwnTokens = cmp.Or(c.OwnTokens, 32)
 }
 
 // Prompt returns the prompt at an index. The same index always gives the same
--- a/internal/lab/standin/scorer.go
+++ b/internal/lab/standin/scorer.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -35,7 +36,7 @@
 // StartScorer starts a scoring service. It runs until ctx ends or Close is
 // called.
 func StartScorer(ctx context.Context, config ScorerConfig) (*Scorer, error) {
-	setDefault(&config.ServiceTime, 10*time.Millisecond)
+	config.ServiceTime = cmp.Or(config.ServiceTime, 10*time.Millisecond)
 	s := &Scorer{config: config}
 	s.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse, FaultCut, FaultLate)
 	s.inject = s.injectFault
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -89,13 +90,13 @@
 
 // StartTrainer starts a trainer. It runs until ctx ends or Close is called.
 func StartTrainer(ctx context.Context, config TrainerConfig) (*Trainer, error) {
-	setDefault(&config.Name, "trainer")
-	setDefault(&config.StepTime, time.Second)
-	setDefault(&config.PublishEvery, 1)
-	setDefault(&config.FirstVersion, 1)
-	setDefault(&config.WeightBytes, 4<<20)
-	setDefault(&config.Wait, 2*time.Second)
-	setDefault(&config.Patience, 10*time.Second)
+	config.Name = cmp.Or(config.Name, "trainer")
+	config.StepTime = cmp.Or(config.StepTime, time.Second)
+	config.PublishEvery = cmp.Or(config.PublishEvery, 1)
+	config.FirstVersion = cmp.Or(config.FirstVersion, 1)
+	config.WeightBytes = cmp.Or(config.WeightBytes, 4<<20)
+	config.Wait = cmp.Or(config.Wait, 2*time.Second)
+	config.Patience = cmp.Or(config.Patience, 10*time.Second)
 	config.Prompts.applyDefaults()
 	t := &Trainer{config: config, client: &http.Client{Timeout: config.Wait + config.Patience}}
 	t.stats.Version = config.FirstVersion
--- a/internal/lab/standin/weights.go
+++ b/internal/lab/standin/weights.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -36,8 +37,8 @@
 // StartWeightStore starts a weight store. It runs until ctx ends or Close is
 // called.
 func StartWeightStore(ctx context.Context, config WeightStoreConfig) (*WeightStore, error) {
-	setDefault(&config.BytesPerSecond, 64<<20)
-	setDefault(&config.Bytes, 4<<20)
+	config.BytesPerSecond = cmp.Or(config.BytesPerSecond, 64<<20)
+	config.Bytes = cmp.Or(config.Bytes, 4<<20)
 	s := &WeightStore{config: config, rate: engine.NewStore(config.BytesPerSecond)}
 	s.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse, FaultCut)
 	s.inject = s.injectFault
