--- /dev/null
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+// controlShutdown bounds how long a control process waits for calls in flight.
+const controlShutdown = 1500 * time.Millisecond
+
+// siteControlCommand runs a control process.
+type siteControlCommand struct{ siteSettings }
+
+// Run serves until the process is told to stop.
+func (c *siteControlCommand) Run(streams) error {
+	p, err := newSiteProcess(c.Settings, "control")
+	if err != nil {
+		return err
+	}
+	control := sitecontrol.New(sitecontrol.Config{
+		Machine: p.file.Machine, Address: p.file.PeerAddress(), HeartbeatAddress: p.file.ControlListen,
+		Seeds: p.file.SeedPeers(), Found: p.file.FirstStart, Folder: p.file.DataFolder, Wire: p.wire, Dialect: p.dialect,
+		Logger: p.logger, Seed: p.seed, ToleratedLosses: p.file.ToleratedLosses, HolderLease: p.file.HolderLease(),
+	})
+	control.Register(p.server)
+	operators := newService(p.file.ControlListen, platform.ControlHandler(control))
+	drain := func(ctx context.Context) {
+		control.HandOver(ctx)
+		stopping, cancel := context.WithTimeout(ctx, controlShutdown)
+		defer cancel()
+		_ = operators.server.Shutdown(stopping)
+	}
+	return p.serve([]service{operators}, control.SetSeeds, drain, control.Run)
+}
--- /dev/null
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/front"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+const (
+	// drainNotice is how long a front that stops goes on taking connections:
+	// readiness is asked every second and two misses take it out.
+	drainNotice = 2600 * time.Millisecond
+	// stopReserve is left of the grace for the process's own end.
+	stopReserve = 700 * time.Millisecond
+)
+
+// siteFrontCommand runs a front.
+type siteFrontCommand struct{ siteSettings }
+
+// Run serves until the process is told to stop.
+func (c *siteFrontCommand) Run(streams) error {
+	p, err := newSiteProcess(c.Settings, "front")
+	if err != nil {
+		return err
+	}
+	var sender *proxy.Proxy
+	watcher := p.newWatcher(func(view *siteview.View) { sender.Forget(view) })
+	sender = p.newProxy(watcher.View)
+	served := front.New(front.Config{
+		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger,
+		Jobs: jobsapi.NewClient(p.wire, func() []sitestate.Store {
+			if view := watcher.View(); view != nil {
+				return view.Stores
+			}
+			return nil
+		}),
+	})
+	callers := newService(p.file.CallerListen, platform.FrontHandler(served))
+	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(served.Ready))
+	drain := func(ctx context.Context) {
+		grace := time.After(p.file.Grace() - stopReserve)
+		served.Drain()
+		wait(ctx, drainNotice)
+		stopping, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() { <-grace; cancel() }()
+		_ = callers.server.Shutdown(stopping)
+	}
+	return p.serve([]service{callers, readiness}, watcher.SetSeeds, drain, watcher.Run)
+}
+
+// wait waits for a time or the end of the context.
+func wait(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/sitestore"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+)
+
+// keepJobsMargin is added to the time that a job can be asked about.
+const keepJobsMargin = 15 * time.Second
+
+// siteStoreCommand runs the process of a store machine.
+type siteStoreCommand struct{ siteSettings }
+
+// Run serves until the process is told to stop.
+func (c *siteStoreCommand) Run(streams) error {
+	p, err := newSiteProcess(c.Settings, "store")
+	if err != nil {
+		return err
+	}
+	var sender *proxy.Proxy
+	watcher := p.newWatcher(func(view *siteview.View) { sender.Forget(view) })
+	sender = p.newProxy(watcher.View)
+	store := sitestore.New(sitestore.Config{
+		Machine: p.file.Machine, Zone: p.file.Zone, Address: p.file.PeerAddress(), Folder: p.file.DataFolder,
+		Wire: p.wire, Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Seed: p.seed,
+		ToleratedLosses: p.file.ToleratedLosses, KeepJobs: p.file.KeepJobs() + keepJobsMargin,
+	})
+	store.Register(p.server)
+	drain := func(ctx context.Context) { store.HandOver(ctx) }
+	return p.serve(nil, watcher.SetSeeds, drain, watcher.Run, store.Run)
+}
--- a/cmd/loomgrade/main.go
+++ b/cmd/loomgrade/main.go
@@ -24,6 +24,7 @@
 	Member   memberCommand   `cmd:"" help:"List, add, promote and remove control members."`
 	Status   statusCommand   `cmd:"" help:"Show the state of the control group."`
 	Settings settingsCommand `cmd:"" help:"Check settings files."`
+	Site     siteCommand     `cmd:"" help:"Run the processes of a site whose members find each other."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/loomgrade/page_test.go
+++ b/cmd/loomgrade/page_test.go
@@ -90,11 +90,12 @@
 	}
 }
 
-// TestEveryAnswerCanBeJSON leaves out the two commands that give no answer: they
-// run a process.
+// TestEveryAnswerCanBeJSON leaves out the commands that give no answer: they run
+// a process.
 func TestEveryAnswerCanBeJSON(t *testing.T) {
+	processes := []string{"control", "node", "site front", "site control", "site store"}
 	for name, takesOutput := range commandsOf(t) {
-		if want := name != "control" && name != "node"; takesOutput != want {
+		if want := !slices.Contains(processes, name); takesOutput != want {
 			t.Errorf("%s: takes --output: %v, want %v", name, takesOutput, want)
 		}
 	}
@@ -104,7 +105,7 @@
 func TestCommandsExist(t *testing.T) {
 	commands := commandsOf(t)
 	for _, name := range []string{
-		"control", "node", "dev", "config get", "config set", "config history", "config status",
+		"control", "node", "site front", "site control", "site store", "dev", "config get", "config set", "config history", "config status",
 		"pool list", "pool show", "policy check", "policy simulate", "weights publish", "weights status",
 		"replica list", "replica drain", "replica return", "member list", "member add", "member remove",
 		"explain", "status", "settings check", "version",
--- /dev/null
+++ b/cmd/loomgrade/siteprocess.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/adapter/sitesettings"
+	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+const (
+	siteCluster = "site"
+	// Times of connections between processes: a peer that is cut off is given
+	// up well within the time that a change has to be in force.
+	sitePing      = 400 * time.Millisecond
+	siteIdle      = 1500 * time.Millisecond
+	siteDial      = 500 * time.Millisecond
+	siteWrite     = 1500 * time.Millisecond
+	siteBackoff   = 300 * time.Millisecond
+	callerSilence = 10 * time.Second
+	// settingsPoll is how often the settings file is looked at for a change.
+	settingsPoll = 2 * time.Second
+	// heapShare is the part of the machine's memory that the heap may take
+	// before collections become more frequent.
+	heapShare = 0.6
+	megabyte  = 1 << 20
+	// headerTimeout and keepIdle bound what a caller's connection may wait.
+	headerTimeout = 10 * time.Second
+	keepIdle      = 90 * time.Second
+	// connectionsToReplica bounds a front's connections to one replica.
+	connectionsToReplica = 10
+)
+
+// siteProcess is what every process of a site starts from.
+type siteProcess struct {
+	path    string
+	file    *sitesettings.File
+	logger  *log.Logger
+	wire    wire.Options
+	server  *wire.Server
+	dialect dialect.Dialect
+	signals chan os.Signal
+	seed    uint64
+}
+
+func newSiteProcess(path, role string) (*siteProcess, error) {
+	if path == "" {
+		return nil, usageError{errors.New("no settings file is named")}
+	}
+	file, err := sitesettings.Load(path)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	if file.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * file.MemoryMegabytes * megabyte))
+	}
+	p := &siteProcess{
+		path: path, file: file, dialect: platform.Dialect{}, signals: make(chan os.Signal, 1),
+		logger: eventlog.New(os.Stdout).Logger(file.Machine),
+		wire: wire.Options{
+			ClusterID: siteCluster, Name: file.Machine, PingInterval: sitePing, IdleTimeout: siteIdle,
+			DialTimeout: siteDial, WriteTimeout: siteWrite, BackoffMax: siteBackoff, Dial: tcpsocket.Dial(siteIdle),
+		},
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(file.Machine))
+	p.seed = hash.Sum64() ^ uint64(time.Now().UnixNano())
+	p.server = wire.NewServer(p.wire)
+	signal.Notify(p.signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	p.logger.Info().Str("event", "process.started").Str("role", role).Str("settings", path).Bool("first_start", file.FirstStart).
+		Str("seeds", fmt.Sprint(file.Seeds)).Msg("the process starts")
+	return p, nil
+}
+
+// newWatcher makes the watcher of the control state.
+func (p *siteProcess) newWatcher(changed func(*siteview.View)) *siteview.Watcher {
+	return siteview.New(siteview.Config{
+		Seeds: p.file.SeedPeers(), Wire: p.wire, Decode: p.dialect.DecodeConfiguration, Changed: changed, Logger: p.logger,
+	})
+}
+
+// newProxy makes the sender of requests to replicas.
+func (p *siteProcess) newProxy(view func() *siteview.View) *proxy.Proxy {
+	return proxy.New(proxy.Config{Dialect: p.dialect, View: view, Logger: p.logger, Connections: connectionsToReplica})
+}
+
+// service is an HTTP server with its address.
+type service struct {
+	address string
+	server  *http.Server
+}
+
+func newService(address string, handler http.Handler) service {
+	return service{address: address, server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepIdle,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}}
+}
+
+// serve listens on the peer address and those of the services, runs the tasks,
+// and stops when a task fails or the process is told to. Before it stops it
+// calls drain.
+func (p *siteProcess) serve(services []service, reseed func([]string), drain func(context.Context), tasks ...func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	peers, err := tcpsocket.Listen(ctx, p.file.PeerAddress(), siteIdle)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return p.server.Serve(peers) })
+	for _, served := range services {
+		listener, err := tcpsocket.Listen(ctx, served.address, callerSilence)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return served.server.Serve(listener) })
+	}
+	for _, task := range tasks {
+		group.Go(func() error { return task(ctx) })
+	}
+	group.Go(func() error {
+		p.untilTold(ctx, reseed)
+		p.logger.Info().Str("event", "process.stopping").Err(ctx.Err()).Msg("the process stops")
+		if ctx.Err() == nil {
+			drain(ctx)
+		}
+		cancel()
+		for _, served := range services {
+			_ = served.server.Close()
+		}
+		p.server.Close()
+		return nil
+	})
+	err = group.Wait()
+	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, wire.ErrClosed) || errors.Is(err, net.ErrClosed) {
+		p.logger.Info().Str("event", "process.stopped").Msg("the process has stopped")
+		return nil
+	}
+	p.logger.Error().Str("event", "process.failed").Err(err).Msg("the process ends with a failure")
+	time.Sleep(logFlush)
+	return err
+}
+
+// logFlush lets the last lines out.
+const logFlush = 20 * time.Millisecond
+
+// untilTold waits for a signal to stop or the end of the context. It reads the
+// settings again when they have changed.
+func (p *siteProcess) untilTold(ctx context.Context, reseed func([]string)) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-p.signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+			p.reload(reseed)
+		case <-ticker.C:
+			p.reload(reseed)
+		}
+	}
+}
+
+// reload takes over changed seeds; everything else needs a new start.
+func (p *siteProcess) reload(reseed func([]string)) {
+	file, err := sitesettings.Load(p.path)
+	if err != nil {
+		p.logger.Warn().Str("event", "settings.refused").Err(err).Msg("changed settings cannot be read")
+		return
+	}
+	if fmt.Sprint(file.Seeds) == fmt.Sprint(p.file.Seeds) {
+		return
+	}
+	p.file = file
+	p.logger.Info().Str("event", "settings.reloaded").Str("seeds", fmt.Sprint(file.Seeds)).Msg("the seeds have changed")
+	reseed(file.SeedPeers())
+}
--- /dev/null
+++ b/internal/adapter/eventlog/eventlog.go
@@ -0,0 +1,107 @@
+// Package eventlog writes structured log lines, one JSON object a line, without
+// ever holding up who logs: lines pass through a bounded queue to one writer.
+// What finds no room, or exceeds the rate of ordinary lines, is left out and
+// counted, and a line says how many were. Warnings and errors have a queue of
+// their own, so that refusals and failures go before the ordinary.
+package eventlog
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+const (
+	queueLines = 1024
+	// ordinaryPerSecond bounds lines below the level of a warning.
+	ordinaryPerSecond = 100
+	// maxLineBytes bounds one line; a longer one is cut.
+	maxLineBytes = 4096
+	reportEvery  = 5 * time.Second
+)
+
+// Writer is a log.Writer. It is safe for several goroutines.
+type Writer struct {
+	urgent   chan []byte
+	ordinary chan []byte
+	dropped  atomic.Uint64
+	// second and count bound the rate of ordinary lines.
+	second atomic.Int64
+	count  atomic.Int64
+}
+
+// New makes a writer to out and starts its goroutine.
+func New(out io.Writer) *Writer {
+	writer := &Writer{urgent: make(chan []byte, queueLines), ordinary: make(chan []byte, queueLines)}
+	go writer.run(out)
+	return writer
+}
+
+// Logger makes a logger of a process, by its name in every line.
+func (w *Writer) Logger(process string) *log.Logger {
+	return &log.Logger{
+		Level: log.InfoLevel, Writer: w, TimeField: "time", TimeFormat: log.TimeFormatUnixMs,
+		Context: log.NewContext(nil).Str("process", process).Value(),
+	}
+}
+
+// Dropped gives the number of lines that were left out.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// WriteEntry implements log.Writer.
+func (w *Writer) WriteEntry(entry *log.Entry) (int, error) {
+	formatted := entry.Value()
+	queue := w.urgent
+	if entry.Level < log.WarnLevel {
+		queue = w.ordinary
+		if !w.withinRate() {
+			w.dropped.Add(1)
+			return len(formatted), nil
+		}
+	}
+	line := append([]byte(nil), formatted[:min(len(formatted), maxLineBytes)]...)
+	select {
+	case queue <- line:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(formatted), nil
+}
+
+func (w *Writer) withinRate() bool {
+	now := time.Now().Unix()
+	if w.second.Swap(now) != now {
+		w.count.Store(0)
+	}
+	return w.count.Add(1) <= ordinaryPerSecond
+}
+
+func (w *Writer) run(out io.Writer) {
+	var reported uint64
+	reportedAt := time.Now()
+	for {
+		_, _ = out.Write(w.next())
+		if dropped := w.dropped.Load(); dropped != reported && time.Since(reportedAt) > reportEvery {
+			entry := log.Logger{Writer: log.IOWriter{Writer: out}}
+			entry.Warn().Str("event", "log.dropped").Uint64("lines", dropped-reported).Msg("log lines were left out")
+			reported, reportedAt = dropped, time.Now()
+		}
+	}
+}
+
+// next gives an urgent line if there is one.
+func (w *Writer) next() []byte {
+	select {
+	case line := <-w.urgent:
+		return line
+	default:
+	}
+	select {
+	case line := <-w.urgent:
+		return line
+	case line := <-w.ordinary:
+		return line
+	}
+}
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -32,8 +33,24 @@
 	// Timeout bounds a whole answer when the context has no deadline;
 	// default 30s.
 	Timeout time.Duration
+	// SilenceTimeout ends a connection whose sent bytes are not acknowledged
+	// for so long (TCP_USER_TIMEOUT); default 10s.
+	SilenceTimeout time.Duration
+	// Names are the headers that a call's id and deadline travel in; default
+	// HeaderRequestID and HeaderDeadline of package api.
+	Names Names
 }
 
+// Names are the headers that every call carries.
+type Names struct {
+	// ID names the call; an answer that names another one is refused.
+	ID string
+	// Deadline is what is left of the call's deadline, in milliseconds.
+	Deadline string
+}
+
+var defaultNames = Names{ID: api.HeaderRequestID, Deadline: api.HeaderDeadline}
+
 // The defaults of Limits.
 const (
 	defaultDialTimeout     = 2 * time.Second
@@ -42,6 +59,7 @@
 	defaultIdleTimeout     = 30 * time.Second
 	defaultHeaderBytes     = 32 << 10
 	defaultTimeout         = 30 * time.Second
+	defaultSilenceTimeout  = 10 * time.Second
 )
 
 func (l Limits) withDefaults() Limits {
@@ -51,6 +69,8 @@
 	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaultIdleTimeout)
 	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
 	l.Timeout = cmp.Or(l.Timeout, defaultTimeout)
+	l.SilenceTimeout = cmp.Or(l.SilenceTimeout, defaultSilenceTimeout)
+	l.Names = cmp.Or(l.Names, defaultNames)
 	return l
 }
 
@@ -66,7 +86,7 @@
 // New makes a Client.
 func New(limits Limits) *Client {
 	limits = limits.withDefaults()
-	dialer := &net.Dialer{Timeout: limits.DialTimeout}
+	dialer := &net.Dialer{Timeout: limits.DialTimeout, Control: tcpsocket.UserTimeout(limits.SilenceTimeout)}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -103,6 +123,11 @@
 // what is left of ctx's deadline as HeaderDeadline, and id, if not empty, as
 // HeaderRequestID. A malformed method or URL gives NotRun.
 func NewRequest(ctx context.Context, method, url, id string, header http.Header, body []byte) (*http.Request, error) {
+	return defaultNames.NewRequest(ctx, method, url, id, header, body)
+}
+
+// NewRequest is like the function NewRequest, with other header names.
+func (n Names) NewRequest(ctx context.Context, method, url, id string, header http.Header, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return nil, eris.Wrap(port.NewError(port.NotRun, port.CodeInvalid, "%v", err), "make request")
@@ -111,11 +136,11 @@
 		request.Header = header
 	}
 	if id != "" {
-		request.Header.Set(api.HeaderRequestID, id)
+		request.Header.Set(n.ID, id)
 	}
-	if deadline, limited := ctx.Deadline(); limited {
+	if deadline, limited := ctx.Deadline(); limited && n.Deadline != "" {
 		left := max(1, time.Until(deadline).Milliseconds())
-		request.Header.Set(api.HeaderDeadline, strconv.FormatInt(left, 10))
+		request.Header.Set(n.Deadline, strconv.FormatInt(left, 10))
 	}
 	setSingleUseBody(request, body)
 	return request, nil
@@ -161,10 +186,12 @@
 	if err != nil {
 		return nil, attempt.failure(ctx, err)
 	}
-	if err := checkRequestID(request, response); err != nil {
+	if err := c.limits.Names.checkID(request, response); err != nil {
 		_ = response.Body.Close()
+		attempt.closeConnections() // what else comes on it belongs to no request
 		return nil, err
 	}
+	attempt.noteKeepAlive(response)
 	return response, nil
 }
 
@@ -176,11 +203,11 @@
 	return Failure(ctx, verdict, err, "send request")
 }
 
-// checkRequestID refuses an answer that names another request's id.
-func checkRequestID(request *http.Request, response *http.Response) error {
-	got := response.Header.Get(api.HeaderRequestID)
-	if got == "" || got == request.Header.Get(api.HeaderRequestID) {
+// checkID refuses an answer that names another request's id.
+func (n Names) checkID(request *http.Request, response *http.Response) error {
+	got := response.Header.Get(n.ID)
+	if got == "" || got == request.Header.Get(n.ID) {
 		return nil
 	}
-	return Malformed("answer is to another request: %s %q", api.HeaderRequestID, got)
+	return Malformed("answer is to another request: %s %q", n.ID, got)
 }
--- a/internal/adapter/httpcall/connection.go
+++ b/internal/adapter/httpcall/connection.go
@@ -3,8 +3,12 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptrace"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 )
 
 // errSealed is what a write on a sealed connection fails with.
@@ -17,21 +21,52 @@
 	mutex  sync.Mutex
 	writes uint64
 	sealed bool
+	// idleLimit is how long the server keeps the connection unused, 0 if it
+	// did not say.
+	idleLimit time.Duration
+	lastUsed  time.Time
 }
 
+// idleMargin is how long before the server's own limit a connection is no
+// longer used: the server's closing may be on its way.
+const idleMargin = 300 * time.Millisecond
+
 // Write counts before the bytes can leave, so that the count errs only towards
 // "may have run".
 func (c *countedConnection) Write(data []byte) (int, error) {
 	c.mutex.Lock()
-	if c.sealed {
+	if c.sealed || c.expired() {
 		c.mutex.Unlock()
 		return 0, errSealed
 	}
 	c.writes++
+	c.lastUsed = time.Now()
 	c.mutex.Unlock()
 	return c.Conn.Write(data)
 }
 
+// Read notes when the connection was last used.
+func (c *countedConnection) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.mutex.Lock()
+	c.lastUsed = time.Now()
+	c.mutex.Unlock()
+	return count, err
+}
+
+// expired reports whether the server may be about to close the connection. The
+// caller holds the lock.
+func (c *countedConnection) expired() bool {
+	return c.idleLimit > 0 && time.Since(c.lastUsed) > c.idleLimit-idleMargin
+}
+
+// setIdleLimit takes over what the server said of idle connections.
+func (c *countedConnection) setIdleLimit(limit time.Duration) {
+	c.mutex.Lock()
+	c.idleLimit = limit
+	c.mutex.Unlock()
+}
+
 // writesBegun gives the number of writes so far.
 func (c *countedConnection) writesBegun() uint64 {
 	c.mutex.Lock()
@@ -95,3 +130,38 @@
 	}
 	return written
 }
+
+// noteKeepAlive takes over how long the server keeps the connection, if its
+// answer says so in the Keep-Alive header, in whole seconds.
+func (a *attempt) noteKeepAlive(response *http.Response) {
+	limit, stated := keepAliveTimeout(response.Header.Get("Keep-Alive"))
+	if !stated {
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if count := len(a.connections); count > 0 {
+		a.connections[count-1].connection.setIdleLimit(limit)
+	}
+}
+
+func keepAliveTimeout(header string) (time.Duration, bool) {
+	for parameter := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 16)
+		return time.Duration(seconds) * time.Second, err == nil && seconds > 0
+	}
+	return 0, false
+}
+
+// closeConnections closes the connections that the request was given.
+func (a *attempt) closeConnections() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, used := range a.connections {
+		_ = used.connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -0,0 +1,152 @@
+// Package sitesettings reads the settings file of a process of a site whose
+// members find each other: one JSON object, unknown keys refused.
+package sitesettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// File is a settings file. Addresses are host:port by IP number.
+type File struct {
+	// Machine is the machine's name, Zone where it stands.
+	Machine string `json:"machine"`
+	Zone    string `json:"zone"`
+	// IP is the machine's address and PeerPort the port on which every machine
+	// of the site takes messages of other processes.
+	IP       string `json:"ip"`
+	PeerPort string `json:"peer_port"`
+	// CallerListen, ReadinessListen and ControlListen are where the roles
+	// serve; a role that does not serve there has an empty one.
+	CallerListen    string `json:"caller_listen"`
+	ReadinessListen string `json:"readiness_listen"`
+	ControlListen   string `json:"control_listen"`
+	// MetricsListen serves metrics; empty is nowhere.
+	MetricsListen string `json:"metrics_listen,omitempty"`
+	// Seeds are control addresses of some control machines.
+	Seeds []string `json:"seeds"`
+	// FirstStart is set only when the whole site starts for the first time.
+	FirstStart bool `json:"first_start"`
+	// DataFolder holds the state of a role with a disk.
+	DataFolder string `json:"data_folder"`
+	// ToleratedLosses is how many machines with a disk may be lost at once.
+	ToleratedLosses int `json:"tolerated_losses"`
+	// HolderLeaseMillis is how long replicas hold to the machine that ordered
+	// them last.
+	HolderLeaseMillis float64 `json:"holder_lease_ms"`
+	// GraceSeconds is the time between SIGTERM and SIGKILL.
+	GraceSeconds float64 `json:"grace_s"`
+	// KeepJobsSeconds is how long a job that ended can be asked about.
+	KeepJobsSeconds float64 `json:"keep_jobs_s"`
+	// MemoryMegabytes bounds the process.
+	MemoryMegabytes float64 `json:"memory_mb"`
+}
+
+// Error says which key of which file is at fault.
+type Error struct {
+	Path    string
+	Key     string
+	Value   string
+	Allowed string
+}
+
+// Error gives one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s = %q, allowed: %s", e.Path, e.Key, e.Value, e.Allowed)
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings file")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	file := &File{}
+	if err := decoder.Decode(file); err != nil {
+		return nil, eris.Wrapf(err, "settings file %s", path)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, eris.Errorf("settings file %s: more than one JSON value", path)
+	}
+	return file, file.check(path)
+}
+
+func (f *File) check(path string) error {
+	fault := func(key, value, allowed string) error {
+		return &Error{Path: path, Key: key, Value: value, Allowed: allowed}
+	}
+	if f.Machine == "" {
+		return fault("machine", "", "a name")
+	}
+	if net.ParseIP(f.IP) == nil {
+		return fault("ip", f.IP, "an IP number")
+	}
+	if port, err := strconv.Atoi(f.PeerPort); err != nil || port < 1 || port > 65535 {
+		return fault("peer_port", f.PeerPort, "a port from 1 to 65535")
+	}
+	if len(f.Seeds) == 0 {
+		return fault("seeds", "", "at least one address")
+	}
+	for key, address := range map[string]string{
+		"caller_listen": f.CallerListen, "readiness_listen": f.ReadinessListen, "control_listen": f.ControlListen, "metrics_listen": f.MetricsListen,
+	} {
+		if address != "" && !isAddress(address) {
+			return fault(key, address, "host:port")
+		}
+	}
+	for _, seed := range f.Seeds {
+		if !isAddress(seed) {
+			return fault("seeds", seed, "host:port")
+		}
+	}
+	if f.ToleratedLosses < 0 {
+		return fault("tolerated_losses", strconv.Itoa(f.ToleratedLosses), "0 or more")
+	}
+	return nil
+}
+
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && host != "" && port != ""
+}
+
+// PeerAddress is where this machine takes messages of other processes.
+func (f *File) PeerAddress() string { return net.JoinHostPort(f.IP, f.PeerPort) }
+
+// SeedPeers are the peer addresses of the seeds.
+func (f *File) SeedPeers() []string {
+	peers := make([]string, 0, len(f.Seeds))
+	for _, seed := range f.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			peers = append(peers, net.JoinHostPort(host, f.PeerPort))
+		}
+	}
+	return peers
+}
+
+// HolderLease is HolderLeaseMillis as a duration.
+func (f *File) HolderLease() time.Duration {
+	return time.Duration(f.HolderLeaseMillis * float64(time.Millisecond))
+}
+
+// Grace is GraceSeconds as a duration.
+func (f *File) Grace() time.Duration {
+	return time.Duration(f.GraceSeconds * float64(time.Second))
+}
+
+// KeepJobs is KeepJobsSeconds as a duration.
+func (f *File) KeepJobs() time.Duration {
+	return time.Duration(f.KeepJobsSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/app/front/front.go
@@ -0,0 +1,250 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	// routeUnknownAfter is how old a confirmed view may be to deny that a route
+	// exists; with an older one the request is refused for now.
+	routeUnknownAfter = 1500 * time.Millisecond
+	// comeBack is when a refused request is best sent again.
+	comeBack = 200 * time.Millisecond
+	// defaultBodyBytes bounds a request's body if the configuration does not.
+	defaultBodyBytes = 32 << 20
+	// deadlineMargin is kept for the answer's way back to the caller.
+	deadlineMargin = 5 * time.Millisecond
+)
+
+// Config sets a Front up.
+type Config struct {
+	Dialect dialect.Dialect
+	Watcher *siteview.Watcher
+	Proxy   *proxy.Proxy
+	Jobs    *jobsapi.Client
+	Logger  *log.Logger
+}
+
+// Front serves callers.
+type Front struct {
+	config   Config
+	headers  dialect.Headers
+	splits   atomic.Uint64
+	draining atomic.Bool
+	inFlight atomic.Int64
+	counters Counters
+}
+
+// Counters count what callers got.
+type Counters struct {
+	Answered atomic.Uint64
+	Refused  atomic.Uint64
+	Failed   atomic.Uint64
+	Late     atomic.Uint64
+	Left     atomic.Uint64
+}
+
+// New makes a Front.
+func New(config Config) *Front {
+	return &Front{config: config, headers: config.Dialect.Headers()}
+}
+
+// Counters gives the counts.
+func (f *Front) Counters() *Counters { return &f.counters }
+
+// Ready reports whether callers should come here: a configuration is known, and
+// no planned stop has begun.
+func (f *Front) Ready() bool {
+	view := f.config.Watcher.View()
+	return !f.draining.Load() && view != nil && view.Table != nil
+}
+
+// Drain makes the front unready; answers tell callers to close their
+// connections.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// InFlight gives the requests that are being served.
+func (f *Front) InFlight() int64 { return f.inFlight.Load() }
+
+// Track counts a request in until the result is called.
+func (f *Front) Track(w http.ResponseWriter) func() {
+	f.inFlight.Add(1)
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	return func() { f.inFlight.Add(-1) }
+}
+
+// ServeHTTP passes a request through, or takes a job.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	view := f.config.Watcher.View()
+	if view == nil || view.Table == nil {
+		f.refuse(w, r, "", "no configuration is known yet")
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := view.Table.Lookup(r.Host, path)
+	if route == nil {
+		f.denyRoute(w, r, view)
+		return
+	}
+	body, status := f.readBody(r, view.Table.Document().Limits)
+	if status != 0 {
+		f.answerStatus(w, r, route.Name, status, "the body could not be read")
+		return
+	}
+	if route.Kind == routing.KindJobs {
+		f.submit(w, r, route, body)
+		return
+	}
+	f.pass(w, r, route, body, arrived)
+}
+
+// denyRoute answers a request without a route: it does not exist, unless this
+// process may have missed a change.
+func (f *Front) denyRoute(w http.ResponseWriter, r *http.Request, view *siteview.View) {
+	if !f.config.Watcher.ConfirmedWithin(routeUnknownAfter) {
+		f.refuse(w, r, "", "no route is known, and the configuration is not confirmed")
+		return
+	}
+	f.config.Logger.Info().Str("event", "request.noroute").Str("id", r.Header.Get(f.headers.RequestID)).Str("host", r.Host).
+		Str("target", r.RequestURI).Uint64("version", view.Table.Version()).Msg("no route for a request")
+	http.Error(w, "no route", http.StatusNotFound)
+}
+
+// readBody reads the whole body; a status other than 0 is the answer instead.
+func (f *Front) readBody(r *http.Request, limits routing.Limits) ([]byte, int) {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, 0
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, http.StatusBadRequest
+	case int64(len(body)) > limit:
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return body, 0
+}
+
+// pass carries a request to a replica and its answer back.
+func (f *Front) pass(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, arrived time.Time) {
+	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.allowed(r, route)))
+	defer cancel()
+	request := proxy.Request{
+		Request: replicacall.Request{
+			Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
+			Header: passedHeader(r.Header), Body: body,
+		},
+		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
+		Repeatable: route.Kind == routing.KindIdempotent, MaxAttempts: route.MaxAttempts, Aim: route.Aim,
+		Stream: route.Kind == routing.KindStream,
+	}
+	answer, failure := f.config.Proxy.Do(ctx, request)
+	if failure != nil {
+		f.fail(w, r, route, failure)
+		return
+	}
+	f.counters.Answered.Add(1)
+	copyHeader(w.Header(), answer.Header)
+	if answer.Stream != nil {
+		f.stream(w, answer)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+// allowed is how long a request may take: what its caller waits, and no longer
+// than its route holds it.
+func (f *Front) allowed(r *http.Request, route *routing.Route) time.Duration {
+	allowed := route.Timeout
+	millis, err := strconv.ParseFloat(r.Header.Get(f.headers.Deadline), 64)
+	if err == nil && millis > 0 {
+		allowed = min(allowed, time.Duration(millis*float64(time.Millisecond)))
+	}
+	return max(time.Millisecond, allowed-deadlineMargin)
+}
+
+// stream hands a streamed answer on as it comes. One that breaks off breaks
+// the caller's connection, so that it does not look whole.
+func (f *Front) stream(w http.ResponseWriter, answer *proxy.Answer) {
+	defer func() { _ = answer.Stream.Body.Close() }()
+	w.WriteHeader(answer.Status)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, streamBuffer)
+	for {
+		count, err := answer.Stream.Body.Read(buffer)
+		if count > 0 {
+			if _, failed := w.Write(buffer[:count]); failed != nil {
+				return
+			}
+			_ = control.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+const streamBuffer = 16 << 10
+
+// fail gives a request its final answer.
+func (f *Front) fail(w http.ResponseWriter, r *http.Request, route *routing.Route, failure *proxy.Failure) {
+	switch {
+	case r.Context().Err() != nil:
+		f.counters.Left.Add(1)
+		panic(http.ErrAbortHandler)
+	case failure.Verdict == port.NotRun:
+		f.refuse(w, r, route.Name, failure.Reason)
+	case failure.Code == port.CodeDeadline:
+		f.counters.Late.Add(1)
+		f.answerStatus(w, r, route.Name, http.StatusGatewayTimeout, failure.Reason)
+	default:
+		f.counters.Failed.Add(1)
+		f.answerStatus(w, r, route.Name, http.StatusBadGateway, failure.Reason)
+	}
+}
+
+// refuse answers a request that did not run and tells when to come back.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, route, reason string) {
+	f.counters.Refused.Add(1)
+	w.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64))
+	f.answerStatus(w, r, route, http.StatusServiceUnavailable, reason)
+}
+
+func (f *Front) answerStatus(w http.ResponseWriter, r *http.Request, route string, status int, reason string) {
+	f.config.Logger.Warn().Str("event", "request.failed").Str("id", r.Header.Get(f.headers.RequestID)).Str("route", route).
+		Int("status", status).Str("reason", reason).Bool("confirmed", f.config.Watcher.ConfirmedWithin(routeUnknownAfter)).
+		Msg("a caller got no answer of a replica")
+	http.Error(w, reason, status)
+}
--- /dev/null
+++ b/internal/app/group/config.go
@@ -0,0 +1,110 @@
+package group
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+// Defaults of Config.
+const (
+	DefaultTick           = 100 * time.Millisecond
+	DefaultElectionTicks  = 8
+	DefaultHeartbeatTicks = 2
+	DefaultReplaceAfter   = 5 * time.Second
+	DefaultForgetAfter    = 20 * time.Second
+
+	retainEntries = 512
+	maxBatch      = 512
+)
+
+// Origin says how a member with an empty folder comes into the group.
+type Origin struct {
+	// Founders are the first members. If the member is one of them it starts
+	// the group with the others, else it joins.
+	Founders []groupmember.Record
+	// Contacts are addresses of members to join at.
+	Contacts []string
+}
+
+// Config sets a Member up. Zero fields after Origin take defaults.
+type Config struct {
+	// Name is the group's name. It is part of the names of its methods.
+	Name string
+	// Folder holds the member's log.
+	Folder     string
+	FileSystem wal.FileSystem
+	// Self is this machine's record without an id.
+	Self groupmember.Record
+	// Wire is for connections to other members.
+	Wire wire.Options
+	// Machine makes an empty state machine.
+	Machine func() groupmember.StateMachine
+	// Origin is asked while the folder is empty, again and again, with the
+	// incarnation that was drawn for the folder.
+	Origin func(ctx context.Context, incarnation string) (Origin, error)
+	// Changed is called in the loop's goroutine after every step. It must not
+	// wait.
+	Changed func(step Step)
+	// Leaving names the machines that are to be emptied. It is called in the
+	// loop's goroutine. Nil is none.
+	Leaving func() map[string]bool
+	Limits  groupmember.Limits
+	Logger  *log.Logger
+	// Seed feeds the random election timeouts.
+	Seed uint64
+	Tick time.Duration
+	// ElectionTicks and HeartbeatTicks are those of consensus.Config.
+	ElectionTicks  int
+	HeartbeatTicks int
+	ReplaceAfter   time.Duration
+	ForgetAfter    time.Duration
+	SnapshotBytes  int
+}
+
+func (c Config) withDefaults() Config {
+	c.Tick = cmp.Or(c.Tick, DefaultTick)
+	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
+	c.HeartbeatTicks = cmp.Or(c.HeartbeatTicks, DefaultHeartbeatTicks)
+	c.ReplaceAfter = cmp.Or(c.ReplaceAfter, DefaultReplaceAfter)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.Limits.ReplaceTicks = cmp.Or(c.Limits.ReplaceTicks, uint64(c.ReplaceAfter/c.Tick))
+	c.Limits.ForgetTicks = cmp.Or(c.Limits.ForgetTicks, uint64(c.ForgetAfter/c.Tick))
+	if c.FileSystem == nil {
+		c.FileSystem = wal.OS{}
+	}
+	return c
+}
+
+func (c Config) consensus(id consensus.MemberID) consensus.Config {
+	return consensus.Config{
+		ID: id, ElectionTicks: c.ElectionTicks, HeartbeatTicks: c.HeartbeatTicks,
+		Seed: c.Seed, RetainEntries: retainEntries,
+	}
+}
+
+// electionTimeout is the shortest time after which another leader may stand.
+func (c Config) electionTimeout() time.Duration {
+	return time.Duration(c.ElectionTicks) * c.Tick
+}
+
+// Step is what the loop shows after each step of work.
+type Step struct {
+	Machine groupmember.StateMachine
+	Status  consensus.Status
+	// Settled is set on a leader in touch with a quorum whose state shows all
+	// that was committed under earlier leaders.
+	Settled bool
+	// CaughtUp is set if all that was committed when the member last heard
+	// from the leader is applied.
+	CaughtUp bool
+	Applied  uint64
+	Records  []groupmember.Record
+}
--- /dev/null
+++ b/internal/app/group/identity.go
@@ -0,0 +1,122 @@
+package group
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+const (
+	identityFile     = "identity"
+	logFolder        = "log"
+	incarnationBytes = 12
+)
+
+// identity is what a member keeps beside its log.
+type identity struct {
+	ID          consensus.MemberID `cbor:"1,keyasint"`
+	Incarnation string             `cbor:"2,keyasint"`
+	// Founding is set for a founder; Records then are the founders.
+	Founding bool `cbor:"3,keyasint"`
+	// Records are the members known when the folder was made.
+	Records []groupmember.Record `cbor:"4,keyasint"`
+}
+
+// folder is the data folder of a member.
+type folder struct {
+	files wal.FileSystem
+	path  string
+}
+
+func (f folder) logPath() string { return filepath.Join(f.path, logFolder) }
+
+// load reads the identity; found is false for an empty or half-made folder.
+func (f folder) load() (stored identity, found bool, err error) {
+	data, err := f.files.ReadFile(filepath.Join(f.path, identityFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return identity{}, false, nil
+	}
+	if err != nil {
+		return identity{}, false, eris.Wrap(err, "read identity")
+	}
+	if wire.Unmarshal(data, &stored) != nil || stored.ID == consensus.None {
+		return identity{}, false, nil
+	}
+	return stored, true, nil
+}
+
+// save makes the identity durable.
+func (f folder) save(stored identity) error {
+	data, err := wire.Marshal(stored)
+	if err != nil {
+		return err
+	}
+	if err := f.files.MkdirAll(f.path); err != nil {
+		return eris.Wrap(err, "make data folder")
+	}
+	name := filepath.Join(f.path, identityFile)
+	if err := f.writeSynced(name+".tmp", data); err != nil {
+		return err
+	}
+	if err := f.files.Rename(name+".tmp", name); err != nil {
+		return eris.Wrap(err, "rename identity")
+	}
+	return eris.Wrap(f.files.SyncDir(f.path), "sync data folder")
+}
+
+func (f folder) writeSynced(name string, data []byte) error {
+	file, err := f.files.Create(name)
+	if err != nil {
+		return eris.Wrap(err, "create identity")
+	}
+	if _, err := file.Write(data); err != nil {
+		return eris.Wrap(errors.Join(err, file.Close()), "write identity")
+	}
+	if err := file.Sync(); err != nil {
+		return eris.Wrap(errors.Join(err, file.Close()), "sync identity")
+	}
+	return eris.Wrap(file.Close(), "close identity")
+}
+
+// clear removes the identity first, so that a folder that is cleared halfway
+// counts as empty, and then the log.
+func (f folder) clear() error {
+	err := f.files.Remove(filepath.Join(f.path, identityFile))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return eris.Wrap(err, "remove identity")
+	}
+	if err := f.files.MkdirAll(f.path); err != nil {
+		return eris.Wrap(err, "make data folder")
+	}
+	if err := f.files.SyncDir(f.path); err != nil {
+		return eris.Wrap(err, "sync data folder")
+	}
+	names, err := f.files.ReadDir(f.logPath())
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read log folder")
+	}
+	for _, name := range names {
+		if err := f.files.Remove(filepath.Join(f.logPath(), name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return eris.Wrap(err, "remove log")
+		}
+	}
+	return eris.Wrap(f.files.SyncDir(f.logPath()), "sync log folder")
+}
+
+func newIncarnation() string {
+	drawn := make([]byte, incarnationBytes)
+	_, _ = rand.Read(drawn) // never fails, by its documentation
+	return hex.EncodeToString(drawn)
+}
--- /dev/null
+++ b/internal/app/group/join.go
@@ -0,0 +1,128 @@
+package group
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// joinRequest asks for an id. Record has none yet.
+type joinRequest struct {
+	Record groupmember.Record `cbor:"1,keyasint"`
+}
+
+// joinAnswer gives the id, or the leader to ask instead.
+type joinAnswer struct {
+	ID      consensus.MemberID   `cbor:"1,keyasint,omitempty"`
+	Records []groupmember.Record `cbor:"2,keyasint,omitempty"`
+	Leader  string               `cbor:"3,keyasint,omitempty"`
+}
+
+// join asks members for an id, following them to the leader.
+func (m *Member) join(ctx context.Context, incarnation string, contacts []string) (identity, error) {
+	record := m.config.Self
+	record.Incarnation = incarnation
+	asked := map[string]bool{m.config.Self.Address: true}
+	for len(contacts) > 0 {
+		address := contacts[0]
+		contacts = contacts[1:]
+		if address == "" || asked[address] {
+			continue
+		}
+		asked[address] = true
+		answer, err := m.askToJoin(ctx, address, record)
+		if err != nil {
+			continue
+		}
+		if answer.ID != consensus.None {
+			return identity{ID: answer.ID, Records: answer.Records}, nil
+		}
+		contacts = slices.Insert(contacts, 0, answer.Leader)
+		for _, known := range answer.Records {
+			contacts = append(contacts, known.Address)
+		}
+	}
+	return identity{}, eris.New("no member that was asked could add this one")
+}
+
+func (m *Member) askToJoin(ctx context.Context, address string, record groupmember.Record) (joinAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var answer joinAnswer
+	err := m.peers.client(address).Call(ctx, m.config.Name+".join", joinRequest{Record: record}, &answer)
+	return answer, err
+}
+
+// serveJoin adds the asker as a learner, if this member leads. An asker whose
+// first answer was lost gets the same id again.
+func (m *Member) serveJoin(ctx context.Context, call *wire.Call) error {
+	var asked joinRequest
+	if err := call.Decode(&asked); err != nil {
+		return err
+	}
+	if asked.Record.Address == "" || asked.Record.Incarnation == "" {
+		return port.InvalidField("record", "", "an address and an incarnation")
+	}
+	answer, err := m.add(ctx, asked.Record)
+	if err != nil {
+		return port.NewError(port.MayHaveRun, port.CodeUnavailable, "%v", err)
+	}
+	return call.Send(answer)
+}
+
+func (m *Member) add(ctx context.Context, record groupmember.Record) (joinAnswer, error) {
+	l := m.current.Load()
+	if l == nil {
+		return joinAnswer{}, ErrNotReady
+	}
+	done := make(chan joinAnswer, 1)
+	failed := make(chan error, 1)
+	work := func(l *loop) {
+		status := l.member.Status()
+		records := l.member.Directory()
+		if !l.member.Settled() {
+			leader, _ := l.member.Record(status.Leader)
+			done <- joinAnswer{Leader: leader.Address, Records: records}
+			return
+		}
+		known := slices.IndexFunc(records, func(r groupmember.Record) bool {
+			return r.Address == record.Address && r.Incarnation == record.Incarnation && status.Membership.Contains(r.ID)
+		})
+		if known >= 0 {
+			done <- joinAnswer{ID: records[known].ID, Records: records}
+			return
+		}
+		record.ID = status.Membership.HighestID + 1
+		token := l.await(func(reply groupmember.Reply) {
+			if reply.Err != nil {
+				failed <- reply.Err
+				return
+			}
+			done <- joinAnswer{ID: record.ID, Records: l.member.Directory()}
+		})
+		l.member.ChangeMembership(token, consensus.AddLearner, record)
+	}
+	select {
+	case l.requests <- work:
+	case <-l.stopped:
+		return joinAnswer{}, ErrNotReady
+	case <-ctx.Done():
+		return joinAnswer{}, ctx.Err()
+	}
+	select {
+	case answer := <-done:
+		return answer, nil
+	case err := <-failed:
+		return joinAnswer{}, err
+	case <-l.stopped:
+		return joinAnswer{}, ErrNotReady
+	case <-ctx.Done():
+		return joinAnswer{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/app/group/loop.go
@@ -0,0 +1,296 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+const (
+	requestQueue = 4096
+	messageQueue = 4096
+	// houseTicks is the number of ticks between looks at the membership.
+	houseTicks = 3
+)
+
+// errRemoved ends a loop whose member was removed from the group.
+var errRemoved = errors.New("group: this member was removed from the group")
+
+// request is a piece of work for the loop's goroutine.
+type request func(l *loop)
+
+// loop owns the core and the log of a member. Only run's goroutine touches it,
+// but for the channels.
+type loop struct {
+	config   Config
+	member   *groupmember.Member
+	machine  groupmember.StateMachine
+	log      *wal.Log
+	peers    *peers
+	requests chan request
+	messages chan consensus.Message
+	stopped  chan struct{}
+	// shown takes what the loop shows after each step.
+	shown func(Step)
+
+	started   time.Time
+	ticks     int64
+	lastToken uint64
+	awaiting  map[uint64]func(groupmember.Reply)
+	changing  bool
+	told      []groupmember.Record
+}
+
+// newLoop builds the core on an open log.
+func newLoop(config Config, stored identity, log *wal.Log, restored consensus.Restored, peers *peers, shown func(Step)) (*loop, error) {
+	machine := config.Machine()
+	member, err := groupmember.New(groupmember.Config{
+		Consensus: config.consensus(stored.ID), SnapshotBytes: config.SnapshotBytes, Founders: stored.Records,
+	}, restored, machine)
+	if err != nil {
+		return nil, eris.Wrap(err, config.Folder)
+	}
+	return &loop{
+		config: config, member: member, machine: machine, log: log, peers: peers, shown: shown,
+		requests: make(chan request, requestQueue),
+		messages: make(chan consensus.Message, messageQueue),
+		stopped:  make(chan struct{}),
+		started:  time.Now(),
+		awaiting: make(map[uint64]func(groupmember.Reply)),
+	}, nil
+}
+
+// run works until the context ends or the member must stop.
+func (l *loop) run(ctx context.Context) error {
+	defer close(l.stopped)
+	defer l.failAll()
+	ticker := time.NewTicker(l.config.Tick)
+	defer ticker.Stop()
+	if err := l.work(); err != nil {
+		return err
+	}
+	for {
+		if err := l.wait(ctx, ticker.C); err != nil {
+			return err
+		}
+		if err := l.takeMore(); err != nil {
+			return err
+		}
+		if err := l.work(); err != nil {
+			return err
+		}
+	}
+}
+
+// wait blocks for the first event of a group. Ticks that passed meanwhile come
+// before it.
+func (l *loop) wait(ctx context.Context, tick <-chan time.Time) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-tick:
+		l.catchUpTicks()
+		return nil
+	case message := <-l.messages:
+		l.catchUpTicks()
+		return l.step(message)
+	case request := <-l.requests:
+		l.catchUpTicks()
+		request(l)
+		return nil
+	}
+}
+
+// takeMore takes in what else is waiting, so that one sync serves the group.
+func (l *loop) takeMore() error {
+	for range maxBatch - 1 {
+		select {
+		case message := <-l.messages:
+			if err := l.step(message); err != nil {
+				return err
+			}
+		case request := <-l.requests:
+			request(l)
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// step hands a message to the core. Only the error that is final counts; a
+// malformed message is dropped.
+func (l *loop) step(message consensus.Message) error {
+	err := l.member.Step(message)
+	if errors.Is(err, consensus.ErrCommittedConflict) {
+		return eris.Wrap(err, "consensus")
+	}
+	return nil
+}
+
+func (l *loop) catchUpTicks() {
+	due := int64(time.Since(l.started) / l.config.Tick)
+	for ; l.ticks < due; l.ticks++ {
+		l.member.Tick()
+		if l.ticks%houseTicks == 0 {
+			l.keepHouse()
+		}
+	}
+}
+
+// keepHouse brings the membership closer to what is wanted.
+func (l *loop) keepHouse() {
+	status := l.member.Status()
+	var others []consensus.MemberID
+	for _, id := range status.Membership.Voters {
+		if id != status.ID {
+			others = append(others, id)
+		}
+	}
+	l.peers.connect(others)
+	if !l.member.Settled() {
+		return
+	}
+	l.member.TellDirectory()
+	if l.changing {
+		return
+	}
+	var leaving map[string]bool
+	if l.config.Leaving != nil {
+		leaving = l.config.Leaving()
+	}
+	change, due := groupmember.Plan(status, l.member.Directory(), leaving, l.config.Limits)
+	if !due {
+		return
+	}
+	if change.Transfer {
+		l.transfer()
+		return
+	}
+	l.changing = true
+	record, _ := l.member.Record(change.Member)
+	l.config.Logger.Info().Str("event", "membership.change").Str("group", l.config.Name).Uint8("kind", uint8(change.Kind)).
+		Uint64("member", uint64(change.Member)).Str("address", record.Address).Msg("the leader changes the membership")
+	token := l.await(func(groupmember.Reply) { l.changing = false })
+	l.member.ChangeMembership(token, change.Kind, groupmember.Record{ID: change.Member})
+}
+
+// transfer asks the active voter with the longest log to take over.
+func (l *loop) transfer() {
+	var best consensus.PeerStatus
+	for _, peer := range l.member.Status().Progress {
+		if !peer.Learner && peer.Active && peer.Match > best.Match {
+			best = peer
+		}
+	}
+	if best.ID != consensus.None {
+		_ = l.member.TransferTo(best.ID)
+	}
+}
+
+// work carries out what the core wants done, then shows and answers.
+func (l *loop) work() error {
+	for l.member.HasReady() {
+		if err := l.carryOut(l.member.Ready()); err != nil {
+			return err
+		}
+	}
+	if l.member.Status().Role == consensus.RoleRemoved {
+		return errRemoved
+	}
+	if l.member.WantsSnapshot() {
+		if err := l.saveSnapshot(); err != nil {
+			return err
+		}
+	}
+	l.show()
+	l.answer()
+	return nil
+}
+
+// carryOut makes a Ready's writes durable before any message that depends on
+// them leaves. A failed write or sync is final.
+func (l *loop) carryOut(ready consensus.Ready) error {
+	for _, message := range ready.Messages {
+		if ready.MayPrecedeSync(message) {
+			l.peers.send(message)
+		}
+	}
+	if err := l.log.Persist(ready); err != nil {
+		return eris.Wrap(err, "this member must not vote any more")
+	}
+	for _, message := range ready.Messages {
+		if !ready.MayPrecedeSync(message) {
+			l.peers.send(message)
+		}
+	}
+	return eris.Wrap(l.member.Advance(ready), "apply")
+}
+
+func (l *loop) saveSnapshot() error {
+	snapshot, err := l.member.BuildSnapshot()
+	if err != nil {
+		return eris.Wrap(err, "build snapshot")
+	}
+	if err := l.log.SaveSnapshot(snapshot); err != nil {
+		return eris.Wrap(err, "save snapshot")
+	}
+	return eris.Wrap(l.member.Compact(snapshot), "compact")
+}
+
+// show tells the owner of the state; answers follow, so that whoever gets one
+// sees its effect.
+func (l *loop) show() {
+	records := l.member.Directory()
+	if !sameRecords(records, l.told) {
+		l.told = records
+		l.peers.learn(records, true)
+	}
+	l.shown(Step{
+		Machine: l.machine, Status: l.member.Status(), Settled: l.member.Settled(),
+		CaughtUp: l.member.CaughtUp(), Applied: l.member.Applied(), Records: l.told,
+	})
+}
+
+func sameRecords(a, b []groupmember.Record) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// answer gives replies to those who wait for them.
+func (l *loop) answer() {
+	for _, reply := range l.member.TakeReplies() {
+		if waiting, found := l.awaiting[reply.Token]; found {
+			delete(l.awaiting, reply.Token)
+			waiting(reply)
+		}
+	}
+}
+
+// await gives a token whose reply goes to the function, which must not wait.
+func (l *loop) await(waiting func(groupmember.Reply)) uint64 {
+	l.lastToken++
+	l.awaiting[l.lastToken] = waiting
+	return l.lastToken
+}
+
+// failAll answers what is open when the loop ends.
+func (l *loop) failAll() {
+	for token, waiting := range l.awaiting {
+		delete(l.awaiting, token)
+		waiting(groupmember.Reply{Token: token, Err: groupmember.ErrLeadershipLost})
+	}
+}
--- /dev/null
+++ b/internal/app/group/member.go
@@ -0,0 +1,370 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+const (
+	originInterval = 200 * time.Millisecond
+	joinTimeout    = time.Second
+)
+
+// ErrNotReady refuses a call on a member that takes no part yet.
+var ErrNotReady = errors.New("group: the member takes no part yet")
+
+// NotLeaderError refuses a call that only the leader serves. The call had no
+// effect.
+type NotLeaderError struct {
+	// Leader is the record of the leader that this member knows; its id is 0
+	// if it knows none.
+	Leader groupmember.Record
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("group: not the leader; known leader: %q", e.Leader.Address)
+}
+
+// Member is one member of a group.
+type Member struct {
+	config  Config
+	peers   *peers
+	current atomic.Pointer[loop]
+	shown   atomic.Pointer[Shown]
+}
+
+// Shown is what a member shows of itself to other goroutines. It is immutable.
+type Shown struct {
+	Status  consensus.Status
+	Settled bool
+	// Confirmed is set if the member was in touch with a quorum and caught up.
+	Confirmed bool
+	Applied   uint64
+	Records   []groupmember.Record
+	// Leader is the record of the known leader; its id is 0 if there is none.
+	Leader groupmember.Record
+	At     time.Time
+}
+
+// New makes a member. Register and then Run follow.
+func New(config Config) *Member {
+	config = config.withDefaults()
+	return &Member{config: config, peers: newPeers(config.Wire, config.Name+".consensus")}
+}
+
+// Register sets the handlers of the group's methods.
+func (m *Member) Register(server *wire.Server) {
+	server.HandleMessage(m.config.Name+".consensus", m.takeMessage)
+	server.Handle(m.config.Name+".join", m.serveJoin)
+}
+
+// takeMessage queues a consensus message; one that finds no room is lost.
+func (m *Member) takeMessage(_ context.Context, call *wire.Call) {
+	l := m.current.Load()
+	var message consensus.Message
+	if l == nil || call.Decode(&message) != nil {
+		return
+	}
+	select {
+	case l.messages <- message:
+	default:
+	}
+}
+
+// Run takes part in the group until the context ends or the member's storage
+// fails.
+func (m *Member) Run(ctx context.Context) error {
+	defer m.peers.close()
+	place := folder{files: m.config.FileSystem, path: m.config.Folder}
+	for {
+		l, err := m.open(ctx, place)
+		if err != nil {
+			return err
+		}
+		m.current.Store(l)
+		err = l.run(ctx)
+		m.current.Store(nil)
+		m.shown.Store(nil)
+		err = errors.Join(err, l.log.Close())
+		if !errors.Is(err, errRemoved) {
+			return err
+		}
+		m.config.Logger.Warn().Str("event", "membership.removed").Str("group", m.config.Name).Msg("this member was removed; it joins again under a new id")
+		if err := place.clear(); err != nil {
+			return err
+		}
+	}
+}
+
+// open gives the loop of a member: from its log, or by founding or joining.
+func (m *Member) open(ctx context.Context, place folder) (*loop, error) {
+	stored, found, err := place.load()
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		l, err := m.reopen(place, stored)
+		if err == nil || !unusable(err) {
+			return l, err
+		}
+		m.config.Logger.Error().Str("event", "log.unusable").Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
+	}
+	if err := place.clear(); err != nil {
+		return nil, err
+	}
+	return m.enter(ctx, place)
+}
+
+func unusable(err error) bool {
+	return errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) || errors.Is(err, consensus.ErrInconsistent)
+}
+
+func (m *Member) reopen(place folder, stored identity) (*loop, error) {
+	m.peers.learn(stored.Records, false)
+	log, recovery, err := wal.Open(m.walOptions(place, stored))
+	if errors.Is(err, wal.ErrMissing) {
+		return m.create(place, stored)
+	}
+	if err != nil {
+		return nil, err
+	}
+	m.config.Logger.Info().Str("event", "log.opened").Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
+		Int("entries", len(recovery.Restored.Entries)).Int64("torn_bytes", recovery.TornBytes).Msg("the log was read")
+	return m.loopOn(stored, log, recovery.Restored)
+}
+
+func (m *Member) walOptions(place folder, stored identity) wal.Options {
+	return wal.Options{
+		FileSystem: m.config.FileSystem, Directory: place.logPath(),
+		Identity: wal.Identity{Cluster: m.config.Name, Member: stored.ID},
+	}
+}
+
+// enter brings a member with an empty folder into the group.
+func (m *Member) enter(ctx context.Context, place folder) (*loop, error) {
+	incarnation := newIncarnation()
+	for {
+		stored, err := m.tryEnter(ctx, incarnation)
+		if err == nil {
+			stored.Incarnation = incarnation
+			if err := place.save(stored); err != nil {
+				return nil, err
+			}
+			m.config.Logger.Info().Str("event", "group.entered").Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
+				Bool("founder", stored.Founding).Msg("this member has an id")
+			return m.create(place, stored)
+		}
+		select {
+		case <-time.After(originInterval):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (m *Member) tryEnter(ctx context.Context, incarnation string) (identity, error) {
+	origin, err := m.config.Origin(ctx, incarnation)
+	if err != nil {
+		return identity{}, err
+	}
+	for _, founder := range origin.Founders {
+		if founder.Address == m.config.Self.Address && (founder.Incarnation == "" || founder.Incarnation == incarnation) {
+			return identity{ID: founder.ID, Founding: true, Records: origin.Founders}, nil
+		}
+	}
+	contacts := origin.Contacts
+	for _, founder := range origin.Founders {
+		contacts = append(contacts, founder.Address)
+	}
+	return m.join(ctx, incarnation, contacts)
+}
+
+// create makes the log of a member that has an id.
+func (m *Member) create(place folder, stored identity) (*loop, error) {
+	initial := consensus.Membership{}
+	if stored.Founding {
+		for _, record := range stored.Records {
+			initial.Voters = append(initial.Voters, record.ID)
+		}
+	}
+	log, restored, err := wal.Create(m.walOptions(place, stored), initial)
+	if err != nil {
+		return nil, err
+	}
+	return m.loopOn(stored, log, restored)
+}
+
+func (m *Member) loopOn(stored identity, log *wal.Log, restored consensus.Restored) (*loop, error) {
+	m.peers.learn(stored.Records, false)
+	l, err := newLoop(m.config, stored, log, restored, m.peers, m.show)
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	return l, nil
+}
+
+// show publishes a step of the loop.
+func (m *Member) show(step Step) {
+	shown := &Shown{
+		Status: step.Status, Settled: step.Settled, Applied: step.Applied, Records: step.Records,
+		Confirmed: step.Status.QuorumActive && step.CaughtUp, At: time.Now(),
+	}
+	for _, record := range step.Records {
+		if record.ID == step.Status.Leader {
+			shown.Leader = record
+		}
+	}
+	m.shown.Store(shown)
+	m.config.Changed(step)
+}
+
+// Shown gives what the member last showed of itself, or nil while it takes no
+// part. Confirmed and Settled are cleared if that is older than an election
+// timeout: a loop that hangs in a sync confirms nothing.
+func (m *Member) Shown() *Shown {
+	shown := m.shown.Load()
+	if shown == nil || time.Since(shown.At) < m.config.electionTimeout() {
+		return shown
+	}
+	stale := *shown
+	stale.Confirmed, stale.Settled = false, false
+	return &stale
+}
+
+// Propose puts a command through the log if this member leads, and gives the
+// state machine's result. A *NotLeaderError and ErrNotReady say that the
+// command has no effect; so does groupmember.ErrDisplaced. Any other error
+// leaves it open.
+func (m *Member) Propose(ctx context.Context, command []byte) (any, error) {
+	return m.onLeader(ctx, func(l *loop, token uint64) { l.member.Propose(token, command) }, nil)
+}
+
+// Read runs read in the loop on a state that shows every command committed
+// before the call, if this member leads.
+func (m *Member) Read(ctx context.Context, read func(machine groupmember.StateMachine)) error {
+	_, err := m.onLeader(ctx, func(l *loop, token uint64) { l.member.Read(token) }, read)
+	return err
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+func (m *Member) onLeader(ctx context.Context, start func(l *loop, token uint64), read func(groupmember.StateMachine)) (any, error) {
+	l := m.current.Load()
+	if l == nil {
+		return nil, ErrNotReady
+	}
+	done := make(chan outcome, 1)
+	posted := func(l *loop) {
+		if ctx.Err() != nil {
+			done <- outcome{err: eris.Wrap(&NotLeaderError{}, "given up before it began")}
+			return
+		}
+		if !l.member.IsLeader() {
+			leader, _ := l.member.Record(l.member.Status().Leader)
+			done <- outcome{err: &NotLeaderError{Leader: leader}}
+			return
+		}
+		start(l, l.await(func(reply groupmember.Reply) {
+			err := reply.Err
+			if err == nil && read != nil {
+				read(l.machine)
+			}
+			if refusedByCore(err) {
+				err = &NotLeaderError{}
+			}
+			done <- outcome{result: reply.Result, err: err}
+		}))
+	}
+	select {
+	case l.requests <- posted:
+	case <-l.stopped:
+		return nil, ErrNotReady
+	case <-ctx.Done():
+		return nil, eris.Wrap(&NotLeaderError{}, "the loop took no request in time")
+	}
+	select {
+	case answered := <-done:
+		return answered.result, answered.err
+	case <-l.stopped:
+		return nil, groupmember.ErrLeadershipLost
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// refusedByCore reports whether an error left nothing in the log.
+func refusedByCore(err error) bool {
+	for _, refusal := range []error{consensus.ErrNotLeader, consensus.ErrRemoved, consensus.ErrTransferring, consensus.ErrQueueFull} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// Inspect runs look in the loop on the state as it is here, which may be old.
+func (m *Member) Inspect(ctx context.Context, look func(machine groupmember.StateMachine)) error {
+	l := m.current.Load()
+	if l == nil {
+		return ErrNotReady
+	}
+	done := make(chan struct{})
+	select {
+	case l.requests <- func(l *loop) { look(l.machine); close(done) }:
+	case <-l.stopped:
+		return ErrNotReady
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.stopped:
+		return ErrNotReady
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// HandOver asks another voter to lead, before a planned stop, and waits a
+// moment for it.
+func (m *Member) HandOver(ctx context.Context) {
+	l := m.current.Load()
+	if l == nil || !m.leads() {
+		return
+	}
+	select {
+	case l.requests <- func(l *loop) { l.transfer() }:
+	default:
+		return
+	}
+	deadline := time.After(m.config.electionTimeout())
+	for m.leads() {
+		select {
+		case <-time.After(m.config.Tick / 2):
+		case <-deadline:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Member) leads() bool {
+	shown := m.shown.Load()
+	return shown != nil && shown.Status.Role == consensus.RoleLeader
+}
--- /dev/null
+++ b/internal/app/group/peers.go
@@ -0,0 +1,96 @@
+package group
+
+import (
+	"context"
+	"sync"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+// peers holds the connections to the other members.
+type peers struct {
+	options wire.Options
+	method  string
+	mutex   sync.Mutex
+	// addresses of members by id.
+	addresses map[consensus.MemberID]string
+	clients   map[string]*wire.Client
+}
+
+func newPeers(options wire.Options, method string) *peers {
+	return &peers{
+		options: options, method: method,
+		addresses: make(map[consensus.MemberID]string),
+		clients:   make(map[string]*wire.Client),
+	}
+}
+
+// learn notes addresses of members, and closes connections that no known
+// member uses any more once prune is set.
+func (p *peers) learn(records []groupmember.Record, prune bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if prune {
+		clear(p.addresses)
+	}
+	used := make(map[string]bool, len(records))
+	for _, record := range records {
+		p.addresses[record.ID] = record.Address
+		used[record.Address] = true
+	}
+	if !prune {
+		return
+	}
+	for address, client := range p.clients {
+		if !used[address] {
+			client.Close()
+			delete(p.clients, address)
+		}
+	}
+}
+
+func (p *peers) client(address string) *wire.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	client := p.clients[address]
+	if client == nil {
+		client = wire.NewClient(address, p.options)
+		p.clients[address] = client
+	}
+	return client
+}
+
+func (p *peers) address(id consensus.MemberID) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.addresses[id]
+}
+
+// send hands a consensus message to the network. It may be lost; the core
+// sends again.
+func (p *peers) send(message consensus.Message) {
+	if address := p.address(message.To); address != "" {
+		_ = p.client(address).Send(context.Background(), p.method, message)
+	}
+}
+
+// connect keeps connections to voters open, so that the first request for a
+// vote is not lost.
+func (p *peers) connect(ids []consensus.MemberID) {
+	for _, id := range ids {
+		if address := p.address(id); address != "" {
+			p.client(address).Connect()
+		}
+	}
+}
+
+func (p *peers) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, client := range p.clients {
+		client.Close()
+	}
+	clear(p.clients)
+}
--- /dev/null
+++ b/internal/app/proxy/exchange.go
@@ -0,0 +1,305 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/balance"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	// maxTries bounds the sends of one request, those that were refused too.
+	maxTries = 12
+	// refusedPause is waited once every replica has refused.
+	refusedPause = 30 * time.Millisecond
+	// refusedRounds is how often that is waited before the request is given up.
+	refusedRounds = 3
+	// maxBodyBytes bounds an answer that is read whole.
+	maxBodyBytes = 64 << 20
+)
+
+// class says what a result means for the request.
+type class uint8
+
+const (
+	classAnswer  class = iota // an answer to hand on
+	classError                // an answer of 5xx: the replica ran and failed
+	classRefused              // the replica did not run the request
+	classNotSent              // nothing of the request left
+	classBroken               // the request may have run
+)
+
+// result is the end of one try.
+type result struct {
+	class   class
+	answer  *Answer
+	reason  error
+	replica string
+}
+
+// exchange is one request on its way. Its goroutine is that of Do.
+type exchange struct {
+	proxy   *Proxy
+	request Request
+	ctx     context.Context
+	cancel  context.CancelFunc
+	began   time.Time
+
+	results chan result
+	tried   map[string]bool
+	sends   int // tries begun
+	ran     int // tries that ran or may have, or still may
+	active  int
+	rounds  int
+	lastErr error
+	// lastAnswer is the newest answer of 5xx, handed on if no try does better.
+	lastAnswer *Answer
+}
+
+func (e *exchange) do() (*Answer, *Failure) {
+	if !e.launch() {
+		return nil, e.fail(port.CodeNoBackEnd, "no replica of the service is known")
+	}
+	hedge := time.NewTimer(e.proxy.hedgeAfter(e.request))
+	defer hedge.Stop()
+	var again <-chan time.Time
+	for {
+		select {
+		case ended := <-e.results:
+			e.active--
+			if answer, done := e.take(ended); done {
+				return answer, nil
+			}
+			if e.active > 0 {
+				continue
+			}
+			wait, goOn := e.next(ended)
+			if !goOn {
+				return e.finish()
+			}
+			if wait == 0 {
+				e.launch()
+				if e.active == 0 {
+					return e.finish()
+				}
+				continue
+			}
+			again = time.After(wait)
+		case <-again:
+			again = nil
+			if !e.launch() {
+				return e.finish()
+			}
+		case <-hedge.C:
+			if e.mayTryAgain() && e.active == 1 {
+				e.launch()
+			}
+		case <-e.ctx.Done():
+			return nil, e.ended()
+		}
+	}
+}
+
+// take looks at the end of a try; done is set for an answer to hand on.
+func (e *exchange) take(ended result) (answer *Answer, done bool) {
+	switch ended.class {
+	case classAnswer:
+		return ended.answer, true
+	case classError:
+		e.lastAnswer = ended.answer
+	case classRefused, classNotSent:
+		e.ran--
+		e.lastErr = ended.reason
+	case classBroken:
+		e.lastErr = ended.reason
+	}
+	return nil, false
+}
+
+// next tells whether and after what pause to try again, once no try is left.
+func (e *exchange) next(ended result) (wait time.Duration, goOn bool) {
+	if e.sends >= maxTries {
+		return 0, false
+	}
+	if ended.class == classError || ended.class == classBroken {
+		return 0, e.mayTryAgain()
+	}
+	if e.ran > 0 && !e.mayTryAgain() {
+		return 0, false
+	}
+	if e.allTried() {
+		e.rounds++
+		clear(e.tried)
+		return refusedPause, e.rounds <= refusedRounds
+	}
+	return 0, true
+}
+
+func (e *exchange) allTried() bool {
+	view := e.proxy.view()
+	if view == nil {
+		return true
+	}
+	for _, replica := range view.ByService[e.request.Service] {
+		if !e.tried[replica.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// mayTryAgain reports whether another replica may run the request too.
+func (e *exchange) mayTryAgain() bool {
+	return e.request.Repeatable && e.ran < max(1, e.request.MaxAttempts) && e.sends < maxTries && e.ctx.Err() == nil
+}
+
+// finish hands on the best that there is once no try is left.
+func (e *exchange) finish() (*Answer, *Failure) {
+	if e.lastAnswer != nil {
+		return e.lastAnswer, nil
+	}
+	reason := "every replica refused"
+	if e.lastErr != nil {
+		reason = e.lastErr.Error()
+	}
+	if e.ran > 0 {
+		return nil, e.fail(port.CodeBackEnd, reason)
+	}
+	return nil, e.fail(port.CodeQueueFull, reason)
+}
+
+// ended is the failure of a request whose context ended.
+func (e *exchange) ended() *Failure {
+	if errors.Is(context.Cause(e.ctx), context.DeadlineExceeded) {
+		return e.fail(port.CodeDeadline, "no answer in time")
+	}
+	return e.fail(port.CodeCancelled, "the caller left")
+}
+
+func (e *exchange) fail(code port.Code, reason string) *Failure {
+	verdict := port.NotRun
+	if e.ran > 0 {
+		verdict = port.MayHaveRun
+	}
+	return &Failure{Verdict: verdict, Code: code, Reason: reason}
+}
+
+// launch begins a try; it reports false if there is no replica to try.
+func (e *exchange) launch() bool {
+	replica, found := e.proxy.pick(e.request.Service, e.tried)
+	if !found {
+		return false
+	}
+	e.tried[replica.ID] = true
+	e.sends++
+	e.ran++
+	e.active++
+	go e.try(replica)
+	return true
+}
+
+// try sends the request once.
+func (e *exchange) try(replica sitestate.Replica) {
+	began := time.Now()
+	sent := e.request.Request
+	sent.Header = sent.Header.Clone()
+	ended := e.send(replica, sent)
+	ended.replica = replica.ID
+	e.proxy.end(e.request.Service, replica.ID, e.judge(ended), time.Since(began))
+	e.results <- ended
+}
+
+// judge says what the end of a try means for the replica.
+func (e *exchange) judge(ended result) balance.Result {
+	switch {
+	case ended.class == classAnswer:
+		return balance.ResultServed
+	case ended.class == classRefused:
+		return balance.ResultFull
+	case e.ctx.Err() != nil:
+		return balance.ResultGivenUp
+	default:
+		return balance.ResultFailed
+	}
+}
+
+func (e *exchange) send(replica sitestate.Replica, request replicacall.Request) result {
+	response, err := e.proxy.client.Send(e.ctx, replica, request)
+	if err != nil {
+		if port.AsError(err).Verdict == port.NotRun {
+			return result{class: classNotSent, reason: err}
+		}
+		return result{class: classBroken, reason: err}
+	}
+	if e.proxy.client.RefusedAsNotRun(response) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+		_ = response.Body.Close()
+		return result{class: classRefused, reason: errors.New("refused with status " + http.StatusText(response.StatusCode))}
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Replica: replica}
+	succeeded := response.StatusCode/100 == 2
+	if succeeded && (response.Header.Get(e.proxy.headers.RequestID) == "" || response.Header.Get(e.proxy.headers.Seal) == "") {
+		_ = response.Body.Close()
+		return result{class: classBroken, reason: errors.New("a success without its id or seal")}
+	}
+	if e.request.Stream && succeeded {
+		answer.Stream = response
+		return result{class: classAnswer, answer: answer}
+	}
+	answer.Body, err = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	_ = response.Body.Close()
+	switch {
+	case err != nil:
+		return result{class: classBroken, reason: err}
+	case response.StatusCode >= http.StatusInternalServerError:
+		return result{class: classError, answer: answer}
+	default:
+		return result{class: classAnswer, answer: answer}
+	}
+}
+
+// maxRefusalBytes is what is read of a refusal's body to keep its connection.
+const maxRefusalBytes = 16 << 10
+
+// log writes a line about a request that did not go as hoped.
+func (e *exchange) log(answer *Answer, failure *Failure) {
+	if failure == nil && e.sends == 1 && answer.Status < http.StatusInternalServerError {
+		return
+	}
+	line := e.proxy.logger.Info()
+	if failure != nil && failure.Code != port.CodeCancelled {
+		line = e.proxy.logger.Warn()
+	}
+	line = line.Str("event", "request.carried").Str("id", e.request.ID).Str("route", e.request.Route).Str("service", e.request.Service).
+		Int("sends", e.sends).Int("may_have_run", e.ran).Dur("took", time.Since(e.began))
+	if view := e.proxy.view(); view != nil {
+		line = line.Uint64("view", view.Position).Int("replicas", len(view.ByService[e.request.Service]))
+	}
+	if e.lastErr != nil {
+		line = line.Str("last_failure", e.lastErr.Error())
+	}
+	if failure != nil {
+		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Msg("a request got no answer")
+		return
+	}
+	line.Str("replica", answer.Replica.ID).Int("status", answer.Status).Msg("a request was answered after more than one try, or with a failure")
+}
+
+// cancellingBody ends the exchange when the stream is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/internal/app/proxy/proxy.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/balance"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// Proxy sends requests to replicas. It is safe for concurrent use.
+type Proxy struct {
+	client  *replicacall.Client
+	headers dialect.Headers
+	view    func() *siteview.View
+	logger  *log.Logger
+
+	mutex    sync.Mutex
+	balancer *balance.Balancer
+}
+
+// Config sets a Proxy up.
+type Config struct {
+	Dialect dialect.Dialect
+	// View gives what is known of replicas, or nil.
+	View   func() *siteview.View
+	Logger *log.Logger
+	// Connections bounds the connections to one replica.
+	Connections int
+}
+
+// New makes a Proxy.
+func New(config Config) *Proxy {
+	return &Proxy{
+		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(),
+		view: config.View, logger: config.Logger, balancer: balance.New(),
+	}
+}
+
+// Request is a request to a service.
+type Request struct {
+	replicacall.Request
+	Service string
+	Route   string
+	// Repeatable requests may run more than once, on MaxAttempts replicas in all.
+	Repeatable  bool
+	MaxAttempts int
+	// Aim is the time within which an answer is worth most; 0 is none.
+	Aim time.Duration
+	// Stream hands the answer over with its head, its body unread.
+	Stream bool
+}
+
+// Answer is a replica's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body is the whole body; Stream is set instead for a streamed answer and
+	// must be closed.
+	Body    []byte
+	Stream  *http.Response
+	Replica sitestate.Replica
+}
+
+// Failure is a request that got no answer.
+type Failure struct {
+	Verdict port.Verdict
+	Code    port.Code
+	Reason  string
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return string(f.Code) + " (" + f.Verdict.String() + "): " + f.Reason
+}
+
+// Do carries a request. It ends at once when the context does.
+func (p *Proxy) Do(ctx context.Context, request Request) (*Answer, *Failure) {
+	ctx, cancel := context.WithCancel(ctx)
+	run := &exchange{
+		proxy: p, request: request, ctx: ctx, cancel: cancel, began: time.Now(),
+		tried: map[string]bool{}, results: make(chan result, maxTries),
+	}
+	answer, failure := run.do()
+	if answer == nil || answer.Stream == nil {
+		cancel()
+	} else {
+		answer.Stream.Body = &cancellingBody{ReadCloser: answer.Stream.Body, cancel: cancel}
+	}
+	run.log(answer, failure)
+	return answer, failure
+}
+
+// pick chooses a replica that was not tried, or any if all were.
+func (p *Proxy) pick(service string, tried map[string]bool) (sitestate.Replica, bool) {
+	view := p.view()
+	if view == nil {
+		return sitestate.Replica{}, false
+	}
+	replicas := view.ByService[service]
+	fresh := make([]sitestate.Replica, 0, len(replicas))
+	ids := make([]string, 0, len(replicas))
+	for _, replica := range replicas {
+		if !tried[replica.ID] {
+			fresh = append(fresh, replica)
+			ids = append(ids, replica.ID)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = replicas
+		for _, replica := range replicas {
+			ids = append(ids, replica.ID)
+		}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	chosen := p.balancer.Pick(service, ids, time.Now(), rand.Float64())
+	if chosen < 0 {
+		return sitestate.Replica{}, false
+	}
+	p.balancer.Begin(ids[chosen])
+	return fresh[chosen], true
+}
+
+func (p *Proxy) end(service, id string, outcome balance.Result, took time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.balancer.End(service, id, outcome, took, time.Now())
+}
+
+// Forget drops what is known of replicas that are gone.
+func (p *Proxy) Forget(view *siteview.View) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.balancer.Forget(func(id string) bool { _, present := view.Replicas[id]; return present })
+}
+
+// hedgeAfter is how long the first try of a repeatable request is waited for
+// before a second one is sent beside it.
+func (p *Proxy) hedgeAfter(request Request) time.Duration {
+	p.mutex.Lock()
+	usual := p.balancer.Latency(request.Service)
+	p.mutex.Unlock()
+	wait := max(leastHedge, hedgeFactor*usual)
+	if request.Aim > 0 {
+		wait = min(wait, max(leastHedge, time.Duration(hedgeAimShare*float64(request.Aim))))
+	}
+	return wait
+}
+
+const (
+	hedgeFactor   = 4
+	leastHedge    = 40 * time.Millisecond
+	hedgeAimShare = 0.6
+)
--- /dev/null
+++ b/internal/app/sitecontrol/control.go
@@ -0,0 +1,187 @@
+package sitecontrol
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+)
+
+// wantedVoters is the number of voters of a control group that has so many
+// machines.
+const wantedVoters = 5
+
+// Config sets a Control up.
+type Config struct {
+	// Machine is the machine's name.
+	Machine string
+	// Address is where the process takes messages of other processes.
+	Address string
+	// HeartbeatAddress is where replicas call it.
+	HeartbeatAddress string
+	// Seeds are addresses of control members.
+	Seeds []string
+	// Found lets the seeds found the group: the site starts for the first time.
+	Found bool
+	// Folder holds the log.
+	Folder     string
+	FileSystem wal.FileSystem
+	Wire       wire.Options
+	Dialect    dialect.Dialect
+	Logger     *log.Logger
+	Seed       uint64
+	// ToleratedLosses is how many machines with a disk may be lost at once.
+	ToleratedLosses int
+	// HolderLease is how long replicas hold to the machine that ordered last.
+	HolderLease time.Duration
+}
+
+// Control is the control process.
+type Control struct {
+	config     Config
+	member     *group.Member
+	heartbeats *heartbeats
+	stores     *stores
+	weights    *weightsManager
+	view       atomic.Pointer[sitestate.View]
+	table      atomic.Pointer[routing.Table]
+	// position is that of the published view; only the loop's goroutine uses it.
+	position uint64
+
+	mutex   sync.Mutex
+	clients map[string]*wire.Client
+	wakes   map[chan struct{}]struct{}
+	seeds   []string
+}
+
+// New makes a control process.
+func New(config Config) *Control {
+	c := &Control{
+		config: config, clients: map[string]*wire.Client{}, wakes: map[chan struct{}]struct{}{},
+		seeds: slices.Clone(config.Seeds),
+	}
+	c.view.Store(&sitestate.View{})
+	c.member = group.New(group.Config{
+		Name: "control", Folder: config.Folder, FileSystem: config.FileSystem,
+		Self: groupmember.Record{Address: config.Address, Name: config.Machine, Service: config.HeartbeatAddress},
+		Wire: config.Wire, Machine: func() groupmember.StateMachine { return sitestate.New() },
+		Origin: c.origin, Changed: c.changed, Logger: config.Logger, Seed: config.Seed,
+		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1},
+	})
+	c.heartbeats = newHeartbeats(c)
+	c.stores = newStores(c)
+	c.weights = newWeightsManager(c)
+	return c
+}
+
+// Register sets the handlers of calls between processes.
+func (c *Control) Register(server *wire.Server) {
+	c.member.Register(server)
+	server.Handle(MethodCall, c.serveCall)
+	server.Handle(methodForwarded, c.serveForwarded)
+	c.registerWatch(server)
+}
+
+// Run works until the context ends or the storage fails.
+func (c *Control) Run(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return c.member.Run(ctx) })
+	tasks.Go(func() error { return c.lead(ctx) })
+	return tasks.Wait()
+}
+
+// HandOver gives leadership away before a planned stop.
+func (c *Control) HandOver(ctx context.Context) { c.member.HandOver(ctx) }
+
+// SetSeeds replaces the addresses of known members after a change of settings.
+func (c *Control) SetSeeds(seeds []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.seeds = slices.Clone(seeds)
+}
+
+// origin lets the seeds of a site's first start found the group; everyone else
+// joins. Sorted, so that all founders give the same ids whatever the order of
+// their lists.
+func (c *Control) origin(context.Context, string) (group.Origin, error) {
+	c.mutex.Lock()
+	seeds := slices.Sorted(slices.Values(c.seeds))
+	c.mutex.Unlock()
+	if !c.config.Found {
+		return group.Origin{Contacts: seeds}, nil
+	}
+	var founders []groupmember.Record
+	for i, seed := range seeds {
+		founders = append(founders, groupmember.Record{ID: memberID(i), Address: seed})
+	}
+	return group.Origin{Founders: founders}, nil
+}
+
+// leadInterval is how often the leader looks after what no call asks for.
+const leadInterval = 100 * time.Millisecond
+
+// lead does what only the leader does.
+func (c *Control) lead(ctx context.Context) error {
+	ticker := time.NewTicker(leadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		shown := c.member.Shown()
+		leads := shown != nil && shown.Settled
+		c.heartbeats.tend(ctx, leads)
+		c.stores.tend(ctx, leads)
+		c.weights.tend(ctx, leads)
+	}
+}
+
+// changed publishes the view after a step of the loop, in its goroutine.
+func (c *Control) changed(step group.Step) {
+	state := step.Machine.(*sitestate.State)
+	if state.Position() == c.position {
+		return
+	}
+	c.position = state.Position()
+	previous := c.view.Load()
+	next := (&sitestate.View{}).Apply(state.Update(0))
+	c.view.Store(next)
+	if next.Configuration.Version != previous.Configuration.Version {
+		c.readTable(next.Configuration)
+	}
+	c.wakeAll()
+}
+
+func (c *Control) readTable(configuration sitestate.Configuration) {
+	document, err := c.config.Dialect.DecodeConfiguration(configuration.Raw)
+	if err != nil {
+		c.config.Logger.Error().Str("event", "configuration.unreadable").Uint64("version", configuration.Version).Err(err).Msg("the configuration in force cannot be read")
+		return
+	}
+	c.table.Store(routing.NewTable(document))
+}
+
+func (c *Control) client(address string) *wire.Client {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	client := c.clients[address]
+	if client == nil {
+		client = wire.NewClient(address, c.config.Wire)
+		c.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/internal/app/sitecontrol/watch.go
@@ -0,0 +1,112 @@
+package sitecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// watchInterval is the least time between two updates of one watcher, so that
+// a burst of changes goes out as one.
+const watchInterval = 20 * time.Millisecond
+
+func memberID(position int) consensus.MemberID { return consensus.MemberID(position + 1) }
+
+func (c *Control) registerWatch(server *wire.Server) {
+	server.Handle(siteview.MethodWatch, c.serveWatch)
+}
+
+// wakeAll tells all watchers of a change; it does not wait.
+func (c *Control) wakeAll() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for wake := range c.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *Control) addWake() chan struct{} {
+	wake := make(chan struct{}, 1)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.wakes[wake] = struct{}{}
+	return wake
+}
+
+func (c *Control) removeWake(wake chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.wakes, wake)
+}
+
+// serveWatch streams updates to one observer, and heartbeats while there are
+// none. It ends when this member is out of touch with a quorum: an observer
+// that begins must see all that was accepted before.
+func (c *Control) serveWatch(ctx context.Context, call *wire.Call) error {
+	var request siteview.WatchRequest
+	if err := call.Decode(&request); err != nil {
+		return err
+	}
+	wake := c.addWake()
+	defer c.removeWake(wake)
+	after, told := request.After, 0
+	for {
+		shown := c.member.Shown()
+		if shown == nil || !shown.Confirmed {
+			return port.NewError(port.NotRun, port.CodeUnavailable, "this member is out of touch with a quorum")
+		}
+		update, err := c.updateAfter(ctx, after)
+		if err != nil {
+			return err
+		}
+		update.Confirmed = true
+		if count := len(shown.Records); count != told {
+			told, update.Members = count, shown.Records
+		}
+		if err := call.Send(update); err != nil {
+			return err
+		}
+		after = max(after, update.Position)
+		if err := c.awaitNews(ctx, wake); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Control) updateAfter(ctx context.Context, after uint64) (sitestate.Update, error) {
+	if view := c.view.Load(); after > 0 && view.Position <= after {
+		return sitestate.Update{Position: view.Position}, nil
+	}
+	var update sitestate.Update
+	err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+		update = machine.(*sitestate.State).Update(after)
+	})
+	if err != nil {
+		return sitestate.Update{}, port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
+	}
+	return update, nil
+}
+
+func (c *Control) awaitNews(ctx context.Context, wake <-chan struct{}) error {
+	select {
+	case <-time.After(watchInterval):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-wake:
+	case <-time.After(siteview.HeartbeatInterval):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/sitecontrol/weights.go
@@ -0,0 +1,224 @@
+package sitecontrol
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/weightplan"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+)
+
+const (
+	// loadsAtOnce and loadShare bound the replicas of a service that load.
+	loadsAtOnce = 2
+	loadShare   = 0.34
+	// holderMargin is waited beyond the replicas' lease after the holder
+	// changed: the last order of the one before may arrive late.
+	holderMargin = time.Second
+
+	orderTimeout   = time.Second
+	reportInterval = 250 * time.Millisecond
+	// loadTimeout is how long a load is followed before it is planned anew.
+	loadTimeout = 5 * time.Second
+	// loadRetryPause is how long a replica whose load failed is left alone.
+	loadRetryPause = time.Second
+	// connectionsForOrders is the most to one replica.
+	connectionsForOrders = 2
+)
+
+// weightsManager brings replicas to the published versions of weights. Only
+// the leader orders, and only while it holds the lease by time.
+type weightsManager struct {
+	control *Control
+	replica *replicacall.Client
+
+	// ledFrom is when this member began to lead, as seen here; holds is set
+	// once it is the holder.
+	ledFrom time.Time
+	holds   bool
+
+	mutex   sync.Mutex
+	loading map[string]bool
+	// reached are versions that reports showed, newer than heartbeats.
+	reached map[string][]sitestate.ModelVersion
+}
+
+func newWeightsManager(control *Control) *weightsManager {
+	return &weightsManager{
+		control: control, replica: replicacall.New(control.config.Dialect, connectionsForOrders),
+		loading: map[string]bool{}, reached: map[string][]sitestate.ModelVersion{},
+	}
+}
+
+// tend plans and begins loads.
+func (w *weightsManager) tend(ctx context.Context, leads bool) {
+	table := w.control.table.Load()
+	if !leads {
+		w.ledFrom, w.holds = time.Time{}, false
+		return
+	}
+	if w.ledFrom.IsZero() {
+		w.ledFrom = time.Now()
+	}
+	view := w.control.view.Load()
+	if table == nil || len(view.Weights) == 0 || !w.hold(ctx) {
+		return
+	}
+	for _, service := range table.Document().Services {
+		if service.Engine != nil {
+			w.tendService(ctx, view, service)
+		}
+	}
+}
+
+// hold takes the lease over. A new holder waits until the replicas no longer
+// hold to the one before.
+func (w *weightsManager) hold(ctx context.Context) bool {
+	if w.holds {
+		return true
+	}
+	holder := ""
+	if w.control.member.Read(ctx, func(machine groupmember.StateMachine) { holder = machine.(*sitestate.State).Holder() }) != nil {
+		return false
+	}
+	self := w.control.config.Machine
+	if holder != "" && holder != self && time.Since(w.ledFrom) < w.control.config.HolderLease+holderMargin {
+		return false
+	}
+	if holder != self {
+		if _, err := w.control.propose(ctx, sitestate.Command{Holder: &sitestate.Holder{Machine: self}}); err != nil {
+			return false
+		}
+	}
+	w.control.config.Logger.Info().Str("event", "holder.taken").Str("before", holder).Msg("this machine orders replicas from now on")
+	w.holds = true
+	return true
+}
+
+func (w *weightsManager) tendService(ctx context.Context, view *sitestate.View, service routing.Service) {
+	replicas := w.readyReplicas(view, service.Name)
+	if changes := weightplan.Assign(replicas, service.Engine.Models); len(changes) > 0 {
+		_, _ = w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
+		return
+	}
+	w.mutex.Lock()
+	loading := maps.Clone(w.loading)
+	w.mutex.Unlock()
+	limits := weightplan.Limits{Total: loadsAtOnce, Share: loadShare}
+	for _, target := range weightplan.Next(replicas, view.Weights, loading, limits) {
+		w.mutex.Lock()
+		w.loading[target.Replica.ID] = true
+		w.mutex.Unlock()
+		go w.load(ctx, target)
+	}
+}
+
+// readyReplicas lists the replicas of a service with the newest versions known.
+func (w *weightsManager) readyReplicas(view *sitestate.View, service string) []sitestate.Replica {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var ready []sitestate.Replica
+	for _, id := range slices.Sorted(maps.Keys(view.Replicas)) {
+		replica := view.Replicas[id]
+		if replica.Service != service || replica.State != sitestate.ReplicaReady {
+			continue
+		}
+		replica.Models = newest(replica.Models, w.reached[id])
+		ready = append(ready, replica)
+	}
+	for id := range w.reached {
+		if _, known := view.Replicas[id]; !known {
+			delete(w.reached, id)
+		}
+	}
+	return ready
+}
+
+func newest(held, reached []sitestate.ModelVersion) []sitestate.ModelVersion {
+	merged := slices.Clone(held)
+	for _, seen := range reached {
+		i := slices.IndexFunc(merged, func(model sitestate.ModelVersion) bool { return model.Name == seen.Name })
+		switch {
+		case i < 0:
+			merged = append(merged, seen)
+		case merged[i].Version < seen.Version:
+			merged[i] = seen
+		}
+	}
+	return merged
+}
+
+// load orders one load and follows it.
+func (w *weightsManager) load(ctx context.Context, target weightplan.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	began := time.Now()
+	status, err := w.order(ctx, target)
+	done := err == nil && w.follow(ctx, target)
+	w.control.config.Logger.Info().Str("event", "weights.load").Str("replica", target.Replica.ID).Str("model", target.Model).
+		Uint64("version", target.Version).Uint64("before", target.Replica.VersionOf(target.Model)).Int("status", status).
+		Bool("done", done).Dur("took", time.Since(began)).Err(err).Msg("a replica was ordered to load weights")
+	if !done {
+		time.Sleep(loadRetryPause)
+	}
+	w.mutex.Lock()
+	delete(w.loading, target.Replica.ID)
+	w.mutex.Unlock()
+}
+
+// order sends the order under what the replica says of itself right before, so
+// that an order that is carried out late, after another one, is refused.
+func (w *weightsManager) order(ctx context.Context, target weightplan.Target) (int, error) {
+	attempt, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := w.replica.Report(attempt, target.Replica)
+	if err != nil {
+		return 0, err
+	}
+	if w.noteReport(target, report) {
+		return http.StatusOK, nil
+	}
+	shown := w.control.member.Shown()
+	if shown == nil || !shown.Settled || !shown.Status.LeaseValid {
+		return 0, context.Canceled
+	}
+	return w.replica.Order(attempt, target.Replica, dialect.Order{
+		Model: target.Model, Version: target.Version, Holder: w.control.config.Machine,
+		Fence: shown.Status.Term, ExpectedOrders: report.Orders,
+	})
+}
+
+// noteReport keeps what a report shows, and tells whether the target is reached.
+func (w *weightsManager) noteReport(target weightplan.Target, report dialect.Report) bool {
+	served := sitestate.Replica{Models: report.Models}
+	if served.VersionOf(target.Model) < target.Version || report.Loading {
+		return false
+	}
+	w.mutex.Lock()
+	w.reached[target.Replica.ID] = report.Models
+	w.mutex.Unlock()
+	return true
+}
+
+// follow asks the replica until it serves the version.
+func (w *weightsManager) follow(ctx context.Context, target weightplan.Target) bool {
+	for {
+		report, err := w.replica.Report(ctx, target.Replica)
+		if err == nil && w.noteReport(target, report) {
+			return true
+		}
+		select {
+		case <-time.After(reportInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/sitestore/calls.go
@@ -0,0 +1,172 @@
+package sitestore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// maxJobBytes bounds a job's encoding: it is one entry of the log.
+const maxJobBytes = consensus.MaxEntryBytes - 1<<10
+
+// serveCall answers a call about jobs, as the leader or by naming it.
+func (s *Store) serveCall(ctx context.Context, call *wire.Call) error {
+	var request jobsapi.Request
+	if err := call.Decode(&request); err != nil {
+		return err
+	}
+	answer, err := s.serve(ctx, request)
+	var notLeader *group.NotLeaderError
+	switch {
+	case err == nil:
+	case errors.As(err, &notLeader):
+		answer = jobsapi.Answer{NotLeader: true, Leader: s.leader(notLeader)}
+	case errors.Is(err, group.ErrNotReady), errors.Is(err, groupmember.ErrDisplaced):
+		return port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
+	default:
+		return port.AsError(err)
+	}
+	return call.Send(answer)
+}
+
+func (s *Store) leader(refusal *group.NotLeaderError) string {
+	if refusal.Leader.Address != "" {
+		return refusal.Leader.Address
+	}
+	if shown := s.member.Shown(); shown != nil && shown.Leader.Address != s.config.Address {
+		return shown.Leader.Address
+	}
+	return ""
+}
+
+func (s *Store) serve(ctx context.Context, request jobsapi.Request) (jobsapi.Answer, error) {
+	switch {
+	case request.Submit != nil:
+		return s.submit(ctx, *request.Submit)
+	case request.Page != nil:
+		return s.page(ctx, *request.Page)
+	case request.Body != nil:
+		return s.body(ctx, *request.Body)
+	case request.End != nil:
+		return s.end(ctx, *request.End)
+	case request.List != nil:
+		return s.list(ctx)
+	default:
+		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "empty request")
+	}
+}
+
+// submit keeps a job. Before it is proposed, a refusal is as not run; after
+// that its outcome is known or left open.
+func (s *Store) submit(ctx context.Context, submission jobstate.Submission) (jobsapi.Answer, error) {
+	if refusal := s.mayAccept(); refusal != nil {
+		return jobsapi.Answer{}, refusal
+	}
+	data, err := jobstate.Command{Accept: &submission}.Encode()
+	if err != nil {
+		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "%v", err)
+	}
+	if len(data) > maxJobBytes {
+		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeTooLarge, "the job is larger than %d bytes", maxJobBytes)
+	}
+	result, err := s.member.Propose(ctx, data)
+	if err != nil {
+		return jobsapi.Answer{}, err
+	}
+	outcome, _ := result.(jobstate.AcceptOutcome)
+	return jobsapi.Answer{Accepted: outcome}, nil
+}
+
+// mayAccept refuses while a quorum is too small to outlive the tolerated
+// losses.
+func (s *Store) mayAccept() *port.Error {
+	shown := s.member.Shown()
+	if shown == nil {
+		return port.NewError(port.NotRun, port.CodeUnavailable, "this machine takes no part in the store group yet")
+	}
+	if quorum := shown.Status.Membership.Quorum(); quorum <= s.config.ToleratedLosses {
+		return port.NewError(port.NotRun, port.CodeUnavailable, "a job would be kept by %d machines only", quorum)
+	}
+	return nil
+}
+
+// page gives results; it waits for one if there is none yet.
+func (s *Store) page(ctx context.Context, request jobsapi.PageRequest) (jobsapi.Answer, error) {
+	waited := time.After(time.Duration(request.WaitMillis) * time.Millisecond)
+	for {
+		news := s.awaitNews()
+		answer := jobsapi.Answer{Unknown: true}
+		err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+			if job := machine.(*jobstate.State).Job(request.Job); job != nil {
+				answer = jobsapi.Answer{Page: job.Page(request.From, request.MaxBytes)}
+			}
+		})
+		if err != nil || answer.Unknown || len(answer.Page.Results) > 0 || answer.Page.Ended || answer.Page.Next == answer.Page.Total {
+			return answer, err
+		}
+		select {
+		case <-news:
+		case <-waited:
+			return answer, nil
+		case <-ctx.Done():
+			return answer, nil
+		}
+	}
+}
+
+func (s *Store) body(ctx context.Context, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
+	answer := jobsapi.Answer{Unknown: true}
+	err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+		job := machine.(*jobstate.State).Job(request.Job)
+		if job == nil {
+			return
+		}
+		for i := range job.Items {
+			if job.Items[i].Item.ID == request.Item {
+				answer = jobsapi.Answer{Body: job.Items[i].Item.Body}
+				return
+			}
+		}
+	})
+	return answer, err
+}
+
+func (s *Store) end(ctx context.Context, request jobsapi.EndRequest) (jobsapi.Answer, error) {
+	result, err := s.propose(ctx, jobstate.Command{End: &jobstate.End{ID: request.Job}})
+	if err != nil {
+		return jobsapi.Answer{}, err
+	}
+	known, _ := result.(bool)
+	return jobsapi.Answer{Unknown: !known}, nil
+}
+
+func (s *Store) list(ctx context.Context) (jobsapi.Answer, error) {
+	var answer jobsapi.Answer
+	err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+		for _, job := range machine.(*jobstate.State).Jobs() {
+			answer.Jobs = append(answer.Jobs, summarize(job))
+		}
+	})
+	return answer, err
+}
+
+func summarize(job *jobstate.Job) jobsapi.JobSummary {
+	summary := jobsapi.JobSummary{
+		ID: job.Submission.ID, Items: len(job.Items), Results: len(job.Results), Ended: job.Ended,
+		Model: job.Submission.Model, Step: job.Submission.Step, Accepted: job.AcceptedAt,
+	}
+	for _, item := range job.Items {
+		if item.Result == jobstate.ResultErrored {
+			summary.Errored++
+		}
+	}
+	return summary
+}
--- /dev/null
+++ b/internal/app/sitestore/outcome.go
@@ -0,0 +1,146 @@
+package sitestore
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+)
+
+// take acts on the end of a run. Runs of an earlier leadership, and those whose
+// job ended meanwhile, count no more.
+func (r *runner) take(event runEvent) {
+	item := event.item
+	if !r.leads || r.works[item.key] != item || event.context.Err() != nil {
+		return
+	}
+	now := time.Now()
+	item.cancel()
+	if event.replica != "" {
+		r.replicas.leave(item)
+		r.noteReplica(event, now)
+	}
+	switch event.kind {
+	case runWhole:
+		r.startScoring(item)
+	case runScored:
+		item.finish(jobstate.ResultCompleted, event.score)
+		r.urgent = true
+	case runScoreFailed:
+		r.giveUp(item, "reward call: "+event.reason)
+	case runHopeless:
+		r.giveUp(item, event.reason)
+	case runFailed:
+		r.failed(item, event, now)
+	case runRefused, runBroken, runUnfit:
+		r.logRun(event)
+		r.enqueue(item, now.Add(retryPause))
+	}
+}
+
+// retryPause lets an item wait a little after a run that came to nothing.
+const retryPause = 10 * time.Millisecond
+
+// noteReplica keeps what a run showed of its replica.
+func (r *runner) noteReplica(event runEvent, now time.Time) {
+	known := r.replicas.entry(event.replica)
+	if event.version > known.versions[event.item.model] {
+		known.versions[event.item.model] = event.version
+	}
+	r.replicas.measure(event.replica, event.pause, now)
+	switch event.kind {
+	case runRefused, runUnfit:
+		r.replicas.block(event.replica, now.Add(refusedPause))
+	case runBroken:
+		r.replicas.block(event.replica, now.Add(brokenPause<<min(known.failures, 3)))
+		known.failures++
+	default:
+	}
+}
+
+func (r *runner) failed(item *work, event runEvent, now time.Time) {
+	failures := item.fail()
+	r.logRun(event)
+	attempts := 1
+	if route, _ := r.route(item); route != nil {
+		attempts = max(1, route.MaxAttempts)
+	}
+	if failures >= attempts {
+		r.giveUp(item, event.reason)
+		return
+	}
+	r.enqueue(item, now.Add(retryPause))
+}
+
+func (r *runner) logRun(event runEvent) {
+	r.store.config.Logger.Info().Str("event", "item.run").Str("job", event.item.key.Job).Str("id", event.item.item.ID).
+		Str("replica", event.replica).Uint8("kind", uint8(event.kind)).Str("reason", event.reason).
+		Uint64("version", event.version).Uint64("min_version", event.item.minVersion).Str("last_event", event.item.begin()).
+		Msg("a run of an item came to no whole text")
+}
+
+// keep puts text and results into the log, one record at a time.
+func (r *runner) keep() {
+	now := time.Now()
+	grown := now.Sub(r.grownAt) >= keepInterval
+	if r.keeping || (!grown && !r.urgent) {
+		return
+	}
+	if wait := resultInterval - now.Sub(r.keptAt); wait > 0 {
+		time.AfterFunc(wait, r.wakeUp)
+		return
+	}
+	r.keptAt, r.urgent = now, false
+	if grown {
+		r.grownAt = now
+	}
+	record := r.collect(grown)
+	if len(record.Items) == 0 {
+		return
+	}
+	r.keeping = true
+	go func(ctx context.Context, kept chan<- error) {
+		_, err := r.store.propose(ctx, jobstate.Command{Record: &record})
+		kept <- err
+	}(r.context, r.kept)
+}
+
+// maxRecordBytes bounds the text of one record.
+const maxRecordBytes = 1 << 20
+
+// collect gathers results, and with all also text that grows.
+func (r *runner) collect(all bool) jobstate.Record {
+	var record jobstate.Record
+	bytes := 0
+	for key, item := range r.works {
+		finished := item.finished()
+		if !finished && !all {
+			continue
+		}
+		kept, dirty := item.take()
+		if dirty {
+			record.Items = append(record.Items, kept)
+			for _, text := range kept.Text {
+				bytes += len(text)
+			}
+		}
+		if finished {
+			r.drop(key, item)
+		}
+		if bytes > maxRecordBytes {
+			r.urgent = true
+			break
+		}
+	}
+	return record
+}
+
+// afterKeep notes that a record is committed. One whose outcome is not known
+// ends the leadership here: the next one begins with what the log holds.
+func (r *runner) afterKeep(err error) {
+	r.keeping = false
+	if err != nil && r.leads {
+		r.store.config.Logger.Warn().Str("event", "runner.notkept").Err(err).Msg("text could not be kept")
+		r.stop()
+	}
+}
--- /dev/null
+++ b/internal/app/sitestore/replicabook.go
@@ -0,0 +1,150 @@
+package sitestore
+
+import (
+	"math"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+)
+
+const (
+	// promptKeptFor is how long a replica is taken to have a group's prompt.
+	promptKeptFor = 5 * time.Second
+	// slowShare is the weight of a new pause between events in the mean.
+	slowShare = 0.1
+	// mostSlow bounds how much slower a replica is taken to be.
+	mostSlow = 8
+	// slowFades is how long it takes until a slow replica is tried again as if
+	// it were half as slow.
+	slowFades = 3 * time.Second
+)
+
+// replicaBook is what the runner knows of replicas.
+type replicaBook struct {
+	replicas map[string]*replicaEntry
+	// pause is the mean pause between events over all replicas.
+	pause float64
+}
+
+type replicaEntry struct {
+	running      int
+	blockedUntil time.Time
+	failures     int
+	// pause is the mean pause between events, in seconds.
+	pause      float64
+	measuredAt time.Time
+	// groups are when a group's prompt was last read here.
+	groups map[string]time.Time
+	// versions are weight versions that answers showed, newer than the view.
+	versions map[string]uint64
+}
+
+func newReplicaBook() *replicaBook { return &replicaBook{replicas: map[string]*replicaEntry{}} }
+
+func (b *replicaBook) entry(id string) *replicaEntry {
+	known := b.replicas[id]
+	if known == nil {
+		known = &replicaEntry{groups: map[string]time.Time{}, versions: map[string]uint64{}}
+		b.replicas[id] = known
+	}
+	return known
+}
+
+// enter notes that an item runs at a replica.
+func (b *replicaBook) enter(item *work, replica string, now time.Time) {
+	known := b.entry(replica)
+	known.running++
+	known.groups[item.item.Group] = now
+	item.replica = replica
+}
+
+// leave notes that an item runs nowhere any more.
+func (b *replicaBook) leave(item *work) {
+	if item.replica == "" {
+		return
+	}
+	known := b.entry(item.replica)
+	known.running = max(0, known.running-1)
+	item.replica = ""
+}
+
+// block leaves a replica out for a while.
+func (b *replicaBook) block(id string, until time.Time) {
+	known := b.entry(id)
+	if until.After(known.blockedUntil) {
+		known.blockedUntil = until
+	}
+}
+
+// measure notes how fast events came.
+func (b *replicaBook) measure(id string, pause time.Duration, now time.Time) {
+	if pause <= 0 {
+		return
+	}
+	known := b.entry(id)
+	known.failures = 0
+	known.pause = blend(known.pause, pause.Seconds())
+	known.measuredAt = now
+	b.pause = blend(b.pause, pause.Seconds())
+}
+
+func blend(held, sample float64) float64 {
+	if held == 0 {
+		return sample
+	}
+	return held + slowShare*(sample-held)
+}
+
+// slow gives how much longer than usual a replica takes; a slow one is tried
+// again as its measurement ages.
+func (b *replicaBook) slow(known *replicaEntry, now time.Time) float64 {
+	if known.pause == 0 || b.pause == 0 {
+		return 1
+	}
+	ratio := min(mostSlow, max(1, known.pause/b.pause))
+	return 1 + (ratio-1)*math.Exp2(-now.Sub(known.measuredAt).Seconds()/slowFades.Seconds())
+}
+
+// candidates lists the replicas that may run items.
+func (b *replicaBook) candidates(view *siteview.View, table *routing.Table, now time.Time) []jobqueue.Replica {
+	var candidates []jobqueue.Replica
+	for service, replicas := range view.ByService {
+		described := table.Service(service)
+		if described == nil || described.Engine == nil {
+			continue
+		}
+		for _, replica := range replicas {
+			known := b.entry(replica.ID)
+			if now.Before(known.blockedUntil) {
+				continue
+			}
+			slots := replica.Slots
+			if slots == 0 {
+				slots = described.Engine.Slots
+			}
+			candidates = append(candidates, jobqueue.Replica{
+				ID: replica.ID, Service: service, Free: slots - known.running, Running: known.running, Slow: b.slow(known, now),
+				Version: func(model string) uint64 { return max(replica.VersionOf(model), known.versions[model]) },
+				Groups:  func(group string) bool { return now.Sub(known.groups[group]) < promptKeptFor },
+			})
+		}
+	}
+	return candidates
+}
+
+// forget drops replicas that are gone, and old prompts.
+func (b *replicaBook) forget(view *siteview.View, now time.Time) {
+	for id, known := range b.replicas {
+		if _, present := view.Replicas[id]; !present && known.running == 0 {
+			delete(b.replicas, id)
+			continue
+		}
+		for group, at := range known.groups {
+			if now.Sub(at) > promptKeptFor {
+				delete(known.groups, group)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/sitestore/run.go
@@ -0,0 +1,217 @@
+package sitestore
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/eventstream"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+const (
+	// stallTimeout is how long a run may be silent before the item goes on
+	// elsewhere. A load of weights pauses a run for about a second.
+	stallTimeout = 2500 * time.Millisecond
+	// refusedPause and brokenPause hold a replica back that refused, or broke.
+	refusedPause = 60 * time.Millisecond
+	brokenPause  = 400 * time.Millisecond
+	// scorePause is waited before a failed reward call is sent again.
+	scorePause = 50 * time.Millisecond
+	// scoreTimeout bounds one reward call.
+	scoreTimeout = 1200 * time.Millisecond
+)
+
+// runKind says how a run ended.
+type runKind uint8
+
+const (
+	runWhole   runKind = iota // the text is whole
+	runRefused                // the replica did not run it
+	runBroken                 // the stream broke off; what came is kept
+	runFailed                 // an answer of 500
+	runHopeless
+	runUnfit // the replica's weights do not fit the job
+	runScored
+	runScoreFailed // the reward call failed for good
+)
+
+// runEvent tells the runner's goroutine how a run ended.
+type runEvent struct {
+	item    *work
+	context context.Context
+	kind    runKind
+	replica string
+	reason  string
+	score   string
+	// version is what the replica served, 0 if it did not say.
+	version uint64
+	// pause is the mean pause between events.
+	pause time.Duration
+}
+
+func (r *runner) tell(event runEvent) {
+	select {
+	case r.events <- event:
+	case <-event.context.Done():
+	}
+}
+
+// generate runs an item at a replica until its text is whole or the run ends.
+func (r *runner) generate(ctx context.Context, item *work, replica sitestate.Replica) {
+	event := r.generateOnce(ctx, item, replica)
+	event.item, event.context, event.replica = item, ctx, replica.ID
+	r.tell(event)
+}
+
+func (r *runner) generateOnce(outer context.Context, item *work, replica sitestate.Replica) runEvent {
+	ctx, cancel := context.WithCancel(outer)
+	defer cancel()
+	stall := time.AfterFunc(stallTimeout, cancel)
+	defer stall.Stop()
+	headers := r.store.config.Dialect.Headers()
+	header := http.Header{}
+	for _, given := range item.item.Headers {
+		header[given.Name] = append(header[given.Name], given.Value)
+	}
+	if last := item.begin(); last != "" {
+		header.Set(headers.LastEvent, last)
+	}
+	response, err := r.replica.Send(ctx, replica, replicacall.Request{
+		Method: http.MethodPost, Target: item.item.Path, Host: item.host, ID: item.item.ID, Header: header, Body: item.item.Body, NoDeadline: true,
+	})
+	if err != nil {
+		if port.AsError(err).Verdict == port.NotRun {
+			return runEvent{kind: runBroken, reason: "not sent: " + err.Error()}
+		}
+		return runEvent{kind: runBroken, reason: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if event, final := r.judgeHead(response); final {
+		return event
+	}
+	version, err := strconv.ParseUint(response.Header.Get(headers.WeightVersion), 10, 64)
+	if err != nil {
+		version = replica.VersionOf(item.model)
+	}
+	if version < item.minVersion {
+		return runEvent{kind: runUnfit, version: version, reason: "weights are older than the job allows"}
+	}
+	return r.read(item, response.Body, stall, version)
+}
+
+// judgeHead ends runs whose answer is no stream.
+func (r *runner) judgeHead(response *http.Response) (runEvent, bool) {
+	status := response.StatusCode
+	if status == http.StatusOK {
+		return runEvent{}, false
+	}
+	reason := "status " + strconv.Itoa(status)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+	switch {
+	case r.replica.RefusedAsNotRun(response):
+		return runEvent{kind: runRefused, reason: reason}, true
+	case status == http.StatusUnprocessableEntity:
+		return runEvent{kind: runHopeless, reason: reason}, true
+	case status == http.StatusInternalServerError:
+		return runEvent{kind: runFailed, reason: reason}, true
+	default:
+		return runEvent{kind: runBroken, reason: reason}, true
+	}
+}
+
+const maxRefusalBytes = 16 << 10
+
+// read takes the events of a run in.
+func (r *runner) read(item *work, body io.Reader, stall *time.Timer, version uint64) runEvent {
+	events := eventstream.NewReader(body, r.store.config.Dialect.Headers().WeightVersion)
+	count, first, last := 0, time.Time{}, time.Time{}
+	pause := func() time.Duration {
+		if count < 2 {
+			return 0
+		}
+		return last.Sub(first) / time.Duration(count-1)
+	}
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			item.setWhole()
+			return runEvent{kind: runWhole, version: version, pause: pause()}
+		}
+		if err != nil {
+			return runEvent{kind: runBroken, reason: err.Error(), version: version, pause: pause()}
+		}
+		stall.Reset(stallTimeout)
+		if event.Version != 0 {
+			version = event.Version
+		}
+		last = time.Now()
+		if count == 0 {
+			first = last
+		}
+		count++
+		if !item.add(event.Data, event.ID, version) {
+			item.startOver()
+			return runEvent{kind: runUnfit, version: version, reason: "the weights changed to a version that the job does not take"}
+		}
+	}
+}
+
+// score sends the reward call of a whole text until it is answered.
+func (r *runner) score(ctx context.Context, item *work) {
+	event := runEvent{item: item, context: ctx, kind: runScored}
+	if item.item.Scorer != nil {
+		event.kind, event.score, event.reason = r.scoreOnce(ctx, item.item.Scorer)
+	}
+	r.tell(event)
+}
+
+func (r *runner) scoreOnce(ctx context.Context, scorer *jobstate.Scorer) (kind runKind, score, reason string) {
+	failures := 0
+	for {
+		answer, attempts, failure := r.sendScorer(ctx, scorer)
+		switch {
+		case failure != nil:
+			reason = failure.Error()
+		case answer.Status/100 == 2:
+			return runScored, answer.Header.Get(r.store.config.Dialect.Headers().Seal), ""
+		default:
+			reason = "status " + strconv.Itoa(answer.Status)
+			if answer.Status == http.StatusInternalServerError {
+				failures++
+			}
+			if failures >= attempts {
+				return runScoreFailed, "", reason
+			}
+		}
+		select {
+		case <-time.After(scorePause):
+		case <-ctx.Done():
+			return runScoreFailed, "", "the job ended"
+		}
+	}
+}
+
+// sendScorer sends a reward call once, by the route of its host and path. It
+// gives the number of attempts that the route allows.
+func (r *runner) sendScorer(ctx context.Context, scorer *jobstate.Scorer) (*proxy.Answer, int, *proxy.Failure) {
+	view := r.store.config.Watcher.View()
+	route := view.Table.Lookup(scorer.Host, scorer.Path)
+	if route == nil {
+		return nil, 1, &proxy.Failure{Verdict: port.NotRun, Code: port.CodeNotFound, Reason: "the reward call has no route"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(scoreTimeout, route.Timeout))
+	defer cancel()
+	answer, failure := r.store.config.Proxy.Do(ctx, proxy.Request{
+		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
+		Service: route.Choose(uint64(time.Now().UnixNano())), Route: route.Name, Repeatable: true, MaxAttempts: 1,
+	})
+	return answer, max(1, route.MaxAttempts), failure
+}
--- /dev/null
+++ b/internal/app/sitestore/store.go
@@ -0,0 +1,288 @@
+package sitestore
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+)
+
+const (
+	registerInterval = 500 * time.Millisecond
+	registerTimeout  = time.Second
+	forgetInterval   = time.Second
+	// connectionsToReplica bounds the runner's connections to one replica.
+	connectionsToReplica = 40
+)
+
+// Config sets a Store up.
+type Config struct {
+	Machine string
+	Zone    string
+	// Address is where the process takes messages of other processes.
+	Address    string
+	Folder     string
+	FileSystem wal.FileSystem
+	Wire       wire.Options
+	Dialect    dialect.Dialect
+	Watcher    *siteview.Watcher
+	Proxy      *proxy.Proxy
+	Logger     *log.Logger
+	Seed       uint64
+	// ToleratedLosses is how many machines with a disk may be lost at once.
+	ToleratedLosses int
+	// KeepJobs is how long a finished job can be asked about.
+	KeepJobs time.Duration
+}
+
+// Store is the process of a store machine.
+type Store struct {
+	config Config
+	member *group.Member
+	runner *runner
+
+	serial    atomic.Uint64
+	jobSerial atomic.Uint64
+	mutex     sync.Mutex
+	// news is closed and replaced when results came.
+	news        chan struct{}
+	incarnation string
+	seen        map[string]time.Time
+}
+
+// New makes a store process.
+func New(config Config) *Store {
+	s := &Store{config: config, news: make(chan struct{}), seen: map[string]time.Time{}}
+	s.member = group.New(group.Config{
+		Name: "jobs", Folder: config.Folder, FileSystem: config.FileSystem,
+		Self: groupmember.Record{Address: config.Address, Name: config.Machine},
+		Wire: config.Wire, Machine: func() groupmember.StateMachine { return jobstate.New() },
+		Origin: s.origin, Changed: s.changed, Leaving: s.leaving, Logger: config.Logger, Seed: config.Seed,
+		Limits: groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters()},
+	})
+	s.runner = newRunner(s, replicacall.New(config.Dialect, connectionsToReplica))
+	return s
+}
+
+// wantedVoters is how many machines keep everything: a quorum of them outlives
+// the tolerated losses.
+func (s *Store) wantedVoters() int { return 2*s.config.ToleratedLosses + 1 }
+
+// Register sets the handlers of calls between processes.
+func (s *Store) Register(server *wire.Server) {
+	s.member.Register(server)
+	server.Handle(jobsapi.MethodCall, s.serveCall)
+}
+
+// Run works until the context ends or the storage fails.
+func (s *Store) Run(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return s.member.Run(ctx) })
+	tasks.Go(func() error { return s.register(ctx) })
+	tasks.Go(func() error { return s.runner.run(ctx) })
+	tasks.Go(func() error { return s.forget(ctx) })
+	return tasks.Wait()
+}
+
+// HandOver gives leadership away before a planned stop.
+func (s *Store) HandOver(ctx context.Context) { s.member.HandOver(ctx) }
+
+var errNotFounded = errors.New("sitestore: the store group is not founded yet, or this machine is to be emptied")
+
+// origin registers this machine and follows the control group's decision on
+// who founds the store group.
+func (s *Store) origin(ctx context.Context, incarnation string) (group.Origin, error) {
+	s.mutex.Lock()
+	s.incarnation = incarnation
+	s.mutex.Unlock()
+	s.sendHeartbeat(ctx)
+	view := s.config.Watcher.View()
+	if view == nil || len(view.Founders) == 0 || s.state(view) != sitestate.StoreActive {
+		return group.Origin{}, errNotFounded
+	}
+	origin := group.Origin{Founders: view.Founders}
+	for _, store := range view.Stores {
+		origin.Contacts = append(origin.Contacts, store.Address)
+	}
+	return origin, nil
+}
+
+func (s *Store) state(view *siteview.View) sitestate.StoreState {
+	for _, store := range view.Stores {
+		if store.Name == s.config.Machine {
+			return store.State
+		}
+	}
+	return sitestate.StoreActive
+}
+
+// leaving names the machines that are to be emptied.
+func (s *Store) leaving() map[string]bool {
+	view := s.config.Watcher.View()
+	if view == nil {
+		return nil
+	}
+	var leaving map[string]bool
+	for _, store := range view.Stores {
+		if store.State == sitestate.StoreActive {
+			continue
+		}
+		if leaving == nil {
+			leaving = map[string]bool{}
+		}
+		leaving[store.Name] = true
+	}
+	return leaving
+}
+
+// changed publishes that there is news, in the loop's goroutine.
+func (s *Store) changed(step group.Step) {
+	state := step.Machine.(*jobstate.State)
+	if serial := state.JobSerial(); serial != s.jobSerial.Load() {
+		s.jobSerial.Store(serial)
+		s.runner.wakeUp()
+	}
+	if serial := state.Serial(); serial != s.serial.Load() {
+		s.serial.Store(serial)
+		s.mutex.Lock()
+		close(s.news)
+		s.news = make(chan struct{})
+		s.mutex.Unlock()
+	}
+}
+
+// awaitNews gives a channel that is closed with the next result or end.
+func (s *Store) awaitNews() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.news
+}
+
+// register tells the control group of this machine, again and again.
+func (s *Store) register(ctx context.Context) error {
+	ticker := time.NewTicker(registerInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.sendHeartbeat(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Store) sendHeartbeat(ctx context.Context) {
+	s.mutex.Lock()
+	incarnation := s.incarnation
+	s.mutex.Unlock()
+	heartbeat := sitecontrol.StoreHeartbeat{Store: sitestate.Store{
+		Name: s.config.Machine, Address: s.config.Address, Zone: s.config.Zone, Incarnation: incarnation,
+	}}
+	s.describeGroup(&heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	var answer sitecontrol.Answer
+	_ = s.config.Watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Store: &heartbeat}, &answer)
+}
+
+// describeGroup adds what the group's leader knows of its members.
+func (s *Store) describeGroup(heartbeat *sitecontrol.StoreHeartbeat) {
+	shown := s.member.Shown()
+	if shown == nil || !shown.Settled {
+		return
+	}
+	heartbeat.Members = []string{}
+	whole := 0
+	for _, record := range shown.Records {
+		if !shown.Status.Membership.Contains(record.ID) {
+			continue
+		}
+		heartbeat.Members = append(heartbeat.Members, record.Name)
+		if shown.Status.Membership.IsVoter(record.ID) && (record.ID == shown.Status.ID || caughtUp(shown, record)) {
+			whole++
+		}
+	}
+	slices.Sort(heartbeat.Members)
+	heartbeat.Whole = whole >= s.wantedVoters()
+}
+
+func caughtUp(shown *group.Shown, record groupmember.Record) bool {
+	for _, peer := range shown.Status.Progress {
+		if peer.ID == record.ID {
+			return peer.Active && peer.CaughtUp
+		}
+	}
+	return false
+}
+
+// forget drops jobs that nobody may ask about any more. Their age counts from
+// when this process first saw them finished.
+func (s *Store) forget(ctx context.Context) error {
+	ticker := time.NewTicker(forgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		shown := s.member.Shown()
+		if shown == nil || !shown.Settled {
+			clear(s.seen)
+			continue
+		}
+		s.forgetOld(ctx)
+	}
+}
+
+func (s *Store) forgetOld(ctx context.Context) {
+	now := time.Now()
+	var due []string
+	_ = s.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+		for _, job := range machine.(*jobstate.State).Jobs() {
+			if !job.Ended {
+				continue
+			}
+			id := job.Submission.ID
+			if first, known := s.seen[id]; !known {
+				s.seen[id] = now
+			} else if now.Sub(first) > s.config.KeepJobs {
+				due = append(due, id)
+			}
+		}
+	})
+	if len(due) == 0 {
+		return
+	}
+	for _, id := range due {
+		delete(s.seen, id)
+	}
+	_, _ = s.propose(ctx, jobstate.Command{Forget: &jobstate.Forget{Jobs: due}})
+}
+
+func (s *Store) propose(ctx context.Context, command jobstate.Command) (any, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return s.member.Propose(ctx, data)
+}
--- /dev/null
+++ b/internal/app/sitestore/work.go
@@ -0,0 +1,157 @@
+package sitestore
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+)
+
+// work is an item that is to be done, with what became of it that the log does
+// not hold yet. The runner's goroutine owns it, but for what mutex guards, which
+// the goroutine of its present run changes.
+type work struct {
+	key        jobqueue.Key
+	host       string
+	minVersion uint64
+	oneVersion bool
+	item       jobstate.Item
+	rank       jobqueue.Rank
+	model      string
+	accepted   acceptedAt
+
+	// replica runs it; empty while it waits. cancel ends the run.
+	replica string
+	cancel  context.CancelFunc
+	// scoring is set once its text is whole.
+	scoring bool
+
+	mutex sync.Mutex
+	// events, lastEvent and versions are those of the whole text so far.
+	events    int
+	lastEvent string
+	versions  []uint64
+	whole     bool
+	failures  int
+	// kept is how many events the log holds; reset is set if the held text is
+	// to be dropped first.
+	kept  int
+	reset bool
+	// text is the data of the events that are not kept yet.
+	text        []string
+	newFailures int
+	result      jobstate.Result
+	score       string
+}
+
+// newWork takes an item over from the log.
+func newWork(job *jobstate.Job, index int, rank jobqueue.Rank, accepted acceptedAt) *work {
+	item := &job.Items[index]
+	return &work{
+		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host,
+		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
+		item: item.Item, rank: rank, accepted: accepted,
+		events: item.Events, kept: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
+		whole: item.Whole, failures: item.Failures,
+	}
+}
+
+// begin gives the id of the last event, empty for a text that starts.
+func (w *work) begin() (lastEvent string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lastEvent
+}
+
+// add notes an event made by a version. It reports false if the job does not
+// take text of that version, or of more than one.
+func (w *work) add(data, id string, version uint64) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if version < w.minVersion {
+		return false
+	}
+	if !slices.Contains(w.versions, version) {
+		if w.oneVersion && len(w.versions) > 0 {
+			return false
+		}
+		w.versions = slices.Sorted(slices.Values(append(slices.Clone(w.versions), version)))
+	}
+	w.text = append(w.text, data)
+	w.events++
+	w.lastEvent = id
+	return true
+}
+
+// startOver drops the text.
+func (w *work) startOver() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.events, w.kept, w.lastEvent, w.versions, w.text, w.whole = 0, 0, "", nil, nil, false
+	w.reset = true
+}
+
+func (w *work) setWhole() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.whole = true
+}
+
+func (w *work) isWhole() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.whole
+}
+
+// only gives the version that must go on with the text, 0 for any.
+func (w *work) only() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.oneVersion && len(w.versions) == 1 {
+		return w.versions[0]
+	}
+	return 0
+}
+
+// fail counts an answer of failure and gives their number.
+func (w *work) fail() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.failures++
+	w.newFailures++
+	return w.failures
+}
+
+// finish sets the item's result.
+func (w *work) finish(result jobstate.Result, score string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.result == jobstate.ResultNone {
+		w.result, w.score = result, score
+	}
+}
+
+// take gives what the log lacks, and notes it as kept. Dirty is false if there
+// is nothing.
+func (w *work) take() (record jobstate.ItemRecord, dirty bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.reset && len(w.text) == 0 && w.newFailures == 0 && w.result == jobstate.ResultNone {
+		return jobstate.ItemRecord{}, false
+	}
+	record = jobstate.ItemRecord{
+		Job: w.key.Job, Item: w.key.Item, Events: w.kept, Reset: w.reset, Text: w.text, LastEvent: w.lastEvent,
+		Versions: w.versions, Whole: w.whole, Failures: w.newFailures, Result: w.result, Score: w.score,
+	}
+	w.kept, w.text, w.newFailures, w.reset = w.events, nil, 0, false
+	return record, true
+}
+
+// finished reports whether the item has a result.
+func (w *work) finished() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.result != jobstate.ResultNone
+}
--- /dev/null
+++ b/internal/app/siteview/watcher.go
@@ -0,0 +1,270 @@
+package siteview
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// Times of the watch.
+const (
+	// HeartbeatInterval is how often a member sends an update without changes.
+	HeartbeatInterval = 400 * time.Millisecond
+	// silenceTimeout is how long a watcher waits for anything before it moves
+	// on to another member.
+	silenceTimeout = 1100 * time.Millisecond
+	// retryPause keeps a watcher that finds no member from asking too often.
+	retryPause = 100 * time.Millisecond
+)
+
+// MethodWatch streams sitestate.Update to a watcher.
+const MethodWatch = "site.watch"
+
+// WatchRequest begins a watch after a position; 0 asks for everything.
+type WatchRequest struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+// View is what a process knows of the site. It is immutable.
+type View struct {
+	*sitestate.View
+	// Table finds routes; nil while no configuration is known.
+	Table *routing.Table
+	// ByService holds the replicas that may take requests, by service and id.
+	ByService map[string][]sitestate.Replica
+}
+
+// Config sets a Watcher up.
+type Config struct {
+	// Seeds are addresses of control members to begin with.
+	Seeds []string
+	Wire  wire.Options
+	// Decode reads the operator's document.
+	Decode func(raw []byte) (*routing.Document, error)
+	// Changed is called after the view has changed. It must not wait.
+	Changed func(*View)
+	Logger  *log.Logger
+}
+
+// Watcher keeps the view.
+type Watcher struct {
+	config    Config
+	view      atomic.Pointer[View]
+	confirmed atomic.Int64 // nanoseconds after start
+	start     time.Time
+
+	mutex   sync.Mutex
+	clients map[string]*wire.Client
+	seeds   []string
+	// current is the member that is watched.
+	current string
+}
+
+// New makes a watcher; Run follows.
+func New(config Config) *Watcher {
+	return &Watcher{config: config, start: time.Now(), clients: map[string]*wire.Client{}, seeds: config.Seeds}
+}
+
+// View gives the present view, or nil.
+func (w *Watcher) View() *View { return w.view.Load() }
+
+// ConfirmedWithin reports whether a member in touch with a quorum confirmed the
+// view within the time.
+func (w *Watcher) ConfirmedWithin(age time.Duration) bool {
+	at := w.confirmed.Load()
+	return at > 0 && time.Since(w.start)-time.Duration(at) < age
+}
+
+// SetSeeds replaces the addresses to begin with, after a change of settings.
+func (w *Watcher) SetSeeds(seeds []string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.seeds = seeds
+}
+
+// Members gives addresses of control members, the one that is watched first.
+func (w *Watcher) Members() []string {
+	w.mutex.Lock()
+	current, addresses := w.current, slices.Clone(w.seeds)
+	w.mutex.Unlock()
+	if view := w.view.Load(); view != nil {
+		for _, member := range view.Members {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if current != "" {
+		addresses = slices.Insert(addresses, 0, current)
+	}
+	unique := addresses[:0]
+	for _, address := range addresses {
+		if address != "" && !slices.Contains(unique, address) {
+			unique = append(unique, address)
+		}
+	}
+	return unique
+}
+
+// Client gives the connection to a control member.
+func (w *Watcher) Client(address string) *wire.Client {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	client := w.clients[address]
+	if client == nil {
+		client = wire.NewClient(address, w.config.Wire)
+		w.clients[address] = client
+	}
+	return client
+}
+
+// Call asks control members one after the other until one answers or the
+// context ends. The call must be safe to repeat.
+func (w *Watcher) Call(ctx context.Context, method string, request, response any) error {
+	last := eris.New("no control member is known")
+	for _, address := range w.Members() {
+		attempt, cancel := context.WithTimeout(ctx, silenceTimeout)
+		err := w.Client(address).Call(attempt, method, request, response)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for _, address := range w.Members() {
+			if err := w.watch(ctx, address); err != nil && ctx.Err() == nil {
+				w.lost(address, err)
+			}
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (w *Watcher) lost(address string, err error) {
+	w.mutex.Lock()
+	watched := w.current == address
+	if watched {
+		w.current = ""
+	}
+	w.mutex.Unlock()
+	if watched {
+		w.config.Logger.Warn().Str("event", "control.lost").Str("member", address).Err(err).Msg("the watched control member was lost")
+	}
+}
+
+// watch follows one member until it falls silent or is not confirmed.
+func (w *Watcher) watch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceTimeout, cancel)
+	defer silence.Stop()
+	request := WatchRequest{}
+	if view := w.view.Load(); view != nil {
+		request.After = view.Position
+	}
+	stream, err := w.Client(address).Stream(ctx, MethodWatch, request)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		var update sitestate.Update
+		if err := stream.Recv(&update); err != nil {
+			return err
+		}
+		if !update.Confirmed {
+			return eris.New("the member is out of touch with a quorum")
+		}
+		silence.Reset(silenceTimeout)
+		if err := w.take(address, update); err != nil {
+			return err
+		}
+	}
+}
+
+// take applies an update and publishes the view if it has changed.
+func (w *Watcher) take(address string, update sitestate.Update) error {
+	previous := w.view.Load()
+	if previous != nil && update.Position < previous.Position {
+		return eris.New("the member is behind")
+	}
+	w.confirmed.Store(int64(time.Since(w.start)))
+	w.mutex.Lock()
+	regained := w.current != address
+	w.current = address
+	w.mutex.Unlock()
+	if regained {
+		w.config.Logger.Info().Str("event", "control.watched").Str("member", address).Uint64("position", update.Position).Msg("a control member is watched")
+	}
+	if previous != nil && update.Position == previous.Position && len(update.Members) == 0 {
+		return nil
+	}
+	next, err := w.next(previous, update)
+	if err != nil {
+		return err
+	}
+	w.view.Store(next)
+	w.config.Changed(next)
+	return nil
+}
+
+func (w *Watcher) next(previous *View, update sitestate.Update) (*View, error) {
+	var held *sitestate.View
+	next := &View{}
+	if previous != nil {
+		held = previous.View
+		next.Table = previous.Table
+	}
+	next.View = held.Apply(update)
+	if next.Configuration.Version > 0 && (next.Table == nil || next.Table.Version() != next.Configuration.Version) {
+		document, err := w.config.Decode(next.Configuration.Raw)
+		if err != nil {
+			return nil, eris.Wrap(err, "the configuration in force cannot be read")
+		}
+		next.Table = routing.NewTable(document)
+		w.config.Logger.Info().Str("event", "configuration.inforce").Uint64("version", next.Table.Version()).
+			Uint64("position", next.Position).Int("routes", len(document.Routes)).Msg("a configuration is in force here")
+	}
+	next.ByService = byService(next.Replicas)
+	return next, nil
+}
+
+func byService(replicas map[string]sitestate.Replica) map[string][]sitestate.Replica {
+	grouped := map[string][]sitestate.Replica{}
+	for _, replica := range replicas {
+		if replica.State == sitestate.ReplicaReady {
+			grouped[replica.Service] = append(grouped[replica.Service], replica)
+		}
+	}
+	for _, list := range grouped {
+		slices.SortFunc(list, func(a, b sitestate.Replica) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return grouped
+}
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -86,3 +86,9 @@
 	}
 	return statuses
 }
+
+// TermStart gives the index of the first entry of a leader's own term, and
+// whether this member leads.
+func (n *Node) TermStart() (index uint64, leads bool) {
+	return n.leadership.termStart, n.role == RoleLeader
+}
--- /dev/null
+++ b/internal/core/jobqueue/jobqueue_test.go
@@ -0,0 +1,96 @@
+package jobqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+)
+
+var now = time.Unix(1000, 0)
+
+func replica(id string, free int, version uint64) jobqueue.Replica {
+	return jobqueue.Replica{ID: id, Service: "s", Free: free, Slow: 1, Version: func(string) uint64 { return version }}
+}
+
+func item(job string, index int, rank jobqueue.Rank) jobqueue.Item {
+	return jobqueue.Item{Key: jobqueue.Key{Job: job, Item: index}, Service: "s", Model: "m", Rank: rank}
+}
+
+func TestWantedGroupsOfOlderJobsRunFirst(t *testing.T) {
+	var queue jobqueue.Queue
+	queue.Add(item("new", 0, jobqueue.Rank{Accepted: 2}))
+	queue.Add(item("surplus", 0, jobqueue.Rank{Accepted: 1, Surplus: true}))
+	queue.Add(item("old", 1, jobqueue.Rank{Accepted: 1, Group: 1}))
+	queue.Add(item("old", 0, jobqueue.Rank{Accepted: 1, Group: 0}))
+	placed := queue.Place([]jobqueue.Replica{replica("a", 3, 1)}, now)
+	if len(placed) != 3 || placed[0].Item.Job != "old" || placed[0].Item.Item != 0 || placed[1].Item.Item != 1 || placed[2].Item.Job != "new" {
+		t.Fatalf("placed %v", placed)
+	}
+	if queue.Len() != 1 {
+		t.Errorf("%d left", queue.Len())
+	}
+}
+
+func TestVersionsBoundWhereAnItemRuns(t *testing.T) {
+	replicas := func() []jobqueue.Replica { return []jobqueue.Replica{replica("v3", 1, 3), replica("v5", 1, 5)} }
+	for _, row := range []struct {
+		least, only uint64
+		want        string
+	}{{4, 0, "v5"}, {0, 3, "v3"}, {6, 0, ""}, {0, 4, ""}} {
+		var queue jobqueue.Queue
+		waiting := item("j", 0, jobqueue.Rank{})
+		waiting.MinVersion, waiting.Only = row.least, row.only
+		queue.Add(waiting)
+		placed := queue.Place(replicas(), now)
+		got := ""
+		if len(placed) > 0 {
+			got = placed[0].Replica
+		}
+		if got != row.want {
+			t.Errorf("least %d, only %d: %q, want %q", row.least, row.only, got, row.want)
+		}
+	}
+}
+
+func TestHeldBackItemsLetOthersPass(t *testing.T) {
+	var queue jobqueue.Queue
+	held := item("j", 0, jobqueue.Rank{})
+	held.NotBefore = now.Add(time.Second)
+	queue.Add(held)
+	queue.Add(item("j", 1, jobqueue.Rank{Item: 1}))
+	if placed := queue.Place([]jobqueue.Replica{replica("a", 2, 1)}, now); len(placed) != 1 || placed[0].Item.Item != 1 {
+		t.Errorf("placed %v", placed)
+	}
+	if placed := queue.Place([]jobqueue.Replica{replica("a", 2, 1)}, now.Add(time.Second)); len(placed) != 1 {
+		t.Errorf("placed %v afterwards", placed)
+	}
+}
+
+func TestGroupsGoWhereTheirPromptIsUnlessThatIsCrowded(t *testing.T) {
+	for running, want := range map[int]string{2: "warm", 6: "cold"} {
+		warm := replica("warm", 8, 1)
+		warm.Running = running
+		warm.Groups = func(string) bool { return true }
+		var queue jobqueue.Queue
+		queue.Add(item("j", 0, jobqueue.Rank{}))
+		if placed := queue.Place([]jobqueue.Replica{replica("cold", 8, 1), warm}, now); placed[0].Replica != want {
+			t.Errorf("running %d: at %s, want %s", running, placed[0].Replica, want)
+		}
+	}
+}
+
+func TestRanksCountGroups(t *testing.T) {
+	job := &jobstate.Job{Submission: jobstate.Submission{Desired: 1}, AcceptedAt: 7}
+	for _, group := range []string{"a", "a", "b", "", ""} {
+		job.Items = append(job.Items, jobstate.ItemState{Item: jobstate.Item{Group: group}})
+	}
+	ranks := jobqueue.Ranks(job)
+	wantGroups := []int{0, 0, 1, 2, 3}
+	for i, rank := range ranks {
+		if rank.Group != wantGroups[i] || rank.Surplus != (i > 1) || rank.Accepted != 7 {
+			t.Errorf("item %d: %+v", i, rank)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/jobstate/state.go
@@ -0,0 +1,299 @@
+package jobstate
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ItemState is an item with what became of it.
+type ItemState struct {
+	Item Item `cbor:"1,keyasint"`
+	// Text is the data of the events so far, joined by line feeds.
+	Text           string   `cbor:"2,keyasint,omitempty"`
+	Events         int      `cbor:"3,keyasint,omitempty"`
+	LastEvent      string   `cbor:"4,keyasint,omitempty"`
+	Versions       []uint64 `cbor:"5,keyasint,omitempty"`
+	Whole          bool     `cbor:"6,keyasint,omitempty"`
+	Failures       int      `cbor:"7,keyasint,omitempty"`
+	ScorerFailures int      `cbor:"8,keyasint,omitempty"`
+	Result         Result   `cbor:"9,keyasint,omitempty"`
+	Score          string   `cbor:"10,keyasint,omitempty"`
+}
+
+// Job is an accepted job.
+type Job struct {
+	// Submission is as it was accepted, but that its items stand in Items.
+	Submission Submission  `cbor:"1,keyasint"`
+	Items      []ItemState `cbor:"2,keyasint"`
+	// Results are indexes of items by position.
+	Results []int `cbor:"3,keyasint"`
+	Ended   bool  `cbor:"4,keyasint"`
+	// AcceptedAt is the log position of the acceptance.
+	AcceptedAt uint64 `cbor:"5,keyasint"`
+}
+
+// Done reports whether every item has a result.
+func (j *Job) Done() bool { return len(j.Results) == len(j.Items) }
+
+// State holds the jobs. It is not safe for concurrent use.
+type State struct {
+	jobs map[string]*Job
+	// latest finds the newest job of an item id, for items that come back in
+	// a later job.
+	latest map[string]itemPlace
+	// serial counts results and ends, for those who wait for news; jobSerial
+	// counts jobs that came, ended or were forgotten.
+	serial    uint64
+	jobSerial uint64
+}
+
+type itemPlace struct {
+	job  string
+	item int
+}
+
+// New makes the empty state.
+func New() *State {
+	return &State{jobs: map[string]*Job{}, latest: map[string]itemPlace{}}
+}
+
+// Snapshot implements groupmember.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	jobs := s.Jobs()
+	return cbor.Marshal(jobs)
+}
+
+// Restore implements groupmember.StateMachine.
+func (s *State) Restore(data []byte) error {
+	var jobs []*Job
+	if err := cbor.Unmarshal(data, &jobs); err != nil {
+		return err
+	}
+	s.jobs = make(map[string]*Job, len(jobs))
+	s.latest = map[string]itemPlace{}
+	for _, job := range jobs {
+		s.add(job)
+	}
+	s.serial++
+	s.jobSerial++
+	return nil
+}
+
+func (s *State) add(job *Job) {
+	s.jobs[job.Submission.ID] = job
+	for i := range job.Items {
+		s.latest[job.Items[i].Item.ID] = itemPlace{job.Submission.ID, i}
+	}
+}
+
+// Serial rises with every result, end and restored snapshot.
+func (s *State) Serial() uint64 { return s.serial }
+
+// JobSerial rises with every job that comes, ends or is forgotten, and with
+// every restored snapshot.
+func (s *State) JobSerial() uint64 { return s.jobSerial }
+
+// Job finds a job, or nil. The caller must not change it.
+func (s *State) Job(id string) *Job { return s.jobs[id] }
+
+// Jobs gives all jobs in the order of acceptance.
+func (s *State) Jobs() []*Job {
+	jobs := make([]*Job, 0, len(s.jobs))
+	for _, job := range s.jobs {
+		jobs = append(jobs, job)
+	}
+	sort.Slice(jobs, func(i, j int) bool { return jobs[i].AcceptedAt < jobs[j].AcceptedAt })
+	return jobs
+}
+
+// Apply implements groupmember.StateMachine. Accept gives an AcceptOutcome, End
+// whether the job is known; the others give nil.
+func (s *State) Apply(index uint64, data []byte) any {
+	var command Command
+	if err := cbor.Unmarshal(data, &command); err != nil {
+		return err
+	}
+	switch {
+	case command.Accept != nil:
+		return s.accept(index, *command.Accept)
+	case command.End != nil:
+		return s.end(command.End.ID)
+	case command.Record != nil:
+		for _, record := range command.Record.Items {
+			s.record(record)
+		}
+	case command.Forget != nil:
+		s.forget(command.Forget.Jobs)
+	}
+	return nil
+}
+
+// accept takes a job once. Items that stood in an earlier job take over the
+// text that was kept for them, if its versions fit.
+func (s *State) accept(index uint64, submission Submission) AcceptOutcome {
+	if s.jobs[submission.ID] != nil {
+		return AcceptedBefore
+	}
+	job := &Job{Submission: submission, AcceptedAt: index, Items: make([]ItemState, len(submission.Items))}
+	for i, item := range submission.Items {
+		job.Items[i] = s.carriedOver(item, &submission)
+	}
+	job.Submission.Items = nil
+	s.add(job)
+	s.jobSerial++
+	return Accepted
+}
+
+func (s *State) carriedOver(item Item, submission *Submission) ItemState {
+	fresh := ItemState{Item: item}
+	place, known := s.latest[item.ID]
+	if !known {
+		return fresh
+	}
+	earlier := s.jobs[place.job]
+	held := &earlier.Items[place.item]
+	if earlier.Submission.Model != submission.Model || held.Item.Path != item.Path || !slices.Equal(held.Item.Body, item.Body) {
+		return fresh
+	}
+	if held.Events == 0 || held.Result == ResultErrored || !fits(held.Versions, submission) {
+		return fresh
+	}
+	fresh.Text, fresh.Events, fresh.LastEvent = held.Text, held.Events, held.LastEvent
+	fresh.Versions, fresh.Whole = held.Versions, held.Whole
+	return fresh
+}
+
+// fits reports whether text of these versions may stand in a job.
+func fits(versions []uint64, submission *Submission) bool {
+	if submission.OneVersion && len(versions) > 1 {
+		return false
+	}
+	return len(versions) > 0 && slices.Min(versions) >= submission.MinVersion
+}
+
+func (s *State) end(id string) bool {
+	job := s.jobs[id]
+	if job == nil {
+		return false
+	}
+	if !job.Ended {
+		job.Ended = true
+		s.serial++
+		s.jobSerial++
+	}
+	return true
+}
+
+// record notes what became of an item. After its result, or for a text that
+// does not follow what is held, nothing changes.
+func (s *State) record(record ItemRecord) {
+	job := s.jobs[record.Job]
+	if job == nil || record.Item < 0 || record.Item >= len(job.Items) {
+		return
+	}
+	item := &job.Items[record.Item]
+	if item.Result != ResultNone {
+		return
+	}
+	item.Failures += record.Failures
+	item.ScorerFailures += record.ScorerFailures
+	if record.Reset {
+		item.Text, item.Events, item.LastEvent, item.Versions, item.Whole = "", 0, "", nil, false
+	}
+	follows := record.Events == item.Events
+	if follows {
+		item.take(record)
+	}
+	switch {
+	case record.Result == ResultErrored:
+	case record.Result == ResultCompleted && follows && item.Whole:
+		item.Score = record.Score
+	default:
+		return
+	}
+	item.Result = record.Result
+	job.Results = append(job.Results, record.Item)
+	s.serial++
+}
+
+func (i *ItemState) take(record ItemRecord) {
+	if len(record.Text) > 0 {
+		added := strings.Join(record.Text, "\n")
+		if i.Events > 0 {
+			added = i.Text + "\n" + added
+		}
+		i.Text = added
+		i.Events += len(record.Text)
+		i.LastEvent = record.LastEvent
+		i.Versions = union(i.Versions, record.Versions)
+	}
+	i.Whole = i.Whole || record.Whole
+}
+
+// union gives both sets, sorted, without changing either.
+func union(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (s *State) forget(ids []string) {
+	for _, id := range ids {
+		job := s.jobs[id]
+		if job == nil {
+			continue
+		}
+		for _, item := range job.Items {
+			if s.latest[item.Item.ID].job == id {
+				delete(s.latest, item.Item.ID)
+			}
+		}
+		delete(s.jobs, id)
+		s.jobSerial++
+	}
+}
+
+// ResultView is one listed result.
+type ResultView struct {
+	ID       string   `cbor:"1,keyasint"`
+	Errored  bool     `cbor:"2,keyasint,omitempty"`
+	Text     string   `cbor:"3,keyasint,omitempty"`
+	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+	Score    string   `cbor:"5,keyasint,omitempty"`
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int          `cbor:"1,keyasint"`
+	Results []ResultView `cbor:"2,keyasint,omitempty"`
+	// Next is the position after the last result of the page.
+	Next  int  `cbor:"3,keyasint"`
+	Ended bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Page gives results from a position on: at least one if there is one, and
+// then as many as fit into the given bytes of text.
+func (j *Job) Page(from, maxBytes int) Page {
+	page := Page{Total: len(j.Items), Next: max(0, min(from, len(j.Results))), Ended: j.Ended}
+	bytes := 0
+	for _, index := range j.Results[page.Next:] {
+		item := &j.Items[index]
+		bytes += len(item.Text) + len(item.Score) + len(item.Item.ID) + resultOverhead
+		if len(page.Results) > 0 && bytes > maxBytes {
+			break
+		}
+		view := ResultView{ID: item.Item.ID, Errored: item.Result == ResultErrored}
+		if !view.Errored {
+			view.Text, view.Versions, view.Score = item.Text, item.Versions, item.Score
+		}
+		page.Results = append(page.Results, view)
+		page.Next++
+	}
+	return page
+}
+
+// resultOverhead is about what a result's encoding needs beside its text.
+const resultOverhead = 128
--- /dev/null
+++ b/internal/core/routing/table.go
@@ -0,0 +1,119 @@
+package routing
+
+import (
+	"strings"
+)
+
+// goldenRatio is the fraction of the golden ratio in 64 bits: multiples of it
+// spread evenly over the range, so that even a few requests keep the weights
+// of a split.
+const goldenRatio = 0x9e3779b97f4a7c15
+
+// Table finds routes. It is immutable and safe for concurrent use.
+type Table struct {
+	document *Document
+	// hosts holds routes by host in lower case and prefix.
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+}
+
+// NewTable makes a table of a valid document, which must not change any more.
+func NewTable(document *Document) *Table {
+	table := &Table{
+		document: document,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(document.Services)),
+	}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		host := strings.ToLower(route.Host)
+		if table.hosts[host] == nil {
+			table.hosts[host] = make(map[string]*Route)
+		}
+		table.hosts[host][route.Prefix] = route
+	}
+	for i := range document.Services {
+		service := &document.Services[i]
+		table.services[service.Name] = service
+	}
+	return table
+}
+
+// Document gives what the table was made of.
+func (t *Table) Document() *Document { return t.document }
+
+// Version gives the document's version.
+func (t *Table) Version() uint64 { return t.document.Version }
+
+// Service finds a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Lookup finds the route of the host with the longest prefix that begins path,
+// or nil. A port in host and a query in path are ignored.
+func (t *Table) Lookup(host, path string) *Route {
+	prefixes := t.hosts[hostName(host)]
+	if prefixes == nil {
+		return nil
+	}
+	if query := strings.IndexByte(path, '?'); query >= 0 {
+		path = path[:query]
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, found := prefixes[path[:end+1]]; found {
+			return route
+		}
+	}
+	return nil
+}
+
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Choose gives the service of the route's n-th request.
+func (r *Route) Choose(n uint64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0.0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	const bits = 53
+	at := float64(n*goldenRatio>>(64-bits)) / (1 << bits) * total
+	for _, share := range r.Split {
+		if share.Weight > 0 && at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return r.lastWithWeight()
+}
+
+// lastWithWeight is for a sum that rounding left just below the total.
+func (r *Route) lastWithWeight() string {
+	chosen := r.Split[0].Service
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			chosen = share.Service
+		}
+	}
+	return chosen
+}
+
+// Services lists the services that the route may send to.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			names = append(names, share.Service)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/core/sitestate/command.go
@@ -0,0 +1,149 @@
+package sitestate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+// Command is one entry of the control log; one field is set.
+type Command struct {
+	Configuration *Configuration `cbor:"1,keyasint,omitempty"`
+	Weights       *Weights       `cbor:"2,keyasint,omitempty"`
+	Replica       *Replica       `cbor:"3,keyasint,omitempty"`
+	Leave         *Leave         `cbor:"4,keyasint,omitempty"`
+	Holder        *Holder        `cbor:"5,keyasint,omitempty"`
+	Store         *Store         `cbor:"6,keyasint,omitempty"`
+	Found         *Found         `cbor:"7,keyasint,omitempty"`
+	Evacuate      *Evacuate      `cbor:"8,keyasint,omitempty"`
+	Assign        *Assign        `cbor:"9,keyasint,omitempty"`
+}
+
+// Configuration is a whole configuration. Raw is the document as the operator
+// sent it, checked before it was proposed.
+type Configuration struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Raw     []byte `cbor:"2,keyasint"`
+}
+
+// Weights publishes a version of a model's weights.
+type Weights struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// ReplicaState says whether a replica takes requests.
+type ReplicaState uint8
+
+const (
+	// ReplicaReady takes requests.
+	ReplicaReady ReplicaState = iota
+	// ReplicaDraining leaves and takes no new ones; it never returns.
+	ReplicaDraining
+)
+
+// Replica is what a replica reports of itself. Each start of a replica has an
+// id of its own.
+type Replica struct {
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Slots is how many requests it works on at once.
+	Slots int          `cbor:"5,keyasint"`
+	State ReplicaState `cbor:"6,keyasint"`
+	// Sequence rises with each report; a late one is recognized by it.
+	Sequence uint64 `cbor:"7,keyasint"`
+	// Models are the weights that it serves.
+	Models []ModelVersion `cbor:"8,keyasint,omitempty"`
+	// ChangedAt is the log position of the last change; State sets it.
+	ChangedAt uint64 `cbor:"9,keyasint,omitempty"`
+	// Model is the model whose versions this replica is kept at; empty takes
+	// none. State sets it by Assign.
+	Model string `cbor:"10,keyasint,omitempty"`
+}
+
+// VersionOf gives the version of a model that the replica serves, 0 if none.
+func (r *Replica) VersionOf(model string) uint64 {
+	for _, served := range r.Models {
+		if served.Name == model {
+			return served.Version
+		}
+	}
+	return 0
+}
+
+// ModelVersion is a model with the version of its weights.
+type ModelVersion struct {
+	Name    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// Leave takes a replica out.
+type Leave struct {
+	ID string `cbor:"1,keyasint"`
+	// Silent is set if the replica did not ask for it but was not heard of;
+	// it may come back.
+	Silent bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Holder names the machine that may order replicas from now on.
+type Holder struct {
+	Machine string `cbor:"1,keyasint"`
+}
+
+// StoreState says what a store machine is to do.
+type StoreState uint8
+
+const (
+	// StoreActive keeps data.
+	StoreActive StoreState = iota
+	// StoreLeaving is being emptied.
+	StoreLeaving
+	// StoreEmptied holds nothing any more.
+	StoreEmptied
+)
+
+// Store is a store machine.
+type Store struct {
+	Name    string     `cbor:"1,keyasint"`
+	Address string     `cbor:"2,keyasint"`
+	Zone    string     `cbor:"3,keyasint"`
+	State   StoreState `cbor:"4,keyasint,omitempty"`
+	// Incarnation is that of its data folder.
+	Incarnation string `cbor:"5,keyasint,omitempty"`
+}
+
+// Found names the founders of the store group. The first one holds.
+type Found struct {
+	Founders []groupmember.Record `cbor:"1,keyasint"`
+}
+
+// Evacuate moves a store machine's state on.
+type Evacuate struct {
+	Name string `cbor:"1,keyasint"`
+	// Done is set once the machine holds nothing any more.
+	Done bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Assign gives replicas the models that they are kept at.
+type Assign struct {
+	Models map[string]string `cbor:"1,keyasint"` // by replica id
+}
+
+// Encode gives a command's bytes in the log.
+func (c Command) Encode() ([]byte, error) { return cbor.Marshal(c) }
+
+// Outcome answers a command.
+type Outcome uint8
+
+const (
+	// OutcomeDone says that the command took effect, or holds already.
+	OutcomeDone Outcome = iota
+	// OutcomeIgnored says that the command is older than what holds.
+	OutcomeIgnored
+	// OutcomeUnknown says that the named machine is not known.
+	OutcomeUnknown
+	// OutcomeMalformed says that the entry was no command.
+	OutcomeMalformed
+)
--- /dev/null
+++ b/internal/core/sitestate/state.go
@@ -0,0 +1,315 @@
+package sitestate
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+// maxGone bounds the remembered ids of replicas that left.
+const maxGone = 20000
+
+// gone is a replica that left. A binding one never comes back.
+type gone struct {
+	ID        string `cbor:"1,keyasint"`
+	ChangedAt uint64 `cbor:"2,keyasint"`
+	Binding   bool   `cbor:"3,keyasint"`
+}
+
+// contents is what a snapshot holds.
+type contents struct {
+	Position        uint64               `cbor:"1,keyasint"`
+	Configuration   Configuration        `cbor:"2,keyasint"`
+	ConfigurationAt uint64               `cbor:"3,keyasint"`
+	Replicas        map[string]Replica   `cbor:"4,keyasint"`
+	Gone            []gone               `cbor:"5,keyasint"`
+	Weights         map[string]uint64    `cbor:"6,keyasint"`
+	WeightsAt       uint64               `cbor:"7,keyasint"`
+	Holder          string               `cbor:"8,keyasint"`
+	Stores          map[string]Store     `cbor:"9,keyasint"`
+	StoresAt        uint64               `cbor:"10,keyasint"`
+	Founders        []groupmember.Record `cbor:"11,keyasint"`
+}
+
+// State is the control state. It is not safe for concurrent use; what it gives
+// out is not changed later.
+type State struct {
+	contents contents
+	// binding indexes the ids in contents.Gone that never come back.
+	binding map[string]bool
+}
+
+// New makes the empty state.
+func New() *State {
+	state := &State{}
+	state.fill()
+	return state
+}
+
+func (s *State) fill() {
+	if s.contents.Replicas == nil {
+		s.contents.Replicas = map[string]Replica{}
+	}
+	if s.contents.Weights == nil {
+		s.contents.Weights = map[string]uint64{}
+	}
+	if s.contents.Stores == nil {
+		s.contents.Stores = map[string]Store{}
+	}
+	s.binding = make(map[string]bool, len(s.contents.Gone))
+	for _, left := range s.contents.Gone {
+		if left.Binding {
+			s.binding[left.ID] = true
+		}
+	}
+}
+
+// Snapshot implements groupmember.StateMachine.
+func (s *State) Snapshot() ([]byte, error) { return cbor.Marshal(s.contents) }
+
+// Restore implements groupmember.StateMachine.
+func (s *State) Restore(data []byte) error {
+	var restored contents
+	if err := cbor.Unmarshal(data, &restored); err != nil {
+		return err
+	}
+	s.contents = restored
+	s.fill()
+	return nil
+}
+
+// Position gives the log position of the last change.
+func (s *State) Position() uint64 { return s.contents.Position }
+
+// Configuration gives the configuration in force; version 0 is none.
+func (s *State) Configuration() Configuration { return s.contents.Configuration }
+
+// Replica finds a replica by id.
+func (s *State) Replica(id string) (Replica, bool) {
+	replica, found := s.contents.Replicas[id]
+	return replica, found
+}
+
+// Left reports whether a replica left for good.
+func (s *State) Left(id string) bool { return s.binding[id] }
+
+// Replicas gives all replicas by id.
+func (s *State) Replicas() []Replica {
+	replicas := make([]Replica, 0, len(s.contents.Replicas))
+	for _, replica := range s.contents.Replicas {
+		replicas = append(replicas, replica)
+	}
+	sort.Slice(replicas, func(i, j int) bool { return replicas[i].ID < replicas[j].ID })
+	return replicas
+}
+
+// Weights gives the newest published version of a model; 0 is none.
+func (s *State) Weights(model string) uint64 { return s.contents.Weights[model] }
+
+// Holder gives the machine that may order replicas; empty is none yet.
+func (s *State) Holder() string { return s.contents.Holder }
+
+// Store finds a store machine by name.
+func (s *State) Store(name string) (Store, bool) {
+	store, found := s.contents.Stores[name]
+	return store, found
+}
+
+// Stores gives the store machines by name.
+func (s *State) Stores() []Store {
+	stores := make([]Store, 0, len(s.contents.Stores))
+	for _, store := range s.contents.Stores {
+		stores = append(stores, store)
+	}
+	sort.Slice(stores, func(i, j int) bool { return stores[i].Name < stores[j].Name })
+	return stores
+}
+
+// Founders gives the founders of the store group, empty before it is founded.
+func (s *State) Founders() []groupmember.Record { return s.contents.Founders }
+
+// Apply implements groupmember.StateMachine; its results are Outcomes.
+func (s *State) Apply(index uint64, data []byte) any {
+	var command Command
+	if err := cbor.Unmarshal(data, &command); err != nil {
+		return OutcomeMalformed
+	}
+	return s.apply(index, command)
+}
+
+func (s *State) apply(index uint64, command Command) Outcome {
+	switch {
+	case command.Configuration != nil:
+		return s.putConfiguration(index, *command.Configuration)
+	case command.Weights != nil:
+		return s.publishWeights(index, *command.Weights)
+	case command.Replica != nil:
+		return s.reportReplica(index, *command.Replica)
+	case command.Leave != nil:
+		return s.leave(index, *command.Leave)
+	case command.Holder != nil:
+		s.contents.Holder = command.Holder.Machine
+		return OutcomeDone
+	case command.Store != nil:
+		return s.registerStore(index, *command.Store)
+	case command.Found != nil:
+		return s.found(index, *command.Found)
+	case command.Evacuate != nil:
+		return s.evacuate(index, *command.Evacuate)
+	case command.Assign != nil:
+		return s.assign(index, *command.Assign)
+	default:
+		return OutcomeMalformed
+	}
+}
+
+func (s *State) changed(index uint64) { s.contents.Position = index }
+
+// putConfiguration takes a configuration whose version is above the one held.
+func (s *State) putConfiguration(index uint64, put Configuration) Outcome {
+	if put.Version <= s.contents.Configuration.Version {
+		return OutcomeIgnored
+	}
+	s.contents.Configuration = put
+	s.contents.ConfigurationAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) publishWeights(index uint64, published Weights) Outcome {
+	if published.Version <= s.contents.Weights[published.Model] {
+		return OutcomeIgnored
+	}
+	s.contents.Weights[published.Model] = published.Version
+	s.contents.WeightsAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+// reportReplica takes a replica's report. One that left stays out, one that
+// drains stays draining, and a late report changes nothing.
+func (s *State) reportReplica(index uint64, report Replica) Outcome {
+	if s.binding[report.ID] {
+		return OutcomeIgnored
+	}
+	held, known := s.contents.Replicas[report.ID]
+	if known && report.Sequence <= held.Sequence && report.State != ReplicaDraining {
+		return OutcomeIgnored
+	}
+	if known && held.State == ReplicaDraining {
+		report.State = ReplicaDraining
+	}
+	report.Sequence = max(report.Sequence, held.Sequence)
+	report.Model = held.Model
+	report.ChangedAt = index
+	s.contents.Replicas[report.ID] = report
+	s.forgetGone(report.ID)
+	s.dropAddress(index, report)
+	s.changed(index)
+	return OutcomeDone
+}
+
+// dropAddress takes out other replicas whose address the reporter now has.
+func (s *State) dropAddress(index uint64, reporter Replica) {
+	for _, other := range s.Replicas() {
+		if other.Address == reporter.Address && other.ID != reporter.ID {
+			s.remove(index, other.ID, true)
+		}
+	}
+}
+
+func (s *State) forgetGone(id string) {
+	s.contents.Gone = slices.DeleteFunc(s.contents.Gone, func(left gone) bool { return left.ID == id })
+}
+
+func (s *State) leave(index uint64, left Leave) Outcome {
+	if left.Silent {
+		if _, known := s.contents.Replicas[left.ID]; !known {
+			return OutcomeIgnored
+		}
+	}
+	if s.binding[left.ID] {
+		return OutcomeDone
+	}
+	s.remove(index, left.ID, !left.Silent)
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) remove(index uint64, id string, binding bool) {
+	delete(s.contents.Replicas, id)
+	s.forgetGone(id)
+	s.contents.Gone = append(s.contents.Gone, gone{ID: id, ChangedAt: index, Binding: binding})
+	if binding {
+		s.binding[id] = true
+	}
+	if surplus := len(s.contents.Gone) - maxGone; surplus > 0 {
+		for _, old := range s.contents.Gone[:surplus] {
+			delete(s.binding, old.ID)
+		}
+		s.contents.Gone = slices.Clone(s.contents.Gone[surplus:])
+	}
+}
+
+// registerStore notes a store machine. A machine that registers with another
+// data folder starts anew, also if it was emptied before.
+func (s *State) registerStore(index uint64, registered Store) Outcome {
+	held, known := s.contents.Stores[registered.Name]
+	if known && held.Address == registered.Address && held.Incarnation == registered.Incarnation {
+		return OutcomeDone
+	}
+	registered.State = StoreActive
+	if known && held.State != StoreEmptied {
+		registered.State = held.State
+	}
+	s.contents.Stores[registered.Name] = registered
+	s.contents.StoresAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) found(index uint64, founding Found) Outcome {
+	if len(s.contents.Founders) > 0 {
+		return OutcomeIgnored
+	}
+	s.contents.Founders = founding.Founders
+	s.contents.StoresAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) evacuate(index uint64, evacuation Evacuate) Outcome {
+	store, known := s.contents.Stores[evacuation.Name]
+	if !known {
+		return OutcomeUnknown
+	}
+	switch {
+	case evacuation.Done && store.State == StoreLeaving:
+		store.State = StoreEmptied
+	case !evacuation.Done && store.State == StoreActive:
+		store.State = StoreLeaving
+	default:
+		return OutcomeDone
+	}
+	s.contents.Stores[evacuation.Name] = store
+	s.contents.StoresAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) assign(index uint64, assigned Assign) Outcome {
+	for id, model := range assigned.Models {
+		replica, known := s.contents.Replicas[id]
+		if !known || replica.Model == model {
+			continue
+		}
+		replica.Model = model
+		replica.ChangedAt = index
+		s.contents.Replicas[id] = replica
+		s.changed(index)
+	}
+	return OutcomeDone
+}
