site: faster elections, replicas shared by demand, no request passed on while closing

(2) Windows after a loss of all power served nothing until control had a leader, 0.9 s after its processes were up.

Change: the front refuses whatever it reads once it closes connections; a tick of 60 ms for 100; models share replicas by their measured demand, and a replica one version behind loads only until half of its model's have the newest; refusals at the start name 0.5 s to come back.

Ruled out: faster votes right after a restart (a voter may have accepted the old leader's lease).

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -47,6 +47,7 @@
 		grace := time.After(p.file.Grace() - stopReserve)
 		served.Drain()
 		wait(ctx, drainNotice)
+		served.Close()
 		stopping, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() { <-grace; cancel() }()
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -25,8 +25,10 @@
 	// routeUnknownAfter is how old a confirmed view may be to deny that a route
 	// exists; with an older one the request is refused for now.
 	routeUnknownAfter = 1500 * time.Millisecond
-	// comeBack is when a refused request is best sent again.
-	comeBack = 200 * time.Millisecond
+	// comeBack is when a refused request is best sent again; comeBackLater is
+	// for one that was refused because the site has only just started.
+	comeBack      = 200 * time.Millisecond
+	comeBackLater = 500 * time.Millisecond
 	// defaultBodyBytes bounds a request's body if the configuration does not.
 	defaultBodyBytes = 32 << 20
 	// deadlineMargin is kept for the answer's way back to the caller.
@@ -48,6 +50,7 @@
 	headers  dialect.Headers
 	splits   atomic.Uint64
 	draining atomic.Bool
+	closing  atomic.Bool
 	inFlight atomic.Int64
 	counters Counters
 }
@@ -80,6 +83,11 @@
 // connections.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// Close makes the front refuse every further request as not run. It comes right
+// before connections are closed: a request that is read while its connection
+// closes must not be passed on, as its answer could not be given.
+func (f *Front) Close() { f.closing.Store(true) }
+
 // InFlight gives the requests that are being served.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
@@ -95,9 +103,13 @@
 // ServeHTTP passes a request through, or takes a job.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if f.closing.Load() {
+		f.refuse(w, r, "", "the process is stopping")
+		return
+	}
 	view := f.config.Watcher.View()
 	if view == nil || view.Table == nil {
-		f.refuse(w, r, "", "no configuration is known yet")
+		f.refuseFor(w, r, "", "no configuration is known yet", comeBackLater)
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -237,8 +249,12 @@
 
 // refuse answers a request that did not run and tells when to come back.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, route, reason string) {
+	f.refuseFor(w, r, route, reason, comeBack)
+}
+
+func (f *Front) refuseFor(w http.ResponseWriter, r *http.Request, route, reason string, back time.Duration) {
 	f.counters.Refused.Add(1)
-	w.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64))
+	w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', -1, 64))
 	f.answerStatus(w, r, route, http.StatusServiceUnavailable, reason)
 }
 
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -102,6 +101,5 @@
 
 // Refuse answers 503 with a time to come back.
 func (f *Front) Refuse(w http.ResponseWriter, r *http.Request, reason string) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64))
-	f.answerStatus(w, r, "", http.StatusServiceUnavailable, reason)
+	f.refuse(w, r, "", reason)
 }
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -15,7 +15,7 @@
 
 // Defaults of Config.
 const (
-	DefaultTick           = 100 * time.Millisecond
+	DefaultTick           = 60 * time.Millisecond
 	DefaultElectionTicks  = 8
 	DefaultHeartbeatTicks = 2
 	DefaultReplaceAfter   = 5 * time.Second
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -16,7 +16,7 @@
 	requestQueue = 4096
 	messageQueue = 4096
 	// houseTicks is the number of ticks between looks at the membership.
-	houseTicks = 3
+	houseTicks = 5
 )
 
 // errRemoved ends a loop whose member was removed from the group.
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -50,6 +50,9 @@
 	Members []string `cbor:"2,keyasint,omitempty"`
 	// Whole is set if enough of them hold everything.
 	Whole bool `cbor:"3,keyasint,omitempty"`
+	// Demand is the work that jobs bring, in events a second by model; only the
+	// leader reports it.
+	Demand map[string]float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer answers a Request.
--- a/internal/app/sitecontrol/stores.go
+++ b/internal/app/sitecontrol/stores.go
@@ -27,6 +27,8 @@
 	// members and whole are what the store group's leader last reported.
 	members []string
 	whole   bool
+	// demand is the work that jobs bring, by model.
+	demand map[string]float64
 }
 
 func newStores(control *Control) *stores {
@@ -42,7 +44,7 @@
 	s.mutex.Lock()
 	s.heard[heartbeat.Store.Name] = time.Now()
 	if heartbeat.Members != nil {
-		s.members, s.whole = heartbeat.Members, heartbeat.Whole
+		s.members, s.whole, s.demand = heartbeat.Members, heartbeat.Whole, heartbeat.Demand
 	}
 	s.mutex.Unlock()
 	held, known := s.find(heartbeat.Store.Name)
@@ -64,6 +66,13 @@
 	return view.Stores[i], true
 }
 
+// reportedDemand gives the work that jobs bring, by model, as last reported.
+func (s *stores) reportedDemand() map[string]float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.demand
+}
+
 // evacuate begins to empty a machine.
 func (s *stores) evacuate(ctx context.Context, name string) (Answer, error) {
 	store, known := s.find(name)
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -22,7 +23,10 @@
 	loadShare   = 0.34
 	// holderMargin is waited beyond the replicas' lease after the holder
 	// changed: the last order of the one before may arrive late.
-	holderMargin = time.Second
+	holderMargin = 300 * time.Millisecond
+	// movePause is the least time between two moves of a replica to another
+	// model.
+	movePause = 3 * time.Second
 
 	orderTimeout   = time.Second
 	reportInterval = 250 * time.Millisecond
@@ -44,6 +48,7 @@
 	// once it is the holder.
 	ledFrom time.Time
 	holds   bool
+	movedAt time.Time
 
 	mutex   sync.Mutex
 	loading map[string]bool
@@ -105,8 +110,13 @@
 
 func (w *weightsManager) tendService(ctx context.Context, view *sitestate.View, service routing.Service) {
 	replicas := w.readyReplicas(view, service.Name)
-	if changes := weightplan.Assign(replicas, service.Engine.Models); len(changes) > 0 {
-		_, _ = w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
+	demand := w.control.stores.reportedDemand()
+	mayMove := time.Since(w.movedAt) > movePause
+	if changes := weightplan.Assign(replicas, service.Engine.Models, demand, mayMove); len(changes) > 0 {
+		_, err := w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
+		w.movedAt = time.Now()
+		w.control.config.Logger.Info().Str("event", "weights.assigned").Str("service", service.Name).Str("changes", fmt.Sprint(changes)).
+			Str("demand", fmt.Sprint(demand)).Err(err).Msg("replicas are kept at other models from now on")
 		return
 	}
 	w.mutex.Lock()
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -22,6 +22,7 @@
 	}
 	switch event.kind {
 	case runWhole:
+		r.demand.whole(item.model, item.length())
 		r.startScoring(item)
 	case runScored:
 		item.finish(jobstate.ResultCompleted, event.score)
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -46,6 +46,7 @@
 	works    map[jobqueue.Key]*work
 	queue    jobqueue.Queue
 	replicas *replicaBook
+	demand   *demandMeter
 	table    *routing.Table
 	keeping  bool
 	// keptAt is when the last record was proposed, grownAt when the last one
@@ -127,6 +128,7 @@
 	}
 	r.giveUpOld()
 	r.place(view)
+	r.measureDemand()
 	r.keep()
 }
 
@@ -139,6 +141,7 @@
 	r.works = map[jobqueue.Key]*work{}
 	r.queue = jobqueue.Queue{}
 	r.replicas = newReplicaBook()
+	r.demand = newDemandMeter(time.Now())
 	r.table = nil
 	r.keeping, r.urgent = false, false
 	r.kept = make(chan error, 1)
@@ -347,3 +350,16 @@
 	r.replicas.leave(item)
 	delete(r.works, key)
 }
+
+// measureDemand publishes the work that jobs bring.
+func (r *runner) measureDemand() {
+	waiting := map[string]int{}
+	for _, item := range r.works {
+		if !item.scoring && !item.finished() {
+			waiting[item.model]++
+		}
+	}
+	if rates, due := r.demand.rates(waiting, time.Now()); due {
+		r.store.demand.Store(&rates)
+	}
+}
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -61,6 +61,7 @@
 
 	serial    atomic.Uint64
 	jobSerial atomic.Uint64
+	demand    atomic.Pointer[map[string]float64]
 	mutex     sync.Mutex
 	// news is closed and replaced when results came.
 	news        chan struct{}
@@ -223,6 +224,9 @@
 	}
 	slices.Sort(heartbeat.Members)
 	heartbeat.Whole = whole >= s.wantedVoters()
+	if demand := s.demand.Load(); demand != nil {
+		heartbeat.Demand = *demand
+	}
 }
 
 func caughtUp(shown *group.Shown, record groupmember.Record) bool {
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -105,6 +105,13 @@
 	return w.whole
 }
 
+// length gives the number of events of the text so far.
+func (w *work) length() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.events
+}
+
 // only gives the version that must go on with the text, 0 for any.
 func (w *work) only() uint64 {
 	w.mutex.Lock()
--- a/internal/core/weightplan/weightplan.go
+++ b/internal/core/weightplan/weightplan.go
@@ -4,19 +4,27 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
-// Assign gives the replicas whose model has to change so that a service's
-// models share its replicas evenly. A replica keeps its model where it can: a
-// change costs a load and whatever the replica had cached.
-func Assign(replicas []sitestate.Replica, models []string) map[string]string {
+// moveGain is by how much a move has to lower the load of the model whose
+// replicas are loaded most.
+const moveGain = 0.08
+
+// Assign gives the replicas whose model has to change so that the replicas of a
+// service are shared by its models as their demand is. Without any demand all
+// share alike. A replica keeps its model where it can: a change costs a load and
+// whatever it had cached. New replicas are always assigned; one that has a model
+// moves only if mayMove is set, one at a time.
+func Assign(replicas []sitestate.Replica, models []string, demand map[string]float64, mayMove bool) map[string]string {
 	if len(models) == 0 || len(replicas) == 0 {
 		return nil
 	}
 	changes := map[string]string{}
+	shares := shareOut(models, demand)
 	counts := make(map[string]int, len(models))
 	var open []sitestate.Replica
 	for _, replica := range replicas {
@@ -27,44 +35,71 @@
 		open = append(open, replica)
 	}
 	for _, replica := range open {
-		model := fewest(models, counts)
+		model := mostLoaded(models, shares, counts)
 		changes[replica.ID] = model
 		counts[model]++
 	}
-	even(replicas, models, counts, changes)
+	if mayMove && len(changes) == 0 {
+		move(replicas, models, shares, counts, changes)
+	}
 	return changes
 }
 
-// fewest gives the model with the fewest replicas, the first of equals.
-func fewest(models []string, counts map[string]int) string {
-	return slices.MinFunc(models, func(a, b string) int { return counts[a] - counts[b] })
-}
+// leastShare keeps a model without any demand from being left out.
+const leastShare = 0.01
 
-// even moves replicas from the model with the most to that with the fewest
-// until they differ by one at most.
-func even(replicas []sitestate.Replica, models []string, counts map[string]int, changes map[string]string) {
-	for {
-		low := fewest(models, counts)
-		high := slices.MaxFunc(models, func(a, b string) int { return counts[a] - counts[b] })
-		if counts[high]-counts[low] < 2 {
-			return
-		}
-		for _, replica := range slices.Backward(replicas) {
-			if modelOf(replica, changes) == high {
-				changes[replica.ID] = low
-				break
-			}
+// shareOut gives each model its part of the whole demand.
+func shareOut(models []string, demand map[string]float64) map[string]float64 {
+	total := 0.0
+	for _, model := range models {
+		total += demand[model]
+	}
+	shares := make(map[string]float64, len(models))
+	for _, model := range models {
+		shares[model] = 1 / float64(len(models))
+		if total > 0 {
+			shares[model] = max(leastShare, demand[model]/total)
 		}
-		counts[high]--
-		counts[low]++
 	}
+	return shares
+}
+
+// load gives the demand that one replica of a model carries.
+func load(share float64, count int) float64 {
+	if count == 0 {
+		return math.Inf(1)
+	}
+	return share / float64(count)
+}
+
+// mostLoaded gives the model whose replicas carry most, the first of equals.
+func mostLoaded(models []string, shares map[string]float64, counts map[string]int) string {
+	return slices.MaxFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(load(shares[a], counts[a]), load(shares[b], counts[b])), cmp.Compare(shares[a], shares[b]))
+	})
 }
 
-func modelOf(replica sitestate.Replica, changes map[string]string) string {
-	if changed, found := changes[replica.ID]; found {
-		return changed
+// move takes one replica for the model whose replicas carry most from the one
+// whose would carry least without it, if that lowers the most that any carries.
+func move(replicas []sitestate.Replica, models []string, shares map[string]float64, counts map[string]int, changes map[string]string) {
+	to := mostLoaded(models, shares, counts)
+	from, least := "", math.Inf(1)
+	for _, model := range models {
+		if after := load(shares[model], counts[model]-1); model != to && counts[model] > 1 && after < least {
+			from, least = model, after
+		}
+	}
+	before := load(shares[to], counts[to])
+	after := max(least, load(shares[to], counts[to]+1))
+	if from == "" || after >= before*(1-moveGain) {
+		return
+	}
+	for _, replica := range slices.Backward(replicas) {
+		if replica.Model == from {
+			changes[replica.ID] = to
+			return
+		}
 	}
-	return replica.Model
 }
 
 // Target is a load to be ordered.
@@ -84,22 +119,28 @@
 
 // Next gives the loads to order now, the replica furthest behind first.
 // Versions are the published ones by model; loading names the replicas with an
-// order under way or left alone for now.
+// order under way or left alone for now. Jobs take text of the version before
+// the newest too, so a replica that is one behind loads only as long as less
+// than half of its model's replicas have the newest: each then loads about every
+// other version, and half of them serve a new job at once.
 func Next(replicas []sitestate.Replica, versions map[string]uint64, loading map[string]bool, limits Limits) []Target {
 	total := 0
-	ofModel, loadingOf := map[string]int{}, map[string]int{}
+	ofModel, loadingOf, newest := map[string]int{}, map[string]int{}, map[string]int{}
 	var behind []Target
 	for _, replica := range replicas {
+		wanted := versions[replica.Model]
 		ofModel[replica.Model]++
 		if loading[replica.ID] {
 			loadingOf[replica.Model]++
+			newest[replica.Model]++
 			total++
 			continue
 		}
-		wanted := versions[replica.Model]
-		if replica.Model != "" && replica.VersionOf(replica.Model) < wanted {
-			behind = append(behind, Target{Replica: replica, Model: replica.Model, Version: wanted})
+		if replica.Model == "" || replica.VersionOf(replica.Model) >= wanted {
+			newest[replica.Model]++
+			continue
 		}
+		behind = append(behind, Target{Replica: replica, Model: replica.Model, Version: wanted})
 	}
 	slices.SortStableFunc(behind, func(a, b Target) int {
 		return cmp.Compare(a.Replica.VersionOf(a.Model), b.Replica.VersionOf(b.Model))
@@ -107,12 +148,15 @@
 	var next []Target
 	for _, target := range behind {
 		most := max(1, int(limits.Share*float64(ofModel[target.Model])))
-		if total >= limits.Total || loadingOf[target.Model] >= most {
+		usable := target.Replica.VersionOf(target.Model)+1 >= target.Version
+		enough := newest[target.Model] >= max(1, ofModel[target.Model]/2)
+		if total >= limits.Total || loadingOf[target.Model] >= most || (usable && enough) {
 			continue
 		}
 		next = append(next, target)
 		total++
 		loadingOf[target.Model]++
+		newest[target.Model]++
 	}
 	return next
 }
