site: a first view before a leader is elected; less memory; stops within the grace

Cause: after a loss of all power fronts answered 503 until control had a leader, although its members held the configuration on disk. A process could outlive its grace when a caller held a new connection without a request (net/http waits 5 s for it).

Change: a front takes its first view from any control member, marked provisional, denies no route by it and goes on to a confirmed one; the runner of jobs never uses one. Bodies are dropped once an item is listed or its job ends. A stop does not wait for tasks longer than 0.3 s.

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -17,7 +17,7 @@
 	// readiness is asked every second and two misses take it out.
 	drainNotice = 2600 * time.Millisecond
 	// stopReserve is left of the grace for the process's own end.
-	stopReserve = 700 * time.Millisecond
+	stopReserve = 1200 * time.Millisecond
 )
 
 // siteFrontCommand runs a front.
@@ -30,7 +30,7 @@
 		return err
 	}
 	var sender *proxy.Proxy
-	watcher := p.newWatcher(func(view *siteview.View) { sender.Forget(view) })
+	watcher := p.newWatcher(true, func(view *siteview.View) { sender.Forget(view) })
 	sender = p.newProxy(watcher.View)
 	served := front.New(front.Config{
 		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger,
--- a/cmd/loomgrade/cmd_site_store.go
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	var sender *proxy.Proxy
-	watcher := p.newWatcher(func(view *siteview.View) { sender.Forget(view) })
+	watcher := p.newWatcher(false, func(view *siteview.View) { sender.Forget(view) })
 	sender = p.newProxy(watcher.View)
 	store := sitestore.New(sitestore.Config{
 		Machine: p.file.Machine, Zone: p.file.Zone, Address: p.file.PeerAddress(), Folder: p.file.DataFolder,
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -41,6 +41,10 @@
 	// heapShare is the part of the machine's memory that the heap may take
 	// before collections become more frequent.
 	heapShare = 0.6
+	// collectAt is the growth of the heap, in percent, at which it is
+	// collected: memory at its peak costs these machines more than processor
+	// time.
+	collectAt = 40
 	megabyte  = 1 << 20
 	// headerTimeout and keepIdle bound what a caller's connection may wait.
 	headerTimeout = 10 * time.Second
@@ -59,6 +63,8 @@
 	dialect dialect.Dialect
 	signals chan os.Signal
 	seed    uint64
+	// stopped is closed once the process was told to stop and has drained.
+	stopped chan struct{}
 }
 
 func newSiteProcess(path, role string) (*siteProcess, error) {
@@ -69,11 +75,12 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
+	debug.SetGCPercent(collectAt)
 	if file.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * file.MemoryMegabytes * megabyte))
 	}
 	p := &siteProcess{
-		path: path, file: file, dialect: platform.Dialect{}, signals: make(chan os.Signal, 1),
+		path: path, file: file, dialect: platform.Dialect{}, signals: make(chan os.Signal, 1), stopped: make(chan struct{}),
 		logger: eventlog.New(os.Stdout).Logger(file.Machine),
 		wire: wire.Options{
 			ClusterID: siteCluster, Name: file.Machine, PingInterval: sitePing, IdleTimeout: siteIdle,
@@ -91,9 +98,10 @@
 }
 
 // newWatcher makes the watcher of the control state.
-func (p *siteProcess) newWatcher(changed func(*siteview.View)) *siteview.Watcher {
+func (p *siteProcess) newWatcher(provisional bool, changed func(*siteview.View)) *siteview.Watcher {
 	return siteview.New(siteview.Config{
-		Seeds: p.file.SeedPeers(), Wire: p.wire, Decode: p.dialect.DecodeConfiguration, Changed: changed, Logger: p.logger,
+		Provisional: provisional,
+		Seeds:       p.file.SeedPeers(), Wire: p.wire, Decode: p.dialect.DecodeConfiguration, Changed: changed, Logger: p.logger,
 	})
 }
 
@@ -148,11 +156,13 @@
 			_ = served.server.Close()
 		}
 		p.server.Close()
+		close(p.stopped)
 		return nil
 	})
-	err = group.Wait()
+	err = p.awaitEnd(group)
 	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, wire.ErrClosed) || errors.Is(err, net.ErrClosed) {
 		p.logger.Info().Str("event", "process.stopped").Msg("the process has stopped")
+		time.Sleep(logFlush)
 		return nil
 	}
 	p.logger.Error().Str("event", "process.failed").Err(err).Msg("the process ends with a failure")
@@ -160,6 +170,28 @@
 	return err
 }
 
+// awaitEnd waits for the tasks, though not for long once the process is told to
+// stop: whatever then still waits must not outlive the grace.
+func (p *siteProcess) awaitEnd(group *errgroup.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-p.stopped:
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(endPatience):
+		p.logger.Warn().Str("event", "process.abandoned").Msg("tasks did not end in time and are left")
+		return nil
+	}
+}
+
+// endPatience is how long tasks may take to end.
+const endPatience = 300 * time.Millisecond
+
 // logFlush lets the last lines out.
 const logFlush = 20 * time.Millisecond
 
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -61,13 +61,16 @@
 	after, told := request.After, 0
 	for {
 		shown := c.member.Shown()
-		if shown == nil || !shown.Confirmed {
-			return port.NewError(port.NotRun, port.CodeUnavailable, "this member is out of touch with a quorum")
+		if shown == nil {
+			return port.NewError(port.NotRun, port.CodeUnavailable, "this member takes no part yet")
 		}
 		update, err := c.updateAfter(ctx, after)
 		if err != nil {
 			return err
 		}
+		if !shown.Confirmed {
+			return c.sendUnconfirmed(call, update)
+		}
 		update.Confirmed = true
 		if count := len(shown.Records); count != told {
 			told, update.Members = count, shown.Records
@@ -82,6 +85,16 @@
 	}
 }
 
+// sendUnconfirmed shows the state of a member that is out of touch with a
+// quorum, marked as such, and ends the watch.
+func (c *Control) sendUnconfirmed(call *wire.Call, update sitestate.Update) error {
+	update.Confirmed = false
+	if err := call.Send(update); err != nil {
+		return err
+	}
+	return port.NewError(port.NotRun, port.CodeUnavailable, "this member is out of touch with a quorum")
+}
+
 func (c *Control) updateAfter(ctx context.Context, after uint64) (sitestate.Update, error) {
 	if view := c.view.Load(); after > 0 && view.Position <= after {
 		return sitestate.Update{Position: view.Position}, nil
--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -122,6 +122,7 @@
 	}
 }
 
+// body gives the body of an item that is not listed yet, until its job ends.
 func (s *Store) body(ctx context.Context, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
 	answer := jobsapi.Answer{Unknown: true}
 	err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
@@ -130,7 +131,7 @@
 			return
 		}
 		for i := range job.Items {
-			if job.Items[i].Item.ID == request.Item {
+			if job.Items[i].Item.ID == request.Item && job.Items[i].Result == jobstate.ResultNone && !job.Ended {
 				answer = jobsapi.Answer{Body: job.Items[i].Item.Body}
 				return
 			}
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -51,6 +51,11 @@
 	Wire  wire.Options
 	// Decode reads the operator's document.
 	Decode func(raw []byte) (*routing.Document, error)
+	// Provisional takes a first view also from a member that is out of touch
+	// with a quorum: after a loss of all power, callers are served before a
+	// leader is elected. A confirmed view follows; what must never be out of
+	// date waits for it by ConfirmedWithin.
+	Provisional bool
 	// Changed is called after the view has changed. It must not wait.
 	Changed func(*View)
 	Logger  *log.Logger
@@ -195,6 +200,7 @@
 			return err
 		}
 		if !update.Confirmed {
+			w.takeProvisional(update)
 			return eris.New("the member is out of touch with a quorum")
 		}
 		silence.Reset(silenceTimeout)
@@ -204,6 +210,21 @@
 	}
 }
 
+// takeProvisional takes a first view that is not confirmed.
+func (w *Watcher) takeProvisional(update sitestate.Update) {
+	if !w.config.Provisional || w.view.Load() != nil || update.Configuration == nil {
+		return
+	}
+	next, err := w.next(nil, update)
+	if err != nil {
+		return
+	}
+	w.config.Logger.Warn().Str("event", "control.provisional").Uint64("position", update.Position).
+		Uint64("version", update.Configuration.Version).Msg("a view is taken that no quorum confirmed yet")
+	w.view.Store(next)
+	w.config.Changed(next)
+}
+
 // take applies an update and publishes the view if it has changed.
 func (w *Watcher) take(address string, update sitestate.Update) error {
 	previous := w.view.Load()
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -14,7 +14,7 @@
 	// DefaultSnapshotEntries is the number of applied entries between snapshots.
 	DefaultSnapshotEntries = 8192
 	// DefaultSnapshotBytes is the size of applied entries between snapshots.
-	DefaultSnapshotBytes = 12 << 20
+	DefaultSnapshotBytes = 6 << 20
 )
 
 var (
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -5,6 +5,7 @@
 	"sort"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -21,6 +22,13 @@
 	ScorerFailures int      `cbor:"8,keyasint,omitempty"`
 	Result         Result   `cbor:"9,keyasint,omitempty"`
 	Score          string   `cbor:"10,keyasint,omitempty"`
+	// BodySum identifies the item's body after it was dropped.
+	BodySum uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+// dropRequest frees what only a run needs.
+func (i *ItemState) dropRequest() {
+	i.Item.Body, i.Item.Headers, i.Item.Scorer = nil, nil, nil
 }
 
 // Job is an accepted job.
@@ -148,14 +156,14 @@
 }
 
 func (s *State) carriedOver(item Item, submission *Submission) ItemState {
-	fresh := ItemState{Item: item}
+	fresh := ItemState{Item: item, BodySum: xxhash.Sum64(item.Body)}
 	place, known := s.latest[item.ID]
 	if !known {
 		return fresh
 	}
 	earlier := s.jobs[place.job]
 	held := &earlier.Items[place.item]
-	if earlier.Submission.Model != submission.Model || held.Item.Path != item.Path || !slices.Equal(held.Item.Body, item.Body) {
+	if earlier.Submission.Model != submission.Model || held.Item.Path != item.Path || held.BodySum != fresh.BodySum {
 		return fresh
 	}
 	if held.Events == 0 || held.Result == ResultErrored || !fits(held.Versions, submission) {
@@ -181,6 +189,9 @@
 	}
 	if !job.Ended {
 		job.Ended = true
+		for i := range job.Items {
+			job.Items[i].dropRequest()
+		}
 		s.serial++
 		s.jobSerial++
 	}
@@ -215,6 +226,7 @@
 		return
 	}
 	item.Result = record.Result
+	item.dropRequest()
 	job.Results = append(job.Results, record.Item)
 	s.serial++
 }
