--- a/internal/adapter/platform/clients.go
+++ b/internal/adapter/services/clients.go
@@ -1,4 +1,4 @@
-package platform
+package services
 
 import (
 	"context"
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -112,7 +112,7 @@
 		f.refuseFor(w, r, "", "no configuration is known yet", comeBackLater)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	path, _, _ := strings.Cut(target(r), "?")
 	route := view.Table.Lookup(r.Host, path)
 	if route == nil {
 		f.denyRoute(w, r, view)
@@ -130,6 +130,15 @@
 	f.pass(w, r, route, body, arrived)
 }
 
+// target gives a request's path and query as its caller sent them. A caller may
+// send the absolute form too (RFC 9112, section 3.2.2).
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // denyRoute answers a request without a route: it does not exist, unless this
 // process may have missed a change.
 func (f *Front) denyRoute(w http.ResponseWriter, r *http.Request, view *siteview.View) {
@@ -138,7 +147,7 @@
 		return
 	}
 	f.config.Logger.Info().Str("event", "request.noroute").Str("id", r.Header.Get(f.headers.RequestID)).Str("host", r.Host).
-		Str("target", r.RequestURI).Uint64("version", view.Table.Version()).Msg("no route for a request")
+		Str("target", target(r)).Uint64("version", view.Table.Version()).Msg("no route for a request")
 	http.Error(w, "no route", http.StatusNotFound)
 }
 
@@ -170,7 +179,7 @@
 	defer cancel()
 	request := proxy.Request{
 		Request: replicacall.Request{
-			Method: r.Method, Target: r.RequestURI, Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
+			Method: r.Method, Target: target(r), Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
 			Header: passedHeader(r.Header), Body: body,
 		},
 		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -37,7 +37,7 @@
 	}
 	submission.ID = r.Header.Get(f.headers.RequestID)
 	submission.Host, submission.OneVersion = r.Host, route.OneVersion
-	submission.Path, _, _ = strings.Cut(r.RequestURI, "?")
+	submission.Path, _, _ = strings.Cut(target(r), "?")
 	if submission.ID == "" {
 		f.answerStatus(w, r, route.Name, http.StatusBadRequest, "a job needs an id: header "+f.headers.RequestID)
 		return
--- a/internal/app/node/actions.go
+++ b/internal/app/node/actions.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/adapter/platform"
+	"github.com/loomgrade/loomgrade/internal/adapter/services"
 	"github.com/loomgrade/loomgrade/internal/core/coordinator"
 	"github.com/loomgrade/loomgrade/internal/core/poolworker"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -107,7 +107,7 @@
 func (w *poolWorker) fetchPrompts(action coordinator.FetchPrompts, source string) {
 	ctx, cancel := context.WithTimeout(w.ctx, coordinator.DefaultTimeouts().Fetch)
 	defer cancel()
-	prompts, err := platform.NewPromptSource(w.node.backEnds.calls, source, 0).Prompts(ctx, action.From, action.Count)
+	prompts, err := services.NewPromptSource(w.node.backEnds.calls, source, 0).Prompts(ctx, action.From, action.Count)
 	if err != nil {
 		w.tell(coordinator.PromptsFailed{From: action.From, Err: port.AsError(err)})
 		return
@@ -118,7 +118,7 @@
 func (w *poolWorker) scoreSample(action coordinator.ScoreSample, scorer string) {
 	ctx, cancel := context.WithTimeout(w.ctx, coordinator.DefaultTimeouts().Score)
 	defer cancel()
-	reward, err := platform.NewScorer(w.node.backEnds.calls, scorer, 0).Score(ctx, action.ID, action.Prompt, action.Text)
+	reward, err := services.NewScorer(w.node.backEnds.calls, scorer, 0).Score(ctx, action.ID, action.Prompt, action.Text)
 	if err != nil {
 		w.tell(coordinator.ScoreFailed{ID: action.ID, Err: port.AsError(err)})
 		return
--- a/internal/app/node/machines.go
+++ b/internal/app/node/machines.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/adapter/platform"
+	"github.com/loomgrade/loomgrade/internal/adapter/services"
 	"github.com/loomgrade/loomgrade/internal/core/home"
 	"github.com/loomgrade/loomgrade/internal/core/nodestate"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -43,7 +43,7 @@
 func (n *Node) pollMachinesOnce(ctx context.Context, base string) {
 	asking, cancel := context.WithTimeout(ctx, n.config.Intervals.CallTimeout)
 	defer cancel()
-	machines, err := platform.NewMachineList(n.backEnds.control, base, 0).Machines(asking)
+	machines, err := services.NewMachineList(n.backEnds.control, base, 0).Machines(asking)
 	if err != nil {
 		return
 	}
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -185,3 +185,10 @@
 	}
 	return client
 }
+
+// IsVoter reports whether this member has a vote, in touch with a quorum and
+// caught up.
+func (c *Control) IsVoter() bool {
+	shown := c.member.Shown()
+	return shown != nil && shown.Confirmed && shown.Status.Membership.IsVoter(shown.Status.ID)
+}
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -290,3 +290,10 @@
 	}
 	return s.member.Propose(ctx, data)
 }
+
+// Leads reports whether this machine leads the store group, in touch with a
+// quorum.
+func (s *Store) Leads() bool {
+	shown := s.member.Shown()
+	return shown != nil && shown.Settled
+}
--- /dev/null
+++ b/test/site/harness_test.go
@@ -0,0 +1,445 @@
+package site_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/front"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
+	"github.com/loomgrade/loomgrade/internal/app/sitestore"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+const (
+	patience = 30 * time.Second
+	pollTime = 10 * time.Millisecond
+	host     = "site.example"
+	plain    = "plain-service"
+	lm       = "lm-service"
+	model    = "model-a"
+)
+
+func orderOf(name string, version uint64) dialect.Order {
+	return dialect.Order{Model: name, Version: version}
+}
+
+func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}} }
+
+func wireOptions(name string) wire.Options {
+	return wire.Options{
+		ClusterID: "test", Name: name, PingInterval: 300 * time.Millisecond, IdleTimeout: 2 * time.Second,
+		DialTimeout: 500 * time.Millisecond, BackoffMax: 100 * time.Millisecond,
+	}
+}
+
+// process is a process of the site: it is started, killed and started again at
+// the same address, with the same disk.
+type process struct {
+	name    string
+	address string
+	disk    *faultfs.FileSystem
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	server  *wire.Server
+
+	control *sitecontrol.Control
+	http    *httptest.Server
+	store   *sitestore.Store
+	front   *front.Front
+	watcher *siteview.Watcher
+}
+
+// freeAddress gives a loopback address that is free now.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// site is a whole site.
+type site struct {
+	t        *testing.T
+	controls []*process
+	stores   []*process
+	fronts   []*process
+	replicas []*replica
+	seeds    []string
+	version  uint64
+	extra    string // further routes, as JSON, beginning with a comma
+}
+
+func newSite(t *testing.T, controls, stores int) *site {
+	s := &site{t: t}
+	for i := range controls {
+		p := &process{name: fmt.Sprintf("core-%d", i), address: freeAddress(t), disk: faultfs.New(uint64(i) + 1)}
+		s.controls = append(s.controls, p)
+		s.seeds = append(s.seeds, p.address)
+	}
+	for i := range stores {
+		s.addStore(i)
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *site) addStore(i int) *process {
+	p := &process{name: fmt.Sprintf("store-%d", i), address: freeAddress(s.t), disk: faultfs.New(uint64(i) + 100)}
+	s.stores = append(s.stores, p)
+	return p
+}
+
+// start starts everything, with one front.
+func (s *site) start() {
+	for _, p := range s.controls {
+		s.startControl(p, true)
+	}
+	for _, p := range s.stores {
+		s.startStore(p)
+	}
+	s.startFront(&process{name: "front-0"})
+}
+
+func (s *site) close() {
+	for _, list := range [][]*process{s.fronts, s.stores, s.controls} {
+		for _, p := range list {
+			p.kill()
+		}
+	}
+}
+
+func (s *site) listen(p *process) {
+	listener, err := net.Listen("tcp", p.address)
+	for range 200 {
+		if err == nil {
+			break
+		}
+		time.Sleep(pollTime)
+		listener, err = net.Listen("tcp", p.address)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p.run(func() { _ = p.server.Serve(listener) })
+}
+
+func (p *process) run(task func()) {
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		task()
+	}()
+}
+
+// kill ends a process as SIGKILL would.
+func (p *process) kill() {
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.cancel = nil
+	if p.http != nil {
+		p.http.CloseClientConnections()
+		p.http.Close()
+		p.http = nil
+	}
+	if p.server != nil {
+		p.server.Close()
+	}
+	p.done.Wait()
+}
+
+// powerOff ends a process and loses what it had not synced.
+func (p *process) powerOff() {
+	p.kill()
+	p.disk.Crash()
+}
+
+// wipe gives the machine an empty disk.
+func (p *process) wipe(seed uint64) { p.disk = faultfs.New(seed) }
+
+func (s *site) startControl(p *process, first bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.server = wire.NewServer(wireOptions(p.name))
+	p.control = sitecontrol.New(sitecontrol.Config{
+		Machine: p.name, Address: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
+		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: quiet(), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
+		ToleratedLosses: 1, HolderLease: 300 * time.Millisecond,
+	})
+	p.control.Register(p.server)
+	s.listen(p)
+	p.http = httptest.NewServer(platform.ControlHandler(p.control))
+	control := p.control
+	p.run(func() { _ = control.Run(ctx) })
+}
+
+func (s *site) startStore(p *process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.server = wire.NewServer(wireOptions(p.name))
+	watcher, sender := s.watch(p.name, false)
+	p.store = sitestore.New(sitestore.Config{
+		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
+		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: quiet(), Seed: uint64(p.name[len(p.name)-1]),
+		ToleratedLosses: 1, KeepJobs: time.Minute,
+	})
+	p.store.Register(p.server)
+	s.listen(p)
+	store := p.store
+	p.run(func() { _ = watcher.Run(ctx) })
+	p.run(func() { _ = store.Run(ctx) })
+}
+
+func (s *site) watch(name string, provisional bool) (*siteview.Watcher, *proxy.Proxy) {
+	var sender *proxy.Proxy
+	watcher := siteview.New(siteview.Config{
+		Seeds: s.seeds, Wire: wireOptions(name), Decode: platform.Dialect{}.DecodeConfiguration, Provisional: provisional,
+		Changed: func(view *siteview.View) { sender.Forget(view) }, Logger: quiet(),
+	})
+	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: quiet(), Connections: 8})
+	return watcher, sender
+}
+
+func (s *site) startFront(p *process) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	watcher, sender := s.watch(p.name, true)
+	p.watcher = watcher
+	p.front = front.New(front.Config{
+		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: quiet(),
+		Jobs: jobsapi.NewClient(wireOptions(p.name), func() []sitestate.Store {
+			if view := watcher.View(); view != nil {
+				return view.Stores
+			}
+			return nil
+		}),
+	})
+	p.http = httptest.NewServer(platform.FrontHandler(p.front))
+	p.run(func() { _ = watcher.Run(ctx) })
+	s.fronts = append(s.fronts, p)
+	return p
+}
+
+// until waits for a condition. The time is patience with a busy machine and
+// judges nothing.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("in %v not come: %s", patience, what)
+		}
+		time.Sleep(pollTime)
+	}
+}
+
+// do sends a request and gives the answer's status and body; status 0 is none.
+func do(method, url, requestHost string, header http.Header, body []byte) (int, string, http.Header) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	request.Host = requestHost
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return response.StatusCode, string(read), response.Header
+}
+
+// operate makes a call at a control process until it is answered otherwise than
+// 5xx or not at all.
+func (s *site) operate(method, path string, body []byte) (int, string) {
+	s.t.Helper()
+	status, answer := 0, ""
+	until(s.t, method+" "+path, func() bool {
+		for _, p := range s.controls {
+			if p.http == nil {
+				continue
+			}
+			status, answer, _ = do(method, p.http.URL+path, "", nil, body)
+			if status != 0 && status < 500 {
+				return true
+			}
+		}
+		return false
+	})
+	return status, answer
+}
+
+// configuration is a whole configuration of the site's routes.
+func (s *site) configuration(version uint64) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[
+		{"name":"r-plain","hostname":"%s","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
+		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
+		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40}%s],
+		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
+		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":[{"name":"%s"}]}}],
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+		version, host, plain, host, plain, host, lm, s.extra, plain, lm, model)
+}
+
+// configure puts a new configuration in force and waits until fronts have it.
+func (s *site) configure() {
+	s.t.Helper()
+	s.version++
+	if status, answer := s.operate(http.MethodPut, "/loomgrade/config", s.configuration(s.version)); status != http.StatusOK {
+		s.t.Fatalf("configuration: %d %s", status, answer)
+	}
+	until(s.t, "the configuration in force at the fronts", func() bool {
+		for _, p := range s.fronts {
+			if view := p.watcher.View(); view == nil || view.Table == nil || view.Table.Version() < s.version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// beat sends a replica's heartbeat.
+func (s *site) beat(r *replica) {
+	s.t.Helper()
+	if status, answer := s.operate(http.MethodPut, "/loomgrade/replicas/"+r.id, r.heartbeat()); status != http.StatusOK {
+		s.t.Fatalf("heartbeat: %d %s", status, answer)
+	}
+}
+
+// add brings replicas in and waits until fronts know them.
+func (s *site) add(replicas ...*replica) {
+	s.t.Helper()
+	for _, r := range replicas {
+		s.beat(r)
+		s.replicas = append(s.replicas, r)
+		until(s.t, "replica known", func() bool {
+			for _, p := range s.fronts {
+				if view := p.watcher.View(); view == nil || view.Replicas[r.id].ID == "" {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// call sends a client's request.
+func (s *site) call(path, id string) (int, string, http.Header) {
+	return do(http.MethodPost, s.fronts[0].http.URL+path, host, http.Header{
+		headers.RequestID: {id}, headers.Deadline: {"3000"},
+	}, []byte("body of "+id))
+}
+
+type jobItem struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    string            `json:"body"`
+	Group   string            `json:"group"`
+	Scorer  map[string]string `json:"scorer,omitempty"`
+}
+
+// job makes a job's body with items of an id each.
+func job(minVersion uint64, ids ...string) []byte {
+	var items []jobItem
+	for _, id := range ids {
+		items = append(items, jobItem{
+			ID: id, Path: "/jobs/run/" + id, Headers: map[string]string{"X-Test-Header": "of " + id}, Group: "g",
+			Body:   base64.StdEncoding.EncodeToString([]byte("prompt of " + id)),
+			Scorer: map[string]string{"id": "score-" + id, "hostname": host, "path": "/plain/score", "body": base64.StdEncoding.EncodeToString([]byte("score " + id))},
+		})
+	}
+	body, _ := json.Marshal(map[string]any{"step": 1, "model": model, "minVersion": minVersion, "desired": 1, "requests": items})
+	return body
+}
+
+// submit hands a job in until it is accepted.
+func (s *site) submit(id string, body []byte) {
+	s.t.Helper()
+	until(s.t, "job accepted", func() bool {
+		status, _, _ := do(http.MethodPost, s.fronts[0].http.URL+"/jobs/submit", host, http.Header{headers.RequestID: {id}}, body)
+		return status == http.StatusAccepted
+	})
+}
+
+type page struct {
+	Total     int `json:"total"`
+	NextToken int `json:"nextToken"`
+	Results   []struct {
+		ID       string   `json:"id"`
+		State    string   `json:"state"`
+		Text     string   `json:"text"`
+		Versions []uint64 `json:"versions"`
+		Score    string   `json:"score"`
+	} `json:"results"`
+}
+
+// read gives a job's results from a position on.
+func (s *site) read(id string, from int) (int, page) {
+	status, body, _ := do(http.MethodGet, fmt.Sprintf("%s/loomgrade/lots/%s?sinceRevision=%d", s.fronts[0].http.URL, id, from), host, nil, nil)
+	var read page
+	if status == http.StatusOK {
+		if err := json.NewDecoder(strings.NewReader(body)).Decode(&read); err != nil {
+			s.t.Fatalf("%v in %q", err, body)
+		}
+	}
+	return status, read
+}
+
+// readAll waits for all results of a job.
+func (s *site) readAll(id string) page {
+	s.t.Helper()
+	var all page
+	until(s.t, "all results of job "+id, func() bool {
+		status, read := s.read(id, 0)
+		all = read
+		return status == http.StatusOK && len(read.Results) == read.Total
+	})
+	return all
+}
+
+// leaderStore gives the store process that runs items.
+func (s *site) leaderStore() *process {
+	var leader *process
+	until(s.t, "a leader of the store group", func() bool {
+		for _, p := range s.stores {
+			if p.cancel != nil && p.store.Leads() {
+				leader = p
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
--- /dev/null
+++ b/test/site/site_test.go
@@ -0,0 +1,379 @@
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+// serving starts a site with replicas of both services.
+func serving(t *testing.T) (s *site, plainReplica, engine *replica) {
+	s = newSite(t, 3, 3)
+	s.start()
+	s.configure()
+	plainReplica, engine = newReplica(t, "i-plain", plain), newEngine(t, "i-lm", lm, model)
+	s.add(plainReplica, engine)
+	return s, plainReplica, engine
+}
+
+func TestFoundingInAnyOrderWithOneSeedDown(t *testing.T) {
+	for _, order := range [][]int{{0, 1}, {2, 0}, {1, 2}} {
+		s := newSite(t, 3, 0)
+		for _, i := range order {
+			s.startControl(s.controls[i], true)
+		}
+		if status, _ := s.operate(http.MethodPut, "/loomgrade/config", s.configuration(4)); status != http.StatusOK {
+			t.Fatalf("order %v: status %d", order, status)
+		}
+		late := s.controls[3-order[0]-order[1]]
+		s.startControl(late, true)
+		until(t, "the late seed serves the configuration", func() bool {
+			status, body, _ := do(http.MethodGet, late.http.URL+"/loomgrade/config", "", nil, nil)
+			return status == http.StatusOK && strings.Contains(body, `"version":4`)
+		})
+		s.close()
+	}
+}
+
+func TestConfigurationsByRisingVersion(t *testing.T) {
+	s := newSite(t, 3, 0)
+	for _, p := range s.controls {
+		s.startControl(p, true)
+	}
+	put := func(body []byte) int {
+		status, _ := s.operate(http.MethodPut, "/loomgrade/config", body)
+		return status
+	}
+	if status := put(s.configuration(5)); status != http.StatusOK {
+		t.Fatalf("first: %d", status)
+	}
+	other := []byte(strings.Replace(string(s.configuration(5)), `"timeoutMs":4000`, `"timeoutMs":1234`, 1))
+	for name, row := range map[string]struct {
+		body []byte
+		want int
+	}{
+		"same again":              {s.configuration(5), http.StatusOK},
+		"older":                   {s.configuration(4), http.StatusOK},
+		"same version, other":     {other, http.StatusOK},
+		"cut short":               {s.configuration(6)[:200], http.StatusBadRequest},
+		"no version":              {[]byte(`{"routes":[],"services":[]}`), http.StatusBadRequest},
+		"unknown service":         {[]byte(strings.Replace(string(s.configuration(6)), `"backend":"plain-service"`, `"backend":"nowhere"`, 1)), http.StatusBadRequest},
+		"no time-out":             {[]byte(strings.Replace(string(s.configuration(6)), `"timeoutMs":4000`, `"timeoutMs":0`, 1)), http.StatusBadRequest},
+		"same place":              {[]byte(strings.Replace(string(s.configuration(6)), `"/once/"`, `"/plain/"`, 1)), http.StatusBadRequest},
+		"invalid, though old":     {[]byte(`{"version":1,"routes":[{"name":"x"}],"services":[]}`), http.StatusBadRequest},
+		"nothing":                 {nil, http.StatusBadRequest},
+		"a list instead of a map": {[]byte(`[]`), http.StatusBadRequest},
+	} {
+		if got := put(row.body); got != row.want {
+			t.Errorf("%s: status %d, want %d", name, got, row.want)
+		}
+	}
+	if _, body := s.operate(http.MethodGet, "/loomgrade/config", nil); body != string(s.configuration(5)) {
+		t.Errorf("read back:\n%s", body)
+	}
+}
+
+func TestWipedControlMachineComesBackAndASecondIsLost(t *testing.T) {
+	s := newSite(t, 3, 0)
+	for _, p := range s.controls {
+		s.startControl(p, true)
+	}
+	s.operate(http.MethodPut, "/loomgrade/config", s.configuration(7))
+	lost := s.controls[1]
+	lost.powerOff()
+	lost.wipe(50)
+	s.startControl(lost, false)
+	until(t, "the wiped machine is a voter again", func() bool { return lost.control.IsVoter() })
+	second := s.controls[0]
+	second.powerOff()
+	second.wipe(51)
+	if _, body := s.operate(http.MethodGet, "/loomgrade/config", nil); body != string(s.configuration(7)) {
+		t.Errorf("read back after the second loss:\n%s", body)
+	}
+}
+
+func TestRequestsPassUntouched(t *testing.T) {
+	s, plainReplica, _ := serving(t)
+	status, body, header := s.call("/plain/a%2Fb//c?x=%20y&z", "attempt-1")
+	if status != http.StatusOK || body != "answer of i-plain to attempt-1" || header.Get(headers.Seal) != sealOf("attempt-1") {
+		t.Fatalf("%d %q %v", status, body, header)
+	}
+	seen := plainReplica.seen()
+	if len(seen) != 1 {
+		t.Fatalf("%d arrivals", len(seen))
+	}
+	got := seen[0]
+	if got.Target != "/plain/a%2Fb//c?x=%20y&z" || got.Host != host || got.Body != "body of attempt-1" || got.ID != "attempt-1" {
+		t.Errorf("arrived as %+v", got)
+	}
+	if got.Header.Get("Accept-Encoding") != "" {
+		t.Errorf("added: %v", got.Header)
+	}
+	if status, _, _ = s.call("/nowhere/", "attempt-2"); status != http.StatusNotFound {
+		t.Errorf("no route: %d", status)
+	}
+}
+
+func TestALeavingReplicaGetsNothingNew(t *testing.T) {
+	s, first, _ := serving(t)
+	second := newReplica(t, "i-plain-2", plain)
+	s.add(second)
+	first.mutex.Lock()
+	first.draining = true
+	first.mutex.Unlock()
+	s.beat(first)
+	until(t, "the front knows", func() bool { return len(s.fronts[0].watcher.View().ByService[plain]) == 1 })
+	before := len(first.seen())
+	for i := range 20 {
+		if status, _, _ := s.call("/plain/x", fmt.Sprint("after-", i)); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+	}
+	first.mutex.Lock()
+	first.draining, first.sequence = false, 0 // a late heartbeat from before
+	first.mutex.Unlock()
+	s.beat(first)
+	s.configure()
+	if got := len(s.fronts[0].watcher.View().ByService[plain]); got != 1 {
+		t.Errorf("%d replicas after a late heartbeat", got)
+	}
+	if after := len(first.seen()); after != before {
+		t.Errorf("%d requests reached the leaving replica", after-before)
+	}
+}
+
+func TestAClosingFrontPassesNothingOn(t *testing.T) {
+	s, plainReplica, _ := serving(t)
+	s.fronts[0].front.Drain()
+	request := httptest.NewRequest(http.MethodPost, "http://"+host+"/plain/x", strings.NewReader("body"))
+	request.Header.Set(headers.RequestID, "while-draining")
+	recorder := httptest.NewRecorder()
+	platform.FrontHandler(s.fronts[0].front).ServeHTTP(recorder, request)
+	if recorder.Code != http.StatusOK || recorder.Header().Get("Connection") != "close" {
+		t.Errorf("draining: %d %v", recorder.Code, recorder.Header())
+	}
+	s.fronts[0].front.Close()
+	before := len(plainReplica.seen())
+	if status, _, header := s.call("/plain/x", "while-closing"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("closing: %d %v", status, header)
+	}
+	if len(plainReplica.seen()) != before {
+		t.Error("a request was passed on while connections close")
+	}
+}
+
+func TestAJobIsTakenOnceAndItsResultsStay(t *testing.T) {
+	s, plainReplica, engine := serving(t)
+	body := job(1, "item-1", "item-2", "item-3")
+	s.submit("job-1", body)
+	s.submit("job-1", body)
+	all := s.readAll("job-1")
+	if all.Total != 3 || all.NextToken != 3 {
+		t.Fatalf("%+v", all)
+	}
+	for i, result := range all.Results {
+		if result.State != "completed" || result.Text != wholeText(result.ID, engine.events) || result.Score != sealOf("score-"+result.ID) || !slices.Equal(result.Versions, []uint64{1}) {
+			t.Errorf("result %+v", result)
+		}
+		if _, from := s.read("job-1", i); len(from.Results) != 3-i || from.Results[0].ID != result.ID {
+			t.Errorf("from %d: %+v", i, from)
+		}
+	}
+	runs := map[string]int{}
+	for _, arrived := range engine.seen() {
+		runs[arrived.ID]++
+		if arrived.Host != host || arrived.Target != "/jobs/run/"+arrived.ID || arrived.Body != "prompt of "+arrived.ID || arrived.Header.Get("X-Test-Header") != "of "+arrived.ID {
+			t.Errorf("arrived as %+v", arrived)
+		}
+	}
+	if len(runs) != 3 || runs["item-1"] != 1 || runs["item-2"] != 1 || runs["item-3"] != 1 {
+		t.Errorf("runs %v", runs)
+	}
+	if scored := len(plainReplica.seen()); scored != 3 {
+		t.Errorf("%d reward calls", scored)
+	}
+	if status, _ := s.read("no-such-job", 0); status != http.StatusNotFound {
+		t.Errorf("unknown job: %d", status)
+	}
+}
+
+func TestRunnerKilledMidTextGoesOnWithoutAGap(t *testing.T) {
+	s, _, engine := serving(t)
+	engine.events, engine.eventPause = 40, 50*time.Millisecond
+	s.submit("job-1", job(1, "item-1"))
+	until(t, "the text has begun and some of it is kept", func() bool { return len(engine.seen()) > 0 })
+	time.Sleep(time.Second)
+	leader := s.leaderStore()
+	leader.powerOff()
+	all := s.readAll("job-1")
+	if len(all.Results) != 1 || all.Results[0].Text != wholeText("item-1", 40) {
+		t.Fatalf("%+v", all)
+	}
+	seen := engine.seen()
+	if last := seen[len(seen)-1]; len(seen) < 2 || last.LastEvent == "" {
+		t.Errorf("%d runs, the last after event %q: nothing of the text was kept", len(seen), last.LastEvent)
+	}
+}
+
+func TestPowerOffRightAfterAnAcceptWithADiskWiped(t *testing.T) {
+	for lost := range 3 {
+		s, _, engine := serving(t)
+		s.leaderStore()
+		s.submit("job-1", job(1, "item-1", "item-2"))
+		for _, p := range s.stores {
+			p.powerOff()
+		}
+		s.stores[lost].wipe(uint64(60 + lost))
+		for _, p := range s.stores {
+			s.startStore(p)
+		}
+		all := s.readAll("job-1")
+		for _, result := range all.Results {
+			if result.State != "completed" || result.Text != wholeText(result.ID, engine.events) {
+				t.Errorf("store %d lost its disk: %+v", lost, result)
+			}
+		}
+		s.close()
+	}
+}
+
+func TestNothingOfAnEndedJobRuns(t *testing.T) {
+	s, _, engine := serving(t)
+	engine.events, engine.eventPause = 1000, 20*time.Millisecond
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprint("item-", i))
+	}
+	s.submit("job-1", job(1, ids...))
+	until(t, "every slot is taken", func() bool { return len(engine.seen()) >= 4 })
+	status, _, _ := do(http.MethodDelete, s.fronts[0].http.URL+"/loomgrade/lots/job-1", host, nil, nil)
+	if status != http.StatusOK {
+		t.Fatalf("end: %d", status)
+	}
+	time.Sleep(300 * time.Millisecond)
+	after := len(engine.seen())
+	s.leaderStore().kill()
+	s.leaderStore()
+	time.Sleep(500 * time.Millisecond)
+	if got := len(engine.seen()); got != after {
+		t.Errorf("%d runs after the end", got-after)
+	}
+	status, _, _ = do(http.MethodDelete, s.fronts[0].http.URL+"/loomgrade/lots/job-1", host, nil, nil)
+	if status != http.StatusOK {
+		t.Errorf("end, once more: %d", status)
+	}
+}
+
+func TestItemsThatAlwaysFailAreGivenUpAfterTheirAttempts(t *testing.T) {
+	s, _, engine := serving(t)
+	var hopeless, failing atomic.Int64
+	engine.behave = func(w http.ResponseWriter, r *http.Request) bool {
+		switch r.Header.Get(headers.RequestID) {
+		case "hopeless":
+			hopeless.Add(1)
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return true
+		case "failing":
+			failing.Add(1)
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		}
+		return false
+	}
+	s.submit("job-1", job(1, "hopeless", "failing", "fine"))
+	states := map[string]string{}
+	for _, result := range s.readAll("job-1").Results {
+		states[result.ID] = result.State
+	}
+	if states["hopeless"] != "errored" || states["failing"] != "errored" || states["fine"] != "completed" {
+		t.Errorf("states %v", states)
+	}
+	if hopeless.Load() != 1 || failing.Load() != 3 {
+		t.Errorf("%d runs of the hopeless, %d of the failing", hopeless.Load(), failing.Load())
+	}
+}
+
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	s, _, first := serving(t)
+	second := newEngine(t, "i-lm-2", lm, model)
+	s.add(second)
+	var broken atomic.Bool
+	first.behave = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(headers.LastEvent) != "" || !broken.CompareAndSwap(false, true) {
+			return false
+		}
+		w.Header().Set(headers.WeightVersion, "1")
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\nid: 2\ndata: half an ev", eventData(r.Header.Get(headers.RequestID), 1))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	s.submit("job-1", job(1, "item-1", "item-2", "item-3", "item-4"))
+	for _, result := range s.readAll("job-1").Results {
+		if result.Text != wholeText(result.ID, first.events) {
+			t.Errorf("%s: %q", result.ID, result.Text)
+		}
+	}
+	if !broken.Load() {
+		t.Error("no stream broke")
+	}
+}
+
+func TestPublishedWeightsAreOrderedByOneHolder(t *testing.T) {
+	s, _, engine := serving(t)
+	if status, _ := s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":2}`, model)); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	until(t, "the replica serves version 2", func() bool { return len(engine.taken()) > 0 })
+	s.beat(engine)
+	s.submit("job-1", job(2, "item-1"))
+	if result := s.readAll("job-1").Results[0]; !slices.Equal(result.Versions, []uint64{2}) {
+		t.Errorf("versions %v", result.Versions)
+	}
+	first := engine.taken()[0]
+	for _, p := range s.controls {
+		if p.name == first.Holder {
+			p.kill()
+		}
+	}
+	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":3}`, model))
+	until(t, "another holder orders version 3", func() bool { return len(engine.taken()) > 1 })
+	second := engine.taken()[1]
+	if second.Holder == first.Holder || second.Fence <= first.Fence || second.at.Sub(first.at) < 300*time.Millisecond {
+		t.Errorf("orders %+v and %+v", first, second)
+	}
+}
+
+func TestAStoreMachineIsEmptied(t *testing.T) {
+	s, _, engine := serving(t)
+	s.leaderStore()
+	if status, _ := s.operate(http.MethodPost, "/loomgrade/retire/store-0", []byte(`{"durationS":10}`)); status != http.StatusConflict {
+		t.Errorf("with three machines: %d", status)
+	}
+	if status, _ := s.operate(http.MethodPost, "/loomgrade/retire/nobody", []byte(`{"durationS":10}`)); status != http.StatusNotFound {
+		t.Errorf("unknown machine: %d", status)
+	}
+	s.submit("job-1", job(1, "item-1"))
+	s.startStore(s.addStore(3))
+	until(t, "the evacuation is taken", func() bool {
+		status, _ := s.operate(http.MethodPost, "/loomgrade/retire/store-0", []byte(`{"durationS":10}`))
+		return status == http.StatusOK
+	})
+	until(t, "the machine is empty", func() bool {
+		_, body := s.operate(http.MethodGet, "/loomgrade/retire/store-0", nil)
+		return strings.Contains(body, "completed")
+	})
+	s.stores[0].powerOff()
+	s.stores[1].powerOff()
+	s.stores[1].wipe(77)
+	s.startStore(s.stores[1])
+	if result := s.readAll("job-1").Results[0]; result.Text != wholeText("item-1", engine.events) {
+		t.Errorf("%+v", result)
+	}
+}
