site: loads by the size of a service, one spare store member, the holder leads again

(2) Every store machine followed the log: 13 copies in memory and over zones.

Change: a fifth of a service's replicas may load at once; one store machine follows without a vote, others wait until one is needed; after a start of all, leadership is offered once to the machine that ordered last.

Tests: weights ordered by the same machine after all were killed, with a lease that would hold any other back.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -34,6 +34,7 @@
 	StoreEvacuationRefused  Event = "store.evacuation.refused"
 	StoreEvacuationDone     Event = "store.evacuation.done"
 	HolderTaken             Event = "holder.taken"
+	HolderPreferred         Event = "holder.preferred"
 	WeightsAssigned         Event = "weights.assigned"
 	WeightsLoad             Event = "weights.load"
 	RequestCarried          Event = "request.carried"
@@ -84,6 +85,7 @@
 	{StoreEvacuationBegun, "a store machine is to be emptied"},
 	{StoreEvacuationRefused, "a store machine is not emptied: too few would stay"},
 	{StoreEvacuationDone, "a store machine holds nothing any more"},
+	{HolderPreferred, "leadership is offered to the machine that orders replicas, which need not wait for its lease"},
 	{HolderTaken, "a control machine is the one that orders replicas from now on"},
 	{WeightsAssigned, "replicas are kept at other models from now on, by demand"},
 	{WeightsLoad, "a replica was ordered to load weights; how that ended"},
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -57,7 +57,10 @@
 	// loop's goroutine. Nil is none.
 	Leaving func() map[string]bool
 	Limits  groupmember.Limits
-	Logger  *log.Logger
+	// MaxLearners bounds the members without a vote; 0 is no bound. Machines
+	// beyond it wait to join until one is needed.
+	MaxLearners int
+	Logger      *log.Logger
 	// Seed feeds the random election timeouts.
 	Seed uint64
 	Tick time.Duration
--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -24,6 +24,23 @@
 	Leader  string               `cbor:"3,keyasint,omitempty"`
 }
 
+// errFull refuses a machine that is not needed now.
+var errFull = eris.New("the group has as many members as it needs")
+
+// full reports whether there are learners enough. A machine that comes back to
+// the address of a member is always taken.
+func (l *loop) full(status consensus.Status, records []groupmember.Record, address string) bool {
+	if l.config.MaxLearners == 0 || len(status.Membership.Learners) < l.config.MaxLearners {
+		return false
+	}
+	if len(status.Membership.Voters) < l.config.Limits.Voters {
+		return false
+	}
+	return !slices.ContainsFunc(records, func(held groupmember.Record) bool {
+		return held.Address == address && status.Membership.Contains(held.ID)
+	})
+}
+
 // join asks members for an id, following them to the leader.
 func (m *Member) join(ctx context.Context, incarnation string, contacts []string) (identity, error) {
 	record := m.config.Self
@@ -98,6 +115,10 @@
 			done <- joinAnswer{ID: records[known].ID, Records: records}
 			return
 		}
+		if l.full(status, records, record.Address) {
+			failed <- errFull
+			return
+		}
 		record.ID = status.Membership.HighestID + 1
 		token := l.await(func(reply groupmember.Reply) {
 			if reply.Err != nil {
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -17,7 +17,11 @@
 )
 
 const (
+	// originInterval is the time between tries to enter, slowInterval that
+	// after quickTries of them.
 	originInterval = 200 * time.Millisecond
+	slowInterval   = time.Second
+	quickTries     = 15
 	joinTimeout    = time.Second
 )
 
@@ -155,7 +159,7 @@
 // enter brings a member with an empty folder into the group.
 func (m *Member) enter(ctx context.Context, place folder) (*loop, error) {
 	incarnation := newIncarnation()
-	for {
+	for tries := 1; ; tries++ {
 		stored, err := m.tryEnter(ctx, incarnation)
 		if err == nil {
 			stored.Incarnation = incarnation
@@ -166,8 +170,12 @@
 				Bool("founder", stored.Founding).Msg("this member has an id")
 			return m.create(place, stored)
 		}
+		pause := originInterval
+		if tries > quickTries {
+			pause = slowInterval
+		}
 		select {
-		case <-time.After(originInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -365,6 +373,28 @@
 	}
 }
 
+// TransferTo offers leadership to the voter at an address, if this member leads
+// and that one is in touch and caught up. It reports whether it was offered.
+func (m *Member) TransferTo(address string) bool {
+	shown := m.Shown()
+	l := m.current.Load()
+	if l == nil || shown == nil || !shown.Settled {
+		return false
+	}
+	for _, record := range shown.Records {
+		if record.Address != address || !shown.Status.Membership.IsVoter(record.ID) {
+			continue
+		}
+		for _, peer := range shown.Status.Progress {
+			if peer.ID == record.ID && peer.Active && peer.CaughtUp {
+				l.requests <- func(l *loop) { _ = l.member.TransferTo(record.ID) }
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *Member) leads() bool {
 	shown := m.shown.Load()
 	return shown != nil && shown.Status.Role == consensus.RoleLeader
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// loadsAtOnce and loadShare bound the replicas of a service that load.
-	loadsAtOnce = 2
-	loadShare   = 0.34
+	// leastLoadsAtOnce, loadsShare and loadShare bound the replicas that load:
+	// of a service, and of one model's replicas in it.
+	leastLoadsAtOnce = 2
+	loadsShare       = 0.2
+	loadShare        = 0.34
 	// holderMargin is waited beyond the replicas' lease after the holder
 	// changed: the last order of the one before may arrive late.
 	holderMargin = 300 * time.Millisecond
@@ -29,6 +31,10 @@
 	// model.
 	movePause = 3 * time.Second
 
+	// giveBackWithin is how long after its start a process offers leadership
+	// to the holder.
+	giveBackWithin = 8 * time.Second
+
 	orderTimeout   = time.Second
 	reportInterval = 250 * time.Millisecond
 	// loadTimeout is how long a load is followed before it is planned anew.
@@ -53,6 +59,10 @@
 	ledFrom time.Time
 	holds   bool
 	movedAt time.Time
+	// started is when the process started; gaveBack is set once leadership was
+	// offered to the holder.
+	started  time.Time
+	gaveBack bool
 
 	mutex   sync.Mutex
 	loading map[string]bool
@@ -62,7 +72,7 @@
 
 func newWeightsManager(control *Control) *weightsManager {
 	return &weightsManager{
-		control: control, replica: replicacall.New(control.config.Dialect, connectionsForOrders),
+		control: control, started: time.Now(), replica: replicacall.New(control.config.Dialect, connectionsForOrders),
 		loading: map[string]bool{}, reached: map[string][]sitestate.ModelVersion{},
 	}
 }
@@ -94,24 +104,39 @@
 	if w.holds {
 		return true
 	}
-	holder := ""
+	holder := sitestate.Holder{}
 	if w.control.member.Read(ctx, func(machine groupmember.StateMachine) { holder = machine.(*sitestate.State).Holder() }) != nil {
 		return false
 	}
 	self := w.control.config.Machine
-	if holder != "" && holder != self && time.Since(w.ledFrom) < w.control.config.HolderLease+holderMargin {
+	if holder.Machine != "" && holder.Machine != self && time.Since(w.ledFrom) < w.control.config.HolderLease+holderMargin {
+		w.giveBack(holder)
 		return false
 	}
-	if holder != self {
-		if _, err := w.control.propose(ctx, sitestate.Command{Holder: &sitestate.Holder{Machine: self}}); err != nil {
+	if holder.Machine != self {
+		taken := sitestate.Holder{Machine: self, Address: w.control.config.Address}
+		if _, err := w.control.propose(ctx, sitestate.Command{Holder: &taken}); err != nil {
 			return false
 		}
 	}
-	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.HolderTaken).Str("before", holder).Msg("this machine orders replicas from now on")
+	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.HolderTaken).Str("before", holder.Machine).Msg("this machine orders replicas from now on")
 	w.holds = true
 	return true
 }
 
+// giveBack hands leadership to the holder, once, if this process has only just
+// started: after all processes were killed the holder is back as well, and need
+// not wait before it orders.
+func (w *weightsManager) giveBack(holder sitestate.Holder) {
+	if w.gaveBack || time.Since(w.started) > giveBackWithin || holder.Address == "" {
+		return
+	}
+	if w.control.member.TransferTo(holder.Address) {
+		w.gaveBack = true
+		w.control.config.Logger.Info().Str(eventlog.Field, eventlog.HolderPreferred).Str("holder", holder.Machine).Msg("leadership is offered to the machine that orders replicas")
+	}
+}
+
 func (w *weightsManager) tendService(ctx context.Context, view *sitestate.View, service routing.Service) {
 	replicas := w.readyReplicas(view, service.Name)
 	demand := w.control.stores.reportedDemand()
@@ -126,7 +151,7 @@
 	w.mutex.Lock()
 	loading := maps.Clone(w.loading)
 	w.mutex.Unlock()
-	limits := weightplan.Limits{Total: loadsAtOnce, Share: loadShare}
+	limits := weightplan.Limits{Total: max(leastLoadsAtOnce, int(loadsShare*float64(len(replicas)))), Share: loadShare}
 	for _, target := range weightplan.Next(replicas, view.Weights, loading, limits) {
 		w.mutex.Lock()
 		w.loading[target.Replica.ID] = true
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -29,6 +29,9 @@
 	registerInterval = 500 * time.Millisecond
 	registerTimeout  = time.Second
 	forgetInterval   = time.Second
+	// spareMembers is how many machines follow the log without a vote, to take
+	// the place of one that is lost. Further machines wait.
+	spareMembers = 1
 	// connectionsToReplica bounds the runner's connections to one replica.
 	connectionsToReplica = 40
 )
@@ -98,7 +101,8 @@
 		Self: groupmember.Record{Address: config.Address, Name: config.Machine},
 		Wire: config.Wire, Machine: func() groupmember.StateMachine { return jobstate.New() },
 		Origin: s.origin, Changed: s.changed, Leaving: s.leaving, Logger: config.Logger, Seed: config.Seed,
-		Limits: groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters()},
+		Limits:      groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters()},
+		MaxLearners: spareMembers,
 	})
 	s.runner = newRunner(s, replicacall.New(config.Dialect, connectionsToReplica))
 	return s
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -89,6 +89,9 @@
 	lastRead        uint64
 	snapshotIndex   uint64
 	bytesSinceSaved int
+	// savedBytes is the size of the last snapshot: a large state is not saved
+	// again before as much was written.
+	savedBytes int
 }
 
 type proposal struct {
--- a/internal/core/groupmember/ready.go
+++ b/internal/core/groupmember/ready.go
@@ -162,7 +162,7 @@
 	if !m.placed {
 		return false
 	}
-	return entries >= m.config.SnapshotEntries || (m.bytesSinceSaved >= m.config.SnapshotBytes && entries > 0)
+	return entries >= m.config.SnapshotEntries || (m.bytesSinceSaved >= max(m.config.SnapshotBytes, m.savedBytes) && entries > 0)
 }
 
 // BuildSnapshot encodes the applied state. The owner makes it durable and then
@@ -184,7 +184,7 @@
 	if err := m.node.Compact(snapshot); err != nil {
 		return err
 	}
-	m.snapshotIndex, m.bytesSinceSaved = snapshot.Index, 0
+	m.snapshotIndex, m.bytesSinceSaved, m.savedBytes = snapshot.Index, 0, len(snapshot.Data)
 	return nil
 }
 
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -90,6 +90,8 @@
 // Holder names the machine that may order replicas from now on.
 type Holder struct {
 	Machine string `cbor:"1,keyasint"`
+	// Address is where the machine takes messages of other processes.
+	Address string `cbor:"2,keyasint,omitempty"`
 }
 
 // StoreState says what a store machine is to do.
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -28,7 +28,7 @@
 	Gone            []gone               `cbor:"5,keyasint"`
 	Weights         map[string]uint64    `cbor:"6,keyasint"`
 	WeightsAt       uint64               `cbor:"7,keyasint"`
-	Holder          string               `cbor:"8,keyasint"`
+	Holder          Holder               `cbor:"8,keyasint"`
 	Stores          map[string]Store     `cbor:"9,keyasint"`
 	StoresAt        uint64               `cbor:"10,keyasint"`
 	Founders        []groupmember.Record `cbor:"11,keyasint"`
@@ -109,8 +109,9 @@
 // Weights gives the newest published version of a model; 0 is none.
 func (s *State) Weights(model string) uint64 { return s.contents.Weights[model] }
 
-// Holder gives the machine that may order replicas; empty is none yet.
-func (s *State) Holder() string { return s.contents.Holder }
+// Holder gives the machine that may order replicas; its name is empty if there
+// is none yet.
+func (s *State) Holder() Holder { return s.contents.Holder }
 
 // Store finds a store machine by name.
 func (s *State) Store(name string) (Store, bool) {
@@ -151,7 +152,7 @@
 	case command.Leave != nil:
 		return s.leave(index, *command.Leave)
 	case command.Holder != nil:
-		s.contents.Holder = command.Holder.Machine
+		s.contents.Holder = *command.Holder
 		return OutcomeDone
 	case command.Store != nil:
 		return s.registerStore(index, *command.Store)
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -43,7 +43,9 @@
 	return dialect.Order{Model: name, Version: version}
 }
 
-func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}} }
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
+}
 
 func wireOptions(name string) wire.Options {
 	return wire.Options{
@@ -88,11 +90,13 @@
 	replicas []*replica
 	seeds    []string
 	version  uint64
-	extra    string // further routes, as JSON, beginning with a comma
+	// holderLease is how long replicas hold to who ordered last.
+	holderLease time.Duration
+	extra       string // further routes, as JSON, beginning with a comma
 }
 
 func newSite(t *testing.T, controls, stores int) *site {
-	s := &site{t: t}
+	s := &site{t: t, holderLease: 300 * time.Millisecond}
 	for i := range controls {
 		p := &process{name: fmt.Sprintf("core-%d", i), address: freeAddress(t), disk: faultfs.New(uint64(i) + 1)}
 		s.controls = append(s.controls, p)
@@ -187,7 +191,7 @@
 	p.control = sitecontrol.New(sitecontrol.Config{
 		Machine: p.name, Address: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
 		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: quiet(), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
-		ToleratedLosses: 1, HolderLease: 300 * time.Millisecond,
+		ToleratedLosses: 1, HolderLease: s.holderLease,
 	})
 	p.control.Register(p.server)
 	s.listen(p)
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -377,3 +377,23 @@
 		t.Errorf("%+v", result)
 	}
 }
+
+// TestTheHolderLeadsAgainAfterAllAreKilled: the machine that ordered replicas last
+// orders again at once, as no other one may before the lease is over.
+func TestTheHolderLeadsAgainAfterAllAreKilled(t *testing.T) {
+	s, _, engine := serving(t)
+	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":2}`, model))
+	until(t, "version 2 is ordered", func() bool { return len(engine.taken()) > 0 })
+	for _, p := range s.controls {
+		p.powerOff()
+	}
+	s.holderLease = time.Hour // no other machine may order within the test
+	for _, p := range s.controls {
+		s.startControl(p, false)
+	}
+	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":3}`, model))
+	until(t, "version 3 is ordered", func() bool { return len(engine.taken()) > 1 })
+	if orders := engine.taken(); orders[0].Holder != orders[1].Holder || orders[1].Fence <= orders[0].Fence {
+		t.Errorf("orders %+v", orders)
+	}
+}
