site: a planned stop finishes what is in flight; a soak of real programs

Ruled out: requests read while their connection closes (mended before).

Change: the end of a listener is no failure. test/soak starts the real programs: a planned stop with a slow request in flight (before the mend it got no answer), a site without faults, and with -soak a draw of kills, freezes, planned stops, cuts in one direction or both, delays, resets, lost and damaged disks, all processes killed, with promises checked by what callers, operators and replicas saw. Settings peer_listen and peer_source let a proxy stand between machines. test/sitestandin holds the replicas that two tests need.

Bad clocks are not in the soak: no way to set them from outside without tools that are not allowed.

--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -90,7 +90,7 @@
 		logger: lines.Logger(file.Machine),
 		wire: wire.Options{
 			ClusterID: siteCluster, Name: file.Machine, PingInterval: sitePing, IdleTimeout: siteIdle,
-			DialTimeout: siteDial, WriteTimeout: siteWrite, BackoffMax: siteBackoff, Dial: tcpsocket.Dial(siteIdle),
+			DialTimeout: siteDial, WriteTimeout: siteWrite, BackoffMax: siteBackoff, Dial: tcpsocket.Dial(siteIdle, file.PeerSource),
 		},
 	}
 	hash := fnv.New64a()
@@ -139,7 +139,7 @@
 	if p.file.MetricsListen != "" {
 		services = append(services, newService(p.file.MetricsListen, p.metrics.Handler()))
 	}
-	peers, err := tcpsocket.Listen(ctx, p.file.PeerAddress(), siteIdle)
+	peers, err := tcpsocket.Listen(ctx, p.file.ListenAddress(), siteIdle)
 	if err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 		if err != nil {
 			return err
 		}
-		group.Go(func() error { return served.server.Serve(listener) })
+		group.Go(func() error { return serveUntilClosed(served.server, listener) })
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(ctx) })
@@ -179,6 +179,15 @@
 	return err
 }
 
+// serveUntilClosed serves a listener. The end of the listener is no failure: what
+// is in flight goes on after it, and must not be ended by it.
+func serveUntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // awaitEnd waits for the tasks, though not for long once the process is told to
 // stop: whatever then still waits must not outlive the grace.
 func (p *siteProcess) awaitEnd(group *errgroup.Group) error {
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -25,6 +25,11 @@
 	// of the site takes messages of other processes.
 	IP       string `json:"ip"`
 	PeerPort string `json:"peer_port"`
+	// PeerListen, if set, is where the process listens for other processes in
+	// place of the machine's address, and PeerSource the IP number that it calls
+	// them from: for machines that others reach through another address.
+	PeerListen string `json:"peer_listen,omitempty"`
+	PeerSource string `json:"peer_source,omitempty"`
 	// CallerListen, ReadinessListen and ControlListen are where the roles
 	// serve; a role that does not serve there has an empty one.
 	CallerListen    string `json:"caller_listen"`
@@ -99,7 +104,7 @@
 		return fault("seeds", "", "at least one address")
 	}
 	for key, address := range map[string]string{
-		"caller_listen": f.CallerListen, "readiness_listen": f.ReadinessListen, "control_listen": f.ControlListen, "metrics_listen": f.MetricsListen,
+		"caller_listen": f.CallerListen, "readiness_listen": f.ReadinessListen, "control_listen": f.ControlListen, "metrics_listen": f.MetricsListen, "peer_listen": f.PeerListen,
 	} {
 		if address != "" && !isAddress(address) {
 			return fault(key, address, "host:port")
@@ -110,6 +115,9 @@
 			return fault("seeds", seed, "host:port")
 		}
 	}
+	if f.PeerSource != "" && net.ParseIP(f.PeerSource) == nil {
+		return fault("peer_source", f.PeerSource, "an IP number")
+	}
 	if f.ToleratedLosses < 0 {
 		return fault("tolerated_losses", strconv.Itoa(f.ToleratedLosses), "0 or more")
 	}
@@ -124,6 +132,14 @@
 // PeerAddress is where this machine takes messages of other processes.
 func (f *File) PeerAddress() string { return net.JoinHostPort(f.IP, f.PeerPort) }
 
+// ListenAddress is where the process listens for other processes.
+func (f *File) ListenAddress() string {
+	if f.PeerListen != "" {
+		return f.PeerListen
+	}
+	return f.PeerAddress()
+}
+
 // SeedPeers are the peer addresses of the seeds.
 func (f *File) SeedPeers() []string {
 	peers := make([]string, 0, len(f.Seeds))
--- a/internal/adapter/tcpsocket/tcpsocket.go
+++ b/internal/adapter/tcpsocket/tcpsocket.go
@@ -31,10 +31,14 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// Dial gives a dial function for connections between own processes.
-func Dial(silence time.Duration) func(address string, timeout time.Duration) (net.Conn, error) {
+// Dial gives a dial function for connections between own processes, from the IP
+// number source if it is not empty.
+func Dial(silence time.Duration, source string) func(address string, timeout time.Duration) (net.Conn, error) {
 	return func(address string, timeout time.Duration) (net.Conn, error) {
 		dialer := net.Dialer{Timeout: timeout, Control: UserTimeout(silence)}
+		if ip := net.ParseIP(source); ip != nil {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		}
 		return dialer.Dial("tcp", address)
 	}
 }
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -26,8 +26,8 @@
 	"github.com/loomgrade/loomgrade/internal/app/sitestore"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
-	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/platform"
+	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
 
 const (
@@ -39,10 +39,6 @@
 	model    = "model-a"
 )
 
-func orderOf(name string, version uint64) dialect.Order {
-	return dialect.Order{Model: name, Version: version}
-}
-
 func quiet() *log.Logger {
 	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 }
@@ -87,7 +83,7 @@
 	controls []*process
 	stores   []*process
 	fronts   []*process
-	replicas []*replica
+	replicas []*sitestandin.Replica
 	seeds    []string
 	version  uint64
 	// holderLease is how long replicas hold to who ordered last.
@@ -334,22 +330,22 @@
 }
 
 // beat sends a replica's heartbeat.
-func (s *site) beat(r *replica) {
+func (s *site) beat(r *sitestandin.Replica) {
 	s.t.Helper()
-	if status, answer := s.operate(http.MethodPut, "/loomgrade/replicas/"+r.id, r.heartbeat()); status != http.StatusOK {
+	if status, answer := s.operate(http.MethodPut, "/loomgrade/replicas/"+r.ID, r.Heartbeat()); status != http.StatusOK {
 		s.t.Fatalf("heartbeat: %d %s", status, answer)
 	}
 }
 
 // add brings replicas in and waits until fronts know them.
-func (s *site) add(replicas ...*replica) {
+func (s *site) add(replicas ...*sitestandin.Replica) {
 	s.t.Helper()
 	for _, r := range replicas {
 		s.beat(r)
 		s.replicas = append(s.replicas, r)
 		until(s.t, "replica known", func() bool {
 			for _, p := range s.fronts {
-				if view := p.watcher.View(); view == nil || view.Replicas[r.id].ID == "" {
+				if view := p.watcher.View(); view == nil || view.Replicas[r.ID].ID == "" {
 					return false
 				}
 			}
@@ -361,7 +357,7 @@
 // call sends a client's request.
 func (s *site) call(path, id string) (int, string, http.Header) {
 	return do(http.MethodPost, s.fronts[0].http.URL+path, host, http.Header{
-		headers.RequestID: {id}, headers.Deadline: {"3000"},
+		sitestandin.Headers.RequestID: {id}, sitestandin.Headers.Deadline: {"3000"},
 	}, []byte("body of "+id))
 }
 
@@ -392,7 +388,7 @@
 func (s *site) submit(id string, body []byte) {
 	s.t.Helper()
 	until(s.t, "job accepted", func() bool {
-		status, _, _ := do(http.MethodPost, s.fronts[0].http.URL+"/jobs/submit", host, http.Header{headers.RequestID: {id}}, body)
+		status, _, _ := do(http.MethodPost, s.fronts[0].http.URL+"/jobs/submit", host, http.Header{sitestandin.Headers.RequestID: {id}}, body)
 		return status == http.StatusAccepted
 	})
 }
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/platform"
+	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
 
 // serving starts a site with replicas of both services.
-func serving(t *testing.T) (s *site, plainReplica, engine *replica) {
+func serving(t *testing.T) (s *site, plainReplica, engine *sitestandin.Replica) {
 	s = newSite(t, 3, 3)
 	s.start()
 	s.configure()
-	plainReplica, engine = newReplica(t, "i-plain", plain), newEngine(t, "i-lm", lm, model)
+	plainReplica, engine = sitestandin.NewReplica(t, "i-plain", plain), sitestandin.NewEngine(t, "i-lm", lm, model)
 	s.add(plainReplica, engine)
 	return s, plainReplica, engine
 }
@@ -102,10 +103,10 @@
 func TestRequestsPassUntouched(t *testing.T) {
 	s, plainReplica, _ := serving(t)
 	status, body, header := s.call("/plain/a%2Fb//c?x=%20y&z", "attempt-1")
-	if status != http.StatusOK || body != "answer of i-plain to attempt-1" || header.Get(headers.Seal) != sealOf("attempt-1") {
+	if status != http.StatusOK || body != "answer of i-plain to attempt-1" || header.Get(sitestandin.Headers.Seal) != sitestandin.SealOf("attempt-1") {
 		t.Fatalf("%d %q %v", status, body, header)
 	}
-	seen := plainReplica.seen()
+	seen := plainReplica.Arrivals()
 	if len(seen) != 1 {
 		t.Fatalf("%d arrivals", len(seen))
 	}
@@ -123,28 +124,24 @@
 
 func TestALeavingReplicaGetsNothingNew(t *testing.T) {
 	s, first, _ := serving(t)
-	second := newReplica(t, "i-plain-2", plain)
+	second := sitestandin.NewReplica(t, "i-plain-2", plain)
 	s.add(second)
-	first.mutex.Lock()
-	first.draining = true
-	first.mutex.Unlock()
+	first.Drain(true)
 	s.beat(first)
 	until(t, "the front knows", func() bool { return len(s.fronts[0].watcher.View().ByService[plain]) == 1 })
-	before := len(first.seen())
+	before := len(first.Arrivals())
 	for i := range 20 {
 		if status, _, _ := s.call("/plain/x", fmt.Sprint("after-", i)); status != http.StatusOK {
 			t.Fatalf("status %d", status)
 		}
 	}
-	first.mutex.Lock()
-	first.draining, first.sequence = false, 0 // a late heartbeat from before
-	first.mutex.Unlock()
+	first.Drain(false) // a late heartbeat from before
 	s.beat(first)
 	s.configure()
 	if got := len(s.fronts[0].watcher.View().ByService[plain]); got != 1 {
 		t.Errorf("%d replicas after a late heartbeat", got)
 	}
-	if after := len(first.seen()); after != before {
+	if after := len(first.Arrivals()); after != before {
 		t.Errorf("%d requests reached the leaving replica", after-before)
 	}
 }
@@ -153,18 +150,18 @@
 	s, plainReplica, _ := serving(t)
 	s.fronts[0].front.Drain()
 	request := httptest.NewRequest(http.MethodPost, "http://"+host+"/plain/x", strings.NewReader("body"))
-	request.Header.Set(headers.RequestID, "while-draining")
+	request.Header.Set(sitestandin.Headers.RequestID, "while-draining")
 	recorder := httptest.NewRecorder()
 	platform.FrontHandler(s.fronts[0].front).ServeHTTP(recorder, request)
 	if recorder.Code != http.StatusOK || recorder.Header().Get("Connection") != "close" {
 		t.Errorf("draining: %d %v", recorder.Code, recorder.Header())
 	}
 	s.fronts[0].front.Close()
-	before := len(plainReplica.seen())
+	before := len(plainReplica.Arrivals())
 	if status, _, header := s.call("/plain/x", "while-closing"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
 		t.Errorf("closing: %d %v", status, header)
 	}
-	if len(plainReplica.seen()) != before {
+	if len(plainReplica.Arrivals()) != before {
 		t.Error("a request was passed on while connections close")
 	}
 }
@@ -179,7 +176,7 @@
 		t.Fatalf("%+v", all)
 	}
 	for i, result := range all.Results {
-		if result.State != "completed" || result.Text != wholeText(result.ID, engine.events) || result.Score != sealOf("score-"+result.ID) || !slices.Equal(result.Versions, []uint64{1}) {
+		if result.State != "completed" || result.Text != sitestandin.WholeText(result.ID, engine.Events) || result.Score != sitestandin.SealOf("score-"+result.ID) || !slices.Equal(result.Versions, []uint64{1}) {
 			t.Errorf("result %+v", result)
 		}
 		if _, from := s.read("job-1", i); len(from.Results) != 3-i || from.Results[0].ID != result.ID {
@@ -187,7 +184,7 @@
 		}
 	}
 	runs := map[string]int{}
-	for _, arrived := range engine.seen() {
+	for _, arrived := range engine.Arrivals() {
 		runs[arrived.ID]++
 		if arrived.Host != host || arrived.Target != "/jobs/run/"+arrived.ID || arrived.Body != "prompt of "+arrived.ID || arrived.Header.Get("X-Test-Header") != "of "+arrived.ID {
 			t.Errorf("arrived as %+v", arrived)
@@ -196,7 +193,7 @@
 	if len(runs) != 3 || runs["item-1"] != 1 || runs["item-2"] != 1 || runs["item-3"] != 1 {
 		t.Errorf("runs %v", runs)
 	}
-	if scored := len(plainReplica.seen()); scored != 3 {
+	if scored := len(plainReplica.Arrivals()); scored != 3 {
 		t.Errorf("%d reward calls", scored)
 	}
 	if status, _ := s.read("no-such-job", 0); status != http.StatusNotFound {
@@ -206,17 +203,17 @@
 
 func TestRunnerKilledMidTextGoesOnWithoutAGap(t *testing.T) {
 	s, _, engine := serving(t)
-	engine.events, engine.eventPause = 40, 50*time.Millisecond
+	engine.Events, engine.EventPause = 40, 50*time.Millisecond
 	s.submit("job-1", job(1, "item-1"))
-	until(t, "the text has begun and some of it is kept", func() bool { return len(engine.seen()) > 0 })
+	until(t, "the text has begun and some of it is kept", func() bool { return len(engine.Arrivals()) > 0 })
 	time.Sleep(time.Second)
 	leader := s.leaderStore()
 	leader.powerOff()
 	all := s.readAll("job-1")
-	if len(all.Results) != 1 || all.Results[0].Text != wholeText("item-1", 40) {
+	if len(all.Results) != 1 || all.Results[0].Text != sitestandin.WholeText("item-1", 40) {
 		t.Fatalf("%+v", all)
 	}
-	seen := engine.seen()
+	seen := engine.Arrivals()
 	if last := seen[len(seen)-1]; len(seen) < 2 || last.LastEvent == "" {
 		t.Errorf("%d runs, the last after event %q: nothing of the text was kept", len(seen), last.LastEvent)
 	}
@@ -236,7 +233,7 @@
 		}
 		all := s.readAll("job-1")
 		for _, result := range all.Results {
-			if result.State != "completed" || result.Text != wholeText(result.ID, engine.events) {
+			if result.State != "completed" || result.Text != sitestandin.WholeText(result.ID, engine.Events) {
 				t.Errorf("store %d lost its disk: %+v", lost, result)
 			}
 		}
@@ -246,23 +243,23 @@
 
 func TestNothingOfAnEndedJobRuns(t *testing.T) {
 	s, _, engine := serving(t)
-	engine.events, engine.eventPause = 1000, 20*time.Millisecond
+	engine.Events, engine.EventPause = 1000, 20*time.Millisecond
 	var ids []string
 	for i := range 12 {
 		ids = append(ids, fmt.Sprint("item-", i))
 	}
 	s.submit("job-1", job(1, ids...))
-	until(t, "every slot is taken", func() bool { return len(engine.seen()) >= 4 })
+	until(t, "every slot is taken", func() bool { return len(engine.Arrivals()) >= 4 })
 	status, _, _ := do(http.MethodDelete, s.fronts[0].http.URL+"/loomgrade/lots/job-1", host, nil, nil)
 	if status != http.StatusOK {
 		t.Fatalf("end: %d", status)
 	}
 	time.Sleep(300 * time.Millisecond)
-	after := len(engine.seen())
+	after := len(engine.Arrivals())
 	s.leaderStore().kill()
 	s.leaderStore()
 	time.Sleep(500 * time.Millisecond)
-	if got := len(engine.seen()); got != after {
+	if got := len(engine.Arrivals()); got != after {
 		t.Errorf("%d runs after the end", got-after)
 	}
 	status, _, _ = do(http.MethodDelete, s.fronts[0].http.URL+"/loomgrade/lots/job-1", host, nil, nil)
@@ -274,8 +271,8 @@
 func TestItemsThatAlwaysFailAreGivenUpAfterTheirAttempts(t *testing.T) {
 	s, _, engine := serving(t)
 	var hopeless, failing atomic.Int64
-	engine.behave = func(w http.ResponseWriter, r *http.Request) bool {
-		switch r.Header.Get(headers.RequestID) {
+	engine.Behave = func(w http.ResponseWriter, r *http.Request) bool {
+		switch r.Header.Get(sitestandin.Headers.RequestID) {
 		case "hopeless":
 			hopeless.Add(1)
 			w.WriteHeader(http.StatusUnprocessableEntity)
@@ -302,21 +299,21 @@
 
 func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
 	s, _, first := serving(t)
-	second := newEngine(t, "i-lm-2", lm, model)
+	second := sitestandin.NewEngine(t, "i-lm-2", lm, model)
 	s.add(second)
 	var broken atomic.Bool
-	first.behave = func(w http.ResponseWriter, r *http.Request) bool {
-		if r.Header.Get(headers.LastEvent) != "" || !broken.CompareAndSwap(false, true) {
+	first.Behave = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(sitestandin.Headers.LastEvent) != "" || !broken.CompareAndSwap(false, true) {
 			return false
 		}
-		w.Header().Set(headers.WeightVersion, "1")
-		fmt.Fprintf(w, "id: 1\ndata: %s\n\nid: 2\ndata: half an ev", eventData(r.Header.Get(headers.RequestID), 1))
+		w.Header().Set(sitestandin.Headers.WeightVersion, "1")
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\nid: 2\ndata: half an ev", sitestandin.EventData(r.Header.Get(sitestandin.Headers.RequestID), 1))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	s.submit("job-1", job(1, "item-1", "item-2", "item-3", "item-4"))
 	for _, result := range s.readAll("job-1").Results {
-		if result.Text != wholeText(result.ID, first.events) {
+		if result.Text != sitestandin.WholeText(result.ID, first.Events) {
 			t.Errorf("%s: %q", result.ID, result.Text)
 		}
 	}
@@ -330,22 +327,22 @@
 	if status, _ := s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":2}`, model)); status != http.StatusOK {
 		t.Fatal(status)
 	}
-	until(t, "the replica serves version 2", func() bool { return len(engine.taken()) > 0 })
+	until(t, "the replica serves version 2", func() bool { return len(engine.Orders()) > 0 })
 	s.beat(engine)
 	s.submit("job-1", job(2, "item-1"))
 	if result := s.readAll("job-1").Results[0]; !slices.Equal(result.Versions, []uint64{2}) {
 		t.Errorf("versions %v", result.Versions)
 	}
-	first := engine.taken()[0]
+	first := engine.Orders()[0]
 	for _, p := range s.controls {
 		if p.name == first.Holder {
 			p.kill()
 		}
 	}
 	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":3}`, model))
-	until(t, "another holder orders version 3", func() bool { return len(engine.taken()) > 1 })
-	second := engine.taken()[1]
-	if second.Holder == first.Holder || second.Fence <= first.Fence || second.at.Sub(first.at) < 300*time.Millisecond {
+	until(t, "another holder orders version 3", func() bool { return len(engine.Orders()) > 1 })
+	second := engine.Orders()[1]
+	if second.Holder == first.Holder || second.Fence <= first.Fence || second.At.Sub(first.At) < 300*time.Millisecond {
 		t.Errorf("orders %+v and %+v", first, second)
 	}
 }
@@ -373,7 +370,7 @@
 	s.stores[1].powerOff()
 	s.stores[1].wipe(77)
 	s.startStore(s.stores[1])
-	if result := s.readAll("job-1").Results[0]; result.Text != wholeText("item-1", engine.events) {
+	if result := s.readAll("job-1").Results[0]; result.Text != sitestandin.WholeText("item-1", engine.Events) {
 		t.Errorf("%+v", result)
 	}
 }
@@ -383,7 +380,7 @@
 func TestTheHolderLeadsAgainAfterAllAreKilled(t *testing.T) {
 	s, _, engine := serving(t)
 	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":2}`, model))
-	until(t, "version 2 is ordered", func() bool { return len(engine.taken()) > 0 })
+	until(t, "version 2 is ordered", func() bool { return len(engine.Orders()) > 0 })
 	for _, p := range s.controls {
 		p.powerOff()
 	}
@@ -392,8 +389,8 @@
 		s.startControl(p, false)
 	}
 	s.operate(http.MethodPost, "/loomgrade/version-put", fmt.Appendf(nil, `{"model":"%s","version":3}`, model))
-	until(t, "version 3 is ordered", func() bool { return len(engine.taken()) > 1 })
-	if orders := engine.taken(); orders[0].Holder != orders[1].Holder || orders[1].Fence <= orders[0].Fence {
+	until(t, "version 3 is ordered", func() bool { return len(engine.Orders()) > 1 })
+	if orders := engine.Orders(); orders[0].Holder != orders[1].Holder || orders[1].Fence <= orders[0].Fence {
 		t.Errorf("orders %+v", orders)
 	}
 }
--- a/test/site/traps_test.go
+++ b/test/site/traps_test.go
@@ -8,8 +8,29 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
 
+// rawServer answers every connection's requests with bytes of the test's own.
+func rawServer(t *testing.T, answer func(connection net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(connection)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // readRequest reads one request off a connection and gives its id.
 func readRequest(reader *bufio.Reader) (id string, err error) {
 	request, err := http.ReadRequest(reader)
@@ -24,12 +45,12 @@
 			return "", err
 		}
 	}
-	return request.Header.Get(headers.RequestID), nil
+	return request.Header.Get(sitestandin.Headers.RequestID), nil
 }
 
 // answerTo is a whole answer of a replica.
 func answerTo(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headers.RequestID, id, headers.Seal, sealOf(id), len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", sitestandin.Headers.RequestID, id, sitestandin.Headers.Seal, sitestandin.SealOf(id), len(body), body)
 }
 
 // reset makes closing a connection send a reset.
@@ -68,7 +89,7 @@
 		},
 		"an answer without a length that is reset": {
 			serve: func(connection net.Conn, id string, _ int64) bool {
-				fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\nhalf", headers.RequestID, id, headers.Seal, sealOf(id))
+				fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\nhalf", sitestandin.Headers.RequestID, id, sitestandin.Headers.Seal, sitestandin.SealOf(id))
 				time.Sleep(20 * time.Millisecond)
 				reset(connection)
 				return false
@@ -85,7 +106,7 @@
 		},
 		"a success without a seal": {
 			serve: func(connection net.Conn, id string, _ int64) bool {
-				fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", headers.RequestID, id)
+				fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", sitestandin.Headers.RequestID, id)
 				return true
 			},
 			once: http.StatusBadGateway,
@@ -99,7 +120,7 @@
 		},
 		"refuses as not run": {
 			serve: func(connection net.Conn, _ string, _ int64) bool {
-				fmt.Fprintf(connection, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headers.NotRun)
+				fmt.Fprintf(connection, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", sitestandin.Headers.NotRun)
 				return true
 			},
 			once: http.StatusOK, mayRunAgain: true,
@@ -113,7 +134,7 @@
 		},
 		"a failure of its own": {
 			serve: func(connection net.Conn, id string, _ int64) bool {
-				fmt.Fprintf(connection, "HTTP/1.1 500 Internal Server Error\r\n%s: %s\r\n%s: %s\r\nContent-Length: 4\r\n\r\nfail", headers.RequestID, id, headers.Seal, sealOf(id))
+				fmt.Fprintf(connection, "HTTP/1.1 500 Internal Server Error\r\n%s: %s\r\n%s: %s\r\nContent-Length: 4\r\n\r\nfail", sitestandin.Headers.RequestID, id, sitestandin.Headers.Seal, sitestandin.SealOf(id))
 				return true
 			},
 			once: http.StatusInternalServerError,
@@ -125,8 +146,8 @@
 			s.start()
 			s.configure()
 			var runs atomic.Int64
-			bad := newReplica(t, "i-bad", plain)
-			bad.raw = rawReplica(t, func(connection net.Conn) {
+			bad := sitestandin.NewReplica(t, "i-bad", plain)
+			bad.Raw = rawServer(t, func(connection net.Conn) {
 				reader := bufio.NewReader(connection)
 				for {
 					id, err := readRequest(reader)
@@ -141,7 +162,7 @@
 			})
 			s.add(bad)
 			status, body, _ := s.call("/once/x", "once-1")
-			sound := newReplica(t, "i-sound", plain)
+			sound := sitestandin.NewReplica(t, "i-sound", plain)
 			s.add(sound)
 			if row.mayRunAgain {
 				if status != http.StatusServiceUnavailable {
@@ -169,8 +190,8 @@
 	s := newSite(t, 1, 0)
 	s.start()
 	s.configure()
-	bad := newReplica(t, "i-bad", plain)
-	bad.raw = rawReplica(t, func(connection net.Conn) {
+	bad := sitestandin.NewReplica(t, "i-bad", plain)
+	bad.Raw = rawServer(t, func(connection net.Conn) {
 		reader := bufio.NewReader(connection)
 		for {
 			id, err := readRequest(reader)
@@ -198,7 +219,7 @@
 	s, plainReplica, _ := serving(t)
 	left := make(chan struct{})
 	begun := make(chan struct{})
-	plainReplica.behave = func(_ http.ResponseWriter, r *http.Request) bool {
+	plainReplica.Behave = func(_ http.ResponseWriter, r *http.Request) bool {
 		close(begun)
 		<-r.Context().Done()
 		close(left)
@@ -208,7 +229,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: leaving\r\n%s: 60000\r\nContent-Length: 1\r\n\r\nx", host, headers.RequestID, headers.Deadline)
+	fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: leaving\r\n%s: 60000\r\nContent-Length: 1\r\n\r\nx", host, sitestandin.Headers.RequestID, sitestandin.Headers.Deadline)
 	<-begun
 	_ = connection.Close()
 	select {
@@ -220,11 +241,11 @@
 
 func TestASilentReplicaEndsAtTheTimeoutOfItsRoute(t *testing.T) {
 	s, plainReplica, _ := serving(t)
-	plainReplica.behave = func(_ http.ResponseWriter, r *http.Request) bool { <-r.Context().Done(); return true }
+	plainReplica.Behave = func(_ http.ResponseWriter, r *http.Request) bool { <-r.Context().Done(); return true }
 	if status, _, _ := s.call("/once/x", "silent"); status != http.StatusGatewayTimeout {
 		t.Errorf("status %d", status)
 	}
-	sound := newReplica(t, "i-sound", plain)
+	sound := sitestandin.NewReplica(t, "i-sound", plain)
 	s.add(sound)
 	if status, body, _ := s.call("/plain/x", "hedged"); status != http.StatusOK || body != "answer of i-sound to hedged" {
 		t.Errorf("%d %q", status, body)
