--- /dev/null
+++ b/cmd/loomgrade/cmd_job.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// jobCommand shows and ends the jobs of a site.
+type jobCommand struct {
+	List    jobListCommand    `cmd:"" help:"List jobs."`
+	Results jobResultsCommand `cmd:"" help:"Show the results of a job from a position on."`
+	End     jobEndCommand     `cmd:"" help:"End a job: nothing of it runs any more."`
+}
+
+// jobListCommand lists jobs.
+type jobListCommand struct {
+	siteFlags `embed:""`
+}
+
+// Run lists the jobs that are kept, oldest first.
+func (c *jobListCommand) Run(std streams) error {
+	client, _, ctx, cancel, err := c.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	answer, err := client.jobs.Call(ctx, jobsapi.Request{List: &jobsapi.ListRequest{}})
+	if err != nil {
+		return err
+	}
+	return output(c.outputFlags, std, answer.Jobs, func(lines *table, jobs []jobsapi.JobSummary) {
+		lines.row("JOB", "MODEL", "STEP", "ITEMS", "RESULTS", "ERRORED", "ENDED")
+		for _, job := range jobs {
+			lines.row(job.ID, job.Model, job.Step, job.Items, job.Results, job.Errored, job.Ended)
+		}
+	})
+}
+
+// jobResultsCommand shows results.
+type jobResultsCommand struct {
+	Job       string `arg:"" help:"Id of the job."`
+	From      int    `default:"0" help:"Position of the first result."`
+	siteFlags `embed:""`
+}
+
+// maxShownBytes bounds the texts of one answer.
+const maxShownBytes = 1 << 20
+
+// Run shows one page of results.
+func (c *jobResultsCommand) Run(std streams) error {
+	client, _, ctx, cancel, err := c.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	answer, err := client.jobs.Call(ctx, jobsapi.Request{Page: &jobsapi.PageRequest{Job: c.Job, From: c.From, MaxBytes: maxShownBytes}})
+	if err != nil {
+		return err
+	}
+	if answer.Unknown {
+		return noSuchJob(c.Job)
+	}
+	return output(c.outputFlags, std, answer.Page, func(lines *table, page jobstate.Page) {
+		lines.row("POSITION", "ITEM", "ERRORED", "VERSIONS", "BYTES", "SCORE")
+		for i, result := range page.Results {
+			lines.row(page.Next-len(page.Results)+i, result.ID, result.Errored, result.Versions, len(result.Text), result.Score)
+		}
+		lines.row("of", page.Total)
+	})
+}
+
+// jobEndCommand ends a job.
+type jobEndCommand struct {
+	Job       string `arg:"" help:"Id of the job."`
+	siteFlags `embed:""`
+}
+
+// endedJob is the answer of job end.
+type endedJob struct {
+	Job string `json:"job"`
+}
+
+// Run ends a job; once more is no failure.
+func (c *jobEndCommand) Run(std streams) error {
+	client, _, ctx, cancel, err := c.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	answer, err := client.jobs.Call(ctx, jobsapi.Request{End: &jobsapi.EndRequest{Job: c.Job}})
+	if err != nil {
+		return err
+	}
+	if answer.Unknown {
+		return noSuchJob(c.Job)
+	}
+	return output(c.outputFlags, std, endedJob{c.Job}, func(lines *table, ended endedJob) { lines.row("ended", ended.Job) })
+}
+
+func noSuchJob(id string) error {
+	return port.NewError(port.NotRun, port.CodeNotFound, "no job %q", id)
+}
--- a/cmd/loomgrade/main.go
+++ b/cmd/loomgrade/main.go
@@ -26,6 +26,8 @@
 	Settings settingsCommand `cmd:"" help:"Check settings files."`
 	Site     siteCommand     `cmd:"" help:"Run the processes of a site whose members find each other."`
 	Logs     logsCommand     `cmd:"" help:"Read the log lines of a site's processes."`
+	Job      jobCommand      `cmd:"" help:"Show and end the jobs of a site."`
+	Store    storeCommand    `cmd:"" help:"Show and empty the store machines of a site."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cmd/loomgrade/siteoperator.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/platform"
+)
+
+// siteFlags are common to the commands that ask a site's processes.
+type siteFlags struct {
+	Peer    []string      `env:"LOOMGRADE_PEERS" required:"" help:"Peer addresses (IP:port) of control processes of the site, tried in order."`
+	Timeout time.Duration `default:"10s" help:"How long to try."`
+
+	outputFlags `embed:""`
+}
+
+// siteClient asks a site's processes.
+type siteClient struct {
+	watcher *siteview.Watcher
+	jobs    *jobsapi.Client
+	view    chan *siteview.View
+}
+
+// connect follows the site's control state until the first view is there. The
+// result's context ends with the timeout.
+func (f *siteFlags) connect() (*siteClient, *siteview.View, context.Context, context.CancelFunc, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	options := wire.Options{ClusterID: siteCluster, Name: "operator", DialTimeout: siteDial, Dial: tcpsocket.Dial(siteIdle, "")}
+	client := &siteClient{view: make(chan *siteview.View, 1)}
+	client.watcher = siteview.New(siteview.Config{
+		Seeds: f.Peer, Wire: options, Decode: platform.Dialect{}.DecodeConfiguration,
+		Changed: client.take, Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
+	})
+	client.jobs = jobsapi.NewClient(options, client.stores)
+	go func() { _ = client.watcher.Run(ctx) }()
+	select {
+	case view := <-client.view:
+		return client, view, ctx, cancel, nil
+	case <-ctx.Done():
+		cancel()
+		return nil, nil, nil, nil, port.NewError(port.NotRun, port.CodeUnavailable, "no control process in touch with a quorum answered")
+	}
+}
+
+// take keeps the first view.
+func (c *siteClient) take(view *siteview.View) {
+	select {
+	case c.view <- view:
+	default:
+	}
+}
+
+func (c *siteClient) stores() []sitestate.Store {
+	if view := c.watcher.View(); view != nil {
+		return view.Stores
+	}
+	return nil
+}
+
+// control makes a call to the control group.
+func (c *siteClient) control(ctx context.Context, request sitecontrol.Request) (sitecontrol.Answer, error) {
+	var answer sitecontrol.Answer
+	err := c.watcher.Call(ctx, sitecontrol.MethodCall, request, &answer)
+	return answer, err
+}
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -394,3 +394,23 @@
 		t.Errorf("orders %+v", orders)
 	}
 }
+
+// TestAFrontServesBeforeALeaderIsElected: one control machine of three is back
+// after all lost power, and its disk has the configuration.
+func TestAFrontServesBeforeALeaderIsElected(t *testing.T) {
+	s, plainReplica, _ := serving(t)
+	for _, p := range s.controls {
+		p.powerOff()
+	}
+	s.fronts[0].kill()
+	s.fronts = nil
+	s.startControl(s.controls[1], false)
+	s.startFront(&process{name: "front-1"})
+	until(t, "a call is served without a quorum", func() bool {
+		status, body, _ := s.call("/plain/x", "early")
+		return status == http.StatusOK && body == sitestandin.Answer(plainReplica.ID, "early")
+	})
+	if status, _, header := s.call("/nowhere/", "unknown"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("a route is denied by a view that no quorum confirmed: %d", status)
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -114,11 +117,44 @@
 	d.makeWhole()
 	tr.finish(t, ctx)
 	stopFollowers()
+	if length == 0 {
+		s.askByCommand(t)
+	}
 	cancel()
 	tasks.Wait()
 	tr.judge(t, d)
 }
 
+// askByCommand asks the running site by the operators' commands.
+func (s *site) askByCommand(t *testing.T) {
+	t.Helper()
+	peers := fmt.Sprintf("%s:%d", s.of("control")[1].public, s.ports.peer)
+	ask := func(arguments ...string) (string, error) {
+		output, err := exec.Command(program, append(arguments, "--peer", peers, "--output", "json")...).CombinedOutput()
+		return string(output), err
+	}
+	for _, row := range []struct {
+		arguments []string
+		want      string
+	}{
+		{[]string{"job", "list"}, `"ID": "job-0"`},
+		{[]string{"job", "results", "job-0"}, `"Total": 6`},
+		{[]string{"job", "end", "job-0"}, `"job": "job-0"`},
+		{[]string{"store", "status"}, `"state": "active"`},
+		{[]string{"store", "evacuate", "store-3"}, `"name": "store-3"`},
+	} {
+		if output, err := ask(row.arguments...); err != nil || !strings.Contains(output, row.want) {
+			t.Errorf("%v: %v, %s", row.arguments, err, output)
+		}
+	}
+	for _, arguments := range [][]string{{"job", "results", "no-such-job"}, {"job", "end", "no-such-job"}, {"store", "evacuate", "nobody"}} {
+		var exit *exec.ExitError
+		if output, err := ask(arguments...); !errors.As(err, &exit) || exit.ExitCode() != 5 {
+			t.Errorf("%v: %v, %s", arguments, err, output)
+		}
+	}
+}
+
 // handIn hands jobs in while work goes on; their clients go on reading.
 func (tr *traffic) handIn(working, followers context.Context) {
 	for i := 0; pause(working, jobPause); i++ {
