sitestate: a replica that drained stays out after it fell silent too

Cause: found by a new property test: a replica that had said that it drains, fell silent for 20 s and was taken out as not heard of, came back as ready by a late heartbeat: that it leaves had been acknowledged and binds. Ruled out: forbidding return after silence for all (a replica cut off from control alone must come back). Change: taking out a draining replica binds. Property tests of sitestate (observers see what the state holds, nothing goes back, draining binds) and of jobstate (results never move, text counts only where it follows), tables beside, microbenchmarks.

--- /dev/null
+++ b/internal/core/jobstate/jobstate_test.go
@@ -0,0 +1,264 @@
+package jobstate_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// log applies commands as a replicated log would.
+type log struct {
+	t     testing.TB
+	state *jobstate.State
+	index uint64
+}
+
+func newLog(t testing.TB) *log { return &log{t: t, state: jobstate.New()} }
+
+func (l *log) apply(command jobstate.Command) any {
+	l.t.Helper()
+	data, err := command.Encode()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.index++
+	return l.state.Apply(l.index, data)
+}
+
+func (l *log) record(records ...jobstate.ItemRecord) {
+	l.apply(jobstate.Command{Record: &jobstate.Record{Items: records}})
+}
+
+func submission(id string, items ...string) *jobstate.Submission {
+	job := &jobstate.Submission{ID: id, Host: "h", Path: "/jobs/", Model: "m", MinVersion: 3}
+	for _, item := range items {
+		job.Items = append(job.Items, jobstate.Item{ID: item, Path: "/jobs/" + item, Body: []byte("body of " + item), Group: "g"})
+	}
+	return job
+}
+
+func text(job string, item, events int, pieces ...string) jobstate.ItemRecord {
+	return jobstate.ItemRecord{Job: job, Item: item, Events: events, Text: pieces, LastEvent: fmt.Sprint(events + len(pieces)), Versions: []uint64{3}}
+}
+
+func TestAJobIsAcceptedOnce(t *testing.T) {
+	l := newLog(t)
+	if got := l.apply(jobstate.Command{Accept: submission("j", "a")}); got != jobstate.Accepted {
+		t.Errorf("first: %v", got)
+	}
+	other := submission("j", "b", "c")
+	if got := l.apply(jobstate.Command{Accept: other}); got != jobstate.AcceptedBefore {
+		t.Errorf("second: %v", got)
+	}
+	if job := l.state.Job("j"); len(job.Items) != 1 || job.Items[0].Item.ID != "a" {
+		t.Errorf("%+v", job)
+	}
+}
+
+func TestTextCountsOnlyWhereItFollows(t *testing.T) {
+	l := newLog(t)
+	l.apply(jobstate.Command{Accept: submission("j", "a")})
+	l.record(text("j", 0, 0, "1", "2"))
+	l.record(text("j", 0, 0, "1", "2")) // a runner that was replaced
+	l.record(text("j", 0, 5, "6"))      // a gap
+	l.record(text("j", 7, 0, "1"))      // no such item
+	l.record(text("nobody", 0, 0, "1")) // no such job
+	stale := text("j", 0, 1, "2", "3")  // begins before what is held ends
+	stale.Whole = true
+	l.record(stale)
+	l.record(text("j", 0, 2, "3"))
+	item := l.state.Job("j").Items[0]
+	if item.Text != "1\n2\n3" || item.Events != 3 || item.LastEvent != "3" || item.Whole {
+		t.Errorf("%+v", item)
+	}
+	l.record(jobstate.ItemRecord{Job: "j", Item: 0, Reset: true, Text: []string{"x"}, LastEvent: "1", Versions: []uint64{4}})
+	if item = l.state.Job("j").Items[0]; item.Text != "x" || item.Events != 1 || !slices.Equal(item.Versions, []uint64{4}) {
+		t.Errorf("after a reset: %+v", item)
+	}
+}
+
+func TestAResultNeedsItsWholeTextAndStays(t *testing.T) {
+	l := newLog(t)
+	l.apply(jobstate.Command{Accept: submission("j", "a", "b")})
+	early := text("j", 0, 0, "1")
+	early.Result, early.Score = jobstate.ResultCompleted, "s"
+	l.record(early)
+	if page := l.state.Job("j").Page(0, 1000); len(page.Results) != 0 {
+		t.Errorf("completed without a whole text: %+v", page)
+	}
+	whole := text("j", 0, 1, "2")
+	whole.Whole, whole.Result, whole.Score = true, jobstate.ResultCompleted, "s"
+	l.record(whole)
+	l.record(jobstate.ItemRecord{Job: "j", Item: 0, Events: 2, Result: jobstate.ResultErrored})
+	l.record(jobstate.ItemRecord{Job: "j", Item: 1, Result: jobstate.ResultErrored})
+	page := l.state.Job("j").Page(0, 1000)
+	if len(page.Results) != 2 || page.Results[0].Text != "1\n2" || page.Results[0].Errored || page.Results[0].Score != "s" || !page.Results[1].Errored {
+		t.Errorf("%+v", page)
+	}
+	if job := l.state.Job("j"); job.Items[0].Item.Body != nil || !job.Done() {
+		t.Errorf("a listed item keeps its body: %+v", job.Items[0])
+	}
+}
+
+func TestPagesHoldAtLeastOneResult(t *testing.T) {
+	l := newLog(t)
+	l.apply(jobstate.Command{Accept: submission("j", "a", "b", "c")})
+	for item := range 3 {
+		done := text("j", item, 0, strings.Repeat("x", 500))
+		done.Whole, done.Result = true, jobstate.ResultCompleted
+		l.record(done)
+	}
+	for _, row := range []struct{ from, bytes, results, next int }{
+		{0, 10, 1, 1}, {0, 1400, 2, 2}, {0, 1 << 20, 3, 3}, {2, 10, 1, 3}, {3, 10, 0, 3}, {9, 10, 0, 3}, {-1, 10, 1, 1},
+	} {
+		if page := l.state.Job("j").Page(row.from, row.bytes); len(page.Results) != row.results || page.Next != row.next || page.Total != 3 {
+			t.Errorf("%+v: %d results, next %d", row, len(page.Results), page.Next)
+		}
+	}
+}
+
+func TestItemsThatComeBackTakeOverTextThatFits(t *testing.T) {
+	for name, row := range map[string]struct {
+		change func(*jobstate.Submission)
+		want   string
+	}{
+		"the same":    {func(*jobstate.Submission) {}, "1\n2"},
+		"newer bound": {func(s *jobstate.Submission) { s.MinVersion = 4 }, ""},
+		"other model": {func(s *jobstate.Submission) { s.Model = "n" }, ""},
+		"other body":  {func(s *jobstate.Submission) { s.Items[0].Body = []byte("x") }, ""},
+		"other path":  {func(s *jobstate.Submission) { s.Items[0].Path = "/x/" }, ""},
+		"other item":  {func(s *jobstate.Submission) { s.Items[0].ID = "x" }, ""},
+		"one version": {func(s *jobstate.Submission) { s.OneVersion = true }, "1\n2"},
+		"older bound": {func(s *jobstate.Submission) { s.MinVersion = 1 }, "1\n2"},
+	} {
+		l := newLog(t)
+		l.apply(jobstate.Command{Accept: submission("first", "a")})
+		l.record(text("first", 0, 0, "1", "2"))
+		l.apply(jobstate.Command{End: &jobstate.End{ID: "first"}})
+		again := submission("second", "a")
+		row.change(again)
+		l.apply(jobstate.Command{Accept: again})
+		if got := l.state.Job("second").Items[0].Text; got != row.want {
+			t.Errorf("%s: %q, want %q", name, got, row.want)
+		}
+	}
+}
+
+func TestEndsAreKnownAndForgottenJobsAreNot(t *testing.T) {
+	l := newLog(t)
+	l.apply(jobstate.Command{Accept: submission("j", "a")})
+	for range 2 {
+		if known := l.apply(jobstate.Command{End: &jobstate.End{ID: "j"}}); known != true {
+			t.Error("the job is not known")
+		}
+	}
+	if known := l.apply(jobstate.Command{End: &jobstate.End{ID: "x"}}); known != false {
+		t.Error("an unknown job is known")
+	}
+	l.apply(jobstate.Command{Forget: &jobstate.Forget{Jobs: []string{"j", "x"}}})
+	if l.state.Job("j") != nil {
+		t.Error("the job is kept")
+	}
+}
+
+// TestResultsNeverMove: whatever runners record, in whatever order and however
+// often, positions keep what they held, no item stands twice, and a snapshot
+// holds the same.
+func TestResultsNeverMove(t *testing.T) {
+	testkit.Check(t, 14, func(r *rapid.T) {
+		l := newLog(t)
+		items := []string{"a", "b", "c", "d"}
+		l.apply(jobstate.Command{Accept: submission("j", items...)})
+		var seen []jobstate.ResultView
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			record := jobstate.ItemRecord{
+				Job: "j", Item: rapid.IntRange(0, len(items)).Draw(r, "item"), Events: rapid.IntRange(0, 4).Draw(r, "events"),
+				Text:  rapid.SliceOfN(rapid.StringMatching("[a-z]"), 0, 3).Draw(r, "text"),
+				Reset: rapid.IntRange(0, 5).Draw(r, "reset") == 0, Whole: rapid.Bool().Draw(r, "whole"), Versions: []uint64{3},
+				Result: jobstate.Result(rapid.IntRange(0, 2).Draw(r, "result")),
+			}
+			if record.Reset {
+				record.Events = 0
+			}
+			l.record(record)
+			if rapid.IntRange(0, 9).Draw(r, "snapshot") == 0 {
+				data, err := l.state.Snapshot()
+				if err != nil {
+					r.Fatal(err)
+				}
+				l.state = jobstate.New()
+				if err := l.state.Restore(data); err != nil {
+					r.Fatal(err)
+				}
+			}
+			page := l.state.Job("j").Page(0, 1<<20)
+			if len(page.Results) < len(seen) {
+				r.Fatalf("%d results after %d", len(page.Results), len(seen))
+			}
+			names := map[string]bool{}
+			for i, result := range page.Results {
+				if i < len(seen) && fmt.Sprint(result) != fmt.Sprint(seen[i]) {
+					r.Fatalf("position %d held %v and holds %v", i, seen[i], result)
+				}
+				if names[result.ID] {
+					r.Fatalf("%s stands twice", result.ID)
+				}
+				names[result.ID] = true
+			}
+			seen = page.Results
+		}
+	})
+}
+
+// benchmarkJob is a job of the size of today's sites.
+func benchmarkJob(id string) *jobstate.Submission {
+	job := submission(id)
+	for i := range 116 {
+		job.Items = append(job.Items, jobstate.Item{ID: fmt.Sprint(id, "-", i), Path: "/jobs/x", Body: make([]byte, 600), Group: fmt.Sprint(i / 4)})
+	}
+	return job
+}
+
+func BenchmarkAccept(b *testing.B) {
+	l := newLog(b)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		id := fmt.Sprint("j", n)
+		l.apply(jobstate.Command{Accept: benchmarkJob(id)})
+		l.apply(jobstate.Command{Forget: &jobstate.Forget{Jobs: []string{id}}})
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	l := newLog(b)
+	l.apply(jobstate.Command{Accept: benchmarkJob("j")})
+	piece := strings.Repeat("x", 260)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if n%64 == 0 {
+			l.record(jobstate.ItemRecord{Job: "j", Reset: true})
+		}
+		l.record(text("j", 0, n%64, piece))
+	}
+}
+
+func BenchmarkPage(b *testing.B) {
+	l := newLog(b)
+	l.apply(jobstate.Command{Accept: benchmarkJob("j")})
+	for item := range 116 {
+		done := text("j", item, 0, strings.Repeat("x", 4700))
+		done.Whole, done.Result = true, jobstate.ResultCompleted
+		l.record(done)
+	}
+	job := l.state.Job("j")
+	b.ReportAllocs()
+	for b.Loop() {
+		job.Page(100, 1<<20)
+	}
+}
--- /dev/null
+++ b/internal/core/sitestate/sitestate_test.go
@@ -0,0 +1,229 @@
+package sitestate_test
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// log applies commands as a replicated log would.
+type log struct {
+	t     testing.TB
+	state *sitestate.State
+	index uint64
+}
+
+func newLog(t testing.TB) *log { return &log{t: t, state: sitestate.New()} }
+
+func (l *log) apply(command sitestate.Command) sitestate.Outcome {
+	l.t.Helper()
+	data, err := command.Encode()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.index++
+	return l.state.Apply(l.index, data).(sitestate.Outcome)
+}
+
+func configuration(version uint64, raw string) sitestate.Command {
+	return sitestate.Command{Configuration: &sitestate.Configuration{Version: version, Raw: []byte(raw)}}
+}
+
+func report(id, address string, sequence uint64, state sitestate.ReplicaState) sitestate.Command {
+	return sitestate.Command{Replica: &sitestate.Replica{ID: id, Service: "s", Address: address, Sequence: sequence, State: state}}
+}
+
+func TestTheHighestConfigurationHolds(t *testing.T) {
+	l := newLog(t)
+	for _, row := range []struct {
+		version uint64
+		raw     string
+		want    sitestate.Outcome
+		held    string
+	}{
+		{5, "five", sitestate.OutcomeDone, "five"},
+		{5, "other five", sitestate.OutcomeIgnored, "five"},
+		{4, "four", sitestate.OutcomeIgnored, "five"},
+		{9, "nine", sitestate.OutcomeDone, "nine"},
+	} {
+		if got := l.apply(configuration(row.version, row.raw)); got != row.want {
+			t.Errorf("version %d: %v", row.version, got)
+		}
+		if held := string(l.state.Configuration().Raw); held != row.held {
+			t.Errorf("after version %d: %q", row.version, held)
+		}
+	}
+}
+
+func TestLeavingBinds(t *testing.T) {
+	l := newLog(t)
+	l.apply(report("i1", "a1", 5, sitestate.ReplicaReady))
+	l.apply(report("i1", "a1", 6, sitestate.ReplicaDraining))
+	l.apply(report("i1", "a1", 4, sitestate.ReplicaReady)) // late
+	l.apply(report("i1", "a1", 7, sitestate.ReplicaReady)) // never again
+	if replica, _ := l.state.Replica("i1"); replica.State != sitestate.ReplicaDraining {
+		t.Errorf("%+v", replica)
+	}
+	l.apply(sitestate.Command{Leave: &sitestate.Leave{ID: "i1"}})
+	if got := l.apply(report("i1", "a1", 8, sitestate.ReplicaReady)); got != sitestate.OutcomeIgnored {
+		t.Errorf("a replica that left came back: %v", got)
+	}
+	// One that only fell silent may come back.
+	l.apply(report("i2", "a2", 1, sitestate.ReplicaReady))
+	l.apply(sitestate.Command{Leave: &sitestate.Leave{ID: "i2", Silent: true}})
+	l.apply(report("i2", "a2", 2, sitestate.ReplicaReady))
+	if _, known := l.state.Replica("i2"); !known {
+		t.Error("a silent replica did not come back")
+	}
+	// One that left before it was ever heard of stays out too.
+	l.apply(sitestate.Command{Leave: &sitestate.Leave{ID: "i3"}})
+	if l.apply(report("i3", "a3", 1, sitestate.ReplicaReady)); !l.state.Left("i3") {
+		t.Error("i3 came back")
+	}
+}
+
+func TestAnAddressBelongsToTheNewestReplica(t *testing.T) {
+	l := newLog(t)
+	l.apply(report("old", "a", 9, sitestate.ReplicaReady))
+	l.apply(report("new", "a", 1, sitestate.ReplicaReady))
+	if _, known := l.state.Replica("old"); known || !l.state.Left("old") {
+		t.Error("the replica that had the address before is still known")
+	}
+}
+
+func TestWeightsOnlyRise(t *testing.T) {
+	l := newLog(t)
+	for _, version := range []uint64{2, 3, 2, 3} {
+		l.apply(sitestate.Command{Weights: &sitestate.Weights{Model: "m", Version: version}})
+	}
+	if got := l.state.Weights("m"); got != 3 {
+		t.Errorf("version %d", got)
+	}
+}
+
+func TestStoresAreEmptiedStepByStep(t *testing.T) {
+	l := newLog(t)
+	evacuate := func(name string, done bool) sitestate.Outcome {
+		return l.apply(sitestate.Command{Evacuate: &sitestate.Evacuate{Name: name, Done: done}})
+	}
+	state := func() sitestate.StoreState { store, _ := l.state.Store("s"); return store.State }
+	if got := evacuate("s", false); got != sitestate.OutcomeUnknown {
+		t.Errorf("unknown: %v", got)
+	}
+	l.apply(sitestate.Command{Store: &sitestate.Store{Name: "s", Address: "a", Incarnation: "1"}})
+	if evacuate("s", true); state() != sitestate.StoreActive {
+		t.Error("done before it began")
+	}
+	evacuate("s", false)
+	l.apply(sitestate.Command{Store: &sitestate.Store{Name: "s", Address: "a", Incarnation: "2"}})
+	if state() != sitestate.StoreLeaving {
+		t.Error("a new data folder ended the evacuation")
+	}
+	if evacuate("s", true); state() != sitestate.StoreEmptied {
+		t.Error("not emptied")
+	}
+	l.apply(sitestate.Command{Store: &sitestate.Store{Name: "s", Address: "b", Incarnation: "3"}})
+	if state() != sitestate.StoreActive {
+		t.Error("a machine that comes anew is not active")
+	}
+}
+
+// drawCommand draws any command.
+func drawCommand(r *rapid.T) sitestate.Command {
+	id := fmt.Sprint("i", rapid.IntRange(0, 4).Draw(r, "replica"))
+	number := rapid.Uint64Range(1, 6).Draw(r, "number")
+	name := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(r, "store"))
+	switch rapid.IntRange(0, 7).Draw(r, "kind") {
+	case 0:
+		return configuration(number, fmt.Sprint("raw", number))
+	case 1:
+		return sitestate.Command{Weights: &sitestate.Weights{Model: id, Version: number}}
+	case 2, 3:
+		state := sitestate.ReplicaState(rapid.IntRange(0, 1).Draw(r, "state"))
+		return report(id, fmt.Sprint("a", rapid.IntRange(0, 4).Draw(r, "address")), number, state)
+	case 4:
+		return sitestate.Command{Leave: &sitestate.Leave{ID: id, Silent: rapid.Bool().Draw(r, "silent")}}
+	case 5:
+		return sitestate.Command{Store: &sitestate.Store{Name: name, Address: name, Incarnation: fmt.Sprint(number)}}
+	case 6:
+		return sitestate.Command{Evacuate: &sitestate.Evacuate{Name: name, Done: rapid.Bool().Draw(r, "done")}}
+	default:
+		return sitestate.Command{Assign: &sitestate.Assign{Models: map[string]string{id: fmt.Sprint("m", number)}}}
+	}
+}
+
+// TestObserversSeeWhatTheStateHolds: an observer that takes updates now and then,
+// from a state that was restored from a snapshot too, holds what the state does,
+// and never goes back.
+func TestObserversSeeWhatTheStateHolds(t *testing.T) {
+	testkit.Check(t, 15, func(r *rapid.T) {
+		l := newLog(t)
+		var view *sitestate.View
+		draining := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			command := drawCommand(r)
+			l.apply(command)
+			if rapid.IntRange(0, 9).Draw(r, "restore") == 0 {
+				data, err := l.state.Snapshot()
+				if err != nil {
+					r.Fatal(err)
+				}
+				l.state = sitestate.New()
+				if err := l.state.Restore(data); err != nil {
+					r.Fatal(err)
+				}
+			}
+			for _, replica := range l.state.Replicas() {
+				if draining[replica.ID] && replica.State == sitestate.ReplicaReady {
+					r.Fatalf("%s drained and is ready", replica.ID)
+				}
+				if replica.State == sitestate.ReplicaDraining {
+					draining[replica.ID] = true
+				}
+			}
+			if rapid.IntRange(0, 2).Draw(r, "observe") > 0 {
+				continue
+			}
+			after := uint64(0)
+			if view != nil {
+				after = view.Position
+			}
+			next := view.Apply(l.state.Update(after))
+			if view != nil && (next.Position < view.Position || next.Configuration.Version < view.Configuration.Version) {
+				r.Fatalf("went back from %+v to %+v", view, next)
+			}
+			view = next
+			compare(r, view, l.state)
+		}
+	})
+}
+
+func compare(r *rapid.T, view *sitestate.View, state *sitestate.State) {
+	if view.Configuration.Version != state.Configuration().Version {
+		r.Fatalf("configuration %d, want %d", view.Configuration.Version, state.Configuration().Version)
+	}
+	held := slices.SortedFunc(maps.Values(view.Replicas), func(a, b sitestate.Replica) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	if want := state.Replicas(); len(held) != len(want) || (len(want) > 0 && !reflect.DeepEqual(held, want)) {
+		r.Fatalf("replicas\n%+v, want\n%+v", held, want)
+	}
+	if want := state.Stores(); len(view.Stores) != len(want) || (len(want) > 0 && !reflect.DeepEqual(view.Stores, want)) {
+		r.Fatalf("stores %+v, want %+v", view.Stores, want)
+	}
+	for model, version := range view.Weights {
+		if state.Weights(model) != version {
+			r.Fatalf("model %s at %d, want %d", model, version, state.Weights(model))
+		}
+	}
+}
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -226,16 +226,17 @@
 	s.contents.Gone = slices.DeleteFunc(s.contents.Gone, func(left gone) bool { return left.ID == id })
 }
 
+// leave takes a replica out: for good, unless it was only not heard of and had
+// not begun to drain.
 func (s *State) leave(index uint64, left Leave) Outcome {
-	if left.Silent {
-		if _, known := s.contents.Replicas[left.ID]; !known {
-			return OutcomeIgnored
-		}
+	held, known := s.contents.Replicas[left.ID]
+	if left.Silent && !known {
+		return OutcomeIgnored
 	}
 	if s.binding[left.ID] {
 		return OutcomeDone
 	}
-	s.remove(index, left.ID, !left.Silent)
+	s.remove(index, left.ID, !left.Silent || held.State == ReplicaDraining)
 	s.changed(index)
 	return OutcomeDone
 }
