--- /dev/null
+++ b/test/site/explain_test.go
@@ -0,0 +1,118 @@
+package site_test
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/core/logstory"
+	"github.com/loomgrade/loomgrade/test/sitestandin"
+)
+
+// lineBook keeps the log lines of a site's processes.
+type lineBook struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lineBook) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.Write(line)
+}
+
+// logger makes the logger of a process.
+func (b *lineBook) logger(process string) *log.Logger {
+	return &log.Logger{
+		Level: log.InfoLevel, Writer: log.IOWriter{Writer: b}, TimeField: "time", TimeFormat: log.TimeFormatUnixMs,
+		Context: log.NewContext(nil).Str("process", process).Value(),
+	}
+}
+
+// cause tells why what the id names failed, from the lines alone.
+func (b *lineBook) cause(id string) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var lines []logstory.Line
+	for text := range bytes.Lines(b.bytes.Bytes()) {
+		if line, ok := logstory.Parse(text); ok {
+			lines = append(lines, line)
+		}
+	}
+	return logstory.Cause(logstory.Select(lines, id))
+}
+
+// TestTheLinesAloneNameTheCause injects failures and finds each from the log.
+func TestTheLinesAloneNameTheCause(t *testing.T) {
+	var book lineBook
+	s := newSite(t, 3, 3)
+	s.logger = book.logger
+	s.start()
+	s.configure()
+	replica := sitestandin.NewReplica(t, "i-plain", plain)
+	engine := sitestandin.NewEngine(t, "i-lm", lm, model)
+	engine.Behave = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(sitestandin.Headers.RequestID) != "item-failing" {
+			return false
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	replica.Behave = func(w http.ResponseWriter, r *http.Request) bool {
+		switch r.Header.Get(sitestandin.Headers.RequestID) {
+		case "silent":
+			<-r.Context().Done()
+		case "full":
+			w.Header().Set(sitestandin.Headers.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "breaks":
+			panic(http.ErrAbortHandler)
+		default:
+			return false
+		}
+		return true
+	}
+	s.add(replica, engine)
+	for id, want := range map[string]string{
+		"silent": "its time was over after 1 sends, to replicas [i-plain]",
+		"full":   "every one of 1 replicas of service plain-service refused it as not run",
+		"breaks": "a replica of service plain-service failed after it may have run, tried were [i-plain]",
+	} {
+		if status, _, _ := s.call("/once/x", id); status < 500 {
+			t.Errorf("%s: status %d", id, status)
+		}
+		if got := book.cause(id); !strings.HasPrefix(got, want) {
+			t.Errorf("%s: %q, want %q", id, got, want)
+		}
+	}
+	s.call("/nowhere/x", "lost")
+	if got := book.cause("lost"); !strings.Contains(got, "has no route for host "+host) {
+		t.Errorf("no route: %q", got)
+	}
+	s.submit("job-1", job(1, "item-failing"))
+	s.readAll("job-1")
+	if got := book.cause("item-failing"); got != "item given up after 3 failed runs: status 500" {
+		t.Errorf("item: %q", got)
+	}
+	for _, p := range s.controls {
+		p.kill()
+	}
+	time.Sleep(2 * time.Second) // longer than an unconfirmed view may deny a route
+	s.call("/nowhere/x", "cut-off")
+	if got := book.cause("cut-off"); !strings.Contains(got, "no route is known, and the configuration is not confirmed") {
+		t.Errorf("control cut off: %q", got)
+	}
+	for _, p := range s.stores {
+		p.kill()
+	}
+	do(http.MethodPost, s.fronts[0].http.URL+"/jobs/submit", host, http.Header{sitestandin.Headers.RequestID: {"job-2"}}, job(1, "item-x"))
+	if got := book.cause("job-2"); !strings.HasPrefix(got, "front-0 answered 50") {
+		t.Errorf("stores lost: %q", got)
+	}
+}
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -86,13 +86,15 @@
 	replicas []*sitestandin.Replica
 	seeds    []string
 	version  uint64
+	// logger makes the logger of a process.
+	logger func(process string) *log.Logger
 	// holderLease is how long replicas hold to who ordered last.
 	holderLease time.Duration
 	extra       string // further routes, as JSON, beginning with a comma
 }
 
 func newSite(t *testing.T, controls, stores int) *site {
-	s := &site{t: t, holderLease: 300 * time.Millisecond}
+	s := &site{t: t, holderLease: 300 * time.Millisecond, logger: func(string) *log.Logger { return quiet() }}
 	for i := range controls {
 		p := &process{name: fmt.Sprintf("core-%d", i), address: freeAddress(t), disk: faultfs.New(uint64(i) + 1)}
 		s.controls = append(s.controls, p)
@@ -186,7 +188,7 @@
 	p.server = wire.NewServer(wireOptions(p.name))
 	p.control = sitecontrol.New(sitecontrol.Config{
 		Machine: p.name, Address: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
-		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: quiet(), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
+		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: s.logger(p.name), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
 		ToleratedLosses: 1, HolderLease: s.holderLease,
 	})
 	p.control.Register(p.server)
@@ -203,7 +205,7 @@
 	watcher, sender := s.watch(p.name, false)
 	p.store = sitestore.New(sitestore.Config{
 		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
-		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: quiet(), Seed: uint64(p.name[len(p.name)-1]),
+		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Seed: uint64(p.name[len(p.name)-1]),
 		ToleratedLosses: 1, KeepJobs: time.Minute,
 	})
 	p.store.Register(p.server)
@@ -217,9 +219,9 @@
 	var sender *proxy.Proxy
 	watcher := siteview.New(siteview.Config{
 		Seeds: s.seeds, Wire: wireOptions(name), Decode: platform.Dialect{}.DecodeConfiguration, Provisional: provisional,
-		Changed: func(view *siteview.View) { sender.Forget(view) }, Logger: quiet(),
+		Changed: func(view *siteview.View) { sender.Forget(view) }, Logger: s.logger(name),
 	})
-	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: quiet(), Connections: 8})
+	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8})
 	return watcher, sender
 }
 
@@ -229,7 +231,7 @@
 	watcher, sender := s.watch(p.name, true)
 	p.watcher = watcher
 	p.front = front.New(front.Config{
-		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: quiet(),
+		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name),
 		Jobs: jobsapi.NewClient(wireOptions(p.name), func() []sitestate.Store {
 			if view := watcher.View(); view != nil {
 				return view.Stores
