site: services without an engine run items, models that no configuration names are shared; tests of the runner's book

Change: slots fall back to the replica's report, then the service, then one; models to what replicas report; gone replicas are forgotten.

--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -141,7 +141,7 @@
 	replicas := w.readyReplicas(view, service.Name)
 	demand := w.control.stores.reportedDemand()
 	mayMove := time.Since(w.movedAt) > movePause
-	if changes := weightplan.Assign(replicas, service.Engine.Models, demand, mayMove); len(changes) > 0 {
+	if changes := weightplan.Assign(replicas, modelsOf(service, replicas), demand, mayMove); len(changes) > 0 {
 		_, err := w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
 		w.movedAt = time.Now()
 		w.control.config.Logger.Info().Str(eventlog.Field, eventlog.WeightsAssigned).Str("service", service.Name).Str("changes", fmt.Sprint(changes)).
@@ -160,6 +160,21 @@
 	}
 }
 
+// modelsOf lists the models of a service: those it states, else those that its
+// replicas report.
+func modelsOf(service routing.Service, replicas []sitestate.Replica) []string {
+	if len(service.Engine.Models) > 0 {
+		return service.Engine.Models
+	}
+	reported := map[string]bool{}
+	for _, replica := range replicas {
+		for _, served := range replica.Models {
+			reported[served.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(reported))
+}
+
 // readyReplicas lists the replicas of a service with the newest versions known.
 func (w *weightsManager) readyReplicas(view *sitestate.View, service string) []sitestate.Replica {
 	w.mutex.Lock()
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -7,6 +7,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
 const (
@@ -112,7 +113,7 @@
 	var candidates []jobqueue.Replica
 	for service, replicas := range view.ByService {
 		described := table.Service(service)
-		if described == nil || described.Engine == nil {
+		if described == nil {
 			continue
 		}
 		for _, replica := range replicas {
@@ -120,12 +121,8 @@
 			if now.Before(known.blockedUntil) {
 				continue
 			}
-			slots := replica.Slots
-			if slots == 0 {
-				slots = described.Engine.Slots
-			}
 			candidates = append(candidates, jobqueue.Replica{
-				ID: replica.ID, Service: service, Free: slots - known.running, Running: known.running, Slow: b.slow(known, now),
+				ID: replica.ID, Service: service, Free: slotsOf(replica, described) - known.running, Running: known.running, Slow: b.slow(known, now),
 				Version: func(model string) uint64 { return max(replica.VersionOf(model), known.versions[model]) },
 				Groups:  func(group string) bool { return now.Sub(known.groups[group]) < promptKeptFor },
 			})
@@ -134,6 +131,18 @@
 	return candidates
 }
 
+// slotsOf is how many items a replica runs at once: what it reports, else what
+// its service states, else one.
+func slotsOf(replica sitestate.Replica, service *routing.Service) int {
+	if replica.Slots > 0 {
+		return replica.Slots
+	}
+	if service.Engine != nil && service.Engine.Slots > 0 {
+		return service.Engine.Slots
+	}
+	return 1
+}
+
 // forget drops replicas that are gone, and old prompts.
 func (b *replicaBook) forget(view *siteview.View, now time.Time) {
 	for id, known := range b.replicas {
--- /dev/null
+++ b/internal/app/sitestore/replicabook_test.go
@@ -0,0 +1,115 @@
+package sitestore
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+var bookTime = time.Unix(1000, 0)
+
+func bookView(replicas ...sitestate.Replica) (*siteview.View, *routing.Table) {
+	view := &siteview.View{View: &sitestate.View{Replicas: map[string]sitestate.Replica{}}, ByService: map[string][]sitestate.Replica{"s": replicas}}
+	for _, replica := range replicas {
+		view.Replicas[replica.ID] = replica
+	}
+	return view, routing.NewTable(&routing.Document{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 6}}}})
+}
+
+func candidate(t *testing.T, book *replicaBook, view *siteview.View, table *routing.Table, id string, now time.Time) *jobqueue.Replica {
+	t.Helper()
+	for _, replica := range book.candidates(view, table, now) {
+		if replica.ID == id {
+			return &replica
+		}
+	}
+	return nil
+}
+
+func TestCandidatesCountWhatRuns(t *testing.T) {
+	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2}, sitestate.Replica{ID: "b"})
+	book := newReplicaBook()
+	item := &work{item: jobstate.Item{Group: "g"}}
+	book.enter(item, "a", bookTime)
+	a := candidate(t, book, view, table, "a", bookTime)
+	if a == nil || a.Free != 1 || a.Running != 1 || !a.Groups("g") || a.Groups("h") {
+		t.Errorf("%+v", a)
+	}
+	if b := candidate(t, book, view, table, "b", bookTime); b == nil || b.Free != 6 {
+		t.Errorf("%+v", b)
+	}
+	if later := candidate(t, book, view, table, "a", bookTime.Add(time.Minute)); later.Groups("g") {
+		t.Error("an old prompt is taken to be kept")
+	}
+	book.leave(item)
+	book.leave(item)
+	if a = candidate(t, book, view, table, "a", bookTime); a.Free != 2 {
+		t.Errorf("after leaving: %+v", a)
+	}
+}
+
+func TestBlockedReplicasAreLeftOutForAWhile(t *testing.T) {
+	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2})
+	book := newReplicaBook()
+	book.block("a", bookTime.Add(time.Second))
+	book.block("a", bookTime.Add(time.Millisecond)) // a shorter one changes nothing
+	if candidate(t, book, view, table, "a", bookTime.Add(999*time.Millisecond)) != nil {
+		t.Error("taken while it is blocked")
+	}
+	if candidate(t, book, view, table, "a", bookTime.Add(time.Second)) == nil {
+		t.Error("not taken again")
+	}
+}
+
+func TestSlowReplicasCostMoreUntilTheMeasurementAges(t *testing.T) {
+	view, table := bookView(sitestate.Replica{ID: "slow", Slots: 2}, sitestate.Replica{ID: "fast", Slots: 2})
+	book := newReplicaBook()
+	for range 50 {
+		book.measure("slow", 90*time.Millisecond, bookTime)
+		book.measure("fast", 30*time.Millisecond, bookTime)
+	}
+	slow, fast := candidate(t, book, view, table, "slow", bookTime), candidate(t, book, view, table, "fast", bookTime)
+	if slow.Slow < 1.3 || fast.Slow != 1 {
+		t.Errorf("slow %v, fast %v", slow.Slow, fast.Slow)
+	}
+	if aged := candidate(t, book, view, table, "slow", bookTime.Add(time.Minute)); aged.Slow > 1.01 {
+		t.Errorf("after a minute %v", aged.Slow)
+	}
+}
+
+func TestVersionsShownByAnswersCountAtOnce(t *testing.T) {
+	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2, Models: []sitestate.ModelVersion{{Name: "m", Version: 3}}})
+	book := newReplicaBook()
+	book.entry("a").versions["m"] = 4
+	if got := candidate(t, book, view, table, "a", bookTime).Version("m"); got != 4 {
+		t.Errorf("version %d", got)
+	}
+}
+
+func TestDemandFollowsWhatIsDoneAndOpen(t *testing.T) {
+	meter := newDemandMeter(bookTime)
+	now := bookTime
+	var rates map[string]float64
+	for range 100 {
+		now = now.Add(demandInterval)
+		for range 5 {
+			meter.whole("busy", 20)
+		}
+		meter.whole("idle", 10)
+		var due bool
+		if rates, due = meter.rates(map[string]int{"waiting": 8}, now); !due {
+			t.Fatal("no measurement is due")
+		}
+	}
+	if rates["busy"] < 9*rates["idle"] || rates["waiting"] <= 0 {
+		t.Errorf("%v", rates)
+	}
+	if _, due := meter.rates(nil, now); due {
+		t.Error("due again at once")
+	}
+}
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -183,18 +183,14 @@
 	for {
 		answer, attempts, failure := r.sendScorer(ctx, scorer)
 		switch {
-		case failure != nil:
-			reason = failure.Error()
+		case failure != nil: // not answered; it is sent again
 		case answer.Status/100 == 2:
 			return runScored, answer.Header.Get(r.store.config.Dialect.Headers().Seal), ""
-		default:
-			reason = "status " + strconv.Itoa(answer.Status)
-			if answer.Status == http.StatusInternalServerError {
-				failures++
-			}
-			if failures >= attempts {
-				return runScoreFailed, "", reason
-			}
+		case answer.Status == http.StatusInternalServerError:
+			failures++
+		}
+		if failures >= attempts {
+			return runScoreFailed, "", "status " + strconv.Itoa(http.StatusInternalServerError)
 		}
 		select {
 		case <-time.After(scorePause):
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -129,7 +129,9 @@
 	}
 	r.giveUpOld()
 	r.place(view)
-	r.measureDemand()
+	if r.measureDemand() {
+		r.replicas.forget(view, time.Now())
+	}
 	r.keep()
 }
 
@@ -356,8 +358,9 @@
 	delete(r.works, key)
 }
 
-// measureDemand publishes the work that jobs bring.
-func (r *runner) measureDemand() {
+// measureDemand publishes the work that jobs bring, and reports whether it was
+// due.
+func (r *runner) measureDemand() bool {
 	r.store.open.Store(int64(len(r.works)))
 	waiting := map[string]int{}
 	for _, item := range r.works {
@@ -365,7 +368,9 @@
 			waiting[item.model]++
 		}
 	}
-	if rates, due := r.demand.rates(waiting, time.Now()); due {
+	rates, due := r.demand.rates(waiting, time.Now())
+	if due {
 		r.store.demand.Store(&rates)
 	}
+	return due
 }
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -29,9 +29,8 @@
 	id    string
 	items []string
 	// results are the results seen by position.
-	results  []result
-	ended    time.Time
-	endAsked bool
+	results []result
+	ended   time.Time
 }
 
 // result is a listed result.
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -69,7 +69,6 @@
 	command         *exec.Cmd
 	ended           chan struct{}
 	frozen          bool
-	lastDisturbed   time.Time
 }
 
 func (m *machine) logPath() string { return filepath.Join(m.folder, "log") }
