--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var answer joinAnswer
-	err := m.peers.client(address).Call(ctx, m.config.Name+".join", joinRequest{Record: record}, &answer)
+	err := m.peers.pool.Client(address).Call(ctx, m.config.Name+".join", joinRequest{Record: record}, &answer)
 	return answer, err
 }
 
--- a/internal/app/group/peers.go
+++ b/internal/app/group/peers.go
@@ -11,20 +11,15 @@
 
 // peers holds the connections to the other members.
 type peers struct {
-	options wire.Options
-	method  string
-	mutex   sync.Mutex
+	pool   *wire.Pool
+	method string
+	mutex  sync.Mutex
 	// addresses of members by id.
 	addresses map[consensus.MemberID]string
-	clients   map[string]*wire.Client
 }
 
 func newPeers(options wire.Options, method string) *peers {
-	return &peers{
-		options: options, method: method,
-		addresses: make(map[consensus.MemberID]string),
-		clients:   make(map[string]*wire.Client),
-	}
+	return &peers{pool: wire.NewPool(options), method: method, addresses: make(map[consensus.MemberID]string)}
 }
 
 // learn notes addresses of members, and closes connections that no known
@@ -40,26 +35,9 @@
 		p.addresses[record.ID] = record.Address
 		used[record.Address] = true
 	}
-	if !prune {
-		return
-	}
-	for address, client := range p.clients {
-		if !used[address] {
-			client.Close()
-			delete(p.clients, address)
-		}
-	}
-}
-
-func (p *peers) client(address string) *wire.Client {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	client := p.clients[address]
-	if client == nil {
-		client = wire.NewClient(address, p.options)
-		p.clients[address] = client
+	if prune {
+		p.pool.Keep(func(address string) bool { return used[address] })
 	}
-	return client
 }
 
 func (p *peers) address(id consensus.MemberID) string {
@@ -72,7 +50,7 @@
 // sends again.
 func (p *peers) send(message consensus.Message) {
 	if address := p.address(message.To); address != "" {
-		_ = p.client(address).Send(context.Background(), p.method, message)
+		_ = p.pool.Client(address).Send(context.Background(), p.method, message)
 	}
 }
 
@@ -81,16 +59,9 @@
 func (p *peers) connect(ids []consensus.MemberID) {
 	for _, id := range ids {
 		if address := p.address(id); address != "" {
-			p.client(address).Connect()
+			p.pool.Client(address).Connect()
 		}
 	}
 }
 
-func (p *peers) close() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, client := range p.clients {
-		client.Close()
-	}
-	clear(p.clients)
-}
+func (p *peers) close() { p.pool.Close() }
--- a/internal/app/jobsapi/jobsapi.go
+++ b/internal/app/jobsapi/jobsapi.go
@@ -88,17 +88,16 @@
 
 // Client asks the store group.
 type Client struct {
-	options wire.Options
-	stores  func() []sitestate.Store
+	pool   *wire.Pool
+	stores func() []sitestate.Store
 
-	mutex   sync.Mutex
-	clients map[string]*wire.Client
-	leader  string
+	mutex  sync.Mutex
+	leader string
 }
 
 // NewClient makes a client; stores lists the store machines that are known.
 func NewClient(options wire.Options, stores func() []sitestate.Store) *Client {
-	return &Client{options: options, stores: stores, clients: map[string]*wire.Client{}}
+	return &Client{pool: wire.NewPool(options), stores: stores}
 }
 
 // Call asks members until the leader answers or the context ends. All calls are
@@ -159,7 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var answer Answer
-	err := c.client(address).Call(ctx, MethodCall, request, &answer)
+	err := c.pool.Client(address).Call(ctx, MethodCall, request, &answer)
 	return answer, err
 }
 
@@ -185,14 +184,3 @@
 	defer c.mutex.Unlock()
 	c.leader = address
 }
-
-func (c *Client) client(address string) *wire.Client {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	client := c.clients[address]
-	if client == nil {
-		client = wire.NewClient(address, c.options)
-		c.clients[address] = client
-	}
-	return client
-}
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -170,7 +170,7 @@
 }
 
 func (c *Control) forward(ctx context.Context, address string, request Request, answer *Answer) error {
-	return c.client(address).Call(ctx, methodForwarded, request, answer)
+	return c.pool.Client(address).Call(ctx, methodForwarded, request, answer)
 }
 
 // serveCall answers a process of the site.
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -76,10 +76,10 @@
 	// position is that of the published view; only the loop's goroutine uses it.
 	position uint64
 
-	mutex   sync.Mutex
-	clients map[string]*wire.Client
-	wakes   map[chan struct{}]struct{}
-	seeds   []string
+	pool  *wire.Pool
+	mutex sync.Mutex
+	wakes map[chan struct{}]struct{}
+	seeds []string
 }
 
 // New makes a control process.
@@ -88,7 +88,7 @@
 		config.Recorder = noRecorder{}
 	}
 	c := &Control{
-		config: config, clients: map[string]*wire.Client{}, wakes: map[chan struct{}]struct{}{},
+		config: config, pool: wire.NewPool(config.Wire), wakes: map[chan struct{}]struct{}{},
 		seeds: slices.Clone(config.Seeds),
 	}
 	c.view.Store(&sitestate.View{})
@@ -194,17 +194,6 @@
 	c.table.Store(routing.NewTable(document))
 }
 
-func (c *Control) client(address string) *wire.Client {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	client := c.clients[address]
-	if client == nil {
-		client = wire.NewClient(address, c.config.Wire)
-		c.clients[address] = client
-	}
-	return client
-}
-
 // IsVoter reports whether this member has a vote, in touch with a quorum and
 // caught up.
 func (c *Control) IsVoter() bool {
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -69,16 +69,16 @@
 	confirmed atomic.Int64 // nanoseconds after start
 	start     time.Time
 
-	mutex   sync.Mutex
-	clients map[string]*wire.Client
-	seeds   []string
+	pool  *wire.Pool
+	mutex sync.Mutex
+	seeds []string
 	// current is the member that is watched.
 	current string
 }
 
 // New makes a watcher; Run follows.
 func New(config Config) *Watcher {
-	return &Watcher{config: config, start: time.Now(), clients: map[string]*wire.Client{}, seeds: config.Seeds}
+	return &Watcher{config: config, start: time.Now(), pool: wire.NewPool(config.Wire), seeds: config.Seeds}
 }
 
 // View gives the present view, or nil.
@@ -121,25 +121,13 @@
 	return unique
 }
 
-// Client gives the connection to a control member.
-func (w *Watcher) Client(address string) *wire.Client {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	client := w.clients[address]
-	if client == nil {
-		client = wire.NewClient(address, w.config.Wire)
-		w.clients[address] = client
-	}
-	return client
-}
-
 // Call asks control members one after the other until one answers or the
 // context ends. The call must be safe to repeat.
 func (w *Watcher) Call(ctx context.Context, method string, request, response any) error {
 	last := eris.New("no control member is known")
 	for _, address := range w.Members() {
 		attempt, cancel := context.WithTimeout(ctx, silenceTimeout)
-		err := w.Client(address).Call(attempt, method, request, response)
+		err := w.pool.Client(address).Call(attempt, method, request, response)
 		cancel()
 		if err == nil {
 			return nil
@@ -190,7 +178,7 @@
 	if view := w.view.Load(); view != nil {
 		request.After = view.Position
 	}
-	stream, err := w.Client(address).Stream(ctx, MethodWatch, request)
+	stream, err := w.pool.Client(address).Stream(ctx, MethodWatch, request)
 	if err != nil {
 		return err
 	}
