--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -27,13 +27,12 @@
 // errFull refuses a machine that is not needed now.
 var errFull = eris.New("the group has as many members as it needs")
 
-// full reports whether there are learners enough. A machine that comes back to
-// the address of a member is always taken.
+// full reports whether there are learners enough: the wanted number, and one for
+// each voter that is missing. Each new one costs the leader all that the group
+// holds. A machine that comes back to the address of a member is always taken.
 func (l *loop) full(status consensus.Status, records []groupmember.Record, address string) bool {
-	if l.config.MaxLearners == 0 || len(status.Membership.Learners) < l.config.MaxLearners {
-		return false
-	}
-	if len(status.Membership.Voters) < l.config.Limits.Voters {
+	missing := max(0, l.config.Limits.Voters-len(status.Membership.Voters))
+	if l.config.MaxLearners == 0 || len(status.Membership.Learners) < l.config.MaxLearners+missing {
 		return false
 	}
 	return !slices.ContainsFunc(records, func(held groupmember.Record) bool {
