front: a stream that may be resumed goes on at another replica

Change: whole events are passed on where the route allows resuming; after a break another replica goes on behind the last of them, under the first head; streams are never hedged. Ruled out: resuming where the route does not allow it (it may run once).

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -39,6 +39,7 @@
 	WeightsLoad             Event = "weights.load"
 	RequestCarried          Event = "request.carried"
 	RequestFailed           Event = "request.failed"
+	StreamResumed           Event = "stream.resumed"
 	RequestNoRoute          Event = "request.noroute"
 	JobAccepted             Event = "job.accepted"
 	JobEnded                Event = "job.ended"
@@ -91,6 +92,7 @@
 	{WeightsLoad, "a replica was ordered to load weights; how that ended"},
 	{RequestCarried, "how a request was carried to replicas: sends, those that may have run, the outcome"},
 	{RequestFailed, "a caller got an answer of the front's own; its status and reason"},
+	{StreamResumed, "a stream broke off and goes on at another replica, after which event"},
 	{RequestNoRoute, "no route leads a request anywhere"},
 	{JobAccepted, "a job is kept from now on"},
 	{JobEnded, "a job was ended by its client"},
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -182,15 +181,7 @@
 func (f *Front) pass(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, arrived time.Time) {
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.allowed(r, route)))
 	defer cancel()
-	request := proxy.Request{
-		Request: replicacall.Request{
-			Method: r.Method, Target: target(r), Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
-			Header: passedHeader(r.Header), Body: body,
-		},
-		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
-		Repeatable: route.Kind == routing.KindIdempotent, MaxAttempts: route.MaxAttempts, Aim: route.Aim,
-		Stream: route.Kind == routing.KindStream,
-	}
+	request := f.request(r, route, body)
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
 		f.record(outcomeOf(r, failure), arrived)
@@ -200,7 +191,7 @@
 	f.record(OutcomeAnswered, arrived)
 	copyHeader(w.Header(), answer.Header)
 	if answer.Stream != nil {
-		f.stream(w, answer)
+		f.stream(ctx, w, route, request, answer)
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
@@ -208,6 +199,19 @@
 	_, _ = w.Write(answer.Body)
 }
 
+// request makes what is sent to replicas.
+func (f *Front) request(r *http.Request, route *routing.Route, body []byte) proxy.Request {
+	return proxy.Request{
+		Request: replicacall.Request{
+			Method: r.Method, Target: target(r), Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
+			Header: passedHeader(r.Header), Body: body,
+		},
+		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
+		Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts, Aim: route.Aim,
+		Stream: route.Kind == routing.KindStream,
+	}
+}
+
 // outcomeOf names a failure for the measures.
 func outcomeOf(r *http.Request, failure *proxy.Failure) string {
 	switch {
@@ -239,32 +243,6 @@
 	return max(time.Millisecond, allowed-deadlineMargin)
 }
 
-// stream hands a streamed answer on as it comes. One that breaks off breaks
-// the caller's connection, so that it does not look whole.
-func (f *Front) stream(w http.ResponseWriter, answer *proxy.Answer) {
-	defer func() { _ = answer.Stream.Body.Close() }()
-	w.WriteHeader(answer.Status)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, streamBuffer)
-	for {
-		count, err := answer.Stream.Body.Read(buffer)
-		if count > 0 {
-			if _, failed := w.Write(buffer[:count]); failed != nil {
-				return
-			}
-			_ = control.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-const streamBuffer = 16 << 10
-
 // fail gives a request its final answer.
 func (f *Front) fail(w http.ResponseWriter, r *http.Request, route *routing.Route, failure *proxy.Failure) {
 	switch {
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -100,7 +100,8 @@
 				return e.finish()
 			}
 		case <-hedge.C:
-			if e.mayTryAgain() && e.active == 1 {
+			// A stream must not run at two replicas at once.
+			if e.mayTryAgain() && e.active == 1 && !e.request.Stream {
 				e.launch()
 			}
 		case <-e.ctx.Done():
