controlclient: a test's deadline no longer falls into an attempt

Cause: TestProposeVerdictCoversAllAttempts/none_ran failed once: with pauses of up to 5 ms there are hundreds of attempts in its 0.6 s, and the deadline can fall into one; the client then says may-have-run, and is right. Change: that row ends by a final refusal at the second member; giving up between attempts has a test of its own with a pause that no attempt ends. As strict: both still want not-run, and nothing else is accepted.

--- a/internal/adapter/controlclient/client_test.go
+++ b/internal/adapter/controlclient/client_test.go
@@ -159,7 +159,7 @@
 		first, second func(context.Context, port.Command) (port.Result, error)
 		verdict       port.Verdict
 	}{
-		{"none ran", nil, nil, port.NotRun},
+		{"none ran", nil, refuse(port.NotRun, port.CodeInvalid), port.NotRun},
 		{"one may have run", refuse(port.MayHaveRun, port.CodeUnavailable), nil, port.MayHaveRun},
 		{"one did not answer", hang, nil, port.MayHaveRun},
 		{"final after one that may have run", hang, refuse(port.NotRun, port.CodeInvalid), port.MayHaveRun},
@@ -176,6 +176,34 @@
 	}
 }
 
+// TestGivingUpBetweenAttemptsSaysNotRun: the context ends while the client waits
+// before its next attempt. The pause is so long that no attempt can be under way
+// then: one that is may have run, and the client says so.
+func TestGivingUpBetweenAttemptsSaysNotRun(t *testing.T) {
+	member := startFake(t, behaviour{})
+	client, err := New(Config{
+		Addresses: []string{member.address}, Wire: wire.Options{ClusterID: "test"}, Node: "tester",
+		RetryBase: 1000 * time.Hour, RetryMax: 1000 * time.Hour,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for asked := 0; asked == 0; time.Sleep(10 * time.Millisecond) {
+			ids, _ := member.asked()
+			asked = len(ids)
+		}
+		time.Sleep(time.Second) // the answer is on its way
+		cancel()
+	}()
+	if _, err := client.Propose(ctx, port.Command{}); port.AsError(err).Verdict != port.NotRun {
+		t.Fatalf("got %v, want verdict %s", err, port.NotRun)
+	}
+}
+
 // received watches until it has so many updates.
 func received(t *testing.T, client *Client, after uint64, count int) []port.ViewUpdate {
 	t.Helper()
