fleet: count a poll's bytes before they leave

The size of a poll is measured over loopback; the server's bytes were counted after its write returned, and the client can have the answer and read the count before that. The answer then counted with the next exchange. Ruled out: the order of events (all counts of messages are equal).

--- a/internal/lab/fleet/pollcost.go
+++ b/internal/lab/fleet/pollcost.go
@@ -41,11 +41,11 @@
 	return count, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts first: the peer may have the bytes, and
+// read the count, before the write returns.
 func (c *countedConn) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	c.listener.out.Add(int64(count))
-	return count, err
+	c.listener.out.Add(int64(len(data)))
+	return c.Conn.Write(data)
 }
 
 // measurePolls lets the real engine client ask a server on the loopback for the
