groupmember: what is dead holds no place, successors are taken in at once

Cause: a spare store machine that was replaced stayed a silent learner for 20 s and counted as one of the learners wanted, so its successor and that of a voter lost later were refused as not needed; the group lived on two of three voters and lost every job with the next disk. Admission now counts members in touch (HasRoom, pure, used by the simulation too), a voter is replaced after 3.5 s of silence, or 1.5 s once its successor has caught up, and a change of membership is logged as a warning, which is never left out under load. Ruled out: the order of promotion and removal; forgetting learners sooner (a machine that restarts would copy everything again).

--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -18,7 +18,8 @@
 	DefaultTick           = 60 * time.Millisecond
 	DefaultElectionTicks  = 8
 	DefaultHeartbeatTicks = 2
-	DefaultReplaceAfter   = 5 * time.Second
+	DefaultReplaceAfter   = 3500 * time.Millisecond
+	DefaultVacantAfter    = 1500 * time.Millisecond
 	DefaultForgetAfter    = 20 * time.Second
 
 	retainEntries = 512
@@ -56,11 +57,10 @@
 	// Leaving names the machines that are to be emptied. It is called in the
 	// loop's goroutine. Nil is none.
 	Leaving func() map[string]bool
-	Limits  groupmember.Limits
-	// MaxLearners bounds the members without a vote; 0 is no bound. Machines
-	// beyond it wait to join until one is needed.
-	MaxLearners int
-	Logger      *log.Logger
+	// Limits say how many members are wanted; machines beyond them wait to join
+	// until one is needed. Its ticks are taken from the durations below.
+	Limits groupmember.Limits
+	Logger *log.Logger
 	// Seed feeds the random election timeouts.
 	Seed uint64
 	Tick time.Duration
@@ -68,6 +68,7 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	ReplaceAfter   time.Duration
+	VacantAfter    time.Duration
 	ForgetAfter    time.Duration
 	SnapshotBytes  int
 }
@@ -77,8 +78,10 @@
 	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
 	c.HeartbeatTicks = cmp.Or(c.HeartbeatTicks, DefaultHeartbeatTicks)
 	c.ReplaceAfter = cmp.Or(c.ReplaceAfter, DefaultReplaceAfter)
+	c.VacantAfter = cmp.Or(c.VacantAfter, DefaultVacantAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
 	c.Limits.ReplaceTicks = cmp.Or(c.Limits.ReplaceTicks, uint64(c.ReplaceAfter/c.Tick))
+	c.Limits.VacantTicks = cmp.Or(c.Limits.VacantTicks, uint64(c.VacantAfter/c.Tick))
 	c.Limits.ForgetTicks = cmp.Or(c.Limits.ForgetTicks, uint64(c.ForgetAfter/c.Tick))
 	if c.FileSystem == nil {
 		c.FileSystem = wal.OS{}
--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -27,19 +27,6 @@
 // errFull refuses a machine that is not needed now.
 var errFull = eris.New("the group has as many members as it needs")
 
-// full reports whether there are learners enough: the wanted number, and one for
-// each voter that is missing. Each new one costs the leader all that the group
-// holds. A machine that comes back to the address of a member is always taken.
-func (l *loop) full(status consensus.Status, records []groupmember.Record, address string) bool {
-	missing := max(0, l.config.Limits.Voters-len(status.Membership.Voters))
-	if l.config.MaxLearners == 0 || len(status.Membership.Learners) < l.config.MaxLearners+missing {
-		return false
-	}
-	return !slices.ContainsFunc(records, func(held groupmember.Record) bool {
-		return held.Address == address && status.Membership.Contains(held.ID)
-	})
-}
-
 // join asks members for an id, following them to the leader.
 func (m *Member) join(ctx context.Context, incarnation string, contacts []string) (identity, error) {
 	record := m.config.Self
@@ -114,7 +101,7 @@
 			done <- joinAnswer{ID: records[known].ID, Records: records}
 			return
 		}
-		if l.full(status, records, record.Address) {
+		if !groupmember.HasRoom(status, records, l.leaving(), record.Address, l.config.Limits) {
 			failed <- errFull
 			return
 		}
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -162,11 +162,7 @@
 	if l.changing {
 		return
 	}
-	var leaving map[string]bool
-	if l.config.Leaving != nil {
-		leaving = l.config.Leaving()
-	}
-	change, due := groupmember.Plan(status, l.member.Directory(), leaving, l.config.Limits)
+	change, due := groupmember.Plan(status, l.member.Directory(), l.leaving(), l.config.Limits)
 	if !due {
 		return
 	}
@@ -176,12 +172,21 @@
 	}
 	l.changing = true
 	record, _ := l.member.Record(change.Member)
-	l.config.Logger.Info().Str(eventlog.Field, eventlog.MembershipChange).Str("group", l.config.Name).Uint8("kind", uint8(change.Kind)).
+	// A warning, so that the line is not among those left out under load.
+	l.config.Logger.Warn().Str(eventlog.Field, eventlog.MembershipChange).Str("group", l.config.Name).Uint8("kind", uint8(change.Kind)).
 		Uint64("member", uint64(change.Member)).Str("address", record.Address).Msg("the leader changes the membership")
 	token := l.await(func(groupmember.Reply) { l.changing = false })
 	l.member.ChangeMembership(token, change.Kind, groupmember.Record{ID: change.Member})
 }
 
+// leaving names the machines that are to be emptied.
+func (l *loop) leaving() map[string]bool {
+	if l.config.Leaving == nil {
+		return nil
+	}
+	return l.config.Leaving()
+}
+
 // transfer asks the active voter with the longest log to take over.
 func (l *loop) transfer() {
 	var best consensus.PeerStatus
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -108,8 +108,7 @@
 		Self: groupmember.Record{Address: config.Address, Name: config.Machine},
 		Wire: config.Wire, Machine: func() groupmember.StateMachine { return jobstate.New() },
 		Origin: s.origin, Changed: s.changed, Leaving: s.leaving, Logger: config.Logger, Seed: config.Seed,
-		Limits:      groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters()},
-		MaxLearners: spareMembers,
+		Limits: groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters(), Learners: spareMembers},
 	})
 	s.runner = newRunner(s, replicacall.New(config.Dialect, connectionsToReplica))
 	return s
--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -17,6 +17,11 @@
 	ReplaceTicks uint64
 	// ForgetTicks is how long a learner is silent before it is removed.
 	ForgetTicks uint64
+	// Learners is how many members without a vote are wanted; 0 is no bound.
+	Learners int
+	// VacantTicks is how long a member is silent before another machine may have
+	// its place.
+	VacantTicks uint64
 }
 
 // Change is one step towards the wanted membership.
@@ -115,8 +120,14 @@
 	return g.members[i], true
 }
 
+// dead reports whether a voter is to be replaced: it has been silent for long, or
+// for long enough that its place was given to a learner that is ready now.
 func (g *groupView) dead(m member) bool {
-	return m.voter && !m.self && m.silent >= g.limits.ReplaceTicks
+	if !m.voter || m.self {
+		return false
+	}
+	succeeded := g.limits.Learners > 0 && g.count(ready) > g.limits.Learners
+	return m.silent >= g.limits.ReplaceTicks || succeeded && m.silent >= g.limits.VacantTicks
 }
 
 func ready(m member) bool { return !m.voter && m.caughtUp && !m.leaving && !m.superseded }
--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -22,8 +22,9 @@
 const (
 	electionTicks  = 8
 	heartbeatTicks = 2
-	replaceTicks   = 60
-	forgetTicks    = 300
+	replaceTicks   = 58
+	vacantTicks    = 25
+	forgetTicks    = 333
 )
 
 // record is the state machine: the list of commands, by number.
@@ -126,7 +127,7 @@
 func newWorld(t *testing.T, seed uint64, count, voters int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), waiting: map[consensus.MemberID]map[uint64]uint64{}, lastWipe: -1000, snapshotEntries: 40,
-		limits: groupmember.Limits{Voters: voters, LeastVoters: 3, ReplaceTicks: replaceTicks, ForgetTicks: forgetTicks},
+		limits: groupmember.Limits{Voters: voters, LeastVoters: 3, ReplaceTicks: replaceTicks, VacantTicks: vacantTicks, ForgetTicks: forgetTicks},
 	}
 	var founders []groupmember.Record
 	for i := range 3 {
@@ -198,6 +199,9 @@
 			return
 		}
 	}
+	if !groupmember.HasRoom(status, leader.member.Directory(), w.leaving(), m.name, w.limits) {
+		return
+	}
 	leader.changing = true
 	leader.member.ChangeMembership(0, consensus.AddLearner, groupmember.Record{
 		ID: status.Membership.HighestID + 1, Address: m.name, Name: m.name, Incarnation: incarnation,
@@ -263,13 +267,7 @@
 	if m.changing {
 		return
 	}
-	leaving := map[string]bool{}
-	for _, other := range w.machines {
-		if other.leaving {
-			leaving[other.name] = true
-		}
-	}
-	change, due := groupmember.Plan(m.member.Status(), m.member.Directory(), leaving, w.limits)
+	change, due := groupmember.Plan(m.member.Status(), m.member.Directory(), w.leaving(), w.limits)
 	if !due {
 		return
 	}
@@ -286,6 +284,17 @@
 	m.member.ChangeMembership(0, change.Kind, groupmember.Record{ID: change.Member})
 }
 
+// leaving names the machines that are to be emptied.
+func (w *world) leaving() map[string]bool {
+	leaving := map[string]bool{}
+	for _, m := range w.machines {
+		if m.leaving {
+			leaving[m.name] = true
+		}
+	}
+	return leaving
+}
+
 func (w *world) machineOf(id consensus.MemberID) *machine {
 	for _, m := range w.machines {
 		if m.id == id && m.member != nil {
