consensus, groupmember: leaders soon after a restart, no spare member, emptied means committed

Cause: after all processes were killed the store group needed 1.0 s for a leader and the control group 0.65 s: who stands first is ignored by members that have just started, and then waits a whole timeout. In virtual time with slow messages two candidates blocked each other for up to 6 s. Such a member now refuses a pre-vote aloud, one that is refused repeats it soon, and of two that stand at once the lower id goes on. The store group keeps no spare follower: a waiting machine copies the state in a moment when a place is free, a follower costs a third of the traffic always. Found by the simulation: a machine counted as emptied while its removal was not committed yet; members are now reported until it is. Ruled out: repeating unanswered pre-votes soon (duels in virtual time), shorter ticks (processes that share a core pause for 0.1 s).

--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -97,7 +97,7 @@
 		Self: groupmember.Record{Address: config.Address, Name: config.Machine, Service: config.HeartbeatAddress},
 		Wire: config.Wire, Machine: func() groupmember.StateMachine { return sitestate.New() },
 		Origin: c.origin, Changed: c.changed, Logger: config.Logger, Seed: config.Seed,
-		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1},
+		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1, Learners: groupmember.AnyNumber},
 	})
 	c.heartbeats = newHeartbeats(c)
 	c.stores = newStores(c)
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -29,9 +29,10 @@
 	registerInterval = 500 * time.Millisecond
 	registerTimeout  = time.Second
 	forgetInterval   = time.Second
-	// spareMembers is how many machines follow the log without a vote, to take
-	// the place of one that is lost. Further machines wait.
-	spareMembers = 1
+	// spareMembers is how many machines follow the log without a vote. Machines
+	// beyond the voters wait: one that takes the place of a voter copies all that
+	// the group holds in a moment, while following costs its traffic all the time.
+	spareMembers = 0
 	// connectionsToReplica bounds the runner's connections to one replica.
 	connectionsToReplica = 40
 )
@@ -244,10 +245,9 @@
 	}
 	heartbeat.Members = []string{}
 	whole := 0
+	// A member has a record until its removal is committed: only then may its
+	// machine be taken away.
 	for _, record := range shown.Records {
-		if !shown.Status.Membership.Contains(record.ID) {
-			continue
-		}
 		heartbeat.Members = append(heartbeat.Members, record.Name)
 		if shown.Status.Membership.IsVoter(record.ID) && (record.ID == shown.Status.ID || caughtUp(shown, record)) {
 			whole++
--- a/internal/core/consensus/election.go
+++ b/internal/core/consensus/election.go
@@ -58,10 +58,22 @@
 	case grants >= n.membership.Quorum():
 		n.becomeLeader()
 	case refusals >= n.membership.Quorum():
+		if n.role == RolePreCandidate {
+			n.electionTimeout = min(n.electionTimeout, n.electionElapsed+n.refusedPause())
+		}
 		n.role = RoleFollower
 	}
 }
 
+// refusedPause gives the ticks until a pre-vote that was refused is repeated. It is
+// short: a pre-vote changes nothing, and members that have just started refuse it
+// until an election timeout has passed, though there may be no leader.
+func (n *Node) refusedPause() int {
+	const pausesPerElection = 4
+	pause := max(1, n.config.ElectionTicks/pausesPerElection)
+	return pause + n.random.intn(pause)
+}
+
 // becomeFollower enters term, which is at least the present one.
 func (n *Node) becomeFollower(term uint64, leader MemberID) {
 	if n.role == RoleLeader {
@@ -142,14 +154,20 @@
 }
 
 func (n *Node) handlePreVote(message Message) {
-	if n.tellRemoved(message) || n.hearsLeader() {
+	if n.tellRemoved(message) {
 		return
 	}
-	if message.Term > n.term && n.log.isUpToDate(message.Index, message.LogTerm) {
-		n.send(Message{Kind: MessagePreVoteReply, To: message.From, Term: message.Term})
+	if n.hearsLeader() || message.Term <= n.term || !n.log.isUpToDate(message.Index, message.LogTerm) {
+		n.send(Message{Kind: MessagePreVoteReply, To: message.From, Reject: true})
 		return
 	}
-	n.send(Message{Kind: MessagePreVoteReply, To: message.From, Reject: true})
+	n.send(Message{Kind: MessagePreVoteReply, To: message.From, Term: message.Term})
+	if n.role == RolePreCandidate && message.From < n.config.ID {
+		// Of two that stand at once the lower id goes on: otherwise each would vote
+		// for itself, and neither would lead.
+		n.role = RoleFollower
+		n.resetElectionTimer()
+	}
 }
 
 func (n *Node) handlePreVoteReply(message Message) {
--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -17,13 +17,16 @@
 	ReplaceTicks uint64
 	// ForgetTicks is how long a learner is silent before it is removed.
 	ForgetTicks uint64
-	// Learners is how many members without a vote are wanted; 0 is no bound.
+	// Learners is how many members without a vote are wanted, or AnyNumber.
 	Learners int
 	// VacantTicks is how long a member is silent before another machine may have
 	// its place.
 	VacantTicks uint64
 }
 
+// AnyNumber of learners are taken in: a group whose machines all follow its log.
+const AnyNumber = -1
+
 // Change is one step towards the wanted membership.
 type Change struct {
 	Kind   consensus.MembershipChangeKind
@@ -126,7 +129,7 @@
 	if !m.voter || m.self {
 		return false
 	}
-	succeeded := g.limits.Learners > 0 && g.count(ready) > g.limits.Learners
+	succeeded := g.limits.Learners != AnyNumber && g.count(ready) > g.limits.Learners
 	return m.silent >= g.limits.ReplaceTicks || succeeded && m.silent >= g.limits.VacantTicks
 }
 
--- a/internal/core/groupmember/room.go
+++ b/internal/core/groupmember/room.go
@@ -8,7 +8,7 @@
 // leaves, or whose machine came back under a newer id holds none: what is dead must
 // not keep its successor out. A machine at the address of a member is always taken.
 func HasRoom(status consensus.Status, records []Record, leaving map[string]bool, address string, limits Limits) bool {
-	if limits.Learners == 0 {
+	if limits.Learners == AnyNumber {
 		return true
 	}
 	group := survey(status, records, leaving, limits)
