jobqueue, sitestore: items go by the pace of replicas, leave slow ones, and no group is put last

Cause: a step of a job waits for its longest items. They went to slow replicas, as the number of items running counted as much as a replica's pace; runs stayed at replicas that had turned slow, as the mean over a whole run hides it; groups beyond those wanted started seconds late though any may be among the first. The expected length is bounded by what an item may have at all.

--- a/internal/app/sitestore/move.go
+++ b/internal/app/sitestore/move.go
@@ -8,38 +8,76 @@
 )
 
 const (
-	// moveFactor is how many times the usual pause between events a run takes
-	// whose item is moved.
-	moveFactor = 2.2
+	// moveInterval is the time between two looks at the pace of runs, and the least
+	// time that an item stays at a replica.
+	moveInterval = 100 * time.Millisecond
+	leastStay    = 500 * time.Millisecond
+	// heldUp is the time between two looks after which this process was itself held
+	// up: it cannot tell then who was silent.
+	heldUp = 3 * moveInterval
+	// relaxedShare is what part of the longest expected length of its job an item
+	// may have that is done in time at any replica: lengths are expected badly.
+	relaxedShare = 0.4
 	// mostMoves bounds how often an item is moved.
-	mostMoves = 2
-	// soundSlow is how much slower than usual a replica may be that takes a moved
-	// item.
-	soundSlow = 1.2
+	mostMoves = 6
 )
 
-// moveFromSlow asks runs at slow replicas to end where another replica has room
-// and nothing else waits for it: their items go on there, after the last event. A
-// step waits for its last item, and reading a prompt again takes milliseconds.
+// moveFromSlow asks runs at slow or silent replicas to end where a faster one has
+// room: their items go on there, after the last event. A job's client waits for its
+// last item, and reading a prompt again takes milliseconds.
 func (r *runner) moveFromSlow(view *siteview.View, now time.Time) {
-	usual := r.replicas.pause
-	if usual == 0 || r.queue.Len() > 0 {
+	since := now.Sub(r.movedAt)
+	if since < moveInterval {
 		return
 	}
-	var open []jobqueue.Replica
+	r.movedAt = now
+	runs := r.measureRuns(now)
+	if since > heldUp || len(runs) == 0 {
+		return
+	}
+	for _, move := range jobqueue.Moves(runs, r.replicas.candidates(view, r.table, now)) {
+		r.move(r.works[move.Item.Key], move.Replica)
+	}
+}
+
+// measureRuns notes the pace of all runs at their replicas, and gives those that
+// may be moved.
+func (r *runner) measureRuns(now time.Time) []jobqueue.Run {
+	var runs []jobqueue.Run
+	paces := map[string][]time.Duration{}
 	for _, item := range r.works {
-		pace := time.Duration(item.pace.Load()).Seconds()
-		if item.replica == "" || item.scoring || item.moves >= mostMoves || pace < moveFactor*usual {
+		if item.replica == "" || item.scoring {
 			continue
 		}
-		if open == nil {
-			open = r.replicas.candidates(view, r.table, now)
+		pace, silent := item.progress.lately(now.Sub(r.base), r.replicas.pace.usual)
+		if pace == 0 {
+			continue
 		}
-		_, service := r.route(item)
-		if jobqueue.Reserve(open, r.waiting(item, service), soundSlow) {
-			item.moves++
-			item.move.Store(true)
+		paces[item.replica] = append(paces[item.replica], pace)
+		if item.next != "" || item.moves >= mostMoves || (!silent && now.Sub(item.placedAt) < leastStay) {
+			continue
 		}
+		item.silent = silent
+		_, service := r.route(item)
+		waiting := r.waiting(item, service)
+		waiting.Relaxed = false
+		runs = append(runs, jobqueue.Run{Item: waiting, Replica: item.replica, Pace: pace, Left: r.lengths.left(item)})
+	}
+	for replica, measured := range paces {
+		r.replicas.watched(replica, measured, now)
+	}
+	return runs
+}
+
+// move asks the run of an item to end, and keeps a place for it elsewhere. One that
+// is silent is cut off.
+func (r *runner) move(item *work, replica string) {
+	item.moves++
+	item.next = replica
+	r.replicas.reserve(replica)
+	item.move.Store(true)
+	if item.silent {
+		item.interrupt()
 	}
 }
 
@@ -48,5 +86,6 @@
 	return jobqueue.Item{
 		Key: item.key, Service: service, Model: item.model, MinVersion: item.minVersion, Only: item.only(),
 		Group: item.item.Group, Rank: item.rank, Avoid: item.avoid,
+		Relaxed: float64(item.item.ExpectedLength()) < relaxedShare*float64(item.longest),
 	}
 }
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -17,6 +17,7 @@
 	}
 	now := time.Now()
 	item.cancel()
+	next := r.releaseNext(item)
 	if event.replica != "" {
 		r.store.config.Recorder.RunEnded(event.kind.String())
 		r.replicas.leave(item)
@@ -25,6 +26,7 @@
 	switch event.kind {
 	case runWhole:
 		r.demand.whole(item.model, item.length())
+		r.lengths.whole(item)
 		r.logRun(event, "a run made the text whole")
 		r.startScoring(item)
 	case runScored:
@@ -42,13 +44,34 @@
 	case runMoved:
 		r.logRun(event, "an item leaves a slow replica")
 		item.avoid = event.replica
-		r.enqueue(item, time.Time{})
+		r.goOn(item, next)
 	case runRefused, runBroken, runUnfit:
 		r.logRun(event, "a run came to no whole text")
 		r.enqueue(item, now.Add(retryPause))
 	}
 }
 
+// releaseNext gives the place free that was kept for an item, and names its replica.
+func (r *runner) releaseNext(item *work) string {
+	next := item.next
+	if next != "" {
+		r.replicas.release(next)
+	}
+	item.next = ""
+	return next
+}
+
+// goOn starts a moved item where a place was kept for it, if the replica is still
+// there, else it waits for another one.
+func (r *runner) goOn(item *work, next string) {
+	view := r.store.config.Watcher.View()
+	if replica, present := view.Replicas[next]; present && !item.isWhole() {
+		r.startRun(item, replica, view.Position)
+		return
+	}
+	r.enqueue(item, time.Time{})
+}
+
 // Outcomes of items, for the measures.
 const (
 	outcomeCompleted = "completed"
@@ -66,8 +89,6 @@
 	}
 	r.replicas.measure(event.replica, event.pause, now)
 	switch event.kind {
-	case runMoved:
-		r.replicas.slowed(event.replica, event.pause)
 	case runRefused, runUnfit:
 		r.replicas.block(event.replica, now.Add(refusedPause))
 	case runBroken:
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -1,7 +1,7 @@
 package sitestore
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
@@ -13,20 +13,13 @@
 const (
 	// promptKeptFor is how long a replica is taken to have a group's prompt.
 	promptKeptFor = 5 * time.Second
-	// slowShare is the weight of a new pause between events in the mean.
-	slowShare = 0.1
-	// mostSlow bounds how much slower a replica is taken to be.
-	mostSlow = 8
-	// slowFades is how long it takes until a slow replica is tried again as if
-	// it were half as slow.
-	slowFades = 3 * time.Second
 )
 
 // replicaBook is what the runner knows of replicas.
 type replicaBook struct {
 	replicas map[string]*replicaEntry
-	// pause is the mean pause between events over all replicas.
-	pause float64
+	// pace is that of all replicas together.
+	pace pace
 
 	// listed are the replicas of the last view and table; open is what was made
 	// of them last.
@@ -46,12 +39,12 @@
 }
 
 type replicaEntry struct {
-	running      int
+	running int
+	// reserved counts places kept for items whose run elsewhere is ending.
+	reserved     int
 	blockedUntil time.Time
 	failures     int
-	// pause is the mean pause between events, in seconds.
-	pause      float64
-	measuredAt time.Time
+	pace         pace
 	// groups are when a group's prompt was last read here.
 	groups map[string]time.Time
 	// versions are weight versions that answers showed, newer than the view.
@@ -87,6 +80,15 @@
 	item.replica = ""
 }
 
+// reserve keeps a place for an item whose run elsewhere is ending.
+func (b *replicaBook) reserve(id string) { b.entry(id).reserved++ }
+
+// release gives such a place free.
+func (b *replicaBook) release(id string) {
+	known := b.entry(id)
+	known.reserved = max(0, known.reserved-1)
+}
+
 // block leaves a replica out for a while.
 func (b *replicaBook) block(id string, until time.Time) {
 	known := b.entry(id)
@@ -95,39 +97,30 @@
 	}
 }
 
-// measure notes how fast events came.
+// measure notes the pause between the events of a run.
 func (b *replicaBook) measure(id string, pause time.Duration, now time.Time) {
 	if pause <= 0 {
 		return
 	}
 	known := b.entry(id)
 	known.failures = 0
-	known.pause = blend(known.pause, pause.Seconds())
-	known.measuredAt = now
-	b.pause = blend(b.pause, pause.Seconds())
+	known.pace.note(pause, now)
+	b.pace.note(pause, now)
 }
 
-// slowed notes that a run showed a replica to be slow beyond doubt.
-func (b *replicaBook) slowed(id string, pause time.Duration) {
-	known := b.entry(id)
-	known.pause = max(known.pause, pause.Seconds())
-}
-
-func blend(held, sample float64) float64 {
-	if held == 0 {
-		return sample
-	}
-	return held + slowShare*(sample-held)
+// watched notes the paces of the runs at a replica while they go on.
+func (b *replicaBook) watched(id string, paces []time.Duration, now time.Time) {
+	slices.Sort(paces)
+	b.entry(id).pace.watch(paces[len(paces)/2], now)
 }
 
-// slow gives how much longer than usual a replica takes; a slow one is tried
-// again as its measurement ages.
-func (b *replicaBook) slow(known *replicaEntry, now time.Time) float64 {
-	if known.pause == 0 || b.pause == 0 {
-		return 1
+// expected gives the pace that a run at a replica is expected to have: that of all
+// replicas if nothing ran there yet.
+func (b *replicaBook) expected(known *replicaEntry, now time.Time) time.Duration {
+	if expected := known.pace.expected(now); expected > 0 {
+		return expected
 	}
-	ratio := min(mostSlow, max(1, known.pause/b.pause))
-	return 1 + (ratio-1)*math.Exp2(-now.Sub(known.measuredAt).Seconds()/slowFades.Seconds())
+	return max(b.pace.usual, time.Nanosecond)
 }
 
 // candidates lists the replicas that may run items. The result is good until the
@@ -143,9 +136,9 @@
 			continue
 		}
 		candidate := listed.candidate
-		candidate.Running = listed.known.running
+		candidate.Running = listed.known.running + listed.known.reserved
 		candidate.Free = listed.slots - candidate.Running
-		candidate.Slow = b.slow(listed.known, now)
+		candidate.Pace = b.expected(listed.known, now)
 		b.open = append(b.open, candidate)
 	}
 	return b.open
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -74,6 +74,9 @@
 // generate runs an item at a replica until its text is whole or the run ends.
 func (r *runner) generate(ctx context.Context, item *work, replica sitestate.Replica) {
 	event := r.generateOnce(ctx, item, replica)
+	if event.kind == runBroken && item.move.Load() {
+		event.kind, event.reason = runMoved, "the replica was silent and another one has room"
+	}
 	event.item, event.context, event.replica = item, ctx, replica.ID
 	r.tell(event)
 }
@@ -81,6 +84,7 @@
 func (r *runner) generateOnce(outer context.Context, item *work, replica sitestate.Replica) runEvent {
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
+	item.setCut(cancel)
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
 	headers := r.store.config.Dialect.Headers()
@@ -153,8 +157,9 @@
 		if event.Version != 0 {
 			version = event.Version
 		}
-		pauses.note(time.Now())
-		item.pace.Store(int64(pauses.pace()))
+		now := time.Now()
+		pauses.note(now)
+		item.progress.show(pauses.pace(), now.Sub(r.base))
 		if !item.add(event.Data, event.ID, version) {
 			item.startOver()
 			return runEvent{kind: runUnfit, version: version, reason: "the weights changed to a version that the job does not take"}
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -11,6 +11,7 @@
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
 const (
@@ -35,6 +36,8 @@
 	wake    chan struct{}
 	events  chan runEvent
 	kept    chan error
+	// base is when the runner was made; times that goroutines share count from it.
+	base time.Time
 
 	// The rest is that of one leadership.
 	leads     bool
@@ -48,6 +51,7 @@
 	queue    jobqueue.Queue
 	replicas *replicaBook
 	demand   *demandMeter
+	lengths  lengths
 	table    *routing.Table
 	keeping  bool
 	// keptAt is when the last record was proposed, grownAt when the last one
@@ -61,7 +65,7 @@
 
 func newRunner(store *Store, replica *replicacall.Client) *runner {
 	return &runner{
-		store: store, replica: replica, wake: make(chan struct{}, 1),
+		store: store, replica: replica, base: time.Now(), wake: make(chan struct{}, 1),
 		events: make(chan runEvent, eventQueue), kept: make(chan error, 1),
 	}
 }
@@ -130,11 +134,8 @@
 		r.routeAgain()
 	}
 	r.giveUpOld()
+	r.moveFromSlow(view, time.Now())
 	r.place(view)
-	if now := time.Now(); now.Sub(r.movedAt) >= runnerInterval {
-		r.movedAt = now
-		r.moveFromSlow(view, now)
-	}
 	if r.measureDemand() {
 		r.replicas.forget(view, time.Now())
 	}
@@ -151,6 +152,7 @@
 	r.queue = jobqueue.Queue{}
 	r.replicas = newReplicaBook()
 	r.demand = newDemandMeter(time.Now())
+	r.lengths = lengths{}
 	r.table = nil
 	r.keeping, r.urgent = false, false
 	r.kept = make(chan error, 1)
@@ -207,11 +209,11 @@
 // openItems copies the items of a job that have no result, in the loop's
 // goroutine.
 func openItems(job *jobstate.Job, now time.Time) []*work {
-	ranks := jobqueue.Ranks(job)
+	ranks, longest := jobqueue.Ranks(job), job.Longest()
 	var open []*work
 	for i := range job.Items {
 		if job.Items[i].Result == jobstate.ResultNone {
-			open = append(open, newWork(job, i, ranks[i], now))
+			open = append(open, newWork(job, i, longest, ranks[i], now))
 		}
 	}
 	return open
@@ -227,8 +229,7 @@
 		if item.cancel != nil {
 			item.cancel()
 		}
-		r.replicas.leave(item)
-		delete(r.works, key)
+		r.drop(key, item)
 	}
 }
 
@@ -312,18 +313,25 @@
 		if item == nil || !known {
 			continue
 		}
-		r.replicas.enter(item, placed.Replica, now)
-		item.pace.Store(0)
-		item.move.Store(false)
-		ctx, cancel := context.WithCancel(r.context)
-		item.cancel = cancel
-		r.store.config.Logger.Info().Str(eventlog.Field, eventlog.ItemPlaced).Str("job", item.key.Job).Str("id", item.item.ID).
-			Str("replica", replica.ID).Uint64("version", replica.VersionOf(item.model)).Uint64("min_version", item.minVersion).
-			Bool("surplus", item.rank.Surplus).Str("after_event", item.begin()).Uint64("view", view.Position).Msg("an item was sent to a replica")
-		go r.generate(ctx, item, replica)
+		r.startRun(item, replica, view.Position)
 	}
 }
 
+// startRun sends an item to a replica. Position is that of the view it was chosen by.
+func (r *runner) startRun(item *work, replica sitestate.Replica, position uint64) {
+	now := time.Now()
+	r.replicas.enter(item, replica.ID, now)
+	item.placedAt = now
+	item.progress.show(0, now.Sub(r.base))
+	item.move.Store(false)
+	ctx, cancel := context.WithCancel(r.context)
+	item.cancel = cancel
+	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.ItemPlaced).Str("job", item.key.Job).Str("id", item.item.ID).
+		Str("replica", replica.ID).Uint64("version", replica.VersionOf(item.model)).Uint64("min_version", item.minVersion).
+		Int("expected", item.rank.Expected).Str("after_event", item.begin()).Uint64("view", position).Msg("an item was sent to a replica")
+	go r.generate(ctx, item, replica)
+}
+
 // freeStranded starts texts over that only one version may go on with, if no
 // replica serves that version any more.
 func (r *runner) freeStranded(candidates []jobqueue.Replica) {
@@ -361,6 +369,7 @@
 
 // drop forgets an item that is done.
 func (r *runner) drop(key jobqueue.Key, item *work) {
+	r.releaseNext(item)
 	r.replicas.leave(item)
 	delete(r.works, key)
 }
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
@@ -22,24 +23,32 @@
 	rank       jobqueue.Rank
 	model      string
 	accepted   acceptedAt
+	// longest is the longest length expected of an item of its job.
+	longest int
 
 	// replica runs it; empty while it waits. cancel ends the run.
 	replica string
 	cancel  context.CancelFunc
 	// scoring is set once its text is whole.
 	scoring bool
-	// moves counts how often it was taken from a slow replica.
-	moves int
-	// avoid is the replica that it was taken from last.
-	avoid string
-
-	// pace is the mean pause between the events of its present run, in
-	// nanoseconds, 0 while it is not known; the run sets it. move asks the run to
-	// end at its next event.
-	pace atomic.Int64
-	move atomic.Bool
+	// placedAt is when its present run began.
+	placedAt time.Time
+	// moves counts how often it was taken from a slow replica, and avoid is the one
+	// that it was taken from last. Next is where it goes on when its run has ended,
+	// empty if it stays; silent is set if the run showed nothing of late.
+	moves  int
+	avoid  string
+	next   string
+	silent bool
+
+	// progress is that of its present run, which sets it; move asks the run to end
+	// at its next event.
+	progress progress
+	move     atomic.Bool
 
 	mutex sync.Mutex
+	// cut ends the present run at once.
+	cut context.CancelFunc
 	// events, lastEvent and versions are those of the whole text so far.
 	events    int
 	lastEvent string
@@ -58,17 +67,33 @@
 }
 
 // newWork takes an item over from the log.
-func newWork(job *jobstate.Job, index int, rank jobqueue.Rank, accepted acceptedAt) *work {
+func newWork(job *jobstate.Job, index, longest int, rank jobqueue.Rank, accepted acceptedAt) *work {
 	item := &job.Items[index]
 	return &work{
 		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host,
 		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
-		item: item.Item, rank: rank, accepted: accepted,
+		item: item.Item, rank: rank, accepted: accepted, longest: longest,
 		events: item.Events, kept: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
 		whole: item.Whole, failures: item.Failures,
 	}
 }
 
+// setCut notes how the present run is ended at once.
+func (w *work) setCut(cut context.CancelFunc) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.cut = cut
+}
+
+// interrupt ends the present run at once.
+func (w *work) interrupt() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.cut != nil {
+		w.cut()
+	}
+}
+
 // begin gives the id of the last event, empty for a text that starts.
 func (w *work) begin() (lastEvent string) {
 	w.mutex.Lock()
--- a/internal/core/jobqueue/jobqueue.go
+++ b/internal/core/jobqueue/jobqueue.go
@@ -1,7 +1,8 @@
 // Package jobqueue decides which item of which job runs next, and at which
-// replica. Items of groups that a job's client waits for go before surplus ones,
-// older jobs before newer, and a job's groups in their order, so that whole
-// groups are ready early. The package is pure.
+// replica. Older jobs go before newer ones, and in a job the items that are
+// expected to be long, as its client waits for them in the end. Which groups it
+// will not wait for is not known beforehand: those that are whole last. The package
+// is pure.
 package jobqueue
 
 import (
@@ -30,6 +31,8 @@
 	Group string
 	// Rank orders the items; lower runs first.
 	Rank Rank
+	// Relaxed is set for an item that is done in time at any replica.
+	Relaxed bool
 	// Avoid is a replica that was slow at it; it is taken if there is no other.
 	Avoid string
 	// NotBefore holds an item back after a refusal.
@@ -38,13 +41,11 @@
 
 // Rank is the place of an item in the order of work.
 type Rank struct {
-	// Surplus is set for groups beyond those that the client waits for.
-	Surplus bool
 	// Accepted is the log position at which the job was accepted.
 	Accepted uint64
-	// Long is set for an item that is expected to take much longer than the
-	// others of its job: the job's client waits for it in the end.
-	Long bool
+	// Expected is the length that the job's client expects, in its units: longer
+	// ones go first, as the client waits for them in the end.
+	Expected int
 	// Group and Item are positions in the job.
 	Group int
 	Item  int
@@ -52,40 +53,14 @@
 
 // Compare orders ranks.
 func (r Rank) Compare(other Rank) int {
-	return cmp.Or(compareBool(r.Surplus, other.Surplus), cmp.Compare(r.Accepted, other.Accepted),
-		compareBool(other.Long, r.Long), cmp.Compare(r.Group, other.Group), cmp.Compare(r.Item, other.Item))
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
-// longFactor is how many times the mean of its job an item is expected to take
-// that counts as long.
-const longFactor = 2
-
-// meanExpected gives the mean length that a job's client expects of its items.
-func meanExpected(job *jobstate.Job) float64 {
-	total := 0
-	for i := range job.Items {
-		total += job.Items[i].Item.Expected
-	}
-	return float64(total) / float64(max(1, len(job.Items)))
+	return cmp.Or(cmp.Compare(r.Accepted, other.Accepted), cmp.Compare(other.Expected, r.Expected),
+		cmp.Compare(r.Group, other.Group), cmp.Compare(r.Item, other.Item))
 }
 
 // Ranks gives the ranks of a job's items.
 func Ranks(job *jobstate.Job) []Rank {
 	groups := map[string]int{}
 	ranks := make([]Rank, len(job.Items))
-	long := longFactor * meanExpected(job)
 	for i := range job.Items {
 		name := job.Items[i].Item.Group
 		group, known := groups[name]
@@ -93,11 +68,7 @@
 			group = len(groups)
 			groups[groupName(name, i)] = group
 		}
-		surplus := job.Submission.Desired > 0 && group >= job.Submission.Desired
-		ranks[i] = Rank{
-			Surplus: surplus, Accepted: job.AcceptedAt, Group: group, Item: i,
-			Long: long > 0 && float64(job.Items[i].Item.Expected) >= long,
-		}
+		ranks[i] = Rank{Accepted: job.AcceptedAt, Expected: job.Items[i].Item.ExpectedLength(), Group: group, Item: i}
 	}
 	return ranks
 }
@@ -118,8 +89,8 @@
 	Free int
 	// Running is how many it runs.
 	Running int
-	// Slow is how much longer than usual its items take, 1 for the usual.
-	Slow float64
+	// Pace is the expected time between events of an item that runs there.
+	Pace time.Duration
 	// Version gives the version of a model that it serves, 0 if none.
 	Version func(model string) uint64
 	// Groups are the groups whose prompt it has read lately.
@@ -207,10 +178,7 @@
 		if replica.Free <= 0 || replica.Service != item.Service || !fits(replica, item) {
 			continue
 		}
-		cost := float64(replica.Running+1) * replica.Slow
-		if replica.Groups != nil && replica.Groups(item.Group) {
-			cost -= sharedPromptBonus
-		}
+		cost := cost(replica, item)
 		if replica.ID == item.Avoid {
 			cost += avoidedCost
 		}
@@ -221,25 +189,31 @@
 	return best
 }
 
-// avoidedCost puts a replica behind all others.
-const avoidedCost = 1e6
-
-// Reserve takes a place for an item at a replica that is no slower than given,
-// and reports whether there is one.
-func Reserve(replicas []Replica, item Item, mostSlow float64) bool {
-	for i := range replicas {
-		replica := &replicas[i]
-		if replica.Free > 0 && replica.Service == item.Service && replica.Slow <= mostSlow && fits(replica, item) {
-			replica.Free--
-			return true
-		}
+// cost weighs a replica for an item. What is done in time anywhere goes where least
+// runs, for its pace; the others go where they are done first, however many run
+// there. A replica that has read the group's prompt is preferred a little.
+func cost(replica *Replica, item Item) float64 {
+	warm := 0.0
+	if replica.Groups != nil && replica.Groups(item.Group) {
+		warm = 1
+	}
+	if item.Relaxed {
+		return replica.Pace.Seconds() * (float64(replica.Running+1) - warm*sharedPromptBonus)
 	}
-	return false
+	return replica.Pace.Seconds() * (1 + crowding*(float64(replica.Running)-warm*sharedPromptBonus))
 }
 
-// sharedPromptBonus is how many running items a replica may have more than
-// another one and still be taken, if it has read the group's prompt.
-const sharedPromptBonus = 2.5
+// avoidedCost puts a replica behind all others.
+const avoidedCost = 1e6
+
+const (
+	// sharedPromptBonus is how many running items a replica may have more than
+	// another one and still be taken, if it has read the group's prompt.
+	sharedPromptBonus = 2.5
+	// crowding is by what part of itself the pace of a batch grows with each item
+	// in it.
+	crowding = 0.015
+)
 
 func fits(replica *Replica, item Item) bool {
 	version := replica.Version(item.Model)
--- /dev/null
+++ b/internal/core/jobqueue/move_test.go
@@ -0,0 +1,51 @@
+package jobqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+)
+
+func paced(id string, free int, pace time.Duration) jobqueue.Replica {
+	paced := replica(id, free, 5)
+	paced.Pace = pace
+	return paced
+}
+
+func TestMovesGoWhereTimeIsSaved(t *testing.T) {
+	const usual, slow = 40 * time.Millisecond, 60 * time.Millisecond
+	run := func(index int, at string, pace time.Duration, left float64) jobqueue.Run {
+		return jobqueue.Run{Item: item("j", index, jobqueue.Rank{}), Replica: at, Pace: pace, Left: left}
+	}
+	needs := func(r jobqueue.Run, version uint64) jobqueue.Run {
+		r.Item.MinVersion = version
+		return r
+	}
+	for name, row := range map[string]struct {
+		runs     []jobqueue.Run
+		replicas []jobqueue.Replica
+		want     []int
+	}{
+		"a long one at a slow replica":      {[]jobqueue.Run{run(0, "s", slow, 50)}, []jobqueue.Replica{paced("f", 1, usual)}, []int{0}},
+		"nearly done":                       {[]jobqueue.Run{run(0, "s", slow, 5)}, []jobqueue.Replica{paced("f", 1, usual)}, nil},
+		"hardly slower":                     {[]jobqueue.Run{run(0, "s", 44*time.Millisecond, 500)}, []jobqueue.Replica{paced("f", 1, usual)}, nil},
+		"no room":                           {[]jobqueue.Run{run(0, "s", slow, 50)}, []jobqueue.Replica{paced("f", 0, usual)}, nil},
+		"others are as slow":                {[]jobqueue.Run{run(0, "s", slow, 50)}, []jobqueue.Replica{paced("t", 1, slow)}, nil},
+		"the one that gains most goes":      {[]jobqueue.Run{run(0, "s", slow, 30), run(1, "s", slow, 90)}, []jobqueue.Replica{paced("f", 1, usual)}, []int{1}},
+		"weights too old there":             {[]jobqueue.Run{needs(run(0, "s", slow, 50), 6)}, []jobqueue.Replica{paced("f", 1, usual)}, nil},
+		"silent, whatever its pace was":     {[]jobqueue.Run{run(0, "s", time.Second, 2)}, []jobqueue.Replica{paced("t", 1, slow)}, []int{0}},
+		"it has room itself, as the others": {[]jobqueue.Run{run(0, "s", 90*time.Millisecond, 50)}, []jobqueue.Replica{paced("s", 1, usual)}, nil},
+	} {
+		moves := jobqueue.Moves(row.runs, row.replicas)
+		if len(moves) != len(row.want) {
+			t.Errorf("%s: %v", name, moves)
+			continue
+		}
+		for i, move := range moves {
+			if move.Item.Key.Item != row.want[i] {
+				t.Errorf("%s: item %d goes, want %d", name, move.Item.Key.Item, row.want[i])
+			}
+		}
+	}
+}
--- a/internal/core/jobstate/command.go
+++ b/internal/core/jobstate/command.go
@@ -47,6 +47,15 @@
 	Expected int `cbor:"8,keyasint,omitempty"`
 }
 
+// ExpectedLength gives the length that the client expects of the item's text, 0 if
+// it does not say. It is at most what the item may have at all.
+func (i *Item) ExpectedLength() int {
+	if i.Tokens <= 0 {
+		return i.Expected
+	}
+	return min(i.Expected, i.Tokens)
+}
+
 // Header is one header of an item's request.
 type Header struct {
 	Name  string `cbor:"1,keyasint"`
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -46,6 +46,15 @@
 // Done reports whether every item has a result.
 func (j *Job) Done() bool { return len(j.Results) == len(j.Items) }
 
+// Longest gives the longest length that the client expects of an item.
+func (j *Job) Longest() int {
+	longest := 0
+	for i := range j.Items {
+		longest = max(longest, j.Items[i].Item.ExpectedLength())
+	}
+	return longest
+}
+
 // State holds the jobs. It is not safe for concurrent use.
 type State struct {
 	jobs map[string]*Job
