group, sitestore, logs: members that were removed while away ask; the runner looks at all items less often; a line for each job

A member that hears no leader asks now, each second, whether it was removed; only a leader that has committed the removal says so. Found with its test: a founder that was removed in its first life would have founded the group again under the id that it had; a member founds only if it never had one. It went through all open items, looked up their routes and locked them with every item that was placed, ended or scored; now ten times a second. Cause 3: what a step waited for could not be read from logs, as item lines are left out under load: job.done is a line for each job that is never left out, and loomgrade logs steps makes the table.

--- a/cmd/loomgrade/cmd_logs.go
+++ b/cmd/loomgrade/cmd_logs.go
@@ -14,6 +14,7 @@
 // logsCommand reads the log lines that processes wrote.
 type logsCommand struct {
 	Explain logsExplainCommand `cmd:"" help:"Tell what happened to a request, job, item, replica or machine, from the logs of several processes."`
+	Steps   logsStepsCommand   `cmd:"" help:"List the jobs that were done with their times, and the item that each waited for last."`
 }
 
 // logsExplainCommand puts the lines of one id in order and names the cause.
@@ -35,13 +36,9 @@
 
 // Run prints the story of an id.
 func (c *logsExplainCommand) Run(std streams) error {
-	var lines []logstory.Line
-	for _, path := range c.Files {
-		read, err := readLines(path)
-		if err != nil {
-			return usageError{err}
-		}
-		lines = append(lines, read...)
+	lines, err := readFiles(c.Files)
+	if err != nil {
+		return usageError{err}
 	}
 	meanings := make(map[string]string, len(eventlog.Catalogue))
 	for _, described := range eventlog.Catalogue {
@@ -59,6 +56,43 @@
 	})
 }
 
+// logsStepsCommand lists jobs with their times.
+type logsStepsCommand struct {
+	Files       []string `arg:"" type:"path" help:"Files with log lines of store processes."`
+	outputFlags `embed:""`
+}
+
+// Run prints a row for each job that a runner has done with.
+func (c *logsStepsCommand) Run(std streams) error {
+	lines, err := readFiles(c.Files)
+	if err != nil {
+		return usageError{err}
+	}
+	return output(c.outputFlags, std, logstory.Steps(lines), func(lines *table, steps []logstory.Step) {
+		lines.row("STEP", "JOB", "BEGUN", "ITEMS", "RUNS", "LAST PLACED", "WHOLE 50%", "90%", "100%", "TOOK", "LAST ITEM", "EVENTS", "MOVES", "WAITED", "REPLICA", "")
+		for _, step := range steps {
+			left := ""
+			if !step.Ended {
+				left = "(left by the runner)"
+			}
+			lines.row(step.Step, step.Job, clock(step.Begun), step.Items, step.Runs, step.LastPlaced, step.Whole50, step.Whole90, step.Whole100,
+				step.Took, step.LastItem, step.LastEvents, step.LastMoves, step.LastWaited, step.LastReplica, left)
+		}
+	})
+}
+
+func readFiles(paths []string) ([]logstory.Line, error) {
+	var lines []logstory.Line
+	for _, path := range paths {
+		read, err := readLines(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLines(path string) ([]logstory.Line, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/cmd/loomgrade/page_test.go
+++ b/cmd/loomgrade/page_test.go
@@ -109,7 +109,7 @@
 		"pool list", "pool show", "policy check", "policy simulate", "weights publish", "weights status",
 		"replica list", "replica drain", "replica return", "member list", "member add", "member remove",
 		"explain", "status", "settings check", "version",
-		"logs explain", "job submit", "job list", "job results", "job end", "store status", "store evacuate",
+		"logs explain", "logs steps", "job submit", "job list", "job results", "job end", "store status", "store evacuate",
 	} {
 		if _, exists := commands[name]; !exists {
 			t.Errorf("no command %q", name)
--- a/internal/adapter/eventlog/eventlog.go
+++ b/internal/adapter/eventlog/eventlog.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// Important gives a logger whose lines are not left out under load, whatever their
+// level: for what there is little of and nobody can do without.
+func Important(logger *log.Logger) *log.Logger {
+	writer, ours := logger.Writer.(*Writer)
+	if !ours {
+		return logger
+	}
+	important := *logger
+	important.Writer = importantWriter{writer}
+	return &important
+}
+
+type importantWriter struct{ writer *Writer }
+
+// WriteEntry implements log.Writer.
+func (i importantWriter) WriteEntry(entry *log.Entry) (int, error) {
+	return i.writer.enqueue(i.writer.urgent, entry.Value())
+}
+
 // Dropped gives the number of lines that were left out.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
@@ -62,6 +81,11 @@
 			return len(formatted), nil
 		}
 	}
+	return w.enqueue(queue, formatted)
+}
+
+// enqueue hands a line to the writer's goroutine, if the queue has room.
+func (w *Writer) enqueue(queue chan []byte, formatted []byte) (int, error) {
 	line := append([]byte(nil), formatted[:min(len(formatted), maxLineBytes)]...)
 	select {
 	case queue <- line:
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -43,6 +43,7 @@
 	RequestNoRoute          Event = "request.noroute"
 	JobAccepted             Event = "job.accepted"
 	JobEnded                Event = "job.ended"
+	JobDone                 Event = "job.done"
 	ItemPlaced              Event = "item.placed"
 	ItemRun                 Event = "item.run"
 	ItemListed              Event = "item.listed"
@@ -96,6 +97,7 @@
 	{RequestNoRoute, "no route leads a request anywhere"},
 	{JobAccepted, "a job is kept from now on"},
 	{JobEnded, "a job was ended by its client"},
+	{JobDone, "the runner has done with a job: when its items were placed and its groups whole, in milliseconds from when it took the job over, and which item was last"},
 	{ItemPlaced, "an item was sent to a replica; why there, from which event on"},
 	{ItemRun, "how a run of an item ended"},
 	{ItemListed, "an item's result is proposed for its position"},
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -21,6 +21,9 @@
 	DefaultReplaceAfter   = 3500 * time.Millisecond
 	DefaultVacantAfter    = 1500 * time.Millisecond
 	DefaultForgetAfter    = 20 * time.Second
+	// DefaultStandingInterval is the time between two questions of a member that
+	// hears no leader.
+	DefaultStandingInterval = time.Second
 
 	retainEntries = 512
 	maxBatch      = 512
@@ -70,7 +73,10 @@
 	ReplaceAfter   time.Duration
 	VacantAfter    time.Duration
 	ForgetAfter    time.Duration
-	SnapshotBytes  int
+	// StandingInterval is the time between two questions of a member that hears no
+	// leader, whether it was removed.
+	StandingInterval time.Duration
+	SnapshotBytes    int
 }
 
 func (c Config) withDefaults() Config {
@@ -80,6 +86,7 @@
 	c.ReplaceAfter = cmp.Or(c.ReplaceAfter, DefaultReplaceAfter)
 	c.VacantAfter = cmp.Or(c.VacantAfter, DefaultVacantAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.StandingInterval = cmp.Or(c.StandingInterval, DefaultStandingInterval)
 	c.Limits.ReplaceTicks = cmp.Or(c.Limits.ReplaceTicks, uint64(c.ReplaceAfter/c.Tick))
 	c.Limits.VacantTicks = cmp.Or(c.Limits.VacantTicks, uint64(c.VacantAfter/c.Tick))
 	c.Limits.ForgetTicks = cmp.Or(c.Limits.ForgetTicks, uint64(c.ForgetAfter/c.Tick))
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -45,7 +45,9 @@
 	lastToken uint64
 	awaiting  map[uint64]func(groupmember.Reply)
 	changing  bool
-	told      []groupmember.Record
+	// removed is set once the group's leader said that this member was removed.
+	removed bool
+	told    []groupmember.Record
 }
 
 // newLoop builds the core on an open log.
@@ -207,7 +209,7 @@
 			return err
 		}
 	}
-	if l.member.Status().Role == consensus.RoleRemoved {
+	if l.removed || l.member.Status().Role == consensus.RoleRemoved {
 		return errRemoved
 	}
 	if l.member.WantsSnapshot() {
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -43,8 +43,11 @@
 
 // Member is one member of a group.
 type Member struct {
-	config  Config
-	peers   *peers
+	config Config
+	peers  *peers
+	// entered is set once the member had an id in this life of the process; Run's
+	// goroutine owns it.
+	entered bool
 	current atomic.Pointer[loop]
 	shown   atomic.Pointer[Shown]
 }
@@ -72,6 +75,7 @@
 func (m *Member) Register(server *wire.Server) {
 	server.HandleMessage(m.config.Name+".consensus", m.takeMessage)
 	server.Handle(m.config.Name+".join", m.serveJoin)
+	server.Handle(m.config.Name+".standing", m.serveStanding)
 }
 
 // takeMessage queues a consensus message; one that finds no room is lost.
@@ -93,12 +97,15 @@
 	defer m.peers.close()
 	place := folder{files: m.config.FileSystem, path: m.config.Folder}
 	for {
-		l, err := m.open(ctx, place)
+		l, stored, err := m.open(ctx, place)
 		if err != nil {
 			return err
 		}
 		m.current.Store(l)
+		watched, stopWatch := context.WithCancel(ctx)
+		go m.watchStanding(watched, l, stored)
 		err = l.run(ctx)
+		stopWatch()
 		m.current.Store(nil)
 		m.shown.Store(nil)
 		err = errors.Join(err, l.log.Close())
@@ -112,23 +119,26 @@
 	}
 }
 
-// open gives the loop of a member: from its log, or by founding or joining.
-func (m *Member) open(ctx context.Context, place folder) (*loop, error) {
+// open gives the loop of a member and its identity: from its log, or by founding or
+// joining.
+func (m *Member) open(ctx context.Context, place folder) (*loop, identity, error) {
 	stored, found, err := place.load()
 	if err != nil {
-		return nil, err
+		return nil, identity{}, err
 	}
+	mayFound := !found && !m.entered
+	m.entered = true
 	if found {
 		l, err := m.reopen(place, stored)
 		if err == nil || !unusable(err) {
-			return l, err
+			return l, stored, err
 		}
 		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
 	}
 	if err := place.clear(); err != nil {
-		return nil, err
+		return nil, identity{}, err
 	}
-	return m.enter(ctx, place)
+	return m.enter(ctx, place, mayFound)
 }
 
 func unusable(err error) bool {
@@ -156,19 +166,22 @@
 	}
 }
 
-// enter brings a member with an empty folder into the group.
-func (m *Member) enter(ctx context.Context, place folder) (*loop, error) {
+// enter brings a member with an empty folder into the group. It may be among the
+// founders only if it never had an id: under one that it had before it would vote
+// without memory.
+func (m *Member) enter(ctx context.Context, place folder, mayFound bool) (*loop, identity, error) {
 	incarnation := newIncarnation()
 	for tries := 1; ; tries++ {
-		stored, err := m.tryEnter(ctx, incarnation)
+		stored, err := m.tryEnter(ctx, incarnation, mayFound)
 		if err == nil {
 			stored.Incarnation = incarnation
 			if err := place.save(stored); err != nil {
-				return nil, err
+				return nil, identity{}, err
 			}
 			m.config.Logger.Info().Str(eventlog.Field, eventlog.GroupEntered).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
 				Bool("founder", stored.Founding).Msg("this member has an id")
-			return m.create(place, stored)
+			l, err := m.create(place, stored)
+			return l, stored, err
 		}
 		pause := originInterval
 		if tries > quickTries {
@@ -177,18 +190,18 @@
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, identity{}, ctx.Err()
 		}
 	}
 }
 
-func (m *Member) tryEnter(ctx context.Context, incarnation string) (identity, error) {
+func (m *Member) tryEnter(ctx context.Context, incarnation string, mayFound bool) (identity, error) {
 	origin, err := m.config.Origin(ctx, incarnation)
 	if err != nil {
 		return identity{}, err
 	}
 	for _, founder := range origin.Founders {
-		if founder.Address == m.config.Self.Address && (founder.Incarnation == "" || founder.Incarnation == incarnation) {
+		if mayFound && founder.Address == m.config.Self.Address && (founder.Incarnation == "" || founder.Incarnation == incarnation) {
 			return identity{ID: founder.ID, Founding: true, Records: origin.Founders}, nil
 		}
 	}
--- /dev/null
+++ b/internal/app/group/standing_test.go
@@ -0,0 +1,134 @@
+package group_test
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+)
+
+// counter is a state machine that counts commands.
+type counter struct{ applied byte }
+
+func (c *counter) Apply(uint64, []byte) any  { c.applied++; return nil }
+func (c *counter) Snapshot() ([]byte, error) { return []byte{c.applied}, nil }
+func (c *counter) Restore(data []byte) error { c.applied = data[0]; return nil }
+
+// groupMachine is a machine that runs a member; it is stopped and started again at
+// the same address, with the same folder.
+type groupMachine struct {
+	t       *testing.T
+	founder groupmember.Record
+	folder  string
+	origin  group.Origin
+	member  *group.Member
+	stop    func()
+}
+
+func (m *groupMachine) start() {
+	m.t.Helper()
+	options := wire.Options{ClusterID: "test", Name: m.founder.Name, DialTimeout: 200 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
+	m.member = group.New(group.Config{
+		Name: "test", Folder: m.folder, Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
+		Self:    groupmember.Record{Address: m.founder.Address, Name: m.founder.Name},
+		Machine: func() groupmember.StateMachine { return &counter{} },
+		Origin:  func(context.Context, string) (group.Origin, error) { return m.origin, nil },
+		Changed: func(group.Step) {}, Logger: &log.Logger{Level: log.PanicLevel},
+		Limits:       groupmember.Limits{Voters: 3, LeastVoters: 3},
+		ReplaceAfter: 400 * time.Millisecond, VacantAfter: 200 * time.Millisecond, StandingInterval: 50 * time.Millisecond,
+	})
+	server := wire.NewServer(options)
+	m.member.Register(server)
+	listener, err := net.Listen("tcp", m.founder.Address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	member := m.member
+	tasks.Go(func() { _ = server.Serve(listener) })
+	tasks.Go(func() { _ = member.Run(ctx) })
+	m.stop = func() {
+		cancel()
+		server.Close()
+		tasks.Wait()
+	}
+}
+
+// voters gives the names of the voters, as the leader among the machines sees them.
+func voters(machines []*groupMachine) []string {
+	for _, m := range machines {
+		shown := m.member.Shown()
+		if shown == nil || !shown.Settled {
+			continue
+		}
+		var names []string
+		for _, record := range shown.Records {
+			if shown.Status.Membership.IsVoter(record.ID) {
+				names = append(names, record.Name)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	return nil
+}
+
+func awaitVoters(t *testing.T, machines []*groupMachine, want ...string) {
+	t.Helper()
+	const patience = 20 * time.Second
+	var got []string
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if got = voters(machines); slices.Equal(got, want) {
+			return
+		}
+	}
+	t.Fatalf("voters %v, want %v", got, want)
+}
+
+// TestAMemberThatWasRemovedWhileAwayTakesTheNextPlace: nobody knows its address any
+// more, so it has to ask. (Found in a day of a site with four store machines: one
+// that had been cut off stood for election for the rest of the day, and the site had
+// no machine left for the next loss.)
+func TestAMemberThatWasRemovedWhileAwayTakesTheNextPlace(t *testing.T) {
+	machines := map[string]*groupMachine{}
+	var founders []groupmember.Record
+	var contacts []string
+	for i, name := range []string{"a", "b", "c", "d"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
+		machines[name] = &groupMachine{t: t, founder: record, folder: t.TempDir()}
+		contacts = append(contacts, address)
+		if name != "d" {
+			founders = append(founders, record)
+		}
+	}
+	for _, m := range machines {
+		m.origin = group.Origin{Founders: founders, Contacts: contacts}
+		m.start()
+		defer func() { m.stop() }()
+	}
+	all := []*groupMachine{machines["a"], machines["b"], machines["c"], machines["d"]}
+	awaitVoters(t, all, "a", "b", "c")
+
+	machines["b"].stop()
+	awaitVoters(t, []*groupMachine{machines["a"], machines["c"], machines["d"]}, "a", "c", "d")
+	machines["b"].start()
+
+	machines["c"].stop()
+	awaitVoters(t, []*groupMachine{machines["a"], machines["b"], machines["d"]}, "a", "b", "d")
+}
--- a/internal/app/sitestore/move.go
+++ b/internal/app/sitestore/move.go
@@ -8,13 +8,11 @@
 )
 
 const (
-	// moveInterval is the time between two looks at the pace of runs, and the least
-	// time that an item stays at a replica.
-	moveInterval = 100 * time.Millisecond
-	leastStay    = 500 * time.Millisecond
+	// leastStay is the least time that an item stays at a replica.
+	leastStay = 500 * time.Millisecond
 	// heldUp is the time between two looks after which this process was itself held
 	// up: it cannot tell then who was silent.
-	heldUp = 3 * moveInterval
+	heldUp = 3 * runnerInterval
 	// relaxedShare is what part of the longest expected length of its job an item
 	// may have that is done in time at any replica: lengths are expected badly.
 	relaxedShare = 0.4
@@ -24,13 +22,9 @@
 
 // moveFromSlow asks runs at slow or silent replicas to end where a faster one has
 // room: their items go on there, after the last event. A job's client waits for its
-// last item, and reading a prompt again takes milliseconds.
-func (r *runner) moveFromSlow(view *siteview.View, now time.Time) {
-	since := now.Sub(r.movedAt)
-	if since < moveInterval {
-		return
-	}
-	r.movedAt = now
+// last item, and reading a prompt again takes milliseconds. Since is the time since
+// the look before.
+func (r *runner) moveFromSlow(view *siteview.View, now time.Time, since time.Duration) {
 	runs := r.measureRuns(now)
 	if since > heldUp || len(runs) == 0 {
 		return
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -21,6 +21,7 @@
 	if event.replica != "" {
 		r.store.config.Recorder.RunEnded(event.kind.String())
 		r.replicas.leave(item)
+		item.idleSince, item.lastReplica = now, event.replica
 		r.noteReplica(event, now)
 	}
 	switch event.kind {
@@ -30,6 +31,7 @@
 		r.logRun(event, "a run made the text whole")
 		r.startScoring(item)
 	case runScored:
+		r.noteDone(item, item.lastReplica)
 		item.finish(jobstate.ResultCompleted, event.score)
 		r.urgent = true
 		r.store.config.Recorder.ItemEnded(outcomeCompleted, now.Sub(item.accepted))
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -48,6 +48,7 @@
 	// jobs are those taken over, until they end.
 	jobs     map[string]bool
 	works    map[jobqueue.Key]*work
+	times    map[string]*jobTimes
 	queue    jobqueue.Queue
 	replicas *replicaBook
 	demand   *demandMeter
@@ -59,8 +60,8 @@
 	keptAt  time.Time
 	grownAt time.Time
 	urgent  bool
-	// movedAt is when slow runs were last looked for.
-	movedAt time.Time
+	// lookedAt is when all open items were last looked at.
+	lookedAt time.Time
 }
 
 func newRunner(store *Store, replica *replicacall.Client) *runner {
@@ -133,15 +134,25 @@
 		r.table = view.Table
 		r.routeAgain()
 	}
-	r.giveUpOld()
-	r.moveFromSlow(view, time.Now())
-	r.place(view)
-	if r.measureDemand() {
-		r.replicas.forget(view, time.Now())
+	if now := time.Now(); now.Sub(r.lookedAt) >= runnerInterval {
+		r.lookAtAll(view, now)
 	}
+	r.place(view)
 	r.keep()
 }
 
+// lookAtAll does what costs a look at every open item. It is not done for each item
+// that ends, of which there are hundreds a second.
+func (r *runner) lookAtAll(view *siteview.View, now time.Time) {
+	since := now.Sub(r.lookedAt)
+	r.lookedAt = now
+	r.giveUpOld(now)
+	r.moveFromSlow(view, now, since)
+	if r.measureDemand(now) {
+		r.replicas.forget(view, now)
+	}
+}
+
 // start begins a leadership.
 func (r *runner) start(ctx context.Context, term uint64) {
 	r.leads, r.term = true, term
@@ -149,6 +160,7 @@
 	r.jobSerial = 0
 	r.jobs = map[string]bool{}
 	r.works = map[jobqueue.Key]*work{}
+	r.times = map[string]*jobTimes{}
 	r.queue = jobqueue.Queue{}
 	r.replicas = newReplicaBook()
 	r.demand = newDemandMeter(time.Now())
@@ -166,6 +178,9 @@
 	}
 	r.leads = false
 	r.cancel()
+	for job := range r.times {
+		r.logTimes(job, false, time.Now())
+	}
 	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStopped).Uint64("term", r.term).Int("items", len(r.works)).Msg("this machine runs no items any more")
 }
 
@@ -186,6 +201,7 @@
 			}
 			open[id] = true
 			if !r.jobs[id] {
+				r.times[id] = newJobTimes(now, job.Submission.Step)
 				added = append(added, openItems(job, now)...)
 			}
 		}
@@ -197,11 +213,13 @@
 	for id := range r.jobs {
 		if !open[id] {
 			r.dropJob(id)
+			r.logTimes(id, true, now)
 		}
 	}
 	r.jobs = open
 	for _, item := range added {
 		r.works[item.key] = item
+		r.times[item.key.Job].add(item)
 		r.enqueue(item, time.Time{})
 	}
 }
@@ -274,9 +292,15 @@
 	}
 }
 
+// noteDone notes an item's result for the line of its job.
+func (r *runner) noteDone(item *work, replica string) {
+	if times := r.times[item.key.Job]; times != nil && !item.finished() {
+		times.done(item, replica, time.Now())
+	}
+}
+
 // giveUpOld gives up items that need not be kept any longer.
-func (r *runner) giveUpOld() {
-	now := time.Now()
+func (r *runner) giveUpOld(now time.Time) {
 	for _, item := range r.works {
 		route, _ := r.route(item)
 		if route == nil || route.Keep <= 0 || item.finished() || now.Sub(item.accepted) < route.Keep+giveUpMargin {
@@ -292,6 +316,7 @@
 }
 
 func (r *runner) giveUp(item *work, reason string) {
+	r.noteDone(item, item.lastReplica)
 	item.finish(jobstate.ResultErrored, "")
 	r.store.config.Recorder.ItemEnded(outcomeErrored, time.Since(item.accepted))
 	r.urgent = true
@@ -322,6 +347,9 @@
 	now := time.Now()
 	r.replicas.enter(item, replica.ID, now)
 	item.placedAt = now
+	if times := r.times[item.key.Job]; times != nil {
+		times.placed(item, now)
+	}
 	item.progress.show(0, now.Sub(r.base))
 	item.move.Store(false)
 	ctx, cancel := context.WithCancel(r.context)
@@ -376,7 +404,7 @@
 
 // measureDemand publishes the work that jobs bring, and reports whether it was
 // due.
-func (r *runner) measureDemand() bool {
+func (r *runner) measureDemand(now time.Time) bool {
 	r.store.open.Store(int64(len(r.works)))
 	waiting := map[string]int{}
 	for _, item := range r.works {
@@ -384,7 +412,6 @@
 			waiting[item.model]++
 		}
 	}
-	now := time.Now()
 	r.demand.notePeak(waiting, now)
 	rates, due := r.demand.rates(waiting, now)
 	if due {
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -33,6 +33,13 @@
 	scoring bool
 	// placedAt is when its present run began.
 	placedAt time.Time
+	// ran is set once it was at a replica; idleSince is since when it is at none,
+	// and waited how long it was before.
+	ran       bool
+	idleSince time.Time
+	// lastReplica is the one of its last run.
+	lastReplica string
+	waited      time.Duration
 	// moves counts how often it was taken from a slow replica, and avoid is the one
 	// that it was taken from last. Next is where it goes on when its run has ended,
 	// empty if it stays; silent is set if the run showed nothing of late.
@@ -72,7 +79,7 @@
 	return &work{
 		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host,
 		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
-		item: item.Item, rank: rank, accepted: accepted, longest: longest,
+		item: item.Item, rank: rank, accepted: accepted, idleSince: accepted, longest: longest,
 		events: item.Events, kept: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
 		whole: item.Whole, failures: item.Failures,
 	}
--- /dev/null
+++ b/internal/core/logstory/steps.go
@@ -0,0 +1,63 @@
+package logstory
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
+
+// EventJobDone is the event of a line that sums a job up.
+const EventJobDone = "job.done"
+
+// Step is when what of a job was done, from one runner's line about it. Times are in
+// milliseconds from when the runner took the job over; 0 is never.
+type Step struct {
+	Job     string `json:"job"`
+	Step    uint64 `json:"step"`
+	Process string `json:"process"`
+	// Begun is when the runner took the job over, in milliseconds since 1970.
+	Begun int64 `json:"begun"`
+	// Ended is set if the job was ended, and not only the runner's work on it.
+	Ended       bool   `json:"ended"`
+	Items       int64  `json:"items"`
+	Runs        int64  `json:"runs"`
+	LastPlaced  int64  `json:"last_placed_ms"`
+	Whole50     int64  `json:"whole_50_ms"`
+	Whole90     int64  `json:"whole_90_ms"`
+	Whole100    int64  `json:"whole_100_ms"`
+	Took        int64  `json:"took_ms"`
+	LastItem    string `json:"last_item"`
+	LastReplica string `json:"last_replica"`
+	LastEvents  int64  `json:"last_events"`
+	LastMoves   int64  `json:"last_moves"`
+	LastWaited  int64  `json:"last_waited_ms"`
+}
+
+// Steps gives the jobs that runners have done with, in order of when they began.
+func Steps(lines []Line) []Step {
+	var steps []Step
+	for _, line := range lines {
+		if line.Event != EventJobDone {
+			continue
+		}
+		took := line.number("took_ms")
+		steps = append(steps, Step{
+			Job: line.field("id"), Step: uint64(line.number("step")), Process: line.Process, Begun: line.Time - took,
+			Ended: line.field("ended") == "true", Items: line.number("items"), Runs: line.number("runs"),
+			LastPlaced: line.number("last_placed_ms"), Whole50: line.number("whole_50_ms"), Whole90: line.number("whole_90_ms"),
+			Whole100: line.number("whole_100_ms"), Took: took, LastItem: line.field("last_item"), LastReplica: line.field("last_replica"),
+			LastEvents: line.number("last_events"), LastMoves: line.number("last_moves"), LastWaited: line.number("last_waited_ms"),
+		})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Begun, b.Begun) })
+	return steps
+}
+
+// number gives a field as a whole number, 0 if it is none.
+func (l Line) number(name string) int64 {
+	value, err := strconv.ParseFloat(l.field(name), 64)
+	if err != nil {
+		return 0
+	}
+	return int64(value)
+}
