group: a member goes on once its full disk has room

The member now closes its log, takes no part, so that what it is asked is refused as not run, and opens the log again each half second, as a restart would: what was not synced is read anew or cut, nothing is retried on the failed log. Ruled out: retrying the write on the open log (a failed write leaves it unknown what is on the disk).

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -18,6 +18,7 @@
 	LogDropped              Event = "log.dropped"
 	LogOpened               Event = "log.opened"
 	LogUnusable             Event = "log.unusable"
+	DiskFull                Event = "disk.full"
 	GroupEntered            Event = "group.entered"
 	MembershipChange        Event = "membership.change"
 	MembershipRemoved       Event = "membership.removed"
@@ -71,6 +72,7 @@
 	{SettingsRefused, "a changed settings file cannot be read; the old settings hold"},
 	{LogDropped, "lines were left out since the last such line"},
 	{LogOpened, "a member read its replicated log from the disk"},
+	{DiskFull, "a member's disk is full; it takes no part until there is room, and what it is asked is not run"},
 	{LogUnusable, "a member's log is damaged; its folder is cleared and it joins under a new id"},
 	{GroupEntered, "a member has an id in its group, as a founder or by joining"},
 	{MembershipChange, "the leader adds, promotes or removes a member"},
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,8 @@
 	slowInterval   = time.Second
 	quickTries     = 15
 	joinTimeout    = time.Second
+	// fullPause is the time between two tries to go on from a full disk.
+	fullPause = 500 * time.Millisecond
 )
 
 // ErrNotReady refuses a call on a member that takes no part yet.
@@ -92,33 +95,47 @@
 }
 
 // Run takes part in the group until the context ends or the member's storage
-// fails.
+// fails. From a full disk it goes on, as after a restart, once there is room.
 func (m *Member) Run(ctx context.Context) error {
 	defer m.peers.close()
 	place := folder{files: m.config.FileSystem, path: m.config.Folder}
 	for {
-		l, stored, err := m.open(ctx, place)
-		if err != nil {
-			return err
-		}
-		m.current.Store(l)
-		watched, stopWatch := context.WithCancel(ctx)
-		go m.watchStanding(watched, l, stored)
-		err = l.run(ctx)
-		stopWatch()
-		m.current.Store(nil)
-		m.shown.Store(nil)
-		err = errors.Join(err, l.log.Close())
-		if !errors.Is(err, errRemoved) {
-			return err
-		}
-		m.config.Logger.Warn().Str(eventlog.Field, eventlog.MembershipRemoved).Str("group", m.config.Name).Msg("this member was removed; it joins again under a new id")
-		if err := place.clear(); err != nil {
+		err := m.takePart(ctx, place)
+		switch {
+		case errors.Is(err, errRemoved):
+			m.config.Logger.Warn().Str(eventlog.Field, eventlog.MembershipRemoved).Str("group", m.config.Name).Msg("this member was removed; it joins again under a new id")
+			if err := place.clear(); err != nil {
+				return err
+			}
+		case errors.Is(err, wal.ErrFull), errors.Is(err, syscall.ENOSPC):
+			m.config.Logger.Warn().Str(eventlog.Field, eventlog.DiskFull).Str("group", m.config.Name).Err(err).Msg("the disk is full; this member takes no part until there is room")
+			select {
+			case <-time.After(fullPause):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		default:
 			return err
 		}
 	}
 }
 
+// takePart opens the member and runs it until it must stop.
+func (m *Member) takePart(ctx context.Context, place folder) error {
+	l, stored, err := m.open(ctx, place)
+	if err != nil {
+		return err
+	}
+	m.current.Store(l)
+	watched, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go m.watchStanding(watched, l, stored)
+	err = l.run(ctx)
+	m.current.Store(nil)
+	m.shown.Store(nil)
+	return errors.Join(err, l.log.Close())
+}
+
 // open gives the loop of a member and its identity: from its log, or by founding or
 // joining.
 func (m *Member) open(ctx context.Context, place folder) (*loop, identity, error) {
--- a/internal/app/group/standing_test.go
+++ b/internal/app/group/standing_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/diskfault"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/group"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -17,11 +21,11 @@
 )
 
 // counter is a state machine that counts commands.
-type counter struct{ applied byte }
+type counter struct{ applied atomic.Uint32 }
 
-func (c *counter) Apply(uint64, []byte) any  { c.applied++; return nil }
-func (c *counter) Snapshot() ([]byte, error) { return []byte{c.applied}, nil }
-func (c *counter) Restore(data []byte) error { c.applied = data[0]; return nil }
+func (c *counter) Apply(uint64, []byte) any  { c.applied.Add(1); return nil }
+func (c *counter) Snapshot() ([]byte, error) { return []byte{byte(c.applied.Load())}, nil }
+func (c *counter) Restore(data []byte) error { c.applied.Store(uint32(data[0])); return nil }
 
 // groupMachine is a machine that runs a member; it is stopped and started again at
 // the same address, with the same folder.
@@ -31,6 +35,7 @@
 	folder  string
 	origin  group.Origin
 	member  *group.Member
+	machine *counter
 	stop    func()
 }
 
@@ -38,9 +43,9 @@
 	m.t.Helper()
 	options := wire.Options{ClusterID: "test", Name: m.founder.Name, DialTimeout: 200 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
 	m.member = group.New(group.Config{
-		Name: "test", Folder: m.folder, Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
+		Name: "test", Folder: m.folder, FileSystem: diskfault.New(wal.OS{}, m.folder), Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
 		Self:    groupmember.Record{Address: m.founder.Address, Name: m.founder.Name},
-		Machine: func() groupmember.StateMachine { return &counter{} },
+		Machine: func() groupmember.StateMachine { m.machine = &counter{}; return m.machine },
 		Origin:  func(context.Context, string) (group.Origin, error) { return m.origin, nil },
 		Changed: func(group.Step) {}, Logger: &log.Logger{Level: log.PanicLevel},
 		Limits:       groupmember.Limits{Voters: 3, LeastVoters: 3},
@@ -64,6 +69,45 @@
 	}
 }
 
+// startGroup starts four machines, of which three found a group.
+func startGroup(t *testing.T) (all []*groupMachine, machines map[string]*groupMachine) {
+	t.Helper()
+	machines = map[string]*groupMachine{}
+	var founders []groupmember.Record
+	var contacts []string
+	for i, name := range []string{"a", "b", "c", "d"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
+		machines[name] = &groupMachine{t: t, founder: record, folder: t.TempDir()}
+		contacts = append(contacts, address)
+		if name != "d" {
+			founders = append(founders, record)
+		}
+	}
+	for _, m := range machines {
+		m.origin = group.Origin{Founders: founders, Contacts: contacts}
+		m.start()
+		t.Cleanup(func() { m.stop() })
+	}
+	all = []*groupMachine{machines["a"], machines["b"], machines["c"], machines["d"]}
+	return all, machines
+}
+
+// leaderOf gives the machine among those named whose member leads.
+func leaderOf(machines map[string]*groupMachine, names ...string) *groupMachine {
+	for _, name := range names {
+		if shown := machines[name].member.Shown(); shown != nil && shown.Settled {
+			return machines[name]
+		}
+	}
+	return nil
+}
+
 // voters gives the names of the voters, as the leader among the machines sees them.
 func voters(machines []*groupMachine) []string {
 	for _, m := range machines {
@@ -85,14 +129,7 @@
 
 func awaitVoters(t *testing.T, machines []*groupMachine, want ...string) {
 	t.Helper()
-	const patience = 20 * time.Second
-	var got []string
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if got = voters(machines); slices.Equal(got, want) {
-			return
-		}
-	}
-	t.Fatalf("voters %v, want %v", got, want)
+	until(t, fmt.Sprint("voters ", want), func() bool { return slices.Equal(voters(machines), want) })
 }
 
 // TestAMemberThatWasRemovedWhileAwayTakesTheNextPlace: nobody knows its address any
@@ -100,29 +137,7 @@
 // that had been cut off stood for election for the rest of the day, and the site had
 // no machine left for the next loss.)
 func TestAMemberThatWasRemovedWhileAwayTakesTheNextPlace(t *testing.T) {
-	machines := map[string]*groupMachine{}
-	var founders []groupmember.Record
-	var contacts []string
-	for i, name := range []string{"a", "b", "c", "d"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := listener.Addr().String()
-		_ = listener.Close()
-		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
-		machines[name] = &groupMachine{t: t, founder: record, folder: t.TempDir()}
-		contacts = append(contacts, address)
-		if name != "d" {
-			founders = append(founders, record)
-		}
-	}
-	for _, m := range machines {
-		m.origin = group.Origin{Founders: founders, Contacts: contacts}
-		m.start()
-		defer func() { m.stop() }()
-	}
-	all := []*groupMachine{machines["a"], machines["b"], machines["c"], machines["d"]}
+	all, machines := startGroup(t)
 	awaitVoters(t, all, "a", "b", "c")
 
 	machines["b"].stop()
