--- a/internal/adapter/eventlog/eventlog_test.go
+++ b/internal/adapter/eventlog/eventlog_test.go
@@ -1,6 +1,7 @@
 package eventlog_test
 
 import (
+	"bufio"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -96,3 +97,34 @@
 		logger.Info().Str(eventlog.Field, eventlog.RequestCarried).Str("id", "9c41d07be2a35f68").Int("sends", 1).Msg("m")
 	}
 }
+
+// TestImportantLinesAreNotLeftOut: however many ordinary ones there are.
+func TestImportantLinesAreNotLeftOut(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := eventlog.New(writer)
+	logger := lines.Logger("p")
+	const ordinary, important = 2000, 50
+	for range ordinary {
+		logger.Info().Str(eventlog.Field, eventlog.ItemPlaced).Msg("ordinary")
+	}
+	for range important {
+		eventlog.Important(logger).Info().Str(eventlog.Field, eventlog.JobDone).Msg("important")
+	}
+	seen := 0
+	scanner := bufio.NewScanner(reader)
+	for seen < important && scanner.Scan() {
+		if strings.Contains(scanner.Text(), eventlog.JobDone) {
+			seen++
+		}
+	}
+	if seen != important {
+		t.Errorf("%d of %d important lines", seen, important)
+	}
+	if lines.Dropped() == 0 {
+		t.Error("no ordinary line was left out, so nothing is shown")
+	}
+	_ = reader.Close()
+}
--- a/internal/core/jobqueue/jobqueue_test.go
+++ b/internal/core/jobqueue/jobqueue_test.go
@@ -137,3 +137,32 @@
 		}
 	}
 }
+
+func TestLongItemsGoByPaceAndOthersWhereLeastRuns(t *testing.T) {
+	busy := func(id string, running int, pace time.Duration) jobqueue.Replica {
+		busy := replica(id, 12-running, 1)
+		busy.Running, busy.Pace = running, pace
+		return busy
+	}
+	const fast, slow = 38 * time.Millisecond, 49 * time.Millisecond
+	for name, row := range map[string]struct {
+		relaxed  bool
+		replicas []jobqueue.Replica
+		want     string
+	}{
+		"long, the fast one runs much":       {false, []jobqueue.Replica{busy("slow", 0, slow), busy("fast", 11, fast)}, "fast"},
+		"long, both are fast":                {false, []jobqueue.Replica{busy("full", 9, fast), busy("free", 2, fast)}, "free"},
+		"long, the fast one has no room":     {false, []jobqueue.Replica{busy("slow", 0, slow), busy("fast", 12, fast)}, "slow"},
+		"in time anywhere, least runs":       {true, []jobqueue.Replica{busy("slow", 2, slow), busy("fast", 9, fast)}, "slow"},
+		"in time anywhere, as much runs":     {true, []jobqueue.Replica{busy("slow", 4, slow), busy("fast", 4, fast)}, "fast"},
+		"in time anywhere, one is very slow": {true, []jobqueue.Replica{busy("crawls", 0, 30*fast), busy("fast", 9, fast)}, "fast"},
+	} {
+		var queue jobqueue.Queue
+		waiting := item("j", 0, jobqueue.Rank{})
+		waiting.Relaxed = row.relaxed
+		queue.Add(waiting)
+		if placed := queue.Place(row.replicas, now); len(placed) != 1 || placed[0].Replica != row.want {
+			t.Errorf("%s: %v, want %s", name, placed, row.want)
+		}
+	}
+}
