control: a test's node reports until it is seen

Both nodes report until they are seen together; what is demanded of the silent one afterwards is as before.

--- a/internal/app/control/control_test.go
+++ b/internal/app/control/control_test.go
@@ -383,8 +383,13 @@
 		view, err := group.leader().View(group.context(), false)
 		return err == nil && slices.Equal(view.Nodes, nodes)
 	}
-	report(silent)
-	group.eventually("both nodes to be registered", func() bool { report(alive); return shows(alive, silent) })
+	// Both report until they are seen together: a report is lost with its leader, and
+	// on a busy machine one may be too old before the first look.
+	group.eventually("both nodes to be registered", func() bool {
+		report(silent)
+		report(alive)
+		return shows(alive, silent)
+	})
 	group.eventually("the silent node to go", func() bool { report(alive); return shows(alive) })
 	silent.PeerAddress, silent.Draining = "127.0.0.1:1003", true
 	report(silent)
