wire: a server takes no connection in once it closes

Change: begin counts a connection in under the lock that Close sets closed under. Test first: a listener that hands out a connection after its close (failed with the race and with a connection left open).

Ruled out: the test itself, and calls, which are counted under the lock.

--- a/internal/adapter/wire/bounds_test.go
+++ b/internal/adapter/wire/bounds_test.go
@@ -111,3 +111,46 @@
 		t.Errorf("broken listener: %v", err)
 	}
 }
+
+// lateListener hands out one connection after it was closed, as a listener does
+// that had accepted it just before.
+type lateListener struct {
+	net.Listener
+	accepted chan net.Conn
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.accepted; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l lateListener) Close() error { return nil }
+
+// TestAConnectionAcceptedWhileClosingIsClosed: nothing is served once Close has
+// returned.
+func TestAConnectionAcceptedWhileClosingIsClosed(t *testing.T) {
+	options := testOptions()
+	options.DialTimeout = time.Minute
+	server := NewServer(options)
+	listener := lateListener{accepted: make(chan net.Conn)}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	first, firstFar := net.Pipe()
+	listener.accepted <- firstFar // taken, so Serve runs
+	_ = first.Close()
+	server.Close()
+	late, lateFar := net.Pipe()
+	defer func() { _ = late.Close() }()
+	listener.accepted <- lateFar
+	close(listener.accepted)
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+	// The deadline can't be set on a pipe that is closed already.
+	_ = late.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := late.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read %v, want a closed connection", err)
+	}
+}
--- a/internal/adapter/wire/server.go
+++ b/internal/adapter/wire/server.go
@@ -38,7 +38,8 @@
 	listeners map[net.Listener]struct{}
 	links     map[*serverLink]struct{}
 	calls     sync.WaitGroup
-	loops     sync.WaitGroup
+	// loops serve connections; none is added once closed is set.
+	loops sync.WaitGroup
 	// open counts connections, those in the handshake too.
 	open atomic.Int64
 }
@@ -100,13 +101,16 @@
 	return min(base<<min(failures-1, maxShift), longest)
 }
 
-// begin serves a connection in the background; one beyond the bound is closed.
+// begin serves a connection in the background; one beyond the bound, or that was
+// accepted while the server closed, is closed.
 func (s *Server) begin(netConn net.Conn) {
-	if s.open.Add(1) > int64(s.options.MaxConnections) {
-		s.open.Add(-1)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed || s.open.Load() >= int64(s.options.MaxConnections) {
 		_ = netConn.Close()
 		return
 	}
+	s.open.Add(1)
 	s.loops.Go(func() {
 		defer s.open.Add(-1)
 		s.serveConn(netConn)
