--- a/internal/adapter/wal/log.go
+++ b/internal/adapter/wal/log.go
@@ -209,44 +209,57 @@
 	return l.saveSnapshot(snapshot, true)
 }
 
-func (l *Log) saveSnapshot(snapshot consensus.Snapshot, replacesLog bool) error {
-	if err := l.Sync(); err != nil {
+// AdoptSnapshot is the second half of SaveSnapshot, for a snapshot that a
+// SnapshotWriter has written.
+func (l *Log) AdoptSnapshot(written WrittenSnapshot) error {
+	if err := l.mayAdopt(written.marker.index); err != nil {
 		return err
 	}
-	if snapshot.Index <= l.marker.index {
-		return ErrOldSnapshot
-	}
-	if err := l.storeSnapshot(snapshot, replacesLog); err != nil {
+	return l.adopt(written.marker)
+}
+
+func (l *Log) saveSnapshot(snapshot consensus.Snapshot, replacesLog bool) error {
+	if err := l.mayAdopt(snapshot.Index); err != nil {
 		return err
 	}
-	return l.removeOld()
+	return l.storeSnapshot(snapshot, replacesLog)
 }
 
-// storeSnapshot writes the snapshot file and puts it in force with a new
-// segment.
-func (l *Log) storeSnapshot(snapshot consensus.Snapshot, replacesLog bool) error {
-	contents, err := EncodeSnapshot(snapshot)
-	if err != nil {
+// mayAdopt syncs what was appended and fails with ErrOldSnapshot if a snapshot at
+// the index, or after it, is in force.
+func (l *Log) mayAdopt(index uint64) error {
+	if err := l.Sync(); err != nil {
 		return err
 	}
-	marker := snapshotMarker{
-		index: snapshot.Index, term: snapshot.Term,
-		checksum: snapshotChecksum(contents), replacesLog: replacesLog,
+	if index <= l.marker.index {
+		return ErrOldSnapshot
 	}
-	file, err := l.writeWhole(marker.fileName(), contents)
+	return nil
+}
+
+// storeSnapshot writes the snapshot file and puts it in force.
+func (l *Log) storeSnapshot(snapshot consensus.Snapshot, replacesLog bool) error {
+	written, err := l.SnapshotWriter().Write(snapshot)
 	if err != nil {
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return l.fail("close snapshot", err)
+		return l.fail("write snapshot", err)
 	}
+	l.syncs += 2 // the file and its folder
+	written.marker.replacesLog = replacesLog
+	return l.adopt(written.marker)
+}
+
+// adopt puts a snapshot in force with a new segment.
+func (l *Log) adopt(marker snapshotMarker) error {
 	l.marker = marker
-	if replacesLog {
+	if marker.replacesLog {
 		for i := range l.segments {
 			l.segments[i].lastIndex = 0
 		}
 	}
-	return l.roll()
+	if err := l.roll(); err != nil {
+		return err
+	}
+	return l.removeOld()
 }
 
 // roll begins a new segment. All that was appended must be synced.
@@ -280,25 +293,11 @@
 
 // writeWhole makes a file that is there with all its contents or not at all.
 func (l *Log) writeWhole(name string, contents []byte) (File, error) {
-	path := filepath.Join(l.directory, name)
-	file, err := l.files.Create(path + temporarySuffix)
+	file, err := writeWhole(l.files, l.directory, name, contents)
 	if err != nil {
-		return nil, l.fail("create "+name, err)
-	}
-	if _, err := file.Write(contents); err != nil {
-		return nil, l.fail("write "+name, errors.Join(err, file.Close()))
+		return nil, l.fail("write whole file", err)
 	}
-	if err := file.Sync(); err != nil {
-		return nil, l.fail("sync "+name, errors.Join(err, file.Close()))
-	}
-	l.syncs++
-	if err := l.files.Rename(path+temporarySuffix, path); err != nil {
-		return nil, l.fail("rename "+name, errors.Join(err, file.Close()))
-	}
-	if err := l.files.SyncDir(l.directory); err != nil {
-		return nil, l.fail("sync folder", errors.Join(err, file.Close()))
-	}
-	l.syncs++
+	l.syncs += 2 // the file and its folder
 	return file, nil
 }
 
--- a/internal/adapter/wal/log_test.go
+++ b/internal/adapter/wal/log_test.go
@@ -320,3 +320,60 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestASnapshotWrittenBesideTheLog: it counts once it is adopted, with what was
+// appended since it was captured; a crash before that, or a later snapshot of the
+// leader, leaves it without effect.
+func TestASnapshotWrittenBesideTheLog(t *testing.T) {
+	written := consensus.Snapshot{Index: 2, Term: 1, Membership: voters, Data: []byte("state")}
+	later := consensus.Snapshot{Index: 9, Term: 1, Membership: voters, Data: []byte("later")}
+	for name, row := range map[string]struct {
+		then            func(*wal.Log, wal.WrittenSnapshot) error
+		snapshot, first uint64
+		entries         int
+	}{
+		"adopted": {
+			then: func(log *wal.Log, w wal.WrittenSnapshot) error { return log.AdoptSnapshot(w) }, snapshot: 2, first: 3, entries: 4,
+		},
+		"crash before": {
+			then: func(*wal.Log, wal.WrittenSnapshot) error { return nil }, snapshot: 0, first: 1, entries: 6,
+		},
+		"a later one came": {
+			then: func(log *wal.Log, w wal.WrittenSnapshot) error {
+				if err := log.InstallSnapshot(later); err != nil {
+					return err
+				}
+				if err := log.AdoptSnapshot(w); !errors.Is(err, wal.ErrOldSnapshot) {
+					return fmt.Errorf("adopted: %w", err)
+				}
+				return nil
+			}, snapshot: 9,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			files := faultfs.New(1)
+			log := mustCreate(t, files)
+			mustWrite(t, log, &consensus.HardState{Term: 1, Commit: 2}, entriesFrom(1, 3, 1))
+			prepared, err := log.SnapshotWriter().Write(written)
+			if err != nil {
+				t.Fatal(err)
+			}
+			mustWrite(t, log, &consensus.HardState{Term: 1, Commit: 3}, entriesFrom(4, 3, 1))
+			if err := row.then(log, prepared); err != nil {
+				t.Fatal(err)
+			}
+			files.Crash()
+			_, recovery, err := wal.Open(optionsOn(files))
+			if err != nil {
+				t.Fatal(err)
+			}
+			restored := recovery.Restored
+			if restored.Snapshot.Index != row.snapshot || len(restored.Entries) != row.entries {
+				t.Fatalf("snapshot %d with %d entries, want %d with %d", restored.Snapshot.Index, len(restored.Entries), row.snapshot, row.entries)
+			}
+			if row.entries > 0 && restored.Entries[0].Index != row.first {
+				t.Errorf("entries from %d, want from %d", restored.Entries[0].Index, row.first)
+			}
+		})
+	}
+}
--- a/internal/adapter/wal/snapshotfile.go
+++ b/internal/adapter/wal/snapshotfile.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -16,6 +17,8 @@
 	snapshotPattern     = "snapshot-%016x-%016x.snap"
 	snapshotMagic       = "LGSNAP01"
 	snapshotHeaderBytes = len(snapshotMagic) + 4 + 8
+	// snapshotOverheadBytes is about what a snapshot takes beside its data.
+	snapshotOverheadBytes = 4 << 10
 )
 
 // snapshotMarker is the record that puts a snapshot in force.
@@ -37,17 +40,21 @@
 	return err == nil && count == 2 && name == fmt.Sprintf(snapshotPattern, index, term)
 }
 
-// EncodeSnapshot returns the contents of a snapshot file.
+// EncodeSnapshot returns the contents of a snapshot file. The body is encoded behind
+// the space for its head, as a snapshot may be most of what a member has in memory.
 func EncodeSnapshot(snapshot consensus.Snapshot) ([]byte, error) {
-	body, err := cbor.Marshal(snapshot)
-	if err != nil {
+	var buffer bytes.Buffer
+	buffer.Grow(snapshotHeaderBytes + len(snapshot.Data) + snapshotOverheadBytes)
+	buffer.Write(make([]byte, snapshotHeaderBytes))
+	if err := snapshotEncoding.MarshalToBuffer(snapshot, &buffer); err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
-	file := make([]byte, 0, snapshotHeaderBytes+len(body))
-	file = append(file, snapshotMagic...)
-	file = binary.LittleEndian.AppendUint32(file, crc32.Checksum(body, checksumTable))
-	file = binary.LittleEndian.AppendUint64(file, uint64(len(body)))
-	return append(file, body...), nil
+	file := buffer.Bytes()
+	body := file[snapshotHeaderBytes:]
+	head := append(file[:0], snapshotMagic...)
+	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(body, checksumTable))
+	binary.LittleEndian.AppendUint64(head, uint64(len(body)))
+	return file, nil
 }
 
 // DecodeSnapshot reads the contents of a snapshot file. It fails with a
@@ -70,6 +77,14 @@
 	return snapshot, nil
 }
 
+var snapshotEncoding = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // snapshotDecoding has no nested structures beyond those of the type.
 var snapshotDecoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxNestedLevels: 8}.DecMode()
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -45,6 +45,10 @@
 	lastToken uint64
 	awaiting  map[uint64]func(groupmember.Reply)
 	changing  bool
+	// saving is set while a snapshot is encoded and written beside the loop; saved
+	// takes how that went.
+	saving bool
+	saved  chan savedSnapshot
 	// removed is set once the group's leader said that this member was removed.
 	removed bool
 	told    []groupmember.Record
@@ -66,6 +70,7 @@
 		stopped:  make(chan struct{}),
 		started:  time.Now(),
 		awaiting: make(map[uint64]func(groupmember.Reply)),
+		saved:    make(chan savedSnapshot, 1),
 	}, nil
 }
 
@@ -73,6 +78,7 @@
 func (l *loop) run(ctx context.Context) error {
 	defer close(l.stopped)
 	defer l.failAll()
+	defer l.awaitSnapshot()
 	ticker := time.NewTicker(l.config.Tick)
 	defer ticker.Stop()
 	if err := l.work(); err != nil {
@@ -107,6 +113,9 @@
 		l.catchUpTicks()
 		request(l)
 		return nil
+	case saved := <-l.saved:
+		l.catchUpTicks()
+		return l.finishSnapshot(saved)
 	}
 }
 
@@ -212,8 +221,8 @@
 	if l.removed || l.member.Status().Role == consensus.RoleRemoved {
 		return errRemoved
 	}
-	if l.member.WantsSnapshot() {
-		if err := l.saveSnapshot(); err != nil {
+	if l.member.WantsSnapshot() && !l.saving {
+		if err := l.beginSnapshot(); err != nil {
 			return err
 		}
 	}
@@ -241,17 +250,6 @@
 	return eris.Wrap(l.member.Advance(ready), "apply")
 }
 
-func (l *loop) saveSnapshot() error {
-	snapshot, err := l.member.BuildSnapshot()
-	if err != nil {
-		return eris.Wrap(err, "build snapshot")
-	}
-	if err := l.log.SaveSnapshot(snapshot); err != nil {
-		return eris.Wrap(err, "save snapshot")
-	}
-	return eris.Wrap(l.member.Compact(snapshot), "compact")
-}
-
 // show tells the owner of the state; answers follow, so that whoever gets one
 // sees its effect.
 func (l *loop) show() {
--- a/internal/app/group/standing_test.go
+++ b/internal/app/group/standing_test.go
@@ -21,11 +21,19 @@
 	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
+// snapshotBytes is the size of applied commands after which members of these tests
+// save their state.
+const snapshotBytes = 64 << 10
+
 // counter is a state machine that counts commands.
 type counter struct{ applied atomic.Uint32 }
 
-func (c *counter) Apply(uint64, []byte) any  { c.applied.Add(1); return nil }
-func (c *counter) Snapshot() ([]byte, error) { return []byte{byte(c.applied.Load())}, nil }
+func (c *counter) Apply(uint64, []byte) any { c.applied.Add(1); return nil }
+func (c *counter) Snapshot() groupmember.Encoder {
+	applied := byte(c.applied.Load())
+	return func() ([]byte, error) { return []byte{applied}, nil }
+}
+
 func (c *counter) Restore(data []byte) error { c.applied.Store(uint32(data[0])); return nil }
 
 // groupMachine is a machine that runs a member; it is stopped and started again at
@@ -34,6 +42,7 @@
 	t       *testing.T
 	founder groupmember.Record
 	folder  string
+	files   *heldFiles
 	origin  group.Origin
 	member  *group.Member
 	machine *counter
@@ -44,7 +53,7 @@
 	m.t.Helper()
 	options := wire.Options{ClusterID: "test", Name: m.founder.Name, DialTimeout: 200 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
 	m.member = group.New(group.Config{
-		Name: "test", Folder: m.folder, FileSystem: diskfault.New(wal.OS{}, m.folder), Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
+		Name: "test", Folder: m.folder, FileSystem: m.files, SnapshotBytes: snapshotBytes, Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
 		Self:    groupmember.Record{Address: m.founder.Address, Name: m.founder.Name},
 		Machine: func() groupmember.StateMachine { m.machine = &counter{}; return m.machine },
 		Origin:  func(context.Context, string) (group.Origin, error) { return m.origin, nil },
@@ -79,7 +88,9 @@
 	for i, name := range []string{"a", "b", "c", "d"} {
 		address := testkit.FreeAddress(t)
 		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
-		machines[name] = &groupMachine{t: t, founder: record, folder: t.TempDir()}
+		folder := t.TempDir()
+		files := &heldFiles{FileSystem: diskfault.New(wal.OS{}, folder)}
+		machines[name] = &groupMachine{t: t, founder: record, folder: folder, files: files}
 		contacts = append(contacts, address)
 		if name != "d" {
 			founders = append(founders, record)
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -30,12 +30,17 @@
 	// Apply applies the command at a position of the log. The result goes to
 	// the proposer.
 	Apply(index uint64, command []byte) any
-	// Snapshot encodes the whole state.
-	Snapshot() ([]byte, error)
+	// Snapshot captures the whole state as it is now. Later calls of Apply do not
+	// change what is captured.
+	Snapshot() Encoder
 	// Restore replaces the state by an encoded one.
 	Restore(data []byte) error
 }
 
+// Encoder encodes a captured state. It is called once, and may run in another
+// goroutine beside the calls of the state machine.
+type Encoder func() ([]byte, error)
+
 // Config sets a Member up. Zero sizes take defaults.
 type Config struct {
 	Consensus       consensus.Config
@@ -89,6 +94,9 @@
 	lastRead        uint64
 	snapshotIndex   uint64
 	bytesSinceSaved int
+	// bytesSinceCaptured counts what was applied since the last capture, which is
+	// not in the snapshot that it becomes.
+	bytesSinceCaptured int
 	// savedBytes is the size of the last snapshot: a large state is not saved
 	// again before as much was written.
 	savedBytes int
--- a/internal/core/groupmember/ready.go
+++ b/internal/core/groupmember/ready.go
@@ -41,7 +41,7 @@
 	if err := m.restore(snapshot); err != nil {
 		return err
 	}
-	m.applied, m.snapshotIndex, m.bytesSinceSaved = snapshot.Index, snapshot.Index, 0
+	m.applied, m.snapshotIndex, m.bytesSinceSaved, m.bytesSinceCaptured = snapshot.Index, snapshot.Index, 0, 0
 	m.placed = true
 	for _, index := range sortedKeys(m.pending) {
 		if index <= snapshot.Index {
@@ -56,6 +56,7 @@
 func (m *Member) apply(entry consensus.Entry) {
 	m.applied = entry.Index
 	m.bytesSinceSaved += len(entry.Data)
+	m.bytesSinceCaptured += len(entry.Data)
 	var result any
 	switch entry.Kind {
 	case consensus.EntryNormal:
@@ -165,26 +166,44 @@
 	return entries >= m.config.SnapshotEntries || (m.bytesSinceSaved >= max(m.config.SnapshotBytes, m.savedBytes) && entries > 0)
 }
 
-// BuildSnapshot encodes the applied state. The owner makes it durable and then
-// calls Compact with it.
-func (m *Member) BuildSnapshot() (consensus.Snapshot, error) {
-	state, err := m.machine.Snapshot()
+// Capture is the applied state at one position of the log, not encoded yet.
+type Capture struct {
+	head  consensus.Snapshot
+	body  snapshotBody
+	state Encoder
+}
+
+// CaptureSnapshot captures the applied state. The owner encodes it, makes it durable
+// and then calls Compact with it; meanwhile the member goes on.
+func (m *Member) CaptureSnapshot() (Capture, error) {
+	head, err := m.node.BuildSnapshot(m.applied, nil)
 	if err != nil {
-		return consensus.Snapshot{}, err
+		return Capture{}, err
 	}
-	data, err := cbor.Marshal(snapshotBody{Directory: m.directory.list(), State: state, Told: m.told})
+	m.bytesSinceCaptured = 0
+	body := snapshotBody{Directory: m.directory.list(), Told: m.told}
+	return Capture{head: head, body: body, state: m.machine.Snapshot()}, nil
+}
+
+// Encode gives the snapshot. It is called once, and may run in another goroutine
+// beside the member's calls.
+func (c Capture) Encode() (consensus.Snapshot, error) {
+	state, err := c.state()
 	if err != nil {
 		return consensus.Snapshot{}, err
 	}
-	return m.node.BuildSnapshot(m.applied, data)
+	c.body.State = state
+	c.head.Data, err = cbor.Marshal(c.body)
+	return c.head, err
 }
 
-// Compact drops the log up to a snapshot that is durable.
+// Compact drops the log up to a snapshot that is durable. It fails with
+// consensus.ErrCompacted if the leader sent a later one meanwhile.
 func (m *Member) Compact(snapshot consensus.Snapshot) error {
 	if err := m.node.Compact(snapshot); err != nil {
 		return err
 	}
-	m.snapshotIndex, m.bytesSinceSaved, m.savedBytes = snapshot.Index, 0, len(snapshot.Data)
+	m.snapshotIndex, m.bytesSinceSaved, m.savedBytes = snapshot.Index, m.bytesSinceCaptured, len(snapshot.Data)
 	return nil
 }
 
--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -39,7 +39,10 @@
 	return true
 }
 
-func (r *record) Snapshot() ([]byte, error) { return cbor.Marshal(r.numbers) }
+func (r *record) Snapshot() groupmember.Encoder {
+	captured := slices.Clone(r.numbers)
+	return func() ([]byte, error) { return cbor.Marshal(captured) }
+}
 
 func (r *record) Restore(data []byte) error {
 	r.numbers = nil
@@ -98,6 +101,9 @@
 	gone        bool
 	changing    bool
 	wiped       int
+	// saving is a snapshot that is being written until savedAt.
+	saving  *groupmember.Capture
+	savedAt int
 }
 
 type delivery struct {
@@ -120,6 +126,10 @@
 	lastWipe   int
 	// snapshotEntries is given to members that start.
 	snapshotEntries uint64
+	// saveTicks is how long the writing of a snapshot takes; overtaken counts those
+	// that came to nothing, as the leader sent a later one meanwhile.
+	saveTicks int
+	overtaken int
 	// batchBytes bounds the entries of one message; 0 is the default.
 	batchBytes int
 }
@@ -160,6 +170,7 @@
 func (w *world) stop(m *machine, ticks int) {
 	m.member = nil
 	m.changing = false
+	m.saving = nil
 	m.downUntil = max(m.downUntil, w.now+ticks)
 	delete(w.waiting, m.id)
 }
@@ -224,16 +235,7 @@
 	for _, reply := range m.member.TakeReplies() {
 		w.take(m, reply)
 	}
-	if m.member.WantsSnapshot() {
-		snapshot, err := m.member.BuildSnapshot()
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		m.disk.compact(snapshot)
-		if err := m.member.Compact(snapshot); err != nil {
-			w.t.Fatal(err)
-		}
-	}
+	w.save(m)
 	if m.member.Status().Role == consensus.RoleRemoved {
 		w.stop(m, 1)
 		m.disk, m.id, m.founders = &disk{}, 0, nil
@@ -241,6 +243,35 @@
 	}
 }
 
+// save captures a snapshot once the member wants one, and puts it in force once it
+// has been written, unless the leader sent a later one meanwhile.
+func (w *world) save(m *machine) {
+	if m.saving == nil && m.member.WantsSnapshot() {
+		capture, err := m.member.CaptureSnapshot()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		m.saving = &capture
+		m.savedAt = w.now + w.saveTicks
+	}
+	if m.saving == nil || w.now < m.savedAt {
+		return
+	}
+	snapshot, err := m.saving.Encode()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	m.saving = nil
+	if snapshot.Index <= m.disk.snapshot.Index {
+		w.overtaken++
+		return
+	}
+	m.disk.compact(snapshot)
+	if err := m.member.Compact(snapshot); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func (w *world) take(m *machine, reply groupmember.Reply) {
 	if reply.Token == 0 {
 		m.changing = false
@@ -453,9 +484,22 @@
 	if testing.Short() {
 		seeds = 10
 	}
-	acknowledged := 0
+	loseNothing(t, seeds, 0)
+}
+
+// TestNothingIsLostWhileSnapshotsAreWritten: members go on while the snapshots that
+// they captured are written, also when they end or are sent a later one meanwhile.
+func TestNothingIsLostWhileSnapshotsAreWritten(t *testing.T) {
+	const seeds, saveTicks = 15, 30
+	loseNothing(t, seeds, saveTicks)
+}
+
+// loseNothing runs worlds whose members take so many ticks to write a snapshot.
+func loseNothing(t *testing.T, seeds uint64, saveTicks int) {
+	acknowledged, overtaken := 0, 0
 	for seed := range seeds {
 		w := newWorld(t, seed, 3+int(seed%3), 3+2*int(seed%2))
+		w.saveTicks = saveTicks
 		for round := range 60 {
 			for range 15 + w.random.IntN(40) {
 				w.tick()
@@ -483,8 +527,9 @@
 			t.Errorf("seed %d: nothing is acknowledged any more", seed)
 		}
 		acknowledged += len(w.known)
+		overtaken += w.overtaken
 	}
-	t.Logf("%d commands acknowledged over %d seeds", acknowledged, seeds)
+	t.Logf("%d commands acknowledged over %d seeds, %d snapshots overtaken", acknowledged, seeds, overtaken)
 }
 
 func TestAnEmptiedMachineHoldsNothingAndOthersHoldAll(t *testing.T) {
--- a/internal/core/jobstate/jobstate_test.go
+++ b/internal/core/jobstate/jobstate_test.go
@@ -1,6 +1,7 @@
 package jobstate_test
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/testkit"
 )
@@ -188,7 +190,7 @@
 			}
 			l.record(record)
 			if rapid.IntRange(0, 9).Draw(r, "snapshot") == 0 {
-				data, err := l.state.Snapshot()
+				data, err := l.state.Snapshot()()
 				if err != nil {
 					r.Fatal(err)
 				}
@@ -216,6 +218,37 @@
 	})
 }
 
+// TestACaptureHoldsWhatWasThere: a snapshot that is encoded later is that of the
+// moment at which it was captured.
+func TestACaptureHoldsWhatWasThere(t *testing.T) {
+	testkit.Check(t, 15, func(r *rapid.T) {
+		l := newLog(t)
+		l.apply(jobstate.Command{Accept: submission("j", "a", "b", "c")})
+		var captured []groupmember.Encoder
+		var want [][]byte
+		for range rapid.IntRange(1, 20).Draw(r, "steps") {
+			at, err := l.state.Snapshot()()
+			if err != nil {
+				r.Fatal(err)
+			}
+			captured, want = append(captured, l.state.Snapshot()), append(want, at)
+			l.record(jobstate.ItemRecord{
+				Job: "j", Item: rapid.IntRange(0, 2).Draw(r, "item"), Events: rapid.IntRange(0, 3).Draw(r, "events"),
+				Text: rapid.SliceOfN(rapid.StringMatching("[a-z]"), 0, 2).Draw(r, "text"), Whole: rapid.Bool().Draw(r, "whole"),
+				Versions: []uint64{rapid.Uint64Range(3, 5).Draw(r, "version")}, Failures: rapid.IntRange(0, 1).Draw(r, "failures"),
+				Result: jobstate.Result(rapid.IntRange(0, 2).Draw(r, "result")),
+			})
+		}
+		l.apply(jobstate.Command{End: &jobstate.End{ID: "j"}})
+		l.apply(jobstate.Command{Forget: &jobstate.Forget{Jobs: []string{"j"}}})
+		for i, encode := range captured {
+			if got, err := encode(); err != nil || !bytes.Equal(got, want[i]) {
+				r.Fatalf("capture %d differs from what was there: %v", i, err)
+			}
+		}
+	})
+}
+
 // benchmarkJob is a job of the size of today's sites.
 func benchmarkJob(id string) *jobstate.Submission {
 	job := submission(id)
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 )
 
 // ItemState is an item with what became of it.
@@ -77,10 +79,17 @@
 	return &State{jobs: map[string]*Job{}, latest: map[string]itemPlace{}}
 }
 
-// Snapshot implements groupmember.StateMachine.
-func (s *State) Snapshot() ([]byte, error) {
+// Snapshot implements groupmember.StateMachine. What an item refers to is replaced,
+// never changed in place, so that copies of the items are enough.
+func (s *State) Snapshot() groupmember.Encoder {
 	jobs := s.Jobs()
-	return cbor.Marshal(jobs)
+	for i, job := range jobs {
+		captured := *job
+		captured.Items = slices.Clone(job.Items)
+		captured.Results = slices.Clone(job.Results)
+		jobs[i] = &captured
+	}
+	return func() ([]byte, error) { return cbor.Marshal(jobs) }
 }
 
 // Restore implements groupmember.StateMachine.
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -62,8 +62,12 @@
 	s.index = newIndex(&s.contents)
 }
 
-// Snapshot implements groupmember.StateMachine.
-func (s *State) Snapshot() ([]byte, error) { return cbor.Marshal(s.contents) }
+// Snapshot implements groupmember.StateMachine. The state is small, so it is encoded
+// at once.
+func (s *State) Snapshot() groupmember.Encoder {
+	data, err := cbor.Marshal(s.contents)
+	return func() ([]byte, error) { return data, err }
+}
 
 // Restore implements groupmember.StateMachine.
 func (s *State) Restore(data []byte) error {
