weightplan: replicas take a second model's weights where its own do not do

Hypothesis: further loads within what is free (as many a version as one trainer has replicas) and within the same bound on loads at once bring the places. Change: weightplan.Spread, after Next: the model that is shortest for its need gets a replica that could not serve it, whose own model needs no load, and that serves the fewest.

Test: a table and a property (one order a replica, bounds on all loads and on each version).

--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -52,7 +52,7 @@
 	gaveBack bool
 
 	mutex   sync.Mutex
-	loading map[string]bool
+	loading weightplan.Loading
 	// resting are replicas whose last load failed.
 	resting map[string]rest
 	// reached are versions that reports showed, newer than heartbeats.
@@ -62,7 +62,7 @@
 func newWeightsManager(control *Control) *weightsManager {
 	return &weightsManager{
 		control: control, started: time.Now(), replica: replicacall.New(control.config.Dialect, connectionsForOrders),
-		loading: map[string]bool{}, resting: map[string]rest{}, reached: map[string][]sitestate.ModelVersion{},
+		loading: weightplan.Loading{}, resting: map[string]rest{}, reached: map[string][]sitestate.ModelVersion{},
 	}
 }
 
@@ -153,16 +153,18 @@
 	if w.onlyForJobs(service.Name) && len(replicas) > 0 {
 		limits.Needed = weightplan.Need(open, replicas[0].Slots)
 	}
-	for _, target := range weightplan.Next(replicas, view.Weights, loading, limits) {
+	targets := weightplan.Next(replicas, view.Weights, loading, limits)
+	targets = append(targets, weightplan.Spread(replicas, view.Weights, loading, targets, limits)...)
+	for _, target := range targets {
 		w.mutex.Lock()
-		w.loading[target.Replica.ID] = true
+		w.loading[target.Replica.ID] = target.Model
 		w.mutex.Unlock()
 		go w.load(ctx, target)
 	}
 }
 
 // underWay gives the replicas that load, and those left alone for now.
-func (w *weightsManager) underWay(now time.Time) (loading, resting map[string]bool) {
+func (w *weightsManager) underWay(now time.Time) (loading weightplan.Loading, resting map[string]bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	resting = map[string]bool{}
--- a/internal/app/sitecontrol/weights_test.go
+++ b/internal/app/sitecontrol/weights_test.go
@@ -17,10 +17,10 @@
 // loading no longer, and is left alone for longer each time.
 func TestAFailedLoadGivesItsPlaceFreeAndRests(t *testing.T) {
 	w := newWeightsManager(&Control{config: Config{Dialect: noDialect{}}})
-	w.loading["i"] = true
+	w.loading["i"] = "a"
 	w.ended("i", false)
 	loading, resting := w.underWay(time.Now())
-	if loading["i"] || !resting["i"] {
+	if len(loading) != 0 || !resting["i"] {
 		t.Errorf("loading %v, resting %v after a failure", loading, resting)
 	}
 	if _, resting := w.underWay(time.Now().Add(firstRest + time.Second)); resting["i"] {
--- /dev/null
+++ b/internal/core/weightplan/spread_test.go
@@ -0,0 +1,154 @@
+package weightplan_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/weightplan"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+// holding makes a replica that is kept at a model and holds versions of a and b.
+func holding(id, model string, a, b uint64) sitestate.Replica {
+	return sitestate.Replica{ID: id, Model: model, Models: []sitestate.ModelVersion{{Name: "a", Version: a}, {Name: "b", Version: b}}}
+}
+
+// loads writes targets as replica:model, sorted.
+func loads(targets []weightplan.Target) []string {
+	var names []string
+	for _, target := range targets {
+		names = append(names, target.Replica.ID+":"+target.Model)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestSpreadGivesShortModelsFurtherReplicas(t *testing.T) {
+	all := []sitestate.Replica{
+		holding("a0", "a", 5, 1), holding("a1", "a", 5, 1),
+		holding("b0", "b", 1, 5), holding("b1", "b", 1, 5),
+	}
+	for _, row := range []struct {
+		name    string
+		list    []sitestate.Replica
+		needed  map[string]int
+		loading weightplan.Loading
+		begun   []weightplan.Target
+		resting map[string]bool
+		total   int
+		want    []string
+	}{
+		{name: "its own replicas do", list: all, needed: map[string]int{"a": 2, "b": 2}, total: 8},
+		{name: "no need is stated", list: all, total: 8},
+		{name: "one model alone", list: all[:2], needed: map[string]int{"a": 9}, total: 8},
+		{
+			name:   "the short one gets a replica once a version allows it",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 5, 1), all[2], all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 8, want: []string{"b0:a"},
+		},
+		{
+			name: "no more load a version than each model has replicas", list: all,
+			needed: map[string]int{"a": 4, "b": 2}, total: 8,
+		},
+		{
+			name:   "the bound on all loads holds",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 4, 1), all[2], all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 1, loading: weightplan.Loading{"a1": "a"},
+		},
+		{
+			name:   "what Next began counts",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 4, 1), all[2], all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 8,
+			begun: []weightplan.Target{{Replica: holding("a0", "a", 4, 1), Model: "a", Version: 5}}, want: []string{"b0:a"},
+		},
+		{
+			name:   "a replica that rests is left alone, and replaced",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 5, 1), all[2], all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 8, resting: map[string]bool{"b0": true}, want: []string{"a1:b", "b1:a"},
+		},
+		{
+			name:   "first one whose own model needs no load",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 5, 1), holding("b0", "b", 1, 4), all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 8, want: []string{"b1:a"},
+		},
+		{
+			name:   "first one that could not serve the model",
+			list:   []sitestate.Replica{holding("a0", "a", 4, 1), holding("a1", "a", 5, 1), holding("b0", "b", 4, 5), all[3]},
+			needed: map[string]int{"a": 4, "b": 2}, total: 8, want: []string{"b1:a"},
+		},
+	} {
+		limits := weightplan.Limits{Total: row.total, Share: 0.34, Needed: row.needed, Resting: row.resting}
+		got := loads(weightplan.Spread(row.list, map[string]uint64{"a": 5, "b": 5}, row.loading, row.begun, limits))
+		if !slices.Equal(got, row.want) {
+			t.Errorf("%s: %v, want %v", row.name, got, row.want)
+		}
+	}
+}
+
+// TestSpreadKeepsItsBounds: whatever the replicas hold, a replica gets one order, and
+// loads stay within the bounds on all and on each version.
+func TestSpreadKeepsItsBounds(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	testkit.Check(t, 16, func(r *rapid.T) {
+		versions := map[string]uint64{}
+		needed := map[string]int{}
+		for _, model := range models {
+			versions[model] = rapid.Uint64Range(1, 6).Draw(r, "published")
+			needed[model] = rapid.IntRange(1, 12).Draw(r, "needed")
+		}
+		var list []sitestate.Replica
+		loading := weightplan.Loading{}
+		for i := range rapid.IntRange(1, 12).Draw(r, "replicas") {
+			replica := sitestate.Replica{ID: fmt.Sprint("i-", i), Model: rapid.SampledFrom(models).Draw(r, "kept")}
+			for _, model := range models {
+				version := rapid.Uint64Range(1, versions[model]).Draw(r, "version")
+				replica.Models = append(replica.Models, sitestate.ModelVersion{Name: model, Version: version})
+			}
+			if rapid.IntRange(0, 4).Draw(r, "busy") == 0 {
+				loading[replica.ID] = rapid.SampledFrom(models).Draw(r, "loads")
+			}
+			list = append(list, replica)
+		}
+		limits := weightplan.Limits{Total: rapid.IntRange(0, 6).Draw(r, "total"), Share: 0.34, Needed: needed}
+		begun := weightplan.Next(list, versions, loading, limits)
+		targets := weightplan.Spread(list, versions, loading, begun, limits)
+		if len(targets) > 0 && len(loading)+len(begun)+len(targets) > limits.Total {
+			r.Fatalf("%d load, %d began and %d more are ordered, of %d", len(loading), len(begun), len(targets), limits.Total)
+		}
+		ordered := map[string]bool{}
+		for _, target := range append(slices.Clone(begun), targets...) {
+			if _, busy := loading[target.Replica.ID]; busy || ordered[target.Replica.ID] {
+				r.Fatalf("%s gets a second order", target.Replica.ID)
+			}
+			ordered[target.Replica.ID] = true
+			if target.Replica.VersionOf(target.Model) >= versions[target.Model] {
+				r.Fatalf("%s holds the version it is to load", target.Replica.ID)
+			}
+		}
+		for _, target := range begun {
+			loading[target.Replica.ID] = target.Model
+		}
+		kept := map[string]bool{}
+		for _, replica := range list {
+			kept[replica.Model] = true
+		}
+		for _, target := range targets {
+			loading[target.Replica.ID] = target.Model
+		}
+		for _, target := range targets {
+			newest := 0
+			for _, replica := range list {
+				if loading[replica.ID] == target.Model || replica.VersionOf(target.Model) >= versions[target.Model] {
+					newest++
+				}
+			}
+			if newest > max(1, len(list)/len(kept)) {
+				r.Fatalf("%d replicas hold or load %s, too many for %d with %d models", newest, target.Model, len(list), len(kept))
+			}
+		}
+	})
+}
--- a/internal/core/weightplan/weightplan_test.go
+++ b/internal/core/weightplan/weightplan_test.go
@@ -117,16 +117,16 @@
 		name     string
 		serving  []uint64
 		newest   uint64
-		loading  map[string]bool
+		loading  weightplan.Loading
 		expected []string
 	}{
 		{"furthest first", []uint64{4, 3, 2, 1}, 4, nil, []string{"i-3", "i-2"}},
-		{"limit", []uint64{4, 3, 2, 1}, 4, map[string]bool{"i-3": true}, []string{"i-2"}},
+		{"limit", []uint64{4, 3, 2, 1}, 4, weightplan.Loading{"i-3": "a"}, []string{"i-2"}},
 		{"one behind is good enough for half", []uint64{4, 4, 3, 3}, 4, nil, nil},
 		{"too few have the newest", []uint64{4, 3, 3, 3}, 4, nil, []string{"i-1"}},
 		{"two behind always loads", []uint64{4, 4, 4, 2}, 4, nil, []string{"i-3"}},
-		{"the share binds those that still do", []uint64{3, 3, 3, 3}, 4, map[string]bool{"i-0": true, "i-1": true}, nil},
-		{"it does not bind those too old", []uint64{2, 2, 3, 3}, 4, map[string]bool{"i-0": true}, []string{"i-1"}},
+		{"the share binds those that still do", []uint64{3, 3, 3, 3}, 4, weightplan.Loading{"i-0": "a", "i-1": "a"}, nil},
+		{"it does not bind those too old", []uint64{2, 2, 3, 3}, 4, weightplan.Loading{"i-0": "a"}, []string{"i-1"}},
 		{"a single one loads each version", []uint64{3}, 4, nil, []string{"i-0"}},
 		{"nothing published", []uint64{1, 1}, 0, nil, nil},
 	} {
@@ -158,7 +158,7 @@
 		}
 	}
 	limits.Needed = map[string]int{"a": 1}
-	if got := targets(weightplan.Next(serving(3, 3), versions, map[string]bool{"i-1": true}, limits)); len(got) != 0 {
+	if got := targets(weightplan.Next(serving(3, 3), versions, weightplan.Loading{"i-1": "a"}, limits)); len(got) != 0 {
 		t.Errorf("one of one needed loads, and %v are ordered", got)
 	}
 }
