--- a/internal/adapter/wal/recover.go
+++ b/internal/adapter/wal/recover.go
@@ -270,7 +270,8 @@
 	if !r.marked {
 		return Recovery{}, &CorruptError{File: segmentName(last.sequence), Reason: "no snapshot record"}
 	}
-	snapshot, err := r.readSnapshot()
+	reader := SnapshotReader{files: r.log.files, directory: r.log.directory, marker: r.marker}
+	snapshot, err := reader.Read()
 	if err != nil {
 		return Recovery{}, err
 	}
@@ -283,25 +284,6 @@
 	return r.recovery, nil
 }
 
-func (r *replay) readSnapshot() (consensus.Snapshot, error) {
-	name := r.marker.fileName()
-	file, err := r.log.files.ReadFile(filepath.Join(r.log.directory, name))
-	if errors.Is(err, fs.ErrNotExist) {
-		return consensus.Snapshot{}, &CorruptError{File: name, Reason: "snapshot file is missing"}
-	}
-	if err != nil {
-		return consensus.Snapshot{}, eris.Wrap(err, "read snapshot")
-	}
-	snapshot, err := DecodeSnapshot(name, file)
-	if err != nil {
-		return consensus.Snapshot{}, err
-	}
-	if snapshot.Index != r.marker.index || snapshot.Term != r.marker.term || snapshotChecksum(file) != r.marker.checksum {
-		return consensus.Snapshot{}, &CorruptError{File: name, Reason: "snapshot is not the one in the log"}
-	}
-	return snapshot, nil
-}
-
 func (r *replay) entriesAfter(index uint64) []consensus.Entry {
 	for len(r.entries) > 0 && r.entries[0].Index <= index {
 		r.entries = r.entries[1:]
--- a/internal/adapter/wal/wholefile.go
+++ b/internal/adapter/wal/wholefile.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io/fs"
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,40 @@
 	return WrittenSnapshot{marker}, eris.Wrap(file.Close(), "close snapshot")
 }
 
+// SnapshotReader reads the snapshot that was in force when it was made. It is safe to
+// use beside the log's calls; once another snapshot is in force it may find no file.
+type SnapshotReader struct {
+	files     FileSystem
+	directory string
+	marker    snapshotMarker
+}
+
+// SnapshotReader gives a reader of the snapshot in force.
+func (l *Log) SnapshotReader() SnapshotReader {
+	return SnapshotReader{files: l.files, directory: l.directory, marker: l.marker}
+}
+
+// Read gives the snapshot. It fails with a CorruptError if its file is missing or
+// is not what the log says.
+func (r SnapshotReader) Read() (consensus.Snapshot, error) {
+	name := r.marker.fileName()
+	file, err := r.files.ReadFile(filepath.Join(r.directory, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return consensus.Snapshot{}, &CorruptError{File: name, Reason: "snapshot file is missing"}
+	}
+	if err != nil {
+		return consensus.Snapshot{}, eris.Wrap(err, "read snapshot")
+	}
+	snapshot, err := DecodeSnapshot(name, file)
+	if err != nil {
+		return consensus.Snapshot{}, err
+	}
+	if snapshot.Index != r.marker.index || snapshot.Term != r.marker.term || snapshotChecksum(file) != r.marker.checksum {
+		return consensus.Snapshot{}, &CorruptError{File: name, Reason: "snapshot is not the one in the log"}
+	}
+	return snapshot, nil
+}
+
 // writeWhole makes a file that is there with all its contents or not at all.
 func writeWhole(files FileSystem, directory, name string, contents []byte) (File, error) {
 	path := filepath.Join(directory, name)
--- a/internal/app/group/fulldisk_test.go
+++ b/internal/app/group/fulldisk_test.go
@@ -40,7 +40,7 @@
 		shown := leader.member.Shown()
 		return shown != nil && shown.Confirmed
 	})
-	if applied := leader.machine.applied.Load(); applied < 5 {
+	if applied := leader.applied(); applied < 5 {
 		t.Errorf("%d commands are there, of 5 that were acknowledged", applied)
 	}
 }
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -49,6 +49,10 @@
 	// takes how that went.
 	saving bool
 	saved  chan savedSnapshot
+	// reading is set while the newest snapshot is read for a member that waits for
+	// it; read takes what was read.
+	reading bool
+	read    chan consensus.Snapshot
 	// removed is set once the group's leader said that this member was removed.
 	removed bool
 	told    []groupmember.Record
@@ -71,6 +75,7 @@
 		started:  time.Now(),
 		awaiting: make(map[uint64]func(groupmember.Reply)),
 		saved:    make(chan savedSnapshot, 1),
+		read:     make(chan consensus.Snapshot, 1),
 	}, nil
 }
 
@@ -116,6 +121,11 @@
 	case saved := <-l.saved:
 		l.catchUpTicks()
 		return l.finishSnapshot(saved)
+	case snapshot := <-l.read:
+		l.catchUpTicks()
+		l.reading = false
+		l.member.ProvideSnapshot(snapshot)
+		return nil
 	}
 }
 
@@ -166,6 +176,7 @@
 		}
 	}
 	l.peers.connect(others)
+	l.tendSnapshotData()
 	if !l.member.Settled() {
 		return
 	}
--- a/internal/app/group/snapshot.go
+++ b/internal/app/group/snapshot.go
@@ -56,10 +56,38 @@
 	return eris.Wrap(l.member.Compact(saved.snapshot), "compact")
 }
 
-// awaitSnapshot waits until nothing is written any more, as the folder may be opened
-// again after the loop.
+// tendSnapshotData keeps the data of the newest snapshot in memory only while
+// another member waits for it.
+func (l *loop) tendSnapshotData() {
+	if !l.member.SnapshotWanted() {
+		l.member.ReleaseSnapshot()
+		return
+	}
+	if l.reading {
+		return
+	}
+	l.reading = true
+	reader := l.log.SnapshotReader()
+	go func() { l.read <- readSnapshot(reader) }()
+}
+
+// readSnapshot gives the zero snapshot, which no member takes, if it cannot be read:
+// another one may have taken its place meanwhile. It is wanted again then.
+func readSnapshot(reader wal.SnapshotReader) consensus.Snapshot {
+	snapshot, err := reader.Read()
+	if err != nil {
+		return consensus.Snapshot{}
+	}
+	return snapshot
+}
+
+// awaitSnapshot waits until nothing is written or read any more, as the folder may be
+// opened again after the loop.
 func (l *loop) awaitSnapshot() {
 	if l.saving {
 		<-l.saved
 	}
+	if l.reading {
+		<-l.read
+	}
 }
--- a/internal/app/group/snapshot_test.go
+++ b/internal/app/group/snapshot_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 )
 
@@ -82,6 +84,38 @@
 	leader.start()
 	until(t, "the member is back with all commands", func() bool {
 		shown := leader.member.Shown()
-		return shown != nil && int(leader.machine.applied.Load()) >= count
+		return shown != nil && leader.applied() >= count
+	})
+}
+
+// TestASnapshotThatWasReleasedIsReadForWhoeverNeedsIt: its data is on the leader's
+// disk only, and a machine that joins after the log was compacted gets it.
+func TestASnapshotThatWasReleasedIsReadForWhoeverNeedsIt(t *testing.T) {
+	all, machines := startGroup(t)
+	awaitVoters(t, all, "a", "b", "c")
+	machines["d"].stop()
+	leader := leaderOf(machines, "a", "b", "c")
+	const commands, callers = 1200, 24 // more entries than stay in memory
+	var proposals errgroup.Group
+	proposals.SetLimit(callers)
+	for range commands {
+		proposals.Go(func() error {
+			_, err := leader.member.Propose(context.Background(), make([]byte, snapshotBytes/50))
+			return err
+		})
+	}
+	if err := proposals.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	var lost *groupMachine
+	for _, name := range []string{"a", "b", "c"} {
+		if machines[name] != leader {
+			lost = machines[name]
+		}
+	}
+	lost.stop()
+	machines["d"].start()
+	until(t, "the machine that joined has all", func() bool {
+		return machines["d"].applied() >= commands
 	})
 }
--- a/internal/app/group/standing_test.go
+++ b/internal/app/group/standing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"slices"
@@ -30,11 +31,14 @@
 
 func (c *counter) Apply(uint64, []byte) any { c.applied.Add(1); return nil }
 func (c *counter) Snapshot() groupmember.Encoder {
-	applied := byte(c.applied.Load())
-	return func() ([]byte, error) { return []byte{applied}, nil }
+	applied := c.applied.Load()
+	return func() ([]byte, error) { return binary.BigEndian.AppendUint32(nil, applied), nil }
 }
 
-func (c *counter) Restore(data []byte) error { c.applied.Store(uint32(data[0])); return nil }
+func (c *counter) Restore(data []byte) error {
+	c.applied.Store(binary.BigEndian.Uint32(data))
+	return nil
+}
 
 // groupMachine is a machine that runs a member; it is stopped and started again at
 // the same address, with the same folder.
@@ -45,17 +49,33 @@
 	files   *heldFiles
 	origin  group.Origin
 	member  *group.Member
-	machine *counter
+	machine atomic.Pointer[counter]
 	stop    func()
 }
 
+func (m *groupMachine) newState() groupmember.StateMachine {
+	state := &counter{}
+	m.machine.Store(state)
+	return state
+}
+
+// applied gives how many commands the machine's state has taken in, 0 before it has
+// one.
+func (m *groupMachine) applied() int {
+	state := m.machine.Load()
+	if state == nil {
+		return 0
+	}
+	return int(state.applied.Load())
+}
+
 func (m *groupMachine) start() {
 	m.t.Helper()
 	options := wire.Options{ClusterID: "test", Name: m.founder.Name, DialTimeout: 200 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
 	m.member = group.New(group.Config{
 		Name: "test", Folder: m.folder, FileSystem: m.files, SnapshotBytes: snapshotBytes, Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
 		Self:    groupmember.Record{Address: m.founder.Address, Name: m.founder.Name},
-		Machine: func() groupmember.StateMachine { m.machine = &counter{}; return m.machine },
+		Machine: m.newState,
 		Origin:  func(context.Context, string) (group.Origin, error) { return m.origin, nil },
 		Changed: func(group.Step) {}, Logger: &log.Logger{Level: log.PanicLevel},
 		Limits:       groupmember.Limits{Voters: 3, LeastVoters: 3},
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -16,6 +16,8 @@
 
 	snapshot         Snapshot
 	snapshotChecksum uint32
+	// snapshotReleased is set while the owner has the snapshot's data.
+	snapshotReleased bool
 	incoming         *incomingSnapshot
 
 	// membership is the latest one in the log, committed or not; it is in
@@ -59,6 +61,8 @@
 	// leaseRevoked is set once a transfer was offered in this term: the
 	// receiver may be elected while voters still hear from this leader.
 	leaseRevoked bool
+	// wantsSnapshot is set while a member waits for a snapshot that was released.
+	wantsSnapshot bool
 }
 
 // New returns the member that config and restored describe. It fails with
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -62,13 +62,18 @@
 func (n *Node) setSnapshot(snapshot Snapshot) {
 	n.snapshot = snapshot
 	n.snapshotChecksum = checksum(snapshot.Data)
+	n.snapshotReleased = false
 	n.pruneMemberships(snapshot.Index)
 }
 
 // startSnapshot begins to send the snapshot to a member whose next entry is
-// compacted. A member that does not answer is only probed.
+// compacted. A member that does not answer is only probed, and so is any while the
+// snapshot's data is released.
 func (n *Node) startSnapshot(id MemberID, peer *progress) {
-	if !n.active(peer) {
+	if n.snapshotReleased && n.active(peer) {
+		n.leadership.wantsSnapshot = true
+	}
+	if !n.active(peer) || n.snapshotReleased {
 		peer.becomeProbe()
 		n.startWaiting(peer)
 		peer.waiting = true
--- a/internal/core/groupmember/ready.go
+++ b/internal/core/groupmember/ready.go
@@ -163,7 +163,7 @@
 	if !m.placed {
 		return false
 	}
-	return entries >= m.config.SnapshotEntries || (m.bytesSinceSaved >= max(m.config.SnapshotBytes, m.savedBytes) && entries > 0)
+	return entries >= m.config.SnapshotEntries || (m.bytesSinceSaved >= max(m.config.SnapshotBytes, m.savedBytes/2) && entries > 0)
 }
 
 // Capture is the applied state at one position of the log, not encoded yet.
@@ -207,6 +207,17 @@
 	return nil
 }
 
+// ReleaseSnapshot drops the data of the newest snapshot, which the owner has made
+// durable.
+func (m *Member) ReleaseSnapshot() { m.node.ReleaseSnapshot() }
+
+// SnapshotWanted reports whether another member waits for the data of the newest
+// snapshot, which was released.
+func (m *Member) SnapshotWanted() bool { return m.node.SnapshotWanted() }
+
+// ProvideSnapshot gives the data of the newest snapshot back; another one is ignored.
+func (m *Member) ProvideSnapshot(snapshot consensus.Snapshot) { m.node.ProvideSnapshot(snapshot) }
+
 func sortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
 	return slices.Sorted(maps.Keys(values))
 }
--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -130,6 +130,10 @@
 	// that came to nothing, as the leader sent a later one meanwhile.
 	saveTicks int
 	overtaken int
+	// releases has members give the data of their snapshots to their disks; provided
+	// counts how often they got it back.
+	releases bool
+	provided int
 	// batchBytes bounds the entries of one message; 0 is the default.
 	batchBytes int
 }
@@ -236,6 +240,9 @@
 		w.take(m, reply)
 	}
 	w.save(m)
+	if w.releases {
+		w.tendSnapshotData(m)
+	}
 	if m.member.Status().Role == consensus.RoleRemoved {
 		w.stop(m, 1)
 		m.disk, m.id, m.founders = &disk{}, 0, nil
@@ -272,6 +279,18 @@
 	}
 }
 
+// tendSnapshotData takes the data of the newest snapshot from the member, and gives
+// it back a little after it is wanted.
+func (w *world) tendSnapshotData(m *machine) {
+	switch {
+	case !m.member.SnapshotWanted():
+		m.member.ReleaseSnapshot()
+	case w.now%3 == 0:
+		w.provided++
+		m.member.ProvideSnapshot(m.disk.snapshot)
+	}
+}
+
 func (w *world) take(m *machine, reply groupmember.Reply) {
 	if reply.Token == 0 {
 		m.changing = false
@@ -496,10 +515,10 @@
 
 // loseNothing runs worlds whose members take so many ticks to write a snapshot.
 func loseNothing(t *testing.T, seeds uint64, saveTicks int) {
-	acknowledged, overtaken := 0, 0
+	acknowledged, overtaken, provided := 0, 0, 0
 	for seed := range seeds {
 		w := newWorld(t, seed, 3+int(seed%3), 3+2*int(seed%2))
-		w.saveTicks = saveTicks
+		w.saveTicks, w.releases = saveTicks, saveTicks > 0
 		for round := range 60 {
 			for range 15 + w.random.IntN(40) {
 				w.tick()
@@ -528,8 +547,12 @@
 		}
 		acknowledged += len(w.known)
 		overtaken += w.overtaken
+		provided += w.provided
+	}
+	t.Logf("%d commands acknowledged over %d seeds, %d snapshots overtaken, %d read again", acknowledged, seeds, overtaken, provided)
+	if saveTicks > 0 && provided == 0 {
+		t.Error("no snapshot was ever read again: nothing was tried")
 	}
-	t.Logf("%d commands acknowledged over %d seeds, %d snapshots overtaken", acknowledged, seeds, overtaken)
 }
 
 func TestAnEmptiedMachineHoldsNothingAndOthersHoldAll(t *testing.T) {
