--- a/internal/core/weightplan/spread.go
+++ b/internal/core/weightplan/spread.go
@@ -13,8 +13,11 @@
 // holds several models and runs them beside each other. Begun are the loads that
 // Next gave. As many replicas load a version as each model has if all share alike.
 func Spread(replicas []sitestate.Replica, versions map[string]uint64, loading Loading, begun []Target, limits Limits) []Target {
+	if limits.Needed == nil || len(loading)+len(begun) >= limits.Total {
+		return nil
+	}
 	s := newSpread(replicas, versions, loading, begun, limits)
-	if limits.Needed == nil || len(s.models) < 2 {
+	if len(s.models) < 2 {
 		return nil
 	}
 	var targets []Target
@@ -64,21 +67,16 @@
 }
 
 func newSpread(replicas []sitestate.Replica, versions map[string]uint64, loading Loading, begun []Target, limits Limits) *spread {
-	s := &spread{total: len(begun)}
-	loading = maps.Clone(loading)
-	if loading == nil {
-		loading = Loading{}
-	}
+	underWay := Loading{}
+	maps.Copy(underWay, loading)
 	for _, target := range begun {
-		loading[target.Replica.ID] = target.Model
+		underWay[target.Replica.ID] = target.Model
 	}
+	s := &spread{total: len(underWay)}
 	s.listModels(replicas, versions, limits)
-	if len(s.models) > 0 {
-		s.perVersion = max(1, len(replicas)/len(s.models))
-	}
-	s.total = 0
+	s.perVersion = max(1, len(replicas)/max(1, len(s.models)))
 	for i := range replicas {
-		s.add(replicas[i], loading, limits)
+		s.add(replicas[i], underWay, limits)
 	}
 	return s
 }
@@ -118,11 +116,9 @@
 			free.usable++
 		}
 	}
-	if busy {
-		s.total++
-		return
+	if !busy {
+		s.free = append(s.free, free)
 	}
-	s.free = append(s.free, free)
 }
 
 // mostShort gives the model that has the fewest replicas for its need, nil if none
--- a/internal/core/weightplan/spread_test.go
+++ b/internal/core/weightplan/spread_test.go
@@ -152,3 +152,30 @@
 		}
 	})
 }
+
+// BenchmarkSpread looks for further loads among replicas that hold many models, half
+// of which are short.
+func BenchmarkSpread(b *testing.B) {
+	const models = 16
+	for _, count := range []int{44, 3500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			versions, needed := map[string]uint64{}, map[string]int{}
+			for m := range models {
+				versions[fmt.Sprint("m", m)] = 9
+				needed[fmt.Sprint("m", m)] = 2 * count / models * (m % 2)
+			}
+			var list []sitestate.Replica
+			for i := range count {
+				replica := sitestate.Replica{ID: fmt.Sprint("i-", i), Model: fmt.Sprint("m", i%models)}
+				for m := range models {
+					replica.Models = append(replica.Models, sitestate.ModelVersion{Name: fmt.Sprint("m", m), Version: uint64(6 + (i+m)%4)})
+				}
+				list = append(list, replica)
+			}
+			limits := weightplan.Limits{Total: max(2, count/5), Share: 0.34, Needed: needed}
+			for b.Loop() {
+				weightplan.Spread(list, versions, nil, nil, limits)
+			}
+		})
+	}
+}
