--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -26,9 +26,6 @@
 	Score          string   `cbor:"10,keyasint,omitempty"`
 	// BodySum identifies the item's body after it was dropped.
 	BodySum uint64 `cbor:"11,keyasint,omitempty"`
-	// Packed is the text of an item that has its result, compressed; Text is empty
-	// then. Finished texts are most of what a state holds.
-	Packed []byte `cbor:"12,keyasint,omitempty"`
 }
 
 // dropRequest frees what only a run needs.
@@ -70,7 +67,6 @@
 	// counts jobs that came, ended or were forgotten.
 	serial    uint64
 	jobSerial uint64
-	packer    *textPacker
 }
 
 type itemPlace struct {
@@ -80,7 +76,7 @@
 
 // New makes the empty state.
 func New() *State {
-	return &State{jobs: map[string]*Job{}, latest: map[string]itemPlace{}, packer: newTextPacker()}
+	return &State{jobs: map[string]*Job{}, latest: map[string]itemPlace{}}
 }
 
 // Snapshot implements groupmember.StateMachine. What an item refers to is replaced,
@@ -191,7 +187,7 @@
 	if held.Events == 0 || held.Result == ResultErrored || !fits(held.Versions, submission) {
 		return fresh
 	}
-	fresh.Text, fresh.Events, fresh.LastEvent = new(textReader).text(held), held.Events, held.LastEvent
+	fresh.Text, fresh.Events, fresh.LastEvent = held.Text, held.Events, held.LastEvent
 	fresh.Versions, fresh.Whole = held.Versions, held.Whole
 	return fresh
 }
@@ -249,7 +245,6 @@
 	}
 	item.Result = record.Result
 	item.dropRequest()
-	s.packer.pack(item)
 	job.Results = append(job.Results, record.Item)
 	s.serial++
 }
@@ -314,17 +309,15 @@
 func (j *Job) Page(from, maxBytes int) Page {
 	page := Page{Total: len(j.Items), Next: max(0, min(from, len(j.Results))), Ended: j.Ended}
 	bytes := 0
-	var reader textReader
 	for _, index := range j.Results[page.Next:] {
 		item := &j.Items[index]
-		text := reader.text(item)
-		bytes += len(text) + len(item.Score) + len(item.Item.ID) + resultOverhead
+		bytes += len(item.Text) + len(item.Score) + len(item.Item.ID) + resultOverhead
 		if len(page.Results) > 0 && bytes > maxBytes {
 			break
 		}
 		view := ResultView{ID: item.Item.ID, Errored: item.Result == ResultErrored}
 		if !view.Errored {
-			view.Text, view.Versions, view.Score = text, item.Versions, item.Score
+			view.Text, view.Versions, view.Score = item.Text, item.Versions, item.Score
 		}
 		page.Results = append(page.Results, view)
 		page.Next++
