--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -2,6 +2,10 @@
 
 import "fmt"
 
+// preparedBytes bounds the space that is set aside for a snapshot before it has
+// arrived, so that it need not be moved as it grows.
+const preparedBytes = 64 << 20
+
 // incomingSnapshot is a snapshot of which a part has arrived.
 type incomingSnapshot struct {
 	from MemberID
@@ -150,6 +154,9 @@
 		n.reply(message, Message{Kind: MessageSnapshotReply, Index: chunk.Index, Offset: have, Reject: chunk.Offset > have})
 		return
 	}
+	if incoming.data == nil {
+		incoming.data = make([]byte, 0, min(chunk.Total, preparedBytes))
+	}
 	incoming.data = append(incoming.data, chunk.Data...)
 	have = uint64(len(incoming.data))
 	if have < chunk.Total {
