--- a/cmd/loomgrade/cmd_job.go
+++ b/cmd/loomgrade/cmd_job.go
@@ -26,11 +26,11 @@
 		return err
 	}
 	defer cancel()
-	answer, err := client.jobs.Call(ctx, jobsapi.Request{List: &jobsapi.ListRequest{}})
+	jobs, err := client.jobs.List(ctx)
 	if err != nil {
 		return err
 	}
-	return output(c.outputFlags, std, answer.Jobs, func(lines *table, jobs []jobsapi.JobSummary) {
+	return output(c.outputFlags, std, jobs, func(lines *table, jobs []jobsapi.JobSummary) {
 		lines.row("JOB", "MODEL", "STEP", "ITEMS", "RESULTS", "ERRORED", "ENDED")
 		for _, job := range jobs {
 			lines.row(job.ID, job.Model, job.Step, job.Items, job.Results, job.Errored, job.Ended)
@@ -55,14 +55,14 @@
 		return err
 	}
 	defer cancel()
-	answer, err := client.jobs.Call(ctx, jobsapi.Request{Page: &jobsapi.PageRequest{Job: c.Job, From: c.From, MaxBytes: maxShownBytes}})
+	page, found, err := client.jobs.Page(ctx, jobsapi.PageRequest{Job: c.Job, From: c.From, MaxBytes: maxShownBytes})
 	if err != nil {
 		return err
 	}
-	if answer.Unknown {
+	if !found {
 		return noSuchJob(c.Job)
 	}
-	return output(c.outputFlags, std, answer.Page, func(lines *table, page jobstate.Page) {
+	return output(c.outputFlags, std, page, func(lines *table, page jobstate.Page) {
 		lines.row("POSITION", "ITEM", "ERRORED", "VERSIONS", "BYTES", "SCORE")
 		for i, result := range page.Results {
 			lines.row(page.Next-len(page.Results)+i, result.ID, result.Errored, result.Versions, len(result.Text), result.Score)
@@ -89,11 +89,11 @@
 		return err
 	}
 	defer cancel()
-	answer, err := client.jobs.Call(ctx, jobsapi.Request{End: &jobsapi.EndRequest{Job: c.Job}})
+	found, err := client.jobs.End(ctx, c.Job)
 	if err != nil {
 		return err
 	}
-	if answer.Unknown {
+	if !found {
 		return noSuchJob(c.Job)
 	}
 	return output(c.outputFlags, std, endedJob{c.Job}, func(lines *table, ended endedJob) { lines.row("ended", ended.Job) })
--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -9,6 +9,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/front"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/platform"
@@ -43,12 +44,7 @@
 	idle := httpserve.NewIdleConnections(keepAlive)
 	served := front.New(front.Config{
 		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Idle: idle, Recorder: p.metrics,
-		Jobs: jobsapi.NewClient(p.wire, func() []sitestate.Store {
-			if view := watcher.View(); view != nil {
-				return view.Stores
-			}
-			return nil
-		}),
+		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, View: watcher.State, Place: sitecontrol.Placer(watcher)}),
 	})
 	p.metrics.Observe(func() metrics.SiteReading {
 		return ofView(metrics.SiteReading{InFlight: served.InFlight(), LinesDropped: p.lines.Dropped()}, watcher)
--- a/cmd/loomgrade/cmd_store.go
+++ b/cmd/loomgrade/cmd_store.go
@@ -23,6 +23,8 @@
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 	State   string `json:"state"`
+	// Shard is the one of the jobs whose group the machine is a member of, 0 for none.
+	Shard uint32 `json:"shard"`
 }
 
 var storeStateNames = map[sitestate.StoreState]string{
@@ -38,12 +40,12 @@
 	defer cancel()
 	rows := []storeRow{}
 	for _, store := range view.Stores {
-		rows = append(rows, storeRow{store.Name, store.Address, store.Zone, storeStateNames[store.State]})
+		rows = append(rows, storeRow{store.Name, store.Address, store.Zone, storeStateNames[store.State], uint32(store.Shard)})
 	}
 	return output(c.outputFlags, std, rows, func(lines *table, rows []storeRow) {
-		lines.row("STORE", "ADDRESS", "ZONE", "STATE")
+		lines.row("STORE", "ADDRESS", "ZONE", "STATE", "SHARD")
 		for _, row := range rows {
-			lines.row(row.Name, row.Address, row.Zone, row.State)
+			lines.row(row.Name, row.Address, row.Zone, row.State, row.Shard)
 		}
 	})
 }
--- a/cmd/loomgrade/jobfile.go
+++ b/cmd/loomgrade/jobfile.go
@@ -8,7 +8,6 @@
 	"os"
 	"slices"
 
-	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -125,11 +124,11 @@
 	if view.Table == nil || view.Table.Lookup(submission.Host, submission.Path) == nil {
 		return port.NewError(port.NotRun, port.CodeNotFound, "no route leads from host %q and path %q", submission.Host, submission.Path)
 	}
-	answer, err := client.jobs.Call(ctx, jobsapi.Request{Submit: submission})
+	outcome, err := client.jobs.Submit(ctx, submission)
 	if err != nil {
 		return err
 	}
-	accepted := submittedJob{Job: submission.ID, Before: answer.Accepted == jobstate.AcceptedBefore}
+	accepted := submittedJob{Job: submission.ID, Before: outcome == jobstate.AcceptedBefore}
 	return output(c.outputFlags, std, accepted, func(lines *table, accepted submittedJob) {
 		lines.row("kept", accepted.Job, "before:", accepted.Before)
 	})
--- a/cmd/loomgrade/siteoperator.go
+++ b/cmd/loomgrade/siteoperator.go
@@ -12,7 +12,6 @@
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
-	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/platform"
 )
@@ -42,7 +41,7 @@
 		Seeds: f.Peer, Wire: options, Decode: platform.Dialect{}.DecodeConfiguration,
 		Changed: client.take, Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
 	})
-	client.jobs = jobsapi.NewClient(options, client.stores)
+	client.jobs = jobsapi.NewClient(jobsapi.Config{Wire: options, View: client.watcher.State, Place: sitecontrol.Placer(client.watcher)})
 	go func() { _ = client.watcher.Run(ctx) }()
 	select {
 	case view := <-client.view:
@@ -61,13 +60,6 @@
 	}
 }
 
-func (c *siteClient) stores() []sitestate.Store {
-	if view := c.watcher.View(); view != nil {
-		return view.Stores
-	}
-	return nil
-}
-
 // control makes a call to the control group.
 func (c *siteClient) control(ctx context.Context, request sitecontrol.Request) (sitecontrol.Answer, error) {
 	var answer sitecontrol.Answer
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -261,7 +261,8 @@
 // ofGroup adds what a member shows to a reading.
 func ofGroup(reading metrics.SiteReading, shown *group.Shown) metrics.SiteReading {
 	if shown != nil {
-		reading.Leads, reading.Term, reading.Applied = shown.Settled, shown.Status.Term, shown.Applied
+		reading.Shard, reading.Leads = uint32(shown.Shard), shown.Settled
+		reading.Term, reading.Applied = shown.Status.Term, shown.Applied
 	}
 	return reading
 }
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -31,6 +31,7 @@
 	ReplicaSilent           Event = "replica.silent"
 	StoreRegistered         Event = "store.registered"
 	StoreGroupFounded       Event = "store.group.founded"
+	ModelPlaced             Event = "model.placed"
 	StoreEvacuationBegun    Event = "store.evacuation.begun"
 	StoreEvacuationRefused  Event = "store.evacuation.refused"
 	StoreEvacuationDone     Event = "store.evacuation.done"
@@ -85,7 +86,8 @@
 	{ReplicaReported, "a replica came, or changed its state; committed"},
 	{ReplicaSilent, "a replica was not heard of for long and is taken out"},
 	{StoreRegistered, "a store machine registered"},
-	{StoreGroupFounded, "the founders of the store group are decided"},
+	{StoreGroupFounded, "the founders of a shard's group are decided"},
+	{ModelPlaced, "a model's jobs have a shard"},
 	{StoreEvacuationBegun, "a store machine is to be emptied"},
 	{StoreEvacuationRefused, "a store machine is not emptied: too few would stay"},
 	{StoreEvacuationDone, "a store machine holds nothing any more"},
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -16,7 +16,9 @@
 	Configuration uint64
 	// Confirmed is set while a quorum confirms the view.
 	Confirmed bool
-	// Leads, Term and Applied are those of its member of a replicated group.
+	// Shard is the one that its group keeps, 0 for none; Leads, Term and Applied are
+	// those of its member of the group.
+	Shard   uint32
 	Leads   bool
 	Term    uint64
 	Applied uint64
@@ -66,6 +68,7 @@
 	s.gauge("configuration_version", "Version of the configuration in force here.", func(r SiteReading) float64 { return float64(r.Configuration) })
 	s.gauge("view_confirmed", "1 while a quorum confirms the view.", func(r SiteReading) float64 { return oneIf(r.Confirmed) })
 	s.gauge("leader", "1 while this process leads its group.", func(r SiteReading) float64 { return oneIf(r.Leads) })
+	s.gauge("shard", "Shard of the jobs that its group keeps, 0 for none.", func(r SiteReading) float64 { return float64(r.Shard) })
 	s.gauge("term", "Term of its group.", func(r SiteReading) float64 { return float64(r.Term) })
 	s.gauge("applied_index", "Last applied position of its group's log.", func(r SiteReading) float64 { return float64(r.Applied) })
 	s.gauge("in_flight", "Requests or items in flight.", func(r SiteReading) float64 { return float64(r.InFlight) })
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -23,7 +23,7 @@
 	maxPageBytes = 700 << 10
 )
 
-// submit takes a job. It is answered 202 once the store group keeps it. An
+// submit takes a job. It is answered 202 once its shard's group keeps it. An
 // outcome that is not known is answered 504: 503 would promise that nothing of
 // it ever runs.
 func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte) {
@@ -47,14 +47,14 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), min(submitTimeout, f.allowed(r, route)))
 	defer cancel()
 	began := time.Now()
-	answer, err := f.config.Jobs.Call(ctx, jobsapi.Request{Submit: &submission})
+	accepted, err := f.config.Jobs.Submit(ctx, &submission)
 	if err != nil {
 		f.jobFailed(w, r, route.Name, err)
 		return
 	}
 	f.config.Logger.Info().Str(eventlog.Field, eventlog.JobAccepted).Str("id", submission.ID).Str("route", route.Name).Str("model", submission.Model).
 		Int("items", len(submission.Items)).Uint64("step", submission.Step).Uint64("min_version", submission.MinVersion).
-		Bool("before", answer.Accepted == jobstate.AcceptedBefore).Dur("took", time.Since(began)).Msg("a job is kept")
+		Bool("before", accepted == jobstate.AcceptedBefore).Dur("took", time.Since(began)).Msg("a job is kept")
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -77,27 +77,25 @@
 	wait = min(max(0, wait), maxWait)
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	answer, err := f.config.Jobs.Call(ctx, jobsapi.Request{Page: &jobsapi.PageRequest{
+	return f.config.Jobs.Page(ctx, jobsapi.PageRequest{
 		Job: job, From: from, WaitMillis: wait.Milliseconds(), MaxBytes: maxPageBytes,
-	}})
-	return answer.Page, !answer.Unknown, err
+	})
 }
 
 // ItemBody gives the body of a job's item.
 func (f *Front) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	answer, err := f.config.Jobs.Call(ctx, jobsapi.Request{Body: &jobsapi.BodyRequest{Job: job, Item: item}})
-	return answer.Body, !answer.Unknown, err
+	return f.config.Jobs.Body(ctx, jobsapi.BodyRequest{Job: job, Item: item})
 }
 
 // EndJob ends a job: nothing of it runs any more.
 func (f *Front) EndJob(ctx context.Context, job string) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
-	answer, err := f.config.Jobs.Call(ctx, jobsapi.Request{End: &jobsapi.EndRequest{Job: job}})
-	f.config.Logger.Info().Str(eventlog.Field, eventlog.JobEnded).Str("id", job).Bool("known", !answer.Unknown).Err(err).Msg("a job was ended")
-	return !answer.Unknown, err
+	found, err = f.config.Jobs.End(ctx, job)
+	f.config.Logger.Info().Str(eventlog.Field, eventlog.JobEnded).Str("id", job).Bool("known", found).Err(err).Msg("a job was ended")
+	return found, err
 }
 
 // Refuse answers 503 with a time to come back.
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -25,12 +25,26 @@
 	// hears no leader.
 	DefaultStandingInterval = time.Second
 
+	// retainEntries and retainBytes are what stays of the log before a snapshot: a
+	// follower that is a second or two behind needs no snapshot, and the bytes are a
+	// small part of a store machine's memory (294 to 334 MB).
 	retainEntries = 512
+	retainBytes   = 2 << 20
 	maxBatch      = 512
 )
 
+// Shard tells groups of one name apart whose members find each other at the same
+// addresses. A member is of one of them at a time. Ids of members must differ between
+// shards.
+type Shard uint32
+
+// AnyShard stands for the one that a member is of, whichever that is.
+const AnyShard Shard = 1<<32 - 1
+
 // Origin says how a member with an empty folder comes into the group.
 type Origin struct {
+	// Shard is the group among those of its name; 0 if there is only one.
+	Shard Shard
 	// Founders are the first members. If the member is one of them it starts
 	// the group with the others, else it joins.
 	Founders []groupmember.Record
@@ -99,7 +113,7 @@
 func (c Config) consensus(id consensus.MemberID) consensus.Config {
 	return consensus.Config{
 		ID: id, ElectionTicks: c.ElectionTicks, HeartbeatTicks: c.HeartbeatTicks,
-		Seed: c.Seed, RetainEntries: retainEntries,
+		Seed: c.Seed, RetainEntries: retainEntries, RetainBytes: retainBytes,
 	}
 }
 
--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -29,6 +29,7 @@
 	Founding bool `cbor:"3,keyasint"`
 	// Records are the members known when the folder was made.
 	Records []groupmember.Record `cbor:"4,keyasint"`
+	Shard   Shard                `cbor:"5,keyasint,omitempty"`
 }
 
 // folder is the data folder of a member.
--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -15,6 +15,7 @@
 // joinRequest asks for an id. Record has none yet.
 type joinRequest struct {
 	Record groupmember.Record `cbor:"1,keyasint"`
+	Shard  Shard              `cbor:"2,keyasint,omitempty"`
 }
 
 // joinAnswer gives the id, or the leader to ask instead.
@@ -24,13 +25,17 @@
 	Leader  string               `cbor:"3,keyasint,omitempty"`
 }
 
-// errFull refuses a machine that is not needed now.
-var errFull = eris.New("the group has as many members as it needs")
+var (
+	// errFull refuses a machine that is not needed now.
+	errFull = eris.New("the group has as many members as it needs")
+	// errOtherShard refuses what is meant for another shard's group.
+	errOtherShard = eris.New("this member is of another shard")
+)
 
-// join asks members for an id, following them to the leader.
-func (m *Member) join(ctx context.Context, incarnation string, contacts []string) (identity, error) {
-	record := m.config.Self
-	record.Incarnation = incarnation
+// join asks members of a shard's group for an id, following them to the leader.
+func (m *Member) join(ctx context.Context, incarnation string, shard Shard, contacts []string) (identity, error) {
+	request := joinRequest{Record: m.config.Self, Shard: shard}
+	request.Record.Incarnation = incarnation
 	asked := map[string]bool{m.config.Self.Address: true}
 	for len(contacts) > 0 {
 		address := contacts[0]
@@ -39,12 +44,12 @@
 			continue
 		}
 		asked[address] = true
-		answer, err := m.askToJoin(ctx, address, record)
+		answer, err := m.askToJoin(ctx, address, request)
 		if err != nil {
 			continue
 		}
 		if answer.ID != consensus.None {
-			return identity{ID: answer.ID, Records: answer.Records}, nil
+			return identity{ID: answer.ID, Shard: shard, Records: answer.Records}, nil
 		}
 		contacts = slices.Insert(contacts, 0, answer.Leader)
 		for _, known := range answer.Records {
@@ -54,11 +59,11 @@
 	return identity{}, eris.New("no member that was asked could add this one")
 }
 
-func (m *Member) askToJoin(ctx context.Context, address string, record groupmember.Record) (joinAnswer, error) {
+func (m *Member) askToJoin(ctx context.Context, address string, request joinRequest) (joinAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var answer joinAnswer
-	err := m.peers.pool.Client(address).Call(ctx, m.config.Name+".join", joinRequest{Record: record}, &answer)
+	err := m.peers.pool.Client(address).Call(ctx, m.config.Name+".join", request, &answer)
 	return answer, err
 }
 
@@ -72,18 +77,21 @@
 	if asked.Record.Address == "" || asked.Record.Incarnation == "" {
 		return port.InvalidField("record", "", "an address and an incarnation")
 	}
-	answer, err := m.add(ctx, asked.Record)
+	answer, err := m.add(ctx, asked)
 	if err != nil {
 		return port.NewError(port.MayHaveRun, port.CodeUnavailable, "%v", err)
 	}
 	return call.Send(answer)
 }
 
-func (m *Member) add(ctx context.Context, record groupmember.Record) (joinAnswer, error) {
-	l := m.current.Load()
+func (m *Member) add(ctx context.Context, asked joinRequest) (joinAnswer, error) {
+	l, record := m.current.Load(), asked.Record
 	if l == nil {
 		return joinAnswer{}, ErrNotReady
 	}
+	if l.shard != asked.Shard {
+		return joinAnswer{}, errOtherShard
+	}
 	done := make(chan joinAnswer, 1)
 	failed := make(chan error, 1)
 	work := func(l *loop) {
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -30,6 +30,7 @@
 // but for the channels.
 type loop struct {
 	config   Config
+	shard    Shard
 	member   *groupmember.Member
 	machine  groupmember.StateMachine
 	log      *wal.Log
@@ -68,7 +69,7 @@
 		return nil, eris.Wrap(err, config.Folder)
 	}
 	return &loop{
-		config: config, member: member, machine: machine, log: log, peers: peers, shown: shown,
+		config: config, shard: stored.Shard, member: member, machine: machine, log: log, peers: peers, shown: shown,
 		requests: make(chan request, requestQueue),
 		messages: make(chan consensus.Message, messageQueue),
 		stopped:  make(chan struct{}),
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -53,10 +53,13 @@
 	entered bool
 	current atomic.Pointer[loop]
 	shown   atomic.Pointer[Shown]
+	// shard is the one of the member's folder.
+	shard atomic.Uint32
 }
 
 // Shown is what a member shows of itself to other goroutines. It is immutable.
 type Shown struct {
+	Shard   Shard
 	Status  consensus.Status
 	Settled bool
 	// Confirmed is set if the member was in touch with a quorum and caught up.
@@ -120,6 +123,12 @@
 	}
 }
 
+// Limits gives how many members are wanted, with all limits in ticks.
+func (m *Member) Limits() groupmember.Limits { return m.config.Limits }
+
+// Shard gives the shard whose group this machine is a member of, 0 while it is of none.
+func (m *Member) Shard() Shard { return Shard(m.shard.Load()) }
+
 // takePart opens the member and runs it until it must stop.
 func (m *Member) takePart(ctx context.Context, place folder) error {
 	l, stored, err := m.open(ctx, place)
@@ -145,6 +154,7 @@
 	}
 	mayFound := !found && !m.entered
 	m.entered = true
+	m.shard.Store(uint32(stored.Shard))
 	if found {
 		l, err := m.reopen(place, stored)
 		if err == nil || !unusable(err) {
@@ -152,6 +162,7 @@
 		}
 		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
 	}
+	m.shard.Store(0)
 	if err := place.clear(); err != nil {
 		return nil, identity{}, err
 	}
@@ -196,7 +207,8 @@
 				return nil, identity{}, err
 			}
 			m.config.Logger.Info().Str(eventlog.Field, eventlog.GroupEntered).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
-				Bool("founder", stored.Founding).Msg("this member has an id")
+				Uint32("shard", uint32(stored.Shard)).Bool("founder", stored.Founding).Msg("this member has an id")
+			m.shard.Store(uint32(stored.Shard))
 			l, err := m.create(place, stored)
 			return l, stored, err
 		}
@@ -219,14 +231,14 @@
 	}
 	for _, founder := range origin.Founders {
 		if mayFound && founder.Address == m.config.Self.Address && (founder.Incarnation == "" || founder.Incarnation == incarnation) {
-			return identity{ID: founder.ID, Founding: true, Records: origin.Founders}, nil
+			return identity{ID: founder.ID, Shard: origin.Shard, Founding: true, Records: origin.Founders}, nil
 		}
 	}
 	contacts := origin.Contacts
 	for _, founder := range origin.Founders {
 		contacts = append(contacts, founder.Address)
 	}
-	return m.join(ctx, incarnation, contacts)
+	return m.join(ctx, incarnation, origin.Shard, contacts)
 }
 
 // create makes the log of a member that has an id.
@@ -246,7 +258,7 @@
 
 func (m *Member) loopOn(stored identity, log *wal.Log, restored consensus.Restored) (*loop, error) {
 	m.peers.learn(stored.Records, false)
-	l, err := newLoop(m.config, stored, log, restored, m.peers, m.show)
+	l, err := newLoop(m.config, stored, log, restored, m.peers, func(step Step) { m.show(stored.Shard, step) })
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
@@ -254,9 +266,9 @@
 }
 
 // show publishes a step of the loop.
-func (m *Member) show(step Step) {
+func (m *Member) show(shard Shard, step Step) {
 	shown := &Shown{
-		Status: step.Status, Settled: step.Settled, Applied: step.Applied, Records: step.Records,
+		Shard: shard, Status: step.Status, Settled: step.Settled, Applied: step.Applied, Records: step.Records,
 		Confirmed: step.Status.QuorumActive && step.CaughtUp, At: time.Now(),
 	}
 	for _, record := range step.Records {
@@ -286,13 +298,25 @@
 // command has no effect; so does groupmember.ErrDisplaced. Any other error
 // leaves it open.
 func (m *Member) Propose(ctx context.Context, command []byte) (any, error) {
-	return m.onLeader(ctx, func(l *loop, token uint64) { l.member.Propose(token, command) }, nil)
+	return m.ProposeTo(ctx, AnyShard, command)
+}
+
+// ProposeTo is Propose for a member of the shard; one of another shard refuses with a
+// *NotLeaderError.
+func (m *Member) ProposeTo(ctx context.Context, shard Shard, command []byte) (any, error) {
+	return m.onLeader(ctx, shard, func(l *loop, token uint64) { l.member.Propose(token, command) }, nil)
 }
 
 // Read runs read in the loop on a state that shows every command committed
 // before the call, if this member leads.
 func (m *Member) Read(ctx context.Context, read func(machine groupmember.StateMachine)) error {
-	_, err := m.onLeader(ctx, func(l *loop, token uint64) { l.member.Read(token) }, read)
+	return m.ReadFrom(ctx, AnyShard, read)
+}
+
+// ReadFrom is Read for a member of the shard; one of another shard refuses with a
+// *NotLeaderError.
+func (m *Member) ReadFrom(ctx context.Context, shard Shard, read func(machine groupmember.StateMachine)) error {
+	_, err := m.onLeader(ctx, shard, func(l *loop, token uint64) { l.member.Read(token) }, read)
 	return err
 }
 
@@ -301,11 +325,14 @@
 	err    error
 }
 
-func (m *Member) onLeader(ctx context.Context, start func(l *loop, token uint64), read func(groupmember.StateMachine)) (any, error) {
+func (m *Member) onLeader(ctx context.Context, shard Shard, start func(l *loop, token uint64), read func(groupmember.StateMachine)) (any, error) {
 	l := m.current.Load()
 	if l == nil {
 		return nil, ErrNotReady
 	}
+	if shard != AnyShard && shard != l.shard {
+		return nil, &NotLeaderError{}
+	}
 	done := make(chan outcome, 1)
 	posted := func(l *loop) {
 		if ctx.Err() != nil {
--- a/internal/app/group/standing.go
+++ b/internal/app/group/standing.go
@@ -12,7 +12,8 @@
 
 // standingRequest asks whether a member was removed.
 type standingRequest struct {
-	ID consensus.MemberID `cbor:"1,keyasint"`
+	ID    consensus.MemberID `cbor:"1,keyasint"`
+	Shard Shard              `cbor:"2,keyasint,omitempty"`
 }
 
 // standingAnswer is sure if Removed is set: a leader of Term has committed it.
@@ -61,7 +62,7 @@
 		if address == "" || address == m.config.Self.Address {
 			continue
 		}
-		answer, err := m.askStanding(ctx, address, stored.ID)
+		answer, err := m.askStanding(ctx, address, standingRequest{ID: stored.ID, Shard: stored.Shard})
 		if err == nil && answer.Removed && answer.Term >= shown.Status.Term {
 			return true
 		}
@@ -69,11 +70,11 @@
 	return false
 }
 
-func (m *Member) askStanding(ctx context.Context, address string, id consensus.MemberID) (standingAnswer, error) {
+func (m *Member) askStanding(ctx context.Context, address string, request standingRequest) (standingAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var answer standingAnswer
-	err := m.peers.pool.Client(address).Call(ctx, m.config.Name+".standing", standingRequest{ID: id}, &answer)
+	err := m.peers.pool.Client(address).Call(ctx, m.config.Name+".standing", request, &answer)
 	return answer, err
 }
 
@@ -89,7 +90,7 @@
 	}
 	done := make(chan standingAnswer, 1)
 	select {
-	case l.requests <- func(l *loop) { done <- l.standing(asked.ID) }:
+	case l.requests <- func(l *loop) { done <- l.standing(asked) }:
 	case <-l.stopped:
 		return port.NewError(port.NotRun, port.CodeUnavailable, "%v", ErrNotReady)
 	case <-ctx.Done():
@@ -107,10 +108,10 @@
 
 // standing says whether a member was removed. Its record is there until that is
 // committed.
-func (l *loop) standing(id consensus.MemberID) standingAnswer {
-	status := l.member.Status()
+func (l *loop) standing(asked standingRequest) standingAnswer {
+	status, id := l.member.Status(), asked.ID
 	_, known := l.member.Record(id)
-	if !l.member.Settled() || known || id > status.Membership.HighestID || status.Membership.Contains(id) {
+	if asked.Shard != l.shard || !l.member.Settled() || known || id > status.Membership.HighestID || status.Membership.Contains(id) {
 		return standingAnswer{}
 	}
 	return standingAnswer{Removed: true, Term: status.Term}
--- a/internal/app/group/standing_test.go
+++ b/internal/app/group/standing_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -32,7 +33,7 @@
 func (c *counter) Apply(uint64, []byte) any { c.applied.Add(1); return nil }
 func (c *counter) Snapshot() groupmember.Encoder {
 	applied := c.applied.Load()
-	return func() ([]byte, error) { return binary.BigEndian.AppendUint32(nil, applied), nil }
+	return func(into *bytes.Buffer) error { return binary.Write(into, binary.BigEndian, applied) }
 }
 
 func (c *counter) Restore(data []byte) error {
--- /dev/null
+++ b/internal/app/jobsapi/client_test.go
@@ -0,0 +1,157 @@
+package jobsapi_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// shardStandIn is a machine that leads a shard's group and has some jobs.
+type shardStandIn struct {
+	number  sitestate.ShardNumber
+	address string
+	jobs    []string
+
+	mutex sync.Mutex
+	asked int
+}
+
+func (s *shardStandIn) serve(_ context.Context, call *wire.Call) error {
+	var request jobsapi.Request
+	if err := call.Decode(&request); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked++
+	if request.Shard != s.number {
+		return call.Send(jobsapi.Answer{NotLeader: true})
+	}
+	switch {
+	case request.Submit != nil:
+		s.jobs = append(s.jobs, request.Submit.ID)
+		return call.Send(jobsapi.Answer{Accepted: jobstate.Accepted})
+	case request.Page != nil:
+		return call.Send(jobsapi.Answer{Unknown: !slices.Contains(s.jobs, request.Page.Job), Page: jobstate.Page{Total: int(s.number)}})
+	case request.End != nil:
+		return call.Send(jobsapi.Answer{Unknown: !slices.Contains(s.jobs, request.End.Job)})
+	default:
+		return port.NewError(port.NotRun, port.CodeInvalid, "not of this test")
+	}
+}
+
+func (s *shardStandIn) askedTimes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.asked
+}
+
+// shardedClient starts as many shards as are to be up, and a client that also knows of
+// those that are down.
+func shardedClient(t *testing.T, up, down int, placed map[string]sitestate.ShardNumber) (*jobsapi.Client, []*shardStandIn) {
+	options := wire.Options{ClusterID: "test", Name: "client", DialTimeout: 100 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
+	view := &sitestate.View{Placed: placed}
+	var shards []*shardStandIn
+	for i := range up + down {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		number := sitestate.ShardNumber(i + 1)
+		shard := &shardStandIn{number: number, address: listener.Addr().String()}
+		view.Shards = append(view.Shards, sitestate.Shard{Number: number, Founders: []groupmember.Record{{Address: shard.address}}})
+		view.Stores = append(view.Stores, sitestate.Store{Name: fmt.Sprint(i), Address: shard.address, Shard: number})
+		if i >= up {
+			_ = listener.Close()
+			continue
+		}
+		shards = append(shards, shard)
+		server := wire.NewServer(wire.Options{ClusterID: "test", Name: fmt.Sprint("store-", i)})
+		server.Handle(jobsapi.MethodCall, shard.serve)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(server.Close)
+	}
+	return jobsapi.NewClient(jobsapi.Config{
+		Wire: options, View: func() *sitestate.View { return view },
+		Place: func(_ context.Context, model string) (sitestate.ShardNumber, error) {
+			if model == "unplaceable" {
+				return 0, errors.New("no leader of the control group")
+			}
+			return 2, nil
+		},
+	}), shards
+}
+
+func shortly(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestAJobGoesToTheShardOfItsModelAndIsFoundThere(t *testing.T) {
+	client, shards := shardedClient(t, 3, 0, map[string]sitestate.ShardNumber{"a": 1})
+	for model, want := range map[string]int{"a": 0, "not placed yet": 1} {
+		if _, err := client.Submit(context.Background(), &jobstate.Submission{ID: "job of " + model, Model: model}); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Contains(shards[want].jobs, "job of "+model) {
+			t.Errorf("model %q: not in shard %d", model, want+1)
+		}
+	}
+	before := shards[2].askedTimes()
+	if page, found, err := client.Page(context.Background(), jobsapi.PageRequest{Job: "job of a"}); err != nil || !found || page.Total != 1 {
+		t.Errorf("%+v, %v, %v", page, found, err)
+	}
+	if shards[2].askedTimes() != before {
+		t.Error("all shards are asked about a job whose shard is known")
+	}
+	var refusal *port.Error
+	_, err := client.Submit(shortly(t), &jobstate.Submission{ID: "j", Model: "unplaceable"})
+	if !errors.As(err, &refusal) || refusal.Verdict != port.NotRun {
+		t.Errorf("a job that no shard was asked to take: %v", err)
+	}
+}
+
+// TestAJobIsDeniedOnlyIfEveryShardDeniesIt: one that does not answer may have it.
+func TestAJobIsDeniedOnlyIfEveryShardDeniesIt(t *testing.T) {
+	placed := map[string]sitestate.ShardNumber{"a": 1}
+	for name, row := range map[string]struct {
+		up, down    int
+		placed      map[string]sitestate.ShardNumber
+		job         string
+		found, sure bool
+	}{
+		"one has it":                            {3, 0, placed, "job-2", true, true},
+		"none has it":                           {3, 0, placed, "other", false, true},
+		"one has it, another is down":           {2, 1, placed, "job-2", true, true},
+		"none has it, another is down":          {2, 1, placed, "other", false, false},
+		"further shards may not be known yet":   {2, 0, nil, "other", false, false},
+		"the only one has it":                   {1, 0, placed, "job-1", true, true},
+		"the only one has it not, and is asked": {1, 0, placed, "other", false, true},
+	} {
+		client, shards := shardedClient(t, row.up, row.down, row.placed)
+		for _, shard := range shards {
+			shard.jobs = []string{fmt.Sprint("job-", shard.number)}
+		}
+		_, found, err := client.Page(shortly(t), jobsapi.PageRequest{Job: row.job})
+		if (err == nil) != row.sure || (err == nil && found != row.found) {
+			t.Errorf("%s: found %v, %v", name, found, err)
+		}
+		found, err = client.End(shortly(t), row.job)
+		if (err == nil) != row.sure || (err == nil && found != row.found) {
+			t.Errorf("%s: ended %v, %v", name, found, err)
+		}
+	}
+}
--- a/internal/app/jobsapi/jobsapi.go
+++ b/internal/app/jobsapi/jobsapi.go
@@ -1,33 +1,24 @@
-// Package jobsapi is what the store group serves to the other processes about
-// jobs, and the client of it, which finds the group's leader.
+// Package jobsapi is what the groups of the shards serve to the other processes about
+// jobs, and the client of it, which finds a job's shard and the leader of its group.
 package jobsapi
 
 import (
-	"context"
-	"errors"
-	"math/rand/v2"
-	"slices"
-	"sync"
-	"time"
-
-	"github.com/rotisserie/eris"
-
-	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
-	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// MethodCall takes a Request to a member of the store group.
+// MethodCall takes a Request to a store machine.
 const MethodCall = "jobs.call"
 
-// Request is a call about jobs; one field is set.
+// Request is a call about the jobs of a shard; one field beside Shard is set.
 type Request struct {
-	Submit *jobstate.Submission `cbor:"1,keyasint,omitempty"`
-	Page   *PageRequest         `cbor:"2,keyasint,omitempty"`
-	Body   *BodyRequest         `cbor:"3,keyasint,omitempty"`
-	End    *EndRequest          `cbor:"4,keyasint,omitempty"`
-	List   *ListRequest         `cbor:"5,keyasint,omitempty"`
+	// Shard is the one whose group is asked. A machine of another one refuses.
+	Shard  sitestate.ShardNumber `cbor:"6,keyasint,omitempty"`
+	Submit *jobstate.Submission  `cbor:"1,keyasint,omitempty"`
+	Page   *PageRequest          `cbor:"2,keyasint,omitempty"`
+	Body   *BodyRequest          `cbor:"3,keyasint,omitempty"`
+	End    *EndRequest           `cbor:"4,keyasint,omitempty"`
+	List   *ListRequest          `cbor:"5,keyasint,omitempty"`
 }
 
 // PageRequest asks for results from a position on.
@@ -79,108 +70,3 @@
 	Step     uint64 `cbor:"7,keyasint"`
 	Accepted uint64 `cbor:"8,keyasint"`
 }
-
-const (
-	// attemptTimeout bounds one member's answer, beyond what it is asked to wait.
-	attemptTimeout = 1200 * time.Millisecond
-	roundPause     = 60 * time.Millisecond
-)
-
-// Client asks the store group.
-type Client struct {
-	pool   *wire.Pool
-	stores func() []sitestate.Store
-
-	mutex  sync.Mutex
-	leader string
-}
-
-// NewClient makes a client; stores lists the store machines that are known.
-func NewClient(options wire.Options, stores func() []sitestate.Store) *Client {
-	return &Client{pool: wire.NewPool(options), stores: stores}
-}
-
-// Call asks members until the leader answers or the context ends. All calls are
-// safe to repeat: a job is taken once. The error's verdict is NotRun only if no
-// member can have taken the request.
-func (c *Client) Call(ctx context.Context, request Request) (Answer, error) {
-	verdict := port.NotRun
-	last := eris.New("no store machine is known")
-	for {
-		queue := c.order()
-		asked := map[string]bool{}
-		for len(queue) > 0 {
-			address := queue[0]
-			queue = queue[1:]
-			if address == "" || asked[address] {
-				continue
-			}
-			asked[address] = true
-			answer, err := c.ask(ctx, address, request)
-			switch {
-			case err == nil && !answer.NotLeader:
-				c.setLeader(address)
-				return answer, nil
-			case err == nil:
-				queue = slices.Insert(queue, 0, answer.Leader)
-				last = eris.New("no member leads the store group")
-			case isFinal(err):
-				return Answer{}, err
-			default:
-				if port.AsError(err).Verdict != port.NotRun {
-					verdict = port.MayHaveRun
-				}
-				last = err
-			}
-			if ctx.Err() != nil {
-				break
-			}
-		}
-		select {
-		case <-time.After(roundPause):
-		case <-ctx.Done():
-			return Answer{}, port.NewError(verdict, port.CodeUnavailable, "%v", last)
-		}
-	}
-}
-
-// isFinal reports whether another member would say the same.
-func isFinal(err error) bool {
-	var refusal *port.Error
-	return errors.As(err, &refusal) && (refusal.Code == port.CodeInvalid || refusal.Code == port.CodeQueueFull || refusal.Code == port.CodeTooLarge)
-}
-
-func (c *Client) ask(ctx context.Context, address string, request Request) (Answer, error) {
-	limit := attemptTimeout
-	if request.Page != nil {
-		limit += time.Duration(request.Page.WaitMillis) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	var answer Answer
-	err := c.pool.Client(address).Call(ctx, MethodCall, request, &answer)
-	return answer, err
-}
-
-// order lists the members to ask, the last known leader first.
-func (c *Client) order() []string {
-	var addresses []string
-	for _, store := range c.stores() {
-		if store.State != sitestate.StoreEmptied {
-			addresses = append(addresses, store.Address)
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.leader != "" {
-		addresses = slices.Insert(addresses, 0, c.leader)
-	}
-	return addresses
-}
-
-func (c *Client) setLeader(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.leader = address
-}
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -39,6 +39,8 @@
 	Evacuation string `cbor:"6,keyasint,omitempty"`
 	// Heard tells the leader of replicas that another member heard of.
 	Heard *Heard `cbor:"7,keyasint,omitempty"`
+	// Place asks which shard keeps a model's jobs.
+	Place *PlaceModel `cbor:"8,keyasint,omitempty"`
 }
 
 // Heard are ids of replicas whose heartbeats a member acknowledged.
@@ -52,8 +54,8 @@
 // StoreHeartbeat is what a store machine reports.
 type StoreHeartbeat struct {
 	Store sitestate.Store `cbor:"1,keyasint"`
-	// Members are the machines in the store group, as its leader sees it; only
-	// the leader reports them.
+	// Members are the machines in the group of the store's shard, as its leader sees
+	// it; only the leader reports them.
 	Members []string `cbor:"2,keyasint,omitempty"`
 	// Whole is set if enough of them hold everything.
 	Whole bool `cbor:"3,keyasint,omitempty"`
@@ -63,6 +65,9 @@
 	// Open is the most items that were open at once of late, by model; only the
 	// leader reports it.
 	Open map[string]int `cbor:"5,keyasint,omitempty"`
+	// Vacant is how many further machines the group takes in; only the leader
+	// reports it.
+	Vacant int `cbor:"6,keyasint,omitempty"`
 }
 
 // Answer answers a Request.
@@ -77,6 +82,11 @@
 	TooFew bool `cbor:"5,keyasint,omitempty"`
 	// Leader is set if the asked member does not lead.
 	NotLeader bool `cbor:"6,keyasint,omitempty"`
+	// Join tells a store machine that is in no group which shard's it is to join; 0
+	// for none.
+	Join sitestate.ShardNumber `cbor:"7,keyasint,omitempty"`
+	// Shard answers PlaceModel.
+	Shard sitestate.ShardNumber `cbor:"8,keyasint,omitempty"`
 }
 
 // Call serves a request at this member or at the leader. Errors are
@@ -156,6 +166,8 @@
 		return c.readConfiguration(ctx)
 	case request.Store != nil:
 		return c.stores.take(ctx, *request.Store)
+	case request.Place != nil:
+		return c.stores.place(ctx, *request.Place)
 	case request.Evacuate != "":
 		return c.stores.evacuate(ctx, request.Evacuate)
 	case request.Evacuation != "":
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -1,6 +1,7 @@
 package sitecontrol
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -45,6 +46,9 @@
 	Seed       uint64
 	// ToleratedLosses is how many machines with a disk may be lost at once.
 	ToleratedLosses int
+	// PlacesPerShard is how many places of engines one shard's leader serves; 0 takes
+	// DefaultPlacesPerShard.
+	PlacesPerShard int
 	// HolderLease is how long replicas hold to the machine that ordered last.
 	HolderLease time.Duration
 	// Recorder measures what the leader does; nil measures nothing.
@@ -87,6 +91,7 @@
 	if config.Recorder == nil {
 		config.Recorder = noRecorder{}
 	}
+	config.PlacesPerShard = cmp.Or(config.PlacesPerShard, DefaultPlacesPerShard)
 	c := &Control{
 		config: config, pool: wire.NewPool(config.Wire), wakes: map[chan struct{}]struct{}{},
 		seeds: slices.Clone(config.Seeds),
@@ -203,6 +208,15 @@
 	c.table.Store(routing.NewTable(document))
 }
 
+// engineServices lists the services of the configuration that are engines.
+func (c *Control) engineServices() []routing.Service {
+	table := c.table.Load()
+	if table == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(table.Document().Services), func(service routing.Service) bool { return service.Engine == nil })
+}
+
 // IsVoter reports whether this member has a vote, in touch with a quorum and
 // caught up.
 func (c *Control) IsVoter() bool {
--- /dev/null
+++ b/internal/app/sitecontrol/placer.go
@@ -0,0 +1,17 @@
+package sitecontrol
+
+import (
+	"context"
+
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// Placer asks the control group, by a watcher's members, for the shard of a model.
+func Placer(watcher *siteview.Watcher) func(ctx context.Context, model string) (sitestate.ShardNumber, error) {
+	return func(ctx context.Context, model string) (sitestate.ShardNumber, error) {
+		var answer Answer
+		err := watcher.Call(ctx, MethodCall, Request{Place: &PlaceModel{Model: model}}, &answer)
+		return answer.Shard, err
+	}
+}
--- a/internal/app/sitecontrol/stores.go
+++ b/internal/app/sitecontrol/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,54 +12,84 @@
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
-const (
-	// storeAliveFor is how long after a heartbeat a store counts as alive.
-	storeAliveFor = 3 * time.Second
-	// foundingPatience is how long the leader waits for as many stores as the
-	// site should have before it founds their group with fewer.
-	foundingPatience = 6 * time.Second
-)
+// storeAliveFor is how long after a heartbeat a store counts as alive.
+const storeAliveFor = 3 * time.Second
 
 // stores follows the store machines as the leader.
 type stores struct {
 	control *Control
 	mutex   sync.Mutex
 	heard   map[string]time.Time
+	// reports are what the leaders of the shards' groups last said.
+	reports map[sitestate.ShardNumber]shardReport
+	// invited is since when a machine is told to join a group.
+	invited map[string]time.Time
+
+	// ledFrom is when this member began to lead, and grownAt when a store machine or
+	// shard was last added, as seen here. Only tend uses them.
 	ledFrom time.Time
-	// members and whole are what the store group's leader last reported.
+	grownAt time.Time
+	grown   int
+}
+
+// shardReport is what the leader of a shard's group knows.
+type shardReport struct {
+	// members are names of machines, whole is set if enough of them hold everything.
 	members []string
 	whole   bool
-	// demand is the work that jobs bring, by model.
+	// vacant is how many further machines the group takes in.
+	vacant int
+	// demand is the work that jobs bring, and open the most items that were open at
+	// once of late, by model.
 	demand map[string]float64
-	// open is the most items that were open at once of late, by model.
-	open map[string]int
+	open   map[string]int
 }
 
 func newStores(control *Control) *stores {
-	return &stores{control: control, heard: map[string]time.Time{}}
+	s := &stores{control: control, heard: map[string]time.Time{}}
+	s.forgetReports()
+	return s
 }
 
-// needed is how many store machines must stay: so many that a quorum outlives
-// the tolerated losses.
-func (s *stores) needed() int { return 2*s.control.config.ToleratedLosses + 1 }
+func (s *stores) forgetReports() {
+	s.reports = map[sitestate.ShardNumber]shardReport{}
+	s.invited = map[string]time.Time{}
+}
+
+// voters is how many machines keep a shard: a quorum of them outlives the tolerated
+// losses.
+func (s *stores) voters() int { return 2*s.control.config.ToleratedLosses + 1 }
+
+// needed is how many store machines must stay.
+func (s *stores) needed() int {
+	return s.voters() * max(1, len(s.control.view.Load().Shards))
+}
 
 // take serves a store machine's heartbeat.
 func (s *stores) take(ctx context.Context, heartbeat StoreHeartbeat) (Answer, error) {
+	store := heartbeat.Store
+	s.note(heartbeat)
+	held, known := s.find(store.Name)
+	if known && held.SameRegistration(store) {
+		return Answer{StoreState: held.State, Join: s.invite(held)}, nil
+	}
+	outcome, err := s.control.propose(ctx, sitestate.Command{Store: &store})
+	s.control.config.Logger.Info().Str(eventlog.Field, eventlog.StoreRegistered).Str("store", store.Name).
+		Str("address", store.Address).Uint32("shard", uint32(store.Shard)).Err(err).Msg("a store machine registered")
+	return Answer{Outcome: outcome}, err
+}
+
+// note takes in what a heartbeat tells.
+func (s *stores) note(heartbeat StoreHeartbeat) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.heard[heartbeat.Store.Name] = time.Now()
 	if heartbeat.Members != nil {
-		s.members, s.whole = heartbeat.Members, heartbeat.Whole
-		s.demand, s.open = heartbeat.Demand, heartbeat.Open
-	}
-	s.mutex.Unlock()
-	held, known := s.find(heartbeat.Store.Name)
-	if known && held.Address == heartbeat.Store.Address && held.Incarnation == heartbeat.Store.Incarnation {
-		return Answer{StoreState: held.State}, nil
+		s.reports[heartbeat.Store.Shard] = shardReport{
+			members: heartbeat.Members, whole: heartbeat.Whole, vacant: heartbeat.Vacant,
+			demand: heartbeat.Demand, open: heartbeat.Open,
+		}
 	}
-	outcome, err := s.control.propose(ctx, sitestate.Command{Store: &heartbeat.Store})
-	s.control.config.Logger.Info().Str(eventlog.Field, eventlog.StoreRegistered).Str("store", heartbeat.Store.Name).
-		Str("address", heartbeat.Store.Address).Err(err).Msg("a store machine registered")
-	return Answer{Outcome: outcome}, err
 }
 
 func (s *stores) find(name string) (sitestate.Store, bool) {
@@ -75,7 +106,17 @@
 func (s *stores) reportedDemand() (demand map[string]float64, open map[string]int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.demand, s.open
+	for _, report := range s.reports {
+		if report.demand == nil {
+			continue
+		}
+		if demand == nil {
+			demand, open = map[string]float64{}, map[string]int{}
+		}
+		maps.Copy(demand, report.demand)
+		maps.Copy(open, report.open)
+	}
+	return demand, open
 }
 
 // evacuate begins to empty a machine.
@@ -98,15 +139,21 @@
 
 // aliveBeside counts the store machines that stay.
 func (s *stores) aliveBeside(name string) int {
+	return len(s.alive(func(store sitestate.Store) bool { return store.Name != name }))
+}
+
+// alive lists the active store machines that were heard of lately and match.
+func (s *stores) alive(match func(sitestate.Store) bool) []sitestate.Store {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, count := time.Now(), 0
+	now := time.Now()
+	var alive []sitestate.Store
 	for _, store := range s.control.view.Load().Stores {
-		if store.Name != name && store.State == sitestate.StoreActive && now.Sub(s.heard[store.Name]) < storeAliveFor {
-			count++
+		if store.State == sitestate.StoreActive && now.Sub(s.heard[store.Name]) < storeAliveFor && match(store) {
+			alive = append(alive, store)
 		}
 	}
-	return count
+	return alive
 }
 
 // evacuation tells how an evacuation stands, of what is committed.
@@ -120,43 +167,38 @@
 	return answer, err
 }
 
-// tend founds the store group and ends evacuations.
+// tend founds shards, places models and ends evacuations.
 func (s *stores) tend(ctx context.Context, leads bool) {
-	s.mutex.Lock()
 	if !leads {
-		s.ledFrom, s.members = time.Time{}, nil
+		s.ledFrom = time.Time{}
+		s.mutex.Lock()
+		s.forgetReports()
 		s.mutex.Unlock()
 		return
 	}
-	now := time.Now()
 	if s.ledFrom.IsZero() {
-		s.ledFrom = now
+		s.ledFrom = time.Now()
 	}
-	patience := now.Sub(s.ledFrom) > foundingPatience
-	members, whole := s.members, s.whole
-	s.mutex.Unlock()
 	view := s.control.view.Load()
-	if len(view.Founders) == 0 {
-		s.found(ctx, view.Stores, patience)
-		return
-	}
+	s.tendShards(ctx, view)
 	for _, store := range view.Stores {
-		if store.State == sitestate.StoreLeaving && whole && members != nil && !slices.Contains(members, store.Name) {
+		if store.State == sitestate.StoreLeaving && s.holdsNothing(store.Name, len(view.Shards)) {
 			_, err := s.control.propose(ctx, sitestate.Command{Evacuate: &sitestate.Evacuate{Name: store.Name, Done: true}})
 			s.control.config.Logger.Info().Str(eventlog.Field, eventlog.StoreEvacuationDone).Str("store", store.Name).Err(err).Msg("a store machine holds nothing any more")
 		}
 	}
 }
 
-// found names the founders once enough store machines have registered.
-func (s *stores) found(ctx context.Context, registered []sitestate.Store, patience bool) {
-	if len(registered) == 0 || (len(registered) < s.needed() && !patience) {
-		return
-	}
-	var founders []groupmember.Record
-	for i, store := range registered[:min(len(registered), s.needed())] {
-		founders = append(founders, groupmember.Record{ID: memberID(i), Address: store.Address, Name: store.Name, Incarnation: store.Incarnation})
+// holdsNothing reports whether every shard's group is whole without a machine. A group
+// that has not reported may count on it.
+func (s *stores) holdsNothing(name string, shards int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for number := range shards {
+		report, known := s.reports[sitestate.ShardNumber(number+1)]
+		if !known || !report.whole || slices.Contains(report.members, name) {
+			return false
+		}
 	}
-	_, err := s.control.propose(ctx, sitestate.Command{Found: &sitestate.Found{Founders: founders}})
-	s.control.config.Logger.Info().Str(eventlog.Field, eventlog.StoreGroupFounded).Int("founders", len(founders)).Int("wanted", s.needed()).Err(err).Msg("the store group has founders")
+	return shards > 0
 }
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -66,21 +66,20 @@
 	}
 }
 
-// tend plans and begins loads.
+// tend keeps replicas at models, then plans and begins loads. The model decides which
+// shard's items go to a replica, so that it is given before any version is published.
 func (w *weightsManager) tend(ctx context.Context, leads bool) {
 	w.lead(leads)
-	table := w.control.table.Load()
 	if !leads {
 		return
 	}
 	view := w.control.view.Load()
-	if table == nil || len(view.Weights) == 0 || !w.hold(ctx) {
-		return
-	}
-	for _, service := range table.Document().Services {
-		if service.Engine != nil {
-			w.tendService(ctx, view, service)
+	for _, service := range w.control.engineServices() {
+		replicas := w.readyReplicas(view, service.Name)
+		if w.assign(ctx, service, replicas) || len(view.Weights) == 0 || !w.hold(ctx) {
+			continue
 		}
+		w.planLoads(ctx, view, service, replicas)
 	}
 }
 
@@ -135,20 +134,29 @@
 	}
 }
 
-func (w *weightsManager) tendService(ctx context.Context, view *sitestate.View, service routing.Service) {
-	replicas := w.readyReplicas(view, service.Name)
-	demand, open := w.control.stores.reportedDemand()
+// assign changes the models that replicas are kept at, and reports whether any was to
+// change.
+func (w *weightsManager) assign(ctx context.Context, service routing.Service, replicas []sitestate.Replica) bool {
+	demand, _ := w.control.stores.reportedDemand()
 	mayMove := len(demand) > 0 && time.Since(w.movedAt) > movePause
-	if changes := weightplan.Assign(replicas, modelsOf(service, replicas), demand, mayMove); len(changes) > 0 {
-		_, err := w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
-		w.movedAt = time.Now()
-		w.control.config.Logger.Info().Str(eventlog.Field, eventlog.WeightsAssigned).Str("service", service.Name).Str("changes", fmt.Sprint(changes)).
-			Str("demand", fmt.Sprint(demand)).Err(err).Msg("replicas are kept at other models from now on")
-		return
+	changes := weightplan.Assign(replicas, modelsOf(service, replicas), demand, mayMove)
+	if len(changes) == 0 {
+		return false
 	}
+	_, err := w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
+	w.movedAt = time.Now()
+	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.WeightsAssigned).Str("service", service.Name).Str("changes", fmt.Sprint(changes)).
+		Str("demand", fmt.Sprint(demand)).Err(err).Msg("replicas are kept at other models from now on")
+	return true
+}
+
+// planLoads begins the loads that are due.
+func (w *weightsManager) planLoads(ctx context.Context, view *sitestate.View, service routing.Service, replicas []sitestate.Replica) {
+	_, open := w.control.stores.reportedDemand()
 	loading, resting := w.underWay(time.Now())
 	limits := weightplan.Limits{
 		Total: max(leastLoadsAtOnce, int(loadsShare*float64(len(replicas)))), Share: loadShare, Resting: resting,
+		Shards: view.Placed,
 	}
 	if w.onlyForJobs(service.Name) && len(replicas) > 0 {
 		limits.Needed = weightplan.Need(open, replicas[0].Slots)
--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -49,17 +49,18 @@
 }
 
 func (s *Store) serve(ctx context.Context, request jobsapi.Request) (jobsapi.Answer, error) {
+	shard := group.Shard(request.Shard)
 	switch {
 	case request.Submit != nil:
-		return s.submit(ctx, *request.Submit)
+		return s.submit(ctx, shard, *request.Submit)
 	case request.Page != nil:
-		return s.page(ctx, *request.Page)
+		return s.page(ctx, shard, *request.Page)
 	case request.Body != nil:
-		return s.body(ctx, *request.Body)
+		return s.body(ctx, shard, *request.Body)
 	case request.End != nil:
-		return s.end(ctx, *request.End)
+		return s.end(ctx, shard, *request.End)
 	case request.List != nil:
-		return s.list(ctx)
+		return s.list(ctx, shard)
 	default:
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "empty request")
 	}
@@ -67,7 +68,7 @@
 
 // submit keeps a job. Before it is proposed, a refusal is as not run; after
 // that its outcome is known or left open.
-func (s *Store) submit(ctx context.Context, submission jobstate.Submission) (jobsapi.Answer, error) {
+func (s *Store) submit(ctx context.Context, shard group.Shard, submission jobstate.Submission) (jobsapi.Answer, error) {
 	if refusal := s.mayAccept(); refusal != nil {
 		return jobsapi.Answer{}, refusal
 	}
@@ -78,7 +79,7 @@
 	if len(data) > maxJobBytes {
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeTooLarge, "the job is larger than %d bytes", maxJobBytes)
 	}
-	result, err := s.member.Propose(ctx, data)
+	result, err := s.member.ProposeTo(ctx, shard, data)
 	if err != nil {
 		return jobsapi.Answer{}, err
 	}
@@ -123,12 +124,12 @@
 }
 
 // page gives results; it waits for one if there is none yet.
-func (s *Store) page(ctx context.Context, request jobsapi.PageRequest) (jobsapi.Answer, error) {
+func (s *Store) page(ctx context.Context, shard group.Shard, request jobsapi.PageRequest) (jobsapi.Answer, error) {
 	waited := time.After(time.Duration(request.WaitMillis) * time.Millisecond)
 	for {
 		news := s.awaitNews()
 		answer := jobsapi.Answer{Unknown: true}
-		err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+		err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
 			if job := machine.(*jobstate.State).Job(request.Job); job != nil {
 				answer = jobsapi.Answer{Page: job.Page(request.From, request.MaxBytes)}
 			}
@@ -147,9 +148,9 @@
 }
 
 // body gives the body of an item that is not listed yet, until its job ends.
-func (s *Store) body(ctx context.Context, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
+func (s *Store) body(ctx context.Context, shard group.Shard, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
 	answer := jobsapi.Answer{Unknown: true}
-	err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+	err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
 		job := machine.(*jobstate.State).Job(request.Job)
 		if job == nil {
 			return
@@ -164,8 +165,21 @@
 	return answer, err
 }
 
-func (s *Store) end(ctx context.Context, request jobsapi.EndRequest) (jobsapi.Answer, error) {
-	result, err := s.propose(ctx, jobstate.Command{End: &jobstate.End{ID: request.Job}})
+// end ends a job. One that this shard does not know costs no entry of the log: clients
+// ask all shards.
+func (s *Store) end(ctx context.Context, shard group.Shard, request jobsapi.EndRequest) (jobsapi.Answer, error) {
+	held := false
+	err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
+		held = machine.(*jobstate.State).Job(request.Job) != nil
+	})
+	if err != nil || !held {
+		return jobsapi.Answer{Unknown: err == nil}, err
+	}
+	data, err := jobstate.Command{End: &jobstate.End{ID: request.Job}}.Encode()
+	if err != nil {
+		return jobsapi.Answer{}, err
+	}
+	result, err := s.member.ProposeTo(ctx, shard, data)
 	if err != nil {
 		return jobsapi.Answer{}, err
 	}
@@ -173,9 +187,9 @@
 	return jobsapi.Answer{Unknown: !known}, nil
 }
 
-func (s *Store) list(ctx context.Context) (jobsapi.Answer, error) {
+func (s *Store) list(ctx context.Context, shard group.Shard) (jobsapi.Answer, error) {
 	var answer jobsapi.Answer
-	err := s.member.Read(ctx, func(machine groupmember.StateMachine) {
+	err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
 		for _, job := range machine.(*jobstate.State).Jobs() {
 			answer.Jobs = append(answer.Jobs, summarize(job))
 		}
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -13,10 +13,14 @@
 const (
 	// promptKeptFor is how long a replica is taken to have a group's prompt.
 	promptKeptFor = 5 * time.Second
+	// takeOverPause is left to the runner that sent items to a replica before: it
+	// hears of the change as late as this one does early, and its items end meanwhile.
+	takeOverPause = 1500 * time.Millisecond
 )
 
-// replicaBook is what the runner knows of replicas.
+// replicaBook is what the runner of a shard knows of replicas.
 type replicaBook struct {
+	shard    sitestate.ShardNumber
 	replicas map[string]*replicaEntry
 	// pace is that of all replicas together.
 	pace pace
@@ -39,6 +43,8 @@
 }
 
 type replicaEntry struct {
+	// foreign is set while another shard's runner sends items here.
+	foreign bool
 	running int
 	// reserved counts places kept for items whose run elsewhere is ending.
 	reserved     int
@@ -51,7 +57,9 @@
 	versions map[string]uint64
 }
 
-func newReplicaBook() *replicaBook { return &replicaBook{replicas: map[string]*replicaEntry{}} }
+func newReplicaBook(shard sitestate.ShardNumber) *replicaBook {
+	return &replicaBook{shard: shard, replicas: map[string]*replicaEntry{}}
+}
 
 func (b *replicaBook) entry(id string) *replicaEntry {
 	known := b.replicas[id]
@@ -123,13 +131,13 @@
 	return max(b.pace.usual, time.Nanosecond)
 }
 
-// candidates lists the replicas that may run items. The result is good until the
+// candidates lists the replicas that may run items of this shard. The result is good until the
 // next call.
 func (b *replicaBook) candidates(view *siteview.View, table *routing.Table, now time.Time) []jobqueue.Replica {
+	b.now, b.open = now, b.open[:0]
 	if b.view != view || b.table != table {
 		b.list(view, table)
 	}
-	b.now, b.open = now, b.open[:0]
 	for i := range b.listed {
 		listed := &b.listed[i]
 		if now.Before(listed.known.blockedUntil) {
@@ -153,11 +161,28 @@
 			continue
 		}
 		for i := range replicas {
-			b.listed = append(b.listed, b.describe(service, &replicas[i], described))
+			if b.owns(view, &replicas[i]) {
+				b.listed = append(b.listed, b.describe(service, &replicas[i], described))
+			}
 		}
 	}
 }
 
+// owns reports whether items of this shard, and no others, go to a replica. One that
+// comes from another shard is left alone at first.
+func (b *replicaBook) owns(view *siteview.View, replica *sitestate.Replica) bool {
+	known := b.entry(replica.ID)
+	if owner := view.OwnerOf(replica); owner != b.shard {
+		known.foreign = owner != 0
+		return false
+	}
+	if known.foreign {
+		known.foreign = false
+		b.block(replica.ID, b.now.Add(takeOverPause))
+	}
+	return true
+}
+
 func (b *replicaBook) describe(service string, replica *sitestate.Replica, described *routing.Service) listedReplica {
 	known := b.entry(replica.ID)
 	return listedReplica{slots: slotsOf(replica, described), known: known, candidate: jobqueue.Replica{
--- a/internal/app/sitestore/replicabook_test.go
+++ b/internal/app/sitestore/replicabook_test.go
@@ -34,7 +34,7 @@
 
 func TestCandidatesCountWhatRuns(t *testing.T) {
 	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2}, sitestate.Replica{ID: "b"})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	item := &work{item: jobstate.Item{Group: "g"}}
 	book.enter(item, "a", bookTime)
 	a := candidate(t, book, view, table, "a", bookTime)
@@ -56,7 +56,7 @@
 
 func TestBlockedReplicasAreLeftOutForAWhile(t *testing.T) {
 	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	book.block("a", bookTime.Add(time.Second))
 	book.block("a", bookTime.Add(time.Millisecond)) // a shorter one changes nothing
 	if candidate(t, book, view, table, "a", bookTime.Add(999*time.Millisecond)) != nil {
@@ -69,7 +69,7 @@
 
 func TestASlowReplicaIsExpectedToBeAsItUsuallyIsOnceTheMeasurementAges(t *testing.T) {
 	view, table := bookView(sitestate.Replica{ID: "slow", Slots: 2}, sitestate.Replica{ID: "fast", Slots: 2}, sitestate.Replica{ID: "new", Slots: 2})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	for range 200 {
 		book.measure("slow", 90*time.Millisecond, bookTime)
 		book.measure("fast", 30*time.Millisecond, bookTime)
@@ -95,7 +95,7 @@
 
 func TestAPlaceIsKeptForAnItemThatMoves(t *testing.T) {
 	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	book.reserve("a")
 	if a := candidate(t, book, view, table, "a", bookTime); a.Free != 1 {
 		t.Errorf("free %d", a.Free)
@@ -109,7 +109,7 @@
 
 func TestVersionsShownByAnswersCountAtOnce(t *testing.T) {
 	view, table := bookView(sitestate.Replica{ID: "a", Slots: 2, Models: []sitestate.ModelVersion{{Name: "m", Version: 3}}})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	book.entry("a").versions["m"] = 4
 	if got := candidate(t, book, view, table, "a", bookTime).Version("m"); got != 4 {
 		t.Errorf("version %d", got)
@@ -142,7 +142,7 @@
 func TestCandidatesFollowTheView(t *testing.T) {
 	first, table := bookView(sitestate.Replica{ID: "a", Slots: 2}, sitestate.Replica{ID: "b", Slots: 2})
 	second, _ := bookView(sitestate.Replica{ID: "b", Slots: 4})
-	book := newReplicaBook()
+	book := newReplicaBook(0)
 	item := &work{}
 	book.candidates(first, table, bookTime)
 	book.enter(item, "b", bookTime)
@@ -165,7 +165,7 @@
 				replicas = append(replicas, sitestate.Replica{ID: fmt.Sprint("i", i), Slots: 6, Models: []sitestate.ModelVersion{{Name: "m", Version: 3}}})
 			}
 			view, table := bookView(replicas...)
-			book := newReplicaBook()
+			book := newReplicaBook(0)
 			var queue jobqueue.Queue
 			for i := range 400 {
 				queue.Add(jobqueue.Item{Key: jobqueue.Key{Item: i}, Service: "s", Model: "m", MinVersion: 4})
@@ -179,3 +179,37 @@
 		})
 	}
 }
+
+// TestAReplicaOfAnotherShardIsLeftAlone: also for a while after it has come over, as
+// the runner before may not know of it yet.
+func TestAReplicaOfAnotherShardIsLeftAlone(t *testing.T) {
+	placed := map[string]sitestate.ShardNumber{"a": 1, "b": 2}
+	sharded := func(model string) (*siteview.View, *routing.Table) {
+		view, table := bookView(sitestate.Replica{ID: "x", Slots: 2, Model: model})
+		view.Shards, view.Placed = []sitestate.Shard{{Number: 1}, {Number: 2}}, placed
+		return view, table
+	}
+	ours, table := sharded("a")
+	book := newReplicaBook(1)
+	if candidate(t, book, ours, table, "x", bookTime) == nil {
+		t.Fatal("a replica of this shard is not used")
+	}
+	theirs, _ := sharded("b")
+	if candidate(t, book, theirs, table, "x", bookTime) != nil {
+		t.Error("a replica of another shard is used")
+	}
+	nobodys, _ := sharded("")
+	nobodys.ByService["s"][0].Models = []sitestate.ModelVersion{{Name: "a", Version: 1}}
+	if candidate(t, book, nobodys, table, "x", bookTime) != nil {
+		t.Error("a replica that is kept at no model yet is used")
+	}
+	theirs, _ = sharded("b")
+	candidate(t, book, theirs, table, "x", bookTime)
+	back, _ := sharded("a")
+	if candidate(t, book, back, table, "x", bookTime) != nil {
+		t.Error("a replica is used at once after it has come over")
+	}
+	if candidate(t, book, back, table, "x", bookTime.Add(takeOverPause)) == nil {
+		t.Error("a replica that came over is never used")
+	}
+}
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -9,6 +9,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
 const (
@@ -38,6 +39,7 @@
 
 	// The rest is that of one leadership.
 	leads     bool
+	shard     sitestate.ShardNumber
 	term      uint64
 	context   context.Context
 	cancel    context.CancelFunc
@@ -116,11 +118,12 @@
 		r.stop()
 		return
 	}
-	if r.leads && r.term != shown.Status.Term {
+	shard := sitestate.ShardNumber(shown.Shard)
+	if r.leads && (r.shard != shard || r.term != shown.Status.Term) {
 		r.stop()
 	}
 	if !r.leads {
-		r.start(ctx, shown.Status.Term)
+		r.start(ctx, shard, shown.Status.Term)
 	}
 	view := r.store.config.Watcher.View()
 	if view == nil || view.Table == nil {
@@ -151,21 +154,21 @@
 }
 
 // start begins a leadership.
-func (r *runner) start(ctx context.Context, term uint64) {
-	r.leads, r.term = true, term
+func (r *runner) start(ctx context.Context, shard sitestate.ShardNumber, term uint64) {
+	r.leads, r.shard, r.term = true, shard, term
 	r.context, r.cancel = context.WithCancel(ctx)
 	r.jobSerial = 0
 	r.jobs = map[string]bool{}
 	r.works = map[jobqueue.Key]*work{}
 	r.times = map[string]*jobTimes{}
 	r.queue = jobqueue.Queue{}
-	r.replicas = newReplicaBook()
+	r.replicas = newReplicaBook(shard)
 	r.demand = newDemandMeter(time.Now())
 	r.lengths = lengths{}
 	r.table = nil
 	r.keeping, r.urgent = false, false
 	r.kept = make(chan error, 1)
-	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStarted).Uint64("term", term).Msg("this machine runs the items of jobs")
+	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStarted).Uint32("shard", uint32(shard)).Uint64("term", term).Msg("this machine runs the items of jobs")
 }
 
 // stop ends a leadership: every run is cancelled.
@@ -178,7 +181,7 @@
 	for job := range r.times {
 		r.logTimes(job, false, time.Now())
 	}
-	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStopped).Uint64("term", r.term).Int("items", len(r.works)).Msg("this machine runs no items any more")
+	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStopped).Uint32("shard", uint32(r.shard)).Uint64("term", r.term).Int("items", len(r.works)).Msg("this machine runs no items any more")
 }
 
 // measureDemand publishes the work that jobs bring, and reports whether it was
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -96,6 +96,8 @@
 	news        chan struct{}
 	incarnation string
 	seen        map[string]time.Time
+	// invited is the shard whose group this machine is to join, 0 for none.
+	invited atomic.Uint32
 }
 
 // New makes a store process.
@@ -115,8 +117,8 @@
 	return s
 }
 
-// wantedVoters is how many machines keep everything: a quorum of them outlives
-// the tolerated losses.
+// wantedVoters is how many machines keep a shard: a quorum of them outlives the
+// tolerated losses.
 func (s *Store) wantedVoters() int { return 2*s.config.ToleratedLosses + 1 }
 
 // Register sets the handlers of calls between processes.
@@ -138,24 +140,47 @@
 // HandOver gives leadership away before a planned stop.
 func (s *Store) HandOver(ctx context.Context) { s.member.HandOver(ctx) }
 
-var errNotFounded = errors.New("sitestore: the store group is not founded yet, or this machine is to be emptied")
+var errNoPlace = errors.New("sitestore: no shard's group needs this machine now, or it is to be emptied")
 
-// origin registers this machine and follows the control group's decision on
-// who founds the store group.
+// origin registers this machine's data folder and follows the control group's
+// decision on which shard's group it founds or joins.
 func (s *Store) origin(ctx context.Context, incarnation string) (group.Origin, error) {
 	s.mutex.Lock()
+	registered := s.incarnation == incarnation
 	s.incarnation = incarnation
 	s.mutex.Unlock()
-	s.sendHeartbeat(ctx)
+	if !registered {
+		s.sendHeartbeat(ctx)
+	}
 	view := s.config.Watcher.View()
-	if view == nil || len(view.Founders) == 0 || s.state(view) != sitestate.StoreActive {
-		return group.Origin{}, errNotFounded
+	if view == nil || s.state(view) != sitestate.StoreActive {
+		return group.Origin{}, errNoPlace
+	}
+	invited := sitestate.ShardNumber(s.invited.Load())
+	for _, shard := range view.Shards {
+		if shard.Number == invited || s.founds(shard, incarnation) {
+			return originOf(view, shard), nil
+		}
 	}
-	origin := group.Origin{Founders: view.Founders}
+	return group.Origin{}, errNoPlace
+}
+
+// founds reports whether this machine, with this folder, is a founder of a shard's
+// group.
+func (s *Store) founds(shard sitestate.Shard, incarnation string) bool {
+	return slices.ContainsFunc(shard.Founders, func(founder groupmember.Record) bool {
+		return founder.Address == s.config.Address && founder.Incarnation == incarnation
+	})
+}
+
+func originOf(view *siteview.View, shard sitestate.Shard) group.Origin {
+	origin := group.Origin{Shard: group.Shard(shard.Number), Founders: shard.Founders}
 	for _, store := range view.Stores {
-		origin.Contacts = append(origin.Contacts, store.Address)
+		if store.Shard == shard.Number {
+			origin.Contacts = append(origin.Contacts, store.Address)
+		}
 	}
-	return origin, nil
+	return origin
 }
 
 func (s *Store) state(view *siteview.View) sitestate.StoreState {
@@ -229,21 +254,25 @@
 	s.mutex.Unlock()
 	heartbeat := sitecontrol.StoreHeartbeat{Store: sitestate.Store{
 		Name: s.config.Machine, Address: s.config.Address, Zone: s.config.Zone, Incarnation: incarnation,
+		Shard: sitestate.ShardNumber(s.member.Shard()),
 	}}
 	s.describeGroup(&heartbeat)
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	var answer sitecontrol.Answer
-	_ = s.config.Watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Store: &heartbeat}, &answer)
+	if s.config.Watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Store: &heartbeat}, &answer) == nil {
+		s.invited.Store(uint32(answer.Join))
+	}
 }
 
 // describeGroup adds what the group's leader knows of its members.
 func (s *Store) describeGroup(heartbeat *sitecontrol.StoreHeartbeat) {
 	shown := s.member.Shown()
-	if shown == nil || !shown.Settled {
+	if shown == nil || !shown.Settled || sitestate.ShardNumber(shown.Shard) != heartbeat.Store.Shard {
 		return
 	}
 	heartbeat.Members = []string{}
+	heartbeat.Vacant = groupmember.Vacant(shown.Status, shown.Records, s.leaving(), s.member.Limits())
 	whole := 0
 	// A member has a record until its removal is committed: only then may its
 	// machine be taken away.
@@ -322,8 +351,7 @@
 	return s.member.Propose(ctx, data)
 }
 
-// Leads reports whether this machine leads the store group, in touch with a
-// quorum.
+// Leads reports whether this machine leads a shard's group, in touch with a quorum.
 func (s *Store) Leads() bool {
 	shown := s.member.Shown()
 	return shown != nil && shown.Settled
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -87,6 +87,14 @@
 // View gives the present view, or nil.
 func (w *Watcher) View() *View { return w.view.Load() }
 
+// State gives the control state of the present view, or nil.
+func (w *Watcher) State() *sitestate.View {
+	if view := w.view.Load(); view != nil {
+		return view.View
+	}
+	return nil
+}
+
 // ConfirmedWithin reports whether a member in touch with a quorum confirmed the
 // view within the time.
 func (w *Watcher) ConfirmedWithin(age time.Duration) bool {
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -53,6 +53,8 @@
 	// RetainEntries is how many entries before a snapshot stay in memory, for
 	// followers that are a little behind.
 	RetainEntries int
+	// RetainBytes bounds the data of these entries; 0 does not.
+	RetainBytes int
 	// NoLeaseReads confirms every read with a heartbeat round. It is for
 	// clocks whose rates cannot be trusted.
 	NoLeaseReads bool
@@ -74,7 +76,7 @@
 	if c.HeartbeatTicks < 1 || c.ElectionTicks < minElectionTicks || c.ElectionTicks < 2*c.HeartbeatTicks {
 		return fmt.Errorf("%w: election %d ticks, heartbeat %d ticks", ErrConfig, c.ElectionTicks, c.HeartbeatTicks)
 	}
-	if c.MaxBatchBytes < 0 || c.MaxInflight < 0 || c.SnapshotChunkBytes < 0 || c.MaxUncommitted < 0 || c.RetainEntries < 0 {
+	if c.MaxBatchBytes < 0 || c.MaxInflight < 0 || c.SnapshotChunkBytes < 0 || c.MaxUncommitted < 0 || c.RetainEntries < 0 || c.RetainBytes < 0 {
 		return fmt.Errorf("%w: negative size", ErrConfig)
 	}
 	return nil
--- a/internal/core/consensus/log.go
+++ b/internal/core/consensus/log.go
@@ -97,6 +97,23 @@
 	l.stable = min(l.stable, index-1)
 }
 
+// retainedFrom gives the index before the newest entries up to one: so many of them at
+// most, and not more bytes of data unless bytes is 0.
+func (l *raftLog) retainedFrom(index uint64, entries, bytes int) uint64 {
+	size := 0
+	for range entries {
+		if index <= l.baseIndex {
+			break
+		}
+		size += len(l.entries[index-l.baseIndex-1].Data)
+		if bytes > 0 && size > bytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact drops the entries up to and including index.
 func (l *raftLog) compact(index uint64) {
 	term, known := l.term(index)
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -57,9 +57,7 @@
 		return fmt.Errorf("%w: membership differs", ErrSnapshotMismatch)
 	}
 	n.setSnapshot(built)
-	if retained := uint64(n.config.RetainEntries); built.Index > retained {
-		n.log.compact(built.Index - retained)
-	}
+	n.log.compact(n.log.retainedFrom(built.Index, n.config.RetainEntries, n.config.RetainBytes))
 	return nil
 }
 
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -1,6 +1,8 @@
 package groupmember
 
 import (
+	"bytes"
+	"encoding/binary"
 	"errors"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,9 +39,17 @@
 	Restore(data []byte) error
 }
 
-// Encoder encodes a captured state. It is called once, and may run in another
-// goroutine beside the calls of the state machine.
-type Encoder func() ([]byte, error)
+// Encoder writes a captured state behind what a buffer holds, as a state may be most of
+// what a member has in memory. It is called once, and may run in another goroutine beside
+// the calls of the state machine.
+type Encoder func(into *bytes.Buffer) error
+
+// Bytes gives the encoded state alone.
+func (e Encoder) Bytes() ([]byte, error) {
+	var state bytes.Buffer
+	err := e(&state)
+	return state.Bytes(), err
+}
 
 // Config sets a Member up. Zero sizes take defaults.
 type Config struct {
@@ -57,10 +67,10 @@
 	Directory []Record `cbor:"2,keyasint,omitempty"`
 }
 
-// snapshotBody is the data of a snapshot.
-type snapshotBody struct {
+// snapshotHead is what the data of a snapshot begins with, in CBOR and behind its
+// length; the state machine's encoding follows.
+type snapshotHead struct {
 	Directory []Record `cbor:"1,keyasint"`
-	State     []byte   `cbor:"2,keyasint"`
 	Told      bool     `cbor:"3,keyasint"`
 }
 
@@ -143,15 +153,23 @@
 }
 
 func (m *Member) restore(snapshot consensus.Snapshot) error {
-	var body snapshotBody
-	if err := cbor.Unmarshal(snapshot.Data, &body); err != nil {
+	length, begin := binary.Uvarint(snapshot.Data)
+	if begin <= 0 || length > uint64(len(snapshot.Data)-begin) {
+		return errNoSnapshot
+	}
+	state := begin + int(length)
+	var head snapshotHead
+	if err := cbor.Unmarshal(snapshot.Data[begin:state], &head); err != nil {
 		return eris.Wrap(err, "decode snapshot")
 	}
-	m.directory.replace(body.Directory)
-	m.told = body.Told
-	return m.machine.Restore(body.State)
+	m.directory.replace(head.Directory)
+	m.told = head.Told
+	return m.machine.Restore(snapshot.Data[state:])
 }
 
+// errNoSnapshot reports bytes that are no snapshot's.
+var errNoSnapshot = errors.New("groupmember: the data of a snapshot is cut short")
+
 // Tick notes that one tick passed.
 func (m *Member) Tick() {
 	m.node.Tick()
--- a/internal/core/groupmember/ready.go
+++ b/internal/core/groupmember/ready.go
@@ -1,7 +1,9 @@
 package groupmember
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 
@@ -168,33 +170,38 @@
 
 // Capture is the applied state at one position of the log, not encoded yet.
 type Capture struct {
-	head  consensus.Snapshot
-	body  snapshotBody
-	state Encoder
+	snapshot consensus.Snapshot
+	head     snapshotHead
+	state    Encoder
 }
 
 // CaptureSnapshot captures the applied state. The owner encodes it, makes it durable
 // and then calls Compact with it; meanwhile the member goes on.
 func (m *Member) CaptureSnapshot() (Capture, error) {
-	head, err := m.node.BuildSnapshot(m.applied, nil)
+	snapshot, err := m.node.BuildSnapshot(m.applied, nil)
 	if err != nil {
 		return Capture{}, err
 	}
 	m.bytesSinceCaptured = 0
-	body := snapshotBody{Directory: m.directory.list(), Told: m.told}
-	return Capture{head: head, body: body, state: m.machine.Snapshot()}, nil
+	head := snapshotHead{Directory: m.directory.list(), Told: m.told}
+	return Capture{snapshot: snapshot, head: head, state: m.machine.Snapshot()}, nil
 }
 
 // Encode gives the snapshot. It is called once, and may run in another goroutine
 // beside the member's calls.
 func (c Capture) Encode() (consensus.Snapshot, error) {
-	state, err := c.state()
+	head, err := cbor.Marshal(c.head)
 	if err != nil {
 		return consensus.Snapshot{}, err
 	}
-	c.body.State = state
-	c.head.Data, err = cbor.Marshal(c.body)
-	return c.head, err
+	var data bytes.Buffer
+	data.Write(binary.AppendUvarint(nil, uint64(len(head))))
+	data.Write(head)
+	if err := c.state(&data); err != nil {
+		return consensus.Snapshot{}, err
+	}
+	c.snapshot.Data = data.Bytes()
+	return c.snapshot, nil
 }
 
 // Compact drops the log up to a snapshot that is durable. It fails with
--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -1,6 +1,7 @@
 package groupmember_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"maps"
@@ -41,7 +42,7 @@
 
 func (r *record) Snapshot() groupmember.Encoder {
 	captured := slices.Clone(r.numbers)
-	return func() ([]byte, error) { return cbor.Marshal(captured) }
+	return func(into *bytes.Buffer) error { return cbor.NewEncoder(into).Encode(captured) }
 }
 
 func (r *record) Restore(data []byte) error {
--- a/internal/core/jobstate/jobstate_test.go
+++ b/internal/core/jobstate/jobstate_test.go
@@ -190,7 +190,7 @@
 			}
 			l.record(record)
 			if rapid.IntRange(0, 9).Draw(r, "snapshot") == 0 {
-				data, err := l.state.Snapshot()()
+				data, err := l.state.Snapshot().Bytes()
 				if err != nil {
 					r.Fatal(err)
 				}
@@ -227,7 +227,7 @@
 		var captured []groupmember.Encoder
 		var want [][]byte
 		for range rapid.IntRange(1, 20).Draw(r, "steps") {
-			at, err := l.state.Snapshot()()
+			at, err := l.state.Snapshot().Bytes()
 			if err != nil {
 				r.Fatal(err)
 			}
@@ -242,7 +242,7 @@
 		l.apply(jobstate.Command{End: &jobstate.End{ID: "j"}})
 		l.apply(jobstate.Command{Forget: &jobstate.Forget{Jobs: []string{"j"}}})
 		for i, encode := range captured {
-			if got, err := encode(); err != nil || !bytes.Equal(got, want[i]) {
+			if got, err := encode.Bytes(); err != nil || !bytes.Equal(got, want[i]) {
 				r.Fatalf("capture %d differs from what was there: %v", i, err)
 			}
 		}
@@ -295,3 +295,24 @@
 		job.Page(100, 1<<20)
 	}
 }
+
+// TestTheBufferOfASnapshotIsMadeOnce: a state that is large must not stand in memory
+// several times while it is encoded.
+func TestTheBufferOfASnapshotIsMadeOnce(t *testing.T) {
+	l := newLog(t)
+	job := submission("j", "a", "b", "c")
+	for i := range job.Items {
+		job.Items[i].Body, job.Items[i].Headers = make([]byte, 20_000), []jobstate.Header{{Name: "n", Value: strings.Repeat("v", 500)}}
+	}
+	l.apply(jobstate.Command{Accept: job})
+	for i := range job.Items {
+		l.record(jobstate.ItemRecord{Job: "j", Item: i, Text: []string{strings.Repeat("text ", 30_000)}, Versions: []uint64{3}})
+	}
+	var buffer bytes.Buffer
+	if err := l.state.Snapshot()(&buffer); err != nil {
+		t.Fatal(err)
+	}
+	if most := buffer.Len() * 11 / 10; buffer.Cap() > most {
+		t.Errorf("a buffer of %d bytes for %d", buffer.Cap(), buffer.Len())
+	}
+}
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -1,6 +1,7 @@
 package jobstate
 
 import (
+	"bytes"
 	"slices"
 	"sort"
 	"strings"
@@ -89,7 +90,41 @@
 		captured.Results = slices.Clone(job.Results)
 		jobs[i] = &captured
 	}
-	return func() ([]byte, error) { return cbor.Marshal(jobs) }
+	return func(into *bytes.Buffer) error {
+		into.Grow(encodedSize(jobs))
+		return encoding.MarshalToBuffer(jobs, into)
+	}
+}
+
+// encoding writes behind what a buffer holds.
+var encoding = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the options are fixed
+	}
+	return mode
+}()
+
+// encodedItem is about what an item's encoding needs beside its text and request.
+const encodedItem = 256
+
+// encodedSize estimates the encoding's size from above, so that the buffer for it, which
+// is most of what a large state costs in the making, is made once.
+func encodedSize(jobs []*Job) int {
+	size := 0
+	for _, job := range jobs {
+		for i := range job.Items {
+			item := &job.Items[i]
+			size += encodedItem + len(item.Text) + len(item.Item.Body) + len(item.Item.ID) + len(item.Item.Path) + len(item.Item.Group)
+			for _, header := range item.Item.Headers {
+				size += len(header.Name) + len(header.Value)
+			}
+			if scorer := item.Item.Scorer; scorer != nil {
+				size += encodedItem + len(scorer.Body) + len(scorer.Path) + len(scorer.Host)
+			}
+		}
+	}
+	return size
 }
 
 // Restore implements groupmember.StateMachine.
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 )
 
@@ -17,6 +18,7 @@
 	Found         *Found         `cbor:"7,keyasint,omitempty"`
 	Evacuate      *Evacuate      `cbor:"8,keyasint,omitempty"`
 	Assign        *Assign        `cbor:"9,keyasint,omitempty"`
+	Place         *Place         `cbor:"10,keyasint,omitempty"`
 }
 
 // Configuration is a whole configuration. Raw is the document as the operator
@@ -123,11 +125,45 @@
 	State   StoreState `cbor:"4,keyasint,omitempty"`
 	// Incarnation is that of its data folder.
 	Incarnation string `cbor:"5,keyasint,omitempty"`
+	// Shard is the one whose group the machine is a member of, 0 while it is in none.
+	Shard ShardNumber `cbor:"6,keyasint,omitempty"`
 }
 
-// Found names the founders of the store group. The first one holds.
+// SameRegistration reports whether two registrations of a machine say the same.
+func (s Store) SameRegistration(other Store) bool {
+	return s.Address == other.Address && s.Incarnation == other.Incarnation && s.Shard == other.Shard
+}
+
+// ShardNumber names a shard of the jobs, counted from 1; 0 is none.
+type ShardNumber uint32
+
+// memberIDsPerShard keeps the members of all shards apart: a message that reaches a
+// machine of another shard is for an id that nobody has there.
+const memberIDsPerShard = 1 << 32
+
+// FounderID gives the id of a founder of the shard's group, by its position among them.
+func (n ShardNumber) FounderID(position int) consensus.MemberID {
+	return consensus.MemberID(uint64(n-1)*memberIDsPerShard + uint64(position) + 1)
+}
+
+// Shard is a part of the jobs, which a group of store machines of its own keeps.
+type Shard struct {
+	Number ShardNumber `cbor:"1,keyasint"`
+	// Founders are the first members of its group.
+	Founders []groupmember.Record `cbor:"2,keyasint"`
+}
+
+// Found adds a shard. It takes effect only if it has the next number.
 type Found struct {
-	Founders []groupmember.Record `cbor:"1,keyasint"`
+	Shard Shard `cbor:"1,keyasint"`
+}
+
+// Place gives a model's jobs to a shard, for good: a job that comes again must find
+// itself, and items that come back in a later job their text. The first one holds.
+// Jobs without a model are placed under the empty name.
+type Place struct {
+	Model string      `cbor:"1,keyasint"`
+	Shard ShardNumber `cbor:"2,keyasint"`
 }
 
 // Evacuate moves a store machine's state on.
--- a/internal/core/sitestate/sitestate_test.go
+++ b/internal/core/sitestate/sitestate_test.go
@@ -175,7 +175,7 @@
 			command := drawCommand(r)
 			l.apply(command)
 			if rapid.IntRange(0, 9).Draw(r, "restore") == 0 {
-				data, err := l.state.Snapshot()()
+				data, err := l.state.Snapshot().Bytes()
 				if err != nil {
 					r.Fatal(err)
 				}
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -1,6 +1,8 @@
 package sitestate
 
 import (
+	"bytes"
+	"maps"
 	"slices"
 	"sort"
 
@@ -21,17 +23,19 @@
 
 // contents is what a snapshot holds.
 type contents struct {
-	Position        uint64               `cbor:"1,keyasint"`
-	Configuration   Configuration        `cbor:"2,keyasint"`
-	ConfigurationAt uint64               `cbor:"3,keyasint"`
-	Replicas        map[string]Replica   `cbor:"4,keyasint"`
-	Gone            []gone               `cbor:"5,keyasint"`
-	Weights         map[string]uint64    `cbor:"6,keyasint"`
-	WeightsAt       uint64               `cbor:"7,keyasint"`
-	Holder          Holder               `cbor:"8,keyasint"`
-	Stores          map[string]Store     `cbor:"9,keyasint"`
-	StoresAt        uint64               `cbor:"10,keyasint"`
-	Founders        []groupmember.Record `cbor:"11,keyasint"`
+	Position        uint64             `cbor:"1,keyasint"`
+	Configuration   Configuration      `cbor:"2,keyasint"`
+	ConfigurationAt uint64             `cbor:"3,keyasint"`
+	Replicas        map[string]Replica `cbor:"4,keyasint"`
+	Gone            []gone             `cbor:"5,keyasint"`
+	Weights         map[string]uint64  `cbor:"6,keyasint"`
+	WeightsAt       uint64             `cbor:"7,keyasint"`
+	Holder          Holder             `cbor:"8,keyasint"`
+	Stores          map[string]Store   `cbor:"9,keyasint"`
+	// StoresAt is the position of the last change of Stores, Shards and Placed.
+	StoresAt uint64                 `cbor:"10,keyasint"`
+	Shards   []Shard                `cbor:"12,keyasint"`
+	Placed   map[string]ShardNumber `cbor:"13,keyasint"` // by model
 }
 
 // State is the control state. It is not safe for concurrent use; what it gives
@@ -59,6 +63,9 @@
 	if s.contents.Stores == nil {
 		s.contents.Stores = map[string]Store{}
 	}
+	if s.contents.Placed == nil {
+		s.contents.Placed = map[string]ShardNumber{}
+	}
 	s.index = newIndex(&s.contents)
 }
 
@@ -66,7 +73,10 @@
 // at once.
 func (s *State) Snapshot() groupmember.Encoder {
 	data, err := cbor.Marshal(s.contents)
-	return func() ([]byte, error) { return data, err }
+	return func(into *bytes.Buffer) error {
+		into.Write(data)
+		return err
+	}
 }
 
 // Restore implements groupmember.StateMachine.
@@ -128,8 +138,11 @@
 	return stores
 }
 
-// Founders gives the founders of the store group, empty before it is founded.
-func (s *State) Founders() []groupmember.Record { return s.contents.Founders }
+// Shards gives the shards of the jobs by number.
+func (s *State) Shards() []Shard { return s.contents.Shards }
+
+// Placed gives the shard of each model's jobs.
+func (s *State) Placed() map[string]ShardNumber { return maps.Clone(s.contents.Placed) }
 
 // Apply implements groupmember.StateMachine; its results are Outcomes.
 func (s *State) Apply(index uint64, data []byte) any {
@@ -161,6 +174,8 @@
 		return s.evacuate(index, *command.Evacuate)
 	case command.Assign != nil:
 		return s.assign(index, *command.Assign)
+	case command.Place != nil:
+		return s.place(index, *command.Place)
 	default:
 		return OutcomeMalformed
 	}
@@ -276,11 +291,12 @@
 // data folder starts anew, also if it was emptied before.
 func (s *State) registerStore(index uint64, registered Store) Outcome {
 	held, known := s.contents.Stores[registered.Name]
-	if known && held.Address == registered.Address && held.Incarnation == registered.Incarnation {
+	if known && held.SameRegistration(registered) {
 		return OutcomeDone
 	}
 	registered.State = StoreActive
-	if known && held.State != StoreEmptied {
+	sameFolder := held.Address == registered.Address && held.Incarnation == registered.Incarnation
+	if known && (held.State != StoreEmptied || sameFolder) {
 		registered.State = held.State
 	}
 	s.contents.Stores[registered.Name] = registered
@@ -289,11 +305,26 @@
 	return OutcomeDone
 }
 
+// found adds a shard. One whose number is not the next was decided on by a leader
+// that did not know of another one.
 func (s *State) found(index uint64, founding Found) Outcome {
-	if len(s.contents.Founders) > 0 {
+	if int(founding.Shard.Number) != len(s.contents.Shards)+1 {
 		return OutcomeIgnored
 	}
-	s.contents.Founders = founding.Founders
+	s.contents.Shards = append(slices.Clone(s.contents.Shards), founding.Shard)
+	s.contents.StoresAt = index
+	s.changed(index)
+	return OutcomeDone
+}
+
+func (s *State) place(index uint64, placing Place) Outcome {
+	if s.contents.Placed[placing.Model] != 0 {
+		return OutcomeIgnored
+	}
+	if placing.Shard == 0 || int(placing.Shard) > len(s.contents.Shards) {
+		return OutcomeUnknown
+	}
+	s.contents.Placed[placing.Model] = placing.Shard
 	s.contents.StoresAt = index
 	s.changed(index)
 	return OutcomeDone
--- a/internal/core/sitestate/update.go
+++ b/internal/core/sitestate/update.go
@@ -14,10 +14,12 @@
 	Configuration *Configuration `cbor:"2,keyasint,omitempty"`
 	Replicas      []Replica      `cbor:"3,keyasint,omitempty"`
 	// Gone are ids of replicas that left.
-	Gone     []string             `cbor:"4,keyasint,omitempty"`
-	Weights  map[string]uint64    `cbor:"5,keyasint,omitempty"`
-	Stores   []Store              `cbor:"6,keyasint,omitempty"`
-	Founders []groupmember.Record `cbor:"7,keyasint,omitempty"`
+	Gone    []string          `cbor:"4,keyasint,omitempty"`
+	Weights map[string]uint64 `cbor:"5,keyasint,omitempty"`
+	Stores  []Store           `cbor:"6,keyasint,omitempty"`
+	// Shards and Placed come with Stores.
+	Shards []Shard                `cbor:"11,keyasint,omitempty"`
+	Placed map[string]ShardNumber `cbor:"12,keyasint,omitempty"`
 	// Members are the control members; the serving process sets them.
 	Members []groupmember.Record `cbor:"8,keyasint,omitempty"`
 	// Confirmed is set by a member in touch with a quorum and caught up.
@@ -64,7 +66,7 @@
 	}
 	if s.contents.StoresAt > after {
 		update.Stores = s.Stores()
-		update.Founders = s.contents.Founders
+		update.Shards, update.Placed = s.contents.Shards, maps.Clone(s.contents.Placed)
 	}
 	return update
 }
@@ -101,8 +103,11 @@
 	ByService map[string][]Replica
 	Weights   map[string]uint64
 	Stores    []Store
-	Founders  []groupmember.Record
-	Members   []groupmember.Record
+	// Shards are those of the jobs, by number, and Placed is the shard of each model's
+	// jobs.
+	Shards  []Shard
+	Placed  map[string]ShardNumber
+	Members []groupmember.Record
 }
 
 // Apply gives the view after an update. An update from a member that is behind
@@ -133,7 +138,7 @@
 	}
 	if update.Stores != nil {
 		next.Stores = update.Stores
-		next.Founders = update.Founders
+		next.Shards, next.Placed = update.Shards, update.Placed
 	}
 	if len(update.Members) > 0 {
 		next.Members = update.Members
--- a/internal/core/weightplan/next.go
+++ b/internal/core/weightplan/next.go
@@ -33,6 +33,9 @@
 	// Resting names replicas whose last load failed and that are left alone for
 	// now. They take no part, so that they keep no other from loading.
 	Resting map[string]bool
+	// Shards are those that the models' jobs are in. Items of a shard go only to
+	// replicas that are kept at a model of the same one.
+	Shards map[string]sitestate.ShardNumber
 }
 
 func (l Limits) needed(model string) int {
--- a/internal/core/weightplan/spread.go
+++ b/internal/core/weightplan/spread.go
@@ -43,6 +43,7 @@
 	// perVersion is how many replicas may load one version, total how many load.
 	perVersion int
 	total      int
+	shards     map[string]sitestate.ShardNumber
 }
 
 // modelStanding is how a model stands.
@@ -72,7 +73,7 @@
 	for _, target := range begun {
 		underWay[target.Replica.ID] = target.Model
 	}
-	s := &spread{total: len(underWay)}
+	s := &spread{total: len(underWay), shards: limits.Shards}
 	s.listModels(replicas, versions, limits)
 	s.perVersion = max(1, len(replicas)/max(1, len(s.models)))
 	for i := range replicas {
@@ -147,7 +148,8 @@
 func (s *spread) take(model *modelStanding) (sitestate.Replica, bool) {
 	var best *freeReplica
 	for _, replica := range s.free {
-		if replica.taken || replica.Model == model.name || replica.VersionOf(model.name) >= model.published {
+		if replica.taken || s.shards[replica.Model] != s.shards[model.name] ||
+			replica.Model == model.name || replica.VersionOf(model.name) >= model.published {
 			continue
 		}
 		if best == nil || replica.compare(best, model) < 0 {
--- a/internal/lab/localsite/site.go
+++ b/internal/lab/localsite/site.go
@@ -93,7 +93,7 @@
 	}
 	s.watcher = s.newWatcher("driver", func(*siteview.View) {})
 	s.spawn(func() { _ = s.watcher.Run(ctx) })
-	s.jobs = jobsapi.NewClient(wireOptions("driver"), s.stores)
+	s.jobs = jobsapi.NewClient(jobsapi.Config{Wire: wireOptions("driver"), View: s.watcher.State, Place: sitecontrol.Placer(s.watcher)})
 	if err := s.startReplicas(seed); err != nil {
 		return err
 	}
@@ -161,13 +161,6 @@
 	})
 }
 
-func (s *Site) stores() []sitestate.Store {
-	if view := s.watcher.View(); view != nil {
-		return view.Stores
-	}
-	return nil
-}
-
 func (s *Site) startReplicas(seed uint64) error {
 	for i := range engines + scorers {
 		model, service, list := Model, engineService, &s.engines
--- a/internal/lab/localsite/trainer.go
+++ b/internal/lab/localsite/trainer.go
@@ -124,7 +124,7 @@
 
 func (s *Site) submit(ctx context.Context, record *jobRecord) bool {
 	return until(ctx, func(ctx context.Context) error {
-		_, err := s.jobs.Call(ctx, jobsapi.Request{Submit: &record.submission})
+		_, err := s.jobs.Submit(ctx, &record.submission)
 		return err
 	})
 }
@@ -134,13 +134,13 @@
 	for !record.enough() {
 		var page jobstate.Page
 		read := until(ctx, func(ctx context.Context) error {
-			answer, err := s.jobs.Call(ctx, jobsapi.Request{Page: &jobsapi.PageRequest{
+			read, found, err := s.jobs.Page(ctx, jobsapi.PageRequest{
 				Job: record.submission.ID, WaitMillis: readPause.Milliseconds(), MaxBytes: pageBytes,
-			}})
-			if answer.Unknown {
+			})
+			if err == nil && !found {
 				record.fault("an accepted job is not known")
 			}
-			page = answer.Page
+			page = read
 			return err
 		})
 		if !read || !pause(ctx, readPause) {
@@ -153,7 +153,7 @@
 
 func (s *Site) end(ctx context.Context, record *jobRecord) bool {
 	ended := until(ctx, func(ctx context.Context) error {
-		_, err := s.jobs.Call(ctx, jobsapi.Request{End: &jobsapi.EndRequest{Job: record.submission.ID}})
+		_, err := s.jobs.End(ctx, record.submission.ID)
 		return err
 	})
 	if ended {
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -85,10 +85,14 @@
 	// losses is how many machines with a disk may be lost at once.
 	losses int
 	extra  string // further routes, as JSON, beginning with a comma
+	// models are those of the engines' service.
+	models []string
+	// placesPerShard is how many places of engines a shard is for, 0 the default.
+	placesPerShard int
 }
 
 func newSite(t *testing.T, controls, stores int) *site {
-	s := &site{t: t, losses: 1, holderLease: 300 * time.Millisecond, logger: func(string) *log.Logger { return quiet() }}
+	s := &site{t: t, losses: 1, models: []string{model}, holderLease: 300 * time.Millisecond, logger: func(string) *log.Logger { return quiet() }}
 	for i := range controls {
 		p := &process{name: fmt.Sprintf("core-%d", i), address: testkit.FreeAddress(t), disk: faultfs.New(uint64(i) + 1)}
 		s.controls = append(s.controls, p)
@@ -183,7 +187,7 @@
 	p.control = sitecontrol.New(sitecontrol.Config{
 		Machine: p.name, Address: p.address, HeartbeatAddress: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
 		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: s.logger(p.name), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
-		ToleratedLosses: s.losses, HolderLease: s.holderLease,
+		ToleratedLosses: s.losses, PlacesPerShard: s.placesPerShard, HolderLease: s.holderLease,
 	})
 	p.control.Register(p.server)
 	s.listen(p)
@@ -231,12 +235,7 @@
 	idle := httpserve.NewIdleConnections(time.Second)
 	p.front = front.New(front.Config{
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Idle: idle,
-		Jobs: jobsapi.NewClient(wireOptions(p.name), func() []sitestate.Store {
-			if view := watcher.View(); view != nil {
-				return view.Stores
-			}
-			return nil
-		}),
+		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), View: watcher.State, Place: sitecontrol.Placer(watcher)}),
 	})
 	p.http = httptest.NewServer(platform.FrontHandler(p.front))
 	p.run(func() { _ = watcher.Run(ctx) })
@@ -303,14 +302,19 @@
 
 // configuration is a whole configuration of the site's routes.
 func (s *site) configuration(version uint64) []byte {
+	models := make([]map[string]string, 0, len(s.models))
+	for _, name := range s.models {
+		models = append(models, map[string]string{"name": name})
+	}
+	listed, _ := json.Marshal(models)
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"r-plain","hostname":"%s","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40}%s],
 		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
-		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":[{"name":"%s"}]}}],
+		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":%s}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
-		version, host, plain, host, plain, host, lm, s.extra, plain, lm, model)
+		version, host, plain, host, plain, host, lm, s.extra, plain, lm, listed)
 }
 
 // configure puts a new configuration in force and waits until fronts have it.
@@ -372,7 +376,10 @@
 }
 
 // job makes a job's body with items of an id each.
-func job(minVersion uint64, ids ...string) []byte {
+func job(minVersion uint64, ids ...string) []byte { return jobOf(model, minVersion, ids...) }
+
+// jobOf is job for a model.
+func jobOf(model string, minVersion uint64, ids ...string) []byte {
 	var items []jobItem
 	for _, id := range ids {
 		items = append(items, jobItem{
