sitestore: a runner that is late itself moves no items

Ruled out: pauses of the whole process, which the look before already excluded. Change: if the median of the runs' slowdowns against the usual pace of their replicas is over 1.3, nothing is moved.

--- a/internal/app/sitestore/move.go
+++ b/internal/app/sitestore/move.go
@@ -1,6 +1,7 @@
 package sitestore
 
 import (
+	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
@@ -18,6 +19,11 @@
 	relaxedShare = 0.4
 	// mostMoves bounds how often an item is moved.
 	mostMoves = 6
+	// lateRatio is how much slower than usual most runs have to look for this process
+	// to be what is late. A batch that is full is slower by a tenth.
+	lateRatio = 1.3
+	// leastForLate is how many runs there must be to tell.
+	leastForLate = 8
 )
 
 // moveFromSlow asks runs at slow or silent replicas to end where a faster one has
@@ -25,8 +31,8 @@
 // last item, and reading a prompt again takes milliseconds. Since is the time since
 // the look before.
 func (r *runner) moveFromSlow(view *siteview.View, now time.Time, since time.Duration) {
-	runs := r.measureRuns(now)
-	if since > heldUp || len(runs) == 0 {
+	runs, slowdowns := r.measureRuns(now)
+	if since > heldUp || isLate(slowdowns) || len(runs) == 0 {
 		return
 	}
 	for _, move := range jobqueue.Moves(runs, r.replicas.candidates(view, r.table, now)) {
@@ -34,10 +40,21 @@
 	}
 }
 
+// isLate reports whether this process reads events late, given how slow runs look
+// against the usual pace of their replicas: replicas do not turn slow most at once, but a
+// process that has too little processor sees all of them slow. Moving their items would
+// be more work for it.
+func isLate(slowdowns []float64) bool {
+	if len(slowdowns) < leastForLate {
+		return false
+	}
+	slices.Sort(slowdowns)
+	return slowdowns[len(slowdowns)/2] > lateRatio
+}
+
 // measureRuns notes the pace of all runs at their replicas, and gives those that
-// may be moved.
-func (r *runner) measureRuns(now time.Time) []jobqueue.Run {
-	var runs []jobqueue.Run
+// may be moved and how slow each run looks against what is usual at its replica.
+func (r *runner) measureRuns(now time.Time) (runs []jobqueue.Run, slowdowns []float64) {
 	paces := map[string][]time.Duration{}
 	for _, item := range r.works {
 		if item.replica == "" || item.scoring {
@@ -48,6 +65,9 @@
 			continue
 		}
 		paces[item.replica] = append(paces[item.replica], pace)
+		if usual := r.replicas.entry(item.replica).pace.usual; usual > 0 {
+			slowdowns = append(slowdowns, float64(pace)/float64(usual))
+		}
 		if item.next != "" || item.moves >= mostMoves || (!silent && now.Sub(item.placedAt) < leastStay) {
 			continue
 		}
@@ -60,7 +80,7 @@
 	for replica, measured := range paces {
 		r.replicas.watched(replica, measured, now)
 	}
-	return runs
+	return runs, slowdowns
 }
 
 // move asks the run of an item to end, and keeps a place for it elsewhere. One that
