balance: a sender keeps to replicas that it has connections to

Cause: 246 fronts with 0.7 requests a second each spread them over 15 replicas at random; a connection was idle for longer than replicas keep it. Ruled out: a fixed subset of replicas for each sender: with few senders some replicas get none, and a sender does not know how many there are. Change: a replica without an open connection costs half as much again, which is less than a second request at one that has one: a sender uses as many replicas as its requests in flight need. 240 senders in a simulated test use under four of 15 each, and no replica gets more than twice its part.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -17,6 +17,13 @@
 	longestBlock = 3 * time.Second
 	// leastLatency keeps a very fast replica from drawing everything.
 	leastLatency = time.Millisecond
+	// warmFor is how long after a request a connection to its replica is taken to be
+	// open still.
+	warmFor = 5 * time.Second
+	// coldFactor is how much more a replica without an open connection costs: a round
+	// trip, and work on both sides. It is less than a second request at one that has
+	// one, so that a sender uses as few replicas as its requests in flight need.
+	coldFactor = 1.5
 )
 
 // Result says how a request at a replica ended.
@@ -144,16 +151,24 @@
 	usual := max(b.latency[service], leastLatency)
 	known := b.replicas[id]
 	if known == nil {
-		return usual.Seconds()
+		return coldFactor * usual.Seconds()
 	}
-	latency := max(faded(known, usual, now), leastLatency)
-	cost := latency.Seconds() * float64(known.inFlight+1)
 	if now.Before(known.blockedUntil) {
 		return blockedCost + known.blockedUntil.Sub(now).Seconds()
 	}
+	latency := max(faded(known, usual, now), leastLatency)
+	cost := latency.Seconds() * float64(known.inFlight+1)
+	if !known.warm(now) {
+		cost *= coldFactor
+	}
 	return cost
 }
 
+// warm reports whether a connection to the replica is likely to be open and unused.
+func (r *replica) warm(now time.Time) bool {
+	return r.inFlight == 0 && !r.measuredAt.IsZero() && now.Sub(r.measuredAt) < warmFor
+}
+
 // faded gives a replica's latency, drawn towards the usual one with the time
 // since it was measured.
 func faded(known *replica, usual time.Duration, now time.Time) time.Duration {
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -1,6 +1,9 @@
 package balance_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +79,62 @@
 		t.Error("a request in flight was forgotten")
 	}
 }
+
+// TestASenderKeepsToReplicasThatItHasConnectionsTo: unless they are busy, slow, or were
+// not used for long.
+func TestASenderKeepsToReplicasThatItHasConnectionsTo(t *testing.T) {
+	b := balance.New()
+	served(b, "warm", 30*time.Millisecond)
+	candidates := []string{"cold", "warm", "colder"}
+	for _, draw := range []float64{0, 0.4, 0.9} {
+		if got := b.Pick(service, candidates, start.Add(time.Second), draw); got != 1 {
+			t.Errorf("draw %v: picked %d", draw, got)
+		}
+	}
+	if got := b.Pick(service, candidates, start.Add(time.Minute), 0); got != 0 {
+		t.Errorf("picked %d after a minute", got)
+	}
+	b.Begin("warm")
+	if got := b.Pick(service, candidates, start.Add(time.Second), 0); got == 1 {
+		t.Error("a busy replica was picked")
+	}
+	slow := balance.New()
+	for range 4 {
+		served(slow, "usual", 30*time.Millisecond)
+	}
+	served(slow, "slow", 300*time.Millisecond)
+	if got := slow.Pick(service, []string{"slow", "cold"}, start.Add(100*time.Millisecond), 0); got != 1 {
+		t.Error("a slow replica was picked because a connection to it is open")
+	}
+}
+
+// TestManySendersOfFewRequestsUseAllReplicasAlike: each uses few of them, and no replica
+// gets much more than its part.
+func TestManySendersOfFewRequestsUseAllReplicasAlike(t *testing.T) {
+	const senders, replicas, requests = 240, 15, 40
+	random := rand.New(rand.NewPCG(1, 2))
+	candidates := make([]string, replicas)
+	for i := range candidates {
+		candidates[i] = fmt.Sprint("i-", i)
+	}
+	loads, pairs := make([]int, replicas), 0
+	for range senders {
+		b, used, now := balance.New(), map[int]bool{}, start
+		for range requests {
+			now = now.Add(time.Duration(random.ExpFloat64() * float64(1500*time.Millisecond)))
+			chosen := b.Pick(service, candidates, now, random.Float64())
+			b.Begin(candidates[chosen])
+			b.End(service, candidates[chosen], balance.ResultServed, time.Duration((0.8+0.4*random.Float64())*float64(30*time.Millisecond)), now)
+			used[chosen] = true
+			loads[chosen]++
+		}
+		pairs += len(used)
+	}
+	if most := 4 * senders; pairs > most {
+		t.Errorf("%d pairs of sender and replica, want %d at most of %d", pairs, most, senders*replicas)
+	}
+	mean := senders * requests / replicas
+	if busiest, least := slices.Max(loads), slices.Min(loads); busiest > 2*mean || least < mean/2 {
+		t.Errorf("%d to %d requests a replica, %d on average", least, busiest, mean)
+	}
+}
