--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -29,7 +29,7 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &notLeader):
-		answer = jobsapi.Answer{NotLeader: true, Leader: s.leader(notLeader)}
+		answer = jobsapi.Answer{NotLeader: true, Leader: s.leader(group.Shard(request.Shard), notLeader)}
 	case errors.Is(err, group.ErrNotReady), errors.Is(err, groupmember.ErrDisplaced):
 		return port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
 	default:
@@ -38,14 +38,16 @@
 	return call.Send(answer)
 }
 
-func (s *Store) leader(refusal *group.NotLeaderError) string {
+// leader gives the address of the leader of a shard's group, if this machine knows it.
+func (s *Store) leader(shard group.Shard, refusal *group.NotLeaderError) string {
 	if refusal.Leader.Address != "" {
 		return refusal.Leader.Address
 	}
-	if shown := s.member.Shown(); shown != nil && shown.Leader.Address != s.config.Address {
-		return shown.Leader.Address
+	shown := s.member.Shown()
+	if shown == nil || shown.Shard != shard || shown.Leader.Address == s.config.Address {
+		return ""
 	}
-	return ""
+	return shown.Leader.Address
 }
 
 func (s *Store) serve(ctx context.Context, request jobsapi.Request) (jobsapi.Answer, error) {
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -153,7 +153,8 @@
 	Founders []groupmember.Record `cbor:"2,keyasint"`
 }
 
-// Found adds a shard. It takes effect only if it has the next number.
+// Found adds a shard. It takes effect only if it has the next number, and no model is
+// placed yet.
 type Found struct {
 	Shard Shard `cbor:"1,keyasint"`
 }
--- a/internal/core/sitestate/shards_test.go
+++ b/internal/core/sitestate/shards_test.go
@@ -41,6 +41,7 @@
 		{place("a", 1), sitestate.OutcomeIgnored},
 		{place("b", 3), sitestate.OutcomeUnknown},
 		{place("", 1), sitestate.OutcomeDone},
+		{found(3, "f"), sitestate.OutcomeIgnored}, // models are placed
 	} {
 		if got := l.apply(step.command); got != step.want {
 			t.Errorf("step %d: outcome %d, want %d", i, got, step.want)
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -306,9 +306,10 @@
 }
 
 // found adds a shard. One whose number is not the next was decided on by a leader
-// that did not know of another one.
+// that did not know of another one. There is none once a model is placed: who knows of
+// one knows all shards then.
 func (s *State) found(index uint64, founding Found) Outcome {
-	if int(founding.Shard.Number) != len(s.contents.Shards)+1 {
+	if int(founding.Shard.Number) != len(s.contents.Shards)+1 || len(s.contents.Placed) > 0 {
 		return OutcomeIgnored
 	}
 	s.contents.Shards = append(slices.Clone(s.contents.Shards), founding.Shard)
