sitestore: reward calls wait for their turn before they are sent

After the final fault all texts are whole within a second, and each sends its reward call at once. 13 to 30 of them fit into the service; the others wait in the sender for a connection and are cut off after 1.2 s, shortly before or in their turn, and are sent again 50 ms later. Steps waited 8 to 12 s for their scores. Ruled out: the store group (one leader since 38.0 s), replicas of the model (last items placed after 2 s), refusals (18 in all). Change: a runner has at most its shard's part of three quarters of a service's places under way, the others wait in order, and a call's time counts from its turn.

--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -26,7 +26,7 @@
 	brokenPause  = 400 * time.Millisecond
 	// scorePause is waited before a failed reward call is sent again.
 	scorePause = 50 * time.Millisecond
-	// scoreTimeout bounds one reward call.
+	// scoreTimeout bounds one reward call from when its turn has come.
 	scoreTimeout = 1200 * time.Millisecond
 )
 
@@ -201,19 +201,25 @@
 	}
 }
 
-// sendScorer sends a reward call once, by the route of its host and path. It
-// gives the number of attempts that the route allows.
+// sendScorer sends a reward call once, by the route of its host and path, when its turn
+// has come. It gives the number of attempts that the route allows.
 func (r *runner) sendScorer(ctx context.Context, scorer *jobstate.Scorer) (*proxy.Answer, int, *proxy.Failure) {
 	view := r.store.config.Watcher.View()
 	route := view.Table.Lookup(scorer.Host, scorer.Path)
 	if route == nil {
 		return nil, 1, &proxy.Failure{Verdict: port.NotRun, Code: port.CodeNotFound, Reason: "the reward call has no route"}
 	}
+	service := route.Choose(rand.Uint64())
+	most := scoresAtOnce(view, service)
+	if err := r.scores.enter(ctx, service, most); err != nil {
+		return nil, 1, &proxy.Failure{Verdict: port.NotRun, Code: port.CodeCancelled, Reason: "the job ended"}
+	}
+	defer r.scores.leave(service, most)
 	ctx, cancel := context.WithTimeout(ctx, min(scoreTimeout, route.Timeout))
 	defer cancel()
 	answer, failure := r.store.config.Proxy.Do(ctx, proxy.Request{
 		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
-		Service: route.Choose(rand.Uint64()), Route: route.Name, Repeatable: true, MaxAttempts: 1,
+		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1,
 	})
 	return answer, max(1, route.MaxAttempts), failure
 }
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -34,6 +34,7 @@
 	wake    chan struct{}
 	events  chan runEvent
 	kept    chan error
+	scores  *scoreGate
 	// base is when the runner was made; times that goroutines share count from it.
 	base time.Time
 
@@ -66,7 +67,7 @@
 func newRunner(store *Store, replica *replicacall.Client) *runner {
 	return &runner{
 		store: store, replica: replica, base: time.Now(), wake: make(chan struct{}, 1),
-		events: make(chan runEvent, eventQueue), kept: make(chan error, 1),
+		events: make(chan runEvent, eventQueue), kept: make(chan error, 1), scores: newScoreGate(),
 	}
 }
 
