front: callers that are refused together return apart

Cause: every refusal said 0.2 s, or 0.5 s after a start, to the millisecond: those who met a start or a loss together came back together. Change: half of the time earlier or later, drawn for each; the reasons of the figures stand beside them.

--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,10 +27,15 @@
 	// routeUnknownAfter is how old a confirmed view may be to deny that a route
 	// exists; with an older one the request is refused for now.
 	routeUnknownAfter = 1500 * time.Millisecond
-	// comeBack is when a refused request is best sent again; comeBackLater is
-	// for one that was refused because the site has only just started.
+	// comeBack is when a refused request is best sent again, on average: replicas that
+	// were full are left alone for 20 ms and those that failed for 300 ms at first, and
+	// callers' aims begin at 150 ms. comeBackLater is for one that was refused because
+	// the site has only just started: a leader and the first view take that long.
 	comeBack      = 200 * time.Millisecond
 	comeBackLater = 500 * time.Millisecond
+	// comeBackSpread is by what part of itself a time to come back varies, so that
+	// those who were refused together do not return together.
+	comeBackSpread = 0.5
 	// defaultBodyBytes bounds a request's body if the configuration does not.
 	defaultBodyBytes = 32 << 20
 	// deadlineMargin is kept for the answer's way back to the caller.
@@ -268,10 +274,15 @@
 }
 
 func (f *Front) refuseFor(w http.ResponseWriter, r *http.Request, route, reason string, back time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', -1, 64))
+	w.Header().Set("Retry-After", strconv.FormatFloat(spread(back, rand.Float64()).Seconds(), 'f', 3, 64))
 	f.answerStatus(w, r, route, http.StatusServiceUnavailable, reason)
 }
 
+// spread varies a time to come back; draw is in [0, 1).
+func spread(back time.Duration, draw float64) time.Duration {
+	return time.Duration(float64(back) * (1 - comeBackSpread + 2*comeBackSpread*draw))
+}
+
 func (f *Front) answerStatus(w http.ResponseWriter, r *http.Request, route string, status int, reason string) {
 	f.config.Logger.Warn().Str(eventlog.Field, eventlog.RequestFailed).Str("id", r.Header.Get(f.headers.RequestID)).Str("route", route).
 		Int("status", status).Str("reason", reason).Bool("confirmed", f.config.Watcher.ConfirmedWithin(routeUnknownAfter)).
