--- a/internal/app/sitecontrol/shards.go
+++ b/internal/app/sitecontrol/shards.go
@@ -179,22 +179,27 @@
 		}
 	}
 	free = slices.DeleteFunc(free, func(other sitestate.Store) bool { return s.mustWait(other.Name) })
-	for number := sitestate.ShardNumber(1); int(number) <= len(view.Shards); number++ {
-		report := s.reports[number]
+	number := s.placeAmong(machinesOf(free), store.Name, view)
+	if number != 0 && s.invited[store.Name].IsZero() {
+		s.invited[store.Name] = time.Now()
+	}
+	return number
+}
+
+// placeAmong gives the shard whose free place falls to a machine if all vacant places are
+// given to free machines, shard by shard; 0 if none does.
+func (s *stores) placeAmong(free []shardplan.Machine, name string, view *sitestate.View) sitestate.ShardNumber {
+	for _, shard := range view.Shards {
+		report := s.reports[shard.Number]
 		if report.vacant == 0 {
 			continue
 		}
-		members := slices.DeleteFunc(slices.Clone(view.Stores), func(other sitestate.Store) bool { return !slices.Contains(report.members, other.Name) })
-		picked := shardplan.Pick(machinesOf(members), machinesOf(free), report.vacant)
-		if slices.ContainsFunc(picked, func(machine shardplan.Machine) bool { return machine.Name == store.Name }) {
-			if s.invited[store.Name].IsZero() {
-				s.invited[store.Name] = time.Now()
-			}
-			return number
+		members := slices.DeleteFunc(slices.Clone(view.Stores), func(store sitestate.Store) bool { return !slices.Contains(report.members, store.Name) })
+		picked := shardplan.Pick(machinesOf(members), free, report.vacant)
+		if slices.ContainsFunc(picked, func(machine shardplan.Machine) bool { return machine.Name == name }) {
+			return shard.Number
 		}
-		free = slices.DeleteFunc(free, func(other sitestate.Store) bool {
-			return slices.ContainsFunc(picked, func(machine shardplan.Machine) bool { return machine.Name == other.Name })
-		})
+		free = slices.DeleteFunc(free, func(machine shardplan.Machine) bool { return slices.Contains(picked, machine) })
 	}
 	return 0
 }
