group: a member that was held up does not take its absence for the others' silence

A trace of one: no member of the process was run for 60 to 80 ms, the loop then made up for its ticks before it took in any message, and the leader counted them as the silence of a quorum (election timeout of the test: 80 ms). On a site it is the same with 480 ms: a leader that is short of processor time ends its own leadership, all runs are cut, and they begin again at once at the next.

Now ticks that a loop could not count are told as missed: leases, votes and what a member says about contact age by them as before, but the check of the quorum, candidacy, retransmission and the silence of peers wait for ticks that the member was there for.

Simulated groups and the exploration of the core draw members that are held up.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -22,6 +22,7 @@
 	GroupEntered            Event = "group.entered"
 	MembershipChange        Event = "membership.change"
 	MembershipRemoved       Event = "membership.removed"
+	MemberHeldUp            Event = "member.held_up"
 	ControlWatched          Event = "control.watched"
 	ControlLost             Event = "control.lost"
 	ControlProvisional      Event = "control.provisional"
@@ -78,6 +79,7 @@
 	{GroupEntered, "a member has an id in its group, as a founder or by joining"},
 	{MembershipChange, "the leader adds, promotes or removes a member"},
 	{MembershipRemoved, "a member was removed and joins again under a new id"},
+	{MemberHeldUp, "a member was not run for longer than an election timeout, or was stuck in a write; another one may lead meanwhile"},
 	{ControlWatched, "a process follows a control member from now on"},
 	{ControlLost, "the control member that was followed is lost, or out of touch with a quorum"},
 	{ControlProvisional, "a front serves by a view that no quorum has confirmed yet"},
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -41,8 +41,10 @@
 	// shown takes what the loop shows after each step.
 	shown func(Step)
 
-	started   time.Time
-	ticks     int64
+	started time.Time
+	ticks   int64
+	// housed is the tick of the last look at the membership.
+	housed    int64
 	lastToken uint64
 	awaiting  map[uint64]func(groupmember.Reply)
 	changing  bool
@@ -157,14 +159,33 @@
 	return nil
 }
 
+// catchUpTicks tells the core of the ticks that passed. Those before the last one were
+// missed: the loop was held up.
 func (l *loop) catchUpTicks() {
 	due := int64(time.Since(l.started) / l.config.Tick)
-	for ; l.ticks < due; l.ticks++ {
-		l.member.Tick()
-		if l.ticks%houseTicks == 0 {
-			l.keepHouse()
-		}
+	passed := due - l.ticks
+	if passed <= 0 {
+		return
+	}
+	l.ticks = due
+	l.noteMissed(int(passed - 1))
+	l.member.Tick()
+	if due-l.housed >= houseTicks {
+		l.housed = due
+		l.keepHouse()
+	}
+}
+
+// noteMissed tells the core that the loop was held up, and the log if it was for so long
+// that another member may have stood for election.
+func (l *loop) noteMissed(ticks int) {
+	l.member.TickMissed(ticks)
+	if ticks < l.config.ElectionTicks {
+		return
 	}
+	l.config.Logger.Warn().Str(eventlog.Field, eventlog.MemberHeldUp).Str("group", l.config.Name).Uint32("shard", uint32(l.shard)).
+		Uint64("term", l.member.Status().Term).Bool("leads", l.member.IsLeader()).Dur("held_up", time.Duration(ticks)*l.config.Tick).
+		Msg("the member was not run for longer than an election timeout")
 }
 
 // keepHouse brings the membership closer to what is wanted.
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -51,8 +51,8 @@
 	entered bool
 	current atomic.Pointer[loop]
 	shown   atomic.Pointer[Shown]
-	// shard is the one of the member's folder.
-	shard atomic.Uint32
+	// stored is the identity in the member's folder, nil while it has none.
+	stored atomic.Pointer[identity]
 }
 
 // Shown is what a member shows of itself to other goroutines. It is immutable.
@@ -124,8 +124,25 @@
 // Limits gives how many members are wanted, with all limits in ticks.
 func (m *Member) Limits() groupmember.Limits { return m.config.Limits }
 
+// ElectionTimeout is the shortest time without a leader's messages after which another
+// member may stand.
+func (m *Member) ElectionTimeout() time.Duration { return m.config.electionTimeout() }
+
 // Shard gives the shard whose group this machine is a member of, 0 while it is of none.
-func (m *Member) Shard() Shard { return Shard(m.shard.Load()) }
+func (m *Member) Shard() Shard {
+	if stored := m.stored.Load(); stored != nil {
+		return stored.Shard
+	}
+	return 0
+}
+
+// Incarnation gives the incarnation of this machine's folder, empty while it has none.
+func (m *Member) Incarnation() string {
+	if stored := m.stored.Load(); stored != nil {
+		return stored.Incarnation
+	}
+	return ""
+}
 
 // takePart opens the member and runs it until it must stop.
 func (m *Member) takePart(ctx context.Context, place folder) error {
@@ -152,15 +169,15 @@
 	}
 	mayFound := !found && !m.entered
 	m.entered = true
-	m.shard.Store(uint32(stored.Shard))
 	if found {
+		m.stored.Store(&stored)
 		l, err := m.reopen(place, stored)
 		if err == nil || !unusable(err) {
 			return l, stored, err
 		}
 		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
 	}
-	m.shard.Store(0)
+	m.stored.Store(nil)
 	if err := place.clear(); err != nil {
 		return nil, identity{}, err
 	}
@@ -206,7 +223,7 @@
 			}
 			m.config.Logger.Info().Str(eventlog.Field, eventlog.GroupEntered).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
 				Uint32("shard", uint32(stored.Shard)).Bool("founder", stored.Founding).Msg("this member has an id")
-			m.shard.Store(uint32(stored.Shard))
+			m.stored.Store(&stored)
 			l, err := m.create(place, stored)
 			return l, stored, err
 		}
--- a/internal/app/sitestore/move_test.go
+++ b/internal/app/sitestore/move_test.go
@@ -29,7 +29,7 @@
 			Services: []routing.Service{{Name: "s", Engine: &routing.Engine{}}},
 			Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routing.KindJobs, Service: "s"}},
 		})
-		r := &runner{base: bookTime, works: map[jobqueue.Key]*work{}, replicas: newReplicaBook(0), lengths: lengths{}, table: table}
+		r := &runner{base: bookTime, leadership: &leadership{works: map[jobqueue.Key]*work{}, replicas: newReplicaBook(0), lengths: lengths{}, table: table}}
 		now := bookTime.Add(time.Minute)
 		for i := range replicas {
 			id := fmt.Sprint("i", i)
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -12,7 +12,7 @@
 // job ended meanwhile, count no more.
 func (r *runner) take(event runEvent) {
 	item := event.item
-	if !r.leads || r.works[item.key] != item || event.context.Err() != nil {
+	if r.leadership == nil || r.works[item.key] != item || event.context.Err() != nil {
 		return
 	}
 	now := time.Now()
@@ -181,7 +181,7 @@
 // ends the leadership here: the next one begins with what the log holds.
 func (r *runner) afterKeep(err error) {
 	r.keeping = false
-	if err != nil && r.leads {
+	if err != nil {
 		r.store.config.Logger.Warn().Str(eventlog.Field, eventlog.RunnerNotKept).Err(err).Msg("text could not be kept")
 		r.stop()
 	}
--- a/internal/app/sitestore/register.go
+++ b/internal/app/sitestore/register.go
@@ -1,6 +1,7 @@
 package sitestore
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -34,20 +35,47 @@
 	if view == nil || s.state(view) != sitestate.StoreActive {
 		return group.Origin{}, errNoPlace
 	}
-	invited := sitestate.ShardNumber(s.invited.Load())
-	for _, shard := range view.Shards {
-		if shard.Number == invited || s.founds(shard, incarnation) {
-			return originOf(view, shard), nil
-		}
+	places := folderPlaces{
+		founder: groupmember.Record{Address: s.config.Address, Incarnation: incarnation},
+		invited: sitestate.ShardNumber(s.invited.Load()), member: sitestate.ShardNumber(s.member.Shard()),
+	}
+	if shard, found := places.shard(view.Shards); found {
+		return originOf(view, shard), nil
 	}
 	return group.Origin{}, errNoPlace
 }
 
+// folderPlaces is what says to which shard's group a machine belongs with its folder.
+type folderPlaces struct {
+	founder groupmember.Record
+	// invited and member are 0 for none.
+	invited sitestate.ShardNumber
+	member  sitestate.ShardNumber
+}
+
+// shard gives the shard whose group the machine founds, is invited to or is a member of
+// already: one that was removed while it was away has nobody else to ask than that
+// group's members of today.
+func (p folderPlaces) shard(shards []sitestate.Shard) (sitestate.Shard, bool) {
+	number := p.member
+	if number == 0 {
+		if i := slices.IndexFunc(shards, p.founds); i >= 0 {
+			return shards[i], true
+		}
+		number = p.invited
+	}
+	i := slices.IndexFunc(shards, func(shard sitestate.Shard) bool { return shard.Number == number })
+	if i < 0 {
+		return sitestate.Shard{}, false
+	}
+	return shards[i], true
+}
+
 // founds reports whether this machine, with this folder, is a founder of a shard's
 // group.
-func (s *Store) founds(shard sitestate.Shard, incarnation string) bool {
+func (p folderPlaces) founds(shard sitestate.Shard) bool {
 	return slices.ContainsFunc(shard.Founders, func(founder groupmember.Record) bool {
-		return founder.Address == s.config.Address && founder.Incarnation == incarnation
+		return founder.Address == p.founder.Address && founder.Incarnation == p.founder.Incarnation
 	})
 }
 
@@ -105,7 +133,7 @@
 
 func (s *Store) sendHeartbeat(ctx context.Context) {
 	s.mutex.Lock()
-	incarnation := s.incarnation
+	incarnation := cmp.Or(s.incarnation, s.member.Incarnation())
 	s.mutex.Unlock()
 	heartbeat := sitecontrol.StoreHeartbeat{Store: sitestate.Store{
 		Name: s.config.Machine, Address: s.config.Address, Zone: s.config.Zone, Incarnation: incarnation,
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -7,8 +7,6 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
-	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
-	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
@@ -24,50 +22,24 @@
 	giveUpMargin = time.Second
 )
 
-// acceptedAt is when the runner first saw a job.
-type acceptedAt = time.Time
-
 // runner runs items while its member leads. One goroutine owns it.
 type runner struct {
 	store   *Store
 	replica *replicacall.Client
 	wake    chan struct{}
 	events  chan runEvent
-	kept    chan error
 	scores  *scoreGate
 	// base is when the runner was made; times that goroutines share count from it.
 	base time.Time
 
-	// The rest is that of one leadership.
-	leads     bool
-	shard     sitestate.ShardNumber
-	term      uint64
-	context   context.Context
-	cancel    context.CancelFunc
-	jobSerial uint64
-	// jobs are those taken over, until they end.
-	jobs     map[string]bool
-	works    map[jobqueue.Key]*work
-	times    map[string]*jobTimes
-	queue    jobqueue.Queue
-	replicas *replicaBook
-	demand   *demandMeter
-	lengths  lengths
-	table    *routing.Table
-	keeping  bool
-	// keptAt is when the last record was proposed, grownAt when the last one
-	// with text that grows was.
-	keptAt  time.Time
-	grownAt time.Time
-	urgent  bool
-	// lookedAt is when all open items were last looked at.
-	lookedAt time.Time
+	// leadership is nil while the member does not lead.
+	*leadership
 }
 
 func newRunner(store *Store, replica *replicacall.Client) *runner {
 	return &runner{
 		store: store, replica: replica, base: time.Now(), wake: make(chan struct{}, 1),
-		events: make(chan runEvent, eventQueue), kept: make(chan error, 1), scores: newScoreGate(),
+		events: make(chan runEvent, eventQueue), scores: newScoreGate(),
 	}
 }
 
@@ -91,7 +63,7 @@
 		case ended := <-r.events:
 			r.take(ended)
 			r.takeMore()
-		case err := <-r.kept:
+		case err := <-r.recorded():
 			r.afterKeep(err)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -115,16 +87,16 @@
 // tend follows leadership, takes jobs over, starts items and keeps text.
 func (r *runner) tend(ctx context.Context) {
 	shown := r.store.member.Shown()
-	if shown == nil || !shown.Settled {
+	switch dutyOf(shown, r.leadership, time.Now(), r.store.member.ElectionTimeout()) {
+	case dutyNone:
 		r.stop()
 		return
-	}
-	shard := sitestate.ShardNumber(shown.Shard)
-	if r.leads && (r.shard != shard || r.term != shown.Status.Term) {
+	case dutyHold:
+		return
+	case dutyBegin:
 		r.stop()
-	}
-	if !r.leads {
-		r.start(ctx, shard, shown.Status.Term)
+		r.start(ctx, sitestate.ShardNumber(shown.Shard), shown.Status.Term)
+	case dutyGoOn:
 	}
 	view := r.store.config.Watcher.View()
 	if view == nil || view.Table == nil {
@@ -156,33 +128,29 @@
 
 // start begins a leadership.
 func (r *runner) start(ctx context.Context, shard sitestate.ShardNumber, term uint64) {
-	r.leads, r.shard, r.term = true, shard, term
-	r.context, r.cancel = context.WithCancel(ctx)
-	r.jobSerial = 0
-	r.jobs = map[string]bool{}
-	r.works = map[jobqueue.Key]*work{}
-	r.times = map[string]*jobTimes{}
-	r.queue = jobqueue.Queue{}
-	r.replicas = newReplicaBook(shard)
-	r.demand = newDemandMeter(time.Now())
-	r.lengths = lengths{}
-	r.table = nil
-	r.keeping, r.urgent = false, false
-	r.kept = make(chan error, 1)
+	r.leadership = newLeadership(ctx, shard, term)
 	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStarted).Uint32("shard", uint32(shard)).Uint64("term", term).Msg("this machine runs the items of jobs")
 }
 
 // stop ends a leadership: every run is cancelled.
 func (r *runner) stop() {
-	if !r.leads {
+	if r.leadership == nil {
 		return
 	}
-	r.leads = false
 	r.cancel()
 	for job := range r.times {
 		r.logTimes(job, false, time.Now())
 	}
 	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStopped).Uint32("shard", uint32(r.shard)).Uint64("term", r.term).Int("items", len(r.works)).Msg("this machine runs no items any more")
+	r.leadership = nil
+}
+
+// recorded gives the outcomes of records; nil while the member does not lead.
+func (r *runner) recorded() <-chan error {
+	if r.leadership == nil {
+		return nil
+	}
+	return r.kept
 }
 
 // measureDemand publishes the work that jobs bring, and reports whether it was
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -22,7 +22,7 @@
 	item       jobstate.Item
 	rank       jobqueue.Rank
 	model      string
-	accepted   acceptedAt
+	accepted   time.Time
 	// longest is the longest length expected of an item of its job.
 	longest int
 
@@ -74,7 +74,7 @@
 }
 
 // newWork takes an item over from the log.
-func newWork(job *jobstate.Job, index, longest int, rank jobqueue.Rank, accepted acceptedAt) *work {
+func newWork(job *jobstate.Job, index, longest int, rank jobqueue.Rank, accepted time.Time) *work {
 	item := &job.Items[index]
 	return &work{
 		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host,
--- a/internal/core/consensus/explore_test.go
+++ b/internal/core/consensus/explore_test.go
@@ -26,6 +26,8 @@
 	crashOdds int
 	// slow is a member that messages mostly do not reach for now, or none.
 	slow MemberID
+	// heldUp is a member that misses its ticks for now, or none.
+	heldUp MemberID
 	// unevenClocks lets members tick apart, which leases do not allow.
 	unevenClocks bool
 }
@@ -143,10 +145,17 @@
 		return
 	}
 	for _, id := range e.net.order {
-		if !e.net.members[id].down {
+		switch {
+		case e.net.members[id].down:
+		case id == e.heldUp:
+			e.net.node(id).TickMissed(1)
+		default:
 			e.net.node(id).Tick()
 		}
 	}
+	if e.choose(testElectionTicks) == 0 {
+		e.heldUp = MemberID(e.choose(6))
+	}
 }
 
 func (e *explorer) propose() {
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -149,7 +149,8 @@
 	return history, nil
 }
 
-// Tick tells the member that one tick passed.
+// Tick tells the member that one tick passed. The owner calls it at each tick, or
+// TickMissed before it for those that it could not.
 func (n *Node) Tick() {
 	if n.role == RoleRemoved || n.failed != nil {
 		return
@@ -166,6 +167,26 @@
 	}
 }
 
+// TickMissed tells the member that ticks passed while its owner was held up and did not
+// run it: for want of processor time, or in a write. Leases and votes age by them, as they
+// must. But nothing is taken for the silence of others: what they sent meanwhile is not
+// handed over yet. Tick follows.
+func (n *Node) TickMissed(ticks int) {
+	if ticks <= 0 || n.role == RoleRemoved || n.failed != nil {
+		return
+	}
+	n.now += uint64(ticks)
+	if n.role != RoleLeader {
+		n.sinceLeader += ticks
+		return
+	}
+	n.heartbeatElapsed += ticks
+	for _, peer := range n.leadership.peers {
+		peer.missed += uint64(ticks)
+		peer.progressTick += uint64(ticks)
+	}
+}
+
 // Step handles a message from another member. Late and repeated messages are
 // harmless. An error of ErrCommittedConflict is final: the member has stopped.
 func (n *Node) Step(message Message) error {
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -36,6 +36,8 @@
 	progressTick uint64
 	// contactTick is when the member last answered in this term.
 	contactTick uint64
+	// missed counts the ticks since contactTick in which the leader was held up.
+	missed uint64
 	// leaseTick is the latest SentTick that the member answered; 0 is none.
 	leaseTick uint64
 	// round is the latest read round that the member answered.
@@ -49,6 +51,10 @@
 	departing uint64
 }
 
+// silentFor gives how many ticks the member has been silent while the leader would
+// have heard it.
+func (p *progress) silentFor(now uint64) uint64 { return now - p.contactTick - p.missed }
+
 func (p *progress) becomeProbe() {
 	p.state = ProgressProbe
 	p.next = p.match + 1
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -29,7 +29,7 @@
 
 // active reports whether the peer answered within the election timeout.
 func (n *Node) active(peer *progress) bool {
-	return n.now-peer.contactTick < uint64(n.config.ElectionTicks)
+	return peer.silentFor(n.now) < uint64(n.config.ElectionTicks)
 }
 
 // quorumActive reports whether a quorum answered within the election timeout.
@@ -40,8 +40,17 @@
 	return n.now-contact < uint64(n.config.ElectionTicks)
 }
 
+// quorumSilent reports whether no quorum answered though this member was there for an
+// election timeout to hear it.
+func (n *Node) quorumSilent() bool {
+	heard := n.quorumValue(func(id MemberID) uint64 {
+		return n.peerValue(id, n.now, func(p *progress) uint64 { return p.contactTick + p.missed })
+	})
+	return n.now-heard >= uint64(n.config.ElectionTicks)
+}
+
 func (n *Node) tickLeader() {
-	if !n.quorumActive() && !n.config.Safeguards.NoCheckQuorum {
+	if n.quorumSilent() && !n.config.Safeguards.NoCheckQuorum {
 		n.becomeFollower(n.term, None)
 		return
 	}
@@ -289,7 +298,7 @@
 }
 
 func (n *Node) noteContact(message Message, peer *progress) {
-	peer.contactTick = n.now
+	peer.contactTick, peer.missed = n.now, 0
 	if message.SentTick <= n.now {
 		peer.leaseTick = max(peer.leaseTick, message.SentTick)
 	}
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -35,10 +35,11 @@
 	ID      MemberID
 	Learner bool
 	// Match is the last position known to be durable on the member.
-	Match             uint64
-	Next              uint64
-	State             ProgressState
-	Active            bool
+	Match  uint64
+	Next   uint64
+	State  ProgressState
+	Active bool
+	// TicksSinceContact leaves out those in which the leader was held up.
 	TicksSinceContact uint64
 	// CaughtUp is set if the member could be promoted now.
 	CaughtUp bool
@@ -81,7 +82,7 @@
 		peer := n.leadership.peers[id]
 		statuses = append(statuses, PeerStatus{
 			ID: id, Learner: n.membership.IsLearner(id), Match: peer.match, Next: peer.next, State: peer.state,
-			Active: n.active(peer), TicksSinceContact: n.now - peer.contactTick, CaughtUp: n.caughtUp(id),
+			Active: n.active(peer), TicksSinceContact: peer.silentFor(n.now), CaughtUp: n.caughtUp(id),
 		})
 	}
 	return statuses
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -176,6 +176,13 @@
 	m.refresh()
 }
 
+// TickMissed notes that ticks passed while the owner was held up and did not run the
+// member. Tick follows.
+func (m *Member) TickMissed(ticks int) {
+	m.node.TickMissed(ticks)
+	m.refresh()
+}
+
 // Step handles a message from another member. An error that matches
 // consensus.ErrCommittedConflict is final: the member must stop.
 func (m *Member) Step(message consensus.Message) error {
--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -16,8 +16,8 @@
 )
 
 // The simulation runs a group in virtual time over a network that loses and
-// delays, on machines that crash, lose power, lose their disks, are cut off, are
-// replaced and are emptied. Every command that a proposer was told of must be in
+// delays, on machines that crash, lose power, lose their disks, are cut off, are held
+// up, are replaced and are emptied. Every command that a proposer was told of must be in
 // every later state, once, in one order.
 
 const (
@@ -98,10 +98,14 @@
 	state       *record
 	downUntil   int
 	cutUntil    int
-	leaving     bool
-	gone        bool
-	changing    bool
-	wiped       int
+	// heldUntil is until when the machine is held up: it is up, but not run, and what
+	// it is sent waits. missed counts the ticks of its member meanwhile.
+	heldUntil int
+	missed    int
+	leaving   bool
+	gone      bool
+	changing  bool
+	wiped     int
 	// saving is a snapshot that is being written until savedAt.
 	saving  *groupmember.Capture
 	savedAt int
@@ -174,6 +178,7 @@
 // stop ends the member. What it had not synced is not in the disk anyway.
 func (w *world) stop(m *machine, ticks int) {
 	m.member = nil
+	m.heldUntil, m.missed = 0, 0
 	m.changing = false
 	m.saving = nil
 	m.downUntil = max(m.downUntil, w.now+ticks)
@@ -191,10 +196,12 @@
 
 func (w *world) up(m *machine) bool { return !m.gone && w.now >= m.downUntil }
 
+func (w *world) heldUp(m *machine) bool { return w.now < m.heldUntil }
+
 func (w *world) leader() *machine {
 	var leader *machine
 	for _, m := range w.machines {
-		if m.member != nil && m.member.Settled() && (leader == nil || m.member.Status().Term > leader.member.Status().Term) {
+		if m.member != nil && !w.heldUp(m) && m.member.Settled() && (leader == nil || m.member.Status().Term > leader.member.Status().Term) {
 			leader = m
 		}
 	}
@@ -360,7 +367,11 @@
 	for _, m := range w.machines {
 		switch {
 		case !w.up(m):
+		case w.heldUp(m):
+			m.missed++
 		case m.member != nil:
+			m.member.TickMissed(m.missed)
+			m.missed = 0
 			m.member.Tick()
 			w.work(m)
 		case m.id == 0:
@@ -393,6 +404,10 @@
 		if to == nil || to.cutUntil > w.now || (from != nil && from.cutUntil > w.now) {
 			continue
 		}
+		if w.heldUp(to) {
+			w.mail = append(w.mail, delivery{at: to.heldUntil, message: mail.message})
+			continue
+		}
 		if err := to.member.Step(mail.message); err != nil && to.member != nil {
 			w.t.Logf("tick %d: %s: %v", w.now, to.name, err)
 		}
@@ -407,7 +422,7 @@
 	if m.gone {
 		return
 	}
-	switch w.random.IntN(9) {
+	switch w.random.IntN(11) {
 	case 0, 1:
 		w.stop(m, 1+w.random.IntN(40))
 	case 2:
@@ -439,6 +454,20 @@
 				w.wipe(leader)
 			}
 		}
+	case 9:
+		w.hold(m, 1+w.random.IntN(60))
+	case 10:
+		ticks := 1 + w.random.IntN(30)
+		for _, each := range w.machines {
+			w.hold(each, ticks)
+		}
+	}
+}
+
+// hold holds a machine with a member up for some ticks from now on.
+func (w *world) hold(m *machine, ticks int) {
+	if m.member != nil {
+		m.heldUntil = w.now + 1 + ticks
 	}
 }
 
@@ -492,6 +521,7 @@
 	w.loss = 0
 	for _, m := range w.machines {
 		m.cutUntil = 0
+		m.heldUntil = min(m.heldUntil, w.now+1)
 		m.downUntil = min(m.downUntil, w.now+5)
 	}
 	for range ticks {
