--- a/internal/adapter/wire/pack.go
+++ b/internal/adapter/wire/pack.go
@@ -35,6 +35,16 @@
 	}}}
 }
 
+// compress writes content behind what a buffer holds.
+func (p *packer) compress(into *bytes.Buffer, content []byte) {
+	writer := p.writers.Get().(*flate.Writer)
+	defer p.writers.Put(writer)
+	writer.Reset(into)
+	// A buffer takes all writes.
+	_, _ = writer.Write(content)
+	_ = writer.Close()
+}
+
 // pack gives an item of the sequence compressed, or as it is if that does not pay.
 func (p *packer) pack(item []byte) []byte {
 	if len(item) < leastPacked {
@@ -42,12 +52,7 @@
 	}
 	var packed bytes.Buffer
 	packed.Write(make([]byte, 1+frameHeaderSize))
-	writer := p.writers.Get().(*flate.Writer)
-	defer p.writers.Put(writer)
-	writer.Reset(&packed)
-	// A buffer takes all writes.
-	_, _ = writer.Write(item[frameHeaderSize:])
-	_ = writer.Close()
+	p.compress(&packed, item[frameHeaderSize:])
 	if float64(packed.Len()) > packedShare*float64(len(item)) {
 		return item
 	}
@@ -57,6 +62,30 @@
 	return whole
 }
 
+// sharedPacker compresses messages that are made once for many receivers.
+var sharedPacker = newPacker()
+
+// MarshalPacked gives a message encoded and compressed, to be a part of messages to many
+// receivers.
+func MarshalPacked(message any) ([]byte, error) {
+	encoded, err := Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	sharedPacker.compress(&packed, encoded)
+	return packed.Bytes(), nil
+}
+
+// UnmarshalPacked decodes what MarshalPacked gave, of at most so many bytes.
+func UnmarshalPacked(packed []byte, maxSize int, message any) error {
+	encoded, err := unpack(packed, maxSize)
+	if err != nil {
+		return err
+	}
+	return Unmarshal(encoded, message)
+}
+
 // unpack gives the content of a compressed frame, of at most so many bytes.
 func unpack(packed []byte, maxSize int) ([]byte, error) {
 	reader := flate.NewReader(bytes.NewReader(packed))
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -76,6 +76,7 @@
 	stores     *stores
 	weights    *weightsManager
 	view       atomic.Pointer[sitestate.View]
+	whole      wholeView
 	table      atomic.Pointer[routing.Table]
 	// position is that of the published view; only the loop's goroutine uses it.
 	position uint64
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -64,19 +64,20 @@
 		if shown == nil {
 			return port.NewError(port.NotRun, port.CodeUnavailable, "this member takes no part yet")
 		}
-		update, err := c.updateAfter(ctx, after, request.Interest)
+		answer, err := c.answerAfter(ctx, after, request.Interest)
 		if err != nil {
 			return err
 		}
 		if !shown.Confirmed {
-			return c.sendUnconfirmed(call, update)
+			return c.sendUnconfirmed(call, answer)
 		}
+		update := &answer.Update
 		update.Confirmed = true
 		if count := len(shown.Records); count != told {
 			told, update.Members = count, shown.Records
 		}
-		if !update.Empty() || time.Since(sent) >= siteview.HeartbeatInterval {
-			if err := call.Send(update); err != nil {
+		if len(answer.Whole) > 0 || !update.Empty() || time.Since(sent) >= siteview.HeartbeatInterval {
+			if err := call.Send(answer); err != nil {
 				return err
 			}
 			sent = time.Now()
@@ -90,14 +91,27 @@
 
 // sendUnconfirmed shows the state of a member that is out of touch with a
 // quorum, marked as such, and ends the watch.
-func (c *Control) sendUnconfirmed(call *wire.Call, update sitestate.Update) error {
-	update.Confirmed = false
-	if err := call.Send(update); err != nil {
+func (c *Control) sendUnconfirmed(call *wire.Call, answer siteview.WatchAnswer) error {
+	answer.Update.Confirmed = false
+	if err := call.Send(answer); err != nil {
 		return err
 	}
 	return port.NewError(port.NotRun, port.CodeUnavailable, "this member is out of touch with a quorum")
 }
 
+// answerAfter gives what a watcher at a position lacks; one that has nothing gets a whole
+// state and what has changed since.
+func (c *Control) answerAfter(ctx context.Context, after uint64, interest sitestate.Interest) (answer siteview.WatchAnswer, err error) {
+	if view := c.view.Load(); after == 0 && view.Position > 0 {
+		answer.Whole, after, err = c.whole.get(view, time.Now())
+		if err != nil {
+			return siteview.WatchAnswer{}, err
+		}
+	}
+	answer.Update, err = c.updateAfter(ctx, after, interest)
+	return answer, err
+}
+
 func (c *Control) updateAfter(ctx context.Context, after uint64, interest sitestate.Interest) (sitestate.Update, error) {
 	if view := c.view.Load(); after > 0 && view.Position <= after {
 		return sitestate.Update{Position: view.Position}, nil
--- /dev/null
+++ b/internal/app/siteview/siteview.go
@@ -0,0 +1,42 @@
+package siteview
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// MethodWatch takes a WatchRequest and streams WatchAnswer to a watcher.
+const MethodWatch = "site.watch"
+
+// maxWholeBytes bounds a whole state: ten times that of 3,500 replicas, of 250 bytes each.
+const maxWholeBytes = 10 << 20
+
+// WatchRequest begins a watch after a position; 0 asks for everything.
+type WatchRequest struct {
+	After uint64 `cbor:"1,keyasint"`
+	// Interest says which changes are to be sent. An observer does not change
+	// it: it would lack what it left out.
+	Interest sitestate.Interest `cbor:"2,keyasint,omitempty"`
+}
+
+// WatchAnswer brings a watcher up to date.
+type WatchAnswer struct {
+	// Whole is empty, or the state at an earlier position, which Update goes on from: a
+	// sitestate.Update, packed once for many watchers.
+	Whole  []byte           `cbor:"1,keyasint,omitempty"`
+	Update sitestate.Update `cbor:"2,keyasint"`
+}
+
+// updates gives what is to be applied, in order.
+func (a *WatchAnswer) updates() ([]sitestate.Update, error) {
+	if len(a.Whole) == 0 {
+		return []sitestate.Update{a.Update}, nil
+	}
+	var whole sitestate.Update
+	if err := wire.UnmarshalPacked(a.Whole, maxWholeBytes, &whole); err != nil {
+		return nil, eris.Wrap(err, "the whole state")
+	}
+	return []sitestate.Update{whole, a.Update}, nil
+}
--- /dev/null
+++ b/internal/app/siteview/siteview_test.go
@@ -0,0 +1,45 @@
+package siteview
+
+import (
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// TestAnswerBringsTheWholeStateAndWhatFollowed: in that order, after a way over the wire.
+func TestAnswerBringsTheWholeStateAndWhatFollowed(t *testing.T) {
+	whole, err := wire.MarshalPacked(sitestate.Update{Position: 7, Whole: true, Replicas: []sitestate.Replica{{ID: "a"}, {ID: "b"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := WatchAnswer{Whole: whole, Update: sitestate.Update{Position: 9, Gone: []string{"a"}, Replicas: []sitestate.Replica{{ID: "c"}}, Confirmed: true}}
+	encoded, err := wire.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answer WatchAnswer
+	if err := wire.Unmarshal(encoded, &answer); err != nil {
+		t.Fatal(err)
+	}
+	updates, err := answer.updates()
+	if err != nil || len(updates) != 2 {
+		t.Fatalf("%d updates, %v", len(updates), err)
+	}
+	var view *sitestate.View
+	for _, update := range updates {
+		view = view.Apply(update)
+	}
+	if view.Position != 9 || len(view.Replicas) != 2 || view.Replicas["b"].ID != "b" || view.Replicas["c"].ID != "c" {
+		t.Errorf("%+v", view)
+	}
+
+	answer.Whole = answer.Whole[:len(answer.Whole)/2]
+	if _, err := answer.updates(); err == nil {
+		t.Error("half a state was taken")
+	}
+	answer.Whole = nil
+	if updates, err := answer.updates(); err != nil || len(updates) != 1 || updates[0].Position != 9 {
+		t.Errorf("without a whole state: %+v, %v", updates, err)
+	}
+}
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -28,17 +28,6 @@
 	retryPause = 100 * time.Millisecond
 )
 
-// MethodWatch streams sitestate.Update to a watcher.
-const MethodWatch = "site.watch"
-
-// WatchRequest begins a watch after a position; 0 asks for everything.
-type WatchRequest struct {
-	After uint64 `cbor:"1,keyasint"`
-	// Interest says which changes are to be sent. An observer does not change
-	// it: it would lack what it left out.
-	Interest sitestate.Interest `cbor:"2,keyasint,omitempty"`
-}
-
 // View is what a process knows of the site. It is immutable.
 type View struct {
 	*sitestate.View
@@ -195,39 +184,43 @@
 	}
 	defer stream.Close()
 	for {
-		var update sitestate.Update
-		if err := stream.Recv(&update); err != nil {
+		var answer WatchAnswer
+		if err := stream.Recv(&answer); err != nil {
+			return err
+		}
+		updates, err := answer.updates()
+		if err != nil {
 			return err
 		}
-		if !update.Confirmed {
-			w.takeProvisional(update)
+		if !answer.Update.Confirmed {
+			w.takeProvisional(updates)
 			return eris.New("the member is out of touch with a quorum")
 		}
 		silence.Reset(silenceTimeout)
-		if err := w.take(address, update); err != nil {
+		if err := w.take(address, updates); err != nil {
 			return err
 		}
 	}
 }
 
 // takeProvisional takes a first view that is not confirmed.
-func (w *Watcher) takeProvisional(update sitestate.Update) {
-	if !w.config.Provisional || w.view.Load() != nil || update.Configuration == nil {
+func (w *Watcher) takeProvisional(updates []sitestate.Update) {
+	if !w.config.Provisional || w.view.Load() != nil {
 		return
 	}
-	next, err := w.next(nil, update)
-	if err != nil {
+	next, err := w.next(nil, updates)
+	if err != nil || next.Configuration.Version == 0 {
 		return
 	}
-	w.config.Logger.Warn().Str(eventlog.Field, eventlog.ControlProvisional).Uint64("position", update.Position).
-		Uint64("version", update.Configuration.Version).Msg("a view is taken that no quorum confirmed yet")
+	w.config.Logger.Warn().Str(eventlog.Field, eventlog.ControlProvisional).Uint64("position", next.Position).
+		Uint64("version", next.Configuration.Version).Msg("a view is taken that no quorum confirmed yet")
 	w.view.Store(next)
 	w.config.Changed(next)
 }
 
-// take applies an update and publishes the view if it has changed.
-func (w *Watcher) take(address string, update sitestate.Update) error {
-	previous := w.view.Load()
+// take applies updates and publishes the view if it has changed.
+func (w *Watcher) take(address string, updates []sitestate.Update) error {
+	previous, update := w.view.Load(), updates[len(updates)-1]
 	if previous != nil && update.Position < previous.Position {
 		return eris.New("the member is behind")
 	}
@@ -242,7 +235,7 @@
 	if previous != nil && update.Position == previous.Position && len(update.Members) == 0 {
 		return nil
 	}
-	next, err := w.next(previous, update)
+	next, err := w.next(previous, updates)
 	if err != nil {
 		return err
 	}
@@ -251,14 +244,17 @@
 	return nil
 }
 
-func (w *Watcher) next(previous *View, update sitestate.Update) (*View, error) {
+func (w *Watcher) next(previous *View, updates []sitestate.Update) (*View, error) {
 	var held *sitestate.View
 	next := &View{}
 	if previous != nil {
 		held = previous.View
 		next.Table = previous.Table
 	}
-	next.View = held.Apply(update)
+	for _, update := range updates {
+		held = held.Apply(update)
+	}
+	next.View = held
 	if next.Configuration.Version > 0 && (next.Table == nil || next.Table.Version() != next.Configuration.Version) {
 		document, err := w.config.Decode(next.Configuration.Raw)
 		if err != nil {
--- a/internal/core/sitestate/sitestate_test.go
+++ b/internal/core/sitestate/sitestate_test.go
@@ -198,6 +198,9 @@
 			after := uint64(0)
 			if view != nil {
 				after = view.Position
+				// One that begins with what another has held for a while.
+				begun := (*sitestate.View)(nil).Apply(view.Update()).Apply(l.state.Update(after, sitestate.InterestAll))
+				compare(r, begun, l.state)
 			}
 			next := view.Apply(l.state.Update(after, sitestate.InterestAll))
 			if view != nil && (next.Position < view.Position || next.Configuration.Version < view.Configuration.Version) {
--- a/internal/core/sitestate/update.go
+++ b/internal/core/sitestate/update.go
@@ -1,7 +1,9 @@
 package sitestate
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sort"
 
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
@@ -110,6 +112,18 @@
 	Members []groupmember.Record
 }
 
+// Update gives all that the view holds, but for the members.
+func (v *View) Update() Update {
+	update := Update{
+		Position: v.Position, Whole: true, Weights: v.Weights, Stores: v.Stores, Shards: v.Shards, Placed: v.Placed,
+		Replicas: slices.SortedFunc(maps.Values(v.Replicas), func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) }),
+	}
+	if v.Configuration.Version > 0 {
+		update.Configuration = &v.Configuration
+	}
+	return update
+}
+
 // Apply gives the view after an update. An update from a member that is behind
 // the view changes nothing.
 func (v *View) Apply(update Update) *View {
