--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -92,7 +92,10 @@
 	// news is closed and replaced when results came.
 	news        chan struct{}
 	incarnation string
-	seen        map[string]time.Time
+	// settled is whether the member led, in touch with a quorum, at its last step; the
+	// loop's goroutine owns it.
+	settled bool
+	seen    map[string]time.Time
 	// invited is the shard whose group this machine is to join, 0 for none.
 	invited atomic.Uint32
 }
@@ -140,6 +143,10 @@
 // changed publishes that there is news, in the loop's goroutine.
 func (s *Store) changed(step group.Step) {
 	state := step.Machine.(*jobstate.State)
+	if step.Settled != s.settled {
+		s.settled = step.Settled
+		s.runner.wakeUp()
+	}
 	if serial := state.JobSerial(); serial != s.jobSerial.Load() {
 		s.jobSerial.Store(serial)
 		s.runner.wakeUp()
--- a/internal/core/consensus/election.go
+++ b/internal/core/consensus/election.go
@@ -32,10 +32,14 @@
 // processes were killed.
 func (n *Node) standEarly() {
 	if n.fresh() && !n.config.Safeguards.NoPreVote {
-		n.electionTimeout = n.refusedPause()
+		n.electionTimeout = n.earlyPause()
 	}
 }
 
+// earlyPause gives the ticks until a member that has just started asks, and asks again.
+// Two ticks are enough for the others to be up, if all started together.
+func (n *Node) earlyPause() int { return 1 + n.random.intn(2) }
+
 // fresh reports whether this member still counts as hearing a leader only because it has
 // just started.
 func (n *Node) fresh() bool {
