sitestore: a job that the memory has no room for is refused before it is kept

Nothing bounded it but the end of the process.

The state counts what its jobs take, step by step; a restored one counts the same (property test). From a quarter of the machine's memory on a job is refused as not run, at once; 'site_job_bytes' shows the amount. Such a refusal, and that of a group with too small a quorum, now looks first whether the job was kept before: "not run" would not be true of it.

Not done: texts in files, which would make the bound needless. test/site.TestAJobWithoutRoomIsRefusedBeforeItIsKept, core/jobstate.TestBytesCountWhatIsHeld.

--- a/cmd/loomgrade/cmd_site_store.go
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -29,10 +29,11 @@
 		Machine: p.file.Machine, Zone: p.file.Zone, Address: p.file.PeerAddress(), Folder: p.file.DataFolder, FileSystem: fileSystem(p.file.DataFolder),
 		Wire: p.wire, Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Seed: p.seed,
 		Recorder: p.metrics, ToleratedLosses: p.file.ToleratedLosses, KeepJobs: p.file.KeepJobs() + keepJobsMargin,
+		MostJobBytes: int(jobShare * p.file.MemoryMegabytes * megabyte),
 	})
 	store.Register(p.server)
 	p.metrics.Observe(func() metrics.SiteReading {
-		reading := metrics.SiteReading{InFlight: store.Open(), LinesDropped: p.lines.Dropped()}
+		reading := metrics.SiteReading{InFlight: store.Open(), JobBytes: store.JobBytes(), LinesDropped: p.lines.Dropped()}
 		return ofGroup(ofView(reading, watcher), store.Shown())
 	})
 	drain := func(ctx context.Context) { store.HandOver(ctx) }
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -49,6 +49,10 @@
 	// time.
 	collectAt = 40
 	megabyte  = 1 << 20
+	// jobShare is the part of a store machine's memory that jobs may take. What they
+	// take stands there up to three times, in the state, in a snapshot in the making and in
+	// what is sent of it; 40 MB are the process's own.
+	jobShare = 0.25
 	// headerTimeout and keepIdle bound what a caller's connection may wait.
 	headerTimeout = 10 * time.Second
 	keepIdle      = 90 * time.Second
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -25,6 +25,8 @@
 	// InFlight is what it serves or runs at present: requests of callers, or
 	// items of jobs.
 	InFlight int64
+	// JobBytes is about what jobs take in a store machine's memory.
+	JobBytes int64
 	// LinesDropped counts log lines that were left out.
 	LinesDropped uint64
 }
@@ -74,6 +76,7 @@
 	s.gauge("term", "Term of its group.", func(r SiteReading) float64 { return float64(r.Term) })
 	s.gauge("applied_index", "Last applied position of its group's log.", func(r SiteReading) float64 { return float64(r.Applied) })
 	s.gauge("in_flight", "Requests or items in flight.", func(r SiteReading) float64 { return float64(r.InFlight) })
+	s.gauge("job_bytes", "Memory that the jobs of its shard take, about.", func(r SiteReading) float64 { return float64(r.JobBytes) })
 	s.gauge("log_lines_dropped", "Log lines left out since the start.", func(r SiteReading) float64 { return float64(r.LinesDropped) })
 	return s
 }
--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -71,13 +71,13 @@
 // submit keeps a job. Before it is proposed, a refusal is as not run; after
 // that its outcome is known or left open.
 func (s *Store) submit(ctx context.Context, shard group.Shard, submission jobstate.Submission) (jobsapi.Answer, error) {
-	if refusal := s.mayAccept(); refusal != nil {
-		return jobsapi.Answer{}, refusal
-	}
 	data, err := jobstate.Command{Accept: &submission}.Encode()
 	if err != nil {
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "%v", err)
 	}
+	if refusal := s.mayAccept(len(data)); refusal != nil {
+		return s.refuse(ctx, shard, submission.ID, refusal)
+	}
 	if len(data) > maxJobBytes {
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeTooLarge, "the job is larger than %d bytes", maxJobBytes)
 	}
@@ -89,9 +89,33 @@
 	return jobsapi.Answer{Accepted: outcome}, nil
 }
 
-// mayAccept refuses while a quorum is too small to outlive the tolerated
-// losses.
-func (s *Store) mayAccept() *port.Error {
+// refuse refuses a job, unless it was kept before and its client did not hear so.
+func (s *Store) refuse(ctx context.Context, shard group.Shard, job string, refusal *port.Error) (jobsapi.Answer, error) {
+	held, err := s.holds(ctx, shard, job)
+	switch {
+	case err != nil:
+		return jobsapi.Answer{}, err
+	case held:
+		return jobsapi.Answer{Accepted: jobstate.AcceptedBefore}, nil
+	default:
+		return jobsapi.Answer{}, refusal
+	}
+}
+
+// holds reports whether a shard's group has a job.
+func (s *Store) holds(ctx context.Context, shard group.Shard, job string) (held bool, err error) {
+	err = s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
+		held = machine.(*jobstate.State).Job(job) != nil
+	})
+	return held, err
+}
+
+// mayAccept refuses while a quorum is too small to outlive the tolerated losses, and jobs
+// of so many bytes that the memory has no room for.
+func (s *Store) mayAccept(bytes int) *port.Error {
+	if most, held := s.config.MostJobBytes, int(s.JobBytes()); most > 0 && held+bytes > most {
+		return port.NewError(port.NotRun, port.CodeQueueFull, "the shard's jobs take %d of %d bytes of memory; %d more have no room", held, most, bytes)
+	}
 	shown := s.member.Shown()
 	if shown == nil {
 		return port.NewError(port.NotRun, port.CodeUnavailable, "this machine takes no part in the store group yet")
@@ -203,10 +227,7 @@
 // end ends a job. One that this shard does not know costs no entry of the log: clients
 // ask all shards.
 func (s *Store) end(ctx context.Context, shard group.Shard, request jobsapi.EndRequest) (jobsapi.Answer, error) {
-	held := false
-	err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
-		held = machine.(*jobstate.State).Job(request.Job) != nil
-	})
+	held, err := s.holds(ctx, shard, request.Job)
 	if err != nil || !held {
 		return jobsapi.Answer{Unknown: err == nil}, err
 	}
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -51,6 +51,9 @@
 	Recorder Recorder
 	// KeepJobs is how long a finished job can be asked about.
 	KeepJobs time.Duration
+	// MostJobBytes bounds the jobs that the member holds, as jobstate.State.Bytes counts
+	// them: beyond it a job is refused before it is kept. 0 is no bound.
+	MostJobBytes int
 }
 
 // Recorder measures the items of jobs.
@@ -85,7 +88,9 @@
 
 	serial    atomic.Uint64
 	jobSerial atomic.Uint64
-	demand    atomic.Pointer[demand]
+	// jobBytes is about what the jobs take in memory.
+	jobBytes atomic.Int64
+	demand   atomic.Pointer[demand]
 	// open counts the items that are being done.
 	open  atomic.Int64
 	mutex sync.Mutex
@@ -143,6 +148,7 @@
 // changed publishes that there is news, in the loop's goroutine.
 func (s *Store) changed(step group.Step) {
 	state := step.Machine.(*jobstate.State)
+	s.jobBytes.Store(int64(state.Bytes()))
 	if step.Settled != s.settled {
 		s.settled = step.Settled
 		s.runner.wakeUp()
@@ -229,5 +235,8 @@
 // Shown gives what the process's member last showed of itself, or nil.
 func (s *Store) Shown() *group.Shown { return s.member.Shown() }
 
+// JobBytes gives about what the jobs of this machine's shard take in memory.
+func (s *Store) JobBytes() int64 { return s.jobBytes.Load() }
+
 // Open gives the number of items that are being done here.
 func (s *Store) Open() int64 { return s.open.Load() }
--- a/internal/core/jobstate/jobstate_test.go
+++ b/internal/core/jobstate/jobstate_test.go
@@ -194,10 +194,14 @@
 				if err != nil {
 					r.Fatal(err)
 				}
+				counted := l.state.Bytes()
 				l.state = jobstate.New()
 				if err := l.state.Restore(data); err != nil {
 					r.Fatal(err)
 				}
+				if counted != l.state.Bytes() || counted < len(data) {
+					r.Fatalf("%d bytes counted step by step, %d anew, %d encoded", counted, l.state.Bytes(), len(data))
+				}
 			}
 			page := l.state.Job("j").Page(0, 1<<20)
 			if len(page.Results) < len(seen) {
@@ -316,3 +320,31 @@
 		t.Errorf("a buffer of %d bytes for %d", buffer.Cap(), buffer.Len())
 	}
 }
+
+// TestBytesCountWhatIsHeld: through a job's life, and down to nothing once it is
+// forgotten.
+func TestBytesCountWhatIsHeld(t *testing.T) {
+	l := newLog(t)
+	var before int
+	rises := func(what string, want bool) {
+		t.Helper()
+		if rose := l.state.Bytes() > before; rose != want {
+			t.Errorf("%s: %d bytes after %d", what, l.state.Bytes(), before)
+		}
+		before = l.state.Bytes()
+	}
+	l.apply(jobstate.Command{Accept: submission("j", "a", "b")})
+	rises("a job", true)
+	l.record(text("j", 0, 0, strings.Repeat("x", 1000)))
+	rises("text", true)
+	l.record(jobstate.ItemRecord{Job: "j", Item: 0, Events: 1, Whole: true, Result: jobstate.ResultCompleted})
+	rises("a result, which frees the request", false)
+	l.apply(jobstate.Command{Accept: submission("k", "c")})
+	rises("another job", true)
+	l.apply(jobstate.Command{End: &jobstate.End{ID: "j"}})
+	rises("an end", false)
+	l.apply(jobstate.Command{Forget: &jobstate.Forget{Jobs: []string{"j", "k"}}})
+	if l.state.Bytes() != 0 {
+		t.Errorf("%d bytes of no job", l.state.Bytes())
+	}
+}
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -68,6 +68,8 @@
 	// counts jobs that came, ended or were forgotten.
 	serial    uint64
 	jobSerial uint64
+	// bytes is about what the encoding of all jobs needs.
+	bytes int
 }
 
 type itemPlace struct {
@@ -90,8 +92,9 @@
 		captured.Results = slices.Clone(job.Results)
 		jobs[i] = &captured
 	}
+	size := s.bytes
 	return func(into *bytes.Buffer) error {
-		into.Grow(encodedSize(jobs))
+		into.Grow(size)
 		return encoding.MarshalToBuffer(jobs, into)
 	}
 }
@@ -108,21 +111,28 @@
 // encodedItem is about what an item's encoding needs beside its text and request.
 const encodedItem = 256
 
-// encodedSize estimates the encoding's size from above, so that the buffer for it, which
-// is most of what a large state costs in the making, is made once.
-func encodedSize(jobs []*Job) int {
+// Bytes estimates the size of the encoded jobs from above. A snapshot's buffer, which is
+// most of what a large state costs in the making, is made once by it; and it is what says
+// how much the state takes of a machine's memory.
+func (s *State) Bytes() int { return s.bytes }
+
+// size estimates the size of the encoded job from above.
+func (j *Job) size() int {
 	size := 0
-	for _, job := range jobs {
-		for i := range job.Items {
-			item := &job.Items[i]
-			size += encodedItem + len(item.Text) + len(item.Item.Body) + len(item.Item.ID) + len(item.Item.Path) + len(item.Item.Group)
-			for _, header := range item.Item.Headers {
-				size += len(header.Name) + len(header.Value)
-			}
-			if scorer := item.Item.Scorer; scorer != nil {
-				size += encodedItem + len(scorer.Body) + len(scorer.Path) + len(scorer.Host)
-			}
-		}
+	for i := range j.Items {
+		size += j.Items[i].size()
+	}
+	return size
+}
+
+// size estimates the size of the encoded item from above.
+func (i *ItemState) size() int {
+	size := encodedItem + len(i.Text) + len(i.Item.Body) + len(i.Item.ID) + len(i.Item.Path) + len(i.Item.Group)
+	for _, header := range i.Item.Headers {
+		size += len(header.Name) + len(header.Value)
+	}
+	if scorer := i.Item.Scorer; scorer != nil {
+		size += encodedItem + len(scorer.Body) + len(scorer.Path) + len(scorer.Host)
 	}
 	return size
 }
@@ -135,6 +145,7 @@
 	}
 	s.jobs = make(map[string]*Job, len(jobs))
 	s.latest = map[string]itemPlace{}
+	s.bytes = 0
 	for _, job := range jobs {
 		s.add(job)
 	}
@@ -145,6 +156,7 @@
 
 func (s *State) add(job *Job) {
 	s.jobs[job.Submission.ID] = job
+	s.bytes += job.size()
 	for i := range job.Items {
 		s.latest[job.Items[i].Item.ID] = itemPlace{job.Submission.ID, i}
 	}
@@ -242,9 +254,11 @@
 	}
 	if !job.Ended {
 		job.Ended = true
+		s.bytes -= job.size()
 		for i := range job.Items {
 			job.Items[i].dropRequest()
 		}
+		s.bytes += job.size()
 		s.serial++
 		s.jobSerial++
 	}
@@ -262,26 +276,35 @@
 	if item.Result != ResultNone {
 		return
 	}
-	item.Failures += record.Failures
-	item.ScorerFailures += record.ScorerFailures
+	before := item.size()
+	if item.note(record) {
+		job.Results = append(job.Results, record.Item)
+		s.serial++
+	}
+	s.bytes += item.size() - before
+}
+
+// note takes a record in and reports whether the item has its result by it.
+func (i *ItemState) note(record ItemRecord) bool {
+	i.Failures += record.Failures
+	i.ScorerFailures += record.ScorerFailures
 	if record.Reset {
-		item.Text, item.Events, item.LastEvent, item.Versions, item.Whole = "", 0, "", nil, false
+		i.Text, i.Events, i.LastEvent, i.Versions, i.Whole = "", 0, "", nil, false
 	}
-	follows := record.Events == item.Events
+	follows := record.Events == i.Events
 	if follows {
-		item.take(record)
+		i.take(record)
 	}
 	switch {
 	case record.Result == ResultErrored:
-	case record.Result == ResultCompleted && follows && item.Whole:
-		item.Score = record.Score
+	case record.Result == ResultCompleted && follows && i.Whole:
+		i.Score = record.Score
 	default:
-		return
+		return false
 	}
-	item.Result = record.Result
-	item.dropRequest()
-	job.Results = append(job.Results, record.Item)
-	s.serial++
+	i.Result = record.Result
+	i.dropRequest()
+	return true
 }
 
 func (i *ItemState) take(record ItemRecord) {
@@ -316,6 +339,7 @@
 				delete(s.latest, item.Item.ID)
 			}
 		}
+		s.bytes -= job.size()
 		delete(s.jobs, id)
 		s.jobSerial++
 	}
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -89,6 +89,8 @@
 	models []string
 	// placesPerShard is how many places of engines a shard is for, 0 the default.
 	placesPerShard int
+	// mostJobBytes bounds the jobs that a store machine holds, 0 for no bound.
+	mostJobBytes int
 }
 
 func newSite(t *testing.T, controls, stores int) *site {
@@ -204,7 +206,7 @@
 	p.store = sitestore.New(sitestore.Config{
 		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Seed: uint64(p.name[len(p.name)-1]),
-		ToleratedLosses: s.losses, KeepJobs: time.Minute,
+		ToleratedLosses: s.losses, KeepJobs: time.Minute, MostJobBytes: s.mostJobBytes,
 	})
 	p.store.Register(p.server)
 	s.listen(p)
--- /dev/null
+++ b/test/site/memory_test.go
@@ -0,0 +1,39 @@
+package site_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/loomgrade/loomgrade/test/sitestandin"
+)
+
+// TestAJobWithoutRoomIsRefusedBeforeItIsKept: the refusal is at once and true. A job that
+// was kept before is answered as kept, room or not, and what is held is done.
+func TestAJobWithoutRoomIsRefusedBeforeItIsKept(t *testing.T) {
+	s := newSite(t, 3, 3)
+	s.mostJobBytes = 2000
+	s.start()
+	s.configure()
+	s.add(sitestandin.NewReplica(t, "i-plain", plain))
+	s.add(sitestandin.NewEngine(t, "i-lm-0", lm, s.models...))
+	first := jobOf(model, 1, "item-0", "item-1")
+	s.submit("job-1", first)
+	post := func(id string, body []byte) (int, http.Header) {
+		header := http.Header{sitestandin.Headers.RequestID: {id}}
+		status, _, answer := do(http.MethodPost, s.fronts[0].http.URL+"/jobs/"+id, host, header, body)
+		return status, answer
+	}
+	status, header := post("job-2", jobOf(model, 1, "item-2", "item-3", "item-4", "item-5", "item-6", "item-7"))
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("a job without room: status %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	if status, _, _ := do(http.MethodGet, s.fronts[0].http.URL+"/loomgrade/lots/job-2?sinceRevision=0", host, nil, nil); status != http.StatusNotFound {
+		t.Errorf("the job that was refused: status %d", status)
+	}
+	if results := s.readAll("job-1").Results; len(results) != 2 {
+		t.Errorf("%d results of the job that was kept", len(results))
+	}
+	if status, _ := post("job-1", first); status != http.StatusAccepted {
+		t.Errorf("the job that was kept, once more: status %d", status)
+	}
+}
