--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -43,8 +43,8 @@
 
 	started time.Time
 	ticks   int64
-	// housed is the tick of the last look at the membership.
-	housed    int64
+	// houseTick is the tick of the last look at the membership.
+	houseTick int64
 	lastToken uint64
 	awaiting  map[uint64]func(groupmember.Reply)
 	changing  bool
@@ -170,8 +170,8 @@
 	l.ticks = due
 	l.noteMissed(int(passed - 1))
 	l.member.Tick()
-	if due-l.housed >= houseTicks {
-		l.housed = due
+	if due-l.houseTick >= houseTicks {
+		l.houseTick = due
 		l.keepHouse()
 	}
 }
