--- a/cmd/loomgrade/cmd_job.go
+++ b/cmd/loomgrade/cmd_job.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	defer cancel()
-	found, err := client.jobs.End(ctx, c.Job)
+	found, err := client.jobs.End(ctx, jobsapi.EndRequest{Job: c.Job})
 	if err != nil {
 		return err
 	}
--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
+	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/platform"
 )
@@ -21,10 +22,15 @@
 	if err != nil {
 		return err
 	}
+	var cloud sitecontrol.Provider
+	if p.file.ReportsUsage() {
+		cloud = provider.New(p.file.ProviderAddress, p.dialect)
+	}
 	control := sitecontrol.New(sitecontrol.Config{
 		Machine: p.file.Machine, Address: p.file.PeerAddress(), HeartbeatAddress: p.file.ControlListen,
 		Seeds: p.file.SeedPeers(), Found: p.file.FirstStart, Folder: p.file.DataFolder, FileSystem: fileSystem(p.file.DataFolder), Wire: p.wire, Dialect: p.dialect,
 		Logger: p.logger, Seed: p.seed, ToleratedLosses: p.file.ToleratedLosses, HolderLease: p.file.HolderLease(), Recorder: p.metrics,
+		Provider: cloud, UsageWindow: p.file.UsageWindow(), UsageDue: p.file.UsageDue(),
 	})
 	control.Register(p.server)
 	p.metrics.Observe(func() metrics.SiteReading {
--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
@@ -12,6 +14,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 	"github.com/loomgrade/loomgrade/platform"
 )
 
@@ -41,9 +44,11 @@
 		Provisional: true, Interest: sitestate.InterestRouting, Changed: func(view *siteview.View) { sender.Forget(view) },
 	})
 	sender = p.newProxy(watcher.View)
+	counted := p.newUsageReporter(watcher)
 	idle := httpserve.NewIdleConnections(keepAlive)
 	served := front.New(front.Config{
 		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Idle: idle, Recorder: p.metrics,
+		Usage: counted, RevokeWithin: p.file.RevokeWithin(),
 		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, Place: sitecontrol.Placer(watcher)}),
 	})
 	p.metrics.Observe(func() metrics.SiteReading {
@@ -60,8 +65,27 @@
 		served.AwaitRested(stopping)
 		served.Close()
 		_ = callers.server.Shutdown(stopping)
+		counted.Drain(stopping)
 	}
-	return p.serve([]service{callers, readiness}, watcher.SetSeeds, drain, watcher.Run)
+	tasks := []func(context.Context) error{watcher.Run}
+	if counted != nil {
+		tasks = append(tasks, counted.Run)
+	}
+	return p.serve([]service{callers, readiness}, watcher.SetSeeds, drain, tasks...)
+}
+
+// newUsageReporter makes what counts tenants' requests; nil where usage is not reported.
+func (p *siteProcess) newUsageReporter(watcher *siteview.Watcher) *front.UsageReporter {
+	if !p.file.ReportsUsage() {
+		return nil
+	}
+	reporter := fmt.Sprintf("%s-%x", p.file.Machine, rand.Uint64())
+	send := func(ctx context.Context, report usage.Report) (time.Duration, error) {
+		var answer sitecontrol.Answer
+		err := watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Usage: &report}, &answer)
+		return answer.Pause, err
+	}
+	return front.NewUsageReporter(reporter, send, p.logger)
 }
 
 // wait waits for a time or the end of the context.
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -44,6 +44,7 @@
 	RequestFailed           Event = "request.failed"
 	StreamResumed           Event = "stream.resumed"
 	RequestNoRoute          Event = "request.noroute"
+	RequestNoKey            Event = "request.nokey"
 	JobAccepted             Event = "job.accepted"
 	JobEnded                Event = "job.ended"
 	JobDone                 Event = "job.done"
@@ -54,6 +55,9 @@
 	RunnerStarted           Event = "runner.started"
 	RunnerStopped           Event = "runner.stopped"
 	RunnerNotKept           Event = "runner.notkept"
+	UsageNotKept            Event = "usage.notkept"
+	UsageLate               Event = "usage.late"
+	UsageReported           Event = "usage.reported"
 )
 
 // Description is an event with what it tells, in words that need no knowledge of
@@ -101,6 +105,7 @@
 	{RequestFailed, "a caller got an answer of the front's own; its status and reason"},
 	{StreamResumed, "a stream broke off and goes on at another replica, after which event"},
 	{RequestNoRoute, "no route leads a request anywhere"},
+	{RequestNoKey, "no tenant holds the key that a request shows, or it shows none; by which version of the configuration"},
 	{JobAccepted, "a job is kept from now on"},
 	{JobEnded, "a job was ended by its client"},
 	{JobDone, "the runner has done with a job: when its items were placed and its groups whole, in milliseconds from when it took the job over, and which item was last"},
@@ -111,4 +116,7 @@
 	{RunnerStarted, "this store machine leads and runs items"},
 	{RunnerStopped, "this store machine runs no items any more"},
 	{RunnerNotKept, "text or results could not be put into the log"},
+	{UsageNotKept, "a front's counts of tenants' requests are not kept yet and are sent again"},
+	{UsageLate, "requests of tenants were not counted, as the report of their window is made already"},
+	{UsageReported, "a window of usage was sent to the provider; the status and the fencing token"},
 }
--- a/internal/adapter/httpapi/authorize.go
+++ b/internal/adapter/httpapi/authorize.go
@@ -1,40 +1,22 @@
 package httpapi
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
+	"github.com/loomgrade/loomgrade/internal/core/apikey"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 const bearerPrefix = "Bearer "
 
-// digest is the hexadecimal SHA-256 of a token; empty for no token.
-type digest string
-
-func digestOf(token string) digest {
-	if token == "" {
-		return ""
-	}
-	sum := sha256.Sum256([]byte(token))
-	return digest(hex.EncodeToString(sum[:]))
-}
-
-// equals compares in constant time. No token equals nothing.
-func (d digest) equals(other digest) bool {
-	return d != "" && subtle.ConstantTimeCompare([]byte(d), []byte(other)) == 1
-}
-
 // bearer gives the digest of a request's token.
-func bearer(request *http.Request) digest {
+func bearer(request *http.Request) apikey.Digest {
 	token, found := strings.CutPrefix(request.Header.Get("Authorization"), bearerPrefix)
 	if !found {
-		return ""
+		return apikey.Digest{}
 	}
-	return digestOf(token)
+	return apikey.Of(token)
 }
 
 func (s *Server) tenants() []port.Tenant {
@@ -56,7 +38,7 @@
 // them or of the operator is needed.
 func (s *Server) authorize(request *http.Request) (caller, *port.Error) {
 	token := bearer(request)
-	if s.operator.equals(token) {
+	if s.operator.Equal(token) {
 		return caller{operator: true, known: true}, nil
 	}
 	tenants := s.tenants()
@@ -65,7 +47,7 @@
 	}
 	var found caller
 	for _, tenant := range tenants {
-		if token.equals(digest(strings.ToLower(tenant.TokenSHA256))) {
+		if token.Equal(apikey.FromHex(tenant.TokenSHA256)) {
 			found = caller{tenant: tenant.Name, known: true}
 		}
 	}
@@ -77,7 +59,7 @@
 
 // authorizeOperator lets only the operator in.
 func (s *Server) authorizeOperator(request *http.Request) *port.Error {
-	if s.operator.equals(bearer(request)) {
+	if s.operator.Equal(bearer(request)) {
 		return nil
 	}
 	return unauthorized("this needs the operator's token")
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/core/apikey"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -28,7 +29,7 @@
 	http     *http.Server
 	calls    chan struct{}
 	streams  chan struct{}
-	operator digest
+	operator apikey.Digest
 	idle     *httpserve.IdleConnections
 	draining atomic.Bool
 	serving  sync.WaitGroup
@@ -47,7 +48,7 @@
 		mux:      http.NewServeMux(),
 		calls:    make(chan struct{}, limits.Calls),
 		streams:  make(chan struct{}, limits.Streams),
-		operator: digestOf(config.OperatorToken),
+		operator: apikey.Of(config.OperatorToken),
 		idle:     httpserve.NewIdleConnections(limits.KeepAlive),
 	}
 	s.http = &http.Server{
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,8 +55,23 @@
 	KeepJobsSeconds float64 `json:"keep_jobs_s"`
 	// MemoryMegabytes bounds the process.
 	MemoryMegabytes float64 `json:"memory_mb"`
+	// RevokeMillis is how long a front that is out of touch may go by the keys of
+	// callers that it knows; 0 is no bound.
+	RevokeMillis float64 `json:"revoke_ms,omitempty"`
+	// ProviderAddress is where the provider of the machines is called; empty for none.
+	ProviderAddress string `json:"provider_address,omitempty"`
+	// ProviderDuties are what the site does there: "usage_report" is all that is known;
+	// others are left undone.
+	ProviderDuties []string `json:"provider_duties,omitempty"`
+	// UsageWindowSeconds is the length of a window of usage, and UsageDueSeconds how long
+	// after a window's end its report may come.
+	UsageWindowSeconds float64 `json:"usage_window_s,omitempty"`
+	UsageDueSeconds    float64 `json:"usage_due_s,omitempty"`
 }
 
+// dutyUsage is the provider's name for reports of usage.
+const dutyUsage = "usage_report"
+
 // Error says which key of which file is at fault.
 type Error struct {
 	Path    string
@@ -105,6 +121,7 @@
 	}
 	for key, address := range map[string]string{
 		"caller_listen": f.CallerListen, "readiness_listen": f.ReadinessListen, "control_listen": f.ControlListen, "metrics_listen": f.MetricsListen, "peer_listen": f.PeerListen,
+		"provider_address": f.ProviderAddress,
 	} {
 		if address != "" && !isAddress(address) {
 			return fault(key, address, "host:port")
@@ -118,6 +135,12 @@
 	if f.PeerSource != "" && net.ParseIP(f.PeerSource) == nil {
 		return fault("peer_source", f.PeerSource, "an IP number")
 	}
+	if f.ReportsUsage() && (f.UsageWindowSeconds <= 0 || f.UsageDueSeconds <= 0) {
+		return fault("usage_window_s, usage_due_s", fmt.Sprint(f.UsageWindowSeconds, ", ", f.UsageDueSeconds), "above 0 where usage is reported")
+	}
+	if f.RevokeMillis < 0 {
+		return fault("revoke_ms", fmt.Sprint(f.RevokeMillis), "0 or more")
+	}
 	if f.ToleratedLosses < 0 {
 		return fault("tolerated_losses", strconv.Itoa(f.ToleratedLosses), "0 or more")
 	}
@@ -152,6 +175,24 @@
 	return peers
 }
 
+// ReportsUsage reports whether the site tells the provider of its tenants' requests.
+func (f *File) ReportsUsage() bool {
+	return f.ProviderAddress != "" && slices.Contains(f.ProviderDuties, dutyUsage)
+}
+
+// UsageWindow is UsageWindowSeconds as a duration.
+func (f *File) UsageWindow() time.Duration { return seconds(f.UsageWindowSeconds) }
+
+// UsageDue is UsageDueSeconds as a duration.
+func (f *File) UsageDue() time.Duration { return seconds(f.UsageDueSeconds) }
+
+// RevokeWithin is RevokeMillis as a duration.
+func (f *File) RevokeWithin() time.Duration {
+	return time.Duration(f.RevokeMillis * float64(time.Millisecond))
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
 // HolderLease is HolderLeaseMillis as a duration.
 func (f *File) HolderLease() time.Duration {
 	return time.Duration(f.HolderLeaseMillis * float64(time.Millisecond))
@@ -159,10 +200,10 @@
 
 // Grace is GraceSeconds as a duration.
 func (f *File) Grace() time.Duration {
-	return time.Duration(f.GraceSeconds * float64(time.Second))
+	return seconds(f.GraceSeconds)
 }
 
 // KeepJobs is KeepJobsSeconds as a duration.
 func (f *File) KeepJobs() time.Duration {
-	return time.Duration(f.KeepJobsSeconds * float64(time.Second))
+	return seconds(f.KeepJobsSeconds)
 }
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// routeUnknownAfter is how old a confirmed view may be to deny that a route
+	// unknownAfter is how old a confirmed view may be to deny that a route or a key
 	// exists; with an older one the request is refused for now.
-	routeUnknownAfter = 1500 * time.Millisecond
+	unknownAfter = 1500 * time.Millisecond
 	// comeBack is when a refused request is best sent again, on average: replicas that
 	// were full are left alone for 20 ms and those that failed for 300 ms at first, and
 	// callers' aims begin at 150 ms. comeBackLater is for one that was refused because
@@ -51,6 +51,11 @@
 	Logger  *log.Logger
 	// Idle watches the idle connections of the server that serves the front.
 	Idle *httpserve.IdleConnections
+	// RevokeWithin is how long a front that is out of touch may go by the keys it knows; 0
+	// is no bound.
+	RevokeWithin time.Duration
+	// Usage counts requests that began to run, by tenant; nil counts nothing.
+	Usage *UsageReporter
 	// Recorder measures requests; nil measures nothing.
 	Recorder Recorder
 }
@@ -133,16 +138,20 @@
 		f.denyRoute(w, r, view)
 		return
 	}
+	caller, ok := f.authorize(w, r, view, route.Public)
+	if !ok {
+		return
+	}
 	body, status := f.readBody(r, view.Table.Document().Limits)
 	if status != 0 {
 		f.answerStatus(w, r, route.Name, status, "the body could not be read")
 		return
 	}
 	if route.Kind == routing.KindJobs {
-		f.submit(w, r, route, body)
+		f.submit(w, r, route, caller, body)
 		return
 	}
-	f.pass(w, r, route, body, arrived)
+	f.pass(w, r, route, caller, body, arrived)
 }
 
 // target gives a request's path and query as its caller sent them. A caller may
@@ -157,7 +166,7 @@
 // denyRoute answers a request without a route: it does not exist, unless this
 // process may have missed a change.
 func (f *Front) denyRoute(w http.ResponseWriter, r *http.Request, view *siteview.View) {
-	if !f.config.Watcher.ConfirmedWithin(routeUnknownAfter) {
+	if !f.config.Watcher.ConfirmedWithin(unknownAfter) {
 		f.refuse(w, r, "", "no route is known, and the configuration is not confirmed")
 		return
 	}
@@ -189,16 +198,20 @@
 }
 
 // pass carries a request to a replica and its answer back.
-func (f *Front) pass(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, arrived time.Time) {
+func (f *Front) pass(w http.ResponseWriter, r *http.Request, route *routing.Route, caller Caller, body []byte, arrived time.Time) {
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.allowed(r, route)))
 	defer cancel()
-	request := f.request(r, route, body)
+	request := f.request(r, route, caller, body)
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
+		if failure.Verdict != port.NotRun {
+			f.config.Usage.Note(caller.name(), failure.Began)
+		}
 		f.record(outcomeOf(r, failure), arrived)
 		f.fail(w, r, route, failure)
 		return
 	}
+	f.config.Usage.Note(caller.name(), answer.Began)
 	f.record(OutcomeAnswered, arrived)
 	copyHeader(w.Header(), answer.Header)
 	if answer.Stream != nil {
@@ -211,11 +224,13 @@
 }
 
 // request makes what is sent to replicas.
-func (f *Front) request(r *http.Request, route *routing.Route, body []byte) proxy.Request {
+func (f *Front) request(r *http.Request, route *routing.Route, caller Caller, body []byte) proxy.Request {
+	header := passedHeader(r.Header)
+	f.markTenant(header, caller)
 	return proxy.Request{
 		Request: replicacall.Request{
 			Method: r.Method, Target: target(r), Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
-			Header: passedHeader(r.Header), Body: body,
+			Header: header, Body: body,
 		},
 		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
 		Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts, Aim: route.Aim,
@@ -285,7 +300,7 @@
 
 func (f *Front) answerStatus(w http.ResponseWriter, r *http.Request, route string, status int, reason string) {
 	f.config.Logger.Warn().Str(eventlog.Field, eventlog.RequestFailed).Str("id", r.Header.Get(f.headers.RequestID)).Str("route", route).
-		Int("status", status).Str("reason", reason).Bool("confirmed", f.config.Watcher.ConfirmedWithin(routeUnknownAfter)).
+		Int("status", status).Str("reason", reason).Bool("confirmed", f.config.Watcher.ConfirmedWithin(unknownAfter)).
 		Msg("a caller got no answer of a replica")
 	http.Error(w, reason, status)
 }
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -26,7 +26,7 @@
 // submit takes a job. It is answered 202 once its shard's group keeps it. An
 // outcome that is not known is answered 504: 503 would promise that nothing of
 // it ever runs.
-func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte) {
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, route *routing.Route, caller Caller, body []byte) {
 	if r.Method != http.MethodPost {
 		f.answerStatus(w, r, route.Name, http.StatusMethodNotAllowed, "jobs are handed in by POST")
 		return
@@ -37,7 +37,7 @@
 		return
 	}
 	submission.ID = r.Header.Get(f.headers.RequestID)
-	submission.Host, submission.OneVersion = r.Host, route.OneVersion
+	submission.Host, submission.OneVersion, submission.Tenant = r.Host, route.OneVersion, caller.name()
 	submission.Path, _, _ = strings.Cut(target(r), "?")
 	if submission.ID == "" {
 		f.answerStatus(w, r, route.Name, http.StatusBadRequest, "a job needs an id: header "+f.headers.RequestID)
@@ -73,27 +73,27 @@
 // ReadJob gives results of a job from a position on, waiting a moment for one
 // to exist. Found is false if there is no such job. An error says that this
 // process cannot be sure.
-func (f *Front) ReadJob(ctx context.Context, job string, from int, wait time.Duration) (page jobstate.Page, found bool, err error) {
+func (f *Front) ReadJob(ctx context.Context, caller Caller, job string, from int, wait time.Duration) (page jobstate.Page, found bool, err error) {
 	wait = min(max(0, wait), maxWait)
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	return f.config.Jobs.Page(ctx, jobsapi.PageRequest{
-		Job: job, From: from, WaitMillis: wait.Milliseconds(), MaxBytes: maxPageBytes,
+		Job: job, From: from, WaitMillis: wait.Milliseconds(), MaxBytes: maxPageBytes, Access: caller.access(),
 	})
 }
 
 // ItemBody gives the body of a job's item.
-func (f *Front) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, err error) {
+func (f *Front) ItemBody(ctx context.Context, caller Caller, job, item string) (body []byte, found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return f.config.Jobs.Body(ctx, jobsapi.BodyRequest{Job: job, Item: item})
+	return f.config.Jobs.Body(ctx, jobsapi.BodyRequest{Job: job, Item: item, Access: caller.access()})
 }
 
 // EndJob ends a job: nothing of it runs any more.
-func (f *Front) EndJob(ctx context.Context, job string) (found bool, err error) {
+func (f *Front) EndJob(ctx context.Context, caller Caller, job string) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
-	found, err = f.config.Jobs.End(ctx, job)
+	found, err = f.config.Jobs.End(ctx, jobsapi.EndRequest{Job: job, Access: caller.access()})
 	f.config.Logger.Info().Str(eventlog.Field, eventlog.JobEnded).Str("id", job).Bool("known", found).Err(err).Msg("a job was ended")
 	return found, err
 }
--- a/internal/app/jobsapi/client.go
+++ b/internal/app/jobsapi/client.go
@@ -106,8 +106,8 @@
 }
 
 // End ends a job. Found is false if no shard has it.
-func (c *Client) End(ctx context.Context, job string) (found bool, err error) {
-	answer, err := c.ofJob(ctx, job, Request{End: &EndRequest{Job: job}})
+func (c *Client) End(ctx context.Context, request EndRequest) (found bool, err error) {
+	answer, err := c.ofJob(ctx, request.Job, Request{End: &request})
 	return !answer.Unknown, err
 }
 
--- a/internal/app/jobsapi/client_test.go
+++ b/internal/app/jobsapi/client_test.go
@@ -149,7 +149,7 @@
 		if (err == nil) != row.sure || (err == nil && found != row.found) {
 			t.Errorf("%s: found %v, %v", name, found, err)
 		}
-		found, err = client.End(shortly(t), row.job)
+		found, err = client.End(shortly(t), jobsapi.EndRequest{Job: row.job})
 		if (err == nil) != row.sure || (err == nil && found != row.found) {
 			t.Errorf("%s: ended %v, %v", name, found, err)
 		}
--- a/internal/app/jobsapi/jobsapi.go
+++ b/internal/app/jobsapi/jobsapi.go
@@ -32,17 +32,23 @@
 	// FromFollower allows a member that does not lead to answer, if it has a result from
 	// the position on: listed results never change, wherever they are read.
 	FromFollower bool `cbor:"5,keyasint,omitempty"`
+	// Access bounds the jobs that can be reached.
+	Access *jobstate.Access `cbor:"6,keyasint,omitempty"`
 }
 
 // BodyRequest asks for the body of an item.
 type BodyRequest struct {
 	Job  string `cbor:"1,keyasint"`
 	Item string `cbor:"2,keyasint"`
+	// Access bounds the jobs that can be reached.
+	Access *jobstate.Access `cbor:"3,keyasint,omitempty"`
 }
 
 // EndRequest ends a job.
 type EndRequest struct {
 	Job string `cbor:"1,keyasint"`
+	// Access bounds the jobs that can be reached.
+	Access *jobstate.Access `cbor:"2,keyasint,omitempty"`
 }
 
 // ListRequest asks for an overview of all jobs.
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -191,7 +191,7 @@
 	if e.ran > 0 {
 		verdict = port.MayHaveRun
 	}
-	return &Failure{Verdict: verdict, Code: code, Reason: reason}
+	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.began}
 }
 
 // launch begins a try; it reports false if there is no replica to try.
@@ -216,6 +216,9 @@
 	sent.Header = sent.Header.Clone()
 	ended := e.send(replica, sent)
 	ended.replica = replica.ID
+	if ended.answer != nil {
+		ended.answer.Began = began
+	}
 	e.proxy.end(e.request.Service, replica.ID, e.judge(ended), time.Since(began))
 	e.results <- ended
 }
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -69,6 +69,8 @@
 	Body    []byte
 	Stream  *http.Response
 	Replica sitestate.Replica
+	// Began is when the try that it answers was sent.
+	Began time.Time
 }
 
 // Failure is a request that got no answer.
@@ -76,6 +78,8 @@
 	Verdict port.Verdict
 	Code    port.Code
 	Reason  string
+	// Began is when the first try was sent, zero if there was none.
+	Began time.Time
 }
 
 // Error implements error.
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -9,6 +9,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/group"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -41,6 +42,8 @@
 	Heard *Heard `cbor:"7,keyasint,omitempty"`
 	// Place asks which shard keeps a model's jobs.
 	Place *PlaceModel `cbor:"8,keyasint,omitempty"`
+	// Usage is what a front counted; it is answered once it is kept.
+	Usage *usage.Report `cbor:"9,keyasint,omitempty"`
 }
 
 // Heard are ids of replicas whose heartbeats a member acknowledged.
@@ -87,6 +90,8 @@
 	Join sitestate.ShardNumber `cbor:"7,keyasint,omitempty"`
 	// Shard answers PlaceModel.
 	Shard sitestate.ShardNumber `cbor:"8,keyasint,omitempty"`
+	// Pause answers a report of usage: the next one is best sent after it.
+	Pause time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Call serves a request at this member or at the leader. Errors are
@@ -168,6 +173,8 @@
 		return c.stores.take(ctx, *request.Store)
 	case request.Place != nil:
 		return c.stores.place(ctx, *request.Place)
+	case request.Usage != nil:
+		return c.usage.take(ctx, *request.Usage)
 	case request.Evacuate != "":
 		return c.stores.evacuate(ctx, request.Evacuate)
 	case request.Evacuation != "":
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -51,6 +51,12 @@
 	PlacesPerShard int
 	// HolderLease is how long replicas hold to the machine that ordered last.
 	HolderLease time.Duration
+	// Provider is what usage is reported to; nil reports to nobody.
+	Provider Provider
+	// UsageWindow is the length of a window of usage, and UsageDue how long after a
+	// window's end its report may come.
+	UsageWindow time.Duration
+	UsageDue    time.Duration
 	// Recorder measures what the leader does; nil measures nothing.
 	Recorder Recorder
 }
@@ -74,7 +80,9 @@
 	member     *group.Member
 	heartbeats *heartbeats
 	stores     *stores
+	lease      *lease
 	weights    *weightsManager
+	usage      *usageManager
 	view       atomic.Pointer[sitestate.View]
 	whole      wholeView
 	table      atomic.Pointer[routing.Table]
@@ -107,7 +115,9 @@
 	})
 	c.heartbeats = newHeartbeats(c)
 	c.stores = newStores(c)
+	c.lease = newLease(c)
 	c.weights = newWeightsManager(c)
+	c.usage = newUsageManager(c)
 	return c
 }
 
@@ -117,6 +127,7 @@
 	server.Handle(MethodCall, c.serveCall)
 	server.Handle(methodForwarded, c.serveForwarded)
 	c.registerWatch(server)
+	server.Handle(methodClock, c.serveClock)
 }
 
 // Run works until the context ends or the storage fails.
@@ -124,6 +135,7 @@
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return c.member.Run(ctx) })
 	tasks.Go(func() error { return c.lead(ctx) })
+	tasks.Go(func() error { return c.usage.run(ctx) })
 	return tasks.Wait()
 }
 
@@ -171,7 +183,9 @@
 		leads := shown != nil && shown.Settled
 		c.heartbeats.tend(ctx, leads)
 		c.stores.tend(ctx, leads)
+		c.lease.follow(leads)
 		c.weights.tend(ctx, leads)
+		c.usage.tend(ctx, leads)
 	}
 }
 
--- a/internal/app/sitecontrol/loads.go
+++ b/internal/app/sitecontrol/loads.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
-	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/core/weightplan"
 	"github.com/loomgrade/loomgrade/internal/dialect"
@@ -92,7 +90,7 @@
 	if w.noteReport(target, report) {
 		return http.StatusOK, nil
 	}
-	term, err := w.confirm(attempt)
+	term, err := w.control.lease.confirm(attempt)
 	if err != nil {
 		return 0, err
 	}
@@ -102,26 +100,6 @@
 	})
 }
 
-// errNotHolder refuses an order of a member that is not the holder any more.
-var errNotHolder = errors.New("sitecontrol: this machine does not order replicas any more")
-
-// confirm gives the term under which this member is the holder, confirmed by a
-// quorum. The read lease alone would not do: after a transfer of leadership that
-// failed it is gone until the next term, though the member leads on.
-func (w *weightsManager) confirm(ctx context.Context) (uint64, error) {
-	before := w.control.member.Shown()
-	var holder sitestate.Holder
-	err := w.control.member.Read(ctx, func(machine groupmember.StateMachine) { holder = machine.(*sitestate.State).Holder() })
-	if err != nil {
-		return 0, err
-	}
-	after := w.control.member.Shown()
-	if before == nil || after == nil || !after.Settled || before.Status.Term != after.Status.Term || holder.Machine != w.control.config.Machine {
-		return 0, errNotHolder
-	}
-	return after.Status.Term, nil
-}
-
 // noteReport keeps what a report shows, and tells whether the target is reached.
 func (w *weightsManager) noteReport(target weightplan.Target, report dialect.Report) bool {
 	served := sitestate.Replica{Models: report.Models}
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -10,7 +10,6 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
-	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/core/weightplan"
@@ -22,34 +21,18 @@
 	leastLoadsAtOnce = 2
 	loadsShare       = 0.2
 	loadShare        = 0.34
-	// holderMargin is waited beyond the replicas' lease after the holder
-	// changed: the last order of the one before may arrive late.
-	holderMargin = 300 * time.Millisecond
 	// movePause is the least time between two moves of a replica to another
 	// model.
 	movePause = 3 * time.Second
-
-	// giveBackWithin is how long after its start a process offers leadership
-	// to the holder.
-	giveBackWithin = 8 * time.Second
 )
 
 // weightsManager brings replicas to the published versions of weights. Only
-// the leader orders, and only while it holds the lease by time.
+// the leader orders, and only while it holds the lease.
 type weightsManager struct {
 	control *Control
 	replica *replicacall.Client
 
-	// term is the one in which this member leads, 0 if it does not, and ledFrom
-	// when it began to, as seen here; holds is set once it is the holder.
-	term    uint64
-	ledFrom time.Time
-	holds   bool
 	movedAt time.Time
-	// started is when the process started; gaveBack is set once leadership was
-	// offered to the holder.
-	started  time.Time
-	gaveBack bool
 
 	mutex   sync.Mutex
 	loading weightplan.Loading
@@ -61,7 +44,7 @@
 
 func newWeightsManager(control *Control) *weightsManager {
 	return &weightsManager{
-		control: control, started: time.Now(), replica: replicacall.New(control.config.Dialect, connectionsForOrders),
+		control: control, replica: replicacall.New(control.config.Dialect, connectionsForOrders),
 		loading: weightplan.Loading{}, resting: map[string]rest{}, reached: map[string][]sitestate.ModelVersion{},
 	}
 }
@@ -69,71 +52,19 @@
 // tend keeps replicas at models, then plans and begins loads. The model decides which
 // shard's items go to a replica, so that it is given before any version is published.
 func (w *weightsManager) tend(ctx context.Context, leads bool) {
-	w.lead(leads)
 	if !leads {
 		return
 	}
 	view := w.control.view.Load()
 	for _, service := range w.control.engineServices() {
 		replicas := w.readyReplicas(view, service.Name)
-		if w.assign(ctx, service, replicas) || len(view.Weights) == 0 || !w.hold(ctx) {
+		if w.assign(ctx, service, replicas) || len(view.Weights) == 0 || !w.control.lease.hold(ctx) {
 			continue
 		}
 		w.planLoads(ctx, view, service, replicas)
 	}
 }
 
-// lead notes whether this member leads, and in which term. Each term begins anew:
-// another member may have led for a moment between two.
-func (w *weightsManager) lead(leads bool) {
-	term := uint64(0)
-	if shown := w.control.member.Shown(); leads && shown != nil {
-		term = shown.Status.Term
-	}
-	if term != w.term {
-		w.term, w.ledFrom, w.holds = term, time.Now(), false
-	}
-}
-
-// hold takes the lease over. A new holder waits until the replicas no longer
-// hold to the one before.
-func (w *weightsManager) hold(ctx context.Context) bool {
-	if w.holds {
-		return true
-	}
-	holder := sitestate.Holder{}
-	if w.control.member.Read(ctx, func(machine groupmember.StateMachine) { holder = machine.(*sitestate.State).Holder() }) != nil {
-		return false
-	}
-	self := w.control.config.Machine
-	if holder.Machine != "" && holder.Machine != self && time.Since(w.ledFrom) < w.control.config.HolderLease+holderMargin {
-		w.giveBack(holder)
-		return false
-	}
-	if holder.Machine != self {
-		taken := sitestate.Holder{Machine: self, Address: w.control.config.Address}
-		if _, err := w.control.propose(ctx, sitestate.Command{Holder: &taken}); err != nil {
-			return false
-		}
-	}
-	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.HolderTaken).Str("before", holder.Machine).Msg("this machine orders replicas from now on")
-	w.holds = true
-	return true
-}
-
-// giveBack hands leadership to the holder, once, if this process has only just
-// started: after all processes were killed the holder is back as well, and need
-// not wait before it orders.
-func (w *weightsManager) giveBack(holder sitestate.Holder) {
-	if w.gaveBack || time.Since(w.started) > giveBackWithin || holder.Address == "" {
-		return
-	}
-	if w.control.member.TransferTo(holder.Address) {
-		w.gaveBack = true
-		w.control.config.Logger.Info().Str(eventlog.Field, eventlog.HolderPreferred).Str("holder", holder.Machine).Msg("leadership is offered to the machine that orders replicas")
-	}
-}
-
 // assign changes the models that replicas are kept at, and reports whether any was to
 // change.
 func (w *weightsManager) assign(ctx context.Context, service routing.Service, replicas []sitestate.Replica) bool {
--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -76,7 +76,7 @@
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "%v", err)
 	}
 	if refusal := s.mayAccept(len(data)); refusal != nil {
-		return s.refuse(ctx, shard, submission.ID, refusal)
+		return s.refuse(ctx, shard, submission, refusal)
 	}
 	if len(data) > maxJobBytes {
 		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeTooLarge, "the job is larger than %d bytes", maxJobBytes)
@@ -86,12 +86,15 @@
 		return jobsapi.Answer{}, err
 	}
 	outcome, _ := result.(jobstate.AcceptOutcome)
+	if outcome == jobstate.OfAnotherTenant {
+		return jobsapi.Answer{}, port.NewError(port.NotRun, port.CodeInvalid, "the job's id is taken")
+	}
 	return jobsapi.Answer{Accepted: outcome}, nil
 }
 
 // refuse refuses a job, unless it was kept before and its client did not hear so.
-func (s *Store) refuse(ctx context.Context, shard group.Shard, job string, refusal *port.Error) (jobsapi.Answer, error) {
-	held, err := s.holds(ctx, shard, job)
+func (s *Store) refuse(ctx context.Context, shard group.Shard, submission jobstate.Submission, refusal *port.Error) (jobsapi.Answer, error) {
+	held, err := s.holds(ctx, shard, submission.ID, accessOf(submission))
 	switch {
 	case err != nil:
 		return jobsapi.Answer{}, err
@@ -102,14 +105,29 @@
 	}
 }
 
-// holds reports whether a shard's group has a job.
-func (s *Store) holds(ctx context.Context, shard group.Shard, job string) (held bool, err error) {
+// holds reports whether a shard's group has a job that the call may reach.
+func (s *Store) holds(ctx context.Context, shard group.Shard, job string, access *jobstate.Access) (held bool, err error) {
 	err = s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
-		held = machine.(*jobstate.State).Job(job) != nil
+		held = reachable(machine, job, access) != nil
 	})
 	return held, err
 }
 
+// reachable finds a job that a call may reach, or nil: whether another tenant has one of
+// the same id is nobody else's business.
+func reachable(machine groupmember.StateMachine, id string, access *jobstate.Access) *jobstate.Job {
+	job := machine.(*jobstate.State).Job(id)
+	if job == nil || !access.Reaches(job) {
+		return nil
+	}
+	return job
+}
+
+// accessOf gives the access of who hands a job in.
+func accessOf(submission jobstate.Submission) *jobstate.Access {
+	return &jobstate.Access{Tenant: submission.Tenant}
+}
+
 // mayAccept refuses while a quorum is too small to outlive the tolerated losses, and jobs
 // of so many bytes that the memory has no room for.
 func (s *Store) mayAccept(bytes int) *port.Error {
@@ -175,7 +193,7 @@
 // that there are.
 func (s *Store) appliedPage(ctx context.Context, shard group.Shard, request jobsapi.PageRequest) (page jobstate.Page, err error) {
 	err = s.member.InspectFrom(ctx, shard, func(machine groupmember.StateMachine) {
-		if job := machine.(*jobstate.State).Job(request.Job); job != nil {
+		if job := reachable(machine, request.Job, request.Access); job != nil {
 			page = job.Page(request.From, request.MaxBytes)
 		}
 	})
@@ -189,7 +207,7 @@
 		news := s.awaitNews()
 		answer := jobsapi.Answer{Unknown: true}
 		err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
-			if job := machine.(*jobstate.State).Job(request.Job); job != nil {
+			if job := reachable(machine, request.Job, request.Access); job != nil {
 				answer = jobsapi.Answer{Page: job.Page(request.From, request.MaxBytes)}
 			}
 		})
@@ -210,7 +228,7 @@
 func (s *Store) body(ctx context.Context, shard group.Shard, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
 	answer := jobsapi.Answer{Unknown: true}
 	err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
-		job := machine.(*jobstate.State).Job(request.Job)
+		job := reachable(machine, request.Job, request.Access)
 		if job == nil {
 			return
 		}
@@ -227,7 +245,7 @@
 // end ends a job. One that this shard does not know costs no entry of the log: clients
 // ask all shards.
 func (s *Store) end(ctx context.Context, shard group.Shard, request jobsapi.EndRequest) (jobsapi.Answer, error) {
-	held, err := s.holds(ctx, shard, request.Job)
+	held, err := s.holds(ctx, shard, request.Job, request.Access)
 	if err != nil || !held {
 		return jobsapi.Answer{Unknown: err == nil}, err
 	}
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventstream"
@@ -14,6 +15,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -90,7 +92,12 @@
 	headers := r.store.config.Dialect.Headers()
 	header := http.Header{}
 	for _, given := range item.item.Headers {
-		header[given.Name] = append(header[given.Name], given.Value)
+		if !claimsTenant(given.Name, headers) || item.tenant == "" {
+			header[given.Name] = append(header[given.Name], given.Value)
+		}
+	}
+	if item.tenant != "" {
+		header.Set(headers.Tenant, item.tenant)
 	}
 	if last := item.begin(); last != "" {
 		header.Set(headers.LastEvent, last)
@@ -118,6 +125,12 @@
 	return r.read(item, response.Body, stall, version)
 }
 
+// claimsTenant reports whether a header says whose a request is: what a client puts into
+// its items does not.
+func claimsTenant(name string, headers dialect.Headers) bool {
+	return strings.EqualFold(name, headers.Key) || strings.EqualFold(name, headers.Tenant)
+}
+
 // judgeHead ends runs whose answer is no stream.
 func (r *runner) judgeHead(response *http.Response) (runEvent, bool) {
 	status := response.StatusCode
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -15,8 +15,10 @@
 // not hold yet. The runner's goroutine owns it, but for what mutex guards, which
 // the goroutine of its present run changes.
 type work struct {
-	key        jobqueue.Key
-	host       string
+	key  jobqueue.Key
+	host string
+	// tenant is whose job it is, empty for nobody's.
+	tenant     string
 	minVersion uint64
 	oneVersion bool
 	item       jobstate.Item
@@ -77,7 +79,7 @@
 func newWork(job *jobstate.Job, index, longest int, rank jobqueue.Rank, accepted time.Time) *work {
 	item := &job.Items[index]
 	return &work{
-		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host,
+		key: jobqueue.Key{Job: job.Submission.ID, Item: index}, host: job.Submission.Host, tenant: job.Submission.Tenant,
 		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
 		item: item.Item, rank: rank, accepted: accepted, idleSince: accepted, longest: longest,
 		events: item.Events, kept: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
--- a/internal/core/jobstate/command.go
+++ b/internal/core/jobstate/command.go
@@ -29,6 +29,20 @@
 	// OneVersion wants every text made by a single version.
 	OneVersion bool   `cbor:"8,keyasint,omitempty"`
 	Items      []Item `cbor:"9,keyasint"`
+	// Tenant is who handed the job in; empty where no tenants are configured.
+	Tenant string `cbor:"10,keyasint,omitempty"`
+}
+
+// Access bounds a call to the jobs of one tenant. A nil Access reaches all: it is that of
+// operators, and of every caller where no tenants are configured.
+type Access struct {
+	Tenant string `cbor:"1,keyasint"`
+}
+
+// Reaches reports whether the call may see and end a job. One that was handed in before
+// tenants were configured is open to all of them.
+func (a *Access) Reaches(job *Job) bool {
+	return a == nil || job.Submission.Tenant == "" || job.Submission.Tenant == a.Tenant
 }
 
 // Item is one request of a job.
@@ -130,4 +144,7 @@
 	Accepted AcceptOutcome = iota + 1
 	// AcceptedBefore says that a job of this id is kept already.
 	AcceptedBefore
+	// OfAnotherTenant says that the id is that of another tenant's job, and this one is
+	// not kept.
+	OfAnotherTenant
 )
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -207,7 +207,10 @@
 // accept takes a job once. Items that stood in an earlier job take over the
 // text that was kept for them, if its versions fit.
 func (s *State) accept(index uint64, submission Submission) AcceptOutcome {
-	if s.jobs[submission.ID] != nil {
+	if held := s.jobs[submission.ID]; held != nil {
+		if held.Submission.Tenant != submission.Tenant {
+			return OfAnotherTenant
+		}
 		return AcceptedBefore
 	}
 	job := &Job{Submission: submission, AcceptedAt: index, Items: make([]ItemState, len(submission.Items))}
@@ -228,7 +231,7 @@
 	}
 	earlier := s.jobs[place.job]
 	held := &earlier.Items[place.item]
-	if earlier.Submission.Model != submission.Model || held.Item.Path != item.Path || held.BodySum != fresh.BodySum {
+	if earlier.Submission.Tenant != submission.Tenant || earlier.Submission.Model != submission.Model || held.Item.Path != item.Path || held.BodySum != fresh.BodySum {
 		return fresh
 	}
 	if held.Events == 0 || held.Result == ResultErrored || !fits(held.Versions, submission) {
--- a/internal/core/routing/document.go
+++ b/internal/core/routing/document.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/core/apikey"
 )
 
 // Kind says what may be done with a route's requests.
@@ -27,6 +29,16 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Tenants are those who may call. Without any, a caller needs no key.
+	Tenants []Tenant
+}
+
+// Tenant is a customer whose callers show one of its keys.
+type Tenant struct {
+	Name string
+	Keys []apikey.Digest
+	// Priority, if set, goes before that of the route.
+	Priority *int
 }
 
 // Route leads the requests of one host and path prefix to services.
@@ -55,6 +67,8 @@
 	Keep time.Duration
 	// OneVersion wants every result made by a single weight version.
 	OneVersion bool
+	// Public routes are open to callers without a key.
+	Public bool
 }
 
 // Share is one part of a split route.
@@ -122,6 +136,32 @@
 		}
 		places[at] = route.Name
 	}
+	return d.validateTenants()
+}
+
+// validateTenants refuses a tenant without a name, one that stands twice, and a key that
+// stands twice: it would not say whose its bearer's requests are. A tenant may have no key.
+func (d *Document) validateTenants() error {
+	names := make(map[string]bool, len(d.Tenants))
+	holders := make(map[apikey.Digest]string, len(d.Tenants))
+	for _, tenant := range d.Tenants {
+		fault := func(reason string) error {
+			return &InvalidError{Field: fmt.Sprintf("tenant %q", tenant.Name), Reason: reason}
+		}
+		if tenant.Name == "" || names[tenant.Name] {
+			return fault("has no name, or one that another tenant has")
+		}
+		names[tenant.Name] = true
+		for _, key := range tenant.Keys {
+			if key == (apikey.Digest{}) {
+				return fault("has an empty key")
+			}
+			if other, held := holders[key]; held && other != tenant.Name {
+				return fault(fmt.Sprintf("shares a key with tenant %q", other))
+			}
+			holders[key] = tenant.Name
+		}
+	}
 	return nil
 }
 
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/core/apikey"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 )
 
@@ -96,3 +97,58 @@
 		})
 	}
 }
+
+func TestTenantsAreFoundByTheirKeys(t *testing.T) {
+	doc := document(validRoute("a", "/a/"))
+	if routing.NewTable(doc).WantsKeys() {
+		t.Error("keys are wanted without tenants")
+	}
+	doc.Tenants = []routing.Tenant{{Name: "ada", Keys: []apikey.Digest{apikey.Of("1"), apikey.Of("2")}}, {Name: "bob"}}
+	if err := doc.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	table := routing.NewTable(doc)
+	for key, want := range map[string]string{"1": "ada", "2": "ada", "3": "", "": ""} {
+		got := ""
+		if tenant := table.TenantOf(key); tenant != nil {
+			got = tenant.Name
+		}
+		if got != want || !table.WantsKeys() {
+			t.Errorf("key %q: tenant %q, want %q", key, got, want)
+		}
+	}
+}
+
+func TestInvalidTenantsAreRefused(t *testing.T) {
+	one, two := apikey.Of("1"), apikey.Of("2")
+	for name, tenants := range map[string][]routing.Tenant{
+		"nameless":   {{Keys: []apikey.Digest{one}}},
+		"twice":      {{Name: "a", Keys: []apikey.Digest{one}}, {Name: "a", Keys: []apikey.Digest{two}}},
+		"shared key": {{Name: "a", Keys: []apikey.Digest{one}}, {Name: "b", Keys: []apikey.Digest{two, one}}},
+		"empty key":  {{Name: "a", Keys: []apikey.Digest{apikey.Of("")}}},
+	} {
+		doc := document(validRoute("a", "/a/"))
+		doc.Tenants = tenants
+		var invalid *routing.InvalidError
+		if err := doc.Validate(); !errors.As(err, &invalid) || invalid.Field == "" || invalid.Reason == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// BenchmarkTenantOf shows that a look-up does not grow with the number of tenants.
+func BenchmarkTenantOf(b *testing.B) {
+	for _, size := range []int{78, 10_000} {
+		doc := document(validRoute("a", "/a/"))
+		for i := range size {
+			doc.Tenants = append(doc.Tenants, routing.Tenant{Name: fmt.Sprint(i), Keys: []apikey.Digest{apikey.Of(fmt.Sprint("key", i))}})
+		}
+		table := routing.NewTable(doc)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.TenantOf("key7")
+			}
+		})
+	}
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/loomgrade/loomgrade/internal/core/apikey"
 )
 
 // goldenRatio is the fraction of the golden ratio in 64 bits: multiples of it
@@ -16,6 +18,8 @@
 	// hosts holds routes by host in lower case and prefix.
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+	// byKey finds the tenant of a key; it does not depend on how many there are.
+	byKey map[apikey.Digest]*Tenant
 }
 
 // NewTable makes a table of a valid document, which must not change any more.
@@ -24,6 +28,7 @@
 		document: document,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(document.Services)),
+		byKey:    make(map[apikey.Digest]*Tenant, len(document.Tenants)),
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
@@ -37,9 +42,20 @@
 		service := &document.Services[i]
 		table.services[service.Name] = service
 	}
+	for i := range document.Tenants {
+		for _, key := range document.Tenants[i].Keys {
+			table.byKey[key] = &document.Tenants[i]
+		}
+	}
 	return table
 }
 
+// WantsKeys reports whether callers have to show a key.
+func (t *Table) WantsKeys() bool { return len(t.document.Tenants) > 0 }
+
+// TenantOf finds the tenant that holds a key, or nil.
+func (t *Table) TenantOf(key string) *Tenant { return t.byKey[apikey.Of(key)] }
+
 // Document gives what the table was made of.
 func (t *Table) Document() *Document { return t.document }
 
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
 
 // Command is one entry of the control log; one field is set.
@@ -19,6 +20,16 @@
 	Evacuate      *Evacuate      `cbor:"8,keyasint,omitempty"`
 	Assign        *Assign        `cbor:"9,keyasint,omitempty"`
 	Place         *Place         `cbor:"10,keyasint,omitempty"`
+	Usage         *Usage         `cbor:"11,keyasint,omitempty"`
+}
+
+// Usage moves the counts of tenants' requests on. Its parts take effect in this order.
+type Usage struct {
+	Noted []usage.Noted `cbor:"1,keyasint,omitempty"`
+	// FixUpTo closes all windows up to this one.
+	FixUpTo *usage.Window `cbor:"2,keyasint,omitempty"`
+	// Sent is a window that the provider has taken.
+	Sent *usage.Window `cbor:"3,keyasint,omitempty"`
 }
 
 // Configuration is a whole configuration. Raw is the document as the operator
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
 
 // maxGone bounds the remembered ids of replicas that left.
@@ -36,6 +37,8 @@
 	StoresAt uint64                 `cbor:"10,keyasint"`
 	Shards   []Shard                `cbor:"12,keyasint"`
 	Placed   map[string]ShardNumber `cbor:"13,keyasint"` // by model
+	// Usage concerns no observer, so it does not move Position.
+	Usage usage.Ledger `cbor:"14,keyasint"`
 }
 
 // State is the control state. It is not safe for concurrent use; what it gives
@@ -141,6 +144,14 @@
 // Shards gives the shards of the jobs by number.
 func (s *State) Shards() []Shard { return s.contents.Shards }
 
+// Unsent gives the windows of usage that are closed and not reported yet, the oldest
+// first. The caller must not change them.
+func (s *State) Unsent() []usage.Total { return s.contents.Usage.Fixed }
+
+// UsageDue reports whether windows up to one are open and have requests, or follow one
+// that was closed.
+func (s *State) UsageDue(upTo usage.Window) bool { return s.contents.Usage.Due(upTo) }
+
 // Placed gives the shard of each model's jobs.
 func (s *State) Placed() map[string]ShardNumber { return maps.Clone(s.contents.Placed) }
 
@@ -176,6 +187,8 @@
 		return s.assign(index, *command.Assign)
 	case command.Place != nil:
 		return s.place(index, *command.Place)
+	case command.Usage != nil:
+		return s.noteUsage(*command.Usage)
 	default:
 		return OutcomeMalformed
 	}
@@ -331,6 +344,24 @@
 	return OutcomeDone
 }
 
+// noteUsage counts requests and moves windows on; requests of a closed window are not
+// counted.
+func (s *State) noteUsage(noted Usage) Outcome {
+	outcome := OutcomeDone
+	for _, report := range noted.Noted {
+		if s.contents.Usage.Note(report) > 0 {
+			outcome = OutcomeIgnored
+		}
+	}
+	if noted.FixUpTo != nil {
+		s.contents.Usage.Fix(*noted.FixUpTo)
+	}
+	if noted.Sent != nil {
+		s.contents.Usage.Sent(*noted.Sent)
+	}
+	return outcome
+}
+
 func (s *State) evacuate(index uint64, evacuation Evacuate) Outcome {
 	store, known := s.contents.Stores[evacuation.Name]
 	if !known {
--- /dev/null
+++ b/internal/core/usage/usage_test.go
@@ -0,0 +1,151 @@
+package usage_test
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/loomgrade/loomgrade/internal/core/usage"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+const length = 5 * time.Second
+
+func TestWindowsBeginAtMultiplesOfTheirLength(t *testing.T) {
+	for at, want := range map[time.Duration]usage.Window{0: 0, length - 1: 0, length: 1, -1: -1, -length: -1, -length - 1: -2} {
+		if got := usage.WindowAt(time.Unix(0, int64(at)), length); got != want {
+			t.Errorf("%v: window %d, want %d", at, got, want)
+		}
+	}
+}
+
+// TestAReportIsPlacedByTheAgeOfItsRequests: however long it was on its way.
+func TestAReportIsPlacedByTheAgeOfItsRequests(t *testing.T) {
+	outbox := usage.NewOutbox("front")
+	began := time.Unix(1000, 0)
+	outbox.Note("a", began.Add(-time.Millisecond))
+	outbox.Note("a", began)
+	first, _ := outbox.Next(began.Add(time.Second))
+	outbox.Note("b", began)
+	again, _ := outbox.Next(began.Add(9 * time.Second))
+	for name, report := range map[string]usage.Report{"first": first, "again": again} {
+		elapsed := map[string]time.Duration{"first": time.Second, "again": 9 * time.Second}[name]
+		noted := report.Place(began.Add(elapsed), length)
+		if report.Sequence != 1 || len(noted.Counts) != 2 || noted.Counts[0].Window != 199 || noted.Counts[1].Window != 200 {
+			t.Errorf("%s: %+v of %+v", name, noted, report)
+		}
+	}
+	outbox.Kept()
+	next, found := outbox.Next(began)
+	if !found || next.Sequence != 2 || len(next.Begun) != 1 || next.Begun[0].Tenant != "b" {
+		t.Errorf("%+v", next)
+	}
+	outbox.Kept()
+	if _, found := outbox.Next(began); found || !outbox.Empty() {
+		t.Error("something is left")
+	}
+}
+
+func noted(reporter string, sequence uint64, window usage.Window, tenant string) usage.Noted {
+	return usage.Noted{Reporter: reporter, Sequence: sequence, Counts: []usage.Count{{Window: window, Tenant: tenant, Count: 1}}}
+}
+
+func TestLedger(t *testing.T) {
+	var ledger usage.Ledger
+	if ledger.Due(100) {
+		t.Error("windows are due before any request")
+	}
+	ledger.Fix(100)
+	ledger.Note(noted("x", 1, 7, "a"))
+	ledger.Note(noted("x", 1, 7, "a")) // again
+	ledger.Note(noted("y", 1, 9, "b"))
+	ledger.Note(noted("y", 2, 6, "a"))
+	if ledger.Due(5) || !ledger.Due(6) {
+		t.Error("due is wrong")
+	}
+	ledger.Fix(8)
+	if late := ledger.Note(noted("x", 2, 8, "a")); late != 1 {
+		t.Errorf("%d late, want 1", late)
+	}
+	ledger.Fix(9)
+	ledger.Fix(9)
+	want := []usage.Total{{6, map[string]uint64{"a": 1}}, {7, map[string]uint64{"a": 1}}, {8, map[string]uint64{}}, {9, map[string]uint64{"b": 1}}}
+	if len(ledger.Fixed) != len(want) {
+		t.Fatalf("%+v", ledger.Fixed)
+	}
+	for i, total := range ledger.Fixed {
+		if total.Window != want[i].Window || !maps.Equal(total.Counts, want[i].Counts) {
+			t.Errorf("%+v, want %+v", total, want[i])
+		}
+	}
+	ledger.Sent(6)
+	ledger.Sent(6)
+	if len(ledger.Fixed) != 3 || ledger.Fixed[0].Window != 7 {
+		t.Errorf("after a report: %+v", ledger.Fixed)
+	}
+}
+
+// TestNoCountIsLostOrDoubled: reports are sent again after lost answers, in any order among
+// fronts and windows, and windows close meanwhile.
+func TestNoCountIsLostOrDoubled(t *testing.T) {
+	testkit.Check(t, 26, func(t *rapid.T) {
+		var ledger usage.Ledger
+		outboxes := []*usage.Outbox{usage.NewOutbox("x"), usage.NewOutbox("y")}
+		now, sent, late := time.Unix(5000, 0), uint64(0), uint64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			outbox := outboxes[rapid.IntRange(0, 1).Draw(t, "front")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				outbox.Note("a", now)
+				sent++
+			case 1, 2:
+				report, found := outbox.Next(now)
+				if !found {
+					continue
+				}
+				late += ledger.Note(report.Place(now, length))
+				if rapid.Bool().Draw(t, "answered") {
+					outbox.Kept()
+				}
+			case 3:
+				ledger.Fix(usage.WindowAt(now.Add(-4*time.Second), length) - 1)
+			}
+		}
+		for _, outbox := range outboxes {
+			for report, found := outbox.Next(now); found; report, found = outbox.Next(now) {
+				late += ledger.Note(report.Place(now, length))
+				outbox.Kept()
+			}
+		}
+		counted := uint64(0)
+		for _, total := range ledger.Fixed {
+			counted += total.Counts["a"]
+		}
+		for _, open := range ledger.Open {
+			counted += open["a"]
+		}
+		if counted+late != sent {
+			t.Fatalf("%d counted and %d late of %d", counted, late, sent)
+		}
+	})
+}
+
+// TestALedgerIsBounded: after a long time without the provider, or without anybody.
+func TestALedgerIsBounded(t *testing.T) {
+	var ledger usage.Ledger
+	ledger.Note(noted("x", 1, 0, "a"))
+	for window := range usage.Window(3000) {
+		ledger.Fix(window)
+	}
+	if len(ledger.Fixed) > 1000 || len(ledger.Reporters) != 0 {
+		t.Errorf("%d windows and %d reporters are held", len(ledger.Fixed), len(ledger.Reporters))
+	}
+	before := ledger.Next
+	ledger.Fix(1_000_000)
+	if ledger.Next-before > 100 {
+		t.Errorf("%d windows were closed at once", ledger.Next-before)
+	}
+}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -8,6 +8,7 @@
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
 
 // Headers are the names of the HTTP headers that the product reads or sets.
@@ -27,9 +28,16 @@
 	// WeightVersion is the weight version that made an answer, and its name in
 	// lower case begins an event from which on it changed.
 	WeightVersion string
+	// Key is a caller's key, and Tenant tells a replica whose request it runs. Where
+	// tenants are configured, the key is never passed on and the tenant is that of the key.
+	Key    string
+	Tenant string
+	// Holder and Fence say who calls the provider, and in which term.
+	Holder string
+	Fence  string
 }
 
-// Call is an HTTP request to a replica.
+// Call is an HTTP request to a replica or to the provider.
 type Call struct {
 	Method string
 	Path   string
@@ -71,4 +79,6 @@
 	// ReportCall asks for a Report, which DecodeReport reads.
 	ReportCall() Call
 	DecodeReport(body []byte) (Report, error)
+	// UsageCall tells the provider how many requests of each tenant began in a window.
+	UsageCall(total usage.Total) (Call, error)
 }
--- a/internal/lab/localsite/dialect.go
+++ b/internal/lab/localsite/dialect.go
@@ -7,6 +7,7 @@
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 )
 
@@ -19,9 +20,14 @@
 	headerNotRun   = "Lab-Not-Run"
 	headerEvent    = "Last-Event-Id"
 	headerVersion  = "Lab-Weight-Version"
+	headerKey      = "Lab-Key"
+	headerTenant   = "Lab-Tenant"
+	headerHolder   = "Lab-Holder"
+	headerFence    = "Lab-Fence"
 
 	pathOrder  = "/lab/order"
 	pathReport = "/lab/report"
+	pathUsage  = "/lab/usage"
 )
 
 // labDialect encodes the product's own types as JSON, as they are.
@@ -34,6 +40,7 @@
 	return dialect.Headers{
 		RequestID: headerID, Deadline: headerDeadline, Seal: headerSeal, ExpectInstance: headerInstance,
 		NotRun: headerNotRun, LastEvent: headerEvent, WeightVersion: headerVersion,
+		Key: headerKey, Tenant: headerTenant, Holder: headerHolder, Fence: headerFence,
 	}
 }
 
@@ -56,6 +63,12 @@
 	return dialect.Call{Method: http.MethodPost, Path: pathOrder, Body: body}, err
 }
 
+// UsageCall implements dialect.Dialect.
+func (labDialect) UsageCall(total usage.Total) (dialect.Call, error) {
+	body, err := json.Marshal(total)
+	return dialect.Call{Method: http.MethodPost, Path: pathUsage, Body: body}, err
+}
+
 // ReportCall implements dialect.Dialect.
 func (labDialect) ReportCall() dialect.Call {
 	return dialect.Call{Method: http.MethodGet, Path: pathReport}
--- a/internal/lab/localsite/trainer.go
+++ b/internal/lab/localsite/trainer.go
@@ -153,7 +153,7 @@
 
 func (s *Site) end(ctx context.Context, record *jobRecord) bool {
 	ended := until(ctx, func(ctx context.Context) error {
-		_, err := s.jobs.End(ctx, record.submission.ID)
+		_, err := s.jobs.End(ctx, jobsapi.EndRequest{Job: record.submission.ID})
 		return err
 	})
 	if ended {
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/front"
@@ -27,6 +28,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/sitestore"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/core/usage"
 	"github.com/loomgrade/loomgrade/internal/testkit"
 	"github.com/loomgrade/loomgrade/platform"
 	"github.com/loomgrade/loomgrade/test/sitestandin"
@@ -39,6 +41,9 @@
 	plain    = "plain-service"
 	lm       = "lm-service"
 	model    = "model-a"
+	// usageWindow and usageDue are those of sites with a provider.
+	usageWindow = 500 * time.Millisecond
+	usageDue    = time.Second
 )
 
 func quiet() *log.Logger {
@@ -89,6 +94,10 @@
 	models []string
 	// placesPerShard is how many places of engines a shard is for, 0 the default.
 	placesPerShard int
+	// tenants is the configuration's list of them, as JSON; empty for none.
+	tenants string
+	// provider takes reports of usage; nil for none.
+	provider *sitestandin.Provider
 	// mostJobBytes bounds the jobs that a store machine holds, 0 for no bound.
 	mostJobBytes int
 }
@@ -186,10 +195,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.server = wire.NewServer(wireOptions(p.name))
+	var cloud sitecontrol.Provider
+	if s.provider != nil {
+		cloud = provider.New(s.provider.Address(), platform.Dialect{})
+	}
 	p.control = sitecontrol.New(sitecontrol.Config{
 		Machine: p.name, Address: p.address, HeartbeatAddress: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
 		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: s.logger(p.name), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
 		ToleratedLosses: s.losses, PlacesPerShard: s.placesPerShard, HolderLease: s.holderLease,
+		Provider: cloud, UsageWindow: usageWindow, UsageDue: usageDue,
 	})
 	p.control.Register(p.server)
 	s.listen(p)
@@ -235,7 +249,17 @@
 	watcher, sender := s.watch(p.name, true)
 	p.watcher = watcher
 	idle := httpserve.NewIdleConnections(time.Second)
+	var counted *front.UsageReporter
+	if s.provider != nil {
+		counted = front.NewUsageReporter(p.name, func(ctx context.Context, report usage.Report) (time.Duration, error) {
+			var answer sitecontrol.Answer
+			err := watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Usage: &report}, &answer)
+			return answer.Pause, err
+		}, s.logger(p.name))
+		p.run(func() { _ = counted.Run(ctx) })
+	}
 	p.front = front.New(front.Config{
+		Usage:   counted,
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Idle: idle,
 		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), Zone: "z", View: watcher.State, Place: sitecontrol.Placer(watcher)}),
 	})
@@ -315,8 +339,16 @@
 		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40}%s],
 		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
 		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":%s}}],
-		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
-		version, host, plain, host, plain, host, lm, s.extra, plain, lm, listed)
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}%s}`,
+		version, host, plain, host, plain, host, lm, s.extra, plain, lm, listed, s.tenantsField())
+}
+
+// tenantsField is the configuration's last field, if it has one.
+func (s *site) tenantsField() string {
+	if s.tenants == "" {
+		return ""
+	}
+	return `,"tenants":` + s.tenants
 }
 
 // configure puts a new configuration in force and waits until fronts have it.
--- /dev/null
+++ b/test/sitestandin/provider.go
@@ -0,0 +1,91 @@
+package sitestandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// UsageCall is a report of usage that reached a Provider.
+type UsageCall struct {
+	Window int64             `json:"window"`
+	Counts map[string]uint64 `json:"counts"`
+	Holder string
+	Fence  uint64
+	At     time.Time
+	// Status is the answer, 0 if none was given.
+	Status int
+}
+
+// Provider is a stand-in of the provider of the site's machines.
+type Provider struct {
+	// Behave, if set, gives the status of the n-th call, counted from 0; 0 takes the
+	// report and breaks the connection off without an answer.
+	Behave func(n int) int
+
+	server *httptest.Server
+	mutex  sync.Mutex
+	calls  []UsageCall
+}
+
+// NewProvider starts a Provider.
+func NewProvider(t *testing.T) *Provider {
+	p := &Provider{}
+	p.server = httptest.NewServer(http.HandlerFunc(p.serve))
+	t.Cleanup(func() {
+		p.server.CloseClientConnections()
+		p.server.Close()
+	})
+	return p
+}
+
+// Address is where the provider serves.
+func (p *Provider) Address() string { return p.server.Listener.Addr().String() }
+
+func (p *Provider) serve(w http.ResponseWriter, r *http.Request) {
+	call := UsageCall{Holder: r.Header.Get(Headers.Holder), At: time.Now(), Status: http.StatusOK}
+	call.Fence, _ = strconv.ParseUint(r.Header.Get(Headers.Fence), 10, 64)
+	if r.Method != http.MethodPost || r.URL.Path != "/usage" || json.NewDecoder(r.Body).Decode(&call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mutex.Lock()
+	if p.Behave != nil {
+		call.Status = p.Behave(len(p.calls))
+	}
+	p.calls = append(p.calls, call)
+	p.mutex.Unlock()
+	if call.Status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(call.Status)
+}
+
+// Calls gives all reports of usage so far.
+func (p *Provider) Calls() []UsageCall {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]UsageCall(nil), p.calls...)
+}
+
+// Taken gives the counts of all windows that the provider has, and whether a window was
+// sent with different counts at any time.
+func (p *Provider) Taken() (counts map[int64]map[string]uint64, differ bool) {
+	counts = map[int64]map[string]uint64{}
+	sent := map[int64]string{}
+	for _, call := range p.Calls() {
+		encoded, _ := json.Marshal(call.Counts)
+		if before, again := sent[call.Window]; again && before != string(encoded) {
+			differ = true
+		}
+		sent[call.Window] = string(encoded)
+		if call.Status == 0 || call.Status == http.StatusOK {
+			counts[call.Window] = call.Counts
+		}
+	}
+	return counts, differ
+}
