--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -43,7 +43,7 @@
 	settingsPoll = 2 * time.Second
 	// heapShare is the part of the machine's memory that the heap may take
 	// before collections become more frequent.
-	heapShare = 0.75
+	heapShare = 0.6
 	// collectAt is the growth of the heap, in percent, at which it is
 	// collected: memory at its peak costs these machines more than processor
 	// time.
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -14,7 +14,7 @@
 
 	defaultMaxBatchBytes      = 1 << 20
 	defaultMaxInflight        = 32
-	defaultSnapshotChunkBytes = 1 << 20
+	defaultSnapshotChunkBytes = 256 << 10
 	defaultMaxUncommitted     = 16384
 	minElectionTicks          = 4
 )
