--- /dev/null
+++ b/internal/adapter/sitesettings/sitesettings_test.go
@@ -0,0 +1,68 @@
+package sitesettings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/sitesettings"
+)
+
+// load writes settings with some keys changed and reads them.
+func load(t *testing.T, change map[string]any) (*sitesettings.File, error) {
+	t.Helper()
+	settings := map[string]any{
+		"machine": "front-1", "zone": "z", "ip": "10.0.0.1", "peer_port": "7000", "seeds": []string{"10.0.0.2:80"}, "grace_s": 8,
+		"provider_address": "10.0.0.9:80", "provider_duties": []string{"autoscale", "usage_report"}, "usage_window_s": 5, "usage_due_s": 10, "revoke_ms": 2500,
+	}
+	for key, value := range change {
+		settings[key] = value
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return sitesettings.Load(path)
+}
+
+func TestProviderSettings(t *testing.T) {
+	file, err := load(t, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !file.ReportsUsage() || file.UsageWindow() != 5*time.Second || file.UsageDue() != 10*time.Second || file.RevokeWithin() != 2500*time.Millisecond {
+		t.Errorf("%+v", file)
+	}
+	for name, change := range map[string]map[string]any{
+		"no provider":   {"provider_address": ""},
+		"another duty":  {"provider_duties": []string{"autoscale"}},
+		"no duty":       {"provider_duties": nil},
+		"no duty is on": {"provider_duties": nil, "usage_window_s": 0},
+	} {
+		if file, err := load(t, change); err != nil || file.ReportsUsage() {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestBadProviderSettingsNameTheirKey(t *testing.T) {
+	for key, value := range map[string]any{
+		"provider_address": "nowhere", "revoke_ms": -1, "usage_window_s": 0, "usage_due_s": -3,
+	} {
+		_, err := load(t, map[string]any{key: value})
+		var fault *sitesettings.Error
+		if !errors.As(err, &fault) || fault.Key == "" || fault.Allowed == "" {
+			t.Errorf("%s = %v: %v", key, value, err)
+		}
+	}
+	if _, err := load(t, map[string]any{"provider_adress": "10.0.0.9:80"}); err == nil {
+		t.Error("an unknown key was taken")
+	}
+}
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -15,8 +15,11 @@
 	defaultMaxBatchBytes      = 1 << 20
 	defaultMaxInflight        = 32
 	defaultSnapshotChunkBytes = 256 << 10
-	defaultMaxUncommitted     = 16384
-	minElectionTicks          = 4
+	// defaultSnapshotWindow lets 1 MB be on its way: a chunk alone takes 18 ms with its
+	// acknowledgement, of which 4 ms are the link's (600 Mbit/s).
+	defaultSnapshotWindow = 4
+	defaultMaxUncommitted = 16384
+	minElectionTicks      = 4
 )
 
 // Safeguards switches protections off. The zero value has all of them on; only
@@ -48,6 +51,8 @@
 	MaxInflight int
 	// SnapshotChunkBytes is the size of a snapshot's parts on the network.
 	SnapshotChunkBytes int
+	// SnapshotWindow bounds the unacknowledged parts per member.
+	SnapshotWindow int
 	// MaxUncommitted bounds the entries that wait for commit on a leader.
 	MaxUncommitted int
 	// RetainEntries is how many entries before a snapshot stay in memory, for
@@ -65,6 +70,7 @@
 	c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, defaultMaxBatchBytes)
 	c.MaxInflight = cmp.Or(c.MaxInflight, defaultMaxInflight)
 	c.SnapshotChunkBytes = cmp.Or(c.SnapshotChunkBytes, defaultSnapshotChunkBytes)
+	c.SnapshotWindow = cmp.Or(c.SnapshotWindow, defaultSnapshotWindow)
 	c.MaxUncommitted = cmp.Or(c.MaxUncommitted, defaultMaxUncommitted)
 	return c
 }
@@ -76,7 +82,7 @@
 	if c.HeartbeatTicks < 1 || c.ElectionTicks < minElectionTicks || c.ElectionTicks < 2*c.HeartbeatTicks {
 		return fmt.Errorf("%w: election %d ticks, heartbeat %d ticks", ErrConfig, c.ElectionTicks, c.HeartbeatTicks)
 	}
-	if c.MaxBatchBytes < 0 || c.MaxInflight < 0 || c.SnapshotChunkBytes < 0 || c.MaxUncommitted < 0 || c.RetainEntries < 0 || c.RetainBytes < 0 {
+	if c.MaxBatchBytes < 0 || c.MaxInflight < 0 || c.SnapshotChunkBytes < 0 || c.SnapshotWindow < 0 || c.MaxUncommitted < 0 || c.RetainEntries < 0 || c.RetainBytes < 0 {
 		return fmt.Errorf("%w: negative size", ErrConfig)
 	}
 	return nil
--- a/internal/core/consensus/node_test.go
+++ b/internal/core/consensus/node_test.go
@@ -80,10 +80,15 @@
 	}
 }
 
-func TestSnapshotInChunksAfterCompaction(t *testing.T) {
-	net := newNetwork(t, 3, func(c *Config) { c.SnapshotChunkBytes = 7 })
-	leader := net.elect()
-	behind := net.order[0]
+// compactedBehind gives a network whose leader has compacted what the other member, which
+// is down, lacks; snapshots are sent in parts of 7 bytes.
+func compactedBehind(t *testing.T, configure func(*Config)) (net *network, leader, behind MemberID) {
+	net = newNetwork(t, 3, func(c *Config) {
+		c.SnapshotChunkBytes = 7
+		configure(c)
+	})
+	leader = net.elect()
+	behind = net.order[0]
 	if behind == leader {
 		behind = net.order[1]
 	}
@@ -101,22 +106,68 @@
 		t.Fatal(err)
 	}
 	net.propose(leader, "!")
-	chunks := 0
-	net.oneHop = func(m Message) bool {
-		if m.Kind == MessageSnapshotChunk {
-			chunks++
-			return chunks%3 != 0 // every third chunk is lost
+	return net, leader, behind
+}
+
+func TestSnapshotInChunksAfterCompaction(t *testing.T) {
+	third := func(chunk int) bool { return chunk%3 == 0 }
+	// With all parts on their way at once, a loss of each third one might fall on the same
+	// part for ever.
+	scattered := func(chunk int) bool { return uint32(chunk)*2654435761>>16%3 == 0 }
+	for window, lost := range map[int]func(chunk int) bool{0: third, 1: third, 2: third, 100: scattered} {
+		net, leader, behind := compactedBehind(t, func(c *Config) { c.SnapshotWindow = window })
+		chunks := 0
+		net.oneHop = func(m Message) bool {
+			if m.Kind == MessageSnapshotChunk {
+				chunks++
+				return !lost(chunks)
+			}
+			return true
 		}
-		return true
-	}
-	net.start(behind)
-	net.tick(20 * testElectionTicks)
-	net.sameState(string(member.state), net.order...)
-	if chunks < 8 {
-		t.Errorf("%d chunks, want at least 8", chunks)
+		net.start(behind)
+		net.tick(20 * testElectionTicks)
+		net.sameState(string(net.members[leader].state), net.order...)
+		if chunks < 8 {
+			t.Errorf("window %d: %d chunks, want at least 8", window, chunks)
+		}
+		if !strings.HasSuffix(string(net.members[behind].state), "!") {
+			t.Errorf("window %d: state %q lacks the entry after the snapshot", window, net.members[behind].state)
+		}
+		net.noFaults()
 	}
-	if !strings.HasSuffix(string(net.members[behind].state), "!") {
-		t.Errorf("state %q lacks the entry after the snapshot", net.members[behind].state)
+}
+
+// TestChunksAreSentAheadWithinTheWindow: so many before the first is acknowledged, and none
+// twice where none is lost.
+func TestChunksAreSentAheadWithinTheWindow(t *testing.T) {
+	for _, window := range []int{1, 3} {
+		net, leader, behind := compactedBehind(t, func(c *Config) { c.SnapshotWindow = window })
+		total := uint64(len(net.members[leader].node.snapshot.Data))
+		ahead, most, sent := uint64(0), uint64(0), map[uint64]int{}
+		net.oneHop = func(m Message) bool {
+			switch m.Kind {
+			case MessageSnapshotChunk:
+				sent[m.Chunk.Offset]++
+				ahead = max(ahead, m.Chunk.Offset+uint64(len(m.Chunk.Data)))
+			case MessageSnapshotReply:
+				if !m.Done {
+					most = max(most, ahead-min(ahead, m.Offset))
+				}
+			}
+			return true
+		}
+		net.start(behind)
+		net.tick(4 * testElectionTicks)
+		if most > uint64(window*7) {
+			t.Errorf("window %d: %d bytes were ahead", window, most)
+		}
+		if parts := int(total+6) / 7; len(sent) != parts {
+			t.Errorf("window %d: %d parts, want %d", window, len(sent), parts)
+		}
+		for offset, times := range sent {
+			if times != 1 {
+				t.Errorf("window %d: the part at %d was sent %d times", window, offset, times)
+			}
+		}
 	}
-	net.noFaults()
 }
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -46,7 +46,11 @@
 	sentCommit uint64
 	snapshot   *Snapshot
 	checksum   uint32
+	// offset is how much of the snapshot is acknowledged, sent how much was sent; resentTick
+	// is when it was last sent again from offset on.
 	offset     uint64
+	sent       uint64
+	resentTick uint64
 	// departing is the index of the entry that removes the member, or 0.
 	departing uint64
 }
@@ -61,7 +65,7 @@
 	p.inflight = nil
 	p.waiting = false
 	p.snapshot = nil
-	p.offset = 0
+	p.offset, p.sent = 0, 0
 }
 
 func (p *progress) becomeReplicate() {
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -128,7 +128,7 @@
 		case ProgressReplicate:
 			n.sendWindow(id, peer)
 		case ProgressSnapshot:
-			n.sendChunk(id, peer)
+			n.sendChunks(id, peer)
 		}
 	}
 }
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -83,22 +83,34 @@
 	}
 	snapshot := n.snapshot
 	peer.becomeSnapshot(&snapshot, n.snapshotChecksum)
-	n.sendChunk(id, peer)
+	n.sendChunks(id, peer)
 }
 
-func (n *Node) sendChunk(id MemberID, peer *progress) {
-	if peer.waiting {
-		return
+// sendChunks sends ahead of the acknowledgements, SnapshotWindow chunks at most. While
+// nothing is unacknowledged, or what is is overdue, it goes on from what was acknowledged.
+func (n *Node) sendChunks(id MemberID, peer *progress) {
+	if !peer.waiting {
+		peer.sent = peer.offset
+		n.startWaiting(peer)
+		peer.waiting = true
+		n.sendChunk(id, peer)
+	}
+	total, window := uint64(len(peer.snapshot.Data)), uint64(n.config.SnapshotWindow*n.config.SnapshotChunkBytes)
+	for peer.sent < total && peer.sent-peer.offset < window {
+		n.sendChunk(id, peer)
 	}
-	n.startWaiting(peer)
-	peer.waiting = true
+}
+
+// sendChunk sends the part of the snapshot behind what was sent.
+func (n *Node) sendChunk(id MemberID, peer *progress) {
 	snapshot := peer.snapshot
 	total := uint64(len(snapshot.Data))
-	end := min(total, peer.offset+uint64(n.config.SnapshotChunkBytes))
+	end := min(total, peer.sent+uint64(n.config.SnapshotChunkBytes))
 	n.sendAsLeader(Message{Kind: MessageSnapshotChunk, To: id, Chunk: &SnapshotChunk{
 		Index: snapshot.Index, Term: snapshot.Term, Membership: snapshot.Membership,
-		Offset: peer.offset, Total: total, Checksum: peer.checksum, Data: snapshot.Data[peer.offset:end],
+		Offset: peer.sent, Total: total, Checksum: peer.checksum, Data: snapshot.Data[peer.sent:end],
 	}})
+	peer.sent = end
 }
 
 func (n *Node) handleSnapshotReply(message Message, peer *progress) {
@@ -112,14 +124,29 @@
 		return
 	case message.Offset > total:
 		return
-	case message.Reject || message.Offset > peer.offset:
+	case message.Reject:
+		n.resendChunks(message.Offset, peer)
+	case message.Offset > peer.offset:
 		peer.offset = message.Offset
-		peer.waiting = false
+		peer.sent = max(peer.sent, peer.offset)
+		peer.waiting = peer.sent > peer.offset
 		peer.progressTick = n.now
 		n.outbox.dirty = true
 	}
 }
 
+// resendChunks goes on from what the member has: a chunk was lost, or the member began
+// anew. Each chunk that was on its way behind a lost one is refused; the first refusal does.
+func (n *Node) resendChunks(have uint64, peer *progress) {
+	if have == peer.offset && peer.resentTick == n.now {
+		return
+	}
+	peer.offset, peer.resentTick = have, n.now
+	peer.waiting = false
+	peer.progressTick = n.now
+	n.outbox.dirty = true
+}
+
 // valid reports whether a correct leader may have sent the chunk.
 func (c *SnapshotChunk) valid() bool {
 	return c != nil && c.Index > 0 && c.Term > 0 && c.Total <= MaxSnapshotBytes && c.Offset <= c.Total &&
