--- a/internal/app/sitecontrol/usage.go
+++ b/internal/app/sitecontrol/usage.go
@@ -62,12 +62,13 @@
 	clock   *siteClock
 	reports chan usageReport
 
-	// lookedAt is when the leader last looked, and retryAt from when it may call the
-	// provider again after pause; the goroutine of Control.lead owns them.
+	// lookedAt is when the leader last looked; the goroutine of Control.lead owns it.
 	lookedAt time.Time
-	// sending is set while a call to the provider is under way.
+	// sending is set while a call to the provider is under way. After one that failed the
+	// next may begin at retryAt, a time.Duration of the clock's steady time; pause is how
+	// long that was after the failure, 0 if the last call did not fail.
 	sending atomic.Bool
-	retryAt atomic.Int64 // nanoseconds of the clock's steady time
+	retryAt atomic.Int64
 	pause   atomic.Int64
 	// fronts is how many fronts reported of late.
 	fronts reporterCount
