proxy: a comment says when Failure.Began is

Cause: it claimed the time of the first try, or zero; the code gives when the request came to the proxy, always.

--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -78,7 +78,7 @@
 	Verdict port.Verdict
 	Code    port.Code
 	Reason  string
-	// Began is when the first try was sent, zero if there was none.
+	// Began is when the request came to the proxy, right before its first try.
 	Began time.Time
 }
 
