proxy: lines name the replicas that ended under a request, and what was asked

Cause: the incident's lines hold a try's id and route; whether tries that break ask for the same cannot be told, so that a request that ends replicas looks like replicas that end. Change: a carried request whose connection was closed or reset under it says at which replicas (broke_at) and its fingerprint: a digest of caller, method, host, target and body. Made only for such requests. port.Error keeps the error behind it for errors.Is. Ruled out: the path in the line (callers' data; bodies would be missing still).

--- a/internal/adapter/httpcall/answer.go
+++ b/internal/adapter/httpcall/answer.go
@@ -37,7 +37,7 @@
 	default:
 		code = port.CodeCancelled
 	}
-	return eris.Wrap(port.NewError(verdict, code, "%v", err), action)
+	return eris.Wrap(port.NewError(verdict, code, "%v", err).WithCause(err), action)
 }
 
 // Malformed makes the error for an answer that breaks the protocol. The
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -232,7 +232,7 @@
 			Method: r.Method, Target: target(r), Host: r.Host, ID: r.Header.Get(f.headers.RequestID),
 			Header: header, Body: body,
 		},
-		Service: route.Choose(f.splits.Add(1)), Route: route.Name,
+		Service: route.Choose(f.splits.Add(1)), Route: route.Name, Caller: caller.name(),
 		Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts, Aim: route.Aim,
 		Stream: route.Kind == routing.KindStream,
 	}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
@@ -55,9 +56,11 @@
 	results chan result
 	tried   map[string]bool
 	// names are the replicas tried, in order.
-	names   []string
-	sends   int // tries begun
-	ran     int // tries that ran or may have, or still may
+	names []string
+	sends int // tries begun
+	ran   int // tries that ran or may have, or still may
+	// broke are the replicas that ended the connection while the request was there.
+	broke   []string
 	active  int
 	rounds  int
 	lastErr error
@@ -122,6 +125,9 @@
 		e.lastErr = ended.reason
 	case classBroken:
 		e.lastErr = ended.reason
+		if brokeOff(ended.reason) {
+			e.broke = append(e.broke, ended.replica)
+		}
 	}
 	return nil, false
 }
@@ -275,6 +281,13 @@
 // maxRefusalBytes is what is read of a refusal's body to keep its connection.
 const maxRefusalBytes = 16 << 10
 
+// brokeOff reports whether an error says that the replica's side closed or reset the
+// connection. A connection that fell silent says nothing of the replica.
+func brokeOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // log writes a line about how the request was carried.
 func (e *exchange) log(answer *Answer, failure *Failure) {
 	line := e.proxy.logger.Info()
@@ -293,6 +306,9 @@
 	if e.lastErr != nil {
 		line = line.Str("last_failure", e.lastErr.Error())
 	}
+	if len(e.broke) > 0 {
+		line = line.Strs("broke_at", e.broke).Str("fingerprint", e.request.fingerprint().String())
+	}
 	if failure != nil {
 		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Str("reason", failure.Reason).Msg("a request got no answer")
 		return
--- /dev/null
+++ b/internal/app/proxy/exchange_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/dialect"
+)
+
+// terms are those of a site, as far as requests need them.
+type terms struct{ dialect.Dialect }
+
+func (terms) Headers() dialect.Headers {
+	return dialect.Headers{RequestID: "Id", Deadline: "Deadline", ExpectInstance: "Instance", NotRun: "Not-Run", Seal: "Seal"}
+}
+
+// TestAReplicaThatEndsIsToldFromOtherFailures sends a request to a server that fails in
+// one way.
+func TestAReplicaThatEndsIsToldFromOtherFailures(t *testing.T) {
+	for name, row := range map[string]struct {
+		serve func(connection net.Conn)
+		want  bool
+	}{
+		"it closes without an answer": {func(c net.Conn) { _ = c.Close() }, true},
+		"it resets": {func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, true},
+		"it is silent":     {func(net.Conn) { time.Sleep(time.Second) }, false},
+		"it sends no HTTP": {func(c net.Conn) { _, _ = c.Write([]byte("nonsense\r\n\r\n")) }, false},
+		"it answers a 500": {func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")) }, false},
+		"its answer is cut": {func(c net.Conn) {
+			_, _ = c.Write([]byte("HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\nab"))
+			_ = c.Close()
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			go func() {
+				connection, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = connection.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					row.serve(connection)
+				}
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			sender := New(Config{Dialect: terms{}, Connections: 1})
+			run := &exchange{proxy: sender, ctx: ctx}
+			ended := run.send(sitestate.Replica{ID: "r", Address: listener.Addr().String()}, replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"})
+			if got := ended.class == classBroken && brokeOff(ended.reason); got != row.want {
+				t.Errorf("broke off %v, want %v: class %d, %v", got, row.want, ended.class, ended.reason)
+			}
+		})
+	}
+}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -51,6 +52,8 @@
 	replicacall.Request
 	Service string
 	Route   string
+	// Caller is the tenant whose request it is, empty for nobody's.
+	Caller string
 	// Repeatable requests may run more than once, on MaxAttempts replicas in all.
 	Repeatable  bool
 	MaxAttempts int
@@ -60,6 +63,13 @@
 	Stream bool
 }
 
+// fingerprint is the same for requests that ask for the same.
+func (r *Request) fingerprint() quarantine.Fingerprint { return r.identity().Fingerprint() }
+
+func (r *Request) identity() *quarantine.Request {
+	return &quarantine.Request{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+}
+
 // Answer is a replica's answer.
 type Answer struct {
 	Status int
--- a/internal/port/verdict.go
+++ b/internal/port/verdict.go
@@ -84,8 +84,21 @@
 	Allowed string `cbor:"6,keyasint,omitempty" json:"allowed,omitempty"`
 	// RetryAfter says when it makes sense to ask again; 0 means not stated.
 	RetryAfter time.Duration `cbor:"7,keyasint,omitempty" json:"retry_after_ns,omitempty"`
+
+	// cause is what errors.Is and errors.As find behind it, in this process only.
+	cause error
+}
+
+// WithCause sets the error behind e, for errors.Is and errors.As in this process, and
+// gives e.
+func (e *Error) WithCause(cause error) *Error {
+	e.cause = cause
+	return e
 }
 
+// Unwrap gives the cause, nil for none.
+func (e *Error) Unwrap() error { return e.cause }
+
 // Error gives one line with code, field, value and what is allowed.
 func (e *Error) Error() string {
 	text := fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Message)
