A request under which replicas end is withheld on the whole site

Cause: the bound on the replicas of a request was one try's at one front. A request that ends each replica that runs it (a query of death) came again as a new try, at another front, and took two replicas each time. Class: a bound that each process keeps for itself where the thing bounded crosses processes. Change: what processes see goes into the control log by the request's fingerprint; after three replicas without an answer in between no process sends it, but for two trials of one send each, given by the log. An answer clears a request, an answer of a replica that was taken to have ended clears the replica, so that requests beside the cause go on. Reward calls too: they were sent again each 50 ms for ever. Ruled out: a bound at each front (seven fronts times three); waiting until the control group knows the replica's end (20 s of silence); one culprit per end by the most ends (an unlucky request could cover for the cause).

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -41,9 +41,10 @@
 	}
 	var sender *proxy.Proxy
 	watcher := p.newWatcher(siteview.Config{
-		Provisional: true, Interest: sitestate.InterestRouting, Changed: func(view *siteview.View) { sender.Forget(view) },
+		Provisional: true, Interest: sitestate.InterestRouting, Changed: func(view *siteview.View) { sender.Observe(view) },
 	})
-	sender = p.newProxy(watcher.View)
+	withholds := sitecontrol.NewGuard(p.file.Machine, watcher, p.logger)
+	sender = p.newProxy(watcher, withholds)
 	counted := p.newUsageReporter(watcher)
 	idle := httpserve.NewIdleConnections(keepAlive)
 	served := front.New(front.Config{
@@ -66,8 +67,9 @@
 		served.Close()
 		_ = callers.server.Shutdown(stopping)
 		counted.Drain(stopping)
+		withholds.Drain(stopping)
 	}
-	tasks := []func(context.Context) error{watcher.Run}
+	tasks := []func(context.Context) error{watcher.Run, withholds.Run}
 	if counted != nil {
 		tasks = append(tasks, counted.Run)
 	}
--- a/cmd/loomgrade/cmd_site_store.go
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
+	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/sitestore"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 )
@@ -23,8 +24,9 @@
 		return err
 	}
 	var sender *proxy.Proxy
-	watcher := p.newWatcher(siteview.Config{Changed: func(view *siteview.View) { sender.Forget(view) }})
-	sender = p.newProxy(watcher.View)
+	watcher := p.newWatcher(siteview.Config{Changed: func(view *siteview.View) { sender.Observe(view) }})
+	withholds := sitecontrol.NewGuard(p.file.Machine, watcher, p.logger)
+	sender = p.newProxy(watcher, withholds)
 	store := sitestore.New(sitestore.Config{
 		Machine: p.file.Machine, Zone: p.file.Zone, Address: p.file.PeerAddress(), Folder: p.file.DataFolder, FileSystem: fileSystem(p.file.DataFolder),
 		Wire: p.wire, Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Seed: p.seed,
@@ -37,5 +39,5 @@
 		return ofGroup(ofView(reading, watcher), store.Shown())
 	})
 	drain := func(ctx context.Context) { store.HandOver(ctx) }
-	return p.serve(nil, watcher.SetSeeds, drain, watcher.Run, store.Run)
+	return p.serve(nil, watcher.SetSeeds, drain, watcher.Run, withholds.Run, store.Run)
 }
--- a/cmd/loomgrade/exit.go
+++ b/cmd/loomgrade/exit.go
@@ -65,7 +65,7 @@
 		return exitUsage
 	case port.CodeConflict, port.CodeChangeIDReused, port.CodeChangeExpired, port.CodeFenced, port.CodeLeaseHeld:
 		return exitConflict
-	case port.CodeUnavailable, port.CodeDraining, port.CodeDeadline, port.CodeQueueFull, port.CodeNotReady:
+	case port.CodeUnavailable, port.CodeDraining, port.CodeDeadline, port.CodeQueueFull, port.CodeNotReady, port.CodeWithheld:
 		return exitUnavailable
 	case port.CodeNotFound:
 		return exitNotFound
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -23,6 +23,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/dialect"
@@ -117,8 +118,8 @@
 }
 
 // newProxy makes the sender of requests to replicas.
-func (p *siteProcess) newProxy(view func() *siteview.View) *proxy.Proxy {
-	return proxy.New(proxy.Config{Dialect: p.dialect, View: view, Logger: p.logger, Connections: connectionsToReplica})
+func (p *siteProcess) newProxy(watcher *siteview.Watcher, withholds *guard.Guard) *proxy.Proxy {
+	return proxy.New(proxy.Config{Dialect: p.dialect, View: watcher.View, Logger: p.logger, Connections: connectionsToReplica, Guard: withholds})
 }
 
 // service is an HTTP server with its address.
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -42,6 +42,8 @@
 	WeightsLoad             Event = "weights.load"
 	RequestCarried          Event = "request.carried"
 	RequestFailed           Event = "request.failed"
+	QuarantineChanged       Event = "quarantine.changed"
+	QuarantineNotKept       Event = "quarantine.notkept"
 	StreamResumed           Event = "stream.resumed"
 	RequestNoRoute          Event = "request.noroute"
 	RequestNoKey            Event = "request.nokey"
@@ -103,6 +105,8 @@
 	{WeightsLoad, "a replica was ordered to load weights; how that ended"},
 	{RequestCarried, "how a request was carried to replicas: sends, those that may have run, the outcome"},
 	{RequestFailed, "a caller got an answer of the front's own; its status and reason"},
+	{QuarantineChanged, "a request under which replicas ended is withheld, tried again, or let go; its fingerprint and those replicas"},
+	{QuarantineNotKept, "a process could not yet tell the control group of replicas that ended under requests"},
 	{StreamResumed, "a stream broke off and goes on at another replica, after which event"},
 	{RequestNoRoute, "no route leads a request anywhere"},
 	{RequestNoKey, "no tenant holds the key that a request shows, or it shows none; by which version of the configuration"},
--- a/internal/adapter/httpserve/errors.go
+++ b/internal/adapter/httpserve/errors.go
@@ -36,7 +36,7 @@
 		return http.StatusBadGateway
 	case port.CodeDeadline:
 		return http.StatusGatewayTimeout
-	case port.CodeQueueFull, port.CodeNoBackEnd, port.CodeUnavailable, port.CodeDraining, port.CodeNotReady, port.CodeUnconfirmed:
+	case port.CodeQueueFull, port.CodeNoBackEnd, port.CodeUnavailable, port.CodeDraining, port.CodeNotReady, port.CodeUnconfirmed, port.CodeWithheld:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusInternalServerError
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -73,6 +74,8 @@
 	OutcomeFailed   = "failed"
 	OutcomeLate     = "late"
 	OutcomeLeft     = "left"
+	// OutcomeWithheld is a refusal because replicas ended under the request.
+	OutcomeWithheld = "withheld"
 )
 
 // Front serves callers.
@@ -243,6 +246,8 @@
 	switch {
 	case r.Context().Err() != nil:
 		return OutcomeLeft
+	case failure.Code == port.CodeWithheld:
+		return OutcomeWithheld
 	case failure.Verdict == port.NotRun:
 		return OutcomeRefused
 	case failure.Code == port.CodeDeadline:
@@ -275,7 +280,7 @@
 	case r.Context().Err() != nil:
 		panic(http.ErrAbortHandler)
 	case failure.Verdict == port.NotRun:
-		f.refuse(w, r, route.Name, failure.Reason)
+		f.refuseFor(w, r, route.Name, failure.Reason, cmp.Or(failure.RetryAfter, comeBack))
 	case failure.Code == port.CodeDeadline:
 		f.answerStatus(w, r, route.Name, http.StatusGatewayTimeout, failure.Reason)
 	default:
--- /dev/null
+++ b/internal/app/guard/guard.go
@@ -0,0 +1,247 @@
+package guard
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+const (
+	// lastRefusal is when a caller may ask again for a request that has no trial left.
+	lastRefusal = time.Minute
+	// shortRefusal is when it may ask again if another sender's trial is under way.
+	shortRefusal = 2 * time.Second
+)
+
+// trialAfter is how long a request has been withheld, as seen here, before each trial. A
+// replica that ended is back after about 2 s: the first trial comes when one is there to
+// answer again. The second is for requests that were unlucky twice, and each trial of one
+// that is the cause takes a replica: it waits until that has been replaced several times over.
+var trialAfter = [quarantine.MostTrials]time.Duration{4 * time.Second, 30 * time.Second}
+
+// SendFunc puts events into the control log and gives the outcome of the last one.
+type SendFunc func(ctx context.Context, events []quarantine.Event) (sitestate.Outcome, error)
+
+// Config sets a Guard up.
+type Config struct {
+	// Sender names this start of the process.
+	Sender string
+	// View gives what the process knows of the site, or nil.
+	View   func() *siteview.View
+	Send   SendFunc
+	Logger *log.Logger
+}
+
+// Guard decides which requests a process sends. It is safe for concurrent use; Run has to
+// run. A nil Guard withholds nothing.
+type Guard struct {
+	config Config
+	outbox *outbox
+
+	mutex sync.Mutex
+	// withheld is what the process knows of requests that are withheld.
+	withheld map[quarantine.Fingerprint]sighting
+	// ended are replicas that are taken to have ended, with when that was learned.
+	ended map[string]time.Time
+	// endedCount is the length of ended, read without the lock on each answer.
+	endedCount atomic.Int64
+}
+
+// sighting is since when a request has been withheld after so many trials.
+type sighting struct {
+	trials int
+	since  time.Time
+	// asking is set while a trial is asked for.
+	asking bool
+}
+
+// New makes a Guard.
+func New(config Config) *Guard {
+	return &Guard{
+		config: config, outbox: newOutbox(config.Send, config.Logger),
+		withheld: map[quarantine.Fingerprint]sighting{}, ended: map[string]time.Time{},
+	}
+}
+
+// Run hands on what was seen until the context ends.
+func (g *Guard) Run(ctx context.Context) error { return g.outbox.run(ctx) }
+
+// Drain waits until the control group has all that was seen, or the end of ctx.
+func (g *Guard) Drain(ctx context.Context) {
+	if g != nil {
+		g.outbox.drain(ctx)
+	}
+}
+
+// Admission says whether a request may be sent.
+type Admission struct {
+	// Suspect is set if replicas have ended under the request: its answer is to be told.
+	Suspect bool
+	// Withheld is set if it must not be sent; RetryAfter is when that may change.
+	Withheld   bool
+	RetryAfter time.Duration
+	// Trial is set if it may be sent once, to one replica.
+	Trial bool
+}
+
+// Admit decides about a request before its first send. It asks the control group if a trial
+// is due.
+func (g *Guard) Admit(ctx context.Context, request *quarantine.Request) Admission {
+	suspect := g.find(request)
+	switch {
+	case suspect == nil:
+		return Admission{}
+	case !suspect.Withheld():
+		return Admission{Suspect: true}
+	}
+	number, wait := g.dueTrial(suspect, time.Now())
+	if wait > 0 {
+		return Admission{Suspect: true, Withheld: true, RetryAfter: wait}
+	}
+	defer g.askedTrial(suspect.Fingerprint)
+	outcome, err := g.config.Send(ctx, []quarantine.Event{{
+		Kind: quarantine.EventTrial, Fingerprint: suspect.Fingerprint, Trial: number, Sender: g.config.Sender,
+	}})
+	if err != nil || outcome != sitestate.OutcomeDone {
+		return Admission{Suspect: true, Withheld: true, RetryAfter: shortRefusal}
+	}
+	return Admission{Suspect: true, Trial: true}
+}
+
+// Withholds reports whether a request must not be sent any more.
+func (g *Guard) Withholds(request *quarantine.Request) bool {
+	suspect := g.find(request)
+	return suspect != nil && suspect.Withheld()
+}
+
+func (g *Guard) find(request *quarantine.Request) *quarantine.Suspect {
+	if g == nil {
+		return nil
+	}
+	view := g.config.View()
+	if view == nil {
+		return nil
+	}
+	return view.Quarantine.Find(request)
+}
+
+// dueTrial gives the number of the trial that is due, or how long there is none.
+func (g *Guard) dueTrial(suspect *quarantine.Suspect, now time.Time) (number int, wait time.Duration) {
+	if suspect.Trials >= quarantine.MostTrials {
+		return 0, lastRefusal
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	seen := g.see(suspect, now)
+	if seen.asking {
+		return 0, shortRefusal
+	}
+	if wait := trialAfter[suspect.Trials] - now.Sub(seen.since); wait > 0 {
+		return 0, wait
+	}
+	seen.asking = true
+	g.withheld[suspect.Fingerprint] = seen
+	return suspect.Trials + 1, 0
+}
+
+func (g *Guard) askedTrial(fingerprint quarantine.Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if seen, known := g.withheld[fingerprint]; known {
+		seen.asking = false
+		g.withheld[fingerprint] = seen
+	}
+}
+
+// see notes, under the lock, since when a request has been withheld. The time begins anew
+// with each trial.
+func (g *Guard) see(suspect *quarantine.Suspect, now time.Time) sighting {
+	seen, known := g.withheld[suspect.Fingerprint]
+	if !known || seen.trials != suspect.Trials {
+		seen = sighting{trials: suspect.Trials, since: now, asking: seen.asking}
+		g.withheld[suspect.Fingerprint] = seen
+	}
+	return seen
+}
+
+// Observe takes a new view in.
+func (g *Guard) Observe(view *siteview.View) {
+	if g == nil {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if len(view.Suspects) == 0 && len(g.ended) == 0 && len(g.withheld) == 0 {
+		return
+	}
+	now := time.Now()
+	withheld := map[quarantine.Fingerprint]bool{}
+	for i := range view.Suspects {
+		suspect := &view.Suspects[i]
+		if suspect.Withheld() {
+			withheld[suspect.Fingerprint] = true
+			g.see(suspect, now)
+		}
+		for _, replica := range suspect.Replicas {
+			if _, known := g.ended[replica]; !known {
+				g.ended[replica] = now
+			}
+		}
+	}
+	for fingerprint := range g.withheld {
+		if !withheld[fingerprint] {
+			delete(g.withheld, fingerprint)
+		}
+	}
+	for replica := range g.ended {
+		if _, present := view.Replicas[replica]; !present {
+			delete(g.ended, replica)
+		}
+	}
+	g.endedCount.Store(int64(len(g.ended)))
+}
+
+// Ended notes that a replica closed the connection while it ran a request.
+func (g *Guard) Ended(fingerprint quarantine.Fingerprint, replica string) {
+	if g == nil {
+		return
+	}
+	g.mutex.Lock()
+	g.ended[replica] = time.Now()
+	g.endedCount.Store(int64(len(g.ended)))
+	g.mutex.Unlock()
+	g.outbox.add(quarantine.Event{Kind: quarantine.EventEnded, Fingerprint: fingerprint, Replica: replica})
+}
+
+// Served notes a whole answer to a request that is a suspect.
+func (g *Guard) Served(fingerprint quarantine.Fingerprint) {
+	if g != nil {
+		g.outbox.add(quarantine.Event{Kind: quarantine.EventServed, Fingerprint: fingerprint})
+	}
+}
+
+// Answered notes that a replica answered what was sent at a time. One that was taken to have
+// ended before had not.
+func (g *Guard) Answered(replica string, sent time.Time) {
+	if g == nil || g.endedCount.Load() == 0 {
+		return
+	}
+	g.mutex.Lock()
+	at, blamed := g.ended[replica]
+	alive := blamed && sent.After(at)
+	if alive {
+		delete(g.ended, replica)
+		g.endedCount.Store(int64(len(g.ended)))
+	}
+	g.mutex.Unlock()
+	if alive {
+		g.outbox.add(quarantine.Event{Kind: quarantine.EventAlive, Replica: replica})
+	}
+}
--- /dev/null
+++ b/internal/app/guard/outbox.go
@@ -0,0 +1,108 @@
+package guard
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
+)
+
+const (
+	// reportTimeout bounds one report to the control group, reportRetry is the pause after
+	// one that was not kept and reportPause after one that was: what comes meanwhile, as
+	// when a replica with many requests ends, goes together.
+	reportTimeout = 1500 * time.Millisecond
+	reportRetry   = 150 * time.Millisecond
+	reportPause   = 50 * time.Millisecond
+)
+
+// outbox holds events until the control group has them.
+type outbox struct {
+	send   SendFunc
+	logger *log.Logger
+	wake   chan struct{}
+
+	mutex   sync.Mutex
+	pending []quarantine.Event
+}
+
+// maxPending bounds the events that wait: those of the loss of a rack, see the bound of the
+// ledger, four times over.
+const maxPending = 2048
+
+func newOutbox(send SendFunc, logger *log.Logger) *outbox {
+	return &outbox{send: send, logger: logger, wake: make(chan struct{}, 1)}
+}
+
+// add lets an event go. It does not wait.
+func (o *outbox) add(event quarantine.Event) {
+	o.mutex.Lock()
+	if len(o.pending) < maxPending {
+		o.pending = append(o.pending, event)
+	}
+	o.mutex.Unlock()
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outbox) run(ctx context.Context) error {
+	for {
+		select {
+		case <-o.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for o.length() > 0 {
+			select {
+			case <-time.After(o.flush(ctx)):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// flush sends what waits and gives the pause until the next time. Events may be sent twice;
+// each of them takes effect once.
+func (o *outbox) flush(ctx context.Context) time.Duration {
+	o.mutex.Lock()
+	events := slices.Clone(o.pending)
+	o.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := o.send(ctx, events); err != nil {
+		o.logger.Warn().Str(eventlog.Field, eventlog.QuarantineNotKept).Int("events", len(events)).Err(err).
+			Msg("what was seen of requests that end replicas is not kept yet")
+		return reportRetry
+	}
+	o.mutex.Lock()
+	o.pending = slices.Delete(o.pending, 0, len(events))
+	o.mutex.Unlock()
+	return reportPause
+}
+
+func (o *outbox) length() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.pending)
+}
+
+// drain waits until all is sent, or the end of ctx.
+func (o *outbox) drain(ctx context.Context) {
+	ticker := time.NewTicker(reportPause)
+	defer ticker.Stop()
+	for o.length() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -5,12 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -56,19 +59,28 @@
 	results chan result
 	tried   map[string]bool
 	// names are the replicas tried, in order.
-	names []string
-	sends int // tries begun
-	ran   int // tries that ran or may have, or still may
-	// broke are the replicas that ended the connection while the request was there.
-	broke   []string
+	names   []string
+	sends   int // tries begun
+	ran     int // tries that ran or may have, or still may
 	active  int
 	rounds  int
 	lastErr error
+	// broke are the replicas that ended the connection while the request was there.
+	broke []string
+	// admitted is what the guard said of the request; withheld is set once it may not be
+	// sent any more.
+	admitted guard.Admission
+	withheld bool
 	// lastAnswer is the newest answer of 5xx, handed on if no try does better.
 	lastAnswer *Answer
 }
 
 func (e *exchange) do() (*Answer, *Failure) {
+	e.admitted = e.proxy.guard.Admit(e.ctx, e.request.identity())
+	e.withheld = e.admitted.Withheld
+	if e.withheld {
+		return e.finish()
+	}
 	if !e.launch() {
 		return nil, e.fail(port.CodeNoBackEnd, "no replica of the service is known")
 	}
@@ -117,8 +129,12 @@
 func (e *exchange) take(ended result) (answer *Answer, done bool) {
 	switch ended.class {
 	case classAnswer:
+		if ended.answer.Stream == nil {
+			e.served()
+		}
 		return ended.answer, true
 	case classError:
+		e.served()
 		e.lastAnswer = ended.answer
 	case classRefused, classNotSent:
 		e.ran--
@@ -126,15 +142,30 @@
 	case classBroken:
 		e.lastErr = ended.reason
 		if brokeOff(ended.reason) {
-			e.broke = append(e.broke, ended.replica)
+			e.blame(ended.replica)
 		}
 	}
 	return nil, false
 }
 
+// blame notes that a replica ended under the request.
+func (e *exchange) blame(replica string) {
+	if !slices.Contains(e.broke, replica) {
+		e.broke = append(e.broke, replica)
+	}
+	e.proxy.guard.Ended(e.request.fingerprint(), replica)
+}
+
+// served clears the request if it is a suspect.
+func (e *exchange) served() {
+	if e.admitted.Suspect || len(e.broke) > 0 {
+		e.proxy.guard.Served(e.request.fingerprint())
+	}
+}
+
 // next tells whether and after what pause to try again, once no try is left.
 func (e *exchange) next(ended result) (wait time.Duration, goOn bool) {
-	if e.sends >= maxTries {
+	if e.sends >= e.mostSends() {
 		return 0, false
 	}
 	if ended.class == classError || ended.class == classBroken {
@@ -166,7 +197,25 @@
 
 // mayTryAgain reports whether another replica may run the request too.
 func (e *exchange) mayTryAgain() bool {
-	return e.request.Repeatable && e.ran < max(1, e.request.MaxAttempts) && e.sends < maxTries && e.ctx.Err() == nil
+	return e.request.Repeatable && e.ran < max(1, e.request.MaxAttempts) && e.sends < e.mostSends() && e.ctx.Err() == nil
+}
+
+// mostSends bounds the sends of the request. A trial is one, whatever becomes of it: what is
+// being tried is whether a replica outlives it.
+func (e *exchange) mostSends() int {
+	if e.admitted.Trial {
+		return 1
+	}
+	return maxTries
+}
+
+// mustStop reports whether replicas that ended under the request, here or at other processes,
+// forbid a further send.
+func (e *exchange) mustStop() bool {
+	if e.admitted.Trial || e.sends == 0 {
+		return false
+	}
+	return len(e.broke) >= quarantine.EndsUntilWithheld || e.proxy.guard.Withholds(e.request.identity())
 }
 
 // finish hands on the best that there is once no try is left.
@@ -178,10 +227,14 @@
 	if e.lastErr != nil {
 		reason = e.lastErr.Error()
 	}
-	if e.ran > 0 {
+	switch {
+	case e.ran > 0:
 		return nil, e.fail(port.CodeBackEnd, reason)
+	case e.withheld:
+		return nil, e.fail(port.CodeWithheld, "replicas have ended under this request")
+	default:
+		return nil, e.fail(port.CodeQueueFull, reason)
 	}
-	return nil, e.fail(port.CodeQueueFull, reason)
 }
 
 // ended is the failure of a request whose context ended.
@@ -197,11 +250,15 @@
 	if e.ran > 0 {
 		verdict = port.MayHaveRun
 	}
-	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.began}
+	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.began, RetryAfter: e.admitted.RetryAfter}
 }
 
 // launch begins a try; it reports false if there is no replica to try.
 func (e *exchange) launch() bool {
+	if e.mustStop() {
+		e.withheld = true
+		return false
+	}
 	replica, found := e.proxy.pick(e.request.Service, e.tried)
 	if !found {
 		return false
@@ -225,6 +282,9 @@
 	if ended.answer != nil {
 		ended.answer.Began = began
 	}
+	if ended.class == classAnswer || ended.class == classError {
+		e.proxy.guard.Answered(replica.ID, began)
+	}
 	e.proxy.end(e.request.Service, replica.ID, e.judge(ended), time.Since(began))
 	e.results <- ended
 }
@@ -306,8 +366,9 @@
 	if e.lastErr != nil {
 		line = line.Str("last_failure", e.lastErr.Error())
 	}
-	if len(e.broke) > 0 {
-		line = line.Strs("broke_at", e.broke).Str("fingerprint", e.request.fingerprint().String())
+	if len(e.broke) > 0 || e.admitted.Suspect {
+		line = line.Strs("broke_at", e.broke).Str("fingerprint", e.request.fingerprint().String()).
+			Bool("withheld", e.withheld).Bool("trial", e.admitted.Trial)
 	}
 	if failure != nil {
 		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Str("reason", failure.Reason).Msg("a request got no answer")
@@ -316,15 +377,34 @@
 	line.Str("replica", answer.Replica.ID).Int("status", answer.Status).Msg("a request was answered by a replica")
 }
 
-// cancellingBody ends the exchange when the stream is closed.
-type cancellingBody struct {
+// streamBody is the body of a streamed answer. It tells the guard how the stream ended, and
+// ends the exchange when it is closed.
+type streamBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	run     *exchange
+	replica string
+	// framed is set if the end of the stream is told from that of its connection.
+	framed bool
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		if b.framed {
+			b.run.served()
+		}
+	case b.run.ctx.Err() == nil && brokeOff(err):
+		b.run.blame(b.replica)
+	}
+	return count, err
 }
 
 // Close implements io.Closer.
-func (b *cancellingBody) Close() error {
+func (b *streamBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.cancel()
+	b.run.cancel()
 	return err
 }
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
@@ -24,6 +25,7 @@
 	headers dialect.Headers
 	view    func() *siteview.View
 	logger  *log.Logger
+	guard   *guard.Guard
 
 	mutex    sync.Mutex
 	balancer *balance.Balancer
@@ -37,13 +39,15 @@
 	Logger *log.Logger
 	// Connections bounds the connections to one replica.
 	Connections int
+	// Guard withholds requests under which replicas end; nil withholds none.
+	Guard *guard.Guard
 }
 
 // New makes a Proxy.
 func New(config Config) *Proxy {
 	return &Proxy{
 		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(),
-		view: config.View, logger: config.Logger, balancer: balance.New(),
+		view: config.View, logger: config.Logger, guard: config.Guard, balancer: balance.New(),
 	}
 }
 
@@ -90,6 +94,8 @@
 	Reason  string
 	// Began is when the request came to the proxy, right before its first try.
 	Began time.Time
+	// RetryAfter is when another try may be worth it, 0 if nothing is known of that.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -108,7 +114,8 @@
 	if answer == nil || answer.Stream == nil {
 		cancel()
 	} else {
-		answer.Stream.Body = &cancellingBody{ReadCloser: answer.Stream.Body, cancel: cancel}
+		framed := answer.Stream.ContentLength >= 0 || len(answer.Stream.TransferEncoding) > 0
+		answer.Stream.Body = &streamBody{ReadCloser: answer.Stream.Body, run: run, replica: answer.Replica.ID, framed: framed}
 	}
 	run.log(answer, failure)
 	return answer, failure
@@ -151,8 +158,9 @@
 	p.balancer.End(service, id, outcome, took, time.Now())
 }
 
-// Forget drops what is known of replicas that are gone.
-func (p *Proxy) Forget(view *siteview.View) {
+// Observe takes a new view in: what is known of replicas that are gone is dropped.
+func (p *Proxy) Observe(view *siteview.View) {
+	p.guard.Observe(view)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.balancer.Forget(func(id string) bool { _, present := view.Replicas[id]; return present })
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -83,6 +83,7 @@
 	lease      *lease
 	weights    *weightsManager
 	usage      *usageManager
+	suspects   *suspects
 	view       atomic.Pointer[sitestate.View]
 	whole      wholeView
 	table      atomic.Pointer[routing.Table]
@@ -118,6 +119,7 @@
 	c.lease = newLease(c)
 	c.weights = newWeightsManager(c)
 	c.usage = newUsageManager(c)
+	c.suspects = newSuspects(c)
 	return c
 }
 
@@ -186,6 +188,7 @@
 		c.lease.follow(leads)
 		c.weights.tend(ctx, leads)
 		c.usage.tend(ctx, leads)
+		c.suspects.tend(ctx, leads)
 	}
 }
 
@@ -202,6 +205,9 @@
 	if next.Configuration.Version != previous.Configuration.Version {
 		c.readTable(next.Configuration)
 	}
+	if len(previous.Suspects) > 0 || len(next.Suspects) > 0 {
+		c.logQuarantine(previous, next)
+	}
 	c.wakeAll()
 }
 
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -195,9 +195,11 @@
 func (r *runner) scoreOnce(ctx context.Context, scorer *jobstate.Scorer) (kind runKind, score, reason string) {
 	failures := 0
 	for {
+		pause := scorePause
 		answer, attempts, failure := r.sendScorer(ctx, scorer)
 		switch {
 		case failure != nil: // not answered; it is sent again
+			pause = max(pause, failure.RetryAfter)
 		case answer.Status/100 == 2:
 			return runScored, answer.Header.Get(r.store.config.Dialect.Headers().Seal), ""
 		case answer.Status == http.StatusInternalServerError:
@@ -207,7 +209,7 @@
 			return runScoreFailed, "", "status " + strconv.Itoa(http.StatusInternalServerError)
 		}
 		select {
-		case <-time.After(scorePause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return runScoreFailed, "", "the job ended"
 		}
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
 
@@ -21,6 +22,13 @@
 	Assign        *Assign        `cbor:"9,keyasint,omitempty"`
 	Place         *Place         `cbor:"10,keyasint,omitempty"`
 	Usage         *Usage         `cbor:"11,keyasint,omitempty"`
+	Quarantine    *Quarantine    `cbor:"12,keyasint,omitempty"`
+}
+
+// Quarantine tells what processes saw of requests under which replicas end. Events take
+// effect in order; the outcome is that of the last one.
+type Quarantine struct {
+	Events []quarantine.Event `cbor:"1,keyasint"`
 }
 
 // Usage moves the counts of tenants' requests on. Its parts take effect in this order.
--- a/internal/core/sitestate/sitestate_test.go
+++ b/internal/core/sitestate/sitestate_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/testkit"
 )
@@ -140,7 +141,7 @@
 	id := fmt.Sprint("i", rapid.IntRange(0, 4).Draw(r, "replica"))
 	number := rapid.Uint64Range(1, 6).Draw(r, "number")
 	name := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(r, "store"))
-	switch rapid.IntRange(0, 8).Draw(r, "kind") {
+	switch rapid.IntRange(0, 11).Draw(r, "kind") {
 	case 0:
 		return configuration(number, fmt.Sprint("raw", number))
 	case 1:
@@ -158,6 +159,11 @@
 		return sitestate.Command{Store: &sitestate.Store{Name: name, Address: name, Incarnation: fmt.Sprint(number)}}
 	case 6:
 		return sitestate.Command{Evacuate: &sitestate.Evacuate{Name: name, Done: rapid.Bool().Draw(r, "done")}}
+	case 9, 10, 11:
+		return sitestate.Command{Quarantine: &sitestate.Quarantine{Events: []quarantine.Event{{
+			Kind:        rapid.SampledFrom([]quarantine.EventKind{quarantine.EventEnded, quarantine.EventEnded, quarantine.EventServed, quarantine.EventAlive, quarantine.EventTrial}).Draw(r, "event"),
+			Fingerprint: quarantine.Fingerprint{Body: quarantine.Digest{byte(number % 2)}}, Replica: id, Trial: 1, Sender: name,
+		}}}}
 	default:
 		return sitestate.Command{Assign: &sitestate.Assign{Models: map[string]string{id: fmt.Sprint("m", number)}}}
 	}
@@ -210,6 +216,7 @@
 			compare(r, view, l.state)
 			routing = routing.Apply(l.state.Update(after, sitestate.InterestRouting))
 			compareRouting(r, routing, l.state)
+			compareSuspects(r, routing, l.state)
 		}
 	})
 }
@@ -245,6 +252,7 @@
 	if want := state.Stores(); len(view.Stores) != len(want) || (len(want) > 0 && !reflect.DeepEqual(view.Stores, want)) {
 		r.Fatalf("stores %+v, want %+v", view.Stores, want)
 	}
+	compareSuspects(r, view, state)
 	for model, version := range view.Weights {
 		if state.Weights(model) != version {
 			r.Fatalf("model %s at %d, want %d", model, version, state.Weights(model))
@@ -252,6 +260,24 @@
 	}
 }
 
+// compareSuspects checks that an observer knows each request that is withheld, and no other.
+func compareSuspects(r *rapid.T, view *sitestate.View, state *sitestate.State) {
+	withheld := func(suspects []quarantine.Suspect) (found []quarantine.Suspect) {
+		for _, suspect := range suspects {
+			if suspect.Withheld() {
+				found = append(found, suspect)
+			}
+		}
+		return found
+	}
+	if held, want := withheld(view.Suspects), withheld(state.Suspects()); !reflect.DeepEqual(held, want) {
+		r.Fatalf("withheld %+v, want %+v", held, want)
+	}
+	if (view.Quarantine == nil) != (len(view.Suspects) == 0) {
+		r.Fatalf("an index %v of %d suspects", view.Quarantine, len(view.Suspects))
+	}
+}
+
 // benchmarkedState holds so many replicas.
 func benchmarkedState(b *testing.B, replicas int) *sitestate.State {
 	b.Helper()
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
 
@@ -39,6 +40,10 @@
 	Placed   map[string]ShardNumber `cbor:"13,keyasint"` // by model
 	// Usage concerns no observer, so it does not move Position.
 	Usage usage.Ledger `cbor:"14,keyasint"`
+	// Quarantine holds requests under which replicas ended; QuarantineAt is the position
+	// of the last change of what observers are told of it.
+	Quarantine   quarantine.Ledger `cbor:"15,keyasint"`
+	QuarantineAt uint64            `cbor:"16,keyasint"`
 }
 
 // State is the control state. It is not safe for concurrent use; what it gives
@@ -152,6 +157,9 @@
 // that was closed.
 func (s *State) UsageDue(upTo usage.Window) bool { return s.contents.Usage.Due(upTo) }
 
+// Suspects gives all requests under which replicas ended. The caller must not change them.
+func (s *State) Suspects() []quarantine.Suspect { return s.contents.Quarantine.Suspects }
+
 // Placed gives the shard of each model's jobs.
 func (s *State) Placed() map[string]ShardNumber { return maps.Clone(s.contents.Placed) }
 
@@ -189,6 +197,8 @@
 		return s.place(index, *command.Place)
 	case command.Usage != nil:
 		return s.noteUsage(*command.Usage)
+	case command.Quarantine != nil:
+		return s.noteQuarantine(index, *command.Quarantine)
 	default:
 		return OutcomeMalformed
 	}
@@ -362,6 +372,22 @@
 	return outcome
 }
 
+func (s *State) noteQuarantine(index uint64, noted Quarantine) Outcome {
+	outcome := OutcomeIgnored
+	for _, event := range noted.Events {
+		changed, taken := s.contents.Quarantine.Apply(event)
+		if changed {
+			s.contents.QuarantineAt = index
+			s.changed(index)
+		}
+		outcome = OutcomeIgnored
+		if taken {
+			outcome = OutcomeDone
+		}
+	}
+	return outcome
+}
+
 func (s *State) evacuate(index uint64, evacuation Evacuate) Outcome {
 	store, known := s.contents.Stores[evacuation.Name]
 	if !known {
--- a/internal/core/sitestate/update.go
+++ b/internal/core/sitestate/update.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 )
 
 // Update is what an observer lacks. Parts that have not changed are left out.
@@ -22,6 +23,8 @@
 	// Shards and Placed come with Stores.
 	Shards []Shard                `cbor:"11,keyasint,omitempty"`
 	Placed map[string]ShardNumber `cbor:"12,keyasint,omitempty"`
+	// Quarantine comes if it has changed.
+	Quarantine *Suspects `cbor:"13,keyasint,omitempty"`
 	// Members are the control members; the serving process sets them.
 	Members []groupmember.Record `cbor:"8,keyasint,omitempty"`
 	// Confirmed is set by a member in touch with a quorum and caught up.
@@ -31,6 +34,11 @@
 	Whole bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Suspects are the requests of the quarantine that observers are told of.
+type Suspects struct {
+	List []quarantine.Suspect `cbor:"1,keyasint"`
+}
+
 // Interest says which changes of replicas an observer wants.
 type Interest uint8
 
@@ -43,7 +51,7 @@
 
 // Empty reports whether the update tells of no change.
 func (u *Update) Empty() bool {
-	return !u.Whole && u.Configuration == nil && len(u.Replicas) == 0 && len(u.Gone) == 0 && u.Weights == nil && u.Stores == nil && len(u.Members) == 0
+	return !u.Whole && u.Configuration == nil && len(u.Replicas) == 0 && len(u.Gone) == 0 && u.Weights == nil && u.Stores == nil && u.Quarantine == nil && len(u.Members) == 0
 }
 
 // Update gives what an observer at position after lacks. An observer that is
@@ -70,6 +78,9 @@
 		update.Stores = s.Stores()
 		update.Shards, update.Placed = s.contents.Shards, maps.Clone(s.contents.Placed)
 	}
+	if s.contents.QuarantineAt > after {
+		update.Quarantine = &Suspects{List: s.contents.Quarantine.Shared()}
+	}
 	return update
 }
 
@@ -110,6 +121,9 @@
 	Shards  []Shard
 	Placed  map[string]ShardNumber
 	Members []groupmember.Record
+	// Suspects are requests under which replicas ended, and Quarantine finds them.
+	Suspects   []quarantine.Suspect
+	Quarantine *quarantine.Index
 }
 
 // Update gives all that the view holds, but for the members.
@@ -121,6 +135,9 @@
 	if v.Configuration.Version > 0 {
 		update.Configuration = &v.Configuration
 	}
+	if len(v.Suspects) > 0 {
+		update.Quarantine = &Suspects{List: v.Suspects}
+	}
 	return update
 }
 
@@ -154,12 +171,23 @@
 		next.Stores = update.Stores
 		next.Shards, next.Placed = update.Shards, update.Placed
 	}
+	if update.Whole || update.Quarantine != nil {
+		next.Suspects = update.suspects()
+		next.Quarantine = quarantine.NewIndex(next.Suspects)
+	}
 	if len(update.Members) > 0 {
 		next.Members = update.Members
 	}
 	return next
 }
 
+func (u *Update) suspects() []quarantine.Suspect {
+	if u.Quarantine == nil {
+		return nil
+	}
+	return u.Quarantine.List
+}
+
 func replicasAfter(held map[string]Replica, update Update) map[string]Replica {
 	replicas := maps.Clone(held)
 	if update.Whole || replicas == nil {
--- a/internal/lab/localsite/site.go
+++ b/internal/lab/localsite/site.go
@@ -143,8 +143,9 @@
 func (s *Site) startStore(ctx context.Context, i int, listener net.Listener, seed uint64) {
 	name := fmt.Sprintf("store-%d", i)
 	var sender *proxy.Proxy
-	watcher := s.newWatcher(name, func(view *siteview.View) { sender.Forget(view) })
-	sender = proxy.New(proxy.Config{Dialect: labDialect{}, View: watcher.View, Logger: s.logger, Connections: connections})
+	watcher := s.newWatcher(name, func(view *siteview.View) { sender.Observe(view) })
+	watched := sitecontrol.NewGuard(name, watcher, s.logger)
+	sender = proxy.New(proxy.Config{Dialect: labDialect{}, View: watcher.View, Logger: s.logger, Connections: connections, Guard: watched})
 	member := sitestore.New(sitestore.Config{
 		Machine: name, Zone: zone, Address: listener.Addr().String(), Folder: filepath.Join(s.folder, name), Wire: wireOptions(name),
 		Dialect: labDialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger, Seed: seed + uint64(controls+i),
@@ -152,6 +153,7 @@
 	})
 	s.serve(name, listener, member.Register)
 	s.spawn(func() { _ = watcher.Run(ctx) })
+	s.spawn(func() { _ = watched.Run(ctx) })
 	s.spawn(func() { _ = member.Run(ctx) })
 }
 
--- a/internal/port/verdict.go
+++ b/internal/port/verdict.go
@@ -62,6 +62,7 @@
 	CodeDeadline       Code = "deadline"         // the deadline passed or cannot be met
 	CodeNoBackEnd      Code = "no_back_end"      // no replica passed the filters
 	CodeBackEnd        Code = "back_end"         // the back end failed
+	CodeWithheld       Code = "withheld"         // replicas ended under the request; it is not sent
 	CodeUnavailable    Code = "unavailable"      // no quorum, leader or peer
 	CodeDraining       Code = "draining"         // the process is stopping
 	CodeCancelled      Code = "cancelled"        // the caller gave up
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -216,7 +216,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.server = wire.NewServer(wireOptions(p.name))
-	watcher, sender := s.watch(p.name, false)
+	watcher, sender := s.watch(ctx, p, false)
 	p.store = sitestore.New(sitestore.Config{
 		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Seed: uint64(p.name[len(p.name)-1]),
@@ -229,7 +229,8 @@
 	p.run(func() { _ = store.Run(ctx) })
 }
 
-func (s *site) watch(name string, provisional bool) (*siteview.Watcher, *proxy.Proxy) {
+func (s *site) watch(ctx context.Context, p *process, provisional bool) (*siteview.Watcher, *proxy.Proxy) {
+	name := p.name
 	var sender *proxy.Proxy
 	interest := sitestate.InterestAll
 	if provisional { // a front
@@ -237,16 +238,18 @@
 	}
 	watcher := siteview.New(siteview.Config{
 		Seeds: s.seeds, Wire: wireOptions(name), Decode: platform.Dialect{}.DecodeConfiguration, Provisional: provisional, Interest: interest,
-		Changed: func(view *siteview.View) { sender.Forget(view) }, Logger: s.logger(name),
+		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name),
 	})
-	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8})
+	withholds := sitecontrol.NewGuard(name, watcher, s.logger(name))
+	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: withholds})
+	p.run(func() { _ = withholds.Run(ctx) })
 	return watcher, sender
 }
 
 func (s *site) startFront(p *process) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	watcher, sender := s.watch(p.name, true)
+	watcher, sender := s.watch(ctx, p, true)
 	p.watcher = watcher
 	idle := httpserve.NewIdleConnections(time.Second)
 	var counted *front.UsageReporter
