--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -27,6 +27,8 @@
 // is replaced by a new incarnation that the test brings in.
 type fallible struct {
 	site *site
+	// start makes the stand-in of an incarnation.
+	start func(id string) *sitestandin.Replica
 	// fatal reports whether a request ends the replica that runs it.
 	fatal func(body string, r *http.Request) bool
 
@@ -40,7 +42,7 @@
 func (f *fallible) add() {
 	f.mutex.Lock()
 	f.made++
-	replica := sitestandin.NewReplica(f.site.t, fmt.Sprintf("i-%d", f.made), plain)
+	replica := f.start(fmt.Sprintf("i-%d", f.made))
 	f.alive = append(f.alive, replica)
 	f.mutex.Unlock()
 	replica.Behave = func(w http.ResponseWriter, r *http.Request) bool {
@@ -79,6 +81,13 @@
 	}
 }
 
+// refillFor goes on bringing new incarnations in for a time.
+func (f *fallible) refillFor(duration time.Duration) {
+	for deadline := time.Now().Add(duration); time.Now().Before(deadline); time.Sleep(pollTime) {
+		f.refill(replicasOfTheService)
+	}
+}
+
 func (f *fallible) endedSoFar() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -89,7 +98,13 @@
 const replicasOfTheService = 4
 
 func newFallible(s *site, fatal func(body string, r *http.Request) bool) *fallible {
-	f := &fallible{site: s, fatal: fatal}
+	f := &fallible{site: s, fatal: fatal, start: func(id string) *sitestandin.Replica { return sitestandin.NewReplica(s.t, id, plain) }}
+	f.refill(replicasOfTheService)
+	return f
+}
+
+func newFallibleEngines(s *site, fatal func(body string, r *http.Request) bool) *fallible {
+	f := &fallible{site: s, fatal: fatal, start: func(id string) *sitestandin.Replica { return sitestandin.NewEngine(s.t, id, lm, model) }}
 	f.refill(replicasOfTheService)
 	return f
 }
@@ -147,3 +162,30 @@
 		}
 	}
 }
+
+// TestAnItemThatEndsReplicasIsWithheld: what runs the items of a job sends an item again as
+// long as its job is open. One that ends each replica that runs it took them all, one after
+// the other, and the items beside it with them.
+func TestAnItemThatEndsReplicasIsWithheld(t *testing.T) {
+	s := newSite(t, 3, 3)
+	s.start()
+	s.configure()
+	engines := newFallibleEngines(s, func(_ string, r *http.Request) bool {
+		return r.Header.Get(sitestandin.Headers.RequestID) == "fatal"
+	})
+	s.add(sitestandin.NewReplica(t, "plain-1", plain))
+	s.submit("job-1", job(1, "fatal", "item-1", "item-2"))
+	for engines.endedSoFar() < endsAllowed {
+		engines.refill(replicasOfTheService)
+		time.Sleep(pollTime)
+	}
+	before := engines.endedSoFar()
+	engines.refillFor(2*knownWithin + knownWithin/2)
+	if ended := engines.endedSoFar() - before; ended > triesAllowed {
+		t.Errorf("%d replicas had ended under an item, and %d more did", before, ended)
+	}
+	until(t, "the other items completed", func() bool {
+		_, read := s.read("job-1", 0)
+		return len(read.Results) >= 2
+	})
+}
