sitestore: an item of a job under which replicas end is withheld

Cause: the runner of a shard sent an item again as long as its job was open. A replica that answered a run which began later had not ended. Ruled out: the site's quarantine for items (one runner sends an item; each end would be news to every front).

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -52,6 +52,7 @@
 	JobDone                 Event = "job.done"
 	ItemPlaced              Event = "item.placed"
 	ItemRun                 Event = "item.run"
+	ItemWithheld            Event = "item.withheld"
 	ItemListed              Event = "item.listed"
 	ItemErrored             Event = "item.errored"
 	RunnerStarted           Event = "runner.started"
@@ -115,6 +116,7 @@
 	{JobDone, "the runner has done with a job: when its items were placed and its groups whole, in milliseconds from when it took the job over, and which item was last"},
 	{ItemPlaced, "an item was sent to a replica; why there, from which event on"},
 	{ItemRun, "how a run of an item ended"},
+	{ItemWithheld, "an item does not run: replicas have ended under it; how many, and its trials"},
 	{ItemListed, "an item's result is proposed for its position"},
 	{ItemErrored, "an item is given up, and why"},
 	{RunnerStarted, "this store machine leads and runs items"},
--- a/internal/adapter/httpcall/answer.go
+++ b/internal/adapter/httpcall/answer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +41,13 @@
 	return eris.Wrap(port.NewError(verdict, code, "%v", err).WithCause(err), action)
 }
 
+// BrokenOff reports whether an error of a call says that the other side closed or reset the
+// connection before the answer was whole. One that fell silent says nothing of the other side.
+func BrokenOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Malformed makes the error for an answer that breaks the protocol. The
 // request ran or may have run; its answer must not be delivered.
 func Malformed(format string, arguments ...any) error {
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -6,10 +6,10 @@
 	"io"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
@@ -141,7 +141,7 @@
 		e.lastErr = ended.reason
 	case classBroken:
 		e.lastErr = ended.reason
-		if brokeOff(ended.reason) {
+		if httpcall.BrokenOff(ended.reason) {
 			e.blame(ended.replica)
 		}
 	}
@@ -341,13 +341,6 @@
 // maxRefusalBytes is what is read of a refusal's body to keep its connection.
 const maxRefusalBytes = 16 << 10
 
-// brokeOff reports whether an error says that the replica's side closed or reset the
-// connection. A connection that fell silent says nothing of the replica.
-func brokeOff(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // log writes a line about how the request was carried.
 func (e *exchange) log(answer *Answer, failure *Failure) {
 	line := e.proxy.logger.Info()
@@ -396,7 +389,7 @@
 		if b.framed {
 			b.run.served()
 		}
-	case b.run.ctx.Err() == nil && brokeOff(err):
+	case b.run.ctx.Err() == nil && httpcall.BrokenOff(err):
 		b.run.blame(b.replica)
 	}
 	return count, err
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
@@ -61,7 +62,7 @@
 			sender := New(Config{Dialect: terms{}, Connections: 1})
 			run := &exchange{proxy: sender, ctx: ctx}
 			ended := run.send(sitestate.Replica{ID: "r", Address: listener.Addr().String()}, replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"})
-			if got := ended.class == classBroken && brokeOff(ended.reason); got != row.want {
+			if got := ended.class == classBroken && httpcall.BrokenOff(ended.reason); got != row.want {
 				t.Errorf("broke off %v, want %v: class %d, %v", got, row.want, ended.class, ended.reason)
 			}
 		})
--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -91,12 +91,15 @@
 }
 
 // enqueue lets an item wait for a replica, or goes on with its score if its
-// text is whole.
+// text is whole. One that is withheld does not wait for any.
 func (r *runner) enqueue(item *work, notBefore time.Time) {
 	if item.isWhole() {
 		r.startScoring(item)
 		return
 	}
+	if r.withhold(item, time.Now()) {
+		return
+	}
 	_, service := r.route(item)
 	waiting := r.waiting(item, service)
 	waiting.NotBefore = notBefore
--- a/internal/app/sitestore/leadership.go
+++ b/internal/app/sitestore/leadership.go
@@ -24,10 +24,12 @@
 
 	jobSerial uint64
 	// jobs are those taken over, until they end.
-	jobs     map[string]bool
-	works    map[jobqueue.Key]*work
-	times    map[string]*jobTimes
-	queue    jobqueue.Queue
+	jobs  map[string]bool
+	works map[jobqueue.Key]*work
+	times map[string]*jobTimes
+	queue jobqueue.Queue
+	// withheld are the items under which replicas ended.
+	withheld map[jobqueue.Key]*work
 	replicas *replicaBook
 	demand   *demandMeter
 	lengths  lengths
@@ -48,6 +50,7 @@
 	l := &leadership{
 		shard: shard, term: term,
 		jobs: map[string]bool{}, works: map[jobqueue.Key]*work{}, times: map[string]*jobTimes{},
+		withheld: map[jobqueue.Key]*work{},
 		replicas: newReplicaBook(shard), demand: newDemandMeter(time.Now()), lengths: lengths{},
 		kept: make(chan error, 1),
 	}
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -86,6 +86,12 @@
 // noteReplica keeps what a run showed of its replica.
 func (r *runner) noteReplica(event runEvent, now time.Time) {
 	known := r.replicas.entry(event.replica)
+	if event.answered && event.item.placedAt.After(known.answered) {
+		known.answered = event.item.placedAt
+	}
+	if event.ended {
+		r.blame(event.item, event.replica, now)
+	}
 	if event.version > known.versions[event.item.model] {
 		known.versions[event.item.model] = event.version
 	}
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -53,6 +53,8 @@
 	pace         pace
 	// groups are when a group's prompt was last read here.
 	groups map[string]time.Time
+	// answered is when the newest run that it answered was sent.
+	answered time.Time
 	// versions are weight versions that answers showed, newer than the view.
 	versions map[string]uint64
 }
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventstream"
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
@@ -64,6 +65,9 @@
 	version uint64
 	// pause is the mean pause between events.
 	pause time.Duration
+	// answered is set if the replica answered at all, ended if it closed the connection
+	// while it ran the item.
+	answered, ended bool
 }
 
 func (r *runner) tell(event runEvent) {
@@ -109,10 +113,11 @@
 		if port.AsError(err).Verdict == port.NotRun {
 			return runEvent{kind: runBroken, reason: "not sent: " + err.Error()}
 		}
-		return runEvent{kind: runBroken, reason: err.Error()}
+		return runEvent{kind: runBroken, reason: err.Error(), ended: httpcall.BrokenOff(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if event, final := r.judgeHead(response); final {
+		event.answered = true
 		return event
 	}
 	version, err := strconv.ParseUint(response.Header.Get(headers.WeightVersion), 10, 64)
@@ -120,9 +125,11 @@
 		version = replica.VersionOf(item.model)
 	}
 	if version < item.minVersion {
-		return runEvent{kind: runUnfit, version: version, reason: "weights are older than the job allows"}
+		return runEvent{kind: runUnfit, version: version, reason: "weights are older than the job allows", answered: true}
 	}
-	return r.read(item, response.Body, stall, version)
+	event := r.read(item, response.Body, stall, version)
+	event.answered = true
+	return event
 }
 
 // claimsTenant reports whether a header says whose a request is: what a client puts into
@@ -164,7 +171,7 @@
 			return runEvent{kind: runWhole, version: version, pause: pauses.mean()}
 		}
 		if err != nil {
-			return runEvent{kind: runBroken, reason: err.Error(), version: version, pause: pauses.mean()}
+			return runEvent{kind: runBroken, reason: err.Error(), version: version, pause: pauses.mean(), ended: httpcall.BrokenOff(err)}
 		}
 		stall.Reset(stallTimeout)
 		if event.Version != 0 {
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -120,6 +120,7 @@
 	since := now.Sub(r.lookedAt)
 	r.lookedAt = now
 	r.giveUpOld(now)
+	r.lookAtWithheld(now)
 	r.moveFromSlow(view, now, since)
 	if r.measureDemand(now) {
 		r.replicas.forget(view, now)
--- a/internal/app/sitestore/work.go
+++ b/internal/app/sitestore/work.go
@@ -50,6 +50,15 @@
 	next   string
 	silent bool
 
+	// earlierEnds is how many replicas had ended under it when it was taken over, ended are
+	// those since. While it is withheld, withheldAt is since when; trials counts how often it
+	// was let run all the same, and onTrial is set until such a run has ended.
+	earlierEnds int
+	ended       []replicaEnd
+	withheldAt  time.Time
+	trials      int
+	onTrial     bool
+
 	// progress is that of its present run, which sets it; move asks the run to end
 	// at its next event.
 	progress progress
@@ -71,6 +80,7 @@
 	// text is the data of the events that are not kept yet.
 	text        []string
 	newFailures int
+	newEnds     int
 	result      jobstate.Result
 	score       string
 }
@@ -83,7 +93,7 @@
 		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
 		item: item.Item, rank: rank, accepted: accepted, idleSince: accepted, longest: longest,
 		events: item.Events, kept: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
-		whole: item.Whole, failures: item.Failures,
+		whole: item.Whole, failures: item.Failures, earlierEnds: item.Ends,
 	}
 }
 
@@ -184,6 +194,13 @@
 	return w.failures
 }
 
+// addEnd counts a replica that ended under the item.
+func (w *work) addEnd() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.newEnds++
+}
+
 // finish sets the item's result.
 func (w *work) finish(result jobstate.Result, score string) {
 	w.mutex.Lock()
@@ -198,14 +215,14 @@
 func (w *work) take() (record jobstate.ItemRecord, dirty bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !w.reset && len(w.text) == 0 && w.newFailures == 0 && w.result == jobstate.ResultNone {
+	if !w.reset && len(w.text) == 0 && w.newFailures == 0 && w.newEnds == 0 && w.result == jobstate.ResultNone {
 		return jobstate.ItemRecord{}, false
 	}
 	record = jobstate.ItemRecord{
 		Job: w.key.Job, Item: w.key.Item, Events: w.kept, Reset: w.reset, Text: w.text, LastEvent: w.lastEvent,
-		Versions: w.versions, Whole: w.whole, Failures: w.newFailures, Result: w.result, Score: w.score,
+		Versions: w.versions, Whole: w.whole, Failures: w.newFailures, Ends: w.newEnds, Result: w.result, Score: w.score,
 	}
-	w.kept, w.text, w.newFailures, w.reset = w.events, nil, 0, false
+	w.kept, w.text, w.newFailures, w.newEnds, w.reset = w.events, nil, 0, 0, false
 	return record, true
 }
 
--- a/internal/core/jobstate/command.go
+++ b/internal/core/jobstate/command.go
@@ -117,6 +117,8 @@
 	Result         Result `cbor:"11,keyasint,omitempty"`
 	// Score comes with ResultCompleted.
 	Score string `cbor:"12,keyasint,omitempty"`
+	// Ends is added to the count of replicas that ended while they ran the item.
+	Ends int `cbor:"13,keyasint,omitempty"`
 }
 
 // Result is the final state of an item.
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -27,6 +27,8 @@
 	Score          string   `cbor:"10,keyasint,omitempty"`
 	// BodySum identifies the item's body after it was dropped.
 	BodySum uint64 `cbor:"11,keyasint,omitempty"`
+	// Ends counts the replicas that ended while they ran the item.
+	Ends int `cbor:"12,keyasint,omitempty"`
 }
 
 // dropRequest frees what only a run needs.
@@ -291,6 +293,7 @@
 func (i *ItemState) note(record ItemRecord) bool {
 	i.Failures += record.Failures
 	i.ScorerFailures += record.ScorerFailures
+	i.Ends += record.Ends
 	if record.Reset {
 		i.Text, i.Events, i.LastEvent, i.Versions, i.Whole = "", 0, "", nil, false
 	}
