--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -258,6 +258,7 @@
 func ofView(reading metrics.SiteReading, watcher *siteview.Watcher) metrics.SiteReading {
 	if view := watcher.View(); view != nil {
 		reading.Position, reading.Configuration = view.Position, view.Configuration.Version
+		reading.Withheld = view.Withheld()
 	}
 	reading.Confirmed = watcher.ConfirmedWithin(siteIdle)
 	return reading
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -27,6 +27,8 @@
 	InFlight int64
 	// JobBytes is about what jobs take in a store machine's memory.
 	JobBytes int64
+	// Withheld is how many requests are known here to be withheld: replicas ended under them.
+	Withheld int
 	// LinesDropped counts log lines that were left out.
 	LinesDropped uint64
 }
@@ -77,6 +79,7 @@
 	s.gauge("applied_index", "Last applied position of its group's log.", func(r SiteReading) float64 { return float64(r.Applied) })
 	s.gauge("in_flight", "Requests or items in flight.", func(r SiteReading) float64 { return float64(r.InFlight) })
 	s.gauge("job_bytes", "Memory that the jobs of its shard take, about.", func(r SiteReading) float64 { return float64(r.JobBytes) })
+	s.gauge("requests_withheld", "Requests known to be withheld, as replicas ended under them.", func(r SiteReading) float64 { return float64(r.Withheld) })
 	s.gauge("log_lines_dropped", "Log lines left out since the start.", func(r SiteReading) float64 { return float64(r.LinesDropped) })
 	return s
 }
--- a/internal/core/sitestate/update.go
+++ b/internal/core/sitestate/update.go
@@ -141,6 +141,16 @@
 	return update
 }
 
+// Withheld is how many requests are withheld.
+func (v *View) Withheld() (count int) {
+	for i := range v.Suspects {
+		if v.Suspects[i].Withheld() {
+			count++
+		}
+	}
+	return count
+}
+
 // Apply gives the view after an update. An update from a member that is behind
 // the view changes nothing.
 func (v *View) Apply(update Update) *View {
