--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +190,89 @@
 		return len(read.Results) >= 2
 	})
 }
+
+// endUnder has requests end as many replicas as it takes to withhold them.
+func (f *fallible) endUnder(path, body string, header http.Header) {
+	for try := 0; f.endedSoFar() < endsAllowed; try++ {
+		ask(f.site.fronts[0].http, path, fmt.Sprintf("end-%d", try), body, header)
+		f.refill(replicasOfTheService)
+	}
+}
+
+// withheldAt waits until a front refuses a request without sending it.
+func (f *fallible) withheldAt(front *process, path, body string, header http.Header) {
+	f.site.t.Helper()
+	tries := 0
+	until(f.site.t, "the request withheld at "+front.name, func() bool {
+		tries++
+		before := f.endedSoFar()
+		status := ask(front.http, path, fmt.Sprintf("held-%s-%d", front.name, tries), body, header)
+		f.refill(replicasOfTheService)
+		return status == http.StatusServiceUnavailable && f.endedSoFar() == before
+	})
+}
+
+// TestAWithheldRequestOutlivesItsProcesses: what the site knows is in the control log. A front
+// that starts anew, after the loss of all power of the control machines, does not send the
+// request either.
+func TestAWithheldRequestOutlivesItsProcesses(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.start()
+	s.configure()
+	service := newFallible(s, func(body string, _ *http.Request) bool { return body == "fatal" })
+	service.endUnder(deadly, "fatal", nil)
+	service.withheldAt(s.fronts[0], deadly, "fatal", nil)
+	for _, p := range s.controls {
+		p.powerOff()
+	}
+	for _, p := range s.controls {
+		s.startControl(p, false)
+	}
+	late := s.startFront(&process{name: "front-late"})
+	until(t, "the new front has a view", func() bool { return late.watcher.ConfirmedWithin(time.Second) })
+	before := service.endedSoFar()
+	if status := ask(late.http, deadly, "late", "fatal", nil); status != http.StatusServiceUnavailable || service.endedSoFar() != before {
+		t.Errorf("answered %d, %d replicas ended", status, service.endedSoFar()-before)
+	}
+}
+
+// TestCallersOfTheSameAreToldApart: one tenant's request ends replicas, another one asks for
+// the same with the same body and is served.
+func TestCallersOfTheSameAreToldApart(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.tenants = twoTenants
+	s.start()
+	s.configure()
+	service := newFallible(s, func(_ string, r *http.Request) bool { return r.Header.Get(sitestandin.Headers.Tenant) == "ada" })
+	service.endUnder(deadly, "same", keyed("key-a1"))
+	service.withheldAt(s.fronts[0], deadly, "same", keyed("key-a2")) // the tenant's other key
+	if status := ask(s.fronts[0].http, deadly, "bob", "same", keyed("key-b")); status != http.StatusOK {
+		t.Errorf("the other tenant is answered %d", status)
+	}
+}
+
+// TestARequestThatRanBesideTheCauseIsServedAgain: three replicas end by themselves under a
+// request. It is withheld, tried once when replicas had time to come back, and let go.
+func TestARequestThatRanBesideTheCauseIsServedAgain(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.start()
+	s.configure()
+	var unlucky atomic.Bool
+	unlucky.Store(true)
+	service := newFallible(s, func(string, *http.Request) bool { return unlucky.Load() })
+	service.endUnder(deadly, "harmless", nil)
+	service.withheldAt(s.fronts[0], deadly, "harmless", nil)
+	unlucky.Store(false)
+	count := 0
+	again := func() bool {
+		count++
+		return ask(s.fronts[0].http, deadly, fmt.Sprintf("again-%d", count), "harmless", nil) == http.StatusOK
+	}
+	until(t, "the trial served", again)
+	until(t, "let go", again)
+	for range 5 {
+		if !again() {
+			t.Error("withheld again")
+		}
+	}
+}
