--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -78,6 +79,8 @@
 	// until one is needed. Its ticks are taken from the durations below.
 	Limits groupmember.Limits
 	Logger *log.Logger
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 	// Seed feeds the random election timeouts.
 	Seed uint64
 	Tick time.Duration
@@ -104,6 +107,7 @@
 	c.Limits.ReplaceTicks = cmp.Or(c.Limits.ReplaceTicks, uint64(c.ReplaceAfter/c.Tick))
 	c.Limits.VacantTicks = cmp.Or(c.Limits.VacantTicks, uint64(c.VacantAfter/c.Tick))
 	c.Limits.ForgetTicks = cmp.Or(c.Limits.ForgetTicks, uint64(c.ForgetAfter/c.Tick))
+	c.Clock = c.Clock.OrSystem()
 	if c.FileSystem == nil {
 		c.FileSystem = wal.OS{}
 	}
--- a/internal/app/group/standing_test.go
+++ b/internal/app/group/standing_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/diskfault"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
@@ -52,8 +53,18 @@
 	member  *group.Member
 	machine atomic.Pointer[counter]
 	stop    func()
+	// slept is how long the machine was suspended so far, in nanoseconds.
+	slept atomic.Int64
 }
 
+// clock is the machine's, which counts that time.
+func (m *groupMachine) clock() time.Duration {
+	return boottime.Now() + time.Duration(m.slept.Load())
+}
+
+// suspend lets time pass for all others: the machine's steady clock does not count it.
+func (m *groupMachine) suspend(slept time.Duration) { m.slept.Add(int64(slept)) }
+
 func (m *groupMachine) newState() groupmember.StateMachine {
 	state := &counter{}
 	m.machine.Store(state)
@@ -76,7 +87,7 @@
 	m.member = group.New(group.Config{
 		Name: "test", Folder: m.folder, FileSystem: m.files, SnapshotBytes: snapshotBytes, Wire: options, Seed: uint64(m.founder.Name[0]), Tick: 10 * time.Millisecond,
 		Self:    groupmember.Record{Address: m.founder.Address, Name: m.founder.Name},
-		Machine: m.newState,
+		Machine: m.newState, Clock: m.clock,
 		Origin:  func(context.Context, string) (group.Origin, error) { return m.origin, nil },
 		Changed: func(group.Step) {}, Logger: &log.Logger{Level: log.PanicLevel},
 		Limits:       groupmember.Limits{Voters: 3, LeastVoters: 3},
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -3,15 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // terms are those of a site, as far as requests need them.
@@ -68,3 +75,47 @@
 		})
 	}
 }
+
+// TestARequestThatWaitedInSuspensionIsNotSentAgain: its first replica closes the connection
+// while the process is suspended for longer than the caller waits.
+func TestARequestThatWaitedInSuspensionIsNotSentAgain(t *testing.T) {
+	var slept atomic.Int64
+	var sends atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+				sends.Add(1)
+				slept.Store(int64(10 * time.Second))
+			}
+			_ = connection.Close()
+		}
+	}()
+	replicas := []sitestate.Replica{{ID: "a", Address: listener.Addr().String()}, {ID: "b", Address: listener.Addr().String()}}
+	view := &siteview.View{View: &sitestate.View{ByService: map[string][]sitestate.Replica{"s": replicas}}}
+	sender := New(Config{
+		Dialect: terms{}, Connections: 1, View: func() *siteview.View { return view },
+		Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
+		Clock:  func() time.Duration { return boottime.Now() + time.Duration(slept.Load()) },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, failure := sender.Do(ctx, Request{
+		Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"},
+		Service: "s", Repeatable: true, MaxAttempts: 4,
+	})
+	if sends.Load() != 1 {
+		t.Errorf("sent %d times", sends.Load())
+	}
+	if failure == nil || failure.Verdict != port.MayHaveRun || failure.Code != port.CodeDeadline {
+		t.Errorf("%+v", failure)
+	}
+}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
@@ -26,6 +27,7 @@
 	view    func() *siteview.View
 	logger  *log.Logger
 	guard   *guard.Guard
+	clock   boottime.Clock
 
 	mutex    sync.Mutex
 	balancer *balance.Balancer
@@ -41,13 +43,15 @@
 	Connections int
 	// Guard withholds requests under which replicas end; nil withholds none.
 	Guard *guard.Guard
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 }
 
 // New makes a Proxy.
 func New(config Config) *Proxy {
 	return &Proxy{
 		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(),
-		view: config.View, logger: config.Logger, guard: config.Guard, balancer: balance.New(),
+		view: config.View, logger: config.Logger, guard: config.Guard, clock: config.Clock.OrSystem(), balancer: balance.New(),
 	}
 }
 
--- a/internal/app/siteview/siteview_test.go
+++ b/internal/app/siteview/siteview_test.go
@@ -1,8 +1,13 @@
 package siteview
 
 import (
+	"io"
 	"testing"
+	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
@@ -43,3 +48,32 @@
 		t.Errorf("without a whole state: %+v, %v", updates, err)
 	}
 }
+
+// TestAViewIsNotConfirmedOnWakingUp: a process that was suspended believes that its view was
+// confirmed just now, by its steady clock; a key may have been taken away or a route added
+// meanwhile.
+func TestAViewIsNotConfirmedOnWakingUp(t *testing.T) {
+	slept := time.Duration(0)
+	watcher := New(Config{
+		Changed: func(*View) {}, Clock: func() time.Duration { return boottime.Now() + slept },
+		Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
+	})
+	confirm := func() {
+		t.Helper()
+		if err := watcher.take("member", []sitestate.Update{{Position: 1, Whole: true, Confirmed: true}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const within = 5 * time.Second
+	confirm()
+	if !watcher.ConfirmedWithin(within) {
+		t.Fatal("not confirmed at first")
+	}
+	slept = 10 * time.Second
+	if watcher.ConfirmedWithin(within) {
+		t.Error("confirmed though ten seconds passed in suspension")
+	}
+	if confirm(); !watcher.ConfirmedWithin(within) {
+		t.Error("not confirmed by a member after that")
+	}
+}
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
@@ -52,6 +53,8 @@
 	// Changed is called after the view has changed. It must not wait.
 	Changed func(*View)
 	Logger  *log.Logger
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 }
 
 // Watcher keeps the view.
@@ -70,6 +73,7 @@
 
 // New makes a watcher; Run follows.
 func New(config Config) *Watcher {
+	config.Clock = config.Clock.OrSystem()
 	return &Watcher{config: config, start: time.Now(), pool: wire.NewPool(config.Wire), seeds: config.Seeds}
 }
 
