Leases, confirmations and deadlines count suspended time

Change: the loop of a group counts its ticks, and a member the age of what it shows, by the clock that counts suspension; a view's confirmation ages by it; a request whose caller waits no longer is not sent again, and replicas are told what is left.

--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -41,7 +41,9 @@
 	// shown takes what the loop shows after each step.
 	shown func(Step)
 
-	started time.Time
+	// started is counted by the configuration's clock: leases and promises, which other
+	// members go by, age while the machine is suspended too.
+	started time.Duration
 	ticks   int64
 	// houseTick is the tick of the last look at the membership.
 	houseTick int64
@@ -75,7 +77,7 @@
 		requests: make(chan request, requestQueue),
 		messages: make(chan consensus.Message, messageQueue),
 		stopped:  make(chan struct{}),
-		started:  time.Now(),
+		started:  config.Clock(),
 		awaiting: make(map[uint64]func(groupmember.Reply)),
 		saved:    make(chan savedSnapshot, 1),
 		read:     make(chan consensus.Snapshot, 1),
@@ -141,6 +143,7 @@
 				return err
 			}
 		case request := <-l.requests:
+			l.catchUpTicks() // a read must not be answered under a lease that is over
 			request(l)
 		default:
 			return nil
@@ -162,7 +165,7 @@
 // catchUpTicks tells the core of the ticks that passed. Those before the last one were
 // missed: the loop was held up.
 func (l *loop) catchUpTicks() {
-	due := int64(time.Since(l.started) / l.config.Tick)
+	due := int64((l.config.Clock() - l.started) / l.config.Tick)
 	passed := due - l.ticks
 	if passed <= 0 {
 		return
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -66,7 +66,8 @@
 	Records   []groupmember.Record
 	// Leader is the record of the known leader; its id is 0 if there is none.
 	Leader groupmember.Record
-	At     time.Time
+	// At is when it was shown, by the configuration's clock.
+	At time.Duration
 }
 
 // New makes a member. Register and then Run follow.
@@ -284,7 +285,7 @@
 func (m *Member) show(shard Shard, step Step) {
 	shown := &Shown{
 		Shard: shard, Status: step.Status, Settled: step.Settled, Applied: step.Applied, Records: step.Records,
-		Confirmed: step.Status.QuorumActive && step.CaughtUp, At: time.Now(),
+		Confirmed: step.Status.QuorumActive && step.CaughtUp, At: m.config.Clock(),
 	}
 	for _, record := range step.Records {
 		if record.ID == step.Status.Leader {
@@ -297,10 +298,11 @@
 
 // Shown gives what the member last showed of itself, or nil while it takes no
 // part. Confirmed and Settled are cleared if that is older than an election
-// timeout: a loop that hangs in a sync confirms nothing.
+// timeout: a loop that hangs in a sync confirms nothing, nor does one on a machine that
+// wakes up.
 func (m *Member) Shown() *Shown {
 	shown := m.shown.Load()
-	if shown == nil || time.Since(shown.At) < m.config.electionTimeout() {
+	if shown == nil || m.config.Clock()-shown.At < m.config.electionTimeout() {
 		return shown
 	}
 	stale := *shown
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
@@ -55,6 +56,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	began   time.Time
+	// expires is when the caller waits no longer, by the proxy's clock; 0 is never.
+	expires time.Duration
 
 	results chan result
 	tried   map[string]bool
@@ -71,6 +74,8 @@
 	// sent any more.
 	admitted guard.Admission
 	withheld bool
+	// late is set once the caller waits no longer.
+	late bool
 	// lastAnswer is the newest answer of 5xx, handed on if no try does better.
 	lastAnswer *Answer
 }
@@ -81,7 +86,11 @@
 	if e.withheld {
 		return e.finish()
 	}
-	if !e.launch() {
+	switch {
+	case e.launch():
+	case e.late:
+		return e.finish()
+	default:
 		return nil, e.fail(port.CodeNoBackEnd, "no replica of the service is known")
 	}
 	hedge := time.NewTimer(e.proxy.hedgeAfter(e.request))
@@ -228,6 +237,8 @@
 		reason = e.lastErr.Error()
 	}
 	switch {
+	case e.late:
+		return nil, e.fail(port.CodeDeadline, "the machine was suspended for longer than the caller waits")
 	case e.ran > 0:
 		return nil, e.fail(port.CodeBackEnd, reason)
 	case e.withheld:
@@ -253,8 +264,27 @@
 	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.began, RetryAfter: e.admitted.RetryAfter}
 }
 
-// launch begins a try; it reports false if there is no replica to try.
+// expired reports whether the caller waits no longer. The timer of the context stands still
+// while the machine is suspended: it is set to what is left, so that replicas are told that.
+func (e *exchange) expired() bool {
+	if e.expires == 0 {
+		return false
+	}
+	left := e.expires - e.proxy.clock()
+	if deadline, _ := e.ctx.Deadline(); left > 0 && time.Until(deadline)-left > boottime.LeastSuspension {
+		ctx, cancel := context.WithTimeout(e.ctx, left)
+		whole := e.cancel
+		e.ctx, e.cancel = ctx, func() { cancel(); whole() }
+	}
+	return left <= 0
+}
+
+// launch begins a try; it reports false if there is no replica to try, or no time.
 func (e *exchange) launch() bool {
+	if e.expired() {
+		e.late = true
+		return false
+	}
 	if e.mustStop() {
 		e.withheld = true
 		return false
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,6 +78,18 @@
 	}
 }
 
+// senderTo makes a Proxy whose service "s" has two replicas, both at one address. Slept is for
+// how long its machine was suspended, in nanoseconds.
+func senderTo(address string, slept *atomic.Int64) *Proxy {
+	replicas := []sitestate.Replica{{ID: "a", Address: address}, {ID: "b", Address: address}}
+	view := &siteview.View{View: &sitestate.View{ByService: map[string][]sitestate.Replica{"s": replicas}}}
+	return New(Config{
+		Dialect: terms{}, Connections: 1, View: func() *siteview.View { return view },
+		Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
+		Clock:  func() time.Duration { return boottime.Now() + time.Duration(slept.Load()) },
+	})
+}
+
 // TestARequestThatWaitedInSuspensionIsNotSentAgain: its first replica closes the connection
 // while the process is suspended for longer than the caller waits.
 func TestARequestThatWaitedInSuspensionIsNotSentAgain(t *testing.T) {
@@ -99,13 +113,7 @@
 			_ = connection.Close()
 		}
 	}()
-	replicas := []sitestate.Replica{{ID: "a", Address: listener.Addr().String()}, {ID: "b", Address: listener.Addr().String()}}
-	view := &siteview.View{View: &sitestate.View{ByService: map[string][]sitestate.Replica{"s": replicas}}}
-	sender := New(Config{
-		Dialect: terms{}, Connections: 1, View: func() *siteview.View { return view },
-		Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
-		Clock:  func() time.Duration { return boottime.Now() + time.Duration(slept.Load()) },
-	})
+	sender := senderTo(listener.Addr().String(), &slept)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	_, failure := sender.Do(ctx, Request{
@@ -119,3 +127,34 @@
 		t.Errorf("%+v", failure)
 	}
 }
+
+// TestReplicasAreToldWhatASuspensionLeft: half of a caller's time passes in suspension during
+// the first send.
+func TestReplicasAreToldWhatASuspensionLeft(t *testing.T) {
+	var slept atomic.Int64
+	var told []int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		left, _ := strconv.Atoi(r.Header.Get(terms{}.Headers().Deadline))
+		told = append(told, left)
+		slept.Store(int64(10 * time.Second))
+		if len(told) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(terms{}.Headers().RequestID, "1")
+		w.Header().Set(terms{}.Headers().Seal, "seal")
+	}))
+	defer server.Close()
+	sender := senderTo(server.Listener.Addr().String(), &slept)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	answer, failure := sender.Do(ctx, Request{
+		Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"},
+		Service: "s", Repeatable: true, MaxAttempts: 4,
+	})
+	if failure != nil || answer.Status != http.StatusOK {
+		t.Fatalf("%+v", failure)
+	}
+	if len(told) != 2 || told[0] <= 10_000 || told[1] > 10_000 {
+		t.Errorf("told %v milliseconds", told)
+	}
+}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -114,6 +114,9 @@
 		proxy: p, request: request, ctx: ctx, cancel: cancel, began: time.Now(),
 		tried: map[string]bool{}, results: make(chan result, maxTries),
 	}
+	if deadline, limited := ctx.Deadline(); limited {
+		run.expires = p.clock() + time.Until(deadline)
+	}
 	answer, failure := run.do()
 	if answer == nil || answer.Stream == nil {
 		cancel()
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -61,8 +61,7 @@
 type Watcher struct {
 	config    Config
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64 // nanoseconds after start
-	start     time.Time
+	confirmed atomic.Int64 // nanoseconds by config.Clock, 0 before
 
 	pool  *wire.Pool
 	mutex sync.Mutex
@@ -74,7 +73,7 @@
 // New makes a watcher; Run follows.
 func New(config Config) *Watcher {
 	config.Clock = config.Clock.OrSystem()
-	return &Watcher{config: config, start: time.Now(), pool: wire.NewPool(config.Wire), seeds: config.Seeds}
+	return &Watcher{config: config, pool: wire.NewPool(config.Wire), seeds: config.Seeds}
 }
 
 // View gives the present view, or nil.
@@ -92,7 +91,7 @@
 // view within the time.
 func (w *Watcher) ConfirmedWithin(age time.Duration) bool {
 	at := w.confirmed.Load()
-	return at > 0 && time.Since(w.start)-time.Duration(at) < age
+	return at > 0 && w.config.Clock()-time.Duration(at) < age
 }
 
 // SetSeeds replaces the addresses to begin with, after a change of settings.
@@ -228,7 +227,7 @@
 	if previous != nil && update.Position < previous.Position {
 		return eris.New("the member is behind")
 	}
-	w.confirmed.Store(int64(time.Since(w.start)))
+	w.confirmed.Store(int64(w.config.Clock()))
 	w.mutex.Lock()
 	regained := w.current != address
 	w.current = address
