--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -87,7 +87,7 @@
 		err := watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Usage: &report}, &answer)
 		return answer.Pause, err
 	}
-	return front.NewUsageReporter(reporter, send, p.logger)
+	return front.NewUsageReporter(reporter, send, nil, p.logger)
 }
 
 // wait waits for a time or the end of the context.
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
@@ -39,6 +40,8 @@
 	// Names are the headers that a call's id and deadline travel in; default
 	// HeaderRequestID and HeaderDeadline of package api.
 	Names Names
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 }
 
 // Names are the headers that every call carries.
@@ -71,6 +74,7 @@
 	l.Timeout = cmp.Or(l.Timeout, defaultTimeout)
 	l.SilenceTimeout = cmp.Or(l.SilenceTimeout, defaultSilenceTimeout)
 	l.Names = cmp.Or(l.Names, defaultNames)
+	l.Clock = l.Clock.OrSystem()
 	return l
 }
 
--- a/internal/app/front/usage.go
+++ b/internal/app/front/usage.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/core/usage"
 )
@@ -25,6 +26,7 @@
 	// send hands a report on. It gives the pause until the next one once the report is
 	// kept.
 	send   func(ctx context.Context, report usage.Report) (pause time.Duration, err error)
+	clock  boottime.Clock
 	logger *log.Logger
 	wake   chan struct{}
 
@@ -32,14 +34,15 @@
 	outbox *usage.Outbox
 }
 
-// NewUsageReporter makes a UsageReporter; reporter names this start of the process.
-func NewUsageReporter(reporter string, send func(context.Context, usage.Report) (time.Duration, error), logger *log.Logger) *UsageReporter {
-	return &UsageReporter{send: send, logger: logger, wake: make(chan struct{}, 1), outbox: usage.NewOutbox(reporter)}
+// NewUsageReporter makes a UsageReporter; reporter names this start of the process. The clock
+// is that of the process's Proxy.
+func NewUsageReporter(reporter string, send func(context.Context, usage.Report) (time.Duration, error), clock boottime.Clock, logger *log.Logger) *UsageReporter {
+	return &UsageReporter{send: send, clock: clock.OrSystem(), logger: logger, wake: make(chan struct{}, 1), outbox: usage.NewOutbox(reporter)}
 }
 
 // Note counts a request that began to run. It does not wait. A nil UsageReporter counts
 // nothing.
-func (u *UsageReporter) Note(tenant string, at time.Time) {
+func (u *UsageReporter) Note(tenant string, at time.Duration) {
 	if u == nil || tenant == "" {
 		return
 	}
@@ -70,7 +73,7 @@
 func (u *UsageReporter) flush(ctx context.Context) error {
 	for {
 		u.mutex.Lock()
-		report, any := u.outbox.Next(time.Now())
+		report, any := u.outbox.Next(u.clock())
 		u.mutex.Unlock()
 		if !any {
 			return nil
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -56,8 +56,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	began   time.Time
-	// expires is when the caller waits no longer, by the proxy's clock; 0 is never.
-	expires time.Duration
+	// came is when the request came and expires when its caller waits no longer, 0 for never,
+	// by the proxy's clock.
+	came, expires time.Duration
 
 	results chan result
 	tried   map[string]bool
@@ -261,7 +262,7 @@
 	if e.ran > 0 {
 		verdict = port.MayHaveRun
 	}
-	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.began, RetryAfter: e.admitted.RetryAfter}
+	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.came, RetryAfter: e.admitted.RetryAfter}
 }
 
 // expired reports whether the caller waits no longer. The timer of the context stands still
@@ -304,13 +305,13 @@
 
 // try sends the request once.
 func (e *exchange) try(replica sitestate.Replica) {
-	began := time.Now()
+	began, sentAt := time.Now(), e.proxy.clock()
 	sent := e.request.Request
 	sent.Header = sent.Header.Clone()
 	ended := e.send(replica, sent)
 	ended.replica = replica.ID
 	if ended.answer != nil {
-		ended.answer.Began = began
+		ended.answer.Began = sentAt
 	}
 	if ended.class == classAnswer || ended.class == classError {
 		e.proxy.guard.Answered(replica.ID, began)
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -87,8 +87,8 @@
 	Body    []byte
 	Stream  *http.Response
 	Replica sitestate.Replica
-	// Began is when the try that it answers was sent.
-	Began time.Time
+	// Began is when the try that it answers was sent, by the proxy's clock.
+	Began time.Duration
 }
 
 // Failure is a request that got no answer.
@@ -96,8 +96,9 @@
 	Verdict port.Verdict
 	Code    port.Code
 	Reason  string
-	// Began is when the request came to the proxy, right before its first try.
-	Began time.Time
+	// Began is when the request came to the proxy, right before its first try, by the
+	// proxy's clock.
+	Began time.Duration
 	// RetryAfter is when another try may be worth it, 0 if nothing is known of that.
 	RetryAfter time.Duration
 }
@@ -114,8 +115,9 @@
 		proxy: p, request: request, ctx: ctx, cancel: cancel, began: time.Now(),
 		tried: map[string]bool{}, results: make(chan result, maxTries),
 	}
+	run.came = p.clock()
 	if deadline, limited := ctx.Deadline(); limited {
-		run.expires = p.clock() + time.Until(deadline)
+		run.expires = run.came + time.Until(deadline)
 	}
 	answer, failure := run.do()
 	if answer == nil || answer.Stream == nil {
--- a/internal/app/sitecontrol/clock.go
+++ b/internal/app/sitecontrol/clock.go
@@ -33,37 +33,37 @@
 	return call.Send(clockAnswer{Wall: time.Now().Round(0)})
 }
 
-// siteClock tells the time that most members agree on. It goes by the own steady clock
-// between two rounds of questions, so that a clock that jumps, its own one too, moves
-// nothing.
+// siteClock tells the time that most members agree on. It goes by the process's clock, which
+// also counts suspended time, between two rounds of questions, so that a time of day that
+// jumps, its own one too, moves nothing.
 type siteClock struct {
 	control *Control
-	base    time.Time
 
 	mutex  sync.Mutex
 	offset sitetime.Offset
 	known  bool
 	asking bool
-	askAt  time.Time
+	askAt  time.Duration
 }
 
-func newSiteClock(control *Control) *siteClock { return &siteClock{control: control, base: time.Now()} }
+func newSiteClock(control *Control) *siteClock { return &siteClock{control: control} }
 
-// steady is the own steady clock.
-func (s *siteClock) steady(at time.Time) time.Duration { return at.Sub(s.base) }
+// now reads the process's clock.
+func (s *siteClock) now() time.Duration { return s.control.config.Clock() }
 
-// timeOf gives the site's time at a moment; it reports false while it is not known.
-func (s *siteClock) timeOf(at time.Time) (time.Time, bool) {
+// timeOf gives the site's time at a moment of the process's clock; it reports false while it is
+// not known.
+func (s *siteClock) timeOf(at time.Duration) (time.Time, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.offset.Time(s.steady(at)), s.known
+	return s.offset.Time(at), s.known
 }
 
 // tend asks the members when it is due, as the leader.
-func (s *siteClock) tend(ctx context.Context, leads bool, now time.Time) {
+func (s *siteClock) tend(ctx context.Context, leads bool, now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !leads || s.asking || now.Before(s.askAt) {
+	if !leads || s.asking || now < s.askAt {
 		return
 	}
 	s.asking = true
@@ -76,9 +76,9 @@
 	offset, sure := sitetime.Estimate(readings, machines)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.asking, s.askAt = false, time.Now().Add(clockRetry)
+	s.asking, s.askAt = false, s.now()+clockRetry
 	if sure {
-		s.offset, s.known, s.askAt = offset, true, time.Now().Add(clockInterval)
+		s.offset, s.known, s.askAt = offset, true, s.now()+clockInterval
 	}
 }
 
@@ -103,14 +103,13 @@
 
 // readOne reads one member's clock; nil if it did not answer.
 func (s *siteClock) readOne(ctx context.Context, address string) *sitetime.Reading {
-	began := time.Now()
+	began := s.now()
 	if address == s.control.config.Address {
-		return &sitetime.Reading{Steady: s.steady(began), Wall: began.Round(0)}
+		return &sitetime.Reading{Steady: began, Wall: time.Now().Round(0)}
 	}
 	var answer clockAnswer
 	if s.control.pool.Client(address).Call(ctx, methodClock, clockRequest{}, &answer) != nil {
 		return nil
 	}
-	ended := time.Now()
-	return &sitetime.Reading{Steady: s.steady(began) + ended.Sub(began)/2, Wall: answer.Wall}
+	return &sitetime.Reading{Steady: began + (s.now()-began)/2, Wall: answer.Wall}
 }
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
@@ -59,6 +60,8 @@
 	UsageDue    time.Duration
 	// Recorder measures what the leader does; nil measures nothing.
 	Recorder Recorder
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 }
 
 // Recorder measures what the leader does.
@@ -101,6 +104,7 @@
 	if config.Recorder == nil {
 		config.Recorder = noRecorder{}
 	}
+	config.Clock = config.Clock.OrSystem()
 	config.PlacesPerShard = cmp.Or(config.PlacesPerShard, DefaultPlacesPerShard)
 	c := &Control{
 		config: config, pool: wire.NewPool(config.Wire), wakes: map[chan struct{}]struct{}{},
@@ -111,7 +115,7 @@
 		Name: "control", Folder: config.Folder, FileSystem: config.FileSystem,
 		Self: groupmember.Record{Address: config.Address, Name: config.Machine, Service: config.HeartbeatAddress},
 		Wire: config.Wire, Machine: func() groupmember.StateMachine { return sitestate.New() },
-		Origin: c.origin, Changed: c.changed, Logger: config.Logger, Seed: config.Seed,
+		Origin: c.origin, Changed: c.changed, Logger: config.Logger, Clock: config.Clock, Seed: config.Seed,
 		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1, Learners: groupmember.AnyNumber},
 	})
 	c.heartbeats = newHeartbeats(c)
--- a/internal/app/sitecontrol/usage.go
+++ b/internal/app/sitecontrol/usage.go
@@ -50,7 +50,7 @@
 // usageReport is a report of a front that waits to be kept.
 type usageReport struct {
 	report  usage.Report
-	arrived time.Time
+	arrived time.Duration
 	kept    chan error
 }
 
@@ -63,9 +63,9 @@
 	reports chan usageReport
 
 	// lookedAt is when the leader last looked; the goroutine of Control.lead owns it.
-	lookedAt time.Time
+	lookedAt time.Duration
 	// sending is set while a call to the provider is under way. After one that failed the
-	// next may begin at retryAt, a time.Duration of the clock's steady time; pause is how
+	// next may begin at retryAt, a time.Duration of its clock; pause is how
 	// long that was after the failure, 0 if the last call did not fail.
 	sending atomic.Bool
 	retryAt atomic.Int64
@@ -88,7 +88,7 @@
 	if !u.enabled() {
 		return Answer{}, nil
 	}
-	waiting := usageReport{report: report, arrived: time.Now(), kept: make(chan error, 1)}
+	waiting := usageReport{report: report, arrived: u.clock.now(), kept: make(chan error, 1)}
 	select {
 	case u.reports <- waiting:
 	case <-ctx.Done():
@@ -96,7 +96,7 @@
 	}
 	select {
 	case err := <-waiting.kept:
-		return Answer{Pause: u.fronts.pause(report.Reporter, waiting.arrived)}, err
+		return Answer{Pause: u.fronts.pause(report.Reporter, time.Now())}, err
 	case <-ctx.Done():
 		return Answer{}, ctx.Err()
 	}
@@ -143,12 +143,12 @@
 
 // tend closes windows whose time is over and reports them, as the leader.
 func (u *usageManager) tend(ctx context.Context, leads bool) {
-	now := time.Now()
 	if !u.enabled() {
 		return
 	}
+	now := u.clock.now()
 	u.clock.tend(ctx, leads, now)
-	if !leads || now.Sub(u.lookedAt) < usageLook {
+	if !leads || now-u.lookedAt < usageLook {
 		return
 	}
 	u.lookedAt = now
@@ -169,7 +169,7 @@
 		_, _ = u.control.propose(ctx, sitestate.Command{Usage: &sitestate.Usage{FixUpTo: &over}})
 		return
 	}
-	if len(unsent) > 0 && !u.sending.Load() && u.clock.steady(now) >= time.Duration(u.retryAt.Load()) && u.control.lease.hold(ctx) {
+	if len(unsent) > 0 && !u.sending.Load() && now >= time.Duration(u.retryAt.Load()) && u.control.lease.hold(ctx) {
 		u.sending.Store(true)
 		go u.send(ctx, unsent[0])
 	}
@@ -195,5 +195,5 @@
 		pause = min(longestUsagePause, max(firstUsagePause, 2*time.Duration(u.pause.Load())))
 	}
 	u.pause.Store(int64(pause))
-	u.retryAt.Store(int64(u.clock.steady(time.Now()) + pause))
+	u.retryAt.Store(int64(u.clock.now() + pause))
 }
--- a/internal/core/usage/outbox.go
+++ b/internal/core/usage/outbox.go
@@ -19,14 +19,15 @@
 
 type begunAt struct {
 	tenant string
-	at     time.Time
+	at     time.Duration
 }
 
 // NewOutbox makes an empty Outbox; reporter names this start of the process.
 func NewOutbox(reporter string) *Outbox { return &Outbox{reporter: reporter} }
 
-// Note counts a request that began to run at a moment of the process's steady clock.
-func (o *Outbox) Note(tenant string, at time.Time) {
+// Note counts a request that began to run at a moment of the process's clock, one that also
+// counts suspended time.
+func (o *Outbox) Note(tenant string, at time.Duration) {
 	if len(o.pending) >= maxPending {
 		o.dropped++
 		return
@@ -38,8 +39,8 @@
 func (o *Outbox) Dropped() uint64 { return o.dropped }
 
 // Next gives the report to send: the last one again until Kept is called. It reports
-// false if there is nothing to send.
-func (o *Outbox) Next(now time.Time) (Report, bool) {
+// false if there is nothing to send. Now is by the clock of Note.
+func (o *Outbox) Next(now time.Duration) (Report, bool) {
 	if len(o.sending) == 0 {
 		if len(o.pending) == 0 {
 			return Report{}, false
@@ -49,7 +50,7 @@
 	}
 	report := Report{Reporter: o.reporter, Sequence: o.sequence, Begun: make([]Begun, 0, len(o.sending))}
 	for _, begun := range o.sending {
-		report.Begun = append(report.Begun, Begun{Tenant: begun.tenant, Age: now.Sub(begun.at), Count: 1})
+		report.Begun = append(report.Begun, Begun{Tenant: begun.tenant, Age: now - begun.at, Count: 1})
 	}
 	return report, true
 }
