httpcall: a kept connection from before a suspension is not used

Change: each taking of a connection compares the clocks; one that was open while the machine was suspended is closed unused, so that the request did not run.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -96,7 +96,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConnection{Conn: connection}, nil
+		return &countedConnection{Conn: connection, suspended: boottime.NewWatch(limits.Clock)}, nil
 	}
 	return &Client{limits: limits, transport: &http.Transport{
 		DialContext:            dial,
--- a/internal/adapter/httpcall/connection.go
+++ b/internal/adapter/httpcall/connection.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 )
 
 // errSealed is what a write on a sealed connection fails with.
@@ -25,6 +27,8 @@
 	// did not say.
 	idleLimit time.Duration
 	lastUsed  time.Time
+	// suspended tells whether the machine was suspended since the connection was taken last.
+	suspended *boottime.Watch
 }
 
 // idleMargin is how long before the server's own limit a connection is no
@@ -60,6 +64,17 @@
 	return c.idleLimit > 0 && time.Since(c.lastUsed) > c.idleLimit-idleMargin
 }
 
+// sealIfSuspended keeps a request off a connection that was open while the machine was
+// suspended: the server has likely closed it, and a request on it may have run as far as its
+// sender can tell.
+func (c *countedConnection) sealIfSuspended() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.suspended.Look() > 0 {
+		c.sealed = true
+	}
+}
+
 // setIdleLimit takes over what the server said of idle connections.
 func (c *countedConnection) setIdleLimit(limit time.Duration) {
 	c.mutex.Lock()
@@ -112,6 +127,7 @@
 	if !counted {
 		return
 	}
+	connection.sealIfSuspended()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.connections = append(a.connections, attemptConnection{connection, connection.writesBegun()})
