sitecontrol: an order or report is not sent on a confirmation from before a suspension; a line and a measure of suspensions

Cause: between a quorum's confirmation and the call the machine may be frozen or suspended for longer than whoever takes over waits. Change: a confirmation is an authority with an end, looked at right before the call, by the clock that counts suspension.

--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/adapter/sitesettings"
@@ -160,6 +161,7 @@
 	for _, task := range tasks {
 		group.Go(func() error { return task(ctx) })
 	}
+	group.Go(func() error { return boottime.NewWatch(boottime.Now).Run(ctx, p.noteSuspension) })
 	group.Go(func() error {
 		p.untilTold(ctx, reseed)
 		p.logger.Info().Str(eventlog.Field, eventlog.ProcessStopping).Err(ctx.Err()).Msg("the process stops")
@@ -185,6 +187,13 @@
 	return err
 }
 
+// noteSuspension tells that the machine was suspended. What the process may no longer hold it
+// gives up by itself: whoever acts reads the clock that counted.
+func (p *siteProcess) noteSuspension(slept time.Duration) {
+	p.metrics.Suspended(slept)
+	p.logger.Warn().Str(eventlog.Field, eventlog.ProcessSuspended).Dur("slept_ms", slept).Msg("the machine was suspended")
+}
+
 // serveUntilClosed serves a listener. The end of the listener is no failure: what
 // is in flight goes on after it, and must not be ended by it.
 func serveUntilClosed(server *http.Server, listener net.Listener) error {
--- a/internal/adapter/boottime/watch.go
+++ b/internal/adapter/boottime/watch.go
@@ -7,7 +7,7 @@
 
 const (
 	// watchInterval is how often a Watch compares the clocks.
-	watchInterval = 250 * time.Millisecond
+	watchInterval = time.Second
 	// LeastSuspension is by how much the clocks must have parted since they were compared
 	// last for it to be called a suspension: two readings of two clocks are apart by what
 	// the processor does between them, some milliseconds on a busy machine.
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -9,6 +9,7 @@
 // The events, with what each tells in Catalogue.
 const (
 	ProcessStarted          Event = "process.started"
+	ProcessSuspended        Event = "process.suspended"
 	ProcessStopping         Event = "process.stopping"
 	ProcessStopped          Event = "process.stopped"
 	ProcessFailed           Event = "process.failed"
@@ -73,6 +74,7 @@
 // Catalogue describes every event; docs/operators/log-lines.md shows the same.
 var Catalogue = []Description{
 	{ProcessStarted, "a process starts; its settings file and seeds"},
+	{ProcessSuspended, "the machine was suspended, and for how long; what the process believed before is confirmed anew"},
 	{ProcessStopping, "a process was told to stop, or a task of it failed"},
 	{ProcessStopped, "a process has stopped in order"},
 	{ProcessFailed, "a process ends with a failure"},
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -43,6 +43,7 @@
 	pages    *prometheus.CounterVec
 	loads    *prometheus.HistogramVec
 	beats    prometheus.Counter
+	slept    prometheus.Counter
 	read     atomic.Pointer[func() SiteReading]
 }
 
@@ -69,7 +70,8 @@
 		loads:    siteHistogram("load_seconds", "Time of an ordered load of weights, by outcome."),
 		beats:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "heartbeats_total", Help: "Heartbeats of replicas taken as the leader."}),
 	}
-	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.beats)
+	s.slept = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "suspended_seconds_total", Help: "Seconds for which the machine was suspended while the process ran."})
+	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.beats, s.slept)
 	s.gauge("view_position", "Log position of the view of the control state.", func(r SiteReading) float64 { return float64(r.Position) })
 	s.gauge("configuration_version", "Version of the configuration in force here.", func(r SiteReading) float64 { return float64(r.Configuration) })
 	s.gauge("view_confirmed", "1 while a quorum confirms the view.", func(r SiteReading) float64 { return oneIf(r.Confirmed) })
@@ -116,5 +118,8 @@
 // HeartbeatTaken counts a heartbeat.
 func (s *Site) HeartbeatTaken() { s.beats.Inc() }
 
+// Suspended counts a suspension of the machine.
+func (s *Site) Suspended(slept time.Duration) { s.slept.Add(slept.Seconds()) }
+
 // Handler serves the measures.
 func (s *Site) Handler() http.Handler { return handlerOf(s.registry) }
--- a/internal/app/sitecontrol/lease.go
+++ b/internal/app/sitecontrol/lease.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -14,6 +15,9 @@
 	// holderMargin is waited beyond the lease after the holder changed: the last call of
 	// the one before may arrive late.
 	holderMargin = 300 * time.Millisecond
+	// authorityMargin is how long beyond the lease a call may begin: half of that, so that
+	// it arrives before a new holder's first one.
+	authorityMargin = holderMargin / 2
 	// giveBackWithin is how long after its start a process offers leadership
 	// to the holder.
 	giveBackWithin = 8 * time.Second
@@ -29,7 +33,7 @@
 	// term is the one in which this member leads, 0 if it does not, and ledFrom
 	// when it began to, as seen here; holds is set once it is the holder.
 	term    uint64
-	ledFrom time.Time
+	ledFrom time.Duration // by the process's clock
 	holds   bool
 	// started is when the process started; gaveBack is set once leadership was
 	// offered to the holder.
@@ -47,7 +51,7 @@
 		term = shown.Status.Term
 	}
 	if term != l.term {
-		l.term, l.ledFrom, l.holds = term, time.Now(), false
+		l.term, l.ledFrom, l.holds = term, l.control.config.Clock(), false
 	}
 }
 
@@ -64,7 +68,7 @@
 		return false
 	}
 	self := l.control.config.Machine
-	if holder.Machine != "" && holder.Machine != self && time.Since(l.ledFrom) < l.control.config.HolderLease+holderMargin {
+	if holder.Machine != "" && holder.Machine != self && l.control.config.Clock()-l.ledFrom < l.control.config.HolderLease+holderMargin {
 		l.giveBack(holder)
 		return false
 	}
@@ -95,19 +99,39 @@
 // errNotHolder refuses a call of a member that is not the holder any more.
 var errNotHolder = errors.New("sitecontrol: this machine is not the holder any more")
 
-// confirm gives the term under which this member is the holder, confirmed by a
+// authority is a confirmation that this machine is the holder. Whoever takes the lease over
+// waits for HolderLease and holderMargin after that, so that a call must begin before.
+type authority struct {
+	// term is the fencing token.
+	term  uint64
+	until time.Duration
+	clock boottime.Clock
+}
+
+// check fails once the authority is over. It is asked right before a call leaves: between a
+// confirmation and the call the machine may have been frozen, or suspended, in which no timer
+// of the process counts.
+func (a *authority) check() error {
+	if a.clock() >= a.until {
+		return errNotHolder
+	}
+	return nil
+}
+
+// confirm gives the authority of this member as the holder, confirmed by a
 // quorum. The read lease alone would not do: after a transfer of leadership that
 // failed it is gone until the next term, though the member leads on.
-func (l *lease) confirm(ctx context.Context) (uint64, error) {
+func (l *lease) confirm(ctx context.Context) (authority, error) {
+	asked := l.control.config.Clock()
 	before := l.control.member.Shown()
 	var holder sitestate.Holder
 	err := l.control.member.Read(ctx, func(machine groupmember.StateMachine) { holder = machine.(*sitestate.State).Holder() })
 	if err != nil {
-		return 0, err
+		return authority{}, err
 	}
 	after := l.control.member.Shown()
 	if before == nil || after == nil || !after.Settled || before.Status.Term != after.Status.Term || holder.Machine != l.control.config.Machine {
-		return 0, errNotHolder
+		return authority{}, errNotHolder
 	}
-	return after.Status.Term, nil
+	return authority{term: after.Status.Term, until: asked + l.control.config.HolderLease + authorityMargin, clock: l.control.config.Clock}, nil
 }
--- a/internal/app/sitecontrol/loads.go
+++ b/internal/app/sitecontrol/loads.go
@@ -90,13 +90,16 @@
 	if w.noteReport(target, report) {
 		return http.StatusOK, nil
 	}
-	term, err := w.control.lease.confirm(attempt)
+	confirmed, err := w.control.lease.confirm(attempt)
 	if err != nil {
 		return 0, err
 	}
+	if err := confirmed.check(); err != nil {
+		return 0, err
+	}
 	return w.replica.Order(attempt, target.Replica, dialect.Order{
 		Model: target.Model, Version: target.Version, Holder: w.control.config.Machine,
-		Fence: term, ExpectedOrders: report.Orders,
+		Fence: confirmed.term, ExpectedOrders: report.Orders,
 	})
 }
 
--- a/internal/app/sitecontrol/usage.go
+++ b/internal/app/sitecontrol/usage.go
@@ -181,15 +181,18 @@
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
 	began, status := time.Now(), 0
-	fence, err := u.control.lease.confirm(ctx)
+	confirmed, err := u.control.lease.confirm(ctx)
 	if err == nil {
-		status, err = u.control.config.Provider.ReportUsage(ctx, Authority{Machine: u.control.config.Machine, Fence: fence}, total)
+		err = confirmed.check()
+	}
+	if err == nil {
+		status, err = u.control.config.Provider.ReportUsage(ctx, Authority{Machine: u.control.config.Machine, Fence: confirmed.term}, total)
 	}
 	if err == nil && status == http.StatusOK {
 		_, err = u.control.propose(ctx, sitestate.Command{Usage: &sitestate.Usage{Sent: &total.Window}})
 	}
 	u.control.config.Logger.Info().Str(eventlog.Field, eventlog.UsageReported).Int64("window", int64(total.Window)).Int("tenants", len(total.Counts)).
-		Uint64("fence", fence).Int("status", status).Dur("took", time.Since(began)).Err(err).Msg("a window of usage was reported")
+		Uint64("fence", confirmed.term).Int("status", status).Dur("took", time.Since(began)).Err(err).Msg("a window of usage was reported")
 	pause := time.Duration(0)
 	if err != nil || status != http.StatusOK {
 		pause = min(longestUsagePause, max(firstUsagePause, 2*time.Duration(u.pause.Load())))
