--- a/internal/app/control/config.go
+++ b/internal/app/control/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -61,6 +62,8 @@
 	Tick           time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
 	// Seed feeds the random election timeouts.
 	Seed uint64
 	// SnapshotEntries is the number of log entries between snapshots.
