--- a/internal/app/control/config.go
+++ b/internal/app/control/config.go
@@ -123,6 +123,7 @@
 	withDefault(&c.RetainEntries, DefaultRetainEntries)
 	withDefault(&c.NodeTimeout, DefaultNodeTimeout)
 	withDefault(&c.MaxBatch, DefaultMaxBatch)
+	c.Clock = c.Clock.OrSystem()
 	if c.FileSystem == nil {
 		c.FileSystem = wal.OS{}
 	}
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -23,15 +23,16 @@
 	view     *port.View
 	status   consensus.Status
 	caughtUp bool
-	at       time.Time
+	at       time.Duration // by the configuration's clock
 	syncs    uint64
 	applied  uint64
 }
 
 // confirmed says whether the member was in touch with a quorum and caught up
-// not longer than maxAge ago. A loop that hangs in a sync confirms nothing.
-func (s *snapshotOfLoop) confirmed(maxAge time.Duration) bool {
-	return s.status.QuorumActive && s.caughtUp && time.Since(s.at) < maxAge
+// not longer than maxAge before now. A loop that hangs in a sync confirms nothing, nor does one
+// on a machine that wakes up.
+func (s *snapshotOfLoop) confirmed(now, maxAge time.Duration) bool {
+	return s.status.QuorumActive && s.caughtUp && now-s.at < maxAge
 }
 
 // request is a piece of work for the loop's goroutine.
@@ -52,7 +53,7 @@
 	// changed is called when the view's position has moved.
 	changed func()
 
-	started   time.Time
+	started   time.Duration // by the configuration's clock
 	ticks     int64
 	lastToken uint64
 	awaiting  map[uint64]chan<- controlmember.Reply
@@ -82,7 +83,7 @@
 		requests: make(chan request, requestQueue),
 		messages: make(chan consensus.Message, messageQueue),
 		stopped:  make(chan struct{}),
-		started:  time.Now(),
+		started:  config.Clock(),
 		awaiting: make(map[uint64]chan<- controlmember.Reply),
 	}
 	l.publish()
@@ -136,6 +137,7 @@
 				return err
 			}
 		case request := <-l.requests:
+			l.catchUpTicks() // a read must not be answered under a lease that is over
 			request(l)
 		default:
 			return nil
@@ -154,11 +156,17 @@
 	return nil
 }
 
+// catchUpTicks tells the core of the ticks that passed. Those before the last one were
+// missed: the loop was held up, or its machine suspended.
 func (l *loop) catchUpTicks() {
-	due := int64(time.Since(l.started) / l.config.Tick)
-	for ; l.ticks < due; l.ticks++ {
-		l.member.Tick(time.Now())
+	due := int64((l.config.Clock() - l.started) / l.config.Tick)
+	passed := due - l.ticks
+	if passed <= 0 {
+		return
 	}
+	l.ticks = due
+	l.member.TickMissed(int(passed - 1))
+	l.member.Tick(time.Now())
 }
 
 // work carries out what the core wants done, then publishes and answers.
@@ -251,7 +259,7 @@
 		view:     state.View(),
 		status:   l.member.Status(),
 		caughtUp: l.member.CaughtUp(),
-		at:       time.Now(),
+		at:       l.config.Clock(),
 		syncs:    l.log.Syncs(),
 		applied:  state.Applied(),
 	}
--- a/internal/app/control/operator.go
+++ b/internal/app/control/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -96,7 +95,7 @@
 		Role:          status.Role.String(),
 		Leader:        uint64(status.Leader),
 		Term:          status.Term,
-		QuorumActive:  status.QuorumActive && time.Since(published.at) < m.config.electionTimeout(),
+		QuorumActive:  status.QuorumActive && m.config.Clock()-published.at < m.config.electionTimeout(),
 		SilentMillis:  m.ticksToMillis(status.TicksSinceContact),
 		Commit:        status.Commit,
 		Applied:       published.applied,
--- a/internal/app/control/suspend_test.go
+++ b/internal/app/control/suspend_test.go
@@ -23,7 +23,7 @@
 	read := func(patience time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		_, err := leader.View(ctx, true)
+		_, err := leader.View(ctx, false)
 		return err
 	}
 	if err := read(10 * time.Second); err != nil {
--- a/internal/app/control/watch.go
+++ b/internal/app/control/watch.go
@@ -152,6 +152,6 @@
 // confirm marks an update as in force at a member in touch with a quorum. An
 // observer that is ahead of this member is not confirmed by it.
 func (m *Member) confirm(update port.ViewUpdate, published *snapshotOfLoop) port.ViewUpdate {
-	update.Confirmed = update.Position >= update.After && published.confirmed(m.config.electionTimeout())
+	update.Confirmed = update.Position >= update.After && published.confirmed(m.config.Clock(), m.config.electionTimeout())
 	return update
 }
--- a/internal/app/node/controller.go
+++ b/internal/app/node/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/peerapi"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/node/gate"
@@ -194,7 +195,7 @@
 		return
 	}
 	if confirmed {
-		n.confirmedUntil.Store(now.Add(n.config.Intervals.ConfigurationLease).UnixNano())
+		n.confirmedUntil.Store(int64(boottime.Now() + n.config.Intervals.ConfigurationLease))
 	}
 	if advanced {
 		view := c.state.View()
--- a/internal/app/node/watch.go
+++ b/internal/app/node/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -44,7 +45,8 @@
 	}
 }
 
-// confirmed says whether the configuration lease holds.
+// confirmed says whether the configuration lease holds. It is over by the clock that counts
+// suspended time, and does not follow the time of day.
 func (n *Node) confirmed() bool {
-	return time.Now().UnixNano() < n.confirmedUntil.Load()
+	return int64(boottime.Now()) < n.confirmedUntil.Load()
 }
--- a/internal/core/controlmember/clock.go
+++ b/internal/core/controlmember/clock.go
@@ -42,10 +42,10 @@
 	c.time = max(c.time, time.Duration(logTime)*time.Millisecond)
 }
 
-// advance notes that one tick passed.
-func (c *logClock) advance() {
-	c.time += c.tick
-	c.passed += c.tick
+// advance notes that so many ticks passed.
+func (c *logClock) advance(ticks int) {
+	c.time += time.Duration(ticks) * c.tick
+	c.passed += time.Duration(ticks) * c.tick
 }
 
 func (c *logClock) now() int64 { return c.time.Milliseconds() }
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -90,11 +90,18 @@
 	return member, nil
 }
 
-// Tick notes that one tick interval passed; wall is the member's clock now. The
-// owner calls it as often as ticks passed, also after a pause.
+// TickMissed notes that ticks passed while the owner was held up and did not run the member.
+// Tick follows.
+func (m *Member) TickMissed(ticks int) {
+	m.clock.advance(max(0, ticks))
+	m.node.TickMissed(ticks)
+}
+
+// Tick notes that one tick interval passed; wall is the member's clock now. Where more than
+// one passed since, TickMissed goes before it.
 func (m *Member) Tick(wall time.Time) {
 	m.wall = wall
-	m.clock.advance()
+	m.clock.advance(1)
 	m.node.Tick()
 	m.refresh()
 }
