--- a/internal/adapter/boottime/now_linux.go
+++ b/internal/adapter/boottime/now_linux.go
@@ -1,3 +1,5 @@
+//go:build linux && !faultinjection
+
 package boottime
 
 import (
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/group"
@@ -44,7 +45,9 @@
 	Watcher    *siteview.Watcher
 	Proxy      *proxy.Proxy
 	Logger     *log.Logger
-	Seed       uint64
+	// Clock also counts suspended time; nil is that of the machine.
+	Clock boottime.Clock
+	Seed  uint64
 	// ToleratedLosses is how many machines with a disk may be lost at once.
 	ToleratedLosses int
 	// Recorder measures items; nil measures nothing.
@@ -115,7 +118,7 @@
 		Name: "jobs", Folder: config.Folder, FileSystem: config.FileSystem,
 		Self: groupmember.Record{Address: config.Address, Name: config.Machine},
 		Wire: config.Wire, Machine: func() groupmember.StateMachine { return jobstate.New() },
-		Origin: s.origin, Changed: s.changed, Leaving: s.leaving, Logger: config.Logger, Seed: config.Seed,
+		Origin: s.origin, Changed: s.changed, Leaving: s.leaving, Logger: config.Logger, Clock: config.Clock, Seed: config.Seed,
 		Limits: groupmember.Limits{Voters: s.wantedVoters(), LeastVoters: s.wantedVoters(), Learners: spareMembers},
 	})
 	s.runner = newRunner(s, replicacall.New(config.Dialect, connectionsToReplica))
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -12,11 +12,13 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
@@ -66,6 +68,8 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	server  *wire.Server
+	// slept is how long the machine was suspended so far, in nanoseconds.
+	slept atomic.Int64
 
 	control *sitecontrol.Control
 	http    *httptest.Server
@@ -74,6 +78,12 @@
 	watcher *siteview.Watcher
 }
 
+// clock is the machine's, which counts suspended time.
+func (p *process) clock() time.Duration { return boottime.Now() + time.Duration(p.slept.Load()) }
+
+// suspend lets time pass for all other machines. The process's steady clock does not count it.
+func (p *process) suspend(slept time.Duration) { p.slept.Add(int64(slept)) }
+
 // site is a whole site.
 type site struct {
 	t        *testing.T
@@ -203,7 +213,7 @@
 		Machine: p.name, Address: p.address, HeartbeatAddress: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
 		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: s.logger(p.name), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
 		ToleratedLosses: s.losses, PlacesPerShard: s.placesPerShard, HolderLease: s.holderLease,
-		Provider: cloud, UsageWindow: usageWindow, UsageDue: usageDue,
+		Provider: cloud, UsageWindow: usageWindow, UsageDue: usageDue, Clock: p.clock,
 	})
 	p.control.Register(p.server)
 	s.listen(p)
@@ -220,7 +230,7 @@
 	p.store = sitestore.New(sitestore.Config{
 		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Seed: uint64(p.name[len(p.name)-1]),
-		ToleratedLosses: s.losses, KeepJobs: time.Minute, MostJobBytes: s.mostJobBytes,
+		ToleratedLosses: s.losses, KeepJobs: time.Minute, MostJobBytes: s.mostJobBytes, Clock: p.clock,
 	})
 	p.store.Register(p.server)
 	s.listen(p)
@@ -238,10 +248,10 @@
 	}
 	watcher := siteview.New(siteview.Config{
 		Seeds: s.seeds, Wire: wireOptions(name), Decode: platform.Dialect{}.DecodeConfiguration, Provisional: provisional, Interest: interest,
-		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name),
+		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name), Clock: p.clock,
 	})
 	withholds := sitecontrol.NewGuard(name, watcher, s.logger(name))
-	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: withholds})
+	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: withholds, Clock: p.clock})
 	p.run(func() { _ = withholds.Run(ctx) })
 	return watcher, sender
 }
@@ -258,7 +268,7 @@
 			var answer sitecontrol.Answer
 			err := watcher.Call(ctx, sitecontrol.MethodCall, sitecontrol.Request{Usage: &report}, &answer)
 			return answer.Pause, err
-		}, nil, s.logger(p.name))
+		}, p.clock, s.logger(p.name))
 		p.run(func() { _ = counted.Run(ctx) })
 	}
 	p.front = front.New(front.Config{
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -3,7 +3,10 @@
 // between the machines (delay, reset, cuts in one direction or both, silence),
 // lost and damaged disks, disks that stall, are slow or refuse writes (the program
 // is built with the tag faultinjection for these). The time of day cannot be
-// changed from outside; test/source shows that no decision depends on it.
+// changed from outside; test/source shows that no decision depends on it. Nor can a machine be
+// suspended: a process is stopped, and the clock that counts suspended time goes ahead by more
+// than that when it goes on. Its steady clock counts the stop, as that of a suspended machine
+// would not.
 // Meanwhile it checks what must always hold by what
 // callers, operators and replicas see.
 //
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -71,6 +72,8 @@
 	command         *exec.Cmd
 	ended           chan struct{}
 	frozen          bool
+	// slept is for how long the machine was suspended so far.
+	slept time.Duration
 	// excused is how much of the log was looked at or tells of a time at which
 	// the disk misbehaved, so that the process might end by itself; found holds
 	// the failures of the former.
@@ -80,6 +83,22 @@
 
 func (m *machine) logPath() string { return filepath.Join(m.folder, "log") }
 
+func (m *machine) sleptPath() string { return filepath.Join(m.folder, "suspended") }
+
+// suspend lets the clock that counts suspended time go ahead, for the process that runs and
+// those that follow.
+func (m *machine) suspend(slept time.Duration) error {
+	m.slept += slept
+	file, err := os.OpenFile(m.sleptPath(), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	var written [8]byte
+	binary.NativeEndian.PutUint64(written[:], uint64(m.slept))
+	_, err = file.WriteAt(written[:], 0)
+	return errors.Join(err, file.Close())
+}
+
 func (m *machine) dataPath() string { return filepath.Join(m.folder, "data") }
 
 // setDisk makes the machine's disk misbehave; an empty mode is a sound disk.
@@ -221,6 +240,10 @@
 	defer func() { _ = output.Close() }()
 	command := exec.Command(program, "site", m.role, path)
 	command.Stdout, command.Stderr = output, output
+	if err := m.suspend(0); err != nil {
+		s.t.Fatal(err)
+	}
+	command.Env = append(os.Environ(), "LOOMGRADE_TEST_SUSPENDED="+m.sleptPath())
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	launcher <- func() { started <- command.Start() }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -270,7 +270,7 @@
 func (d *drawer) draw() {
 	m := d.site.machines[d.random.IntN(len(d.site.machines))]
 	spell := time.Duration(300+d.random.IntN(4000)) * time.Millisecond
-	switch d.random.IntN(12) {
+	switch d.random.IntN(14) {
 	case 0, 1:
 		d.note("kill", m, spell)
 		m.kill()
@@ -302,6 +302,25 @@
 		d.killAll(spell / 4)
 	case 10, 11:
 		d.disturbDisk(m, spell)
+	case 12, 13:
+		d.suspend(m, spell)
+	}
+}
+
+// suspend stops a process, as a freeze does, and lets more time pass by the clock that counts
+// suspended time; once more right after it has woken up in some cases.
+func (d *drawer) suspend(m *machine, spell time.Duration) {
+	for again := true; again; again = d.random.IntN(3) == 0 {
+		slept := time.Duration(d.random.IntN(12)) * time.Second
+		d.note("suspend", m, slept)
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(spell)
+		if err := m.suspend(slept); err != nil {
+			d.log("suspend %s: %v", m.name, err)
+		}
+		d.thawed()
+		m.signal(syscall.SIGCONT)
+		spell /= 8
 	}
 }
 
