Reward calls leave one place of a service free, in place of a quarter

The gate let 4 calls through to 6 places, 50 a second; three trainers bring 53. Ways: a quarter kept free (as it was), one place, none. Ruled out: engines, weights and acceptance (their parts of the step are as before).

--- a/internal/app/sitestore/scoregate.go
+++ b/internal/app/sitestore/scoregate.go
@@ -5,14 +5,7 @@
 	"sync"
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
-)
-
-const (
-	// scoreShare is what part of a service's places reward calls may take: requests of
-	// callers, who wait, need some at any time.
-	scoreShare = 0.75
-	// leastScores keeps reward calls going at a service that states few places.
-	leastScores = 2
+	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 )
 
 // scoreGate bounds the reward calls that are under way at each service, in the order in
@@ -34,14 +27,13 @@
 
 func newScoreGate() *scoreGate { return &scoreGate{services: map[string]*scoreQueue{}} }
 
-// scoresAtOnce gives how many reward calls one runner may have under way at a service:
-// its part of the share, as the runners of other shards call it too.
+// scoresAtOnce gives how many reward calls one runner may have under way at a service.
 func scoresAtOnce(view *siteview.View, service string) int {
 	places := 0
 	for _, replica := range view.ByService[service] {
 		places += max(1, replica.Slots)
 	}
-	return max(leastScores, int(scoreShare*float64(places))/max(1, len(view.Shards)))
+	return jobqueue.ScoresAtOnce(places, len(view.Shards))
 }
 
 // enter waits for its turn at a service that takes so many calls at once. If it returns
--- a/internal/app/sitestore/scoregate_test.go
+++ b/internal/app/sitestore/scoregate_test.go
@@ -99,12 +99,12 @@
 		shards   int
 		want     int
 	}{
-		"three of six places":            {[]sitestate.Replica{{Slots: 6}, {Slots: 6}, {Slots: 6}}, 1, 13},
-		"four shards share them":         {[]sitestate.Replica{{Slots: 40}, {Slots: 40}}, 4, 15},
-		"few places":                     {[]sitestate.Replica{{Slots: 1}}, 4, leastScores},
-		"no replica is known":            {nil, 1, leastScores},
-		"they do not state their places": {make([]sitestate.Replica, 8), 1, 6},
-		"no shard is known yet":          {[]sitestate.Replica{{Slots: 8}}, 0, 6},
+		"three of six places":            {[]sitestate.Replica{{Slots: 6}, {Slots: 6}, {Slots: 6}}, 1, 17},
+		"four shards share them":         {[]sitestate.Replica{{Slots: 40}, {Slots: 40}}, 4, 19},
+		"few places":                     {[]sitestate.Replica{{Slots: 1}}, 4, 2},
+		"no replica is known":            {nil, 1, 2},
+		"they do not state their places": {make([]sitestate.Replica, 8), 1, 7},
+		"no shard is known yet":          {[]sitestate.Replica{{Slots: 8}}, 0, 7},
 	} {
 		view := &siteview.View{View: &sitestate.View{
 			ByService: map[string][]sitestate.Replica{"s": row.replicas}, Shards: make([]sitestate.Shard, row.shards),
