--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -5,16 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
-	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
-	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -158,21 +155,6 @@
 	return nil, false
 }
 
-// blame notes that a replica ended under the request.
-func (e *exchange) blame(replica string) {
-	if !slices.Contains(e.broke, replica) {
-		e.broke = append(e.broke, replica)
-	}
-	e.proxy.guard.Ended(e.request.fingerprint(), replica)
-}
-
-// served clears the request if it is a suspect.
-func (e *exchange) served() {
-	if e.admitted.Suspect || len(e.broke) > 0 {
-		e.proxy.guard.Served(e.request.fingerprint())
-	}
-}
-
 // next tells whether and after what pause to try again, once no try is left.
 func (e *exchange) next(ended result) (wait time.Duration, goOn bool) {
 	if e.sends >= e.mostSends() {
@@ -210,24 +192,6 @@
 	return e.request.Repeatable && e.ran < max(1, e.request.MaxAttempts) && e.sends < e.mostSends() && e.ctx.Err() == nil
 }
 
-// mostSends bounds the sends of the request. A trial is one, whatever becomes of it: what is
-// being tried is whether a replica outlives it.
-func (e *exchange) mostSends() int {
-	if e.admitted.Trial {
-		return 1
-	}
-	return maxTries
-}
-
-// mustStop reports whether replicas that ended under the request, here or at other processes,
-// forbid a further send.
-func (e *exchange) mustStop() bool {
-	if e.admitted.Trial || e.sends == 0 {
-		return false
-	}
-	return len(e.broke) >= quarantine.EndsUntilWithheld || e.proxy.guard.Withholds(e.request.identity())
-}
-
 // finish hands on the best that there is once no try is left.
 func (e *exchange) finish() (*Answer, *Failure) {
 	if e.lastAnswer != nil {
@@ -371,64 +335,3 @@
 
 // maxRefusalBytes is what is read of a refusal's body to keep its connection.
 const maxRefusalBytes = 16 << 10
-
-// log writes a line about how the request was carried.
-func (e *exchange) log(answer *Answer, failure *Failure) {
-	line := e.proxy.logger.Info()
-	if failure != nil && failure.Code != port.CodeCancelled {
-		line = e.proxy.logger.Warn()
-	}
-	if line == nil {
-		return
-	}
-	line = line.Str(eventlog.Field, eventlog.RequestCarried).Str("id", e.request.ID).Str("route", e.request.Route).Str("service", e.request.Service).
-		Int("sends", e.sends).Int("may_have_run", e.ran).Strs("tried", e.names).Dur("took_ms", time.Since(e.began))
-	if view := e.proxy.view(); view != nil {
-		line = line.Uint64("view", view.Position).Uint64("configuration", view.Configuration.Version).
-			Int("replicas", len(view.ByService[e.request.Service]))
-	}
-	if e.lastErr != nil {
-		line = line.Str("last_failure", e.lastErr.Error())
-	}
-	if len(e.broke) > 0 || e.admitted.Suspect {
-		line = line.Strs("broke_at", e.broke).Str("fingerprint", e.request.fingerprint().String()).
-			Bool("withheld", e.withheld).Bool("trial", e.admitted.Trial)
-	}
-	if failure != nil {
-		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Str("reason", failure.Reason).Msg("a request got no answer")
-		return
-	}
-	line.Str("replica", answer.Replica.ID).Int("status", answer.Status).Msg("a request was answered by a replica")
-}
-
-// streamBody is the body of a streamed answer. It tells the guard how the stream ended, and
-// ends the exchange when it is closed.
-type streamBody struct {
-	io.ReadCloser
-	run     *exchange
-	replica string
-	// framed is set if the end of the stream is told from that of its connection.
-	framed bool
-}
-
-// Read implements io.Reader.
-func (b *streamBody) Read(into []byte) (int, error) {
-	count, err := b.ReadCloser.Read(into)
-	switch {
-	case err == nil:
-	case err == io.EOF:
-		if b.framed {
-			b.run.served()
-		}
-	case b.run.ctx.Err() == nil && httpcall.BrokenOff(err):
-		b.run.blame(b.replica)
-	}
-	return count, err
-}
-
-// Close implements io.Closer.
-func (b *streamBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.run.cancel()
-	return err
-}
--- /dev/null
+++ b/internal/app/proxy/line.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// log writes a line about how the request was carried.
+func (e *exchange) log(answer *Answer, failure *Failure) {
+	line := e.proxy.logger.Info()
+	if failure != nil && failure.Code != port.CodeCancelled {
+		line = e.proxy.logger.Warn()
+	}
+	if line == nil {
+		return
+	}
+	line = line.Str(eventlog.Field, eventlog.RequestCarried).Str("id", e.request.ID).Str("route", e.request.Route).Str("service", e.request.Service).
+		Int("sends", e.sends).Int("may_have_run", e.ran).Strs("tried", e.names).Dur("took_ms", time.Since(e.began))
+	if view := e.proxy.view(); view != nil {
+		line = line.Uint64("view", view.Position).Uint64("configuration", view.Configuration.Version).
+			Int("replicas", len(view.ByService[e.request.Service]))
+	}
+	if e.lastErr != nil {
+		line = line.Str("last_failure", e.lastErr.Error())
+	}
+	if len(e.broke) > 0 || e.admitted.Suspect {
+		line = line.Strs("broke_at", e.broke).Str("fingerprint", e.request.fingerprint().String()).
+			Bool("withheld", e.withheld).Bool("trial", e.admitted.Trial)
+	}
+	if failure != nil {
+		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Str("reason", failure.Reason).Msg("a request got no answer")
+		return
+	}
+	line.Str("replica", answer.Replica.ID).Int("status", answer.Status).Msg("a request was answered by a replica")
+}
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -157,9 +157,6 @@
 // that was closed.
 func (s *State) UsageDue(upTo usage.Window) bool { return s.contents.Usage.Due(upTo) }
 
-// Suspects gives all requests under which replicas ended. The caller must not change them.
-func (s *State) Suspects() []quarantine.Suspect { return s.contents.Quarantine.Suspects }
-
 // Placed gives the shard of each model's jobs.
 func (s *State) Placed() map[string]ShardNumber { return maps.Clone(s.contents.Placed) }
 
@@ -372,22 +369,6 @@
 	return outcome
 }
 
-func (s *State) noteQuarantine(index uint64, noted Quarantine) Outcome {
-	outcome := OutcomeIgnored
-	for _, event := range noted.Events {
-		changed, taken := s.contents.Quarantine.Apply(event)
-		if changed {
-			s.contents.QuarantineAt = index
-			s.changed(index)
-		}
-		outcome = OutcomeIgnored
-		if taken {
-			outcome = OutcomeDone
-		}
-	}
-	return outcome
-}
-
 func (s *State) evacuate(index uint64, evacuation Evacuate) Outcome {
 	store, known := s.contents.Stores[evacuation.Name]
 	if !known {
