guard: a question for a trial and a stop do not wait for a control group that does not answer

Found when the change was read again: a request whose trial is due was held until its deadline while no control member answers, in place of a refusal at once; a stopping front waited for as long as its grace allows.

--- a/internal/app/guard/guard.go
+++ b/internal/app/guard/guard.go
@@ -14,8 +14,14 @@
 )
 
 const (
+	// drainTimeout is how long a process that stops waits to tell what it saw: others may see
+	// it too, and the process has to end in its time.
+	drainTimeout = 500 * time.Millisecond
 	// lastRefusal is when a caller may ask again for a request that has no trial left.
 	lastRefusal = time.Minute
+	// askTimeout bounds the question for a trial: whoever sent the request waits for it, and
+	// is refused if it is not answered.
+	askTimeout = 300 * time.Millisecond
 	// shortRefusal is when it may ask again if another sender's trial is under way.
 	shortRefusal = 2 * time.Second
 )
@@ -73,11 +79,14 @@
 // Run hands on what was seen until the context ends.
 func (g *Guard) Run(ctx context.Context) error { return g.outbox.run(ctx) }
 
-// Drain waits until the control group has all that was seen, or the end of ctx.
+// Drain waits a moment until the control group has all that was seen, or the end of ctx.
 func (g *Guard) Drain(ctx context.Context) {
-	if g != nil {
-		g.outbox.drain(ctx)
+	if g == nil {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	g.outbox.drain(ctx)
 }
 
 // Admission says whether a request may be sent.
@@ -106,6 +115,8 @@
 		return Admission{Suspect: true, Withheld: true, RetryAfter: wait}
 	}
 	defer g.askedTrial(suspect.Fingerprint)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	outcome, err := g.config.Send(ctx, []quarantine.Event{{
 		Kind: quarantine.EventTrial, Fingerprint: suspect.Fingerprint, Trial: number, Sender: g.config.Sender,
 	}})
--- a/internal/app/guard/guard_test.go
+++ b/internal/app/guard/guard_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	g.Drain(ctx)
+	g.outbox.drain(ctx)
 	if ctx.Err() != nil {
 		t.Fatal("the control group was not told")
 	}
