guard, proxy: a trial is not used up by an answer that was lost or a replica that is gone

TestARequestThatRanBesideTheCauseIsServedAgain, the trial not served within 30 s. Cause: a withheld request's trial was one send, also when nothing of it left: replicas that have ended stand in the view for up to 20 s, and the send may go to one. And since a question for a trial is given up after 0.3 s, one that the control group gave and whose answer was late was lost; the next comes after 30 s. Change: sends of which nothing left do not count; a trial given to this process and not sent is sent when the view shows it.

--- a/internal/app/guard/guard.go
+++ b/internal/app/guard/guard.go
@@ -64,8 +64,9 @@
 type sighting struct {
 	trials int
 	since  time.Time
-	// asking is set while a trial is asked for.
+	// asking is set while a trial is asked for; used is the last one that was sent here.
 	asking bool
+	used   int
 }
 
 // New makes a Guard.
@@ -111,10 +112,14 @@
 		return Admission{Suspect: true}
 	}
 	number, wait := g.dueTrial(suspect, time.Now())
-	if wait > 0 {
+	switch {
+	case wait > 0:
 		return Admission{Suspect: true, Withheld: true, RetryAfter: wait}
+	case number == suspect.Trials: // it was given before, and the answer was lost
+		return Admission{Suspect: true, Trial: true}
 	}
-	defer g.askedTrial(suspect.Fingerprint)
+	used := 0
+	defer func() { g.askedTrial(suspect.Fingerprint, used) }()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	outcome, err := g.config.Send(ctx, []quarantine.Event{{
@@ -123,6 +128,7 @@
 	if err != nil || outcome != sitestate.OutcomeDone {
 		return Admission{Suspect: true, Withheld: true, RetryAfter: shortRefusal}
 	}
+	used = number
 	return Admission{Suspect: true, Trial: true}
 }
 
@@ -143,14 +149,20 @@
 	return view.Quarantine.Find(request)
 }
 
-// dueTrial gives the number of the trial that is due, or how long there is none.
+// dueTrial gives the number of the trial that is due, or how long there is none. One that was
+// given to this process and not sent yet is due at once.
 func (g *Guard) dueTrial(suspect *quarantine.Suspect, now time.Time) (number int, wait time.Duration) {
-	if suspect.Trials >= quarantine.MostTrials {
-		return 0, lastRefusal
-	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	seen := g.see(suspect, now)
+	if suspect.Sender == g.config.Sender && seen.used < suspect.Trials {
+		seen.used = suspect.Trials
+		g.withheld[suspect.Fingerprint] = seen
+		return suspect.Trials, 0
+	}
+	if suspect.Trials >= quarantine.MostTrials {
+		return 0, lastRefusal
+	}
 	if seen.asking {
 		return 0, shortRefusal
 	}
@@ -162,11 +174,12 @@
 	return suspect.Trials + 1, 0
 }
 
-func (g *Guard) askedTrial(fingerprint quarantine.Fingerprint) {
+// askedTrial notes that a trial was asked for; used is its number if it is sent now, else 0.
+func (g *Guard) askedTrial(fingerprint quarantine.Fingerprint, used int) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if seen, known := g.withheld[fingerprint]; known {
-		seen.asking = false
+		seen.asking, seen.used = false, max(seen.used, used)
 		g.withheld[fingerprint] = seen
 	}
 }
@@ -176,7 +189,7 @@
 func (g *Guard) see(suspect *quarantine.Suspect, now time.Time) sighting {
 	seen, known := g.withheld[suspect.Fingerprint]
 	if !known || seen.trials != suspect.Trials {
-		seen = sighting{trials: suspect.Trials, since: now, asking: seen.asking}
+		seen = sighting{trials: suspect.Trials, since: now, asking: seen.asking, used: seen.used}
 		g.withheld[suspect.Fingerprint] = seen
 	}
 	return seen
--- a/internal/app/guard/guard_test.go
+++ b/internal/app/guard/guard_test.go
@@ -146,7 +146,7 @@
 	if _, wait := first.dueTrial(suspect, began.Add(time.Minute)); wait <= 0 {
 		t.Error("a second request got the trial that the first is asking for")
 	}
-	first.askedTrial(suspect.Fingerprint)
+	first.askedTrial(suspect.Fingerprint, 0)
 	for _, g := range []*Guard{first, second} { // long ago, as they see it
 		g.withheld[suspect.Fingerprint] = sighting{since: began.Add(-time.Hour)}
 	}
@@ -158,6 +158,26 @@
 	}
 }
 
+// TestATrialWhoseAnswerWasLostIsSent: the control group gave it, and the process heard nothing. It
+// is sent once when the view shows it.
+func TestATrialWhoseAnswerWasLostIsSent(t *testing.T) {
+	control := &group{}
+	g := newTestGuard(t, control, "a")
+	for _, replica := range []string{"r1", "r2", "r3"} {
+		g.Ended(asked.Fingerprint(), replica)
+	}
+	drained(t, g)
+	if outcome, err := control.send(context.Background(), []quarantine.Event{{Kind: quarantine.EventTrial, Fingerprint: asked.Fingerprint(), Trial: 1, Sender: "a"}}); err != nil || outcome != sitestate.OutcomeDone {
+		t.Fatal(outcome, err)
+	}
+	if admitted := g.Admit(context.Background(), &asked); !admitted.Trial {
+		t.Errorf("not sent: %+v", admitted)
+	}
+	if admitted := g.Admit(context.Background(), &asked); admitted.Trial || !admitted.Withheld {
+		t.Errorf("sent twice: %+v", admitted)
+	}
+}
+
 // TestAReplicaThatAnswersHadNotEnded: only an answer to what was sent after the end was seen
 // tells that.
 func TestAReplicaThatAnswersHadNotEnded(t *testing.T) {
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -64,6 +64,7 @@
 	sends   int // tries begun
 	ran     int // tries that ran or may have, or still may
 	active  int
+	notSent int // tries of which nothing left
 	rounds  int
 	lastErr error
 	// broke are the replicas that ended the connection while the request was there.
@@ -144,6 +145,9 @@
 		e.served()
 		e.lastAnswer = ended.answer
 	case classRefused, classNotSent:
+		if ended.class == classNotSent {
+			e.notSent++
+		}
 		e.ran--
 		e.lastErr = ended.reason
 	case classBroken:
--- a/internal/app/proxy/suspect.go
+++ b/internal/app/proxy/suspect.go
@@ -23,11 +23,12 @@
 	}
 }
 
-// mostSends bounds the sends of the request. A trial is one, whatever becomes of it: what is
-// being tried is whether a replica outlives it.
+// mostSends bounds the sends of the request. A trial is one that reaches a replica, whatever
+// becomes of it: what is being tried is whether the replica outlives it. Replicas that have ended
+// stand in the view for a while, and nothing reaches them.
 func (e *exchange) mostSends() int {
 	if e.admitted.Trial {
-		return 1
+		return min(maxTries, 1+e.notSent)
 	}
 	return maxTries
 }
