sitestore: a look at the jobs that was given up touches nothing of the runner

Cause: the function given to the member's loop may run after the call was given up at a process's end; it read and wrote fields of a leadership that was over. Change: it works on what was taken before the call; the runner takes the result over after. No test of its own: the order of goroutines cannot be brought about from outside.

--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -20,6 +20,9 @@
 	var added []*work
 	open := map[string]bool{}
 	now := time.Now()
+	// The function may still run in the member's loop when this call was given up and the
+	// leadership has ended: it touches nothing of the runner.
+	known, steps := r.jobs, map[string]uint64{}
 	err := r.store.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 		for _, job := range machine.(*jobstate.State).Jobs() {
 			id := job.Submission.ID
@@ -27,8 +30,8 @@
 				continue
 			}
 			open[id] = true
-			if !r.jobs[id] {
-				r.times[id] = newJobTimes(now, job.Submission.Step)
+			if !known[id] {
+				steps[id] = job.Submission.Step
 				added = append(added, openItems(job, now)...)
 			}
 		}
@@ -37,6 +40,9 @@
 		return
 	}
 	r.jobSerial = serial
+	for id, step := range steps {
+		r.times[id] = newJobTimes(now, step)
+	}
 	for id := range r.jobs {
 		if !open[id] {
 			r.dropJob(id)
