--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -30,6 +30,7 @@
 		Machine: p.file.Machine, Address: p.file.PeerAddress(), HeartbeatAddress: p.file.ControlListen,
 		Seeds: p.file.SeedPeers(), Found: p.file.FirstStart, Folder: p.file.DataFolder, FileSystem: fileSystem(p.file.DataFolder), Wire: p.wire, Dialect: p.dialect,
 		Logger: p.logger, Seed: p.seed, ToleratedLosses: p.file.ToleratedLosses, HolderLease: p.file.HolderLease(), Recorder: p.metrics,
+		Zones:    p.file.Zones,
 		Provider: cloud, UsageWindow: p.file.UsageWindow(), UsageDue: p.file.UsageDue(),
 	})
 	control.Register(p.server)
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -31,6 +31,9 @@
 	ConfigurationUnreadable Event = "configuration.unreadable"
 	ReplicaReported         Event = "replica.reported"
 	ReplicaSilent           Event = "replica.silent"
+	ReplicaRestarted        Event = "replica.restarted"
+	HeartbeatRefused        Event = "heartbeat.refused"
+	ZoneDrained             Event = "zone.drained"
 	StoreRegistered         Event = "store.registered"
 	StoreGroupFounded       Event = "store.group.founded"
 	ModelPlaced             Event = "model.placed"
@@ -97,6 +100,9 @@
 	{ConfigurationUnreadable, "the configuration in force cannot be read here"},
 	{ReplicaReported, "a replica came, or changed its state; committed"},
 	{ReplicaSilent, "a replica was not heard of for long and is taken out"},
+	{ReplicaRestarted, "a replica started again under its name; what was known of it before has ended"},
+	{HeartbeatRefused, "a heartbeat names no replica to use; at most one line a second, with the count since the last"},
+	{ZoneDrained, "a zone's replicas are sent nothing any more, or are again; committed"},
 	{StoreRegistered, "a store machine registered"},
 	{StoreGroupFounded, "the founders of a shard's group are decided"},
 	{ModelPlaced, "a model's jobs have a shard"},
--- a/internal/adapter/metrics/page_test.go
+++ b/internal/adapter/metrics/page_test.go
@@ -44,6 +44,7 @@
 	site.PageServed("follower")
 	site.LoadEnded("done", time.Second)
 	site.HeartbeatTaken()
+	site.HeartbeatRefused("zone")
 	site.Observe(func() metrics.SiteReading { return metrics.SiteReading{Leads: true} })
 	return site
 }
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -43,6 +43,7 @@
 	pages    *prometheus.CounterVec
 	loads    *prometheus.HistogramVec
 	beats    prometheus.Counter
+	refused  *prometheus.CounterVec
 	slept    prometheus.Counter
 	read     atomic.Pointer[func() SiteReading]
 }
@@ -70,8 +71,9 @@
 		loads:    siteHistogram("load_seconds", "Time of an ordered load of weights, by outcome."),
 		beats:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "heartbeats_total", Help: "Heartbeats of replicas taken as the leader."}),
 	}
+	s.refused = counter("site_heartbeats_refused_total", "Heartbeats that name no replica to use, by the field at fault.", "field")
 	s.slept = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "suspended_seconds_total", Help: "Seconds for which the machine was suspended while the process ran."})
-	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.beats, s.slept)
+	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.beats, s.refused, s.slept)
 	s.gauge("view_position", "Log position of the view of the control state.", func(r SiteReading) float64 { return float64(r.Position) })
 	s.gauge("configuration_version", "Version of the configuration in force here.", func(r SiteReading) float64 { return float64(r.Configuration) })
 	s.gauge("view_confirmed", "1 while a quorum confirms the view.", func(r SiteReading) float64 { return oneIf(r.Confirmed) })
@@ -118,6 +120,9 @@
 // HeartbeatTaken counts a heartbeat.
 func (s *Site) HeartbeatTaken() { s.beats.Inc() }
 
+// HeartbeatRefused counts a heartbeat that was not taken. Field is one of a few fixed words.
+func (s *Site) HeartbeatRefused(field string) { s.refused.WithLabelValues(field).Inc() }
+
 // Suspended counts a suspension of the machine.
 func (s *Site) Suspended(slept time.Duration) { s.slept.Add(slept.Seconds()) }
 
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -22,6 +22,9 @@
 	// Machine is the machine's name, Zone where it stands.
 	Machine string `json:"machine"`
 	Zone    string `json:"zone"`
+	// Zones gives the region of each zone of the site; empty takes replicas of any zone, and
+	// knows of no regions.
+	Zones map[string]string `json:"zones,omitempty"`
 	// IP is the machine's address and PeerPort the port on which every machine
 	// of the site takes messages of other processes.
 	IP       string `json:"ip"`
--- a/internal/app/replicacall/replicacall.go
+++ b/internal/app/replicacall/replicacall.go
@@ -82,7 +82,7 @@
 	if _, set := made.Header["User-Agent"]; !set {
 		made.Header.Set("User-Agent", "") // net/http would add its own
 	}
-	made.Header.Set(c.dialect.Headers().ExpectInstance, replica.ID)
+	made.Header.Set(c.dialect.Headers().ExpectInstance, replica.InstanceName())
 	return c.http.Send(made)
 }
 
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -147,9 +147,12 @@
 func (c *Control) serveHere(ctx context.Context, request Request) (Answer, error) {
 	answer, err := c.serve(ctx, request)
 	var notLeader *group.NotLeaderError
+	var refused *port.Error
 	switch {
 	case err == nil:
 		return answer, nil
+	case errors.As(err, &refused):
+		return Answer{}, refused
 	case errors.As(err, &notLeader), errors.Is(err, group.ErrNotReady), errors.Is(err, groupmember.ErrDisplaced):
 		return Answer{NotLeader: true}, nil
 	default:
@@ -159,6 +162,8 @@
 
 func (c *Control) serve(ctx context.Context, request Request) (Answer, error) {
 	switch {
+	case request.Command != nil && request.Command.Leave != nil:
+		return c.heartbeats.leave(ctx, *request.Command.Leave)
 	case request.Command != nil:
 		outcome, err := c.propose(ctx, *request.Command)
 		return Answer{Outcome: outcome}, err
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -50,6 +50,8 @@
 	// PlacesPerShard is how many places of engines one shard's leader serves; 0 takes
 	// DefaultPlacesPerShard.
 	PlacesPerShard int
+	// Zones gives the region of each zone of the site; empty where the settings name none.
+	Zones map[string]string
 	// HolderLease is how long replicas hold to the machine that ordered last.
 	HolderLease time.Duration
 	// Provider is what usage is reported to; nil reports to nobody.
@@ -67,6 +69,8 @@
 // Recorder measures what the leader does.
 type Recorder interface {
 	HeartbeatTaken()
+	// HeartbeatRefused counts one that names no replica to use, by the field at fault.
+	HeartbeatRefused(field string)
 	// LoadEnded counts an ordered load of weights.
 	LoadEnded(outcome string, took time.Duration)
 }
@@ -75,6 +79,7 @@
 type noRecorder struct{}
 
 func (noRecorder) HeartbeatTaken()                 {}
+func (noRecorder) HeartbeatRefused(string)         {}
 func (noRecorder) LoadEnded(string, time.Duration) {}
 
 // Control is the control process.
@@ -82,6 +87,7 @@
 	config     Config
 	member     *group.Member
 	heartbeats *heartbeats
+	refused    refusedReports
 	stores     *stores
 	lease      *lease
 	weights    *weightsManager
--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 const (
@@ -56,17 +58,22 @@
 	if shown == nil || !shown.Confirmed {
 		return false
 	}
-	held, known := h.control.view.Load().Replicas[report.ID]
+	held, known := h.held(report)
 	if !known || !sameReport(held, report) {
 		return false
 	}
 	h.control.config.Recorder.HeartbeatTaken()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.untold[report.ID] = true
+	h.untold[held.ID] = true
 	return true
 }
 
+// held gives what the view has of the start that a report comes from.
+func (h *heartbeats) held(report sitestate.Replica) (sitestate.Replica, bool) {
+	return h.control.view.Load().StartOf(report.InstanceName(), report.Born)
+}
+
 // noteHeard takes in, as the leader, what another member heard of.
 func (h *heartbeats) noteHeard(heard Heard) {
 	h.mutex.Lock()
@@ -88,10 +95,20 @@
 // is put into the log; it is acknowledged once committed.
 func (h *heartbeats) take(ctx context.Context, report sitestate.Replica) (Answer, error) {
 	h.control.config.Recorder.HeartbeatTaken()
+	held, known := h.held(report)
+	if !known || held.Service != report.Service || held.Zone != report.Zone {
+		if err := h.control.checkReport(report); err != nil {
+			return Answer{}, err
+		}
+	}
+	if known {
+		report.ID, report.Instance = held.ID, held.Instance
+	} else if err := h.identify(ctx, &report); err != nil {
+		return Answer{}, err
+	}
 	if !h.note(report) {
 		return Answer{}, nil
 	}
-	held, known := h.control.view.Load().Replicas[report.ID]
 	if known && sameReport(held, report) {
 		return Answer{}, nil
 	}
@@ -107,6 +124,52 @@
 	return Answer{}, nil
 }
 
+// identify gives a report of a start that the view does not have its id. An earlier start
+// under the same name has ended with it, and one that is earlier itself is refused.
+func (h *heartbeats) identify(ctx context.Context, report *sitestate.Replica) error {
+	name := report.InstanceName()
+	identity, err := h.control.identify(ctx, name, report.Born)
+	if err != nil {
+		return err
+	}
+	if identity.Standing == sitestate.StandingPast {
+		return port.NewError(port.NotRun, port.CodeFenced, "a later start of replica %s is known", name)
+	}
+	if identity.Standing == sitestate.StandingNext {
+		h.control.config.Logger.Info().Str(eventlog.Field, eventlog.ReplicaRestarted).Str("replica", identity.ID).Str("before", identity.Earlier).
+			Uint64("born", report.Born).Msg("a replica has started again under its name")
+		if _, err := h.control.propose(ctx, sitestate.Command{Leave: &sitestate.Leave{ID: identity.Earlier}}); err != nil {
+			return err
+		}
+	}
+	if report.ID = identity.ID; report.ID != name {
+		report.Instance = name
+	}
+	return nil
+}
+
+// identify tells which start of a replica speaks, by what is applied here.
+func (c *Control) identify(ctx context.Context, name string, born uint64) (identity sitestate.Identity, err error) {
+	err = c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+		identity = machine.(*sitestate.State).Identify(name, born)
+	})
+	return identity, err
+}
+
+// leave takes out a replica that says it ends. An earlier start than the one known has
+// ended already.
+func (h *heartbeats) leave(ctx context.Context, left sitestate.Leave) (Answer, error) {
+	identity, err := h.control.identify(ctx, left.ID, left.Born)
+	if err != nil || identity.Standing == sitestate.StandingPast {
+		return Answer{}, err
+	}
+	if identity.ID != left.ID {
+		left.ID, left.Instance = identity.ID, left.ID
+	}
+	outcome, err := h.control.propose(ctx, sitestate.Command{Leave: &left})
+	return Answer{Outcome: outcome}, err
+}
+
 // note reports whether the report is newer than what was heard.
 func (h *heartbeats) note(report sitestate.Replica) bool {
 	h.mutex.Lock()
@@ -123,7 +186,7 @@
 func sameReport(held, report sitestate.Replica) bool {
 	sameState := held.State == report.State || held.State == sitestate.ReplicaDraining
 	return sameState && held.Service == report.Service && held.Address == report.Address &&
-		held.Zone == report.Zone && held.Slots == report.Slots && slices.Equal(held.Models, report.Models)
+		held.Zone == report.Zone && held.Slots == report.Slots && held.Born == report.Born && slices.Equal(held.Models, report.Models)
 }
 
 // tend takes out replicas that have long been silent, or tells the leader which
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -1,6 +1,8 @@
 package sitestate
 
 import (
+	"cmp"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -64,7 +66,7 @@
 )
 
 // Replica is what a replica reports of itself. Each start of a replica has an
-// id of its own.
+// id of its own here, also if the replica itself keeps its name: see State.Identify.
 type Replica struct {
 	ID      string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
@@ -85,12 +87,24 @@
 	// RoutedAt is the log position of the last change that matters to who sends
 	// requests whatever weights a replica has; State sets it.
 	RoutedAt uint64 `cbor:"11,keyasint,omitempty"`
+	// Instance is the name that the replica answers to, empty where it is ID.
+	Instance string `cbor:"12,keyasint,omitempty"`
+	// Born is when it started, in milliseconds since the start of 1970 by its own clock; 0
+	// where it does not say.
+	Born uint64 `cbor:"13,keyasint,omitempty"`
+	// ColdMillis is how much longer, from its report on, it bears few requests; 0 once it
+	// bears as many as it has slots for.
+	ColdMillis uint32 `cbor:"14,keyasint,omitempty"`
 }
 
+// InstanceName is the name that the replica answers to.
+func (r *Replica) InstanceName() string { return cmp.Or(r.Instance, r.ID) }
+
 // sameRouting reports whether two reports are equal to a sender of requests that
 // does not look at weights.
 func sameRouting(a, b Replica) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots && a.State == b.State
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots && a.State == b.State &&
+		a.ColdMillis == b.ColdMillis
 }
 
 // VersionOf gives the version of a model that the replica serves, 0 if none.
@@ -115,6 +129,10 @@
 	// Silent is set if the replica did not ask for it but was not heard of;
 	// it may come back.
 	Silent bool `cbor:"2,keyasint,omitempty"`
+	// Instance and Born are those of the start that leaves, as far as it says so: they tell
+	// its later words from those of a later start under the same name.
+	Instance string `cbor:"3,keyasint,omitempty"`
+	Born     uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Holder names the machine that may order replicas from now on.
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -21,6 +21,9 @@
 	ID        string `cbor:"1,keyasint"`
 	ChangedAt uint64 `cbor:"2,keyasint"`
 	Binding   bool   `cbor:"3,keyasint"`
+	// Instance and Born are those of the replica, as in Replica; Born is 0 if unknown.
+	Instance string `cbor:"4,keyasint,omitempty"`
+	Born     uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // contents is what a snapshot holds.
@@ -262,7 +265,8 @@
 
 // dropAddress takes out other replicas whose address the reporter now has.
 func (s *State) dropAddress(index uint64, reporter Replica) {
-	if other := s.index.byAddress[reporter.Address]; other != "" && other != reporter.ID {
+	other, taken := s.contents.Replicas[s.index.byAddress[reporter.Address]]
+	if taken && other.ID != reporter.ID {
 		s.remove(index, other, true)
 	}
 }
@@ -285,18 +289,23 @@
 	if s.index.binding[left.ID] {
 		return OutcomeDone
 	}
-	s.remove(index, left.ID, !left.Silent || held.State == ReplicaDraining)
+	if !known {
+		held = Replica{ID: left.ID, Instance: left.Instance, Born: left.Born}
+	}
+	s.remove(index, held, !left.Silent || held.State == ReplicaDraining)
 	s.changed(index)
 	return OutcomeDone
 }
 
-func (s *State) remove(index uint64, id string, binding bool) {
+// remove takes out a replica, or notes of one that is not held that it left.
+func (s *State) remove(index uint64, replica Replica, binding bool) {
+	id := replica.ID
 	if held, known := s.contents.Replicas[id]; known {
 		s.index.dropAddress(held)
 		delete(s.contents.Replicas, id)
 	}
 	s.forgetGone(id)
-	left := gone{ID: id, ChangedAt: index, Binding: binding}
+	left := gone{ID: id, ChangedAt: index, Binding: binding, Instance: replica.Instance, Born: replica.Born}
 	s.contents.Gone = append(s.contents.Gone, left)
 	s.index.noteGone(left)
 	if surplus := len(s.contents.Gone) - maxGone; surplus > 0 {
--- a/test/sitestandin/replica.go
+++ b/test/sitestandin/replica.go
@@ -1,6 +1,7 @@
 package sitestandin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,6 +56,8 @@
 type Replica struct {
 	ID      string
 	Service string
+	// Zone is where it stands; empty is "z".
+	Zone string
 	// Models are served by an engine; empty for a plain application.
 	Models []string
 	// EventPause is the time between two events of a text, Events their number.
@@ -73,6 +76,8 @@
 	arrivals []Arrival
 	sequence uint64
 	draining bool
+	born     uint64
+	cold     time.Duration
 }
 
 // NewReplica starts a stand-in of an application server.
@@ -203,15 +208,18 @@
 
 // heartbeatBody is what a replica sends of itself.
 type heartbeatBody struct {
-	Backend  string       `json:"backend"`
-	Address  string       `json:"address"`
-	Zone     string       `json:"zone"`
-	Version  string       `json:"version"`
-	Slots    int          `json:"slots"`
-	State    string       `json:"state"`
-	Stage    string       `json:"stage"`
-	Models   []modelState `json:"models"`
-	Sequence uint64       `json:"sequence"`
+	Backend string `json:"backend"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+	// WarmupLeftMs is how much longer the replica stays cold.
+	WarmupLeftMs int          `json:"warmupLeftMs"`
+	Stage        string       `json:"stage"`
+	Models       []modelState `json:"models"`
+	Sequence     uint64       `json:"sequence"`
+	Born         uint64       `json:"born,omitempty"`
 }
 
 func (r *Replica) modelStates() []modelState {
@@ -270,14 +278,32 @@
 	}
 }
 
+// Restart makes further heartbeats those of a start under the same name: it counts them anew
+// and knows nothing of before.
+func (r *Replica) Restart(born uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.born, r.sequence, r.draining, r.version = born, 0, false, 1
+	r.orders = nil
+}
+
+// Cool makes further heartbeats say that the replica stays cold for so long.
+func (r *Replica) Cool(left time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cold = left
+}
+
+func (r *Replica) zone() string { return cmp.Or(r.Zone, "z") }
+
 // Heartbeat is the body of the replica's next heartbeat.
 func (r *Replica) Heartbeat() []byte {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sequence++
 	beat := heartbeatBody{
-		Backend: r.Service, Address: r.Address(), Zone: "z", Version: "v1", Slots: Slots, State: "ready",
-		Stage: "mixed", Models: r.modelStates(), Sequence: r.sequence,
+		Backend: r.Service, Address: r.Address(), Zone: r.zone(), Version: "v1", Slots: Slots, State: "ready",
+		Stage: "mixed", Models: r.modelStates(), Sequence: r.sequence, Born: r.born, WarmupLeftMs: int(r.cold.Milliseconds()),
 	}
 	if r.draining {
 		beat.State = "draining"
