--- a/cmd/loomgrade/cmd_site_store.go
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -30,7 +30,7 @@
 	store := sitestore.New(sitestore.Config{
 		Machine: p.file.Machine, Zone: p.file.Zone, Address: p.file.PeerAddress(), Folder: p.file.DataFolder, FileSystem: fileSystem(p.file.DataFolder),
 		Wire: p.wire, Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Seed: p.seed,
-		Recorder: p.metrics, ToleratedLosses: p.file.ToleratedLosses, KeepJobs: p.file.KeepJobs() + keepJobsMargin,
+		Cold: p.file.ColdLimits(), Recorder: p.metrics, ToleratedLosses: p.file.ToleratedLosses, KeepJobs: p.file.KeepJobs() + keepJobsMargin,
 		MostJobBytes: int(jobShare * p.file.MemoryMegabytes * megabyte),
 	})
 	store.Register(p.server)
--- a/cmd/loomgrade/main.go
+++ b/cmd/loomgrade/main.go
@@ -29,6 +29,7 @@
 	Job        jobCommand        `cmd:"" help:"Show and end the jobs of a site."`
 	Store      storeCommand      `cmd:"" help:"Show and empty the store machines of a site."`
 	Quarantine quarantineCommand `cmd:"" help:"Show and release requests that a site withholds."`
+	Drain      drainCommand      `cmd:"" help:"Keep a site's requests away from the replicas of a zone."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -120,7 +120,10 @@
 
 // newProxy makes the sender of requests to replicas.
 func (p *siteProcess) newProxy(watcher *siteview.Watcher, withholds *guard.Guard) *proxy.Proxy {
-	return proxy.New(proxy.Config{Dialect: p.dialect, View: watcher.View, Logger: p.logger, Connections: connectionsToReplica, Guard: withholds})
+	return proxy.New(proxy.Config{
+		Dialect: p.dialect, View: watcher.View, Logger: p.logger, Connections: connectionsToReplica, Guard: withholds,
+		Sender: p.file.Machine, Cold: p.file.ColdLimits(),
+	})
 }
 
 // service is an HTTP server with its address.
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 )
 
 // File is a settings file. Addresses are host:port by IP number.
@@ -61,6 +63,11 @@
 	// RevokeMillis is how long a front that is out of touch may go by the keys of
 	// callers that it knows; 0 is no bound.
 	RevokeMillis float64 `json:"revoke_ms,omitempty"`
+	// WarmupOvershoot and WarmupSlack are by how much the requests that a cold replica gets
+	// in one second may exceed its service's rate for cold ones: by the factor, and by so
+	// many more. Without them they may not.
+	WarmupOvershoot float64 `json:"warmup_overshoot,omitempty"`
+	WarmupSlack     float64 `json:"warmup_slack,omitempty"`
 	// ProviderAddress is where the provider of the machines is called; empty for none.
 	ProviderAddress string `json:"provider_address,omitempty"`
 	// ProviderDuties are what the site does there: "usage_report" is all that is known;
@@ -144,6 +151,9 @@
 	if f.RevokeMillis < 0 {
 		return fault("revoke_ms", fmt.Sprint(f.RevokeMillis), "0 or more")
 	}
+	if f.WarmupOvershoot < 0 || f.WarmupSlack < 0 {
+		return fault("warmup_overshoot, warmup_slack", fmt.Sprint(f.WarmupOvershoot, ", ", f.WarmupSlack), "0 or more")
+	}
 	if f.ToleratedLosses < 0 {
 		return fault("tolerated_losses", strconv.Itoa(f.ToleratedLosses), "0 or more")
 	}
@@ -201,6 +211,11 @@
 	return time.Duration(f.HolderLeaseMillis * float64(time.Millisecond))
 }
 
+// ColdLimits bound what cold replicas get beyond their service's rate.
+func (f *File) ColdLimits() coldshare.Limits {
+	return coldshare.Limits{Overshoot: f.WarmupOvershoot, Slack: f.WarmupSlack}
+}
+
 // Grace is GraceSeconds as a duration.
 func (f *File) Grace() time.Duration {
 	return seconds(f.GraceSeconds)
--- /dev/null
+++ b/internal/app/proxy/candidates.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// candidates are the replicas that a request may be sent to now.
+type candidates struct {
+	replicas []sitestate.Replica
+	// coldLeft is when the first of those left out as cold may be warm, 0 if none was.
+	coldLeft time.Duration
+}
+
+// candidates lists the replicas of a service that may be sent a request now. Cold ones are
+// left out beyond this process's share of them.
+func (p *Proxy) candidates(service string, now time.Time) candidates {
+	view := p.view()
+	if view == nil {
+		return candidates{}
+	}
+	all := view.ByService[service]
+	limits := p.coldLimits(view, service)
+	if !limits.Bounded() {
+		return candidates{replicas: all}
+	}
+	share := limits.ShareOf(int(view.Senders))
+	open := candidates{replicas: make([]sitestate.Replica, 0, len(all))}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, replica := range all {
+		left := view.ColdLeft(replica.ID, now)
+		if left == 0 || (share.Has(p.sender, replica.ID) && p.window(replica.ID).Room(share.PerSpan, now) > 0) {
+			open.replicas = append(open.replicas, replica)
+		} else if open.coldLeft == 0 || left < open.coldLeft {
+			open.coldLeft = left
+		}
+	}
+	return open
+}
+
+// coldLimits gives what cold replicas of a service bear.
+func (p *Proxy) coldLimits(view *siteview.View, service string) coldshare.Limits {
+	limits := p.cold
+	limits.Rate = 0
+	if view.Table == nil {
+		return limits
+	}
+	if described := view.Table.Service(service); described != nil {
+		limits.Rate = described.WarmupRate
+	}
+	return limits
+}
+
+// window gives what was sent to a replica lately, under the lock.
+func (p *Proxy) window(id string) *coldshare.Window {
+	window := p.windows[id]
+	if window == nil {
+		window = &coldshare.Window{}
+		p.windows[id] = window
+	}
+	return window
+}
+
+// noteSent counts a request against what a cold replica bears, under the lock.
+func (p *Proxy) noteSent(service, id string, now time.Time) {
+	view := p.view()
+	if view != nil && p.coldLimits(view, service).Bounded() {
+		p.window(id).Note(now)
+	}
+}
--- /dev/null
+++ b/internal/app/proxy/candidates_test.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+	"github.com/loomgrade/loomgrade/internal/port"
+)
+
+// coldView has replicas of service "s", of which the named ones are cold for 3 s.
+func coldView(senders uint32, replicas int, cold ...int) *siteview.View {
+	held := &sitestate.View{Senders: senders, ByService: map[string][]sitestate.Replica{}}
+	view := siteview.NewView(held, routing.NewTable(&routing.Document{Services: []routing.Service{{Name: "s", Warmup: 3 * time.Second, WarmupRate: 16}}}))
+	for i := range replicas {
+		held.ByService["s"] = append(held.ByService["s"], sitestate.Replica{ID: fmt.Sprint("i-", i), Address: "127.0.0.1:1"})
+	}
+	var told []sitestate.Replica
+	for _, i := range cold {
+		told = append(told, sitestate.Replica{ID: fmt.Sprint("i-", i), ColdMillis: 3000})
+	}
+	return view.WithCold([]sitestate.Update{{Replicas: told}}, time.Now())
+}
+
+func coldSender(name string, view *siteview.View) *Proxy {
+	return New(Config{
+		Dialect: terms{}, Connections: 1, View: func() *siteview.View { return view }, Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
+		Sender: name, Cold: coldshare.Limits{Overshoot: 1.5, Slack: 5},
+	})
+}
+
+// TestColdReplicasAreLeftToThoseWhoHaveAShare: the others send to warm ones, and refuse at
+// once, with the time to come back, if there are none.
+func TestColdReplicasAreLeftToThoseWhoHaveAShare(t *testing.T) {
+	const senders = 800
+	sent := 0
+	for i := range senders {
+		sender := coldSender(fmt.Sprint("front-", i), coldView(senders, 2, 0))
+		for range 20 {
+			replica, found := sender.pick("s", map[string]bool{})
+			if !found {
+				t.Fatal("the warm replica is not sent to")
+			}
+			if replica.ID == "i-0" {
+				sent++
+			}
+		}
+	}
+	if sent > 29 {
+		t.Errorf("%d requests to a cold replica from %d fronts at once", sent, senders)
+	}
+	lone := coldSender("front-unlucky", coldView(1_000_000, 1, 0))
+	_, failure := lone.Do(context.Background(), Request{
+		Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"}, Service: "s",
+	})
+	if failure == nil || failure.Verdict != port.NotRun || failure.RetryAfter <= 2*time.Second || failure.RetryAfter > 3*time.Second {
+		t.Errorf("refused with %+v", failure)
+	}
+}
+
+// TestAShareIsUsedUpAndComesBack: tries that are sent again count too.
+func TestAShareIsUsedUpAndComesBack(t *testing.T) {
+	sender := coldSender("front", coldView(1, 1, 0))
+	count := 0
+	for {
+		if _, found := sender.pick("s", map[string]bool{}); !found {
+			break
+		}
+		count++
+	}
+	if want := (coldshare.Limits{Rate: 16, Overshoot: 1.5, Slack: 5}).ShareOf(1).PerSpan; count != want {
+		t.Errorf("%d requests at once, want %d", count, want)
+	}
+	time.Sleep(coldshare.Span)
+	if _, found := sender.pick("s", map[string]bool{}); !found {
+		t.Error("nothing is sent a span later")
+	}
+}
+
+// TestWarmReplicasHaveNoBound.
+func TestWarmReplicasHaveNoBound(t *testing.T) {
+	sender := coldSender("front", coldView(1000, 1))
+	for n := range 200 {
+		if _, found := sender.pick("s", map[string]bool{}); !found {
+			t.Fatalf("request %d found no replica", n)
+		}
+	}
+}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -90,7 +91,7 @@
 	case e.late:
 		return e.finish()
 	default:
-		return nil, e.fail(port.CodeNoBackEnd, "no replica of the service is known")
+		return nil, e.failNone()
 	}
 	hedge := time.NewTimer(e.proxy.hedgeAfter(e.request))
 	defer hedge.Stop()
@@ -179,11 +180,7 @@
 }
 
 func (e *exchange) allTried() bool {
-	view := e.proxy.view()
-	if view == nil {
-		return true
-	}
-	for _, replica := range view.ByService[e.request.Service] {
+	for _, replica := range e.proxy.candidates(e.request.Service, time.Now()).replicas {
 		if !e.tried[replica.ID] {
 			return false
 		}
@@ -233,6 +230,14 @@
 	return &Failure{Verdict: verdict, Code: code, Reason: reason, Began: e.came, RetryAfter: e.admitted.RetryAfter}
 }
 
+// failNone is the failure of a request for which there is no replica.
+func (e *exchange) failNone() *Failure {
+	reason, retryAfter := e.proxy.whyNone(e.request.Service)
+	failure := e.fail(port.CodeNoBackEnd, reason)
+	failure.RetryAfter = cmp.Or(failure.RetryAfter, retryAfter)
+	return failure
+}
+
 // expired reports whether the caller waits no longer. The timer of the context stands still
 // while the machine is suspended: it is set to what is left, so that replicas are told that.
 func (e *exchange) expired() bool {
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
@@ -29,8 +32,14 @@
 	guard   *guard.Guard
 	clock   boottime.Clock
 
+	// sender and cold say what this process may send cold replicas.
+	sender string
+	cold   coldshare.Limits
+
 	mutex    sync.Mutex
 	balancer *balance.Balancer
+	// windows are what was sent to replicas lately, where cold ones bear little.
+	windows map[string]*coldshare.Window
 }
 
 // Config sets a Proxy up.
@@ -41,6 +50,10 @@
 	Logger *log.Logger
 	// Connections bounds the connections to one replica.
 	Connections int
+	// Sender names the process among those that send to replicas, and Cold is what its cold
+	// replicas bear beyond their service's rate.
+	Sender string
+	Cold   coldshare.Limits
 	// Guard withholds requests under which replicas end; nil withholds none.
 	Guard *guard.Guard
 	// Clock also counts suspended time; nil is that of the machine.
@@ -52,6 +65,7 @@
 	return &Proxy{
 		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(),
 		view: config.View, logger: config.Logger, guard: config.Guard, clock: config.Clock.OrSystem(), balancer: balance.New(),
+		sender: config.Sender, cold: config.Cold, windows: map[string]*coldshare.Window{},
 	}
 }
 
@@ -132,35 +146,45 @@
 
 // pick chooses a replica that was not tried, or any if all were.
 func (p *Proxy) pick(service string, tried map[string]bool) (sitestate.Replica, bool) {
-	view := p.view()
-	if view == nil {
-		return sitestate.Replica{}, false
-	}
-	replicas := view.ByService[service]
-	fresh := make([]sitestate.Replica, 0, len(replicas))
-	ids := make([]string, 0, len(replicas))
-	for _, replica := range replicas {
+	now := time.Now()
+	open := p.candidates(service, now).replicas
+	fresh := make([]sitestate.Replica, 0, len(open))
+	ids := make([]string, 0, len(open))
+	for _, replica := range open {
 		if !tried[replica.ID] {
 			fresh = append(fresh, replica)
 			ids = append(ids, replica.ID)
 		}
 	}
 	if len(fresh) == 0 {
-		fresh = replicas
-		for _, replica := range replicas {
+		fresh = open
+		for _, replica := range open {
 			ids = append(ids, replica.ID)
 		}
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	chosen := p.balancer.Pick(service, ids, time.Now(), rand.Float64())
+	chosen := p.balancer.Pick(service, ids, now, rand.Float64())
 	if chosen < 0 {
 		return sitestate.Replica{}, false
 	}
 	p.balancer.Begin(ids[chosen])
+	p.noteSent(service, ids[chosen], now)
 	return fresh[chosen], true
 }
 
+// whyNone says why there is no replica to send to, and when there may be one again, 0 if
+// nothing is known of that.
+func (p *Proxy) whyNone(service string) (reason string, retryAfter time.Duration) {
+	if left := p.candidates(service, time.Now()).coldLeft; left > 0 {
+		return "the replicas of the service are cold, and this process has no share of what they bear", left
+	}
+	if view := p.view(); view != nil && len(view.Drained) > 0 {
+		return "no replica of the service is known outside the zones that are drained: " + strings.Join(view.Drained, ", "), 0
+	}
+	return "no replica of the service is known", 0
+}
+
 func (p *Proxy) end(service, id string, outcome balance.Result, took time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -173,6 +197,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.balancer.Forget(func(id string) bool { _, present := view.Replicas[id]; return present })
+	maps.DeleteFunc(p.windows, func(id string, _ *coldshare.Window) bool { _, present := view.Replicas[id]; return !present })
 }
 
 // hedgeAfter is how long the first try of a repeatable request is waited for
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -46,9 +46,12 @@
 	Usage *usage.Report `cbor:"9,keyasint,omitempty"`
 }
 
-// Heard are ids of replicas whose heartbeats a member acknowledged.
+// Heard is what a member tells the leader now and then: the ids of replicas whose heartbeats
+// it acknowledged, and how many processes watch it.
 type Heard struct {
 	Replicas []string `cbor:"1,keyasint"`
+	Member   string   `cbor:"2,keyasint,omitempty"`
+	Watchers int      `cbor:"3,keyasint,omitempty"`
 }
 
 // ReadConfiguration asks for the configuration in force.
@@ -97,6 +100,9 @@
 // Call serves a request at this member or at the leader. Errors are
 // *port.Error.
 func (c *Control) Call(ctx context.Context, request Request) (Answer, error) {
+	if request.Replica != nil {
+		c.ignoreUnboundedWarmup(request.Replica)
+	}
 	if request.Replica != nil && c.heartbeats.takeHere(*request.Replica) {
 		return Answer{HeartbeatAddress: c.config.HeartbeatAddress}, nil
 	}
@@ -164,6 +170,8 @@
 	switch {
 	case request.Command != nil && request.Command.Leave != nil:
 		return c.heartbeats.leave(ctx, *request.Command.Leave)
+	case request.Command != nil && request.Command.Drain != nil:
+		return c.drainZone(ctx, *request.Command.Drain)
 	case request.Command != nil:
 		outcome, err := c.propose(ctx, *request.Command)
 		return Answer{Outcome: outcome}, err
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -88,6 +88,7 @@
 	member     *group.Member
 	heartbeats *heartbeats
 	refused    refusedReports
+	senders    *senders
 	stores     *stores
 	lease      *lease
 	weights    *weightsManager
@@ -114,7 +115,7 @@
 	config.PlacesPerShard = cmp.Or(config.PlacesPerShard, DefaultPlacesPerShard)
 	c := &Control{
 		config: config, pool: wire.NewPool(config.Wire), wakes: map[chan struct{}]struct{}{},
-		seeds: slices.Clone(config.Seeds),
+		seeds: slices.Clone(config.Seeds), senders: newSenders(),
 	}
 	c.view.Store(&sitestate.View{})
 	c.member = group.New(group.Config{
--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -36,6 +36,7 @@
 
 	mutex sync.Mutex
 	heard map[string]heardReplica
+	cold  coldReplicas
 	// untold are replicas whose heartbeats this member took since it last told
 	// the leader.
 	untold map[string]bool
@@ -59,7 +60,7 @@
 		return false
 	}
 	held, known := h.held(report)
-	if !known || !sameReport(held, report) {
+	if !known || !sameReport(held, report) || held.ColdMillis > 0 || report.ColdMillis > 0 {
 		return false
 	}
 	h.control.config.Recorder.HeartbeatTaken()
@@ -76,9 +77,12 @@
 
 // noteHeard takes in, as the leader, what another member heard of.
 func (h *heartbeats) noteHeard(heard Heard) {
+	now := time.Now()
+	if heard.Member != "" {
+		h.control.senders.note(heard.Member, heard.Watchers, now)
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	now := time.Now()
 	for _, id := range heard.Replicas {
 		h.noteAlive(id, now)
 	}
@@ -109,13 +113,15 @@
 	if !h.note(report) {
 		return Answer{}, nil
 	}
-	if known && sameReport(held, report) {
+	now := time.Now()
+	if known && sameReport(held, report) && !h.cold.news(held, report, now) {
 		return Answer{}, nil
 	}
 	outcome, err := h.control.propose(ctx, sitestate.Command{Replica: &report})
 	if err != nil {
 		return Answer{}, err
 	}
+	h.cold.note(report.ID, report.ColdMillis, now)
 	if !known || held.State != report.State {
 		h.control.config.Logger.Info().Str(eventlog.Field, eventlog.ReplicaReported).Str("replica", report.ID).Str("service", report.Service).
 			Str("address", report.Address).Uint8("state", uint8(report.State)).Uint64("sequence", report.Sequence).
@@ -202,6 +208,7 @@
 		h.tellLeader(ctx)
 		return
 	}
+	h.control.tendSenders(ctx, now)
 	replicas := h.control.view.Load().Replicas
 	for _, id := range h.silent(replicas, now) {
 		h.control.config.Logger.Warn().Str(eventlog.Field, eventlog.ReplicaSilent).Str("replica", id).Msg("a replica was not heard of and is taken out")
@@ -212,13 +219,14 @@
 // tellLeader tells the leader which replicas were heard of here. What it does not
 // learn for want of one is told the next time.
 func (h *heartbeats) tellLeader(ctx context.Context) {
-	told := h.takeUntold()
-	if len(told) == 0 {
+	heard := Heard{Replicas: h.takeUntold(), Member: h.control.config.Machine, Watchers: h.control.watchers()}
+	told := heard.Replicas
+	if len(told) == 0 && heard.Watchers == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	answer, err := h.control.callOnce(ctx, Request{Heard: &Heard{Replicas: told}})
+	answer, err := h.control.callOnce(ctx, Request{Heard: &heard})
 	if err == nil && !answer.NotLeader {
 		return
 	}
@@ -262,6 +270,7 @@
 			delete(h.heard, id)
 		}
 	}
+	h.cold.forget(now)
 	for id := range h.heard {
 		if _, present := replicas[id]; !present && now.Sub(h.heard[id].at) > silentAfter {
 			delete(h.heard, id)
--- a/internal/app/sitecontrol/loads.go
+++ b/internal/app/sitecontrol/loads.go
@@ -116,10 +116,13 @@
 }
 
 // follow asks the replica until it serves the version. One that leaves its
-// questions unanswered is given up.
+// questions unanswered is given up, and one whose zone is drained left alone.
 func (w *weightsManager) follow(ctx context.Context, target weightplan.Target) bool {
 	answered := time.Now()
 	for {
+		if w.control.view.Load().Drains(target.Replica.Zone) {
+			return false
+		}
 		report, err := w.report(ctx, target.Replica)
 		if err == nil && w.noteReport(target, report) {
 			return true
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -20,7 +21,9 @@
 
 // replicaBook is what the runner of a shard knows of replicas.
 type replicaBook struct {
-	shard    sitestate.ShardNumber
+	shard sitestate.ShardNumber
+	// cold is what cold replicas bear beyond their service's rate.
+	cold     coldshare.Limits
 	replicas map[string]*replicaEntry
 	// pace is that of all replicas together.
 	pace pace
@@ -40,6 +43,8 @@
 	candidate jobqueue.Replica
 	slots     int
 	known     *replicaEntry
+	// cold is what the replica bears while it is cold.
+	cold coldshare.Limits
 }
 
 type replicaEntry struct {
@@ -57,6 +62,8 @@
 	answered time.Time
 	// versions are weight versions that answers showed, newer than the view.
 	versions map[string]uint64
+	// sent counts items against what the replica bears while it is cold.
+	sent coldshare.Window
 }
 
 func newReplicaBook(shard sitestate.ShardNumber) *replicaBook {
@@ -76,6 +83,7 @@
 func (b *replicaBook) enter(item *work, replica string, now time.Time) {
 	known := b.entry(replica)
 	known.running++
+	known.sent.Note(now)
 	known.groups[item.item.Group] = now
 	item.replica = replica
 }
@@ -148,6 +156,9 @@
 		candidate := listed.candidate
 		candidate.Running = listed.known.running + listed.known.reserved
 		candidate.Free = listed.slots - candidate.Running
+		if listed.cold.Bounded() && view.ColdLeft(candidate.ID, now) > 0 {
+			candidate.Free = min(candidate.Free, listed.known.sent.Room(listed.cold.RunnerPerSpan(), now))
+		}
 		candidate.Pace = b.expected(listed.known, now)
 		b.open = append(b.open, candidate)
 	}
@@ -187,7 +198,9 @@
 
 func (b *replicaBook) describe(service string, replica *sitestate.Replica, described *routing.Service) listedReplica {
 	known := b.entry(replica.ID)
-	return listedReplica{slots: slotsOf(replica, described), known: known, candidate: jobqueue.Replica{
+	cold := b.cold
+	cold.Rate = described.WarmupRate
+	return listedReplica{slots: slotsOf(replica, described), known: known, cold: cold, candidate: jobqueue.Replica{
 		ID: replica.ID, Service: service,
 		Version: func(model string) uint64 { return max(replica.VersionOf(model), known.versions[model]) },
 		Groups:  func(group string) bool { return b.now.Sub(known.groups[group]) < promptKeptFor },
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -130,6 +130,7 @@
 // start begins a leadership.
 func (r *runner) start(ctx context.Context, shard sitestate.ShardNumber, term uint64) {
 	r.leadership = newLeadership(ctx, shard, term)
+	r.replicas.cold = r.store.config.Cold
 	r.store.config.Logger.Info().Str(eventlog.Field, eventlog.RunnerStarted).Uint32("shard", uint32(shard)).Uint64("term", term).Msg("this machine runs the items of jobs")
 }
 
--- a/internal/app/sitestore/store.go
+++ b/internal/app/sitestore/store.go
@@ -17,6 +17,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
@@ -50,6 +51,8 @@
 	Seed  uint64
 	// ToleratedLosses is how many machines with a disk may be lost at once.
 	ToleratedLosses int
+	// Cold is what cold replicas bear beyond their service's rate.
+	Cold coldshare.Limits
 	// Recorder measures items; nil measures nothing.
 	Recorder Recorder
 	// KeepJobs is how long a finished job can be asked about.
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -34,6 +34,8 @@
 	*sitestate.View
 	// Table finds routes; nil while no configuration is known.
 	Table *routing.Table
+	// coldUntil is until when replicas are cold, by id.
+	coldUntil map[string]time.Time
 }
 
 // Config sets a Watcher up.
@@ -252,12 +254,13 @@
 	next := &View{}
 	if previous != nil {
 		held = previous.View
-		next.Table = previous.Table
+		*next = *previous
 	}
 	for _, update := range updates {
 		held = held.Apply(update)
 	}
 	next.View = held
+	next = next.WithCold(updates, time.Now())
 	if next.Configuration.Version > 0 && (next.Table == nil || next.Table.Version() != next.Configuration.Version) {
 		document, err := w.config.Decode(next.Configuration.Raw)
 		if err != nil {
--- a/internal/core/routing/document.go
+++ b/internal/core/routing/document.go
@@ -90,6 +90,10 @@
 	MaxConnections int
 	// Engine is set for services whose replicas generate text.
 	Engine *Engine
+	// Warmup is how long a replica stays cold after its start, and WarmupRate how many
+	// requests a second it bears from all senders meanwhile. A rate of 0 is no bound.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Engine describes the replicas of a generating service.
--- a/internal/core/sitestate/byservice.go
+++ b/internal/core/sitestate/byservice.go
@@ -7,10 +7,10 @@
 )
 
 // byService lists the replicas that may take requests, by service and id.
-func byService(replicas map[string]Replica) map[string][]Replica {
+func (v *View) byService() map[string][]Replica {
 	grouped := map[string][]Replica{}
-	for _, replica := range replicas {
-		if replica.State == ReplicaReady {
+	for _, replica := range v.Replicas {
+		if v.Takes(&replica) {
 			grouped[replica.Service] = append(grouped[replica.Service], replica)
 		}
 	}
@@ -20,15 +20,15 @@
 	return grouped
 }
 
-// regroup gives the lists after an update that changed before into after. Only
-// lists with a change are made anew.
-func regroup(held map[string][]Replica, before, after map[string]Replica, update Update) map[string][]Replica {
-	lists := regrouped{lists: maps.Clone(held), own: map[string]bool{}}
+// regroup gives the lists after an update that changed the replicas before into those of the
+// view. Only lists with a change are made anew.
+func (v *View) regroup(before map[string]Replica, update Update) map[string][]Replica {
+	lists := regrouped{lists: maps.Clone(v.ByService), own: map[string]bool{}}
 	for _, id := range update.Gone {
-		lists.change(id, before, after)
+		lists.change(id, before, v)
 	}
 	for _, replica := range update.Replicas {
-		lists.change(replica.ID, before, after)
+		lists.change(replica.ID, before, v)
 	}
 	return lists.lists
 }
@@ -40,10 +40,10 @@
 }
 
 // change moves one replica to where it belongs.
-func (r *regrouped) change(id string, before, after map[string]Replica) {
+func (r *regrouped) change(id string, before map[string]Replica, after *View) {
 	old, was := before[id]
-	now, is := after[id]
-	is = is && now.State == ReplicaReady
+	now, is := after.Replicas[id]
+	is = is && after.Takes(&now)
 	if was && (!is || old.Service != now.Service) {
 		r.remove(old.Service, id)
 	}
--- a/internal/core/sitestate/byservice_test.go
+++ b/internal/core/sitestate/byservice_test.go
@@ -23,7 +23,7 @@
 				kept = fmt.Sprint(view.ByService)
 			}
 			next := view.Apply(update)
-			if want := byService(next.Replicas); !reflect.DeepEqual(next.ByService, want) {
+			if want := next.byService(); !reflect.DeepEqual(next.ByService, want) {
 				r.Fatalf("after %+v: %v, want %v", update, next.ByService, want)
 			}
 			if view != nil && fmt.Sprint(view.ByService) != kept {
@@ -40,8 +40,12 @@
 		update.Replicas = append(update.Replicas, Replica{
 			ID: fmt.Sprint("i", rapid.IntRange(0, 6).Draw(r, "id")), Service: fmt.Sprint("s", rapid.IntRange(0, 2).Draw(r, "service")),
 			State: ReplicaState(rapid.IntRange(0, 1).Draw(r, "state")), ChangedAt: position,
+			Zone: fmt.Sprint("z", rapid.IntRange(0, 2).Draw(r, "zone")),
 		})
 	}
+	if rapid.IntRange(0, 3).Draw(r, "drains") == 0 {
+		update.Drains = &Drains{Zones: []string{"z0", "z1"}[:rapid.IntRange(0, 2).Draw(r, "drained")]}
+	}
 	for range rapid.IntRange(0, 2).Draw(r, "gone") {
 		update.Gone = append(update.Gone, fmt.Sprint("i", rapid.IntRange(0, 6).Draw(r, "left")))
 	}
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -25,6 +25,9 @@
 	Place         *Place         `cbor:"10,keyasint,omitempty"`
 	Usage         *Usage         `cbor:"11,keyasint,omitempty"`
 	Quarantine    *Quarantine    `cbor:"12,keyasint,omitempty"`
+	Drain         *DrainZone     `cbor:"13,keyasint,omitempty"`
+	// Senders is about how many processes send requests to replicas.
+	Senders *uint32 `cbor:"14,keyasint,omitempty"`
 }
 
 // Quarantine tells what processes saw of requests under which replicas end. Events take
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -47,6 +47,14 @@
 	// of the last change of what observers are told of it.
 	Quarantine   quarantine.Ledger `cbor:"15,keyasint"`
 	QuarantineAt uint64            `cbor:"16,keyasint"`
+	// Drained are the zones whose replicas are sent nothing, with the position at which each
+	// drain began; DrainedAt is that of the last change.
+	Drained   map[string]uint64 `cbor:"17,keyasint,omitempty"`
+	DrainedAt uint64            `cbor:"18,keyasint,omitempty"`
+	// Senders is about how many processes send requests to replicas, 0 if not known;
+	// SendersAt is the position of its last change.
+	Senders   uint32 `cbor:"19,keyasint,omitempty"`
+	SendersAt uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // State is the control state. It is not safe for concurrent use; what it gives
@@ -77,6 +85,9 @@
 	if s.contents.Placed == nil {
 		s.contents.Placed = map[string]ShardNumber{}
 	}
+	if s.contents.Drained == nil {
+		s.contents.Drained = map[string]uint64{}
+	}
 	s.index = newIndex(&s.contents)
 }
 
@@ -199,6 +210,12 @@
 		return s.noteUsage(*command.Usage)
 	case command.Quarantine != nil:
 		return s.noteQuarantine(index, *command.Quarantine)
+	case command.Drain != nil:
+		return s.drain(index, *command.Drain)
+	case command.Senders != nil:
+		s.contents.Senders, s.contents.SendersAt = *command.Senders, index
+		s.changed(index)
+		return OutcomeDone
 	default:
 		return OutcomeMalformed
 	}
--- a/internal/core/sitestate/update.go
+++ b/internal/core/sitestate/update.go
@@ -25,6 +25,10 @@
 	Placed map[string]ShardNumber `cbor:"12,keyasint,omitempty"`
 	// Quarantine comes if it has changed.
 	Quarantine *Suspects `cbor:"13,keyasint,omitempty"`
+	// Drains comes if it has changed.
+	Drains *Drains `cbor:"14,keyasint,omitempty"`
+	// Senders comes if it has changed, and with a whole state.
+	Senders *uint32 `cbor:"15,keyasint,omitempty"`
 	// Members are the control members; the serving process sets them.
 	Members []groupmember.Record `cbor:"8,keyasint,omitempty"`
 	// Confirmed is set by a member in touch with a quorum and caught up.
@@ -51,7 +55,7 @@
 
 // Empty reports whether the update tells of no change.
 func (u *Update) Empty() bool {
-	return !u.Whole && u.Configuration == nil && len(u.Replicas) == 0 && len(u.Gone) == 0 && u.Weights == nil && u.Stores == nil && u.Quarantine == nil && len(u.Members) == 0
+	return !u.Whole && u.Configuration == nil && len(u.Replicas) == 0 && len(u.Gone) == 0 && u.Weights == nil && u.Stores == nil && u.Quarantine == nil && u.Drains == nil && u.Senders == nil && len(u.Members) == 0
 }
 
 // Update gives what an observer at position after lacks. An observer that is
@@ -81,6 +85,13 @@
 	if s.contents.QuarantineAt > after {
 		update.Quarantine = &Suspects{List: s.contents.Quarantine.Shared()}
 	}
+	if s.contents.DrainedAt > after {
+		update.Drains = &Drains{Zones: s.Drained()}
+	}
+	if s.contents.SendersAt > after {
+		senders := s.contents.Senders
+		update.Senders = &senders
+	}
 	return update
 }
 
@@ -114,8 +125,12 @@
 	Replicas      map[string]Replica
 	// ByService holds the replicas that may take requests, by service and id.
 	ByService map[string][]Replica
-	Weights   map[string]uint64
-	Stores    []Store
+	// Drained are the zones whose replicas are sent nothing, in order.
+	Drained []string
+	// Senders is about how many processes send requests to replicas, 0 if not known.
+	Senders uint32
+	Weights map[string]uint64
+	Stores  []Store
 	// Shards are those of the jobs, by number, and Placed is the shard of each model's
 	// jobs.
 	Shards  []Shard
@@ -138,6 +153,12 @@
 	if len(v.Suspects) > 0 {
 		update.Quarantine = &Suspects{List: v.Suspects}
 	}
+	if len(v.Drained) > 0 {
+		update.Drains = &Drains{Zones: v.Drained}
+	}
+	if v.Senders > 0 {
+		update.Senders = &v.Senders
+	}
 	return update
 }
 
@@ -165,14 +186,9 @@
 	if update.Configuration != nil && update.Configuration.Version >= next.Configuration.Version {
 		next.Configuration = *update.Configuration
 	}
-	if update.Whole || len(update.Replicas) > 0 || len(update.Gone) > 0 {
-		held := next.Replicas
-		next.Replicas = replicasAfter(held, update)
-		if update.Whole || next.ByService == nil {
-			next.ByService = byService(next.Replicas)
-		} else {
-			next.ByService = regroup(next.ByService, held, next.Replicas, update)
-		}
+	next.takeReplicas(update)
+	if update.Senders != nil {
+		next.Senders = *update.Senders
 	}
 	if update.Weights != nil {
 		next.Weights = update.Weights
@@ -191,6 +207,32 @@
 	return next
 }
 
+// takeReplicas takes over what an update says of replicas and of the zones that they stand in.
+func (v *View) takeReplicas(update Update) {
+	drainsChange := update.Whole || update.Drains != nil
+	if drainsChange {
+		v.Drained = update.drained()
+	}
+	held := v.Replicas
+	if update.Whole || len(update.Replicas) > 0 || len(update.Gone) > 0 {
+		v.Replicas = replicasAfter(held, update)
+	} else if !drainsChange {
+		return
+	}
+	if drainsChange || v.ByService == nil {
+		v.ByService = v.byService()
+		return
+	}
+	v.ByService = v.regroup(held, update)
+}
+
+func (u *Update) drained() []string {
+	if u.Drains == nil {
+		return nil
+	}
+	return u.Drains.Zones
+}
+
 func (u *Update) suspects() []quarantine.Suspect {
 	if u.Quarantine == nil {
 		return nil
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -29,6 +29,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/sitestore"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/core/usage"
 	"github.com/loomgrade/loomgrade/internal/testkit"
@@ -48,6 +49,9 @@
 	usageDue    = time.Second
 )
 
+// coldLimits are those of all sites.
+var coldLimits = coldshare.Limits{Overshoot: 1.5, Slack: 5}
+
 func quiet() *log.Logger {
 	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
 }
@@ -102,6 +106,8 @@
 	extra  string // further routes, as JSON, beginning with a comma
 	// models are those of the engines' service.
 	models []string
+	// plainFields are further fields of the plain service, as JSON, beginning with a comma.
+	plainFields string
 	// placesPerShard is how many places of engines a shard is for, 0 the default.
 	placesPerShard int
 	// tenants is the configuration's list of them, as JSON; empty for none.
@@ -251,7 +257,10 @@
 		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name), Clock: p.clock,
 	})
 	withholds := sitecontrol.NewGuard(name, watcher, s.logger(name))
-	sender = proxy.New(proxy.Config{Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: withholds, Clock: p.clock})
+	sender = proxy.New(proxy.Config{
+		Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: withholds, Clock: p.clock,
+		Sender: name, Cold: coldLimits,
+	})
 	p.run(func() { _ = withholds.Run(ctx) })
 	return watcher, sender
 }
@@ -350,10 +359,10 @@
 		{"name":"r-plain","hostname":"%s","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40}%s],
-		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
+		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100%s},
 		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":%s}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}%s}`,
-		version, host, plain, host, plain, host, lm, s.extra, plain, lm, listed, s.tenantsField())
+		version, host, plain, host, plain, host, lm, s.extra, plain, s.plainFields, lm, listed, s.tenantsField())
 }
 
 // tenantsField is the configuration's last field, if it has one.
