--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -50,7 +50,7 @@
 	served := front.New(front.Config{
 		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Idle: idle, Recorder: p.metrics,
 		Usage: counted, RevokeWithin: p.file.RevokeWithin(),
-		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, Place: sitecontrol.Placer(watcher)}),
+		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, Place: sitecontrol.Placer(watcher), KeepsWithin: watcher.KeepsWithin}),
 	})
 	p.metrics.Observe(func() metrics.SiteReading {
 		return ofView(metrics.SiteReading{InFlight: served.InFlight(), LinesDropped: p.lines.Dropped()}, watcher)
--- a/cmd/loomgrade/jobfile.go
+++ b/cmd/loomgrade/jobfile.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -124,7 +125,7 @@
 	if view.Table == nil || view.Table.Lookup(submission.Host, submission.Path) == nil {
 		return port.NewError(port.NotRun, port.CodeNotFound, "no route leads from host %q and path %q", submission.Host, submission.Path)
 	}
-	outcome, err := client.jobs.Submit(ctx, submission)
+	outcome, err := client.jobs.Submit(ctx, submission, routing.Homes{})
 	if err != nil {
 		return err
 	}
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -113,7 +113,7 @@
 // newWatcher makes the watcher of the control state; config holds what differs
 // between the processes.
 func (p *siteProcess) newWatcher(config siteview.Config) *siteview.Watcher {
-	config.Seeds, config.Wire, config.Logger = p.file.SeedPeers(), p.wire, p.logger
+	config.Seeds, config.Wire, config.Logger, config.Zones = p.file.SeedPeers(), p.wire, p.logger, p.file.Zones
 	config.Decode = p.dialect.DecodeConfiguration
 	return siteview.New(config)
 }
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -237,6 +237,7 @@
 		},
 		Service: route.Choose(f.splits.Add(1)), Route: route.Name, Caller: caller.name(),
 		Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts, Aim: route.Aim,
+		Homes:  routing.HomesOf(route, caller.tenant),
 		Stream: route.Kind == routing.KindStream,
 	}
 }
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), min(submitTimeout, f.allowed(r, route)))
 	defer cancel()
 	began := time.Now()
-	accepted, err := f.config.Jobs.Submit(ctx, &submission)
+	accepted, err := f.config.Jobs.Submit(ctx, &submission, routing.HomesOf(route, caller.tenant))
 	if err != nil {
 		f.jobFailed(w, r, route.Name, err)
 		return
--- a/internal/app/jobsapi/client.go
+++ b/internal/app/jobsapi/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -33,9 +34,12 @@
 	Zone string
 	// View gives what is known of the site, or nil.
 	View func() *sitestate.View
-	// Place gives the shard of a model whose jobs have none in the view yet; the
-	// control group decides it.
-	Place func(ctx context.Context, model string) (sitestate.ShardNumber, error)
+	// Place gives the shard of a model whose jobs have none in the view yet, kept in one of
+	// the regions if any are given; the control group decides it.
+	Place func(ctx context.Context, model string, regions []string) (sitestate.ShardNumber, error)
+	// KeepsWithin reports whether all machines that keep a shard's jobs stand in homes; nil
+	// knows of no regions.
+	KeepsWithin func(shard sitestate.ShardNumber, homes routing.Homes) bool
 }
 
 // Client asks the groups of the shards. It is safe for concurrent use.
@@ -61,12 +65,16 @@
 }
 
 // Submit hands a job in at the shard of its model. It is safe to repeat: a job is
-// taken once. The error's verdict is NotRun only if no member can have taken it.
-func (c *Client) Submit(ctx context.Context, submission *jobstate.Submission) (jobstate.AcceptOutcome, error) {
-	shard, err := c.shardOfModel(ctx, submission.Model)
+// taken once. The error's verdict is NotRun only if no member can have taken it. A job whose
+// shard is kept outside its homes is refused before anything of it leaves this machine.
+func (c *Client) Submit(ctx context.Context, submission *jobstate.Submission, homes routing.Homes) (jobstate.AcceptOutcome, error) {
+	shard, err := c.shardOfModel(ctx, submission.Model, homes)
 	if err != nil {
 		return 0, err
 	}
+	if homes.Bound() && (c.config.KeepsWithin == nil || !c.config.KeepsWithin(shard, homes)) {
+		return 0, port.NewError(port.NotRun, port.CodeUnavailable, "the jobs of the model are kept outside the regions where the job may be: %s", homes)
+	}
 	answer, err := c.call(ctx, Request{Shard: shard, Submit: submission})
 	if err != nil {
 		return 0, err
@@ -75,14 +83,14 @@
 	return answer.Accepted, nil
 }
 
-func (c *Client) shardOfModel(ctx context.Context, model string) (sitestate.ShardNumber, error) {
+func (c *Client) shardOfModel(ctx context.Context, model string, homes routing.Homes) (sitestate.ShardNumber, error) {
 	if view := c.config.View(); view != nil {
 		if shard := view.ShardOf(model); shard != 0 {
 			return shard, nil
 		}
 	}
 	// Nothing was sent to a shard yet, so the job has not run whatever failed.
-	shard, err := c.config.Place(ctx, model)
+	shard, err := c.config.Place(ctx, model, homes.Regions())
 	if err == nil && shard == 0 {
 		err = eris.New("no shard is known")
 	}
--- a/internal/app/jobsapi/client_test.go
+++ b/internal/app/jobsapi/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -85,7 +86,7 @@
 	}
 	return jobsapi.NewClient(jobsapi.Config{
 		Wire: options, View: func() *sitestate.View { return view },
-		Place: func(_ context.Context, model string) (sitestate.ShardNumber, error) {
+		Place: func(_ context.Context, model string, _ []string) (sitestate.ShardNumber, error) {
 			if model == "unplaceable" {
 				return 0, errors.New("no leader of the control group")
 			}
@@ -103,7 +104,7 @@
 func TestAJobGoesToTheShardOfItsModelAndIsFoundThere(t *testing.T) {
 	client, shards := shardedClient(t, 3, 0, map[string]sitestate.ShardNumber{"a": 1})
 	for model, want := range map[string]int{"a": 0, "not placed yet": 1} {
-		if _, err := client.Submit(context.Background(), &jobstate.Submission{ID: "job of " + model, Model: model}); err != nil {
+		if _, err := client.Submit(context.Background(), &jobstate.Submission{ID: "job of " + model, Model: model}, routing.Homes{}); err != nil {
 			t.Fatal(err)
 		}
 		if !slices.Contains(shards[want].jobs, "job of "+model) {
@@ -118,7 +119,7 @@
 		t.Error("all shards are asked about a job whose shard is known")
 	}
 	var refusal *port.Error
-	_, err := client.Submit(shortly(t), &jobstate.Submission{ID: "j", Model: "unplaceable"})
+	_, err := client.Submit(shortly(t), &jobstate.Submission{ID: "j", Model: "unplaceable"}, routing.Homes{})
 	if !errors.As(err, &refusal) || refusal.Verdict != port.NotRun {
 		t.Errorf("a job that no shard was asked to take: %v", err)
 	}
--- a/internal/app/proxy/candidates.go
+++ b/internal/app/proxy/candidates.go
@@ -5,6 +5,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/coldshare"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
@@ -15,14 +16,15 @@
 	coldLeft time.Duration
 }
 
-// candidates lists the replicas of a service that may be sent a request now. Cold ones are
-// left out beyond this process's share of them.
-func (p *Proxy) candidates(service string, now time.Time) candidates {
+// candidates lists the replicas that may be sent a request now. Those outside its homes are
+// left out, and cold ones beyond this process's share of them.
+func (p *Proxy) candidates(request *Request, now time.Time) candidates {
 	view := p.view()
 	if view == nil {
 		return candidates{}
 	}
-	all := view.ByService[service]
+	service := request.Service
+	all := within(view, view.ByService[service], request.Homes)
 	limits := p.coldLimits(view, service)
 	if !limits.Bounded() {
 		return candidates{replicas: all}
@@ -42,6 +44,20 @@
 	return open
 }
 
+// within lists the replicas that stand in homes.
+func within(view *siteview.View, replicas []sitestate.Replica, homes routing.Homes) []sitestate.Replica {
+	if !homes.Bound() {
+		return replicas
+	}
+	var home []sitestate.Replica
+	for i := range replicas {
+		if homes.Allow(view.RegionOf(replicas[i].Zone)) {
+			home = append(home, replicas[i])
+		}
+	}
+	return home
+}
+
 // coldLimits gives what cold replicas of a service bear.
 func (p *Proxy) coldLimits(view *siteview.View, service string) coldshare.Limits {
 	limits := p.cold
--- a/internal/app/proxy/candidates_test.go
+++ b/internal/app/proxy/candidates_test.go
@@ -47,7 +47,7 @@
 	for i := range senders {
 		sender := coldSender(fmt.Sprint("front-", i), coldView(senders, 2, 0))
 		for range 20 {
-			replica, found := sender.pick("s", map[string]bool{})
+			replica, found := sender.pick(&Request{Service: "s"}, map[string]bool{})
 			if !found {
 				t.Fatal("the warm replica is not sent to")
 			}
@@ -73,7 +73,7 @@
 	sender := coldSender("front", coldView(1, 1, 0))
 	count := 0
 	for {
-		if _, found := sender.pick("s", map[string]bool{}); !found {
+		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
 			break
 		}
 		count++
@@ -82,7 +82,7 @@
 		t.Errorf("%d requests at once, want %d", count, want)
 	}
 	time.Sleep(coldshare.Span)
-	if _, found := sender.pick("s", map[string]bool{}); !found {
+	if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
 		t.Error("nothing is sent a span later")
 	}
 }
@@ -91,7 +91,7 @@
 func TestWarmReplicasHaveNoBound(t *testing.T) {
 	sender := coldSender("front", coldView(1000, 1))
 	for n := range 200 {
-		if _, found := sender.pick("s", map[string]bool{}); !found {
+		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
 			t.Fatalf("request %d found no replica", n)
 		}
 	}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -180,7 +180,7 @@
 }
 
 func (e *exchange) allTried() bool {
-	for _, replica := range e.proxy.candidates(e.request.Service, time.Now()).replicas {
+	for _, replica := range e.proxy.candidates(&e.request, time.Now()).replicas {
 		if !e.tried[replica.ID] {
 			return false
 		}
@@ -232,7 +232,7 @@
 
 // failNone is the failure of a request for which there is no replica.
 func (e *exchange) failNone() *Failure {
-	reason, retryAfter := e.proxy.whyNone(e.request.Service)
+	reason, retryAfter := e.proxy.whyNone(&e.request)
 	failure := e.fail(port.CodeNoBackEnd, reason)
 	failure.RetryAfter = cmp.Or(failure.RetryAfter, retryAfter)
 	return failure
@@ -263,7 +263,7 @@
 		e.withheld = true
 		return false
 	}
-	replica, found := e.proxy.pick(e.request.Service, e.tried)
+	replica, found := e.proxy.pick(&e.request, e.tried)
 	if !found {
 		return false
 	}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/coldshare"
 	"github.com/loomgrade/loomgrade/internal/core/quarantine"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -81,6 +82,8 @@
 	MaxAttempts int
 	// Aim is the time within which an answer is worth most; 0 is none.
 	Aim time.Duration
+	// Homes are the regions in which it may be served.
+	Homes routing.Homes
 	// Stream hands the answer over with its head, its body unread.
 	Stream bool
 }
@@ -145,9 +148,9 @@
 }
 
 // pick chooses a replica that was not tried, or any if all were.
-func (p *Proxy) pick(service string, tried map[string]bool) (sitestate.Replica, bool) {
+func (p *Proxy) pick(request *Request, tried map[string]bool) (sitestate.Replica, bool) {
 	now := time.Now()
-	open := p.candidates(service, now).replicas
+	open := p.candidates(request, now).replicas
 	fresh := make([]sitestate.Replica, 0, len(open))
 	ids := make([]string, 0, len(open))
 	for _, replica := range open {
@@ -164,21 +167,24 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	chosen := p.balancer.Pick(service, ids, now, rand.Float64())
+	chosen := p.balancer.Pick(request.Service, ids, now, rand.Float64())
 	if chosen < 0 {
 		return sitestate.Replica{}, false
 	}
 	p.balancer.Begin(ids[chosen])
-	p.noteSent(service, ids[chosen], now)
+	p.noteSent(request.Service, ids[chosen], now)
 	return fresh[chosen], true
 }
 
 // whyNone says why there is no replica to send to, and when there may be one again, 0 if
 // nothing is known of that.
-func (p *Proxy) whyNone(service string) (reason string, retryAfter time.Duration) {
-	if left := p.candidates(service, time.Now()).coldLeft; left > 0 {
+func (p *Proxy) whyNone(request *Request) (reason string, retryAfter time.Duration) {
+	if left := p.candidates(request, time.Now()).coldLeft; left > 0 {
 		return "the replicas of the service are cold, and this process has no share of what they bear", left
 	}
+	if request.Homes.Bound() {
+		return "no replica of the service is known in the regions where the request may be served: " + request.Homes.String(), 0
+	}
 	if view := p.view(); view != nil && len(view.Drained) > 0 {
 		return "no replica of the service is known outside the zones that are drained: " + strings.Join(view.Drained, ", "), 0
 	}
--- a/internal/app/sitecontrol/placer.go
+++ b/internal/app/sitecontrol/placer.go
@@ -8,10 +8,10 @@
 )
 
 // Placer asks the control group, by a watcher's members, for the shard of a model.
-func Placer(watcher *siteview.Watcher) func(ctx context.Context, model string) (sitestate.ShardNumber, error) {
-	return func(ctx context.Context, model string) (sitestate.ShardNumber, error) {
+func Placer(watcher *siteview.Watcher) func(ctx context.Context, model string, regions []string) (sitestate.ShardNumber, error) {
+	return func(ctx context.Context, model string, regions []string) (sitestate.ShardNumber, error) {
 		var answer Answer
-		err := watcher.Call(ctx, MethodCall, Request{Place: &PlaceModel{Model: model}}, &answer)
+		err := watcher.Call(ctx, MethodCall, Request{Place: &PlaceModel{Model: model, Regions: regions}}, &answer)
 		return answer.Shard, err
 	}
 }
--- a/internal/app/sitecontrol/shards.go
+++ b/internal/app/sitecontrol/shards.go
@@ -33,9 +33,11 @@
 	joinPatience = 4 * time.Second
 )
 
-// PlaceModel asks which shard keeps a model's jobs; it is decided then.
+// PlaceModel asks which shard keeps a model's jobs; it is decided then, for one that is kept
+// in the regions if any are given.
 type PlaceModel struct {
-	Model string `cbor:"1,keyasint,omitempty"`
+	Model   string   `cbor:"1,keyasint,omitempty"`
+	Regions []string `cbor:"2,keyasint,omitempty"`
 }
 
 func (s *stores) limits() shardplan.Limits {
@@ -55,7 +57,7 @@
 		return
 	}
 	alive := s.alive(func(sitestate.Store) bool { return true })
-	if len(view.Shards) < shardplan.Wanted(len(alive), s.places(view), s.limits()) {
+	if len(view.Shards) < s.wanted(alive, view) {
 		s.found(ctx, view, alive, now.Sub(s.ledFrom) > foundingPatience)
 		return
 	}
@@ -79,7 +81,7 @@
 // with fewer if the site has no shard and no more come.
 func (s *stores) found(ctx context.Context, view *sitestate.View, alive []sitestate.Store, patience bool) {
 	number := sitestate.ShardNumber(len(view.Shards) + 1)
-	free := freeOf(alive, view.Shards)
+	free := s.withinRegion(freeOf(alive, view.Shards), view)
 	if len(free) == 0 || (len(free) < s.voters() && (number > 1 || !patience)) {
 		return
 	}
@@ -119,8 +121,12 @@
 // placeConfigured places the models of the configuration.
 func (s *stores) placeConfigured(ctx context.Context) {
 	for _, service := range s.control.engineServices() {
+		regions, clear := s.jobRegions(service.Name)
+		if !clear {
+			continue
+		}
 		for _, model := range service.Engine.Models {
-			if _, err := s.place(ctx, PlaceModel{Model: model}); err != nil {
+			if _, err := s.place(ctx, PlaceModel{Model: model, Regions: regions}); err != nil {
 				return
 			}
 		}
@@ -136,9 +142,10 @@
 	if held := placed[request.Model]; held != 0 {
 		return Answer{Shard: held}, nil
 	}
-	chosen := shardplan.For(placed, shards)
+	view := s.control.view.Load()
+	chosen := shardplan.For(placed, shards, func(shard sitestate.ShardNumber) bool { return s.keptIn(view, shard, request.Regions) })
 	if chosen == 0 {
-		return Answer{}, port.NewError(port.NotRun, port.CodeUnavailable, "no shard is founded yet")
+		return Answer{}, port.NewError(port.NotRun, port.CodeUnavailable, "no shard is founded yet that is kept in the regions %v", request.Regions)
 	}
 	if _, err := s.control.propose(ctx, sitestate.Command{Place: &sitestate.Place{Model: request.Model, Shard: chosen}}); err != nil {
 		return Answer{}, err
@@ -195,7 +202,7 @@
 			continue
 		}
 		members := slices.DeleteFunc(slices.Clone(view.Stores), func(store sitestate.Store) bool { return !slices.Contains(report.members, store.Name) })
-		picked := shardplan.Pick(machinesOf(members), free, report.vacant)
+		picked := shardplan.Pick(machinesOf(members), s.besides(members, free), report.vacant)
 		if slices.ContainsFunc(picked, func(machine shardplan.Machine) bool { return machine.Name == name }) {
 			return shard.Number
 		}
--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -96,6 +96,15 @@
 	return route, route.Choose(uint64(item.key.Item))
 }
 
+// homes gives the regions in which an item may run.
+func (r *runner) homes(item *work) routing.Homes {
+	route, _ := r.route(item)
+	if route == nil {
+		return routing.Homes{}
+	}
+	return routing.HomesOf(route, r.table.Tenant(item.tenant))
+}
+
 // enqueue lets an item wait for a replica, or goes on with its score if its
 // text is whole. One that is withheld does not wait for any.
 func (r *runner) enqueue(item *work, notBefore time.Time) {
--- a/internal/app/sitestore/move.go
+++ b/internal/app/sitestore/move.go
@@ -98,7 +98,8 @@
 // waiting is an item as the queue sees it.
 func (r *runner) waiting(item *work, service string) jobqueue.Item {
 	return jobqueue.Item{
-		Key: item.key, Service: service, Model: item.model, MinVersion: item.minVersion, Only: item.only(),
+		Homes: r.homes(item),
+		Key:   item.key, Service: service, Model: item.model, MinVersion: item.minVersion, Only: item.only(),
 		Group: item.item.Group, Rank: item.rank, Avoid: item.avoid,
 		Relaxed: float64(item.item.ExpectedLength()) < relaxedShare*float64(item.longest),
 	}
--- a/internal/app/sitestore/replicabook.go
+++ b/internal/app/sitestore/replicabook.go
@@ -201,7 +201,7 @@
 	cold := b.cold
 	cold.Rate = described.WarmupRate
 	return listedReplica{slots: slotsOf(replica, described), known: known, cold: cold, candidate: jobqueue.Replica{
-		ID: replica.ID, Service: service,
+		ID: replica.ID, Service: service, Region: b.view.RegionOf(replica.Zone),
 		Version: func(model string) uint64 { return max(replica.VersionOf(model), known.versions[model]) },
 		Groups:  func(group string) bool { return b.now.Sub(known.groups[group]) < promptKeptFor },
 	}}
--- /dev/null
+++ b/internal/app/siteview/regions.go
@@ -0,0 +1,55 @@
+package siteview
+
+import (
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// RegionOf gives the region of a zone, empty if it is not known.
+func (v *View) RegionOf(zone string) string { return v.zones[zone] }
+
+// WithZones gives the view with the regions of zones.
+func (v *View) WithZones(zones map[string]string) *View {
+	next := *v
+	next.zones = zones
+	return &next
+}
+
+// KeepsWithin reports whether all machines that keep a shard's jobs stand in homes: those
+// of its group, and before they told so its founders.
+func (v *View) KeepsWithin(shard sitestate.ShardNumber, homes routing.Homes) bool {
+	if !homes.Bound() {
+		return true
+	}
+	members := 0
+	for _, store := range v.Stores {
+		if store.Shard == shard || v.founds(shard, store.Name) {
+			members++
+			if !homes.Allow(v.RegionOf(store.Zone)) {
+				return false
+			}
+		}
+	}
+	return members > 0
+}
+
+// KeepsWithin asks the present view.
+func (w *Watcher) KeepsWithin(shard sitestate.ShardNumber, homes routing.Homes) bool {
+	view := w.View()
+	return view != nil && view.KeepsWithin(shard, homes)
+}
+
+// founds reports whether a machine is a founder of a shard.
+func (v *View) founds(number sitestate.ShardNumber, machine string) bool {
+	for _, shard := range v.Shards {
+		if shard.Number != number {
+			continue
+		}
+		for _, founder := range shard.Founders {
+			if founder.Name == machine {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/app/siteview/watcher.go
+++ b/internal/app/siteview/watcher.go
@@ -34,6 +34,8 @@
 	*sitestate.View
 	// Table finds routes; nil while no configuration is known.
 	Table *routing.Table
+	// zones gives the region of each zone, as the settings have it.
+	zones map[string]string
 	// coldUntil is until when replicas are cold, by id.
 	coldUntil map[string]time.Time
 }
@@ -50,6 +52,8 @@
 	// leader is elected. A confirmed view follows; what must never be out of
 	// date waits for it by ConfirmedWithin.
 	Provisional bool
+	// Zones gives the region of each zone of the site.
+	Zones map[string]string
 	// Interest says which changes of replicas are followed.
 	Interest sitestate.Interest
 	// Changed is called after the view has changed. It must not wait.
@@ -251,7 +255,7 @@
 
 func (w *Watcher) next(previous *View, updates []sitestate.Update) (*View, error) {
 	var held *sitestate.View
-	next := &View{}
+	next := &View{zones: w.config.Zones}
 	if previous != nil {
 		held = previous.View
 		*next = *previous
--- a/internal/core/jobqueue/jobqueue.go
+++ b/internal/core/jobqueue/jobqueue.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 )
 
 // Key names an item.
@@ -31,6 +32,8 @@
 	Group string
 	// Rank orders the items; lower runs first.
 	Rank Rank
+	// Homes are the regions in which it may run.
+	Homes routing.Homes
 	// Relaxed is set for an item that is done in time at any replica.
 	Relaxed bool
 	// Avoid is a replica that was slow at it; it is taken if there is no other.
@@ -85,6 +88,8 @@
 type Replica struct {
 	ID      string
 	Service string
+	// Region is where it stands, empty if that is not known.
+	Region string
 	// Free is how many further items it may run.
 	Free int
 	// Running is how many it runs.
@@ -164,10 +169,11 @@
 type want struct {
 	service, model   string
 	minVersion, only uint64
+	homes            string
 }
 
 func wantOf(item Item) want {
-	return want{service: item.Service, model: item.Model, minVersion: item.MinVersion, only: item.Only}
+	return want{service: item.Service, model: item.Model, minVersion: item.MinVersion, only: item.Only, homes: item.Homes.String()}
 }
 
 // choose gives the index of the best replica for an item, or -1.
@@ -216,6 +222,9 @@
 )
 
 func fits(replica *Replica, item Item) bool {
+	if !item.Homes.Allow(replica.Region) {
+		return false
+	}
 	version := replica.Version(item.Model)
 	if item.Only != 0 {
 		return version == item.Only
--- a/internal/core/routing/document.go
+++ b/internal/core/routing/document.go
@@ -39,6 +39,8 @@
 	Keys []apikey.Digest
 	// Priority, if set, goes before that of the route.
 	Priority *int
+	// Regions are where its requests may be served and kept; empty is everywhere.
+	Regions []string
 }
 
 // Route leads the requests of one host and path prefix to services.
@@ -69,6 +71,8 @@
 	OneVersion bool
 	// Public routes are open to callers without a key.
 	Public bool
+	// Regions are where its requests may be served and kept; empty is everywhere.
+	Regions []string
 }
 
 // Share is one part of a split route.
--- /dev/null
+++ b/internal/core/routing/homes_test.go
@@ -0,0 +1,30 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/loomgrade/loomgrade/internal/core/routing"
+)
+
+func TestHomesOfRouteAndTenantEachBind(t *testing.T) {
+	for name, row := range map[string]struct {
+		route, tenant []string
+		allowed       map[string]bool
+	}{
+		"none":                    {nil, nil, map[string]bool{"a": true, "b": true, "": true}},
+		"of the route":            {[]string{"a"}, nil, map[string]bool{"a": true, "b": false, "": false}},
+		"of the tenant":           {nil, []string{"a", "b"}, map[string]bool{"a": true, "b": true, "c": false}},
+		"of both":                 {[]string{"a", "b"}, []string{"b", "c"}, map[string]bool{"a": false, "b": true, "c": false}},
+		"of both, with no common": {[]string{"a"}, []string{"b"}, map[string]bool{"a": false, "b": false, "": false}},
+	} {
+		homes := routing.HomesOf(&routing.Route{Regions: row.route}, &routing.Tenant{Regions: row.tenant})
+		for region, want := range row.allowed {
+			if got := homes.Allow(region); got != want {
+				t.Errorf("%s: region %q allowed %v", name, region, got)
+			}
+		}
+	}
+	if routing.HomesOf(&routing.Route{}, nil).Bound() {
+		t.Error("nobody's request of a route without homes is bound")
+	}
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -20,6 +20,8 @@
 	services map[string]*Service
 	// byKey finds the tenant of a key; it does not depend on how many there are.
 	byKey map[apikey.Digest]*Tenant
+	// tenants finds tenants by name.
+	tenants map[string]*Tenant
 }
 
 // NewTable makes a table of a valid document, which must not change any more.
@@ -29,6 +31,7 @@
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(document.Services)),
 		byKey:    make(map[apikey.Digest]*Tenant, len(document.Tenants)),
+		tenants:  make(map[string]*Tenant, len(document.Tenants)),
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
@@ -43,6 +46,7 @@
 		table.services[service.Name] = service
 	}
 	for i := range document.Tenants {
+		table.tenants[document.Tenants[i].Name] = &document.Tenants[i]
 		for _, key := range document.Tenants[i].Keys {
 			table.byKey[key] = &document.Tenants[i]
 		}
@@ -56,6 +60,9 @@
 // TenantOf finds the tenant that holds a key, or nil.
 func (t *Table) TenantOf(key string) *Tenant { return t.byKey[apikey.Of(key)] }
 
+// Tenant finds a tenant by name, or nil.
+func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
+
 // Document gives what the table was made of.
 func (t *Table) Document() *Document { return t.document }
 
--- a/internal/core/shardplan/shardplan.go
+++ b/internal/core/shardplan/shardplan.go
@@ -79,17 +79,18 @@
 	) < 0
 }
 
-// For gives the shard that a further model's jobs go to: the one with the fewest
-// models, the first of equals; 0 if there is no shard.
-func For(placed map[string]sitestate.ShardNumber, shards int) sitestate.ShardNumber {
-	models := make([]int, shards)
+// For gives the shard that a further model's jobs go to: of those that may keep them the one
+// with the fewest models, the first of equals; 0 if there is none.
+func For(placed map[string]sitestate.ShardNumber, shards int, may func(sitestate.ShardNumber) bool) sitestate.ShardNumber {
+	models := map[sitestate.ShardNumber]int{}
 	for _, shard := range placed {
-		if int(shard) <= shards {
-			models[shard-1]++
-		}
+		models[shard]++
 	}
-	if shards == 0 {
-		return 0
+	best := sitestate.ShardNumber(0)
+	for shard := sitestate.ShardNumber(1); int(shard) <= shards; shard++ {
+		if may(shard) && (best == 0 || models[shard] < models[best]) {
+			best = shard
+		}
 	}
-	return sitestate.ShardNumber(slices.Index(models, slices.Min(models))) + 1
+	return best
 }
--- a/internal/core/shardplan/shardplan_test.go
+++ b/internal/core/shardplan/shardplan_test.go
@@ -58,9 +58,10 @@
 }
 
 func TestModelsAreDividedEvenly(t *testing.T) {
+	any := func(sitestate.ShardNumber) bool { return true }
 	placed := map[string]sitestate.ShardNumber{}
 	for i := range 7 {
-		placed[fmt.Sprint(i)] = shardplan.For(placed, 3)
+		placed[fmt.Sprint(i)] = shardplan.For(placed, 3, any)
 	}
 	counts := map[sitestate.ShardNumber]int{}
 	for _, shard := range placed {
@@ -69,7 +70,20 @@
 	if counts[1] != 3 || counts[2] != 2 || counts[3] != 2 {
 		t.Errorf("models by shard: %v", counts)
 	}
-	if got := shardplan.For(placed, 0); got != 0 {
+	if got := shardplan.For(placed, 0, any); got != 0 {
 		t.Errorf("shard %d of none", got)
 	}
 }
+
+func TestAModelGoesToAShardThatMayKeepIt(t *testing.T) {
+	placed := map[string]sitestate.ShardNumber{"a": 2, "b": 2}
+	for want, may := range map[sitestate.ShardNumber]func(sitestate.ShardNumber) bool{
+		1: func(shard sitestate.ShardNumber) bool { return shard != 3 },
+		2: func(shard sitestate.ShardNumber) bool { return shard == 2 },
+		0: func(sitestate.ShardNumber) bool { return false },
+	} {
+		if got := shardplan.For(placed, 3, may); got != want {
+			t.Errorf("shard %d, want %d", got, want)
+		}
+	}
+}
--- a/internal/lab/localsite/trainer.go
+++ b/internal/lab/localsite/trainer.go
@@ -8,6 +8,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
+	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
 
@@ -124,7 +125,7 @@
 
 func (s *Site) submit(ctx context.Context, record *jobRecord) bool {
 	return until(ctx, func(ctx context.Context) error {
-		_, err := s.jobs.Submit(ctx, &record.submission)
+		_, err := s.jobs.Submit(ctx, &record.submission, routing.Homes{})
 		return err
 	})
 }
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -106,6 +107,12 @@
 	extra  string // further routes, as JSON, beginning with a comma
 	// models are those of the engines' service.
 	models []string
+	// zones gives the region of each zone; nil for none.
+	zones map[string]string
+	// storeZones are those of the store machines in turn; empty is "z" for all.
+	storeZones []string
+	// lmRoute are further fields of the route of jobs, as JSON, beginning with a comma.
+	lmRoute string
 	// plainFields are further fields of the plain service, as JSON, beginning with a comma.
 	plainFields string
 	// placesPerShard is how many places of engines a shard is for, 0 the default.
@@ -218,7 +225,7 @@
 	p.control = sitecontrol.New(sitecontrol.Config{
 		Machine: p.name, Address: p.address, HeartbeatAddress: p.address, Seeds: s.seeds, Found: first, Folder: "/data/control", FileSystem: p.disk,
 		Wire: wireOptions(p.name), Dialect: platform.Dialect{}, Logger: s.logger(p.name), Seed: uint64(len(p.name)) + uint64(p.name[len(p.name)-1]),
-		ToleratedLosses: s.losses, PlacesPerShard: s.placesPerShard, HolderLease: s.holderLease,
+		Zones: s.zones, ToleratedLosses: s.losses, PlacesPerShard: s.placesPerShard, HolderLease: s.holderLease,
 		Provider: cloud, UsageWindow: usageWindow, UsageDue: usageDue, Clock: p.clock,
 	})
 	p.control.Register(p.server)
@@ -234,7 +241,7 @@
 	p.server = wire.NewServer(wireOptions(p.name))
 	watcher, sender := s.watch(ctx, p, false)
 	p.store = sitestore.New(sitestore.Config{
-		Machine: p.name, Zone: "z", Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
+		Machine: p.name, Zone: s.storeZone(p), Address: p.address, Folder: "/data/store", FileSystem: p.disk, Wire: wireOptions(p.name),
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Seed: uint64(p.name[len(p.name)-1]),
 		ToleratedLosses: s.losses, KeepJobs: time.Minute, MostJobBytes: s.mostJobBytes, Clock: p.clock,
 	})
@@ -245,6 +252,14 @@
 	p.run(func() { _ = store.Run(ctx) })
 }
 
+// storeZone is where a store machine stands.
+func (s *site) storeZone(p *process) string {
+	if i := slices.Index(s.stores, p); len(s.storeZones) > 0 {
+		return s.storeZones[i%len(s.storeZones)]
+	}
+	return "z"
+}
+
 func (s *site) watch(ctx context.Context, p *process, provisional bool) (*siteview.Watcher, *proxy.Proxy) {
 	name := p.name
 	var sender *proxy.Proxy
@@ -254,7 +269,7 @@
 	}
 	watcher := siteview.New(siteview.Config{
 		Seeds: s.seeds, Wire: wireOptions(name), Decode: platform.Dialect{}.DecodeConfiguration, Provisional: provisional, Interest: interest,
-		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name), Clock: p.clock,
+		Changed: func(view *siteview.View) { sender.Observe(view) }, Logger: s.logger(name), Clock: p.clock, Zones: s.zones,
 	})
 	withholds := sitecontrol.NewGuard(name, watcher, s.logger(name))
 	sender = proxy.New(proxy.Config{
@@ -283,7 +298,7 @@
 	p.front = front.New(front.Config{
 		Usage:   counted,
 		Dialect: platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Idle: idle,
-		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), Zone: "z", View: watcher.State, Place: sitecontrol.Placer(watcher)}),
+		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), Zone: "z", View: watcher.State, Place: sitecontrol.Placer(watcher), KeepsWithin: watcher.KeepsWithin}),
 	})
 	p.http = httptest.NewServer(platform.FrontHandler(p.front))
 	p.run(func() { _ = watcher.Run(ctx) })
@@ -358,11 +373,11 @@
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"r-plain","hostname":"%s","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
-		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40}%s],
+		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":40%s}%s],
 		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100%s},
 		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":%s}}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}%s}`,
-		version, host, plain, host, plain, host, lm, s.extra, plain, s.plainFields, lm, listed, s.tenantsField())
+		version, host, plain, host, plain, host, lm, s.lmRoute, s.extra, plain, s.plainFields, lm, listed, s.tenantsField())
 }
 
 // tenantsField is the configuration's last field, if it has one.
