--- a/internal/app/jobsapi/client.go
+++ b/internal/app/jobsapi/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -137,8 +138,10 @@
 	return jobs, nil
 }
 
-// ofJob makes a call at the shard that has a job. Where that is not known all are asked
-// at once; Unknown is answered only if every one says so.
+// ofJob makes a call at the shard that has a job. Where that is not known, those that keep the
+// jobs of any model are asked first: a site of many machines has more shards than models, and
+// each that is asked is a connection and an answer for every front. Unknown is answered only
+// if every shard says so: the view may lack the newest models.
 func (c *Client) ofJob(ctx context.Context, job string, request Request) (Answer, error) {
 	if shard := c.recall(job); shard != 0 {
 		request.Shard = shard
@@ -150,6 +153,27 @@
 	if view == nil || len(view.Placed) == 0 {
 		return Answer{}, port.NewError(port.NotRun, port.CodeUnavailable, "not all shards may be known")
 	}
+	first, others := byPlaced(view)
+	answer, err := c.ofAny(ctx, job, request, first)
+	if err != nil || !answer.Unknown || len(others) == 0 {
+		return answer, err
+	}
+	return c.ofAny(ctx, job, request, others)
+}
+
+// byPlaced lists the shards that keep the jobs of any model, and the others.
+func byPlaced(view *sitestate.View) (placed, others []sitestate.ShardNumber) {
+	placed = slices.Compact(slices.Sorted(maps.Values(view.Placed)))
+	for _, shard := range view.Shards {
+		if !slices.Contains(placed, shard.Number) {
+			others = append(others, shard.Number)
+		}
+	}
+	return placed, others
+}
+
+// ofAny makes a call at the one of several shards that has a job, asking all at once.
+func (c *Client) ofAny(ctx context.Context, job string, request Request, shards []sitestate.ShardNumber) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type reply struct {
@@ -157,17 +181,17 @@
 		answer Answer
 		err    error
 	}
-	replies := make(chan reply, len(view.Shards))
-	for _, shard := range view.Shards {
+	replies := make(chan reply, len(shards))
+	for _, shard := range shards {
 		asked := request
-		asked.Shard = shard.Number
+		asked.Shard = shard
 		go func() {
 			answer, err := c.call(ctx, asked)
-			replies <- reply{shard.Number, answer, err}
+			replies <- reply{shard, answer, err}
 		}()
 	}
 	var failed error
-	for range view.Shards {
+	for range shards {
 		got := <-replies
 		switch {
 		case got.err != nil:
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -318,6 +318,7 @@
 		}
 		return result{class: classBroken, reason: err}
 	}
+	e.proxy.noteLoad(replica.ID, response.Header)
 	if e.proxy.client.RefusedAsNotRun(response) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		_ = response.Body.Close()
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -29,10 +29,12 @@
 type Proxy struct {
 	client  *replicacall.Client
 	headers dialect.Headers
-	view    func() *siteview.View
-	logger  *log.Logger
-	guard   *guard.Guard
-	clock   boottime.Clock
+	// readLoad reads what a replica says of its load.
+	readLoad func(value string) (balance.Load, bool)
+	view     func() *siteview.View
+	logger   *log.Logger
+	guard    *guard.Guard
+	clock    boottime.Clock
 
 	held *held.Budget
 	// sender and cold say what this process may send cold replicas.
@@ -68,7 +70,7 @@
 // New makes a Proxy.
 func New(config Config) *Proxy {
 	return &Proxy{
-		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(),
+		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(), readLoad: config.Dialect.ReadLoad,
 		view: config.View, logger: config.Logger, guard: config.Guard, clock: config.Clock.OrSystem(), balancer: balance.New(),
 		held: config.Held, sender: config.Sender, cold: config.Cold, windows: map[string]*coldshare.Window{},
 	}
@@ -208,6 +210,25 @@
 	p.balancer.End(service, id, outcome, took, time.Now())
 }
 
+// noteLoad takes in what a replica says of its load with an answer. What cannot be read says
+// nothing.
+func (p *Proxy) noteLoad(id string, header http.Header) {
+	if p.headers.Load == "" {
+		return
+	}
+	value := header.Get(p.headers.Load)
+	if value == "" {
+		return
+	}
+	load, ok := p.readLoad(value)
+	if !ok {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.balancer.Told(id, load, time.Now())
+}
+
 // Observe takes a new view in: what is known of replicas that are gone is dropped.
 func (p *Proxy) Observe(view *siteview.View) {
 	p.guard.Observe(view)
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -144,6 +144,9 @@
 	if shown.Leader.Address == "" || !shown.Status.QuorumActive {
 		return Answer{NotLeader: true}, nil
 	}
+	if request.Replica != nil {
+		return c.reports.forward(ctx, *request.Replica)
+	}
 	var answer Answer
 	err := c.forward(ctx, shown.Leader.Address, request, &answer)
 	return answer, err
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -88,6 +88,7 @@
 	member     *group.Member
 	heartbeats *heartbeats
 	refused    refusedReports
+	reports    *reports
 	senders    *senders
 	stores     *stores
 	lease      *lease
@@ -126,6 +127,7 @@
 		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1, Learners: groupmember.AnyNumber},
 	})
 	c.heartbeats = newHeartbeats(c)
+	c.reports = &reports{control: c}
 	c.stores = newStores(c)
 	c.lease = newLease(c)
 	c.weights = newWeightsManager(c)
@@ -139,6 +141,7 @@
 	c.member.Register(server)
 	server.Handle(MethodCall, c.serveCall)
 	server.Handle(methodForwarded, c.serveForwarded)
+	server.Handle(methodReports, c.serveReports)
 	c.registerWatch(server)
 	server.Handle(methodClock, c.serveClock)
 }
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -48,6 +48,9 @@
 	measuredAt   time.Time
 	failures     int
 	blockedUntil time.Time
+	// load is by how much more a request costs there, as it said at toldAt.
+	load   float64
+	toldAt time.Time
 }
 
 // Balancer holds what is known of replicas by id. It is not safe for concurrent
@@ -157,7 +160,7 @@
 		return blockedCost + known.blockedUntil.Sub(now).Seconds()
 	}
 	latency := max(faded(known, usual, now), leastLatency)
-	cost := latency.Seconds() * float64(known.inFlight+1)
+	cost := latency.Seconds() * float64(known.inFlight+1) * known.loadFactor(now)
 	if !known.warm(now) {
 		cost *= coldFactor
 	}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -5,6 +5,7 @@
 package dialect
 
 import (
+	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -32,6 +33,8 @@
 	// tenants are configured, the key is never passed on and the tenant is that of the key.
 	Key    string
 	Tenant string
+	// Load is what a replica says of its load with an answer; ReadLoad reads it.
+	Load string
 	// Holder and Fence say who calls the provider, and in which term.
 	Holder string
 	Fence  string
@@ -74,6 +77,8 @@
 	DecodeConfiguration(raw []byte) (*routing.Document, error)
 	// DecodeJob reads a job's body; id, host and path come from its request.
 	DecodeJob(body []byte) (jobstate.Submission, error)
+	// ReadLoad reads the value of Headers.Load; ok is false if it cannot be read.
+	ReadLoad(value string) (load balance.Load, ok bool)
 	// OrderCall encodes an order.
 	OrderCall(order Order) (Call, error)
 	// ReportCall asks for a Report, which DecodeReport reads.
--- a/internal/lab/localsite/dialect.go
+++ b/internal/lab/localsite/dialect.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -57,6 +58,9 @@
 	return submission, err
 }
 
+// ReadLoad implements dialect.Dialect. The stand-ins say nothing of their load.
+func (labDialect) ReadLoad(string) (balance.Load, bool) { return balance.Load{}, false }
+
 // OrderCall implements dialect.Dialect.
 func (labDialect) OrderCall(order dialect.Order) (dialect.Call, error) {
 	body, err := json.Marshal(order)
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -92,7 +92,7 @@
 
 // site is a whole site.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	controls []*process
 	stores   []*process
 	fronts   []*process
@@ -128,7 +128,7 @@
 	mostJobBytes int
 }
 
-func newSite(t *testing.T, controls, stores int) *site {
+func newSite(t testing.TB, controls, stores int) *site {
 	s := &site{t: t, losses: 1, models: []string{model}, holderLease: 300 * time.Millisecond, logger: func(string) *log.Logger { return quiet() }}
 	for i := range controls {
 		p := &process{name: fmt.Sprintf("core-%d", i), address: testkit.FreeAddress(t), disk: faultfs.New(uint64(i) + 1)}
@@ -312,7 +312,7 @@
 
 // until waits for a condition. The time is patience with a busy machine and
 // judges nothing.
-func until(t *testing.T, what string, condition func() bool) {
+func until(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !condition() {
--- a/test/sitestandin/replica.go
+++ b/test/sitestandin/replica.go
@@ -81,7 +81,7 @@
 }
 
 // NewReplica starts a stand-in of an application server.
-func NewReplica(t *testing.T, id, service string) *Replica {
+func NewReplica(t testing.TB, id, service string) *Replica {
 	r := &Replica{ID: id, Service: service, version: 1, EventPause: DefaultEventPause, Events: DefaultEvents}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	t.Cleanup(func() {
@@ -92,7 +92,7 @@
 }
 
 // NewEngine starts a stand-in of an engine.
-func NewEngine(t *testing.T, id, service string, models ...string) *Replica {
+func NewEngine(t testing.TB, id, service string, models ...string) *Replica {
 	r := NewReplica(t, id, service)
 	r.Models = models
 	return r
