--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -34,6 +34,7 @@
 	ReplicaRestarted        Event = "replica.restarted"
 	HeartbeatRefused        Event = "heartbeat.refused"
 	ZoneDrained             Event = "zone.drained"
+	LevelRaised             Event = "level.raised"
 	StoreRegistered         Event = "store.registered"
 	StoreGroupFounded       Event = "store.group.founded"
 	ModelPlaced             Event = "model.placed"
@@ -103,6 +104,7 @@
 	{ReplicaSilent, "a replica was not heard of for long and is taken out"},
 	{ReplicaRestarted, "a replica started again under its name; what was known of it before has ended"},
 	{HeartbeatRefused, "a heartbeat names no replica to use; at most one line a second, with the count since the last"},
+	{LevelRaised, "all control members know a higher level of the log's entries, which may be used from now on"},
 	{ZoneDrained, "a zone's replicas are sent nothing any more, or are again; committed"},
 	{StoreRegistered, "a store machine registered"},
 	{StoreGroupFounded, "the founders of a shard's group are decided"},
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/core/usage"
@@ -52,6 +53,9 @@
 	Replicas []string `cbor:"1,keyasint"`
 	Member   string   `cbor:"2,keyasint,omitempty"`
 	Watchers int      `cbor:"3,keyasint,omitempty"`
+	// ID is the member's, and Level the one that it knows.
+	ID    consensus.MemberID `cbor:"4,keyasint,omitempty"`
+	Level sitestate.Level    `cbor:"5,keyasint,omitempty"`
 }
 
 // ReadConfiguration asks for the configuration in force.
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -90,6 +90,7 @@
 	refused    refusedReports
 	reports    *reports
 	senders    *senders
+	levels     *levels
 	stores     *stores
 	lease      *lease
 	weights    *weightsManager
@@ -116,7 +117,7 @@
 	config.PlacesPerShard = cmp.Or(config.PlacesPerShard, DefaultPlacesPerShard)
 	c := &Control{
 		config: config, pool: wire.NewPool(config.Wire), wakes: map[chan struct{}]struct{}{},
-		seeds: slices.Clone(config.Seeds), senders: newSenders(),
+		seeds: slices.Clone(config.Seeds), senders: newSenders(), levels: newLevels(),
 	}
 	c.view.Store(&sitestate.View{})
 	c.member = group.New(group.Config{
@@ -209,6 +210,7 @@
 // changed publishes the view after a step of the loop, in its goroutine.
 func (c *Control) changed(step group.Step) {
 	state := step.Machine.(*sitestate.State)
+	c.levels.agreed.Store(uint32(state.Level()))
 	if state.Position() == c.position {
 		return
 	}
--- a/internal/app/sitecontrol/drains.go
+++ b/internal/app/sitecontrol/drains.go
@@ -16,6 +16,9 @@
 	if !c.knowsZone(drain.Zone) {
 		return Answer{}, port.NewError(port.NotRun, port.CodeNotFound, "the site has no zone %q", drain.Zone)
 	}
+	if err := c.needs(sitestate.LevelDrains); err != nil {
+		return Answer{}, err
+	}
 	if drain.Back {
 		drain.ColdMillis = c.warmups()
 	}
--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -80,6 +80,7 @@
 	now := time.Now()
 	if heard.Member != "" {
 		h.control.senders.note(heard.Member, heard.Watchers, now)
+		h.control.levels.note(heard.ID, heard.Level, now)
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -208,6 +209,7 @@
 		h.tellLeader(ctx)
 		return
 	}
+	h.control.tendLevel(ctx, now)
 	h.control.tendSenders(ctx, now)
 	replicas := h.control.view.Load().Replicas
 	for _, id := range h.silent(replicas, now) {
@@ -219,11 +221,15 @@
 // tellLeader tells the leader which replicas were heard of here. What it does not
 // learn for want of one is told the next time.
 func (h *heartbeats) tellLeader(ctx context.Context) {
-	heard := Heard{Replicas: h.takeUntold(), Member: h.control.config.Machine, Watchers: h.control.watchers()}
-	told := heard.Replicas
-	if len(told) == 0 && heard.Watchers == 0 {
+	shown := h.control.member.Shown()
+	if shown == nil {
 		return
 	}
+	heard := Heard{
+		Replicas: h.takeUntold(), Member: h.control.config.Machine, Watchers: h.control.watchers(),
+		ID: shown.Status.ID, Level: sitestate.LevelNewest,
+	}
+	told := heard.Replicas
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	answer, err := h.control.callOnce(ctx, Request{Heard: &heard})
--- a/internal/app/sitecontrol/senders.go
+++ b/internal/app/sitecontrol/senders.go
@@ -68,7 +68,7 @@
 // tendSenders commits how many processes send to replicas, where the configuration has
 // services whose cold replicas bear few requests: nothing else asks for it.
 func (c *Control) tendSenders(ctx context.Context, now time.Time) {
-	if len(c.warmups()) == 0 {
+	if len(c.warmups()) == 0 || c.needs(sitestate.LevelDrains) != nil {
 		return
 	}
 	next, due := c.senders.change(c.watchers(), c.view.Load().Senders, now)
--- a/internal/core/sitestate/command.go
+++ b/internal/core/sitestate/command.go
@@ -28,6 +28,8 @@
 	Drain         *DrainZone     `cbor:"13,keyasint,omitempty"`
 	// Senders is about how many processes send requests to replicas.
 	Senders *uint32 `cbor:"14,keyasint,omitempty"`
+	// Level is one that all members know from here on.
+	Level *Level `cbor:"15,keyasint,omitempty"`
 }
 
 // Quarantine tells what processes saw of requests under which replicas end. Events take
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -55,6 +55,8 @@
 	// SendersAt is the position of its last change.
 	Senders   uint32 `cbor:"19,keyasint,omitempty"`
 	SendersAt uint64 `cbor:"20,keyasint,omitempty"`
+	// Level concerns no observer, so it does not move Position.
+	Level Level `cbor:"21,keyasint,omitempty"`
 }
 
 // State is the control state. It is not safe for concurrent use; what it gives
@@ -212,6 +214,8 @@
 		return s.noteQuarantine(index, *command.Quarantine)
 	case command.Drain != nil:
 		return s.drain(index, *command.Drain)
+	case command.Level != nil:
+		return s.raise(*command.Level)
 	case command.Senders != nil:
 		s.contents.Senders, s.contents.SendersAt = *command.Senders, index
 		s.changed(index)
