--- /dev/null
+++ b/internal/core/sitestate/formats_test.go
@@ -0,0 +1,95 @@
+package sitestate_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/loomgrade/loomgrade/internal/core/sitestate"
+)
+
+// recorded reads bytes that an earlier build wrote.
+func recorded(t *testing.T, build, name string, into any) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata/formats", build, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cbor.Unmarshal(data, into); err != nil {
+		t.Fatalf("%s of %s: %v", name, build, err)
+	}
+}
+
+// TestWhatEarlierBuildsWroteIsReadAsItWas: entries of the log give the state that the earlier
+// build's snapshot holds, field by field, and its update the same view.
+func TestWhatEarlierBuildsWroteIsReadAsItWas(t *testing.T) {
+	builds, err := os.ReadDir("testdata/formats")
+	if err != nil || len(builds) == 0 {
+		t.Fatalf("%d builds recorded, %v", len(builds), err)
+	}
+	for _, build := range builds {
+		var entries [][]byte
+		var snapshot []byte
+		var update sitestate.Update
+		recorded(t, build.Name(), "entries.cbor", &entries)
+		recorded(t, build.Name(), "snapshot.cbor", &snapshot)
+		recorded(t, build.Name(), "update.cbor", &update)
+		applied, restored := sitestate.New(), sitestate.New()
+		for i, entry := range entries {
+			if outcome := applied.Apply(uint64(i+1), entry); outcome == sitestate.OutcomeMalformed {
+				t.Errorf("%s: entry %d is not understood", build.Name(), i)
+			}
+		}
+		if err := restored.Restore(snapshot); err != nil {
+			t.Fatalf("%s: snapshot: %v", build.Name(), err)
+		}
+		var byEntries, bySnapshot, byUpdate *sitestate.View
+		byEntries = byEntries.Apply(applied.Update(0, sitestate.InterestAll))
+		bySnapshot = bySnapshot.Apply(restored.Update(0, sitestate.InterestAll))
+		byUpdate = byUpdate.Apply(update)
+		sameView(t, build.Name()+", snapshot", byEntries, bySnapshot)
+		sameView(t, build.Name()+", update", byEntries, byUpdate)
+		if !restored.Left("i-3") || !applied.Left("i-3") {
+			t.Errorf("%s: a replica that left is not known to have", build.Name())
+		}
+		if restored.Level() != applied.Level() || restored.Level() > sitestate.LevelNewest {
+			t.Errorf("%s: level %d, by its entries %d", build.Name(), restored.Level(), applied.Level())
+		}
+	}
+}
+
+// sameView names the first field in which two views differ.
+func sameView(t *testing.T, name string, a, b *sitestate.View) {
+	t.Helper()
+	sorted := func(view *sitestate.View) []sitestate.Replica { return view.Update().Replicas }
+	if !reflect.DeepEqual(sorted(a), sorted(b)) {
+		t.Errorf("%s: Replicas: %+v and %+v", name, sorted(a), sorted(b))
+	}
+	first, second := reflect.ValueOf(a).Elem(), reflect.ValueOf(b).Elem()
+	for i := range first.NumField() {
+		field := first.Type().Field(i).Name
+		if slices.Contains([]string{"Replicas", "ByService", "Quarantine"}, field) {
+			continue // compared above, or made of other fields
+		}
+		if !reflect.DeepEqual(first.Field(i).Interface(), second.Field(i).Interface()) {
+			t.Errorf("%s: %s: %+v and %+v", name, field, first.Field(i), second.Field(i))
+		}
+	}
+}
+
+// TestAnEntryOfALaterBuildIsTakenForNone: it changes nothing, so that a member of this build
+// says so instead of applying half of it.
+func TestAnEntryOfALaterBuildIsTakenForNone(t *testing.T) {
+	state := sitestate.New()
+	later, err := cbor.Marshal(map[int]any{999: map[int]any{1: "x"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := state.Apply(1, later); got != sitestate.OutcomeMalformed || state.Position() != 0 {
+		t.Errorf("outcome %v, position %d", got, state.Position())
+	}
+}
