--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -89,6 +89,7 @@
 	heartbeats *heartbeats
 	refused    refusedReports
 	reports    *reports
+	registrar  *registrar
 	senders    *senders
 	levels     *levels
 	stores     *stores
@@ -98,6 +99,7 @@
 	suspects   *suspects
 	view       atomic.Pointer[sitestate.View]
 	whole      wholeView
+	recent     recentUpdates
 	table      atomic.Pointer[routing.Table]
 	// position is that of the published view; only the loop's goroutine uses it.
 	position uint64
@@ -128,7 +130,8 @@
 		Limits: groupmember.Limits{Voters: wantedVoters, LeastVoters: 2*config.ToleratedLosses + 1, Learners: groupmember.AnyNumber},
 	})
 	c.heartbeats = newHeartbeats(c)
-	c.reports = &reports{control: c}
+	c.reports = newReports(c)
+	c.registrar = newRegistrar(c)
 	c.stores = newStores(c)
 	c.lease = newLease(c)
 	c.weights = newWeightsManager(c)
--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -10,7 +10,6 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
-	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 const (
@@ -108,21 +107,17 @@
 	}
 	if known {
 		report.ID, report.Instance = held.ID, held.Instance
-	} else if err := h.identify(ctx, &report); err != nil {
-		return Answer{}, err
+		if !h.note(report) {
+			return Answer{}, nil
+		}
 	}
-	if !h.note(report) {
+	if known && sameReport(held, report) && !h.cold.news(held, report, time.Now()) {
 		return Answer{}, nil
 	}
-	now := time.Now()
-	if known && sameReport(held, report) && !h.cold.news(held, report, now) {
-		return Answer{}, nil
-	}
-	outcome, err := h.control.propose(ctx, sitestate.Command{Replica: &report})
+	outcome, err := h.control.registrar.take(ctx, report)
 	if err != nil {
 		return Answer{}, err
 	}
-	h.cold.note(report.ID, report.ColdMillis, now)
 	if !known || held.State != report.State {
 		h.control.config.Logger.Info().Str(eventlog.Field, eventlog.ReplicaReported).Str("replica", report.ID).Str("service", report.Service).
 			Str("address", report.Address).Uint8("state", uint8(report.State)).Uint64("sequence", report.Sequence).
@@ -131,30 +126,6 @@
 	return Answer{}, nil
 }
 
-// identify gives a report of a start that the view does not have its id. An earlier start
-// under the same name has ended with it, and one that is earlier itself is refused.
-func (h *heartbeats) identify(ctx context.Context, report *sitestate.Replica) error {
-	name := report.InstanceName()
-	identity, err := h.control.identify(ctx, name, report.Born)
-	if err != nil {
-		return err
-	}
-	if identity.Standing == sitestate.StandingPast {
-		return port.NewError(port.NotRun, port.CodeFenced, "a later start of replica %s is known", name)
-	}
-	if identity.Standing == sitestate.StandingNext {
-		h.control.config.Logger.Info().Str(eventlog.Field, eventlog.ReplicaRestarted).Str("replica", identity.ID).Str("before", identity.Earlier).
-			Uint64("born", report.Born).Msg("a replica has started again under its name")
-		if _, err := h.control.propose(ctx, sitestate.Command{Leave: &sitestate.Leave{ID: identity.Earlier}}); err != nil {
-			return err
-		}
-	}
-	if report.ID = identity.ID; report.ID != name {
-		report.Instance = name
-	}
-	return nil
-}
-
 // identify tells which start of a replica speaks, by what is applied here.
 func (c *Control) identify(ctx context.Context, name string, born uint64) (identity sitestate.Identity, err error) {
 	err = c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
--- a/internal/app/sitecontrol/reports.go
+++ b/internal/app/sitecontrol/reports.go
@@ -56,38 +56,54 @@
 type reports struct {
 	control *Control
 	mutex   sync.Mutex
-	waiting []waitingReport
+	waiting []*waitingReport
+	// open finds the report of a start that waits or is under way: one that says the same
+	// waits with it.
+	open map[reportKey]*waitingReport
 	// sending is set while a goroutine collects and sends.
 	sending bool
 }
 
-// waitingReport is a report whose sender waits for the leader's word.
+// waitingReport is a report whose senders wait for the leader's word.
 type waitingReport struct {
 	report sitestate.Replica
-	done   chan forwardedReport
-}
-
-type forwardedReport struct {
+	// done is closed once answer and err are set.
+	done   chan struct{}
 	answer Answer
 	err    error
 }
 
+func newReports(control *Control) *reports {
+	return &reports{control: control, open: map[reportKey]*waitingReport{}}
+}
+
 // forward passes a report on with others that come at the same time.
 func (r *reports) forward(ctx context.Context, report sitestate.Replica) (Answer, error) {
-	waiting := waitingReport{report: report, done: make(chan forwardedReport, 1)}
+	waiting := r.join(report)
+	select {
+	case <-waiting.done:
+		return waiting.answer, waiting.err
+	case <-ctx.Done():
+		return Answer{}, port.NewError(port.MayHaveRun, port.CodeUnavailable, "the leader did not answer in time")
+	}
+}
+
+// join gives the report under way that says the same, or a new one.
+func (r *reports) join(report sitestate.Replica) *waitingReport {
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := keyOf(&report)
+	if held := r.open[key]; held != nil && sameReport(held.report, report) && held.report.ColdMillis == report.ColdMillis {
+		return held
+	}
+	waiting := &waitingReport{report: report, done: make(chan struct{})}
+	r.open[key] = waiting
 	r.waiting = append(r.waiting, waiting)
 	if !r.sending {
 		r.sending = true
 		go r.send()
 	}
-	r.mutex.Unlock()
-	select {
-	case forwarded := <-waiting.done:
-		return forwarded.answer, forwarded.err
-	case <-ctx.Done():
-		return Answer{}, port.NewError(port.MayHaveRun, port.CodeUnavailable, "the leader did not answer in time")
-	}
+	return waiting
 }
 
 // send passes batches on until nothing waits. Several may be under way.
@@ -107,24 +123,30 @@
 	}
 }
 
-func (r *reports) sendBatch(batch []waitingReport) {
+func (r *reports) sendBatch(batch []*waitingReport) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	answers, err := r.ask(ctx, batch)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	for i, waiting := range batch {
 		switch {
 		case err != nil:
-			waiting.done <- forwardedReport{err: err}
+			waiting.err = err
 		case i >= len(answers.Answers) || answers.Answers[i].NotLeader:
-			waiting.done <- forwardedReport{answer: Answer{NotLeader: true}}
+			waiting.answer = Answer{NotLeader: true}
 		default:
-			waiting.done <- forwardedReport{err: answers.Answers[i].err()}
+			waiting.err = answers.Answers[i].err()
+		}
+		if key := keyOf(&waiting.report); r.open[key] == waiting {
+			delete(r.open, key)
 		}
+		close(waiting.done)
 	}
 }
 
 // ask asks the leader. One of an earlier build takes reports one by one.
-func (r *reports) ask(ctx context.Context, batch []waitingReport) (answers ReportAnswers, err error) {
+func (r *reports) ask(ctx context.Context, batch []*waitingReport) (answers ReportAnswers, err error) {
 	asked := ReportBatch{}
 	for _, waiting := range batch {
 		asked.Reports = append(asked.Reports, waiting.report)
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -39,10 +39,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for wake := range c.wakes {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+		wakeUp(wake)
+	}
+}
+
+func wakeUp(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -95,6 +99,9 @@
 			sent = time.Now()
 		}
 		after = max(after, update.Position)
+		if c.view.Load().Position > after {
+			wakeUp(wake) // the update was one that others got a moment ago
+		}
 		if err := awaitNews(ctx, wake, sent, updatePause(c.watchers())); err != nil {
 			return err
 		}
@@ -128,14 +135,16 @@
 	if view := c.view.Load(); after > 0 && view.Position <= after {
 		return sitestate.Update{Position: view.Position}, nil
 	}
-	var update sitestate.Update
-	err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
-		update = machine.(*sitestate.State).Update(after, interest)
+	return c.recent.get(newsKey{after: after, interest: interest}, updatePause(c.watchers()), func() (sitestate.Update, error) {
+		var update sitestate.Update
+		err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+			update = machine.(*sitestate.State).Update(after, interest)
+		})
+		if err != nil {
+			return sitestate.Update{}, port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
+		}
+		return update, nil
 	})
-	if err != nil {
-		return sitestate.Update{}, port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
-	}
-	return update, nil
 }
 
 // awaitNews waits for a change, a pause at least, or until a heartbeat is due.
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -85,11 +85,20 @@
 	}
 	_, err := w.control.propose(ctx, sitestate.Command{Assign: &sitestate.Assign{Models: changes}})
 	w.movedAt = time.Now()
-	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.WeightsAssigned).Str("service", service.Name).Str("changes", fmt.Sprint(changes)).
+	w.control.config.Logger.Info().Str(eventlog.Field, eventlog.WeightsAssigned).Str("service", service.Name).Str("changes", shownChanges(changes)).
 		Str("demand", fmt.Sprint(demand)).Err(err).Msg("replicas are kept at other models from now on")
 	return true
 }
 
+// shownChanges tells which replicas change, or how many where they are too many for a line.
+func shownChanges(changes map[string]string) string {
+	const mostShown = 20
+	if len(changes) > mostShown {
+		return fmt.Sprint(len(changes), " replicas")
+	}
+	return fmt.Sprint(changes)
+}
+
 // planLoads begins the loads that are due.
 func (w *weightsManager) planLoads(ctx context.Context, view *sitestate.View, service routing.Service, replicas []sitestate.Replica) {
 	_, open := w.control.stores.reportedDemand()
