--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -33,6 +33,7 @@
 	ReplicaSilent           Event = "replica.silent"
 	ReplicaRestarted        Event = "replica.restarted"
 	HeartbeatRefused        Event = "heartbeat.refused"
+	ReportsNotKept          Event = "reports.notkept"
 	ZoneDrained             Event = "zone.drained"
 	LevelRaised             Event = "level.raised"
 	StoreRegistered         Event = "store.registered"
@@ -103,6 +104,7 @@
 	{ReplicaReported, "a replica came, or changed its state; committed"},
 	{ReplicaSilent, "a replica was not heard of for long and is taken out"},
 	{ReplicaRestarted, "a replica started again under its name; what was known of it before has ended"},
+	{ReportsNotKept, "reports of replicas did not get into the log, and come again; at most one line a second, with the count since the last"},
 	{HeartbeatRefused, "a heartbeat names no replica to use; at most one line a second, with the count since the last"},
 	{LevelRaised, "all control members know a higher level of the log's entries, which may be used from now on"},
 	{ZoneDrained, "a zone's replicas are sent nothing any more, or are again; committed"},
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -110,6 +110,12 @@
 	if request.Replica != nil && c.heartbeats.takeHere(*request.Replica) {
 		return Answer{HeartbeatAddress: c.config.HeartbeatAddress}, nil
 	}
+	if request.Replica != nil {
+		taken, err := c.heartbeats.takeOn(*request.Replica)
+		if taken || err != nil {
+			return Answer{HeartbeatAddress: c.config.HeartbeatAddress}, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for {
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -88,6 +88,7 @@
 	member     *group.Member
 	heartbeats *heartbeats
 	refused    refusedReports
+	lost       refusedReports
 	reports    *reports
 	registrar  *registrar
 	senders    *senders
--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -69,6 +69,36 @@
 	return true
 }
 
+// takeOn takes a heartbeat of a replica that is ready and tells something new, at any member in
+// touch with a quorum, and reports whether it did. It is passed on to the log beside the call:
+// that a replica is ready binds nobody, and one whose report did not get there reports again a
+// moment later. What binds, that it leaves, is acknowledged only once it is committed.
+func (h *heartbeats) takeOn(report sitestate.Replica) (bool, error) {
+	shown := h.control.member.Shown()
+	if report.State != sitestate.ReplicaReady || shown == nil || !shown.Confirmed {
+		return false, nil
+	}
+	held, known := h.held(report)
+	if !known || held.Service != report.Service || held.Zone != report.Zone {
+		if err := h.control.checkReport(report); err != nil {
+			return false, err
+		}
+	}
+	h.control.config.Recorder.HeartbeatTaken()
+	if shown.Leader.ID != shown.Status.ID {
+		h.control.reports.join(report)
+		return true, nil
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+		defer cancel()
+		if _, err := h.take(ctx, report); err != nil {
+			h.control.notePassedOn(err)
+		}
+	}()
+	return true, nil
+}
+
 // held gives what the view has of the start that a report comes from.
 func (h *heartbeats) held(report sitestate.Replica) (sitestate.Replica, bool) {
 	return h.control.view.Load().StartOf(report.InstanceName(), report.Born)
--- a/internal/app/sitecontrol/refused.go
+++ b/internal/app/sitecontrol/refused.go
@@ -14,7 +14,7 @@
 // them may send thousands a second.
 const refusedLinePause = time.Second
 
-// refusedReports tells of reports that name no replica to use. It is safe for concurrent use.
+// refusedReports spaces lines on reports that were not taken. It is safe for concurrent use.
 type refusedReports struct {
 	mutex  sync.Mutex
 	toldAt time.Time
@@ -45,6 +45,14 @@
 		Str("field", string(fault.Field)).Str("reason", fault.Reason).Int("count", count).Msg("a heartbeat names no replica to use")
 }
 
+// notePassedOn tells now and then that reports did not get into the log; their replicas report
+// again.
+func (c *Control) notePassedOn(err error) {
+	if count, due := c.lost.due(time.Now()); due {
+		c.config.Logger.Warn().Str(eventlog.Field, eventlog.ReportsNotKept).Int("count", count).Err(err).Msg("reports of replicas did not get into the log")
+	}
+}
+
 // checkReport refuses a report of a service or a zone that the site does not have, before
 // the report can take an address from a replica that is there.
 func (c *Control) checkReport(report sitestate.Replica) error {
--- a/internal/app/sitecontrol/reports.go
+++ b/internal/app/sitecontrol/reports.go
@@ -127,6 +127,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	answers, err := r.ask(ctx, batch)
+	if err != nil {
+		r.control.notePassedOn(err)
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for i, waiting := range batch {
