--- a/internal/adapter/wire/pack.go
+++ b/internal/adapter/wire/pack.go
@@ -47,7 +47,7 @@
 
 // pack gives an item of the sequence compressed, or as it is if that does not pay.
 func (p *packer) pack(item []byte) []byte {
-	if len(item) < leastPacked {
+	if len(item) < leastPacked || looksPacked(item) {
 		return item
 	}
 	var packed bytes.Buffer
@@ -62,6 +62,29 @@
 	return whole
 }
 
+const (
+	// sampleBytes is how much of a frame is looked at to tell whether it is compressed
+	// already, and sampleMost how often the most frequent byte stands there at most then: of
+	// 256 even ones it is 5 on average, of text and numbers 15 and more.
+	sampleBytes = 256
+	sampleMost  = 8
+)
+
+// looksPacked reports whether a frame holds what is compressed already, a state that is packed
+// once for many receivers above all.
+func looksPacked(item []byte) bool {
+	if len(item) < 2*sampleBytes {
+		return false
+	}
+	var counts [256]int
+	for _, b := range item[len(item)/2:][:sampleBytes] {
+		if counts[b]++; counts[b] > sampleMost {
+			return false
+		}
+	}
+	return true
+}
+
 // sharedPacker compresses messages that are made once for many receivers.
 var sharedPacker = newPacker()
 
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -120,24 +120,31 @@
 
 // answerAfter gives what a watcher at a position lacks; one that has nothing gets a whole
 // state and what has changed since.
-func (c *Control) answerAfter(ctx context.Context, after uint64, interest sitestate.Interest) (answer siteview.WatchAnswer, err error) {
+func (c *Control) answerAfter(ctx context.Context, after uint64, interest sitestate.Interest) (siteview.WatchAnswer, error) {
 	if view := c.view.Load(); after == 0 && view.Position > 0 {
-		answer.Whole, after, err = c.whole.get(view, time.Now())
+		packed, position, err := c.whole.get(view, time.Now())
 		if err != nil {
 			return siteview.WatchAnswer{}, err
 		}
+		recent, err := c.updateAfter(ctx, position, interest)
+		if err != nil {
+			return siteview.WatchAnswer{}, err
+		}
+		return siteview.WatchAnswer{Whole: packed, Update: recent.update}, nil
+	}
+	recent, err := c.updateAfter(ctx, after, interest)
+	if err != nil {
+		return siteview.WatchAnswer{}, err
 	}
-	answer.Update, err = c.updateAfter(ctx, after, interest)
-	return answer, err
+	return recent.answer(), nil
 }
 
-func (c *Control) updateAfter(ctx context.Context, after uint64, interest sitestate.Interest) (sitestate.Update, error) {
+func (c *Control) updateAfter(ctx context.Context, after uint64, interest sitestate.Interest) (*recentUpdate, error) {
 	if view := c.view.Load(); after > 0 && view.Position <= after {
-		return sitestate.Update{Position: view.Position}, nil
+		return &recentUpdate{update: sitestate.Update{Position: view.Position}}, nil
 	}
-	return c.recent.get(newsKey{after: after, interest: interest}, updatePause(c.watchers()), func() (sitestate.Update, error) {
-		var update sitestate.Update
-		err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+	return c.recent.get(newsKey{after: after, interest: interest}, updatePause(c.watchers()), func() (update sitestate.Update, err error) {
+		err = c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 			update = machine.(*sitestate.State).Update(after, interest)
 		})
 		if err != nil {
--- a/internal/app/siteview/siteview.go
+++ b/internal/app/siteview/siteview.go
@@ -23,8 +23,8 @@
 
 // WatchAnswer brings a watcher up to date.
 type WatchAnswer struct {
-	// Whole is empty, or the state at an earlier position, which Update goes on from: a
-	// sitestate.Update, packed once for many watchers.
+	// Whole is empty, or what is to be applied before Update, packed once for many watchers: a
+	// sitestate.Update with the state at an earlier position, or with many changes.
 	Whole  []byte           `cbor:"1,keyasint,omitempty"`
 	Update sitestate.Update `cbor:"2,keyasint"`
 }
