--- a/internal/app/sitecontrol/cold_test.go
+++ b/internal/app/sitecontrol/cold_test.go
@@ -50,7 +50,7 @@
 	step("as committed", 20, 75, time.Second, 0, false)
 	step("a few more", 24, 75, time.Second, 0, false)
 	step("many more", 40, 75, time.Second, 95, true)
-	step("a member is cut off", 20, 95, sendersForgotten+time.Second, 0, false)
-	step("for a minute", 20, 95, sendersForgotten+2*time.Second+sendersFewer, 20, true)
+	step("a member is cut off", 20, 95, toldForgotten+time.Second, 0, false)
+	step("for a minute", 20, 95, toldForgotten+2*time.Second+sendersFewer, 20, true)
 	step("nobody at all", 0, 20, 10*time.Minute, 0, false)
 }
--- a/internal/app/sitecontrol/levels.go
+++ b/internal/app/sitecontrol/levels.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		told := l.told[record.ID]
-		if now.Sub(told.at) > sendersForgotten {
+		if now.Sub(told.at) > toldForgotten {
 			return sitestate.LevelFirst
 		}
 		common = min(common, told.level)
--- a/internal/app/sitecontrol/senders.go
+++ b/internal/app/sitecontrol/senders.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// sendersForgotten is how long the leader counts on what a member said of its watchers.
-	sendersForgotten = 5 * silenceInterval
+	// toldForgotten is how long the leader counts on what a member said of itself and its
+	// watchers.
+	toldForgotten = 5 * silenceInterval
 	// sendersFewer is for how long there must be fewer than the log says before it says so:
 	// processes that are cut off go by what they knew.
 	sendersFewer = time.Minute
@@ -50,7 +51,7 @@
 	defer s.mutex.Unlock()
 	count := own
 	for member, told := range s.told {
-		if now.Sub(told.at) > sendersForgotten {
+		if now.Sub(told.at) > toldForgotten {
 			delete(s.told, member)
 			continue
 		}
