--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -165,12 +165,17 @@
 }
 
 // leave takes out a replica that says it ends. An earlier start than the one known has
-// ended already.
+// ended already; a later one, of which nothing was heard, has ended that one too.
 func (h *heartbeats) leave(ctx context.Context, left sitestate.Leave) (Answer, error) {
 	identity, err := h.control.identify(ctx, left.ID, left.Born)
 	if err != nil || identity.Standing == sitestate.StandingPast {
 		return Answer{}, err
 	}
+	if identity.Standing == sitestate.StandingNext {
+		if _, err := h.control.propose(ctx, sitestate.Command{Leave: &sitestate.Leave{ID: identity.Earlier}}); err != nil {
+			return Answer{}, err
+		}
+	}
 	if identity.ID != left.ID {
 		left.ID, left.Instance = identity.ID, left.ID
 	}
--- a/test/site/restart_test.go
+++ b/test/site/restart_test.go
@@ -51,6 +51,27 @@
 	})
 }
 
+// TestAStartOfWhichOnlyTheEndIsHeardEndsTheOneBefore: it had the name, and so nobody else has.
+func TestAStartOfWhichOnlyTheEndIsHeardEndsTheOneBefore(t *testing.T) {
+	s, replica, _ := serving(t)
+	replica.Restart(1000)
+	s.beat(replica)
+	if status, _ := s.operate(http.MethodDelete, "/loomgrade/replicas/"+replica.ID, []byte(`{"born":2000}`)); status != http.StatusOK {
+		t.Fatalf("the later start's last word: %d", status)
+	}
+	until(t, "neither start takes anything", func() bool {
+		status, _, _ := s.call("/plain/x", "left")
+		return status == http.StatusServiceUnavailable
+	})
+	for _, born := range []uint64{1000, 2000} {
+		replica.Restart(born)
+		s.operate(http.MethodPut, "/loomgrade/replicas/"+replica.ID, replica.Heartbeat())
+	}
+	if status, body, _ := s.call("/plain/x", "late"); status != http.StatusServiceUnavailable {
+		t.Errorf("after late words of both: %d %s", status, body)
+	}
+}
+
 // TestWordsOfAnotherWriterTakeNothingFromAReplica: neither its address nor its place.
 func TestWordsOfAnotherWriterTakeNothingFromAReplica(t *testing.T) {
 	s, replica, _ := serving(t)
