--- a/internal/app/sitecontrol/heartbeats.go
+++ b/internal/app/sitecontrol/heartbeats.go
@@ -78,14 +78,11 @@
 	if report.State != sitestate.ReplicaReady || shown == nil || !shown.Confirmed {
 		return false, nil
 	}
-	held, known := h.held(report)
-	if !known || held.Service != report.Service || held.Zone != report.Zone {
-		if err := h.control.checkReport(report); err != nil {
-			return false, err
-		}
+	if _, _, err := h.checked(report); err != nil {
+		return false, err
 	}
-	h.control.config.Recorder.HeartbeatTaken()
 	if shown.Leader.ID != shown.Status.ID {
+		h.control.config.Recorder.HeartbeatTaken()
 		h.control.reports.join(report)
 		return true, nil
 	}
@@ -104,6 +101,16 @@
 	return h.control.view.Load().StartOf(report.InstanceName(), report.Born)
 }
 
+// checked is held for a report that must be of a service and a zone of the site, unless the
+// replica is held with them already.
+func (h *heartbeats) checked(report sitestate.Replica) (held sitestate.Replica, known bool, err error) {
+	held, known = h.held(report)
+	if known && held.Service == report.Service && held.Zone == report.Zone {
+		return held, true, nil
+	}
+	return held, known, h.control.checkReport(report)
+}
+
 // noteHeard takes in, as the leader, what another member heard of.
 func (h *heartbeats) noteHeard(heard Heard) {
 	now := time.Now()
@@ -129,11 +136,9 @@
 // is put into the log; it is acknowledged once committed.
 func (h *heartbeats) take(ctx context.Context, report sitestate.Replica) (Answer, error) {
 	h.control.config.Recorder.HeartbeatTaken()
-	held, known := h.held(report)
-	if !known || held.Service != report.Service || held.Zone != report.Zone {
-		if err := h.control.checkReport(report); err != nil {
-			return Answer{}, err
-		}
+	held, known, err := h.checked(report)
+	if err != nil {
+		return Answer{}, err
 	}
 	if known {
 		report.ID, report.Instance = held.ID, held.Instance
--- a/internal/app/sitecontrol/registrar.go
+++ b/internal/app/sitecontrol/registrar.go
@@ -46,6 +46,11 @@
 	return reportKey{name: report.InstanceName(), born: report.Born}
 }
 
+// saysTheSame reports whether a report that is under way stands for another one of its start.
+func saysTheSame(underWay, report sitestate.Replica) bool {
+	return sameReport(underWay, report) && underWay.ColdMillis == report.ColdMillis
+}
+
 // reportEntry is a report on its way into the log.
 type reportEntry struct {
 	report sitestate.Replica
@@ -75,7 +80,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	key := keyOf(&report)
-	if held := r.open[key]; held != nil && sameReport(held.report, report) && held.report.ColdMillis == report.ColdMillis {
+	if held := r.open[key]; held != nil && saysTheSame(held.report, report) {
 		return held
 	}
 	entry := &reportEntry{report: report, done: make(chan struct{})}
--- a/internal/app/sitecontrol/reports.go
+++ b/internal/app/sitecontrol/reports.go
@@ -93,7 +93,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	key := keyOf(&report)
-	if held := r.open[key]; held != nil && sameReport(held.report, report) && held.report.ColdMillis == report.ColdMillis {
+	if held := r.open[key]; held != nil && saysTheSame(held.report, report) {
 		return held
 	}
 	waiting := &waitingReport{report: report, done: make(chan struct{})}
--- a/internal/app/siteview/regions.go
+++ b/internal/app/siteview/regions.go
@@ -8,13 +8,6 @@
 // RegionOf gives the region of a zone, empty if it is not known.
 func (v *View) RegionOf(zone string) string { return v.zones[zone] }
 
-// WithZones gives the view with the regions of zones.
-func (v *View) WithZones(zones map[string]string) *View {
-	next := *v
-	next.zones = zones
-	return &next
-}
-
 // KeepsWithin reports whether all machines that keep a shard's jobs stand in homes: those
 // of its group, and before they told so its founders.
 func (v *View) KeepsWithin(shard sitestate.ShardNumber, homes routing.Homes) bool {
