coordinator, standin, audit: what a delivery knew, and when its answer came

Neither side's record could tell whether the second answer was sent before the publication or after it: the line of a delivery named no version known and no age of that knowledge, and the trainer's record only the end of its reading.

The decision `delivered` names the oldest version, the version known, since when no publication can be unknown, and how long the question had waited. The stand-in trainer notes when it asked, when the head of the answer came and its version then; the audit prints them beside a stale sample.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -163,7 +163,8 @@
 	c.record(port.Decision{
 		Kind: port.DecisionDelivered, Subject: batchName(c.config.Pool, held.number, held.attempt),
 		Attempt: int(held.attempt), Version: held.version,
-		Detail: fmt.Sprintf("%d samples to consumer epoch %d", len(held.samples), w.epoch),
+		Detail: fmt.Sprintf("%d samples to consumer epoch %d, oldest version %d; version %d is known as of %v ago; asked %v ago",
+			len(held.samples), w.epoch, held.oldest, c.version, c.now.Sub(c.versionAsOf), c.now.Sub(w.arrived)),
 	})
 }
 
--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -106,7 +106,7 @@
 func (c *Coordinator) commitStands(result port.Result) {
 	pending := c.pending
 	c.pending = nil
-	c.checkWaiters(pending.began)
+	c.vouch(pending.began)
 	c.commitTries = 0
 	c.counters.Committed++
 	held := &heldBatch{
@@ -325,12 +325,13 @@
 		c.releasePending()
 	}
 	c.takeLedger(event.State)
-	c.checkWaiters(c.reading.sent)
+	c.vouch(c.reading.sent)
 }
 
-// checkWaiters notes the questions that came before a command went to the log that
-// was answered now. What a trainer published before it asked is in that answer.
-func (c *Coordinator) checkWaiters(sent time.Time) {
+// vouch notes the questions that came before a command went to the log that was
+// answered now. What a trainer published before it asked is in that answer.
+func (c *Coordinator) vouch(sent time.Time) {
+	c.versionAsOf = sent
 	for index := range c.waiters {
 		if !c.waiters[index].arrived.After(sent) {
 			c.waiters[index].checked = true
--- a/internal/core/coordinator/coordinator.go
+++ b/internal/core/coordinator/coordinator.go
@@ -21,7 +21,10 @@
 	now     time.Time
 	actions []Action
 
-	version      port.WeightVersion
+	version port.WeightVersion
+	// versionAsOf is when the last command went to the log whose answer told the
+	// version: no publication from before it is unknown here.
+	versionAsOf  time.Time
 	publications publicationRate
 	replicas     replicaLoads
 	planning     planning
--- a/internal/lab/audit/observations.go
+++ b/internal/lab/audit/observations.go
@@ -99,6 +99,11 @@
 	Attempt uint32 `json:"attempt"`
 	// Version is the trainer's own newest version on receipt.
 	Version port.WeightVersion `json:"version"`
+	// AskedAt is when the trainer asked, HeadAt when the head of the answer came and
+	// HeadVersion the trainer's version then; all are 0 if the trainer does not note them.
+	AskedAt     time.Duration      `json:"asked_at,omitempty"`
+	HeadAt      time.Duration      `json:"head_at,omitempty"`
+	HeadVersion port.WeightVersion `json:"head_version,omitempty"`
 	// Trained says that the trainer learned from the batch and kept it: false
 	// when a crash lost it before it was acknowledged.
 	Trained bool          `json:"trained"`
--- a/internal/lab/audit/samples.go
+++ b/internal/lab/audit/samples.go
@@ -217,9 +217,19 @@
 			}
 			if age := uint64(max(delivery.Version, oldest) - oldest); age > bound {
 				detail := fmt.Sprintf("age %d, bound %d, trainer at version %d", age, bound, delivery.Version)
-				found = append(found, Violation{RuleStaleness, sample.ID, detail})
+				found = append(found, Violation{RuleStaleness, sample.ID, detail + delivery.course()})
 			}
 		}
 	}
 	return found
 }
+
+// course tells when an answer came, as far as its trainer noted it: what it says of the
+// service's knowledge depends on whether the trainer went on while it read.
+func (d *Delivery) course() string {
+	if d.HeadAt == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; batch %d asked for at %v, head at %v at version %d, read at %v",
+		d.Batch, d.AskedAt, d.HeadAt, d.HeadVersion, d.At)
+}
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -245,10 +245,11 @@
 }
 
 // observe turns a received batch into what the audit reads.
-func (t *Trainer) observe(batch api.Batch) audit.Delivery {
+func (t *Trainer) observe(batch receivedBatch) audit.Delivery {
 	delivery := audit.Delivery{
 		Trainer: t.config.Name, Pool: t.config.Pool, Batch: batch.Number, Attempt: batch.Attempt,
 		Version: port.WeightVersion(t.Stats().Version), At: since(),
+		AskedAt: batch.askedAt, HeadAt: batch.headAt, HeadVersion: port.WeightVersion(batch.headVersion),
 	}
 	for _, sample := range batch.Samples {
 		delivery.Samples = append(delivery.Samples, audit.Sample{
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -45,6 +45,11 @@
 
 // call sends one request to a node and decodes a good answer.
 func (t *Trainer) call(ctx context.Context, node, method, path string, body, answer any) error {
+	return t.exchange(ctx, node, method, path, body, answer, func() {})
+}
+
+// exchange is a call that tells when the head of a good answer has come.
+func (t *Trainer) exchange(ctx context.Context, node, method, path string, body, answer any, headCame func()) error {
 	var encoded []byte
 	if body != nil {
 		var err error
@@ -74,6 +79,7 @@
 		_ = json.NewDecoder(limited).Decode(&fault) // the status says enough
 		return &statusError{response.StatusCode, fault.Error}
 	}
+	headCame()
 	err = json.NewDecoder(limited).Decode(answer)
 	if err != nil {
 		t.noteCutOff(ctx, node, method+" "+path, began, err)
@@ -164,45 +170,55 @@
 		// The batch before is acknowledged only by the question to come.
 		t.askAgain(life, number-2)
 	}
-	var batch api.Batch
+	var received receivedBatch
 	ok := t.untilDone(life, func(node string) error {
 		if _, twice := t.faults.take(FaultAskTwice); twice {
 			t.work.Go(func() { t.askAtOnce(life, number) })
 		}
-		batch = api.Batch{}
-		if err := t.ask(life, node, number, &batch); err != nil {
+		var err error
+		if received, err = t.ask(life, node, number); err != nil {
 			return err
 		}
-		if batch.Number != number {
-			return fmt.Errorf("asked for batch %d and got %d", number, batch.Number)
+		if received.Number != number {
+			return fmt.Errorf("asked for batch %d and got %d", number, received.Number)
 		}
 		return nil
 	})
-	return t.observe(batch), ok
+	return t.observe(received), ok
 }
 
-func (t *Trainer) ask(life context.Context, node string, number uint64, batch *api.Batch) error {
+// receivedBatch is an answer with its course.
+type receivedBatch struct {
+	api.Batch
+	askedAt, headAt time.Duration
+	headVersion     uint64
+}
+
+func (t *Trainer) ask(life context.Context, node string, number uint64) (receivedBatch, error) {
 	query := url.Values{}
 	query.Set(api.QueryConsumerEpoch, strconv.FormatUint(uint64(t.consumerEpoch()), 10))
 	query.Set(api.QueryWaitMs, strconv.FormatInt(t.config.Wait.Milliseconds(), 10))
-	return t.call(life, node, http.MethodGet, t.path(api.PathBatch, number)+"?"+query.Encode(), nil, batch)
+	received := receivedBatch{askedAt: since()}
+	path := t.path(api.PathBatch, number) + "?" + query.Encode()
+	err := t.exchange(life, node, http.MethodGet, path, nil, &received.Batch, func() {
+		received.headAt, received.headVersion = since(), t.Stats().Version
+	})
+	return received, err
 }
 
 // askAtOnce asks for the batch that is being asked for anyway, over the last
 // node, and throws the answer away after recording it.
 func (t *Trainer) askAtOnce(life context.Context, number uint64) {
-	var batch api.Batch
-	if t.ask(life, t.config.Nodes[len(t.config.Nodes)-1], number, &batch) == nil {
-		t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{t.observe(batch)}})
+	if received, err := t.ask(life, t.config.Nodes[len(t.config.Nodes)-1], number); err == nil {
+		t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{t.observe(received)}})
 	}
 }
 
 // askAgain asks for a batch that was acknowledged. Getting it would be a
 // second delivery, and is recorded as one.
 func (t *Trainer) askAgain(life context.Context, number uint64) {
-	var batch api.Batch
-	if t.ask(life, t.config.Nodes[0], number, &batch) == nil && len(batch.Samples) > 0 {
-		delivery := t.observe(batch)
+	if received, err := t.ask(life, t.config.Nodes[0], number); err == nil && len(received.Samples) > 0 {
+		delivery := t.observe(received)
 		delivery.Trained = true
 		t.recorder.add(audit.Observations{Deliveries: []audit.Delivery{delivery}})
 	}
