coordinator: a question beside the answered one gets no second copy of a batch

What trainers saw: a trainer that asks twice at once for a batch got it twice, the second time after it had published a version under which the batch is too old (age 3, bound 2).

Such a question is refused as not ready now; a trainer that did not get the other answer asks again, and that question is vouched for by a reading sent after it. Ruled out: the commit (fresh at its position in the log), and questions that the commit's answer vouches for (they are answered in the same step as the first).

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -27,7 +27,8 @@
 	epoch    port.Epoch
 	deadline time.Time
 	arrived  time.Time
-	// checked is set once the ledger was read after the question came.
+	// checked is set once a command that went to the log after the question came
+	// was answered.
 	checked bool
 }
 
@@ -39,8 +40,10 @@
 	oldest  port.WeightVersion
 	samples []DeliveredSample
 	prompts []port.Prompt
-	// delivered is when it was last delivered; zero if it never was.
-	delivered time.Time
+	// delivered is when it was last delivered, to the consumer epoch deliveredTo;
+	// zero if it never was.
+	delivered   time.Time
+	deliveredTo port.Epoch
 }
 
 func (c *Coordinator) batchRequested(event BatchRequested) {
@@ -108,16 +111,30 @@
 	return false
 }
 
-// serveHeld delivers the held batch. A batch that was delivered before is not
-// delivered again before the ledger was read: a version may have been published
-// since its commit of which this node has not heard.
+// serveHeld delivers the held batch to a question that the log's answer vouches
+// for: before, a version may have been published of which this node has not heard.
+// The log cannot vouch for a question beside which another one got the batch. From
+// then on the trainer may publish, and a state of the ledger can be from before that
+// and come after it.
 func (c *Coordinator) serveHeld(w waiter) (answered bool) {
-	if !c.held.delivered.IsZero() && !w.checked {
+	switch {
+	case w.checked, c.held.delivered.IsZero():
+		c.deliver(w)
+		return true
+	case c.deliveredBeside(w):
+		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered to another question that waited beside this one", w.number)
+		return true
+	default:
 		c.readLedger()
 		return false
 	}
-	c.deliver(w)
-	return true
+}
+
+// deliveredBeside says whether the consumer got the batch by another question while
+// this one waited.
+func (c *Coordinator) deliveredBeside(w waiter) bool {
+	held := c.held
+	return held.deliveredTo == w.epoch && !held.delivered.Before(w.arrived)
 }
 
 // serveUnknownConsumer handles a consumer newer than the known ledger state:
@@ -154,7 +171,7 @@
 // deliver answers a question with the held batch.
 func (c *Coordinator) deliver(w waiter) {
 	held := c.held
-	held.delivered = c.now
+	held.delivered, held.deliveredTo = c.now, w.epoch
 	c.counters.Delivered++
 	c.emit(Deliver{
 		Token: w.token, Number: held.number, Attempt: held.attempt,
--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -115,6 +115,27 @@
 				t.Fatal("delivered by the word of an earlier state")
 			}
 		},
+		// A trainer asks twice at once, the second question coming after the batch was proposed.
+		// It goes on with the first answer and publishes a version under which the batch is too
+		// old, and the batch was sent once more: the ledger's state that let it go was from
+		// before the publication and had been 0.3 s on its way. The lines "delivered" of such a
+		// run showed it: version 3 known as of 290 ms ago, 24 ms after the log had version 4.
+		"a question that waited beside the answered one gets no copy by an old reading": func(t *testing.T, w *world) {
+			w.fill()
+			first := w.ask(1, w.trainer, time.Minute)
+			w.tick(time.Millisecond)
+			second := w.ask(1, w.trainer, time.Minute)
+			w.settle(answered)
+			w.wantDelivered(t, first, 1, 1)
+			state := w.log.State(poolName)
+			state.Published = w.published
+			w.published += 3
+			w.step(w.current, coordinator.LedgerRead{State: state})
+			if _, delivered := w.arrived[second]; delivered {
+				t.Fatal("delivered again by a state from before the publication")
+			}
+			w.wantRefused(t, second, port.CodeNotReady)
+		},
 		"asking again for a stale batch voids it": func(t *testing.T, w *world) {
 			w.train()
 			w.tick(lateRepeat)
