coordinator: the first delivery of a batch is vouched for as well

Looked for after the copy of a stale batch: the rule that a question has to be vouched for by an answer of the log to a command sent after it held for the second delivery alone. A trainer that gave a question up while the batch was being committed, published, and asked again got the batch as of its commit, which can be too old by then. Shown by a table row, red before: the batch is committed, three versions are published, a new question comes, then the commit's answer.

The rule is one for all deliveries now. A question that made the batch be proposed is vouched for by the commit itself, so the usual way costs no reading.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -118,7 +118,7 @@
 // and come after it.
 func (c *Coordinator) serveHeld(w waiter) (answered bool) {
 	switch {
-	case w.checked, c.held.delivered.IsZero():
+	case w.checked:
 		c.deliver(w)
 		return true
 	case c.deliveredBeside(w):
--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -136,6 +136,24 @@
 			}
 			w.wantRefused(t, second, port.CodeNotReady)
 		},
+		"a first delivery is vouched for as well": func(t *testing.T, w *world) {
+			w.fill()
+			given := w.ask(1, w.trainer, time.Minute)
+			w.step(w.current, coordinator.RequestAbandoned{Token: given})
+			w.closeQuestion(given)
+			taken := w.proposals[0]
+			w.apply(taken.commit)
+			w.published += 3
+			w.tick(time.Millisecond)
+			token := w.ask(1, w.trainer, time.Minute)
+			w.settle(answered)
+			if _, delivered := w.arrived[token]; delivered {
+				t.Fatal("delivered though a version was published between the commit and the question")
+			}
+			w.read()
+			w.settleAll(6)
+			w.wantDelivered(t, token, 1, 2)
+		},
 		"asking again for a stale batch voids it": func(t *testing.T, w *world) {
 			w.train()
 			w.tick(lateRepeat)
