audit: an answer that is not the right one is shown with its course

The report said neither from which node it came, nor how long it was, nor what could not be read of it.

--- a/internal/lab/audit/check.go
+++ b/internal/lab/audit/check.go
@@ -111,7 +111,7 @@
 		switch {
 		case call.Outcome != OutcomeAnswered:
 		case call.AnswerTo != call.Call:
-			report(call, "caller of class %s got the answer to %q", call.Class, call.AnswerTo)
+			report(call, "caller of class %s got the answer to %q%s", call.Class, call.AnswerTo, call.course())
 		case !call.Whole:
 			report(call, "caller of class %s got only part of the answer", call.Class)
 		case index.runs(call.Call) == 0:
@@ -121,6 +121,12 @@
 	return found
 }
 
+// course tells how an answer came that is not the right one.
+func (c *Call) course() string {
+	return fmt.Sprintf("; from %s, begun %v before it ended, %d bytes of text, spans %v, %q",
+		c.Target, c.EndedAt-c.StartedAt, len(c.Text), c.Spans, c.Detail)
+}
+
 func checkUnsafeOnce(o Observations, index runIndex) []Violation {
 	var found []Violation
 	seen := map[string]bool{}
