guard: a line for each trial that is asked for

A request that had been withheld was answered twice and withheld again (TestARequestThatRanBesideTheCauseIsServedAgain, once). No line said by which trial each answer came, nor what the front's view had of trials then.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -52,6 +52,7 @@
 	AnswerNotHeld           Event = "answer.notheld"
 	QuarantineChanged       Event = "quarantine.changed"
 	QuarantineNotKept       Event = "quarantine.notkept"
+	QuarantineTrial         Event = "quarantine.trial"
 	StreamResumed           Event = "stream.resumed"
 	RequestNoRoute          Event = "request.noroute"
 	RequestNoKey            Event = "request.nokey"
@@ -123,6 +124,7 @@
 	{AnswerNotHeld, "an answer is passed on as its caller reads it, as there is no room to hold it"},
 	{RequestFailed, "a caller got an answer of the front's own; its status and reason"},
 	{QuarantineChanged, "a request under which replicas ended is withheld, tried again, or let go; its fingerprint and those replicas"},
+	{QuarantineTrial, "a process asked the control group for a trial of a request that is withheld; whether it was given, and the trials that the process's view had"},
 	{QuarantineNotKept, "a process could not yet tell the control group of replicas that ended under requests"},
 	{StreamResumed, "a stream broke off and goes on at another replica, after which event"},
 	{RequestNoRoute, "no route leads a request anywhere"},
--- a/internal/app/guard/guard.go
+++ b/internal/app/guard/guard.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/quarantine"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -116,6 +117,7 @@
 	case wait > 0:
 		return Admission{Suspect: true, Withheld: true, RetryAfter: wait}
 	case number == suspect.Trials: // it was given before, and the answer was lost
+		g.logTrial(suspect, number, true)
 		return Admission{Suspect: true, Trial: true}
 	}
 	used := 0
@@ -125,13 +127,23 @@
 	outcome, err := g.config.Send(ctx, []quarantine.Event{{
 		Kind: quarantine.EventTrial, Fingerprint: suspect.Fingerprint, Trial: number, Sender: g.config.Sender,
 	}})
-	if err != nil || outcome != sitestate.OutcomeDone {
+	given := err == nil && outcome == sitestate.OutcomeDone
+	g.logTrial(suspect, number, given)
+	if !given {
 		return Admission{Suspect: true, Withheld: true, RetryAfter: shortRefusal}
 	}
 	used = number
 	return Admission{Suspect: true, Trial: true}
 }
 
+// logTrial logs what became of the question for a trial. There are few: each waits for its
+// time, and a request has few trials.
+func (g *Guard) logTrial(suspect *quarantine.Suspect, number int, given bool) {
+	g.config.Logger.Info().Str(eventlog.Field, eventlog.QuarantineTrial).Str("fingerprint", suspect.Fingerprint.String()).
+		Int("trial", number).Bool("given", given).Int("trials_in_view", suspect.Trials).Int("ends_in_view", len(suspect.Replicas)).
+		Msg("a trial of a request that is withheld was asked for")
+}
+
 // Withholds reports whether a request must not be sent any more.
 func (g *Guard) Withholds(request *quarantine.Request) bool {
 	suspect := g.find(request)
