sim/fault: nodes tell the coordinator of publications, as real ones do

The simulated trainer's node follows the node's change: the pool's coordinator is told of a publication before the log, and of its outcome before the trainer.

--- a/internal/lab/sim/fault/trainer.go
+++ b/internal/lab/sim/fault/trainer.go
@@ -17,6 +17,8 @@
 	publishEvery = 2
 	trainerName  = "trainer"
 	answerWait   = 10 * time.Second
+	// publicationTimeout is that of the nodes.
+	publicationTimeout = 250 * time.Millisecond
 )
 
 // trainer asks for batches by number, trains on each and publishes versions.
@@ -270,7 +272,7 @@
 			return
 		}
 		end := target.begin()
-		w.control.propose(&target.process, command, callTimeout, func(result port.Result, failure *port.Error) {
+		target.propose(command, func(result port.Result, failure *port.Error) {
 			s.answer(true, func() { answer(result, failure) })
 			end()
 		})
@@ -281,6 +283,56 @@
 	})
 }
 
+// propose puts a command of a trainer through the log. The pool's coordinator is told of a
+// publication before, and of its outcome.
+func (n *node) propose(command port.Command, take func(port.Result, *port.Error)) {
+	control := n.world.control
+	publish := command.PublishWeights
+	if publish == nil {
+		control.propose(&n.process, command, callTimeout, take)
+		return
+	}
+	n.tellCoordinator(coordinator.PublicationBegun{Version: publish.Version}, func() {
+		control.propose(&n.process, command, callTimeout, func(result port.Result, failure *port.Error) {
+			published := failure == nil && result.Error == nil
+			ended := coordinator.PublicationEnded{Version: publish.Version, Published: published}
+			n.tellCoordinator(ended, func() { take(result, failure) })
+		})
+	})
+}
+
+// tellCoordinator tells the pool's coordinator, here or at another node, and goes on once
+// it knows or does not answer in time.
+func (n *node) tellCoordinator(event coordinator.Event, then func()) {
+	if w := n.workers[trainingPool]; w != nil {
+		w.tell(event)
+		then()
+		return
+	}
+	holder := n.leaseHolder()
+	if holder == nil || holder == n {
+		then()
+		return
+	}
+	life, once := n.life, false
+	goOn := func() {
+		if !once && n.life == life {
+			once = true
+			then()
+		}
+	}
+	s := n.world.dial(&n.process, &holder.process, func(inner *stream) {
+		if w := holder.workers[trainingPool]; w != nil {
+			w.tell(event)
+		}
+		inner.answer(true, goOn)
+	}, func(*port.Error) { goOn() })
+	n.world.after(publicationTimeout, func() {
+		s.close()
+		goOn()
+	})
+}
+
 func (w *world) registerAt(t *trainer, target *node, take func(*port.Consumer, *port.Error)) {
 	register := port.RegisterConsumer{Pool: trainingPool, Consumer: trainerName}
 	w.proposeAt(t, target, port.Command{RegisterConsumer: &register}, func(result port.Result, failure *port.Error) {
