coordinator, node: what answers of the log say of versions is taken over

And a publication that is refused because its version is published already ended as not published, though its trainer goes on from it.

--- a/internal/app/node/publications.go
+++ b/internal/app/node/publications.go
@@ -28,7 +28,8 @@
 }
 
 // tellCoordinator tells the pool's coordinator, here or at another node, of a
-// publication and waits until it knows, also if the publisher left. Without a coordinator there is nothing to tell.
+// publication and waits until it knows, also if the publisher left. Without a
+// coordinator there is nothing to tell.
 func (n *Node) tellCoordinator(ctx context.Context, news publicationCall) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), publicationTimeout)
 	defer cancel()
--- a/internal/app/node/trainers.go
+++ b/internal/app/node/trainers.go
@@ -150,7 +150,8 @@
 	news := publicationCall{Pool: publish.Pool, Version: publish.Version}
 	n.tellCoordinator(ctx, news)
 	result, err := n.config.Control.Propose(ctx, port.Command{ChangeID: changeID, PublishWeights: &publish})
-	news.Ended, news.Published = true, err == nil && result.Error == nil
+	// A version that is refused because it is published was accepted before.
+	news.Ended, news.Published = true, err == nil && (result.Error == nil || result.Current >= publish.Version)
 	n.tellCoordinator(ctx, news)
 	if err != nil {
 		return port.Result{}, port.AsError(err)
--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -339,8 +339,9 @@
 	}
 }
 
-// takeLedger takes a newer ledger state over; an older one is ignored.
+// takeLedger takes a newer ledger state over; of an older one, the version alone.
 func (c *Coordinator) takeLedger(state port.LedgerState) {
+	c.raiseVersion(state.Published)
 	if older(state, c.ledger) {
 		return
 	}
--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -127,8 +127,7 @@
 			second := w.ask(1, w.trainer, time.Minute)
 			w.settle(answered)
 			w.wantDelivered(t, first, 1, 1)
-			state := w.log.State(poolName)
-			state.Published = w.published
+			state := w.ledgerState()
 			w.published += 3
 			w.step(w.current, coordinator.LedgerRead{State: state})
 			if _, delivered := w.arrived[second]; delivered {
@@ -139,12 +138,23 @@
 		// The same, with a second question that comes after the delivery: it is vouched for by a
 		// reading of the ledger from after it came, and the state that the reading gives is from
 		// before the publication and arrives after it.
+		"the answer to a commit tells the version": func(t *testing.T, w *world) {
+			w.fill()
+			w.ask(1, w.trainer, time.Minute)
+			taken := w.proposals[0].commit
+			w.proposals = nil
+			result := w.apply(taken)
+			result.Ledger.Published = w.published + 1
+			w.step(w.current, coordinator.CommitAnswered{ChangeID: taken.ChangeID, Number: 1, Attempt: 1, Result: result})
+			if known := w.current.Status().Version; known != w.published+1 {
+				t.Fatalf("version %d is known, the log's answer has %d", known, w.published+1)
+			}
+		},
 		"a question from before a publication gets no copy after it": func(t *testing.T, w *world) {
 			w.train()
 			w.tick(time.Millisecond)
 			token := w.ask(1, w.trainer, time.Minute)
-			state := w.log.State(poolName)
-			state.Published = w.published
+			state := w.ledgerState()
 			w.step(w.current, coordinator.PublicationBegun{Version: w.published + 3})
 			w.published += 3
 			w.step(w.current, coordinator.LedgerRead{State: state})
--- a/internal/core/coordinator/world_test.go
+++ b/internal/core/coordinator/world_test.go
@@ -421,13 +421,18 @@
 	w.step(taken.owner, answer)
 }
 
+// ledgerState gives the pool's state in the log with the version that is published.
+func (w *world) ledgerState() port.LedgerState {
+	state := w.log.State(poolName)
+	state.Published = w.published
+	return state
+}
+
 // read answers a ReadLedger.
 func (w *world) read() {
 	if w.reads > 0 {
 		w.reads--
-		state := w.log.State(poolName)
-		state.Published = w.published
-		w.step(w.current, coordinator.LedgerRead{State: state})
+		w.step(w.current, coordinator.LedgerRead{State: w.ledgerState()})
 	}
 }
 
