load: what is left of an event of a cut stream is no answer

Cause: the callers' reading took the unfinished last line of a stream for an event, could not decode it and counted the call as answered.

An event that ends in a line that cannot be decoded is judged as before.

--- a/internal/lab/load/call.go
+++ b/internal/lab/load/call.go
@@ -193,6 +193,7 @@
 	finish, failed := "", false
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEvent)
+	lines.Split(scanEndedLines)
 	for lines.Scan() {
 		failed = failed || lines.Text() == streamError
 		data, isData := strings.CutPrefix(lines.Text(), "data: ")
@@ -216,6 +217,15 @@
 	seen.Outcome, seen.Detail = audit.OutcomeLost, errCut.Error()
 }
 
+// scanEndedLines gives lines as bufio.ScanLines does, but for a last one without its end:
+// that is what is left of an event whose stream was cut off.
+func scanEndedLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // takeChunk adds a chunk's text and spans.
 func takeChunk(seen *audit.Call, text *strings.Builder, data string) (finish string, err error) {
 	var chunk api.CompletionChunk
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -97,6 +97,11 @@
 	failInStream := func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("event: error\ndata: {\"error\":{\"verdict\":\"ran\"}}\n\n"))
 	}
+	cutInEvent := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("data: {\"choices\":[{\"te"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	cases := []struct {
 		name     string
 		handler  http.HandlerFunc
@@ -110,6 +115,7 @@
 		{"resent twice", refusing(port.MayHaveRun), Class{Method: http.MethodPost, Resends: 2}, audit.OutcomeMayHaveRun, 3},
 		{"cut", cut, Class{Method: http.MethodPost}, audit.OutcomeLost, 1},
 		{"stream without end", func(http.ResponseWriter, *http.Request) {}, Class{}, audit.OutcomeLost, 1},
+		{"stream cut within an event", cutInEvent, Class{}, audit.OutcomeLost, 1},
 		{"error in stream", failInStream, Class{}, audit.OutcomeRan, 1},
 		{"not an answer", func(http.ResponseWriter, *http.Request) {}, Class{Method: http.MethodGet}, audit.OutcomeAnswered, 1},
 	}
