--- a/internal/lab/audit/check.go
+++ b/internal/lab/audit/check.go
@@ -213,7 +213,8 @@
 			failed := call.Outcome == OutcomeLost || call.Outcome == OutcomeMayHaveRun
 			if failed && overlaps(call.StartedAt, call.EndedAt, stop.From, stop.To) &&
 				!disturbed(o.Faults, call.StartedAt, call.EndedAt) {
-				report(call.Call, "failed during the stop: "+string(call.Outcome))
+				report(call.Call, fmt.Sprintf("failed during the stop, which took %v, %v after its beginning: %s%s",
+					stop.To-stop.From, call.StartedAt-stop.From, call.Outcome, call.course()))
 			}
 		}
 		for _, generation := range o.Generations {
