coordinator: a first delivery waits for no reading of the log

A question is held for two seconds. When the log takes longer than that for a commit, the question that waits when it is answered came after the proposal; a reading for it takes as long again, and is answered when that question is gone too.

What the rule was for is kept by the telling of publications: the coordinator knows of one before the trainer has its answer.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -111,17 +111,17 @@
 	return false
 }
 
-// serveHeld delivers the held batch to a question that the log's answer vouches
-// for: before, a version may have been published of which this node has not heard.
-// The log cannot vouch for a question beside which another one got the batch. From
-// then on the trainer may publish, and a state of the ledger can be from before that
-// and come after it.
+// serveHeld delivers the held batch. A batch that was delivered before goes only to a
+// question that an answer of the log vouches for: a version may have been published
+// since its commit of which this node has not heard. The log cannot vouch for a
+// question beside which another one got the batch. From then on the trainer may
+// publish, and a state of the ledger can be from before that and come after it.
 func (c *Coordinator) serveHeld(w waiter) (answered bool) {
 	switch {
 	case c.staleOnceUnderWay():
 		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered before, and a version is being published under which it is stale", w.number)
 		return true
-	case w.checked:
+	case w.checked, c.held.delivered.IsZero():
 		c.deliver(w)
 		return true
 	case c.deliveredBeside(w):
