node: closing waits for the control goroutine before the work that it starts

Work could begin that nobody waits for, at back ends that are closed by then.

Close waits for that goroutine first.

--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -207,8 +207,8 @@
 		n.waitForTraffic()
 		n.sampling.wait()
 		n.peers.close()
+		<-n.controllerDone // it starts work as long as it runs
 		n.work.Wait()
-		<-n.controllerDone
 		n.backEnds.close()
 		n.recorder.close()
 	})
--- a/internal/app/node/node_test.go
+++ b/internal/app/node/node_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/loomgrade/loomgrade/internal/app/node"
 	"github.com/loomgrade/loomgrade/internal/lab/standin"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -116,3 +118,22 @@
 	fleet.control.configure(t, port.Edit{PutPool: pool("pages", port.PoolApplication)})
 	eventually(t, "the node to be ready", started.Ready)
 }
+
+// TestANodeThatIsClosedStartsNoMoreWork: the control goroutine starts reports and polls as long
+// as it runs. Closing waited for such work first and for that goroutine after it, so that work
+// could begin that nobody waited for; the race detector showed it in a fleet under load.
+func TestANodeThatIsClosedStartsNoMoreWork(t *testing.T) {
+	made := newFleet(t)
+	made.control.configure(t, port.Edit{PutPool: pool("app", port.PoolApplication)})
+	for range 40 {
+		started, err := node.Start(context.Background(), node.Config{
+			ID: "n0", Zone: "z1", HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+			Control: &controlHandle{control: made.control}, Seed: 1,
+			Intervals: node.Intervals{Tick: 100 * time.Microsecond, Report: 100 * time.Microsecond},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		started.Close()
+	}
+}
