--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -143,8 +143,10 @@
 	if view := c.view.Load(); after > 0 && view.Position <= after {
 		return &recentUpdate{update: sitestate.Update{Position: view.Position}}, nil
 	}
-	return c.recent.get(newsKey{after: after, interest: interest}, updatePause(c.watchers()), func() (update sitestate.Update, err error) {
-		err = c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+	return c.recent.get(newsKey{after: after, interest: interest}, updatePause(c.watchers()), func() (sitestate.Update, error) {
+		// The look may still come when the call was given up: nothing else touches update then.
+		var update sitestate.Update
+		err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 			update = machine.(*sitestate.State).Update(after, interest)
 		})
 		if err != nil {
