--- a/internal/core/coordinator/commits.go
+++ b/internal/core/coordinator/commits.go
@@ -329,7 +329,8 @@
 }
 
 // vouch notes the questions that came before a command went to the log that was
-// answered now. What a trainer published before it asked is in that answer.
+// answered now. What a trainer published before it asked is in that answer, and what
+// anyone published before the command was sent.
 func (c *Coordinator) vouch(sent time.Time) {
 	c.versionAsOf = sent
 	for index := range c.waiters {
--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -118,8 +118,8 @@
 		// A trainer asks twice at once, the second question coming after the batch was proposed.
 		// It goes on with the first answer and publishes a version under which the batch is too
 		// old, and the batch was sent once more: the ledger's state that let it go was from
-		// before the publication and had been 0.3 s on its way. The lines "delivered" of such a
-		// run showed it: version 3 known as of 290 ms ago, 24 ms after the log had version 4.
+		// before the publication and had been 0.3 s on its way. The trace of such a run
+		// showed it: version 3 known as of 290 ms ago, 24 ms after the log had version 4.
 		"a question that waited beside the answered one gets no copy by an old reading": func(t *testing.T, w *world) {
 			w.fill()
 			first := w.ask(1, w.trainer, time.Minute)
@@ -135,9 +135,6 @@
 			}
 			w.wantRefused(t, second, port.CodeNotReady)
 		},
-		// The same, with a second question that comes after the delivery: it is vouched for by a
-		// reading of the ledger from after it came, and the state that the reading gives is from
-		// before the publication and arrives after it.
 		"the answer to a commit tells the version": func(t *testing.T, w *world) {
 			w.fill()
 			w.ask(1, w.trainer, time.Minute)
@@ -150,6 +147,9 @@
 				t.Fatalf("version %d is known, the log's answer has %d", known, w.published+1)
 			}
 		},
+		// The same, with a second question that comes after the delivery: it is vouched for by a
+		// reading of the ledger from after it came, and the state that the reading gives is from
+		// before the publication and arrives after it.
 		"a question from before a publication gets no copy after it": func(t *testing.T, w *world) {
 			w.train()
 			w.tick(time.Millisecond)
