httpserve: a planned stop answers requests that cross it

Cause: http.Server.Shutdown. It drops a request that it reads from a new connection after it was called, closes idle connections whose request is in the socket or read in part, and its listener resets connections that the kernel has completed. AwaitIdle before it looked at none of these, and counted the announced time without an allowance for transit. A stopping node's answers close the connection, so a caller that comes again is on a new one.

Change: IdleConnections.Stop drains and closes the listener, then closes each connection that is idle for the announced time through its reading goroutine, which serves what has arrived. Shutdown then finds none. Used by nodes and fronts; the operators' interface of control members and the site's control processes get it too, with a linger in place of an announcement.

The checks of the existing tests are unchanged; their harness calls Stop in place of AwaitIdle.

--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -4,14 +4,20 @@
 	"context"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/platform"
 )
 
-// controlShutdownTimeout limits how long a control process waits for calls in flight.
-const controlShutdownTimeout = 1500 * time.Millisecond
+const (
+	// controlShutdownTimeout limits how long a control process waits for calls in flight.
+	controlShutdownTimeout = 2 * time.Second
+	// controlLinger is how long a stopping control process keeps idle connections open. It
+	// exceeds the period of replicas' heartbeats.
+	controlLinger = 1500 * time.Millisecond
+)
 
 // siteControlCommand runs a control process.
 type siteControlCommand struct{ siteSettings }
@@ -42,11 +48,14 @@
 		}
 		return addGroupReading(reading, state)
 	})
-	operators := newService(p.file.ControlListen, platform.ControlHandler(control))
+	connections := httpserve.NewUnannouncedConnections(controlLinger)
+	operators := newService(p.file.ControlListen, connections.Handler(platform.ControlHandler(control)))
+	operators.track(connections)
 	drain := func(ctx context.Context) {
 		control.TransferLeadership(ctx)
 		stopping, cancel := context.WithTimeout(ctx, controlShutdownTimeout)
 		defer cancel()
+		connections.Stop(stopping)
 		_ = operators.server.Shutdown(stopping)
 	}
 	return p.serve([]service{operators}, control.SetSeeds, drain, control.Run)
--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -60,14 +60,14 @@
 		return addViewReading(metrics.SiteReading{InFlight: frontServer.InFlight(), HeldBytes: budget.Used(), LinesDropped: p.logWriter.Dropped()}, watcher)
 	})
 	callers := newService(p.file.CallerListen, platform.FrontHandler(frontServer))
-	callers.server.ConnState = idle.Observe
+	callers.track(idle)
 	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
 	drain := func(ctx context.Context) {
 		stopping, cancel := context.WithTimeout(ctx, p.file.Grace()-shutdownReserve)
 		defer cancel()
 		frontServer.Drain()
 		wait(stopping, drainDelay)
-		frontServer.AwaitIdle(stopping)
+		frontServer.CloseConnections(stopping)
 		frontServer.Close()
 		_ = callers.server.Shutdown(stopping)
 		usageReporter.Drain(stopping)
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -19,6 +19,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/adapter/sitesettings"
 	"github.com/loomgrade/loomgrade/internal/adapter/tcpsocket"
@@ -132,6 +133,14 @@
 type service struct {
 	address string
 	server  *http.Server
+	// connections tracks the server's connections; nil if they are cut off at the stop.
+	connections *httpserve.IdleConnections
+}
+
+// track makes connections track those of the service.
+func (s *service) track(connections *httpserve.IdleConnections) {
+	s.connections = connections
+	s.server.ConnState = connections.Observe
 }
 
 func newService(address string, handler http.Handler) service {
@@ -160,6 +169,9 @@
 		if err != nil {
 			return err
 		}
+		if served.connections != nil {
+			listener = served.connections.Listener(listener)
+		}
 		group.Go(func() error { return serveUntilClosed(served.server, listener) })
 	}
 	for _, task := range tasks {
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -83,16 +83,17 @@
 func (s *Server) Start(ctx context.Context, listener net.Listener) {
 	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
 	bounded := httpserve.LimitListener(listener, s.limits.Connections)
-	s.serving.Go(func() { _ = s.http.Serve(bounded) })
+	s.serving.Go(func() { _ = s.http.Serve(s.idle.Listener(bounded)) })
 	context.AfterFunc(ctx, s.Close)
 }
 
 // Drain rejects new requests as not run; requests in flight continue.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown stops gracefully: it drains for Limits.DrainDelay, keeps idle connections
-// open for as long as their callers may use them (Limits.KeepAlive), and waits for
-// requests in flight. If ctx ends first, it cuts off the rest and returns ctx's error.
+// Shutdown stops gracefully: it drains for Limits.DrainDelay, closes the listener, keeps
+// idle connections open for as long as their callers may use them (Limits.KeepAlive), and
+// waits for requests in flight. If ctx ends first, it cuts off the rest and returns ctx's
+// error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	delay := time.NewTimer(s.limits.DrainDelay)
@@ -101,7 +102,7 @@
 	case <-delay.C:
 	case <-ctx.Done():
 	}
-	s.idle.AwaitIdle(ctx)
+	s.idle.Stop(ctx)
 	err := s.http.Shutdown(ctx)
 	s.Close()
 	if err != nil {
--- a/internal/adapter/httpserve/idle.go
+++ b/internal/adapter/httpserve/idle.go
@@ -6,22 +6,36 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// idlePollInterval is how often a stopping server checks its idle connections.
-const idlePollInterval = 10 * time.Millisecond
+const (
+	// idlePollInterval is how often a stopping server checks its idle connections.
+	idlePollInterval = 10 * time.Millisecond
+	// transitMargin is added to the announced keep-alive timeout: a client counts it from the
+	// arrival of the response, and a request that it sends in time needs time to arrive.
+	transitMargin = 500 * time.Millisecond
+)
 
-// IdleConnections keeps a stopping server from closing a connection on which a client is
-// sending a request. Every response announces how long the connection may stay idle
-// (Keep-Alive, RFC 2068, section 19.7.1.1), and a stopping server closes no idle connection
-// before that time has passed. It is safe for concurrent use.
+// IdleConnections lets a server stop without losing a request that a client is sending.
+// Every response announces how long the connection may stay idle (Keep-Alive, RFC 2068,
+// section 19.7.1.1). A stopping server closes a connection only after that time, and only
+// if nothing has arrived on it.
+//
+// http.Server.Shutdown alone loses requests: it closes idle connections whose next request
+// is unread, and drops a request that it reads from a new connection. Call Stop first. It
+// is safe for concurrent use.
 type IdleConnections struct {
-	announced time.Duration
-	header    string
+	// timeout is how long a stopping server keeps an idle connection open.
+	timeout time.Duration
+	// announcement is the value of the Keep-Alive header, empty if none is sent.
+	announcement string
+	stopping     atomic.Bool
 
-	mutex sync.Mutex
-	since map[net.Conn]time.Time
+	mutex       sync.Mutex
+	connections map[*connection]struct{}
+	listener    *drainableListener
 }
 
 // NewIdleConnections returns IdleConnections that announce a keep-alive timeout, at least
@@ -29,21 +43,43 @@
 func NewIdleConnections(announced time.Duration) *IdleConnections {
 	announced = max(time.Second, announced.Truncate(time.Second))
 	return &IdleConnections{
-		announced: announced,
-		header:    "timeout=" + strconv.Itoa(int(announced/time.Second)),
-		since:     map[net.Conn]time.Time{},
+		timeout:      announced + transitMargin,
+		announcement: "timeout=" + strconv.Itoa(int(announced/time.Second)),
+		connections:  map[*connection]struct{}{},
 	}
 }
 
-// Observe is the ConnState hook of the http.Server.
-func (i *IdleConnections) Observe(connection net.Conn, state http.ConnState) {
+// NewUnannouncedConnections returns IdleConnections for a server whose clients may reuse a
+// connection at any time. Stop gives each of them the linger time to send once more and to
+// learn from the response that the connection closes.
+func NewUnannouncedConnections(linger time.Duration) *IdleConnections {
+	return &IdleConnections{timeout: linger, connections: map[*connection]struct{}{}}
+}
+
+// Listener returns the listener that the server must serve in place of the given one. Call
+// it once.
+func (i *IdleConnections) Listener(listener net.Listener) net.Listener {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if state == http.StateIdle {
-		i.since[connection] = time.Now()
+	i.listener = newDrainableListener(listener)
+	return i.listener
+}
+
+// Observe is the ConnState hook of the http.Server.
+func (i *IdleConnections) Observe(accepted net.Conn, state http.ConnState) {
+	conn, ok := accepted.(*connection)
+	if !ok {
 		return
 	}
-	delete(i.since, connection)
+	conn.setIdle(state == http.StateNew || state == http.StateIdle)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		i.connections[conn] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(i.connections, conn)
+	}
 }
 
 // Announce sets the header with the keep-alive timeout or, if the server is stopping, with
@@ -53,15 +89,38 @@
 		header.Set("Connection", "close")
 		return
 	}
-	header.Set("Keep-Alive", i.header)
+	header.Set("Keep-Alive", i.announcement)
+}
+
+// Handler returns a handler whose responses announce the close of the connection once Stop
+// was called.
+func (i *IdleConnections) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-// AwaitIdle waits until the announced time of every idle connection has passed, or ctx
-// ends.
-func (i *IdleConnections) AwaitIdle(ctx context.Context) {
+// Stop closes the listener once its pending connections are accepted, and every connection
+// once it has been idle for the announced or the linger time. It returns when no connection
+// is left or ctx ends. From the call on, responses must announce the close of the connection.
+func (i *IdleConnections) Stop(ctx context.Context) {
+	i.stopping.Store(true)
+	started := time.Now()
+	drained := i.stopListening()
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
-	for !i.expired(time.Now()) {
+	for {
+		select {
+		case <-drained:
+			if i.closeExpired(started) == 0 {
+				return
+			}
+		default:
+			i.closeExpired(started)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -70,13 +129,29 @@
 	}
 }
 
-func (i *IdleConnections) expired(now time.Time) bool {
+// stopListening returns a channel that is closed once no connection will be accepted.
+func (i *IdleConnections) stopListening() <-chan struct{} {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	for _, since := range i.since {
-		if now.Sub(since) < i.announced {
-			return false
-		}
+	if i.listener == nil {
+		drained := make(chan struct{})
+		close(drained)
+		return drained
+	}
+	return i.listener.drain()
+}
+
+// closeExpired closes the connections that have been idle for too long, and returns the
+// number of open ones. Without an announcement the time counts from the start of the stop.
+func (i *IdleConnections) closeExpired(started time.Time) int {
+	limit := time.Now().Add(-i.timeout)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.announcement == "" && limit.Before(started) {
+		return len(i.connections)
+	}
+	for conn := range i.connections {
+		conn.closeIfIdleSince(limit)
 	}
-	return true
+	return len(i.connections)
 }
--- a/internal/adapter/httpserve/idle_test.go
+++ b/internal/adapter/httpserve/idle_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,21 +20,36 @@
 	stopping chan struct{}
 	// idled receives a value each time a connection becomes idle.
 	idled chan struct{}
+	// accepted receives a value for each new connection.
+	accepted chan struct{}
 }
 
 func startIdleServer(t *testing.T, announced time.Duration) *idleServer {
+	t.Helper()
+	return startIdleServerOn(t, announced, listenTCP(t))
+}
+
+func listenTCP(t *testing.T) *net.TCPListener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener.(*net.TCPListener)
+}
+
+func startIdleServerOn(t *testing.T, announced time.Duration, listener net.Listener) *idleServer {
+	t.Helper()
 	s := &idleServer{
 		idle: httpserve.NewIdleConnections(announced), address: listener.Addr().String(), stopping: make(chan struct{}),
-		idled: make(chan struct{}, 8),
+		idled: make(chan struct{}, 8), accepted: make(chan struct{}, 8),
 	}
 	observe := func(connection net.Conn, state http.ConnState) {
 		s.idle.Observe(connection, state)
-		if state == http.StateIdle {
+		switch state {
+		case http.StateNew:
+			s.accepted <- struct{}{}
+		case http.StateIdle:
 			s.idled <- struct{}{}
 		}
 	}
@@ -45,7 +61,7 @@
 			s.idle.Announce(w.Header(), false)
 		}
 	})}
-	go func() { _ = s.http.Serve(listener) }()
+	go func() { _ = s.http.Serve(s.idle.Listener(listener)) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
@@ -55,7 +71,7 @@
 	close(s.stopping)
 	stopped := make(chan struct{})
 	go func() {
-		s.idle.AwaitIdle(ctx)
+		s.idle.Stop(ctx)
 		_ = s.http.Shutdown(ctx)
 		close(stopped)
 	}()
@@ -125,3 +141,175 @@
 	defer cancel()
 	<-server.stop(ctx)
 }
+
+// heldListener blocks Accept until accepting is closed, and Read on its connections as
+// long as held is set, as on a machine that doesn't run the server's goroutines.
+type heldListener struct {
+	*net.TCPListener
+	accepting chan struct{}
+	held      atomic.Bool
+}
+
+func newHeldListener(t *testing.T) *heldListener {
+	t.Helper()
+	return &heldListener{TCPListener: listenTCP(t), accepting: make(chan struct{})}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.accepting
+	accepted, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{accepted, l}, nil
+}
+
+func (l *heldListener) wait() {
+	for l.held.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+type heldConn struct {
+	*net.TCPConn
+	listener *heldListener
+}
+
+func (c *heldConn) Read(buf []byte) (int, error) {
+	c.listener.wait()
+	n, err := c.TCPConn.Read(buf)
+	c.listener.wait()
+	return n, err
+}
+
+func writeRequest(t *testing.T, connection net.Conn, text string) {
+	t.Helper()
+	if _, err := connection.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readResponse reads a response whose connection must close after it.
+func readResponse(t *testing.T, connection net.Conn) {
+	t.Helper()
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK || !answer.Close {
+		t.Errorf("status %d, close %v", answer.StatusCode, answer.Close)
+	}
+}
+
+const (
+	requestStart = "GET / HTTP/1.1\r\n"
+	requestEnd   = "Host: host\r\n\r\n"
+	// stopDelay allows time for a stopping server to close connections by mistake.
+	stopDelay = 100 * time.Millisecond
+)
+
+// TestStopAnswersRequestOnNewConnection sends the first request of a connection after the
+// server has begun to stop.
+func TestStopAnswersRequestOnNewConnection(t *testing.T) {
+	server := startIdleServer(t, time.Second)
+	connection := dialIdle(t, server.address)
+	<-server.accepted
+	stopped := server.stop(t.Context())
+	time.Sleep(stopDelay)
+	writeRequest(t, connection, requestStart+requestEnd)
+	readResponse(t, connection)
+	<-stopped
+}
+
+// TestStopAnswersUnreadRequest sends a request that the server reads only after the
+// announced time has passed.
+func TestStopAnswersUnreadRequest(t *testing.T) {
+	for name, reused := range map[string]bool{"new connection": false, "idle connection": true} {
+		t.Run(name, func(t *testing.T) {
+			held := newHeldListener(t)
+			close(held.accepting)
+			held.held.Store(!reused)
+			server := startIdleServerOn(t, time.Second, held)
+			connection := dialIdle(t, server.address)
+			<-server.accepted
+			if reused {
+				sendRequest(t, connection)
+				<-server.idled
+				held.held.Store(true)
+			}
+			writeRequest(t, connection, requestStart+requestEnd)
+			stopped := server.stop(t.Context())
+			time.Sleep(2 * time.Second) // longer than the announced time and its margin
+			held.held.Store(false)
+			readResponse(t, connection)
+			<-stopped
+		})
+	}
+}
+
+// TestStopAnswersIncompleteRequest sends the end of a request's header after the announced
+// time has passed.
+func TestStopAnswersIncompleteRequest(t *testing.T) {
+	server := startIdleServer(t, time.Second)
+	connection := dialIdle(t, server.address)
+	sendRequest(t, connection)
+	<-server.idled
+	writeRequest(t, connection, requestStart)
+	stopped := server.stop(t.Context())
+	time.Sleep(2 * time.Second)
+	writeRequest(t, connection, requestEnd)
+	readResponse(t, connection)
+	<-stopped
+}
+
+// TestStopAnswersPendingConnection has a connection that is not accepted yet when the
+// server begins to stop.
+func TestStopAnswersPendingConnection(t *testing.T) {
+	held := newHeldListener(t)
+	server := startIdleServerOn(t, time.Second, httpserve.LimitListener(held, 8))
+	connection := dialIdle(t, server.address)
+	writeRequest(t, connection, requestStart+requestEnd)
+	stopped := server.stop(t.Context())
+	time.Sleep(stopDelay)
+	close(held.accepting)
+	readResponse(t, connection)
+	<-stopped
+}
+
+// TestStopAllowsForTransit sends when the announced time has passed for the server, but
+// not yet for a client that received the response later.
+func TestStopAllowsForTransit(t *testing.T) {
+	server := startIdleServer(t, time.Second)
+	connection := dialIdle(t, server.address)
+	sendRequest(t, connection)
+	<-server.idled
+	stopped := server.stop(t.Context())
+	time.Sleep(1200 * time.Millisecond)
+	writeRequest(t, connection, requestStart+requestEnd)
+	readResponse(t, connection)
+	<-stopped
+}
+
+// TestStopLingersWithoutAnnouncement sends on a connection that was idle for long, to a
+// server that announces no keep-alive timeout.
+func TestStopLingersWithoutAnnouncement(t *testing.T) {
+	idle := httpserve.NewUnannouncedConnections(time.Second)
+	server := &http.Server{ConnState: idle.Observe, Handler: idle.Handler(http.NotFoundHandler())}
+	listener := listenTCP(t)
+	go func() { _ = server.Serve(idle.Listener(listener)) }()
+	connection := dialIdle(t, listener.Addr().String())
+	sendRequest(t, connection)
+	time.Sleep(1200 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		idle.Stop(t.Context())
+		_ = server.Shutdown(t.Context())
+		close(stopped)
+	}()
+	time.Sleep(stopDelay)
+	if answer := sendRequest(t, connection); !answer.Close {
+		t.Error("the response does not announce that the connection closes")
+	}
+	<-stopped
+}
--- a/internal/adapter/httpserve/listener.go
+++ b/internal/adapter/httpserve/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // limitedListener limits the open connections; further ones wait in the kernel's accept
@@ -44,6 +46,19 @@
 	return l.Listener.Close()
 }
 
+// SetDeadline sets the deadline of Accept, without the wait for a slot.
+func (l *limitedListener) SetDeadline(deadline time.Time) error {
+	if listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return listener.SetDeadline(deadline)
+	}
+	return syscall.ENOTSUP
+}
+
+// SyscallConn implements syscall.Conn.
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) {
+	return rawConn(l.Listener)
+}
+
 // limitedConnection releases its slot when closed.
 type limitedConnection struct {
 	net.Conn
@@ -57,3 +72,24 @@
 	c.once.Do(func() { <-c.slots })
 	return err
 }
+
+// SyscallConn implements syscall.Conn.
+func (c *limitedConnection) SyscallConn() (syscall.RawConn, error) {
+	return rawConn(c.Conn)
+}
+
+// CloseWrite closes the sending side.
+func (c *limitedConnection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return syscall.ENOTSUP
+}
+
+// rawConn returns the socket of a connection or listener.
+func rawConn(socket any) (syscall.RawConn, error) {
+	if conn, ok := socket.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, syscall.ENOTSUP
+}
--- a/internal/adapter/operatorapi/server.go
+++ b/internal/adapter/operatorapi/server.go
@@ -30,8 +30,10 @@
 	defaultBodyTimeout   = 30 * time.Second
 	defaultWriteTimeout  = 60 * time.Second
 	idleTimeout          = 60 * time.Second
-	callTimeout          = 20 * time.Second
-	maxTokenBytes        = 4096
+	// linger is how long a stopping server keeps idle connections open.
+	linger        = time.Second
+	callTimeout   = 20 * time.Second
+	maxTokenBytes = 4096
 )
 
 // Limits limits what clients can use. Zero fields take their defaults.
@@ -70,8 +72,9 @@
 
 // Server serves the operator API over HTTP.
 type Server struct {
-	config ServerConfig
-	http   *http.Server
+	config      ServerConfig
+	http        *http.Server
+	connections *httpserve.IdleConnections
 }
 
 // LoadToken reads a token from a file and trims white space.
@@ -93,9 +96,10 @@
 		config.Now = time.Now
 	}
 	config.Limits = config.Limits.withDefaults()
-	server := &Server{config: config}
+	server := &Server{config: config, connections: httpserve.NewUnannouncedConnections(linger)}
 	server.http = &http.Server{
-		Handler:           server.routes(),
+		Handler:           server.connections.Handler(server.routes()),
+		ConnState:         server.connections.Observe,
 		MaxHeaderBytes:    MaxHeaderBytes,
 		ReadHeaderTimeout: config.Limits.HeaderTimeout,
 		ReadTimeout:       config.Limits.BodyTimeout,
@@ -111,7 +115,8 @@
 
 // Serve serves until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(httpserve.LimitListener(listener, s.config.Limits.Connections))
+	limited := httpserve.LimitListener(listener, s.config.Limits.Connections)
+	err := s.http.Serve(s.connections.Listener(limited))
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -122,7 +127,10 @@
 func (s *Server) Close() error { return s.http.Close() }
 
 // Shutdown finishes calls in flight and stops.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.connections.Stop(ctx)
+	return s.http.Shutdown(ctx)
+}
 
 // handler serves a call; its error becomes the response.
 type handler func(writer http.ResponseWriter, request *http.Request) error
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -49,7 +49,7 @@
 	Proxy   *proxy.Proxy
 	Jobs    *jobsapi.Client
 	Logger  *log.Logger
-	// Idle tracks the idle connections of the front's server.
+	// Idle tracks the connections of the front's server.
 	Idle *httpserve.IdleConnections
 	// RevokeWithin is how long a front without a confirmed view accepts the keys it knows;
 	// 0 means no limit.
@@ -105,9 +105,9 @@
 // connections.
 func (f *Front) Drain() { f.draining.Store(true) }
 
-// AwaitIdle blocks until no caller may still send on a connection opened before Drain,
-// or until ctx ends.
-func (f *Front) AwaitIdle(ctx context.Context) { f.config.Idle.AwaitIdle(ctx) }
+// CloseConnections closes the listener and the connections on which no caller may still
+// send. It blocks until none is left, or until ctx ends. Call it after Drain.
+func (f *Front) CloseConnections(ctx context.Context) { f.config.Idle.Stop(ctx) }
 
 // Close makes the front reject every further request as not run. Call it right before
 // closing the connections: a request read from a closing connection must not be
