usage: late requests count in the oldest open window

Cause: a new leader closed each window that ended more than 0.4 of the due time ago in its first check, and acknowledged later reports of it without counting them, though their fronts had been rejected until then.

Change: the leader counts requests of a closed window in the oldest open one. It closes none until the fronts had the time to repeat their reports. One goroutine proposes reports and closes, and knows closes of unknown outcome.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -68,7 +68,7 @@
 	RunnerStopped           Event = "runner.stopped"
 	RunnerNotCommitted      Event = "runner.notkept"
 	UsageNotStored          Event = "usage.notkept"
-	UsageNotCounted         Event = "usage.late"
+	UsageLate               Event = "usage.late"
 	UsageReported           Event = "usage.reported"
 )
 
@@ -140,6 +140,6 @@
 	{RunnerStopped, "a store machine stopped running the items of a shard"},
 	{RunnerNotCommitted, "text or results were not committed"},
 	{UsageNotStored, "a front's usage report was not stored; the front retries"},
-	{UsageNotCounted, "usage was not counted: its window is already closed"},
+	{UsageLate, "usage was reported after its window was closed"},
 	{UsageReported, "a window of usage was reported to the provider; the status and the fencing token"},
 }
--- a/internal/app/sitecontrol/usage.go
+++ b/internal/app/sitecontrol/usage.go
@@ -17,6 +17,9 @@
 	// closeShare is the fraction of UsageDue after which a window is closed. Delayed
 	// reports of fronts arrive before; the rest covers a change of holder and retries.
 	closeShare = 0.4
+	// maxReportDelay is the longest time that a front takes to repeat a report once a leader
+	// accepts it: its pending attempt times out, then it pauses.
+	maxReportDelay = 2 * time.Second
 	// usageCheckInterval is the period of the leader's checks for windows to close and report.
 	usageCheckInterval = 300 * time.Millisecond
 	// usageTimeout limits one call to the provider; minUsageBackoff and maxUsageBackoff
@@ -57,9 +60,17 @@
 	control *Control
 	clock   *siteClock
 	reports chan pendingUsage
+	// closes receives the last window to close. The goroutine of run proposes reports and
+	// closes, so that no window is closed between the choice of a report's windows and its
+	// proposal.
+	closes chan usage.Window
+	// proposedClose is the last window that this process proposed to close, which may still be
+	// committed; the goroutine of run owns it.
+	proposedClose usage.Window
 
-	// checkedAt is when the leader last checked; the goroutine of Control.lead owns it.
-	checkedAt time.Duration
+	// checkedAt is when the leader last checked, and acceptsSince when it began to accept
+	// reports, 0 while it does not; the goroutine of Control.lead owns them.
+	checkedAt, acceptsSince time.Duration
 	// sending is set while a call to the provider is in flight. retryAt is the earliest time
 	// of the next call, a time.Duration of the clock; backoff is the last backoff, 0 after
 	// a success.
@@ -71,7 +82,7 @@
 }
 
 func newUsageManager(control *Control) *usageManager {
-	return &usageManager{control: control, clock: newSiteClock(control), reports: make(chan pendingUsage, maxUsageBatch)}
+	return &usageManager{control: control, clock: newSiteClock(control), reports: make(chan pendingUsage, maxUsageBatch), closes: make(chan usage.Window, 1)}
 }
 
 // enabled reports whether usage reporting is configured.
@@ -98,13 +109,16 @@
 	}
 }
 
-// run commits reports; all that are queued share one log entry.
+// run commits reports and closes windows; all reports that are queued share one log entry.
 func (u *usageManager) run(ctx context.Context) error {
 	for {
 		var batch []pendingUsage
 		select {
 		case first := <-u.reports:
 			batch = append(batch, first)
+		case last := <-u.closes:
+			u.close(ctx, last)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -121,22 +135,68 @@
 func (u *usageManager) commit(ctx context.Context, batch []pendingUsage) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	open, err := u.oldestOpen(ctx)
+	if err != nil {
+		return err
+	}
 	windowed := make([]usage.WindowedReport, 0, len(batch))
+	moved := uint64(0)
 	for _, waiting := range batch {
 		at, ok := u.clock.timeOf(waiting.arrived)
 		if !ok {
 			return port.NewError(port.NotRun, port.CodeUnavailable, "the time of the site is not known yet")
 		}
-		windowed = append(windowed, waiting.report.AssignWindows(at, u.control.config.UsageWindow))
+		report, movedOfReport := waiting.report.AssignWindows(at, u.control.config.UsageWindow).Carry(open)
+		windowed = append(windowed, report)
+		moved += movedOfReport
 	}
 	outcome, err := u.control.propose(ctx, sitestate.Command{Usage: &sitestate.Usage{Reports: windowed}})
-	if err == nil && outcome == sitestate.OutcomeIgnored {
-		u.control.config.Logger.Warn().Str(eventlog.Field, eventlog.UsageNotCounted).Int("reports", len(batch)).
-			Msg("usage was not counted: its window is already closed")
+	if err == nil && (moved > 0 || outcome == sitestate.OutcomeIgnored) {
+		u.control.config.Logger.Warn().Str(eventlog.Field, eventlog.UsageLate).Int("reports", len(batch)).
+			Uint64("counted_later", moved).Bool("all_counted", outcome != sitestate.OutcomeIgnored).
+			Msg("usage was reported after its window was closed")
 	}
 	return err
 }
 
+// oldestOpen returns the oldest window that is not closed and that no pending proposal closes.
+func (u *usageManager) oldestOpen(ctx context.Context) (usage.Window, error) {
+	published := u.control.member.PublishedState()
+	if published == nil || !published.LeaderReady {
+		return 0, port.NewError(port.NotRun, port.CodeUnavailable, "this member does not lead")
+	}
+	var open usage.Window
+	err := u.control.member.Inspect(ctx, func(machine groupmember.StateMachine) {
+		if oldest, started := machine.(*sitestate.State).OldestOpenUsage(); started {
+			open = oldest
+		}
+	})
+	if err != nil {
+		return 0, err // the inspection may still be running
+	}
+	return max(open, u.proposedClose+1), nil
+}
+
+// close closes all windows up to last.
+func (u *usageManager) close(ctx context.Context, last usage.Window) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	u.proposedClose = max(u.proposedClose, last)
+	// The next check of a leader proposes it again if it fails.
+	_, _ = u.control.propose(ctx, sitestate.Command{Usage: &sitestate.Usage{CloseUpTo: &last}})
+}
+
+// mayClose reports whether the fronts have had the time to report since this leader accepts
+// reports. Before, the counts of finished windows may still be pending at fronts.
+func (u *usageManager) mayClose(now time.Duration) bool {
+	return now-u.acceptsSince >= min(maxReportDelay, u.reportTime())
+}
+
+// reportTime is how long after its end a window is open for the reports of fronts.
+func (u *usageManager) reportTime() time.Duration {
+	return time.Duration(closeShare * float64(u.control.config.UsageDue))
+}
+
 // tick closes finished windows and reports them, as the leader.
 func (u *usageManager) tick(ctx context.Context, leads bool) {
 	if !u.enabled() {
@@ -144,7 +204,11 @@
 	}
 	now := u.clock.now()
 	u.clock.tick(ctx, leads, now)
-	if !leads || now-u.checkedAt < usageCheckInterval {
+	if !leads {
+		u.acceptsSince = 0
+		return
+	}
+	if now-u.checkedAt < usageCheckInterval {
 		return
 	}
 	u.checkedAt = now
@@ -152,17 +216,23 @@
 	if !ok {
 		return
 	}
-	lastWindow := usage.WindowAt(at.Add(-time.Duration(closeShare*float64(u.control.config.UsageDue))), u.control.config.UsageWindow) - 1
+	if u.acceptsSince == 0 {
+		u.acceptsSince = now
+	}
+	lastWindow := usage.WindowAt(at.Add(-u.reportTime()), u.control.config.UsageWindow) - 1
 	var unsent []usage.Total
 	var due bool
 	if u.control.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 		unsent = machine.(*sitestate.State).UnreportedUsage()
-		due = machine.(*sitestate.State).UsageDue(lastWindow)
+		due = u.mayClose(now) && machine.(*sitestate.State).UsageDue(lastWindow)
 	}) != nil {
 		return
 	}
 	if due {
-		_, _ = u.control.propose(ctx, sitestate.Command{Usage: &sitestate.Usage{CloseUpTo: &lastWindow}})
+		select {
+		case u.closes <- lastWindow:
+		default: // the one before is being proposed
+		}
 		return
 	}
 	if len(unsent) > 0 && !u.sending.Load() && now >= time.Duration(u.retryAt.Load()) && u.control.lease.acquire(ctx) {
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -170,6 +170,11 @@
 // UsageDue reports whether open windows up to upTo have requests, or follow a closed window.
 func (s *State) UsageDue(upTo usage.Window) bool { return s.contents.Usage.Due(upTo) }
 
+// OldestOpenUsage returns the oldest open usage window. It returns false while all are open.
+func (s *State) OldestOpenUsage() (usage.Window, bool) {
+	return s.contents.Usage.Next, s.contents.Usage.Started
+}
+
 // Placed returns the shard of each model's jobs.
 func (s *State) Placed() map[string]ShardNumber { return maps.Clone(s.contents.Placed) }
 
--- a/internal/core/usage/ledger.go
+++ b/internal/core/usage/ledger.go
@@ -13,7 +13,7 @@
 	// control group.
 	maxClosedPerCall = 64
 	// reporterRetention is the number of windows for which a reporter is stored after its last
-	// report; its earlier reports can no longer arrive then.
+	// report. Older counts are not carried: a reporter that is no longer stored may repeat them.
 	reporterRetention = 60
 )
 
--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -6,7 +6,10 @@
 // package reads no clock.
 package usage
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Window numbers a time window: window k starts k lengths after the Unix epoch.
 type Window int64
@@ -66,3 +69,19 @@
 	}
 	return windowed
 }
+
+// Carry returns the report with the counts of closed windows moved to the oldest open window, so
+// that Ledger.Add counts them, and their number. Counts that are so old that the Ledger may have
+// forgotten the reporter stay in their window: they may be repetitions.
+func (r WindowedReport) Carry(open Window) (carried WindowedReport, moved uint64) {
+	carried = r
+	carried.Counts = slices.Clone(r.Counts)
+	for i, count := range carried.Counts {
+		if count.Window >= open || count.Window+reporterRetention < open {
+			continue
+		}
+		moved += count.Count
+		carried.Counts[i].Window = open
+	}
+	return carried, moved
+}
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -138,6 +138,82 @@
 	})
 }
 
+// TestLateCountsAreCarried guards against requests that are counted nowhere because a leader
+// closed their window before the front could report.
+func TestLateCountsAreCarried(t *testing.T) {
+	const open = 100
+	for name, row := range map[string]struct {
+		window, want usage.Window
+		moved        uint64
+	}{
+		"open window":         {open, open, 0},
+		"later window":        {open + 1, open + 1, 0},
+		"closed window":       {open - 1, open, 1},
+		"reporter remembered": {open - 60, open, 1},
+		"reporter forgotten":  {open - 61, open - 61, 0},
+	} {
+		report := windowedReport("x", 1, row.window, "a")
+		carried, moved := report.Carry(open)
+		if got := carried.Counts[0].Window; got != row.want || moved != row.moved {
+			t.Errorf("%s: %d moved, to window %d, want %d and %d", name, moved, got, row.moved, row.want)
+		}
+		if report.Counts[0].Window != row.window {
+			t.Errorf("%s: the report changed", name)
+		}
+	}
+}
+
+// TestCarriedCountsAreCountedOnce checks that every request is counted once, whatever windows
+// are closed before its report arrives, also if the report is repeated after its reporter is no
+// longer stored.
+func TestCarriedCountsAreCountedOnce(t *testing.T) {
+	testkit.Check(t, 27, func(t *rapid.T) {
+		var ledger usage.Ledger
+		add := func(report usage.Report, now time.Time) (late uint64) {
+			windowed, _ := report.AssignWindows(now, length).Carry(ledger.Next)
+			return ledger.Add(windowed)
+		}
+		outboxes := []*usage.Outbox{usage.NewOutbox("x"), usage.NewOutbox("y")}
+		now, sent, late := time.Unix(5000, 0), uint64(0), uint64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40_000).Draw(t, "ms")) * time.Millisecond)
+			outbox := outboxes[rapid.IntRange(0, 1).Draw(t, "front")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				outbox.Add("a", monotonicAt(now))
+				sent++
+			case 1, 2:
+				report, found := outbox.Next(monotonicAt(now))
+				if !found {
+					continue
+				}
+				late += add(report, now) // a repeated report may be late again
+				if rapid.Bool().Draw(t, "answered") {
+					outbox.Acknowledge()
+				}
+			case 3:
+				ledger.Close(usage.WindowAt(now, length) - 1)
+			}
+		}
+		for _, outbox := range outboxes {
+			for report, found := outbox.Next(monotonicAt(now)); found; report, found = outbox.Next(monotonicAt(now)) {
+				late += add(report, now)
+				outbox.Acknowledge()
+			}
+		}
+		counted := uint64(0)
+		for _, total := range ledger.Closed {
+			counted += total.Counts["a"]
+		}
+		for _, open := range ledger.Open {
+			counted += open["a"]
+		}
+		if counted > sent || counted+late < sent {
+			t.Fatalf("%d counted and %d late of %d", counted, late, sent)
+		}
+	})
+}
+
 // TestLedgerSizeIsLimited checks the limits after long outages of the provider or the control group.
 func TestLedgerSizeIsLimited(t *testing.T) {
 	var ledger usage.Ledger
