control: no bootstrap record is written once the log is made

It is a voter that has forgotten its votes: it may vote twice in a term.

Cause: the answer to another member's bootstrap request writes the record of new members. Nothing kept it from being written beside or after the creation of the log, so that it could be put back after its removal and stand for good. With it, a member that lost its log takes the running members for new ones and founds.

Change: the bootstrapper ends recording, and waits for a record under way, before the log is created. The order log, then removal of the record, then the loop stays: no vote leaves before the record is gone, and a crash in between strands nobody. The other order (record first) was weighed: a crash before the log is made would strand a member for ever.

--- a/internal/app/control/bootstrap.go
+++ b/internal/app/control/bootstrap.go
@@ -14,6 +14,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // An initial member with an empty data folder may be new, or may have lost its
@@ -56,6 +57,9 @@
 	config Config
 	mutex  sync.Mutex
 	record bootstrapRecord
+	// finished is set before the log is created: a record that is written beside it could
+	// outlive the log.
+	finished bool
 }
 
 func openBootstrapper(config Config) (*bootstrapper, error) {
@@ -84,10 +88,13 @@
 func (b *bootstrapper) path() string { return filepath.Join(b.config.DataFolder, bootstrapFile) }
 
 // recordNew durably records that the requester is new and reports that this member is
-// new as well.
+// new as well. It rejects the request once finish was called.
 func (b *bootstrapper) recordNew(requester uint64) (bootstrapAnswer, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if b.finished {
+		return bootstrapAnswer{}, port.NewError(port.NotRun, port.CodeUnavailable, "the control member is creating its log")
+	}
 	if slices.Contains(b.record.New, requester) {
 		return bootstrapAnswer{}, nil
 	}
@@ -100,6 +107,13 @@
 	return bootstrapAnswer{}, nil
 }
 
+// finish waits for a record that is being written and ends the recording of requesters.
+func (b *bootstrapper) finish() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.finished = true
+}
+
 func (b *bootstrapper) isRecordedNew(member uint64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/app/control/member.go
+++ b/internal/app/control/member.go
@@ -203,6 +203,7 @@
 			initial.Voters = append(initial.Voters, consensus.MemberID(member.ID))
 		}
 	}
+	m.bootstrapper.finish()
 	log, restored, err := wal.Create(m.walOptions(), initial)
 	if err != nil {
 		return nil, err
