control: the step test stops a member that has nothing more to write

Change: such a member is stopped once it is ready and has written its first entries. The checks are the same.

--- a/internal/app/control/bootstrap_test.go
+++ b/internal/app/control/bootstrap_test.go
@@ -103,6 +103,14 @@
 	return errFilesStopped
 }
 
+// stopNow fails all further operations.
+func (f *stoppingFiles) stopNow() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.remaining = 0
+	f.stop.Do(f.atStop)
+}
+
 func (f *stoppingFiles) Create(name string) (wal.File, error) {
 	if err := f.step(); err != nil {
 		return nil, err
@@ -192,7 +200,12 @@
 			third.Store(member)
 		}
 	}
-	<-stopped
+	select {
+	case <-stopped:
+	case <-third.Load().Ready():
+		time.Sleep(maxDelay) // the first entries of the log
+		files.stopNow()
+	}
 	_ = third.Load().Kill() // reports the stopped file system
 	delete(group.running, 3)
 	_, err := os.Stat(filepath.Join(group.dataFolder(3), bootstrapFile))
