group: a line says why a member no longer leads

Status has the reason, the line leadership.lost has it with the last pause of the loop. Tests of a group print their members' lines when they fail; the buffer for that moves to testkit.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -24,6 +24,7 @@
 	MembershipChange        Event = "membership.change"
 	MembershipRemoved       Event = "membership.removed"
 	MemberDelayed           Event = "member.held_up"
+	LeadershipLost          Event = "leadership.lost"
 	ControlWatched          Event = "control.watched"
 	ControlLost             Event = "control.lost"
 	ControlProvisional      Event = "control.provisional"
@@ -96,6 +97,7 @@
 	{MembershipChange, "the leader proposes to add, promote or remove a member"},
 	{MembershipRemoved, "a member was removed; it joins again under a new id"},
 	{MemberDelayed, "a member was not scheduled, or was blocked in a write, for longer than an election timeout; another member may lead meanwhile"},
+	{LeadershipLost, "a member no longer leads its group; why, and how long it was not scheduled before"},
 	{ControlWatched, "a process starts to watch a control member"},
 	{ControlLost, "the watched control member is lost, or has no contact with a quorum"},
 	{ControlProvisional, "a front uses a view that no quorum has confirmed"},
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -45,6 +45,10 @@
 	// is suspended too.
 	startedAt time.Duration
 	ticks     int64
+	// led is set if the member led after the last step.
+	led bool
+	// lastMissed are the latest ticks that were missed in one go, up to missedAt.
+	lastMissed, missedAt int64
 	// lastMaintenance is the tick of the last run of runMaintenance.
 	lastMaintenance int64
 	lastToken       uint64
@@ -171,6 +175,9 @@
 		return
 	}
 	l.ticks = due
+	if elapsed > 1 {
+		l.lastMissed, l.missedAt = elapsed-1, due
+	}
 	l.recordMissedTicks(int(elapsed - 1))
 	l.member.Tick()
 	if due-l.lastMaintenance >= maintenanceTicks {
@@ -264,11 +271,27 @@
 			return err
 		}
 	}
+	l.logLostLeadership()
 	l.publish()
 	l.deliverReplies()
 	return nil
 }
 
+// logLostLeadership logs that the member led after the last step and no longer does.
+func (l *loop) logLostLeadership() {
+	led := l.led
+	l.led = l.member.IsLeader()
+	if !led || l.led {
+		return
+	}
+	status := l.member.Status()
+	lost := status.LastStepDown
+	l.config.Logger.Warn().Str(eventlog.Field, eventlog.LeadershipLost).Str("group", l.config.Name).Uint32("shard", uint32(l.shard)).
+		Uint64("term", lost.Term).Str("reason", lost.Reason.String()).Uint64("by", uint64(lost.From)).Uint64("new_term", status.Term).
+		Dur("held_up", time.Duration(l.lastMissed)*l.config.Tick).Dur("held_up_ago", time.Duration(l.ticks-l.missedAt)*l.config.Tick).
+		Msg("this member no longer leads")
+}
+
 // persistAndSend persists a Ready before it sends the messages that depend on its writes. A
 // failed write or sync is fatal.
 func (l *loop) persistAndSend(ready consensus.Ready) error {
--- a/internal/app/group/removal_test.go
+++ b/internal/app/group/removal_test.go
@@ -12,8 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/diskfault"
@@ -49,6 +47,7 @@
 	record  groupmember.Record
 	folder  string
 	files   *blockingFiles
+	lines   *testkit.LineBuffer
 	origin  group.Origin
 	member  *group.Member
 	machine atomic.Pointer[counter]
@@ -89,7 +88,7 @@
 		Self:    groupmember.Record{Address: m.record.Address, Name: m.record.Name},
 		Machine: m.newState, Clock: m.clock,
 		Origin: func(context.Context, string) (group.Origin, error) { return m.origin, nil },
-		OnStep: func(group.Step) {}, Logger: &log.Logger{Level: log.PanicLevel},
+		OnStep: func(group.Step) {}, Logger: m.lines.Logger(m.record.Name),
 		Limits:       groupmember.Limits{Voters: 3, MinVoters: 3},
 		ReplaceAfter: 400 * time.Millisecond, FreeSlotAfter: 200 * time.Millisecond, RemovalCheckInterval: 50 * time.Millisecond,
 	})
@@ -117,12 +116,13 @@
 	machines = map[string]*groupMachine{}
 	var founders []groupmember.Record
 	var contacts []string
+	lines := testkit.NewLineBuffer(t)
 	for i, name := range []string{"a", "b", "c", "d"} {
 		address := testkit.FreeAddress(t)
 		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
 		folder := t.TempDir()
 		files := &blockingFiles{FileSystem: diskfault.New(wal.OS{}, folder)}
-		machines[name] = &groupMachine{t: t, record: record, folder: folder, files: files}
+		machines[name] = &groupMachine{t: t, record: record, folder: folder, files: files, lines: lines}
 		contacts = append(contacts, address)
 		if name != "d" {
 			founders = append(founders, record)
--- a/internal/core/consensus/election.go
+++ b/internal/core/consensus/election.go
@@ -195,6 +195,9 @@
 			return false
 		}
 	}
+	if n.role == RoleLeader {
+		n.lastStepDown = StepDown{Reason: StepDownHigherTerm, From: message.From, Term: n.term}
+	}
 	n.becomeFollower(message.Term, None)
 	return true
 }
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -41,9 +41,10 @@
 	// unanimous is set on a candidate that needs the vote of every voter.
 	unanimous bool
 
-	leadership leadership
-	outbox     outbox
-	failed     error
+	leadership   leadership
+	lastStepDown StepDown
+	outbox       outbox
+	failed       error
 }
 
 // leadership holds the state that only a leader has.
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -52,6 +52,7 @@
 
 func (n *Node) tickLeader() {
 	if n.quorumLost() && !n.config.Safeguards.NoCheckQuorum {
+		n.lastStepDown = StepDown{Reason: StepDownQuorumLost, Term: n.term}
 		n.becomeFollower(n.term, None)
 		return
 	}
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -26,6 +26,41 @@
 	Required uint64
 	// LeaseValid is set on a leader that may serve reads without contacting a quorum.
 	LeaseValid bool
+	// LastStepDown is how this member last lost its leadership.
+	LastStepDown StepDown
+}
+
+// StepDownReason is why a leader became a follower.
+type StepDownReason uint8
+
+const (
+	// StepDownNone is set on a member that never lost its leadership.
+	StepDownNone StepDownReason = iota
+	// StepDownQuorumLost means that no quorum answered within the election timeout.
+	StepDownQuorumLost
+	// StepDownHigherTerm means that a member sent a message of a higher term.
+	StepDownHigherTerm
+)
+
+// String returns the reason for log lines.
+func (r StepDownReason) String() string {
+	switch r {
+	case StepDownQuorumLost:
+		return "no quorum answered"
+	case StepDownHigherTerm:
+		return "higher term"
+	default:
+		return "none"
+	}
+}
+
+// StepDown is a loss of leadership.
+type StepDown struct {
+	Reason StepDownReason
+	// From is the member whose message had the higher term.
+	From MemberID
+	// Term is the term that was led.
+	Term uint64
 }
 
 // PeerStatus is a leader's view of another member.
@@ -56,6 +91,7 @@
 		LastIndex:     n.log.lastIndex(),
 		SnapshotIndex: n.snapshot.Index,
 		Membership:    n.membership.Clone(),
+		LastStepDown:  n.lastStepDown,
 	}
 	if n.role != RoleLeader {
 		status.TicksSinceContact = uint64(n.ticksSinceLeader)
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -129,9 +129,7 @@
 }
 
 func newSite(t testing.TB, controls, stores int) *site {
-	lines := &lineBuffer{}
-	t.Cleanup(func() { lines.printIfFailed(t) })
-	s := &site{t: t, toleratedLosses: 1, models: []string{model}, holderLease: 300 * time.Millisecond, logger: lines.logger}
+	s := &site{t: t, toleratedLosses: 1, models: []string{model}, holderLease: 300 * time.Millisecond, logger: testkit.NewLineBuffer(t).Logger}
 	for i := range controls {
 		p := &process{name: fmt.Sprintf("core-%d", i), address: testkit.FreeAddress(t), disk: faultfs.New(uint64(i) + 1)}
 		s.controls = append(s.controls, p)
