httpapi: a node rejects calls for another cluster

A caller that goes on using the address of a killed node is served by whatever node listens there next, and cannot tell.

Change: a call may name its cluster (X-Cluster); a node of another one rejects it as not run, 421 misdirected. Every answer names the cluster. Fleets of the lab have cluster ids of their own, which the check between processes needs as well; their callers and trainers send them.

Ruled out: the audit and the routing, which are unchanged.

--- a/internal/adapter/appclient/header.go
+++ b/internal/adapter/appclient/header.go
@@ -17,10 +17,10 @@
 }
 
 // reservedRequestFields are replaced in every request.
-var reservedRequestFields = []string{api.HeaderRequestID, api.HeaderRequestKey, api.HeaderSafe, api.HeaderDeadline, api.HeaderPriority}
+var reservedRequestFields = []string{api.HeaderRequestID, api.HeaderRequestKey, api.HeaderSafe, api.HeaderDeadline, api.HeaderPriority, api.HeaderCluster}
 
 // reservedResponseFields may only be set by loomgrade and are removed from responses.
-var reservedResponseFields = []string{api.HeaderRequestID, api.HeaderVerdict, api.HeaderUnconfirmed}
+var reservedResponseFields = []string{api.HeaderRequestID, api.HeaderVerdict, api.HeaderUnconfirmed, api.HeaderCluster}
 
 func dropConnectionFields(header http.Header) {
 	for _, line := range header["Connection"] {
--- a/internal/adapter/httpapi/backend.go
+++ b/internal/adapter/httpapi/backend.go
@@ -53,6 +53,8 @@
 // Config configures a Server.
 type Config struct {
 	Backend Backend
+	// Cluster is the id of the node's cluster; requests for another one are rejected.
+	Cluster string
 	// Tenants defaults to the tenants of the Backend's view.
 	Tenants TenantLookup
 	// OperatorToken authenticates operators; if empty, their requests are rejected.
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -478,3 +478,19 @@
 		t.Error("a pool name from a request became a label")
 	}
 }
+
+// TestRequestForOtherClusterIsRejected guards against answers of another cluster, whose node
+// has an address that callers still use.
+func TestRequestForOtherClusterIsRejected(t *testing.T) {
+	_, address := newServerWith(t, httpapi.Config{Backend: &fakeBackend{application: echoApplication}, Cluster: "ours"})
+	for _, path := range []string{"/app/page-api/x", api.PathCompletions, "/nowhere"} {
+		got := send(t, address, "POST", path, "", api.HeaderCluster+": theirs")
+		expectRefusal(t, got, http.StatusMisdirectedRequest, port.CodeMisdirected, port.NotRun)
+	}
+	for _, header := range []string{"", api.HeaderCluster + ": ours"} {
+		got := send(t, address, "POST", "/app/page-api/x", "", header)
+		if got.status != http.StatusAccepted || got.header.Get(api.HeaderCluster) != "ours" {
+			t.Errorf("header %q: status %d, cluster %q", header, got.status, got.header.Get(api.HeaderCluster))
+		}
+	}
+}
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -129,6 +129,11 @@
 		_ = timed.controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
 	}
 	s.idle.Announce(timed.Header(), s.draining.Load())
+	timed.Header().Set(api.HeaderCluster, s.config.Cluster)
+	if refusal := s.rejectOtherCluster(request); refusal != nil {
+		s.fail(timed, refusal)
+		return
+	}
 	if strings.HasPrefix(request.URL.Path, api.PathApplication) {
 		s.application(timed, request)
 		return
@@ -136,6 +141,18 @@
 	s.mux.ServeHTTP(timed, request)
 }
 
+// rejectOtherCluster returns the refusal of a request for another cluster, whose node may
+// have had this node's address before.
+func (s *Server) rejectOtherCluster(request *http.Request) *port.Error {
+	wanted := request.Header.Get(api.HeaderCluster)
+	if wanted == "" || wanted == s.config.Cluster {
+		return nil
+	}
+	refusal := port.NewError(port.NotRun, port.CodeMisdirected, "this is a node of cluster %q", s.config.Cluster)
+	refusal.Field, refusal.Value = api.HeaderCluster, wanted
+	return refusal
+}
+
 func (s *Server) notFound(writer http.ResponseWriter, request *http.Request) {
 	s.fail(writer, port.NewError(port.NotRun, port.CodeNotFound, "no %s %s", request.Method, request.URL.Path))
 }
--- a/internal/adapter/httpserve/errors.go
+++ b/internal/adapter/httpserve/errors.go
@@ -28,6 +28,8 @@
 		return http.StatusConflict
 	case port.CodeChangeExpired:
 		return http.StatusGone
+	case port.CodeMisdirected:
+		return http.StatusMisdirectedRequest
 	case port.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case port.CodeCancelled:
--- a/internal/app/node/web.go
+++ b/internal/app/node/web.go
@@ -20,6 +20,7 @@
 func newWeb(n *Node) *httpapi.Server {
 	return httpapi.New(httpapi.Config{
 		Backend:       n,
+		Cluster:       n.config.ClusterID,
 		OperatorToken: n.config.OperatorToken,
 		Metrics:       n.metrics.Handler(),
 		Recorder:      n.metrics,
--- a/internal/lab/load/call.go
+++ b/internal/lab/load/call.go
@@ -38,7 +38,7 @@
 		index, target := g.targets.pick()
 		observed := g.attempt(ctx, plan, target)
 		code := port.Code(observed.Detail)
-		if observed.Outcome == audit.OutcomeNotRun && (code == port.CodeDraining || code == codeUnreachable) {
+		if observed.Outcome == audit.OutcomeNotRun && (code == port.CodeDraining || code == port.CodeMisdirected || code == codeUnreachable) {
 			g.targets.backOff(index)
 		}
 		g.result.add(plan.class.Name, observed)
@@ -142,6 +142,9 @@
 	if p.class.MaxRetries > 0 {
 		request.Header.Set(api.HeaderRequestKey, p.key)
 	}
+	if p.class.Cluster != "" {
+		request.Header.Set(api.HeaderCluster, p.class.Cluster)
+	}
 	if p.class.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+p.class.Token)
 	}
--- a/internal/lab/load/config.go
+++ b/internal/lab/load/config.go
@@ -32,6 +32,8 @@
 	Timeout time.Duration
 	// Token, if set, is sent as bearer token.
 	Token string
+	// Cluster, if set, is the id of the cluster that must serve the calls.
+	Cluster string
 }
 
 // Config describes a load.
--- a/internal/lab/localfleet/fleet.go
+++ b/internal/lab/localfleet/fleet.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -57,6 +59,7 @@
 // ready.
 func Start(ctx context.Context, plan Plan, options Options) (*Fleet, error) {
 	fleet := &Fleet{plan: plan, options: options}
+	fleet.setCluster()
 	background, cancel := context.WithCancel(context.Background())
 	fleet.cancel = cancel
 	if err := fleet.start(ctx, background); err != nil {
@@ -65,6 +68,18 @@
 	return fleet, nil
 }
 
+// setCluster gives the fleet a cluster id of its own, unless its folders outlive it, and its
+// callers the id: a fleet of another process may listen at an address that this one used.
+func (f *Fleet) setCluster() {
+	if f.options.Folder == "" {
+		f.plan.Cluster = fmt.Sprintf("%s-%x", f.plan.Cluster, rand.Uint64())
+	}
+	f.plan.Callers = slices.Clone(f.plan.Callers)
+	for index := range f.plan.Callers {
+		f.plan.Callers[index].Cluster = f.plan.Cluster
+	}
+}
+
 func (f *Fleet) start(ctx, background context.Context) error {
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/internal/lab/localfleet/standins.go
+++ b/internal/lab/localfleet/standins.go
@@ -105,6 +105,7 @@
 	for index, trainer := range plan.Trainers {
 		started, err := standin.StartTrainer(ctx, standin.TrainerConfig{
 			Nodes:        nodeURLs,
+			Cluster:      plan.Cluster,
 			Pool:         string(trainer.Pool),
 			Name:         "trainer-" + string(trainer.Pool),
 			StepTime:     trainer.StepTime,
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -45,6 +45,8 @@
 	Name string
 	// Token, if set, is sent as bearer token.
 	Token string
+	// Cluster, if set, is the id of the cluster that must serve the trainer.
+	Cluster string
 	// StepTime is the duration of a training step. Default 1 s.
 	StepTime time.Duration
 	// PublishEvery is the number of steps between publications. Default 1.
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -64,6 +64,9 @@
 	}
 	request.ContentLength = int64(len(encoded))
 	request.Header.Set("Content-Type", contentTypeJSON)
+	if t.config.Cluster != "" {
+		request.Header.Set(api.HeaderCluster, t.config.Cluster)
+	}
 	if t.config.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+t.config.Token)
 	}
--- a/internal/port/api/callers.go
+++ b/internal/port/api/callers.go
@@ -16,6 +16,9 @@
 	// HeaderUnconfirmed marks a response sent while the node's configuration lease was
 	// expired.
 	HeaderUnconfirmed = "X-Configuration-Unconfirmed"
+	// HeaderCluster is the id of the cluster that a request is for; a node of another
+	// cluster rejects the request. Every response has that of its node.
+	HeaderCluster = "X-Cluster"
 	// HeaderDeadline is the remaining time until the deadline, in milliseconds.
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderPriority is the request's priority, an integer.
--- a/internal/port/verdict.go
+++ b/internal/port/verdict.go
@@ -67,6 +67,7 @@
 	CodeDraining       Code = "draining"         // the process is stopping
 	CodeCancelled      Code = "cancelled"        // the caller cancelled the request
 	CodeUnauthorized   Code = "unauthorized"     // missing or wrong token
+	CodeMisdirected    Code = "misdirected"      // the request is for another cluster
 	CodeTooLarge       Code = "too_large"        // a body, header or frame exceeds its limit
 	CodeNotReady       Code = "not_ready"        // the batch is not complete; retry later
 	CodeInternal       Code = "internal"         // a fault of loomgrade
