group: a member that lost its log joins under a new id

What users would see: a site's control or store machine whose log files are lost, while its identity stands, makes a new log under its old id and votes again, having forgotten its votes.

Cause: the identity is stored before the log, and a missing log was taken for one that was never made.

Change: the identity records that the log was created, before the loop runs and can vote. Without its log such a member clears its folder and joins anew; one that was stopped before it had a log makes it, as before. Identities of earlier builds are completed when their log is opened.

--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -30,6 +30,9 @@
 	// Records are the members known when the folder was created.
 	Records []groupmember.Record `cbor:"4,keyasint"`
 	Shard   Shard                `cbor:"5,keyasint,omitempty"`
+	// HasLog is set once the log was created, before the member can vote. Without its log
+	// such a member has lost its votes.
+	HasLog bool `cbor:"6,keyasint,omitempty"`
 }
 
 // folder is the data folder of a member.
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -183,19 +183,24 @@
 	return m.bootstrapOrJoin(ctx, dir, mayBootstrap)
 }
 
+// isUnusableLog reports whether the member must join again under a new id: it may have voted,
+// and its votes are lost.
 func isUnusableLog(err error) bool {
-	return errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) || errors.Is(err, consensus.ErrInconsistent)
+	return errors.Is(err, wal.ErrMissing) || errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) || errors.Is(err, consensus.ErrInconsistent)
 }
 
 func (m *Member) openExisting(dir folder, stored identity) (*loop, error) {
 	m.peers.setAddresses(stored.Records, false)
 	log, recovery, err := wal.Open(m.walOptions(dir, stored))
-	if errors.Is(err, wal.ErrMissing) {
+	if errors.Is(err, wal.ErrMissing) && !stored.HasLog {
 		return m.create(dir, stored)
 	}
 	if err != nil {
 		return nil, err
 	}
+	if err := recordLog(dir, stored); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
 	m.config.Logger.Info().Str(eventlog.Field, eventlog.LogOpened).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
 		Int("entries", len(recovery.Restored.Entries)).Int64("torn_bytes", recovery.TornBytes).Msg("log opened")
 	return m.openLoop(stored, log, recovery.Restored)
@@ -267,9 +272,21 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := recordLog(dir, stored); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
 	return m.openLoop(stored, log, restored)
 }
 
+// recordLog durably records in the identity that the member has a log.
+func recordLog(dir folder, stored identity) error {
+	if stored.HasLog {
+		return nil
+	}
+	stored.HasLog = true
+	return dir.save(stored)
+}
+
 func (m *Member) openLoop(stored identity, log *wal.Log, restored consensus.Restored) (*loop, error) {
 	m.peers.setAddresses(stored.Records, false)
 	l, err := newLoop(m.config, stored, log, restored, m.peers, func(step Step) { m.publish(stored.Shard, step) })
