control: the process tests print their members' lines and files when they fail

Nothing told how far the killed member had come, and the processes wrote nothing. The checks are the same.

--- a/internal/app/control/process_folder_test.go
+++ b/internal/app/control/process_folder_test.go
@@ -26,6 +26,20 @@
 	return segments
 }
 
+// logFolder logs the files of a stopped member, which tell how far it had come.
+func (g *processGroup) logFolder(id uint64) {
+	g.t.Helper()
+	entries, err := os.ReadDir(g.dataFolder(id))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	for _, entry := range entries {
+		if info, err := entry.Info(); err == nil {
+			g.t.Logf("member %d: %s, %d bytes", id, info.Name(), info.Size())
+		}
+	}
+}
+
 // awaitFailure waits until a member's process exits and requires exit code 1 and a
 // message on stderr.
 func (g *processGroup) awaitFailure(id uint64, message string) {
@@ -75,6 +89,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			group, writing, client := startWithChanges(t, 20)
 			group.kill(3)
+			group.logFolder(3)
 			test.damage(t, group)
 			group.start(3)
 			group.awaitFailure(3, test.message)
--- a/internal/app/control/process_test.go
+++ b/internal/app/control/process_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
@@ -55,6 +57,7 @@
 		Cluster: "test", ID: child.ID, Members: child.Members, DataFolder: child.Folder,
 		OperatorAddress: "127.0.0.1:0", Tick: child.Tick, Seed: child.ID,
 		SnapshotEntries: 50, RetainEntries: 10,
+		Logger: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}},
 	}
 	config.PeerAddress = config.addressOf(child.ID)
 	if err := Run(ctx, config); err != nil {
