control: a member that is creating its log answers once it has it

Change: a requester that is on record is answered as before; another one waits until the log is there and is told that the group is bootstrapped.

--- a/internal/app/control/bootstrap.go
+++ b/internal/app/control/bootstrap.go
@@ -14,7 +14,6 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
-	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // An initial member with an empty data folder may be new, or may have lost its
@@ -31,6 +30,9 @@
 	bootstrapTimeout  = time.Second
 )
 
+// errBootstrapFinished means that the member is creating its log.
+var errBootstrapFinished = errors.New("the member is creating its log")
+
 // bootstrapRequest is sent by a member without a log.
 type bootstrapRequest struct {
 	Member uint64 `cbor:"1,keyasint"`
@@ -88,16 +90,17 @@
 func (b *bootstrapper) path() string { return filepath.Join(b.config.DataFolder, bootstrapFile) }
 
 // recordNew durably records that the requester is new and reports that this member is
-// new as well. It rejects the request once finish was called.
+// new as well. Once finish was called, it returns errBootstrapFinished for a requester that
+// is not recorded.
 func (b *bootstrapper) recordNew(requester uint64) (bootstrapAnswer, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.finished {
-		return bootstrapAnswer{}, port.NewError(port.NotRun, port.CodeUnavailable, "the control member is creating its log")
-	}
 	if slices.Contains(b.record.New, requester) {
 		return bootstrapAnswer{}, nil
 	}
+	if b.finished {
+		return bootstrapAnswer{}, errBootstrapFinished
+	}
 	record := b.record
 	record.New = append(slices.Clone(record.New), requester)
 	if err := b.save(record); err != nil {
--- a/internal/app/control/serve.go
+++ b/internal/app/control/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -121,26 +122,39 @@
 }
 
 // serveBootstrap answers the bootstrap request of a member without a log.
-func (m *Member) serveBootstrap(_ context.Context, call *wire.Call) error {
+func (m *Member) serveBootstrap(ctx context.Context, call *wire.Call) error {
 	var request bootstrapRequest
 	if err := call.Decode(&request); err != nil {
 		return err
 	}
-	answer, err := m.answerBootstrap(request.Member)
+	answer, err := m.answerBootstrap(ctx, request.Member)
 	if err != nil {
 		return err
 	}
 	return call.Send(answer)
 }
 
-func (m *Member) answerBootstrap(requester uint64) (bootstrapAnswer, error) {
-	l := m.current.Load()
-	if l != nil {
-		membership := l.published.Load().status.Membership
-		return bootstrapAnswer{Bootstrapped: true, Voter: membership.IsVoter(consensus.MemberID(requester))}, nil
+func (m *Member) answerBootstrap(ctx context.Context, requester uint64) (bootstrapAnswer, error) {
+	if l := m.current.Load(); l != nil {
+		return l.answerBootstrap(requester), nil
 	}
 	if m.bootstrapper == nil || m.config.Join {
 		return bootstrapAnswer{}, port.NewError(port.NotRun, port.CodeUnavailable, "the control member is starting")
 	}
-	return m.bootstrapper.recordNew(requester)
+	answer, err := m.bootstrapper.recordNew(requester)
+	if !errors.Is(err, errBootstrapFinished) {
+		return answer, err
+	}
+	select {
+	case <-m.ready:
+		return m.current.Load().answerBootstrap(requester), nil
+	case <-ctx.Done():
+		return bootstrapAnswer{}, ctx.Err()
+	}
+}
+
+// answerBootstrap answers as a member whose group is bootstrapped.
+func (l *loop) answerBootstrap(requester uint64) bootstrapAnswer {
+	membership := l.published.Load().status.Membership
+	return bootstrapAnswer{Bootstrapped: true, Voter: membership.IsVoter(consensus.MemberID(requester))}
 }
