httpserve: the last read of an idle connection ignores the stop's deadline

What callers saw: a request that is in the socket when a planned stop ends its idle connection is reset, rarely.

Cause: readArrived removed the read deadline, then read. Stop checks every 10 ms and sets the deadline again for a connection that is still idle; between the two the read fails with a timeout, and the server closes a socket with unread data.

Change: the read goes to the descriptor and no deadline applies to it.

TestStopAnswersRequestReadBetweenChecks delays the removal of the deadline: 5 of 5 failed before, 5 of 5 pass.

--- a/internal/adapter/httpserve/connection.go
+++ b/internal/adapter/httpserve/connection.go
@@ -78,20 +78,17 @@
 }
 
 // readArrived reads what is in the socket without waiting. It returns
-// os.ErrDeadlineExceeded if that is nothing.
+// os.ErrDeadlineExceeded if that is nothing. The read deadline does not apply to it:
+// closeIfIdleSince may set it again at any moment.
 func (c *connection) readArrived(buf []byte) (int, error) {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
 		return 0, err
 	}
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
-		return 0, err
-	}
 	var n int
 	var readErr error
-	err = raw.Read(func(descriptor uintptr) bool {
-		n, readErr = syscall.Read(int(descriptor), buf)
-		return !errors.Is(readErr, syscall.EINTR)
+	err = raw.Control(func(descriptor uintptr) {
+		n, readErr = readNonblocking(int(descriptor), buf)
 	})
 	switch {
 	case err != nil:
@@ -106,6 +103,16 @@
 	return n, nil
 }
 
+// readNonblocking reads from a nonblocking descriptor, again after a signal.
+func readNonblocking(descriptor int, buf []byte) (int, error) {
+	for {
+		n, err := syscall.Read(descriptor, buf)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection
 // with unread data.
 func (c *connection) CloseWrite() error {
--- a/internal/adapter/httpserve/idle_test.go
+++ b/internal/adapter/httpserve/idle_test.go
@@ -148,6 +148,8 @@
 	*net.TCPListener
 	accepting chan struct{}
 	held      atomic.Bool
+	// deadlineDelay is how long SetReadDeadline takes after it has removed a deadline.
+	deadlineDelay time.Duration
 }
 
 func newHeldListener(t *testing.T) *heldListener {
@@ -182,6 +184,14 @@
 	return n, err
 }
 
+func (c *heldConn) SetReadDeadline(deadline time.Time) error {
+	err := c.TCPConn.SetReadDeadline(deadline)
+	if deadline.IsZero() {
+		time.Sleep(c.listener.deadlineDelay)
+	}
+	return err
+}
+
 func writeRequest(t *testing.T, connection net.Conn, text string) {
 	t.Helper()
 	if _, err := connection.Write([]byte(text)); err != nil {
@@ -248,6 +258,24 @@
 	}
 }
 
+// TestStopAnswersRequestReadBetweenChecks guards against the reset of a request that is
+// read while the stopping server checks its idle connections again.
+func TestStopAnswersRequestReadBetweenChecks(t *testing.T) {
+	held := newHeldListener(t)
+	close(held.accepting)
+	held.deadlineDelay = 50 * time.Millisecond // several checks
+	held.held.Store(true)
+	server := startIdleServerOn(t, time.Second, held)
+	connection := dialIdle(t, server.address)
+	<-server.accepted
+	writeRequest(t, connection, requestStart+requestEnd)
+	stopped := server.stop(t.Context())
+	time.Sleep(2 * time.Second) // longer than the announced time and its margin
+	held.held.Store(false)
+	readResponse(t, connection)
+	<-stopped
+}
+
 // TestStopAnswersIncompleteRequest sends the end of a request's header after the announced
 // time has passed.
 func TestStopAnswersIncompleteRequest(t *testing.T) {
