wal: a sync is confirmed in the log, so that damage to the last batch is corruption

Cause: an invalid record is a torn write unless a later record was written after a sync that covered it; the last batch has none.

Change: after each sync the hard state is repeated, without a second sync and before Sync returns. A new segment syncs what is left of the previous one, whose length it records. A partial confirmation after a loss of power is no torn write.

TestDamagedLastBatchIsCorrupt flips each byte, red before.

--- a/internal/adapter/wal/doc.go
+++ b/internal/adapter/wal/doc.go
@@ -5,9 +5,12 @@
 // the offset up to which the segment was synced when the record was written.
 // An invalid record is a torn write, and is truncated, if it is in the last
 // segment and no later record was written after a sync that covered it. Every
-// other invalid record is corruption, and Open fails. This rule treats damage to
-// the last synced batch as a torn write; the commit index in the hard state
-// reveals it only if that index was written in an earlier batch.
+// other invalid record is corruption, and Open fails.
+//
+// A sync is confirmed by a repeated hard state, written before Sync returns, so
+// that damage to the last batch is corruption too. The confirmation itself is
+// not synced: after a loss of power that loses it, damage to the last synced
+// batch is treated as a torn write. So is a lost end of the last segment.
 //
 // Each segment starts with the identity of the cluster and the member, so that
 // Open rejects the folder of another member, and with the position and checksum
--- a/internal/adapter/wal/log.go
+++ b/internal/adapter/wal/log.go
@@ -42,8 +42,10 @@
 	segments     []segment
 	hard         consensus.HardState
 	marker       snapshotMarker
-	syncs        uint64
-	failed       error
+	// confirmedTo is the size of the last segment after its latest confirmation.
+	confirmedTo int64
+	syncs       uint64
+	failed      error
 }
 
 // Create creates and opens the log of a new member. initial is the membership of a new
@@ -131,22 +133,41 @@
 	return nil
 }
 
-// Sync makes all appended records durable with one fsync.
+// Sync makes all appended records durable with one fsync, and confirms that in the log.
 func (l *Log) Sync() error {
 	if err := l.flush(); err != nil {
 		return err
 	}
-	if l.writer.syncedTo == l.writer.base {
+	if l.writer.base == l.confirmedTo {
 		return nil
 	}
+	if err := l.syncFile(); err != nil {
+		return err
+	}
+	if l.writer.base >= l.segmentBytes {
+		return l.roll()
+	}
+	return l.confirmSync()
+}
+
+func (l *Log) syncFile() error {
 	if err := l.file.Sync(); err != nil {
 		return l.fail("sync segment", err)
 	}
 	l.syncs++
 	l.writer.syncedTo = l.writer.base
-	if l.writer.base >= l.segmentBytes {
-		return l.roll()
+	return nil
+}
+
+// confirmSync repeats the hard state, without a sync. The synced offset of this record
+// distinguishes damage to the last batch from a torn write. It is written before Sync
+// returns, and survives the end of the process.
+func (l *Log) confirmSync() error {
+	l.writer.hardState(l.hard)
+	if err := l.flush(); err != nil {
+		return err
 	}
+	l.confirmedTo = l.writer.base
 	return nil
 }
 
@@ -262,8 +283,14 @@
 	return l.removeObsolete()
 }
 
-// roll starts a new segment. All appended records must be synced.
+// roll starts a new segment. All appended records but a confirmation must be synced. The
+// new segment records the length of the previous one, which must be durable with it.
 func (l *Log) roll() error {
+	if l.file != nil && l.writer.syncedTo < l.writer.base {
+		if err := l.syncFile(); err != nil {
+			return err
+		}
+	}
 	header := segmentHeader{identity: l.identity}
 	sequence := uint64(1)
 	if count := len(l.segments); count > 0 {
@@ -287,6 +314,7 @@
 	size := int64(len(writer.buffer))
 	l.file = file
 	l.writer = recordWriter{sequence: sequence, base: size, syncedTo: size, buffer: writer.buffer[:0]}
+	l.confirmedTo = size
 	l.segments = append(l.segments, segment{sequence: sequence, size: size})
 	return nil
 }
--- a/internal/adapter/wal/log_test.go
+++ b/internal/adapter/wal/log_test.go
@@ -243,6 +243,69 @@
 	}
 }
 
+// TestDamagedLastBatchIsCorrupt guards against taking damage to the last synced batch for a
+// torn write. It flips each byte of a log whose entries came in one batch; flips of padding
+// and of the confirmation lose nothing.
+func TestDamagedLastBatchIsCorrupt(t *testing.T) {
+	hard := consensus.HardState{Term: 2, VotedFor: 3, Commit: 4}
+	entries := entriesFrom(1, 4, 2)
+	for name, reopen := range map[string]bool{"as written": false, "reopened once": true} {
+		t.Run(name, func(t *testing.T) {
+			corrupt := 0
+			for offset := int64(0); ; offset++ {
+				files := faultfs.New(1)
+				mustWrite(t, mustCreate(t, files), &hard, entries)
+				files.Stop()
+				if reopen {
+					mustOpen(t, files)
+					files.Stop()
+				}
+				if err := files.Flip(filepath.Join(folder, firstSegment), offset); err != nil {
+					break // past the end
+				}
+				_, recovery, err := wal.Open(optionsOn(files))
+				if errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) {
+					corrupt++
+					continue
+				}
+				if err != nil {
+					t.Fatalf("byte %d: %v", offset, err)
+				}
+				restored := recovery.Restored
+				if restored.HardState != hard || !reflect.DeepEqual(restored.Entries, entries) {
+					t.Errorf("byte %d: restored %+v with %d entries", offset, restored.HardState, len(restored.Entries))
+				}
+			}
+			if corrupt == 0 {
+				t.Error("no flip was detected")
+			}
+		})
+	}
+}
+
+// TestLostConfirmationIsNotCorrupt loses power after a sync: whatever remains of its
+// confirmation, the log opens with all that was synced.
+func TestLostConfirmationIsNotCorrupt(t *testing.T) {
+	for seed := range uint64(400) {
+		files := faultfs.New(seed)
+		log := mustCreate(t, files)
+		mustWrite(t, log, nil, entriesFrom(1, 2, 2))
+		if seed%2 == 0 {
+			if err := log.SaveSnapshot(consensus.Snapshot{Index: 1, Term: 2, Membership: voters}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		hard := consensus.HardState{Term: 2, VotedFor: 3, Commit: 4}
+		mustWrite(t, log, &hard, entriesFrom(3, 3, 2))
+		files.Crash()
+		_, recovery := mustOpen(t, files)
+		restored := recovery.Restored
+		if last := restored.Entries[len(restored.Entries)-1].Index; restored.HardState != hard || last != 5 {
+			t.Fatalf("seed %d: restored %+v up to entry %d", seed, restored.HardState, last)
+		}
+	}
+}
+
 func flipBit(name string, offset int64) func(*testing.T, *faultfs.FileSystem) {
 	return func(t *testing.T, files *faultfs.FileSystem) {
 		t.Helper()
