consensus: a follower answers heartbeats while it writes

Change: AnswerHeartbeat handles a heartbeat between Ready and Advance, unless a term or a vote is being saved: its reply acknowledges no write. The loops of group and control write beside a follower's messages, answer heartbeats, and hold the rest. The elapsed ticks pass first, so that the vote stays held for an election timeout after the answer. A leader answers nothing during its writes: with a disk that hangs it must be replaced.

TestHeartbeatsAnsweredDuringSlowWrites explores leases, votes and reads; TestAnsweredHeartbeatHoldsVote fails if the contact is not recorded, which the exploration does not find.

Weighed: a leader that counts a silent follower for longer (a lost quorum would be noticed later), and pending commands kept after the step down (callers of a leader that is cut off would wait).

--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -103,6 +103,47 @@
 	}
 }
 
+// TestLeaderStaysDuringSlowWritesOfFollowers guards against the loss of a leader, and of its
+// callers' answers, while the disks of all followers are slow.
+func TestLeaderStaysDuringSlowWritesOfFollowers(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	disks := map[uint64]*faultfs.SlowFiles{}
+	group := startGroup(t, 3, func(config *Config) {
+		config.Tick = tick
+		disks[config.ID] = faultfs.NewSlowFiles(wal.OS{})
+		config.FileSystem = disks[config.ID]
+	})
+	last := group.change(group.client(1), 3)
+	leader := group.leader()
+	term := leader.loop().published.Load().status.Term
+	var releases []func()
+	for id, disk := range disks {
+		if id != leader.config.ID {
+			releases = append(releases, disk.HoldSyncs())
+		}
+	}
+	defer func() {
+		for _, release := range releases {
+			release()
+		}
+	}()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := leader.Propose(group.context(), machineListChange(last, 9))
+		answered <- err
+	}()
+	time.Sleep(3 * DefaultElectionTicks * tick)
+	for _, release := range releases {
+		release()
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("the change: %v", err)
+	}
+	if status := leader.loop().published.Load().status; status.Role != consensus.RoleLeader || status.Term != term {
+		t.Errorf("%v in term %d, led term %d", status.Role, status.Term, term)
+	}
+}
+
 // TestPowerLossKeepsAcceptedChanges crashes all disks, which lose
 // unsynced data, between changes.
 func TestPowerLossKeepsAcceptedChanges(t *testing.T) {
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -53,8 +53,10 @@
 	// changed is called when the position of the view has changed.
 	changed func()
 
-	startedAt      time.Duration // by Config.Clock
-	ticks          int64
+	startedAt time.Duration // by Config.Clock
+	ticks     int64
+	// held are messages that arrived during a write and wait for its end.
+	held           []consensus.Message
 	lastToken      uint64
 	pendingReplies map[uint64]chan<- controlmember.Reply
 	pendingReads   []pendingRead
@@ -130,6 +132,9 @@
 
 // handleQueued processes the queued events, so that one sync covers the batch.
 func (l *loop) handleQueued() error {
+	if err := l.stepHeld(); err != nil {
+		return err
+	}
 	for range l.config.MaxBatch - 1 {
 		select {
 		case message := <-l.messages:
@@ -146,6 +151,18 @@
 	return nil
 }
 
+// stepHeld passes the messages to the core that arrived during a write.
+func (l *loop) stepHeld() error {
+	held := l.held
+	l.held = nil
+	for _, message := range held {
+		if err := l.step(message); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // step passes a message to the core. It returns only the fatal error and drops
 // malformed messages.
 func (l *loop) step(message consensus.Message) error {
@@ -159,22 +176,31 @@
 // catchUpTicks passes elapsed ticks to the core. All but the last one were missed:
 // the loop was blocked or the machine suspended.
 func (l *loop) catchUpTicks() {
-	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
-	passed := due - l.ticks
-	if passed <= 0 {
+	elapsed := l.takeElapsedTicks()
+	if elapsed <= 0 {
 		return
 	}
-	l.ticks = due
-	l.member.TickMissed(int(passed - 1))
+	l.member.TickMissed(elapsed - 1)
 	l.member.Tick(time.Now())
 }
 
+// takeElapsedTicks returns the number of ticks that have elapsed since the last call.
+func (l *loop) takeElapsedTicks() int {
+	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
+	elapsed := max(0, due-l.ticks)
+	l.ticks += elapsed
+	return int(elapsed)
+}
+
 // processReady handles all Readys of the core, then publishes the status and replies.
 func (l *loop) processReady() error {
 	for l.member.HasReady() {
 		if err := l.persistAndSend(l.member.Ready()); err != nil {
 			return err
 		}
+		if err := l.stepHeld(); err != nil {
+			return err
+		}
 	}
 	if l.member.SnapshotDue() {
 		if err := l.saveSnapshot(); err != nil {
@@ -195,7 +221,7 @@
 			l.send(message)
 		}
 	}
-	if err := l.log.Persist(ready); err != nil {
+	if err := l.persist(ready); err != nil {
 		return eris.Wrap(err, "this member must no longer vote")
 	}
 	for _, message := range ready.Messages {
@@ -206,12 +232,51 @@
 	return eris.Wrap(l.member.Advance(ready), "apply")
 }
 
+// persist makes the writes of a Ready durable.
+func (l *loop) persist(ready consensus.Ready) error {
+	if !ready.MustSync {
+		return l.log.Persist(ready)
+	}
+	return l.write(func() error { return l.log.Persist(ready) })
+}
+
+// write runs an operation that waits for the disk. Meanwhile a follower answers its leader's
+// heartbeats. A leader does not: with a disk that hangs it must be replaced.
+func (l *loop) write(operation func() error) error {
+	if l.member.IsLeader() {
+		return operation()
+	}
+	done := make(chan error, 1)
+	go func() { done <- operation() }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case message := <-l.messages:
+			l.answerOrHold(message)
+		}
+	}
+}
+
+// answerOrHold answers a heartbeat, or holds a message until the end of a write. It drops
+// messages beyond Config.MaxBatch; the core retries.
+func (l *loop) answerOrHold(message consensus.Message) {
+	l.member.TickMissed(l.takeElapsedTicks())
+	if reply, answered := l.member.AnswerHeartbeat(message); answered {
+		l.send(reply)
+		return
+	}
+	if len(l.held) < l.config.MaxBatch {
+		l.held = append(l.held, message)
+	}
+}
+
 func (l *loop) saveSnapshot() error {
 	snapshot, err := l.member.BuildSnapshot()
 	if err != nil {
 		return eris.Wrap(err, "build snapshot")
 	}
-	if err := l.log.SaveSnapshot(snapshot); err != nil {
+	if err := l.write(func() error { return l.log.SaveSnapshot(snapshot) }); err != nil {
 		return eris.Wrap(err, "save snapshot")
 	}
 	return eris.Wrap(l.member.Compact(snapshot), "compact")
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -49,11 +49,15 @@
 	led bool
 	// lastMissed are the latest ticks that were missed in one go, up to missedAt.
 	lastMissed, missedAt int64
+	// writing is how long the loop waited for the disk since the last tick.
+	writing time.Duration
 	// lastMaintenance is the tick of the last run of runMaintenance.
 	lastMaintenance int64
 	lastToken       uint64
-	pendingReplies  map[uint64]func(groupmember.Reply)
-	changePending   bool // a membership change is proposed and has no reply yet
+	// held are messages that arrived during a write and wait for its end.
+	held           []consensus.Message
+	pendingReplies map[uint64]func(groupmember.Reply)
+	changePending  bool // a membership change is proposed and has no reply yet
 	// saving is set while a snapshot is encoded and written in the background; saved
 	// receives the result.
 	saving bool
@@ -140,6 +144,9 @@
 
 // handleQueued processes the queued events, so that one sync covers the batch.
 func (l *loop) handleQueued() error {
+	if err := l.stepHeld(); err != nil {
+		return err
+	}
 	for range maxBatch - 1 {
 		select {
 		case message := <-l.messages:
@@ -156,6 +163,18 @@
 	return nil
 }
 
+// stepHeld passes the messages to the core that arrived during a write.
+func (l *loop) stepHeld() error {
+	held := l.held
+	l.held = nil
+	for _, message := range held {
+		if err := l.step(message); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // step passes a message to the core. It returns only the fatal error and drops malformed
 // messages.
 func (l *loop) step(message consensus.Message) error {
@@ -169,32 +188,41 @@
 // catchUpTicks passes elapsed ticks to the core. All but the last one were missed: the loop
 // was blocked or the machine suspended.
 func (l *loop) catchUpTicks() {
-	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
-	elapsed := due - l.ticks
+	elapsed := l.takeElapsedTicks()
 	if elapsed <= 0 {
 		return
 	}
-	l.ticks = due
-	if elapsed > 1 {
-		l.lastMissed, l.missedAt = elapsed-1, due
-	}
-	l.recordMissedTicks(int(elapsed - 1))
+	l.recordMissedTicks(elapsed - 1)
 	l.member.Tick()
-	if due-l.lastMaintenance >= maintenanceTicks {
-		l.lastMaintenance = due
+	if l.ticks-l.lastMaintenance >= maintenanceTicks {
+		l.lastMaintenance = l.ticks
 		l.runMaintenance()
 	}
 }
 
-// recordMissedTicks passes missed ticks to the core. It logs a warning if another member may
-// have started an election meanwhile.
+// takeElapsedTicks returns the number of ticks that have elapsed since the last call.
+func (l *loop) takeElapsedTicks() int {
+	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
+	elapsed := max(0, due-l.ticks)
+	l.ticks += elapsed
+	return int(elapsed)
+}
+
+// recordMissedTicks passes missed ticks to the core. It logs a warning, with the part that
+// was spent writing, if another member may have started an election meanwhile.
 func (l *loop) recordMissedTicks(ticks int) {
+	writing := l.writing
+	l.writing = 0
+	if ticks > 0 {
+		l.lastMissed, l.missedAt = int64(ticks), l.ticks
+	}
 	l.member.TickMissed(ticks)
 	if ticks < l.config.ElectionTicks {
 		return
 	}
 	l.config.Logger.Warn().Str(eventlog.Field, eventlog.MemberDelayed).Str("group", l.config.Name).Uint32("shard", uint32(l.shard)).
 		Uint64("term", l.member.Status().Term).Bool("leads", l.member.IsLeader()).Dur("held_up", time.Duration(ticks)*l.config.Tick).
+		Dur("writing", writing).
 		Msg("the member was not scheduled for longer than an election timeout")
 }
 
@@ -262,6 +290,9 @@
 		if err := l.persistAndSend(l.member.Ready()); err != nil {
 			return err
 		}
+		if err := l.stepHeld(); err != nil {
+			return err
+		}
 	}
 	if l.removed || l.member.Status().Role == consensus.RoleRemoved {
 		return errRemoved
@@ -300,7 +331,7 @@
 			l.peers.send(message)
 		}
 	}
-	if err := l.log.Persist(ready); err != nil {
+	if err := l.persist(ready); err != nil {
 		return eris.Wrap(err, "this member must no longer vote")
 	}
 	for _, message := range ready.Messages {
@@ -311,6 +342,56 @@
 	return eris.Wrap(l.member.Advance(ready), "apply")
 }
 
+// persist makes the writes of a Ready durable.
+func (l *loop) persist(ready consensus.Ready) error {
+	if !ready.MustSync {
+		return l.log.Persist(ready)
+	}
+	return l.write(func() error { return l.log.Persist(ready) })
+}
+
+// write runs an operation that waits for the disk, and measures it. Meanwhile a follower
+// answers its leader's heartbeats. A leader does not: with a disk that hangs it must be
+// replaced.
+func (l *loop) write(operation func() error) error {
+	started := l.config.Clock()
+	measure := func() {
+		now := l.config.Clock()
+		l.writing += now - started
+		started = now
+	}
+	defer measure()
+	if l.member.IsLeader() {
+		return operation()
+	}
+	done := make(chan error, 1)
+	go func() { done <- operation() }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case message := <-l.messages:
+			measure()
+			l.answerOrHold(message)
+		}
+	}
+}
+
+// answerOrHold answers a heartbeat, or holds a message until the end of a write. It drops
+// messages beyond maxBatch; the core retries.
+func (l *loop) answerOrHold(message consensus.Message) {
+	if elapsed := l.takeElapsedTicks(); elapsed > 0 {
+		l.recordMissedTicks(elapsed)
+	}
+	if reply, answered := l.member.AnswerHeartbeat(message); answered {
+		l.peers.send(reply)
+		return
+	}
+	if len(l.held) < maxBatch {
+		l.held = append(l.held, message)
+	}
+}
+
 // publish publishes the state. processReady calls it before the replies, so that callers see
 // the effect of their requests.
 func (l *loop) publish() {
--- a/internal/app/group/removal_test.go
+++ b/internal/app/group/removal_test.go
@@ -15,6 +15,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/diskfault"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/group"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
@@ -47,6 +48,7 @@
 	record  groupmember.Record
 	folder  string
 	files   *blockingFiles
+	tick    time.Duration
 	lines   *testkit.LineBuffer
 	origin  group.Origin
 	member  *group.Member
@@ -84,7 +86,7 @@
 	m.t.Helper()
 	options := wire.Options{ClusterID: "test", Name: m.record.Name, DialTimeout: 200 * time.Millisecond, BackoffMax: 50 * time.Millisecond}
 	m.member = group.New(group.Config{
-		Name: "test", Folder: m.folder, FileSystem: m.files, SnapshotBytes: snapshotBytes, Wire: options, Seed: uint64(m.record.Name[0]), Tick: 10 * time.Millisecond,
+		Name: "test", Folder: m.folder, FileSystem: m.files, SnapshotBytes: snapshotBytes, Wire: options, Seed: uint64(m.record.Name[0]), Tick: m.tick,
 		Self:    groupmember.Record{Address: m.record.Address, Name: m.record.Name},
 		Machine: m.newState, Clock: m.clock,
 		Origin: func(context.Context, string) (group.Origin, error) { return m.origin, nil },
@@ -110,8 +112,16 @@
 	}
 }
 
+// testTick is the tick of members in tests.
+const testTick = 10 * time.Millisecond
+
 // startGroup starts four machines, of which three bootstrap the group.
 func startGroup(t *testing.T) (all []*groupMachine, machines map[string]*groupMachine) {
+	t.Helper()
+	return startGroupWithTick(t, testTick)
+}
+
+func startGroupWithTick(t *testing.T, tick time.Duration) (all []*groupMachine, machines map[string]*groupMachine) {
 	t.Helper()
 	machines = map[string]*groupMachine{}
 	var founders []groupmember.Record
@@ -121,8 +131,8 @@
 		address := testkit.FreeAddress(t)
 		record := groupmember.Record{ID: consensus.MemberID(i + 1), Address: address, Name: name}
 		folder := t.TempDir()
-		files := &blockingFiles{FileSystem: diskfault.New(wal.OS{}, folder)}
-		machines[name] = &groupMachine{t: t, record: record, folder: folder, files: files, lines: lines}
+		files := &blockingFiles{SlowFiles: faultfs.NewSlowFiles(diskfault.New(wal.OS{}, folder))}
+		machines[name] = &groupMachine{t: t, record: record, folder: folder, files: files, tick: tick, lines: lines}
 		contacts = append(contacts, address)
 		if name != "d" {
 			founders = append(founders, record)
--- a/internal/app/group/snapshot.go
+++ b/internal/app/group/snapshot.go
@@ -46,7 +46,7 @@
 	if saved.err != nil {
 		return saved.err
 	}
-	err := l.log.AdoptSnapshot(saved.written)
+	err := l.write(func() error { return l.log.AdoptSnapshot(saved.written) })
 	if errors.Is(err, wal.ErrOldSnapshot) {
 		return nil
 	}
--- a/internal/app/group/snapshot_test.go
+++ b/internal/app/group/snapshot_test.go
@@ -10,11 +10,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
+	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
+	"github.com/loomgrade/loomgrade/internal/app/group"
 )
 
 // blockingFiles is a file system that can block the creation of snapshot files.
 type blockingFiles struct {
-	wal.FileSystem
+	*faultfs.SlowFiles
 	mutex   sync.Mutex
 	blocked chan struct{}
 	// started is closed once the creation of a snapshot file is blocked.
@@ -40,7 +42,7 @@
 	if blocked != nil && strings.Contains(path, ".snap") {
 		<-blocked
 	}
-	return f.FileSystem.Create(path)
+	return f.SlowFiles.Create(path)
 }
 
 // TestLeaderStaysDuringSnapshotWrite checks that a leader keeps its leadership and
@@ -86,6 +88,47 @@
 	})
 }
 
+// TestLeaderStaysDuringSlowWritesOfFollowers guards against the loss of a leader, and of its
+// callers' answers, while the disks of all followers are slow.
+func TestLeaderStaysDuringSlowWritesOfFollowers(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	all, machines := startGroupWithTick(t, tick)
+	waitForVoters(t, all, "a", "b", "c")
+	machines["d"].stop()
+	var leader *groupMachine
+	waitUntil(t, "a member leads", func() bool {
+		leader = leaderOf(machines, "a", "b", "c")
+		return leader != nil
+	})
+	term := leader.member.PublishedState().Status.Term
+	var releases []func()
+	for _, name := range []string{"a", "b", "c"} {
+		if machines[name] != leader {
+			releases = append(releases, machines[name].files.HoldSyncs())
+		}
+	}
+	defer func() {
+		for _, release := range releases {
+			release()
+		}
+	}()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := leader.member.Propose(context.Background(), []byte("command"))
+		answered <- err
+	}()
+	time.Sleep(3 * group.DefaultElectionTicks * tick)
+	for _, release := range releases {
+		release()
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("the command: %v", err)
+	}
+	if published := leader.member.PublishedState(); published == nil || !published.LeaderReady || published.Status.Term != term {
+		t.Errorf("the leader of term %d lost its leadership: %+v", term, published)
+	}
+}
+
 // TestReleasedSnapshotIsReadFromDisk checks that a leader reads a released
 // snapshot from disk for a machine that joins after the log was compacted.
 func TestReleasedSnapshotIsReadFromDisk(t *testing.T) {
--- a/internal/core/consensus/explore_test.go
+++ b/internal/core/consensus/explore_test.go
@@ -20,6 +20,7 @@
 	requests     uint64
 	minReadIndex map[uint64]uint64
 	answered     int
+	heartbeats   int // answered during a write
 	changes      int
 	actions      []action
 	// crashOdds is the average number of processed Readys per crash of each kind.
@@ -138,6 +139,58 @@
 	}
 }
 
+// writeSlowly processes a Ready whose write takes several ticks, in which the member answers
+// heartbeats and the other members run.
+func (e *explorer) writeSlowly() {
+	id := e.member()
+	member := e.net.members[id]
+	if member.down || !member.node.HasReady() {
+		return
+	}
+	ready := member.node.Ready()
+	for range e.choose(3 * testElectionTicks) {
+		member.node.TickMissed(1)
+		for _, other := range e.net.order {
+			if other != id && !e.net.members[other].down {
+				e.net.node(other).Tick()
+			}
+		}
+		for range e.choose(8) {
+			e.deliverDuringWrite(id)
+		}
+	}
+	if e.choose(8) == 0 {
+		member.down = true // crash before the write
+		return
+	}
+	e.net.finishReady(id, ready)
+}
+
+// deliverDuringWrite delivers a random queued message while a member writes.
+func (e *explorer) deliverDuringWrite(writing MemberID) {
+	net := e.net
+	if len(net.queue) == 0 {
+		return
+	}
+	at := e.choose(len(net.queue))
+	message := net.queue[at]
+	if message.To != writing {
+		net.queue = slices.Delete(net.queue, at, at+1)
+		net.deliver(message)
+		for !net.members[message.To].down && net.node(message.To).HasReady() {
+			net.processReady(message.To)
+		}
+		return
+	}
+	if net.blocked[[2]MemberID{message.From, message.To}] {
+		return
+	}
+	if reply, answered := net.node(writing).AnswerHeartbeat(message); answered {
+		e.heartbeats++
+		net.queue = append(slices.Delete(net.queue, at, at+1), reply)
+	}
+}
+
 func (e *explorer) tick() {
 	if e.unevenClocks {
 		if member := e.net.members[e.member()]; !member.down {
@@ -306,6 +359,13 @@
 }
 
 func explore(t reporter, choose func(int) int, steps int, uneven bool, adjust func(*Config)) *explorer {
+	t.Helper()
+	e := newExplorer(t, choose, uneven, adjust)
+	e.run(steps)
+	return e
+}
+
+func newExplorer(t reporter, choose func(int) int, uneven bool, adjust func(*Config)) *explorer {
 	t.Helper()
 	net := newNetwork(t, 3, func(c *Config) {
 		c.SnapshotChunkBytes, c.MaxBatchBytes, c.MaxInflight = 16, 8, 3
@@ -316,17 +376,20 @@
 	})
 	e := &explorer{net: net, choose: choose, minReadIndex: map[uint64]uint64{}, unevenClocks: uneven}
 	e.initActions()
+	return e
+}
+
+func (e *explorer) run(steps int) {
 	for range steps {
 		e.step()
-		if uneven || e.proposed%16 == 0 {
+		if e.unevenClocks || e.proposed%16 == 0 {
 			e.checkLogs()
 		}
-		if len(net.violations) > 0 {
-			return e
+		if len(e.net.violations) > 0 {
+			return
 		}
 	}
 	e.finish()
-	return e
 }
 
 func TestPropertiesHoldUnderFaults(t *testing.T) {
@@ -356,3 +419,24 @@
 		t.Error("no entries, reads or membership changes were checked")
 	}
 }
+
+// TestHeartbeatsAnsweredDuringSlowWrites guards leases, votes and reads while members answer
+// heartbeats between Ready and Advance.
+func TestHeartbeatsAnsweredDuringSlowWrites(t *testing.T) {
+	heartbeats, answered := 0, 0
+	for seed := range uint64(150) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		e := newExplorer(t, random.IntN, false, nil)
+		e.actions = append(e.actions, action{40, e.writeSlowly})
+		e.run(1500)
+		for _, violation := range e.net.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		heartbeats += e.heartbeats
+		answered += e.answered
+	}
+	t.Logf("%d heartbeats answered during writes, %d reads answered", heartbeats, answered)
+	if heartbeats == 0 || answered == 0 {
+		t.Error("no heartbeats or reads were checked")
+	}
+}
--- a/internal/core/consensus/harness_test.go
+++ b/internal/core/consensus/harness_test.go
@@ -163,7 +163,12 @@
 
 func (net *network) processReady(id MemberID) {
 	member := net.members[id]
-	ready := member.node.Ready()
+	net.finishReady(id, member.node.Ready())
+}
+
+// finishReady writes a Ready, sends its messages and applies it.
+func (net *network) finishReady(id MemberID, ready Ready) {
+	member := net.members[id]
 	if !member.skipSync {
 		member.disk.persist(ready)
 	}
--- a/internal/core/consensus/ready.go
+++ b/internal/core/consensus/ready.go
@@ -61,6 +61,8 @@
 	savedSoft       SoftState
 	// outstanding is set between Ready and Advance.
 	outstanding bool
+	// savingTerm is set while the outstanding Ready makes a term or a vote durable.
+	savingTerm bool
 	// dirty is set when entries or a commit index may have to be sent.
 	dirty bool
 }
@@ -103,7 +105,8 @@
 	}
 	if hard := n.hardState(); hard != box.savedHard {
 		ready.HardState = &hard
-		ready.MustSync = hard.Term != box.savedHard.Term || hard.VotedFor != box.savedHard.VotedFor
+		box.savingTerm = hard.Term != box.savedHard.Term || hard.VotedFor != box.savedHard.VotedFor
+		ready.MustSync = box.savingTerm
 		box.savedHard = hard
 	}
 	if soft := n.softState(); soft != box.savedSoft {
@@ -124,7 +127,7 @@
 	if !n.outbox.outstanding {
 		return
 	}
-	n.outbox.outstanding = false
+	n.outbox.outstanding, n.outbox.savingTerm = false, false
 	for i := len(ready.Entries) - 1; i >= 0; i-- {
 		entry := &ready.Entries[i]
 		if n.log.matches(entry.Index, entry.Term) {
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -195,10 +195,7 @@
 	if n.role != RoleFollower || n.leader != message.From {
 		n.becomeFollower(n.term, message.From)
 	}
-	n.electionElapsed = 0
-	n.ticksSinceLeader = 0
-	n.contactedLeader = true
-	n.updateRequired(message)
+	n.recordLeaderContact(message)
 	switch message.Kind {
 	case MessageAppend:
 		return n.handleAppend(message)
@@ -211,13 +208,46 @@
 	}
 }
 
-// reply answers a leader's message and echoes its tick and round.
+// recordLeaderContact records a message of this member's leader.
+func (n *Node) recordLeaderContact(message Message) {
+	n.electionElapsed = 0
+	n.ticksSinceLeader = 0
+	n.contactedLeader = true
+	n.updateRequired(message)
+}
+
+// AnswerHeartbeat handles a heartbeat of this member's leader between Ready and Advance,
+// and returns the reply, so that a slow write does not end the leader's contact. The reply
+// acknowledges no write and may be sent at once. The owner must have passed all elapsed
+// ticks to TickMissed. It returns false for any other message, and while the term is not
+// durable; the owner passes such messages to Step after Advance.
+func (n *Node) AnswerHeartbeat(message Message) (Message, bool) {
+	follows := n.role == RoleFollower && n.leader == message.From && n.term == message.Term
+	if n.failed != nil || !follows || message.Kind != MessageHeartbeat || message.To != n.config.ID {
+		return Message{}, false
+	}
+	if n.outbox.savingTerm {
+		return Message{}, false
+	}
+	n.recordLeaderContact(message)
+	n.commitTo(message.Commit)
+	reply := n.replyTo(message, Message{Kind: MessageHeartbeatReply})
+	reply.From, reply.Term = n.config.ID, n.term
+	return reply, true
+}
+
+// reply answers a leader's message.
 func (n *Node) reply(request, reply Message) {
+	n.send(n.replyTo(request, reply))
+}
+
+// replyTo addresses a reply to a leader's message and echoes its tick and round.
+func (n *Node) replyTo(request, reply Message) Message {
 	reply.To = request.From
 	reply.SentTick = request.SentTick
 	reply.Round = request.Round
 	reply.Commit = n.log.commit
-	n.send(reply)
+	return reply
 }
 
 func (n *Node) handleAppend(message Message) error {
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -114,6 +114,13 @@
 	return err
 }
 
+// AnswerHeartbeat is consensus.Node.AnswerHeartbeat, for use between Ready and Advance.
+func (m *Member) AnswerHeartbeat(message consensus.Message) (consensus.Message, bool) {
+	reply, answered := m.node.AnswerHeartbeat(message)
+	m.updateStatus()
+	return reply, answered
+}
+
 // Propose proposes a command, stamped with the leader's time. The result is a Reply; if
 // the command does not enter the log, the Reply is queued immediately, with verdict NotRun.
 func (m *Member) Propose(token uint64, command port.Command) {
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -190,6 +190,13 @@
 	return err
 }
 
+// AnswerHeartbeat is consensus.Node.AnswerHeartbeat, for use between Ready and Advance.
+func (m *Member) AnswerHeartbeat(message consensus.Message) (consensus.Message, bool) {
+	reply, answered := m.node.AnswerHeartbeat(message)
+	m.updateStatus()
+	return reply, answered
+}
+
 // Propose proposes a command. The result is a Reply.
 func (m *Member) Propose(token uint64, command []byte) {
 	data, err := cbor.Marshal(envelope{Command: command})
