group: a member with a damaged identity joins under a new id

Found by looking for the fault of the damaged last write elsewhere: damage taken for a state that an interrupted write leaves. What users would see: a site's control or store member that founded its group, whose identity is damaged, clears its folder and founds again under its id, without its votes.

Change: an identity that cannot be decoded is damage, as it is written under another name, synced and renamed. Such a member joins anew and does not found.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -92,7 +92,7 @@
 	{LogDropped, "log lines were dropped; their number since the last such line"},
 	{LogOpened, "a member opened its replicated log"},
 	{DiskFull, "a member's disk is full; the member is stopped until there is space, and requests to it do not run"},
-	{LogUnusable, "a member's log is damaged; its folder is cleared and it joins under a new id"},
+	{LogUnusable, "a member's log or identity is damaged; its folder is cleared and it joins under a new id"},
 	{GroupEntered, "a member has a new id in its group, by bootstrap or by joining"},
 	{MembershipChange, "the leader proposes to add, promote or remove a member"},
 	{MembershipRemoved, "a member was removed; it joins again under a new id"},
--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -35,6 +35,10 @@
 	HasLog bool `cbor:"6,keyasint,omitempty"`
 }
 
+// errDamagedIdentity reports an identity that cannot be read. It is written under another
+// name, synced and renamed, so that no interrupted write explains it.
+var errDamagedIdentity = errors.New("group: the identity is damaged")
+
 // folder is the data folder of a member.
 type folder struct {
 	files wal.FileSystem
@@ -43,7 +47,8 @@
 
 func (f folder) logPath() string { return filepath.Join(f.path, logFolder) }
 
-// load reads the identity. found is false for an empty or incomplete folder.
+// load reads the identity. found is false for an empty or incomplete folder. It fails with
+// errDamagedIdentity if the identity cannot be decoded.
 func (f folder) load() (stored identity, found bool, err error) {
 	data, err := f.files.ReadFile(filepath.Join(f.path, identityFile))
 	if errors.Is(err, fs.ErrNotExist) {
@@ -53,7 +58,7 @@
 		return identity{}, false, eris.Wrap(err, "read identity")
 	}
 	if wire.Unmarshal(data, &stored) != nil || stored.ID == consensus.None {
-		return identity{}, false, nil
+		return identity{}, false, errDamagedIdentity
 	}
 	return stored, true, nil
 }
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -163,17 +163,20 @@
 // loop and identity.
 func (m *Member) open(ctx context.Context, dir folder) (*loop, identity, error) {
 	stored, found, err := dir.load()
-	if err != nil {
+	if err != nil && !errors.Is(err, errDamagedIdentity) {
 		return nil, identity{}, err
 	}
-	mayBootstrap := !found && !m.hadID
+	mayBootstrap := !found && err == nil && !m.hadID
 	m.hadID = true
+	var l *loop
 	if found {
 		m.stored.Store(&stored)
-		l, err := m.openExisting(dir, stored)
+		l, err = m.openExisting(dir, stored)
 		if err == nil || !isUnusableLog(err) {
 			return l, stored, err
 		}
+	}
+	if err != nil {
 		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
 	}
 	m.stored.Store(nil)
