--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -96,7 +96,7 @@
 	{GroupEntered, "a member has a new id in its group, by bootstrap or by joining"},
 	{MembershipChange, "the leader proposes to add, promote or remove a member"},
 	{MembershipRemoved, "a member was removed; it joins again under a new id"},
-	{MemberDelayed, "a member was not scheduled, or was blocked in a write, for longer than an election timeout; another member may lead meanwhile"},
+	{MemberDelayed, "a member was not scheduled, or was blocked in a write without a heartbeat of its leader, for longer than an election timeout, and how much of it was spent in writes; another member may lead meanwhile"},
 	{LeadershipLost, "a member no longer leads its group; why, and how long it was not scheduled before"},
 	{ControlWatched, "a process starts to watch a control member"},
 	{ControlLost, "the watched control member is lost, or has no contact with a quorum"},
