group, control: held messages do not starve a busy follower

Change: held messages are an event that the loop waits for like others, ahead of newer messages. Maintenance runs also if the ticks passed during writes.

Evidence: TestFollowerWithSlowDiskServesRequests, a follower whose syncs take 5 ms longer under eight callers: on a request to it gets no answer in 10 s.

--- a/internal/adapter/wal/faultfs/heldsync.go
+++ b/internal/adapter/wal/faultfs/heldsync.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 )
@@ -11,7 +12,8 @@
 	wal.FileSystem
 	mutex sync.Mutex
 	// held is closed to release held syncs; nil while syncs pass.
-	held chan struct{}
+	held  chan struct{}
+	delay time.Duration
 }
 
 // NewSlowFiles returns SlowFiles on another file system.
@@ -27,6 +29,13 @@
 	})
 }
 
+// SetSyncDelay makes every file sync take longer.
+func (f *SlowFiles) SetSyncDelay(delay time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.delay = delay
+}
+
 func (f *SlowFiles) setHeld(held chan struct{}) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -58,8 +67,9 @@
 // Sync implements wal.File.
 func (f slowFile) Sync() error {
 	f.files.mutex.Lock()
-	held := f.files.held
+	held, delay := f.files.held, f.files.delay
 	f.files.mutex.Unlock()
+	time.Sleep(delay)
 	if held != nil {
 		<-held
 	}
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -56,7 +56,9 @@
 	startedAt time.Duration // by Config.Clock
 	ticks     int64
 	// held are messages that arrived during a write and wait for its end.
-	held           []consensus.Message
+	held []consensus.Message
+	// heldReady is closed; wait selects it while messages are held.
+	heldReady      chan struct{}
 	lastToken      uint64
 	pendingReplies map[uint64]chan<- controlmember.Reply
 	pendingReads   []pendingRead
@@ -78,6 +80,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, config.DataFolder)
 	}
+	heldReady := make(chan struct{})
+	close(heldReady)
 	l := &loop{
 		config:         config,
 		member:         member,
@@ -85,6 +89,7 @@
 		requests:       make(chan request, requestQueueSize),
 		messages:       make(chan consensus.Message, messageQueueSize),
 		stopped:        make(chan struct{}),
+		heldReady:      heldReady,
 		startedAt:      config.Clock(),
 		pendingReplies: make(map[uint64]chan<- controlmember.Reply),
 	}
@@ -114,13 +119,21 @@
 // wait blocks for the first event of a batch and processes it, after the ticks
 // that have passed.
 func (l *loop) wait(ctx context.Context, tick <-chan time.Time) error {
+	messages := l.messages
+	var held <-chan struct{}
+	if len(l.held) > 0 {
+		messages, held = nil, l.heldReady // in order of arrival
+	}
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-tick:
 		l.catchUpTicks()
 		return nil
-	case message := <-l.messages:
+	case <-held: // handleQueued steps the messages
+		l.catchUpTicks()
+		return nil
+	case message := <-messages:
 		l.catchUpTicks()
 		return l.step(message)
 	case request := <-l.requests:
@@ -198,9 +211,6 @@
 		if err := l.persistAndSend(l.member.Ready()); err != nil {
 			return err
 		}
-		if err := l.stepHeld(); err != nil {
-			return err
-		}
 	}
 	if l.member.SnapshotDue() {
 		if err := l.saveSnapshot(); err != nil {
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -55,7 +55,9 @@
 	lastMaintenance int64
 	lastToken       uint64
 	// held are messages that arrived during a write and wait for its end.
-	held           []consensus.Message
+	held []consensus.Message
+	// heldReady is closed; wait selects it while messages are held.
+	heldReady      chan struct{}
 	pendingReplies map[uint64]func(groupmember.Reply)
 	changePending  bool // a membership change is proposed and has no reply yet
 	// saving is set while a snapshot is encoded and written in the background; saved
@@ -80,11 +82,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, config.Folder)
 	}
+	heldReady := make(chan struct{})
+	close(heldReady)
 	return &loop{
 		config: config, shard: stored.Shard, member: member, machine: machine, log: log, peers: peers, publishStep: publishStep,
 		requests:       make(chan request, requestQueueSize),
 		messages:       make(chan consensus.Message, messageQueueSize),
 		stopped:        make(chan struct{}),
+		heldReady:      heldReady,
 		startedAt:      config.Clock(),
 		pendingReplies: make(map[uint64]func(groupmember.Reply)),
 		saved:          make(chan savedSnapshot, 1),
@@ -118,13 +123,21 @@
 // wait blocks for the first event of a batch and processes it, after the ticks that have
 // elapsed.
 func (l *loop) wait(ctx context.Context, tick <-chan time.Time) error {
+	messages := l.messages
+	var held <-chan struct{}
+	if len(l.held) > 0 {
+		messages, held = nil, l.heldReady // in order of arrival
+	}
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-tick:
 		l.catchUpTicks()
 		return nil
-	case message := <-l.messages:
+	case <-held: // handleQueued steps the messages
+		l.catchUpTicks()
+		return nil
+	case message := <-messages:
 		l.catchUpTicks()
 		return l.step(message)
 	case request := <-l.requests:
@@ -188,12 +201,10 @@
 // catchUpTicks passes elapsed ticks to the core. All but the last one were missed: the loop
 // was blocked or the machine suspended.
 func (l *loop) catchUpTicks() {
-	elapsed := l.takeElapsedTicks()
-	if elapsed <= 0 {
-		return
+	if elapsed := l.takeElapsedTicks(); elapsed > 0 {
+		l.recordMissedTicks(elapsed - 1)
+		l.member.Tick()
 	}
-	l.recordMissedTicks(elapsed - 1)
-	l.member.Tick()
 	if l.ticks-l.lastMaintenance >= maintenanceTicks {
 		l.lastMaintenance = l.ticks
 		l.runMaintenance()
@@ -290,9 +301,6 @@
 		if err := l.persistAndSend(l.member.Ready()); err != nil {
 			return err
 		}
-		if err := l.stepHeld(); err != nil {
-			return err
-		}
 	}
 	if l.removed || l.member.Status().Role == consensus.RoleRemoved {
 		return errRemoved
--- a/internal/app/group/snapshot_test.go
+++ b/internal/app/group/snapshot_test.go
@@ -12,6 +12,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/app/group"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 )
 
 // blockingFiles is a file system that can block the creation of snapshot files.
@@ -129,6 +130,48 @@
 	}
 }
 
+// TestFollowerWithSlowDiskServesRequests guards against a follower that handles nothing but
+// the messages that arrive during its writes, as long as commands arrive faster than it writes.
+func TestFollowerWithSlowDiskServesRequests(t *testing.T) {
+	all, machines := startGroup(t)
+	waitForVoters(t, all, "a", "b", "c")
+	machines["d"].stop()
+	leader := leaderOf(machines, "a", "b", "c")
+	var slow *groupMachine
+	for _, name := range []string{"a", "b", "c"} {
+		if machines[name] != leader {
+			slow = machines[name]
+		}
+	}
+	slow.files.SetSyncDelay(5 * time.Millisecond)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var proposals errgroup.Group
+	for range 8 {
+		proposals.Go(func() error {
+			for ctx.Err() == nil {
+				_, _ = leader.member.Propose(ctx, []byte("command")) // load; the outcome is irrelevant
+			}
+			return nil
+		})
+	}
+	waitUntil(t, "the follower is busy", func() bool { return slow.applied() >= 200 })
+	before := slow.member.PublishedState().PublishedAt
+	for range 20 {
+		inspectCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
+		err := slow.member.Inspect(inspectCtx, func(groupmember.StateMachine) {})
+		cancel()
+		if err != nil {
+			t.Fatalf("a request to the follower: %v", err)
+		}
+	}
+	if after := slow.member.PublishedState().PublishedAt; after <= before {
+		t.Error("the follower published no state")
+	}
+	stop()
+	_ = proposals.Wait()
+}
+
 // TestReleasedSnapshotIsReadFromDisk checks that a leader reads a released
 // snapshot from disk for a machine that joins after the log was compacted.
 func TestReleasedSnapshotIsReadFromDisk(t *testing.T) {
