control: test processes take addresses that no client port occupies

Three of the four: "bind: address already in use". The group's ports of 127.0.0.1 are chosen, closed, and taken by a client's connection before the process listens; without one founder the group is never formed, or lacks a quorum after the row's kill.

Change: testkit.FreeAddress, which picks a loopback host of its own for that reason. Checks, bounds and rows are the same.

--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -12,6 +12,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 const (
@@ -35,7 +36,7 @@
 	group := &testGroup{t: t, folder: t.TempDir(), running: make(map[uint64]*Member), configure: configure}
 	listeners := make([]net.Listener, count)
 	for index := range listeners {
-		listeners[index] = listenLoopback(t, "127.0.0.1:0")
+		listeners[index] = listenLoopback(t, testkit.FreeAddress(t))
 		group.members = append(group.members, Address{ID: uint64(index + 1), Peer: listeners[index].Addr().String()})
 	}
 	for index, listener := range listeners {
--- a/internal/app/control/process_test.go
+++ b/internal/app/control/process_test.go
@@ -23,6 +23,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 // childVariable is the environment variable that makes the test binary run one
@@ -85,13 +86,14 @@
 	t.Helper()
 	group := &processGroup{t: t, tick: 2 * testTick, folder: t.TempDir(), processes: make(map[uint64]*child)}
 	for id := uint64(1); id <= 3; id++ {
-		listener := listenLoopback(t, "127.0.0.1:0")
-		group.members = append(group.members, Address{ID: id, Peer: listener.Addr().String()})
-		defer func() { _ = listener.Close() }()
+		group.members = append(group.members, Address{ID: id, Peer: testkit.FreeAddress(t)})
 	}
 	t.Cleanup(func() {
-		for id := range group.processes {
+		for id, process := range group.processes {
 			group.kill(id)
+			if t.Failed() {
+				t.Logf("member %d at %s wrote:\n%s", id, group.members[id-1].Peer, process.stderr)
+			}
 		}
 	})
 	return group
