--- a/internal/adapter/wal/log_test.go
+++ b/internal/adapter/wal/log_test.go
@@ -244,14 +244,15 @@
 }
 
 // TestDamagedLastBatchIsCorrupt guards against taking damage to the last synced batch for a
-// torn write. It flips each byte of a log whose entries came in one batch; flips of padding
-// and of the confirmation lose nothing.
+// torn write, and against damage that is not noticed. It flips each byte of a log whose
+// entries came in one batch. Only a flip in the confirmation at its end loses nothing.
 func TestDamagedLastBatchIsCorrupt(t *testing.T) {
+	const confirmationBytes = 40
 	hard := consensus.HardState{Term: 2, VotedFor: 3, Commit: 4}
 	entries := entriesFrom(1, 4, 2)
 	for name, reopen := range map[string]bool{"as written": false, "reopened once": true} {
 		t.Run(name, func(t *testing.T) {
-			corrupt := 0
+			var size int64
 			for offset := int64(0); ; offset++ {
 				files := faultfs.New(1)
 				mustWrite(t, mustCreate(t, files), &hard, entries)
@@ -260,24 +261,30 @@
 					mustOpen(t, files)
 					files.Stop()
 				}
+				data, err := files.ReadFile(filepath.Join(folder, firstSegment))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if size = int64(len(data)); offset == size {
+					break
+				}
 				if err := files.Flip(filepath.Join(folder, firstSegment), offset); err != nil {
-					break // past the end
+					t.Fatal(err)
 				}
 				_, recovery, err := wal.Open(optionsOn(files))
 				if errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) {
-					corrupt++
 					continue
 				}
-				if err != nil {
-					t.Fatalf("byte %d: %v", offset, err)
+				if err != nil || offset < size-confirmationBytes {
+					t.Fatalf("byte %d of %d: error %v", offset, size, err)
 				}
 				restored := recovery.Restored
 				if restored.HardState != hard || !reflect.DeepEqual(restored.Entries, entries) {
 					t.Errorf("byte %d: restored %+v with %d entries", offset, restored.HardState, len(restored.Entries))
 				}
 			}
-			if corrupt == 0 {
-				t.Error("no flip was detected")
+			if size <= confirmationBytes {
+				t.Errorf("%d bytes were flipped", size)
 			}
 		})
 	}
--- a/internal/adapter/wal/record.go
+++ b/internal/adapter/wal/record.go
@@ -142,7 +142,10 @@
 	if [3]byte(rest[13:16]) != recordMagic || length > maxPayloadBytes || int64(len(rest)) < alignedSize(int(length)) {
 		return record{}, errBadRecord
 	}
-	end := recordHeaderBytes + int(length)
+	end, size := recordHeaderBytes+int(length), alignedSize(int(length))
+	if !isZero(rest[end:size]) {
+		return record{}, errBadRecord
+	}
 	if recordChecksum(sequence, offset, rest[4:end]) != binary.LittleEndian.Uint32(rest) {
 		return record{}, errBadRecord
 	}
@@ -150,10 +153,19 @@
 		kind:     recordKind(rest[12]),
 		syncedTo: int64(binary.LittleEndian.Uint32(rest[8:])),
 		payload:  rest[recordHeaderBytes:end],
-		size:     alignedSize(int(length)),
+		size:     size,
 	}, nil
 }
 
+func isZero(padding []byte) bool {
+	for _, b := range padding {
+		if b != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // syncedPast reports whether a valid record after offset was written after a sync
 // that covered offset.
 func syncedPast(sequence uint64, data []byte, offset int64) bool {
