--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -122,7 +122,7 @@
 	messages := l.messages
 	var held <-chan struct{}
 	if len(l.held) > 0 {
-		messages, held = nil, l.heldReady // in order of arrival
+		messages, held = nil, l.heldReady // held messages are older
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -216,11 +216,11 @@
 	n.updateRequired(message)
 }
 
-// AnswerHeartbeat handles a heartbeat of this member's leader between Ready and Advance,
-// and returns the reply, so that a slow write does not end the leader's contact. The reply
+// AnswerHeartbeat handles a heartbeat of this member's leader while the owner writes, either
+// between Ready and Advance or with no Ready pending. It returns the reply, which
 // acknowledges no write and may be sent at once. The owner must have passed all elapsed
-// ticks to TickMissed. It returns false for any other message, and while the term is not
-// durable; the owner passes such messages to Step after Advance.
+// ticks to TickMissed. It returns false for any other message, and while the outstanding
+// Ready saves a term or a vote; the owner passes such messages to Step after the write.
 func (n *Node) AnswerHeartbeat(message Message) (Message, bool) {
 	follows := n.role == RoleFollower && n.leader == message.From && n.term == message.Term
 	if n.failed != nil || !follows || message.Kind != MessageHeartbeat || message.To != n.config.ID {
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -190,7 +190,7 @@
 	return err
 }
 
-// AnswerHeartbeat is consensus.Node.AnswerHeartbeat, for use between Ready and Advance.
+// AnswerHeartbeat is consensus.Node.AnswerHeartbeat, for use while the caller writes.
 func (m *Member) AnswerHeartbeat(message consensus.Message) (consensus.Message, bool) {
 	reply, answered := m.node.AnswerHeartbeat(message)
 	m.updateStatus()
