--- a/internal/app/group/calls.go
+++ b/internal/app/group/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,7 +26,8 @@
 }
 
 // Read runs read in the loop, if this member leads, on a state that includes every command
-// committed before the call.
+// committed before the call. Once Read has returned, read does not run any more, so it may
+// write to variables of the caller.
 func (m *Member) Read(ctx context.Context, read func(machine groupmember.StateMachine)) error {
 	return m.ReadFrom(ctx, AnyShard, read)
 }
@@ -42,6 +44,30 @@
 	err    error
 }
 
+// callback is a function of a caller that the loop runs, unless the caller has returned before:
+// it must not write to the caller's variables after that.
+type callback struct {
+	mutex sync.Mutex
+	// run is nil if there is nothing to run, or the caller has returned.
+	run func(groupmember.StateMachine)
+}
+
+// invoke runs the function in the loop.
+func (c *callback) invoke(machine groupmember.StateMachine) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.run != nil {
+		c.run(machine)
+	}
+}
+
+// abandon prevents later runs. It blocks while the function runs.
+func (c *callback) abandon() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.run = nil
+}
+
 // onLeader runs start in the loop, if this member leads, and returns the reply. After a
 // successful reply, it runs read in the loop, unless read is nil.
 func (m *Member) onLeader(ctx context.Context, shard Shard, start func(l *loop, token uint64), read func(groupmember.StateMachine)) (any, error) {
@@ -53,6 +79,8 @@
 		return nil, &NotLeaderError{}
 	}
 	done := make(chan outcome, 1)
+	call := &callback{run: read}
+	defer call.abandon()
 	work := func(l *loop) {
 		if ctx.Err() != nil {
 			done <- outcome{err: eris.Wrap(&NotLeaderError{}, "context ended before the request started")}
@@ -65,8 +93,8 @@
 		}
 		start(l, l.addPendingReply(func(reply groupmember.Reply) {
 			err := reply.Err
-			if err == nil && read != nil {
-				read(l.machine)
+			if err == nil {
+				call.invoke(l.machine)
 			}
 			if rejectedByCore(err) {
 				err = &NotLeaderError{}
@@ -101,7 +129,8 @@
 	return false
 }
 
-// Inspect runs inspect in the loop on the local state, which may be stale.
+// Inspect runs inspect in the loop on the local state, which may be stale. Once Inspect has
+// returned, inspect does not run any more.
 func (m *Member) Inspect(ctx context.Context, inspect func(machine groupmember.StateMachine)) error {
 	return m.InspectFrom(ctx, AnyShard, inspect)
 }
@@ -117,8 +146,10 @@
 		return &NotLeaderError{}
 	}
 	done := make(chan struct{})
+	call := &callback{run: inspect}
+	defer call.abandon()
 	select {
-	case l.requests <- func(l *loop) { inspect(l.machine); close(done) }:
+	case l.requests <- func(l *loop) { call.invoke(l.machine); close(done) }:
 	case <-l.stopped:
 		return ErrNotReady
 	case <-ctx.Done():
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -141,7 +141,6 @@
 		return &recentUpdate{update: sitestate.Update{Position: view.Position}}, nil
 	}
 	return c.recent.get(updateKey{after: after, interest: interest}, updateInterval(c.watchers()), func() (sitestate.Update, error) {
-		// The callback may still run after ctx ended; nothing else accesses update then.
 		var update sitestate.Update
 		err := c.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 			update = machine.(*sitestate.State).Update(after, interest)
--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -20,8 +20,7 @@
 	var added []*itemState
 	open := map[string]bool{}
 	now := time.Now()
-	// The callback may still run in the member's loop after ctx ended, so it must not
-	// access the runner.
+	// The callback runs in the member's loop and must not access the runner.
 	current, steps := r.jobs, map[string]uint64{}
 	err := r.store.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 		for _, job := range machine.(*jobstate.State).Jobs() {
