sitestore, logtrace: the deciding item is that of the last group that the client waits for

Cause: a job's desired number of groups was stored and read by nothing. The job's line named the item that completed nine tenths of the groups, rounded, which on jobs of 5 to 9 groups is one that the client did not wait for (3,266 ms where it waited until 6,792 ms), and `logs delays` printed a header without a reason if the fronts' lines were missing.

Change: jobstate.NeededGroups are all groups that came back from an earlier job and as many others as make up the desired number; the job's line has whole_desired_ms, deciding_* and the model by it. Delays reads it, lists jobs without an accepted line, and MissingSources says which lines are missing.

Conclusion: what decides a step can be read from the store's lines alone.

--- a/cmd/loomgrade/cmd_logs.go
+++ b/cmd/loomgrade/cmd_logs.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return usageError{err}
 	}
+	for _, missing := range logtrace.MissingSources(lines) {
+		fmt.Fprintln(std.stderr, missing)
+	}
 	delays := logtrace.Delays(lines)
 	if c.Worst > 0 {
 		slices.SortStableFunc(delays, func(a, b logtrace.Delay) int { return cmp.Compare(b.Total, a.Total) })
--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
@@ -21,7 +22,7 @@
 	open := map[string]bool{}
 	now := time.Now()
 	// The callback runs in the member's loop and must not access the runner.
-	current, steps := r.jobs, map[string]uint64{}
+	current, times := r.jobs, map[string]*jobTimes{}
 	err := r.store.member.Inspect(ctx, func(machine groupmember.StateMachine) {
 		for _, job := range machine.(*jobstate.State).Jobs() {
 			id := job.Submission.ID
@@ -30,7 +31,7 @@
 			}
 			open[id] = true
 			if !current[id] {
-				steps[id] = job.Submission.Step
+				times[id] = newJobTimes(now, job)
 				added = append(added, openItems(job, now)...)
 			}
 		}
@@ -39,9 +40,7 @@
 		return
 	}
 	r.jobSerial = serial
-	for id, step := range steps {
-		r.times[id] = newJobTimes(now, step)
-	}
+	maps.Copy(r.times, times)
 	for id := range r.jobs {
 		if !open[id] {
 			r.dropJob(id)
--- a/internal/app/sitestore/jobtimes.go
+++ b/internal/app/sitestore/jobtimes.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 )
 
 // jobTimes records the progress of a job since this runner started it.
 type jobTimes struct {
 	startedAt time.Time
 	step      uint64
+	model     string
 	// open counts the items without a result by group; complete has the completion times
 	// of the complete groups.
 	open     map[string]int
@@ -22,13 +24,13 @@
 	runs                    int
 	rejected, cutOff        int
 	last                    lastItem
-	// deciding is the item that completed decidingShare of the groups.
-	deciding lastItem
+	// needed are the groups that the client waits for. deciding is the item that completed
+	// the last of them, after neededComplete.
+	needed         jobstate.NeededGroups
+	deciding       lastItem
+	neededComplete time.Duration
 }
 
-// decidingShare is the share of a job's groups after which its client likely stops waiting.
-const decidingShare = 0.9
-
 // lastItem is the item with the latest result.
 type lastItem struct {
 	id      string
@@ -38,8 +40,11 @@
 	phases  phases
 }
 
-func newJobTimes(startedAt time.Time, step uint64) *jobTimes {
-	return &jobTimes{startedAt: startedAt, step: step, open: map[string]int{}}
+func newJobTimes(startedAt time.Time, job *jobstate.Job) *jobTimes {
+	return &jobTimes{
+		startedAt: startedAt, step: job.Submission.Step, model: job.Submission.Model, open: map[string]int{},
+		needed: job.NeededGroups(),
+	}
 }
 
 // add counts an open item.
@@ -75,8 +80,8 @@
 		return
 	}
 	t.complete = append(t.complete, now.Sub(t.startedAt))
-	if len(t.complete) == t.groupCount(decidingShare) {
-		t.deciding = t.last
+	if t.needed.Complete(group) {
+		t.deciding, t.neededComplete = t.last, now.Sub(t.startedAt)
 	}
 }
 
@@ -100,10 +105,11 @@
 	}
 	delete(r.times, job)
 	// This line is exempt from log sampling under load.
-	eventlog.Important(r.store.config.Logger).Info().Str(eventlog.Field, eventlog.JobDone).Str("id", job).Uint64("step", times.step).Bool("ended", ended).
+	eventlog.Important(r.store.config.Logger).Info().Str(eventlog.Field, eventlog.JobDone).Str("id", job).Str("model", times.model).Uint64("step", times.step).Bool("ended", ended).
 		Int("items", times.items).Int("unplaced", times.unplaced).Int("runs", times.runs).Int("groups", len(times.open)).Int("whole", len(times.complete)).
 		Dur("first_placed_ms", times.firstPlaced).Dur("last_placed_ms", times.lastPlaced).
-		Dur("whole_50_ms", times.groupsComplete(0.5)).Dur("whole_90_ms", times.groupsComplete(decidingShare)).Dur("whole_100_ms", times.groupsComplete(1)).
+		Dur("whole_50_ms", times.groupsComplete(0.5)).Dur("whole_90_ms", times.groupsComplete(0.9)).Dur("whole_100_ms", times.groupsComplete(1)).
+		Dur("whole_desired_ms", times.neededComplete).
 		Dur("took_ms", now.Sub(times.startedAt)).Str("last_item", times.last.id).Str("last_replica", times.last.replica).
 		Int("last_events", times.last.events).Int("last_moves", times.last.moves).Dur("last_waited_ms", times.last.phases.waited()).
 		Int("refused", times.rejected).Int("cut", times.cutOff).
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -29,8 +29,15 @@
 	BodySum uint64 `cbor:"11,keyasint,omitempty"`
 	// Crashes is the number of replicas that crashed while they ran the item.
 	Crashes int `cbor:"12,keyasint,omitempty"`
+
+	// resubmitted is set if an earlier job contained the item. It is not stored: a state that
+	// was restored after the earlier job was forgotten does not have it.
+	resubmitted bool
 }
 
+// Resubmitted reports whether an earlier job that is still stored contained the item.
+func (i *ItemState) Resubmitted() bool { return i.resubmitted }
+
 // dropRequest frees the parts of the request that only a run needs.
 func (i *ItemState) dropRequest() {
 	i.Item.Body, i.Item.Headers, i.Item.Scorer = nil, nil, nil
@@ -158,7 +165,9 @@
 	s.jobs[job.Submission.ID] = job
 	s.bytes += job.size()
 	for i := range job.Items {
-		s.latest[job.Items[i].Item.ID] = itemRef{job.Submission.ID, i}
+		item := &job.Items[i]
+		_, item.resubmitted = s.latest[item.Item.ID]
+		s.latest[item.Item.ID] = itemRef{job.Submission.ID, i}
 	}
 }
 
--- a/internal/core/logtrace/delays.go
+++ b/internal/core/logtrace/delays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strconv"
 )
@@ -76,6 +77,11 @@
 		}
 	}
 	delays := make([]Delay, 0, len(jobs))
+	for id, line := range done {
+		if jobs[id] == nil {
+			jobs[id] = delayOfRunner(line)
+		}
+	}
 	for id, job := range jobs {
 		job.addJobDone(done[id], ended[id])
 		delays = append(delays, *job)
@@ -95,6 +101,16 @@
 	}
 }
 
+// delayOfRunner returns the step of a job whose acceptance is in no line: it begins when the
+// runner started the job.
+func delayOfRunner(done Line) *Delay {
+	step, _ := strconv.ParseUint(done.field("step"), 10, 64)
+	return &Delay{
+		Model: done.field("model"), Step: step, Job: done.field("id"), AcceptedAt: done.Time - done.number("took_ms"),
+		Items: done.number("items"),
+	}
+}
+
 // addJobDone sets the parts that come from the runner's line and from the time at which the
 // job ended.
 func (d *Delay) addJobDone(done Line, ended int64) {
@@ -106,13 +122,46 @@
 	d.FirstWait, d.LaterWaits = done.number("deciding_first_wait_ms"), done.number("deciding_later_waits_ms")
 	d.Ran, d.Unused, d.Scored = done.number("deciding_ran_ms"), done.number("deciding_unused_ms"), done.number("deciding_scored_ms")
 	d.Deciding, d.Refused, d.Cut = done.field("deciding_item"), done.number("refused"), done.number("cut")
-	complete := done.number("whole_90_ms")
+	complete := neededComplete(done)
 	d.Whole = complete > 0
 	if d.Whole && ended > 0 {
 		d.Read = max(0, ended-startedAt-complete)
 	}
 }
 
+// neededComplete returns when the groups that the client waits for were complete, 0 if never.
+// Earlier builds log only when nine tenths of all groups were.
+func neededComplete(done Line) int64 {
+	if done.field("whole_desired_ms") == "" {
+		return done.number("whole_90_ms")
+	}
+	return done.number("whole_desired_ms")
+}
+
+// delaySources are the processes whose lines Delays needs.
+var delaySources = []struct{ process, event, parts string }{
+	{"front", eventJobAccepted, "accepting and starting a job"},
+	{"front", eventJobEnded, "reading the results"},
+	{"store", EventJobDone, "waiting, running and scoring"},
+	{"control", eventWeightsPublished, "publishing the next version"},
+}
+
+// MissingSources returns a sentence for each kind of line that Delays needs and that is not
+// among the lines, with the parts of a step that are unknown without it.
+func MissingSources(lines []Line) []string {
+	present := map[string]bool{}
+	for _, line := range lines {
+		present[line.Event] = true
+	}
+	var missing []string
+	for _, source := range delaySources {
+		if !present[source.event] {
+			missing = append(missing, fmt.Sprintf("no %s line of a %s process: the times of %s are not known", source.event, source.process, source.parts))
+		}
+	}
+	return missing
+}
+
 // addNextJobs sets the parts that depend on the next job of the same model.
 func addNextJobs(delays []Delay, ended map[string]int64, published map[string][]int64) {
 	next := map[string]*Delay{}
