logtrace: no rest is computed for a step whose total is unknown

Cause: a step without a known end had a negative unexplained time. Change: it is left at 0. Conclusion: a row shows what is known.

--- a/internal/core/logtrace/delays.go
+++ b/internal/core/logtrace/delays.go
@@ -41,7 +41,8 @@
 	// model's last job.
 	PublishDelay int64 `json:"named_ms"`
 	NextJobDelay int64 `json:"asked_ms"`
-	// Total is the time until the next job, or until the end of this one if it is the last.
+	// Total is the time until the next job, or until the end of this one if it is the last; 0
+	// if neither is known.
 	Total int64 `json:"total_ms"`
 	// Unexplained is the rest, caused by waits between two runs of the item that the
 	// runner's line does not report, or by missing lines.
@@ -177,6 +178,9 @@
 			d.Total = end - d.AcceptedAt
 		}
 		next[d.Model] = d
+		if d.Total == 0 {
+			continue
+		}
 		d.Unexplained = d.Total - (d.StartDelay + d.FirstWait + d.LaterWaits + d.Ran + d.Unused + d.Scored + d.Read + d.PublishDelay + d.NextJobDelay)
 	}
 }
