consensus: a leader's heartbeats during its own write

Cause: a leader sends nothing while its owner writes. A sync longer than the followers' election timeout costs the group its leader, although machine and disk are sound.

Change: Node.HeartbeatsDuringWrite returns the heartbeats that are due, with the commit index from before the write, until two election timeouts have elapsed; none while a term or a vote is saved or a leader change is in the Ready. The ticks of the write stay missed ticks, passed after it. TestHeartbeatsSentDuringSlowWrites explores writes of leaders beside reads and elections; writeSlowly takes the member to write, and in the earlier exploration leaders send heartbeats, too.

With the leader's last index as commit index, and with a lease that sending extends, both explorations report stale reads.

Conclusion: safe under the explored faults.

--- a/internal/core/consensus/doc.go
+++ b/internal/core/consensus/doc.go
@@ -8,7 +8,8 @@
 // A Node has no clock, storage, network or goroutine of its own. Its owner
 //
 //   - calls Tick once per tick of a monotonic clock; if ticks passed while the owner
-//     did not run, it calls TickMissed and then Tick before any other method;
+//     did not run, it calls TickMissed and then Tick before any other method, except
+//     AnswerHeartbeat and HeartbeatsDuringWrite;
 //   - passes received messages to Step and commands to Propose;
 //   - while HasReady, calls Ready, makes its HardState, Snapshot and Entries
 //     durable, then sends its Messages, applies its Committed entries and
--- a/internal/core/consensus/explore_test.go
+++ b/internal/core/consensus/explore_test.go
@@ -21,6 +21,7 @@
 	minReadIndex map[uint64]uint64
 	answered     int
 	heartbeats   int // answered during a write
+	sent         int // heartbeats sent by a leader during its write
 	changes      int
 	actions      []action
 	// crashOdds is the average number of processed Readys per crash of each kind.
@@ -119,12 +120,7 @@
 	}
 	switch e.choose(e.crashOdds) {
 	case 0: // crash before the write, after the sends that may precede it
-		ready := member.node.Ready()
-		for _, message := range ready.Messages {
-			if ready.MayPrecedeSync(message) {
-				e.net.queue = append(e.net.queue, message)
-			}
-		}
+		e.sendBeforeSync(member.node.Ready())
 		member.down = true
 	case 1: // crash between write and send
 		member.disk.persist(member.node.Ready())
@@ -140,16 +136,26 @@
 }
 
 // writeSlowly processes a Ready whose write takes several ticks, in which the member answers
-// heartbeats and the other members run.
-func (e *explorer) writeSlowly() {
-	id := e.member()
+// or sends heartbeats and the other members run.
+func (e *explorer) writeSlowly(id MemberID) {
 	member := e.net.members[id]
 	if member.down || !member.node.HasReady() {
 		return
 	}
 	ready := member.node.Ready()
-	for range e.choose(3 * testElectionTicks) {
-		member.node.TickMissed(1)
+	leads := member.node.role == RoleLeader
+	ticks := e.choose(3 * testElectionTicks)
+	if leads {
+		e.sendBeforeSync(ready)
+	}
+	for tick := range ticks {
+		if leads {
+			sent := member.node.HeartbeatsDuringWrite(tick + 1)
+			e.sent += len(sent)
+			e.net.queue = append(e.net.queue, sent...)
+		} else {
+			member.node.TickMissed(1)
+		}
 		for _, other := range e.net.order {
 			if other != id && !e.net.members[other].down {
 				e.net.node(other).Tick()
@@ -164,6 +170,19 @@
 		return
 	}
 	e.net.finishReady(id, ready)
+	if leads && ticks > 0 {
+		member.node.TickMissed(ticks - 1)
+		member.node.Tick()
+	}
+}
+
+// sendBeforeSync queues the messages of a Ready that may precede its write.
+func (e *explorer) sendBeforeSync(ready Ready) {
+	for _, message := range ready.Messages {
+		if ready.MayPrecedeSync(message) {
+			e.net.queue = append(e.net.queue, message)
+		}
+	}
 }
 
 // deliverDuringWrite delivers a random queued message while a member writes.
@@ -427,7 +446,7 @@
 	for seed := range uint64(150) {
 		random := rand.New(rand.NewPCG(seed, 11))
 		e := newExplorer(t, random.IntN, false, nil)
-		e.actions = append(e.actions, action{40, e.writeSlowly})
+		e.actions = append(e.actions, action{40, func() { e.writeSlowly(e.member()) }})
 		e.run(1500)
 		for _, violation := range e.net.violations {
 			t.Errorf("seed %d: %s", seed, violation)
@@ -440,3 +459,28 @@
 		t.Error("no heartbeats or reads were checked")
 	}
 }
+
+// TestHeartbeatsSentDuringSlowWrites guards leases, votes, reads and committed entries while
+// leaders send heartbeats between Ready and Advance.
+func TestHeartbeatsSentDuringSlowWrites(t *testing.T) {
+	sent, answered, leaders := 0, 0, 0
+	for seed := range uint64(150) {
+		random := rand.New(rand.NewPCG(seed, 13))
+		e := newExplorer(t, random.IntN, false, nil)
+		e.actions = append(e.actions,
+			action{10, func() { e.writeSlowly(max(1, e.net.leader())) }},
+			action{20, func() { e.read(e.member()) }},
+			action{10, e.startOne})
+		e.run(1500)
+		for _, violation := range e.net.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		sent += e.sent
+		answered += e.answered
+		leaders += len(e.net.leaders)
+	}
+	t.Logf("%d heartbeats sent during writes, %d reads answered, %d leaders elected", sent, answered, leaders)
+	if sent == 0 || answered == 0 || leaders <= 150 {
+		t.Error("no heartbeats, reads or changes of the leader were checked")
+	}
+}
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -32,7 +32,9 @@
 	ticksSinceLeader int
 	// contactedLeader is set once this member has accepted a leader's message since it
 	// started, or has led.
-	contactedLeader  bool
+	contactedLeader bool
+	// heartbeatElapsed is negative after HeartbeatsDuringWrite, until the ticks of the write
+	// are passed.
 	heartbeatElapsed int
 	// required is the highest Message.Required received from the leader of requiredTerm.
 	required     uint64
--- a/internal/core/consensus/ready.go
+++ b/internal/core/consensus/ready.go
@@ -63,6 +63,8 @@
 	outstanding bool
 	// savingTerm is set while the outstanding Ready makes a term or a vote durable.
 	savingTerm bool
+	// changingLeader is set while the outstanding Ready reports another role, leader or term.
+	changingLeader bool
 	// dirty is set when entries or a commit index may have to be sent.
 	dirty bool
 }
@@ -111,6 +113,7 @@
 	}
 	if soft := n.softState(); soft != box.savedSoft {
 		ready.SoftState = &soft
+		box.changingLeader = true
 		box.savedSoft = soft
 	}
 	ready.MustSync = ready.MustSync || len(ready.Entries) > 0 || ready.Snapshot != nil
@@ -127,7 +130,7 @@
 	if !n.outbox.outstanding {
 		return
 	}
-	n.outbox.outstanding, n.outbox.savingTerm = false, false
+	n.outbox.outstanding, n.outbox.savingTerm, n.outbox.changingLeader = false, false, false
 	for i := len(ready.Entries) - 1; i >= 0; i-- {
 		entry := &ready.Entries[i]
 		if n.log.matches(entry.Index, entry.Term) {
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -92,16 +92,27 @@
 }
 
 func (n *Node) sendHeartbeat(id MemberID, peer *progress) {
+	n.send(n.heartbeat(id, peer))
+}
+
+// heartbeat returns a heartbeat to a peer. Its commit index is one that the peer's log is
+// known to hold.
+func (n *Node) heartbeat(id MemberID, peer *progress) Message {
 	commit := min(peer.match, n.log.commit)
 	peer.sentCommit = max(peer.sentCommit, commit)
-	n.sendAsLeader(Message{Kind: MessageHeartbeat, To: id, Commit: commit})
+	return n.asLeader(Message{Kind: MessageHeartbeat, To: id, Commit: commit})
 }
 
 func (n *Node) sendAsLeader(message Message) {
+	n.send(n.asLeader(message))
+}
+
+// asLeader sets the fields that every message of a leader has.
+func (n *Node) asLeader(message Message) Message {
 	message.SentTick = n.now
 	message.Round = n.leadership.round
 	message.Required = n.leaderRequired()
-	n.send(message)
+	return message
 }
 
 // leaderRequired returns the index that a state machine must have applied to include
--- a/internal/core/consensus/safeguard_test.go
+++ b/internal/core/consensus/safeguard_test.go
@@ -103,6 +103,51 @@
 	}
 }
 
+// staleReadAfterOwnWrite lets a leader write, and send heartbeats, until another leader is
+// elected and commits an entry; it then reads from the first. Claimed is added to the ticks at
+// which the first leader's heartbeats say that they were sent. It reports whether the read
+// misses the entry.
+func staleReadAfterOwnWrite(t *testing.T, claimed uint64) bool {
+	t.Helper()
+	net := newNetwork(t, 3, nil)
+	first := net.elect()
+	ready := net.startWrite(first)
+	const ticks = 5 * testElectionTicks
+	held := net.runDuringWrite(first, ticks)
+	second := net.leader()
+	if second == first {
+		t.Fatal("no other leader was elected during the write")
+	}
+	committed, _, err := net.node(second).Propose([]byte("new"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	net.settleOthers(first)
+	net.isolate(first, true)
+	net.finishReady(first, ready)
+	net.node(first).TickMissed(ticks - 1)
+	net.node(first).Tick()
+	for _, message := range held {
+		if message.Kind != MessageHeartbeatReply {
+			continue
+		}
+		message.SentTick = min(message.SentTick+claimed, net.node(first).now)
+		mustStep(t, net.node(first), message)
+	}
+	state, answered := net.read(first, 1)
+	return answered && state.Index < committed
+}
+
+// The lease of a leader starts at SentTick, which must not be after the time of sending.
+func TestHeartbeatsDuringWriteKeepLease(t *testing.T) {
+	if !staleReadAfterOwnWrite(t, 5*testElectionTicks) {
+		t.Error("with a later SentTick: no stale read, so the test proves nothing")
+	}
+	if staleReadAfterOwnWrite(t, 0) {
+		t.Error("stale read after a write")
+	}
+}
+
 func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
 	for _, disabled := range []bool{false, true} {
 		net := newNetwork(t, 3, func(c *Config) { c.Safeguards.NoCheckQuorum = disabled })
--- a/internal/core/controlmember/member.go
+++ b/internal/core/controlmember/member.go
@@ -121,6 +121,12 @@
 	return reply, answered
 }
 
+// HeartbeatsDuringWrite is consensus.Node.HeartbeatsDuringWrite, for use while the caller
+// writes.
+func (m *Member) HeartbeatsDuringWrite(elapsed int) []consensus.Message {
+	return m.node.HeartbeatsDuringWrite(elapsed)
+}
+
 // Propose proposes a command, stamped with the leader's time. The result is a Reply; if
 // the command does not enter the log, the Reply is queued immediately, with verdict NotRun.
 func (m *Member) Propose(token uint64, command port.Command) {
--- a/internal/core/groupmember/member.go
+++ b/internal/core/groupmember/member.go
@@ -197,6 +197,12 @@
 	return reply, answered
 }
 
+// HeartbeatsDuringWrite is consensus.Node.HeartbeatsDuringWrite, for use while the caller
+// writes.
+func (m *Member) HeartbeatsDuringWrite(elapsed int) []consensus.Message {
+	return m.node.HeartbeatsDuringWrite(elapsed)
+}
+
 // Propose proposes a command. The result is a Reply.
 func (m *Member) Propose(token uint64, command []byte) {
 	data, err := cbor.Marshal(envelope{Command: command})
