group, control: send heartbeats while the leader writes

Cause: the loops of a site's groups and of loomgrade control run a leader's writes themselves and send no heartbeat meanwhile; the followers elect another leader and callers get "leadership was lost before the answer".

Change: a leader's write runs in the background, as a follower's; at each tick the loop sends the heartbeats that are due. Messages stay queued and ticks are not taken until the write ends, so both pass as after any missed ticks. The loop's ticker becomes a field, as a write waits for it as well.

Conclusion: a leader survives slow syncs of up to two election timeouts; one whose disk hangs is replaced after three to four, as followers wait for one to two after the last heartbeat.

--- a/internal/app/control/faults_test.go
+++ b/internal/app/control/faults_test.go
@@ -144,6 +144,67 @@
 	}
 }
 
+// holdLeadersSyncs starts a group, holds its leader's syncs and proposes a change to the
+// leader, whose result is sent to answered.
+func holdLeadersSyncs(t *testing.T, tick time.Duration) (group *testGroup, leader *Member, release func(), answered <-chan error) {
+	t.Helper()
+	disks := map[uint64]*faultfs.SlowFiles{}
+	group = startGroup(t, 3, func(config *Config) {
+		config.Tick = tick
+		disks[config.ID] = faultfs.NewSlowFiles(wal.OS{})
+		config.FileSystem = disks[config.ID]
+	})
+	last := group.change(group.client(1), 3)
+	leader = group.leader()
+	release = disks[leader.config.ID].HoldSyncs()
+	t.Cleanup(release)
+	result := make(chan error, 1)
+	go func() {
+		answer, err := leader.Propose(group.context(), machineListChange(last, 9))
+		if err == nil && answer.Error != nil {
+			err = answer.Error
+		}
+		result <- err
+	}()
+	return group, leader, release, result
+}
+
+// TestLeaderStaysDuringOwnSlowWrite guards against the loss of a leader, and of its callers'
+// answers, while its own disk is slow. The write takes two election timeouts, as the
+// followers' randomized timeouts are between one and two.
+func TestLeaderStaysDuringOwnSlowWrite(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	_, leader, release, answered := holdLeadersSyncs(t, tick)
+	term := leader.loop().published.Load().status.Term
+	time.Sleep(2 * DefaultElectionTicks * tick)
+	release()
+	if err := <-answered; err != nil {
+		t.Errorf("the change: %v", err)
+	}
+	if status := leader.loop().published.Load().status; status.Role != consensus.RoleLeader || status.Term != term {
+		t.Errorf("%v in term %d, led term %d", status.Role, status.Term, term)
+	}
+}
+
+// TestLeaderWithHungDiskIsReplaced guards against a leader whose disk hangs, and whose
+// heartbeats keep the followers from electing another.
+func TestLeaderWithHungDiskIsReplaced(t *testing.T) {
+	group, hung, release, answered := holdLeadersSyncs(t, testTick)
+	delete(group.running, hung.config.ID)
+	defer func() { group.running[hung.config.ID] = hung }()
+	next := group.leader()
+	// A conflict of revisions is an answer, too.
+	if _, err := next.Propose(group.context(), machineListChange(0, 10)); err != nil {
+		t.Errorf("a change at the new leader: %v", err)
+	}
+	release()
+	<-answered // either outcome: the followers may have the change of the old leader
+	group.waitUntil("the old leader to follow the new one", func() bool {
+		status := hung.loop().published.Load().status
+		return status.Role == consensus.RoleFollower && status.Leader == consensus.MemberID(next.config.ID)
+	})
+}
+
 // TestPowerLossKeepsAcceptedChanges crashes all disks, which lose
 // unsynced data, between changes.
 func TestPowerLossKeepsAcceptedChanges(t *testing.T) {
--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -55,6 +55,8 @@
 
 	startedAt time.Duration // by Config.Clock
 	ticks     int64
+	// ticker fires at each tick; the ticks are counted by Config.Clock.
+	ticker *time.Ticker
 	// held are messages that arrived during a write and wait for its end.
 	held []consensus.Message
 	// heldReady is closed; wait selects it while messages are held.
@@ -101,10 +103,10 @@
 func (l *loop) run(ctx context.Context) error {
 	defer close(l.stopped)
 	defer l.failPending()
-	ticker := time.NewTicker(l.config.Tick)
-	defer ticker.Stop()
+	l.ticker = time.NewTicker(l.config.Tick)
+	defer l.ticker.Stop()
 	for {
-		if err := l.wait(ctx, ticker.C); err != nil {
+		if err := l.wait(ctx); err != nil {
 			return err
 		}
 		if err := l.handleQueued(); err != nil {
@@ -118,7 +120,7 @@
 
 // wait blocks for the first event of a batch and processes it, after the ticks
 // that have passed.
-func (l *loop) wait(ctx context.Context, tick <-chan time.Time) error {
+func (l *loop) wait(ctx context.Context) error {
 	messages := l.messages
 	var held <-chan struct{}
 	if len(l.held) > 0 {
@@ -127,7 +129,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-tick:
+	case <-l.ticker.C:
 		l.catchUpTicks()
 		return nil
 	case <-held: // handleQueued steps the messages
@@ -199,10 +201,15 @@
 
 // takeElapsedTicks returns the number of ticks that have elapsed since the last call.
 func (l *loop) takeElapsedTicks() int {
+	elapsed := l.elapsedTicks()
+	l.ticks += int64(elapsed)
+	return elapsed
+}
+
+// elapsedTicks returns the number of ticks that have elapsed and were not taken.
+func (l *loop) elapsedTicks() int {
 	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
-	elapsed := max(0, due-l.ticks)
-	l.ticks += elapsed
-	return int(elapsed)
+	return int(max(0, due-l.ticks))
 }
 
 // processReady handles all Readys of the core, then publishes the status and replies.
@@ -251,13 +258,13 @@
 }
 
 // write runs an operation that waits for the disk. Meanwhile a follower answers its leader's
-// heartbeats. A leader does not: with a disk that hangs it must be replaced.
+// heartbeats, and a leader sends its own for a bounded time.
 func (l *loop) write(operation func() error) error {
-	if l.member.IsLeader() {
-		return operation()
-	}
 	done := make(chan error, 1)
 	go func() { done <- operation() }()
+	if l.member.IsLeader() {
+		return l.sendHeartbeatsUntil(done)
+	}
 	for {
 		select {
 		case err := <-done:
@@ -268,6 +275,21 @@
 	}
 }
 
+// sendHeartbeatsUntil sends the heartbeats that are due until a write ends, and returns its
+// result. The ticks and the messages that arrive wait for catchUpTicks and step.
+func (l *loop) sendHeartbeatsUntil(done <-chan error) error {
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-l.ticker.C:
+			for _, message := range l.member.HeartbeatsDuringWrite(l.elapsedTicks()) {
+				l.send(message)
+			}
+		}
+	}
+}
+
 // answerOrHold answers a heartbeat, or holds a message until the end of a write. It drops
 // messages beyond Config.MaxBatch; the core retries.
 func (l *loop) answerOrHold(message consensus.Message) {
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -45,6 +45,8 @@
 	// is suspended too.
 	startedAt time.Duration
 	ticks     int64
+	// ticker fires at each tick; the ticks are counted by Config.Clock.
+	ticker *time.Ticker
 	// led is set if the member led after the last step.
 	led bool
 	// lastMissed are the latest ticks that were missed in one go, up to missedAt.
@@ -102,13 +104,13 @@
 	defer close(l.stopped)
 	defer l.failPending()
 	defer l.waitForSnapshot()
-	ticker := time.NewTicker(l.config.Tick)
-	defer ticker.Stop()
+	l.ticker = time.NewTicker(l.config.Tick)
+	defer l.ticker.Stop()
 	if err := l.processReady(); err != nil {
 		return err
 	}
 	for {
-		if err := l.wait(ctx, ticker.C); err != nil {
+		if err := l.wait(ctx); err != nil {
 			return err
 		}
 		if err := l.handleQueued(); err != nil {
@@ -122,7 +124,7 @@
 
 // wait blocks for the first event of a batch and processes it, after the ticks that have
 // elapsed.
-func (l *loop) wait(ctx context.Context, tick <-chan time.Time) error {
+func (l *loop) wait(ctx context.Context) error {
 	messages := l.messages
 	var held <-chan struct{}
 	if len(l.held) > 0 {
@@ -131,7 +133,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-tick:
+	case <-l.ticker.C:
 		l.catchUpTicks()
 		return nil
 	case <-held: // handleQueued steps the messages
@@ -213,10 +215,15 @@
 
 // takeElapsedTicks returns the number of ticks that have elapsed since the last call.
 func (l *loop) takeElapsedTicks() int {
+	elapsed := l.elapsedTicks()
+	l.ticks += int64(elapsed)
+	return elapsed
+}
+
+// elapsedTicks returns the number of ticks that have elapsed and were not taken.
+func (l *loop) elapsedTicks() int {
 	due := int64((l.config.Clock() - l.startedAt) / l.config.Tick)
-	elapsed := max(0, due-l.ticks)
-	l.ticks += elapsed
-	return int(elapsed)
+	return int(max(0, due-l.ticks))
 }
 
 // recordMissedTicks passes missed ticks to the core. It logs a warning, with the part that
@@ -359,8 +366,7 @@
 }
 
 // write runs an operation that waits for the disk, and measures it. Meanwhile a follower
-// answers its leader's heartbeats. A leader does not: with a disk that hangs it must be
-// replaced.
+// answers its leader's heartbeats, and a leader sends its own for a bounded time.
 func (l *loop) write(operation func() error) error {
 	started := l.config.Clock()
 	measure := func() {
@@ -369,11 +375,11 @@
 		started = now
 	}
 	defer measure()
-	if l.member.IsLeader() {
-		return operation()
-	}
 	done := make(chan error, 1)
 	go func() { done <- operation() }()
+	if l.member.IsLeader() {
+		return l.sendHeartbeatsUntil(done)
+	}
 	for {
 		select {
 		case err := <-done:
@@ -385,6 +391,21 @@
 	}
 }
 
+// sendHeartbeatsUntil sends the heartbeats that are due until a write ends, and returns its
+// result. The ticks and the messages that arrive wait for catchUpTicks and step.
+func (l *loop) sendHeartbeatsUntil(done <-chan error) error {
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-l.ticker.C:
+			for _, message := range l.member.HeartbeatsDuringWrite(l.elapsedTicks()) {
+				l.peers.send(message)
+			}
+		}
+	}
+}
+
 // answerOrHold answers a heartbeat, or holds a message until the end of a write. It drops
 // messages beyond maxBatch; the core retries.
 func (l *loop) answerOrHold(message consensus.Message) {
--- a/internal/app/group/snapshot_test.go
+++ b/internal/app/group/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -130,6 +131,71 @@
 	}
 }
 
+// holdLeadersSyncs starts a group, holds its leader's syncs and proposes a command to the
+// leader, whose result is sent to answered.
+func holdLeadersSyncs(t *testing.T, tick time.Duration) (machines map[string]*groupMachine, leader *groupMachine, release func(), answered <-chan error) {
+	t.Helper()
+	all, machines := startGroupWithTick(t, tick)
+	waitForVoters(t, all, "a", "b", "c")
+	machines["d"].stop() // keeps it from replacing a member
+	waitUntil(t, "a member leads", func() bool {
+		leader = leaderOf(machines, "a", "b", "c")
+		return leader != nil
+	})
+	release = leader.files.HoldSyncs()
+	t.Cleanup(release)
+	result := make(chan error, 1)
+	go func() {
+		_, err := leader.member.Propose(context.Background(), []byte("command"))
+		result <- err
+	}()
+	return machines, leader, release, result
+}
+
+// TestLeaderStaysDuringOwnSlowWrite guards against the loss of a leader, and of its callers'
+// answers, while its own disk is slow. The write takes two election timeouts, as the
+// followers' randomized timeouts are between one and two.
+func TestLeaderStaysDuringOwnSlowWrite(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	_, leader, release, answered := holdLeadersSyncs(t, tick)
+	term := leader.member.PublishedState().Status.Term
+	time.Sleep(2 * group.DefaultElectionTicks * tick)
+	release()
+	if err := <-answered; err != nil {
+		t.Errorf("the command: %v", err)
+	}
+	if published := leader.member.PublishedState(); published == nil || !published.LeaderReady || published.Status.Term != term {
+		t.Errorf("the leader of term %d lost its leadership: %+v", term, published)
+	}
+}
+
+// TestLeaderWithHungDiskIsReplaced guards against a leader whose disk hangs, and whose
+// heartbeats keep the followers from electing another.
+func TestLeaderWithHungDiskIsReplaced(t *testing.T) {
+	machines, leader, release, answered := holdLeadersSyncs(t, testTick)
+	var others []string
+	for _, name := range []string{"a", "b", "c"} {
+		if machines[name] != leader {
+			others = append(others, name)
+		}
+	}
+	var next *groupMachine
+	waitUntil(t, "another member leads", func() bool {
+		next = leaderOf(machines, others...)
+		return next != nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := next.member.Propose(ctx, []byte("command")); err != nil {
+		t.Errorf("a command to the new leader: %v", err)
+	}
+	release()
+	// The followers may have the command of the old leader, which then may still answer it.
+	if err := <-answered; err != nil && !errors.Is(err, groupmember.ErrLeadershipLost) {
+		t.Errorf("the command to the old leader: %v", err)
+	}
+}
+
 // TestFollowerWithSlowDiskServesRequests guards against a follower that handles nothing but
 // the messages that arrive during its writes, as long as commands arrive faster than it writes.
 func TestFollowerWithSlowDiskServesRequests(t *testing.T) {
