admission: the limit recovers within a second and keeps reward calls served

Cause: a limit stayed after a burst until it exceeded twice the offered rate, and reward calls waited behind their own limit.

Change: a limit ends 0.8 s after the last sign of overload and is restored if another follows. Heavy tenants and late requests leave a share of the bucket.

--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -6,9 +6,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// minSendWait is the minimum time that a request may wait in a limited sender.
-const minSendWait = 5 * time.Millisecond
-
 // TryResult is the result of one try of a request at a replica.
 type TryResult struct {
 	// Latency is the duration of a try that was answered.
@@ -38,7 +35,7 @@
 	// deadline is when the caller gives up; the zero time means never.
 	deadline time.Time
 	priority port.Priority
-	// reserve is the number of permits that must remain when the request is sent.
+	// reserve is the share of the bucket that the request leaves to others.
 	reserve float64
 }
 
@@ -76,13 +73,14 @@
 	}
 	s.rate.advance(now)
 	s.rate.signals.offered.add(now)
+	s.rate.signals.setAim(aim)
 	offered := wrap(item, aim < 0)
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
 		return s.refuse(now, &offered, ReasonDeadline)
 	}
 	if s.rate.limited {
 		offered.Deadline = s.sendBy(now, item.Deadline, aim)
-		offered.Value.reserve = s.reserve(now, item.Tenant, aim < 0)
+		offered.Value.reserve = s.reserve(now, &offered, aim < 0)
 		if err := s.makeRoom(now, &offered); err != nil {
 			return err
 		}
@@ -168,7 +166,7 @@
 	status := SendStatus{
 		Limited: s.rate.limited,
 		Waiting: s.queue.Len(),
-		Latency: time.Duration(s.rate.signals.latency * float64(time.Second)),
+		Latency: seconds(s.rate.signals.latency),
 	}
 	if s.rate.limited {
 		status.Rate = s.rate.rate
--- a/internal/core/admission/sendmodel_test.go
+++ b/internal/core/admission/sendmodel_test.go
@@ -48,6 +48,8 @@
 	bigTenant float64
 	// unmarkedRetries is set if senders do not know that a request was refused before.
 	unmarkedRetries bool
+	// routesByLatency is set if senders weight replicas by their recent latency.
+	routesByLatency bool
 }
 
 // modelResult is what one run measured.
@@ -98,9 +100,9 @@
 	budget   *retry.Budget
 	weight   float64
 	inFlight []int
+	latency  []float64
 	total    int
 	reward   bool
-	last     int
 	wake     time.Duration
 }
 
@@ -180,7 +182,7 @@
 }
 
 func (m *model) addSender(reward bool) {
-	sender := &modelSender{reward: reward, inFlight: make([]int, m.pattern.replicas), last: -1, weight: 1}
+	sender := &modelSender{reward: reward, inFlight: make([]int, m.pattern.replicas), latency: make([]float64, m.pattern.replicas), weight: 1}
 	if !reward && m.pattern.senders > 1 {
 		const meanCallers = 5
 		sender.weight = float64(m.poisson(meanCallers))
@@ -379,6 +381,14 @@
 	m.pump(sender)
 }
 
+// aim returns the latency aimed for, as senders report it with results.
+func (c *modelCall) aim() time.Duration {
+	if c.reward {
+		return 0
+	}
+	return modelAim
+}
+
 func (c *modelCall) item() Item[*modelCall] {
 	return Item[*modelCall]{
 		ID: port.RequestID(fmt.Sprint(c.id)), Tenant: port.TenantName(c.tenant),
@@ -439,14 +449,16 @@
 	sender := call.sender
 	chosen := -1
 	ties := 0
-	for index, inFlight := range sender.inFlight {
+	lowest := 0.0
+	for index := range sender.inFlight {
 		if slices.Contains(call.refusers, index) {
 			continue
 		}
+		cost := m.cost(sender, index)
 		switch {
-		case chosen < 0 || inFlight < sender.inFlight[chosen]:
-			chosen, ties = index, 1
-		case inFlight == sender.inFlight[chosen]:
+		case chosen < 0 || cost < lowest:
+			chosen, ties, lowest = index, 1, cost
+		case cost == lowest:
 			ties++
 			if m.random.IntN(ties) == 0 {
 				chosen = index
@@ -460,6 +472,16 @@
 	m.after(modelNetwork, func() { m.arrive(m.replicas[chosen], call) })
 }
 
+// cost is what a sender minimizes when it chooses a replica.
+func (m *model) cost(sender *modelSender, replica int) float64 {
+	cost := float64(sender.inFlight[replica])
+	if m.pattern.routesByLatency {
+		// A random factor keeps measurements of slower replicas coming.
+		cost = (cost + 1) * max(sender.latency[replica], 0.02) * (0.5 + m.random.Float64())
+	}
+	return cost
+}
+
 func (m *model) arrive(replica *modelReplica, call *modelCall) {
 	switch {
 	case replica.busy < m.pattern.slots:
@@ -495,12 +517,13 @@
 	sender := call.sender
 	sender.inFlight[replica.index]--
 	sender.total--
-	aim := modelAim
-	if call.reward {
-		aim = 0
-	}
-	sender.limiter.Observe(m.now(), TryResult{Latency: m.at - call.sent, Aim: aim})
+	taken := m.at - call.sent
+	sender.latency[replica.index] += 0.2 * (taken.Seconds() - sender.latency[replica.index])
+	sender.limiter.Observe(m.now(), TryResult{Latency: taken, Aim: call.aim()})
 	sender.budget.Success(m.now())
+	if rule, counts := sender.limiter.rate.rule.(acceptedRule); counts {
+		rule.accept(m.now())
+	}
 	latency := m.at - call.first
 	switch {
 	case call.reward:
@@ -523,7 +546,8 @@
 	sender := call.sender
 	sender.inFlight[replica.index]--
 	sender.total--
-	sender.limiter.Observe(m.now(), TryResult{Refused: true})
+	sender.limiter.Observe(m.now(), TryResult{Refused: true, Aim: call.aim()})
+	sender.latency[replica.index] += 0.2 * (0.2 - sender.latency[replica.index])
 	call.refusers = append(call.refusers, replica.index)
 	if len(call.refusers) < m.pattern.replicas && sender.budget.Withdraw(m.now()) {
 		m.try(call)
--- a/internal/core/admission/sendrate.go
+++ b/internal/core/admission/sendrate.go
@@ -5,56 +5,34 @@
 	"time"
 )
 
-// Parameters of the limit.
+// Parameters of the token bucket.
 const (
-	// growthPerSecond is the share of the offered rate by which the limit grows each second.
-	growthPerSecond = 0.3
-	// slackGrowth is the additional growth while latency is far below its target, relative to
-	// growthPerSecond.
-	slackGrowth = 8.0
-	// maxGrowthRatio limits the offered rate that growth is computed from, relative to the
-	// limit: at many times the capacity the limit would otherwise follow the load.
-	maxGrowthRatio = 4
-	// latencyFall and refusalFall are the relative decrease per second at a latency equal to
-	// the aim, and while all tries are refused.
-	latencyFall = 3.0
-	refusalFall = 4.0
-	// refusalTolerance is the share of refused tries that does not lower the limit. Refusals by
-	// one slow replica stay below it.
-	refusalTolerance = 0.05
-	// targetShare is the share of the aim up to which latency does not lower the limit. The
-	// remainder covers the spread of the service times and the wait at the sender.
-	targetShare = 0.33
-	// baselineTolerance is the ratio to the baseline up to which latency does not lower the
-	// limit, and maxTargetShare bounds it: a baseline measured under load is too high.
-	baselineTolerance = 1.3
-	maxTargetShare    = 0.6
-	// releaseRatio is the ratio of the limit to the offered rate at which the limit ends.
-	releaseRatio = 2
 	// defaultFloor is the minimum limit in requests per second while the capacity is unknown.
 	defaultFloor = 0.5
 	// floorShare is the share of an equal division of the capacity below which the limit does
 	// not fall.
-	floorShare = 0.1
-	// burstPeriod is the time in which unused permits accumulate.
+	floorShare = 0.5
+	// burstPeriod is the time in which unused permits accumulate, and minBurst the number that
+	// accumulates at any rate: a sender with few requests gets them in clusters.
 	burstPeriod = 200 * time.Millisecond
-	minBurst    = 5
-	// heavyReserve and lateReserve are the numbers of permits that requests of heavy tenants,
-	// and requests whose target has passed, leave to others.
-	heavyReserve = 2
-	lateReserve  = 4
+	minBurst    = 6
+	// heavyReserve and lateReserve are the shares of the bucket that requests of heavy tenants,
+	// and requests whose aim has passed, leave to others.
+	heavyReserve = 0.6
+	lateReserve  = 1.0
+	// signFreePeriod is the time without a sign of overload after which a limit ends. It must
+	// be below the second in which service is back to normal after a burst.
+	signFreePeriod = 800 * time.Millisecond
+	// restorePeriod is the time in which a limit that ended is restored by a sign of overload,
+	// increased by restoreGrowth. Otherwise it would start at the rate of the burst again.
+	restorePeriod = 5 * time.Second
+	restoreGrowth = 1.1
 	// maxStep limits the time between two changes of the limit that is taken into account.
 	maxStep = time.Second
+	// permitTolerance covers rounding, so that the wait for a permit ends with one.
+	permitTolerance = 1e-6
 )
 
-// rateRule computes the limit of a sender.
-type rateRule interface {
-	// overloaded reports whether a sender without a limit needs one.
-	overloaded(signals *sendSignals) bool
-	// next returns the limit in requests per second after a step, from the one before it.
-	next(signals *sendSignals, rate, offered float64, step time.Duration) float64
-}
-
 // sendRate is the limit of one sender: a token bucket whose rate a rule adapts.
 type sendRate struct {
 	rule    rateRule
@@ -64,6 +42,9 @@
 	rate    float64
 	permits float64
 	updated time.Time
+	// signed is the time of the last sign of overload, ended that of the end of the last limit.
+	signed  time.Time
+	ended   time.Time
 	slots   int
 	senders int
 }
@@ -84,20 +65,38 @@
 		r.rate += growthPerSecond * offered * step.Seconds()
 	}
 	r.rate = max(r.rate, r.floor())
-	if r.rate >= releaseRatio*offered && !r.rule.overloaded(&r.signals) {
+	if r.recovered(now) {
 		r.limited = false
+		r.ended = now
 	}
 }
 
+// recovered reports whether answers have shown no sign of overload for some time.
+func (r *sendRate) recovered(now time.Time) bool {
+	return now.Sub(r.signed) >= signFreePeriod && r.signals.observed.After(r.signed)
+}
+
 // observe records the result of a try, and begins to limit at the first sign of overload.
 func (r *sendRate) observe(now time.Time, result TryResult) {
 	r.advance(now)
 	r.signals.observe(now, result)
-	if r.limited || !r.rule.overloaded(&r.signals) {
-		return
+	overloaded := r.rule.overloaded(&r.signals)
+	if result.Refused || overloaded {
+		r.signed = now
+	}
+	if overloaded && !r.limited {
+		r.begin(now)
+	}
+}
+
+// begin begins to limit, at the offered rate or at the limit that ended recently.
+func (r *sendRate) begin(now time.Time) {
+	rate := r.signals.offered.at(now)
+	if !r.ended.IsZero() && now.Sub(r.ended) < restorePeriod {
+		rate = min(rate, restoreGrowth*r.rate)
 	}
 	r.limited = true
-	r.rate = max(r.signals.offered.at(now), r.floor())
+	r.rate = max(rate, r.floor())
 	r.permits = 1
 }
 
@@ -112,57 +111,29 @@
 	return floorShare * float64(r.slots) / float64(r.senders) / r.signals.baseline
 }
 
-// take uses one permit and leaves a reserve; false means that there are too few.
+// required returns the number of permits from which a request may be sent that leaves a share
+// of the bucket to others.
+func (r *sendRate) required(reserve float64) float64 { return 1 + reserve*(r.burst()-1) }
+
+// take uses one permit; false means that there are fewer than required.
 func (r *sendRate) take(reserve float64) bool {
 	if !r.limited {
 		return true
 	}
-	if r.permits < 1+reserve-permitTolerance {
+	if r.permits < r.required(reserve)-permitTolerance {
 		return false
 	}
 	r.permits--
 	return true
 }
 
-// permitTolerance covers rounding, so that the wait until the next permit ends with one.
-const permitTolerance = 1e-6
-
-// sendable returns how many requests can be sent within a time.
-func (r *sendRate) sendable(wait time.Duration) float64 {
-	return r.permits + r.rate*wait.Seconds()
+// sendable returns how many requests with a reserve can be sent within a time.
+func (r *sendRate) sendable(wait time.Duration, reserve float64) float64 {
+	return r.permits + r.rate*wait.Seconds() - r.required(reserve) + 1
 }
 
-// untilPermit returns the time until the next permit.
+// untilPermit returns the time until a request with a reserve may be sent.
 func (r *sendRate) untilPermit(reserve float64) time.Duration {
-	missing := max(1+reserve-r.permits, 0)
+	missing := max(r.required(reserve)-r.permits, 0)
 	return time.Duration(math.Ceil(missing / r.rate * float64(time.Second)))
 }
-
-// proportionalRule lowers the limit in proportion to the excess of latency and to the share
-// of refusals, and raises it by a share of the offered rate. At equilibrium all senders send
-// the same share of what they are offered, as all of them see the same replicas.
-type proportionalRule struct{}
-
-func (proportionalRule) overloaded(s *sendSignals) bool {
-	return s.refusals > refusalTolerance || latencyExcess(s) > 0
-}
-
-func (proportionalRule) next(s *sendSignals, rate, offered float64, step time.Duration) float64 {
-	excess := latencyExcess(s)
-	fall := latencyFall*max(excess, 0) + refusalFall*max(s.refusals-refusalTolerance, 0)
-	growth := growthPerSecond * min(offered, maxGrowthRatio*rate) * (1 + slackGrowth*max(-excess, 0))
-	return rate*math.Exp(-fall*step.Seconds()) + growth*step.Seconds()
-}
-
-// latencyExcess returns how far latency is above its target: 0 at the target, 1 at the aim,
-// negative below the target.
-func latencyExcess(s *sendSignals) float64 {
-	if s.aim == 0 {
-		return -1
-	}
-	target := max(targetShare*s.aim, min(baselineTolerance*s.baseline, maxTargetShare*s.aim))
-	if s.baseline == 0 {
-		target = maxTargetShare * s.aim
-	}
-	return (s.fast - target) / (s.aim - target)
-}
--- a/internal/core/admission/sendrefusal.go
+++ b/internal/core/admission/sendrefusal.go
@@ -83,7 +83,7 @@
 	backlog := float64(s.queue.Len()) + s.refused.at(now)
 	drained := minSendRetryAfter
 	if s.rate.limited {
-		drained = time.Duration(min(backlog/s.rate.rate, maxSendRetryAfter.Seconds()) * float64(time.Second))
+		drained = seconds(min(backlog/s.rate.rate, maxSendRetryAfter.Seconds()))
 	}
 	drained = max(drained, minSendRetryAfter)
 	low := max(drained/2, minSendRetryAfter)
--- a/internal/core/admission/sendroom.go
+++ b/internal/core/admission/sendroom.go
@@ -6,12 +6,15 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
+// minSendWait is the minimum time for which a request may wait in a limited sender.
+const minSendWait = 5 * time.Millisecond
+
 // sendBy returns when a request must have been sent to be answered within its aim, and before
 // its deadline; the zero time means that it may wait for any time. A request whose aim has
 // passed may wait for the duration of one aim.
 func (s *SendLimiter[T]) sendBy(now, deadline time.Time, aim time.Duration) time.Time {
 	signals := &s.rate.signals
-	expected := time.Duration((signals.latency + signals.deviation) * float64(time.Second))
+	expected := seconds(signals.latency + signals.deviation)
 	var latest time.Time
 	if !deadline.IsZero() {
 		latest = deadline.Add(-expected)
@@ -19,37 +22,45 @@
 	if aim != 0 {
 		wait := aim - expected
 		if aim < 0 {
-			wait = time.Duration(signals.aim * float64(time.Second))
-		}
-		if byAim := now.Add(wait); latest.IsZero() || byAim.Before(latest) {
-			latest = byAim
+			wait = seconds(signals.aim)
 		}
+		latest = earlier(latest, now.Add(wait))
 	}
-	if earliest := now.Add(minSendWait); !latest.IsZero() && latest.Before(earliest) {
-		return earliest
+	if minimum := now.Add(minSendWait); !latest.IsZero() && latest.Before(minimum) {
+		return minimum
 	}
 	return latest
 }
 
-// reserve returns the number of permits that a request leaves to requests of light tenants that
-// can be on time.
-func (s *SendLimiter[T]) reserve(now time.Time, tenant port.TenantName, late bool) float64 {
+// earlier returns the earlier of two times, of which the zero time is the latest.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// reserve returns the share of the bucket that a request leaves to requests of light tenants
+// that can be on time.
+func (s *SendLimiter[T]) reserve(now time.Time, offered *Item[waitingSend[T]], late bool) float64 {
 	if late {
 		return lateReserve
 	}
-	if s.usage.heavy(now, tenant) {
+	if s.usage.heavy(now, offered.Tenant, offered.TenantShare) {
 		return heavyReserve
 	}
 	return 0
 }
 
 // makeRoom refuses a request that cannot be sent in time, or evicts a waiting request of a
-// lower priority or of a tenant with a higher usage for it.
+// lower priority or of a tenant with a higher usage.
 func (s *SendLimiter[T]) makeRoom(now time.Time, offered *Item[waitingSend[T]]) *port.Error {
 	if offered.Deadline.IsZero() {
 		return nil
 	}
-	sendable := s.rate.sendable(offered.Deadline.Sub(now)) - offered.Value.reserve
+	sendable := s.rate.sendable(offered.Deadline.Sub(now), offered.Value.reserve)
 	if sendable < 1 {
 		return s.refuse(now, offered, ReasonDeadline)
 	}
@@ -73,55 +84,53 @@
 	if lowest == nil || lowest.priority > offered.Priority {
 		return nil, ReasonQueue
 	}
-	heaviest, several := s.heaviestTenant(now, lowest, offered)
+	weight := s.usage.weight(now)
+	heaviest, usage := s.heaviest(lowest, weight)
 	if lowest.priority < offered.Priority {
 		return heaviest.latest(), ReasonQueue
 	}
-	reason := ReasonQueue
-	if several {
-		reason = ReasonTenant
+	waiting := 1
+	own := lowest.tenants[offered.Tenant]
+	if own != nil {
+		waiting += len(own.entries)
+	}
+	if heaviest != own && usage > s.usageOf(offered.Tenant, waiting, offered.TenantShare, weight) {
+		return heaviest.latest(), ReasonTenant
 	}
-	if heaviest == nil {
+	reason := ReasonTenant
+	if waiting > lowest.count {
+		reason = ReasonQueue // no other tenant waits
+	}
+	if own == nil || len(own.entries) == 0 {
 		return nil, reason
 	}
-	latest := heaviest.latest()
-	if heaviest.name == offered.Tenant && !latest.item.Deadline.After(offered.Deadline) {
+	latest := own.latest()
+	if !latest.item.Deadline.After(offered.Deadline) {
 		return nil, reason
 	}
 	return latest, reason
 }
 
-// heaviestTenant returns the tenant of a level with the highest usage, counting the requests
-// that wait, or nil if that is the offered request's tenant and none of its requests waits. It
-// also reports whether there are several tenants.
-func (s *SendLimiter[T]) heaviestTenant(now time.Time, lowest *level[waitingSend[T]], offered *Item[waitingSend[T]]) (*tenantQueue[waitingSend[T]], bool) {
-	weight := s.usage.weight(now)
+// heaviest returns the tenant of a level with the highest usage, counting waiting requests, and
+// its usage.
+func (s *SendLimiter[T]) heaviest(lowest *level[waitingSend[T]], weight float64) (*tenantQueue[waitingSend[T]], float64) {
 	var heaviest *tenantQueue[waitingSend[T]]
-	highest := -1.0
-	several := false
-	same := lowest.priority == offered.Priority
-	if same {
-		own := lowest.tenants[offered.Tenant]
-		waiting := 1
-		if own != nil {
-			waiting += len(own.entries)
-		}
-		if own != nil && len(own.entries) > 0 {
-			heaviest = own
-		}
-		highest = (s.usage.counts[offered.Tenant]/weight + float64(waiting)) / normalizeShare(offered.TenantShare)
-	}
+	highest := 0.0
 	for _, tenant := range lowest.tenants {
-		if len(tenant.entries) == 0 || same && tenant.name == offered.Tenant {
+		if len(tenant.entries) == 0 {
 			continue
 		}
-		several = true
-		usage := (s.usage.counts[tenant.name]/weight + float64(len(tenant.entries))) / tenant.entries[0].weight()
-		if usage > highest || usage == highest && heaviest != nil && heaviest.name != offered.Tenant && tenant.name < heaviest.name {
+		usage := s.usageOf(tenant.name, len(tenant.entries), tenant.entries[0].item.TenantShare, weight)
+		if heaviest == nil || usage > highest || usage == highest && tenant.name < heaviest.name {
 			heaviest, highest = tenant, usage
 		}
 	}
-	return heaviest, several
+	return heaviest, highest
+}
+
+// usageOf returns a tenant's recent and waiting requests relative to its share.
+func (s *SendLimiter[T]) usageOf(tenant port.TenantName, waiting int, share, weight float64) float64 {
+	return (s.usage.counts[tenant]/weight + float64(waiting)) / normalizeShare(share)
 }
 
 // endExpired ends the waiting requests that can no longer be answered in time.
@@ -133,7 +142,7 @@
 }
 
 // expired reports whether a waiting request must not be sent any more. Without a limit, only
-// the caller's deadline counts, as the wait is the driver's own.
+// the caller's deadline counts, as the caller of Next causes the wait.
 func (s *SendLimiter[T]) expired(now time.Time, waiting *entry[waitingSend[T]]) bool {
 	if s.rate.limited {
 		return waiting.expired(now)
--- a/internal/core/admission/sendsignals.go
+++ b/internal/core/admission/sendsignals.go
@@ -7,37 +7,35 @@
 
 // Parameters of the measurements of a sender.
 const (
-	// demandPeriod is the time constant of the rate of offered requests. It spans some ten
-	// requests of a usual sender.
+	// demandPeriod is the time constant of the rate of offered requests: some five requests
+	// of a sender with ten requests a second.
 	demandPeriod = 500 * time.Millisecond
-	// signalPeriod is the time constant of the latency and of the share of refused tries.
-	signalPeriod = 300 * time.Millisecond
+	// signalPeriod is the time constant of latency and of the share of refused tries.
+	signalPeriod = 400 * time.Millisecond
 	// maxSampleWeight limits the weight of one sample, as a sender with few requests would
 	// otherwise follow single answers.
-	maxSampleWeight = 0.2
-	// signalLifetime is the age at which measurements are no longer used.
-	signalLifetime = 2 * time.Second
-	// slowAnswerWeight is the weight of an answer that is slower than the smoothed latency of
-	// fast answers, relative to a faster one.
+	maxSampleWeight = 0.5
+	// slowAnswerWeight is the weight of an answer that is slower than the latency of fast
+	// answers, relative to that of a faster one.
 	slowAnswerWeight = 0.3
-	// maxSampleShare limits an answer's part in the latency of fast answers, relative to the
-	// aim: a replica that is slow, rather than overloaded, would otherwise lower the limit.
+	// maxSampleShare limits one answer's part in the latency of fast answers, relative to the
+	// aim. Otherwise a single slow replica would lower the limit.
 	maxSampleShare = 0.7
-	// baselineSamples is the number of answers whose mean is compared with the baseline.
+	// signalLifetime is the age at which measurements no longer lower the limit.
+	signalLifetime = time.Second
+	// baselineSamples is the number of answers whose mean may become the baseline.
 	baselineSamples = 8
 )
 
 // sendSignals holds what one sender measures about a service.
 type sendSignals struct {
-	// offered is the rate of offered requests, sent and accepted those of tries.
-	offered  eventRate
-	sent     eventRate
-	accepted eventRate
+	// offered is the rate of offered requests.
+	offered eventRate
 	// latency is the smoothed latency of answers in seconds, deviation its mean deviation.
 	latency   float64
 	deviation float64
-	// fast is the smoothed latency of the faster answers, in seconds. A slow replica raises it
-	// less than an overload of all replicas does.
+	// fast is the smoothed latency of the faster answers in seconds. An overload of all
+	// replicas raises it, a few slow replicas hardly do.
 	fast float64
 	// refusals is the smoothed share of tries that were refused, from 0 to 1.
 	refusals float64
@@ -57,36 +55,45 @@
 
 // observe records the result of one try.
 func (s *sendSignals) observe(now time.Time, result TryResult) {
-	weight := s.sampleWeight(now)
+	elapsed := max(now.Sub(s.observed), 0)
+	weight := min(1-decay(elapsed, signalPeriod), maxSampleWeight)
 	s.observed = now
-	s.sent.add(now)
+	s.setAim(result.Aim)
+	s.refusals *= decay(elapsed, signalPeriod)
 	if result.Refused {
-		s.refusals += weight * (1 - s.refusals)
+		s.refusals += weight
 		return
 	}
-	s.accepted.add(now)
-	s.refusals -= weight * s.refusals
-	if result.Aim > 0 {
-		s.aim = result.Aim.Seconds()
-	}
 	s.observeLatency(result.Latency.Seconds(), weight)
+	s.observeBaseline(result.Latency.Seconds())
 }
 
-// sampleWeight returns the weight of a sample taken now.
-func (s *sendSignals) sampleWeight(now time.Time) float64 {
-	elapsed := max(now.Sub(s.observed), 0)
-	weight := 1 - math.Exp(-elapsed.Seconds()/signalPeriod.Seconds())
-	return min(weight, maxSampleWeight)
+// setAim sets the latency aimed for, if there is one.
+func (s *sendSignals) setAim(aim time.Duration) {
+	if aim > 0 {
+		s.aim = aim.Seconds()
+	}
 }
 
-// observeLatency updates the latency, its deviation and the baseline.
+// observeLatency updates the latency, its deviation and the latency of fast answers.
 func (s *sendSignals) observeLatency(latency, weight float64) {
+	capped := latency
+	if s.aim > 0 {
+		capped = min(latency, maxSampleShare*s.aim)
+	}
 	if s.latency == 0 {
-		s.latency = latency
+		s.latency, s.fast = latency, capped
 	}
 	s.deviation += weight * (math.Abs(latency-s.latency) - s.deviation)
 	s.latency += weight * (latency - s.latency)
-	s.observeFast(latency, weight)
+	if capped > s.fast {
+		weight *= slowAnswerWeight
+	}
+	s.fast += weight * (capped - s.fast)
+}
+
+// observeBaseline lowers the baseline to the mean of the last answers, if that is lower.
+func (s *sendSignals) observeBaseline(latency float64) {
 	s.window.sum += latency
 	s.window.count++
 	if s.window.count < baselineSamples {
@@ -99,21 +106,7 @@
 	s.window = latencyWindow{}
 }
 
-// observeFast updates the latency of fast answers.
-func (s *sendSignals) observeFast(latency, weight float64) {
-	if s.aim > 0 {
-		latency = min(latency, maxSampleShare*s.aim)
-	}
-	if s.fast == 0 {
-		s.fast = latency
-	}
-	if latency > s.fast {
-		weight *= slowAnswerWeight
-	}
-	s.fast += weight * (latency - s.fast)
-}
-
-// recent reports whether the measurements are recent enough to limit.
+// recent reports whether the measurements are recent enough to lower the limit.
 func (s *sendSignals) recent(now time.Time) bool {
 	return !s.observed.IsZero() && now.Sub(s.observed) <= signalLifetime
 }
@@ -132,6 +125,10 @@
 
 // at returns the rate in events per second.
 func (r *eventRate) at(now time.Time) float64 {
-	elapsed := max(now.Sub(r.last), 0)
-	return r.perSecond * math.Exp(-elapsed.Seconds()/demandPeriod.Seconds())
+	return r.perSecond * decay(max(now.Sub(r.last), 0), demandPeriod)
+}
+
+// decay returns the factor by which a smoothed value decays in a time.
+func decay(elapsed, period time.Duration) float64 {
+	return math.Exp(-float64(elapsed) / float64(period))
 }
--- a/internal/core/admission/sendusage.go
+++ b/internal/core/admission/sendusage.go
@@ -38,10 +38,10 @@
 	u.counts[tenant] += u.weight(now)
 }
 
-// heavy reports whether a tenant's usage is well above the mean of the tenants with recent
-// requests.
-func (u *tenantUsage) heavy(now time.Time, tenant port.TenantName) bool {
-	own := u.counts[tenant]
+// heavy reports whether a tenant's usage, relative to its share, is well above the mean of the
+// tenants with recent requests.
+func (u *tenantUsage) heavy(now time.Time, tenant port.TenantName, share float64) bool {
+	own := u.counts[tenant] / normalizeShare(share)
 	least := recentUsage * u.weight(now)
 	if own < least {
 		return false
--- a/internal/core/admission/sendways_test.go
+++ b/internal/core/admission/sendways_test.go
@@ -20,11 +20,15 @@
 func (noLimit) next(_ *sendSignals, rate, _ float64, _ time.Duration) float64 { return rate }
 
 // acceptedRule is way (a): a sender sends at most a multiple of what was recently accepted.
-type acceptedRule struct{ multiple float64 }
+type acceptedRule struct {
+	multiple float64
+	accepted *eventRate
+}
 
-func (acceptedRule) overloaded(s *sendSignals) bool { return s.refusals > 0.02 }
+func (r acceptedRule) accept(now time.Time)         { r.accepted.add(now) }
+func (acceptedRule) overloaded(s *sendSignals) bool { return s.refusals > refusalTolerance }
 func (r acceptedRule) next(s *sendSignals, _, _ float64, _ time.Duration) float64 {
-	return r.multiple * s.accepted.at(s.observed)
+	return r.multiple * r.accepted.at(s.observed)
 }
 
 // fixedShareRule is way (c): the slots divided by the senders and the latency.
@@ -80,6 +84,10 @@
 		variant(base("burst of 3, 800 senders", 3), func(p *loadPattern) { p.senders = 800; p.slots = 13 }),
 		variant(base("burst of 3, senders restart", 3), func(p *loadPattern) { p.restarts = modelBurstStart + 7*time.Second }),
 		variant(base("one tenant sends 20 times its load", 0.5), func(p *loadPattern) { p.tenants = 9; p.bigTenant = 20 }),
+		variant(base("0.5, two slow, routed by latency", 0.5), func(p *loadPattern) { p.factor = slowReplicas; p.routesByLatency = true }),
+		variant(base("1.4, two slow, routed by latency", 1.4), func(p *loadPattern) { p.factor = slowReplicas; p.routesByLatency = true }),
+		variant(base("1, changing slow, routed by latency", 1), func(p *loadPattern) { p.factor = changingReplicas; p.routesByLatency = true }),
+		variant(base("3, changing slow, routed by latency", 3), func(p *loadPattern) { p.factor = changingReplicas; p.routesByLatency = true }),
 		variant(base("burst of 3, unmarked retries", 3), func(p *loadPattern) { p.unmarkedRetries = true }),
 	}
 }
@@ -94,8 +102,8 @@
 		rule func(p loadPattern) func() rateRule
 	}{
 		{"none", func(loadPattern) func() rateRule { return func() rateRule { return nil } }},
-		{"a 1.1", func(loadPattern) func() rateRule { return func() rateRule { return acceptedRule{1.1} } }},
-		{"a 2", func(loadPattern) func() rateRule { return func() rateRule { return acceptedRule{2} } }},
+		{"a 1.1", func(loadPattern) func() rateRule { return func() rateRule { return acceptedRule{1.1, &eventRate{}} } }},
+		{"a 2", func(loadPattern) func() rateRule { return func() rateRule { return acceptedRule{2, &eventRate{}} } }},
 		{"b", func(loadPattern) func() rateRule { return func() rateRule { return proportionalRule{} } }},
 		{"c", func(p loadPattern) func() rateRule {
 			return func() rateRule { return fixedShareRule{p.slots * p.replicas, p.senders} }
