proxy: a send limiter and a retry budget for each service

Cause: a request that full replicas refuse is sent to them again, 12 to 15 times in a burst, so that the replicas' queues stay full and callers' requests run late.

Change: with Config.LimitSends, Proxy.Do asks the service's admission.SendLimiter before the first try and waits if it must. A request that is refused fails as not run with a Retry-After; Close refuses what waits. Without the flag nothing changes. candidates_test.go only passes the new argument of pick.

--- a/internal/app/proxy/candidates_test.go
+++ b/internal/app/proxy/candidates_test.go
@@ -50,7 +50,7 @@
 	for i := range senders {
 		sender := newColdProxy(fmt.Sprint("front-", i), coldView(senders, 2, 0))
 		for range 20 {
-			replica, found := sender.pick(&Request{Service: "s"}, map[string]bool{})
+			replica, found := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil)
 			if !found {
 				t.Fatal("pick found no replica although one is warm")
 			}
@@ -77,7 +77,7 @@
 	sender := newColdProxy("front", coldView(1, 1, 0))
 	count := 0
 	for {
-		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
+		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil); !found {
 			break
 		}
 		count++
@@ -86,7 +86,7 @@
 		t.Errorf("%d requests in one span, want %d", count, want)
 	}
 	time.Sleep(coldlimit.Span)
-	if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
+	if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil); !found {
 		t.Error("pick found no replica after a span")
 	}
 }
@@ -95,7 +95,7 @@
 func TestWarmReplicasAreUnlimited(t *testing.T) {
 	sender := newColdProxy("front", coldView(1000, 1))
 	for n := range 200 {
-		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}); !found {
+		if _, found := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil); !found {
 			t.Fatalf("request %d found no replica", n)
 		}
 	}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -46,6 +46,8 @@
 	answer  *Answer
 	reason  error
 	replica string
+	// misdirected is set if the request reached another instance than the expected one.
+	misdirected bool
 }
 
 // exchange is the state of one request, owned by the goroutine that called Do.
@@ -63,6 +65,13 @@
 	// reservation accounts for the memory of the answers of all tries.
 	reservation *membudget.Reservation
 	tried       map[string]bool
+	// limit is the service's send limit, nil if sends are not limited. With a limit, refused
+	// holds the replicas that refused the request, and waited is how long it waited.
+	limit   *serviceLimit
+	refused map[string]bool
+	waited  time.Duration
+	// retryRefused is set if the retry budget did not allow a retry.
+	retryRefused bool
 	// triedIDs are the replicas tried, in order.
 	triedIDs   []string
 	sends      int // tries started
@@ -89,6 +98,9 @@
 	if e.withheld {
 		return e.finish()
 	}
+	if failure := e.awaitLimit(); failure != nil {
+		return nil, failure
+	}
 	switch {
 	case e.launch():
 	case e.timedOut:
@@ -128,7 +140,7 @@
 			}
 		case <-hedge.C:
 			// A stream must not run on two replicas concurrently.
-			if e.mayTryAgain() && e.inFlight == 1 && !e.request.Stream {
+			if e.mayTryAgain() && e.inFlight == 1 && !e.request.Stream && e.chargeRetry() {
 				e.launch()
 			}
 		case <-e.ctx.Done():
@@ -151,6 +163,8 @@
 	case classRefused, classNotSent:
 		if res.class == classNotSent {
 			e.notSent++
+		} else {
+			e.recordRefused(res.replica)
 		}
 		e.mayHaveRun--
 		e.lastErr = res.reason
@@ -163,8 +177,19 @@
 	return nil, false
 }
 
-// nextTry decides, once no try is in flight, whether to retry and after what pause.
+// nextTry decides, once no try is in flight, whether to retry and after what pause. A retry
+// is charged to the retry budget.
 func (e *exchange) nextTry(res result) (wait time.Duration, retry bool) {
+	wait, retry = e.mayRetry(res)
+	if retry && !e.chargeRetry() {
+		e.retryRefused = true
+		return 0, false
+	}
+	return wait, retry
+}
+
+// mayRetry decides like nextTry, without the retry budget.
+func (e *exchange) mayRetry(res result) (wait time.Duration, retry bool) {
 	if e.sends >= e.maxSends() {
 		return 0, false
 	}
@@ -175,6 +200,9 @@
 		return 0, false
 	}
 	if e.allTried() {
+		if len(e.refused) > 0 {
+			return 0, false
+		}
 		e.rounds++
 		clear(e.tried)
 		return allRefusedPause, e.rounds <= maxRefusedRounds
@@ -182,6 +210,18 @@
 	return 0, true
 }
 
+// recordRefused excludes a replica that refused the request from further tries, if sends are
+// limited.
+func (e *exchange) recordRefused(replica string) {
+	if e.limit == nil {
+		return
+	}
+	if e.refused == nil {
+		e.refused = map[string]bool{}
+	}
+	e.refused[replica] = true
+}
+
 func (e *exchange) allTried() bool {
 	for _, replica := range e.proxy.candidates(&e.request, time.Now()).replicas {
 		if !e.tried[replica.ID] {
@@ -213,7 +253,7 @@
 	case e.withheld:
 		return nil, e.fail(port.CodeWithheld, "replicas crashed while running this request")
 	default:
-		return nil, e.fail(port.CodeQueueFull, reason)
+		return nil, e.everyReplicaFull(reason)
 	}
 }
 
@@ -268,7 +308,7 @@
 		e.withheld = true
 		return false
 	}
-	replica, found := e.proxy.pick(&e.request, e.tried)
+	replica, found := e.proxy.pick(&e.request, e.tried, e.refused)
 	if !found {
 		return false
 	}
@@ -277,6 +317,9 @@
 	e.sends++
 	e.mayHaveRun++
 	e.inFlight++
+	if e.limit != nil {
+		e.limit.beginTry()
+	}
 	go e.try(replica)
 	return true
 }
@@ -294,7 +337,11 @@
 	if res.class == classAnswer || res.class == classError {
 		e.proxy.guard.RecordAnswer(replica.ID, startedAt)
 	}
-	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), time.Since(startedAt))
+	took := time.Since(startedAt)
+	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), took)
+	if e.limit != nil {
+		e.limit.endTry(res, took, e.request.aim())
+	}
 	e.results <- res
 }
 
@@ -324,7 +371,10 @@
 	if e.proxy.client.RefusedAsNotRun(response) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		_ = response.Body.Close()
-		return result{class: classRefused, reason: errors.New("refused with status " + http.StatusText(response.StatusCode))}
+		return result{
+			class: classRefused, reason: errors.New("refused with status " + http.StatusText(response.StatusCode)),
+			misdirected: response.StatusCode == http.StatusMisdirectedRequest,
+		}
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Replica: replica, reservation: e.reservation}
 	succeeded := response.StatusCode/100 == 2
--- a/internal/app/proxy/line.go
+++ b/internal/app/proxy/line.go
@@ -1,12 +1,16 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
+// minLoggedWait is the wait for the send limit from which on the log line reports it.
+const minLoggedWait = 10 * time.Millisecond
+
 // log writes a log line about the tries of the request and its outcome.
 func (e *exchange) log(answer *Answer, failure *Failure) {
 	line := e.proxy.logger.Info()
@@ -29,6 +33,14 @@
 		line = line.Strs("broke_at", e.crashedReplicas).Str("fingerprint", e.request.fingerprint().String()).
 			Bool("withheld", e.withheld).Bool("trial", e.admission.Trial)
 	}
+	if e.waited >= minLoggedWait {
+		line = line.Dur("waited_ms", e.waited)
+	}
+	if failure != nil && failure.Refusal != "" {
+		status := e.limit.status()
+		line = line.Str("refusal", string(failure.Refusal)).Str("tenant", e.request.Caller).Float64("rate", math.Round(status.Rate*10)/10).
+			Int("waiting", status.Waiting).Dur("retry_after_ms", failure.RetryAfter)
+	}
 	if failure != nil {
 		line.Str("verdict", failure.Verdict.String()).Str("code", string(failure.Code)).Str("reason", failure.Reason).Msg("request failed")
 		return
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +46,10 @@
 	balancer *balance.Balancer
 	// windows count recent sends to replicas of services that limit requests to cold ones.
 	windows map[string]*coldlimit.Window
+
+	// limits are the send limits of the services, nil if sends are not limited.
+	limits   *sendLimits
+	recorder Recorder
 }
 
 // Config configures a Proxy.
@@ -65,15 +70,51 @@
 	Guard *guard.Guard
 	// Clock also counts suspended time; nil means the machine's clock.
 	Clock boottime.Clock
+	// LimitSends limits the rate of requests to a service whose replicas are overloaded, and
+	// the further tries after refusals and failures.
+	LimitSends bool
+	// Recorder records metrics of limited sends; nil disables them.
+	Recorder Recorder
 }
 
 // New returns a Proxy.
 func New(config Config) *Proxy {
-	return &Proxy{
+	p := &Proxy{
 		client: replicacall.New(config.Dialect, config.Connections), headers: config.Dialect.Headers(), readLoad: config.Dialect.ReadLoad,
 		view: config.View, logger: config.Logger, guard: config.Guard, clock: config.Clock.OrSystem(), balancer: balance.New(),
 		memoryBudget: config.MemoryBudget, sender: config.Sender, cold: config.Cold, windows: map[string]*coldlimit.Window{},
+		recorder: config.Recorder,
+	}
+	if p.recorder == nil {
+		p.recorder = noRecorder{}
+	}
+	if config.LimitSends {
+		p.limits = newSendLimits(p.clock, p.view)
+	}
+	return p
+}
+
+// Close refuses the requests that wait for a send limit, and later requests to limited
+// services, as not run. Requests that were sent go on.
+func (p *Proxy) Close() { p.limits.close() }
+
+// SendReading sums the send limits of all services.
+type SendReading struct {
+	// Rate is the sum of the limits in force, in requests per second; 0 if there is none.
+	Rate float64
+	// Waiting is the number of waiting requests.
+	Waiting int
+}
+
+// SendReading returns the current send limits.
+func (p *Proxy) SendReading() SendReading {
+	var reading SendReading
+	for _, limit := range p.limits.all() {
+		status := limit.status()
+		reading.Rate += status.Rate
+		reading.Waiting += status.Waiting
 	}
+	return reading
 }
 
 // Request is a request to a service.
@@ -83,6 +124,9 @@
 	Route   string
 	// Caller is the tenant that sends the request, or "".
 	Caller string
+	// Priority and Kind are used by the send limit of the service.
+	Priority port.Priority
+	Kind     Kind
 	// Repeatable requests may run more than once, on MaxAttempts replicas in all.
 	Repeatable  bool
 	MaxAttempts int
@@ -127,6 +171,8 @@
 	ArrivedAt time.Duration
 	// RetryAfter is when a retry may succeed, 0 if unknown.
 	RetryAfter time.Duration
+	// Refusal is why the send limit refused the request; "" for any other failure.
+	Refusal Refusal
 }
 
 // Error implements error.
@@ -140,6 +186,7 @@
 	run := &exchange{
 		proxy: p, request: request, ctx: ctx, cancel: cancel, startedAt: time.Now(),
 		tried: map[string]bool{}, results: make(chan result, maxTries), reservation: p.memoryBudget.NewReservation(),
+		limit: p.limits.of(request.Service),
 	}
 	run.arrivedAt = p.clock()
 	if deadline, limited := ctx.Deadline(); limited {
@@ -159,10 +206,13 @@
 	return answer, failure
 }
 
-// pick chooses a replica that was not tried yet, or any if all were.
-func (p *Proxy) pick(request *Request, tried map[string]bool) (sitestate.Replica, bool) {
+// pick chooses a replica that was not tried yet, or any if all were, but none that is excluded.
+func (p *Proxy) pick(request *Request, tried, excluded map[string]bool) (sitestate.Replica, bool) {
 	now := time.Now()
 	eligible := p.candidates(request, now).replicas
+	if len(excluded) > 0 {
+		eligible = slices.DeleteFunc(eligible, func(replica *sitestate.Replica) bool { return excluded[replica.ID] })
+	}
 	untried := make([]*sitestate.Replica, 0, len(eligible))
 	ids := make([]string, 0, len(eligible))
 	for _, replica := range eligible {
@@ -231,6 +281,7 @@
 // Observe applies a new view: it drops the state of replicas that were removed.
 func (p *Proxy) Observe(view *siteview.View) {
 	p.guard.Observe(view)
+	p.limits.observe(view)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.balancer.Retain(view.Replicas.Has)
