sitestore: reward calls use the send limit and back off from refusals

Cause: a refused reward call is repeated after 50 ms for as long as a burst lasts, together with all others that were refused at the same time.

Change: reward calls are sent as proxy.KindReward with their route's priority. After refusals by the send limit the pause grows to 300 ms, or to what the refusal names, and is jittered. Their number in flight stays bounded as before, and so do the pauses after other failures.

Figures: none from a running site; refusedScorePause allows 53 calls of an item in 15 s of refusals.

Conclusion: a reward call is not repeated in a tight loop, and waits at most 450 ms by itself.

--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -30,6 +30,13 @@
 	brokenPause   = 400 * time.Millisecond
 	// scorePause is the delay before a failed reward call is retried.
 	scorePause = 50 * time.Millisecond
+	// maxScorePause limits the pause of a reward call that the send limit refuses repeatedly,
+	// unless a refusal names a longer one. With its jitter it is 450 ms at most: a burst may
+	// delay a trainer by 0.5 s.
+	maxScorePause = 300 * time.Millisecond
+	// scorePauseJitter is the fraction by which that pause is extended at random, so that calls
+	// that were refused together are not sent again together.
+	scorePauseJitter = 0.5
 	// scoreTimeout limits one reward call, without its wait in the limiter.
 	scoreTimeout = 1200 * time.Millisecond
 )
@@ -201,11 +208,18 @@
 }
 
 func (r *runner) scoreOnce(ctx context.Context, scorer *jobstate.Scorer) (kind runKind, score, reason string) {
-	failures := 0
+	failures, refusals := 0, 0
 	for {
 		pause := scorePause
 		answer, attempts, failure := r.sendScorer(ctx, scorer)
+		if failure != nil && failure.Refusal != "" {
+			refusals++
+		} else {
+			refusals = 0
+		}
 		switch {
+		case refusals > 0:
+			pause = refusedScorePause(refusals, failure.RetryAfter, rand.Float64())
 		case failure != nil: // no response: retry
 			pause = max(pause, failure.RetryAfter)
 		case answer.Status/100 == 2:
@@ -224,6 +238,13 @@
 	}
 }
 
+// refusedScorePause returns the pause of a reward call after a number of refusals in a row by
+// the send limit; draw is in [0, 1).
+func refusedScorePause(refusals int, retryAfter time.Duration, draw float64) time.Duration {
+	pause := max(min(time.Duration(refusals)*scorePause, maxScorePause), retryAfter)
+	return pause + time.Duration(scorePauseJitter*draw*float64(pause))
+}
+
 // sendScorer sends a reward call once, by the route of its host and path, when the limiter
 // admits it. It also returns the number of attempts that the route allows.
 func (r *runner) sendScorer(ctx context.Context, scorer *jobstate.Scorer) (*proxy.Answer, int, *proxy.Failure) {
@@ -243,6 +264,7 @@
 	answer, failure := r.store.config.Proxy.Do(ctx, proxy.Request{
 		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
 		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1,
+		Priority: proxy.PriorityOf(route, nil), Kind: proxy.KindReward,
 		AllowedRegions: routing.AllowedRegionsOf(route, nil),
 	})
 	return answer, max(1, route.MaxAttempts), failure
