--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -57,7 +57,8 @@
 		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, AssignShard: sitecontrol.Placer(watcher), StoredWithin: watcher.StoredWithin}),
 	})
 	p.metrics.Observe(func() metrics.SiteReading {
-		return addViewReading(metrics.SiteReading{InFlight: frontServer.InFlight(), HeldBytes: budget.Used(), LinesDropped: p.logWriter.Dropped()}, watcher)
+		reading := metrics.SiteReading{InFlight: frontServer.InFlight(), HeldBytes: budget.Used(), LinesDropped: p.logWriter.Dropped()}
+		return addSendReading(addViewReading(reading, watcher), sender)
 	})
 	callers := newService(p.file.CallerListen, platform.FrontHandler(frontServer))
 	callers.track(idle)
@@ -69,6 +70,7 @@
 		wait(stopping, drainDelay)
 		frontServer.CloseConnections(stopping)
 		frontServer.Close()
+		sender.Close()
 		_ = callers.server.Shutdown(stopping)
 		usageReporter.Drain(stopping)
 		requestGuard.Drain(stopping)
--- a/cmd/loomgrade/cmd_site_store.go
+++ b/cmd/loomgrade/cmd_site_store.go
@@ -36,8 +36,11 @@
 	store.Register(p.server)
 	p.metrics.Observe(func() metrics.SiteReading {
 		reading := metrics.SiteReading{InFlight: store.OpenItems(), JobBytes: store.JobBytes(), LinesDropped: p.logWriter.Dropped()}
-		return addGroupReading(addViewReading(reading, watcher), store.PublishedState())
+		return addGroupReading(addSendReading(addViewReading(reading, watcher), sender), store.PublishedState())
 	})
-	drain := func(ctx context.Context) { store.TransferLeadership(ctx) }
+	drain := func(ctx context.Context) {
+		store.TransferLeadership(ctx)
+		sender.Close()
+	}
 	return p.serve(nil, watcher.SetSeeds, drain, watcher.Run, requestGuard.Run, store.Run)
 }
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -126,6 +126,7 @@
 	return proxy.New(proxy.Config{
 		Dialect: p.dialect, View: watcher.View, Logger: p.logger, Connections: connectionsToReplica, Guard: requestGuard,
 		MemoryBudget: budget, Sender: p.file.Machine, Cold: p.file.ColdLimits(),
+		LimitSends: p.file.LimitSends, Recorder: p.metrics,
 	})
 }
 
@@ -289,6 +290,13 @@
 	return reading
 }
 
+// addSendReading adds the send limits of a proxy to a reading.
+func addSendReading(reading metrics.SiteReading, sender *proxy.Proxy) metrics.SiteReading {
+	limits := sender.SendReading()
+	reading.SendRate, reading.SendsWaiting = limits.Rate, limits.Waiting
+	return reading
+}
+
 // addGroupReading adds a group member's published state to a reading.
 func addGroupReading(reading metrics.SiteReading, state *group.PublishedState) metrics.SiteReading {
 	if state != nil {
--- a/internal/adapter/metrics/page_test.go
+++ b/internal/adapter/metrics/page_test.go
@@ -45,6 +45,8 @@
 	site.LoadEnded("done", time.Second)
 	site.HeartbeatAccepted()
 	site.HeartbeatRejected("zone")
+	site.SendRefused("queue")
+	site.RetryRefused()
 	site.Observe(func() metrics.SiteReading { return metrics.SiteReading{Leads: true} })
 	return site
 }
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -30,6 +30,10 @@
 	JobBytes int64
 	// Withheld counts the requests withheld because replicas crashed during them.
 	Withheld int
+	// SendRate is the sum of the send limits in force in requests per second, and SendsWaiting
+	// the number of requests that wait for one.
+	SendRate     float64
+	SendsWaiting int
 	// LinesDropped counts dropped log lines.
 	LinesDropped uint64
 }
@@ -45,6 +49,8 @@
 	heartbeats         prometheus.Counter
 	heartbeatsRejected *prometheus.CounterVec
 	suspended          prometheus.Counter
+	sendsRefused       *prometheus.CounterVec
+	retriesRefused     prometheus.Counter
 	read               atomic.Pointer[func() SiteReading]
 }
 
@@ -73,7 +79,11 @@
 	}
 	s.heartbeatsRejected = counter("site_heartbeats_refused_total", "Heartbeats that name no replica to use, by the field at fault.", "field")
 	s.suspended = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "suspended_seconds_total", Help: "Seconds for which the machine was suspended while the process ran."})
-	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.heartbeats, s.heartbeatsRejected, s.suspended)
+	s.sendsRefused = counter("site_sends_refused_total", "Requests that the send limit refused, by reason.", "reason")
+	s.retriesRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: "site", Name: "retries_refused_total", Help: "Further tries that the retry budget of a service did not allow."})
+	s.registry.MustRegister(s.requests, s.runs, s.items, s.pages, s.loads, s.heartbeats, s.heartbeatsRejected, s.suspended, s.sendsRefused, s.retriesRefused)
+	s.gauge("send_rate", "Sum of the send limits in force, in requests per second; 0 without a limit.", func(r SiteReading) float64 { return r.SendRate })
+	s.gauge("sends_waiting", "Requests that wait for a send limit.", func(r SiteReading) float64 { return float64(r.SendsWaiting) })
 	s.gauge("view_position", "Log position of the view of the control state.", func(r SiteReading) float64 { return float64(r.Position) })
 	s.gauge("configuration_version", "Version of the configuration in force here.", func(r SiteReading) float64 { return float64(r.Configuration) })
 	s.gauge("view_confirmed", "1 while a quorum confirms the view.", func(r SiteReading) float64 { return boolToFloat(r.Confirmed) })
@@ -127,5 +137,11 @@
 // Suspended counts a suspension of the machine.
 func (s *Site) Suspended(slept time.Duration) { s.suspended.Add(slept.Seconds()) }
 
+// SendRefused counts a request that a send limit refused; reason is from a closed set.
+func (s *Site) SendRefused(reason string) { s.sendsRefused.WithLabelValues(reason).Inc() }
+
+// RetryRefused counts a further try that a retry budget did not allow.
+func (s *Site) RetryRefused() { s.retriesRefused.Inc() }
+
 // Handler serves the metrics.
 func (s *Site) Handler() http.Handler { return handlerOf(s.registry) }
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -68,6 +68,8 @@
 	// by a number of requests. The default is no excess.
 	WarmupOvershoot float64 `json:"warmup_overshoot,omitempty"`
 	WarmupSlack     float64 `json:"warmup_slack,omitempty"`
+	// LimitSends limits what the process sends to services whose replicas are overloaded.
+	LimitSends bool `json:"limit_sends,omitempty"`
 	// ProviderAddress is the address of the machines' provider; empty for none.
 	ProviderAddress string `json:"provider_address,omitempty"`
 	// ProviderDuties lists the calls that the site makes to the provider. Only
--- a/internal/adapter/sitesettings/sitesettings_test.go
+++ b/internal/adapter/sitesettings/sitesettings_test.go
@@ -66,3 +66,19 @@
 		t.Error("an unknown key was accepted")
 	}
 }
+
+// The send limit must be off unless it is asked for.
+func TestLimitSendsDefaultsToFalse(t *testing.T) {
+	for _, want := range []bool{false, true} {
+		change := map[string]any{}
+		if want {
+			change["limit_sends"] = true
+		}
+		if file, err := load(t, change); err != nil || file.LimitSends != want {
+			t.Errorf("limit_sends %v, %v, want %v", file.LimitSends, err, want)
+		}
+	}
+	if _, err := load(t, map[string]any{"limit_sends": "yes"}); err == nil {
+		t.Error("a text was accepted")
+	}
+}
