proxy: a test that a retry after a failure avoids replicas that refused

Requests of the tests could be hedged on a slow machine: in a run of go test -race -count=8, one test counted 9 tries for 8.

Change: a new test, two stricter ones, requests of the tests that are not hedged unless the test is about that, and a benchmark of the direct path.

--- a/internal/app/proxy/sendlimit_test.go
+++ b/internal/app/proxy/sendlimit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/admission"
@@ -131,11 +133,16 @@
 	return s
 }
 
-func (s *limitedSite) total() int {
+// counts returns the number of requests that reached each replica.
+func (s *limitedSite) counts() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	return maps.Clone(s.arrivals)
+}
+
+func (s *limitedSite) total() int {
 	total := 0
-	for _, count := range s.arrivals {
+	for _, count := range s.counts() {
 		total += count
 	}
 	return total
@@ -155,13 +162,21 @@
 	return count
 }
 
+// requestTo returns a request that is sent again only if it has not run.
 func requestTo(id string) Request {
 	return Request{
 		Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: id},
-		Service: "s", Repeatable: true, MaxAttempts: 2, Caller: "t", Aim: 10 * time.Second,
+		Service: "s", MaxAttempts: 2, Caller: "t", Aim: 10 * time.Second,
 	}
 }
 
+// repeatableRequest is a request that is also hedged, and retried after failures.
+func repeatableRequest() Request {
+	request := requestTo("1")
+	request.Repeatable = true
+	return request
+}
+
 // start sends a request in the background and returns once it waits for the limit, or has ended.
 func (s *limitedSite) start(ctx context.Context, request Request) <-chan *Failure {
 	before := s.waiting()
@@ -195,7 +210,7 @@
 				refuse(replica, w)
 			})
 			_, failure := site.Do(context.Background(), requestTo("1"))
-			for replica, count := range site.arrivals {
+			for replica, count := range site.counts() {
 				if count != 1 {
 					t.Errorf("%s was asked %d times", replica, count)
 				}
@@ -213,6 +228,25 @@
 	}
 }
 
+// A retry after a failure must not go back to a replica that refused the request before, even if
+// every replica has been tried.
+func TestRetryAfterFailureAvoidsRefusingReplica(t *testing.T) {
+	for range 10 {
+		var refusing atomic.Pointer[string]
+		site := newLimitedSite(t, 2, func(replica string, w http.ResponseWriter) {
+			if refusing.CompareAndSwap(nil, &replica) || *refusing.Load() == replica {
+				refuse(replica, w)
+				return
+			}
+			panic(http.ErrAbortHandler)
+		})
+		_, failure := site.Do(context.Background(), repeatableRequest())
+		if count := site.counts()[*refusing.Load()]; count != 1 || failure == nil || failure.Verdict != port.MayHaveRun {
+			t.Errorf("the refusing replica was asked %d times: %v", count, failure)
+		}
+	}
+}
+
 // In an overload, arrivals at the replicas exceed the requests only by the budget that was
 // saved before, whatever the number of earlier successes.
 func TestRetryBudgetBoundsArrivals(t *testing.T) {
@@ -322,7 +356,7 @@
 		failures = append(failures, <-request)
 	}
 	for _, failure := range failures {
-		if failure == nil || failure.Verdict != port.NotRun || failure.Code != port.CodeDraining {
+		if failure == nil || failure.Verdict != port.NotRun || failure.Code != port.CodeDraining || failure.Refusal != "" {
 			t.Errorf("%+v", failure)
 		}
 	}
@@ -397,7 +431,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		ended := site.start(ctx, requestTo("1"))
 		site.suspended.Store(int64(time.Hour))
-		site.change(func(f *fakeLimiter) { f.allowed = 1 })
+		site.change(func(f *fakeLimiter) {
+			if ignoreExpiry {
+				f.allowed = 1
+			}
+		})
 		failure := <-ended
 		cancel()
 		if failure == nil || failure.Verdict != port.NotRun || failure.Code != port.CodeDeadline || site.total() != 0 {
@@ -463,7 +501,7 @@
 		limit := site.limits.of("s")
 		for exhausted && limit.withdrawRetry() {
 		}
-		if _, failure := site.Do(context.Background(), requestTo("1")); failure != nil {
+		if _, failure := site.Do(context.Background(), repeatableRequest()); failure != nil {
 			t.Fatal(failure)
 		}
 		if want := map[bool]int{false: 2, true: 1}[exhausted]; site.total() != want {
@@ -482,7 +520,7 @@
 		}
 		refuse(replica, w)
 	})
-	_, failure := site.Do(context.Background(), requestTo("1"))
+	_, failure := site.Do(context.Background(), repeatableRequest())
 	if failure == nil || failure.Verdict != port.MayHaveRun || failure.Refusal != "" || site.total() != 2 {
 		t.Errorf("%+v after %d sends", failure, site.total())
 	}
@@ -539,6 +577,21 @@
 	}
 }
 
+// BenchmarkDirectPath measures what a request to a service without a limit pays, from the offer
+// to the end of its try.
+func BenchmarkDirectPath(b *testing.B) {
+	view := coldView(4, 3)
+	limits := newSendLimits(boottime.Now, func() *siteview.View { return view })
+	item := admission.Item[*waiter]{ID: "1", Tenant: "t"}
+	b.ReportAllocs()
+	for b.Loop() {
+		limit := limits.of("s")
+		limit.offer(item, time.Second)
+		limit.beginTry()
+		limit.endTry(result{class: classAnswer}, 20*time.Millisecond, time.Second)
+	}
+}
+
 func TestPriorityOf(t *testing.T) {
 	urgent, later := 0, 7
 	route := &routing.Route{Priority: 3}
