front, proxy: requests that came back are limited by what is left of their latency target

Cause: a request that came back after a refusal was taken for a new one, and displaced those that could still be answered on time. Two types for the kind of traffic and two for the reasons of refusals stood side by side.

Change: the front estimates the age of the caller's first attempt from the time that it will still wait; the proxy offers what remains of the target. Traffic, Reason and ShareOf of admission serve proxy and store. Only results of tries tell the limiter the full target.

--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -84,6 +84,7 @@
 	config   Config
 	headers  dialect.Headers
 	splits   atomic.Uint64
+	ages     callerAges
 	draining atomic.Bool
 	closing  atomic.Bool
 	inFlight atomic.Int64
@@ -215,6 +216,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.timeout(r, route)))
 	defer cancel()
 	request := f.newRequest(r, route, caller, body)
+	request.Age = f.ages.observe(route, arrived, f.patience(r))
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
 		if failure.Verdict != port.NotRun {
@@ -282,9 +284,8 @@
 // timeout of its route.
 func (f *Front) timeout(r *http.Request, route *routing.Route) time.Duration {
 	timeout := route.Timeout
-	millis, err := strconv.ParseFloat(r.Header.Get(f.headers.Deadline), 64)
-	if err == nil && millis > 0 {
-		timeout = min(timeout, time.Duration(millis*float64(time.Millisecond)))
+	if patience := f.patience(r); patience > 0 {
+		timeout = min(timeout, patience)
 	}
 	return max(time.Millisecond, timeout-deadlineMargin)
 }
--- a/internal/app/front/refusal_test.go
+++ b/internal/app/front/refusal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/admission"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -34,8 +35,8 @@
 		failure proxy.Failure
 		mean    time.Duration
 	}{
-		"by the limit":     {proxy.Failure{Verdict: port.NotRun, Code: port.CodeQueueFull, Refusal: proxy.RefusedQueue, RetryAfter: 800 * time.Millisecond}, 800 * time.Millisecond},
-		"deadline not met": {proxy.Failure{Verdict: port.NotRun, Code: port.CodeDeadline, Refusal: proxy.RefusedDeadline, RetryAfter: 2 * time.Second}, 2 * time.Second},
+		"by the limit":     {proxy.Failure{Verdict: port.NotRun, Code: port.CodeQueueFull, Refusal: admission.ReasonQueue, RetryAfter: 800 * time.Millisecond}, 800 * time.Millisecond},
+		"deadline not met": {proxy.Failure{Verdict: port.NotRun, Code: port.CodeDeadline, Refusal: admission.ReasonDeadline, RetryAfter: 2 * time.Second}, 2 * time.Second},
 		"process stops":    {proxy.Failure{Verdict: port.NotRun, Code: port.CodeDraining}, retryDelay},
 	} {
 		seen := map[string]bool{}
@@ -79,7 +80,7 @@
 		"tenant with its priority": {Caller{tenant: &routing.Tenant{Name: "t", Priority: &urgent}, restricted: true}, 0, "t"},
 	} {
 		request := newTestFront().newRequest(httptest.NewRequest(http.MethodGet, "/x", nil), route, row.caller, nil)
-		if request.Priority != row.priority || request.Caller != row.tenant || request.Kind != proxy.KindCaller {
+		if request.Priority != row.priority || request.Caller != row.tenant || request.Traffic != admission.CallerTraffic {
 			t.Errorf("%s: %+v", name, request)
 		}
 	}
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -340,7 +340,7 @@
 	took := time.Since(startedAt)
 	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), took)
 	if e.limit != nil {
-		e.limit.endTry(res, took, e.request.aim())
+		e.limit.endTry(res, took, e.request.limitAim())
 	}
 	e.results <- res
 }
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/admission"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/coldlimit"
 	"github.com/loomgrade/loomgrade/internal/core/quarantine"
@@ -124,9 +125,11 @@
 	Route   string
 	// Caller is the tenant that sends the request, or "".
 	Caller string
-	// Priority and Kind are used by the send limit of the service.
+	// Priority and Traffic are used by the send limit of the service.
 	Priority port.Priority
-	Kind     Kind
+	Traffic  admission.Traffic
+	// Age is how long ago the caller sent its first attempt; Aim counts from then.
+	Age time.Duration
 	// Repeatable requests may run more than once, on MaxAttempts replicas in all.
 	Repeatable  bool
 	MaxAttempts int
@@ -172,7 +175,7 @@
 	// RetryAfter is when a retry may succeed, 0 if unknown.
 	RetryAfter time.Duration
 	// Refusal is why the send limit refused the request; "" for any other failure.
-	Refusal Refusal
+	Refusal admission.Reason
 }
 
 // Error implements error.
--- a/internal/app/proxy/refusal.go
+++ b/internal/app/proxy/refusal.go
@@ -9,32 +9,6 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// Kind is the kind of traffic that a request belongs to.
-type Kind uint8
-
-const (
-	// KindCaller is a caller's request. It is limited by latency and by refusals.
-	KindCaller Kind = iota
-	// KindReward is a reward call of an item. A job waits for its last reward call, so that
-	// only refusals limit it, and its latency does not.
-	KindReward
-)
-
-// Refusal is why the send limit refused a request; "" if it did not.
-type Refusal string
-
-// The refusals, which are also labels of a metric.
-const (
-	// RefusedQueue: the request can't be sent in time, or every replica is full.
-	RefusedQueue Refusal = "queue"
-	// RefusedDeadline: the caller's deadline can't be met, or passed while the request waited.
-	RefusedDeadline Refusal = "deadline"
-	// RefusedTenant: the tenant had the highest recent usage.
-	RefusedTenant Refusal = "tenant"
-	// RefusedRetryBudget: a replica refused the request, and no further try was left.
-	RefusedRetryBudget Refusal = "retry_budget"
-)
-
 // Recorder records metrics of limited sends.
 type Recorder interface {
 	// SendRefused counts a request that the send limit refused.
@@ -49,8 +23,6 @@
 func (noRecorder) RetryRefused()      {}
 
 const (
-	// tenantField is the field of the limiter's errors for refusals because of the tenant.
-	tenantField = "tenant"
 	// defaultRetryAfter is used while no rate is known: about the duration of a queue of 24
 	// requests of 25 ms at a replica of 6 slots, with some reserve.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -70,13 +42,13 @@
 	return port.Priority(-route.Priority)
 }
 
-// aim returns the latency by which the request is limited.
-func (r *Request) aim() time.Duration {
-	if r.Kind == KindReward {
-		return 0
-	}
-	return r.Aim
-}
+// limitAim returns the latency of a try by which the limit of the service is adapted, 0 if it
+// is not.
+func (r *Request) limitAim() time.Duration { return admission.ShareOf(r.Traffic, 0, 0).Aim(r.Aim) }
+
+// remainingAim returns the time in which the request must be answered to be on time: 0 if it
+// need not, negative if it is late already.
+func (r *Request) remainingAim() time.Duration { return admission.RemainingAim(r.limitAim(), r.Age) }
 
 // awaitLimit waits until the send limit of the service allows the request, and returns nil
 // then.
@@ -91,7 +63,7 @@
 	if e.expiresAt != 0 {
 		item.Deadline = e.proxy.limits.timeAt(e.expiresAt)
 	}
-	w := e.limit.offer(item, e.request.aim())
+	w := e.limit.offer(item, e.request.remainingAim())
 	if w.ready != nil {
 		offeredAt := e.proxy.clock()
 		select {
@@ -105,14 +77,14 @@
 	case e.ctx.Err() != nil:
 		failure := e.contextFailure()
 		if failure.Code == port.CodeDeadline {
-			e.refuse(failure, RefusedDeadline)
+			e.refuse(failure, admission.ReasonDeadline)
 		}
 		return failure
 	case w.refusal != nil:
 		failure := e.fail(w.refusal.Code, w.refusal.Message)
 		failure.RetryAfter = cmp.Or(failure.RetryAfter, w.refusal.RetryAfter)
 		if w.refusal.Code != port.CodeDraining {
-			e.refuse(failure, refusalOf(w.refusal))
+			e.refuse(failure, cmp.Or(admission.ReasonOf(w.refusal), admission.ReasonQueue))
 		}
 		return failure
 	default:
@@ -120,19 +92,8 @@
 	}
 }
 
-func refusalOf(err *port.Error) Refusal {
-	switch {
-	case err.Field == tenantField:
-		return RefusedTenant
-	case err.Code == port.CodeDeadline:
-		return RefusedDeadline
-	default:
-		return RefusedQueue
-	}
-}
-
 // refuse marks a failure as a refusal by the send limit.
-func (e *exchange) refuse(failure *Failure, refusal Refusal) {
+func (e *exchange) refuse(failure *Failure, refusal admission.Reason) {
 	failure.Refusal = refusal
 	failure.RetryAfter = cmp.Or(failure.RetryAfter, retryAfterOf(e.limit.status()))
 	e.proxy.recorder.SendRefused(string(refusal))
@@ -164,9 +125,9 @@
 	case e.limit == nil:
 	case e.retryRefused:
 		failure.Reason = "no further try is left in the retry budget of the service; the last failure: " + reason
-		e.refuse(failure, RefusedRetryBudget)
+		e.refuse(failure, admission.ReasonRetryBudget)
 	case len(e.refused) > 0:
-		e.refuse(failure, RefusedQueue)
+		e.refuse(failure, admission.ReasonQueue)
 	}
 	return failure
 }
--- a/internal/app/proxy/sendlimit_test.go
+++ b/internal/app/proxy/sendlimit_test.go
@@ -221,7 +221,7 @@
 				}
 				return
 			}
-			if failure == nil || failure.Verdict != port.NotRun || failure.Refusal != RefusedQueue || failure.RetryAfter != minRetryAfter || site.total() != row.want {
+			if failure == nil || failure.Verdict != port.NotRun || failure.Refusal != admission.ReasonQueue || failure.RetryAfter != minRetryAfter || site.total() != row.want {
 				t.Errorf("%+v after %d sends", failure, site.total())
 			}
 		})
@@ -313,7 +313,7 @@
 	site.limiter.refusal.RetryAfter, site.limiter.refusal.Field = 700*time.Millisecond, "tenant"
 	_, failure := site.Do(context.Background(), requestTo("1"))
 	if failure == nil || failure.Verdict != port.NotRun || failure.Code != port.CodeQueueFull || failure.RetryAfter != 700*time.Millisecond ||
-		failure.Refusal != RefusedTenant || failure.Reason != "too much" || site.total() != 0 || site.recorder.counts["tenant"] != 1 {
+		failure.Refusal != admission.ReasonTenant || failure.Reason != "too much" || site.total() != 0 || site.recorder.counts["tenant"] != 1 {
 		t.Errorf("%+v, %v", failure, site.recorder.counts)
 	}
 }
@@ -449,19 +449,19 @@
 func TestTriesAreObserved(t *testing.T) {
 	for name, row := range map[string]struct {
 		serve   func(replica string, w http.ResponseWriter)
-		kind    Kind
+		kind    admission.Traffic
 		results int
 		refused bool
 		aim     time.Duration
 	}{
-		"answer":      {answer, KindCaller, 1, false, 10 * time.Second},
-		"reward call": {answer, KindReward, 1, false, 0},
-		"full":        {refuse, KindCaller, 1, true, 10 * time.Second},
-		"restarted":   {func(_ string, w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }, KindCaller, 0, false, 0},
+		"answer":      {answer, admission.CallerTraffic, 1, false, 10 * time.Second},
+		"reward call": {answer, admission.RewardTraffic, 1, false, 0},
+		"full":        {refuse, admission.CallerTraffic, 1, true, 10 * time.Second},
+		"restarted":   {func(_ string, w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }, admission.CallerTraffic, 0, false, 0},
 	} {
 		site := newLimitedSite(t, 1, row.serve)
 		request := requestTo("1")
-		request.Kind, request.Priority = row.kind, -3
+		request.Traffic, request.Priority = row.kind, -3
 		_, _ = site.Do(context.Background(), request)
 		if len(site.limiter.results) != row.results {
 			t.Errorf("%s: %+v", name, site.limiter.results)
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -14,6 +14,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/admission"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -264,7 +265,7 @@
 	answer, failure := r.store.config.Proxy.Do(ctx, proxy.Request{
 		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
 		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1,
-		Priority: proxy.PriorityOf(route, nil), Kind: proxy.KindReward,
+		Priority: proxy.PriorityOf(route, nil), Traffic: admission.RewardTraffic,
 		AllowedRegions: routing.AllowedRegionsOf(route, nil),
 	})
 	return answer, max(1, route.MaxAttempts), failure
--- a/internal/app/sitestore/scorelimiter.go
+++ b/internal/app/sitestore/scorelimiter.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
-	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
+	"github.com/loomgrade/loomgrade/internal/core/admission"
 )
 
 // scoreLimiter limits the concurrent reward calls to each service, in FIFO order. Without the
@@ -31,7 +31,7 @@
 	for replica := range view.ByService[service].All() {
 		slots += max(1, replica.Slots)
 	}
-	return jobqueue.MaxRewardCalls(slots, len(view.Shards))
+	return admission.ShareOf(admission.RewardTraffic, slots, len(view.Shards)).InFlight
 }
 
 // acquire waits until the service has a free slot. After a nil error the caller must call
--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -64,7 +64,7 @@
 	s.rate.senders = max(senders, 0)
 }
 
-// Offer adds a request whose caller aims for a latency of aim, or refuses it with a NotRun
+// Offer adds a request that has to be answered within aim, or refuses it with a NotRun
 // error whose cause is a Refusal. 0 means no aim; a negative aim has already passed. Offer may
 // evict a waiting request instead, which Expire returns.
 func (s *SendLimiter[T]) Offer(now time.Time, item Item[T], aim time.Duration) *port.Error {
@@ -73,7 +73,6 @@
 	}
 	s.rate.advance(now)
 	s.rate.signals.offered.add(now)
-	s.rate.signals.setAim(aim)
 	offered := wrap(item, aim < 0)
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
 		return s.refuse(now, &offered, ReasonDeadline)
