proxy: the test of a refusal gives the limiter's typed reason

Cause: the limiter says by a typed cause which rule refused, no longer by a field's name. Change: the fake does as well; the checks are the same.

--- a/internal/app/proxy/sendlimit_test.go
+++ b/internal/app/proxy/sendlimit_test.go
@@ -309,8 +309,8 @@
 // A refused request must not be sent, and carries the limiter's reason and time.
 func TestRefusedRequest(t *testing.T) {
 	site := newLimitedSite(t, 2, answer)
-	site.limiter.refusal = port.NewError(port.NotRun, port.CodeQueueFull, "too much")
-	site.limiter.refusal.RetryAfter, site.limiter.refusal.Field = 700*time.Millisecond, "tenant"
+	site.limiter.refusal = port.NewError(port.NotRun, port.CodeQueueFull, "too much").WithCause(&admission.Refusal{Reason: admission.ReasonTenant})
+	site.limiter.refusal.RetryAfter = 700 * time.Millisecond
 	_, failure := site.Do(context.Background(), requestTo("1"))
 	if failure == nil || failure.Verdict != port.NotRun || failure.Code != port.CodeQueueFull || failure.RetryAfter != 700*time.Millisecond ||
 		failure.Refusal != admission.ReasonTenant || failure.Reason != "too much" || site.total() != 0 || site.recorder.counts["tenant"] != 1 {
