--- a/internal/core/admission/sendroom.go
+++ b/internal/core/admission/sendroom.go
@@ -27,7 +27,7 @@
 		latest = earlier(latest, now.Add(wait))
 	}
 	if minimum := now.Add(minSendWait); !latest.IsZero() && latest.Before(minimum) {
-		return minimum
+		return earlier(deadline, minimum)
 	}
 	return latest
 }
--- a/internal/core/admission/sendrule.go
+++ b/internal/core/admission/sendrule.go
@@ -15,12 +15,12 @@
 	// latencyFall and refusalFall are the relative decreases per second at a latency equal to
 	// the aim, and while all tries are refused. A latencyFall of 10 made the rate oscillate.
 	latencyFall = 3.0
-	refusalFall = 30.0
+	refusalFall = 20.0
 	// refusalTolerance is the share of refused tries that does not lower the limit.
 	refusalTolerance = 0.03
 	// noAimTolerance is that of traffic without an aim, which comes back until it is served and
 	// shares replicas with traffic that yields to latency.
-	noAimTolerance = 0.8
+	noAimTolerance = 0.95
 	// targetShare is the share of the aim up to which latency does not lower the limit. The
 	// remainder covers the spread of the work and the wait at the sender.
 	targetShare = 0.33
--- a/internal/core/admission/sendsignals.go
+++ b/internal/core/admission/sendsignals.go
@@ -10,8 +10,10 @@
 	// demandPeriod is the time constant of the rate of offered requests: some five requests
 	// of a sender with ten requests a second.
 	demandPeriod = 500 * time.Millisecond
-	// signalPeriod is the time constant of latency and of the share of refused tries.
-	signalPeriod = 400 * time.Millisecond
+	// latencyPeriod and refusalPeriod are the time constants of latency and of the share of
+	// refused tries. The latter is short, as refusals lower the limit fast.
+	latencyPeriod = 400 * time.Millisecond
+	refusalPeriod = 250 * time.Millisecond
 	// maxSampleWeight limits the weight of one sample, as a sender with few requests would
 	// otherwise follow single answers.
 	maxSampleWeight = 0.5
@@ -56,18 +58,23 @@
 // observe records the result of one try.
 func (s *sendSignals) observe(now time.Time, result TryResult) {
 	elapsed := max(now.Sub(s.observed), 0)
-	weight := min(1-decay(elapsed, signalPeriod), maxSampleWeight)
 	s.observed = now
 	s.setAim(result.Aim)
-	s.refusals *= decay(elapsed, signalPeriod)
+	s.refusals *= decay(elapsed, refusalPeriod)
 	if result.Refused {
-		s.refusals += weight
+		s.refusals += sampleWeight(elapsed, refusalPeriod)
 		return
 	}
+	weight := sampleWeight(elapsed, latencyPeriod)
 	s.observeLatency(result.Latency.Seconds(), weight)
 	s.observeBaseline(result.Latency.Seconds())
 }
 
+// sampleWeight returns the weight of a sample some time after the one before it.
+func sampleWeight(elapsed, period time.Duration) float64 {
+	return min(1-decay(elapsed, period), maxSampleWeight)
+}
+
 // setAim sets the latency aimed for, if there is one.
 func (s *sendSignals) setAim(aim time.Duration) {
 	if aim > 0 {
