admission: latency lowers the send limit from 0.4 of the aim

Change: the target is 0.4 of the aim instead of 0.33, growth below it is faster, and the model has B's work and aim.

--- a/internal/core/admission/sendmodel_test.go
+++ b/internal/core/admission/sendmodel_test.go
@@ -14,11 +14,9 @@
 
 // Times of the modelled service and its callers.
 const (
-	modelWork        = 25 * time.Millisecond
 	modelRewardWork  = 30 * time.Millisecond
 	modelWorkSpread  = 0.5 // standard deviation of the logarithm of the work
 	modelNetwork     = time.Millisecond
-	modelAim         = 150 * time.Millisecond
 	modelPatience    = 1500 * time.Millisecond
 	modelRewardWait  = 30 * time.Second
 	modelBurstStart  = 4 * time.Second
@@ -215,13 +213,13 @@
 	for index := range m.pattern.replicas {
 		slots += float64(m.pattern.slots) / m.factor(index)
 	}
-	return max(slots-m.rewardRate()*modelRewardWork.Seconds(), 0) / modelWork.Seconds()
+	return max(slots-m.rewardRate()*modelRewardWork.Seconds(), 0) / m.pattern.work.Seconds()
 }
 
 // fullCapacity is the capacity without slow replicas, to which loads are relative.
 func (m *model) fullCapacity() float64 {
 	slots := float64(m.pattern.slots * m.pattern.replicas)
-	return (slots - m.rewardRate()*modelRewardWork.Seconds()) / modelWork.Seconds()
+	return (slots - m.rewardRate()*modelRewardWork.Seconds()) / m.pattern.work.Seconds()
 }
 
 func (m *model) rewardRate() float64 {
@@ -349,13 +347,13 @@
 func (m *model) aim(call *modelCall) time.Duration {
 	switch {
 	case call.reward:
-		return ShareOf(RewardTraffic, 0, 0).Aim(modelAim)
+		return ShareOf(RewardTraffic, 0, 0).Aim(m.pattern.aim)
 	case call.attempts == 1 || m.pattern.unmarkedRetries:
-		return modelAim
-	case m.at-call.first >= modelAim:
+		return m.pattern.aim
+	case m.at-call.first >= m.pattern.aim:
 		return -1
 	default:
-		return modelAim - (m.at - call.first)
+		return m.pattern.aim - (m.at - call.first)
 	}
 }
 
@@ -371,12 +369,12 @@
 	m.pump(sender)
 }
 
-// aim returns the latency aimed for, as senders report it with results.
-func (c *modelCall) aim() time.Duration {
-	if c.reward {
+// aimOf returns the latency aimed for, as senders report it with results.
+func (m *model) aimOf(call *modelCall) time.Duration {
+	if call.reward {
 		return 0
 	}
-	return modelAim
+	return m.pattern.aim
 }
 
 func (c *modelCall) item() Item[*modelCall] {
@@ -483,7 +481,7 @@
 
 func (m *model) run(replica *modelReplica, call *modelCall) {
 	replica.busy++
-	work := modelWork
+	work := m.pattern.work
 	if call.reward {
 		work = modelRewardWork
 	}
@@ -506,7 +504,7 @@
 	sender.inFlight[replica.index]--
 	sender.total--
 	taken := m.at - call.sent
-	sender.limiter.Observe(m.now(), TryResult{Latency: taken, Aim: call.aim()})
+	sender.limiter.Observe(m.now(), TryResult{Latency: taken, Aim: m.aimOf(call)})
 	sender.budget.Success(m.now())
 	if rule, counts := sender.limiter.rate.rule.(acceptedRule); counts {
 		rule.accept(m.now())
@@ -517,7 +515,7 @@
 		if m.inBurst(call) {
 			m.result.rewardLatency = append(m.result.rewardLatency, latency)
 		}
-	case latency <= modelAim:
+	case latency <= m.pattern.aim:
 		m.count(call, func(p *phaseResult) { p.onTime++ })
 		if m.inBurst(call) {
 			m.result.onTime++
@@ -533,7 +531,7 @@
 	sender := call.sender
 	sender.inFlight[replica.index]--
 	sender.total--
-	sender.limiter.Observe(m.now(), TryResult{Refused: true, Aim: call.aim()})
+	sender.limiter.Observe(m.now(), TryResult{Refused: true, Aim: m.aimOf(call)})
 	call.refusers = append(call.refusers, replica.index)
 	if len(call.refusers) < m.pattern.replicas && sender.budget.Withdraw(m.now()) {
 		m.try(call)
--- a/internal/core/admission/sendpatterns_test.go
+++ b/internal/core/admission/sendpatterns_test.go
@@ -12,6 +12,8 @@
 	rewardSenders int
 	replicas      int
 	slots         int
+	// work is the mean work of a request, aim the latency that callers aim for.
+	work, aim time.Duration
 	// usual and burst are the rates of requests relative to what the replicas can run.
 	usual, burst float64
 	// factor returns how many times slower a replica runs at a time; nil means never.
@@ -29,10 +31,11 @@
 	routesByCapacity bool
 }
 
-// burstPattern is a burst on the deployment of the design page.
+// burstPattern is a burst on deployment A of the design page.
 func burstPattern(name string, burst float64) loadPattern {
 	return loadPattern{
 		name: name, senders: 61, rewardSenders: 12, replicas: 3, slots: 6,
+		work: 25 * time.Millisecond, aim: 150 * time.Millisecond,
 		usual: 0.5, burst: burst, tenants: 80,
 	}
 }
@@ -51,6 +54,13 @@
 	return p
 }
 
+// onB sets the work and the aim of deployment B.
+func (p loadPattern) onB() loadPattern {
+	p.work = 21 * time.Millisecond
+	p.aim = 200 * time.Millisecond
+	return p
+}
+
 func (p loadPattern) restarted() loadPattern {
 	p.restarts = modelBurstStart + modelBurst/2
 	return p
@@ -94,8 +104,9 @@
 	return 1
 }
 
-// evenPatterns are those with equally fast replicas and tens of senders, or one.
-func evenPatterns() []loadPattern {
+// reachedPatterns are those on which all targets are reached: those with equally fast replicas
+// and tens of senders, or one, and those of deployment B.
+func reachedPatterns() []loadPattern {
 	return []loadPattern{
 		burstPattern("no burst", 0.5),
 		burstPattern("burst of 1", 1),
@@ -105,6 +116,8 @@
 		burstPattern("burst of 3, 1 sender", 3).sentBy(1),
 		burstPattern("burst of 3, senders restart", 3).restarted(),
 		bigTenantPattern(),
+		burstPattern("B, burst of 1, changing slow ones", 1).slowed(changingReplicas).onB(),
+		burstPattern("B, burst of 3, changing slow ones", 3).slowed(changingReplicas).onB(),
 	}
 }
 
@@ -116,7 +129,7 @@
 	}
 }
 
-// slowPatterns are those with slow replicas.
+// slowPatterns are those of deployment A with slow replicas.
 func slowPatterns() []loadPattern {
 	return []loadPattern{
 		burstPattern("no burst, two of three slow", 0.5).slowed(slowReplicas),
--- a/internal/core/admission/sendrule.go
+++ b/internal/core/admission/sendrule.go
@@ -9,11 +9,12 @@
 const (
 	// growthPerSecond is the share of the offered rate by which the limit grows each second.
 	growthPerSecond = 0.3
-	// slackGrowth is the additional growth at a latency of 0, relative to growthPerSecond. It
-	// ends a limit soon after a burst.
-	slackGrowth = 12.0
+	// slackGrowth is the additional growth per excess of latency below its target, relative to
+	// growthPerSecond. With 12, single requests were refused later than 1 s after a burst.
+	slackGrowth = 20.0
 	// latencyFall and refusalFall are the relative decreases per second at a latency equal to
-	// the aim, and while all tries are refused. A latencyFall of 10 made the rate oscillate.
+	// the aim, and while all tries are refused. With a latencyFall of 10 the rate oscillated, and
+	// 0.03 to 0.04 less was on time in bursts of 1.4 and 3 than with 5.
 	latencyFall = 3.0
 	refusalFall = 20.0
 	// refusalTolerance is the share of refused tries that does not lower the limit.
@@ -23,7 +24,7 @@
 	noAimTolerance = 0.95
 	// targetShare is the share of the aim up to which latency does not lower the limit. The
 	// remainder covers the spread of the work and the wait at the sender.
-	targetShare = 0.33
+	targetShare = 0.4
 	// baselineTolerance is the ratio to the baseline up to which latency does not lower the
 	// limit. maxTargetShare bounds it relative to the aim, as a sender that starts during a
 	// burst measures too high a baseline.
--- a/internal/core/admission/sendtargets_test.go
+++ b/internal/core/admission/sendtargets_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestSendTargets(t *testing.T) {
-	for _, pattern := range evenPatterns() {
+	for _, pattern := range reachedPatterns() {
 		t.Run(pattern.name, func(t *testing.T) {
 			result := runModel(pattern, chosenWay, modelSeed)
 			checkBurst(t, result)
--- a/internal/core/admission/sendways_test.go
+++ b/internal/core/admission/sendways_test.go
@@ -69,7 +69,7 @@
 		t.Skip("run with -compare")
 	}
 	var patterns []loadPattern
-	patterns = append(patterns, evenPatterns()...)
+	patterns = append(patterns, reachedPatterns()...)
 	patterns = append(patterns, manySenderPatterns()...)
 	patterns = append(patterns, slowPatterns()...)
 	for _, pattern := range slowPatterns() {
