admission: say when WakeAt needs no call

Cause: WakeAt returns the current time while requests wait without a limit; a sender with a bound on its requests in flight would call in a loop.

Change: the comment says what such a sender does. Comment only.

Conclusion: the stores, which bound their reward calls, can follow it.

--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -124,7 +124,8 @@
 }
 
 // WakeAt returns when Next and Expire must be called again; the zero time means only after
-// another call.
+// another call. Without a limit that is at once while requests wait: a sender that bounds its
+// requests in flight waits for the end of one instead.
 func (s *SendLimiter[T]) WakeAt(now time.Time) time.Time {
 	if s.queue.Len() == 0 {
 		return time.Time{}
