admission: a remaining aim does not change the send limit's target

Cause: a request that comes back offers what is left of its aim; the limiter took that as the aim of all requests, so that normal latency seemed far too high until the next answer.

Change: only results set the aim, and the first offer before any result. A test guards it.

--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -73,7 +73,7 @@
 	}
 	s.rate.advance(now)
 	s.rate.signals.offered.add(now)
-	s.rate.signals.setAim(aim)
+	s.rate.signals.expectAim(aim)
 	offered := wrap(item, aim < 0)
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
 		return s.refuse(now, &offered, ReasonDeadline)
--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// TestRemainingAimDoesNotLimit guards against requests that come back with a part of their aim
+// left: latency would seem far too high for it.
+func TestRemainingAimDoesNotLimit(t *testing.T) {
+	limiter := NewSendLimiter[int](start)
+	now := start
+	for index := range 40 {
+		now = now.Add(50 * time.Millisecond)
+		limiter.Observe(now, TryResult{Latency: testWork, Aim: testAim})
+		limiter.Offer(now, testItem{ID: port.RequestID(fmt.Sprint(index))}, 10*time.Millisecond)
+		limiter.Next(now)
+		if excess := latencyExcess(&limiter.rate.signals); excess > 0 {
+			t.Fatalf("latency of %v is %.2f too high", testWork, excess)
+		}
+	}
+}
+
 // TestRefusedRewardCalls guards steps against waiting for a limit that a few full replicas
 // caused, and replicas against reward calls of which none is accepted.
 func TestRefusedRewardCalls(t *testing.T) {
--- a/internal/core/admission/sendsignals.go
+++ b/internal/core/admission/sendsignals.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// expectAim sets the latency aimed for before the first result. Later offers do not, as a request
+// that comes back has only a part of its aim left.
+func (s *sendSignals) expectAim(aim time.Duration) {
+	if s.aim == 0 {
+		s.setAim(aim)
+	}
+}
+
 // observeLatency updates the latency, its deviation and the latency of fast answers.
 func (s *sendSignals) observeLatency(latency, weight float64) {
 	capped := latency
