--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -73,6 +73,7 @@
 	}
 	s.rate.advance(now)
 	s.rate.signals.offered.add(now)
+	s.rate.signals.expectAim(aim)
 	offered := wrap(item, aim < 0)
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
 		return s.refuse(now, &offered, ReasonDeadline)
@@ -123,7 +124,8 @@
 }
 
 // WakeAt returns when Next and Expire must be called again; the zero time means only after
-// another call.
+// another call. Without a limit that is at once while requests wait: a sender that bounds its
+// requests in flight waits for the end of one instead.
 func (s *SendLimiter[T]) WakeAt(now time.Time) time.Time {
 	if s.queue.Len() == 0 {
 		return time.Time{}
