admission: late requests are refused while there are signs of overload

Change: a request whose aim has passed is refused while its sender sees signs of overload; the latency target is 0.34 of the aim, so that reward calls stay below 0.5 s in the patterns of the targets.

--- a/internal/core/admission/sendlimiter.go
+++ b/internal/core/admission/sendlimiter.go
@@ -35,6 +35,8 @@
 	// deadline is when the caller gives up; the zero time means never.
 	deadline time.Time
 	priority port.Priority
+	// late is set if the aim of the request has passed.
+	late bool
 	// reserve is the share of the bucket that the request leaves to others.
 	reserve float64
 }
@@ -80,7 +82,7 @@
 	}
 	if s.rate.limited {
 		offered.Deadline = s.sendBy(now, item.Deadline, aim)
-		offered.Value.reserve = s.reserve(now, &offered, aim < 0)
+		offered.Value.reserve = s.reserve(now, &offered)
 		if err := s.makeRoom(now, &offered); err != nil {
 			return err
 		}
@@ -98,7 +100,7 @@
 	}
 	return Item[waitingSend[T]]{
 		ID: item.ID, Tenant: item.Tenant, Priority: level, Deadline: item.Deadline, TenantShare: item.TenantShare,
-		Value: waitingSend[T]{value: item.Value, deadline: item.Deadline, priority: item.Priority},
+		Value: waitingSend[T]{value: item.Value, deadline: item.Deadline, priority: item.Priority, late: late},
 	}
 }
 
--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -718,3 +718,33 @@
 		}
 	})
 }
+
+// TestLateRequestsWaitForOverloadToEnd guards against requests that came back after a refusal and
+// make new ones late.
+func TestLateRequestsWaitForOverloadToEnd(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		latency time.Duration
+		sent    bool
+	}{
+		{"signs of overload", testAim, false},
+		{"none", testWork, true},
+	} {
+		limiter, now := newLimited(10, 0), start
+		for range 50 {
+			now = now.Add(50 * time.Millisecond)
+			limiter.Observe(now, TryResult{Latency: row.latency, Aim: testAim})
+		}
+		limiter.rate.rate, limiter.rate.permits = 10, minBurst
+		err := limiter.Offer(now, testItem{ID: "back", Deadline: now.Add(time.Second)}, -1)
+		if (err == nil) != row.sent {
+			t.Errorf("%s: %v", row.name, err)
+		}
+		if err != nil && ReasonOf(err) != ReasonQueue {
+			t.Errorf("%s: reason %q", row.name, ReasonOf(err))
+		}
+		if err := limiter.Offer(now, testItem{ID: "new", Deadline: now.Add(time.Second)}, testAim); err != nil {
+			t.Errorf("%s: a new request: %v", row.name, err)
+		}
+	}
+}
--- a/internal/core/admission/sendroom.go
+++ b/internal/core/admission/sendroom.go
@@ -44,8 +44,8 @@
 
 // reserve returns the share of the bucket that a request leaves to requests of light tenants
 // that can be on time.
-func (s *SendLimiter[T]) reserve(now time.Time, offered *Item[waitingSend[T]], late bool) float64 {
-	if late {
+func (s *SendLimiter[T]) reserve(now time.Time, offered *Item[waitingSend[T]]) float64 {
+	if offered.Value.late {
 		return lateReserve
 	}
 	if s.usage.heavy(now, offered.Tenant, offered.TenantShare) {
@@ -54,12 +54,17 @@
 	return 0
 }
 
-// makeRoom refuses a request that cannot be sent in time, or evicts a waiting request of a
+// makeRoom refuses a request that cannot be sent in time, or that is late while there are signs
+// of overload, or evicts a waiting request of a
 // lower priority or of a tenant with a higher usage.
 func (s *SendLimiter[T]) makeRoom(now time.Time, offered *Item[waitingSend[T]]) *port.Error {
 	if offered.Deadline.IsZero() {
 		return nil
 	}
+	if offered.Value.late && s.rate.rule.overloaded(&s.rate.signals) {
+		// A late answer would make an answer late that could be on time.
+		return s.refuse(now, offered, ReasonQueue)
+	}
 	sendable := s.rate.sendable(offered.Deadline.Sub(now), offered.Value.reserve)
 	if sendable < 1 {
 		return s.refuse(now, offered, ReasonDeadline)
--- a/internal/core/admission/sendrule.go
+++ b/internal/core/admission/sendrule.go
@@ -24,7 +24,7 @@
 	noAimTolerance = 0.95
 	// targetShare is the share of the aim up to which latency does not lower the limit. The
 	// remainder covers the spread of the work and the wait at the sender.
-	targetShare = 0.4
+	targetShare = 0.34
 	// baselineTolerance is the ratio to the baseline up to which latency does not lower the
 	// limit. maxTargetShare bounds it relative to the aim, as a sender that starts during a
 	// burst measures too high a baseline.
