comments: restore reasons and measured figures behind constants

Restore these parts in one or two sentences each, in today's names, in internal/core, internal/app, internal/adapter, platform and cmd/loomgrade. Only facts of the former comments are restored; those that no longer hold or could not be confirmed are left out. Only comment lines change.

The figures in the comments are those of the former comments and were not measured again.

Conclusion: the constants can again be reviewed against the reasons for which they were chosen.

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -27,7 +27,8 @@
 	// closes no connection earlier, so a longer time delays its exit.
 	callerKeepAlive = 3 * time.Second
 	// bodyMemoryShare is the share of a front's memory for buffered request and response
-	// bodies. Uncollected garbage may use the same amount again.
+	// bodies. Uncollected garbage may use the same amount again, and the process itself
+	// needs 30 MB.
 	bodyMemoryShare = 0.25
 	// shutdownReserve is the part of the grace period reserved for the process to exit.
 	shutdownReserve = 1200 * time.Millisecond
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -54,7 +54,8 @@
 	gcPercent = 40
 	megabyte  = 1 << 20
 	// jobMemoryShare is the share of a store machine's memory for jobs. Each job may be in
-	// memory three times: in the state, in a snapshot being built, and in a transfer.
+	// memory three times: in the state, in a snapshot being built, and in a transfer. The
+	// process itself needs 40 MB.
 	jobMemoryShare = 0.25
 	// headerTimeout limits reading a request's headers; callerIdleTimeout limits how long an
 	// idle connection stays open.
--- a/internal/adapter/boottime/watch.go
+++ b/internal/adapter/boottime/watch.go
@@ -9,7 +9,8 @@
 	// watchInterval is how often a Watch compares the clocks.
 	watchInterval = time.Second
 	// MinSuspension is the minimum change of the difference between the clocks that
-	// counts as a suspension. Smaller ones may be time between the two readings.
+	// counts as a suspension. Smaller ones may be time between the two readings, some
+	// milliseconds on a busy machine.
 	MinSuspension = 50 * time.Millisecond
 )
 
--- a/internal/adapter/httpapi/await.go
+++ b/internal/adapter/httpapi/await.go
@@ -16,7 +16,7 @@
 }
 
 // await runs a Backend call. Once ctx ends it waits at most CancelGrace for the
-// call's own verdict.
+// call's own verdict, so that a cancelled request gets its final answer promptly.
 func await[T any](ctx context.Context, s *Server, call func(context.Context) (T, error)) (T, *port.Error) {
 	done := make(chan outcome[T], 1)
 	go func() { done <- callWithRecover(ctx, s, call) }()
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -156,7 +156,8 @@
 func (singleUseBody) Close() error { return nil }
 
 // setSingleUseBody sets the body so that net/http never retries the request. For a request
-// without a body that net/http considers replayable, it sets an empty body of its own type.
+// without a body that net/http considers replayable, because of an idempotent method or a header
+// such as Idempotency-Key, it sets an empty body of its own type.
 func setSingleUseBody(request *http.Request, body []byte) {
 	request.GetBody = nil
 	if len(body) == 0 && !isReplayable(request) {
--- a/internal/adapter/wire/compress.go
+++ b/internal/adapter/wire/compress.go
@@ -65,7 +65,9 @@
 
 const (
 	// sampleBytes is how much of a frame is sampled to detect compressed content, whose
-	// byte values are nearly uniform: none occurs more than maxSampleRepeats times.
+	// byte values are nearly uniform: none occurs more than maxSampleRepeats times. The most
+	// frequent of 256 uniform bytes occurs 5 times on average, that of text and numbers 15
+	// times or more.
 	sampleBytes      = 256
 	maxSampleRepeats = 8
 )
--- a/internal/adapter/wire/link.go
+++ b/internal/adapter/wire/link.go
@@ -21,7 +21,7 @@
 const (
 	// bufferSize is the size of a connection's read and write buffers, in bytes. Larger
 	// frames bypass them. It is small because a control member may have hundreds of
-	// connections.
+	// connections: with 64 KB buffers, 330 watchers used 42 MB.
 	bufferSize        = 16 << 10
 	maxFramesPerFlush = 64
 	statusQueued      = 0
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -29,8 +29,10 @@
 	// maxViewAge is the age up to which a confirmed view proves that a route or a key does
 	// not exist; with an older view the request is rejected with 503.
 	maxViewAge = 1500 * time.Millisecond
-	// retryDelay is the mean Retry-After of a rejected request. startupRetryDelay is that
-	// of a request that arrives before the first view, which needs an elected leader.
+	// retryDelay is the mean Retry-After of a rejected request. Full replicas are avoided for
+	// 20 ms and failed ones for 300 ms at first, and callers' latency targets start at 150 ms.
+	// startupRetryDelay is that of a request that arrives before the first view, which needs
+	// an elected leader.
 	retryDelay        = 200 * time.Millisecond
 	startupRetryDelay = 500 * time.Millisecond
 	// retryJitter is the fraction by which a Retry-After varies, so that requests that were
--- a/internal/app/front/slowreader.go
+++ b/internal/app/front/slowreader.go
@@ -11,7 +11,7 @@
 
 const (
 	// writeTimeout is how long a caller may accept no data. It exceeds callers' longest
-	// deadlines, so that late responses are delivered too.
+	// deadlines (12 s seen), so that late responses are delivered too.
 	writeTimeout = 15 * time.Second
 	// writeChunkBytes is written under one writeTimeout. A body of that size fits the buffers of
 	// a connection and is written without a timeout.
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -26,7 +26,8 @@
 	DefaultRemovalCheckInterval = time.Second
 
 	// retainEntries and retainBytes limit the log entries that are retained before a
-	// snapshot, so that a slightly lagging follower needs no snapshot.
+	// snapshot, so that a follower that lags by a second or two needs no snapshot.
+	// retainBytes is a small part of a store machine's memory.
 	retainEntries = 512
 	retainBytes   = 2 << 20
 	// maxBatch limits the events that share one sync.
--- a/internal/app/guard/guard.go
+++ b/internal/app/guard/guard.go
@@ -28,8 +28,9 @@
 )
 
 // trialDelays are how long this process must have seen a request withheld before each
-// trial. The first gives a crashed replica time to restart; the second is longer because
-// each trial of a request that causes crashes costs a replica.
+// trial. The first gives a crashed replica time to restart, which takes about 2 s. The second
+// is longer because each trial of a request that causes crashes costs a replica: it leaves time
+// for several restarts.
 var trialDelays = [quarantine.MaxTrials]time.Duration{4 * time.Second, 30 * time.Second}
 
 // SendFunc proposes events to the control log and returns the outcome of the last one.
--- a/internal/app/jobsapi/zonemember.go
+++ b/internal/app/jobsapi/zonemember.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// zoneMemberTimeout limits the call to a member in the client's zone. It suffices for a
-	// page over a slow link.
+	// zoneMemberTimeout limits the call to a member in the client's zone. A page of 1 MB takes
+	// 0.14 s on the slowest link of a front (60 Mbit/s).
 	zoneMemberTimeout = 400 * time.Millisecond
 	// failureBackoff is how long a member that failed is called last.
 	failureBackoff = 3 * time.Second
--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// callTimeout limits a call.
+	// callTimeout limits a call; its callers wait about a second.
 	callTimeout = 900 * time.Millisecond
 	// leaderPollInterval is the time between checks for a leader.
 	leaderPollInterval = 50 * time.Millisecond
--- a/internal/app/sitecontrol/clock.go
+++ b/internal/app/sitecontrol/clock.go
@@ -13,7 +13,8 @@
 const methodClock = "site.clock"
 
 const (
-	// clockInterval is the time between polls by the leader.
+	// clockInterval is the time between polls by the leader. A monotonic clock that is off by
+	// 50 ppm drifts by 0.2 ms in this time.
 	clockInterval = 4 * time.Second
 	// clockRetry is the time to the next poll if too few members responded.
 	clockRetry = 300 * time.Millisecond
--- a/internal/app/sitecontrol/fullview.go
+++ b/internal/app/sitecontrol/fullview.go
@@ -9,7 +9,7 @@
 )
 
 // fullViewTTL is how long a full view is sent to new watchers, together with the changes
-// since. Many watchers start concurrently after a power failure.
+// since. After a failure of all power, hundreds of watchers start within a second.
 const fullViewTTL = 2 * time.Second
 
 // fullView caches the packed state that is sent to new watchers. It is safe for concurrent
--- a/internal/app/sitecontrol/rejected.go
+++ b/internal/app/sitecontrol/rejected.go
@@ -10,7 +10,8 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// logInterval is the minimum time between two log lines of a logLimiter.
+// logInterval is the minimum time between two log lines of a logLimiter: a faulty sender may
+// send thousands of rejected reports per second.
 const logInterval = time.Second
 
 // logLimiter limits the rate of log lines on rejected or lost reports. It is safe for
--- a/internal/app/sitecontrol/reports.go
+++ b/internal/app/sitecontrol/reports.go
@@ -17,7 +17,9 @@
 
 const (
 	// batchInterval is how long a member collects reports for the leader, to save
-	// it a call per report.
+	// it a call per report, which costs the leader more than the log entry. With a call each,
+	// the leader could accept a tenth of the reports that arrived per second while a fleet of
+	// 10,000 replicas started.
 	batchInterval = 40 * time.Millisecond
 	// maxReports limits the size of a batch.
 	maxReports = 400
--- a/internal/app/sitecontrol/shards.go
+++ b/internal/app/sitecontrol/shards.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// DefaultSlotsPerShard is how many engine slots one shard's leader serves. It
-	// leaves headroom for slow machines.
+	// DefaultSlotsPerShard is how many engine slots one shard's leader serves. Leaders on
+	// store machines with half a core sustained 210 slots and failed in bursts at 350; about
+	// half of 210 leaves headroom for machines that become slow.
 	DefaultSlotsPerShard = 115
 	// foundingDelay is the time without new machines before shards are founded, so that
 	// there is a choice of machines.
--- a/internal/app/sitecontrol/usage.go
+++ b/internal/app/sitecontrol/usage.go
@@ -27,7 +27,8 @@
 	usageTimeout    = 2 * time.Second
 	minUsageBackoff = 200 * time.Millisecond
 	maxUsageBackoff = 2 * time.Second
-	// reportersPerSecond is the target rate of reports from all fronts.
+	// reportersPerSecond is the target rate of reports from all fronts: each of 56 fronts may
+	// report every 0.28 s, each of 660 every 3.3 s.
 	reportersPerSecond = 200
 	// maxUsageBatch limits the reports of one log entry.
 	maxUsageBatch = 256
--- a/internal/app/sitecontrol/watch.go
+++ b/internal/app/sitecontrol/watch.go
@@ -17,7 +17,9 @@
 	// coalesces bursts of changes.
 	minUpdateInterval = 20 * time.Millisecond
 	// intervalPerWatcher is added for each watcher of this member, so that the processor
-	// time for updates doesn't depend on their number.
+	// time for updates doesn't depend on their number. An update costs about 60 µs whatever
+	// its content, so all watchers together use about a twentieth of a core at most. With 140
+	// watchers (2,000 machines, 14 members), a change is sent within 0.16 s.
 	intervalPerWatcher = time.Millisecond
 )
 
--- a/internal/app/sitecontrol/weights.go
+++ b/internal/app/sitecontrol/weights.go
@@ -22,7 +22,8 @@
 	maxServiceLoadShare = 0.2
 	maxModelLoadShare   = 0.34
 	// planPauseFactor is the pause between plans relative to the duration of one. It limits
-	// the leader's processor time for planning.
+	// the leader's processor time for planning: a plan considers all engines, which takes
+	// 9 ms for 8,000 of them.
 	planPauseFactor = 15
 	// maxPlanPause limits that pause: planning may have waited for a quorum.
 	maxPlanPause = 300 * time.Millisecond
--- a/internal/app/sitestore/leadership.go
+++ b/internal/app/sitestore/leadership.go
@@ -74,7 +74,8 @@
 
 // dutyOf returns the duty of a runner whose leadership is l, nil if it has none. A leader that
 // was not scheduled for a while loses contact with its quorum briefly; its runs continue until
-// the election timeout, after which voters elect another leader.
+// the election timeout, after which voters elect another leader. Cancelling them earlier would
+// restart all of them at once.
 func dutyOf(published *group.PublishedState, l *leadership, now time.Time, timeout time.Duration) duty {
 	if published == nil || published.Status.Role != consensus.RoleLeader {
 		return dutyNone
--- a/internal/app/sitestore/move.go
+++ b/internal/app/sitestore/move.go
@@ -27,7 +27,8 @@
 )
 
 // moveFromSlow moves items from slow or stalled replicas to faster ones with free slots. An
-// item resumes there after its last event. since is the time since the last scan.
+// item resumes there after its last event. A job's client waits for its last item, while
+// reading a prompt again takes milliseconds. since is the time since the last scan.
 func (r *runner) moveFromSlow(view *siteview.View, now time.Time, since time.Duration) {
 	runs, slowdowns := r.measureRuns(now)
 	if since > maxScanGap || processDelayed(slowdowns) || len(runs) == 0 {
--- a/internal/app/sitestore/scorelimiter.go
+++ b/internal/app/sitestore/scorelimiter.go
@@ -10,7 +10,7 @@
 
 // scoreLimiter limits the concurrent reward calls to each service, in FIFO order. Without the
 // limit, a burst of calls times out in the replicas' queues, and its retries keep the service
-// overloaded.
+// overloaded. Hundreds of texts can complete at once, above all after all machines were down.
 type scoreLimiter struct {
 	mutex    sync.Mutex
 	services map[string]*scoreQueue
--- a/internal/app/sitestore/withhold.go
+++ b/internal/app/sitestore/withhold.go
@@ -9,7 +9,8 @@
 )
 
 // trialDelays are the waits of a withheld item before each trial. They let crashed replicas
-// restart, and limit the delay of an item that only ran alongside the cause.
+// restart, which takes about 2 s, and limit the delay of an item that only ran alongside the
+// cause: it should not exceed by much the 5 s for which a job's clients let an item rest.
 var trialDelays = [quarantine.MaxTrials]time.Duration{3 * time.Second, 4 * time.Second}
 
 // replicaCrash is a replica that closed the connection while it ran an item.
--- a/internal/app/siteview/siteview.go
+++ b/internal/app/siteview/siteview.go
@@ -10,7 +10,8 @@
 // MethodWatch accepts a WatchRequest and streams WatchAnswers.
 const MethodWatch = "site.watch"
 
-// maxPackedBytes limits the unpacked size of a packed update.
+// maxPackedBytes limits the unpacked size of a packed update. It is about ten times the size of
+// a full view of 3,500 replicas of 250 bytes each.
 const maxPackedBytes = 10 << 20
 
 // WatchRequest starts a watch after a position; 0 requests the full state.
--- a/internal/core/coldlimit/coldlimit.go
+++ b/internal/core/coldlimit/coldlimit.go
@@ -20,7 +20,9 @@
 	// its successor may start within the same second.
 	runnerFraction = 1.0 / 3
 	// senderFraction is the average fraction for all senders of single requests together. The
-	// rest absorbs the variance of the hash and an outdated number of senders.
+	// rest absorbs the variance of the hash and an outdated number of senders. With 800 senders
+	// and a third of the limit, one replica in 400 exceeded it, and one in 30 if a quarter of the
+	// senders was unknown; with a fifth of the limit none did.
 	senderFraction = 1.0 / 5
 	// Span is the interval over which a sender counts its requests: the second of the limit
 	// plus the variation of network delays.
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -15,7 +15,9 @@
 	defaultMaxBatchBytes      = 1 << 20
 	defaultMaxInflight        = 32
 	defaultSnapshotChunkBytes = 256 << 10
-	// defaultSnapshotWindow allows 1 MB of unacknowledged chunks, to hide the round-trip time.
+	// defaultSnapshotWindow allows 1 MB of unacknowledged chunks, to hide the round-trip time:
+	// a single chunk takes 18 ms including its acknowledgement, of which the transmission at
+	// 600 Mbit/s is 4 ms.
 	defaultSnapshotWindow = 4
 	defaultMaxUncommitted = 16384
 	minElectionTicks      = 4
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -3,6 +3,7 @@
 import "fmt"
 
 // maxSnapshotPreallocBytes limits the buffer allocated before a snapshot has arrived.
+// Preallocation avoids copying the buffer as it grows.
 const maxSnapshotPreallocBytes = 64 << 20
 
 // incomingSnapshot is a partially received snapshot.
--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -136,7 +136,8 @@
 
 // removeSuperseded removes a member whose machine returned with an empty folder under a
 // new id: its durable entries are lost. It waits for a learner to catch up if the
-// removal would leave a quorum too small to survive the tolerated losses.
+// removal would leave a quorum too small to survive the tolerated losses: nothing could be
+// accepted until then, which took 3.6 s for 35 MB of jobs after the loss of two disks.
 func (g *groupView) removeSuperseded() (Change, bool) {
 	old, found := g.find(func(m member) bool { return m.superseded })
 	if !found || old.voter && g.shrinksQuorumBelowMin() {
--- a/internal/core/groupmember/ready.go
+++ b/internal/core/groupmember/ready.go
@@ -159,7 +159,9 @@
 }
 
 // sendingSnapshotFactor raises the snapshot thresholds while a snapshot is being sent. A
-// new one would add a copy of the state, and compact entries that the receiver needs next.
+// new one would add a copy of the state, and compact entries that the receiver needs next. A
+// leader that took one meanwhile used 166 MB for 36 MB of jobs, at a limit of 182 MB: garbage
+// collection took half of its processor for 2.7 s, and the receiver needed the new one as well.
 const sendingSnapshotFactor = 2
 
 // SnapshotDue reports whether enough entries or bytes were applied since the last snapshot.
--- a/internal/core/home/pollinterval.go
+++ b/internal/core/home/pollinterval.go
@@ -4,7 +4,7 @@
 
 const (
 	// PollBytes is the cost in bytes of polling an engine for load and cache events:
-	// two HTTP exchanges, both directions, without events.
+	// two HTTP exchanges, both directions, without events. The fleet emulation measured 716.
 	PollBytes = 720
 	// PollBudget limits the polls of a home's engines, in bytes per second: a quarter
 	// of a node's budget for control traffic.
--- a/internal/core/membership/aggregatescheduler.go
+++ b/internal/core/membership/aggregatescheduler.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// SummaryBytesPerSecond limits a node's summaries to its zone, in bytes per second.
+	// SummaryBytesPerSecond limits a node's summaries to its zone, in bytes per second: a
+	// quarter of a node's budget for control traffic.
 	SummaryBytesPerSecond = 3000
 	// AggregateRefresh is the maximum time between two aggregates of a pool.
 	AggregateRefresh = 10 * time.Second
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -5,16 +5,19 @@
 const (
 	// CrashesUntilWithheld is the number of crashed replicas after which a request is withheld.
 	// A crash makes all requests in flight on the replica suspects; two replicas may crash
-	// together because they share a rack.
+	// together because they share a rack. Platforms of this kind allow a request a third crash
+	// without a response in between.
 	CrashesUntilWithheld = 3
 	// MaxTrials is the maximum number of trials of a withheld request. The second one is for
-	// a request whose first trial ran concurrently with another crash.
+	// a request whose first trial ran concurrently with another crash. Three sends are allowed
+	// after the third crash; the spare one is for a crash that was not recorded because its
+	// sender was killed.
 	MaxTrials = 2
 	// shareThreshold is the number of crashes from which all processes receive a suspect. After
 	// a single crash, all requests in flight on the replica are suspects for a short time.
 	shareThreshold = CrashesUntilWithheld - 1
-	// maxSuspects limits the ledger. It is about the number of requests in flight in a rack, so
-	// that the loss of a rack does not evict withheld requests.
+	// maxSuspects limits the ledger. It is about the number of requests in flight in a rack (30
+	// replicas of 16 slots), so that the loss of a rack does not evict withheld requests.
 	maxSuspects = 512
 )
 
--- a/internal/core/sitestate/replicaset.go
+++ b/internal/core/sitestate/replicaset.go
@@ -7,7 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// setParts is the number of parts of a replica set; a change copies one part.
+// setParts is the number of parts of a replica set; a change copies one part, which holds 40 of
+// 10,000 replicas.
 const setParts = 256
 
 // ReplicaSet holds replicas by id. It is immutable: a change yields another set that shares
--- a/internal/core/usage/outbox.go
+++ b/internal/core/usage/outbox.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// maxPending limits the unacknowledged counts of an Outbox.
+// maxPending limits the unacknowledged counts of an Outbox. At 48 requests per second of a front
+// it covers 20 minutes without a control group.
 const maxPending = 60_000
 
 // Outbox holds the counts of a front until the control group acknowledges them. It is not safe
