admission: tenant usage is read after a rescale of the counts

tenantUsage.heavy read a tenant's count before it called weight, which may rescale all counts. Once in 64 s it compared a count of the old scale with a threshold of the new one, so that a tenant that was idle for a minute counted as heavy and its request left three fifths of the bucket to others.

heavy calls weight first. add does as well, since the order in which Go reads a map element and calls a function in an assignment operation is unspecified.

TestUsageAcrossRescale failed before on heavy ("a tenant without requests for a minute is heavy"), with and without -race; its part on add passed before.

The effect was one request at a time; no setting or interface changes.

--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -654,6 +654,26 @@
 	}
 }
 
+// TestUsageAcrossRescale guards against counts from before a rescale that are compared with, or
+// added to, weights from after it: a light tenant would count as heavy.
+func TestUsageAcrossRescale(t *testing.T) {
+	usage := newTenantUsage(start)
+	usage.add(start, "idle")
+	usage.add(start.Add(63*time.Second), "busy")
+	if usage.heavy(start.Add(64500*time.Millisecond), "idle", 1) {
+		t.Error("a tenant without requests for a minute is heavy")
+	}
+	usage = newTenantUsage(start)
+	for range 100 {
+		usage.add(start, "back")
+	}
+	now := start.Add(65 * time.Second)
+	usage.add(now, "back")
+	if count := usage.counts["back"] / usage.weight(now); count < 0.99 || count > 1.01 {
+		t.Errorf("one recent request counts as %v", count)
+	}
+}
+
 // TestSendLimiterInvariants checks that each accepted request ends exactly once, that none is
 // sent after its deadline, and that refusals say when to come back, also if the clock goes back.
 func TestSendLimiterInvariants(t *testing.T) {
--- a/internal/core/admission/sendusage.go
+++ b/internal/core/admission/sendusage.go
@@ -35,14 +35,15 @@
 
 // add counts one request.
 func (u *tenantUsage) add(now time.Time, tenant port.TenantName) {
-	u.counts[tenant] += u.weight(now)
+	weight := u.weight(now) // may rescale the counts, so it comes first
+	u.counts[tenant] += weight
 }
 
 // heavy reports whether a tenant's usage, relative to its share, is well above the mean of the
 // tenants with recent requests.
 func (u *tenantUsage) heavy(now time.Time, tenant port.TenantName, share float64) bool {
+	least := recentUsage * u.weight(now) // may rescale the counts, so it comes first
 	own := u.counts[tenant] / normalizeShare(share)
-	least := recentUsage * u.weight(now)
 	if own < least {
 		return false
 	}
