admission: old signs of overload do not refuse late requests

A late request is refused while there are signs of overload. The smoothed signs change only with the result of a try, so that a limited sender that was offered only late requests refused all of them, got no result, and kept refusing for as long as no request arrived that could be on time.

Only signs that are recent (signalLifetime, 1 s) refuse late requests, as only recent ones lower the limit. Later ones may be sent from a full bucket.

TestLateRequestsAreSentOnceSignsAreOld failed before: none of 40 late requests was sent in 2 s.

A sender measures again 1 s after its last result, whatever it is offered.

--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -768,3 +768,29 @@
 		}
 	}
 }
+
+// TestLateRequestsAreSentOnceSignsAreOld guards against a sender that is offered only late requests:
+// while it refused all of them, no answer could end the signs of overload.
+func TestLateRequestsAreSentOnceSignsAreOld(t *testing.T) {
+	limiter, now := newLimited(10, 0), start
+	for range 50 {
+		now = now.Add(50 * time.Millisecond)
+		limiter.Observe(now, TryResult{Latency: testAim, Aim: testAim})
+	}
+	last, sent := now, 0
+	for index := range 40 {
+		now = now.Add(50 * time.Millisecond)
+		item := testItem{ID: port.RequestID(fmt.Sprint(index)), Deadline: now.Add(time.Second)}
+		refusal := limiter.Offer(now, item, -1)
+		if refusal == nil && now.Sub(last) <= signalLifetime {
+			t.Fatalf("accepted %v after a sign of overload", now.Sub(last))
+		}
+		if sendAll(limiter, now) != "" {
+			sent++
+		}
+		limiter.Expire(now)
+	}
+	if sent == 0 {
+		t.Error("no late request was sent within 2 s after the last sign of overload")
+	}
+}
--- a/internal/core/admission/sendroom.go
+++ b/internal/core/admission/sendroom.go
@@ -54,15 +54,16 @@
 	return 0
 }
 
-// makeRoom refuses a request that cannot be sent in time, or that is late while there are signs
-// of overload, or evicts a waiting request of a
-// lower priority or of a tenant with a higher usage.
+// makeRoom refuses a request that cannot be sent in time, or that is late while there are recent
+// signs of overload, or evicts a waiting request of a lower priority or of a tenant with a higher
+// usage.
 func (s *SendLimiter[T]) makeRoom(now time.Time, offered *Item[waitingSend[T]]) *port.Error {
 	if offered.Deadline.IsZero() {
 		return nil
 	}
-	if offered.Value.late && s.rate.rule.overloaded(&s.rate.signals) {
-		// A late answer would make an answer late that could be on time.
+	if offered.Value.late && s.rate.signals.recent(now) && s.rate.rule.overloaded(&s.rate.signals) {
+		// A late answer would make an answer late that could be on time. Older signs do not
+		// count: a sender with late requests only would never measure again.
 		return s.refuse(now, offered, ReasonQueue)
 	}
 	sendable := s.rate.sendable(offered.Deadline.Sub(now), offered.Value.reserve)
