proxy: a misdirected request is not a refusal by a full replica

With limit_sends, a request that reached another instance than the expected one excluded the replica from further tries, like a refusal by a full replica. With one replica, a request during its restart was refused as "queue" after one send, without any overload; without limit_sends it is sent again after 30 ms.

recordRefused is no longer called for a misdirected request, as endTry does not observe it as a refusal either.

TestMisdirectedRequestIsSentAgain failed before ("queue_full (not-run) after 1 sends"). The tests of internal/app/proxy pass with -race, twice.

Without overload such a request is served as with limit_sends off.

--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -161,9 +161,10 @@
 		e.recordServed()
 		e.lastAnswer = res.answer
 	case classRefused, classNotSent:
-		if res.class == classNotSent {
+		switch {
+		case res.class == classNotSent:
 			e.notSent++
-		} else {
+		case !res.misdirected:
 			e.recordRefused(res.replica)
 		}
 		e.mayHaveRun--
--- a/internal/app/proxy/sendlimit_test.go
+++ b/internal/app/proxy/sendlimit_test.go
@@ -228,6 +228,22 @@
 	}
 }
 
+// A request that reached another instance, as after a restart of its replica, was not refused by
+// a full replica: it must be sent again as without a limit.
+func TestMisdirectedRequestIsSentAgain(t *testing.T) {
+	var calls atomic.Int64
+	site := newLimitedSite(t, 1, func(replica string, w http.ResponseWriter) {
+		if calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		answer(replica, w)
+	})
+	if _, failure := site.Do(context.Background(), requestTo("1")); failure != nil || site.total() != 2 {
+		t.Errorf("%v after %d sends", failure, site.total())
+	}
+}
+
 // A retry after a failure must not go back to a replica that refused the request before, even if
 // every replica has been tried.
 func TestRetryAfterFailureAvoidsRefusingReplica(t *testing.T) {
