--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -654,6 +654,26 @@
 	}
 }
 
+// TestUsageAcrossRescale guards against counts from before a rescale that are compared with, or
+// added to, weights from after it: a light tenant would count as heavy.
+func TestUsageAcrossRescale(t *testing.T) {
+	usage := newTenantUsage(start)
+	usage.add(start, "idle")
+	usage.add(start.Add(63*time.Second), "busy")
+	if usage.heavy(start.Add(64500*time.Millisecond), "idle", 1) {
+		t.Error("a tenant without requests for a minute is heavy")
+	}
+	usage = newTenantUsage(start)
+	for range 100 {
+		usage.add(start, "back")
+	}
+	now := start.Add(65 * time.Second)
+	usage.add(now, "back")
+	if count := usage.counts["back"] / usage.weight(now); count < 0.99 || count > 1.01 {
+		t.Errorf("one recent request counts as %v", count)
+	}
+}
+
 // TestSendLimiterInvariants checks that each accepted request ends exactly once, that none is
 // sent after its deadline, and that refusals say when to come back, also if the clock goes back.
 func TestSendLimiterInvariants(t *testing.T) {
@@ -748,3 +768,29 @@
 		}
 	}
 }
+
+// TestLateRequestsAreSentOnceSignsAreOld guards against a sender that is offered only late requests:
+// while it refused all of them, no answer could end the signs of overload.
+func TestLateRequestsAreSentOnceSignsAreOld(t *testing.T) {
+	limiter, now := newLimited(10, 0), start
+	for range 50 {
+		now = now.Add(50 * time.Millisecond)
+		limiter.Observe(now, TryResult{Latency: testAim, Aim: testAim})
+	}
+	last, sent := now, 0
+	for index := range 40 {
+		now = now.Add(50 * time.Millisecond)
+		item := testItem{ID: port.RequestID(fmt.Sprint(index)), Deadline: now.Add(time.Second)}
+		refusal := limiter.Offer(now, item, -1)
+		if refusal == nil && now.Sub(last) <= signalLifetime {
+			t.Fatalf("accepted %v after a sign of overload", now.Sub(last))
+		}
+		if sendAll(limiter, now) != "" {
+			sent++
+		}
+		limiter.Expire(now)
+	}
+	if sent == 0 {
+		t.Error("no late request was sent within 2 s after the last sign of overload")
+	}
+}
