admission, proxy: latency is relative to the aim of each answer, and only successes count

Routes with different latency targets on one service started a limit without overload, since the last target was applied to all latencies; errors that are faster than any work lowered the baseline for good; a try that its deadline ended was no sign of overload.

Change: the latency of fast answers and its baseline are relative to each answer's target, and answers without one don't renew a sign; only successful answers are observed, and tries that the deadline ended as at least that long.

--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -48,6 +48,8 @@
 	replica string
 	// misdirected is set if the request reached another instance than the expected one.
 	misdirected bool
+	// timedOut is set if the caller's deadline ended the try.
+	timedOut bool
 }
 
 // exchange is the state of one request, owned by the goroutine that called Do.
@@ -341,6 +343,7 @@
 	took := time.Since(startedAt)
 	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), took)
 	if e.limit != nil {
+		res.timedOut = errors.Is(context.Cause(e.ctx), context.DeadlineExceeded)
 		e.limit.endTry(res, took, e.request.limitAim())
 	}
 	e.results <- res
--- a/internal/app/proxy/sendlimit.go
+++ b/internal/app/proxy/sendlimit.go
@@ -169,7 +169,8 @@
 	s.inFlight++
 }
 
-// endTry records the end of a try.
+// endTry records the end of a try. Only successful answers count as latency: an error may be
+// faster than any work.
 func (s *serviceLimit) endTry(res result, took, aim time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -178,8 +179,14 @@
 	switch res.class {
 	case classAnswer:
 		s.recordSuccess(now)
-		s.limiter.Observe(now, admission.TryResult{Latency: took, Aim: aim})
-	case classError:
+		if res.answer != nil && res.answer.Status/100 == 2 {
+			s.limiter.Observe(now, admission.TryResult{Latency: took, Aim: aim})
+		}
+	case classMayHaveRun:
+		if !res.timedOut {
+			return
+		}
+		// A try that its deadline ended took at least that long.
 		s.limiter.Observe(now, admission.TryResult{Latency: took, Aim: aim})
 	case classRefused:
 		if res.misdirected {
--- a/internal/core/admission/sendlimiter_test.go
+++ b/internal/core/admission/sendlimiter_test.go
@@ -794,3 +794,29 @@
 		t.Error("no late request was sent within 2 s after the last sign of overload")
 	}
 }
+
+// TestDifferentAimsAreNoOverload guards against a limit without overload on a service whose routes
+// have different latency targets, or none.
+func TestDifferentAimsAreNoOverload(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		other TryResult
+	}{
+		{"longer aim", TryResult{Latency: 600 * time.Millisecond, Aim: 2 * time.Second}},
+		{"no aim", TryResult{Latency: 5 * time.Second}},
+	} {
+		limiter, now := NewSendLimiter[int](start), start
+		for index := range 2000 {
+			now = now.Add(20 * time.Millisecond)
+			result := TryResult{Latency: testWork, Aim: testAim}
+			if index%2 == 1 {
+				result = row.other
+			}
+			limiter.Observe(now, result)
+			if limiter.Status().Limited {
+				t.Errorf("%s: limited after %d answers", row.name, index+1)
+				break
+			}
+		}
+	}
+}
--- a/internal/core/admission/sendrate.go
+++ b/internal/core/admission/sendrate.go
@@ -81,7 +81,8 @@
 	r.advance(now)
 	r.signals.observe(now, result)
 	overloaded := r.rule.overloaded(&r.signals)
-	if result.Refused || overloaded {
+	// An answer without an aim says nothing about latency, which would otherwise stay a sign.
+	if result.Refused || overloaded && result.Aim > 0 {
 		r.signed = now
 	}
 	if overloaded && !r.limited {
@@ -105,10 +106,10 @@
 
 // floor returns the minimum limit, which keeps measurements coming.
 func (r *sendRate) floor() float64 {
-	if r.slots == 0 || r.senders == 0 || r.signals.baseline == 0 {
+	if r.slots == 0 || r.senders == 0 || r.signals.baseline.lowest == 0 {
 		return defaultFloor
 	}
-	return floorShare * float64(r.slots) / float64(r.senders) / r.signals.baseline
+	return floorShare * float64(r.slots) / float64(r.senders) / r.signals.baseline.lowest
 }
 
 // required returns the number of permits from which a request may be sent that leaves a share
--- a/internal/core/admission/sendrule.go
+++ b/internal/core/admission/sendrule.go
@@ -69,12 +69,12 @@
 // latencyExcess returns how far latency is from its target: 0 at the target, 1 at the aim,
 // negative below the target.
 func latencyExcess(s *sendSignals) float64 {
-	if s.aim == 0 {
+	if s.fast == 0 {
 		return -1
 	}
-	target := maxTargetShare * s.aim
-	if s.baseline > 0 {
-		target = max(targetShare*s.aim, min(baselineTolerance*s.baseline, target))
+	target := maxTargetShare
+	if lowest := s.relativeBaseline.lowest; lowest > 0 {
+		target = max(targetShare, min(baselineTolerance*lowest, maxTargetShare))
 	}
-	return (s.fast - target) / (s.aim - target)
+	return (s.fast - target) / (1 - target)
 }
--- a/internal/core/admission/sendsignals.go
+++ b/internal/core/admission/sendsignals.go
@@ -36,23 +36,41 @@
 	// latency is the smoothed latency of answers in seconds, deviation its mean deviation.
 	latency   float64
 	deviation float64
-	// fast is the smoothed latency of the faster answers in seconds. An overload of all
-	// replicas raises it, a few slow replicas hardly do.
+	// fast is the smoothed latency of the faster answers relative to the aim of each, as
+	// requests with different aims share a service. An overload of all replicas raises it, a few
+	// slow replicas hardly do. 0 means that no answer had an aim.
 	fast float64
 	// refusals is the smoothed share of tries that were refused, from 0 to 1.
 	refusals float64
 	// baseline is the lowest mean latency seen, in seconds; 0 means not yet known.
-	baseline float64
-	window   latencyWindow
+	// relativeBaseline is that of latencies relative to their aims.
+	baseline         lowestMean
+	relativeBaseline lowestMean
 	// aim is the last latency aimed for, in seconds; 0 means that latency does not limit.
 	aim      float64
 	observed time.Time
 }
 
-// latencyWindow collects the answers of one mean.
-type latencyWindow struct {
-	sum   float64
-	count int
+// lowestMean is the lowest mean of baselineSamples consecutive samples.
+type lowestMean struct {
+	// lowest is 0 until there are enough samples.
+	lowest float64
+	sum    float64
+	count  int
+}
+
+// add adds a sample.
+func (m *lowestMean) add(sample float64) {
+	m.sum += sample
+	m.count++
+	if m.count < baselineSamples {
+		return
+	}
+	mean := m.sum / float64(m.count)
+	if m.lowest == 0 || mean < m.lowest {
+		m.lowest = mean
+	}
+	m.sum, m.count = 0, 0
 }
 
 // observe records the result of one try.
@@ -66,8 +84,12 @@
 		return
 	}
 	weight := sampleWeight(elapsed, latencyPeriod)
-	s.observeLatency(result.Latency.Seconds(), weight)
-	s.observeBaseline(result.Latency.Seconds())
+	latency := result.Latency.Seconds()
+	s.observeLatency(latency, weight)
+	s.baseline.add(latency)
+	if result.Aim > 0 {
+		s.observeRelative(latency/result.Aim.Seconds(), weight)
+	}
 }
 
 // sampleWeight returns the weight of a sample some time after the one before it.
@@ -90,35 +112,26 @@
 	}
 }
 
-// observeLatency updates the latency, its deviation and the latency of fast answers.
+// observeLatency updates the latency and its deviation.
 func (s *sendSignals) observeLatency(latency, weight float64) {
-	capped := latency
-	if s.aim > 0 {
-		capped = min(latency, maxSampleShare*s.aim)
-	}
 	if s.latency == 0 {
-		s.latency, s.fast = latency, capped
+		s.latency = latency
 	}
 	s.deviation += weight * (math.Abs(latency-s.latency) - s.deviation)
 	s.latency += weight * (latency - s.latency)
-	if capped > s.fast {
-		weight *= slowAnswerWeight
-	}
-	s.fast += weight * (capped - s.fast)
 }
 
-// observeBaseline lowers the baseline to the mean of the last answers, if that is lower.
-func (s *sendSignals) observeBaseline(latency float64) {
-	s.window.sum += latency
-	s.window.count++
-	if s.window.count < baselineSamples {
-		return
+// observeRelative updates the latency of fast answers, from a latency relative to its aim.
+func (s *sendSignals) observeRelative(latency, weight float64) {
+	s.relativeBaseline.add(latency)
+	capped := min(latency, maxSampleShare)
+	if s.fast == 0 {
+		s.fast = capped
 	}
-	mean := s.window.sum / float64(s.window.count)
-	if s.baseline == 0 || mean < s.baseline {
-		s.baseline = mean
+	if capped > s.fast {
+		weight *= slowAnswerWeight
 	}
-	s.window = latencyWindow{}
+	s.fast += weight * (capped - s.fast)
 }
 
 // recent reports whether the measurements are recent enough to lower the limit.
--- a/internal/core/admission/sendways_test.go
+++ b/internal/core/admission/sendways_test.go
@@ -39,10 +39,10 @@
 func (fixedShareRule) overloaded(s *sendSignals) bool { return proportionalRule{}.overloaded(s) }
 
 func (r fixedShareRule) next(s *sendSignals, rate, _ float64, _ time.Duration) float64 {
-	if s.baseline == 0 {
+	if s.baseline.lowest == 0 {
 		return rate
 	}
-	return float64(r.slots) / float64(r.senders) / s.baseline
+	return float64(r.slots) / float64(r.senders) / s.baseline.lowest
 }
 
 // limitWay is one way to limit; newRule returns the rule of one sender.
