soak: bursts, slow replicas and limited sends

Cause: the soak ran without limit_sends, and its application replicas answered at once whatever arrived, so that no play had an overload.

Change: processes run with limit_sends. Checked in every play: a refusal has a Retry-After and its request did not run, repeatable or not; a call in a time from 1 s after a burst, and 4 s after any fault, is served.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +23,19 @@
 	acknowledged uint64
 	sent         map[uint64][]string
 	jobs         map[string]*jobRecord
-	// onceStatus maps requests that may run at most once to the status of their response.
-	onceStatus map[string]int
+	calls        []call
+	disturbances disturbances
+}
+
+// call is a caller's request with the status of its response, 0 if there was none.
+type call struct {
+	id         string
+	status     int
+	start, end time.Time
+}
+
+func (c call) refused() bool {
+	return c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 }
 
 // jobRecord is a client's view of a job.
@@ -47,7 +61,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{counts: map[string]int{}, sent: map[uint64][]string{}, jobs: map[string]*jobRecord{}, onceStatus: map[string]int{}}
+	return &recorder{counts: map[string]int{}, sent: map[uint64][]string{}, jobs: map[string]*jobRecord{}}
 }
 
 func (r *recorder) violation(format string, arguments ...any) {
@@ -130,9 +144,43 @@
 	}
 }
 
-// checkArrivals checks the requests that replicas received. noRecentResume reports whether
-// the checks of times apply at a time.
-func (r *recorder) checkArrivals(arrivals []sitestandin.Arrival, noRecentResume func(time.Time) bool) {
+// checkCall records a call and checks that a refusal says when to retry.
+func (r *recorder) checkCall(made call, retryAfter string) {
+	r.mutex.Lock()
+	r.calls = append(r.calls, made)
+	r.mutex.Unlock()
+	if !made.refused() {
+		return
+	}
+	if seconds, err := strconv.ParseFloat(retryAfter, 64); err != nil || seconds <= 0 {
+		r.violation("request %s: status %d with Retry-After %q", made.id, made.status, retryAfter)
+	}
+}
+
+// checkService checks that calls after a burst were served while nothing disturbed them, and
+// returns how many there were.
+func (r *recorder) checkService() int {
+	r.mutex.Lock()
+	calls := slices.Clone(r.calls)
+	r.mutex.Unlock()
+	checked := 0
+	for _, made := range calls {
+		if !r.disturbances.mustServe(made.start, made.end) {
+			continue
+		}
+		checked++
+		if made.status != http.StatusOK {
+			r.violation("request %s at %s: status %d after %v, though the burst is over and no fault is under way",
+				made.id, made.start.Format("15:04:05.000"), made.status, made.end.Sub(made.start))
+		}
+	}
+	return checked
+}
+
+// checkArrivals checks the requests that replicas received. refused counts the arrivals of a
+// request that replicas refused, and so did not run. noRecentResume reports whether the checks
+// of times apply at a time.
+func (r *recorder) checkArrivals(arrivals []sitestandin.Arrival, refused map[string]int, noRecentResume func(time.Time) bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	items := map[string]*jobRecord{}
@@ -154,12 +202,13 @@
 			r.violations = append(r.violations, fmt.Sprintf("item %s ran %v after its job ended", id, arrival.At.Sub(job.ended)))
 		}
 	}
-	for id, status := range r.onceStatus {
+	for _, made := range r.calls {
+		ran := runs[made.id] - refused[made.id]
 		switch {
-		case runs[id] > 1:
-			r.violations = append(r.violations, fmt.Sprintf("request %s, which may run at most once, ran %d times", id, runs[id]))
-		case runs[id] > 0 && (status == 503 || status == 429):
-			r.violations = append(r.violations, fmt.Sprintf("request %s was rejected as not run (%d) but ran", id, status))
+		case ran > 1 && strings.HasPrefix(made.id, "once-"):
+			r.violations = append(r.violations, fmt.Sprintf("request %s, which may run at most once, ran %d times", made.id, ran))
+		case ran > 0 && made.refused():
+			r.violations = append(r.violations, fmt.Sprintf("request %s was rejected as not run (%d) but ran", made.id, made.status))
 		}
 	}
 }
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -2,7 +2,9 @@
 // outside: signals (kill, stop and continue, graceful stop), a loopback proxy between the
 // machines (delay, reset, cuts in one direction or both), lost and damaged disks, and disks
 // that stall, are slow or reject writes (the program is built with the tag faultinjection).
-// Meanwhile it checks invariants from the observations of callers, operators and replicas.
+// Beside the faults it draws bursts of callers' requests above the capacity of the application
+// replicas, and replicas that turn slow; all processes run with limit_sends. Meanwhile it
+// checks invariants from the observations of callers, operators and replicas.
 //
 // The wall clock can't be changed from outside; test/source shows that no decision depends
 // on it. The injector simulates the suspension of a machine: it stops the process and advances
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -212,7 +212,7 @@
 		"machine": m.name, "zone": "z", "ip": m.public, "peer_port": fmt.Sprint(s.ports.peer),
 		"peer_listen": fmt.Sprintf("%s:%d", m.private, s.ports.peer), "peer_source": m.private,
 		"caller_listen": "", "readiness_listen": "", "control_listen": "", "seeds": s.seeds, "first_start": first, "data_folder": "",
-		"tolerated_losses": 1, "holder_lease_ms": holderLease.Milliseconds(), "grace_s": 8, "keep_jobs_s": 120, "memory_mb": 300,
+		"tolerated_losses": 1, "holder_lease_ms": holderLease.Milliseconds(), "grace_s": 8, "keep_jobs_s": 120, "memory_mb": 300, "limit_sends": true,
 	}
 	switch m.role {
 	case "front":
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -114,8 +114,17 @@
 	followers, stopFollowers := context.WithCancel(ctx)
 	spawn(func() { tr.submitJobs(working, followers) })
 	d := &injector{site: s, random: rand.New(rand.NewPCG(seed, 1)), log: t.Logf}
+	d.disturbances = &tr.recorder.disturbances
+	load := newLoadInjector(tr, seed, t.Logf)
+	drawn := make(chan struct{})
+	go func() { defer close(drawn); load.run(ctx, duration) }()
 	d.run(duration)
+	<-drawn
 	time.Sleep(stabilizeTime)
+	if duration > 0 {
+		load.finish(ctx)
+	}
+	tr.recorder.disturbances.add(time.Now(), time.Now().Add(waitTimeout))
 	stopWork()
 	d.recoverAll()
 	tr.finish(t, ctx)
@@ -124,9 +133,10 @@
 		tr.recorder.jobs["job-by-command"] = &jobRecord{id: "job-by-command", items: []string{"command-0"}}
 		s.testOperatorCommands(t)
 	}
+	load.pending.Wait()
 	cancel()
 	tasks.Wait()
-	tr.check(t, d)
+	tr.check(t, d, load)
 }
 
 // testOperatorCommands runs the operators' commands against the running site.
@@ -197,14 +207,28 @@
 	waitUntil(t, "the configuration is read", func() bool { return tr.checkConfiguration(ctx) })
 }
 
+// refusals returns how often application replicas refused each request.
+func (tr *traffic) refusals() map[string]int {
+	refused := map[string]int{}
+	for _, app := range tr.apps {
+		app.addRefusals(refused)
+	}
+	return refused
+}
+
 // check checks the observations of the run.
-func (tr *traffic) check(t *testing.T, d *injector) {
+func (tr *traffic) check(t *testing.T, d *injector, load *loadInjector) {
 	var arrivals []sitestandin.Arrival
 	for _, replica := range tr.replicas {
 		arrivals = append(arrivals, replica.Arrivals()...)
 		tr.recorder.checkOrders(replica.ID, replica.Orders(), d.noRecentResume)
 	}
-	tr.recorder.checkArrivals(arrivals, d.noRecentResume)
+	refused := tr.refusals()
+	tr.recorder.checkArrivals(arrivals, refused, d.noRecentResume)
+	undisturbed := tr.recorder.checkService()
+	if load.bursts > 0 && undisturbed == 0 {
+		t.Error("no call was checked after a burst")
+	}
 	for _, m := range tr.site.machines {
 		if failures := m.failures(); len(failures) > 0 {
 			t.Errorf("%s failed %d times, first: %s", m.name, len(failures), failures[0])
@@ -216,7 +240,8 @@
 	if tr.recorder.counts["call 200"] == 0 || tr.recorder.counts["jobs accepted"] == 0 || tr.recorder.counts["configurations"] == 0 {
 		t.Errorf("too little was served: %v", tr.recorder.counts)
 	}
-	t.Logf("%d arrivals, %v, faults %v", len(arrivals), tr.recorder.counts, d.counts)
+	t.Logf("%d arrivals, %v, faults %v, %d bursts, %d slow periods, %d undisturbed calls after a burst, %d requests refused by replicas",
+		len(arrivals), tr.recorder.counts, d.counts, load.bursts, load.slow, undisturbed, len(refused))
 }
 
 // injector injects random faults.
@@ -226,6 +251,7 @@
 	log          func(string, ...any)
 	counts       map[string]int
 	lastDiskLoss time.Time
+	disturbances *disturbances
 	// resumes are the times at which processes resumed or links healed.
 	mutex   sync.Mutex
 	resumes []time.Time
@@ -257,7 +283,9 @@
 	d.counts = map[string]int{}
 	d.lastDiskLoss = time.Now()
 	for end := time.Now().Add(duration); time.Now().Before(end); {
+		start := time.Now()
 		d.injectOne()
+		d.disturbances.add(start, time.Now().Add(stabilizeTime))
 		time.Sleep(time.Duration(500+d.random.IntN(3000)) * time.Millisecond)
 	}
 }
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -26,6 +26,9 @@
 	callInterval = 40 * time.Millisecond
 	jobInterval  = 700 * time.Millisecond
 	itemsPerJob  = 6
+	// idleConnections is enough for most requests of a burst to find an open connection to a
+	// front.
+	idleConnections = 128
 )
 
 // traffic simulates callers, job clients, an operator and replicas.
@@ -33,16 +36,19 @@
 	site     *site
 	recorder *recorder
 	replicas []*sitestandin.Replica
+	apps     []*appServer
 	client   *http.Client
 }
 
 func newTraffic(s *site) *traffic {
 	tr := &traffic{site: s, recorder: newRecorder(), client: &http.Client{
 		Timeout:   8 * time.Second,
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4},
+		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: idleConnections},
 	}}
 	for i := range 2 {
-		tr.replicas = append(tr.replicas, sitestandin.NewReplica(s.t, fmt.Sprint("i-plain-", i), plain))
+		replica := sitestandin.NewReplica(s.t, fmt.Sprint("i-plain-", i), plain)
+		tr.replicas = append(tr.replicas, replica)
+		tr.apps = append(tr.apps, newAppServer(replica))
 	}
 	for i := range 3 {
 		engine := sitestandin.NewEngine(s.t, fmt.Sprint("i-lm-", i), engines, model)
@@ -98,22 +104,24 @@
 // sendCalls sends requests; every second one may run at most once.
 func (tr *traffic) sendCalls(ctx context.Context, name string) {
 	for i := 0; pause(ctx, callInterval); i++ {
-		kind, path := "call", "/plain/x"
-		if i%2 == 1 {
-			kind, path = "once", "/once/x"
-		}
-		id := fmt.Sprintf("%s-%s-%d", kind, name, i)
-		status, body, header := tr.do(ctx, http.MethodPost, tr.frontURL()+path, http.Header{
-			sitestandin.Headers.RequestID: {id}, sitestandin.Headers.Deadline: {"2000"},
-		}, []byte(id))
-		tr.recorder.checkResponse(id, status, body, header.Get(sitestandin.Headers.Signature))
-		tr.recorder.count(fmt.Sprintf("%s %d", kind, status))
-		if kind == "once" {
-			tr.recorder.mutex.Lock()
-			tr.recorder.onceStatus[id] = status
-			tr.recorder.mutex.Unlock()
-		}
+		tr.call(ctx, name, i)
+	}
+}
+
+// call sends the i-th request of a caller and records its response.
+func (tr *traffic) call(ctx context.Context, name string, i int) {
+	kind, path := "call", "/plain/x"
+	if i%2 == 1 {
+		kind, path = "once", "/once/x"
 	}
+	id := fmt.Sprintf("%s-%s-%d", kind, name, i)
+	start := time.Now()
+	status, body, header := tr.do(ctx, http.MethodPost, tr.frontURL()+path, http.Header{
+		sitestandin.Headers.RequestID: {id}, sitestandin.Headers.Deadline: {"2000"},
+	}, []byte(id))
+	tr.recorder.checkResponse(id, status, body, header.Get(sitestandin.Headers.Signature))
+	tr.recorder.checkCall(call{id: id, status: status, start: start, end: time.Now()}, header.Get("Retry-After"))
+	tr.recorder.count(fmt.Sprintf("%s %d", kind, status))
 }
 
 // sendHeartbeats sends a replica's heartbeats.
