--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -82,6 +82,7 @@
 	store   *sitestore.Store
 	front   *front.Front
 	watcher *siteview.Watcher
+	sender  *proxy.Proxy
 }
 
 // clock returns the machine's boot time clock, which includes suspended time.
@@ -126,6 +127,8 @@
 	provider *sitestandin.Provider
 	// maxJobBytes limits the jobs that a store machine stores; 0 for no limit.
 	maxJobBytes int
+	// limitSends enables the send limits of fronts and store machines.
+	limitSends bool
 }
 
 func newSite(t testing.TB, controls, stores int) *site {
@@ -277,7 +280,7 @@
 	guard := sitecontrol.NewGuard(name, watcher, s.logger(name))
 	sender = proxy.New(proxy.Config{
 		Dialect: platform.Dialect{}, View: watcher.View, Logger: s.logger(name), Connections: 8, Guard: guard, Clock: p.clock,
-		Sender: name, Cold: coldLimits, MemoryBudget: s.budget,
+		Sender: name, Cold: coldLimits, MemoryBudget: s.budget, LimitSends: s.limitSends,
 	})
 	p.run(func() { _ = guard.Run(ctx) })
 	return watcher, sender
@@ -287,7 +290,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	watcher, sender := s.watch(ctx, p, true)
-	p.watcher = watcher
+	p.watcher, p.sender = watcher, sender
 	idle := httpserve.NewIdleConnections(time.Second)
 	var usageReporter *front.UsageReporter
 	if s.provider != nil {
