admission, front: the age of a request by the patience that callers commonly name

Cause: kept by route and tenant, the age of a request that came back was unknown at a front that had not seen its tenant: a refused caller comes back through other fronts.

--- a/internal/app/front/age.go
+++ b/internal/app/front/age.go
@@ -10,39 +10,35 @@
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 )
 
-// maxTrackedSources limits the memory for routes and tenants that were removed since.
-const maxTrackedSources = 16384
+// maxTrackedRoutes limits the memory for routes that were removed since.
+const maxTrackedRoutes = 4096
 
-// requestSource is a route and the tenant that uses it, "" if unknown.
-type requestSource struct{ route, tenant string }
-
-// callerAges estimates how long ago callers sent their first attempts. Routes and tenants differ
-// in how long their callers wait: a tenant that waits longer than others must not make their
-// requests look late. It is safe for concurrent use.
+// callerAges estimates how long ago callers sent their first attempts, by route. A caller that is
+// refused comes back through other fronts, which may not have seen its first attempt: they know
+// its patience from other callers. It is safe for concurrent use.
 type callerAges struct {
-	mutex   sync.Mutex
-	sources map[requestSource]*admission.CallerAge
+	mutex  sync.Mutex
+	routes map[string]*admission.CallerAge
 }
 
 // observe records the time that the caller of a request will still wait, and returns the age
 // of its first attempt; 0 if the caller does not say.
-func (a *callerAges) observe(route *routing.Route, tenant string, arrived time.Time, patience time.Duration) time.Duration {
+func (a *callerAges) observe(route *routing.Route, arrived time.Time, patience time.Duration) time.Duration {
 	if patience <= 0 {
 		return 0
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.sources == nil {
-		a.sources = map[requestSource]*admission.CallerAge{}
+	if a.routes == nil {
+		a.routes = map[string]*admission.CallerAge{}
 	}
-	source := requestSource{route: route.Name, tenant: tenant}
-	age := a.sources[source]
+	age := a.routes[route.Name]
 	if age == nil {
-		if len(a.sources) >= maxTrackedSources {
-			clear(a.sources)
+		if len(a.routes) >= maxTrackedRoutes {
+			clear(a.routes)
 		}
 		age = &admission.CallerAge{}
-		a.sources[source] = age
+		a.routes[route.Name] = age
 	}
 	return age.Observe(arrived, patience)
 }
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -218,7 +218,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.timeout(r, route)))
 	defer cancel()
 	request := f.newRequest(r, route, caller, body)
-	request.Age = f.ages.observe(route, caller.name(), arrived, f.patience(r))
+	request.Age = f.ages.observe(route, arrived, f.patience(r))
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
 		if failure.Verdict != port.NotRun {
