--- a/internal/core/admission/sendrule.go
+++ b/internal/core/admission/sendrule.go
@@ -5,16 +5,15 @@
 	"time"
 )
 
-// Parameters of the proportional rule, chosen with the model of the tests (TestSendTargets).
+// Parameters of the proportional rule.
 const (
 	// growthPerSecond is the share of the offered rate by which the limit grows each second.
 	growthPerSecond = 0.3
 	// slackGrowth is the additional growth per excess of latency below its target, relative to
-	// growthPerSecond. With 12, single requests were refused later than 1 s after a burst.
+	// growthPerSecond. It has to end a limit within a second after a burst.
 	slackGrowth = 20.0
 	// latencyFall and refusalFall are the relative decreases per second at a latency equal to
-	// the aim, and while all tries are refused. With a latencyFall of 10 the rate oscillated, and
-	// 0.03 to 0.04 less was on time in bursts of 1.4 and 3 than with 5.
+	// the aim, and while all tries are refused. A faster fall makes the rate oscillate.
 	latencyFall = 3.0
 	refusalFall = 20.0
 	// refusalTolerance is the share of refused tries that does not lower the limit.
