--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -29,6 +29,9 @@
 	heartbeatTime = 1200 * time.Millisecond
 )
 
+// memory is the memory of a machine in MB, by role.
+var memory = map[string]int{"front": 284, "control": 280, "store": 314}
+
 // machine is one machine of the site with its process. Each has a loopback address of its own.
 type machine struct {
 	name, role, ip, folder string
@@ -126,7 +129,7 @@
 		"machine": m.name, "zone": zone, "zones": map[string]string{zone: "guayaquil"}, "ip": m.ip, "peer_port": fmt.Sprint(s.peer),
 		"caller_listen": listen("front", s.front), "readiness_listen": listen("front", s.ready), "control_listen": listen("control", s.control),
 		"metrics_listen": fmt.Sprintf("%s:%d", m.ip, s.metrics), "seeds": seeds, "first_start": first, "data_folder": "",
-		"tolerated_losses": 1, "holder_lease_ms": 3000, "grace_s": graceTime.Seconds(), "keep_jobs_s": 120, "limit_sends": true, "memory_mb": 300,
+		"tolerated_losses": 1, "holder_lease_ms": 3000, "grace_s": graceTime.Seconds(), "keep_jobs_s": 120, "limit_sends": true, "memory_mb": memory[m.role],
 	}
 	if m.role != "front" {
 		settings["data_folder"] = filepath.Join(m.folder, "data")
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
+// twiceDelays are, for each round, how long after the new incarnation's first heartbeat the
+// request is sent. The site takes some 10 ms to know the incarnation, 100 ms on a busy machine.
+var twiceDelays = []time.Duration{0, 0, 0, 0, 40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond, 160 * time.Millisecond}
+
 const (
-	twiceRounds   = 8
 	twiceWork     = 120 * time.Millisecond
 	twiceDeadline = 4 * time.Second
 	// twiceDown is how long a crashed replica is down.
@@ -48,7 +51,8 @@
 	time.Sleep(contactTime + time.Second)
 	url := s.frontURL(s.of("front")[0], "/form/submit")
 	runs, results := map[string]int{}, map[string]answer{}
-	for round := 1; round <= twiceRounds; round++ {
+	for i, delay := range twiceDelays {
+		round := i + 1
 		for id, got := range sendUsual(url, round) {
 			results[id] = got
 		}
@@ -70,6 +74,7 @@
 			s.record.add("a heartbeat of replica %s is acknowledged", current.id)
 			registered <- err
 		}()
+		time.Sleep(delay)
 		s.record.add("client sends %s", id)
 		results[id] = send(url, id, twiceDeadline, []byte("form "+id))
 		s.record.add("client: %s: %v", id, results[id])
