front, logs: a stop that cuts requests off logs how many, and how many arrived late

Cause: a planned stop that closes connections of unfinished requests leaves no line of its own; each of them is logged as "the caller disconnected". Whether the front cut off what was in flight before the stop, or what it read after it began, cannot be told from the lines. Change: the line requests.cut has the number of unfinished requests, and of those that arrived after the stop began.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -55,6 +55,7 @@
 	CrashReportsNotStored   Event = "quarantine.notkept"
 	QuarantineTrial         Event = "quarantine.trial"
 	StreamResumed           Event = "stream.resumed"
+	RequestsCutOff          Event = "requests.cut"
 	RequestNoRoute          Event = "request.noroute"
 	RequestNoKey            Event = "request.nokey"
 	JobAccepted             Event = "job.accepted"
@@ -128,6 +129,7 @@
 	{QuarantineTrial, "a process requested a trial of a withheld request from the control group; whether it was granted, and the trials in the process's view"},
 	{CrashReportsNotStored, "crash reports were not stored by the control group; the process retries"},
 	{StreamResumed, "a stream broke off and resumes at another replica; the last event before"},
+	{RequestsCutOff, "a stopping front closes connections of unfinished requests; their number, and how many of them arrived after the stop began"},
 	{RequestNoRoute, "no route for a request; the version of the configuration"},
 	{RequestNoKey, "a request with a missing or unknown tenant key; the version of the configuration"},
 	{JobAccepted, "a job was accepted and stored"},
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -89,7 +89,9 @@
 	ages     callerAges
 	draining atomic.Bool
 	closing  atomic.Bool
-	inFlight atomic.Int64
+	// inFlight counts the requests that are being served, arrivedLate those of them that arrived
+	// after Drain.
+	inFlight, arrivedLate atomic.Int64
 }
 
 // New returns a Front.
@@ -110,7 +112,13 @@
 
 // CloseConnections closes the listener and the connections on which no caller may still
 // send. It blocks until none is left, or until ctx ends. Call it after Drain.
-func (f *Front) CloseConnections(ctx context.Context) { f.config.Idle.Stop(ctx) }
+func (f *Front) CloseConnections(ctx context.Context) {
+	f.config.Idle.Stop(ctx)
+	if unfinished := f.inFlight.Load(); unfinished > 0 {
+		f.config.Logger.Warn().Str(eventlog.Field, eventlog.RequestsCutOff).Int64("in_flight", unfinished).
+			Int64("arrived_late", f.arrivedLate.Load()).Msg("the stop closes connections of unfinished requests")
+	}
+}
 
 // Close makes the front reject every further request as not run. Call it right before
 // closing the connections: a request read from a closing connection must not be
@@ -122,9 +130,18 @@
 
 // Track counts a request as in flight until the returned function is called.
 func (f *Front) Track(w http.ResponseWriter) func() {
+	late := f.draining.Load()
 	f.inFlight.Add(1)
-	f.config.Idle.Announce(w.Header(), f.draining.Load())
-	return func() { f.inFlight.Add(-1) }
+	if late {
+		f.arrivedLate.Add(1)
+	}
+	f.config.Idle.Announce(w.Header(), late)
+	return func() {
+		f.inFlight.Add(-1)
+		if late {
+			f.arrivedLate.Add(-1)
+		}
+	}
 }
 
 // ServeHTTP forwards a request to a replica, or submits it as a job.
