httpserve: the use of a connection is announced when a response's header is written

A response to a request that began before the stop said "Keep-Alive: timeout=3" though it was written 3.1 s after SIGTERM, so its caller came back 5.7 s after it. Change: IdleConnections.Handler decides when the header is written. It serves the callers of fronts, the control processes' calls, the operators' interface and the callers of nodes, which all decided when a request began. TestClosingFrontForwardsNothing takes the handler that the front's server has, with its announcements, instead of one without; what it checks is as before.

--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -49,7 +49,7 @@
 		return addGroupReading(reading, state)
 	})
 	connections := httpserve.NewUnannouncedConnections(controlLinger)
-	operators := newService(p.file.ControlListen, connections.Handler(platform.ControlHandler(control)))
+	operators := newService(p.file.ControlListen, platform.ControlHandler(control))
 	operators.track(connections)
 	drain := func(ctx context.Context) {
 		control.TransferLeadership(ctx)
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -139,9 +139,10 @@
 	connections *httpserve.IdleConnections
 }
 
-// track makes connections track those of the service.
+// track makes connections track those of the service and announce their use.
 func (s *service) track(connections *httpserve.IdleConnections) {
 	s.connections = connections
+	s.server.Handler = connections.Handler(s.server.Handler)
 	s.server.ConnState = connections.Observe
 }
 
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -52,7 +52,7 @@
 		idle:     httpserve.NewIdleConnections(limits.KeepAlive),
 	}
 	s.http = &http.Server{
-		Handler:           s,
+		Handler:           s.idle.Handler(s),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -88,7 +88,10 @@
 }
 
 // Drain rejects new requests as not run; requests in flight continue.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.idle.Drain()
+}
 
 // Shutdown stops gracefully: it drains for Limits.DrainDelay, closes the listener, keeps
 // idle connections open for as long as their callers may use them (Limits.KeepAlive), and
@@ -128,7 +131,6 @@
 		// reads; readBody removes it once the body is complete.
 		_ = timed.controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
 	}
-	s.idle.Announce(timed.Header(), s.draining.Load())
 	timed.Header().Set(api.HeaderCluster, s.config.Cluster)
 	if refusal := s.rejectOtherCluster(request); refusal != nil {
 		s.fail(timed, refusal)
--- a/internal/adapter/httpserve/idle.go
+++ b/internal/adapter/httpserve/idle.go
@@ -19,8 +19,8 @@
 )
 
 // IdleConnections lets a server stop without losing a request that a client is sending.
-// Every response announces how long the connection may stay idle (Keep-Alive, RFC 2068,
-// section 19.7.1.1). A stopping server closes a connection only after that time, and only
+// Every response of Handler announces how long the connection may stay idle (Keep-Alive, RFC
+// 2068, section 19.7.1.1). A stopping server closes a connection only after that time, and only
 // if nothing has arrived on it.
 //
 // http.Server.Shutdown alone loses requests: it closes idle connections whose next request
@@ -31,7 +31,7 @@
 	timeout time.Duration
 	// announcement is the value of the Keep-Alive header, empty if none is sent.
 	announcement string
-	stopping     atomic.Bool
+	draining     atomic.Bool
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
@@ -82,32 +82,14 @@
 	}
 }
 
-// Announce sets the header with the keep-alive timeout or, if the server is stopping, with
-// the close of the connection.
-func (i *IdleConnections) Announce(header http.Header, stopping bool) {
-	if stopping {
-		header.Set("Connection", "close")
-		return
-	}
-	header.Set("Keep-Alive", i.announcement)
-}
-
-// Handler returns a handler whose responses announce the close of the connection once Stop
-// was called.
-func (i *IdleConnections) Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
+// Drain makes the responses of Handler announce the close of their connections.
+func (i *IdleConnections) Drain() { i.draining.Store(true) }
 
 // Stop closes the listener once its pending connections are accepted, and every connection
 // once it has been idle for the announced or the linger time. It returns when no connection
-// is left or ctx ends. From the call on, responses must announce the close of the connection.
+// is left or ctx ends. It calls Drain first.
 func (i *IdleConnections) Stop(ctx context.Context) {
-	i.stopping.Store(true)
+	i.Drain()
 	started := time.Now()
 	drained := i.stopListening()
 	ticker := time.NewTicker(idlePollInterval)
--- a/internal/adapter/httpserve/idle_test.go
+++ b/internal/adapter/httpserve/idle_test.go
@@ -14,10 +14,9 @@
 
 // idleServer is a server whose responses announce the keep-alive timeout.
 type idleServer struct {
-	idle     *httpserve.IdleConnections
-	http     *http.Server
-	address  string
-	stopping chan struct{}
+	idle    *httpserve.IdleConnections
+	http    *http.Server
+	address string
 	// idled receives a value each time a connection becomes idle.
 	idled chan struct{}
 	// accepted receives a value for each new connection.
@@ -41,7 +40,7 @@
 func startIdleServerOn(t *testing.T, announced time.Duration, listener net.Listener) *idleServer {
 	t.Helper()
 	s := &idleServer{
-		idle: httpserve.NewIdleConnections(announced), address: listener.Addr().String(), stopping: make(chan struct{}),
+		idle: httpserve.NewIdleConnections(announced), address: listener.Addr().String(),
 		idled: make(chan struct{}, 8), accepted: make(chan struct{}, 8),
 	}
 	observe := func(connection net.Conn, state http.ConnState) {
@@ -53,14 +52,7 @@
 			s.idled <- struct{}{}
 		}
 	}
-	s.http = &http.Server{ConnState: observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		select {
-		case <-s.stopping:
-			s.idle.Announce(w.Header(), true)
-		default:
-			s.idle.Announce(w.Header(), false)
-		}
-	})}
+	s.http = &http.Server{ConnState: observe, Handler: s.idle.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
 	go func() { _ = s.http.Serve(s.idle.Listener(listener)) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s
@@ -68,7 +60,6 @@
 
 // stop stops the server gracefully.
 func (s *idleServer) stop(ctx context.Context) <-chan struct{} {
-	close(s.stopping)
 	stopped := make(chan struct{})
 	go func() {
 		s.idle.Stop(ctx)
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -51,7 +51,7 @@
 	Proxy   *proxy.Proxy
 	Jobs    *jobsapi.Client
 	Logger  *log.Logger
-	// Idle tracks the connections of the front's server.
+	// Idle tracks the connections of the front's server and makes its announcements.
 	Idle *httpserve.IdleConnections
 	// RevokeWithin is how long a front without a confirmed view accepts the keys it knows;
 	// 0 means no limit.
@@ -108,7 +108,10 @@
 
 // Drain makes the front unready. Responses from now on ask callers to close their
 // connections.
-func (f *Front) Drain() { f.draining.Store(true) }
+func (f *Front) Drain() {
+	f.draining.Store(true)
+	f.config.Idle.Drain()
+}
 
 // CloseConnections closes the listener and the connections on which no caller may still
 // send. It blocks until none is left, or until ctx ends. Call it after Drain.
@@ -129,13 +132,12 @@
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
 // Track counts a request as in flight until the returned function is called.
-func (f *Front) Track(w http.ResponseWriter) func() {
+func (f *Front) Track() func() {
 	late := f.draining.Load()
 	f.inFlight.Add(1)
 	if late {
 		f.arrivedLate.Add(1)
 	}
-	f.config.Idle.Announce(w.Header(), late)
 	return func() {
 		f.inFlight.Add(-1)
 		if late {
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -307,7 +307,7 @@
 		Dialect:      platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Idle: idle,
 		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), Zone: "z", View: watcher.State, AssignShard: sitecontrol.Placer(watcher), StoredWithin: watcher.StoredWithin}),
 	})
-	p.http = httptest.NewUnstartedServer(platform.FrontHandler(p.front))
+	p.http = httptest.NewUnstartedServer(idle.Handler(platform.FrontHandler(p.front)))
 	p.http.Listener = smallBufferListener{p.http.Listener}
 	p.http.Start()
 	p.run(func() { _ = watcher.Run(ctx) })
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -14,7 +14,6 @@
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
-	"github.com/loomgrade/loomgrade/platform"
 	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
 
@@ -231,7 +230,7 @@
 	request := httptest.NewRequest(http.MethodPost, "http://"+host+"/plain/x", strings.NewReader("body"))
 	request.Header.Set(sitestandin.Headers.RequestID, "while-draining")
 	recorder := httptest.NewRecorder()
-	platform.FrontHandler(s.fronts[0].front).ServeHTTP(recorder, request)
+	s.fronts[0].http.Config.Handler.ServeHTTP(recorder, request)
 	if recorder.Code != http.StatusOK || recorder.Header().Get("Connection") != "close" {
 		t.Errorf("draining: %d %v", recorder.Code, recorder.Header())
 	}
