front: a stopping front refuses requests that may outlast the stop

A caller needs no wrong promise to come late: a connection that is accepted until 2.6 s after SIGTERM may carry its first request 3.5 s later, and a connection whose response's header was written before the stop may be used again after its body's end. Change: Drain gets the schedule of the stop. A request whose deadline lies after its end is refused at once with 503, Retry-After and the close of the connection, before anything is sent; likewise calls about jobs, by their time limits. As long as callers cannot know of the stop, a request is served if the end is four times the mean latency of its service away, so that a deadline of 30 s does not refuse a request of 30 ms; not so streams, whose latency ends with their header. Before, on: TestGracefulStopRefusesWhatItCannotFinish fails ('no response: unexpected EOF'). TestGracefulStopFinishesRequestsInFlight moves to a file of its own, unchanged. Conclusion: a request that a stopping front accepts ends within the stop, by its deadline, or very likely, by what its service usually takes. Requests in flight when the stop begins may still be cut off."

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -32,6 +32,8 @@
 	bodyMemoryShare = 0.25
 	// shutdownReserve is the part of the grace period reserved for the process to exit.
 	shutdownReserve = 1200 * time.Millisecond
+	// responseReserve is reserved before that for writing the last responses.
+	responseReserve = 200 * time.Millisecond
 )
 
 // siteFrontCommand runs a front process.
@@ -65,9 +67,11 @@
 	callers.track(idle)
 	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
 	drain := func(ctx context.Context) {
-		stopping, cancel := context.WithTimeout(ctx, p.file.Grace()-shutdownReserve)
+		began := time.Now()
+		end := began.Add(p.file.Grace() - shutdownReserve)
+		stopping, cancel := context.WithDeadline(ctx, end)
 		defer cancel()
-		frontServer.Drain()
+		frontServer.Drain(front.PlannedStop{CallersAware: began.Add(callerKeepAlive), AnswerBy: end.Add(-responseReserve)})
 		wait(stopping, drainDelay)
 		frontServer.CloseConnections(stopping)
 		frontServer.Close()
--- a/internal/app/front/authorize.go
+++ b/internal/app/front/authorize.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
@@ -35,14 +36,18 @@
 	return &jobstate.Access{Tenant: c.name()}
 }
 
-// Authorize identifies the caller of a job request. If ok is false, the error response is
-// already written.
+// Authorize identifies the caller of a call about a job. It rejects a call that may outlast a
+// planned stop. If ok is false, the error response is already written.
 func (f *Front) Authorize(w http.ResponseWriter, r *http.Request) (caller Caller, ok bool) {
 	view := f.config.Watcher.View()
 	if view == nil || view.Table == nil {
 		f.rejectWithDelay(w, r, "", "no configuration is known yet", startupRetryDelay)
 		return Caller{}, false
 	}
+	if !f.endsBeforeStop(time.Now().Add(jobCallTimeout)) {
+		f.reject(w, r, "", reasonStopping)
+		return Caller{}, false
+	}
 	return f.authorize(w, r, view, false)
 }
 
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -44,6 +44,9 @@
 	deadlineMargin = 5 * time.Millisecond
 )
 
+// reasonStopping is the reason of rejections during a planned stop.
+const reasonStopping = "the process is stopping"
+
 // Config configures a Front.
 type Config struct {
 	Dialect dialect.Dialect
@@ -83,12 +86,13 @@
 
 // Front is the HTTP handler of callers' requests.
 type Front struct {
-	config   Config
-	headers  dialect.Headers
-	splits   atomic.Uint64
-	ages     callerAges
-	draining atomic.Bool
-	closing  atomic.Bool
+	config  Config
+	headers dialect.Headers
+	splits  atomic.Uint64
+	ages    callerAges
+	// stop is the planned stop that Drain began, nil before.
+	stop    atomic.Pointer[PlannedStop]
+	closing atomic.Bool
 	// inFlight counts the requests that are being served, arrivedLate those of them that arrived
 	// after Drain.
 	inFlight, arrivedLate atomic.Int64
@@ -103,37 +107,15 @@
 // was not called.
 func (f *Front) Ready() bool {
 	view := f.config.Watcher.View()
-	return !f.draining.Load() && view != nil && view.Table != nil
-}
-
-// Drain makes the front unready. Responses from now on ask callers to close their
-// connections.
-func (f *Front) Drain() {
-	f.draining.Store(true)
-	f.config.Idle.Drain()
+	return f.stop.Load() == nil && view != nil && view.Table != nil
 }
 
-// CloseConnections closes the listener and the connections on which no caller may still
-// send. It blocks until none is left, or until ctx ends. Call it after Drain.
-func (f *Front) CloseConnections(ctx context.Context) {
-	f.config.Idle.Stop(ctx)
-	if unfinished := f.inFlight.Load(); unfinished > 0 {
-		f.config.Logger.Warn().Str(eventlog.Field, eventlog.RequestsCutOff).Int64("in_flight", unfinished).
-			Int64("arrived_late", f.arrivedLate.Load()).Msg("the stop closes connections of unfinished requests")
-	}
-}
-
-// Close makes the front reject every further request as not run. Call it right before
-// closing the connections: a request read from a closing connection must not be
-// forwarded, since its response could not be delivered.
-func (f *Front) Close() { f.closing.Store(true) }
-
 // InFlight returns the number of requests that are being served.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
 // Track counts a request as in flight until the returned function is called.
 func (f *Front) Track() func() {
-	late := f.draining.Load()
+	late := f.stop.Load() != nil
 	f.inFlight.Add(1)
 	if late {
 		f.arrivedLate.Add(1)
@@ -150,7 +132,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if f.closing.Load() {
-		f.reject(w, r, "", "the process is stopping")
+		f.reject(w, r, "", reasonStopping)
 		return
 	}
 	view := f.config.Watcher.View()
@@ -234,9 +216,13 @@
 
 // forward sends a request to a replica and writes the replica's response.
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, route *routing.Route, caller Caller, body []byte, arrived time.Time) {
-	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(f.timeout(r, route)))
+	deadline, request := arrived.Add(f.timeout(r, route)), f.newRequest(r, route, caller, body)
+	if !f.mayForward(route, request.Service, deadline) {
+		f.reject(w, r, route.Name, reasonStopping)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	request := f.newRequest(r, route, caller, body)
 	request.Age = f.ages.observe(route, arrived, f.patience(r))
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -43,8 +43,13 @@
 		f.writeError(w, r, route.Name, http.StatusBadRequest, "a job needs an id: header "+f.headers.RequestID)
 		return
 	}
+	timeout := min(submitTimeout, f.timeout(r, route))
+	if !f.endsBeforeStop(time.Now().Add(timeout)) {
+		f.reject(w, r, route.Name, reasonStopping)
+		return
+	}
 	// A submission in flight continues after the client disconnects: it may be stored.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), min(submitTimeout, f.timeout(r, route)))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), timeout)
 	defer cancel()
 	startedAt := time.Now()
 	accepted, err := f.config.Jobs.Submit(ctx, &submission, routing.AllowedRegionsOf(route, caller.tenant))
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -256,6 +256,13 @@
 	return "no replica of the service is known", 0
 }
 
+// Latency returns the mean latency of a service's answers, 0 before the first.
+func (p *Proxy) Latency(service string) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.balancer.Latency(service)
+}
+
 func (p *Proxy) finishTry(service, id string, outcome balance.Result, took time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -294,10 +301,7 @@
 // hedgeAfter returns how long to wait for the first try of a request before sending a
 // second one.
 func (p *Proxy) hedgeAfter(request Request) time.Duration {
-	p.mutex.Lock()
-	latency := p.balancer.Latency(request.Service)
-	p.mutex.Unlock()
-	wait := max(minHedgeDelay, hedgeLatencyFactor*latency)
+	wait := max(minHedgeDelay, hedgeLatencyFactor*p.Latency(request.Service))
 	if request.Aim > 0 {
 		wait = min(wait, max(minHedgeDelay, time.Duration(hedgeAimShare*float64(request.Aim))))
 	}
--- a/test/site/overload_test.go
+++ b/test/site/overload_test.go
@@ -106,7 +106,7 @@
 
 	queue := fillQueue(t, stopping, replica)
 	before := len(queue.ended())
-	stopping.front.Drain()
+	stopping.front.Drain(planned(waitTimeout))
 	stopping.front.Close()
 	stopping.sender.Close()
 	waitUntil(t, "all requests but those that run are answered", func() bool {
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -226,7 +226,7 @@
 
 func TestClosingFrontForwardsNothing(t *testing.T) {
 	s, plainReplica, _ := startServingSite(t)
-	s.fronts[0].front.Drain()
+	s.fronts[0].front.Drain(planned(waitTimeout))
 	request := httptest.NewRequest(http.MethodPost, "http://"+host+"/plain/x", strings.NewReader("body"))
 	request.Header.Set(sitestandin.Headers.RequestID, "while-draining")
 	recorder := httptest.NewRecorder()
--- /dev/null
+++ b/test/soak/stop_test.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/test/sitestandin"
+)
+
+// TestGracefulStopFinishesRequestsInFlight checks that during its graceful stop a front
+// completes a request that takes longer than its notice to callers.
+func TestGracefulStopFinishesRequestsInFlight(t *testing.T) {
+	build(t)
+	s := newSite(t, 3, 0, 1)
+	for _, m := range s.machines {
+		s.start(m, true)
+	}
+	tr := newTraffic(s)
+	started := make(chan struct{})
+	slow := tr.replicas[0]
+	slow.Handle = func(w http.ResponseWriter, r *http.Request) bool {
+		close(started)
+		select {
+		case <-time.After(4 * time.Second):
+		case <-r.Context().Done():
+		}
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go tr.changeConfigurations(ctx)
+	go tr.sendHeartbeats(ctx, slow)
+	front := s.machinesOf("front")[0]
+	waitUntil(t, "the front is ready", func() bool { return s.ready(front) })
+	answered := make(chan string, 1)
+	go func() {
+		status, body := http.StatusServiceUnavailable, ""
+		for status == http.StatusServiceUnavailable { // the replica may not be registered yet
+			status, body, _ = tr.do(ctx, http.MethodPost, tr.frontURL()+"/once/x", http.Header{sitestandin.Headers.RequestID: {"once-slow"}}, nil)
+		}
+		answered <- fmt.Sprint(status, " ", body)
+	}()
+	<-started
+	front.stop()
+	if got, want := <-answered, fmt.Sprint(http.StatusOK, " ", sitestandin.ResponseBody(slow.ID, "once-slow")); got != want {
+		t.Errorf("answer %q, want %q", got, want)
+	}
+}
+
+// TestGracefulStopRefusesWhatItCannotFinish guards against a front that reads a request late
+// in its graceful stop, passes it on and closes the connection without a response.
+func TestGracefulStopRefusesWhatItCannotFinish(t *testing.T) {
+	build(t)
+	s := newSite(t, 3, 0, 1)
+	for _, m := range s.machines {
+		s.start(m, true)
+	}
+	tr := newTraffic(s)
+	replica := tr.replicas[0]
+	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(sitestandin.Headers.RequestID) == "once-late" {
+			<-r.Context().Done()
+		}
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go tr.changeConfigurations(ctx)
+	go tr.sendHeartbeats(ctx, replica)
+	front := s.machinesOf("front")[0]
+	waitUntil(t, "a call is served", func() bool {
+		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/once/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("once-", time.Now().UnixNano())}}, nil)
+		return status == http.StatusOK
+	})
+	front.signal(syscall.SIGTERM)
+	time.Sleep(2 * time.Second) // the front still accepts connections
+	connection, err := net.Dial("tcp", s.address(front, s.ports.caller))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	time.Sleep(3 * time.Second) // callers may use connections for 3 s
+	_, _ = fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: once-late\r\nContent-Length: 4\r\n\r\nbody", host, sitestandin.Headers.RequestID)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, close %v, header %v", response.StatusCode, response.Close, response.Header)
+	}
+	for _, arrival := range replica.Arrivals() {
+		if arrival.ID == "once-late" {
+			t.Error("a refused request was sent to a replica")
+		}
+	}
+	front.stop()
+}
