front, proxy: a stopping front answers the requests that it cannot finish

Change: Abort ends the context of all requests, and the server has 200 ms of the reserve to write the responses: 503 to those of which nothing was sent, 502 to the others. The proxy waits up to 50 ms for the verdicts of tries that the end of the context has ended. That holds for a caller's deadline too: a request that waited until then is refused as not run, instead of failed. Usage and crash reports have until the same time, so that they are no longer dropped when the last request ends with the stop. Conclusion: no request that was read ends without a response at a planned stop, but streams whose header is written.

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -32,7 +32,7 @@
 	bodyMemoryShare = 0.25
 	// shutdownReserve is the part of the grace period reserved for the process to exit.
 	shutdownReserve = 1200 * time.Millisecond
-	// responseReserve is reserved before that for writing the last responses.
+	// responseReserve is reserved for writing the last responses.
 	responseReserve = 200 * time.Millisecond
 )
 
@@ -64,6 +64,7 @@
 		return addSendReading(addViewReading(reading, watcher), sender)
 	})
 	callers := newService(p.file.CallerListen, platform.FrontHandler(frontServer))
+	callers.server.BaseContext = frontServer.BaseContext
 	callers.track(idle)
 	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
 	drain := func(ctx context.Context) {
@@ -76,9 +77,12 @@
 		frontServer.CloseConnections(stopping)
 		frontServer.Close()
 		sender.Close()
-		_ = callers.server.Shutdown(stopping)
-		usageReporter.Drain(stopping)
-		requestGuard.Drain(stopping)
+		frontServer.Abort()
+		finishing, cancel := context.WithDeadline(ctx, end.Add(responseReserve))
+		defer cancel()
+		_ = callers.server.Shutdown(finishing)
+		usageReporter.Drain(finishing)
+		requestGuard.Drain(finishing)
 	}
 	tasks := []func(context.Context) error{watcher.Run, requestGuard.Run}
 	if usageReporter != nil {
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -129,7 +129,7 @@
 	{QuarantineTrial, "a process requested a trial of a withheld request from the control group; whether it was granted, and the trials in the process's view"},
 	{CrashReportsNotStored, "crash reports were not stored by the control group; the process retries"},
 	{StreamResumed, "a stream broke off and resumes at another replica; the last event before"},
-	{RequestsCutOff, "a stopping front closes connections of unfinished requests; their number, and how many of them arrived after the stop began"},
+	{RequestsCutOff, "a stopping front ends unfinished requests; their number, and how many of them arrived after the stop began"},
 	{RequestNoRoute, "no route for a request; the version of the configuration"},
 	{RequestNoKey, "a request with a missing or unknown tenant key; the version of the configuration"},
 	{JobAccepted, "a job was accepted and stored"},
--- a/internal/app/front/authorize.go
+++ b/internal/app/front/authorize.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
@@ -45,7 +46,7 @@
 		return Caller{}, false
 	}
 	if !f.endsBeforeStop(time.Now().Add(jobCallTimeout)) {
-		f.reject(w, r, "", reasonStopping)
+		f.reject(w, r, "", proxy.ErrStopping.Error())
 		return Caller{}, false
 	}
 	return f.authorize(w, r, view, false)
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,9 +46,6 @@
 	deadlineMargin = 5 * time.Millisecond
 )
 
-// reasonStopping is the reason of rejections during a planned stop.
-const reasonStopping = "the process is stopping"
-
 // Config configures a Front.
 type Config struct {
 	Dialect dialect.Dialect
@@ -90,6 +89,9 @@
 	headers dialect.Headers
 	splits  atomic.Uint64
 	ages    callerAges
+	// requests is the context of all requests; abort ends it.
+	requests context.Context
+	abort    context.CancelCauseFunc
 	// stop is the planned stop that Drain began, nil before.
 	stop    atomic.Pointer[PlannedStop]
 	closing atomic.Bool
@@ -100,9 +102,14 @@
 
 // New returns a Front.
 func New(config Config) *Front {
-	return &Front{config: config, headers: config.Dialect.Headers()}
+	f := &Front{config: config, headers: config.Dialect.Headers()}
+	f.requests, f.abort = context.WithCancelCause(context.Background())
+	return f
 }
 
+// BaseContext returns the context of all requests, for the server of the front. Abort ends it.
+func (f *Front) BaseContext(net.Listener) context.Context { return f.requests }
+
 // Ready reports whether the front accepts new callers: it has a configuration, and Drain
 // was not called.
 func (f *Front) Ready() bool {
@@ -132,7 +139,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if f.closing.Load() {
-		f.reject(w, r, "", reasonStopping)
+		f.reject(w, r, "", proxy.ErrStopping.Error())
 		return
 	}
 	view := f.config.Watcher.View()
@@ -218,7 +225,7 @@
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, route *routing.Route, caller Caller, body []byte, arrived time.Time) {
 	deadline, request := arrived.Add(f.timeout(r, route)), f.newRequest(r, route, caller, body)
 	if !f.mayForward(route, request.Service, deadline) {
-		f.reject(w, r, route.Name, reasonStopping)
+		f.reject(w, r, route.Name, proxy.ErrStopping.Error())
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
@@ -268,7 +275,7 @@
 // outcomeOf returns the outcome of a failed request for the Recorder.
 func outcomeOf(r *http.Request, failure *proxy.Failure) string {
 	switch {
-	case r.Context().Err() != nil:
+	case callerGone(r):
 		return OutcomeCallerGone
 	case failure.Code == port.CodeWithheld:
 		return OutcomeWithheld
@@ -281,6 +288,11 @@
 	}
 }
 
+// callerGone reports whether the caller closed its connection.
+func callerGone(r *http.Request) bool {
+	return r.Context().Err() != nil && !errors.Is(context.Cause(r.Context()), proxy.ErrStopping)
+}
+
 func (f *Front) record(outcome string, arrived time.Time) {
 	if f.config.Recorder != nil {
 		f.config.Recorder.RequestEnded(outcome, time.Since(arrived))
@@ -300,7 +312,7 @@
 // writeFailure writes the response to a failed request.
 func (f *Front) writeFailure(w http.ResponseWriter, r *http.Request, route *routing.Route, failure *proxy.Failure) {
 	switch {
-	case r.Context().Err() != nil:
+	case callerGone(r):
 		panic(http.ErrAbortHandler)
 	case failure.Verdict == port.NotRun:
 		f.rejectWithDelay(w, r, route.Name, failure.Reason, cmp.Or(failure.RetryAfter, retryDelay))
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -8,6 +8,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
+	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -45,7 +46,7 @@
 	}
 	timeout := min(submitTimeout, f.timeout(r, route))
 	if !f.endsBeforeStop(time.Now().Add(timeout)) {
-		f.reject(w, r, route.Name, reasonStopping)
+		f.reject(w, r, route.Name, proxy.ErrStopping.Error())
 		return
 	}
 	// A submission in flight continues after the client disconnects: it may be stored.
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -25,6 +25,8 @@
 	allRefusedPause = 30 * time.Millisecond
 	// maxRefusedRounds limits these pauses; then the request fails.
 	maxRefusedRounds = 3
+	// verdictTimeout limits the wait for the tries of a request whose context ended.
+	verdictTimeout = 50 * time.Millisecond
 	// maxBodyBytes limits an answer that is read completely.
 	maxBodyBytes = 64 << 20
 )
@@ -146,11 +148,39 @@
 				e.launch()
 			}
 		case <-e.ctx.Done():
+			if answer := e.awaitTries(); answer != nil {
+				return answer, nil
+			}
 			return nil, e.contextFailure()
 		}
 	}
 }
 
+// awaitTries waits for the tries that the end of the context has ended, so that one of which
+// nothing was sent does not count as one that may have run. It returns an answer that was
+// complete by then.
+func (e *exchange) awaitTries() *Answer {
+	limit := time.NewTimer(verdictTimeout)
+	defer limit.Stop()
+	for e.inFlight > 0 {
+		select {
+		case res := <-e.results:
+			e.inFlight--
+			answer, done := e.handleResult(res)
+			switch {
+			case !done:
+			case answer.Stream == nil:
+				return answer
+			default:
+				_ = answer.Stream.Body.Close() // its context has ended
+			}
+		case <-limit.C:
+			return nil
+		}
+	}
+	return nil
+}
+
 // handleResult handles the result of a try. If done is true, answer is the one to return.
 func (e *exchange) handleResult(res result) (answer *Answer, done bool) {
 	switch res.class {
@@ -262,12 +292,19 @@
 
 // contextFailure returns the failure of a request whose context ended.
 func (e *exchange) contextFailure() *Failure {
-	if errors.Is(context.Cause(e.ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(e.ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return e.fail(port.CodeDeadline, "no answer in time")
+	case errors.Is(cause, ErrStopping):
+		return e.fail(port.CodeDraining, cause.Error())
+	default:
+		return e.fail(port.CodeCancelled, "the caller disconnected")
 	}
-	return e.fail(port.CodeCancelled, "the caller disconnected")
 }
 
+// ErrStopping is the cause of a context that ends because the process stops.
+var ErrStopping = errors.New("the process is stopping")
+
 func (e *exchange) fail(code port.Code, reason string) *Failure {
 	verdict := port.NotRun
 	if e.mayHaveRun > 0 {
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -169,3 +169,46 @@
 		t.Errorf("deadlines received: %v ms", received)
 	}
 }
+
+// TestRequestThatWaitedForConnectionHasNotRun guards against a request that counts as one that
+// may have run although its context ended while it waited for a connection to the replica.
+func TestRequestThatWaitedForConnectionHasNotRun(t *testing.T) {
+	for name, row := range map[string]struct {
+		end  func(context.Context) (context.Context, context.CancelFunc)
+		code port.Code
+	}{
+		"deadline": {func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 100*time.Millisecond)
+		}, port.CodeDeadline},
+		"the process stops": {func(ctx context.Context) (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancelCause(ctx)
+			stop := time.AfterFunc(100*time.Millisecond, func() { cancel(ErrStopping) })
+			return ctx, func() { stop.Stop(); cancel(nil) }
+		}, port.CodeDraining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived, release := make(chan struct{}, 2), make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				arrived <- struct{}{}
+				<-release
+			}))
+			defer server.Close()
+			defer close(release)
+			sender := newTestProxy(server.Listener.Addr().String(), new(atomic.Int64))
+			request := Request{Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "first"}, Service: "s", MaxAttempts: 2}
+			first, cancelFirst := context.WithCancel(t.Context())
+			defer cancelFirst()
+			go func() { _, _ = sender.Do(first, request) }()
+			<-arrived
+			ctx, cancel := row.end(t.Context())
+			defer cancel()
+			request.ID = "second"
+			if _, failure := sender.Do(ctx, request); failure == nil || failure.Verdict != port.NotRun || failure.Code != row.code {
+				t.Errorf("failure %+v", failure)
+			}
+			if len(arrived) > 0 {
+				t.Error("the request was sent")
+			}
+		})
+	}
+}
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +56,57 @@
 	}
 }
 
+// TestGracefulStopAnswersUnfinishedRequests guards against a front that closes connections
+// without a response at the end of its stop. More requests than a process may have connections
+// to a replica are in flight: those that wait for one have not run, and are refused as such.
+func TestGracefulStopAnswersUnfinishedRequests(t *testing.T) {
+	build(t)
+	s := newSite(t, 3, 0, 1)
+	for _, m := range s.machines {
+		s.start(m, true)
+	}
+	tr := newTraffic(s)
+	tr.client.Timeout = waitTimeout
+	replica := tr.replicas[0]
+	var arrivals atomic.Int64
+	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+		if strings.HasPrefix(r.Header.Get(sitestandin.Headers.RequestID), "patient-") {
+			arrivals.Add(1)
+			<-r.Context().Done()
+		}
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go tr.changeConfigurations(ctx)
+	go tr.sendHeartbeats(ctx, replica)
+	front := s.machinesOf("front")[0]
+	waitUntil(t, "a call is served", func() bool {
+		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/once/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("once-", time.Now().UnixNano())}}, nil)
+		return status == http.StatusOK
+	})
+	const requests, connections = 14, 10
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/patient/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("patient-", i)}}, nil)
+			statuses <- status
+		}()
+	}
+	waitUntil(t, "the connections to the replica are in use", func() bool { return arrivals.Load() == connections })
+	front.stop()
+	got := map[int]int{}
+	for range requests {
+		got[<-statuses]++
+	}
+	// The end of one request may give its connection to another that is about to end.
+	ran := int(arrivals.Load())
+	want := map[int]int{http.StatusBadGateway: ran, http.StatusServiceUnavailable: requests - ran}
+	if ran == requests || !maps.Equal(got, want) {
+		t.Errorf("responses by status: %v, want %v", got, want)
+	}
+}
+
 // TestGracefulStopRefusesWhatItCannotFinish guards against a front that reads a request late
 // in its graceful stop, passes it on and closes the connection without a response.
 func TestGracefulStopRefusesWhatItCannotFinish(t *testing.T) {
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -138,10 +138,11 @@
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"r-plain","hostname":"%s","pathPrefix":"/plain/","routeType":"idempotent","timeoutMs":2000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":6000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
+		{"name":"r-patient","hostname":"%s","pathPrefix":"/patient/","routeType":"non_idempotent","timeoutMs":20000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":120}],
 		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
 		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":[{"name":"%s"}]}}],
-		"limits":{"maxBodyBytes":1048576}}`, version, host, plain, host, plain, host, engines, plain, engines, model)
+		"limits":{"maxBodyBytes":1048576}}`, version, host, plain, host, plain, host, plain, host, engines, plain, engines, model)
 }
 
 // changeConfigurations repeatedly changes the configuration, reads it back and publishes
