proxy, logs: the line of a request with several sends has the result of each

Cause: a request's line had its sends, the replicas tried and the last failure. Whether a replica refused a request twice, or an earlier refusal was read twice, cannot be told from that.

--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -34,6 +34,22 @@
 // class classifies the result of a try.
 type class uint8
 
+// String implements fmt.Stringer.
+func (c class) String() string {
+	switch c {
+	case classAnswer:
+		return "answer"
+	case classError:
+		return "error"
+	case classRefused:
+		return "refused"
+	case classNotSent:
+		return "not sent"
+	default:
+		return "may have run"
+	}
+}
+
 const (
 	classAnswer     class = iota // an answer to return
 	classError                   // a 5xx answer: the replica ran the request and failed
@@ -48,6 +64,9 @@
 	answer  *Answer
 	reason  error
 	replica string
+	// status is that of the replica's response, 0 if there was none.
+	status int
+	took   time.Duration
 	// misdirected is set if the request reached another instance than the expected one.
 	misdirected bool
 	// timedOut is set if the caller's deadline ended the try.
@@ -77,7 +96,9 @@
 	// retryRefused is set if the retry budget did not allow a retry.
 	retryRefused bool
 	// triedIDs are the replicas tried, in order.
-	triedIDs   []string
+	triedIDs []string
+	// ended are the results of the tries, without their answers.
+	ended      []result
 	sends      int // tries started
 	mayHaveRun int // tries that ran, may have run, or may still run
 	inFlight   int
@@ -183,6 +204,7 @@
 
 // handleResult handles the result of a try. If done is true, answer is the one to return.
 func (e *exchange) handleResult(res result) (answer *Answer, done bool) {
+	e.ended = append(e.ended, result{class: res.class, replica: res.replica, status: res.status, took: res.took})
 	switch res.class {
 	case classAnswer:
 		if res.answer.Stream == nil {
@@ -370,18 +392,17 @@
 	sent := e.request.Request
 	sent.Header = sent.Header.Clone()
 	res := e.send(replica, sent)
-	res.replica = replica.ID
+	res.replica, res.took = replica.ID, time.Since(startedAt)
 	if res.answer != nil {
 		res.answer.SentAt = sentAt
 	}
 	if res.class == classAnswer || res.class == classError {
 		e.proxy.guard.RecordAnswer(replica.ID, startedAt)
 	}
-	took := time.Since(startedAt)
-	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), took)
+	e.proxy.finishTry(e.request.Service, replica.ID, e.balancerResult(res), res.took)
 	if e.limit != nil {
 		res.timedOut = errors.Is(context.Cause(e.ctx), context.DeadlineExceeded)
-		e.limit.endTry(res, took, e.request.limitAim())
+		e.limit.endTry(res, res.took, e.request.limitAim())
 	}
 	e.results <- res
 }
@@ -408,6 +429,13 @@
 		}
 		return result{class: classMayHaveRun, reason: err}
 	}
+	res := e.receive(replica, response)
+	res.status = response.StatusCode
+	return res
+}
+
+// receive reads the response of a replica.
+func (e *exchange) receive(replica sitestate.Replica, response *http.Response) result {
 	e.proxy.recordLoad(replica.ID, response.Header)
 	if e.proxy.client.RefusedAsNotRun(response) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
@@ -429,6 +457,7 @@
 	}
 	var rest io.Reader
 	var complete bool
+	var err error
 	answer.Body, rest, complete, err = membudget.Read(io.LimitReader(response.Body, maxBodyBytes), response.ContentLength, e.reservation)
 	if !complete {
 		response.Body = unbufferedBody{Reader: rest, Closer: response.Body}
--- a/internal/app/proxy/line.go
+++ b/internal/app/proxy/line.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -11,6 +12,16 @@
 // minLoggedWait is the wait for the send limit from which on the log line reports it.
 const minLoggedWait = 10 * time.Millisecond
 
+// endedTries describes the results of the tries, in the order in which they ended. The duration
+// tells an answer that a replica made from one that was there before.
+func (e *exchange) endedTries() []string {
+	tries := make([]string, 0, len(e.ended))
+	for _, res := range e.ended {
+		tries = append(tries, fmt.Sprintf("%s: %s, status %d, %.1f ms", res.replica, res.class, res.status, float64(res.took.Microseconds())/1000))
+	}
+	return tries
+}
+
 // log writes a log line about the tries of the request and its outcome.
 func (e *exchange) log(answer *Answer, failure *Failure) {
 	line := e.proxy.logger.Info()
@@ -22,6 +33,9 @@
 	}
 	line = line.Str(eventlog.Field, eventlog.RequestEnded).Str("id", e.request.ID).Str("route", e.request.Route).Str("service", e.request.Service).
 		Int("sends", e.sends).Int("may_have_run", e.mayHaveRun).Strs("tried", e.triedIDs).Dur("took_ms", time.Since(e.startedAt))
+	if len(e.ended) > 1 {
+		line = line.Strs("ended", e.endedTries())
+	}
 	if view := e.proxy.view(); view != nil {
 		line = line.Uint64("view", view.Position).Uint64("configuration", view.Configuration.Version).
 			Int("replicas", view.ByService[e.request.Service].Len())
