httpcall: a connection carries an id once

Cause: internal/adapter/httpcall/client.go, checkID, tells answers apart by the id alone, and the pool gives the connection of a refusal to the next send of the same id. A late copy of the refusal stands there in the place of the answer and has the right id. The request counts as not run and is sent again. Change: a connection keeps hashes of the ids that it has carried and is not used for one of them again. Send goes on with the next idle connection or a new one. After 1,024 ids a connection is replaced, so that none is forgotten and the memory stays small. That holds for every second send of an id: after 421, 503 and 500, hedges, resumed streams, items and reward calls of jobs. TestConnectionIsNotReusedAfterSuspension sends each call under an id of its own, as its clients do; its counts of connections are as before. Conclusion: an answer with the id of a request answers the one send of it on that connection.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -150,7 +151,14 @@
 }
 
 // singleUseBody is a body without GetBody, which net/http cannot rewind.
-type singleUseBody struct{ *bytes.Reader }
+type singleUseBody struct {
+	*bytes.Reader
+	content []byte
+}
+
+func newSingleUseBody(content []byte) singleUseBody {
+	return singleUseBody{bytes.NewReader(content), content}
+}
 
 // Close does nothing.
 func (singleUseBody) Close() error { return nil }
@@ -164,7 +172,7 @@
 		request.Body = http.NoBody
 		return
 	}
-	request.Body = singleUseBody{bytes.NewReader(body)}
+	request.Body = newSingleUseBody(body)
 	request.ContentLength = int64(len(body))
 }
 
@@ -179,11 +187,26 @@
 
 // Send sends a request of NewRequest once and returns the response, whose body the caller
 // closes. Errors carry an exact verdict: NotRun if no byte of the request was sent,
-// MayHaveRun otherwise.
+// MayHaveRun otherwise. A connection carries an id once; the same id goes on another one.
 func (c *Client) Send(request *http.Request) (*http.Response, error) {
+	// Every idle connection may be one on which the request must not be sent; a new one is not.
+	for unusable := 0; ; unusable++ {
+		response, err := c.sendOnce(request)
+		if unusable == c.limits.IdleConnections || !errors.Is(err, errSealed) || port.AsError(err).Verdict != port.NotRun {
+			return response, err
+		}
+	}
+}
+
+// sendOnce sends a request on the connection that the transport picks. It fails with errSealed
+// if the request must not be sent on that one.
+func (c *Client) sendOnce(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
-	var attempt attempt
+	attempt := attempt{id: request.Header.Get(c.limits.Names.ID)}
 	traced := request.WithContext(httptrace.WithClientTrace(ctx, attempt.trace()))
+	if body, sized := request.Body.(singleUseBody); sized {
+		traced.Body = newSingleUseBody(body.content)
+	}
 	response, err := c.transport.RoundTrip(traced)
 	if err != nil {
 		return nil, attempt.failure(ctx, err)
--- a/internal/adapter/httpcall/connection.go
+++ b/internal/adapter/httpcall/connection.go
@@ -5,16 +5,19 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 )
 
 // errSealed is returned by writes on a sealed connection.
-var errSealed = errors.New("connection sealed: its request was given up before the first byte")
+var errSealed = errors.New("connection sealed: the request must not be sent on it")
 
 // countedConnection counts the writes started and can be sealed against further ones.
 // HTTP/1.1 runs one request at a time on it.
@@ -23,6 +26,8 @@
 	mutex  sync.Mutex
 	writes uint64
 	sealed bool
+	// carried are hashes of the ids of the requests that were sent on the connection.
+	carried []uint64
 	// idleLimit is the server's announced idle timeout, or 0.
 	idleLimit time.Duration
 	lastUsed  time.Time
@@ -63,6 +68,27 @@
 	return c.idleLimit > 0 && time.Since(c.lastUsed) > c.idleLimit-idleMargin
 }
 
+// maxCarriedIDs limits the memory for the ids of a connection's requests; a connection that has
+// carried so many is not used again.
+const maxCarriedIDs = 1024
+
+// carry records the id of a request that is to be sent on the connection. If the connection
+// has carried the id before, it is sealed: a surplus copy of the earlier response, which has the
+// same id, would be taken for the response to this request.
+func (c *countedConnection) carry(id string) {
+	if id == "" {
+		return
+	}
+	hash := xxhash.Sum64String(id)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.carried) >= maxCarriedIDs || slices.Contains(c.carried, hash) {
+		c.sealed = true
+		return
+	}
+	c.carried = append(c.carried, hash)
+}
+
 // sealIfSuspended seals a connection that was open while the machine was suspended: the
 // server has probably closed it, and a request on it could end with an unknown outcome.
 func (c *countedConnection) sealIfSuspended() {
@@ -104,6 +130,8 @@
 
 // attempt tracks the connections used by one request.
 type attempt struct {
+	// id is the id of the request, or "".
+	id          string
 	mutex       sync.Mutex
 	connections []attemptConnection
 }
@@ -125,6 +153,7 @@
 		return
 	}
 	connection.sealIfSuspended()
+	connection.carry(a.id)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.connections = append(a.connections, attemptConnection{connection, connection.writeCount()})
--- a/internal/adapter/httpcall/suspend_test.go
+++ b/internal/adapter/httpcall/suspend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 // TestConnectionIsNotReusedAfterSuspension checks that a request after a suspension
 // uses a new connection: the server may have closed the old one.
 func TestConnectionIsNotReusedAfterSuspension(t *testing.T) {
-	var suspended, connections atomic.Int64
+	var suspended, connections, calls atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		connections.Add(1)
@@ -29,7 +30,7 @@
 	client := httpcall.New(httpcall.Limits{Clock: func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) }})
 	defer client.Close()
 	call := func() error {
-		request, err := httpcall.NewRequest(context.Background(), http.MethodGet, server.URL, "1", nil, nil)
+		request, err := httpcall.NewRequest(context.Background(), http.MethodGet, server.URL, strconv.FormatInt(calls.Add(1), 10), nil, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
