control: a stopping control process answers the calls that it cannot finish

What callers saw: a call that a control process reads late in its planned stop, on a connection that it keeps open for 1.5 s, ends without a response when the stop ends, if the group has no quorum then (the same cause as in fronts: a stop ended requests by closing their connections). Cause: cmd_site_control.go, Run, drain: the process waits 2 s for calls, and a call without a leader takes 0.9 s. Change: each server of a site's process has a context that its requests share, and a stop that ends with unfinished ones ends that context and writes the responses. Fronts use it too. Before, on the commit before: TestGracefulStopOfControlAnswersLateCall fails ('no response: unexpected EOF'). After: it passes with 503, as do the three tests of fronts' stops. Conclusion: callers of control processes learn of the unknown outcome from a response."

--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -56,7 +56,9 @@
 		stopping, cancel := context.WithTimeout(ctx, controlShutdownTimeout)
 		defer cancel()
 		connections.Stop(stopping)
-		_ = operators.server.Shutdown(stopping)
+		finishing, cancel := context.WithTimeout(ctx, responseReserve)
+		defer cancel()
+		operators.finish(finishing)
 	}
 	return p.serve([]service{operators}, control.SetSeeds, drain, control.Run)
 }
--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -32,8 +32,6 @@
 	bodyMemoryShare = 0.25
 	// shutdownReserve is the part of the grace period reserved for the process to exit.
 	shutdownReserve = 1200 * time.Millisecond
-	// responseReserve is reserved for writing the last responses.
-	responseReserve = 200 * time.Millisecond
 )
 
 // siteFrontCommand runs a front process.
@@ -64,7 +62,6 @@
 		return addSendReading(addViewReading(reading, watcher), sender)
 	})
 	callers := newService(p.file.CallerListen, platform.FrontHandler(frontServer))
-	callers.server.BaseContext = frontServer.BaseContext
 	callers.track(idle)
 	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
 	drain := func(ctx context.Context) {
@@ -77,10 +74,10 @@
 		frontServer.CloseConnections(stopping)
 		frontServer.Close()
 		sender.Close()
-		frontServer.Abort()
+		frontServer.LogUnfinished()
 		finishing, cancel := context.WithDeadline(ctx, end.Add(responseReserve))
 		defer cancel()
-		_ = callers.server.Shutdown(finishing)
+		callers.finish(finishing)
 		usageReporter.Drain(finishing)
 		requestGuard.Drain(finishing)
 	}
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -53,6 +53,8 @@
 	// the default, to limit peak memory.
 	gcPercent = 40
 	megabyte  = 1 << 20
+	// responseReserve is the time to write the last responses at the end of a stop.
+	responseReserve = 200 * time.Millisecond
 	// jobMemoryShare is the share of a store machine's memory for jobs. Each job may be in
 	// memory three times: in the state, in a snapshot being built, and in a transfer. The
 	// process itself needs 40 MB.
@@ -137,6 +139,8 @@
 	server  *http.Server
 	// connections tracks the server's connections; nil if they are cut off at the stop.
 	connections *httpserve.IdleConnections
+	// abort ends the contexts of all requests.
+	abort context.CancelCauseFunc
 }
 
 // track makes connections track those of the service and announce their use.
@@ -146,10 +150,19 @@
 	s.server.ConnState = connections.Observe
 }
 
+// finish ends the requests that are still served with proxy.ErrStopping as the cause, and waits
+// until their responses are written, or until ctx ends.
+func (s *service) finish(ctx context.Context) {
+	s.abort(proxy.ErrStopping)
+	_ = s.server.Shutdown(ctx)
+}
+
 func newService(address string, handler http.Handler) service {
-	return service{address: address, server: &http.Server{
+	requests, abort := context.WithCancelCause(context.Background())
+	return service{address: address, abort: abort, server: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}}
 }
 
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,9 +88,6 @@
 	headers dialect.Headers
 	splits  atomic.Uint64
 	ages    callerAges
-	// requests is the context of all requests; abort ends it.
-	requests context.Context
-	abort    context.CancelCauseFunc
 	// stop is the planned stop that Drain began, nil before.
 	stop    atomic.Pointer[PlannedStop]
 	closing atomic.Bool
@@ -102,14 +98,9 @@
 
 // New returns a Front.
 func New(config Config) *Front {
-	f := &Front{config: config, headers: config.Dialect.Headers()}
-	f.requests, f.abort = context.WithCancelCause(context.Background())
-	return f
+	return &Front{config: config, headers: config.Dialect.Headers()}
 }
 
-// BaseContext returns the context of all requests, for the server of the front. Abort ends it.
-func (f *Front) BaseContext(net.Listener) context.Context { return f.requests }
-
 // Ready reports whether the front accepts new callers: it has a configuration, and Drain
 // was not called.
 func (f *Front) Ready() bool {
--- a/internal/app/front/stop.go
+++ b/internal/app/front/stop.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
-	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 )
 
@@ -38,15 +37,14 @@
 // send. It blocks until none is left, or until ctx ends. Call it after Drain.
 func (f *Front) CloseConnections(ctx context.Context) { f.config.Idle.Stop(ctx) }
 
-// Abort ends the requests that are still served: those of which nothing was sent to a replica
-// are rejected as not run, the others fail with an unknown outcome. The server must then
-// write the responses before it closes the connections.
-func (f *Front) Abort() {
+// LogUnfinished logs how many requests the end of a stop ends. With proxy.ErrStopping as the
+// cause, those of which nothing was sent to a replica are then rejected as not run, the others
+// fail with an unknown outcome.
+func (f *Front) LogUnfinished() {
 	if unfinished := f.inFlight.Load(); unfinished > 0 {
 		f.config.Logger.Warn().Str(eventlog.Field, eventlog.RequestsCutOff).Int64("in_flight", unfinished).
 			Int64("arrived_late", f.arrivedLate.Load()).Msg("the stop ends unfinished requests")
 	}
-	f.abort(proxy.ErrStopping)
 }
 
 // Close makes the front reject every further request as not run. Call it right before
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -107,6 +108,53 @@
 	}
 }
 
+// TestGracefulStopOfControlAnswersLateCall guards against a control process that reads a call
+// late in its graceful stop and closes the connection without a response. Without a quorum a
+// call takes longer than the rest of the stop.
+func TestGracefulStopOfControlAnswersLateCall(t *testing.T) {
+	build(t)
+	s := newSite(t, 3, 0, 0)
+	for _, m := range s.machines {
+		s.start(m, true)
+	}
+	tr := newTraffic(s)
+	controls := s.machinesOf("control")
+	waitUntil(t, "a configuration is accepted", func() bool {
+		status, _, _ := tr.do(t.Context(), http.MethodPut, "http://"+s.address(controls[0], s.ports.control)+"/loomgrade/config", nil, configuration(1))
+		return status == http.StatusOK
+	})
+	for _, m := range controls[1:] {
+		m.signal(syscall.SIGSTOP)
+	}
+	connection, err := net.Dial("tcp", s.address(controls[0], s.ports.control))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	answers := bufio.NewReader(connection)
+	call := func() (*http.Response, error) {
+		body := configuration(2)
+		_, _ = fmt.Fprintf(connection, "PUT /loomgrade/config HTTP/1.1\r\nHost: control\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		response, err := http.ReadResponse(answers, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		return response, err
+	}
+	if response, err := call(); err != nil || response.Close {
+		t.Fatalf("before the stop: %v, %v", response, err)
+	}
+	controls[0].signal(syscall.SIGTERM)
+	time.Sleep(1300 * time.Millisecond) // the process keeps idle connections open for 1.5 s
+	response, err := call()
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("status %d, close %v", response.StatusCode, response.Close)
+	}
+}
+
 // TestGracefulStopRefusesWhatItCannotFinish guards against a front that reads a request late
 // in its graceful stop, passes it on and closes the connection without a response.
 func TestGracefulStopRefusesWhatItCannotFinish(t *testing.T) {
