proxy: an answer of more than 64 MB is forwarded whole

Cause: internal/app/proxy/exchange.go, receive, reads through io.LimitReader(maxBodyBytes) and takes the limit for the end. Change: an answer that reaches the limit is forwarded without being buffered, as one is that exceeds the memory budget, and what is left after the limit follows. Conclusion: no limit of the proxy ends an answer.

--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -27,7 +28,7 @@
 	maxRefusedRounds = 3
 	// verdictTimeout limits the wait for the tries of a request whose context ended.
 	verdictTimeout = 50 * time.Millisecond
-	// maxBodyBytes limits an answer that is read completely.
+	// maxBodyBytes limits what is read of an answer before it is forwarded.
 	maxBodyBytes = 64 << 20
 )
 
@@ -506,9 +507,12 @@
 	var rest io.Reader
 	var complete bool
 	var err error
-	answer.Body, rest, complete, err = membudget.Read(io.LimitReader(response.Body, maxBodyBytes), response.ContentLength, e.reservation)
+	answer.Body, rest, complete, err = membudget.Read(io.LimitReader(response.Body, maxBodyBytes), min(response.ContentLength, maxBodyBytes), e.reservation)
+	if complete && err == nil && len(answer.Body) == maxBodyBytes { // there may be more
+		rest, complete = bytes.NewReader(answer.Body), false
+	}
 	if !complete {
-		response.Body = unbufferedBody{Reader: rest, Closer: response.Body}
+		response.Body = unbufferedBody{Reader: io.MultiReader(rest, response.Body), Closer: response.Body}
 		answer.Stream = response
 		return result{class: classAnswer, answer: answer}
 	}
@@ -523,8 +527,8 @@
 	}
 }
 
-// unbufferedBody is the body of an answer that exceeds the memory budget: the part that was
-// already read, then the rest.
+// unbufferedBody is the body of an answer that exceeds the memory budget or maxBodyBytes: the
+// part that was already read, then the rest.
 type unbufferedBody struct {
 	io.Reader
 	io.Closer
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -212,3 +212,42 @@
 		})
 	}
 }
+
+// TestLongAnswerIsForwardedWhole guards against an answer that is cut off at maxBodyBytes and
+// looks complete.
+func TestLongAnswerIsForwardedWhole(t *testing.T) {
+	const chunk, length = 1 << 20, maxBodyBytes + 3<<20
+	for name, sized := range map[string]bool{"chunked": false, "of known length": true} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(testDialect{}.Headers().RequestID, "1")
+				w.Header().Set(testDialect{}.Headers().Signature, "seal")
+				if sized {
+					w.Header().Set("Content-Length", strconv.Itoa(length))
+				}
+				for range length / chunk {
+					_, _ = w.Write(make([]byte, chunk))
+				}
+			}))
+			defer server.Close()
+			sender := newTestProxy(server.Listener.Addr().String(), new(atomic.Int64))
+			answer, failure := sender.Do(t.Context(), Request{
+				Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "1"}, Service: "s", MaxAttempts: 1,
+			})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			got := int64(len(answer.Body))
+			if answer.Stream != nil {
+				var err error
+				if got, err = io.Copy(io.Discard, answer.Stream.Body); err != nil {
+					t.Error(err)
+				}
+				_ = answer.Stream.Body.Close()
+			}
+			if got != length {
+				t.Errorf("%d bytes of %d", got, length)
+			}
+		})
+	}
+}
