sitestore: a damaged event or score delays only its item

Cause: internal/app/sitestore/outcome.go, commit, ignores the outcome of a record, which no member can decode (jobstate/state.go, Apply), and counts its text as stored. The signature of a reward call has the same way into a record. Change: an event that is not valid UTF-8 ends its run, so that the item goes on after its last good event; such a signature is no score, and the call is sent again. A record that cannot be applied is an error, after which the runner starts from the log. Before, on the commit before: TestDamagedTextDelaysOnlyItsItem fails ('timed out after 30s: all results of job job-1'). After: it passes; so do the two new rows of TestReaderReturnsCompleteEvents. Conclusion: bytes of a replica that cannot be stored do not reach a record.

--- a/internal/adapter/eventstream/eventstream.go
+++ b/internal/adapter/eventstream/eventstream.go
@@ -9,10 +9,14 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
-// ErrTooLong reports a line above the size limit.
-var ErrTooLong = errors.New("eventstream: line too long")
+// ErrTooLong reports a line above the size limit, ErrNotUTF8 an event that is not valid UTF-8.
+var (
+	ErrTooLong = errors.New("eventstream: line too long")
+	ErrNotUTF8 = errors.New("eventstream: event is not valid UTF-8")
+)
 
 // maxLineBytes limits one line.
 const maxLineBytes = 1 << 20
@@ -52,6 +56,9 @@
 				continue
 			}
 			event.Data = strings.Join(data, "\n")
+			if !utf8.ValidString(event.Data) || !utf8.ValidString(event.ID) {
+				return Event{}, ErrNotUTF8
+			}
 			return event, nil
 		}
 		if strings.HasPrefix(line, ":") {
--- a/internal/adapter/eventstream/eventstream_test.go
+++ b/internal/adapter/eventstream/eventstream_test.go
@@ -22,6 +22,8 @@
 		"comment":          {": hello\n\nid: 1\ndata: a\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, io.EOF},
 		"truncated event":  {"id: 1\ndata: a\n\nid: 2\ndata: b\n", []eventstream.Event{{ID: "1", Data: "a"}}, io.ErrUnexpectedEOF},
 		"truncated line":   {"id: 1\ndata: a\n\nid: 2\nda", []eventstream.Event{{ID: "1", Data: "a"}}, io.ErrUnexpectedEOF},
+		"data not UTF-8":   {"id: 1\ndata: a\n\nid: 2\ndata: b\xff\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNotUTF8},
+		"id not UTF-8":     {"id: 1\ndata: a\n\nid: \xff\ndata: b\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNotUTF8},
 		"empty":            {"", nil, io.EOF},
 		"data with colon":  {"id: 1\ndata: a: b\n\n", []eventstream.Event{{ID: "1", Data: "a: b"}}, io.EOF},
 	} {
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -150,7 +150,10 @@
 	}
 	r.committing = true
 	go func(ctx context.Context, committed chan<- error) {
-		_, err := r.store.propose(ctx, jobstate.Command{Record: &record})
+		outcome, err := r.store.propose(ctx, jobstate.Command{Record: &record})
+		if rejected, failed := outcome.(error); failed && err == nil {
+			err = rejected // no member can apply the record
+		}
 		committed <- err
 	}(r.context, r.committed)
 }
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventstream"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
@@ -224,7 +225,10 @@
 		case failure != nil: // no response: retry
 			pause = max(pause, failure.RetryAfter)
 		case answer.Status/100 == 2:
-			return runScored, answer.Header.Get(r.store.config.Dialect.Headers().Signature), ""
+			// No member can apply a record with a score that is not valid UTF-8.
+			if score := answer.Header.Get(r.store.config.Dialect.Headers().Signature); utf8.ValidString(score) {
+				return runScored, score, ""
+			}
 		case answer.Status == http.StatusInternalServerError:
 			failures++
 		}
--- a/test/site/site_test.go
+++ b/test/site/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -389,6 +390,38 @@
 	}
 }
 
+// TestDamagedTextDelaysOnlyItsItem guards against one event, or one signature of a reward call,
+// that is not valid UTF-8 and withholds the results of all items that are stored with it.
+func TestDamagedTextDelaysOnlyItsItem(t *testing.T) {
+	s, plainReplica, engine := startServingSite(t)
+	var events, signatures atomic.Int64
+	engine.Handle = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(sitestandin.Headers.RequestID) != "damaged-event" || events.Add(1) > 1 {
+			return false
+		}
+		w.Header().Set(sitestandin.Headers.WeightVersion, "1")
+		_, _ = io.WriteString(w, "id: 1\ndata: \xff\n\n")
+		return true
+	}
+	plainReplica.Handle = func(w http.ResponseWriter, r *http.Request) bool {
+		id := r.Header.Get(sitestandin.Headers.RequestID)
+		if id != "score-damaged-score" || signatures.Add(1) > 1 {
+			return false
+		}
+		w.Header().Set(sitestandin.Headers.Signature, "seal\xff")
+		return true
+	}
+	s.submit("job-1", job(1, "damaged-event", "damaged-score", "fine-1", "fine-2"))
+	for _, result := range s.readAll("job-1").Results {
+		if result.State != "completed" || result.Text != sitestandin.CompleteText(result.ID, engine.Events) || result.Score != sitestandin.SignatureOf("score-"+result.ID) {
+			t.Errorf("%+v", result)
+		}
+	}
+	if events.Load() < 2 || signatures.Load() < 2 {
+		t.Errorf("%d runs and %d reward calls of the damaged items", events.Load(), signatures.Load())
+	}
+}
+
 // TestItemResumesAwayFromSlowReplica: an item whose replica becomes slow resumes after its last
 // event at another replica with free slots.
 func TestItemResumesAwayFromSlowReplica(t *testing.T) {
