proxy: a request that would wait for a connection until it is late is refused

Cause: since requests wait for connections in the proxy, the send limit has a sign of overload only when such a request has been answered, up to 2 s later, and the burst before it has filled the queue. What the transport's queue had instead, by accident, were second tries of requests that waited, whose cancelled runs filled the replicas, and their refusals. Change: with a send limit, a request whose expected wait (those ahead of it, by the mean latency and the connections) exceeds what is left of its target is refused as not run, with Retry-After, and counts as the refusal of a full replica. A hedge does not wait. TestCrowdedRequestIsRefused has five rows. Conclusion: the queue for connections is as long as can be served in time.

--- a/internal/app/proxy/candidates_test.go
+++ b/internal/app/proxy/candidates_test.go
@@ -50,7 +50,7 @@
 	for i := range senders {
 		sender := newColdProxy(fmt.Sprint("front-", i), coldView(senders, 2, 0))
 		for range 20 {
-			replica := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil).replica
+			replica := sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil, true).replica
 			if replica == nil {
 				t.Fatal("pick found no replica although one is warm")
 			}
@@ -77,7 +77,7 @@
 	sender := newColdProxy("front", coldView(1, 1, 0))
 	count := 0
 	for {
-		if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil).replica == nil {
+		if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil, true).replica == nil {
 			break
 		}
 		count++
@@ -86,7 +86,7 @@
 		t.Errorf("%d requests in one span, want %d", count, want)
 	}
 	time.Sleep(coldlimit.Span)
-	if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil).replica == nil {
+	if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil, true).replica == nil {
 		t.Error("pick found no replica after a span")
 	}
 }
@@ -95,7 +95,7 @@
 func TestWarmReplicasAreUnlimited(t *testing.T) {
 	sender := newColdProxy("front", coldView(1000, 1))
 	for n := range 200 {
-		if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil).replica == nil {
+		if sender.pick(&Request{Service: "s"}, map[string]bool{}, nil, nil, true).replica == nil {
 			t.Fatalf("request %d found no replica", n)
 		}
 	}
--- a/internal/app/proxy/connections.go
+++ b/internal/app/proxy/connections.go
@@ -24,8 +24,9 @@
 
 // connectionWaiter is a request that waits for a connection.
 type connectionWaiter struct {
-	order uint64
-	since time.Time
+	order   uint64
+	since   time.Time
+	service string
 	// addresses are those of the replicas to which the request may be sent.
 	addresses []string
 	// ready is closed once one of them may have a free connection, which freed names.
@@ -73,9 +74,21 @@
 	c.waiting = nil
 }
 
+// expectedWait returns how long a request will wait for a connection behind those of its
+// service that wait already, if tries take as long as latency.
+func (c *connections) expectedWait(service string, addresses int, latency time.Duration) time.Duration {
+	ahead := 0
+	for _, w := range c.waiting {
+		if w.service == service {
+			ahead++
+		}
+	}
+	return time.Duration(ahead+1) * latency / time.Duration(max(1, c.limit*addresses))
+}
+
 // wait adds a request. A request that waited before and found no connection keeps its place.
-func (c *connections) wait(addresses []string, before *connectionWaiter) *connectionWaiter {
-	w := &connectionWaiter{addresses: addresses, ready: make(chan struct{})}
+func (c *connections) wait(service string, addresses []string, before *connectionWaiter) *connectionWaiter {
+	w := &connectionWaiter{service: service, addresses: addresses, ready: make(chan struct{})}
 	if before != nil {
 		w.order, w.since = before.order, before.since
 	} else {
--- a/internal/app/proxy/connections_test.go
+++ b/internal/app/proxy/connections_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/admission"
+	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -187,6 +189,62 @@
 	}
 }
 
+// TestCrowdedRequestIsRefused guards against requests that wait for a connection until they are
+// late, without a sign of overload for the send limit of the service.
+func TestCrowdedRequestIsRefused(t *testing.T) {
+	for name, row := range map[string]struct {
+		aim, age time.Duration
+		limited  bool
+		refused  bool
+	}{
+		"late before it is sent":            {aim: 10 * time.Millisecond, limited: true, refused: true},
+		"late already":                      {aim: 10 * time.Second, age: 11 * time.Second, limited: true, refused: true},
+		"in time":                           {aim: 10 * time.Second, limited: true},
+		"no aim":                            {limited: true},
+		"service whose sends are unlimited": {aim: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica := startHeldReplica(t, "a")
+			s := newConnectedSite(1, replica)
+			limiter := &fakeLimiter{Queue: admission.NewQueue[*waiter](admission.Config{Length: 1000}), allowed: 1 << 30}
+			if row.limited {
+				s.limits = newSendLimits(s.clock, s.Proxy.view)
+				s.limits.newLimiter = func(time.Time) sendLimiter { return limiter }
+			}
+			s.balancer.End("s", "a", balance.ResultServed, 100*time.Millisecond, time.Now())
+			first := s.send(t.Context(), "first", "/x")
+			<-replica.arrived
+			ended := make(chan *Failure, 1)
+			go func() {
+				_, failure := s.Do(t.Context(), Request{
+					Request: replicacall.Request{Method: http.MethodPost, Target: "/x", Host: "h", ID: "second"}, Service: "s", MaxAttempts: 2, Aim: row.aim, Age: row.age,
+				})
+				ended <- failure
+			}()
+			if row.refused {
+				failure := <-ended
+				if failure == nil || failure.Verdict != port.NotRun || failure.Refusal != admission.ReasonQueue || failure.RetryAfter <= 0 {
+					t.Errorf("failure %+v", failure)
+				}
+				if len(limiter.results) != 1 || !limiter.results[0].Refused {
+					t.Errorf("the limit has seen %+v", limiter.results)
+				}
+			} else {
+				await(t, "the second request waits", func() bool { return s.waiting() == 1 })
+			}
+			close(replica.release)
+			if err := <-first; err != nil {
+				t.Error(err)
+			}
+			if !row.refused {
+				if failure := <-ended; failure != nil {
+					t.Error(failure)
+				}
+			}
+		})
+	}
+}
+
 // endedByDeadline reports whether a request failed by its deadline, which may end its only try
 // before the request itself.
 func endedByDeadline(failure *Failure) bool {
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -98,6 +98,8 @@
 	connectionWait time.Duration
 	// waiter is set while the request waits for a connection to a replica.
 	waiter *connectionWaiter
+	// crowded is set if too many requests wait for connections.
+	crowded bool
 	// retryRefused is set if the retry budget did not allow a retry.
 	retryRefused bool
 	// triedIDs are the replicas tried, in order.
@@ -131,7 +133,7 @@
 	if failure := e.awaitLimit(); failure != nil {
 		return nil, failure
 	}
-	if !e.start() {
+	if !e.start(true) {
 		return e.giveUp()
 	}
 	defer e.stopWaiting()
@@ -141,7 +143,7 @@
 	for {
 		select {
 		case <-e.freeConnection():
-			if !e.start() {
+			if !e.start(true) {
 				return e.giveUp()
 			}
 			if e.waiter == nil && e.sends == 1 {
@@ -160,7 +162,7 @@
 				return e.finish()
 			}
 			if wait == 0 {
-				if !e.start() {
+				if !e.start(true) {
 					return e.giveUp()
 				}
 				continue
@@ -168,14 +170,13 @@
 			retryTimer = time.After(wait)
 		case <-retryTimer:
 			retryTimer = nil
-			if !e.start() {
+			if !e.start(true) {
 				return e.giveUp()
 			}
 		case <-hedge.C:
 			// A stream must not run on two replicas concurrently.
 			if e.mayTryAgain() && e.inFlight == 1 && !e.request.Stream && e.chargeRetry() {
-				e.start()
-				e.stopWaiting() // a second try is not worth a wait
+				e.start(false) // a second try is not worth a wait
 			}
 		case <-e.ctx.Done():
 			if answer := e.awaitTries(); answer != nil {
@@ -370,7 +371,7 @@
 
 // giveUp returns the result of a request for which start found nothing to do.
 func (e *exchange) giveUp() (*Answer, *Failure) {
-	if e.sends == 0 && !e.timedOut {
+	if e.sends == 0 && !e.timedOut && !e.crowded {
 		return nil, e.noReplicaFailure()
 	}
 	return e.finish()
@@ -393,9 +394,9 @@
 	}
 }
 
-// start starts a try, or makes the request wait for a connection. It returns false if there is
-// no replica to try, the caller's deadline has passed, or the request is withheld.
-func (e *exchange) start() bool {
+// start starts a try or, if it may, makes the request wait for a connection. It returns false if
+// there is no replica to try, the caller's deadline has passed, or the request is withheld.
+func (e *exchange) start(mayWait bool) bool {
 	if e.expired() {
 		e.timedOut = true
 		return false
@@ -405,8 +406,12 @@
 		return false
 	}
 	before := e.waiter
-	picked := e.proxy.pick(&e.request, e.tried, e.refused, before)
+	picked := e.proxy.pick(&e.request, e.tried, e.refused, before, mayWait)
 	e.waiter = picked.waiter
+	if picked.crowded {
+		e.crowded = true
+		e.limit.recordCrowded(e.request.limitAim())
+	}
 	if picked.replica == nil {
 		return picked.waiter != nil
 	}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -216,12 +216,14 @@
 type picked struct {
 	replica *sitestate.Replica
 	waiter  *connectionWaiter
+	// crowded is set if so many requests wait that this one would be answered late.
+	crowded bool
 }
 
 // pick chooses a replica that was not tried yet, or any if all were, but none that is excluded.
 // It acquires a connection to the replica. If the connections to all suitable replicas are in use,
-// the request waits for one; before is its earlier wait, if any, which ends.
-func (p *Proxy) pick(request *Request, tried, excluded map[string]bool, before *connectionWaiter) picked {
+// the request waits for one if it may; before is its earlier wait, if any, which ends.
+func (p *Proxy) pick(request *Request, tried, excluded map[string]bool, before *connectionWaiter, mayWait bool) picked {
 	now := time.Now()
 	eligible := p.candidates(request, now).replicas
 	if len(excluded) > 0 {
@@ -251,7 +253,13 @@
 	}
 	if p.connections.full(untried[chosen].Address) {
 		if chosen = p.pickFree(request.Service, untried, now); chosen < 0 {
-			w := p.connections.wait(addressesOf(untried), before)
+			if !mayWait {
+				return picked{}
+			}
+			if before == nil && p.isCrowded(request, len(untried)) {
+				return picked{crowded: true}
+			}
+			w := p.connections.wait(request.Service, addressesOf(untried), before)
 			time.AfterFunc(connectionRecheck, func() { p.recheckConnections(w) })
 			return picked{waiter: w}
 		}
@@ -265,6 +273,17 @@
 	return picked{replica: untried[chosen]}
 }
 
+// isCrowded reports whether a request to a limited service would wait for a connection until it
+// is late. The caller must hold p.mutex.
+func (p *Proxy) isCrowded(request *Request, replicas int) bool {
+	aim := request.remainingAim()
+	if p.limits == nil || aim == 0 {
+		return false
+	}
+	latency := p.balancer.Latency(request.Service)
+	return p.connections.expectedWait(request.Service, replicas, latency) > aim
+}
+
 // pickFree chooses a replica with a free connection that is not avoided after a failure. The
 // caller must hold p.mutex.
 func (p *Proxy) pickFree(service string, replicas []*sitestate.Replica, now time.Time) int {
--- a/internal/app/proxy/refusal.go
+++ b/internal/app/proxy/refusal.go
@@ -126,6 +126,9 @@
 	case e.retryRefused:
 		failure.Reason = "no further try is left in the retry budget of the service; the last failure: " + reason
 		e.refuse(failure, admission.ReasonRetryBudget)
+	case e.crowded:
+		failure.Reason = "too many requests wait for a connection to the replicas of the service"
+		e.refuse(failure, admission.ReasonQueue)
 	case len(e.refused) > 0:
 		e.refuse(failure, admission.ReasonQueue)
 	}
--- a/internal/app/proxy/sendlimit.go
+++ b/internal/app/proxy/sendlimit.go
@@ -169,6 +169,18 @@
 	s.inFlight++
 }
 
+// recordCrowded records a request that is not sent because too many wait for a connection, which
+// is as much a sign of overload as the refusal of a full replica.
+func (s *serviceLimit) recordCrowded(aim time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.now()
+	s.limiter.Observe(now, admission.TryResult{Refused: true, Aim: aim})
+	if !s.closed {
+		s.settle(now)
+	}
+}
+
 // endTry records the end of a try. Only successful answers count as latency: an error may be
 // faster than any work.
 func (s *serviceLimit) endTry(res result, took, aim time.Duration) {
