soak: clients keep connections, and series of planned stops overlap with faults

Change: four clients send requests of up to 4 s on connections that they keep for as long as the front allows, until it is gone; each is owed a response while only planned stops are under way, may run once, and has not run if it is refused. TestSoakOfStops adds series of SIGTERM, SIGHUP and a second SIGTERM over the machines of a role, each begun before the one before has ended, beside the faults of TestSoak, whose draws are unchanged. -controls, -stores and -fronts set the size. Conclusion: the soak covers planned stops under use of open connections.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -24,6 +24,7 @@
 	sent         map[uint64][]string
 	jobs         map[string]*jobRecord
 	calls        []call
+	kept         []keptCall
 	disturbances disturbances
 }
 
@@ -194,7 +195,7 @@
 		runs[id]++
 		job := items[strings.TrimPrefix(id, "score-")]
 		switch {
-		case strings.HasPrefix(id, "once-"), strings.HasPrefix(id, "call-"):
+		case strings.HasPrefix(id, "once-"), strings.HasPrefix(id, "call-"), strings.HasPrefix(id, "kept-"):
 		case job == nil:
 			r.violations = append(r.violations, "a replica ran "+id+", which no client sent")
 		case !job.ended.IsZero() && arrival.At.After(job.ended.Add(cancelGrace)) && noRecentResume(arrival.At):
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,9 +70,11 @@
 	// the machine's process listens and from which it connects.
 	public, private string
 	folder          string
-	command         *exec.Cmd
-	ended           chan struct{}
-	frozen          bool
+	// fault is held by whoever stops, kills, freezes or starts the process.
+	fault   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	frozen  bool
 	// suspended is the total suspended time of the machine.
 	suspended time.Duration
 	// checkedBytes is the length of the checked part of the log. failureLines has its failures,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,10 @@
 var (
 	soakTime = flag.Duration("soak", 0, "how long to draw faults; 0 runs the site for a moment without any")
 	soakSeed = flag.Uint64("seed", 0, "seed of the faults; 0 draws one")
+
+	controlCount = flag.Int("controls", 3, "number of control machines")
+	storeCount   = flag.Int("stores", 4, "number of store machines")
+	frontCount   = flag.Int("fronts", 2, "number of fronts")
 )
 
 const (
@@ -45,7 +49,7 @@
 
 // TestRealProcesses runs a site's programs with traffic and without faults.
 func TestRealProcesses(t *testing.T) {
-	runSoak(t, 0, 0)
+	runSoak(t, 0, 0, false)
 }
 
 // TestSoak injects random faults for the duration of the flag -soak.
@@ -54,13 +58,27 @@
 		t.Skip("a soak has no fixed outcome; run it with -soak")
 	}
 	for _, regression := range regressions {
-		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) { runSoak(t, regression.seed, *soakTime) })
+		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) { runSoak(t, regression.seed, *soakTime, false) })
+	}
+	seed := drawSeed()
+	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, false) })
+}
+
+// TestSoakOfStops injects, beside random faults, series of planned stops that overlap.
+func TestSoakOfStops(t *testing.T) {
+	if *soakTime == 0 {
+		t.Skip("a soak has no fixed outcome; run it with -soak")
 	}
-	seed := *soakSeed
-	if seed == 0 {
-		seed = rand.Uint64()>>1 | 1
+	seed := drawSeed()
+	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, true) })
+}
+
+// drawSeed returns the seed of the flag, or a random one.
+func drawSeed() uint64 {
+	if *soakSeed != 0 {
+		return *soakSeed
 	}
-	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime) })
+	return rand.Uint64()>>1 | 1
 }
 
 func waitUntil(t *testing.T, what string, condition func() bool) {
@@ -74,9 +92,10 @@
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, duration time.Duration) {
+// runSoak runs a site with traffic, faults of a seed for a duration and, if set, series of stops.
+func runSoak(t *testing.T, seed uint64, duration time.Duration, withStops bool) {
 	build(t)
-	s := newSite(t, 3, 4, 2)
+	s := newSite(t, *controlCount, *storeCount, *frontCount)
 	if duration > 0 {
 		t.Logf("seed %d", seed)
 	}
@@ -111,15 +130,23 @@
 	for i := range 3 {
 		spawn(func() { tr.sendCalls(working, fmt.Sprint(i)) })
 	}
+	for i := range keptClients {
+		spawn(func() { tr.useKeptConnections(working, fmt.Sprint(i), rand.New(rand.NewPCG(seed, 100+uint64(i)))) })
+	}
 	followers, stopFollowers := context.WithCancel(ctx)
 	spawn(func() { tr.submitJobs(working, followers) })
 	d := &injector{site: s, random: rand.New(rand.NewPCG(seed, 1)), log: t.Logf}
 	d.disturbances = &tr.recorder.disturbances
 	load := newLoadInjector(tr, seed, t.Logf)
-	drawn := make(chan struct{})
-	go func() { defer close(drawn); load.run(ctx, duration) }()
+	stops := newStopInjector(s, &tr.recorder.disturbances, seed, t.Logf)
+	d.series = &stops.series
+	var drawn sync.WaitGroup
+	drawn.Go(func() { load.run(ctx, duration) })
+	if withStops {
+		drawn.Go(func() { stops.run(duration) })
+	}
 	d.run(duration)
-	<-drawn
+	drawn.Wait()
 	time.Sleep(stabilizeTime)
 	if duration > 0 {
 		load.finish(ctx)
@@ -136,7 +163,7 @@
 	load.pending.Wait()
 	cancel()
 	tasks.Wait()
-	tr.check(t, d, load)
+	tr.check(t, d, load, stops)
 }
 
 // testOperatorCommands runs the operators' commands against the running site.
@@ -217,7 +244,7 @@
 }
 
 // check checks the observations of the run.
-func (tr *traffic) check(t *testing.T, d *injector, load *loadInjector) {
+func (tr *traffic) check(t *testing.T, d *injector, load *loadInjector, stops *stopInjector) {
 	var arrivals []sitestandin.Arrival
 	for _, replica := range tr.replicas {
 		arrivals = append(arrivals, replica.Arrivals()...)
@@ -225,6 +252,7 @@
 	}
 	refused := tr.refusals()
 	tr.recorder.checkArrivals(arrivals, refused, d.noRecentResume)
+	kept := tr.recorder.checkKeptCalls(arrivals, &d.unplanned)
 	undisturbed, unserved := tr.recorder.checkService()
 	t.Run("service_after_bursts", func(t *testing.T) {
 		for _, violation := range unserved {
@@ -247,8 +275,8 @@
 	if tr.recorder.counts["call 200"] == 0 || tr.recorder.counts["jobs accepted"] == 0 || tr.recorder.counts["configurations"] == 0 {
 		t.Errorf("too little was served: %v", tr.recorder.counts)
 	}
-	t.Logf("%d arrivals, %v, faults %v, %d bursts, %d slow periods, %d undisturbed calls after a burst, %d requests refused by replicas",
-		len(arrivals), tr.recorder.counts, d.counts, load.bursts, load.slow, undisturbed, len(refused))
+	t.Logf("%d arrivals, %v, faults %v, %d series of stops of %d processes, %d bursts, %d slow periods, %d undisturbed calls after a burst, %d kept calls checked, %d requests refused by replicas",
+		len(arrivals), tr.recorder.counts, d.counts, stops.count, stops.stopped.Load(), load.bursts, load.slow, undisturbed, kept, len(refused))
 }
 
 // injector injects random faults.
@@ -259,6 +287,11 @@
 	counts       map[string]int
 	lastDiskLoss time.Time
 	disturbances *disturbances
+	// unplanned are the periods of the faults; stops, which are planned, are not among them.
+	unplanned disturbances
+	// series is held for writing while the site recovers from a lost disk, and for reading
+	// during a series of stops.
+	series *sync.RWMutex
 	// resumes are the times at which processes resumed or links healed.
 	mutex   sync.Mutex
 	resumes []time.Time
@@ -290,9 +323,11 @@
 	d.counts = map[string]int{}
 	d.lastDiskLoss = time.Now()
 	for end := time.Now().Add(duration); time.Now().Before(end); {
-		start := time.Now()
-		d.injectOne()
+		start, planned := time.Now(), d.injectOne()
 		d.disturbances.add(start, time.Now().Add(stabilizeTime))
+		if !planned {
+			d.unplanned.add(start, time.Now())
+		}
 		time.Sleep(time.Duration(500+d.random.IntN(3000)) * time.Millisecond)
 	}
 }
@@ -302,11 +337,17 @@
 	d.log("%s %s %s %v", time.Now().Format("15:04:05.000"), fault, m.name, detail)
 }
 
-// injectOne injects one fault on one machine and waits for its end.
-func (d *injector) injectOne() {
+// injectOne injects one fault on one machine and waits for its end. It reports whether the
+// fault was planned work.
+func (d *injector) injectOne() (planned bool) {
 	m := d.site.machines[d.random.IntN(len(d.site.machines))]
 	duration := time.Duration(300+d.random.IntN(4000)) * time.Millisecond
-	switch d.random.IntN(14) {
+	fault := d.random.IntN(14)
+	if usesProcess(fault) {
+		m.fault.Lock()
+		defer m.fault.Unlock()
+	}
+	switch fault {
 	case 0, 1:
 		d.record("kill", m, duration)
 		m.kill()
@@ -316,6 +357,7 @@
 		d.record("stop", m, "")
 		m.stop()
 		d.site.start(m, false)
+		return true
 	case 3, 4:
 		d.record("freeze", m, duration)
 		m.signal(syscall.SIGSTOP)
@@ -341,8 +383,13 @@
 	case 12, 13:
 		d.suspend(m, duration)
 	}
+	return false
 }
 
+// usesProcess reports whether a fault acts on the process of a single machine. Those on links
+// overlap with what happens to the process; a lost disk and a kill of all take all machines.
+func usesProcess(fault int) bool { return fault < 5 || fault > 9 }
+
 // suspend stops a process and advances the clock that includes suspended time; at random it
 // repeats this right after the process resumed.
 func (d *injector) suspend(m *machine, duration time.Duration) {
@@ -391,6 +438,8 @@
 	if m.role == "front" || time.Since(d.lastDiskLoss) < diskLossInterval {
 		return
 	}
+	d.series.Lock() // the site recovers undisturbed by stops
+	defer d.series.Unlock()
 	d.recoverAll()
 	time.Sleep(recoveryTime / 2)
 	m.kill()
@@ -460,6 +509,10 @@
 
 func (d *injector) killAll(duration time.Duration) {
 	d.record("kill all", d.site.machines[0], duration)
+	for _, m := range d.site.machines {
+		m.fault.Lock()
+		defer m.fault.Unlock()
+	}
 	for _, m := range d.site.machines {
 		m.kill()
 	}
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -68,7 +68,7 @@
 	}
 	tr := newTraffic(s)
 	tr.client.Timeout = waitTimeout
-	replica := tr.replicas[0]
+	replica := tr.patientReplica()
 	var arrivals atomic.Int64
 	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
 		if strings.HasPrefix(r.Header.Get(sitestandin.Headers.RequestID), "patient-") {
@@ -83,7 +83,7 @@
 	go tr.sendHeartbeats(ctx, replica)
 	front := s.machinesOf("front")[0]
 	waitUntil(t, "a call is served", func() bool {
-		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/once/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("once-", time.Now().UnixNano())}}, nil)
+		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/patient/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("first-", time.Now().UnixNano())}}, nil)
 		return status == http.StatusOK
 	})
 	const requests, connections = 14, 10
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -17,6 +17,7 @@
 const (
 	host      = "soak.example"
 	plain     = "plain-service"
+	patient   = "patient-service"
 	engines   = "lm-service"
 	model     = "model-a"
 	readyPath = "/loomgrade/readyz"
@@ -50,6 +51,7 @@
 		tr.replicas = append(tr.replicas, replica)
 		tr.apps = append(tr.apps, newAppServer(replica))
 	}
+	tr.replicas = append(tr.replicas, newPatientReplica(s.t))
 	for i := range 3 {
 		engine := sitestandin.NewEngine(s.t, fmt.Sprint("i-lm-", i), engines, model)
 		engine.EventPause, engine.Events = 20*time.Millisecond, 25
@@ -140,9 +142,9 @@
 		{"name":"r-once","hostname":"%s","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":6000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-patient","hostname":"%s","pathPrefix":"/patient/","routeType":"non_idempotent","timeoutMs":20000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3},
 		{"name":"r-jobs","hostname":"%s","pathPrefix":"/jobs/","routeType":"rollout","timeoutMs":5000,"targetLatencyMs":400,"backend":"%s","maxAttempts":3,"runAimMs":7500,"keepS":120}],
-		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},
+		"services":[{"name":"%s","healthPath":"/healthz","maxConns":100},{"name":"%s","healthPath":"/healthz","maxConns":100},
 		{"name":"%s","healthPath":"/healthz","maxConns":100,"engine":{"slots":4,"models":[{"name":"%s"}]}}],
-		"limits":{"maxBodyBytes":1048576}}`, version, host, plain, host, plain, host, plain, host, engines, plain, engines, model)
+		"limits":{"maxBodyBytes":1048576}}`, version, host, plain, host, plain, host, patient, host, engines, plain, patient, engines, model)
 }
 
 // changeConfigurations repeatedly changes the configuration, reads it back and publishes
