group: a member keeps its incarnation until it has an identity

Cause: internal/app/group/member.go, bootstrapOrJoin, chooses the incarnation in memory and reports it; the control group names the founders by it (sitestore/register.go, isFounder), and only the identity, written later, kept it. Change: the incarnation is stored, synced, before it is reported, and removed once the identity is stored, before the member can vote. A folder whose identity is lost or cleared has no incarnation, so that a member without its votes does not found again. Conclusion: a founder that is killed before it has an identity founds when it is back.

--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	identityFile     = "identity"
-	logFolder        = "log"
+	identityFile = "identity"
+	logFolder    = "log"
+	// incarnationFile holds the incarnation of a folder that has no identity yet.
+	incarnationFile  = "incarnation"
 	incarnationBytes = 12
 )
 
@@ -69,19 +71,41 @@
 	if err != nil {
 		return err
 	}
+	if err := f.replace(identityFile, data); err != nil {
+		return err
+	}
+	return f.remove(incarnationFile) // without an identity it stands for a member that never voted
+}
+
+// replace replaces a file durably.
+func (f folder) replace(name string, data []byte) error {
 	if err := f.files.MkdirAll(f.path); err != nil {
 		return eris.Wrap(err, "make data folder")
 	}
-	name := filepath.Join(f.path, identityFile)
-	if err := f.writeSynced(name+".tmp", data); err != nil {
+	path := filepath.Join(f.path, name)
+	if err := f.writeSynced(path+".tmp", data); err != nil {
 		return err
 	}
-	if err := f.files.Rename(name+".tmp", name); err != nil {
-		return eris.Wrap(err, "rename identity")
+	if err := f.files.Rename(path+".tmp", path); err != nil {
+		return eris.Wrap(err, "rename "+name)
 	}
 	return eris.Wrap(f.files.SyncDir(f.path), "sync data folder")
 }
 
+// incarnation returns the incarnation of a folder without an identity, and stores a new one
+// durably if it has none: others may name the member by it before the member has an identity.
+func (f folder) incarnation() (string, error) {
+	data, err := f.files.ReadFile(filepath.Join(f.path, incarnationFile))
+	if err == nil && len(data) == hex.EncodedLen(incarnationBytes) {
+		return string(data), nil
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return "", eris.Wrap(err, "read incarnation")
+	}
+	chosen := newIncarnation()
+	return chosen, f.replace(incarnationFile, []byte(chosen))
+}
+
 func (f folder) writeSynced(name string, data []byte) error {
 	file, err := f.files.Create(name)
 	if err != nil {
@@ -96,18 +120,31 @@
 	return eris.Wrap(file.Close(), "close identity")
 }
 
-// clear removes the identity, then the log: a partly cleared folder counts as empty.
+// clear removes the incarnation and the identity, then the log: a partly cleared folder counts
+// as empty. The incarnation goes first, so that it never stands for a member that had an id.
 func (f folder) clear() error {
-	err := f.files.Remove(filepath.Join(f.path, identityFile))
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return eris.Wrap(err, "remove identity")
+	for _, name := range []string{incarnationFile, identityFile} {
+		if err := f.remove(name); err != nil {
+			return err
+		}
 	}
+	return f.clearLog()
+}
+
+// remove removes a file durably, if it exists.
+func (f folder) remove(name string) error {
 	if err := f.files.MkdirAll(f.path); err != nil {
 		return eris.Wrap(err, "make data folder")
 	}
-	if err := f.files.SyncDir(f.path); err != nil {
-		return eris.Wrap(err, "sync data folder")
+	err := f.files.Remove(filepath.Join(f.path, name))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return eris.Wrap(err, "remove "+name)
 	}
+	return eris.Wrap(f.files.SyncDir(f.path), "sync data folder")
+}
+
+// clearLog removes the log.
+func (f folder) clearLog() error {
 	names, err := f.files.ReadDir(f.logPath())
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -180,7 +180,12 @@
 		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
 	}
 	m.stored.Store(nil)
-	if err := dir.clear(); err != nil {
+	if mayBootstrap {
+		err = dir.clearLog() // the incarnation stays: the group may name this member by it
+	} else {
+		err = dir.clear()
+	}
+	if err != nil {
 		return nil, identity{}, err
 	}
 	return m.bootstrapOrJoin(ctx, dir, mayBootstrap)
@@ -220,7 +225,10 @@
 // bootstrap the group only if it never had an id: without its log it could vote twice in a
 // term.
 func (m *Member) bootstrapOrJoin(ctx context.Context, dir folder, mayBootstrap bool) (*loop, identity, error) {
-	incarnation := newIncarnation()
+	incarnation, err := dir.incarnation()
+	if err != nil {
+		return nil, identity{}, err
+	}
 	for tries := 1; ; tries++ {
 		stored, err := m.tryBootstrapOrJoin(ctx, incarnation, mayBootstrap)
 		if err == nil {
