--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -3,7 +3,9 @@
 // machines (delay, reset, cuts in one direction or both), lost and damaged disks, and disks
 // that stall, are slow or reject writes (the program is built with the tag faultinjection).
 // Beside the faults it draws bursts of callers' requests above the capacity of the application
-// replicas, and replicas that turn slow; all processes run with limit_sends. Meanwhile it
+// replicas, and replicas that turn slow; all processes run with limit_sends. TestSoakOfStops adds
+// series of planned stops that overlap with each other and with the faults, while clients keep
+// connections to fronts for as long as these allow. Meanwhile it
 // checks invariants from the observations of callers, operators and replicas.
 //
 // The wall clock can't be changed from outside; test/source shows that no decision depends
@@ -15,6 +17,8 @@
 //
 //	go test ./test/soak -run TestSoak -soak 3m -seed 0 -v
 //
+// With -controls, -stores and -fronts a site has more processes.
+//
 // Seed 0 picks a random seed and prints it. The variable regressions lists seeds that failed
 // and the causes.
 package soak
