--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -61,36 +61,19 @@
 // without a response at the end of its stop. More requests than a process may have connections
 // to a replica are in flight: those that wait for one have not run, and are refused as such.
 func TestGracefulStopAnswersUnfinishedRequests(t *testing.T) {
-	build(t)
-	s := newSite(t, 3, 0, 1)
-	for _, m := range s.machines {
-		s.start(m, true)
-	}
-	tr := newTraffic(s)
-	tr.client.Timeout = waitTimeout
-	replica := tr.patientReplica()
 	var arrivals atomic.Int64
-	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+	tr, front := startServingFront(t, "/patient/x", (*traffic).patientReplica, func(r *http.Request) {
 		if strings.HasPrefix(r.Header.Get(sitestandin.Headers.RequestID), "patient-") {
 			arrivals.Add(1)
 			<-r.Context().Done()
 		}
-		return false
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go tr.changeConfigurations(ctx)
-	go tr.sendHeartbeats(ctx, replica)
-	front := s.machinesOf("front")[0]
-	waitUntil(t, "a call is served", func() bool {
-		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/patient/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("first-", time.Now().UnixNano())}}, nil)
-		return status == http.StatusOK
 	})
+	tr.client.Timeout = waitTimeout
 	const requests, connections = 14, 10
 	statuses := make(chan int, requests)
 	for i := range requests {
 		go func() {
-			status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/patient/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("patient-", i)}}, nil)
+			status, _, _ := tr.do(t.Context(), http.MethodPost, tr.frontURL()+"/patient/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("patient-", i)}}, nil)
 			statuses <- status
 		}()
 	}
@@ -158,31 +141,15 @@
 // TestGracefulStopRefusesWhatItCannotFinish guards against a front that reads a request late
 // in its graceful stop, passes it on and closes the connection without a response.
 func TestGracefulStopRefusesWhatItCannotFinish(t *testing.T) {
-	build(t)
-	s := newSite(t, 3, 0, 1)
-	for _, m := range s.machines {
-		s.start(m, true)
-	}
-	tr := newTraffic(s)
-	replica := tr.replicas[0]
-	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+	first := func(tr *traffic) *sitestandin.Replica { return tr.replicas[0] }
+	tr, front := startServingFront(t, "/once/x", first, func(r *http.Request) {
 		if r.Header.Get(sitestandin.Headers.RequestID) == "once-late" {
 			<-r.Context().Done()
 		}
-		return false
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go tr.changeConfigurations(ctx)
-	go tr.sendHeartbeats(ctx, replica)
-	front := s.machinesOf("front")[0]
-	waitUntil(t, "a call is served", func() bool {
-		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+"/once/x", http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("once-", time.Now().UnixNano())}}, nil)
-		return status == http.StatusOK
 	})
 	front.signal(syscall.SIGTERM)
 	time.Sleep(2 * time.Second) // the front still accepts connections
-	connection, err := net.Dial("tcp", s.address(front, s.ports.caller))
+	connection, err := net.Dial("tcp", tr.site.address(front, tr.site.ports.caller))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -197,10 +164,36 @@
 	if response.StatusCode != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d, close %v, header %v", response.StatusCode, response.Close, response.Header)
 	}
-	for _, arrival := range replica.Arrivals() {
+	for _, arrival := range first(tr).Arrivals() {
 		if arrival.ID == "once-late" {
 			t.Error("a refused request was sent to a replica")
 		}
 	}
 	front.stop()
 }
+
+// startServingFront starts a site with one front and one of its replicas, whose requests pass
+// through handle, and waits until a request to a path is served.
+func startServingFront(t *testing.T, path string, choose func(*traffic) *sitestandin.Replica, handle func(*http.Request)) (*traffic, *machine) {
+	t.Helper()
+	build(t)
+	s := newSite(t, 3, 0, 1)
+	for _, m := range s.machines {
+		s.start(m, true)
+	}
+	tr := newTraffic(s)
+	replica := choose(tr)
+	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+		handle(r)
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go tr.changeConfigurations(ctx)
+	go tr.sendHeartbeats(ctx, replica)
+	waitUntil(t, "a call is served", func() bool {
+		status, _, _ := tr.do(ctx, http.MethodPost, tr.frontURL()+path, http.Header{sitestandin.Headers.RequestID: {fmt.Sprint("first-", time.Now().UnixNano())}}, nil)
+		return status == http.StatusOK
+	})
+	return tr, s.machinesOf("front")[0]
+}
