--- a/test/soak/kept_test.go
+++ b/test/soak/kept_test.go
@@ -31,10 +31,9 @@
 // keptCall is a request on a kept connection. status is 0 if the connection ended without a
 // response.
 type keptCall struct {
-	id, front  string
-	status     int
-	sent, end  time.Time
-	connection int
+	id, front string
+	status    int
+	sent, end time.Time
 }
 
 // newPatientReplica starts a replica whose requests take as long as their bodies say, in
