--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -109,15 +109,15 @@
 func (f folder) writeSynced(name string, data []byte) error {
 	file, err := f.files.Create(name)
 	if err != nil {
-		return eris.Wrap(err, "create identity")
+		return eris.Wrap(err, "create "+filepath.Base(name))
 	}
 	if _, err := file.Write(data); err != nil {
-		return eris.Wrap(errors.Join(err, file.Close()), "write identity")
+		return eris.Wrap(errors.Join(err, file.Close()), "write "+filepath.Base(name))
 	}
 	if err := file.Sync(); err != nil {
-		return eris.Wrap(errors.Join(err, file.Close()), "sync identity")
+		return eris.Wrap(errors.Join(err, file.Close()), "sync "+filepath.Base(name))
 	}
-	return eris.Wrap(file.Close(), "close identity")
+	return eris.Wrap(file.Close(), "close "+filepath.Base(name))
 }
 
 // clear removes the incarnation and the identity, then the log: a partly cleared folder counts
--- a/test/soak/kept_test.go
+++ b/test/soak/kept_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -36,8 +37,7 @@
 	sent, end time.Time
 }
 
-// newPatientReplica starts a replica whose requests take as long as their bodies say, in
-// milliseconds.
+// newPatientReplica starts a replica whose requests take as long as their workHeader says.
 func newPatientReplica(t testing.TB) *sitestandin.Replica {
 	replica := sitestandin.NewReplica(t, "i-patient", patient)
 	replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
@@ -52,7 +52,7 @@
 	return replica
 }
 
-// workHeader is how long a patient replica takes, in milliseconds.
+// workHeader names the header with the duration of a request, in milliseconds.
 const workHeader = "X-Test-Work-Ms"
 
 func (tr *traffic) patientReplica() *sitestandin.Replica {
@@ -124,8 +124,9 @@
 	if err != nil {
 		return 0, false
 	}
-	body := make([]byte, max(0, response.ContentLength))
-	if _, err := readFull(response, body); err != nil {
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil {
 		return 0, false
 	}
 	call.status = response.StatusCode
@@ -135,19 +136,6 @@
 	return time.Duration(seconds) * time.Second, !response.Close
 }
 
-func readFull(response *http.Response, body []byte) (int, error) {
-	defer func() { _ = response.Body.Close() }()
-	read := 0
-	for read < len(body) {
-		n, err := response.Body.Read(body[read:])
-		read += n
-		if err != nil && read < len(body) {
-			return read, err
-		}
-	}
-	return read, nil
-}
-
 func (r *recorder) addKept(made keptCall) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
