consensus, group: the successor of a lost voter is promoted before it has the log

Callers saw: after two lost disks in turn on lossy links, accepted jobs could not be read any more (LOST), and no job was accepted until the end.

Cause: internal/core/groupmember/plan.go, removeSuperseded removes the old voter of a machine with an empty disk, and promote waited for a learner that had caught up. Until then a group of three had two voters and needed both. On lossy links a learner takes seconds to catch up, so that the next lost disk, a permitted time later, left one of two voters, for good.

Change: from an even number of voters to the next odd one the quorum stays as large as it was. There a learner that answers is promoted at once, with or without the log; where the quorum grows it must still be caught up (Node.promotable, Plan). A new voter acknowledges an entry only with all earlier ones and cannot be elected over a longer log. Leadership is not transferred to a voter that lacks the log, and of surplus voters one that lacks the log is removed first. The leader plans the next change as soon as one is committed instead of up to 300 ms later.

--- a/internal/app/group/join.go
+++ b/internal/app/group/join.go
@@ -119,6 +119,7 @@
 				failed <- reply.Err
 				return
 			}
+			l.planNextChange()
 			done <- joinAnswer{ID: record.ID, Records: l.member.Directory()}
 		})
 		l.member.ChangeMembership(token, consensus.AddLearner, record)
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -277,10 +277,19 @@
 	// At warning level, so that the line is not dropped under load.
 	l.config.Logger.Warn().Str(eventlog.Field, eventlog.MembershipChange).Str("group", l.config.Name).Uint8("kind", uint8(change.Kind)).
 		Uint64("member", uint64(change.Member)).Str("address", record.Address).Msg("membership change proposed")
-	token := l.addPendingReply(func(groupmember.Reply) { l.changePending = false })
+	token := l.addPendingReply(func(reply groupmember.Reply) {
+		l.changePending = false
+		if reply.Err == nil {
+			l.planNextChange()
+		}
+	})
 	l.member.ChangeMembership(token, change.Kind, groupmember.Record{ID: change.Member})
 }
 
+// planNextChange makes the next event run runMaintenance. Membership changes follow each
+// other: the successor of a lost voter is added, the lost one removed, the successor promoted.
+func (l *loop) planNextChange() { l.lastMaintenance = l.ticks - maintenanceTicks }
+
 // leaving returns the machines to drain.
 func (l *loop) leaving() map[string]bool {
 	if l.config.Leaving == nil {
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -34,6 +34,9 @@
 	// NoTermCommitRule lets a leader commit entries of earlier terms by
 	// counting replicas (figure 8 of the paper).
 	NoTermCommitRule bool
+	// NoCatchUpRule lets a leader promote a learner that lacks the log even if the quorum
+	// grows.
+	NoCatchUpRule bool
 }
 
 // Config holds the settings of a Node. Zero sizes select the defaults.
--- a/internal/core/consensus/election.go
+++ b/internal/core/consensus/election.go
@@ -306,8 +306,7 @@
 	if !n.membership.IsVoter(to) {
 		return ErrNotMember
 	}
-	peer := n.leadership.peers[to]
-	if !n.active(peer) {
+	if !n.caughtUp(to) {
 		return ErrNotCaughtUp
 	}
 	n.leadership.transferTo = to
--- a/internal/core/consensus/membership.go
+++ b/internal/core/consensus/membership.go
@@ -139,11 +139,11 @@
 		if !result.IsLearner(change.Member) {
 			return Membership{}, ErrNotMember
 		}
-		if !n.caughtUp(change.Member) {
-			return Membership{}, ErrNotCaughtUp
-		}
 		result.Learners = withoutMember(result.Learners, change.Member)
 		result.Voters = append(result.Voters, change.Member)
+		if !n.promotable(change.Member, result.Quorum() > n.membership.Quorum()) {
+			return Membership{}, ErrNotCaughtUp
+		}
 	case RemoveMember:
 		if !result.Contains(change.Member) {
 			return Membership{}, ErrNotMember
@@ -159,7 +159,20 @@
 	return result.normalized(), nil
 }
 
-// caughtUp reports whether a learner is active and its durable log includes the entries
+// promotable reports whether a learner may become a voter. If the quorum grows, the learner
+// must be caught up: commits might depend on it. From an even number of voters to the next
+// odd one the quorum stays as large as it was, so that the learner only adds a vote; it is
+// enough that it answers. It acknowledges an entry only with all earlier ones, and cannot be
+// elected over a voter with a longer log.
+func (n *Node) promotable(id MemberID, quorumGrows bool) bool {
+	if quorumGrows && !n.config.Safeguards.NoCatchUpRule {
+		return n.caughtUp(id)
+	}
+	peer := n.leadership.peers[id]
+	return peer != nil && peer.answered() && n.active(peer)
+}
+
+// caughtUp reports whether a member is active and its durable log includes the entries
 // that were committed one heartbeat ago.
 func (n *Node) caughtUp(id MemberID) bool {
 	peer := n.leadership.peers[id]
--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -155,3 +155,75 @@
 	net.checkState("abcd", second, 4)
 	net.checkNoViolations()
 }
+
+// The successor of a lost voter becomes a voter before it has the log. Otherwise the two
+// remaining voters are both needed until it has, and the loss of one of them ends the group.
+func TestLossBeforeSuccessorHasTheLog(t *testing.T) {
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	net.propose(leader, "a")
+	lost, second := net.others(leader)[0], net.others(leader)[1]
+	net.crash(lost)
+	net.propose(leader, "b")
+	net.add(4, Restored{})
+	net.filter = func(message Message) bool { return message.To != 4 || len(message.Entries) == 0 }
+	net.mustChange(AddLearner, 4)
+	net.tick(testElectionTicks + 1)
+	net.mustChange(RemoveMember, lost)
+	if peer := net.peerStatus(leader, 4); peer.CaughtUp || peer.Match > 0 {
+		t.Fatalf("the successor has the log: %+v", peer)
+	}
+	net.mustChange(PromoteLearner, 4)
+	net.crash(second)
+	net.filter = nil
+	net.tick(testElectionTicks)
+	net.propose(net.elect(), "c")
+	net.tick(testHeartbeatTicks)
+	net.checkState("abc", leader, 4)
+	net.checkNoViolations()
+}
+
+// A learner that has not answered adds no vote: its machine may be gone already.
+func TestPromotionNeedsAnAnswer(t *testing.T) {
+	net := newNetwork(t, 2, nil)
+	net.elect()
+	net.add(3, Restored{})
+	net.isolate(3, true)
+	net.mustChange(AddLearner, 3)
+	if err := net.change(PromoteLearner, 3); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("promotion of a learner that never answered: %v", err)
+	}
+	net.isolate(3, false)
+	net.tick(testElectionTicks)
+	net.mustChange(PromoteLearner, 3)
+	net.checkNoViolations()
+}
+
+// A voter that lacks the log cannot take over leadership within an election timeout, and
+// proposals would fail meanwhile.
+func TestNoTransferToVoterWithoutTheLog(t *testing.T) {
+	net := newNetwork(t, 2, nil)
+	leader := net.elect()
+	net.propose(leader, "a")
+	net.add(3, Restored{})
+	net.filter = func(message Message) bool { return message.To != 3 || len(message.Entries) == 0 }
+	net.mustChange(AddLearner, 3)
+	net.tick(testHeartbeatTicks)
+	net.mustChange(PromoteLearner, 3)
+	if err := net.node(leader).TransferLeadership(3); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("transfer to a voter without the log: %v", err)
+	}
+	net.propose(leader, "b")
+	net.checkState("ab", leader)
+}
+
+func (net *network) peerStatus(leader, id MemberID) PeerStatus {
+	net.t.Helper()
+	for _, peer := range net.node(leader).Status().Progress {
+		if peer.ID == id {
+			return peer
+		}
+	}
+	net.t.Fatalf("%d is no peer of %d", id, leader)
+	return PeerStatus{}
+}
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -59,6 +59,9 @@
 // the leader missed.
 func (p *progress) ticksSinceContact(now uint64) uint64 { return now - p.contactTick - p.missedTicks }
 
+// answered reports whether the member has answered a message of this leader.
+func (p *progress) answered() bool { return p.leaseTick > 0 }
+
 func (p *progress) becomeProbe() {
 	p.state = ProgressProbe
 	p.next = p.match + 1
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -74,8 +74,11 @@
 	Active bool
 	// TicksSinceContact excludes ticks that the leader missed.
 	TicksSinceContact uint64
-	// CaughtUp is set if the member could be promoted now.
+	// CaughtUp is set if the member is active and its durable log includes the entries that
+	// were committed one heartbeat ago.
 	CaughtUp bool
+	// Answered is set if the member has answered a message of this leader.
+	Answered bool
 }
 
 // Status returns a copy of the member's view of the group.
@@ -116,7 +119,7 @@
 		peer := n.leadership.peers[id]
 		statuses = append(statuses, PeerStatus{
 			ID: id, Learner: n.membership.IsLearner(id), Match: peer.match, Next: peer.next, State: peer.state,
-			Active: n.active(peer), TicksSinceContact: peer.ticksSinceContact(n.now), CaughtUp: n.caughtUp(id),
+			Active: n.active(peer), TicksSinceContact: peer.ticksSinceContact(n.now), CaughtUp: n.caughtUp(id), Answered: peer.answered(),
 		})
 	}
 	return statuses
--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -61,6 +61,7 @@
 	voter             bool
 	self              bool
 	active            bool
+	answered          bool
 	caughtUp          bool
 	ticksSinceContact uint64
 	leaving           bool
@@ -93,7 +94,8 @@
 		}
 		if i := slices.IndexFunc(status.Progress, func(peer consensus.PeerStatus) bool { return peer.ID == record.ID }); i >= 0 {
 			peer := status.Progress[i]
-			current.active, current.caughtUp, current.ticksSinceContact = peer.Active, peer.CaughtUp, peer.TicksSinceContact
+			current.active, current.answered, current.caughtUp = peer.Active, peer.Answered, peer.CaughtUp
+			current.ticksSinceContact = peer.TicksSinceContact
 		}
 		group.members = append(group.members, current)
 	}
@@ -134,6 +136,13 @@
 
 func promotable(m member) bool { return !m.voter && m.caughtUp && !m.leaving && !m.superseded }
 
+// mayAddVote reports whether a learner may become a voter where the quorum stays as large as
+// it is: from an even number of voters to the next odd one. A group of two voters needs both
+// of them, so it must not wait until its third one has received the log.
+func mayAddVote(m member) bool {
+	return !m.voter && m.active && m.answered && !m.leaving && !m.superseded
+}
+
 // removeSuperseded removes a member whose machine returned with an empty folder under a
 // new id: its durable entries are lost. It waits for a learner to catch up if the
 // removal would leave a quorum too small to survive the tolerated losses: nothing could be
@@ -156,18 +165,23 @@
 // quorum returns the size of a majority of voters.
 func quorum(voters int) int { return voters/2 + 1 }
 
-// promote makes a caught-up learner a voter if voters are missing, or to replace one that
-// is unreachable or leaving. An even number of voters is temporary: a second promotion or
-// a removal follows.
+// promote makes a learner a voter if voters are missing, or to replace a voter that is
+// unreachable or leaving. An even number of voters is temporary: a second promotion or a
+// removal follows.
 func (g *groupView) promote() (Change, bool) {
-	learners := g.count(promotable)
+	voters := g.voters()
 	learner, found := g.find(promotable)
+	if voters < g.limits.Voters && voters%2 == 0 {
+		if !found {
+			learner, found = g.find(mayAddVote)
+		}
+		return Change{Kind: consensus.PromoteLearner, Member: learner.record.ID}, found
+	}
 	if !found {
 		return Change{}, false
 	}
-	voters := g.voters()
+	missing := voters < g.limits.Voters && g.count(promotable) > 1
 	remaining := g.count(func(m member) bool { return m.voter && !m.leaving && !g.replaceable(m) })
-	missing := voters < g.limits.Voters && (voters%2 == 0 || learners > 1)
 	if !missing && (remaining >= voters || remaining >= g.limits.Voters || voters > g.limits.Voters) {
 		return Change{}, false
 	}
@@ -201,16 +215,23 @@
 	return Change{Kind: consensus.RemoveMember, Member: unreachable.record.ID}, true
 }
 
-// removeSurplus reduces the voters to the target number.
+// removeSurplus reduces the voters to the target number: first those that are unreachable,
+// then those that lack the log.
 func (g *groupView) removeSurplus() (Change, bool) {
 	if g.voters() <= g.limits.Voters {
 		return Change{}, false
 	}
-	surplus, found := g.find(func(m member) bool { return m.voter && !m.self && !m.active })
-	if !found {
-		surplus, found = g.find(func(m member) bool { return m.voter && !m.self })
+	for _, match := range []func(member) bool{
+		func(m member) bool { return !m.active },
+		func(m member) bool { return !m.caughtUp },
+		func(member) bool { return true },
+	} {
+		surplus, found := g.find(func(m member) bool { return m.voter && !m.self && match(m) })
+		if found {
+			return Change{Kind: consensus.RemoveMember, Member: surplus.record.ID}, true
+		}
 	}
-	return Change{Kind: consensus.RemoveMember, Member: surplus.record.ID}, found
+	return Change{}, false
 }
 
 // removeTimedOutLearner removes a learner that had no contact for RemoveLearnerTicks.
