consensus: an overdue acknowledgement is queried, and data on a slow connection is not repeated

Callers saw: after a lost disk on lossy links the store group stood without a leader for seconds, and with the next lost disk for good (LOST).

Cause: internal/core/consensus/replication.go, retransmit sent the whole unacknowledged data again every 5 ticks (300 ms), up to 1 MB a message, although the connection still held the earlier copy and only repeated a lost packet. Each copy waits behind the others, and heartbeats behind all.

A member that has the data acknowledges it; one that lacks it rejects the query, and the data is sent again from where its log ends. So a lost connection still leads to a repeat, and a slow one does not. A rejection counts only if it answers the outstanding probe or a later query. No time limit is changed.

Ways weighed: longer time limits (32 ticks) only move the repeat and let single lost messages wait that long; reports of ended connections from the transport need an order between them and the messages, and do not cover messages that the receiver dropped.

--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -99,8 +99,9 @@
 	return uint64(c.ElectionTicks - 1 - c.ElectionTicks/4)
 }
 
-// retransmitTicks returns how long a leader waits for an acknowledgement before it resends.
-func (c Config) retransmitTicks() uint64 {
+// ackTimeoutTicks returns how long a leader waits for an acknowledgement before it queries
+// what the member has received.
+func (c Config) ackTimeoutTicks() uint64 {
 	return uint64(2*c.HeartbeatTicks + 1)
 }
 
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -31,9 +31,13 @@
 	inflight []uint64
 	// waiting is set while a probe or a snapshot chunk is unacknowledged.
 	waiting bool
-	// progressTick is the tick of the last acknowledgement, or of the first message sent
-	// while nothing was outstanding.
+	// progressTick is the tick of the last acknowledgement or query, or of the first message
+	// sent while nothing was outstanding.
 	progressTick uint64
+	// probeEnd is the last index that the outstanding probe carries, and probeTick the tick
+	// at which it was sent.
+	probeEnd  uint64
+	probeTick uint64
 	// contactTick is the tick of the member's last reply in this term.
 	contactTick uint64
 	// missedTicks counts the ticks since contactTick that the leader missed.
@@ -47,10 +51,12 @@
 	snapshot   *Snapshot
 	checksum   uint32
 	// offset counts the snapshot's acknowledged bytes and sent those sent; resentTick is
-	// the tick of the last resend from offset.
+	// the tick of the last resend from offset, and resumed is set until a chunk that was
+	// resent is acknowledged.
 	offset     uint64
 	sent       uint64
 	resentTick uint64
+	resumed    bool
 	// removalIndex is the index of the entry that removes the member, or 0.
 	removalIndex uint64
 }
@@ -65,10 +71,11 @@
 func (p *progress) becomeProbe() {
 	p.state = ProgressProbe
 	p.next = p.match + 1
+	p.probeEnd = p.match
 	p.inflight = nil
 	p.waiting = false
 	p.snapshot = nil
-	p.offset, p.sent = 0, 0
+	p.offset, p.sent, p.resumed = 0, 0, false
 }
 
 func (p *progress) becomeReplicate() {
@@ -90,6 +97,12 @@
 	return p.waiting || len(p.inflight) > 0
 }
 
+// answersProbe reports whether a rejection is of the outstanding probe, or of a query sent
+// after it.
+func (p *progress) answersProbe(rejection Message) bool {
+	return rejection.SentTick >= p.probeTick && (rejection.Index == p.next-1 || rejection.Index == p.probeEnd)
+}
+
 // acknowledge records that the member's log is durable up to index. It reports whether
 // that advances match.
 func (p *progress) acknowledge(index uint64) bool {
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -64,25 +64,39 @@
 		n.broadcastHeartbeat()
 	}
 	for _, id := range n.leadership.peerOrder {
-		n.retransmit(n.leadership.peers[id])
+		n.queryOverdue(id, n.leadership.peers[id])
 	}
 	n.dropInactiveRemoved()
 }
 
-// retransmit schedules a resend if the peer's acknowledgement is overdue.
-func (n *Node) retransmit(peer *progress) {
-	if !peer.outstanding() || n.now-peer.progressTick < n.config.retransmitTicks() {
+// queryOverdue queries what a member has received if its acknowledgement is overdue. The
+// query is small and follows the data on the same connection: while that only holds up the
+// data, nothing is sent twice. A member that lacks the data rejects the query, and the data is
+// sent again from where its log ends.
+func (n *Node) queryOverdue(id MemberID, peer *progress) {
+	if !peer.outstanding() || n.now-peer.progressTick < n.config.ackTimeoutTicks() {
 		return
 	}
 	peer.progressTick = n.now
-	if peer.state == ProgressReplicate {
+	switch {
+	case peer.state == ProgressSnapshot && n.active(peer):
+		n.sendChunkData(id, peer, nil)
+	case peer.state == ProgressReplicate && n.queryAppend(id, peer.next-1):
+	case peer.state == ProgressProbe && n.queryAppend(id, peer.probeEnd):
+	default:
 		peer.becomeProbe()
+		n.outbox.dirty = true
 	}
-	if peer.state == ProgressSnapshot && !n.active(peer) {
-		peer.becomeProbe()
+}
+
+// queryAppend sends an append without entries at index. It returns false if the log no longer
+// has the position.
+func (n *Node) queryAppend(id MemberID, index uint64) bool {
+	term, ok := n.log.term(index)
+	if ok {
+		n.sendAsLeader(Message{Kind: MessageAppend, To: id, Index: index, LogTerm: term, Commit: n.log.commit})
 	}
-	peer.waiting = false
-	n.outbox.dirty = true
+	return ok
 }
 
 func (n *Node) broadcastHeartbeat() {
@@ -155,10 +169,16 @@
 	}
 	n.startAckTimer(peer)
 	peer.waiting = true
+	peer.probeEnd, peer.probeTick = peer.next-1+uint64(len(entries)), n.now
 	n.sendEntries(id, peer, entries)
 }
 
+// sendWindow sends the entries that the member's window allows. A member that does not answer
+// receives none, so that they do not pile up before a dead connection.
 func (n *Node) sendWindow(id MemberID, peer *progress) {
+	if !n.active(peer) {
+		return
+	}
 	sent := false
 	for peer.next <= n.log.lastIndex() && len(peer.inflight) < n.config.MaxInflight {
 		entries := n.log.entriesFrom(peer.next, n.config.MaxBatchBytes)
@@ -341,6 +361,9 @@
 }
 
 func (n *Node) recordContact(message Message, peer *progress) {
+	if !n.active(peer) {
+		n.outbox.dirty = true // sendWindow sent nothing meanwhile
+	}
 	peer.contactTick, peer.missedTicks = n.now, 0
 	if message.SentTick <= n.now {
 		peer.leaseTick = max(peer.leaseTick, message.SentTick)
@@ -349,9 +372,8 @@
 }
 
 func (n *Node) handleAppendRejected(message Message, peer *progress) {
-	stale := message.Index <= peer.match || peer.state == ProgressProbe && message.Index != peer.next-1
-	if stale || peer.state == ProgressSnapshot {
-		return
+	if message.Index <= peer.match || peer.state == ProgressSnapshot || peer.state == ProgressProbe && !peer.answersProbe(message) {
+		return // it answers an earlier message
 	}
 	lastMatch, _ := n.log.lastAtOrBelow(message.HintIndex, message.HintTerm)
 	peer.becomeProbe()
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -86,7 +86,7 @@
 }
 
 // sendChunks sends up to SnapshotWindow unacknowledged chunks. It resumes from the
-// acknowledged offset while peer.waiting is not set.
+// acknowledged offset while peer.waiting is not set, with a single chunk after a lost one.
 func (n *Node) sendChunks(id MemberID, peer *progress) {
 	if !peer.waiting {
 		peer.sent = peer.offset
@@ -94,6 +94,9 @@
 		peer.waiting = true
 		n.sendChunk(id, peer)
 	}
+	if peer.resumed {
+		return
+	}
 	total, window := uint64(len(peer.snapshot.Data)), uint64(n.config.SnapshotWindow*n.config.SnapshotChunkBytes)
 	for peer.sent < total && peer.sent-peer.offset < window {
 		n.sendChunk(id, peer)
@@ -102,14 +105,19 @@
 
 // sendChunk sends the next chunk of the snapshot.
 func (n *Node) sendChunk(id MemberID, peer *progress) {
+	data := peer.snapshot.Data
+	end := min(uint64(len(data)), peer.sent+uint64(n.config.SnapshotChunkBytes))
+	n.sendChunkData(id, peer, data[peer.sent:end])
+	peer.sent = end
+}
+
+// sendChunkData sends data as the chunk that follows those sent.
+func (n *Node) sendChunkData(id MemberID, peer *progress, data []byte) {
 	snapshot := peer.snapshot
-	total := uint64(len(snapshot.Data))
-	end := min(total, peer.sent+uint64(n.config.SnapshotChunkBytes))
 	n.sendAsLeader(Message{Kind: MessageSnapshotChunk, To: id, Chunk: &SnapshotChunk{
 		Index: snapshot.Index, Term: snapshot.Term, Membership: snapshot.Membership,
-		Offset: peer.sent, Total: total, Checksum: peer.checksum, Data: snapshot.Data[peer.sent:end],
+		Offset: peer.sent, Total: uint64(len(snapshot.Data)), Checksum: peer.checksum, Data: data,
 	}})
-	peer.sent = end
 }
 
 func (n *Node) handleSnapshotReply(message Message, peer *progress) {
@@ -126,7 +134,7 @@
 	case message.Reject:
 		n.resendChunks(message.Offset, peer)
 	case message.Offset > peer.offset:
-		peer.offset = message.Offset
+		peer.offset, peer.resumed = message.Offset, false
 		peer.sent = max(peer.sent, peer.offset)
 		peer.waiting = peer.sent > peer.offset
 		peer.progressTick = n.now
@@ -141,7 +149,7 @@
 	if received == peer.offset && peer.resentTick == n.now {
 		return
 	}
-	peer.offset, peer.resentTick = received, n.now
+	peer.offset, peer.resentTick, peer.resumed = received, n.now, true
 	peer.waiting = false
 	peer.progressTick = n.now
 	n.outbox.dirty = true
