group, control: heartbeats and votes do not wait behind the log

Callers saw: pauses of the job store of a second and more while a member was sent the log on lossy links.

Cause: internal/app/group/peers.go sent all messages to a member on one connection. A lost packet holds up a connection for 200 ms and more; batches of up to 1 MB are hundreds of packets, and the leader counts its quorum within 8 ticks (480 ms).

Without such a connection yet they go over the other one, so that a new leader does not wait for a dial. The same in internal/app/control.

Ways weighed: batches of 64 kB instead of 1 MB (heartbeats still wait for all batches of the window); priorities within one connection (TCP holds up what comes after a lost packet whatever its priority).

--- a/internal/app/control/peers.go
+++ b/internal/app/control/peers.go
@@ -18,14 +18,18 @@
 	// addresses of members, from the configuration and from the log.
 	addresses map[consensus.MemberID]string
 	clients   map[consensus.MemberID]*wire.Client
-	closed    bool
+	// logClients have the connections for the log and snapshots, so that heartbeats do not wait
+	// for them.
+	logClients map[consensus.MemberID]*wire.Client
+	closed     bool
 }
 
 func newPeers(config Config) *peers {
 	p := &peers{
-		options:   config.Wire,
-		addresses: make(map[consensus.MemberID]string),
-		clients:   make(map[consensus.MemberID]*wire.Client),
+		options:    config.Wire,
+		addresses:  make(map[consensus.MemberID]string),
+		clients:    make(map[consensus.MemberID]*wire.Client),
+		logClients: make(map[consensus.MemberID]*wire.Client),
 	}
 	for _, member := range config.Members {
 		p.addresses[consensus.MemberID(member.ID)] = member.Peer
@@ -41,22 +45,32 @@
 		return
 	}
 	p.addresses[id] = address
-	if client := p.clients[id]; client != nil {
-		client.Close()
-		delete(p.clients, id)
+	for _, clients := range p.allClients() {
+		if client := clients[id]; client != nil {
+			client.Close()
+			delete(clients, id)
+		}
 	}
 }
 
+func (p *peers) allClients() []map[consensus.MemberID]*wire.Client {
+	return []map[consensus.MemberID]*wire.Client{p.clients, p.logClients}
+}
+
 func (p *peers) address(id consensus.MemberID) string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.addresses[id]
 }
 
-func (p *peers) client(id consensus.MemberID) *wire.Client {
+func (p *peers) client(id consensus.MemberID) *wire.Client { return p.clientOf(p.clients, id) }
+
+// clientOf returns a member's client in clients and creates it on first use. It returns nil if
+// the address is unknown.
+func (p *peers) clientOf(clients map[consensus.MemberID]*wire.Client, id consensus.MemberID) *wire.Client {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if client := p.clients[id]; client != nil {
+	if client := clients[id]; client != nil {
 		return client
 	}
 	address, known := p.addresses[id]
@@ -64,7 +78,7 @@
 		return nil
 	}
 	client := wire.NewClient(address, p.options)
-	p.clients[id] = client
+	clients[id] = client
 	return client
 }
 
@@ -80,6 +94,13 @@
 
 // send sends a consensus message. The message may be lost; the core retries.
 func (p *peers) send(message consensus.Message) {
+	if message.Kind.CarriesLog() {
+		client := p.clientOf(p.logClients, message.To)
+		if client != nil && wire.CodeOf(client.Send(context.Background(), peerapi.MethodConsensus, message)) != port.CodeUnavailable {
+			return
+		}
+		// There is no connection for the log yet: the first entries of a leader must not wait.
+	}
 	if client := p.client(message.To); client != nil {
 		_ = client.Send(context.Background(), peerapi.MethodConsensus, message)
 	}
@@ -97,8 +118,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
-	for _, client := range p.clients {
-		client.Close()
+	for _, clients := range p.allClients() {
+		for _, client := range clients {
+			client.Close()
+		}
 	}
 }
 
--- a/internal/app/group/peers.go
+++ b/internal/app/group/peers.go
@@ -7,19 +7,23 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
+	"github.com/loomgrade/loomgrade/internal/port"
 )
 
 // peers holds the connections to the other members.
 type peers struct {
-	pool   *wire.Pool
-	method string
-	mutex  sync.Mutex
+	pool *wire.Pool
+	// logPool has the connections for the log and snapshots: a packet that is lost holds up
+	// all that follows on its connection, and heartbeats must not wait for it.
+	logPool *wire.Pool
+	method  string
+	mutex   sync.Mutex
 	// addresses are those of members, from the member's identity and from the log.
 	addresses map[consensus.MemberID]string
 }
 
 func newPeers(options wire.Options, method string) *peers {
-	return &peers{pool: wire.NewPool(options), method: method, addresses: make(map[consensus.MemberID]string)}
+	return &peers{pool: wire.NewPool(options), logPool: wire.NewPool(options), method: method, addresses: make(map[consensus.MemberID]string)}
 }
 
 // setAddresses sets the addresses of members. With prune, it first drops all others and
@@ -36,7 +40,9 @@
 		used[record.Address] = true
 	}
 	if prune {
-		p.pool.RemoveUnused(func(address string) bool { return used[address] })
+		for _, pool := range []*wire.Pool{p.pool, p.logPool} {
+			pool.RemoveUnused(func(address string) bool { return used[address] })
+		}
 	}
 }
 
@@ -48,9 +54,18 @@
 
 // send sends a consensus message. The message may be lost; the core retries.
 func (p *peers) send(message consensus.Message) {
-	if address := p.address(message.To); address != "" {
-		_ = p.pool.Client(address).Send(context.Background(), p.method, message)
+	address := p.address(message.To)
+	if address == "" {
+		return
+	}
+	if message.Kind.CarriesLog() {
+		err := p.logPool.Client(address).Send(context.Background(), p.method, message)
+		if wire.CodeOf(err) != port.CodeUnavailable {
+			return
+		}
+		// There is no connection for the log yet: the first entries of a leader must not wait.
 	}
+	_ = p.pool.Client(address).Send(context.Background(), p.method, message)
 }
 
 // connect keeps connections to members open. Without a connection the first vote request
@@ -63,4 +78,7 @@
 	}
 }
 
-func (p *peers) close() { p.pool.Close() }
+func (p *peers) close() {
+	p.pool.Close()
+	p.logPool.Close()
+}
--- a/internal/core/consensus/message.go
+++ b/internal/core/consensus/message.go
@@ -24,7 +24,6 @@
 	// MessageSnapshotChunk carries a chunk of a snapshot.
 	MessageSnapshotChunk
 	// MessageSnapshotReply requests the snapshot's bytes from Offset, or with
-	// MessageSnapshotReply requests the snapshot's bytes from Offset, or with
 	// Done acknowledges the complete snapshot as durable.
 	MessageSnapshotReply
 	// MessageTimeoutNow requests that the receiver start an election immediately.
@@ -44,6 +43,13 @@
 	return messageKindNames[0]
 }
 
+// CarriesLog reports whether messages of this kind carry the log or a snapshot, which may take
+// long to send. The owner sends them on a connection of their own, in order, so that heartbeats
+// and votes do not wait for them.
+func (k MessageKind) CarriesLog() bool {
+	return k == MessageAppend || k == MessageSnapshotChunk
+}
+
 // Message is sent between members. Kind determines which fields are set.
 type Message struct {
 	Kind MessageKind `cbor:"1,keyasint"`
