--- a/internal/core/consensus/overdue_test.go
+++ b/internal/core/consensus/overdue_test.go
@@ -30,7 +30,9 @@
 		return true
 	}
 	for _, entry := range message.Entries {
-		l.entryBytes += len(entry.Data)
+		if entry.Kind == EntryNormal {
+			l.entryBytes += len(entry.Data)
+		}
 	}
 	if message.Chunk != nil {
 		l.chunkBytes += len(message.Chunk.Data)
@@ -188,3 +190,23 @@
 	net.checkState(string(net.members[leader].state), silent)
 	net.checkNoViolations()
 }
+
+// A member that needs the snapshot is sent it at once: entries that follow the snapshot's
+// position, of up to a whole batch, were sent before it and rejected.
+func TestMemberWithoutTheLogIsSentTheSnapshotFirst(t *testing.T) {
+	net, leader, _ := newLaggingNetwork(t, func(c *Config) { c.RetainEntries = 20 })
+	net.add(4, Restored{})
+	link := newSlowLink(net, 4)
+	net.mustChange(AddLearner, 4)
+	for range 5 {
+		net.tick(1)
+		link.deliver()
+	}
+	if size := len(net.members[leader].disk.snapshot.Data); link.chunkBytes < size {
+		t.Errorf("%d bytes of a snapshot of %d sent after 5 ticks", link.chunkBytes, size)
+	}
+	if link.entryBytes != len("!") {
+		t.Errorf("%d bytes of commands sent for the one that follows the snapshot", link.entryBytes)
+	}
+	net.checkNoViolations()
+}
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -375,7 +375,10 @@
 	if message.Index <= peer.match || peer.state == ProgressSnapshot || peer.state == ProgressProbe && !peer.answersProbe(message) {
 		return // it answers an earlier message
 	}
-	lastMatch, _ := n.log.lastAtOrBelow(message.HintIndex, message.HintTerm)
+	lastMatch := message.HintIndex // needs the snapshot if the log begins later
+	if lastMatch >= n.log.baseIndex {
+		lastMatch, _ = n.log.lastAtOrBelow(message.HintIndex, message.HintTerm)
+	}
 	peer.becomeProbe()
 	peer.next = max(peer.match+1, min(lastMatch+1, message.Index))
 	n.outbox.dirty = true
