groupmember, soak: disks lost in turn, simulated by seed and with real processes

It checks that no leader lacks an acknowledged command, that the quorum grows only by members that have the log, and that the group is whole at the end.

TestSoakOfDiskLosses does the same with real processes: SIGKILL, an emptied folder, the next one 4.7 s after the return, behind a loopback proxy that holds up a connection by 200 ms, doubled on a repeat, for each packet of 1,460 bytes drawn as lost (2.5%).

--- a/internal/core/groupmember/simulation_test.go
+++ b/internal/core/groupmember/simulation_test.go
@@ -115,8 +115,16 @@
 	message consensus.Message
 }
 
+// reporter is the part of testing.T that the harness uses. A test that expects a violation
+// passes its own.
+type reporter interface {
+	Helper()
+	Logf(format string, arguments ...any)
+	Fatalf(format string, arguments ...any)
+}
+
 type harness struct {
-	t          *testing.T
+	t          reporter
 	random     *rand.Rand
 	now        int
 	machines   []*machine
@@ -144,9 +152,16 @@
 	snapshotsWhileSending int
 	// batchBytes is the MaxBatchBytes setting; 0 is the default.
 	batchBytes int
+	// connections deliver the messages in order, if set; otherwise each message may be lost,
+	// and overtake others.
+	connections *connections
+	// safeguards are those of the members. With ignoreLog, the leader plans as if all learners
+	// had the log; with awaitLog, it promotes none that lacks it.
+	safeguards          consensus.Safeguards
+	ignoreLog, awaitLog bool
 }
 
-func newHarness(t *testing.T, seed uint64, count, voters int) *harness {
+func newHarness(t reporter, seed uint64, count, voters int) *harness {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), pending: map[consensus.MemberID]map[uint64]uint64{}, lastWipe: -1000, snapshotEntries: 40,
 		limits: groupmember.Limits{Voters: voters, MinVoters: 3, Learners: groupmember.UnlimitedLearners, ReplaceTicks: replaceTicks, FreeSlotTicks: freeSlotTicks, RemoveLearnerTicks: removeLearnerTicks},
@@ -169,7 +184,7 @@
 func (h *harness) start(m *machine) {
 	m.state = &commandLog{}
 	member, err := groupmember.New(groupmember.Config{
-		Consensus: consensus.Config{ID: m.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: h.random.Uint64(), RetainEntries: 8, MaxBatchBytes: h.batchBytes, SnapshotChunkBytes: h.chunkBytes},
+		Consensus: consensus.Config{ID: m.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: h.random.Uint64(), RetainEntries: 8, MaxBatchBytes: h.batchBytes, SnapshotChunkBytes: h.chunkBytes, Safeguards: h.safeguards},
 		Founders:  m.founders, SnapshotEntries: h.snapshotEntries,
 	}, consensus.Restored{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, m.state)
 	if err != nil {
@@ -181,6 +196,9 @@
 // stop stops the member, which loses all state that is not on its disk.
 func (h *harness) stop(m *machine, ticks int) {
 	m.member = nil
+	if h.connections != nil {
+		h.connections.reset(m.id)
+	}
 	m.pausedUntil, m.missedTicks = 0, 0
 	m.changePending = false
 	m.pendingSnapshot = nil
@@ -239,9 +257,7 @@
 		ready := m.member.Ready()
 		m.disk.persist(ready)
 		for _, message := range ready.Messages {
-			if h.random.Float64() >= h.loss {
-				h.inFlight = append(h.inFlight, delivery{at: h.now + 1 + h.random.IntN(2), message: message})
-			}
+			h.send(message)
 		}
 		if err := m.member.Advance(ready); err != nil {
 			h.t.Fatalf("tick %d: %s: %v", h.now, m.name, err)
@@ -261,13 +277,22 @@
 	}
 }
 
+func (h *harness) send(message consensus.Message) {
+	switch {
+	case h.connections != nil:
+		h.connections.send(h.now, message)
+	case h.random.Float64() >= h.loss:
+		h.inFlight = append(h.inFlight, delivery{at: h.now + 1 + h.random.IntN(2), message: message})
+	}
+}
+
 // save captures a snapshot once one is due, and compacts the log once the
 // snapshot is written, unless the leader has sent a later one.
 func (h *harness) save(m *machine) {
 	if m.pendingSnapshot == nil && m.member.SnapshotDue() {
 		capture, err := m.member.CaptureSnapshot()
 		if err != nil {
-			h.t.Fatal(err)
+			h.t.Fatalf("%v", err)
 		}
 		m.pendingSnapshot = &capture
 		if m.member.SendingSnapshot() {
@@ -280,7 +305,7 @@
 	}
 	snapshot, err := m.pendingSnapshot.Encode()
 	if err != nil {
-		h.t.Fatal(err)
+		h.t.Fatalf("%v", err)
 	}
 	m.pendingSnapshot = nil
 	if snapshot.Index <= m.disk.snapshot.Index {
@@ -289,7 +314,7 @@
 	}
 	m.disk.compact(snapshot)
 	if err := m.member.Compact(snapshot); err != nil {
-		h.t.Fatal(err)
+		h.t.Fatalf("%v", err)
 	}
 }
 
@@ -331,7 +356,13 @@
 	if m.changePending {
 		return
 	}
-	change, due := groupmember.Plan(m.member.Status(), m.member.Directory(), h.leaving(), h.limits)
+	status := m.member.Status()
+	for i := range status.Progress {
+		peer := &status.Progress[i]
+		peer.CaughtUp = peer.CaughtUp || h.ignoreLog && peer.Answered
+		peer.Answered = peer.Answered && (peer.CaughtUp || !h.awaitLog)
+	}
+	change, due := groupmember.Plan(status, m.member.Directory(), h.leaving(), h.limits)
 	if !due {
 		return
 	}
@@ -401,6 +432,9 @@
 	due := h.inFlight
 	h.inFlight = nil
 	h.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	if h.connections != nil {
+		due = append(due, h.connections.receive(h.now)...)
+	}
 	for _, next := range due {
 		if next.at > h.now {
 			h.inFlight = append(h.inFlight, next)
--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -5,7 +5,8 @@
 // Beside the faults it draws bursts of callers' requests above the capacity of the application
 // replicas, and replicas that turn slow; all processes run with limit_sends. TestSoakOfStops adds
 // series of planned stops that overlap with each other and with the faults, while clients keep
-// connections to fronts for as long as these allow. Meanwhile it
+// connections to fronts for as long as these allow. TestSoakOfDiskLosses empties the folders of
+// the stores in turn while the proxy holds up connections as lost packets do. Meanwhile it
 // checks invariants from the observations of callers, operators and replicas.
 //
 // The wall clock can't be changed from outside; test/source shows that no decision depends
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,26 @@
 	delay time.Duration
 	// cut blocks all bytes without an error.
 	cut bool
+	// loss is the share of lost packets. A lost one holds up its connection until it is
+	// repeated, as TCP does.
+	loss float64
+}
+
+const (
+	packetBytes = 1460
+	// repeatTime is the time until a lost packet is repeated; it doubles with each further loss.
+	repeatTime = 200 * time.Millisecond
+)
+
+// holdUp returns how long the lost packets of a number of bytes hold up a connection.
+func (l link) holdUp(bytes int) time.Duration {
+	var held time.Duration
+	for ; bytes > 0; bytes -= packetBytes {
+		for repeat := repeatTime; rand.Float64() < l.loss; repeat *= 2 {
+			held += repeat
+		}
+	}
+	return held
 }
 
 // network is the loopback network between machines. A proxy at the public address of every
@@ -64,7 +85,7 @@
 
 func (n *network) serve(inbound net.Conn, public, private string) {
 	from, to := hostOf(inbound.RemoteAddr().String()), hostOf(public)
-	n.waitForLink(from, to) // a cut also blocks new connections
+	n.waitForLink(from, to, packetBytes) // a cut also blocks new connections
 	outbound, err := net.DialTimeout("tcp", private, time.Second)
 	if err != nil {
 		closeWithReset(inbound)
@@ -84,14 +105,15 @@
 	n.mutex.Unlock()
 }
 
-// waitForLink blocks while a link is cut, and for its delay.
-func (n *network) waitForLink(from, to string) {
+// waitForLink blocks while a link is cut, for its delay, and while lost packets of a number of
+// bytes are repeated.
+func (n *network) waitForLink(from, to string, bytes int) {
 	for {
 		n.mutex.Lock()
 		state := n.links[[2]string{from, to}]
 		n.mutex.Unlock()
 		if !state.cut {
-			time.Sleep(state.delay)
+			time.Sleep(state.delay + state.holdUp(bytes))
 			return
 		}
 		select {
@@ -108,7 +130,7 @@
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 {
-			n.waitForLink(source, target)
+			n.waitForLink(source, target, count)
 			if _, failed := to.Write(buffer[:count]); failed != nil {
 				return
 			}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -49,7 +50,7 @@
 
 // TestRealProcesses runs a site's programs with traffic and without faults.
 func TestRealProcesses(t *testing.T) {
-	runSoak(t, 0, 0, false)
+	runSoak(t, 0, 0, soakPlan{})
 }
 
 // TestSoak injects random faults for the duration of the flag -soak.
@@ -58,10 +59,10 @@
 		t.Skip("a soak has no fixed outcome; run it with -soak")
 	}
 	for _, regression := range regressions {
-		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) { runSoak(t, regression.seed, *soakTime, false) })
+		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) { runSoak(t, regression.seed, *soakTime, soakPlan{}) })
 	}
 	seed := drawSeed()
-	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, false) })
+	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, soakPlan{}) })
 }
 
 // TestSoakOfStops injects, beside random faults, series of planned stops that overlap.
@@ -70,7 +71,7 @@
 		t.Skip("a soak has no fixed outcome; run it with -soak")
 	}
 	seed := drawSeed()
-	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, true) })
+	t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *soakTime, soakPlan{stops: true}) })
 }
 
 // drawSeed returns the seed of the flag, or a random one.
@@ -92,10 +93,19 @@
 	}
 }
 
-// runSoak runs a site with traffic, faults of a seed for a duration and, if set, series of stops.
-func runSoak(t *testing.T, seed uint64, duration time.Duration, withStops bool) {
+// soakPlan selects the faults of a run: random ones and bursts, beside them series of stops, or
+// in their place disks that are lost in turn.
+type soakPlan struct {
+	stops      bool
+	diskLosses bool
+	// stores is the number of store machines; 0 means that of the flag.
+	stores int
+}
+
+// runSoak runs a site with traffic and the faults of a seed and a plan for a duration.
+func runSoak(t *testing.T, seed uint64, duration time.Duration, plan soakPlan) {
 	build(t)
-	s := newSite(t, *controlCount, *storeCount, *frontCount)
+	s := newSite(t, *controlCount, cmp.Or(plan.stores, *storeCount), *frontCount)
 	if duration > 0 {
 		t.Logf("seed %d", seed)
 	}
@@ -103,6 +113,9 @@
 		s.start(m, true)
 	}
 	tr := newTraffic(s)
+	if plan.diskLosses {
+		tr.bodyBytes = jobBodyBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var tasks sync.WaitGroup
@@ -141,14 +154,20 @@
 	stops := newStopInjector(s, &tr.recorder.disturbances, seed, t.Logf)
 	d.series = &stops.series
 	var drawn sync.WaitGroup
-	drawn.Go(func() { load.run(ctx, duration) })
-	if withStops {
+	if !plan.diskLosses {
+		drawn.Go(func() { load.run(ctx, duration) })
+	}
+	if plan.stops {
 		drawn.Go(func() { stops.run(duration) })
 	}
-	d.run(duration)
+	if plan.diskLosses {
+		d.loseDisksInTurn(duration)
+	} else {
+		d.run(duration)
+	}
 	drawn.Wait()
 	time.Sleep(stabilizeTime)
-	if duration > 0 {
+	if duration > 0 && !plan.diskLosses {
 		load.finish(ctx)
 	}
 	tr.recorder.disturbances.add(time.Now(), time.Now().Add(waitTimeout))
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -39,6 +39,8 @@
 	replicas []*sitestandin.Replica
 	apps     []*appServer
 	client   *http.Client
+	// bodyBytes is the size of a filler that each item's body has.
+	bodyBytes int
 }
 
 func newTraffic(s *site) *traffic {
@@ -222,7 +224,7 @@
 	for _, id := range job.items {
 		items = append(items, map[string]any{
 			"id": id, "path": "/jobs/run/" + id, "headers": map[string]string{}, "group": "g-" + job.id,
-			"body": base64.StdEncoding.EncodeToString([]byte("prompt of " + id)),
+			"body": base64.StdEncoding.EncodeToString(append([]byte("prompt of "+id), filler(tr.bodyBytes)...)),
 			"scorer": map[string]string{
 				"id": "score-" + id, "hostname": host, "path": "/plain/score", "body": base64.StdEncoding.EncodeToString([]byte("score")),
 			},
