group, metrics: the way of a new member to the whole log, and what a membership change waits for

A lost quorum was visible only by its effect. To tell the hypotheses of a slow successor apart, a member's line group.entered now has the time until it had an id; the leader logs member.caught_up with the times since it knows a new member and since that one votes, and the bytes sent and sent again; and membership.waiting says why a change that the group needs is not made. Gauges beside them: voters, members_behind, log_sent_bytes, log_repeated_bytes, membership_waits.

groupmember.Waiting is a pure function beside Plan, with a table test (TestWaiting).

--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -29,6 +29,7 @@
 	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
+	"github.com/loomgrade/loomgrade/internal/core/groupmember"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 	"github.com/loomgrade/loomgrade/platform"
 )
@@ -317,6 +318,14 @@
 	if state != nil {
 		reading.Shard, reading.Leads = uint32(state.Shard), state.LeaderReady
 		reading.Term, reading.Applied = state.Status.Term, state.Applied
+		reading.Voters, reading.MembershipWaits = len(state.Status.Membership.Voters), state.Obstacle != groupmember.ObstacleNone
+		for _, peer := range state.Status.Progress {
+			if !peer.CaughtUp {
+				reading.MembersBehind++
+			}
+			reading.LogSentBytes += peer.SentBytes
+			reading.LogRepeatedBytes += peer.RepeatedBytes
+		}
 	}
 	return reading
 }
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -22,6 +22,8 @@
 	DiskFull                Event = "disk.full"
 	GroupEntered            Event = "group.entered"
 	MembershipChange        Event = "membership.change"
+	MembershipWaiting       Event = "membership.waiting"
+	MemberCaughtUp          Event = "member.caught_up"
 	MembershipRemoved       Event = "membership.removed"
 	MemberDelayed           Event = "member.held_up"
 	LeadershipLost          Event = "leadership.lost"
@@ -96,6 +98,8 @@
 	{LogUnusable, "a member's log or identity is damaged; its folder is cleared and it joins under a new id"},
 	{GroupEntered, "a member has a new id in its group, by bootstrap or by joining"},
 	{MembershipChange, "the leader proposes to add, promote or remove a member"},
+	{MembershipWaiting, "the group needs a membership change that cannot be made yet; what it waits for"},
+	{MemberCaughtUp, "a new member has the complete log; the time since the leader knows it and since it is a voter, the bytes sent to it and how many of them more than once"},
 	{MembershipRemoved, "a member was removed; it joins again under a new id"},
 	{MemberDelayed, "a member was not scheduled, or was blocked in a write without a heartbeat of its leader, for longer than an election timeout, and how much of it was spent in writes; another member may lead meanwhile"},
 	{LeadershipLost, "a member no longer leads its group; why, and how long it was not scheduled before"},
--- a/internal/adapter/metrics/site.go
+++ b/internal/adapter/metrics/site.go
@@ -22,6 +22,15 @@
 	Leads   bool
 	Term    uint64
 	Applied uint64
+	// Voters is the number of voters of the group. The leader counts the members that lack a
+	// part of the log, the bytes of the log sent in its term, and those sent more than once.
+	Voters           int
+	MembersBehind    int
+	LogSentBytes     uint64
+	LogRepeatedBytes uint64
+	// MembershipWaits is set on a leader whose group needs a membership change that cannot be
+	// made yet.
+	MembershipWaits bool
 	// InFlight counts requests of callers or items of jobs in flight.
 	InFlight int64
 	// HeldBytes is the size of buffered requests and responses.
@@ -91,6 +100,11 @@
 	s.gauge("shard", "Shard of the jobs that its group keeps, 0 for none.", func(r SiteReading) float64 { return float64(r.Shard) })
 	s.gauge("term", "Term of its group.", func(r SiteReading) float64 { return float64(r.Term) })
 	s.gauge("applied_index", "Last applied position of its group's log.", func(r SiteReading) float64 { return float64(r.Applied) })
+	s.gauge("voters", "Voters of its group.", func(r SiteReading) float64 { return float64(r.Voters) })
+	s.gauge("members_behind", "Members of its group that lack a part of the log, on the leader.", func(r SiteReading) float64 { return float64(r.MembersBehind) })
+	s.gauge("log_sent_bytes", "Bytes of the log and snapshots that the leader sent in its term.", func(r SiteReading) float64 { return float64(r.LogSentBytes) })
+	s.gauge("log_repeated_bytes", "Bytes of the log and snapshots that the leader sent more than once in its term.", func(r SiteReading) float64 { return float64(r.LogRepeatedBytes) })
+	s.gauge("membership_waits", "1 while the leader's group needs a membership change that cannot be made yet.", func(r SiteReading) float64 { return boolToFloat(r.MembershipWaits) })
 	s.gauge("in_flight", "Requests or items in flight.", func(r SiteReading) float64 { return float64(r.InFlight) })
 	s.gauge("held_bytes", "Bytes of requests and answers that are held for callers.", func(r SiteReading) float64 { return float64(r.HeldBytes) })
 	s.gauge("job_bytes", "Memory that the jobs of its shard take, about.", func(r SiteReading) float64 { return float64(r.JobBytes) })
--- a/internal/app/group/config.go
+++ b/internal/app/group/config.go
@@ -136,4 +136,6 @@
 	CaughtUp bool
 	Applied  uint64
 	Records  []groupmember.Record
+	// Obstacle is what the next membership change waits for, on a leader.
+	Obstacle groupmember.Obstacle
 }
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -62,6 +62,12 @@
 	heldReady      chan struct{}
 	pendingReplies map[uint64]func(groupmember.Reply)
 	changePending  bool // a membership change is proposed and has no reply yet
+	// newMembers are the members that lack the log, on a leader.
+	newMembers map[consensus.MemberID]newMember
+	// obstacle is what the next membership change waits for since the tick obstacleSince.
+	obstacle       groupmember.Obstacle
+	obstacleSince  int64
+	obstacleLogged bool
 	// saving is set while a snapshot is encoded and written in the background; saved
 	// receives the result.
 	saving bool
@@ -257,6 +263,7 @@
 	}
 	l.peers.connect(others)
 	l.updateSnapshotData()
+	l.observeMembers(status)
 	if !l.member.LeaderReady() {
 		return
 	}
@@ -266,8 +273,10 @@
 	}
 	change, due := groupmember.Plan(status, l.member.Directory(), l.leaving(), l.config.Limits)
 	if !due {
+		l.recordObstacle(groupmember.Waiting(status, l.member.Directory(), l.leaving(), l.config.Limits))
 		return
 	}
+	l.recordObstacle(groupmember.ObstacleNone)
 	if change.Transfer {
 		l.startTransfer()
 		return
@@ -440,7 +449,7 @@
 	}
 	l.publishStep(Step{
 		Machine: l.machine, Status: l.member.Status(), LeaderReady: l.member.LeaderReady(),
-		CaughtUp: l.member.CaughtUp(), Applied: l.member.Applied(), Records: l.publishedRecords,
+		CaughtUp: l.member.CaughtUp(), Applied: l.member.Applied(), Records: l.publishedRecords, Obstacle: l.obstacle,
 	})
 }
 
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -64,6 +64,8 @@
 	Records   []groupmember.Record
 	// Leader is the record of the known leader; its id is 0 if there is none.
 	Leader groupmember.Record
+	// Obstacle is what the next membership change waits for, on a leader.
+	Obstacle groupmember.Obstacle
 	// PublishedAt is when the state was published, by Config.Clock.
 	PublishedAt time.Duration
 }
@@ -229,6 +231,7 @@
 	if err != nil {
 		return nil, identity{}, err
 	}
+	started := m.config.Clock()
 	for tries := 1; ; tries++ {
 		stored, err := m.tryBootstrapOrJoin(ctx, incarnation, mayBootstrap)
 		if err == nil {
@@ -237,7 +240,7 @@
 				return nil, identity{}, err
 			}
 			m.config.Logger.Info().Str(eventlog.Field, eventlog.GroupEntered).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
-				Uint32("shard", uint32(stored.Shard)).Bool("founder", stored.Bootstrap).Msg("this member has a new id")
+				Uint32("shard", uint32(stored.Shard)).Bool("founder", stored.Bootstrap).Dur("took", m.config.Clock()-started).Msg("this member has a new id")
 			m.stored.Store(&stored)
 			l, err := m.create(dir, stored)
 			return l, stored, err
@@ -312,6 +315,7 @@
 	published := &PublishedState{
 		Shard: shard, Status: step.Status, LeaderReady: step.LeaderReady, Applied: step.Applied, Records: step.Records,
 		Confirmed: step.Status.QuorumActive && step.CaughtUp, PublishedAt: m.config.Clock(),
+		Obstacle: step.Obstacle,
 	}
 	for _, record := range step.Records {
 		if record.ID == step.Status.Leader {
--- a/internal/core/consensus/overdue_test.go
+++ b/internal/core/consensus/overdue_test.go
@@ -92,6 +92,9 @@
 		if _, done := link.caughtUpWithin(20*interval+40, interval); !done {
 			t.Errorf("held up for %d ticks: the member did not catch up: %+v", interval, net.peerStatus(net.leader(), learner))
 		}
+		if peer := net.peerStatus(net.leader(), learner); peer.SentBytes < 100*100 || peer.RepeatedBytes != uint64(link.entryBytes-100*100) {
+			t.Errorf("held up for %d ticks: status has %d bytes sent, %d repeated; %d were sent", interval, peer.SentBytes, peer.RepeatedBytes, link.entryBytes)
+		}
 		if limit := 100 * 100 * 12 / 10; link.entryBytes > limit {
 			t.Errorf("held up for %d ticks: %d bytes sent for 10000 bytes of log, want at most %d", interval, link.entryBytes, limit)
 		}
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -57,6 +57,10 @@
 	sent       uint64
 	resentTick uint64
 	resumed    bool
+	// lastSent is the last entry sent, and chunkEnd the end of the snapshot's bytes sent, for
+	// the statistics sentBytes and repeatedBytes.
+	lastSent, chunkEnd       uint64
+	sentBytes, repeatedBytes uint64
 	// removalIndex is the index of the entry that removes the member, or 0.
 	removalIndex uint64
 }
@@ -89,7 +93,7 @@
 func (p *progress) becomeSnapshot(snapshot *Snapshot, checksum uint32) {
 	p.becomeProbe()
 	p.state = ProgressSnapshot
-	p.snapshot = snapshot
+	p.snapshot, p.chunkEnd = snapshot, 0
 	p.checksum = checksum
 }
 
@@ -97,6 +101,25 @@
 	return p.waiting || len(p.inflight) > 0
 }
 
+// recordEntries counts entries that are sent.
+func (p *progress) recordEntries(entries []Entry) {
+	for i := range entries {
+		size := uint64(len(entries[i].Data))
+		p.sentBytes += size
+		if entries[i].Index <= p.lastSent {
+			p.repeatedBytes += size
+		}
+		p.lastSent = max(p.lastSent, entries[i].Index)
+	}
+}
+
+// recordChunk counts the bytes of the snapshot from the position sent to end, which are sent.
+func (p *progress) recordChunk(end uint64) {
+	p.sentBytes += end - p.sent
+	p.repeatedBytes += min(end, max(p.chunkEnd, p.sent)) - p.sent
+	p.chunkEnd = max(p.chunkEnd, end)
+}
+
 // answersProbe reports whether a rejection is of the outstanding probe, or of a query sent
 // after it.
 func (p *progress) answersProbe(rejection Message) bool {
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -211,6 +211,7 @@
 		return false
 	}
 	peer.sentCommit = max(peer.sentCommit, min(n.log.commit, previous+uint64(len(entries))))
+	peer.recordEntries(entries)
 	n.sendAsLeader(Message{
 		Kind: MessageAppend, To: id, Index: previous, LogTerm: term,
 		Entries: entries, Commit: n.log.commit,
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -108,6 +108,7 @@
 	data := peer.snapshot.Data
 	end := min(uint64(len(data)), peer.sent+uint64(n.config.SnapshotChunkBytes))
 	n.sendChunkData(id, peer, data[peer.sent:end])
+	peer.recordChunk(end)
 	peer.sent = end
 }
 
--- a/internal/core/consensus/status.go
+++ b/internal/core/consensus/status.go
@@ -79,6 +79,9 @@
 	CaughtUp bool
 	// Answered is set if the member has answered a message of this leader.
 	Answered bool
+	// SentBytes counts the bytes of entries and snapshots sent to the member in this term, and
+	// RepeatedBytes those of them that were sent before.
+	SentBytes, RepeatedBytes uint64
 }
 
 // Status returns a copy of the member's view of the group.
@@ -120,6 +123,7 @@
 		statuses = append(statuses, PeerStatus{
 			ID: id, Learner: n.membership.IsLearner(id), Match: peer.match, Next: peer.next, State: peer.state,
 			Active: n.active(peer), TicksSinceContact: peer.ticksSinceContact(n.now), CaughtUp: n.caughtUp(id), Answered: peer.answered(),
+			SentBytes: peer.sentBytes, RepeatedBytes: peer.repeatedBytes,
 		})
 	}
 	return statuses
--- a/internal/core/groupmember/plan_test.go
+++ b/internal/core/groupmember/plan_test.go
@@ -76,25 +76,67 @@
 		"one voter too many":                                {members: with(three, voter(4, "d")), voters: 3, want: groupmember.Change{Kind: consensus.RemoveMember, Member: 2}},
 		"unreachable learner removed":                       {members: with(three, planMember{id: 4, address: "d", learner: true, ticksSinceContact: 500, lagging: true}), voters: 3, want: groupmember.Change{Kind: consensus.RemoveMember, Member: 4}},
 	} {
-		status := consensus.Status{ID: 1}
-		var records []groupmember.Record
-		for _, member := range row.members {
-			records = append(records, groupmember.Record{ID: member.id, Address: member.address, Name: member.address})
-			if member.learner {
-				status.Membership.Learners = append(status.Membership.Learners, member.id)
-			} else {
-				status.Membership.Voters = append(status.Membership.Voters, member.id)
-			}
-			if member.id != status.ID {
-				status.Progress = append(status.Progress, consensus.PeerStatus{
-					ID: member.id, Learner: member.learner, Active: !member.inactive, Answered: !member.silent && !member.inactive, CaughtUp: !member.lagging && !member.inactive, TicksSinceContact: member.ticksSinceContact,
-				})
-			}
-		}
-		limits := groupmember.Limits{Voters: row.voters, MinVoters: row.voters, Learners: 1, ReplaceTicks: 60, FreeSlotTicks: 25, RemoveLearnerTicks: 300}
+		status, records := planStatus(row.members)
+		limits := planLimits(row.voters)
 		got, due := groupmember.Plan(status, records, row.leaving, limits)
 		if got != row.want || due != (row.want != groupmember.Change{}) {
 			t.Errorf("%s: %+v %v, want %+v", name, got, due, row.want)
 		}
 	}
 }
+
+// planStatus returns the status of member 1, which leads, and the records of the members.
+func planStatus(members []planMember) (status consensus.Status, records []groupmember.Record) {
+	status.ID = 1
+	for _, member := range members {
+		records = append(records, groupmember.Record{ID: member.id, Address: member.address, Name: member.address})
+		if member.learner {
+			status.Membership.Learners = append(status.Membership.Learners, member.id)
+		} else {
+			status.Membership.Voters = append(status.Membership.Voters, member.id)
+		}
+		if member.id != status.ID {
+			status.Progress = append(status.Progress, consensus.PeerStatus{
+				ID: member.id, Learner: member.learner, Active: !member.inactive, Answered: !member.silent && !member.inactive, CaughtUp: !member.lagging && !member.inactive, TicksSinceContact: member.ticksSinceContact,
+			})
+		}
+	}
+	return status, records
+}
+
+func planLimits(voters int) groupmember.Limits {
+	return groupmember.Limits{Voters: voters, MinVoters: voters, Learners: 1, ReplaceTicks: 60, FreeSlotTicks: 25, RemoveLearnerTicks: 300}
+}
+
+// An operator must see why a group with a lost disk is not whole yet.
+func TestWaiting(t *testing.T) {
+	voter := func(id consensus.MemberID, address string) planMember { return planMember{id: id, address: address} }
+	two := []planMember{voter(1, "a"), voter(2, "b")}
+	with := func(members []planMember, more ...planMember) []planMember {
+		return append(append([]planMember{}, members...), more...)
+	}
+	for name, row := range map[string]struct {
+		members []planMember
+		voters  int
+		leaving map[string]bool
+		want    groupmember.Obstacle
+	}{
+		"whole":                          {members: with(two, voter(3, "c")), voters: 3, want: groupmember.ObstacleNone},
+		"whole, a voter lags":            {members: with(two, planMember{id: 3, address: "c", lagging: true}), voters: 3, want: groupmember.ObstacleNone},
+		"third voter missing":            {members: two, voters: 3, want: groupmember.ObstacleNoMachine},
+		"third voter does not answer":    {members: with(two, planMember{id: 4, address: "c", learner: true, lagging: true, silent: true}), voters: 3, want: groupmember.ObstacleNoAnswer},
+		"fourth voter lacks the log":     {members: with(two, voter(3, "c"), planMember{id: 4, address: "d", learner: true, lagging: true}), voters: 5, want: groupmember.ObstacleLacksLog},
+		"fourth voter needs a fifth":     {members: with(two, voter(3, "c"), planMember{id: 4, address: "d", learner: true}), voters: 5, want: groupmember.ObstacleNoMachine},
+		"unreachable voter":              {members: with(two, planMember{id: 3, address: "c", inactive: true, ticksSinceContact: 99}), voters: 3, want: groupmember.ObstacleNoMachine},
+		"second lost disk, no successor": {members: with(two, voter(3, "c"), planMember{id: 4, address: "d", lagging: true, inactive: true}, planMember{id: 6, address: "d", learner: true, lagging: true, silent: true}), voters: 5, want: groupmember.ObstacleSmallQuorum},
+		"leaving, too few voters remain": {members: with(two, voter(3, "c")), voters: 3, leaving: map[string]bool{"c": true}, want: groupmember.ObstacleFewHealthy},
+	} {
+		status, records := planStatus(row.members)
+		if change, due := groupmember.Plan(status, records, row.leaving, planLimits(row.voters)); due {
+			t.Errorf("%s: %+v is due", name, change)
+		}
+		if got := groupmember.Waiting(status, records, row.leaving, planLimits(row.voters)); got != row.want {
+			t.Errorf("%s: %v, want %v", name, got, row.want)
+		}
+	}
+}
