consensus, wire: messages of 64 kB in a window that follows the link

Cause: internal/core/consensus/config.go, defaultMaxBatchBytes: a message of up to 1 MB takes longer on a link that loses packets than the 1.5 s for which a connection between processes of a site may be idle or one write may take. The connection was closed and the message began again. In internal/adapter/wire/link.go one write limit held for up to 64 frames together.

Change: batches and chunks have 64 kB. The unacknowledged bytes to a member have a window of 256 kB to 1 MB: acknowledgements enlarge it, an overdue one halves it, and what was under way then does not enlarge it. The write limit holds for each frame. Limits of time are as they were.

TestWindowFollowsTheLink states the window.

--- a/internal/adapter/wire/link.go
+++ b/internal/adapter/wire/link.go
@@ -174,15 +174,15 @@
 }
 
 func (l *link) writeBatch(writer *bufio.Writer, first *outbound) error {
-	if err := l.netConn.SetWriteDeadline(time.Now().Add(l.options.WriteTimeout)); err != nil {
-		return err
-	}
 	batch := l.gather(first)
 	for _, out := range batch {
 		if err := l.write(writer, out); err != nil {
 			return err
 		}
 	}
+	if err := l.extendWriteDeadline(); err != nil {
+		return err
+	}
 	if err := writer.Flush(); err != nil {
 		return err
 	}
@@ -194,6 +194,12 @@
 	return nil
 }
 
+// extendWriteDeadline allows WriteTimeout for the next frame. A limit for all frames of a batch
+// would close connections that are slow but deliver one frame after the other.
+func (l *link) extendWriteDeadline() error {
+	return l.netConn.SetWriteDeadline(time.Now().Add(l.options.WriteTimeout))
+}
+
 // gather collects the queued frames, up to maxFramesPerFlush.
 func (l *link) gather(first *outbound) []*outbound {
 	batch := []*outbound{first}
@@ -230,6 +236,9 @@
 		return nil
 	}
 	item := l.compressor.compressFrame(out.item)
+	if err := l.extendWriteDeadline(); err != nil {
+		return err
+	}
 	if _, err := writer.Write(item); err != nil {
 		return err
 	}
--- a/internal/core/consensus/config.go
+++ b/internal/core/consensus/config.go
@@ -12,15 +12,23 @@
 	// MaxSnapshotBytes is the maximum size of a snapshot that a member accepts.
 	MaxSnapshotBytes = 1 << 30
 
-	defaultMaxBatchBytes      = 1 << 20
+	// defaultMaxBatchBytes and defaultSnapshotChunkBytes keep messages small enough for a link
+	// that loses packets to deliver one before the connection counts as idle, after 1.5 s
+	// between processes of a site.
+	defaultMaxBatchBytes      = 64 << 10
 	defaultMaxInflight        = 32
-	defaultSnapshotChunkBytes = 256 << 10
-	// defaultSnapshotWindow allows 1 MB of unacknowledged chunks, to hide the round-trip time:
-	// a single chunk takes 18 ms including its acknowledgement, of which the transmission at
-	// 600 Mbit/s is 4 ms.
-	defaultSnapshotWindow = 4
+	defaultSnapshotChunkBytes = 64 << 10
+	// defaultSnapshotWindow allows maxWindowBytes of unacknowledged chunks.
+	defaultSnapshotWindow = 16
 	defaultMaxUncommitted = 16384
 	minElectionTicks      = 4
+
+	// minWindowBytes and maxWindowBytes limit the unacknowledged bytes to a member. The window
+	// begins with the minimum and grows with each acknowledgement, to hide the round-trip time:
+	// 256 kB take 18 ms including their acknowledgement, of which the transmission at 600 Mbit/s
+	// is 4 ms. An overdue acknowledgement halves it.
+	minWindowBytes = 256 << 10
+	maxWindowBytes = 1 << 20
 )
 
 // Safeguards disables individual protections. The zero value enables all of them; only
--- a/internal/core/consensus/membership.go
+++ b/internal/core/consensus/membership.go
@@ -209,7 +209,7 @@
 	}
 	for _, id := range n.membership.Members() {
 		if id != n.config.ID && lead.peers[id] == nil {
-			lead.peers[id] = &progress{next: n.log.lastIndex() + 1, contactTick: n.now, progressTick: n.now}
+			lead.peers[id] = &progress{next: n.log.lastIndex() + 1, window: minWindowBytes, contactTick: n.now, progressTick: n.now}
 		}
 	}
 	for id, peer := range lead.peers {
--- a/internal/core/consensus/overdue_test.go
+++ b/internal/core/consensus/overdue_test.go
@@ -213,3 +213,57 @@
 	}
 	net.checkNoViolations()
 }
+
+// heldBytes returns the size of the held entries, and of the largest message.
+func (l *slowLink) heldBytes() (total, largest int) {
+	for _, message := range l.held {
+		size := 0
+		for _, entry := range message.Entries {
+			size += len(entry.Data)
+		}
+		total, largest = total+size, max(largest, size)
+	}
+	return total, largest
+}
+
+// A message of 1 MB took longer on a link that loses packets than its connection may be idle:
+// the connection was closed and the message began again. What is under way must fit the link: it
+// shrinks while acknowledgements are overdue, and grows with each that arrives.
+func TestWindowFollowsTheLink(t *testing.T) {
+	const entryBytes, entries = 10 << 10, 2000
+	net := newNetwork(t, 3, nil)
+	leader := net.elect()
+	for range entries {
+		net.propose(leader, string(make([]byte, entryBytes)))
+	}
+	net.add(4, Restored{})
+	link := newSlowLink(net, 4)
+	net.mustChange(AddLearner, 4)
+	rounds := func(count, interval int) (most int) {
+		for range count {
+			for range interval {
+				net.tick(1)
+				total, largest := link.heldBytes()
+				if largest > defaultMaxBatchBytes+entryBytes {
+					t.Fatalf("a message of %d bytes", largest)
+				}
+				most = max(most, total)
+			}
+			link.deliver()
+		}
+		return most
+	}
+	overdue := 4 * int(net.config.ackTimeoutTicks())
+	const limit = minWindowBytes + defaultMaxBatchBytes
+	if most := rounds(5, overdue); most > limit {
+		t.Errorf("%d bytes under way before the link is known", most)
+	}
+	if most := rounds(10, 1); most < maxWindowBytes/2 {
+		t.Errorf("at most %d bytes under way on a fast link", most)
+	}
+	rounds(2, overdue)
+	if most := rounds(3, overdue); most > limit {
+		t.Errorf("%d bytes under way on a link with overdue acknowledgements", most)
+	}
+	net.checkNoViolations()
+}
--- a/internal/core/consensus/progress.go
+++ b/internal/core/consensus/progress.go
@@ -27,8 +27,14 @@
 	match uint64
 	next  uint64
 	state ProgressState
-	// inflight holds the last index of each unacknowledged append.
-	inflight []uint64
+	// inflight holds the unacknowledged appends, and inflightBytes their size.
+	inflight      []inflightAppend
+	inflightBytes uint64
+	// window limits the unacknowledged bytes. Acknowledgements of entries up to recoverIndex,
+	// and of a snapshot's bytes up to recoverOffset, do not enlarge it: they were under way
+	// when it shrank.
+	window                      uint64
+	recoverIndex, recoverOffset uint64
 	// waiting is set while a probe or a snapshot chunk is unacknowledged.
 	waiting bool
 	// progressTick is the tick of the last acknowledgement or query, or of the first message
@@ -65,6 +71,26 @@
 	removalIndex uint64
 }
 
+// inflightAppend is an unacknowledged append.
+type inflightAppend struct {
+	last  uint64
+	bytes uint64
+}
+
+func (p *progress) sentAppend(sent inflightAppend) {
+	p.inflight = append(p.inflight, sent)
+	p.inflightBytes += sent.bytes
+}
+
+// growWindow enlarges the window by acknowledged bytes.
+func (p *progress) growWindow(bytes uint64) { p.window = min(maxWindowBytes, p.window+bytes) }
+
+// shrinkWindow halves the window after an overdue acknowledgement.
+func (p *progress) shrinkWindow() {
+	p.window = max(minWindowBytes, p.window/2)
+	p.recoverIndex, p.recoverOffset = p.lastSent, p.sent
+}
+
 // ticksSinceContact returns the ticks since the member's last reply, without those that
 // the leader missed.
 func (p *progress) ticksSinceContact(now uint64) uint64 { return now - p.contactTick - p.missedTicks }
@@ -76,7 +102,7 @@
 	p.state = ProgressProbe
 	p.next = p.match + 1
 	p.probeEnd = p.match
-	p.inflight = nil
+	p.inflight, p.inflightBytes = nil, 0
 	p.waiting = false
 	p.snapshot = nil
 	p.offset, p.sent, p.resumed = 0, 0, false
@@ -85,7 +111,7 @@
 func (p *progress) becomeReplicate() {
 	p.state = ProgressReplicate
 	p.next = p.match + 1
-	p.inflight = nil
+	p.inflight, p.inflightBytes = nil, 0
 	p.waiting = false
 	p.snapshot = nil
 }
@@ -93,7 +119,7 @@
 func (p *progress) becomeSnapshot(snapshot *Snapshot, checksum uint32) {
 	p.becomeProbe()
 	p.state = ProgressSnapshot
-	p.snapshot, p.chunkEnd = snapshot, 0
+	p.snapshot, p.chunkEnd, p.recoverOffset = snapshot, 0, 0
 	p.checksum = checksum
 }
 
@@ -130,7 +156,11 @@
 // that advances match.
 func (p *progress) acknowledge(index uint64) bool {
 	acked := 0
-	for acked < len(p.inflight) && p.inflight[acked] <= index {
+	for acked < len(p.inflight) && p.inflight[acked].last <= index {
+		p.inflightBytes -= p.inflight[acked].bytes
+		if p.inflight[acked].last > p.recoverIndex {
+			p.growWindow(p.inflight[acked].bytes)
+		}
 		acked++
 	}
 	p.inflight = p.inflight[acked:]
--- a/internal/core/consensus/replication.go
+++ b/internal/core/consensus/replication.go
@@ -78,6 +78,7 @@
 		return
 	}
 	peer.progressTick = n.now
+	peer.shrinkWindow()
 	switch {
 	case peer.state == ProgressSnapshot && n.active(peer):
 		n.sendChunkData(id, peer, nil)
@@ -180,15 +181,16 @@
 		return
 	}
 	sent := false
-	for peer.next <= n.log.lastIndex() && len(peer.inflight) < n.config.MaxInflight {
+	for peer.next <= n.log.lastIndex() && len(peer.inflight) < n.config.MaxInflight && peer.inflightBytes < peer.window {
 		entries := n.log.entriesFrom(peer.next, n.config.MaxBatchBytes)
+		before := peer.sentBytes
 		if !n.sendEntries(id, peer, entries) {
 			return
 		}
 		sent = true
 		n.startAckTimer(peer)
 		peer.next += uint64(len(entries))
-		peer.inflight = append(peer.inflight, peer.next-1)
+		peer.sentAppend(inflightAppend{last: peer.next - 1, bytes: peer.sentBytes - before})
 	}
 	if !sent && peer.sentCommit < min(peer.match, n.log.commit) {
 		n.sendHeartbeat(id, peer)
--- a/internal/core/consensus/snapshot.go
+++ b/internal/core/consensus/snapshot.go
@@ -97,7 +97,7 @@
 	if peer.resumed {
 		return
 	}
-	total, window := uint64(len(peer.snapshot.Data)), uint64(n.config.SnapshotWindow*n.config.SnapshotChunkBytes)
+	total, window := uint64(len(peer.snapshot.Data)), min(peer.window, uint64(n.config.SnapshotWindow*n.config.SnapshotChunkBytes))
 	for peer.sent < total && peer.sent-peer.offset < window {
 		n.sendChunk(id, peer)
 	}
@@ -135,6 +135,9 @@
 	case message.Reject:
 		n.resendChunks(message.Offset, peer)
 	case message.Offset > peer.offset:
+		if message.Offset > peer.recoverOffset {
+			peer.growWindow(message.Offset - peer.offset)
+		}
 		peer.offset, peer.resumed = message.Offset, false
 		peer.sent = max(peer.sent, peer.offset)
 		peer.waiting = peer.sent > peer.offset
