--- a/internal/app/group/newmembers.go
+++ b/internal/app/group/newmembers.go
@@ -19,7 +19,8 @@
 	voterAt int64
 }
 
-// observeMembers logs the progress of new members, and a membership change that waits.
+// observeMembers tracks the new members of a leader, and logs those that have the complete log.
+// On any other member it discards what was tracked.
 func (l *loop) observeMembers(status consensus.Status) {
 	if !l.member.IsLeader() {
 		l.newMembers, l.obstacle = nil, groupmember.ObstacleNone
--- a/internal/core/consensus/membership_test.go
+++ b/internal/core/consensus/membership_test.go
@@ -131,12 +131,7 @@
 
 // A group that replaced one lost member must survive the loss of another.
 func TestSecondLossAfterRepair(t *testing.T) {
-	net := newNetwork(t, 3, nil)
-	leader := net.elect()
-	net.propose(leader, "a")
-	lost, second := net.others(leader)[0], net.others(leader)[1]
-	net.crash(lost)
-	net.propose(leader, "b")
+	net, leader, lost, second := newNetworkWithLostVoter(t)
 	net.add(4, Restored{})
 	net.mustChange(AddLearner, 4)
 	net.tick(testElectionTicks + 1)
@@ -156,15 +151,23 @@
 	net.checkNoViolations()
 }
 
-// The successor of a lost voter becomes a voter before it has the log. Otherwise the two
-// remaining voters are both needed until it has, and the loss of one of them ends the group.
-func TestLossBeforeSuccessorHasTheLog(t *testing.T) {
-	net := newNetwork(t, 3, nil)
-	leader := net.elect()
+// newNetworkWithLostVoter returns a group of three that committed "ab", one of whose voters has
+// crashed after "a".
+func newNetworkWithLostVoter(t *testing.T) (net *network, leader, lost, second MemberID) {
+	t.Helper()
+	net = newNetwork(t, 3, nil)
+	leader = net.elect()
 	net.propose(leader, "a")
-	lost, second := net.others(leader)[0], net.others(leader)[1]
+	lost, second = net.others(leader)[0], net.others(leader)[1]
 	net.crash(lost)
 	net.propose(leader, "b")
+	return net, leader, lost, second
+}
+
+// The successor of a lost voter becomes a voter before it has the log. Otherwise the two
+// remaining voters are both needed until it has, and the loss of one of them ends the group.
+func TestLossBeforeSuccessorHasTheLog(t *testing.T) {
+	net, leader, lost, second := newNetworkWithLostVoter(t)
 	net.add(4, Restored{})
 	net.filter = func(message Message) bool { return message.To != 4 || len(message.Entries) == 0 }
 	net.mustChange(AddLearner, 4)
