group, jobsapi: which log a member opened, who leads with which log, and calls that no member served

Cause: after a loss of power, logs could not tell a group without a quorum, a log that lost its end and results that cannot be read apart.

Change: log.opened has the shard, term, positions and voters; leadership.won is new; a front logs jobs.unavailable, at most once a second. The limiter of such lines moves from sitecontrol to eventlog, unchanged.

No decision changes.

Conclusion: the three hypotheses have lines of their own.

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -55,7 +55,7 @@
 	frontServer := front.New(front.Config{
 		Dialect: p.dialect, Watcher: watcher, Proxy: sender, Logger: p.logger, Idle: idle, Recorder: p.metrics,
 		MemoryBudget: budget, Usage: usageReporter, RevokeWithin: p.file.RevokeWithin(),
-		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, AssignShard: sitecontrol.Placer(watcher), StoredWithin: watcher.StoredWithin}),
+		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: p.wire, Zone: p.file.Zone, View: watcher.State, AssignShard: sitecontrol.Placer(watcher), StoredWithin: watcher.StoredWithin, Logger: p.logger}),
 	})
 	p.metrics.Observe(func() metrics.SiteReading {
 		reading := metrics.SiteReading{InFlight: frontServer.InFlight(), HeldBytes: budget.Used(), LinesDropped: p.logWriter.Dropped()}
--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -26,6 +26,7 @@
 	MemberCaughtUp          Event = "member.caught_up"
 	MembershipRemoved       Event = "membership.removed"
 	MemberDelayed           Event = "member.held_up"
+	LeadershipWon           Event = "leadership.won"
 	LeadershipLost          Event = "leadership.lost"
 	ControlWatched          Event = "control.watched"
 	ControlLost             Event = "control.lost"
@@ -63,6 +64,7 @@
 	JobAccepted             Event = "job.accepted"
 	JobEnded                Event = "job.ended"
 	JobDone                 Event = "job.done"
+	JobsUnavailable         Event = "jobs.unavailable"
 	ItemPlaced              Event = "item.placed"
 	ItemRun                 Event = "item.run"
 	ItemWithheld            Event = "item.withheld"
@@ -93,7 +95,7 @@
 	{SettingsReloaded, "the settings file has changed; its seeds are reloaded"},
 	{SettingsRejected, "a changed settings file cannot be loaded; the old settings stay in use"},
 	{LogDropped, "log lines were dropped; their number since the last such line"},
-	{LogOpened, "a member opened its replicated log"},
+	{LogOpened, "a member opened its replicated log; the positions of its snapshot, its last entry and the last entry known to be committed, and the voters"},
 	{DiskFull, "a member's disk is full; the member is stopped until there is space, and requests to it do not run"},
 	{LogUnusable, "a member's log or identity is damaged; its folder is cleared and it joins under a new id"},
 	{GroupEntered, "a member has a new id in its group, by bootstrap or by joining"},
@@ -102,6 +104,7 @@
 	{MemberCaughtUp, "a new member has the complete log; the time since the leader knows it and since it is a voter, the bytes sent to it and how many of them more than once"},
 	{MembershipRemoved, "a member was removed; it joins again under a new id"},
 	{MemberDelayed, "a member was not scheduled, or was blocked in a write without a heartbeat of its leader, for longer than an election timeout, and how much of it was spent in writes; another member may lead meanwhile"},
+	{LeadershipWon, "a member leads its group; its term, the last position of its log and the voters"},
 	{LeadershipLost, "a member no longer leads its group; why, and how long it was not scheduled before"},
 	{ControlWatched, "a process starts to watch a control member"},
 	{ControlLost, "the watched control member is lost, or has no contact with a quorum"},
@@ -139,6 +142,7 @@
 	{JobAccepted, "a job was accepted and stored"},
 	{JobEnded, "a client ended a job"},
 	{JobDone, "the runner is done with a job: when its items were placed and its groups complete, in milliseconds since the runner started it, and which item was last"},
+	{JobsUnavailable, "no member of a shard's group served a call on jobs in time; what the last one answered; at most one line a second, with the count since the last"},
 	{ItemPlaced, "an item was sent to a replica; the reasons, and the last event before"},
 	{ItemRun, "a run of an item ended; the outcome"},
 	{ItemWithheld, "an item is withheld: replicas crashed during its runs; the numbers of crashes and trials"},
--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -335,20 +335,27 @@
 			return err
 		}
 	}
-	l.logLostLeadership()
+	l.logLeadership()
 	l.publish()
 	l.deliverReplies()
 	return nil
 }
 
-// logLostLeadership logs that the member led after the last step and no longer does.
-func (l *loop) logLostLeadership() {
+// logLeadership logs that the member leads since the last step, or no longer does.
+func (l *loop) logLeadership() {
 	led := l.led
 	l.led = l.member.IsLeader()
-	if !led || l.led {
+	if l.led == led {
 		return
 	}
 	status := l.member.Status()
+	if l.led {
+		// At warning level, so that the line is not dropped under load.
+		l.config.Logger.Warn().Str(eventlog.Field, eventlog.LeadershipWon).Str("group", l.config.Name).Uint32("shard", uint32(l.shard)).
+			Uint64("member", uint64(status.ID)).Uint64("term", status.Term).Uint64("last", status.LastIndex).
+			Any("voters", status.Membership.Voters).Msg("this member leads")
+		return
+	}
 	lost := status.LastStepDown
 	l.config.Logger.Warn().Str(eventlog.Field, eventlog.LeadershipLost).Str("group", l.config.Name).Uint32("shard", uint32(l.shard)).
 		Uint64("term", lost.Term).Str("reason", lost.Reason.String()).Uint64("by", uint64(lost.From)).Uint64("new_term", status.Term).
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -211,9 +211,22 @@
 	if err := recordLog(dir, stored); err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
-	m.config.Logger.Info().Str(eventlog.Field, eventlog.LogOpened).Str("group", m.config.Name).Uint64("member", uint64(stored.ID)).
-		Int("entries", len(recovery.Restored.Entries)).Int64("torn_bytes", recovery.TornBytes).Msg("log opened")
-	return m.openLoop(stored, log, recovery.Restored)
+	l, err := m.openLoop(stored, log, recovery.Restored)
+	if err == nil {
+		m.logOpened(l, recovery)
+	}
+	return l, err
+}
+
+// logOpened logs which log a member opened, so that the logs of a group's members can be
+// compared after a loss of power.
+func (m *Member) logOpened(l *loop, recovery wal.Recovery) {
+	status := l.member.Status()
+	m.config.Logger.Info().Str(eventlog.Field, eventlog.LogOpened).Str("group", m.config.Name).Uint32("shard", uint32(l.shard)).
+		Uint64("member", uint64(status.ID)).Uint64("term", status.Term).Uint64("snapshot", status.SnapshotIndex).
+		Uint64("last", status.LastIndex).Uint64("committed", recovery.Restored.HardState.Commit).
+		Any("voters", status.Membership.Voters).Int("entries", len(recovery.Restored.Entries)).
+		Int64("torn_bytes", recovery.TornBytes).Msg("log opened")
 }
 
 func (m *Member) walOptions(dir folder, stored identity) wal.Options {
--- a/internal/app/jobsapi/client.go
+++ b/internal/app/jobsapi/client.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/routing"
@@ -41,6 +43,8 @@
 	// StoredWithin reports whether all machines that store a shard's jobs are in the allowed
 	// regions; nil means that regions are unknown.
 	StoredWithin func(shard sitestate.ShardNumber, allowed routing.AllowedRegions) bool
+	// Logger logs calls that no member served in time; nil logs none.
+	Logger *log.Logger
 }
 
 // Client calls the groups of the shards. It is safe for concurrent use.
@@ -55,6 +59,7 @@
 	// failedUntil is the end of the backoff of a failed member in the zone, by address. Until
 	// then the member is called last.
 	failedUntil map[string]time.Time
+	unavailable eventlog.Limiter
 }
 
 // NewClient returns a Client.
@@ -249,11 +254,25 @@
 		select {
 		case <-time.After(retryPause):
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) { // the caller still waits
+				c.logUnavailable(request, len(tried), last)
+			}
 			return Answer{}, port.NewError(verdict, port.CodeUnavailable, "%v", last)
 		}
 	}
 }
 
+// logUnavailable logs, rate-limited, that no member of a shard's group served a call.
+func (c *Client) logUnavailable(request Request, members int, last error) {
+	if c.config.Logger == nil {
+		return
+	}
+	if count, due := c.unavailable.Due(time.Now()); due {
+		c.config.Logger.Warn().Str(eventlog.Field, eventlog.JobsUnavailable).Uint32("shard", uint32(request.Shard)).
+			Str("call", request.name()).Int("members", members).Int("count", count).Err(last).Msg("no member of the shard's group served a call in time")
+	}
+}
+
 // isFinal reports whether every other member would return the same error.
 func isFinal(err error) bool {
 	var refusal *port.Error
--- a/internal/app/jobsapi/client_test.go
+++ b/internal/app/jobsapi/client_test.go
@@ -1,15 +1,19 @@
 package jobsapi_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/core/groupmember"
@@ -125,6 +129,35 @@
 	}
 }
 
+// TestUnavailableShardIsLogged guards against reads that are put off for a whole recovery
+// without a line that says why.
+func TestUnavailableShardIsLogged(t *testing.T) {
+	var lines bytes.Buffer
+	_, shards := newShardedClient(t, 1, 0, nil)
+	view := &sitestate.View{Placed: map[string]sitestate.ShardNumber{"a": 2}, Shards: []sitestate.Shard{
+		{Number: 2, Founders: []groupmember.Record{{Address: shards[0].address}}}, // a member of another shard does not lead it
+	}}
+	client := jobsapi.NewClient(jobsapi.Config{
+		Wire: wire.Options{ClusterID: "test", Name: "client"}, View: func() *sitestate.View { return view },
+		Logger: &log.Logger{Writer: log.IOWriter{Writer: &lines}},
+	})
+	for range 2 {
+		if _, _, err := client.Page(shortContext(t), jobsapi.PageRequest{Job: "j"}); err == nil {
+			t.Fatal("a page without a leader")
+		}
+	}
+	got := lines.String()
+	if strings.Count(got, "\n") != 1 || !strings.Contains(got, `"event":"jobs.unavailable","shard":2,"call":"page","members":1,"count":1`) || !strings.Contains(got, "no member leads") {
+		t.Errorf("lines %q", got)
+	}
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _, _ = client.Page(cancelled, jobsapi.PageRequest{Job: "j"})
+	if lines.String() != got {
+		t.Errorf("a call whose caller has left is logged: %q", lines.String())
+	}
+}
+
 // TestJobIsUnknownOnlyIfAllShardsAnswer checks that a job is reported unknown only if every
 // shard answered, since an unreachable one may have it.
 func TestJobIsUnknownOnlyIfAllShardsAnswer(t *testing.T) {
--- a/internal/app/jobsapi/jobsapi.go
+++ b/internal/app/jobsapi/jobsapi.go
@@ -21,6 +21,24 @@
 	List   *ListRequest          `cbor:"5,keyasint,omitempty"`
 }
 
+// name returns the name of the call, for log lines.
+func (r *Request) name() string {
+	switch {
+	case r.Submit != nil:
+		return "submit"
+	case r.Page != nil:
+		return "page"
+	case r.Body != nil:
+		return "body"
+	case r.End != nil:
+		return "end"
+	case r.List != nil:
+		return "list"
+	default:
+		return "none"
+	}
+}
+
 // PageRequest requests results from a position on.
 type PageRequest struct {
 	Job  string `cbor:"1,keyasint"`
--- a/internal/app/sitecontrol/control.go
+++ b/internal/app/sitecontrol/control.go
@@ -86,8 +86,8 @@
 	config      Config
 	member      *group.Member
 	heartbeats  *heartbeats
-	rejectedLog logLimiter
-	lostLog     logLimiter
+	rejectedLog eventlog.Limiter
+	lostLog     eventlog.Limiter
 	reports     *reportBatcher
 	registrar   *registrar
 	senders     *senders
--- a/internal/app/sitecontrol/rejected.go
+++ b/internal/app/sitecontrol/rejected.go
@@ -1,7 +1,6 @@
 package sitecontrol
 
 import (
-	"sync"
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
@@ -10,34 +9,10 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
-// logInterval is the minimum time between two log lines of a logLimiter: a faulty sender may
-// send thousands of rejected reports per second.
-const logInterval = time.Second
-
-// logLimiter limits the rate of log lines on rejected or lost reports. It is safe for
-// concurrent use.
-type logLimiter struct {
-	mutex    sync.Mutex
-	loggedAt time.Time
-	unlogged int
-}
-
-// due counts an event, and returns the number to log if a line is due.
-func (r *logLimiter) due(now time.Time) (count int, due bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.unlogged++
-	if now.Sub(r.loggedAt) < logInterval {
-		return 0, false
-	}
-	count, r.unlogged, r.loggedAt = r.unlogged, 0, now
-	return count, true
-}
-
 // RejectReport counts a rejected report and logs it, rate-limited.
 func (c *Control) RejectReport(name string, fault *sitestate.ReportError) {
 	c.config.Recorder.HeartbeatRejected(string(fault.Field))
-	count, due := c.rejectedLog.due(time.Now())
+	count, due := c.rejectedLog.Due(time.Now())
 	if !due {
 		return
 	}
@@ -48,7 +23,7 @@
 
 // logLostReports logs, rate-limited, that a report was not committed; the replica repeats it.
 func (c *Control) logLostReports(err error) {
-	if count, due := c.lostLog.due(time.Now()); due {
+	if count, due := c.lostLog.Due(time.Now()); due {
 		c.config.Logger.Warn().Str(eventlog.Field, eventlog.ReportsNotCommitted).Int("count", count).Err(err).Msg("reports of replicas were not committed")
 	}
 }
