faultfs, wal: a power loss undoes each unsynced name by itself, and a process ends between any two operations

Cause: at a crash faultfs lost all unsynced names or none, and no test ended a process between a renaming and the sync of its folder. So two faults of durable state were not seen.

Change: Crash loses all, none, or each unsynced change of a name by itself; KillAfter ends the process at any operation. The choice of torn bytes keeps its random source, so that seeds tear the same bytes as before.

--- a/internal/adapter/wal/faultfs/faultfs.go
+++ b/internal/adapter/wal/faultfs/faultfs.go
@@ -22,6 +22,9 @@
 // errCrashed rejects a file handle or lock from before a crash.
 var errCrashed = errors.New("faultfs: handle is from before a crash")
 
+// ErrKilled rejects every operation of a process that KillAfter has ended.
+var ErrKilled = errors.New("faultfs: the process was killed")
+
 // node is the contents of one file.
 type node struct {
 	written []byte
@@ -40,18 +43,30 @@
 // FileSystem implements wal.FileSystem in memory. It is safe for concurrent
 // use.
 type FileSystem struct {
-	mutex     sync.Mutex
-	random    *rand.Rand
-	names     map[string]*node
-	durable   map[string]*node
-	folders   map[string]bool
-	locks     map[string]uint64
-	epoch     uint64
-	failSync  int
-	failWrite int
-	skipSync  bool
-	capacity  int64
-	counters  Counters
+	mutex  sync.Mutex
+	random *rand.Rand
+	// nameRandom decides which unsynced changes of names a crash keeps. It is a source of its
+	// own, so that these choices do not change which bytes a seed tears.
+	nameRandom *rand.Rand
+	names      map[string]*node
+	durable    map[string]*node
+	// pending are the changes of names since the last sync of their folder, oldest first.
+	pending []nameChange
+	// folders are the folders that exist. pendingFolders are those whose parent was not synced
+	// since they were made.
+	folders        map[string]bool
+	pendingFolders map[string]bool
+	locks          map[string]uint64
+	epoch          uint64
+	failSync       int
+	failWrite      int
+	skipSync       bool
+	capacity       int64
+	counters       Counters
+	// killIn is the number of operations until the process is killed, 0 if it is not; killed is
+	// set from then on until Stop or Crash.
+	killIn int
+	killed bool
 }
 
 var _ wal.FileSystem = (*FileSystem)(nil)
@@ -59,11 +74,13 @@
 // New returns an empty file system whose crashes derive from seed.
 func New(seed uint64) *FileSystem {
 	return &FileSystem{
-		random:  rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		names:   map[string]*node{},
-		durable: map[string]*node{},
-		folders: map[string]bool{},
-		locks:   map[string]uint64{},
+		random:         rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		nameRandom:     rand.New(rand.NewPCG(seed, seed^0xd1b54a32d192ed03)),
+		names:          map[string]*node{},
+		durable:        map[string]*node{},
+		folders:        map[string]bool{},
+		pendingFolders: map[string]bool{},
+		locks:          map[string]uint64{},
 	}
 }
 
@@ -83,6 +100,34 @@
 	f.failWrite = count
 }
 
+// KillAfter kills the process at the count-th operation from now that changes the disk; 1 is
+// the next. That operation and all later ones fail with ErrKilled and have no effect, until
+// Stop or Crash. 0 cancels it.
+func (f *FileSystem) KillAfter(count int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.killIn = count
+}
+
+// Killed reports whether KillAfter has ended the process.
+func (f *FileSystem) Killed() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.killed
+}
+
+// operate counts an operation that changes the disk. It fails once the process is killed.
+func (f *FileSystem) operate() error {
+	if f.killIn > 0 {
+		f.killIn--
+		f.killed = f.killIn == 0
+	}
+	if f.killed {
+		return ErrKilled
+	}
+	return nil
+}
+
 // SkipSync makes file syncs report success without doing anything.
 func (f *FileSystem) SkipSync(skip bool) {
 	f.mutex.Lock()
@@ -120,16 +165,23 @@
 }
 
 // Crash simulates a power loss: it drops what was not durable and invalidates open
-// files and locks.
+// files and locks. Of the changes of names since the last sync of their folder, all are lost,
+// all are kept, or each is by itself.
 func (f *FileSystem) Crash() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.counters.Crashes++
 	f.epoch++
 	f.locks = map[string]uint64{}
-	if f.random.IntN(2) == 0 {
-		f.names = maps.Clone(f.durable)
-	}
+	f.killIn, f.killed = 0, false
+	lost := f.random.IntN(2) == 0
+	each := f.nameRandom.IntN(2) == 0
+	f.crashNames(func() bool {
+		if each {
+			return f.nameRandom.IntN(2) == 0
+		}
+		return !lost
+	})
 	for _, name := range slices.Sorted(maps.Keys(f.names)) {
 		f.tear(f.names[name])
 	}
@@ -137,11 +189,12 @@
 }
 
 // Stop simulates the end of a process: it invalidates open files and locks and
-// preserves all written data.
+// preserves all written data. Changes of names stay unsynced.
 func (f *FileSystem) Stop() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.epoch++
+	f.killIn, f.killed = 0, false
 	f.locks = map[string]uint64{}
 }
 
@@ -188,6 +241,7 @@
 	}
 	maps.DeleteFunc(f.names, inside)
 	maps.DeleteFunc(f.durable, inside)
+	f.pending = slices.DeleteFunc(f.pending, func(change nameChange) bool { return filepath.Dir(change.name) == directory })
 	delete(f.folders, directory)
 	delete(f.locks, directory)
 }
@@ -196,7 +250,15 @@
 func (f *FileSystem) MkdirAll(directory string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.folders[directory] = true
+	for ; !f.folders[directory]; directory = filepath.Dir(directory) {
+		if err := f.operate(); err != nil {
+			return err
+		}
+		f.folders[directory] = true
+		if directory == filepath.Dir(directory) {
+			break
+		}
+	}
 	return nil
 }
 
@@ -262,8 +324,11 @@
 	if !f.folders[filepath.Dir(name)] {
 		return nil, fs.ErrNotExist
 	}
+	if err := f.operate(); err != nil {
+		return nil, err
+	}
 	created := &node{}
-	f.names[name] = created
+	f.change(nameChange{name: name, node: created})
 	return &handle{files: f, node: created, epoch: f.epoch}, nil
 }
 
@@ -286,8 +351,10 @@
 	if file == nil {
 		return fs.ErrNotExist
 	}
-	delete(f.names, from)
-	f.names[to] = file
+	if err := f.operate(); err != nil {
+		return err
+	}
+	f.change(nameChange{name: to, node: file, from: from})
 	return nil
 }
 
@@ -295,10 +362,14 @@
 func (f *FileSystem) Remove(name string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.names[name] == nil {
+	file := f.names[name]
+	if file == nil {
 		return fs.ErrNotExist
 	}
-	delete(f.names, name)
+	if err := f.operate(); err != nil {
+		return err
+	}
+	f.change(nameChange{name: name, node: file, removes: true})
 	return nil
 }
 
@@ -306,16 +377,16 @@
 func (f *FileSystem) SyncDir(directory string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if err := f.operate(); err != nil {
+		return err
+	}
+	if !f.folders[directory] && directory != filepath.Dir(directory) {
+		return fs.ErrNotExist
+	}
 	if f.syncFails() {
 		return ErrInjected
 	}
-	inside := func(name string, _ *node) bool { return filepath.Dir(name) == directory }
-	maps.DeleteFunc(f.durable, inside)
-	for name, file := range f.names {
-		if filepath.Dir(name) == directory {
-			f.durable[name] = file
-		}
-	}
+	f.syncNames(directory)
 	return nil
 }
 
--- a/internal/adapter/wal/faultfs/handle.go
+++ b/internal/adapter/wal/faultfs/handle.go
@@ -23,6 +23,9 @@
 	if h.epoch != files.epoch {
 		return 0, errCrashed
 	}
+	if err := files.operate(); err != nil {
+		return 0, err
+	}
 	if files.failWrite > 0 {
 		files.failWrite--
 		if files.failWrite == 0 {
@@ -49,6 +52,9 @@
 	if h.epoch != files.epoch {
 		return errCrashed
 	}
+	if err := files.operate(); err != nil {
+		return err
+	}
 	if files.syncFails() {
 		h.syncFailed = true
 		return ErrInjected
@@ -67,6 +73,9 @@
 	if h.epoch != files.epoch {
 		return errCrashed
 	}
+	if err := files.operate(); err != nil {
+		return err
+	}
 	h.node.written = bytes.Clone(h.node.written[:min(size, int64(len(h.node.written)))])
 	return nil
 }
