wal: Open syncs the names that it relies on

Callers would see: results and acceptances that were acknowledged are gone after a loss of power, with one disk fewer holding them than the group counts on.

Cause: internal/adapter/wal/recover.go, open: a process that ended between the renaming of a new segment and the sync of its folder (atomicfile.go, writeAtomic) left a name that a power loss undoes. The next process appended to that segment and synced the file alone; after the loss of power the segment has its temporary name again, and removeLeftovers deletes it.

Change: Open syncs the folder before it reads the files in it. One more sync a start.

Not shown to be the incident's course.

--- a/internal/adapter/wal/log.go
+++ b/internal/adapter/wal/log.go
@@ -353,6 +353,15 @@
 	return nil
 }
 
+// syncNames makes the creations, renames and removals in the folder durable.
+func (l *Log) syncNames() error {
+	if err := l.files.SyncDir(l.directory); err != nil {
+		return l.fail("sync folder", err)
+	}
+	l.syncs++
+	return nil
+}
+
 func (l *Log) remove(name string) error {
 	if err := l.files.Remove(filepath.Join(l.directory, name)); err != nil {
 		return l.fail("remove "+name, err)
--- a/internal/adapter/wal/recover.go
+++ b/internal/adapter/wal/recover.go
@@ -47,6 +47,12 @@
 	if err := l.acquireLock(); err != nil {
 		return Recovery{}, err
 	}
+	// A process may have ended between a change of names and the sync of the folder. What is
+	// read now, and what is written to these files, must not depend on names that a power
+	// loss can undo.
+	if err := l.syncNames(); err != nil {
+		return Recovery{}, err
+	}
 	replay := &replay{log: l}
 	if err := replay.segments(names); err != nil {
 		return Recovery{}, eris.Wrap(err, l.directory)
