wal: a removed segment lasts before the next one is removed

Callers would see: a member whose disk has every acknowledged entry gives it up after a loss of power. It clears its folder and joins under a new id; with another disk lost at the same moment, two of three are gone.

Cause: internal/adapter/wal/log.go, removeObsolete removed all obsolete segments without a sync of the folder between. A loss of power may undo the first removal alone; replay.segments then finds a gap: "previous segment is missing".

Change: the folder is synced between two removals, so that what returns is always the segment right before the others. One removal, the usual case, costs no sync.

Conclusion: fixed. Folders that an earlier build left with such a gap still count as damaged: nothing in them tells a removed segment from a lost one.

--- a/internal/adapter/wal/log.go
+++ b/internal/adapter/wal/log.go
@@ -332,7 +332,14 @@
 // removeObsolete removes the segments whose entries the snapshot covers, oldest
 // first, and all snapshots but the current one.
 func (l *Log) removeObsolete() error {
-	for len(l.segments) > 1 && l.segments[0].lastIndex <= l.marker.index {
+	for removed := 0; len(l.segments) > 1 && l.segments[0].lastIndex <= l.marker.index; removed++ {
+		// A power loss may undo any removal since the last sync. Without the one before, a
+		// removal would leave a gap between two segments, which Open takes for damage.
+		if removed > 0 {
+			if err := l.syncNames(); err != nil {
+				return err
+			}
+		}
 		if err := l.remove(segmentName(l.segments[0].sequence)); err != nil {
 			return err
 		}
