group: the names that a member finds at its start are durable before it relies on them

Callers would see: a member runs again under an id whose votes are lost, so that two leaders of one term are possible; or a group that is never founded, since its founder comes back with another incarnation than the one that names it.

Cause: internal/app/group/identity.go, load and incarnation. A process that ended between the renaming of `identity` or `incarnation` and the sync of the folder left a name that a power loss undoes. The next process relied on it: recordLog found HasLog set and wrote nothing, and the incarnation was told to others.

Change: load syncs the folder before it reads. One more sync a start.

Evidence: TestFolderSurvivesSeriesOfFaults opens a member through 14 lives with kills between any two operations, power losses that lose each name by itself, and damaged or lost logs.

--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -49,9 +49,14 @@
 
 func (f folder) logPath() string { return filepath.Join(f.path, logFolder) }
 
-// load reads the identity. found is false for an empty or incomplete folder. It fails with
-// errDamagedIdentity if the identity cannot be decoded.
+// load reads the identity, and makes the names in the folder durable: a process may have ended
+// between a change of names and the sync of the folder, and nothing that is relied on may depend
+// on a name that a power loss can undo. found is false for an empty or incomplete folder. It fails
+// with errDamagedIdentity if the identity cannot be decoded.
 func (f folder) load() (stored identity, found bool, err error) {
+	if err := f.files.SyncDir(f.path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return identity{}, false, eris.Wrap(err, "sync data folder")
+	}
 	data, err := f.files.ReadFile(filepath.Join(f.path, identityFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return identity{}, false, nil
@@ -92,7 +97,7 @@
 	return eris.Wrap(f.files.SyncDir(f.path), "sync data folder")
 }
 
-// incarnation returns the incarnation of a folder without an identity, and stores a new one
+// incarnation returns the incarnation of a loaded folder without an identity, and stores a new one
 // durably if it has none: others may name the member by it before the member has an identity.
 func (f folder) incarnation() (string, error) {
 	data, err := f.files.ReadFile(filepath.Join(f.path, incarnationFile))
