wal, group, control: a folder is durable before anything in it is relied on

Callers would see: after a loss of power a store comes back with an empty disk, as if it had been replaced: its id, its votes and every entry it acknowledged are gone.

Cause: internal/adapter/wal/filesystem.go, OS.MkdirAll synced the last parent it made, and none if the folder existed: made by a process that ended before the sync, or by os.MkdirAll together with a parent whose own name was never synced. The folder then vanishes with all that is in it.

Change: wal.MakeFolder makes a folder only once its parent is durable and always syncs the parent; a parent that this process may not sync is somebody else's. wal.Create, group's load and control's bootstrapper use it; replace and remove rely on load. faultfs loses a made folder whose parent was not synced.

TestBootstrapStoppedAtEachStep: the first operations now come before Start returns. The test accepts that Start fails there with the stopped file system, and the member must then start again as at any other step. 30 steps instead of 24, so that the last ones are still past the first entries.

Conclusion: fixed for folders that are made from now on. Folders of earlier builds become durable at the next start.

--- a/internal/adapter/wal/durability_test.go
+++ b/internal/adapter/wal/durability_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"testing"
 
@@ -209,3 +210,47 @@
 		}
 	}
 }
+
+// TestMadeFolderSurvivesPowerLoss guards against the loss of a folder with all that is in it: the
+// process that made it, or a parent of it, ended before the sync of the folder that holds it.
+func TestMadeFolderSurvivesPowerLoss(t *testing.T) {
+	const directory = "/data/site/log"
+	for seed := range uint64(40) {
+		for killIn := range 8 {
+			files := faultfs.New(seed)
+			files.KillAfter(killIn)
+			if err := wal.MakeFolder(files, directory); err != nil && !errors.Is(err, faultfs.ErrKilled) {
+				t.Fatal(err)
+			}
+			files.Stop()
+			if err := wal.MakeFolder(files, directory); err != nil {
+				t.Fatal(err)
+			}
+			files.Crash()
+			if _, err := files.ReadDir(directory); err != nil {
+				t.Errorf("seed %d, killed at operation %d: %v", seed, killIn, err)
+			}
+		}
+	}
+}
+
+// foreignParent is a file system on which this process may not sync one folder.
+type foreignParent struct {
+	*faultfs.FileSystem
+	parent string
+}
+
+func (f foreignParent) SyncDir(directory string) error {
+	if directory == f.parent {
+		return &fs.PathError{Op: "open", Path: directory, Err: fs.ErrPermission}
+	}
+	return f.FileSystem.SyncDir(directory)
+}
+
+// TestFolderInForeignParentIsMade guards against a member that does not start since the parent of
+// its data folder belongs to somebody else.
+func TestFolderInForeignParentIsMade(t *testing.T) {
+	if err := wal.MakeFolder(foreignParent{FileSystem: faultfs.New(1), parent: "/"}, folder); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/adapter/wal/faultfs/faultfs.go
+++ b/internal/adapter/wal/faultfs/faultfs.go
@@ -243,22 +243,29 @@
 	maps.DeleteFunc(f.durable, inside)
 	f.pending = slices.DeleteFunc(f.pending, func(change nameChange) bool { return filepath.Dir(change.name) == directory })
 	delete(f.folders, directory)
+	delete(f.pendingFolders, directory)
 	delete(f.locks, directory)
 }
 
-// MkdirAll implements wal.FileSystem. Folders are durable immediately.
+// MkdirAll implements wal.FileSystem. A folder is durable once its parent is synced.
 func (f *FileSystem) MkdirAll(directory string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for ; !f.folders[directory]; directory = filepath.Dir(directory) {
-		if err := f.operate(); err != nil {
-			return err
-		}
-		f.folders[directory] = true
-		if directory == filepath.Dir(directory) {
-			break
-		}
+	return f.mkdirAll(directory)
+}
+
+func (f *FileSystem) mkdirAll(directory string) error {
+	parent := filepath.Dir(directory)
+	if f.folders[directory] || directory == parent {
+		return nil
+	}
+	if err := f.mkdirAll(parent); err != nil {
+		return err
+	}
+	if err := f.operate(); err != nil {
+		return err
 	}
+	f.folders[directory], f.pendingFolders[directory] = true, true
 	return nil
 }
 
--- a/internal/adapter/wal/filesystem.go
+++ b/internal/adapter/wal/filesystem.go
@@ -7,11 +7,14 @@
 	"os"
 	"path/filepath"
 	"syscall"
+
+	"github.com/rotisserie/eris"
 )
 
 // FileSystem is the part of a file system that a Log needs. Names are paths.
 type FileSystem interface {
-	// MkdirAll creates a folder and its parents.
+	// MkdirAll creates a folder and its parents. They are durable once the folder that holds
+	// each of them is synced; MakeFolder does both.
 	MkdirAll(directory string) error
 	// Lock locks the folder for this process until the result is closed. It
 	// fails with ErrLocked if another process holds the lock.
@@ -39,6 +42,28 @@
 	Truncate(size int64) error
 }
 
+// MakeFolder makes a folder and its missing parents, durably. It makes a folder only once the
+// parent is durable, and always syncs the parent: a process may have ended after it made the
+// folder. A parent that this process may not sync belongs to somebody else, who made the folder.
+func MakeFolder(files FileSystem, directory string) error {
+	parent := filepath.Dir(directory)
+	if parent == directory {
+		return nil
+	}
+	if _, err := files.ReadDir(directory); errors.Is(err, fs.ErrNotExist) {
+		if err := MakeFolder(files, parent); err != nil {
+			return err
+		}
+		if err := files.MkdirAll(directory); err != nil {
+			return eris.Wrap(err, "make folder")
+		}
+	}
+	if err := files.SyncDir(parent); err != nil && !errors.Is(err, fs.ErrPermission) {
+		return eris.Wrap(err, "sync parent folder")
+	}
+	return nil
+}
+
 const (
 	filePermission   = 0o600
 	folderPermission = 0o700
@@ -48,15 +73,9 @@
 // OS is the operating system's file system.
 type OS struct{}
 
-// MkdirAll implements FileSystem. It syncs the parent of a folder it creates.
+// MkdirAll implements FileSystem.
 func (OS) MkdirAll(directory string) error {
-	if _, err := os.Stat(directory); err == nil {
-		return nil
-	}
-	if err := os.MkdirAll(directory, folderPermission); err != nil {
-		return err
-	}
-	return OS{}.SyncDir(filepath.Dir(directory))
+	return os.MkdirAll(directory, folderPermission)
 }
 
 // Lock implements FileSystem with an advisory lock on a file.
--- a/internal/adapter/wal/log.go
+++ b/internal/adapter/wal/log.go
@@ -77,7 +77,7 @@
 }
 
 func (l *Log) initialize(snapshot consensus.Snapshot) error {
-	if err := l.files.MkdirAll(l.directory); err != nil {
+	if err := MakeFolder(l.files, l.directory); err != nil {
 		return eris.Wrap(err, "make data folder")
 	}
 	if err := l.acquireLock(); err != nil {
--- a/internal/app/control/bootstrap.go
+++ b/internal/app/control/bootstrap.go
@@ -66,7 +66,7 @@
 
 func openBootstrapper(config Config) (*bootstrapper, error) {
 	b := &bootstrapper{config: config, record: bootstrapRecord{Cluster: config.Cluster, Member: config.ID}}
-	if err := config.FileSystem.MkdirAll(config.DataFolder); err != nil {
+	if err := wal.MakeFolder(config.FileSystem, config.DataFolder); err != nil {
 		return nil, eris.Wrap(err, "make data folder")
 	}
 	data, err := config.FileSystem.ReadFile(b.path())
--- a/internal/app/control/bootstrap_test.go
+++ b/internal/app/control/bootstrap_test.go
@@ -163,7 +163,7 @@
 // bootstraps the group. With its log it starts again. Without its log it is refused if its
 // loop ran, since it may have voted, and starts again if its record still stands.
 func TestBootstrapStoppedAtEachStep(t *testing.T) {
-	const steps = 24 // beyond the first entries of the log
+	const steps = 30 // beyond the first entries of the log
 	for step := range steps {
 		for _, logLost := range []bool{false, true} {
 			t.Run(fmt.Sprintf("step %d, log lost %v", step, logLost), func(t *testing.T) {
@@ -190,25 +190,23 @@
 		listeners[index] = listenLoopback(t, "127.0.0.1:0")
 		group.members = append(group.members, Address{ID: uint64(index + 1), Peer: listeners[index].Addr().String()})
 	}
-	for index, listener := range listeners {
-		member := group.startOn(uint64(index+1), listener, func(config *Config) {
-			if config.ID == 3 {
-				config.FileSystem = files
-			}
-		})
-		if member.config.ID == 3 {
-			third.Store(member)
+	group.startOn(1, listeners[0], nil)
+	group.startOn(2, listeners[1], nil)
+	member, err := group.tryStartOn(3, listeners[2], func(config *Config) { config.FileSystem = files })
+	if err == nil {
+		third.Store(member)
+		select {
+		case <-stopped:
+		case <-member.Ready():
+			time.Sleep(maxDelay) // the first entries of the log
+			files.stopNow()
 		}
+		_ = member.Kill() // reports the stopped file system
+		delete(group.running, 3)
+	} else if closeErr := listeners[2].Close(); !errors.Is(err, errFilesStopped) || closeErr != nil {
+		t.Fatal(err, closeErr)
 	}
-	select {
-	case <-stopped:
-	case <-third.Load().Ready():
-		time.Sleep(maxDelay) // the first entries of the log
-		files.stopNow()
-	}
-	_ = third.Load().Kill() // reports the stopped file system
-	delete(group.running, 3)
-	_, err := os.Stat(filepath.Join(group.dataFolder(3), bootstrapFile))
+	_, err = os.Stat(filepath.Join(group.dataFolder(3), bootstrapFile))
 	recordStands := err == nil
 	if logLost {
 		removeLog(t, group.dataFolder(3))
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -72,17 +72,25 @@
 
 func (g *testGroup) startOn(id uint64, listener net.Listener, configure func(*Config)) *Member {
 	g.t.Helper()
+	member, err := g.tryStartOn(id, listener, configure)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return member
+}
+
+// tryStartOn starts a member that may fail to open its folder.
+func (g *testGroup) tryStartOn(id uint64, listener net.Listener, configure func(*Config)) (*Member, error) {
 	config := g.config(id)
 	config.PeerListener = listener
 	if configure != nil {
 		configure(&config)
 	}
 	member, err := Start(config)
-	if err != nil {
-		g.t.Fatal(err)
+	if err == nil {
+		g.running[id] = member
 	}
-	g.running[id] = member
-	return member
+	return member, err
 }
 
 // restart starts a stopped member on its previous address.
--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -49,12 +49,15 @@
 
 func (f folder) logPath() string { return filepath.Join(f.path, logFolder) }
 
-// load reads the identity, and makes the names in the folder durable: a process may have ended
+// load reads the identity. It makes the folder and the names in it durable first: a process may have ended
 // between a change of names and the sync of the folder, and nothing that is relied on may depend
 // on a name that a power loss can undo. found is false for an empty or incomplete folder. It fails
 // with errDamagedIdentity if the identity cannot be decoded.
 func (f folder) load() (stored identity, found bool, err error) {
-	if err := f.files.SyncDir(f.path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	if err := wal.MakeFolder(f.files, f.path); err != nil {
+		return identity{}, false, eris.Wrap(err, "make data folder")
+	}
+	if err := f.files.SyncDir(f.path); err != nil {
 		return identity{}, false, eris.Wrap(err, "sync data folder")
 	}
 	data, err := f.files.ReadFile(filepath.Join(f.path, identityFile))
@@ -84,9 +87,6 @@
 
 // replace replaces a file durably.
 func (f folder) replace(name string, data []byte) error {
-	if err := f.files.MkdirAll(f.path); err != nil {
-		return eris.Wrap(err, "make data folder")
-	}
 	path := filepath.Join(f.path, name)
 	if err := f.writeSynced(path+".tmp", data); err != nil {
 		return err
@@ -138,9 +138,6 @@
 
 // remove removes a file durably, if it exists.
 func (f folder) remove(name string) error {
-	if err := f.files.MkdirAll(f.path); err != nil {
-		return eris.Wrap(err, "make data folder")
-	}
 	err := f.files.Remove(filepath.Join(f.path, name))
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return eris.Wrap(err, "remove "+name)
