--- a/internal/app/control/bootstrap.go
+++ b/internal/app/control/bootstrap.go
@@ -64,6 +64,8 @@
 	finished bool
 }
 
+// openBootstrapper reads the record of a member without a log. wal.Open, which found no log, has
+// made the names in the folder durable, the record's included.
 func openBootstrapper(config Config) (*bootstrapper, error) {
 	b := &bootstrapper{config: config, record: bootstrapRecord{Cluster: config.Cluster, Member: config.ID}}
 	if err := wal.MakeFolder(config.FileSystem, config.DataFolder); err != nil {
@@ -150,7 +152,8 @@
 }
 
 // removeBootstrapRecord durably removes the bootstrap record of a member that has a
-// log. Otherwise, if the member lost its log later, it would treat itself as new.
+// log. Otherwise, if the member lost its log later, it would treat itself as new. Opening or
+// creating the log has made an earlier removal durable.
 func removeBootstrapRecord(config Config) error {
 	files := config.FileSystem
 	err := files.Remove(filepath.Join(config.DataFolder, bootstrapFile))
