coordinator: of requests that wait for a batch at the same time, one gets it

What callers saw: a trainer that asks for a batch twice at once trains on the first answer, publishes, and reads the last byte of the second answer after that: age 3, limit 2, trainer at version 5 in TestFaultsInOneProcess/trainer_repeats_a_pending_and_an_acknowledged_request. Its header had come at version 4, so the copy was fresh when it was sent.

Cause: Coordinator.serveStored delivers to every request that a commit confirms, so that two requests that wait while a batch is formed get two copies in one step. The commit checks the age at its place in the log, and a publication that starts afterwards holds back only copies that have not left. A copy that has left may be held up between two nodes, or by a slow reader, until the trainer has trained on the other one and published.

Change: a request that was waiting when another one of the same consumer got the batch is told to ask again, also if the commit confirms it; before, this held only for requests that a ledger read would have confirmed. A request that arrives after the delivery still gets a copy, confirmed by a read: its sender may have lost the first answer.

Weighed: a publication that waits until copies have been written would be held up by a dead connection, and cannot tell when the reader has them; cutting copies off ends requests without an answer. Cost: a trainer whose first request is lost without a sign, while its second one waits, asks once more.

Conclusion: copies for requests that wait at once are no longer sent. A copy for a request that arrives after the first delivery can still be read late.

--- a/internal/core/coordinator/batches.go
+++ b/internal/core/coordinator/batches.go
@@ -110,22 +110,22 @@
 	return false
 }
 
-// serveStored delivers the stored batch. A batch that was delivered before is delivered
+// serveStored delivers the stored batch. Of the requests that wait for it at the same
+// time, one gets it: from then on the trainer may publish, and a second copy, once sent,
+// could reach it after the publication. A batch that was delivered before is delivered
 // again only to a confirmed request, since this node may not have seen a version
-// published after the commit. A ledger read can't confirm a request that was already
-// waiting when the batch was delivered to another one: from then on the trainer may
-// publish, and a state read before the publication may arrive after it.
+// published after the commit.
 func (c *Coordinator) serveStored(w waiter) (answered bool) {
 	switch {
 	case c.staleUnderPendingPublication():
 		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered before and is stale under the version being published", w.number)
 		return true
-	case w.confirmed, c.stored.delivered.IsZero():
-		c.deliver(w)
-		return true
 	case c.deliveredWhileWaiting(w):
 		c.refuse(w.token, port.NotRun, port.CodeNotReady, "batch %d was delivered to another request while this one was waiting", w.number)
 		return true
+	case w.confirmed, c.stored.delivered.IsZero():
+		c.deliver(w)
+		return true
 	default:
 		c.readLedger()
 		return false
