audit: a discarded copy is counted by the publications begun when its header came

What callers saw: "no sample older than its bound: age 3, limit 2, trainer at version 5" for a batch whose header came at version 4 and whose last byte was read 0.21 s later.

Cause: audit.checkStaleness counts a delivery by the trainer's version after the whole response was read and decoded. A trainer that asks twice trains on one copy and publishes while the other one is being read. A node that sent that copy completely before the publication began cannot call it back, and the trainer discards it, so no node could pass.

Trace: TestStaleCopiesAreFound, row "sent before the publication and read after it": the node has answered with the complete content, the stand-in has the header, begins and ends its publication and only then reads the content. The rule reports it before this change: version 2 on receipt, version 1 at the header.

Change: a copy that the trainer did not train on counts by the newest version that was published or being published when its header came. A publication counts from its beginning there, which the node may know, where the recorded version counted from its answer. A response that does not announce the length of its content, which may thus be produced after its header, counts on receipt as before, and so does each batch that was trained on and each answer to a request for an acknowledged batch.

Equally strict for what a node decides: rows of TestStaleCopiesAreFound and TestEachRuleIsEnforced still report a copy whose header comes after the beginning of the publication, one of unannounced length, a copy without recorded times and a batch that was trained on, fresh at its header and stale on receipt.

--- a/internal/lab/audit/check_test.go
+++ b/internal/lab/audit/check_test.go
@@ -121,6 +121,13 @@
 			o.Calls[0].Spans = []port.Span{{Version: 4, Tokens: 6}}
 		}, RuleVersionsMatch},
 		{"stale sample", func(o *Observations) { o.Deliveries[2].Version = 7 }, RuleStaleness},
+		{"stale discarded copy", func(o *Observations) { o.Deliveries[0].Version = 7 }, RuleStaleness},
+		{"stale discarded copy sent beside the publication", func(o *Observations) {
+			o.Deliveries[0].Version, o.Deliveries[0].HeaderVersion = 7, 7
+		}, RuleStaleness},
+		{"stale batch that was fresh when its header arrived", func(o *Observations) {
+			o.Deliveries[2].Version, o.Deliveries[2].HeaderVersion = 7, 6
+		}, RuleStaleness},
 		{"unknown version", func(o *Observations) { o.Deliveries[2].Samples[0].Spans[1].Version = 0 }, RuleStaleness},
 		{"new work while leaving", func(o *Observations) { o.Generations[1].StartedAt = 6 * second }, RuleDeparture},
 		{"new call while leaving", func(o *Observations) {
--- a/internal/lab/audit/observations.go
+++ b/internal/lab/audit/observations.go
@@ -97,8 +97,10 @@
 	Attempt uint32 `json:"attempt"`
 	// Version is the trainer's newest version on receipt.
 	Version port.WeightVersion `json:"version"`
-	// RequestedAt is when the trainer sent the request, HeaderAt when the response header
-	// arrived and HeaderVersion the trainer's version then; 0 if not recorded.
+	// RequestedAt is when the trainer sent the request and HeaderAt when the response header
+	// arrived; 0 if not recorded. HeaderVersion is the newest version that the trainer had
+	// published or begun to publish then; 0 if the header did not announce the length of
+	// the content, which may then have been produced later.
 	RequestedAt   time.Duration      `json:"asked_at,omitempty"`
 	HeaderAt      time.Duration      `json:"head_at,omitempty"`
 	HeaderVersion port.WeightVersion `json:"head_version,omitempty"`
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -25,6 +25,8 @@
 	mutex sync.Mutex
 	stats TrainerStats
 	epoch port.Epoch
+	// begun is the newest version whose publication has been sent at least once.
+	begun uint64
 	// currentNode is the index of the node to call next.
 	currentNode int
 	// unpublishedSteps counts the steps since the last publication. Like the stats it is
@@ -231,7 +233,10 @@
 // publishNext publishes the next version. It reports false if ctx ended first; the
 // publication then remains due.
 func (t *Trainer) publishNext(ctx context.Context) bool {
-	version := t.Stats().Version + 1
+	t.mutex.Lock()
+	version := t.stats.Version + 1
+	t.begun = version
+	t.mutex.Unlock()
 	start := time.Now()
 	if !t.publish(ctx, version) {
 		return false
--- a/internal/lab/standin/trainer_calls.go
+++ b/internal/lab/standin/trainer_calls.go
@@ -45,12 +45,12 @@
 
 // call sends one request to a node and decodes a successful response.
 func (t *Trainer) call(ctx context.Context, node, method, path string, body, answer any) error {
-	return t.exchange(ctx, node, method, path, body, answer, func() {})
+	return t.exchange(ctx, node, method, path, body, answer, func(*http.Response) {})
 }
 
 // exchange does the same as call and invokes onHeader when the header of a successful
 // response arrives.
-func (t *Trainer) exchange(ctx context.Context, node, method, path string, body, answer any, onHeader func()) error {
+func (t *Trainer) exchange(ctx context.Context, node, method, path string, body, answer any, onHeader func(*http.Response)) error {
 	var encoded []byte
 	if body != nil {
 		var err error
@@ -83,7 +83,7 @@
 		_ = json.NewDecoder(limited).Decode(&fault) // the status is enough
 		return &statusError{response.StatusCode, fault.Error}
 	}
-	onHeader()
+	onHeader(response)
 	err = json.NewDecoder(limited).Decode(answer)
 	if err != nil {
 		t.recordLost(ctx, node, method+" "+path, start, err)
@@ -194,7 +194,9 @@
 type receivedBatch struct {
 	api.Batch
 	requestedAt, headerAt time.Duration
-	headerVersion         uint64
+	// headerVersion is the newest version whose publication had begun when the header
+	// arrived; 0 if the header did not announce the length of the content.
+	headerVersion uint64
 }
 
 func (t *Trainer) requestBatch(ctx context.Context, node string, number uint64) (receivedBatch, error) {
@@ -203,12 +205,22 @@
 	query.Set(api.QueryWaitMs, strconv.FormatInt(t.config.Wait.Milliseconds(), 10))
 	received := receivedBatch{requestedAt: unixNow()}
 	path := t.path(api.PathBatch, number) + "?" + query.Encode()
-	err := t.exchange(ctx, node, http.MethodGet, path, nil, &received.Batch, func() {
-		received.headerAt, received.headerVersion = unixNow(), t.Stats().Version
+	err := t.exchange(ctx, node, http.MethodGet, path, nil, &received.Batch, func(response *http.Response) {
+		received.headerAt = unixNow()
+		if response.ContentLength >= 0 {
+			received.headerVersion = t.newestBegun()
+		}
 	})
 	return received, err
 }
 
+// newestBegun returns the newest version that was published or is being published.
+func (t *Trainer) newestBegun() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(t.stats.Version, t.begun)
+}
+
 // requestDuplicate requests a batch that is already being requested, from the last node,
 // and discards the response after recording it.
 func (t *Trainer) requestDuplicate(ctx context.Context, number uint64) {
