operatorapi: a call that never had a connection did not run

What callers saw: "unavailable (may-have-run): context deadline exceeded" for a call to a member whose port refuses connections, where nothing was sent: once in TestClientVerdicts/connection_refused under the race detector.

Cause: transportError in client.go takes a failure for not-run only if the error is a net.OpError of a dial. When a deadline ends while http.Transport waits for its dial, the transport returns the context's error alone, so an attempt that meets the end of the call counted as one that may have run. The call retries until its deadline, hence the chance.

A listener that accepts and says nothing gives the same words, so the words alone cannot tell that the port was taken.

Change: the client notes whether the transport gave the call a connection. Without one the failure is not-run: http.Transport writes a request only on a connection that it has handed out, and a dial that finishes later is not used for a call that has ended.

Test: TestDeadlineBeforeConnectionIsNotRun fails before with "got unavailable (may-have-run): context canceled". The verdicts of calls that had a connection are unchanged; the table of TestClientVerdicts and TestClientSkipsUnresponsiveMember hold.

--- a/internal/adapter/operatorapi/client.go
+++ b/internal/adapter/operatorapi/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -237,14 +238,16 @@
 	if content != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.http.Do(request)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return transportError(err)
+		return transportError(err, connected)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
-		return transportError(err)
+		return transportError(err, connected)
 	}
 	if len(body) > maxAnswerBytes {
 		return port.NewError(port.MayHaveRun, port.CodeTooLarge, "the answer of %s is larger than %d bytes", server, maxAnswerBytes)
@@ -258,13 +261,13 @@
 	return nil
 }
 
-// transportError returns the error for a connection failure; only a failed dial proves
-// that nothing was sent.
-func transportError(err error) *port.Error {
-	verdict := port.MayHaveRun
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		verdict = port.NotRun
+// transportError returns the error for a connection failure. Only a call that was never
+// given a connection sent nothing. The error does not tell: a dial that a deadline ends is
+// reported as the deadline alone.
+func transportError(err error, connected bool) *port.Error {
+	verdict := port.NotRun
+	if connected {
+		verdict = port.MayHaveRun
 	}
 	return port.NewError(verdict, port.CodeUnavailable, "%s", eris.Cause(err).Error())
 }
--- a/internal/adapter/operatorapi/operatorapi_test.go
+++ b/internal/adapter/operatorapi/operatorapi_test.go
@@ -340,3 +340,23 @@
 		})
 	}
 }
+
+// TestDeadlineBeforeConnectionIsNotRun guards against a call that is said to have run,
+// perhaps, though its deadline ended its only dial before there was a connection.
+func TestDeadlineBeforeConnectionIsNotRun(t *testing.T) {
+	client, err := NewClient([]string{"127.0.0.1:1"}, testToken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	client.http.Transport = &http.Transport{DialContext: func(dial context.Context, _, _ string) (net.Conn, error) {
+		cancel()
+		<-dial.Done()
+		return nil, dial.Err()
+	}}
+	_, err = client.Config(ctx)
+	var refusal *port.Error
+	if !errors.As(err, &refusal) || refusal.Verdict != port.NotRun || refusal.Code != port.CodeUnavailable {
+		t.Fatalf("got %v, want %s with verdict %s", err, port.CodeUnavailable, port.NotRun)
+	}
+}
