testkit: a refusing address stays taken for the length of a test

What was seen: TestClientVerdicts/connection_refused calls a port that was free a moment before. A dial of a closed port from the ephemeral range may also get that port as its own and connect to itself.

Change: RefusingAddress binds a socket and does not listen, so that the port is refused for certain until the test ends. The two tests of internal/adapter/operatorapi that need such an address use it; what they want is unchanged.

--- a/internal/adapter/operatorapi/operatorapi_test.go
+++ b/internal/adapter/operatorapi/operatorapi_test.go
@@ -18,6 +18,7 @@
 	"github.com/loomgrade/loomgrade/internal/core/controlstate"
 	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
 )
 
 const testToken = "operator-token"
@@ -276,7 +277,7 @@
 	defer cutOff.Close()
 	healthy := httptest.NewServer(server.Handler())
 	defer healthy.Close()
-	client, err := NewClient([]string{closedAddress(t), cutOff.Listener.Addr().String(), healthy.Listener.Addr().String()}, testToken)
+	client, err := NewClient([]string{testkit.RefusingAddress(t), cutOff.Listener.Addr().String(), healthy.Listener.Addr().String()}, testToken)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -288,16 +289,6 @@
 	}
 }
 
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // TestClientVerdicts covers the client's errors if no member sends a valid response.
 func TestClientVerdicts(t *testing.T) {
 	serve := func(handler http.HandlerFunc) string {
@@ -311,7 +302,7 @@
 		verdict port.Verdict
 		code    port.Code
 	}{
-		{"connection refused", closedAddress(t), port.NotRun, port.CodeUnavailable},
+		{"connection refused", testkit.RefusingAddress(t), port.NotRun, port.CodeUnavailable},
 		{"cut off", serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), port.MayHaveRun, port.CodeUnavailable},
 		{"not an error body", serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }), port.MayHaveRun, port.CodeInternal},
 		{"wrong content", serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) }), port.MayHaveRun, port.CodeInternal},
