group, control: a follower counts the ticks before a message before it handles it

What callers could see: a read that misses an accepted change.

A follower that is frozen in the middle of a batch for an election timeout, and then handles a heartbeat that its leader sent during that time, resets its silence to zero and counts the whole freeze afterwards. For the core its leader has then been silent for an election timeout, and leaderMayExist lets it vote for another member at once. The leader's lease relies on the opposite: it starts when the heartbeat is sent, and the follower's acknowledgement promises its vote for an election timeout after that. A new leader could commit a change that the old one's reads under its lease do not include.

--- a/internal/app/group/loop.go
+++ b/internal/app/group/loop.go
@@ -163,7 +163,9 @@
 	}
 }
 
-// handleQueued processes the queued events, so that one sync covers the batch.
+// handleQueued processes the queued events, so that one sync covers the batch. Ticks are
+// counted before each event: those that elapsed before an acknowledgement of the leader must
+// not count against it, and a read must not be served under an expired lease.
 func (l *loop) handleQueued() error {
 	if err := l.stepHeld(); err != nil {
 		return err
@@ -171,11 +173,12 @@
 	for range maxBatch - 1 {
 		select {
 		case message := <-l.messages:
+			l.catchUpTicks()
 			if err := l.step(message); err != nil {
 				return err
 			}
 		case request := <-l.requests:
-			l.catchUpTicks() // a read must not be served under an expired lease
+			l.catchUpTicks()
 			request(l)
 		default:
 			return nil
@@ -189,6 +192,7 @@
 	held := l.held
 	l.held = nil
 	for _, message := range held {
+		l.catchUpTicks()
 		if err := l.step(message); err != nil {
 			return err
 		}
