sitestore: an item runs again after any number of crashes

Several replicas that crash in a burst end the same sound item of a job more than once. Its callers saw that it was never placed again, although all was calm and replicas had free slots.

Cause: runner.withhold (internal/app/sitestore/withhold.go) treated an item like a caller's request that crashes replicas: after quarantine.CrashesUntilWithheld crashes it waited 3 s for a trial, 4 s for a second one, and after quarantine.MaxTrials trials until the retention of its route. Callers' requests may crash replicas by themselves; items are accepted work, and the users say that an item under which servers crashed is still owed.

Now an item is never withheld. From the third crashed replica on, its next run waits 0.25, 0.5 and then 1 s each time (crashPause), which is far below the 5 s for which an item may be at no replica. The pause starts at the crash, so a new leader runs the item at once. A run that was moved keeps to it too. The log line item.paused takes the place of item.withheld. The count of crashes in the job's log has the same form as before.

Two ways were weighed. Without any pause, an item that does crash replicas takes one down with each run, a few times a second, and each crash makes callers' requests that run beside it suspects, which may then be withheld. The bounded pause costs a sound item at most 1 s and limits that item to one replica a second, until its route's retention.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -67,7 +67,7 @@
 	JobsUnavailable         Event = "jobs.unavailable"
 	ItemPlaced              Event = "item.placed"
 	ItemRun                 Event = "item.run"
-	ItemWithheld            Event = "item.withheld"
+	ItemPaused              Event = "item.paused"
 	ItemCompleted           Event = "item.listed"
 	ItemErrored             Event = "item.errored"
 	RunnerStarted           Event = "runner.started"
@@ -145,7 +145,7 @@
 	{JobsUnavailable, "no member of a shard's group served a call on jobs in time; what the last one answered; at most one line a second, with the count since the last"},
 	{ItemPlaced, "an item was sent to a replica; the reasons, and the last event before"},
 	{ItemRun, "a run of an item ended; the outcome"},
-	{ItemWithheld, "an item is withheld: replicas crashed during its runs; the numbers of crashes and trials"},
+	{ItemPaused, "an item pauses before its next run: replicas crashed during its runs; the number of crashes and the pause"},
 	{ItemCompleted, "an item completed; its result is to be committed"},
 	{ItemErrored, "an item failed and is not retried; the reason"},
 	{RunnerStarted, "a store machine leads a shard and starts to run its items"},
--- a/internal/app/sitestore/items.go
+++ b/internal/app/sitestore/items.go
@@ -102,19 +102,19 @@
 	return routing.AllowedRegionsOf(route, r.table.Tenant(item.tenant))
 }
 
-// enqueue queues an item for a replica, or starts its scoring if the text is complete.
-// Withheld items are not queued.
+// enqueue queues an item for a replica, or starts its scoring if the text is complete. The item
+// runs no earlier than notBefore and the end of its pause.
 func (r *runner) enqueue(item *itemState, notBefore time.Time) {
 	if item.isComplete() {
 		r.startScoring(item)
 		return
 	}
-	if r.withhold(item, time.Now()) {
-		return
-	}
 	_, service := r.route(item)
 	queued := r.queueItem(item, service)
 	queued.NotBefore = notBefore
+	if item.pausedUntil.After(notBefore) {
+		queued.NotBefore = item.pausedUntil
+	}
 	r.queue.Add(queued)
 }
 
--- a/internal/app/sitestore/itemstate.go
+++ b/internal/app/sitestore/itemstate.go
@@ -52,13 +52,10 @@
 	stalled  bool
 
 	// earlierCrashes counts the replicas that crashed during the item in earlier
-	// leaderships, crashes are those since. withheldAt is the start of the current
-	// withholding; trials counts the trials, and onTrial is set until a trial has ended.
+	// leaderships, crashes are those since. The item does not run before pausedUntil.
 	earlierCrashes int
 	crashes        []replicaCrash
-	withheldAt     time.Time
-	trials         int
-	onTrial        bool
+	pausedUntil    time.Time
 
 	// progress is set by the current run; move requests its end at the next event.
 	progress progress
--- a/internal/app/sitestore/leadership.go
+++ b/internal/app/sitestore/leadership.go
@@ -22,12 +22,10 @@
 
 	jobSerial uint64
 	// jobs are the open jobs whose items the runner has.
-	jobs  map[string]bool
-	items map[jobqueue.Key]*itemState
-	times map[string]*jobTimes
-	queue jobqueue.Queue
-	// withheld are the items that crashed replicas.
-	withheld map[jobqueue.Key]*itemState
+	jobs     map[string]bool
+	items    map[jobqueue.Key]*itemState
+	times    map[string]*jobTimes
+	queue    jobqueue.Queue
 	replicas *replicaTracker
 	demand   *demandMeter
 	lengths  lengths
@@ -49,7 +47,6 @@
 	l := &leadership{
 		shard: shard, term: term,
 		jobs: map[string]bool{}, items: map[jobqueue.Key]*itemState{}, times: map[string]*jobTimes{},
-		withheld: map[jobqueue.Key]*itemState{},
 		replicas: newReplicaTracker(shard), demand: newDemandMeter(time.Now()), lengths: lengths{},
 		committed: make(chan error, 1),
 	}
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -48,7 +48,7 @@
 	case runMoved:
 		r.logRun(event, "item moved from a slow replica")
 		item.avoid = event.replica
-		r.resume(item, next)
+		r.resume(item, next, now)
 	case runRejected, runBroken, runWrongVersion:
 		r.logRun(event, "run ended without a complete text")
 		r.enqueue(item, now.Add(retryPause))
@@ -66,10 +66,11 @@
 }
 
 // resume starts a moved item on the replica reserved for it, or queues it if that replica is
-// no longer available.
-func (r *runner) resume(item *itemState, next string) {
+// no longer available or the item pauses.
+func (r *runner) resume(item *itemState, next string, now time.Time) {
 	view := r.store.config.Watcher.View()
-	if replica, present := view.Replicas.Get(next); present && view.Routable(&replica) && !item.isComplete() {
+	replica, present := view.Replicas.Get(next)
+	if present && view.Routable(&replica) && !item.isComplete() && !now.Before(item.pausedUntil) {
 		r.startRun(item, replica, view.Position)
 		return
 	}
--- a/internal/app/sitestore/runner.go
+++ b/internal/app/sitestore/runner.go
@@ -120,7 +120,6 @@
 	since := now.Sub(r.scannedAt)
 	r.scannedAt = now
 	r.failExpired(now)
-	r.retryWithheld(now)
 	r.moveFromSlow(view, now, since)
 	if r.measureDemand(now) {
 		r.replicas.expire(view, now)
