proxy, sitestore: a reward call of an item is never withheld

The reward call of a complete text goes through the proxy of its store machine, and so through the site's quarantine of requests that crash replicas. After a burst of crashes it was withheld like a caller's request: a trial after 4 s, a second one 30 s later, then none for the rest of its item's retention. The item has its text, and its callers wait for it in vain.

Cause: runner.sendScorer (internal/app/sitestore/run.go) sends it with proxy.Do, where exchange.do asks guard.Admit and exchange.recordCrash reports each crash to the control group. The withheld call's RetryAfter of up to a minute then became its pause.

proxy.Request.Owed now marks requests of accepted work. The guard neither withholds them nor counts the crashes during them, so that they make no equal request of a caller a suspect; nothing changes for callers' requests. proxy.Failure.Crashed tells the sender, which pauses a reward call after crashes like an item (0.25 to 1 s), and never longer than 1 s whatever a failure names: replicas that serve the call may join while a cold one is waited for. As before, only answers of 500 count against the attempts of the call's route.

Evidence, on the code before: TestItemCompletesAfterCrashes "timed out after 30s: all crashes" for both rows with a reward call; in its log the call is withheld after three crashes, tried once after 4 s, and not again. With the change both pass, and so do the tests of withheld requests of callers. TestOwedRequestIsNotWithheld holds an owed request and an equal one of a caller side by side.

--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -35,6 +35,9 @@
 	// both are readings of the proxy's clock.
 	arrivedAt, expiresAt time.Duration
 
+	// guard decides whether the request is sent; nil for an owed one.
+	guard *guard.Guard
+
 	results chan result
 	// reservation accounts for the memory of the answers of all tries.
 	reservation *membudget.Reservation
@@ -75,7 +78,7 @@
 }
 
 func (e *exchange) do() (*Answer, *Failure) {
-	e.admission = e.proxy.guard.Admit(e.ctx, e.request.identity())
+	e.admission = e.guard.Admit(e.ctx, e.request.identity())
 	e.withheld = e.admission.Withheld
 	if e.withheld {
 		return e.finish()
@@ -292,7 +295,7 @@
 	if e.mayHaveRun > 0 {
 		verdict = port.MayHaveRun
 	}
-	return &Failure{Verdict: verdict, Code: code, Reason: reason, ArrivedAt: e.arrivedAt, RetryAfter: e.admission.RetryAfter}
+	return &Failure{Verdict: verdict, Code: code, Reason: reason, ArrivedAt: e.arrivedAt, RetryAfter: e.admission.RetryAfter, Crashed: len(e.crashedReplicas) > 0}
 }
 
 // noReplicaFailure returns the failure of a request for which there is no replica.
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -141,6 +141,9 @@
 	AllowedRegions routing.AllowedRegions
 	// Stream returns a successful answer once its header is received, with its body unread.
 	Stream bool
+	// Owed requests belong to accepted work. The guard neither withholds them nor counts the
+	// crashes during them; their sender limits the rate of their retries.
+	Owed bool
 }
 
 // fingerprint returns a hash that is the same for equivalent requests.
@@ -178,6 +181,8 @@
 	RetryAfter time.Duration
 	// Refusal is why the send limit refused the request; "" for any other failure.
 	Refusal admission.Reason
+	// Crashed is set if a replica closed the connection while running the request.
+	Crashed bool
 }
 
 // Error implements error.
@@ -191,7 +196,10 @@
 	run := &exchange{
 		proxy: p, request: request, ctx: ctx, cancel: cancel, startedAt: time.Now(),
 		tried: map[string]bool{}, results: make(chan result, maxTries), reservation: p.memoryBudget.NewReservation(),
-		limit: p.limits.of(request.Service),
+		limit: p.limits.of(request.Service), guard: p.guard,
+	}
+	if request.Owed {
+		run.guard = nil
 	}
 	run.arrivedAt = p.clock()
 	if deadline, limited := ctx.Deadline(); limited {
--- a/internal/app/proxy/suspect.go
+++ b/internal/app/proxy/suspect.go
@@ -13,13 +13,13 @@
 	if !slices.Contains(e.crashedReplicas, replica) {
 		e.crashedReplicas = append(e.crashedReplicas, replica)
 	}
-	e.proxy.guard.RecordCrash(e.request.fingerprint(), replica)
+	e.guard.RecordCrash(e.request.fingerprint(), replica)
 }
 
 // recordServed clears the request if it is a suspect.
 func (e *exchange) recordServed() {
 	if e.admission.Suspect || len(e.crashedReplicas) > 0 {
-		e.proxy.guard.RecordServed(e.request.fingerprint())
+		e.guard.RecordServed(e.request.fingerprint())
 	}
 }
 
@@ -35,10 +35,10 @@
 // mustWithhold reports whether crashes during the request, here or at other processes, forbid
 // a further send.
 func (e *exchange) mustWithhold() bool {
-	if e.admission.Trial || e.sends == 0 {
+	if e.request.Owed || e.admission.Trial || e.sends == 0 {
 		return false
 	}
-	return len(e.crashedReplicas) >= quarantine.CrashesUntilWithheld || e.proxy.guard.Withholds(e.request.identity())
+	return len(e.crashedReplicas) >= quarantine.CrashesUntilWithheld || e.guard.Withholds(e.request.identity())
 }
 
 // streamBody is the body of a streamed answer. It reports to the guard how the stream ended,
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -36,6 +36,9 @@
 	// unless a refusal names a longer one. With its jitter it is 450 ms at most: a burst may
 	// delay a trainer by 0.5 s.
 	maxScorePause = 300 * time.Millisecond
+	// maxFailedScorePause limits the pause after any other failure, whatever the failure
+	// names: replicas that can serve the call may join in the meantime.
+	maxFailedScorePause = time.Second
 	// scorePauseJitter is the fraction by which that pause is extended at random, so that calls
 	// that were refused together are not sent again together.
 	scorePauseJitter = 0.5
@@ -210,7 +213,7 @@
 }
 
 func (r *runner) scoreOnce(ctx context.Context, scorer *jobstate.Scorer) (kind runKind, score, reason string) {
-	failures, refusals := 0, 0
+	failures, refusals, crashes := 0, 0, 0
 	for {
 		pause := scorePause
 		answer, attempts, failure := r.sendScorer(ctx, scorer)
@@ -223,7 +226,10 @@
 		case refusals > 0:
 			pause = refusedScorePause(refusals, failure.RetryAfter, rand.Float64())
 		case failure != nil: // no response: retry
-			pause = max(pause, failure.RetryAfter)
+			if failure.Crashed {
+				crashes++
+			}
+			pause = failedScorePause(failure, crashes)
 		case answer.Status/100 == 2:
 			// No member can apply a record with a score that is not valid UTF-8.
 			if score := answer.Header.Get(r.store.config.Dialect.Headers().Signature); utf8.ValidString(score) {
@@ -250,6 +256,16 @@
 	return pause + time.Duration(scorePauseJitter*draw*float64(pause))
 }
 
+// failedScorePause returns the pause of a reward call after a failure that is no refusal by the
+// send limit, given the number of replicas that crashed during the call so far.
+func failedScorePause(failure *proxy.Failure, crashes int) time.Duration {
+	pause := max(scorePause, failure.RetryAfter)
+	if failure.Crashed {
+		pause = max(pause, crashPause(crashes))
+	}
+	return min(pause, maxFailedScorePause)
+}
+
 // sendScorer sends a reward call once, by the route of its host and path, when the limiter
 // admits it. It also returns the number of attempts that the route allows.
 func (r *runner) sendScorer(ctx context.Context, scorer *jobstate.Scorer) (*proxy.Answer, int, *proxy.Failure) {
@@ -268,7 +284,7 @@
 	defer cancel()
 	answer, failure := r.store.config.Proxy.Do(ctx, proxy.Request{
 		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
-		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1,
+		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1, Owed: true,
 		Priority: proxy.PriorityOf(route, nil), Traffic: admission.RewardTraffic,
 		AllowedRegions: routing.AllowedRegionsOf(route, nil),
 	})
