sitestore: a text restarts once all replicas of its model left its version

On a route that allows one weight version for each text, an item whose run broke off after its first event continues on its version only. If all replicas load a later version before it is placed, its text must start over. It did not, and the item was never placed again.

Cause: runner.restartStranded (internal/app/sitestore/place.go) waited for any candidate whose version of the item's model is not later than the text's. A replica of another service, or of another model, has version 0, and so the item waited for it. With one shard every replica of the site is a candidate, those of applications too. The other way round, with engines alone, a text was thrown away as soon as all replicas with its version were blocked for a moment, by a rejected run for 60 ms.

replicaTracker.strands now looks at the replicas of the item's service and regions that serve its model, blocked ones included. Without any, the item waits with its text.

Found by reading, while looking for other reasons for which an item is never placed again after crashes.

--- a/internal/app/sitestore/place.go
+++ b/internal/app/sitestore/place.go
@@ -17,7 +17,7 @@
 	}
 	now := time.Now()
 	candidates := r.replicas.candidates(view, r.table, now)
-	r.restartStranded(candidates)
+	r.restartStranded()
 	for _, placed := range r.queue.Place(candidates, now) {
 		item := r.items[placed.Item.Key]
 		replica, registered := view.Replicas.Get(placed.Replica)
@@ -46,19 +46,14 @@
 	go r.generate(ctx, item, replica)
 }
 
-// restartStranded restarts texts that only one version may continue, once all replicas serve
-// later versions.
-func (r *runner) restartStranded(candidates []jobqueue.Replica) {
+// restartStranded restarts texts that only one version may continue, once all replicas that may
+// run them serve later versions.
+func (r *runner) restartStranded() {
 	var stranded []jobqueue.Key
 	r.queue.Drop(func(item jobqueue.Item) bool {
-		if item.ExactVersion == 0 {
+		if item.ExactVersion == 0 || !r.replicas.strands(&item) {
 			return false
 		}
-		for _, replica := range candidates {
-			if replica.Version(item.Model) <= item.ExactVersion {
-				return false
-			}
-		}
 		stranded = append(stranded, item.Key)
 		return true
 	})
--- a/internal/app/sitestore/replicatracker.go
+++ b/internal/app/sitestore/replicatracker.go
@@ -165,6 +165,27 @@
 	return t.result
 }
 
+// strands reports whether all replicas that serve the item's model, in its regions, have left the
+// version that must continue its text. Blocked replicas count, since they serve again soon; false if
+// no replica serves the model, as any later one may have the version.
+func (t *replicaTracker) strands(item *jobqueue.Item) bool {
+	serving := false
+	for i := range t.listed {
+		candidate := &t.listed[i].candidate
+		if candidate.Service != item.Service || !item.AllowedRegions.Allows(candidate.Region) {
+			continue
+		}
+		switch version := candidate.Version(item.Model); {
+		case version == 0: // it does not serve the model
+		case version <= item.ExactVersion:
+			return false
+		default:
+			serving = true
+		}
+	}
+	return serving
+}
+
 // refresh rebuilds the list of replicas from a view.
 func (t *replicaTracker) refresh(view *siteview.View, table *routing.Table) {
 	t.view, t.table, t.listed = view, table, t.listed[:0]
