coordinator: a test of a sample under which engines crash many times

The samples of loomgrade node have no count of crashes: a failed attempt is retried after a backoff of at most 20 s, without a limit on attempts. The test crashes the engines of one sample 20 times and wants it started again each time within that bound. It passes on the code as it is; nothing changes.

--- a/internal/core/coordinator/fault_test.go
+++ b/internal/core/coordinator/fault_test.go
@@ -658,6 +658,23 @@
 				t.Fatalf("%d requests", len(w.scores))
 			}
 		}},
+		"engines crash under one sample many times: started again each time": {"", func(t *testing.T, w *harness) {
+			const crashes, longestPause = 20, 20 * time.Second
+			w.answerFetch(false)
+			id := w.attempts[0].start.ID
+			for crash := range crashes {
+				w.fail(w.running(id), false)
+				waited := time.Duration(0)
+				for !slices.ContainsFunc(w.attempts, func(run *attemptRun) bool { return run.start.ID == id }) {
+					if waited += time.Second; waited > longestPause+time.Second {
+						t.Fatalf("not started again %v after crash %d", waited, crash+1)
+					}
+					w.tick(time.Second)
+				}
+			}
+			w.finish(w.running(id))
+			w.train()
+		}},
 		"engine reports no version": {"", func(t *testing.T, w *harness) {
 			w.answerFetch(false)
 			run := w.attempts[0]
