--- a/internal/core/groupmember/diskloss_test.go
+++ b/internal/core/groupmember/diskloss_test.go
@@ -183,6 +183,11 @@
 			r.step()
 		}
 	}
+	r.mustRecover(seed)
+}
+
+// mustRecover ends all faults and checks the group.
+func (r *lossRun) mustRecover(seed uint64) {
 	if r.connections != nil {
 		r.connections.loss = 0
 	}
@@ -305,8 +310,13 @@
 	panic(violation(fmt.Sprintf(format, arguments...)))
 }
 
-// playLosses plays a seed and returns the first violation, or "".
+// playLosses plays a seed of disks lost in turn and returns the first violation, or "".
 func playLosses(seed uint64, configure func(*lossRun)) (found string, r *lossRun) {
+	return playRun(seed, configure, (*lossRun).play)
+}
+
+// playRun plays a seed and returns the first violation, or "".
+func playRun(seed uint64, configure func(*lossRun), play func(*lossRun, uint64)) (found string, r *lossRun) {
 	defer func() {
 		switch reason := recover().(type) {
 		case nil:
@@ -317,6 +327,6 @@
 		}
 	}()
 	r = newLossRun(recorder{}, seed, configure)
-	r.play(seed)
+	play(r, seed)
 	return "", r
 }
