--- a/internal/app/control/loop.go
+++ b/internal/app/control/loop.go
@@ -145,14 +145,19 @@
 	}
 }
 
-// handleQueued processes the queued events, so that one sync covers the batch. Ticks are
-// counted before each event: those that elapsed before an acknowledgement of the leader must
-// not count against it, and a read must not be served under an expired lease.
+// handleQueued processes the queued events, so that one sync covers the batch. The batch
+// ends with the tick: heartbeats that come due leave only after it. Ticks are counted before
+// each event: those that elapsed before an acknowledgement of the leader must not count
+// against it, and a read must not be served under an expired lease.
 func (l *loop) handleQueued() error {
+	began := l.ticks
 	if err := l.stepHeld(); err != nil {
 		return err
 	}
 	for range l.config.MaxBatch - 1 {
+		if l.ticks != began {
+			return nil
+		}
 		select {
 		case message := <-l.messages:
 			l.catchUpTicks()
