--- a/internal/core/jobstate/needed.go
+++ b/internal/core/jobstate/needed.go
@@ -18,7 +18,7 @@
 	for i := range j.Items {
 		item := &j.Items[i]
 		open[item.Item.Group] = open[item.Item.Group] || item.Result == ResultNone
-		resubmitted[item.Item.Group] = resubmitted[item.Item.Group] || item.resubmitted
+		resubmitted[item.Item.Group] = resubmitted[item.Item.Group] || item.Resubmitted
 	}
 	needed := NeededGroups{resubmitted: map[string]bool{}, others: j.desiredGroups(len(open))}
 	for group, isOpen := range open {
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -29,15 +29,10 @@
 	BodySum uint64 `cbor:"11,keyasint,omitempty"`
 	// Crashes is the number of replicas that crashed while they ran the item.
 	Crashes int `cbor:"12,keyasint,omitempty"`
-
-	// resubmitted is set if an earlier job contained the item. It is not stored: a state that
-	// was restored after the earlier job was forgotten does not have it.
-	resubmitted bool
+	// Resubmitted is set if an earlier job that was stored at the acceptance contained the item.
+	Resubmitted bool `cbor:"13,keyasint,omitempty"`
 }
 
-// Resubmitted reports whether an earlier job that is still stored contained the item.
-func (i *ItemState) Resubmitted() bool { return i.resubmitted }
-
 // dropRequest frees the parts of the request that only a run needs.
 func (i *ItemState) dropRequest() {
 	i.Item.Body, i.Item.Headers, i.Item.Scorer = nil, nil, nil
@@ -166,7 +161,8 @@
 	s.bytes += job.size()
 	for i := range job.Items {
 		item := &job.Items[i]
-		_, item.resubmitted = s.latest[item.Item.ID]
+		_, found := s.latest[item.Item.ID]
+		item.Resubmitted = item.Resubmitted || found
 		s.latest[item.Item.ID] = itemRef{job.Submission.ID, i}
 	}
 }
@@ -340,20 +336,40 @@
 }
 
 func (s *State) forget(ids []string) {
+	orphaned := map[string]bool{}
 	for _, id := range ids {
 		job := s.jobs[id]
 		if job == nil {
 			continue
 		}
 		for _, item := range job.Items {
-			if s.latest[item.Item.ID].job == id {
-				delete(s.latest, item.Item.ID)
+			if s.latest[item.Item.ID].job != id {
+				continue
+			}
+			delete(s.latest, item.Item.ID)
+			if item.Resubmitted {
+				orphaned[item.Item.ID] = true
 			}
 		}
 		s.bytes -= job.size()
 		delete(s.jobs, id)
 		s.jobSerial++
 	}
+	s.findLatest(orphaned)
+}
+
+// findLatest sets the newest job of items whose newest one was removed, as Restore does.
+func (s *State) findLatest(items map[string]bool) {
+	if len(items) == 0 {
+		return
+	}
+	for _, job := range s.Jobs() {
+		for i := range job.Items {
+			if id := job.Items[i].Item.ID; items[id] {
+				s.latest[id] = itemRef{job.Submission.ID, i}
+			}
+		}
+	}
 }
 
 // ResultView is one listed result.
