group: a damaged log is set aside, and removed once the group does not need it

Callers would see: with one disk damaged and another one lost at the same moment, acknowledged results are gone for good although a copy was left: the member erased it.

Cause: internal/app/group/member.go, open cleared the folder of a member whose log was corrupt, missing or foreign, or whose identity was damaged, before anybody else was asked. A log without an identity was cleared without a line.

Change: identity and log are renamed into the folder `unusable` (setaside.go), marked so that load completes it after a kill. They are removed once the new member is a voter that is confirmed as caught up, or if the disk is full and a leader with a quorum has given a new id. While they are there the member founds no group. `log.unusable` says where they are, `log.unusable_removed` that they are gone. Clearing a removed member is completed after a kill as well.

Conclusion: no member erases a log on its own word.

--- a/internal/adapter/eventlog/events.go
+++ b/internal/adapter/eventlog/events.go
@@ -19,6 +19,7 @@
 	LogDropped              Event = "log.dropped"
 	LogOpened               Event = "log.opened"
 	LogUnusable             Event = "log.unusable"
+	UnusableLogRemoved      Event = "log.unusable_removed"
 	DiskFull                Event = "disk.full"
 	GroupEntered            Event = "group.entered"
 	MembershipChange        Event = "membership.change"
@@ -97,7 +98,8 @@
 	{LogDropped, "log lines were dropped; their number since the last such line"},
 	{LogOpened, "a member opened its replicated log; the positions of its snapshot, its last entry and the last entry known to be committed, and the voters"},
 	{DiskFull, "a member's disk is full; the member is stopped until there is space, and requests to it do not run"},
-	{LogUnusable, "a member's log or identity is damaged; its folder is cleared and it joins under a new id"},
+	{LogUnusable, "a member's log or identity is damaged as no loss of power explains; where both are kept, or that there is no log to keep, and whether they replace an earlier log that is kept; the member joins under a new id"},
+	{UnusableLogRemoved, "the log that a member has kept since `log.unusable` is removed: the member is a voter that has the complete log, or its disk is full"},
 	{GroupEntered, "a member has a new id in its group, by bootstrap or by joining"},
 	{MembershipChange, "the leader proposes to add, promote or remove a member"},
 	{MembershipWaiting, "the group needs a membership change that cannot be made yet; what it waits for"},
--- a/internal/adapter/wal/filesystem.go
+++ b/internal/adapter/wal/filesystem.go
@@ -67,7 +67,9 @@
 const (
 	filePermission   = 0o600
 	folderPermission = 0o700
-	lockName         = "lock"
+
+	// LockName is the file in a log's folder that its process locks.
+	LockName = "lock"
 )
 
 // OS is the operating system's file system.
@@ -80,7 +82,7 @@
 
 // Lock implements FileSystem with an advisory lock on a file.
 func (OS) Lock(directory string) (io.Closer, error) {
-	file, err := os.OpenFile(filepath.Join(directory, lockName), os.O_CREATE|os.O_RDWR, filePermission)
+	file, err := os.OpenFile(filepath.Join(directory, LockName), os.O_CREATE|os.O_RDWR, filePermission)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/app/group/identity.go
+++ b/internal/app/group/identity.go
@@ -37,9 +37,14 @@
 	HasLog bool `cbor:"6,keyasint,omitempty"`
 }
 
-// errDamagedIdentity reports an identity that cannot be read. It is written under another
-// name, synced and renamed, so that no interrupted write explains it.
-var errDamagedIdentity = errors.New("group: the identity is damaged")
+var (
+	// errDamagedIdentity reports an identity that cannot be read. It is written under another
+	// name, synced and renamed, so that no interrupted write explains it.
+	errDamagedIdentity = errors.New("group: the identity is damaged")
+	// errLostIdentity reports a log without an identity. The identity is stored before the log
+	// is created.
+	errLostIdentity = errors.New("group: the log has no identity")
+)
 
 // folder is the data folder of a member.
 type folder struct {
@@ -49,20 +54,25 @@
 
 func (f folder) logPath() string { return filepath.Join(f.path, logFolder) }
 
-// load reads the identity. It makes the folder and the names in it durable first: a process may have ended
-// between a change of names and the sync of the folder, and nothing that is relied on may depend
-// on a name that a power loss can undo. found is false for an empty or incomplete folder. It fails
-// with errDamagedIdentity if the identity cannot be decoded.
+// load reads the identity. It makes the folder and the names in it durable first: a process may
+// have ended between a change of names and the sync of the folder, and nothing that is relied on
+// may depend on a name that a power loss can undo. found is false for an empty or incomplete
+// folder. It fails with errDamagedIdentity if the identity cannot be decoded, and with
+// errLostIdentity if there is a log without one.
 func (f folder) load() (stored identity, found bool, err error) {
 	if err := wal.MakeFolder(f.files, f.path); err != nil {
 		return identity{}, false, eris.Wrap(err, "make data folder")
 	}
-	if err := f.files.SyncDir(f.path); err != nil {
-		return identity{}, false, eris.Wrap(err, "sync data folder")
+	if err := f.completeInterrupted(); err != nil {
+		return identity{}, false, err
 	}
 	data, err := f.files.ReadFile(filepath.Join(f.path, identityFile))
 	if errors.Is(err, fs.ErrNotExist) {
-		return identity{}, false, nil
+		names, err := f.logFiles()
+		if err == nil && len(names) > 0 {
+			err = errLostIdentity
+		}
+		return identity{}, false, err
 	}
 	if err != nil {
 		return identity{}, false, eris.Wrap(err, "read identity")
@@ -125,17 +135,6 @@
 	return eris.Wrap(file.Close(), "close "+filepath.Base(name))
 }
 
-// clear removes the incarnation and the identity, then the log: a partly cleared folder counts
-// as empty. The incarnation goes first, so that it never stands for a member that had an id.
-func (f folder) clear() error {
-	for _, name := range []string{incarnationFile, identityFile} {
-		if err := f.remove(name); err != nil {
-			return err
-		}
-	}
-	return f.clearLog()
-}
-
 // remove removes a file durably, if it exists.
 func (f folder) remove(name string) error {
 	err := f.files.Remove(filepath.Join(f.path, name))
@@ -145,23 +144,6 @@
 	return eris.Wrap(f.files.SyncDir(f.path), "sync data folder")
 }
 
-// clearLog removes the log.
-func (f folder) clearLog() error {
-	names, err := f.files.ReadDir(f.logPath())
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return eris.Wrap(err, "read log folder")
-	}
-	for _, name := range names {
-		if err := f.files.Remove(filepath.Join(f.logPath(), name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return eris.Wrap(err, "remove log")
-		}
-	}
-	return eris.Wrap(f.files.SyncDir(f.logPath()), "sync log folder")
-}
-
 func newIncarnation() string {
 	random := make([]byte, incarnationBytes)
 	_, _ = rand.Read(random) // never returns an error
--- a/internal/app/group/member.go
+++ b/internal/app/group/member.go
@@ -111,6 +111,10 @@
 			}
 		case errors.Is(err, wal.ErrFull), errors.Is(err, syscall.ENOSPC):
 			m.config.Logger.Warn().Str(eventlog.Field, eventlog.DiskFull).Str("group", m.config.Name).Err(err).Msg("the disk is full; this member is stopped until there is space")
+			if m.stored.Load() != nil {
+				// A leader with a quorum gave the new id: the others have every committed entry.
+				m.removeSetAside(dir, "the disk is full")
+			}
 			select {
 			case <-time.After(diskFullRetryInterval):
 			case <-ctx.Done():
@@ -155,7 +159,14 @@
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	go m.watchRemoval(watchCtx, l, stored)
+	setAsideWatched := make(chan struct{})
+	go func() {
+		defer close(setAsideWatched)
+		m.watchSetAside(watchCtx, dir, stored.ID)
+	}()
 	err = l.run(ctx)
+	stopWatch()
+	<-setAsideWatched
 	m.current.Store(nil)
 	m.published.Store(nil)
 	return errors.Join(err, l.log.Close())
@@ -165,38 +176,32 @@
 // loop and identity.
 func (m *Member) open(ctx context.Context, dir folder) (*loop, identity, error) {
 	stored, found, err := dir.load()
-	if err != nil && !errors.Is(err, errDamagedIdentity) {
+	if err != nil && !isUnusable(err) {
 		return nil, identity{}, err
 	}
-	mayBootstrap := !found && err == nil && !m.hadID
-	m.hadID = true
-	var l *loop
 	if found {
 		m.stored.Store(&stored)
+		var l *loop
 		l, err = m.openExisting(dir, stored)
-		if err == nil || !isUnusableLog(err) {
+		if err == nil || !isUnusable(err) {
 			return l, stored, err
 		}
 	}
-	if err != nil {
-		m.config.Logger.Error().Str(eventlog.Field, eventlog.LogUnusable).Str("group", m.config.Name).Err(err).Msg("the folder is cleared; this member joins under a new id")
-	}
 	m.stored.Store(nil)
-	if mayBootstrap {
-		err = dir.clearLog() // the incarnation stays: the group may name this member by it
-	} else {
-		err = dir.clear()
-	}
 	if err != nil {
-		return nil, identity{}, err
+		if err := m.giveUp(dir, err); err != nil {
+			return nil, identity{}, err
+		}
 	}
+	mayBootstrap := err == nil && !m.hadID && !dir.hasSetAside()
+	m.hadID = true
 	return m.bootstrapOrJoin(ctx, dir, mayBootstrap)
 }
 
-// isUnusableLog reports whether the member must join again under a new id: it may have voted,
-// and its votes are lost.
-func isUnusableLog(err error) bool {
-	return errors.Is(err, wal.ErrMissing) || errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) || errors.Is(err, consensus.ErrInconsistent)
+// isUnusable reports whether the member must join again under a new id: it may have voted, and
+// its votes are lost. No loss of power explains such a folder.
+func isUnusable(err error) bool {
+	return errors.Is(err, errDamagedIdentity) || errors.Is(err, errLostIdentity) || errors.Is(err, wal.ErrMissing) || errors.Is(err, wal.ErrCorrupt) || errors.Is(err, wal.ErrForeign) || errors.Is(err, consensus.ErrInconsistent)
 }
 
 func (m *Member) openExisting(dir folder, stored identity) (*loop, error) {
