wal: a data folder below a read-only root is made

Operators would see: a member does not start since the parent of its mounted data folder is read-only, or on a file system that has no sync of folders.

Cause: internal/adapter/wal/filesystem.go, MakeFolder, always syncs the parent and tolerated a permission error alone.

Change: EROFS and EINVAL are tolerated as well. EIO and a full disk are not.

Evidence: TestFolderInForeignParentIsMade, in place of its case of one error, failed for EROFS and EINVAL before. A permission error is still in its table.

--- a/internal/adapter/wal/durability_test.go
+++ b/internal/adapter/wal/durability_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal"
@@ -234,23 +235,30 @@
 	}
 }
 
-// foreignParent is a file system on which this process may not sync one folder.
+// foreignParent is a file system on which the sync of one folder fails.
 type foreignParent struct {
 	*faultfs.FileSystem
 	parent string
+	err    error
 }
 
 func (f foreignParent) SyncDir(directory string) error {
 	if directory == f.parent {
-		return &fs.PathError{Op: "open", Path: directory, Err: fs.ErrPermission}
+		return &fs.PathError{Op: "sync", Path: directory, Err: f.err}
 	}
 	return f.FileSystem.SyncDir(directory)
 }
 
 // TestFolderInForeignParentIsMade guards against a member that does not start since the parent of
-// its data folder belongs to somebody else.
+// its data folder belongs to somebody else, and against one that relies on a folder after its
+// parent's sync has failed.
 func TestFolderInForeignParentIsMade(t *testing.T) {
-	if err := wal.MakeFolder(foreignParent{FileSystem: faultfs.New(1), parent: "/"}, folder); err != nil {
-		t.Error(err)
+	for err, tolerated := range map[error]bool{
+		syscall.EACCES: true, syscall.EROFS: true, syscall.EINVAL: true, syscall.EIO: false, syscall.ENOSPC: false,
+	} {
+		made := wal.MakeFolder(foreignParent{FileSystem: faultfs.New(1), parent: "/", err: err}, folder)
+		if (made == nil) != tolerated || !tolerated && !errors.Is(made, err) {
+			t.Errorf("sync of the parent failed with %v: MakeFolder returned %v", err, made)
+		}
 	}
 }
--- a/internal/adapter/wal/filesystem.go
+++ b/internal/adapter/wal/filesystem.go
@@ -44,7 +44,7 @@
 
 // MakeFolder makes a folder and its missing parents, durably. It makes a folder only once the
 // parent is durable, and always syncs the parent: a process may have ended after it made the
-// folder. A parent that this process may not sync belongs to somebody else, who made the folder.
+// folder. A parent that this process cannot sync belongs to somebody else, who made the folder.
 func MakeFolder(files FileSystem, directory string) error {
 	parent := filepath.Dir(directory)
 	if parent == directory {
@@ -58,12 +58,18 @@
 			return eris.Wrap(err, "make folder")
 		}
 	}
-	if err := files.SyncDir(parent); err != nil && !errors.Is(err, fs.ErrPermission) {
+	if err := files.SyncDir(parent); err != nil && !cannotSync(err) {
 		return eris.Wrap(err, "sync parent folder")
 	}
 	return nil
 }
 
+// cannotSync reports whether a folder cannot be synced by this process, or at all: the parent of a
+// mounted data folder may be read-only or of a file system without syncs of folders.
+func cannotSync(err error) bool {
+	return errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.EROFS) || errors.Is(err, syscall.EINVAL)
+}
+
 const (
 	filePermission   = 0o600
 	folderPermission = 0o700
