eventstream: the size of an event is bounded, not only that of its lines

A replica that sends lines of one event without ever ending it, as bytes without end may look, filled the memory of the store machine that ran the item there: Reader.Next (internal/adapter/eventstream) bounded a line by 1 MiB and collected any number of them.

MaxEventBytes, 1 MiB, now bounds the lines of an event together; comments are not kept and don't count. Beyond it Next returns ErrTooLong, the run ends as broken and the item goes on elsewhere. TestEventWithoutEndIsTooLong holds the same for the reader alone, where the old code reads for ever.

--- a/internal/adapter/eventstream/eventstream.go
+++ b/internal/adapter/eventstream/eventstream.go
@@ -12,14 +12,16 @@
 	"unicode/utf8"
 )
 
-// ErrTooLong reports a line above the size limit, ErrNotUTF8 an event that is not valid UTF-8.
+// Errors of Reader.Next.
 var (
-	ErrTooLong = errors.New("eventstream: line too long")
+	// ErrTooLong reports a line or an event above MaxEventBytes.
+	ErrTooLong = errors.New("eventstream: event too long")
+	// ErrNotUTF8 reports an event that is not valid UTF-8.
 	ErrNotUTF8 = errors.New("eventstream: event is not valid UTF-8")
 )
 
-// maxLineBytes limits one line.
-const maxLineBytes = 1 << 20
+// MaxEventBytes limits the lines of one event, without its comments.
+const MaxEventBytes = 1 << 20
 
 // Event is one event of the stream.
 type Event struct {
@@ -39,7 +41,7 @@
 // NewReader returns a reader of source; versionField names the field of a version.
 func NewReader(source io.Reader, versionField string) *Reader {
 	scanner := bufio.NewScanner(source)
-	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	scanner.Buffer(make([]byte, 0, 4096), MaxEventBytes)
 	return &Reader{scanner: scanner, versionField: strings.ToLower(versionField)}
 }
 
@@ -48,7 +50,7 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	var data []string
-	started := false
+	started, size := false, 0
 	for r.scanner.Scan() {
 		line := strings.TrimSuffix(r.scanner.Text(), "\r")
 		if line == "" {
@@ -65,6 +67,9 @@
 			continue
 		}
 		started = true
+		if size += len(line); size > MaxEventBytes {
+			return Event{}, ErrTooLong
+		}
 		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
--- a/internal/adapter/eventstream/eventstream_test.go
+++ b/internal/adapter/eventstream/eventstream_test.go
@@ -42,3 +42,32 @@
 		}
 	}
 }
+
+// repeated is a source that repeats a text without end and counts what was read of it.
+type repeated struct {
+	text string
+	read int
+}
+
+// Read implements io.Reader.
+func (r *repeated) Read(into []byte) (int, error) {
+	for i := range into {
+		into[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(into)
+	return len(into), nil
+}
+
+// TestEventWithoutEndIsTooLong guards against an event that takes ever more memory because the
+// source never ends it.
+func TestEventWithoutEndIsTooLong(t *testing.T) {
+	for name, text := range map[string]string{"one line": "data", "lines of data": "data: a\n", "lines of a field": "id: 1\n"} {
+		source := &repeated{text: text}
+		if _, err := eventstream.NewReader(source, "X-Version").Next(); !errors.Is(err, eventstream.ErrTooLong) {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		if limit := 3 * eventstream.MaxEventBytes; source.read > limit {
+			t.Errorf("%s: read %d bytes", name, source.read)
+		}
+	}
+}
