sitestore: only numbered events in order get into the text of an item

A replica that sends bytes without end that are no events of the item, such as lines of junk between empty lines, held the item for ever: each block counted as an event, went into the text, and reset the stall timer. An event that is repeated without end did the same (TestEventsThatDoNotFollowAreNoText). A block whose id can't be sent in a header left an item that no replica could be asked for any more, and an empty 200 of nobody's request was taken for a complete text.

Cause: eventstream.Reader.Next returned blocks without data as events, and runner.readEvents (internal/app/sitestore/run.go) didn't compare an event's id with that of the last one, although replicas number the events of an item and continue at the next number, nor did generateOnce ask for the item's id in the response.

Now a block without data is ErrNoData, an event that doesn't follow the last one ends the run as broken before it is added, and so does a 200 without the item's id. The replica is blocked as after any broken run and the item goes on elsewhere after its last event. A text that an earlier build left with an id that is no number starts over (TestUnnumberedTextStartsOver). Comments and empty lines still don't reset the stall timer.

--- a/internal/adapter/eventstream/eventstream.go
+++ b/internal/adapter/eventstream/eventstream.go
@@ -16,6 +16,8 @@
 var (
 	// ErrTooLong reports a line or an event above MaxEventBytes.
 	ErrTooLong = errors.New("eventstream: event too long")
+	// ErrNoData reports an event without data.
+	ErrNoData = errors.New("eventstream: event without data")
 	// ErrNotUTF8 reports an event that is not valid UTF-8.
 	ErrNotUTF8 = errors.New("eventstream: event is not valid UTF-8")
 )
@@ -57,6 +59,9 @@
 			if !started {
 				continue
 			}
+			if data == nil {
+				return Event{}, ErrNoData
+			}
 			event.Data = strings.Join(data, "\n")
 			if !utf8.ValidString(event.Data) || !utf8.ValidString(event.ID) {
 				return Event{}, ErrNotUTF8
--- a/internal/adapter/eventstream/eventstream_test.go
+++ b/internal/adapter/eventstream/eventstream_test.go
@@ -25,6 +25,9 @@
 		"data not UTF-8":   {"id: 1\ndata: a\n\nid: 2\ndata: b\xff\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNotUTF8},
 		"id not UTF-8":     {"id: 1\ndata: a\n\nid: \xff\ndata: b\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNotUTF8},
 		"empty":            {"", nil, io.EOF},
+		"empty data":       {"id: 1\ndata:\n\n", []eventstream.Event{{ID: "1"}}, io.EOF},
+		"no data":          {"id: 1\ndata: a\n\nid: 2\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNoData},
+		"no field":         {"id: 1\ndata: a\n\njunk\n\n", []eventstream.Event{{ID: "1", Data: "a"}}, eventstream.ErrNoData},
 		"data with colon":  {"id: 1\ndata: a: b\n\n", []eventstream.Event{{ID: "1", Data: "a: b"}}, io.EOF},
 	} {
 		reader := eventstream.NewReader(strings.NewReader(row.text), "X-Version")
--- a/internal/app/sitestore/endless_test.go
+++ b/internal/app/sitestore/endless_test.go
@@ -41,6 +41,92 @@
 	return r.generateOnce(ctx, item, sitestate.Replica{ID: "r", Address: server.Address()})
 }
 
+// endlessRuns returns answers of which no byte belongs to an event of the item.
+func endlessRuns() map[string]testkit.EndlessAnswer {
+	const head = "HTTP/1.1 200 OK\r\nId: {id}\r\n"
+	rows := testkit.EndlessHeads()
+	for name, answer := range testkit.EndlessBodies(head) {
+		rows[name] = answer
+	}
+	for name, answer := range testkit.EndlessBodies("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: {id}\r\n") {
+		rows["refusal, "+name] = answer
+	}
+	rows["response without an id"] = testkit.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: "id: 1\ndata: a\n\n"}
+	rows["empty response without an id"] = testkit.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Repeat: "b"}
+	for name, text := range map[string]string{
+		"line":                       "data: a",
+		"event of many lines":        "data: a\n",
+		"event of many fields":       "id: 1\n",
+		"comments":                   ": alive\n",
+		"comments as events":         ": alive\n\n",
+		"empty lines":                "\n",
+		"events without data":        "id: 1\n\n",
+		"events of unknown fields":   "junk\n\n",
+		"events without an id":       "data: a\n\n",
+		"events with an id of bytes": "id: \x01\ndata: a\n\n",
+	} {
+		rows["stream, "+name] = testkit.EndlessAnswer{Start: head + "Content-Type: text/event-stream\r\n\r\n", Repeat: text}
+	}
+	return rows
+}
+
+// TestRunLeavesReplicaThatSendsNoEvents guards against an item that stays at a replica, gets into
+// its text what is no event, or takes ever more memory, while the replica sends bytes without end.
+func TestRunLeavesReplicaThatSendsNoEvents(t *testing.T) {
+	for name, answer := range testkit.Dripped(endlessRuns()) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := testkit.NewEndlessServer(t, "Id", func(int) testkit.EndlessAnswer { return answer })
+			item := &itemState{key: jobqueue.Key{Job: "j"}, spec: jobstate.Item{ID: "item", Path: "/x"}}
+			started := time.Now()
+			event := generateAt(t, server, item)
+			if took := time.Since(started); took > endlessRunLimit {
+				t.Errorf("the run took %v", took)
+			}
+			if event.kind != runBroken && event.kind != runRejected {
+				t.Errorf("the run ended as %v: %s", event.kind, event.reason)
+			}
+			if item.events != 0 || len(item.text) != 0 || item.lastEvent != "" || item.complete {
+				t.Errorf("%d events, %d in the text, last %q, complete %v", item.events, len(item.text), item.lastEvent, item.complete)
+			}
+			server.AwaitClosed(t, endlessRunLimit)
+		})
+	}
+}
+
+// TestEventsThatDoNotFollowAreNoText guards against an event that is repeated without end, or was
+// sent before, and gets into the text of an item again.
+func TestEventsThatDoNotFollowAreNoText(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: {id}\r\n\r\n"
+	server := testkit.NewEndlessServer(t, "Id", func(int) testkit.EndlessAnswer {
+		return testkit.EndlessAnswer{Start: head + "id: 3\ndata: c\n\n", Repeat: "id: 3\ndata: c\n\n"}
+	})
+	item := &itemState{key: jobqueue.Key{Job: "j"}, spec: jobstate.Item{ID: "item", Path: "/x"}, events: 2, logged: 2, lastEvent: "2"}
+	if event := generateAt(t, server, item); event.kind != runBroken {
+		t.Errorf("the run ended as %v: %s", event.kind, event.reason)
+	}
+	if item.events != 3 || len(item.text) != 1 || item.lastEvent != "3" {
+		t.Errorf("%d events, text %q, last %q", item.events, item.text, item.lastEvent)
+	}
+}
+
+// TestUnnumberedTextStartsOver guards against an item that no replica can continue, because an
+// earlier build took the id of bytes that were no event for that of its last event.
+func TestUnnumberedTextStartsOver(t *testing.T) {
+	for _, last := range []string{"", "\x01", "junk"} {
+		server := testkit.NewEndlessServer(t, "Id", func(int) testkit.EndlessAnswer {
+			return testkit.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n"}
+		})
+		item := &itemState{key: jobqueue.Key{Job: "j"}, spec: jobstate.Item{ID: "item", Path: "/x"}, events: 2, logged: 2, lastEvent: last}
+		if event := generateAt(t, server, item); event.kind != runComplete {
+			t.Errorf("last event %q: the run ended as %v: %s", last, event.kind, event.reason)
+		}
+		if item.events != 1 || !item.reset || item.lastEvent != "1" {
+			t.Errorf("last event %q: %d events, reset %v, last %q", last, item.events, item.reset, item.lastEvent)
+		}
+	}
+}
+
 // TestRunKeepsBoundedMemory guards against a run that keeps in memory whatever a replica sends
 // until the run counts as stalled.
 func TestRunKeepsBoundedMemory(t *testing.T) {
--- a/internal/app/sitestore/itemstate.go
+++ b/internal/app/sitestore/itemstate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,34 @@
 	return s.lastEvent
 }
 
+// follows reports whether id is that of the event after the last one. Replicas number the events
+// of an item; without a last event any number is valid.
+func (s *itemState) follows(id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.events == 0 {
+		return true
+	}
+	last, err := strconv.ParseUint(s.lastEvent, 10, 64)
+	return err == nil && number == last+1
+}
+
+// resumable reports whether a replica can continue the text, since the last event has a number.
+// The log may have texts of earlier builds, which did not check it.
+func (s *itemState) resumable() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.events == 0 {
+		return true
+	}
+	_, err := strconv.ParseUint(s.lastEvent, 10, 64)
+	return err == nil
+}
+
 // add appends an event of a weight version. It returns false if the job does not allow that
 // version, or does not allow several and the text has another.
 func (s *itemState) add(data, id string, version uint64) bool {
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -116,6 +116,9 @@
 	if item.tenant != "" {
 		header.Set(headers.Tenant, item.tenant)
 	}
+	if !item.resumable() {
+		item.startOver()
+	}
 	if last := item.lastEventID(); last != "" {
 		header.Set(headers.LastEventID, last)
 	}
@@ -133,6 +136,9 @@
 		event.responded = true
 		return event
 	}
+	if response.Header.Get(headers.RequestID) == "" {
+		return runEvent{kind: runBroken, reason: "a response without the item's id"}
+	}
 	version, err := strconv.ParseUint(response.Header.Get(headers.WeightVersion), 10, 64)
 	if err != nil {
 		version = replica.VersionOf(item.model)
@@ -186,6 +192,10 @@
 		if err != nil {
 			return runEvent{kind: runBroken, reason: err.Error(), version: version, pause: pauses.mean(), crashed: httpcall.IsConnectionClosed(err)}
 		}
+		if !item.follows(event.ID) {
+			reason := "event " + strconv.Quote(event.ID) + " does not follow event " + strconv.Quote(item.lastEventID())
+			return runEvent{kind: runBroken, reason: reason, version: version, pause: pauses.mean()}
+		}
 		stall.Reset(stallTimeout)
 		if event.Version != 0 {
 			version = event.Version
