sitestore: a run reads no faster than the log takes its text, and ends with a text too long

A replica that sends numbered events without end filled the memory of the store machine, and ended the runs of all items of the shard: runner.readEvents added to the item whatever arrived, runner.collect put the whole text of an item into one record and counted its data alone, and a record above consensus.MaxEntryBytes (4 MiB) is refused, upon which handleCommit stops the leadership. So one such replica, or one fast enough, stopped the shard again and again.

A run now waits while 1 MiB (maxPendingBytes) of its item's text isn't committed, and TCP's window makes the replica wait; sizes count each event's share of the record. A record holds at most 1 MiB, the pending text of one more item and one event. A text of more than 8 MiB (maxRunBytes) in one run is no text of an item: the run ends as broken, the text starts over, and the item goes on elsewhere.

TestEndlessTextFitsTheLog runs four such items.

--- a/internal/app/sitestore/endless_test.go
+++ b/internal/app/sitestore/endless_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/eventstream"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/core/consensus"
 	"github.com/loomgrade/loomgrade/internal/core/jobqueue"
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
@@ -154,3 +157,62 @@
 		})
 	}
 }
+
+// endlessEvents is the body of a stream of numbered events that does not end.
+type endlessEvents struct {
+	data string
+	next int
+	rest string
+}
+
+// Read implements io.Reader.
+func (e *endlessEvents) Read(into []byte) (int, error) {
+	if e.rest == "" {
+		e.next++
+		e.rest = fmt.Sprintf("id: %d\ndata: %s\n\n", e.next, e.data)
+	}
+	count := copy(into, e.rest)
+	e.rest = e.rest[count:]
+	return count, nil
+}
+
+// TestEndlessTextFitsTheLog guards against a run without end whose text grows faster than the log
+// takes it: a record above the limit of an entry ends the runs of all items of the shard.
+func TestEndlessTextFitsTheLog(t *testing.T) {
+	for name, data := range map[string]string{
+		"empty events": "", "short events": "a", "long events": strings.Repeat("a", 100<<10), "longest events": strings.Repeat("a", eventstream.MaxEventBytes-100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRunner()
+			r.store.config.Dialect = runDialect{}
+			const items = 4
+			ended := make(chan runEvent, items)
+			for i := range items {
+				item := newItemState(&jobstate.Job{Items: make([]jobstate.ItemState, items)}, i, 0, jobqueue.Rank{}, testTime)
+				item.key.Item = i
+				r.items[item.key] = item
+				stall := time.NewTimer(time.Hour)
+				go func() { ended <- r.readEvents(t.Context(), item, &endlessEvents{data: data}, stall, 1) }()
+			}
+			for running := items; running > 0; {
+				select {
+				case event := <-ended:
+					running--
+					if event.kind != runBroken {
+						t.Errorf("a run ended as %v: %s", event.kind, event.reason)
+					}
+				case <-time.After(10 * time.Millisecond):
+				}
+				encoded, err := jobstate.Command{Record: new(r.collect(true))}.Encode()
+				if err != nil || len(encoded) > consensus.MaxEntryBytes {
+					t.Fatalf("a record of %d bytes, %v", len(encoded), err)
+				}
+			}
+			for _, item := range r.items {
+				if item.events != 0 || item.lastEvent != "" {
+					t.Errorf("%d events are left", item.events)
+				}
+			}
+		})
+	}
+}
--- a/internal/app/sitestore/itemstate.go
+++ b/internal/app/sitestore/itemstate.go
@@ -76,7 +76,10 @@
 	logged int
 	reset  bool
 	// text is the data of the events that are not in the log.
-	text        []string
+	text []string
+	// pending is the size of text; taken receives a value whenever it becomes 0.
+	pending     int
+	taken       chan struct{}
 	newFailures int
 	newCrashes  int
 	result      jobstate.Result
@@ -91,7 +94,46 @@
 		minVersion: job.Submission.MinVersion, oneVersion: job.Submission.OneVersion, model: job.Submission.Model,
 		spec: item.Item, rank: rank, accepted: accepted, idleSince: accepted, longest: longest,
 		events: item.Events, logged: item.Events, lastEvent: item.LastEvent, versions: item.Versions,
-		complete: item.Complete, failures: item.Failures, earlierCrashes: item.Crashes,
+		complete: item.Complete, failures: item.Failures, earlierCrashes: item.Crashes, taken: make(chan struct{}, 1),
+	}
+}
+
+const (
+	// maxPendingBytes is the size of the uncommitted text from which on a run reads no further
+	// event, so that a record fits into an entry of the log.
+	maxPendingBytes = 1 << 20
+	// eventOverheadBytes is added to the size of each event's data; it exceeds what an encoded
+	// record takes for an event.
+	eventOverheadBytes = 8
+)
+
+// textBytes returns the size of an event in a record.
+func textBytes(data string) int { return len(data) + eventOverheadBytes }
+
+// awaitRecord blocks while too much text is uncommitted. It returns an error if ctx ends first.
+func (s *itemState) awaitRecord(ctx context.Context) error {
+	for s.pendingBytes() > maxPendingBytes {
+		select {
+		case <-s.taken:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *itemState) pendingBytes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.pending
+}
+
+// clearPending resets the size of the uncommitted text. The caller must hold s.mutex.
+func (s *itemState) clearPending() {
+	s.pending = 0
+	select {
+	case s.taken <- struct{}{}:
+	default:
 	}
 }
 
@@ -161,6 +203,7 @@
 		s.versions = slices.Sorted(slices.Values(append(slices.Clone(s.versions), version)))
 	}
 	s.text = append(s.text, data)
+	s.pending += textBytes(data)
 	s.events++
 	s.lastEvent = id
 	return true
@@ -172,6 +215,7 @@
 	defer s.mutex.Unlock()
 	s.events, s.logged, s.lastEvent, s.versions, s.text, s.complete = 0, 0, "", nil, nil, false
 	s.reset = true
+	s.clearPending()
 }
 
 func (s *itemState) setComplete() {
@@ -249,6 +293,7 @@
 		Versions: s.versions, Complete: s.complete, Failures: s.newFailures, Crashes: s.newCrashes, Result: s.result, Score: s.score,
 	}
 	s.logged, s.text, s.newFailures, s.newCrashes, s.reset = s.events, nil, 0, 0, false
+	s.clearPending()
 	return record, true
 }
 
--- a/internal/app/sitestore/outcome.go
+++ b/internal/app/sitestore/outcome.go
@@ -176,7 +176,7 @@
 		if dirty {
 			record.Items = append(record.Items, committed)
 			for _, text := range committed.Text {
-				bytes += len(text)
+				bytes += textBytes(text)
 			}
 		}
 		if finished {
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -27,6 +27,8 @@
 	// stallTimeout is the time without an event after which a run is aborted. It exceeds
 	// the pause for a load of weights.
 	stallTimeout = 2500 * time.Millisecond
+	// maxRunBytes limits the text of one run.
+	maxRunBytes = 8 << 20
 	// rejectedPause and brokenPause block a replica after a rejected or broken-off run.
 	rejectedPause = 60 * time.Millisecond
 	brokenPause   = 400 * time.Millisecond
@@ -146,7 +148,7 @@
 	if version < item.minVersion {
 		return runEvent{kind: runWrongVersion, version: version, reason: "weights are older than the job allows", responded: true}
 	}
-	event := r.readEvents(item, response.Body, stall, version)
+	event := r.readEvents(ctx, item, response.Body, stall, version)
 	event.responded = true
 	return event
 }
@@ -180,10 +182,14 @@
 const maxRefusalBytes = 16 << 10
 
 // readEvents reads the events of a run.
-func (r *runner) readEvents(item *itemState, body io.Reader, stall *time.Timer, version uint64) runEvent {
+func (r *runner) readEvents(ctx context.Context, item *itemState, body io.Reader, stall *time.Timer, version uint64) runEvent {
 	events := eventstream.NewReader(body, r.store.config.Dialect.Headers().WeightVersion)
 	var pauses pauseMeter
+	received := 0
 	for {
+		if err := item.awaitRecord(ctx); err != nil {
+			return runEvent{kind: runBroken, reason: "the text was not committed in time", version: version, pause: pauses.mean()}
+		}
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			item.setComplete()
@@ -196,6 +202,10 @@
 			reason := "event " + strconv.Quote(event.ID) + " does not follow event " + strconv.Quote(item.lastEventID())
 			return runEvent{kind: runBroken, reason: reason, version: version, pause: pauses.mean()}
 		}
+		if received += textBytes(event.Data); received > maxRunBytes {
+			item.startOver()
+			return runEvent{kind: runBroken, reason: "the text is longer than " + strconv.Itoa(maxRunBytes) + " bytes", version: version}
+		}
 		stall.Reset(stallTimeout)
 		if event.Version != 0 {
 			version = event.Version
