front: an event of a stream that can resume is bounded

A front collects an event of a resumable stream before it forwards it, so that the stream can go on elsewhere after any event. eventCopier.copyEvents (internal/app/front/stream.go) read lines with bufio.Reader.ReadBytes and collected them without a limit: a replica that sends bytes without an end of line, or lines without an empty one, filled the front's memory until the route's timeout.

maxStreamEventBytes, 1 MiB, bounds an event with its comments. Beyond it the stream counts as broken off: it resumes at another replica after the last whole event while the route's attempts last, and otherwise the caller's connection is aborted. No part of the event reaches the caller. A stream of any length, and an event of just that size, is copied whole (TestLongStreamIsCopiedWhole). Streams that can't resume are forwarded as they come and were never collected.

--- a/internal/app/front/stream.go
+++ b/internal/app/front/stream.go
@@ -13,7 +13,11 @@
 	"github.com/loomgrade/loomgrade/internal/core/routing"
 )
 
-const streamBufferBytes = 16 << 10
+const (
+	streamBufferBytes = 16 << 10
+	// maxStreamEventBytes limits one event of a stream that can resume.
+	maxStreamEventBytes = 1 << 20
+)
 
 // stream forwards a streamed answer. If it breaks off and the route allows it, the stream
 // resumes at another replica, under the header of the first; otherwise stream aborts the
@@ -70,8 +74,12 @@
 	}
 }
 
-// errCallerGone reports that the caller accepts no more data.
-var errCallerGone = errors.New("front: caller disconnected")
+var (
+	// errCallerGone reports that the caller accepts no more data.
+	errCallerGone = errors.New("front: caller disconnected")
+	// errEventTooLong reports an event above maxStreamEventBytes.
+	errEventTooLong = errors.New("front: event too long")
+)
 
 // eventCopier copies complete events, so that a stream can resume after any of them.
 type eventCopier struct {
@@ -89,14 +97,14 @@
 	var event bytes.Buffer
 	id := ""
 	for {
-		line, err := reader.ReadBytes('\n')
-		event.Write(line)
-		if err != nil {
+		start := event.Len()
+		if err := appendLine(&event, reader); err != nil {
 			if errors.Is(err, io.EOF) && event.Len() == 0 {
 				return nil
 			}
 			return errors.Join(io.ErrUnexpectedEOF, err)
 		}
+		line := event.Bytes()[start:]
 		content := bytes.TrimRight(line, "\r\n")
 		if name, value, found := bytes.Cut(content, []byte(":")); found && string(name) == "id" {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
@@ -114,3 +122,18 @@
 		}
 	}
 }
+
+// appendLine appends the next line of a stream to its event, which may not exceed
+// maxStreamEventBytes.
+func appendLine(event *bytes.Buffer, reader *bufio.Reader) error {
+	for {
+		part, err := reader.ReadSlice('\n')
+		if event.Len()+len(part) > maxStreamEventBytes {
+			return errEventTooLong
+		}
+		event.Write(part)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
