httpcall: an answer that switches protocols is no answer

Its body is the bare connection, which the end of the call's context doesn't close: a client that reads it outlives its deadline (row 'switch of protocols, byte by byte' of TestEndlessAnswerIsCutOff hung on the code before until it was ended by hand after ten minutes).

Client.Send now refuses it as malformed, may-have-run, and closes its connection, for all clients; appclient's own check goes.

--- a/internal/adapter/appclient/client.go
+++ b/internal/adapter/appclient/client.go
@@ -52,10 +52,6 @@
 	if httpcall.RefusedAsNotRun(response) {
 		return port.ApplicationResponse{}, httpcall.ParseError(response)
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		_ = response.Body.Close()
-		return port.ApplicationResponse{}, httpcall.Malformed("answer switches protocols")
-	}
 	body, err := httpcall.ReadBody(response, c.answerBytes)
 	if err != nil {
 		return port.ApplicationResponse{}, err
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -216,6 +216,10 @@
 		attempt.closeConnections() // further data on them belongs to no request
 		return nil, err
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return nil, Malformed("answer switches protocols")
+	}
 	attempt.recordKeepAlive(response)
 	return response, nil
 }
--- a/internal/adapter/httpcall/endless_test.go
+++ b/internal/adapter/httpcall/endless_test.go
@@ -48,6 +48,10 @@
 	for name, answer := range testkit.EndlessBodies("HTTP/1.1 200 OK\r\n" + api.HeaderRequestID + ": {id}\r\n") {
 		rows[name] = answer
 	}
+	rows["switch of protocols"] = testkit.EndlessAnswer{
+		Start:  "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + api.HeaderRequestID + ": {id}\r\n\r\n",
+		Repeat: "b",
+	}
 	for name, answer := range testkit.Dripped(rows) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -82,10 +82,15 @@
 // newTestProxy returns a Proxy whose service "s" has two replicas at one address. suspended
 // is how long its machine was suspended, in nanoseconds.
 func newTestProxy(address string, suspended *atomic.Int64) *Proxy {
+	return newTestProxyOf(address, 1, suspended)
+}
+
+// newTestProxyOf returns the like of newTestProxy with a number of connections to the address.
+func newTestProxyOf(address string, connections int, suspended *atomic.Int64) *Proxy {
 	replicas := []sitestate.Replica{{ID: "a", Address: address}, {ID: "b", Address: address}}
 	view := &siteview.View{View: &sitestate.View{ByService: map[string]sitestate.ReplicaList{"s": sitestate.ListOf(replicas...)}}}
 	return New(Config{
-		Dialect: testDialect{}, Connections: 1, View: func() *siteview.View { return view },
+		Dialect: testDialect{}, Connections: connections, View: func() *siteview.View { return view },
 		Logger: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
 		Clock:  func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) },
 	})
