httpcall: the body of an answer that its head decides is not awaited

A replica that refuses a request as not run, and whose refusal's body then comes byte by byte without end, held the request to its deadline: the caller got a 503 after its whole time although another replica had room. The same wait held an item for 2.5 s, an order, and a report of usage to the provider for as long as its call may take; for the report of usage nothing of the deadline was left to record that the window was reported, so that it would be reported again and again. The code limited the bytes that it read of such a body (proxy.receive, runner.classifyResponse, replicacall.drain, provider.call, and httpcall.fillFromBody for the body of an error), and not the time.

Status and verdict come from the head as before.

Heads without end and reports hold without a change (TestReportWithoutEndFails, TestHeadWithoutEndFails).

--- a/internal/adapter/httpcall/answer.go
+++ b/internal/adapter/httpcall/answer.go
@@ -122,6 +122,7 @@
 }
 
 func fillFromBody(failure *port.Error, response *http.Response) {
+	defer closeAfter(response, errorBodyTimeout).Stop()
 	body, err := ReadBody(response, errorBodyLimit)
 	if err != nil {
 		return
--- a/internal/adapter/httpcall/endless_test.go
+++ b/internal/adapter/httpcall/endless_test.go
@@ -115,3 +115,36 @@
 		})
 	}
 }
+
+// TestErrorBodyWithoutEndIsNotAwaited guards against a refusal that is returned only at the
+// deadline of its call, too late for another try, because its body does not end.
+func TestErrorBodyWithoutEndIsNotAwaited(t *testing.T) {
+	head := "HTTP/1.1 503 No\r\n" + api.HeaderRequestID + ": {id}\r\n" + api.HeaderVerdict + ": " + port.NotRun.String() + "\r\n"
+	for name, answer := range testkit.Dripped(testkit.EndlessBodies(head)) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := testkit.NewEndlessServer(t, api.HeaderRequestID, func(int) testkit.EndlessAnswer { return answer })
+			client := httpcall.New(httpcall.Limits{Connections: 1})
+			defer client.Close()
+			request, err := httpcall.NewRequest(t.Context(), http.MethodPost, "http://"+server.Address()+"/", "1", nil, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := client.Send(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			refused := make(chan error, 1)
+			go func() { refused <- httpcall.ParseError(response) }()
+			select {
+			case err := <-refused:
+				if port.AsError(err).Verdict != port.NotRun {
+					t.Errorf("refused with %v", err)
+				}
+			case <-time.After(closeLimit):
+				t.Error("the refusal is not returned")
+			}
+			server.AwaitClosed(t, closeLimit)
+		})
+	}
+}
--- a/internal/adapter/provider/provider.go
+++ b/internal/adapter/provider/provider.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,8 +21,6 @@
 	ackTimeout = 1500 * time.Millisecond
 	// idleTimeout closes idle connections between two reporting windows.
 	idleTimeout = 2 * time.Second
-	// maxAnswerBytes limits the part of a response that is read.
-	maxAnswerBytes = 64 << 10
 )
 
 // Client calls the provider. It is safe for concurrent use.
@@ -65,6 +62,6 @@
 	if err != nil {
 		return 0, err
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
-	return response.StatusCode, response.Body.Close()
+	httpcall.Drain(response)
+	return response.StatusCode, nil
 }
--- a/internal/app/proxy/endless_test.go
+++ b/internal/app/proxy/endless_test.go
@@ -97,6 +97,34 @@
 	}
 }
 
+// TestRefusalWithoutEndIsARefusal guards against a request that waits for the end of a refusal's
+// body until its deadline instead of going to another replica.
+func TestRefusalWithoutEndIsARefusal(t *testing.T) {
+	rows := testkit.EndlessBodies("HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\n")
+	for name, answer := range testkit.EndlessBodies("HTTP/1.1 421 No\r\nId: {id}\r\n") {
+		rows["another instance, "+name] = answer
+	}
+	for name, refusal := range testkit.Dripped(rows) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := testkit.NewEndlessServer(t, "Id", func(request int) testkit.EndlessAnswer {
+				if request == 0 {
+					return refusal
+				}
+				return testkit.EndlessAnswer{Start: successHead + "Content-Length: 1\r\n\r\n."}
+			})
+			sender := newTestProxy(server.Address(), new(atomic.Int64))
+			answer, failure := doEndless(t, sender, Request{Request: replicacall.Request{ID: "1"}})
+			if failure != nil || answer.Status != http.StatusOK {
+				t.Errorf("answered %v, failure %v", answer != nil, failure)
+			}
+			if sent := server.Sent(); sent > testkit.EndlessLimit {
+				t.Errorf("the replica sent %d bytes", sent)
+			}
+		})
+	}
+}
+
 // TestEndlessAnswerIsTriedElsewhere guards against an idempotent request that waits for a head
 // without end although another replica has room.
 func TestEndlessAnswerIsTriedElsewhere(t *testing.T) {
--- a/internal/app/proxy/try.go
+++ b/internal/app/proxy/try.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
@@ -119,8 +120,7 @@
 func (e *exchange) receive(replica sitestate.Replica, response *http.Response) result {
 	e.proxy.recordLoad(replica.ID, response.Header)
 	if e.proxy.client.RefusedAsNotRun(response) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-		_ = response.Body.Close()
+		httpcall.Drain(response)
 		return result{
 			class: classRefused, reason: errors.New("refused with status " + http.StatusText(response.StatusCode)),
 			misdirected: response.StatusCode == http.StatusMisdirectedRequest,
@@ -165,6 +165,3 @@
 	io.Reader
 	io.Closer
 }
-
-// maxRefusalBytes limits how much of a refusal's body is read to reuse its connection.
-const maxRefusalBytes = 16 << 10
--- a/internal/app/replicacall/replicacall.go
+++ b/internal/app/replicacall/replicacall.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer drain(response)
+	defer httpcall.Drain(response)
 	return response.StatusCode, nil
 }
 
@@ -125,7 +125,7 @@
 	if err != nil {
 		return dialect.Report{}, err
 	}
-	defer drain(response)
+	defer httpcall.Drain(response)
 	if response.StatusCode != http.StatusOK {
 		return dialect.Report{}, httpcall.Malformed("report with status %d", response.StatusCode)
 	}
@@ -143,9 +143,3 @@
 	}
 	return c.Send(ctx, replica, Request{Method: call.Method, Target: call.Path, Header: header, Body: call.Body, NoDeadline: true})
 }
-
-// drain reads the rest of the body and closes it, so that the connection can be reused.
-func drain(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReportBytes))
-	_ = response.Body.Close()
-}
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -166,7 +166,7 @@
 		return runEvent{}, false
 	}
 	reason := "status " + strconv.Itoa(status)
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+	httpcall.Drain(response)
 	switch {
 	case r.replica.RefusedAsNotRun(response):
 		return runEvent{kind: runRejected, reason: reason}, true
@@ -179,8 +179,6 @@
 	}
 }
 
-const maxRefusalBytes = 16 << 10
-
 // readEvents reads the events of a run.
 func (r *runner) readEvents(ctx context.Context, item *itemState, body io.Reader, stall *time.Timer, version uint64) runEvent {
 	events := eventstream.NewReader(body, r.store.config.Dialect.Headers().WeightVersion)
