replicacall: a report above its limit is refused

A report of which more than 256 KiB came was cut off there and decoded, so that a valid beginning followed by spaces without end counted as a whole report (row 'spaces after a report' of TestReportWithoutEndFails: a report instead of an error). Report now refuses it as malformed.

--- a/internal/app/replicacall/endless_test.go
+++ b/internal/app/replicacall/endless_test.go
@@ -27,6 +27,7 @@
 	for name, answer := range testkit.EndlessBodies("HTTP/1.1 200 OK\r\n") {
 		rows[name] = answer
 	}
+	rows["spaces after a report"] = testkit.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\n\r\n{}", Repeat: " "}
 	for name, answer := range testkit.Dripped(rows) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/app/replicacall/replicacall.go
+++ b/internal/app/replicacall/replicacall.go
@@ -129,10 +129,13 @@
 	if response.StatusCode != http.StatusOK {
 		return dialect.Report{}, httpcall.Malformed("report with status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
 	if err != nil {
 		return dialect.Report{}, eris.Wrap(err, "read report")
 	}
+	if len(body) > maxReportBytes {
+		return dialect.Report{}, httpcall.Malformed("report is longer than %d bytes", maxReportBytes)
+	}
 	return c.dialect.DecodeReport(body)
 }
 
