proxy, sitestore: a reward call keeps no body, and is scored by a whole answer

A store machine buffered the answer to a reward call, of which it needs the header alone, up to 64 MiB for each call and without a memory budget, so that replicas that send bodies without end could fill its memory. And an answer of more than 64 MiB comes back from Proxy.Do as a stream that has not ended: runner.scoreOnce (internal/app/sitestore/run.go) took its signature for the score of an answer that was never whole, and didn't close the stream.

Request.DiscardBody makes the proxy read an answer to its end without keeping it.

--- a/internal/app/proxy/endless_test.go
+++ b/internal/app/proxy/endless_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,3 +173,27 @@
 		})
 	}
 }
+
+// endlessHeapBytes limits what is allocated for an answer whose body is discarded.
+const endlessHeapBytes = 16 << 20
+
+// TestDiscardedAnswerTakesNoMemory guards against an answer of which only the header is used and
+// whose body fills the memory, or counts as complete although it did not end.
+func TestDiscardedAnswerTakesNoMemory(t *testing.T) {
+	for name, endless := range testkit.EndlessBodies(successHead) {
+		t.Run(name, func(t *testing.T) {
+			server := testkit.NewEndlessServer(t, "Id", func(int) testkit.EndlessAnswer { return endless })
+			sender := newTestProxy(server.Address(), new(atomic.Int64))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			answer, failure := doEndless(t, sender, Request{Request: replicacall.Request{ID: "1"}, DiscardBody: true})
+			runtime.ReadMemStats(&after)
+			if failure == nil || failure.Verdict != port.MayHaveRun {
+				t.Errorf("answered %v, failure %v", answer != nil, failure)
+			}
+			if allocated := after.TotalAlloc - before.TotalAlloc; allocated > endlessHeapBytes {
+				t.Errorf("%d bytes allocated", allocated)
+			}
+		})
+	}
+}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -144,6 +144,8 @@
 	// Owed requests belong to accepted work. The guard neither withholds them nor counts the
 	// crashes during them; their sender limits the rate of their retries.
 	Owed bool
+	// DiscardBody reads the answer's body to its end without keeping it.
+	DiscardBody bool
 }
 
 // fingerprint returns a hash that is the same for equivalent requests.
--- a/internal/app/proxy/try.go
+++ b/internal/app/proxy/try.go
@@ -136,6 +136,10 @@
 		answer.Stream = response
 		return result{class: classAnswer, answer: answer}
 	}
+	if e.request.DiscardBody {
+		_, err := io.Copy(io.Discard, response.Body)
+		return finished(response, answer, err)
+	}
 	var rest io.Reader
 	var complete bool
 	var err error
@@ -148,6 +152,11 @@
 		answer.Stream = response
 		return result{class: classAnswer, answer: answer}
 	}
+	return finished(response, answer, err)
+}
+
+// finished returns the result of a try whose body was read with err.
+func finished(response *http.Response, answer *Answer, err error) result {
 	_ = response.Body.Close()
 	switch {
 	case err != nil:
--- a/internal/app/sitestore/run.go
+++ b/internal/app/sitestore/run.go
@@ -304,7 +304,7 @@
 		Request: replicacall.Request{Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, ID: scorer.ID, Body: scorer.Body},
 		Service: service, Route: route.Name, Repeatable: true, MaxAttempts: 1, Owed: true,
 		Priority: proxy.PriorityOf(route, nil), Traffic: admission.RewardTraffic,
-		AllowedRegions: routing.AllowedRegionsOf(route, nil),
+		AllowedRegions: routing.AllowedRegionsOf(route, nil), DiscardBody: true, // the score is in the header
 	})
 	return answer, max(1, route.MaxAttempts), failure
 }
--- /dev/null
+++ b/test/site/endless_test.go
@@ -0,0 +1,124 @@
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/testkit"
+	"github.com/loomgrade/loomgrade/test/sitestandin"
+)
+
+// successHead is the head of a replica's success, without its length.
+var successHead = "HTTP/1.1 200 OK\r\n" + sitestandin.Headers.RequestID + ": {id}\r\n" + sitestandin.Headers.Signature + ": seal-" + testkit.Placeholder + "\r\n"
+
+// addEndless adds a replica that gives one answer to every request.
+func (s *site) addEndless(id, service string, models []string, answer func(request int) testkit.EndlessAnswer) *testkit.EndlessServer {
+	server := testkit.NewEndlessServer(s.t, sitestandin.Headers.RequestID, answer)
+	replica := sitestandin.NewEngine(s.t, id, service, models...)
+	replica.ExternalAddress = server.Address()
+	s.add(replica)
+	return server
+}
+
+// TestItemsLeaveReplicaWithoutEnd guards against items that are held, or whose text is damaged, by
+// a replica that sends bytes without end.
+func TestItemsLeaveReplicaWithoutEnd(t *testing.T) {
+	for name, answer := range map[string]testkit.EndlessAnswer{
+		"header line":              {Start: "HTTP/1.1 200 OK\r\nX-Long: ", Repeat: "a"},
+		"interim responses, drips": {Repeat: "HTTP/1.1 100 Continue\r\n\r\n", Drip: true},
+		"junk":                     {Start: successHead + "\r\n", Repeat: "junk\n\n"},
+		"junk, drips":              {Start: successHead + "\r\n", Repeat: "junk\n\n", Drip: true},
+		"an event without end":     {Start: successHead + "\r\n", Repeat: "data: a\n"},
+		"one event again":          {Start: successHead + "\r\n", Repeat: "id: 1\ndata: {id}-1\n\n"},
+		"comments":                 {Start: successHead + "\r\n", Repeat: ": alive\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _, engine := startServingSite(t)
+			server := s.addEndless("i-endless", lm, engine.Models, func(int) testkit.EndlessAnswer { return answer })
+			var items []string
+			for i := range 2 * sitestandin.Slots {
+				items = append(items, fmt.Sprint("item-", i))
+			}
+			s.submit("job-1", job(1, items...))
+			for _, result := range s.readAll("job-1").Results {
+				if result.State != "completed" || result.Text != sitestandin.CompleteText(result.ID, engine.Events) {
+					t.Errorf("%s: %s, %d bytes of text", result.ID, result.State, len(result.Text))
+				}
+			}
+			if server.Requests() == 0 {
+				t.Error("no item was at the replica")
+			}
+			if sent := server.Sent(); sent > testkit.EndlessLimit && !strings.HasPrefix(answer.Repeat, ":") {
+				t.Errorf("the replica sent %d bytes", sent)
+			}
+		})
+	}
+}
+
+// TestScoreOfAnswerWithoutEnd guards against a reward that is taken from the head of an answer
+// whose body does not end, and against a store machine that keeps such a body.
+func TestScoreOfAnswerWithoutEnd(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.toleratedLosses = 0
+	s.start()
+	s.configure()
+	s.add(sitestandin.NewEngine(t, "i-lm", lm, model))
+	server := s.addEndless("i-plain", plain, nil, func(request int) testkit.EndlessAnswer {
+		if request == 0 {
+			return testkit.EndlessAnswer{Start: strings.ReplaceAll(successHead, "seal-", "unfinished-") + "\r\n", Repeat: "b"}
+		}
+		return testkit.EndlessAnswer{Start: successHead + "Content-Length: 1\r\n\r\n."}
+	})
+	s.submit("job-1", job(1, "item-1"))
+	for _, result := range s.readAll("job-1").Results {
+		if result.State != "completed" || result.Score != "seal-score-item-1" {
+			t.Errorf("%+v", result)
+		}
+	}
+	if server.Requests() < 2 {
+		t.Errorf("%d reward calls", server.Requests())
+	}
+}
+
+// TestCallersAreServedBesideReplicaWithoutEnd guards against a front that no longer answers in
+// time, or gives a request the bytes of another, while a replica sends bytes without end.
+func TestCallersAreServedBesideReplicaWithoutEnd(t *testing.T) {
+	const timeout, margin = 3 * time.Second, time.Second // of a call
+	refusal := "HTTP/1.1 503 No\r\n" + sitestandin.Headers.NotRun + ": 1\r\n\r\n"
+	for name, row := range map[string]struct {
+		answer testkit.EndlessAnswer
+		status int
+	}{
+		"header line":              {testkit.EndlessAnswer{Start: "HTTP/1.1 200 OK\r\nX-Long: ", Repeat: "a"}, http.StatusBadGateway},
+		"interim responses, drips": {testkit.EndlessAnswer{Repeat: "HTTP/1.1 100 Continue\r\n\r\n", Drip: true}, http.StatusGatewayTimeout},
+		"refusal":                  {testkit.EndlessAnswer{Start: refusal, Repeat: "b"}, http.StatusServiceUnavailable},
+		"refusal, drips":           {testkit.EndlessAnswer{Start: refusal, Repeat: "b", Drip: true}, http.StatusServiceUnavailable},
+		"body, drips":              {testkit.EndlessAnswer{Start: successHead + "\r\n", Repeat: "b", Drip: true}, http.StatusGatewayTimeout},
+		"surplus":                  {testkit.EndlessAnswer{Start: successHead + "Content-Length: 1\r\n\r\n.", Repeat: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"}, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 0)
+			s.start()
+			s.configure()
+			s.addEndless("i-endless", plain, nil, func(int) testkit.EndlessAnswer { return row.answer })
+			started := time.Now()
+			status, body, _ := s.call("/once/x", "once")
+			if took := time.Since(started); status != row.status || took > timeout+margin {
+				t.Errorf("status %d after %v, %d bytes", status, took, len(body))
+			}
+			healthy := sitestandin.NewReplica(t, "i-sound", plain)
+			s.add(healthy)
+			for i := range 6 {
+				id := fmt.Sprint("plain-", i)
+				status, body, _ := s.call("/plain/x", id)
+				surplus := row.status == http.StatusOK && body == "."
+				if status != http.StatusOK || (body != sitestandin.ResponseBody(healthy.ID, id) && !surplus) {
+					t.Errorf("%s: status %d, %d bytes", id, status, len(body))
+				}
+			}
+		})
+	}
+}
