test/site: callers that send without end are cut off

A head or a body without end, sent to a front or a control process at full speed, is closed before 32 MiB are sent, for requests, jobs, configurations and heartbeats.

--- a/test/site/endless_test.go
+++ b/test/site/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -122,3 +123,54 @@
 		})
 	}
 }
+
+// sendWithoutEnd sends a start and then a text again and again, until the server closes the
+// connection or limit bytes are sent. It returns their number.
+func sendWithoutEnd(t *testing.T, address, start, repeat string, limit int) (sent int) {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(waitTimeout))
+	if _, err := connection.Write([]byte(start)); err != nil {
+		t.Fatal(err)
+	}
+	block := []byte(strings.Repeat(repeat, 1+16<<10/len(repeat)))
+	for sent < limit {
+		count, err := connection.Write(block)
+		sent += count
+		if err != nil {
+			return sent
+		}
+	}
+	return sent
+}
+
+// TestCallerWithoutEndIsCutOff guards against a front or control process that reads a head or a
+// body without a limit while a caller sends it without end.
+func TestCallerWithoutEndIsCutOff(t *testing.T) {
+	s, _, _ := startServingSite(t)
+	chunk := "400\r\n" + strings.Repeat("b", 0x400) + "\r\n"
+	fields := "Host: " + host + "\r\n" + sitestandin.Headers.RequestID + ": 1\r\n"
+	for name, row := range map[string]struct{ start, repeat string }{
+		"request line":    {"POST /plain/", "a"},
+		"header line":     {"POST /plain/x HTTP/1.1\r\nX-Long: ", "a"},
+		"header lines":    {"POST /plain/x HTTP/1.1\r\n", "X-Many: a\r\n"},
+		"body":            {"POST /plain/x HTTP/1.1\r\n" + fields + "Content-Length: 9000000000000000000\r\n\r\n", "b"},
+		"chunks":          {"POST /plain/x HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+		"chunk extension": {"POST /plain/x HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n1;", "e"},
+		"job":             {"POST /jobs/submit HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+		"configuration":   {"PUT /loomgrade/config HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+		"heartbeat":       {"PUT /loomgrade/replicas/i-plain HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+	} {
+		for process, address := range map[string]string{
+			"front": s.fronts[0].http.Listener.Addr().String(), "control": s.controls[0].http.Listener.Addr().String(),
+		} {
+			if sent := sendWithoutEnd(t, address, row.start, row.repeat, 4*testkit.EndlessLimit); sent > 2*testkit.EndlessLimit {
+				t.Errorf("%s, %s: the caller sent %d bytes", process, name, sent)
+			}
+		}
+	}
+}
