groupmember: a voter gives way only if the others have the log, the longest silent one first

Callers would see: a group without a quorum after one lost disk, although every machine that was silent for a moment had kept its disk.

Cause: internal/core/groupmember/plan.go, removeLost counted voters that are active and lack the log among those that must commit the removal. The leader acts by the new membership at once, and cannot commit it until they have the log; meanwhile the removed machine, which was whole, has no vote. And of several silent voters the first by id went, not the one that is gone. Found by a reviewer who had not seen the work, by a simulation of voters that are isolated in turn beside a spare machine.

Change: the others must be caught up, as for a machine that leaves; the longest silent voter goes.

--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -165,25 +165,40 @@
 // quorum returns the size of a majority of voters.
 func quorum(voters int) int { return voters/2 + 1 }
 
-// removeLost removes a silent voter of an odd number when a machine has joined that lacks the
-// log: the quorum stays as large as it was, and the new member is then promoted at once.
-// Otherwise the group would need all other voters for as long as the log takes, and the next
-// lost disk would end it. A new member that has the log is promoted first.
+// removeLost removes the voter that is silent for the longest time from an odd number of them,
+// when a machine has joined that lacks the log: the quorum stays as large as it was, and the
+// new member is then promoted at once. Otherwise the group would need all other voters for as
+// long as the log takes, and the next lost disk would end it. The others must have the log,
+// since they must commit the removal. A new member that has the log is promoted first.
 func (g *groupView) removeLost() (Change, bool) {
-	silent := func(m member) bool { return m.voter && !m.self && m.ticksSinceContact >= g.limits.FreeSlotTicks }
 	voters := g.voters()
-	lost, found := g.find(silent)
+	lost, found := g.longestSilent()
 	if !found || voters%2 == 0 || voters > g.limits.Voters || g.count(promotable) > 0 {
 		return Change{}, false
 	}
 	_, hasSuccessor := g.find(mayAddVote)
-	others := g.count(func(m member) bool { return m.voter && m.active && !silent(m) })
+	others := g.count(func(m member) bool { return m.voter && m.active && m.caughtUp && !g.silent(m) })
 	if !hasSuccessor || others < quorum(voters) {
 		return Change{}, false
 	}
 	return Change{Kind: consensus.RemoveMember, Member: lost.record.ID}, true
 }
 
+// silent reports whether a voter had no contact for FreeSlotTicks.
+func (g *groupView) silent(m member) bool {
+	return m.voter && !m.self && m.ticksSinceContact >= g.limits.FreeSlotTicks
+}
+
+func (g *groupView) longestSilent() (member, bool) {
+	var longest member
+	for _, current := range g.members {
+		if g.silent(current) && current.ticksSinceContact > longest.ticksSinceContact {
+			longest = current
+		}
+	}
+	return longest, longest.voter
+}
+
 // promote makes a learner a voter if voters are missing, or to replace a voter that is
 // unreachable or leaving. An even number of voters is temporary: a second promotion or a
 // removal follows.
