--- a/internal/core/groupmember/plan.go
+++ b/internal/core/groupmember/plan.go
@@ -12,7 +12,8 @@
 	Voters int
 	// MinVoters is the minimum number of voters that remain when a member leaves.
 	MinVoters int
-	// ReplaceTicks is the time without contact after which a learner replaces a voter.
+	// ReplaceTicks is the time without contact after which a learner that has the log
+	// replaces a voter.
 	ReplaceTicks uint64
 	// RemoveLearnerTicks is the time without contact after which a learner is removed.
 	RemoveLearnerTicks uint64
