--- a/internal/adapter/httpcall/endless_test.go
+++ b/internal/adapter/httpcall/endless_test.go
@@ -67,10 +67,7 @@
 			if err == nil || port.AsError(err).Verdict != port.MayHaveRun {
 				t.Errorf("the call ended with %v", err)
 			}
-			server.AwaitClosed(t, closeLimit)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the server sent %d bytes", sent)
-			}
+			server.CheckClosed(t, closeLimit)
 			if status, err := callEndless(t, client, server, "2"); status != http.StatusOK || err != nil {
 				t.Errorf("the next call: status %d, %v", status, err)
 			}
@@ -108,10 +105,7 @@
 					t.Errorf("call %d: status %d", i, status)
 				}
 			}
-			server.AwaitClosed(t, closeLimit)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the server sent %d bytes", sent)
-			}
+			server.CheckClosed(t, closeLimit)
 		})
 	}
 }
--- a/internal/adapter/provider/endless_test.go
+++ b/internal/adapter/provider/endless_test.go
@@ -41,10 +41,7 @@
 			if _, status, err := reportUsage(t, server); err == nil {
 				t.Errorf("status %d", status)
 			}
-			server.AwaitClosed(t, callMargin)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the provider sent %d bytes", sent)
-			}
+			server.CheckClosed(t, callMargin)
 		})
 	}
 }
@@ -59,10 +56,7 @@
 			if ctx, status, err := reportUsage(t, server); status != http.StatusOK || err != nil || ctx.Err() != nil {
 				t.Errorf("status %d, %v, deadline %v", status, err, ctx.Err())
 			}
-			server.AwaitClosed(t, callMargin)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the provider sent %d bytes", sent)
-			}
+			server.CheckClosed(t, callMargin)
 		})
 	}
 }
--- a/internal/app/group/setaside.go
+++ b/internal/app/group/setaside.go
@@ -89,7 +89,8 @@
 }
 
 // completeInterrupted makes the names in the folder durable and completes what an earlier process
-// has begun. It makes unusableFolder while there is room on the disk.
+// has begun. It makes unusableFolder while there is room on the disk; MakeFolder syncs the data
+// folder, its parent.
 func (f folder) completeInterrupted() error {
 	if err := wal.MakeFolder(f.files, f.unusablePath()); err != nil {
 		return eris.Wrap(err, "make folder for a log that is set aside")
--- a/internal/app/replicacall/endless_test.go
+++ b/internal/app/replicacall/endless_test.go
@@ -42,10 +42,7 @@
 			if took := time.Since(started); took > callDeadline+callMargin {
 				t.Errorf("the call took %v", took)
 			}
-			server.AwaitClosed(t, callMargin)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the replica sent %d bytes", sent)
-			}
+			server.CheckClosed(t, callMargin)
 		})
 	}
 }
@@ -64,10 +61,7 @@
 			if status != http.StatusAccepted || err != nil || ctx.Err() != nil {
 				t.Errorf("status %d, %v, deadline %v", status, err, ctx.Err())
 			}
-			server.AwaitClosed(t, callMargin)
-			if sent := server.Sent(); sent > testkit.EndlessLimit {
-				t.Errorf("the replica sent %d bytes", sent)
-			}
+			server.CheckClosed(t, callMargin)
 		})
 	}
 }
--- a/internal/testkit/endless.go
+++ b/internal/testkit/endless.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// CheckClosed fails the test unless the clients close all connections within the limit, and read
+// no more than EndlessLimit of a repetition.
+func (s *EndlessServer) CheckClosed(t testing.TB, limit time.Duration) {
+	t.Helper()
+	s.AwaitClosed(t, limit)
+	if sent := s.Sent(); sent > EndlessLimit {
+		t.Errorf("the server sent %d bytes", sent)
+	}
+}
+
 func (s *EndlessServer) add(connections int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
