--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -18,12 +18,14 @@
 	headerVersions = "X-Loomgrade-Weight-Versions"
 	headerWait     = "X-Loomgrade-Wait-Ms"
 	headerInstance = "X-Loomgrade-Instance-Id"
-	headerDeadline = "X-Loomgrade-Deadline-Ms"
-	lastEvent      = "Last-Event-Id"
-	host           = "ficu95.example"
-	model          = "daka510000"
-	engines        = "huvo11a"
-	application    = "wuno96b"
+	headerTokens   = "X-Loomgrade-Token-Usage"
+	// headerWork tells a stand-in how long it works on a request.
+	headerWork  = "X-Work"
+	lastEvent   = "Last-Event-Id"
+	host        = "ficu95.example"
+	model       = "daka510000"
+	engines     = "huvo11a"
+	application = "wuno96b"
 )
 
 type object = map[string]any
@@ -109,14 +111,17 @@
 }
 
 // job returns a step of groups of four items.
-func job(name, prefix string, groups int) object {
+func job(name, prefix string, groups int) object { return jobOf(name, prefix, groups, 300) }
+
+// jobOf returns a step whose prompts have a number of tokens.
+func jobOf(name, prefix string, groups, prompt int) object {
 	var requests []object
 	for group := range groups {
 		for item := range 4 {
 			id := fmt.Sprintf("%s-%02d-%d", name, group, item)
 			requests = append(requests, object{
-				"id": id, "path": prefix + id, "tokenCount": 340, "group": fmt.Sprintf("%s-g%02d", name, group), "body": []byte("prompt of " + id),
-				"headers": object{"X-Loomgrade-Model-Name": model, "X-Loomgrade-Token-Usage": "300,40", "X-Loomgrade-Length-Hint": "20", "X-Loomgrade-Prefix-Hash": fmt.Sprintf("%04x:284,%04x:16", group+1, 4096+group*4+item)},
+				"id": id, "path": prefix + id, "tokenCount": prompt + 200, "group": fmt.Sprintf("%s-g%02d", name, group), "body": []byte("prompt of " + id),
+				"headers": object{"X-Loomgrade-Model-Name": model, "X-Loomgrade-Token-Usage": fmt.Sprintf("%d,200", prompt), "X-Loomgrade-Length-Hint": "20", "X-Loomgrade-Prefix-Hash": fmt.Sprintf("%04x:%d,%04x:16", group+1, prompt-16, 4096+group*4+item)},
 				"scorer":  object{"id": "s-" + id, "hostname": host, "path": "/pufi791/" + id, "body": []byte("text of " + id)},
 			})
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,8 @@
 	"late-heartbeat": {3, 3, 2, false, lateHeartbeat},
 	"stale-store":    {3, 3, 2, true, staleStore},
 	"large-job":      {3, 3, 2, false, largeJob},
+	"removed-route":  {3, 3, 2, false, removedRoute},
+	"oversized-step": {3, 3, 2, false, oversizedStep},
 }
 
 // Exit codes.
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,9 +40,12 @@
 	sequence uint64
 	version  uint64
 	orders   int
+	// length is the number of events of a text.
+	length   int
 	waiting  int
 	running  int
 	beats    int
+	rejected int
 	arrivals []arrival
 }
 
@@ -57,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{site: s, id: id, address: address, zone: zone, engine: engine, version: 1, work: make(chan struct{}, slots)}
+	r := &replica{site: s, id: id, address: address, zone: zone, engine: engine, version: 1, length: events, work: make(chan struct{}, slots)}
 	r.ctx, r.crashed = context.WithCancel(context.Background())
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.server.Serve(listener) }()
@@ -165,6 +169,20 @@
 	return r.running
 }
 
+func (r *replica) rejections() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.rejected
+}
+
+// tokens returns the tokens of a request: those of its prompt, and the most out.
+func tokens(usage string) int {
+	in, out, _ := strings.Cut(usage, ",")
+	prompt, _ := strconv.Atoi(in)
+	most, _ := strconv.Atoi(out)
+	return prompt + most
+}
+
 func (r *replica) ran() []arrival {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -198,6 +216,14 @@
 	if err != nil {
 		return
 	}
+	if r.engine && tokens(request.Header.Get(headerTokens)) > kvTokens {
+		r.mutex.Lock()
+		r.rejected++
+		r.mutex.Unlock()
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable) // as if it were full
+		return
+	}
 	if !r.enter(request.Context()) {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -292,13 +318,13 @@
 	w.WriteHeader(http.StatusOK)
 	last, _ := strconv.Atoi(request.Header.Get(lastEvent))
 	control := http.NewResponseController(w)
-	for event := last + 1; event <= events; event++ {
+	for event := last + 1; event <= r.length; event++ {
 		select {
 		case <-time.After(eventPause):
 		case <-request.Context().Done():
 			return
 		case <-r.ctx.Done():
-			return
+			panic(http.ErrAbortHandler) // a crash does not end an answer
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, eventData(id, event))
 		if control.Flush() != nil {
