test: one launcher for the programs under test

Change: test/childprocess.Start. It is no test file, as test/sitestandin is none, and stands outside of internal, whose programs start no process.

--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +20,7 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/diskfault"
 	"github.com/loomgrade/loomgrade/internal/testkit"
+	"github.com/loomgrade/loomgrade/test/childprocess"
 )
 
 // program is the path of the built binary.
@@ -50,19 +50,6 @@
 	}
 }
 
-// launcher starts processes from one thread that lives as long as the test. The kernel
-// kills a child when the thread that started it ends.
-var launcher = func() chan<- func() {
-	launches := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for launch := range launches {
-			launch()
-		}
-	}()
-	return launches
-}()
-
 // machine is a simulated machine with its process.
 type machine struct {
 	name, role string
@@ -246,10 +233,7 @@
 		s.t.Fatal(err)
 	}
 	command.Env = append(os.Environ(), "LOOMGRADE_TEST_SUSPENDED="+m.suspendedPath())
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	launcher <- func() { started <- command.Start() }
-	if err := <-started; err != nil {
+	if err := childprocess.Start(command); err != nil {
 		s.t.Fatalf("start %s: %v", m.name, err)
 	}
 	ended := make(chan struct{})
--- a/test/system/process_test.go
+++ b/test/system/process_test.go
@@ -6,10 +6,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/loomgrade/loomgrade/test/childprocess"
 )
 
 // waitTimeout is the timeout of waits for events that take a few seconds at most.
@@ -26,20 +27,6 @@
 	failure   error         // result of command; valid once ended is closed
 }
 
-// launcher starts processes from one thread that lives as long as the test. The kernel
-// kills a child when the thread that started it ends, so no process outlives an
-// interrupted test.
-var launcher = func() chan<- func() {
-	launches := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for launch := range launches {
-			launch()
-		}
-	}()
-	return launches
-}()
-
 func (p *process) start(t *testing.T) {
 	t.Helper()
 	output, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -49,10 +36,7 @@
 	defer output.Close()
 	command := exec.Command(filepath.Join(binaries, p.program), p.arguments...)
 	command.Stdout, command.Stderr = output, output
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	launcher <- func() { started <- command.Start() }
-	if err := <-started; err != nil {
+	if err := childprocess.Start(command); err != nil {
 		t.Fatalf("start %s: %v", p.name, err)
 	}
 	ended := make(chan struct{})
