membudget: a body is reserved as it arrives, and stalled clients give way

What callers saw: a few clients that announce a large body and stop short of its end held the whole budget of a front, and every other caller with a body got 503 for as long as they stayed. Cause: Read reserved the announced length before a byte had arrived, a failed reservation never freed anything, and a buffer that doubles took up to three times its reservation. Change: a body of known length is reserved in three stages (probe, 128 KiB, 4 MiB, all), one of unknown length in segments of 32 KiB. Reservations above 64 KiB leave an eighth of the budget free unless they are alone. The package moves to internal/adapter: servers and links use it as well.

--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/app/front"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
--- a/internal/app/membudget/membudget_test.go
+++ b/internal/adapter/membudget/membudget_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 )
 
 func TestBudgetLimitsAllReservations(t *testing.T) {
@@ -148,3 +148,97 @@
 	close(stop)
 	failing.Wait()
 }
+
+// TestBodyIsReservedAsItArrives guards against an announced length that takes the budget before a byte has
+// arrived.
+func TestBodyIsReservedAsItArrives(t *testing.T) {
+	const size, kilo = 32 << 20, 1 << 10
+	for _, row := range []struct {
+		arrived  int
+		reserved int64
+	}{{0, 0}, {500, 0}, {600, 128 * kilo}, {127 * kilo, 128 * kilo}, {129 * kilo, 4096 * kilo}, {4095 * kilo, 4096 * kilo}} {
+		budget := membudget.NewBudget(2 * size)
+		reservation := budget.NewReservation()
+		body := io.MultiReader(strings.NewReader(strings.Repeat("b", row.arrived)), iotest.ErrReader(io.ErrNoProgress))
+		if _, _, _, err := membudget.Read(body, size, reservation); !errors.Is(err, io.ErrNoProgress) {
+			t.Fatal(err)
+		}
+		if got := budget.Used(); got != row.reserved {
+			t.Errorf("%d bytes are reserved after %d have arrived, want %d", got, row.arrived, row.reserved)
+		}
+		reservation.Close()
+	}
+}
+
+// TestLargeReservationsLeaveRoom checks that a few large requests do not shut out small ones, and that a
+// single one may use all of the budget.
+func TestLargeReservationsLeaveRoom(t *testing.T) {
+	const limit = 8 << 20
+	budget := membudget.NewBudget(limit)
+	alone := budget.NewReservation()
+	if !alone.Reserve(limit) {
+		t.Error("a single request cannot use the whole budget")
+	}
+	alone.Close()
+	small, large := budget.NewReservation(), budget.NewReservation()
+	if !small.Reserve(1000) || large.Reserve(limit-1000) || !large.Reserve(limit-limit/8-1000) {
+		t.Errorf("%d bytes are reserved", budget.Used())
+	}
+	if another := budget.NewReservation(); another.Reserve(100<<10) || !another.Reserve(10<<10) {
+		t.Errorf("%d bytes are reserved", budget.Used())
+	}
+}
+
+// TestExhaustedBudgetEvicts checks that a reservation gets the memory of evicted clients, and that it fails at
+// once if there are none.
+func TestExhaustedBudgetEvicts(t *testing.T) {
+	budget := membudget.NewBudget(100)
+	var stalled []*membudget.Reservation
+	for range 4 {
+		reservation := budget.NewReservation()
+		if !reservation.Reserve(25) {
+			t.Fatal("the budget is exhausted too early")
+		}
+		stalled = append(stalled, reservation)
+	}
+	budget.OnExhausted(func() bool {
+		if len(stalled) == 0 {
+			return false
+		}
+		victim := stalled[0]
+		stalled = stalled[1:]
+		go victim.Close() // the client's own goroutine notices its end
+		return true
+	})
+	if !budget.NewReservation().Reserve(60) {
+		t.Errorf("%d bytes are reserved, %d clients are left", budget.Used(), len(stalled))
+	}
+	if len(stalled) != 1 {
+		t.Errorf("%d clients are left, want 1", len(stalled))
+	}
+	stalled = nil
+	if budget.NewReservation().Reserve(60) {
+		t.Error("a reservation beyond the budget succeeded")
+	}
+	if budget.NewReservation().Reserve(101) {
+		t.Error("a reservation above the budget succeeded")
+	}
+}
+
+func TestReleasePartOfReservation(t *testing.T) {
+	budget := membudget.NewBudget(100)
+	reservation := budget.NewReservation()
+	if !reservation.Reserve(80) || reservation.Fits(21) || !reservation.Fits(20) {
+		t.Errorf("%d bytes are reserved", reservation.Reserved())
+	}
+	reservation.Release(50)
+	if got := budget.Used(); got != 30 {
+		t.Errorf("%d bytes are reserved, want 30", got)
+	}
+	reservation.Release(50) // more than is left
+	reservation.Close()
+	reservation.Release(10)
+	if got := budget.Used(); got != 0 {
+		t.Errorf("%d bytes are reserved, want none", got)
+	}
+}
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -16,8 +16,8 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/eventlog"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -8,8 +8,8 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -13,8 +13,8 @@
 	"github.com/phuslu/log"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/guard"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/app/siteview"
 	"github.com/loomgrade/loomgrade/internal/core/admission"
--- a/internal/app/proxy/try.go
+++ b/internal/app/proxy/try.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/core/balance"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -19,12 +19,12 @@
 
 	"github.com/loomgrade/loomgrade/internal/adapter/boottime"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
 	"github.com/loomgrade/loomgrade/internal/app/front"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/internal/app/sitestore"
--- a/test/site/slowreader_test.go
+++ b/test/site/slowreader_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/loomgrade/loomgrade/internal/app/membudget"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
 
