httpserve: every server limits headers, connections, bodies and responses by one guard

What callers saw: crowds at any listener took more memory than the machine has, or all descriptors, and other callers got no answer. Cause: the servers had the header limit of net/http (1 MiB), none for connections and none for a body or a response that stops; the limits of the configuration were decoded and not applied, and the descriptors of a machine were not in the settings. Change: httpserve.NewServer makes every server (callers, readiness, metrics, operators, nodes, the operator interface, stand-ins). Its connections account for the fields of a header before these are parsed, by what they take decoded; refuse with 431 or 503; give a body BodyTimeout for each KiB and a response WriteTimeout for each 16 KiB; and hold as many connections as the memory and the descriptors allow. For a further one, and for memory, the client without progress gives way, the idle one last; one whose request is served never does. Fronts apply the limits of the configuration; max_descriptors is a new setting, by default the limit of the process. A body that does not arrive in time is answered 408: it has not run. LimitListener is gone. Two tests of bounded connections (httpapi, operatorapi) said that a further connection waits although the first one is idle; now an idle one gives way, so they hold that it waits for a request in flight, and that it is served once that is answered.

--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -49,8 +49,9 @@
 		return addGroupReading(reading, state)
 	})
 	connections := httpserve.NewUnannouncedConnections(controlLinger)
-	operators := newService(p.file.ControlListen, platform.ControlHandler(control))
-	operators.track(connections)
+	operators := newService(p.file.ControlListen, httpserve.ServerConfig{
+		Handler: platform.ControlHandler(control), Limits: p.limits.clientLimits(), Memory: p.limits.clients, Idle: connections,
+	})
 	drain := func(ctx context.Context) {
 		control.TransferLeadership(ctx)
 		stopping, cancel := context.WithTimeout(ctx, controlShutdownTimeout)
--- a/cmd/loomgrade/cmd_site_front.go
+++ b/cmd/loomgrade/cmd_site_front.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
-	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/app/front"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
@@ -26,10 +25,6 @@
 	// callerKeepAlive is how long callers may reuse an idle connection. A stopping front
 	// closes no connection earlier, so a longer time delays its exit.
 	callerKeepAlive = 3 * time.Second
-	// bodyMemoryShare is the share of a front's memory for buffered request and response
-	// bodies. Uncollected garbage may use the same amount again, and the process itself
-	// needs 30 MB.
-	bodyMemoryShare = 0.25
 	// shutdownReserve is the part of the grace period reserved for the process to exit.
 	shutdownReserve = 1200 * time.Millisecond
 )
@@ -48,7 +43,7 @@
 		Provisional: true, Interest: sitestate.InterestRouting, Changed: func(view *siteview.View) { sender.Observe(view) },
 	})
 	requestGuard := sitecontrol.NewGuard(p.file.Machine, watcher, p.logger)
-	budget := membudget.NewBudget(int64(bodyMemoryShare * p.file.MemoryMegabytes * megabyte))
+	budget := p.limits.clients
 	sender = p.newProxy(watcher, requestGuard, budget)
 	usageReporter := p.newUsageReporter(watcher)
 	idle := httpserve.NewIdleConnections(callerKeepAlive)
@@ -61,9 +56,10 @@
 		reading := metrics.SiteReading{InFlight: frontServer.InFlight(), HeldBytes: budget.Used(), LinesDropped: p.logWriter.Dropped()}
 		return addSendReading(addViewReading(reading, watcher), sender)
 	})
-	callers := newService(p.file.CallerListen, platform.FrontHandler(frontServer))
-	callers.track(idle)
-	readiness := newService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
+	callers := newService(p.file.CallerListen, httpserve.ServerConfig{
+		Handler: platform.FrontHandler(frontServer), Limits: p.limits.clientLimits(), Current: frontServer.Limits, Memory: budget, Idle: idle,
+	})
+	readiness := p.newProbeService(p.file.ReadinessListen, platform.ReadinessHandler(frontServer.Ready))
 	drain := func(ctx context.Context) {
 		began := time.Now()
 		end := began.Add(p.file.Grace() - shutdownReserve)
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -60,10 +60,6 @@
 	// memory three times: in the state, in a snapshot being built, and in a transfer. The
 	// process itself needs 40 MB.
 	jobMemoryShare = 0.25
-	// headerTimeout limits reading a request's headers; callerIdleTimeout limits how long an
-	// idle connection stays open.
-	headerTimeout     = 10 * time.Second
-	callerIdleTimeout = 90 * time.Second
 	// connectionsToReplica limits the connections of a process to one replica.
 	connectionsToReplica = 10
 )
@@ -75,6 +71,7 @@
 	logger    *log.Logger
 	logWriter *eventlog.Writer
 	metrics   *metrics.Site
+	limits    siteLimits
 	wire      wire.Options
 	server    *wire.Server
 	dialect   dialect.Dialect
@@ -98,14 +95,15 @@
 	if file.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * file.MemoryMegabytes * megabyte))
 	}
-	lines := eventlog.New(os.Stdout)
+	lines, limits := eventlog.New(os.Stdout), newSiteLimits(file)
 	p := &siteProcess{
-		logWriter: lines, metrics: metrics.NewSite(),
+		limits: limits, logWriter: lines, metrics: metrics.NewSite(),
 		path: path, file: file, dialect: platform.Dialect{}, stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), stopped: make(chan struct{}),
 		logger: lines.Logger(file.Machine),
 		wire: wire.Options{
 			ClusterID: siteCluster, Name: file.Machine, PingInterval: peerPingInterval, IdleTimeout: peerIdleTimeout,
 			DialTimeout: peerDialTimeout, WriteTimeout: peerWriteTimeout, BackoffMax: peerMaxBackoff, Dial: tcpsocket.Dial(peerIdleTimeout, file.PeerSource),
+			MaxConnections: limits.peerConnections,
 		},
 	}
 	hash := fnv.New64a()
@@ -140,20 +138,11 @@
 // service is an HTTP server and its listen address.
 type service struct {
 	address string
-	server  *http.Server
-	// connections tracks the server's connections; nil if they are cut off at the stop.
-	connections *httpserve.IdleConnections
+	server  *httpserve.Server
 	// abort ends the contexts of all requests.
 	abort context.CancelCauseFunc
 }
 
-// track makes connections track those of the service and announce their use.
-func (s *service) track(connections *httpserve.IdleConnections) {
-	s.connections = connections
-	s.server.Handler = connections.Handler(s.server.Handler)
-	s.server.ConnState = connections.Observe
-}
-
 // finish ends the requests that are still served with proxy.ErrStopping as the cause, and waits
 // until their responses are written, or until ctx ends.
 func (s *service) finish(ctx context.Context) {
@@ -161,13 +150,16 @@
 	_ = s.server.Shutdown(ctx)
 }
 
-func newService(address string, handler http.Handler) service {
+// newService returns a service. config.BaseContext is set.
+func newService(address string, config httpserve.ServerConfig) service {
 	requests, abort := context.WithCancelCause(context.Background())
-	return service{address: address, abort: abort, server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true,
-		BaseContext: func(net.Listener) context.Context { return requests },
-	}}
+	config.BaseContext = requests
+	return service{address: address, abort: abort, server: httpserve.NewServer(config)}
+}
+
+// newProbeService returns a service for readiness or metrics.
+func (p *siteProcess) newProbeService(address string, handler http.Handler) service {
+	return newService(address, httpserve.ServerConfig{Handler: handler, Limits: probeLimits(), Memory: p.limits.clients})
 }
 
 // serve listens on the peer address and the services' addresses and runs the tasks. It
@@ -177,7 +169,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	if p.file.MetricsListen != "" {
-		services = append(services, newService(p.file.MetricsListen, p.metrics.Handler()))
+		services = append(services, p.newProbeService(p.file.MetricsListen, p.metrics.Handler()))
 	}
 	peers, err := tcpsocket.Listen(ctx, p.file.ListenAddress(), peerIdleTimeout)
 	if err != nil {
@@ -189,9 +181,6 @@
 		if err != nil {
 			return err
 		}
-		if served.connections != nil {
-			listener = served.connections.Listener(listener)
-		}
 		group.Go(func() error { return serveUntilClosed(served.server, listener) })
 	}
 	for _, task := range tasks {
@@ -232,7 +221,7 @@
 
 // serveUntilClosed serves a listener. A closed server is no error, so that requests in
 // flight can finish.
-func serveUntilClosed(server *http.Server, listener net.Listener) error {
+func serveUntilClosed(server *httpserve.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/adapter/httpapi/backend.go
+++ b/internal/adapter/httpapi/backend.go
@@ -79,7 +79,10 @@
 	HeaderBytes int
 	// TextBytes limits the text of a completion that isn't streamed; default 16 MiB.
 	TextBytes int
-	// Connections limits open connections; further ones wait. Default 8192.
+	// MemoryBytes limits the memory for headers and bodies of requests in flight; default 64 MiB.
+	MemoryBytes int64
+	// Connections limits open connections; for a further one the server closes one whose client
+	// makes no progress, or the further one waits. Default 8192.
 	Connections int
 	// Calls and Streams limit application calls and completions in flight; further
 	// ones are rejected. Defaults 4096 each.
@@ -111,6 +114,7 @@
 	defaultCommandBytes  = 64 << 10
 	defaultHeaderBytes   = 32 << 10
 	defaultTextBytes     = 16 << 20
+	defaultMemoryBytes   = 64 << 20
 	defaultConnections   = 8192
 	defaultCalls         = 4096
 	defaultStreams       = 4096
@@ -128,6 +132,7 @@
 	l.CommandBytes = cmp.Or(l.CommandBytes, defaultCommandBytes)
 	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
 	l.TextBytes = cmp.Or(l.TextBytes, defaultTextBytes)
+	l.MemoryBytes = cmp.Or(l.MemoryBytes, defaultMemoryBytes)
 	l.Connections = cmp.Or(l.Connections, defaultConnections)
 	l.Calls = cmp.Or(l.Calls, defaultCalls)
 	l.Streams = cmp.Or(l.Streams, defaultStreams)
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -276,15 +276,23 @@
 	}
 }
 
+// TestConnectionsAreBounded checks that a connection beyond the limit waits while the other one has a
+// request in flight, and that the other one gives way once it is idle.
 func TestConnectionsAreBounded(t *testing.T) {
-	_, address := newServer(t, &fakeBackend{application: echoApplication}, httpapi.Limits{Connections: 1})
+	entered, finish := make(chan struct{}, 2), make(chan struct{})
+	backend := &fakeBackend{application: func(ctx context.Context, request port.ApplicationRequest) (port.ApplicationResponse, error) {
+		entered <- struct{}{}
+		<-finish
+		return echoApplication(ctx, request)
+	}}
+	_, address := newServer(t, backend, httpapi.Limits{Connections: 1})
 	first, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if status := rawGet(t, first); status != http.StatusOK {
-		t.Fatalf("first connection: status %d", status)
-	}
+	defer func() { _ = first.Close() }()
+	_, _ = io.WriteString(first, "GET /app/p/x HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-entered
 	second, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -293,12 +301,19 @@
 	_, _ = io.WriteString(second, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
 	_ = second.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 	if _, err := second.Read(make([]byte, 1)); err == nil {
-		t.Fatal("the second connection was served while the first was open")
+		t.Fatal("the second connection was served while the first had a request in flight")
+	}
+	close(finish)
+	reader := bufio.NewReader(first)
+	if _, err := http.ReadResponse(reader, nil); err != nil {
+		t.Fatalf("first connection: %v", err)
 	}
-	_ = first.Close()
 	_ = second.SetReadDeadline(time.Time{})
 	if _, err := http.ReadResponse(bufio.NewReader(second), nil); err != nil {
-		t.Fatalf("second connection after the first closed: %v", err)
+		t.Fatalf("second connection after the first became idle: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, reader); err != nil {
+		t.Errorf("the idle connection: %v, want its end", err)
 	}
 }
 
--- a/internal/adapter/httpapi/server.go
+++ b/internal/adapter/httpapi/server.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -15,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/core/apikey"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
@@ -26,7 +25,7 @@
 	backend  Backend
 	limits   Limits
 	mux      *http.ServeMux
-	http     *http.Server
+	http     *httpserve.Server
 	calls    chan struct{}
 	streams  chan struct{}
 	operator apikey.Digest
@@ -51,14 +50,13 @@
 		operator: apikey.Of(config.OperatorToken),
 		idle:     httpserve.NewIdleConnections(limits.KeepAlive),
 	}
-	s.http = &http.Server{
-		Handler:           s.idle.Handler(s),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ConnState:         s.idle.Observe,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
+	s.http = httpserve.NewServer(httpserve.ServerConfig{
+		Handler: s, Idle: s.idle, Memory: membudget.NewBudget(limits.MemoryBytes),
+		Limits: httpserve.Limits{
+			HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+			BodyTimeout: limits.BodyTimeout, WriteTimeout: limits.WriteTimeout, Connections: limits.Connections,
+		},
+	})
 	s.routes()
 	return s
 }
@@ -82,8 +80,7 @@
 // in flight; Shutdown stops gracefully.
 func (s *Server) Start(ctx context.Context, listener net.Listener) {
 	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
-	bounded := httpserve.LimitListener(listener, s.limits.Connections)
-	s.serving.Go(func() { _ = s.http.Serve(s.idle.Listener(bounded)) })
+	s.serving.Go(func() { _ = s.http.Serve(listener) })
 	context.AfterFunc(ctx, s.Close)
 }
 
@@ -221,7 +218,12 @@
 	if request.ContentLength == 0 || request.Body == http.NoBody {
 		return nil, nil
 	}
-	body, err := readAll(http.MaxBytesReader(writer, request.Body, limit), request.ContentLength)
+	memory := httpserve.ReservationOf(request)
+	body, _, complete, err := membudget.Read(http.MaxBytesReader(writer, request.Body, limit), request.ContentLength, memory)
+	if err == nil && (!complete || !memory.Reserve(int64(decodedCopies*len(body)))) {
+		writer.Header().Set("Connection", "close")
+		return nil, noMemory()
+	}
 	if err == nil {
 		_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
 		return body, nil
@@ -234,17 +236,14 @@
 	return nil, port.NewError(port.NotRun, port.CodeInvalid, "incomplete body: %v", err)
 }
 
-// maxPreallocBytes limits the memory allocated by the announced length of a body.
-const maxPreallocBytes = 16 << 10
+// decodedCopies is how often the bytes of a body are in memory once it is decoded and sent on.
+const decodedCopies = 2
 
-// readAll reads source to its end; length is the announced length, or -1.
-func readAll(source io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > maxPreallocBytes {
-		return io.ReadAll(source)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(source, body)
-	return body, err
+// noMemory returns the refusal of a request for whose body no memory is free.
+func noMemory() *port.Error {
+	refusal := port.NewError(port.NotRun, port.CodeQueueFull, "no memory is free for the body")
+	refusal.RetryAfter = time.Second
+	return refusal
 }
 
 func bodyTooLarge(limit int64) *port.Error {
--- a/internal/adapter/httpserve/announce.go
+++ b/internal/adapter/httpserve/announce.go
@@ -2,10 +2,10 @@
 
 import "net/http"
 
-// Handler returns a handler whose responses announce how long the connection may stay idle
+// handler returns a handler whose responses announce how long the connection may stay idle
 // or, once Drain was called, that it closes. The announcement is made when a response's
 // header is written: a request may begin long before a stop and end during it.
-func (i *IdleConnections) Handler(next http.Handler) http.Handler {
+func (i *IdleConnections) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		announcing := &announcingWriter{ResponseWriter: w, connections: i}
 		next.ServeHTTP(announcing, r)
--- a/internal/adapter/httpserve/announce_test.go
+++ b/internal/adapter/httpserve/announce_test.go
@@ -32,14 +32,14 @@
 		for response, respond := range responses {
 			t.Run(server+"/"+response, func(t *testing.T) {
 				idle, entered, release := connections(), make(chan struct{}), make(chan struct{})
-				served := &http.Server{ConnState: idle.Observe, Handler: idle.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				served := httpserve.NewServer(httpserve.ServerConfig{Idle: idle, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					close(entered)
 					<-release
 					respond(w)
-				}))}
+				})})
 				defer func() { _ = served.Close() }()
 				listener := listenTCP(t)
-				go func() { _ = served.Serve(idle.Listener(listener)) }()
+				go func() { _ = served.Serve(listener) }()
 				connection := dialIdle(t, listener.Addr().String())
 				writeRequest(t, connection, requestStart+requestEnd)
 				<-entered
--- a/internal/adapter/httpserve/drain.go
+++ b/internal/adapter/httpserve/drain.go
@@ -19,14 +19,15 @@
 // them.
 type drainableListener struct {
 	net.Listener
+	guard    *guard
 	draining atomic.Bool
 	// drained is closed once the underlying listener is closed, closed by Close.
 	drained, closed chan struct{}
 	stop, closeOnce sync.Once
 }
 
-func newDrainableListener(listener net.Listener) *drainableListener {
-	return &drainableListener{Listener: listener, drained: make(chan struct{}), closed: make(chan struct{})}
+func newDrainableListener(listener net.Listener, limits *guard) *drainableListener {
+	return &drainableListener{Listener: listener, guard: limits, drained: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // drain makes Accept return the pending connections, then close the listener. The returned
@@ -49,9 +50,10 @@
 			}
 			l.setDeadline(time.Now().Add(pendingAcceptTimeout))
 		}
+		l.guard.awaitRoom(l.closed, l.hasPending)
 		accepted, err := l.Listener.Accept()
 		if err == nil {
-			return &connection{Conn: accepted}, nil
+			return l.guard.add(accepted), nil
 		}
 		if !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/internal/adapter/httpserve/httpserve_test.go
+++ b/internal/adapter/httpserve/httpserve_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -77,35 +76,3 @@
 		t.Errorf("status %d, header %v", recorder.Code, recorder.Header())
 	}
 }
-
-// TestBoundedListenerCloseUnblocksAccept closes a listener whose Accept waits for a slot.
-func TestBoundedListenerCloseUnblocksAccept(t *testing.T) {
-	underlying, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener := httpserve.LimitListener(underlying, 1)
-	client, err := net.Dial("tcp", underlying.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = client.Close() }()
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	waiting := make(chan error, 1)
-	go func() {
-		_, err := listener.Accept()
-		waiting <- err
-	}()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	if err := <-waiting; err == nil {
-		t.Error("a closed listener accepted")
-	}
-	// Closing a connection twice releases one slot.
-	_ = accepted.Close()
-	_ = accepted.Close()
-}
--- a/internal/adapter/httpserve/idle.go
+++ b/internal/adapter/httpserve/idle.go
@@ -19,7 +19,7 @@
 )
 
 // IdleConnections lets a server stop without losing a request that a client is sending.
-// Every response of Handler announces how long the connection may stay idle (Keep-Alive, RFC
+// Every response of the server announces how long the connection may stay idle (Keep-Alive, RFC
 // 2068, section 19.7.1.1). A stopping server closes a connection only after that time, and only
 // if nothing has arrived on it.
 //
@@ -56,22 +56,22 @@
 	return &IdleConnections{timeout: linger, connections: map[*connection]struct{}{}}
 }
 
-// Listener returns the listener that the server must serve in place of the given one. Call
-// it once.
-func (i *IdleConnections) Listener(listener net.Listener) net.Listener {
+// listen returns the listener that a server with a guard must serve in place of the given one. Call it
+// once.
+func (i *IdleConnections) listen(listener net.Listener, limits *guard) net.Listener {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.listener = newDrainableListener(listener)
+	i.listener = newDrainableListener(listener, limits)
 	return i.listener
 }
 
-// Observe is the ConnState hook of the http.Server.
-func (i *IdleConnections) Observe(accepted net.Conn, state http.ConnState) {
+// observe is the ConnState hook of the http.Server.
+func (i *IdleConnections) observe(accepted net.Conn, state http.ConnState) {
 	conn, ok := accepted.(*connection)
 	if !ok {
 		return
 	}
-	conn.setIdle(state == http.StateNew || state == http.StateIdle)
+	conn.observe(state)
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	switch state {
@@ -82,7 +82,7 @@
 	}
 }
 
-// Drain makes the responses of Handler announce the close of their connections.
+// Drain makes the server's responses announce the close of their connections.
 func (i *IdleConnections) Drain() { i.draining.Store(true) }
 
 // Stop closes the listener once its pending connections are accepted, and every connection
--- a/internal/adapter/httpserve/idle_test.go
+++ b/internal/adapter/httpserve/idle_test.go
@@ -15,7 +15,7 @@
 // idleServer is a server whose responses announce the keep-alive timeout.
 type idleServer struct {
 	idle    *httpserve.IdleConnections
-	http    *http.Server
+	http    *httpserve.Server
 	address string
 	// idled receives a value each time a connection becomes idle.
 	idled chan struct{}
@@ -43,8 +43,10 @@
 		idle: httpserve.NewIdleConnections(announced), address: listener.Addr().String(),
 		idled: make(chan struct{}, 8), accepted: make(chan struct{}, 8),
 	}
-	observe := func(connection net.Conn, state http.ConnState) {
-		s.idle.Observe(connection, state)
+	s.http = httpserve.NewServer(httpserve.ServerConfig{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Idle: s.idle})
+	observe := s.http.ConnState
+	s.http.ConnState = func(connection net.Conn, state http.ConnState) {
+		observe(connection, state)
 		switch state {
 		case http.StateNew:
 			s.accepted <- struct{}{}
@@ -52,8 +54,8 @@
 			s.idled <- struct{}{}
 		}
 	}
-	s.http = &http.Server{ConnState: observe, Handler: s.idle.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
-	go func() { _ = s.http.Serve(s.idle.Listener(listener)) }()
+	served := s.http.Listener(listener) // before a stop that the test begins at once
+	go func() { _ = s.http.Server.Serve(served) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
@@ -286,7 +288,7 @@
 // server begins to stop.
 func TestStopAnswersPendingConnection(t *testing.T) {
 	held := newHeldListener(t)
-	server := startIdleServerOn(t, time.Second, httpserve.LimitListener(held, 8))
+	server := startIdleServerOn(t, time.Second, held)
 	connection := dialIdle(t, server.address)
 	writeRequest(t, connection, requestStart+requestEnd)
 	stopped := server.stop(t.Context())
@@ -314,9 +316,9 @@
 // server that announces no keep-alive timeout.
 func TestStopLingersWithoutAnnouncement(t *testing.T) {
 	idle := httpserve.NewUnannouncedConnections(time.Second)
-	server := &http.Server{ConnState: idle.Observe, Handler: idle.Handler(http.NotFoundHandler())}
+	server := httpserve.NewServer(httpserve.ServerConfig{Handler: http.NotFoundHandler(), Idle: idle})
 	listener := listenTCP(t)
-	go func() { _ = server.Serve(idle.Listener(listener)) }()
+	go func() { _ = server.Serve(listener) }()
 	connection := dialIdle(t, listener.Addr().String())
 	sendRequest(t, connection)
 	time.Sleep(1200 * time.Millisecond)
--- a/internal/adapter/operatorapi/bounds_test.go
+++ b/internal/adapter/operatorapi/bounds_test.go
@@ -82,31 +82,42 @@
 	}
 }
 
+// TestConnectionsAreBounded checks that a connection beyond the limit waits while the other one has a
+// call in flight, and that the other one gives way once it is idle.
 func TestConnectionsAreBounded(t *testing.T) {
-	address := serve(t, Limits{Connections: 1})
-	get := func(connection net.Conn) error {
-		if _, err := io.WriteString(connection, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
-			return err
-		}
-		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		return err
-	}
-	first := dial(t, address)
-	if err := get(first); err != nil {
+	entered, finish := make(chan struct{}, 1), make(chan struct{})
+	metrics := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-finish
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	second := dial(t, address)
+	server := NewServer(ServerConfig{Backend: newSeededBackend(t), Token: testToken, Metrics: metrics, Limits: Limits{Connections: 1}})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	send := func(path string) net.Conn {
+		connection := dial(t, listener.Addr().String())
+		if _, err := io.WriteString(connection, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		return connection
+	}
+	first := send("/metrics")
+	<-entered
+	second := send("/healthz")
 	_ = second.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
-	if err := get(second); err == nil {
-		t.Fatal("the second connection was served while the first was open")
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the second connection was served while the first had a call in flight")
+	}
+	close(finish)
+	if _, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil {
+		t.Fatalf("first connection: %v", err)
 	}
-	_ = first.Close()
 	_ = second.SetReadDeadline(time.Time{})
 	if _, err := http.ReadResponse(bufio.NewReader(second), nil); err != nil {
-		t.Fatalf("the second connection after the first closed: %v", err)
+		t.Fatalf("the second connection after the first became idle: %v", err)
 	}
 }
 
--- a/internal/adapter/operatorapi/server.go
+++ b/internal/adapter/operatorapi/server.go
@@ -5,8 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
@@ -25,6 +24,8 @@
 	MaxBodyBytes   = 3 << 20
 	MaxHeaderBytes = 16 << 10
 	MaxConnections = 256
+	// MaxHeaderMemory limits the memory for the headers of requests in flight.
+	MaxHeaderMemory = 16 << 20
 
 	defaultHeaderTimeout = 5 * time.Second
 	defaultBodyTimeout   = 30 * time.Second
@@ -38,8 +39,11 @@
 
 // Limits limits what clients can use. Zero fields take their defaults.
 type Limits struct {
-	// Connections limits open connections; further ones wait. Default MaxConnections.
+	// Connections limits open connections; for a further one the server closes one whose client makes no
+	// progress, or the further one waits. Default MaxConnections.
 	Connections int
+	// MemoryBytes limits the memory for the headers of requests in flight; default MaxHeaderMemory.
+	MemoryBytes int64
 	// HeaderTimeout, BodyTimeout and WriteTimeout limit the time to receive a header,
 	// to receive a complete request, and to write the response; defaults 5s, 30s and 60s.
 	HeaderTimeout time.Duration
@@ -49,6 +53,7 @@
 
 func (l Limits) withDefaults() Limits {
 	l.Connections = cmp.Or(l.Connections, MaxConnections)
+	l.MemoryBytes = cmp.Or(l.MemoryBytes, MaxHeaderMemory)
 	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaultHeaderTimeout)
 	l.BodyTimeout = cmp.Or(l.BodyTimeout, defaultBodyTimeout)
 	l.WriteTimeout = cmp.Or(l.WriteTimeout, defaultWriteTimeout)
@@ -73,7 +78,7 @@
 // Server serves the operator API over HTTP.
 type Server struct {
 	config      ServerConfig
-	http        *http.Server
+	http        *httpserve.Server
 	connections *httpserve.IdleConnections
 }
 
@@ -97,26 +102,23 @@
 	}
 	config.Limits = config.Limits.withDefaults()
 	server := &Server{config: config, connections: httpserve.NewUnannouncedConnections(linger)}
-	server.http = &http.Server{
-		Handler:           server.connections.Handler(server.routes()),
-		ConnState:         server.connections.Observe,
-		MaxHeaderBytes:    MaxHeaderBytes,
-		ReadHeaderTimeout: config.Limits.HeaderTimeout,
-		ReadTimeout:       config.Limits.BodyTimeout,
-		WriteTimeout:      config.Limits.WriteTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
+	server.http = httpserve.NewServer(httpserve.ServerConfig{
+		Handler: server.routes(), Idle: server.connections, Memory: membudget.NewBudget(config.Limits.MemoryBytes),
+		Limits: httpserve.Limits{
+			HeaderBytes: MaxHeaderBytes, HeaderTimeout: config.Limits.HeaderTimeout, IdleTimeout: idleTimeout,
+			BodyTimeout: config.Limits.BodyTimeout, WriteTimeout: config.Limits.WriteTimeout, Connections: config.Limits.Connections,
+		},
+	})
+	server.http.ReadTimeout, server.http.WriteTimeout = config.Limits.BodyTimeout, config.Limits.WriteTimeout
 	return server
 }
 
 // Handler returns the routes, for tests and embedding.
-func (s *Server) Handler() http.Handler { return s.http.Handler }
+func (s *Server) Handler() http.Handler { return s.http.Server.Handler }
 
 // Serve serves until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	limited := httpserve.LimitListener(listener, s.config.Limits.Connections)
-	err := s.http.Serve(s.connections.Listener(limited))
+	err := s.http.Serve(listener)
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/adapter/sitesettings/sitesettings.go
+++ b/internal/adapter/sitesettings/sitesettings.go
@@ -60,6 +60,9 @@
 	KeepJobsSeconds float64 `json:"keep_jobs_s"`
 	// MemoryMegabytes limits the memory of the process.
 	MemoryMegabytes float64 `json:"memory_mb"`
+	// MaxDescriptors limits the open descriptors of the process; 0 is the limit of its
+	// environment.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// RevokeMillis is how long a disconnected front may use its cached keys of
 	// callers; 0 is no limit.
 	RevokeMillis float64 `json:"revoke_ms,omitempty"`
@@ -81,6 +84,9 @@
 	UsageDueSeconds    float64 `json:"usage_due_s,omitempty"`
 }
 
+// minDescriptors is the least number of descriptors with which a process of a site can work.
+const minDescriptors = 128
+
 // dutyUsage is the provider's name for usage reports.
 const dutyUsage = "usage_report"
 
@@ -156,6 +162,9 @@
 	if f.WarmupOvershoot < 0 || f.WarmupSlack < 0 {
 		return invalid("warmup_overshoot, warmup_slack", fmt.Sprint(f.WarmupOvershoot, ", ", f.WarmupSlack), "0 or more")
 	}
+	if f.MaxDescriptors != 0 && f.MaxDescriptors < minDescriptors {
+		return invalid("max_descriptors", strconv.Itoa(f.MaxDescriptors), fmt.Sprintf("0, or at least %d", minDescriptors))
+	}
 	if f.ToleratedLosses < 0 {
 		return invalid("tolerated_losses", strconv.Itoa(f.ToleratedLosses), "0 or more")
 	}
--- a/internal/adapter/sitesettings/sitesettings_test.go
+++ b/internal/adapter/sitesettings/sitesettings_test.go
@@ -82,3 +82,12 @@
 		t.Error("a text was accepted")
 	}
 }
+
+func TestDescriptorsOfMachine(t *testing.T) {
+	for value, valid := range map[int]bool{0: true, 127: false, 128: true, 4100: true, -1: false} {
+		file, err := load(t, map[string]any{"max_descriptors": value})
+		if (err == nil) != valid || (valid && file.MaxDescriptors != value) {
+			t.Errorf("max_descriptors %d: %v", value, err)
+		}
+	}
+}
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,10 +37,12 @@
 	// retryJitter is the fraction by which a Retry-After varies, so that requests that were
 	// rejected together are not sent again together.
 	retryJitter = 0.5
-	// defaultMaxBodyBytes limits a request's body if the configuration does not.
-	defaultMaxBodyBytes = 32 << 20
-	// maxDiscardBytes limits the length of a body that is read although it is refused.
+	// maxDiscardBytes limits the length of a body that is read although it is refused, discardTimeout the
+	// time that this takes.
 	maxDiscardBytes = 64 << 20
+	discardTimeout  = 2 * time.Second
+	// discardChunkBytes is read at once of such a body.
+	discardChunkBytes = 16 << 10
 	// deadlineMargin is reserved for sending the response to the caller.
 	deadlineMargin = 5 * time.Millisecond
 )
@@ -158,6 +161,9 @@
 	case http.StatusRequestEntityTooLarge:
 		f.deny(w, r, view, route.Name, status, "the body is larger than the configuration allows")
 		return
+	case http.StatusRequestTimeout:
+		f.writeError(w, r, route.Name, status, "the body did not arrive in time")
+		return
 	default:
 		f.writeError(w, r, route.Name, status, "the body could not be read")
 		return
@@ -200,11 +206,24 @@
 	f.writeError(w, r, route, status, reason)
 }
 
+// Limits returns the limits of the configuration for the server of the front. A field is zero where the
+// configuration has no limit, or while there is none.
+func (f *Front) Limits() httpserve.Limits {
+	view := f.config.Watcher.View()
+	if view == nil || view.Table == nil {
+		return httpserve.Limits{}
+	}
+	limits := view.Table.Document().Limits
+	return httpserve.Limits{
+		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, BodyBytes: limits.BodyBytes,
+	}
+}
+
 // readBody reads the complete body. A status other than 0 is the error to respond with.
 func (f *Front) readBody(r *http.Request, limits routing.Limits, reservation *membudget.Reservation) ([]byte, int) {
 	limit := limits.BodyBytes
 	if limit <= 0 {
-		limit = defaultMaxBodyBytes
+		limit = httpserve.DefaultBodyBytes
 	}
 	if r.ContentLength > limit {
 		discardBody(r)
@@ -217,6 +236,8 @@
 	switch {
 	case !complete:
 		return nil, http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	case int64(len(body)) > limit:
@@ -225,13 +246,19 @@
 	return body, 0
 }
 
-// discardBody reads a body that is refused, if its announced length is at most maxDiscardBytes. A client
-// that is still sending its body when the connection closes sees a reset instead of the response.
+// discardBody reads a body that is refused, for discardTimeout at most and if its announced length is at
+// most maxDiscardBytes. A client that is still sending its body when the connection closes sees a reset
+// instead of the response.
 func discardBody(r *http.Request) {
 	if r.ContentLength > maxDiscardBytes || r.Header.Get("Expect") != "" { // such a client sends nothing before a response
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // an error is the client's
+	buf := make([]byte, discardChunkBytes)
+	for end := time.Now().Add(discardTimeout); time.Now().Before(end); {
+		if _, err := r.Body.Read(buf); err != nil {
+			return
+		}
+	}
 }
 
 // forward sends a request to a replica and writes the replica's response.
--- a/internal/lab/localsite/replica.go
+++ b/internal/lab/localsite/replica.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 	"github.com/loomgrade/loomgrade/internal/dialect"
 )
@@ -27,6 +29,8 @@
 	failShare   = 0.02
 	slots       = 4
 	scoreTime   = 2 * time.Millisecond
+	// replicaMemoryBytes limits the memory for the headers of requests in flight.
+	replicaMemoryBytes = 16 << 20
 )
 
 // run is a request that a replica started to process.
@@ -38,7 +42,7 @@
 // replica is a stand-in for an engine, or for a scorer if model is empty.
 type replica struct {
 	id, service, model string
-	server             *http.Server
+	server             *httpserve.Server
 	listener           net.Listener
 
 	mutex      sync.Mutex
@@ -57,7 +61,9 @@
 		return nil, err
 	}
 	r := &replica{id: id, service: service, model: model, listener: listener, version: 1, random: rand.New(rand.NewPCG(seed, 1))}
-	r.server = &http.Server{Handler: r, ReadHeaderTimeout: callTimeout}
+	r.server = httpserve.NewServer(httpserve.ServerConfig{
+		Handler: r, Limits: httpserve.Limits{HeaderTimeout: callTimeout}, Memory: membudget.NewBudget(replicaMemoryBytes),
+	})
 	go func() { _ = r.server.Serve(listener) }()
 	return r, nil
 }
--- a/internal/lab/standin/application.go
+++ b/internal/lab/standin/application.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
-	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
 )
 
@@ -117,9 +115,8 @@
 	if a.applyFaults(w, r) {
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, port.NewError(port.NotRun, port.CodeInvalid, "body: %v", err))
+	body, ok := readBody(w, r)
+	if !ok {
 		return
 	}
 	select {
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
@@ -28,8 +31,12 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	relistenInterval  = 20 * time.Millisecond
-	contentTypeJSON   = "application/json"
+	// memoryBytes limits the memory for the headers and bodies of requests in flight, maxConnections the
+	// open connections.
+	memoryBytes      = 32 << 20
+	maxConnections   = 8192
+	relistenInterval = 20 * time.Millisecond
+	contentTypeJSON  = "application/json"
 )
 
 // Common holds the settings that all stand-ins share.
@@ -50,7 +57,7 @@
 	inject   func(Fault) error // default faults.set
 
 	mutex  sync.Mutex
-	http   *http.Server
+	http   *httpserve.Server
 	down   bool
 	closed bool
 	// ctx ends when the stand-in is closed.
@@ -89,7 +96,9 @@
 		listener.Close()
 		return
 	}
-	s.http = &http.Server{Handler: s.mux, ReadHeaderTimeout: readHeaderTimeout}
+	s.http = httpserve.NewServer(httpserve.ServerConfig{
+		Handler: s.mux, Limits: httpserve.Limits{HeaderTimeout: readHeaderTimeout, Connections: maxConnections}, Memory: membudget.NewBudget(memoryBytes),
+	})
 	running := s.http
 	s.down = false
 	s.work.Go(func() { _ = running.Serve(listener) })
@@ -209,17 +218,32 @@
 // abortConnection closes the connection without finishing the response.
 func abortConnection() { panic(http.ErrAbortHandler) }
 
-func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	err := decoder.Decode(into)
+// readBody reads a body within MaxBodyBytes and the server's memory; if ok is false, it has written the
+// error.
+func readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
+	body, _, complete, err := membudget.Read(http.MaxBytesReader(w, r.Body, MaxBodyBytes), r.ContentLength, httpserve.ReservationOf(r))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		writeError(w, http.StatusRequestEntityTooLarge, port.NewError(port.NotRun, port.CodeTooLarge, "body: %v", err))
 	case err != nil:
 		writeError(w, http.StatusBadRequest, port.NewError(port.NotRun, port.CodeInvalid, "body: %v", err))
+	case !complete:
+		writeError(w, http.StatusServiceUnavailable, port.NewError(port.NotRun, port.CodeQueueFull, "no memory is free for the body"))
+	}
+	return body, err == nil && complete
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, ok := readBody(w, r)
+	if !ok {
+		return false
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(into); err != nil {
+		writeError(w, http.StatusBadRequest, port.NewError(port.NotRun, port.CodeInvalid, "body: %v", err))
+		return false
 	}
-	return err == nil
+	return true
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -40,10 +40,12 @@
 const (
 	waitTimeout  = 30 * time.Second
 	pollInterval = 10 * time.Millisecond
-	host         = "site.example"
-	plain        = "plain-service"
-	lm           = "lm-service"
-	model        = "model-a"
+	// maxConnections is the number of connections that a front accepts.
+	maxConnections = 4096
+	host           = "site.example"
+	plain          = "plain-service"
+	lm             = "lm-service"
+	model          = "model-a"
 	// usageWindow and usageDue are used by sites with a provider.
 	usageWindow = 500 * time.Millisecond
 	usageDue    = time.Second
@@ -311,8 +313,12 @@
 		Dialect:      platform.Dialect{}, Watcher: watcher, Proxy: sender, Logger: s.logger(p.name), Idle: idle,
 		Jobs: jobsapi.NewClient(jobsapi.Config{Wire: wireOptions(p.name), Zone: "z", View: watcher.State, AssignShard: sitecontrol.Placer(watcher), StoredWithin: watcher.StoredWithin}),
 	})
-	p.http = httptest.NewUnstartedServer(idle.Handler(platform.FrontHandler(p.front)))
-	p.http.Listener = smallBufferListener{p.http.Listener}
+	server := httpserve.NewServer(httpserve.ServerConfig{
+		Handler: platform.FrontHandler(p.front), Current: p.front.Limits, Limits: httpserve.Limits{Connections: maxConnections}, Memory: s.budget, Idle: idle,
+	})
+	p.http = httptest.NewUnstartedServer(nil)
+	p.http.Listener = server.Listener(smallBufferListener{p.http.Listener})
+	p.http.Config = server.Server
 	p.http.Start()
 	p.run(func() { _ = watcher.Run(ctx) })
 	s.fronts = append(s.fronts, p)
