platform, callbody: bodies at the operators' listener have a budget, also for what is decoded

What callers saw: 40 complete configurations of 4 MB whose routes are empty objects took a control process beyond 1,200 MB, where the test ended it; valid short routes 629 MB, bodies that stop 221 to 245 MB, versions with unknown fields 293 MB, of 128. Cause: the control handler read up to 16 MiB per call without any budget, and a value of three bytes takes hundreds once decoded.

--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -7,6 +7,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/adapter/metrics"
 	"github.com/loomgrade/loomgrade/internal/adapter/provider"
+	"github.com/loomgrade/loomgrade/internal/app/callbody"
 	"github.com/loomgrade/loomgrade/internal/app/sitecontrol"
 	"github.com/loomgrade/loomgrade/platform"
 )
@@ -50,7 +51,7 @@
 	})
 	connections := httpserve.NewUnannouncedConnections(controlLinger)
 	operators := newService(p.file.ControlListen, httpserve.ServerConfig{
-		Handler: platform.ControlHandler(control), Limits: p.limits.clientLimits(), Memory: p.limits.clients, Idle: connections,
+		Handler: platform.ControlHandler(control, callbody.NewReader(p.limits.clients)), Limits: p.limits.clientLimits(), Memory: p.limits.clients, Idle: connections,
 	})
 	drain := func(ctx context.Context) {
 		control.TransferLeadership(ctx)
--- a/test/site/harness_test.go
+++ b/test/site/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/loomgrade/loomgrade/internal/adapter/provider"
 	"github.com/loomgrade/loomgrade/internal/adapter/wal/faultfs"
 	"github.com/loomgrade/loomgrade/internal/adapter/wire"
+	"github.com/loomgrade/loomgrade/internal/app/callbody"
 	"github.com/loomgrade/loomgrade/internal/app/front"
 	"github.com/loomgrade/loomgrade/internal/app/jobsapi"
 	"github.com/loomgrade/loomgrade/internal/app/proxy"
@@ -241,7 +242,7 @@
 	})
 	p.control.Register(p.server)
 	s.listen(p)
-	p.http = httptest.NewServer(platform.ControlHandler(p.control))
+	p.http = httptest.NewServer(platform.ControlHandler(p.control, callbody.Reader{}))
 	control := p.control
 	p.run(func() { _ = control.Run(ctx) })
 }
