front, jobsapi: the memory for pages and bodies of items is reserved before a store sends them

If the first result or the body is larger, the store answers with its size (new fields Strict, MaxBytes and Bytes, under new numbers; a store of an earlier build answers as before), and the front reserves that before it asks again.

--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -96,6 +96,8 @@
 	// inFlight counts the requests that are being served, arrivedLate those of them that arrived
 	// after Drain.
 	inFlight, arrivedLate atomic.Int64
+	// pageBytes is the memory that is reserved for pages of jobs whose sizes are not known yet.
+	pageBytes atomic.Int64
 }
 
 // New returns a Front.
--- a/internal/app/front/jobs.go
+++ b/internal/app/front/jobs.go
@@ -26,8 +26,6 @@
 	readTimeout   = 1200 * time.Millisecond
 	// maxWait limits how long a read may wait for a result.
 	maxWait = time.Second
-	// maxPageBytes limits the texts of one page.
-	maxPageBytes = 700 << 10
 	// largeJobBytes is the size of a body above which the front asks whether the job is stored before it
 	// decodes the body: a client that had no answer in time sends it again.
 	largeJobBytes = 1 << 20
@@ -134,22 +132,6 @@
 	}
 }
 
-// ReadJob returns results of a job from a position on, and waits up to wait for the first
-// of them. found is false if the job does not exist. An error means that the state of the
-// job could not be read.
-func (f *Front) ReadJob(ctx context.Context, caller Caller, job string, from int, wait time.Duration) (page jobstate.Page, found bool, err error) {
-	if !utf8.ValidString(job) {
-		return jobstate.Page{}, false, nil
-	}
-	wait = min(max(0, wait), maxWait)
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-	defer cancel()
-	page, found, err = f.config.Jobs.Page(ctx, jobsapi.PageRequest{
-		Job: job, From: from, WaitMillis: wait.Milliseconds(), MaxBytes: maxPageBytes, Access: caller.access(),
-	})
-	return page, found, f.checkAbsence(caller, found, err)
-}
-
 // tenantIsUnconfirmed reports whether the caller, which reaches only the jobs of its tenant, may be another
 // tenant in the current configuration.
 func (f *Front) tenantIsUnconfirmed(caller Caller) bool {
@@ -165,17 +147,6 @@
 	return port.NewError(port.NotRun, port.CodeUnconfirmed, "the tenant has no such job, and the caller's tenant is not confirmed")
 }
 
-// ItemBody returns the body of a job's item.
-func (f *Front) ItemBody(ctx context.Context, caller Caller, job, item string) (body []byte, found bool, err error) {
-	if !utf8.ValidString(job) || !utf8.ValidString(item) {
-		return nil, false, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	body, found, err = f.config.Jobs.Body(ctx, jobsapi.BodyRequest{Job: job, Item: item, Access: caller.access()})
-	return body, found, f.checkAbsence(caller, found, err)
-}
-
 // EndJob ends a job. No further items of it run.
 func (f *Front) EndJob(ctx context.Context, caller Caller, job string) (found bool, err error) {
 	if !utf8.ValidString(job) {
--- a/internal/app/jobsapi/client.go
+++ b/internal/app/jobsapi/client.go
@@ -121,16 +121,23 @@
 	return shard, nil
 }
 
-// Page returns results of a job. found is false if no shard has it.
+// Page returns results of a job. found is false if no shard has it. The error is a *SizeError if
+// request.Strict is set and the first result is too large.
 func (c *Client) Page(ctx context.Context, request PageRequest) (page jobstate.Page, found bool, err error) {
 	answer, err := c.callByJob(ctx, request.Job, Request{Page: &request})
+	if err == nil {
+		err = answer.checkSize()
+	}
 	return answer.Page, !answer.Unknown, err
 }
 
 // Body returns the body of an item that has no result yet. found is false if no shard has
-// it.
+// it. The error is a *SizeError if the body is larger than request.MaxBytes.
 func (c *Client) Body(ctx context.Context, request BodyRequest) (body []byte, found bool, err error) {
 	answer, err := c.callByJob(ctx, request.Job, Request{Body: &request})
+	if err == nil {
+		err = answer.checkSize()
+	}
 	return answer.Body, !answer.Unknown, err
 }
 
--- a/internal/app/jobsapi/jobsapi.go
+++ b/internal/app/jobsapi/jobsapi.go
@@ -3,6 +3,8 @@
 package jobsapi
 
 import (
+	"fmt"
+
 	"github.com/loomgrade/loomgrade/internal/core/jobstate"
 	"github.com/loomgrade/loomgrade/internal/core/sitestate"
 )
@@ -52,6 +54,8 @@
 	FromFollower bool `cbor:"5,keyasint,omitempty"`
 	// Access limits the jobs that the caller may access.
 	Access *jobstate.Access `cbor:"6,keyasint,omitempty"`
+	// Strict applies MaxBytes to a page of one result too: the answer then has its size only.
+	Strict bool `cbor:"7,keyasint,omitempty"`
 }
 
 // BodyRequest requests the body of an item.
@@ -60,6 +64,8 @@
 	Item string `cbor:"2,keyasint"`
 	// Access limits the jobs that the caller may access.
 	Access *jobstate.Access `cbor:"3,keyasint,omitempty"`
+	// MaxBytes, if set, limits the body: the answer to a request for a larger one has its size only.
+	MaxBytes int `cbor:"4,keyasint,omitempty"`
 }
 
 // EndRequest ends a job.
@@ -86,6 +92,22 @@
 	Jobs     []JobSummary           `cbor:"7,keyasint,omitempty"`
 	// Follower is set on a page from a follower.
 	Follower bool `cbor:"8,keyasint,omitempty"`
+	// Bytes is the size of a result or a body that is larger than MaxBytes, in place of it.
+	Bytes int `cbor:"9,keyasint,omitempty"`
+}
+
+// SizeError reports a result or a body that is larger than MaxBytes of a request.
+type SizeError struct{ Bytes int }
+
+// Error implements error.
+func (e *SizeError) Error() string { return fmt.Sprintf("the answer takes %d bytes", e.Bytes) }
+
+// checkSize returns a SizeError if the answer is a size only.
+func (a *Answer) checkSize() error {
+	if a.Bytes > 0 {
+		return &SizeError{Bytes: a.Bytes}
+	}
+	return nil
 }
 
 // JobSummary is the overview of one job.
--- a/internal/app/sitestore/calls.go
+++ b/internal/app/sitestore/calls.go
@@ -217,7 +217,8 @@
 // appliedPage returns the results applied on this member, which may lack the latest ones.
 func (s *Store) appliedPage(ctx context.Context, shard group.Shard, request jobsapi.PageRequest) (page jobstate.Page, err error) {
 	err = s.member.InspectFrom(ctx, shard, func(machine groupmember.StateMachine) {
-		if job := accessibleJob(machine, request.Job, request.Access); job != nil {
+		job := accessibleJob(machine, request.Job, request.Access)
+		if job != nil && exceedingBytes(job, request) == 0 { // the leader reports the size
 			page = job.Page(request.From, request.MaxBytes)
 		}
 	})
@@ -232,10 +233,10 @@
 		answer := jobsapi.Answer{Unknown: true}
 		err := s.member.ReadFrom(ctx, shard, func(machine groupmember.StateMachine) {
 			if job := accessibleJob(machine, request.Job, request.Access); job != nil {
-				answer = jobsapi.Answer{Page: job.Page(request.From, request.MaxBytes)}
+				answer = pageAnswer(job, request)
 			}
 		})
-		if err != nil || answer.Unknown || len(answer.Page.Results) > 0 || answer.Page.Ended || answer.Page.Next == answer.Page.Total {
+		if err != nil || answer.Unknown || answer.Bytes > 0 || len(answer.Page.Results) > 0 || answer.Page.Ended || answer.Page.Next == answer.Page.Total {
 			return answer, err
 		}
 		select {
@@ -248,6 +249,22 @@
 	}
 }
 
+// pageAnswer returns a page of a job, or the size of its first result if that exceeds a strict limit.
+func pageAnswer(job *jobstate.Job, request jobsapi.PageRequest) jobsapi.Answer {
+	if bytes := exceedingBytes(job, request); bytes > 0 {
+		return jobsapi.Answer{Bytes: bytes}
+	}
+	return jobsapi.Answer{Page: job.Page(request.From, request.MaxBytes)}
+}
+
+// exceedingBytes returns the size of the first result of a page if that exceeds a strict limit, else 0.
+func exceedingBytes(job *jobstate.Job, request jobsapi.PageRequest) int {
+	if bytes := job.NextResultBytes(request.From); request.Strict && bytes > request.MaxBytes {
+		return bytes
+	}
+	return 0
+}
+
 // body returns the body of an item that has no result yet, unless its job has ended.
 func (s *Store) body(ctx context.Context, shard group.Shard, request jobsapi.BodyRequest) (jobsapi.Answer, error) {
 	answer := jobsapi.Answer{Unknown: true}
@@ -258,7 +275,7 @@
 		}
 		for i := range job.Items {
 			if job.Items[i].Item.ID == request.Item && job.Items[i].Result == jobstate.ResultNone && !job.Ended {
-				answer = jobsapi.Answer{Body: job.Items[i].Item.Body}
+				answer = bodyAnswer(job.Items[i].Item.Body, request.MaxBytes)
 				return
 			}
 		}
@@ -266,6 +283,14 @@
 	return answer, err
 }
 
+// bodyAnswer returns a body, or its size if that exceeds a limit other than 0.
+func bodyAnswer(body []byte, limit int) jobsapi.Answer {
+	if limit > 0 && len(body) > limit {
+		return jobsapi.Answer{Bytes: len(body)}
+	}
+	return jobsapi.Answer{Body: body}
+}
+
 // end ends a job. It proposes nothing for an unknown job, because clients call all shards.
 func (s *Store) end(ctx context.Context, shard group.Shard, request jobsapi.EndRequest) (jobsapi.Answer, error) {
 	stored, err := s.hasJob(ctx, shard, request.Job, request.Access)
--- a/internal/core/jobstate/state.go
+++ b/internal/core/jobstate/state.go
@@ -391,7 +391,7 @@
 	bytes := 0
 	for _, index := range j.Results[page.Next:] {
 		item := &j.Items[index]
-		bytes += len(item.Text) + len(item.Score) + len(item.Item.ID) + resultOverhead
+		bytes += item.resultBytes()
 		if len(page.Results) > 0 && bytes > maxBytes {
 			break
 		}
@@ -405,5 +405,18 @@
 	return page
 }
 
+// NextResultBytes returns the estimated size of the first result of a page, 0 if it has none.
+func (j *Job) NextResultBytes(from int) int {
+	if from < 0 || from >= len(j.Results) {
+		return 0
+	}
+	return j.Items[j.Results[from]].resultBytes()
+}
+
+// resultBytes returns the estimated encoded size of the item's result.
+func (s *ItemState) resultBytes() int {
+	return len(s.Text) + len(s.Score) + len(s.Item.ID) + resultOverhead
+}
+
 // resultOverhead is the estimated encoded size of a result without its text.
 const resultOverhead = 128
