metrics: clients that do not read keep none from scraping

What callers saw: four clients that ask for the metrics and do not read, or send half a request, and every other scrape got 503 for as long as they stayed. Cause: promhttp counts a scrape as in flight until its answer is written. Change: the answer is collected first, and written after the scrape has ended.

--- a/internal/adapter/metrics/process.go
+++ b/internal/adapter/metrics/process.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"bytes"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,10 +21,34 @@
 	return registry
 }
 
+// handlerOf serves a registry. A scrape ends before its answer is written, so that clients that do not
+// read do not keep others from scraping.
 func handlerOf(registry *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+	scrape := promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		buffered := bufferedWriter{header: w.Header(), status: http.StatusOK}
+		scrape.ServeHTTP(&buffered, r)
+		w.WriteHeader(buffered.status)
+		_, _ = w.Write(buffered.body.Bytes()) // fails if the client has gone
+	})
 }
 
+// bufferedWriter is a response that is not written yet.
+type bufferedWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *bufferedWriter) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *bufferedWriter) WriteHeader(status int) { b.status = status }
+
+// Write implements http.ResponseWriter.
+func (b *bufferedWriter) Write(data []byte) (int, error) { return b.body.Write(data) }
+
 // maxScrapes limits concurrent collections.
 const maxScrapes = 4
 
