wire: frames are received within a budget, and strangers keep out no peers

What callers saw: a stranger that completes the handshake and sends frames of 8 MB took a store 401 to 896 MB and a front 282 to 758 MB of 128 (60 clients; whole, compressed, of many short names, or but the last byte); 1,200 silent connections took all 1,024 descriptors. Cause: the memory of a frame was allocated with its head, a compressed frame and its message were not limited together, and up to 8,192 connections were served. Change: beyond 64 KiB a frame is reserved as it arrives, then what it unpacks to and what its values take decoded, until its handler ends; without memory the connection closes (ErrNoMemory). Connections are limited by the descriptors. Beyond the limit the oldest connection in the handshake gives way, which takes a peer milliseconds.

--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -103,7 +103,7 @@
 		wire: wire.Options{
 			ClusterID: siteCluster, Name: file.Machine, PingInterval: peerPingInterval, IdleTimeout: peerIdleTimeout,
 			DialTimeout: peerDialTimeout, WriteTimeout: peerWriteTimeout, BackoffMax: peerMaxBackoff, Dial: tcpsocket.Dial(peerIdleTimeout, file.PeerSource),
-			MaxConnections: limits.peerConnections,
+			MaxConnections: limits.peerConnections, Memory: limits.peers,
 		},
 	}
 	hash := fnv.New64a()
--- a/internal/adapter/wire/clientlink.go
+++ b/internal/adapter/wire/clientlink.go
@@ -153,7 +153,7 @@
 
 func (c *clientLink) readLoop() {
 	for {
-		frame, err := c.link.read()
+		frame, err := c.link.read(nil)
 		if err == nil {
 			err = c.dispatch(frame)
 		}
--- a/internal/adapter/wire/compress.go
+++ b/internal/adapter/wire/compress.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"sync"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 )
 
 const (
@@ -18,6 +20,8 @@
 	// maxCompressedRatio is the maximum ratio of compressed to original size; above it,
 	// a frame is sent uncompressed.
 	maxCompressedRatio = 0.9
+	// unknownSize is the size of content that is not known before it is read.
+	unknownSize = -1
 )
 
 // compressor compresses frames. It is safe for concurrent use.
@@ -113,14 +117,21 @@
 
 // decompress returns the content of a compressed frame, of at most maxSize bytes.
 func decompress(compressed []byte, maxSize int) ([]byte, error) {
+	content, _, err := decompressWithin(compressed, maxSize, nil)
+	return content, err
+}
+
+// decompressWithin returns the content of a compressed frame, of at most maxSize bytes. It reserves
+// memory as the content grows; complete is false if there is none.
+func decompressWithin(compressed []byte, maxSize int, memory *membudget.Reservation) (content []byte, complete bool, err error) {
 	reader := flate.NewReader(bytes.NewReader(compressed))
 	defer func() { _ = reader.Close() }()
-	content, err := io.ReadAll(io.LimitReader(reader, int64(maxSize)+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrMalformedFrame, err)
-	}
-	if len(content) > maxSize {
-		return nil, fmt.Errorf("%w: more than %d bytes when unpacked", ErrFrameTooLarge, maxSize)
+	content, _, complete, err = membudget.Read(io.LimitReader(reader, int64(maxSize)+1), unknownSize, memory)
+	switch {
+	case err != nil:
+		return nil, complete, fmt.Errorf("%w: %w", ErrMalformedFrame, err)
+	case len(content) > maxSize:
+		return nil, complete, fmt.Errorf("%w: more than %d bytes when unpacked", ErrFrameTooLarge, maxSize)
 	}
-	return content, nil
+	return content, complete, nil
 }
--- a/internal/adapter/wire/frame.go
+++ b/internal/adapter/wire/frame.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 )
 
 // Kind is the purpose of a frame.
@@ -49,6 +51,9 @@
 	Method string
 	// Body is an encoded message.
 	Body []byte
+
+	// memory is reserved for a large frame that a server receives; nil for others.
+	memory *membudget.Reservation
 }
 
 // Errors of the frame reader.
@@ -57,6 +62,8 @@
 	ErrFrameTooLarge = errors.New("frame is larger than allowed")
 	// ErrMalformedFrame reports bytes that are not a frame.
 	ErrMalformedFrame = errors.New("malformed frame")
+	// ErrNoMemory reports a frame for which no memory is free.
+	ErrNoMemory = errors.New("no memory is free for the frame")
 )
 
 const (
@@ -65,6 +72,8 @@
 	frameHeaderSize = 5
 	// byteStringHead is CBOR major type 2 with a four-byte length following.
 	byteStringHead = 0x5a
+	// largeFrameBytes is the size beyond which memory is reserved for a frame.
+	largeFrameBytes = 64 << 10
 	// maxMethodLength limits the length of a method name, in bytes.
 	maxMethodLength = 128
 )
@@ -102,37 +111,87 @@
 // readFrame reads one item of the sequence. It checks the size before it allocates
 // memory for the content.
 func readFrame(reader io.Reader, maxSize int) (*Frame, int, error) {
+	return readFrameWithin(reader, maxSize, nil)
+}
+
+// readFrameWithin reads one item of the sequence. For a large one it reserves memory as its content
+// arrives, and for what is decoded from it. The frame holds the reservation until its release.
+func readFrameWithin(reader io.Reader, maxSize int, budget *membudget.Budget) (*Frame, int, error) {
+	size, read, compressed, err := readItemHead(reader, maxSize)
+	if err != nil {
+		return nil, 0, err
+	}
+	memory := budget.NewReservation()
+	content, complete, err := readContent(reader, size, memory)
+	if err == nil && complete && compressed {
+		content, complete, err = decompressWithin(content, maxSize, memory)
+	}
+	var frame *Frame
+	if err == nil && complete {
+		frame, complete, err = decodeWithin(content, memory)
+	}
+	if err == nil && !complete {
+		err = ErrNoMemory
+	}
+	if err != nil {
+		memory.Close()
+		return nil, read + size, err
+	}
+	frame.memory = memory
+	return frame, read + size, nil
+}
+
+// readItemHead reads the head of an item and returns the size of its content and of the head itself.
+func readItemHead(reader io.Reader, maxSize int) (size, read int, compressed bool, err error) {
 	var header [frameHeaderSize]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return nil, 0, err
+		return 0, 0, false, err
 	}
-	read := frameHeaderSize
-	compressed := header[0] == compressedTag
-	if compressed {
+	read = frameHeaderSize
+	if compressed = header[0] == compressedTag; compressed {
 		copy(header[:], header[1:])
 		if _, err := io.ReadFull(reader, header[frameHeaderSize-1:]); err != nil {
-			return nil, 0, err
+			return 0, 0, false, err
 		}
 		read++
 	}
 	if header[0] != byteStringHead {
-		return nil, 0, fmt.Errorf("%w: head byte 0x%02x", ErrMalformedFrame, header[0])
+		return 0, 0, false, fmt.Errorf("%w: head byte 0x%02x", ErrMalformedFrame, header[0])
 	}
-	size := binary.BigEndian.Uint32(header[1:])
-	if uint64(size) > uint64(maxSize) {
-		return nil, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrFrameTooLarge, size, maxSize)
+	announced := binary.BigEndian.Uint32(header[1:])
+	if uint64(announced) > uint64(maxSize) {
+		return 0, 0, false, fmt.Errorf("%w: %d bytes, at most %d", ErrFrameTooLarge, announced, maxSize)
 	}
-	content := make([]byte, size)
-	if _, err := io.ReadFull(reader, content); err != nil {
-		return nil, 0, err
+	return int(announced), read, compressed, nil
+}
+
+// readContent reads the content of an item; complete is false if there is no memory for it.
+func readContent(reader io.Reader, size int, memory *membudget.Reservation) (content []byte, complete bool, err error) {
+	if size > largeFrameBytes {
+		content, _, complete, err = membudget.Read(reader, int64(size), memory)
+		return content, complete, err
 	}
-	read += int(size)
-	if compressed {
-		var err error
-		if content, err = decompress(content, maxSize); err != nil {
-			return nil, read, err
-		}
+	content = make([]byte, size)
+	_, err = io.ReadFull(reader, content)
+	return content, true, err
+}
+
+// decodeWithin decodes a frame. For a large one it reserves the memory for the frame's body, in place of
+// the content, and for what is decoded from the body; complete is false if there is none.
+func decodeWithin(content []byte, memory *membudget.Reservation) (frame *Frame, complete bool, err error) {
+	if len(content) <= largeFrameBytes {
+		frame, err = decodeFrame(content)
+		return frame, true, err
 	}
-	frame, err := decodeFrame(content)
-	return frame, read, err
+	if !memory.Reserve(int64(len(content))) {
+		return nil, false, nil
+	}
+	if frame, err = decodeFrame(content); err != nil {
+		return nil, true, err
+	}
+	memory.Release(int64(len(content)))
+	return frame, memory.Reserve(decodedCost(frame.Body)), nil
 }
+
+// release releases the memory that is reserved for the frame, once nothing refers to its body.
+func (f *Frame) release() { f.memory.Close() }
--- a/internal/adapter/wire/link.go
+++ b/internal/adapter/wire/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -246,17 +247,18 @@
 	return nil
 }
 
-// read reads the next frame and checks its epoch.
-func (l *link) read() (*Frame, error) {
+// read reads the next frame and checks its epoch. Memory for a large frame is reserved from budget.
+func (l *link) read(budget *membudget.Budget) (*Frame, error) {
 	if err := l.netConn.SetReadDeadline(time.Now().Add(l.options.IdleTimeout)); err != nil {
 		return nil, err
 	}
-	frame, size, err := readFrame(l.reader, l.options.MaxFrameSize)
+	frame, size, err := readFrameWithin(l.reader, l.options.MaxFrameSize, budget)
 	if err != nil {
 		return nil, err
 	}
 	l.counters.read(size)
 	if frame.Epoch != l.epoch {
+		frame.release()
 		return nil, port.NewError(port.MayHaveRun, CodeProtocol, "frame of epoch %d on a connection of epoch %d", frame.Epoch, l.epoch)
 	}
 	return frame, nil
--- a/internal/adapter/wire/options.go
+++ b/internal/adapter/wire/options.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/descriptors"
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 )
 
 // ProtocolVersion is the version that both sides of a connection must speak.
@@ -37,9 +40,13 @@
 	MaxFrameSize int
 	// MaxStreams limits the open calls of one connection.
 	MaxStreams int
-	// MaxConnections limits the open connections of a server; it closes further ones
-	// immediately, so that no call runs over them.
+	// MaxConnections limits the open connections of a server, as does the share of peers of the process's
+	// descriptors (package descriptors). For a further one it closes the oldest that
+	// is in the handshake or, if there is none, the further one, so that no call runs over it.
 	MaxConnections int
+	// Memory limits the memory for large frames that a server receives, until they are handled; nil means
+	// no limit.
+	Memory *membudget.Budget
 	// Window is the number of unread bytes of a stream beyond which the sender
 	// waits; the last frame may exceed it.
 	Window int
@@ -81,7 +88,7 @@
 func (o Options) normalized() Options {
 	o.MaxFrameSize = withDefault(o.MaxFrameSize, DefaultMaxFrameSize)
 	o.MaxStreams = withDefault(o.MaxStreams, DefaultMaxStreams)
-	o.MaxConnections = withDefault(o.MaxConnections, DefaultMaxConnections)
+	o.MaxConnections = min(withDefault(o.MaxConnections, DefaultMaxConnections), descriptors.ForPeers(descriptors.Limit()))
 	o.Window = withDefault(o.Window, DefaultWindow)
 	o.SendQueue = withDefault(o.SendQueue, DefaultSendQueue)
 	o.DialTimeout = withDefault(o.DialTimeout, DefaultDialTimeout)
--- a/internal/adapter/wire/server.go
+++ b/internal/adapter/wire/server.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"container/list"
 	"context"
 	"crypto/subtle"
 	"errors"
@@ -16,6 +17,9 @@
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
+// maxHandshakeParts limits the connections in the handshake to this part of all.
+const maxHandshakeParts = 2
+
 // Handler serves one call. The caller receives the messages of call.Send in order. A nil
 // result completes the answer; an error makes the call fail. An error that is no
 // *port.Error counts as MayHaveRun.
@@ -42,6 +46,8 @@
 	loops sync.WaitGroup
 	// openConns counts connections, including those in the handshake.
 	openConns atomic.Int64
+	// handshakes are the net.Conns in the handshake, the oldest first.
+	handshakes list.List
 }
 
 // NewServer returns a server without handlers.
@@ -101,22 +107,36 @@
 	return min(base<<min(failures-1, maxShift), maxDelay)
 }
 
-// startConn serves a connection in the background. It closes one beyond the limit, or
-// accepted while the server closes.
+// startConn serves a connection in the background. Beyond the limit it closes the oldest connection in
+// the handshake, which takes a process of the cluster milliseconds, or the new one if there is none. It
+// also closes one that is accepted while the server closes.
 func (s *Server) startConn(netConn net.Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closed || s.openConns.Load() >= int64(s.options.MaxConnections) {
+	full := s.openConns.Load() >= int64(s.options.MaxConnections)
+	if s.closed || (full && s.handshakes.Len() == 0) {
 		_ = netConn.Close()
 		return
 	}
+	if full || s.handshakes.Len() >= max(1, s.options.MaxConnections/maxHandshakeParts) {
+		oldest := s.handshakes.Remove(s.handshakes.Front()).(net.Conn)
+		_ = oldest.Close()
+	}
+	handshake := s.handshakes.PushBack(netConn)
 	s.openConns.Add(1)
 	s.loops.Go(func() {
 		defer s.openConns.Add(-1)
-		s.serveConn(netConn)
+		s.serveConn(netConn, func() { s.endHandshake(handshake) })
 	})
 }
 
+// endHandshake records the end of a handshake, unless startConn has ended it.
+func (s *Server) endHandshake(handshake *list.Element) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.handshakes.Remove(handshake) // does nothing if it was removed
+}
+
 func (s *Server) addListener(listener net.Listener) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/adapter/wire/serverlink.go
+++ b/internal/adapter/wire/serverlink.go
@@ -33,9 +33,10 @@
 	calls  map[uint64]*Call
 }
 
-// serveConn serves one connection until it closes.
-func (s *Server) serveConn(netConn net.Conn) {
+// serveConn serves one connection until it closes. It calls greeted after the handshake.
+func (s *Server) serveConn(netConn net.Conn, greeted func()) {
 	connection, err := s.accept(netConn)
+	greeted()
 	if err != nil {
 		_ = netConn.Close()
 		return
@@ -124,7 +125,7 @@
 
 func (c *serverLink) readLoop() {
 	for {
-		frame, err := c.link.read()
+		frame, err := c.link.read(c.link.options.Memory)
 		if err == nil {
 			err = c.dispatch(frame)
 		}
@@ -135,7 +136,8 @@
 	}
 }
 
-// dispatch handles one frame. An error closes the connection.
+// dispatch handles one frame. An error closes the connection. The handlers of calls and one-way messages
+// release the frame, which they need for longer.
 func (c *serverLink) dispatch(frame *Frame) error {
 	switch frame.Kind {
 	case KindCall:
@@ -143,6 +145,9 @@
 	case KindOneWay:
 		c.queueMessage(frame)
 		return nil
+	}
+	defer frame.release()
+	switch frame.Kind {
 	case KindCancel:
 		if call := c.find(frame.Stream); call != nil {
 			call.cancel()
@@ -169,6 +174,12 @@
 // startCall starts a call's handler or rejects the call as not run. An id that does not
 // increase is a repeated call, which closes the connection.
 func (c *serverLink) startCall(frame *Frame) error {
+	started := false
+	defer func() {
+		if !started {
+			frame.release()
+		}
+	}()
 	c.mutex.Lock()
 	repeated := frame.Stream <= c.lastID
 	overloaded := len(c.calls) >= c.link.options.MaxStreams
@@ -189,7 +200,8 @@
 		return c.sendErrorFrame(frame.Stream, port.NewError(port.NotRun, port.CodeUnavailable, "the server is stopping"))
 	}
 	call := c.register(frame)
-	go c.run(call, handler)
+	started = true
+	go c.run(call, frame, handler)
 	return nil
 }
 
@@ -230,8 +242,9 @@
 	return context.WithCancel(connection)
 }
 
-func (c *serverLink) run(call *Call, handler Handler) {
+func (c *serverLink) run(call *Call, frame *Frame, handler Handler) {
 	defer c.server.calls.Done()
+	defer frame.release()
 	defer call.cancel()
 	err := handler(call.context, call)
 	c.mutex.Lock()
@@ -248,6 +261,7 @@
 	select {
 	case c.oneWay <- frame:
 	default:
+		frame.release()
 		c.link.counters.dropped()
 	}
 }
@@ -257,13 +271,32 @@
 	for {
 		select {
 		case frame := <-c.oneWay:
-			handler := c.server.messages[frame.Method]
-			if handler == nil {
-				c.link.counters.dropped()
-				continue
-			}
-			handler(c.context, &Call{Method: frame.Method, Peer: c.peer, body: frame.Body})
+			c.handleMessage(frame)
 		case <-c.context.Done():
+			c.dropMessages()
+			return
+		}
+	}
+}
+
+func (c *serverLink) handleMessage(frame *Frame) {
+	defer frame.release()
+	handler := c.server.messages[frame.Method]
+	if handler == nil {
+		c.link.counters.dropped()
+		return
+	}
+	handler(c.context, &Call{Method: frame.Method, Peer: c.peer, body: frame.Body})
+}
+
+// dropMessages releases the messages that are still queued when the connection has closed. The reader
+// queues none afterwards.
+func (c *serverLink) dropMessages() {
+	for {
+		select {
+		case frame := <-c.oneWay:
+			frame.release()
+		default:
 			return
 		}
 	}
