--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -126,7 +126,7 @@
 	t.Helper()
 	p := s.processes[d.process]
 	baseline := p.descriptors()
-	observed := observe(t, p)
+	observed := observe(t, p, s.megabytes)
 	c := startCrowd(d, k)
 	c.awaitSent()
 	beside := eventuallyWhileRunning(p, d.check)
--- a/test/clients/doors_test.go
+++ b/test/clients/doors_test.go
@@ -35,17 +35,17 @@
 		"callers":   append(jobKinds(), readerKinds()...),
 		"operators": append(configurationKinds(), heartbeatKind()),
 	}
-	playCrowds(t, (*site).httpDoors, func(d door) []kind { return append(append([]kind{}, httpKinds...), extra[d.name]...) })
+	playCrowds(t, startSite, (*site).httpDoors, func(d door) []kind { return append(append([]kind{}, httpKinds...), extra[d.name]...) })
 }
 
 // playCrowds plays the kinds of clients of each door, one after the other. After a failure it goes on
 // with a new site.
-func playCrowds(t *testing.T, doors func(*site) []door, kinds func(door) []kind) {
-	s := startSite(t)
+func playCrowds(t *testing.T, start func(*testing.T) *site, doors func(*site) []door, kinds func(door) []kind) {
+	s := start(t)
 	sound := true
 	restart := func() {
 		s.close()
-		s = startSite(t)
+		s = start(t)
 	}
 	for index, d := range doors(s) {
 		t.Run(d.name, func(t *testing.T) {
--- a/test/clients/peers_test.go
+++ b/test/clients/peers_test.go
@@ -70,6 +70,9 @@
 	return welcome.Epoch, err == nil && welcome.Kind == wire.KindWelcome
 }
 
+// strangerKinds is the number of peerKinds, the first ones, that need no handshake.
+const strangerKinds = 4
+
 // peerKinds are the kinds of clients of the listeners for other processes of the site.
 func peerKinds() []kind {
 	largest := make([]byte, wire.DefaultMaxFrameSize-frameMargin)
@@ -120,5 +123,5 @@
 // TestPeerCrowds plays every kind of client at every listener for other processes.
 func TestPeerCrowds(t *testing.T) {
 	kinds := peerKinds()
-	playCrowds(t, (*site).peerDoors, func(door) []kind { return kinds })
+	playCrowds(t, startSite, (*site).peerDoors, func(door) []kind { return kinds })
 }
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// machineMegabytes and machineDescriptors are what the machine of each process has.
+	// machineMegabytes is the memory of each machine of a site, machineDescriptors are the descriptors of
+	// each process.
 	machineMegabytes   = 128
 	machineDescriptors = 1024
 	// reservedDescriptors must stay free for files.
@@ -35,39 +36,50 @@
 	sampleInterval = 10 * time.Millisecond
 )
 
-// program is the path of the built binary.
-var program string
+// programs is the folder of the built programs.
+var programs string
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "loomgrade-clients-")
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(folder, "loomgrade")
+	programs = folder
 	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
 }
 
-// build skips the test unless the crowds are requested, and builds the program once.
+// build skips the test unless the crowds are requested, and builds the programs once.
 func build(t *testing.T) {
 	t.Helper()
 	if !*runCrowds {
 		t.Skip("crowds disturb other tests, and these disturb them; run with -crowds")
 	}
-	if _, err := os.Stat(program); err == nil {
+	if entries, err := os.ReadDir(programs); err == nil && len(entries) > 0 {
 		return
 	}
-	command := exec.Command("go", "build", "-o", program, "./cmd/loomgrade")
+	command := exec.Command("go", "build", "-o", programs+"/", "./cmd/loomgrade", "./cmd/loomlab")
 	command.Dir = testkit.Root(t)
 	if output, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
 }
 
-// process is a process of the site. It can be started again after it ended.
+// runProgram runs a command of loomgrade.
+func runProgram(arguments ...string) error {
+	output, err := exec.Command(filepath.Join(programs, "loomgrade"), arguments...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("loomgrade %v: %w: %s", arguments, err, output)
+	}
+	return nil
+}
+
+// process is a process of a site or a fleet.
 type process struct {
-	name      string
+	name string
+	// program is its file in programs.
+	program   string
 	arguments []string
 	logPath   string
 	command   *exec.Cmd
@@ -84,7 +96,7 @@
 	}
 	defer func() { _ = output.Close() }()
 	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, machineDescriptors)
-	command := exec.Command("bash", append([]string{"-c", script, program}, p.arguments...)...)
+	command := exec.Command("bash", append([]string{"-c", script, filepath.Join(programs, p.program)}, p.arguments...)...)
 	command.Stdout, command.Stderr = output, output
 	if err := childprocess.Start(command); err != nil {
 		t.Fatalf("start %s: %v", p.name, err)
@@ -159,15 +171,17 @@
 // observer samples the usage of a process. It kills a process far beyond its memory.
 type observer struct {
 	process *process
-	stop    chan struct{}
-	done    sync.WaitGroup
-	used    usage
-	runaway bool
+	// megabytes is the memory of the process's machine.
+	megabytes int
+	stop      chan struct{}
+	done      sync.WaitGroup
+	used      usage
+	runaway   bool
 }
 
-func observe(t *testing.T, p *process) *observer {
+func observe(t *testing.T, p *process, megabytes int) *observer {
 	p.resetPeak(t)
-	o := &observer{process: p, stop: make(chan struct{})}
+	o := &observer{process: p, megabytes: megabytes, stop: make(chan struct{})}
 	o.done.Go(o.sample)
 	return o
 }
@@ -198,12 +212,12 @@
 	o.done.Wait()
 	switch {
 	case o.runaway:
-		t.Errorf("%s was killed at %d MB of resident memory, its machine has %d MB", o.process.name, o.used.peakMegabytes, machineMegabytes)
+		t.Errorf("%s was killed at %d MB of resident memory, its machine has %d MB", o.process.name, o.used.peakMegabytes, o.megabytes)
 	case !o.process.running():
 		t.Errorf("%s ended: %v\n%s", o.process.name, o.process.failure, o.process.log())
 	}
-	if o.used.peakMegabytes > machineMegabytes {
-		t.Errorf("%s: %d MB of resident memory, its machine has %d MB", o.process.name, o.used.peakMegabytes, machineMegabytes)
+	if o.used.peakMegabytes > o.megabytes {
+		t.Errorf("%s: %d MB of resident memory, its machine has %d MB", o.process.name, o.used.peakMegabytes, o.megabytes)
 	}
 	if allowed := machineDescriptors - reservedDescriptors; o.used.peakDescriptors > allowed {
 		t.Errorf("%s: %d open descriptors, at most %d are allowed", o.process.name, o.used.peakDescriptors, allowed)
--- a/test/clients/site_test.go
+++ b/test/clients/site_test.go
@@ -58,6 +58,8 @@
 	ports     ports
 	version   atomic.Uint64
 	requests  atomic.Uint64
+	// megabytes is the memory of each machine.
+	megabytes int
 	stop      context.CancelFunc
 }
 
@@ -76,7 +78,7 @@
 	t.Helper()
 	build(t)
 	ctx, stop := context.WithCancel(context.Background())
-	s := &site{t: t, processes: map[string]*process{}, addresses: map[string]string{}, stop: stop}
+	s := &site{t: t, processes: map[string]*process{}, addresses: map[string]string{}, megabytes: machineMegabytes, stop: stop}
 	subnet := 1 + rand.IntN(250)
 	names := append(append(append([]string{}, controlNames...), storeNames...), frontName)
 	for i, name := range names {
@@ -151,7 +153,7 @@
 	}
 	role, _, _ := strings.Cut(name, "-")
 	path := s.writeSettings(folder, name)
-	s.processes[name] = &process{name: name, arguments: []string{"site", role, path}, logPath: filepath.Join(folder, "log")}
+	s.processes[name] = &process{name: name, program: "loomgrade", arguments: []string{"site", role, path}, logPath: filepath.Join(folder, "log")}
 }
 
 // writeSettings writes the settings file of a process and returns its path.
