standin: observations are served one at a time

What was seen: TestFleetCrowds, "one byte of a body of ten" at the stand-in, once 737 MB of 284 MB: 600 of its clients ask for the observations, and each answer holds all that earlier crowds left. Cause: every answer is a copy and its JSON, at once. Change: one answer at a time; the others wait or leave.

--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -55,6 +55,8 @@
 	mux      *http.ServeMux
 	address  string
 	inject   func(Fault) error // default faults.set
+	// observing is held while observations are served.
+	observing chan struct{}
 
 	mutex  sync.Mutex
 	http   *httpserve.Server
@@ -67,7 +69,7 @@
 }
 
 func newServer(ctx context.Context, common Common, faults ...FaultKind) *server {
-	s := &server{faults: newFaultSet(faults...), recorder: newRecorder(common.Journal), mux: http.NewServeMux()}
+	s := &server{faults: newFaultSet(faults...), recorder: newRecorder(common.Journal), mux: http.NewServeMux(), observing: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.mux.HandleFunc("POST "+PathFault, s.handleFault)
 	s.mux.HandleFunc("GET "+PathObservations, s.handleObservations)
@@ -200,7 +202,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *server) handleObservations(w http.ResponseWriter, _ *http.Request) {
+// handleObservations serves one request at a time: the observations of a long run take much memory.
+func (s *server) handleObservations(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.observing <- struct{}{}:
+		defer func() { <-s.observing }()
+	case <-r.Context().Done():
+		return
+	}
 	writeJSON(w, s.Observations())
 }
 
