--- a/cmd/loomgrade/cmd_site_control.go
+++ b/cmd/loomgrade/cmd_site_control.go
@@ -45,7 +45,7 @@
 		view, state := control.View(), control.PublishedState()
 		reading := metrics.SiteReading{
 			Position: view.Position, Configuration: view.Configuration.Version,
-			Confirmed: state != nil && state.Confirmed, LinesDropped: p.logWriter.Dropped(),
+			Confirmed: state != nil && state.Confirmed, HeldBytes: p.limits.clients.Used(), LinesDropped: p.logWriter.Dropped(),
 		}
 		return addGroupReading(reading, state)
 	})
