--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -317,17 +317,6 @@
 	}
 }
 
-func rawGet(t *testing.T, connection net.Conn) (status int) {
-	t.Helper()
-	_, _ = io.WriteString(connection, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-	if err != nil {
-		t.Fatalf("read: %v", err)
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
-}
-
 // TestSlowClients checks the timeouts for incomplete requests.
 func TestSlowClients(t *testing.T) {
 	limits := httpapi.Limits{HeaderTimeout: 30 * time.Millisecond, BodyTimeout: 30 * time.Millisecond}
--- a/test/clients/kinds_test.go
+++ b/test/clients/kinds_test.go
@@ -20,6 +20,8 @@
 	// trickleTime is how long a client sends single bytes, tricklePause apart.
 	trickleTime  = 4 * time.Second
 	tricklePause = 50 * time.Millisecond
+	// partPause is the time between two parts of a header.
+	partPause = 300 * time.Millisecond
 )
 
 // smallBufferDialer opens connections with small receive buffers, so that the kernel buffers little
@@ -75,6 +77,15 @@
 	{"legal header of short fields, body stops", 600, func(c *client) {
 		c.write([]byte(c.head(lengthField(10)) + string(shortFields(legalFieldBytes)) + "\r\n1"))
 	}},
+	{"legal header of one field, body stops", 600, func(c *client) {
+		c.write([]byte(c.head(lengthField(10)) + strings.Repeat("a:\n", legalFieldBytes/3) + "\r\n1"))
+	}},
+	{"legal header that comes in two parts", 1000, func(c *client) {
+		if c.write([]byte(c.head() + string(shortFields(legalFieldBytes/2)))) {
+			time.Sleep(partPause)
+			c.write(shortFields(legalFieldBytes / 2))
+		}
+	}},
 	{"many query parameters, body stops", 600, func(c *client) {
 		path := "http://" + host + c.target.path + "?" + shortParameters(legalFieldBytes)
 		c.write([]byte(headOf(c.target.method, path, c.id(), lengthField(10)) + "\r\n1"))
