test/clients: skip before the bodies of the crowds are made

Cause: without -crowds the package took 37 s under the race detector, beside other work: each test made its bodies first and skipped then. Change: the tests skip first.

--- a/test/clients/doors_test.go
+++ b/test/clients/doors_test.go
@@ -31,6 +31,7 @@
 
 // TestCrowds plays every kind of client at every HTTP listener of a site.
 func TestCrowds(t *testing.T) {
+	build(t)
 	extra := map[string][]kind{
 		"callers":   append(jobKinds(), readerKinds()...),
 		"operators": append(configurationKinds(), heartbeatKind()),
--- a/test/clients/fleet_test.go
+++ b/test/clients/fleet_test.go
@@ -127,6 +127,7 @@
 // TestFleetCrowds plays the kinds of clients at the listeners of a control member, a node and a stand-in.
 // Clients of the listeners for peers do not know the token.
 func TestFleetCrowds(t *testing.T) {
+	build(t)
 	strangers := peerKinds()[:strangerKinds]
 	playCrowds(t, startFleet, (*site).fleetDoors, func(d door) []kind {
 		if len(d.targets) == 0 {
--- a/test/clients/peers_test.go
+++ b/test/clients/peers_test.go
@@ -122,6 +122,7 @@
 
 // TestPeerCrowds plays every kind of client at every listener for other processes.
 func TestPeerCrowds(t *testing.T) {
+	build(t)
 	kinds := peerKinds()
 	playCrowds(t, startSite, (*site).peerDoors, func(door) []kind { return kinds })
 }
