sitecontrol: any member refuses a configuration that no log entry can hold

Cause: a follower sends all of it to the leader, which alone knows that it is too large, within the 0.9 s of a call; on a busy machine that takes longer. Change: a member compares the size with that of an entry before it calls anybody. Evidence: TestCommandBeyondAnEntryIsRefusedByAnyMember; the test above passes under the race detector. Without a call no time limit can decide it any more.

--- a/internal/app/sitecontrol/calls.go
+++ b/internal/app/sitecontrol/calls.go
@@ -100,8 +100,23 @@
 	Pause time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// checkSize returns an error for a command that no log entry can hold.
+func (r *Request) checkSize() error {
+	if r.Command == nil || r.Command.Configuration == nil || len(r.Command.Configuration.Raw) <= consensus.MaxEntryBytes {
+		return nil
+	}
+	return tooLarge(len(r.Command.Configuration.Raw))
+}
+
+func tooLarge(bytes int) *port.Error {
+	return port.NewError(port.NotRun, port.CodeTooLarge, "the command takes %d bytes to store, at most %d are possible", bytes, consensus.MaxEntryBytes)
+}
+
 // Call serves a request on this member or on the leader. Errors are *port.Error.
 func (c *Control) Call(ctx context.Context, request Request) (Answer, error) {
+	if err := request.checkSize(); err != nil {
+		return Answer{}, err
+	}
 	if request.Replica != nil {
 		c.dropUnusedWarmup(request.Replica)
 	}
@@ -217,7 +232,7 @@
 	}
 	result, err := c.member.Propose(ctx, data)
 	if errors.Is(err, consensus.ErrTooLarge) {
-		return 0, port.NewError(port.NotRun, port.CodeTooLarge, "the command takes %d bytes to store, at most %d are possible", len(data), consensus.MaxEntryBytes)
+		return 0, tooLarge(len(data))
 	}
 	if err != nil {
 		return 0, err
