httpserve: no limit of bodies that no server applies

Cause: read again as a newcomer would: Limits.BodyBytes was set by fronts and by the listeners for readiness and metrics, and read by nobody; fronts limit bodies themselves. Change: the field is gone, the default of a front's bodies stands with its readBody again, the comments say what happens. Result: behaviour as before; the tests of httpserve, front, cmd/loomgrade, source and docs pass, and test/site.TestCallerWithoutEndIsCutOff.

--- a/cmd/loomgrade/sitelimits.go
+++ b/cmd/loomgrade/sitelimits.go
@@ -55,5 +55,5 @@
 
 // probeLimits returns the limits of a listener for readiness or metrics.
 func probeLimits() httpserve.Limits {
-	return httpserve.Limits{Connections: probeConnections, BodyBytes: 1, IdleTimeout: httpserve.DefaultHeaderTimeout}
+	return httpserve.Limits{Connections: probeConnections, IdleTimeout: httpserve.DefaultHeaderTimeout}
 }
--- a/cmd/loomgrade/siteprocess.go
+++ b/cmd/loomgrade/siteprocess.go
@@ -150,7 +150,7 @@
 	_ = s.server.Shutdown(ctx)
 }
 
-// newService returns a service. config.BaseContext is set.
+// newService returns a service. It replaces config.BaseContext.
 func newService(address string, config httpserve.ServerConfig) service {
 	requests, abort := context.WithCancelCause(context.Background())
 	config.BaseContext = requests
--- a/internal/adapter/httpserve/guard.go
+++ b/internal/adapter/httpserve/guard.go
@@ -71,7 +71,7 @@
 	crowded := len(g.open) > g.most/crowdedParts
 	g.mutex.Unlock()
 	if tcp, ok := accepted.(*net.TCPConn); ok && crowded {
-		_ = tcp.SetReadBuffer(crowdedBufferBytes) // the kernel's default is as correct
+		_ = tcp.SetReadBuffer(crowdedBufferBytes) // on an error the default sizes remain
 		_ = tcp.SetWriteBuffer(crowdedBufferBytes)
 	}
 	return conn
--- a/internal/adapter/httpserve/limits.go
+++ b/internal/adapter/httpserve/limits.go
@@ -10,7 +10,6 @@
 	DefaultHeaderBytes   = 64 << 10
 	DefaultHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout   = 90 * time.Second
-	DefaultBodyBytes     = 32 << 20
 	DefaultBodyTimeout   = 30 * time.Second
 	DefaultWriteTimeout  = 15 * time.Second
 	DefaultConnections   = 1024
@@ -25,8 +24,6 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout limits how long a connection may stay open without a request.
 	IdleTimeout time.Duration
-	// BodyBytes limits a body. Handlers apply it.
-	BodyBytes int64
 	// BodyTimeout limits the time in which a client sends the next bodyProgressBytes of a body, or all
 	// of the rest. The body then fails with os.ErrDeadlineExceeded.
 	BodyTimeout time.Duration
@@ -45,7 +42,6 @@
 		HeaderBytes:   cmp.Or(l.HeaderBytes, fallback.HeaderBytes),
 		HeaderTimeout: cmp.Or(l.HeaderTimeout, fallback.HeaderTimeout),
 		IdleTimeout:   cmp.Or(l.IdleTimeout, fallback.IdleTimeout),
-		BodyBytes:     cmp.Or(l.BodyBytes, fallback.BodyBytes),
 		BodyTimeout:   cmp.Or(l.BodyTimeout, fallback.BodyTimeout),
 		WriteTimeout:  cmp.Or(l.WriteTimeout, fallback.WriteTimeout),
 		Connections:   cmp.Or(l.Connections, fallback.Connections),
@@ -56,7 +52,7 @@
 func defaultLimits() Limits {
 	return Limits{
 		HeaderBytes: DefaultHeaderBytes, HeaderTimeout: DefaultHeaderTimeout, IdleTimeout: DefaultIdleTimeout,
-		BodyBytes: DefaultBodyBytes, BodyTimeout: DefaultBodyTimeout, WriteTimeout: DefaultWriteTimeout,
+		BodyTimeout: DefaultBodyTimeout, WriteTimeout: DefaultWriteTimeout,
 		Connections: DefaultConnections,
 	}
 }
--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -37,6 +37,8 @@
 	// retryJitter is the fraction by which a Retry-After varies, so that requests that were
 	// rejected together are not sent again together.
 	retryJitter = 0.5
+	// defaultMaxBodyBytes limits a request's body if the configuration does not.
+	defaultMaxBodyBytes = 32 << 20
 	// maxDiscardBytes limits the length of a body that is read although it is refused, discardTimeout the
 	// time that this takes.
 	maxDiscardBytes = 64 << 20
@@ -208,24 +210,22 @@
 	f.writeError(w, r, route, status, reason)
 }
 
-// Limits returns the limits of the configuration for the server of the front. A field is zero where the
-// configuration has no limit, or while there is none.
+// Limits returns the limits of the configuration for the server of the front; readBody applies that of
+// bodies. A field is zero where the configuration has no limit, or while there is no configuration.
 func (f *Front) Limits() httpserve.Limits {
 	view := f.config.Watcher.View()
 	if view == nil || view.Table == nil {
 		return httpserve.Limits{}
 	}
 	limits := view.Table.Document().Limits
-	return httpserve.Limits{
-		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, BodyBytes: limits.BodyBytes,
-	}
+	return httpserve.Limits{HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // readBody reads the complete body. A status other than 0 is the error to respond with.
 func (f *Front) readBody(r *http.Request, limits routing.Limits, reservation *membudget.Reservation) ([]byte, int) {
 	limit := limits.BodyBytes
 	if limit <= 0 {
-		limit = httpserve.DefaultBodyBytes
+		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength > limit {
 		discardBody(r)
