--- /dev/null
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/loomgrade/loomgrade/internal/app/replicacall"
+	"github.com/loomgrade/loomgrade/internal/port"
+	"github.com/loomgrade/loomgrade/internal/testkit"
+)
+
+const (
+	// rawTimeout is the timeout of requests to a server that sends raw responses.
+	rawTimeout = 20 * time.Second
+	// rawFields are the fields of a replica's response.
+	rawFields = "Id: {id}\r\nSeal: seal\r\n"
+	// uploadBytes is the size of a body that takes long to send.
+	uploadBytes = 8 << 20
+	// rawTries is how often a row is played during an upload: its outcome depends on the order of events.
+	rawTries = 3
+)
+
+// rawForms are the ways in which an answer is read.
+var rawForms = map[string]Request{"buffered": {}, "streamed": {Stream: true}, "discarded": {DiscardBody: true}}
+
+// received is what the caller of Do receives of an answer.
+type received struct {
+	status  int
+	body    string
+	err     error
+	failure *Failure
+}
+
+// isWhole reports whether the answer looks complete to its caller.
+func (r received) isWhole() bool { return r.failure == nil && r.err == nil }
+
+// doRaw sends a request of a form and reads its answer.
+func doRaw(t *testing.T, sender *Proxy, request Request, upload int) received {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), rawTimeout)
+	defer cancel()
+	request.Target, request.Host, request.Service, request.MaxAttempts = "/x", "h", "s", 3
+	if request.Method == "" {
+		request.Method = http.MethodPost
+	}
+	if request.ID == "" {
+		request.ID = "1"
+	}
+	request.Body = make([]byte, upload)
+	answer, failure := sender.Do(ctx, request)
+	if failure != nil {
+		return received{failure: failure}
+	}
+	defer answer.Release()
+	if answer.Stream == nil {
+		return received{status: answer.Status, body: string(answer.Body)}
+	}
+	defer func() { _ = answer.Stream.Body.Close() }()
+	body, err := io.ReadAll(answer.Stream.Body)
+	return received{status: answer.Status, body: string(body), err: err}
+}
+
+// uploads returns the sizes of the bodies of the requests to which an answer is sent.
+func uploads(answer testkit.RawAnswer) []int {
+	if answer.Early {
+		return []int{10, uploadBytes}
+	}
+	return []int{10}
+}
+
+// checkBroken fails the test unless the answers are refused in every form, as to a request that may
+// have run, and their connections are closed.
+func checkBroken(t *testing.T, answers map[string]testkit.RawAnswer) {
+	t.Helper()
+	for name, answer := range answers {
+		for form, request := range rawForms {
+			for _, upload := range uploads(answer) {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, form, upload), func(t *testing.T) {
+					t.Parallel()
+					for try := 0; try == 0 || answer.Early && try < rawTries; try++ {
+						server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer })
+						sender := newTestProxy(server.Address(), new(atomic.Int64))
+						got := doRaw(t, sender, request, upload)
+						switch {
+						case got.isWhole():
+							t.Errorf("answered with status %d and %q", got.status, got.body)
+						case got.failure != nil && got.failure.Verdict != port.MayHaveRun:
+							t.Errorf("failed with %v", got.failure)
+						}
+						if server.Requests() != 1 {
+							t.Errorf("sent %d times", server.Requests())
+						}
+						server.AwaitClosed(t, endlessMargin)
+						awaitFreeConnections(t, sender)
+					}
+				})
+			}
+		}
+	}
+}
+
+// failures returns the answers with a status of success and with some of a failure.
+func failures(answers func(status, fields string) map[string]testkit.RawAnswer) map[string]testkit.RawAnswer {
+	rows := map[string]testkit.RawAnswer{}
+	for _, status := range []string{"200 OK", "404 Not Found", "503 No"} {
+		for name, answer := range answers(status, rawFields) {
+			rows[status+", "+name] = answer
+		}
+	}
+	return rows
+}
+
+// TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
+// its head announces.
+func TestCutAnswerIsNoAnswer(t *testing.T) {
+	rows := failures(testkit.CutBodies)
+	maps.Copy(rows, failures(testkit.CutHeads))
+	checkBroken(t, rows)
+}
+
+// TestInvalidFieldValueIsNoAnswer guards against an answer with a value that is invalid, or framing that
+// contradicts itself.
+func TestInvalidFieldValueIsNoAnswer(t *testing.T) {
+	checkBroken(t, failures(testkit.InvalidValues))
+}
+
+// TestLegalAnswerIsWhole guards against checks of answers that refuse what the protocol allows, or
+// lose connections that can be used again.
+func TestLegalAnswerIsWhole(t *testing.T) {
+	for name, answer := range testkit.LegalAnswers(rawFields) {
+		for form, request := range rawForms {
+			for _, upload := range uploads(answer.RawAnswer) {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, form, upload), func(t *testing.T) {
+					t.Parallel()
+					server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer.RawAnswer })
+					sender := newTestProxy(server.Address(), new(atomic.Int64))
+					for i := range 2 {
+						request.ID = fmt.Sprint(i)
+						got := doRaw(t, sender, request, upload)
+						if !got.isWhole() || got.status != answer.Status || got.body != answer.Body && !request.DiscardBody {
+							t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+						}
+						awaitFreeConnections(t, sender)
+					}
+					if server.Damaged() != 0 && !answer.Early {
+						t.Errorf("%d requests were damaged", server.Damaged())
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestHeadAnswerNeedsNoLength guards against an answer to a HEAD request that is refused because it
+// has no length: no body follows it.
+func TestHeadAnswerNeedsNoLength(t *testing.T) {
+	for name, text := range map[string]string{
+		"no length":  "HTTP/1.1 200 OK\r\n" + rawFields + "\r\n",
+		"length":     "HTTP/1.1 200 OK\r\n" + rawFields + "Content-Length: 4\r\n\r\n",
+		"chunks":     "HTTP/1.1 200 OK\r\n" + rawFields + "Transfer-Encoding: chunked\r\n\r\n",
+		"not found":  "HTTP/1.1 404 Not Found\r\n" + rawFields + "\r\n",
+		"no content": "HTTP/1.1 204 No Content\r\n" + rawFields + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return testkit.RawAnswer{Parts: []string{text}} })
+			sender := newTestProxy(server.Address(), new(atomic.Int64))
+			for i := range 2 {
+				if got := doRaw(t, sender, Request{Request: replicacall.Request{Method: http.MethodHead, ID: fmt.Sprint(i)}}, 0); !got.isWhole() {
+					t.Errorf("%v, failure %v", got.err, got.failure)
+				}
+			}
+		})
+	}
+}
