httpcall: an answer that only its connection ends is not whole

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection; the caller got that part as a complete answer, framed by us with a length. Cause: the kernel reports the error of a connection once. The write loop of net/http's transport, which is sending the upload, takes the ECONNRESET; the read loop then reads the end of the stream, which is how such a body ends. A replica that ends in the middle of such a body, or closes in order, looks the same. Change: Client.Send returns a body that fails with ErrNoExplicitEnd in place of an end that neither a length nor chunks announce. All readers of answers read it: fronts, stores, reports, reward calls, engines. What a status alone carries (a refusal as not run, an order, a report of usage) needs no body and stays as it was. The flag framed of the proxy's streams is gone: such a stream no longer ends with io.EOF.

--- a/internal/adapter/httpcall/answer.go
+++ b/internal/adapter/httpcall/answer.go
@@ -7,7 +7,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -63,7 +62,7 @@
 		return nil, tooLarge(limit)
 	}
 	if !hasExplicitEnd(response) {
-		return nil, Malformed("answer has neither Content-Length nor chunked encoding")
+		return nil, Malformed("%v", ErrNoExplicitEnd)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
@@ -79,13 +78,6 @@
 	return eris.Wrap(port.NewError(port.MayHaveRun, port.CodeTooLarge, "answer is longer than %d bytes", limit), "read answer")
 }
 
-func hasExplicitEnd(response *http.Response) bool {
-	if response.ContentLength >= 0 || response.Request.Method == http.MethodHead {
-		return true
-	}
-	return slices.Contains(response.TransferEncoding, "chunked")
-}
-
 // CheckContentType rejects a response of another media type.
 func CheckContentType(response *http.Response, want string) error {
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -211,16 +211,13 @@
 	if err != nil {
 		return nil, attempt.failure(ctx, err)
 	}
-	if err := c.limits.Names.checkID(request, response); err != nil {
+	if err := c.limits.Names.checkHead(request, response); err != nil {
 		_ = response.Body.Close()
 		attempt.closeConnections() // further data on them belongs to no request
 		return nil, err
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		_ = response.Body.Close()
-		return nil, Malformed("answer switches protocols")
-	}
 	attempt.recordKeepAlive(response)
+	response.Body = &checkedBody{ReadCloser: response.Body, response: response}
 	return response, nil
 }
 
@@ -231,12 +228,3 @@
 	}
 	return Failure(ctx, verdict, err, "send request")
 }
-
-// checkID rejects a response with another request's id.
-func (n Names) checkID(request *http.Request, response *http.Response) error {
-	got := response.Header.Get(n.ID)
-	if got == "" || got == request.Header.Get(n.ID) {
-		return nil
-	}
-	return Malformed("answer is to another request: %s %q", n.ID, got)
-}
--- a/internal/adapter/httpcall/connection.go
+++ b/internal/adapter/httpcall/connection.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// seal makes further writes fail.
+func (c *countedConnection) seal() {
+	c.mutex.Lock()
+	c.sealed = true
+	c.mutex.Unlock()
+}
+
 // setIdleLimit sets the server's announced idle timeout.
 func (c *countedConnection) setIdleLimit(limit time.Duration) {
 	c.mutex.Lock()
@@ -199,11 +206,12 @@
 	return 0, false
 }
 
-// closeConnections closes the request's connections.
+// closeConnections closes the request's connections. No other request is sent on them.
 func (a *attempt) closeConnections() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, used := range a.connections {
+		used.connection.seal()
 		_ = used.connection.Close()
 	}
 }
--- /dev/null
+++ b/internal/adapter/httpcall/wellformed.go
@@ -0,0 +1,55 @@
+package httpcall
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+)
+
+// ErrNoExplicitEnd is the error for a body that only the end of its connection ends. After a reset, the
+// transport may see the same end as after an orderly close, so that the body may be a part.
+var ErrNoExplicitEnd = errors.New("answer has neither Content-Length nor chunked encoding")
+
+// checkHead rejects a response that switches protocols or has the id of another request.
+func (n Names) checkHead(request *http.Request, response *http.Response) error {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return Malformed("answer switches protocols")
+	}
+	return n.checkID(request, response)
+}
+
+// checkID rejects a response with another request's id.
+func (n Names) checkID(request *http.Request, response *http.Response) error {
+	got := response.Header.Get(n.ID)
+	if got == "" || got == request.Header.Get(n.ID) {
+		return nil
+	}
+	return Malformed("answer is to another request: %s %q", n.ID, got)
+}
+
+// hasExplicitEnd reports whether the end of a response's body differs from the end of its connection.
+func hasExplicitEnd(response *http.Response) bool {
+	if response.ContentLength >= 0 || response.Request.Method == http.MethodHead {
+		return true
+	}
+	return slices.Contains(response.TransferEncoding, "chunked")
+}
+
+// checkedBody is the body of a response. It fails in place of an end that is not known to be one.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(buf []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buf)
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if !hasExplicitEnd(b.response) {
+		return count, ErrNoExplicitEnd
+	}
+	return count, err
+}
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -116,6 +116,12 @@
 	return rows
 }
 
+// TestAnswerWithoutEndIsNotWhole guards against a part of an answer that looks complete because
+// nothing but the end of the connection ends it.
+func TestAnswerWithoutEndIsNotWhole(t *testing.T) {
+	checkBroken(t, failures(testkit.AnswersWithoutEnd))
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -217,8 +217,7 @@
 	if answer == nil || answer.Stream == nil {
 		cancel()
 	} else {
-		framed := answer.Stream.ContentLength >= 0 || len(answer.Stream.TransferEncoding) > 0
-		answer.Stream.Body = &streamBody{ReadCloser: answer.Stream.Body, run: run, replica: answer.Replica.ID, framed: framed}
+		answer.Stream.Body = &streamBody{ReadCloser: answer.Stream.Body, run: run, replica: answer.Replica.ID}
 	}
 	run.log(answer, failure)
 	return answer, failure
--- a/internal/app/proxy/suspect.go
+++ b/internal/app/proxy/suspect.go
@@ -47,8 +47,6 @@
 	io.ReadCloser
 	run     *exchange
 	replica string
-	// framed is set if the end of the stream is distinguishable from a closed connection.
-	framed bool
 }
 
 // Read implements io.Reader.
@@ -57,9 +55,7 @@
 	switch {
 	case err == nil:
 	case err == io.EOF:
-		if b.framed {
-			b.run.recordServed()
-		}
+		b.run.recordServed()
 	case b.run.ctx.Err() == nil && httpcall.IsConnectionClosed(err):
 		b.run.recordCrash(b.replica)
 	}
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -12,6 +12,27 @@
 // RawBody is the body of the responses of this file, as far as a client can know it.
 const RawBody = "part"
 
+// AnswersWithoutEnd returns responses whose body ends only with the connection, by name: a client
+// can't tell them from responses that are cut off. status is a status with its reason, fields are
+// fields of the head, each with its line break.
+func AnswersWithoutEnd(status, fields string) map[string]RawAnswer {
+	head := "HTTP/1.1 " + status + "\r\n" + fields + "\r\n"
+	older := "HTTP/1.0 " + status + "\r\n" + fields
+	return map[string]RawAnswer{
+		"early, reset later":        {Parts: []string{head + RawBody}, Pause: resetPause, Early: true, End: ResetAtOnce},
+		"early, reset at once":      {Parts: []string{head + RawBody}, Early: true, End: ResetAtOnce},
+		"early, reset between":      {Parts: []string{head, RawBody, RawBody}, Pause: resetPause, Early: true, End: ResetAtOnce},
+		"early, no body, reset":     {Parts: []string{head}, Pause: resetPause, Early: true, End: ResetAtOnce},
+		"early, closed":             {Parts: []string{head + RawBody}, Early: true, End: CloseAtOnce},
+		"reset":                     {Parts: []string{head + RawBody}, Pause: resetPause, End: ResetAtOnce},
+		"closed":                    {Parts: []string{head + RawBody}, End: CloseAfter},
+		"closed, no body":           {Parts: []string{head}, End: CloseAfter},
+		"HTTP/1.0, closed":          {Parts: []string{older + "\r\n" + RawBody}, End: CloseAfter},
+		"HTTP/1.0, early, reset":    {Parts: []string{older + "\r\n" + RawBody}, Pause: resetPause, Early: true, End: ResetAtOnce},
+		"HTTP/1.0, chunked, closed": {Parts: []string{older + "Transfer-Encoding: chunked\r\n\r\n4\r\n" + RawBody + "\r\n0\r\n\r\n"}, End: CloseAfter},
+	}
+}
+
 // CutBodies returns responses whose body ends before the end that the head announces, by name.
 func CutBodies(status, fields string) map[string]RawAnswer {
 	head := "HTTP/1.1 " + status + "\r\n" + fields
