httpcall: a status that no final response has is no answer

What callers saw: a replica sent an answer with status 000; the caller got it, or its connection ended with no answer, since net/http's server panics on a status below 100. Cause: net/http's client takes any three characters that strconv.Atoi reads as a status. Change: Client.Send refuses what is not in 200 to 599, as to a request that may have run, and closes the connection. RFC 9110, section 15, has no statuses from 600, so those are refused too. Evidence: TestInvalidStatusIsNoAnswer failed before for 000, 001, 020, 099, +20, 600 and 999 (`answered with status 0 and "part"`); -20 was refused already.

--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -7,14 +7,24 @@
 	"slices"
 )
 
+// The statuses of a final response. RFC 9110, section 15, has no others.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // ErrNoExplicitEnd is the error for a body that only the end of its connection ends. After a reset, the
 // transport may see the same end as after an orderly close, so that the body may be a part.
 var ErrNoExplicitEnd = errors.New("answer has neither Content-Length nor chunked encoding")
 
-// checkHead rejects a response that switches protocols or has the id of another request.
+// checkHead rejects a response to a request whose head is malformed: net/http accepts any status of three
+// characters.
 func (n Names) checkHead(request *http.Request, response *http.Response) error {
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		return Malformed("answer switches protocols")
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return Malformed("answer has status %03d", response.StatusCode)
 	}
 	return n.checkID(request, response)
 }
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -122,6 +122,11 @@
 	checkBroken(t, failures(testkit.AnswersWithoutEnd))
 }
 
+// TestInvalidStatusIsNoAnswer guards against an answer whose status is none of a final response.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	checkBroken(t, testkit.InvalidStatuses(rawFields))
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -86,6 +86,19 @@
 	return RawAnswer{Parts: []string{line + "\r\n" + fields + "Content-Length: 4\r\n\r\n" + RawBody}}
 }
 
+// InvalidStatuses returns responses whose status is none of a final response, by name.
+func InvalidStatuses(fields string) map[string]RawAnswer {
+	rows := map[string]RawAnswer{}
+	for _, status := range []string{"000", "001", "020", "099", "+20", "-20", "600", "999"} {
+		rows[status] = framed("HTTP/1.1 "+status+" Odd", fields)
+		rows[status+", no reason"] = framed("HTTP/1.1 "+status, fields)
+	}
+	rows["000, chunked"] = RawAnswer{Parts: []string{"HTTP/1.1 000 Odd\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\n" + RawBody + "\r\n0\r\n\r\n"}}
+	rows["000, empty"] = RawAnswer{Parts: []string{"HTTP/1.1 000 Odd\r\n" + fields + "Content-Length: 0\r\n\r\n"}}
+	rows["000, closed"] = RawAnswer{Parts: []string{"HTTP/1.1 000 Odd\r\n" + fields + "\r\n"}, End: CloseAfter}
+	return rows
+}
+
 // InvalidValues returns responses with a field whose value is invalid or contradicts another one, by
 // name. The fields must not set Content-Length.
 func InvalidValues(status, fields string) map[string]RawAnswer {
