httpcall: a field whose name is no token makes a response malformed

What callers saw: the name of a field held a blank. The caller got the answer with that line passed on, or with a body that was not the replica's: after "Content-Length : 4" bytes that follow the body, after "Transfer-Encoding : chunked" the lines of the chunks. A 503 or 421 in such a head counted as not run. Cause: net/textproto keeps a name with a blank as it is, so that the transport doesn't know the field. Change: Client.Send checks all names (httpguts.ValidHeaderFieldName). Such an answer is no promise: it may have run, its connection is closed, and a request that may be repeated goes to another replica. Evidence: TestInvalidFieldNameIsNoAnswer failed before for blanks within and at the end of a name (`answered with status 200 and "part and more"`, `queue_full (not-run): refused with status Service Unavailable`); tabs, control bytes and other separators were refused already.

--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"slices"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of a final response. RFC 9110, section 15, has no others.
@@ -18,7 +20,8 @@
 var ErrNoExplicitEnd = errors.New("answer has neither Content-Length nor chunked encoding")
 
 // checkHead rejects a response to a request whose head is malformed: net/http accepts any status of three
-// characters.
+// characters and blanks in the names of fields, and ignores Content-Length and
+// Transfer-Encoding under such names.
 func (n Names) checkHead(request *http.Request, response *http.Response) error {
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols:
@@ -26,9 +29,22 @@
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return Malformed("answer has status %03d", response.StatusCode)
 	}
+	if err := checkNames(response.Header); err != nil {
+		return err
+	}
 	return n.checkID(request, response)
 }
 
+// checkNames rejects fields whose names are no tokens.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return Malformed("answer has a field with the name %q", name)
+		}
+	}
+	return nil
+}
+
 // checkID rejects a response with another request's id.
 func (n Names) checkID(request *http.Request, response *http.Response) error {
 	got := response.Header.Get(n.ID)
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -127,6 +127,19 @@
 	checkBroken(t, testkit.InvalidStatuses(rawFields))
 }
 
+// TestInvalidFieldNameIsNoAnswer guards against a field whose name no recipient can read as the
+// sender meant it: an answer with another body, or a promise that was not made.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	rows := failures(testkit.InvalidNames)
+	for name, answer := range testkit.InvalidNames("503 No", rawFields+"Not-Run: 1\r\n") {
+		rows["refusal, "+name] = answer
+	}
+	for name, answer := range testkit.InvalidNames("421 No", rawFields) {
+		rows["another instance, "+name] = answer
+	}
+	checkBroken(t, rows)
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -99,6 +99,37 @@
 	return rows
 }
 
+// InvalidNames returns responses with a field whose name is no token, by name.
+func InvalidNames(status, fields string) map[string]RawAnswer {
+	line := "HTTP/1.1 " + status
+	rows := map[string]RawAnswer{
+		"length": {Parts: []string{line + "\r\n" + fields + "Content-Length : 4\r\n\r\n" + RawBody + " and more"}, End: CloseAfter},
+		"length, more later": {
+			Parts: []string{line + "\r\n" + fields + "Content-Length : 4\r\n\r\n" + RawBody, " and more"}, Pause: resetPause, End: CloseAfter,
+		},
+		"length beside chunks": {Parts: []string{line + "\r\n" + fields + "Content-Length : 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n" + RawBody + "\r\n0\r\n\r\n"}},
+		"chunks":               {Parts: []string{line + "\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n4\r\n" + RawBody + "\r\n0\r\n\r\n"}, End: CloseAfter},
+		"chunks beside length": {Parts: []string{line + "\r\n" + fields + "Content-Length: 4\r\nTransfer-Encoding : chunked\r\n\r\n" + RawBody}},
+	}
+	for name, field := range map[string]string{
+		"blank":           "Bad Name",
+		"trailing blank":  "Bad ",
+		"tab":             "Bad\tName",
+		"trailing tab":    "Bad\t",
+		"NUL":             "Bad\x00Name",
+		"control byte":    "Bad\x01Name",
+		"escape":          "Bad\x1bName",
+		"delete":          "Bad\x7fName",
+		"no ASCII":        "B\xc3\xa4d",
+		"separator":       "Bad(Name)",
+		"carriage return": "Bad\rName",
+	} {
+		rows[name] = framed(line, fields+field+": x\r\n")
+		rows[name+", first"] = framed(line, field+": x\r\n"+fields)
+	}
+	return rows
+}
+
 // InvalidValues returns responses with a field whose value is invalid or contradicts another one, by
 // name. The fields must not set Content-Length.
 func InvalidValues(status, fields string) map[string]RawAnswer {
