httpcall: a malformed trailer does not end an answer

What would be seen: a chunked answer whose trailer has a name with a blank counts as whole, and its connection is used again, though what follows the last chunk is no trailer section. Found by the rows of the names; not reported. Cause: as for the fields of the head; the transport reads trailers by the same rules. Change: the body of Client.Send fails at its end if the trailers have such a name, and closes the connection. Evidence: TestInvalidTrailerIsNotWhole failed before (`answered with status 200 and "part"`); it passes. TestBrokenAnswerIsTriedElsewhere plays all kinds at once: a request that may be repeated is served by the other replica.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -217,7 +217,7 @@
 		return nil, err
 	}
 	attempt.recordKeepAlive(response)
-	response.Body = &checkedBody{ReadCloser: response.Body, response: response}
+	response.Body = &checkedBody{ReadCloser: response.Body, response: response, discard: attempt.closeConnections}
 	return response, nil
 }
 
--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -66,6 +66,8 @@
 type checkedBody struct {
 	io.ReadCloser
 	response *http.Response
+	// discard closes the connection.
+	discard func()
 }
 
 // Read implements io.Reader.
@@ -77,5 +79,9 @@
 	if !hasExplicitEnd(b.response) {
 		return count, ErrNoExplicitEnd
 	}
+	if err := checkNames(b.response.Trailer); err != nil {
+		b.discard()
+		return count, err
+	}
 	return count, err
 }
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -140,6 +140,11 @@
 	checkBroken(t, rows)
 }
 
+// TestInvalidTrailerIsNotWhole guards against a chunked answer that ends with a malformed trailer.
+func TestInvalidTrailerIsNotWhole(t *testing.T) {
+	checkBroken(t, failures(testkit.InvalidTrailers))
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
@@ -202,3 +207,33 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsTriedElsewhere guards against a request that may run again and fails because one
+// replica sends broken answers.
+func TestBrokenAnswerIsTriedElsewhere(t *testing.T) {
+	rows := map[string]testkit.RawAnswer{}
+	for _, group := range []map[string]testkit.RawAnswer{
+		testkit.AnswersWithoutEnd("200 OK", rawFields), testkit.CutHeads("200 OK", rawFields), testkit.CutBodies("200 OK", rawFields),
+		testkit.InvalidStatuses(rawFields), testkit.InvalidNames("200 OK", rawFields), testkit.InvalidTrailers("200 OK", rawFields),
+		testkit.InvalidNames("503 No", rawFields+"Not-Run: 1\r\n"),
+	} {
+		for name, answer := range group {
+			rows[fmt.Sprint(len(rows), " ", name)] = answer
+		}
+	}
+	for name, broken := range rows {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := testkit.NewRawServer(t, "Id", func(request int) testkit.RawAnswer {
+				if request == 0 {
+					return broken
+				}
+				return testkit.LegalAnswers(rawFields)["length"].RawAnswer
+			})
+			sender := newTestProxyOf(server.Address(), 2, new(atomic.Int64)) // both replicas have one address
+			if got := doRaw(t, sender, Request{Repeatable: true}, 10); !got.isWhole() || got.status != http.StatusOK || got.body != testkit.RawBody {
+				t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+			}
+		})
+	}
+}
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -130,6 +130,16 @@
 	return rows
 }
 
+// InvalidTrailers returns chunked responses with a trailer whose name is no token, by name.
+func InvalidTrailers(status, fields string) map[string]RawAnswer {
+	head := "HTTP/1.1 " + status + "\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\n" + RawBody + "\r\n0\r\n"
+	return map[string]RawAnswer{
+		"blank":        {Parts: []string{head + "Bad Name: x\r\n\r\n"}},
+		"control byte": {Parts: []string{head + "Bad\x01Name: x\r\n\r\n"}},
+		"no field":     {Parts: []string{head + "no field\r\n\r\n"}},
+	}
+}
+
 // InvalidValues returns responses with a field whose value is invalid or contradicts another one, by
 // name. The fields must not set Content-Length.
 func InvalidValues(status, fields string) map[string]RawAnswer {
