httpcall: an answer of another version of the protocol is refused

What would be seen: an answer that begins with "HTTP/9.9" was passed on. Not reported. Cause: the transport reads any version and frames the answer as HTTP/1.1. Change: Client.Send refuses versions other than 1.x. Evidence: TestOtherProtocolIsNoAnswer failed before for HTTP/9.9, 2.0 and 0.9; it passes.

--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -20,10 +20,12 @@
 var ErrNoExplicitEnd = errors.New("answer has neither Content-Length nor chunked encoding")
 
 // checkHead rejects a response to a request whose head is malformed: net/http accepts any status of three
-// characters and blanks in the names of fields, and ignores Content-Length and
+// characters, any version and blanks in the names of fields, and ignores Content-Length and
 // Transfer-Encoding under such names.
 func (n Names) checkHead(request *http.Request, response *http.Response) error {
 	switch {
+	case response.ProtoMajor != 1:
+		return Malformed("answer has version %q of the protocol", response.Proto)
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return Malformed("answer switches protocols")
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -145,6 +145,11 @@
 	checkBroken(t, failures(testkit.InvalidTrailers))
 }
 
+// TestOtherProtocolIsNoAnswer guards against an answer of a protocol that is not spoken here.
+func TestOtherProtocolIsNoAnswer(t *testing.T) {
+	checkBroken(t, failures(testkit.InvalidVersions))
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -99,6 +99,15 @@
 	return rows
 }
 
+// InvalidVersions returns responses of other versions of the protocol than HTTP/1, by name.
+func InvalidVersions(status, fields string) map[string]RawAnswer {
+	rows := map[string]RawAnswer{}
+	for _, version := range []string{"HTTP/9.9", "HTTP/2.0", "HTTP/0.9"} {
+		rows[version] = framed(version+" "+status, fields)
+	}
+	return rows
+}
+
 // InvalidNames returns responses with a field whose name is no token, by name.
 func InvalidNames(status, fields string) map[string]RawAnswer {
 	line := "HTTP/1.1 " + status
