httpcall: an answer that names a second request is refused

What would be seen: an answer with two ids, the second of another request, was passed on, and a refusal among them was a promise. Cause: checkID read the first field of that name. Change: it reads all of them; beside another one even an empty id is a mismatch. Evidence: TestSecondIDIsNoAnswer failed before for 200, 500, 503 and a refusal; it passes.

--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -47,13 +47,16 @@
 	return nil
 }
 
-// checkID rejects a response with another request's id.
+// checkID rejects a response that names another request, also besides this one.
 func (n Names) checkID(request *http.Request, response *http.Response) error {
-	got := response.Header.Get(n.ID)
-	if got == "" || got == request.Header.Get(n.ID) {
-		return nil
+	want := request.Header.Get(n.ID)
+	ids := response.Header.Values(n.ID)
+	for _, got := range ids {
+		if got != want && (got != "" || len(ids) > 1) {
+			return Malformed("answer is to another request: %s %q", n.ID, got)
+		}
 	}
-	return Malformed("answer is to another request: %s %q", n.ID, got)
+	return nil
 }
 
 // hasExplicitEnd reports whether the end of a response's body differs from the end of its connection.
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -150,6 +150,23 @@
 	checkBroken(t, failures(testkit.InvalidVersions))
 }
 
+// TestSecondIDIsNoAnswer guards against an answer that names another request besides this one.
+func TestSecondIDIsNoAnswer(t *testing.T) {
+	const length = "Content-Length: 4\r\n\r\n" + testkit.RawBody
+	rows := map[string]testkit.RawAnswer{}
+	for _, status := range []string{"200 OK", "500 No", "503 No"} {
+		line := "HTTP/1.1 " + status + "\r\n"
+		rows[status+", another one after it"] = testkit.RawAnswer{Parts: []string{line + rawFields + "Id: 2\r\n" + length}}
+		rows[status+", another one before it"] = testkit.RawAnswer{Parts: []string{line + "Id: 2\r\n" + rawFields + length}}
+		rows[status+", empty one before another"] = testkit.RawAnswer{Parts: []string{line + "Id:\r\nId: 2\r\nSeal: seal\r\n" + length}}
+		rows[status+", empty one after it"] = testkit.RawAnswer{Parts: []string{line + rawFields + "Id:\r\n" + length}}
+		rows[status+", list"] = testkit.RawAnswer{Parts: []string{line + "Id: {id}, 2\r\nSeal: seal\r\n" + length}}
+	}
+	refusal := "HTTP/1.1 503 No\r\n" + rawFields + "Not-Run: 1\r\n"
+	rows["refusal"] = testkit.RawAnswer{Parts: []string{refusal + "Id: 2\r\n" + length}}
+	checkBroken(t, rows)
+}
+
 // TestCutAnswerIsNoAnswer guards against an answer that ends in its head, or before the end that
 // its head announces.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
