proxy, front: a request that waited is not sent late in a planned stop

What callers saw: in a planned stop, requests that came late in the grace were passed on and cut at its end. Cause: front.mayForward compares a request with the end of the stop when it arrives. A request that was accepted, also before the stop, and then waits for a connection, its send limit or another try is sent whenever that ends, however late. Change: Request.MaySend is asked before each try; the front answers it by the rule for arrivals. A request of which nothing was sent is then refused at once as not run, with the time to come back; after a failed try it ends with that result. A stream that the caller has in part still resumes. Evidence: TestWaitingRequestIsNotSentLateInStop failed before (a request of 1 s was sent 10 ms before the end of the stop, "connection_wait_ms":1001); it passes, for all three kinds of route. Already held: a request that arrives late, a body that arrives over seconds (the rule is applied once it is read), and an answer at the end of the stop for what is under way (TestStoppingFrontRefusesWhatOutlastsIt, test/soak.TestGracefulStop*).

--- a/internal/app/front/front.go
+++ b/internal/app/front/front.go
@@ -273,6 +273,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	request.Age = f.ages.observe(route, arrived, f.patience(r))
+	request.MaySend = func() bool { return f.maySend(route, request.Service, deadline) }
 	answer, failure := f.config.Proxy.Do(ctx, request)
 	if failure != nil {
 		if failure.Verdict != port.NotRun {
--- a/internal/app/front/stop.go
+++ b/internal/app/front/stop.go
@@ -66,10 +66,21 @@
 	if f.endsBeforeStop(deadline) {
 		return true
 	}
-	planned, now := f.stop.Load(), time.Now()
-	if route.Kind == routing.KindStream || now.After(planned.CallersAware) {
+	return !time.Now().After(f.stop.Load().CallersAware) && f.usuallyEndsBeforeStop(route, service)
+}
+
+// maySend reports whether an accepted request may be sent to a replica. A planned stop may have begun, or
+// come closer, while it waited for a connection or after an earlier try.
+func (f *Front) maySend(route *routing.Route, service string, deadline time.Time) bool {
+	return f.endsBeforeStop(deadline) || f.usuallyEndsBeforeStop(route, service)
+}
+
+// usuallyEndsBeforeStop reports whether the usual latency of a service leaves ample time before the end of
+// the planned stop.
+func (f *Front) usuallyEndsBeforeStop(route *routing.Route, service string) bool {
+	if route.Kind == routing.KindStream {
 		return false
 	}
 	latency := f.config.Proxy.Latency(service)
-	return latency > 0 && !now.Add(latencyMargin*latency).After(planned.AnswerBy)
+	return latency > 0 && !time.Now().Add(latencyMargin*latency).After(f.stop.Load().AnswerBy)
 }
--- a/internal/app/front/stream.go
+++ b/internal/app/front/stream.go
@@ -44,6 +44,7 @@
 		if events.lastEvent != "" {
 			request.Header.Set(f.headers.LastEventID, events.lastEvent)
 		}
+		request.MaySend = nil // the caller already has a part of the stream
 		next, failure := f.config.Proxy.Do(ctx, request)
 		if failure != nil || next.Stream == nil {
 			panic(http.ErrAbortHandler)
--- a/internal/app/proxy/exchange.go
+++ b/internal/app/proxy/exchange.go
@@ -73,6 +73,8 @@
 	withheld  bool
 	// timedOut is set once the caller's deadline has passed.
 	timedOut bool
+	// stopping is set once Request.MaySend has forbidden a try.
+	stopping bool
 	// lastAnswer is the latest 5xx answer, returned if no other try succeeds.
 	lastAnswer *Answer
 }
@@ -324,6 +326,9 @@
 
 // giveUp returns the result of a request for which start found nothing to do.
 func (e *exchange) giveUp() (*Answer, *Failure) {
+	if e.sends == 0 && e.stopping {
+		return nil, e.fail(port.CodeDraining, ErrStopping.Error())
+	}
 	if e.sends == 0 && !e.timedOut && !e.crowded {
 		return nil, e.noReplicaFailure()
 	}
@@ -348,7 +353,8 @@
 }
 
 // start starts a try or, if it may, makes the request wait for a connection. It returns false if
-// there is no replica to try, the caller's deadline has passed, or the request is withheld.
+// there is no replica to try, the caller's deadline has passed, or the request is withheld or must
+// not be sent any more.
 func (e *exchange) start(mayWait bool) bool {
 	if e.expired() {
 		e.timedOut = true
@@ -358,6 +364,10 @@
 		e.withheld = true
 		return false
 	}
+	if e.request.MaySend != nil && !e.request.MaySend() {
+		e.stopping = true
+		return false
+	}
 	before := e.waiter
 	picked := e.proxy.pick(&e.request, e.tried, e.refused, before, mayWait)
 	e.waiter = picked.waiter
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -146,6 +146,8 @@
 	Owed bool
 	// DiscardBody reads the answer's body to its end without keeping it.
 	DiscardBody bool
+	// MaySend, if set, reports before each try whether the request may be sent now. It must not block.
+	MaySend func() bool
 }
 
 // fingerprint returns a hash that is the same for equivalent requests.
--- a/test/site/stop_test.go
+++ b/test/site/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +87,56 @@
 		})
 	}
 }
+
+// TestWaitingRequestIsNotSentLateInStop guards against a request that arrived before a planned stop, waits for
+// a connection to a replica, and is sent so late that the end of the stop cuts it off.
+func TestWaitingRequestIsNotSentLateInStop(t *testing.T) {
+	const connections, remaining = 8, time.Second
+	for name, path := range map[string]string{"once": "/once/x", "may be repeated": "/plain/x", "stream": "/stream/x"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 0)
+			s.extra = `,{"name":"r-stream","hostname":"` + host + `","pathPrefix":"/stream/","routeType":"streaming","timeoutMs":4000,"targetLatencyMs":400,"backend":"` + plain + `","maxAttempts":1}`
+			s.start()
+			s.configure()
+			replica := sitestandin.NewReplica(t, "i-a", plain)
+			released := make(chan struct{})
+			replica.Handle = func(_ http.ResponseWriter, r *http.Request) bool {
+				if strings.HasPrefix(r.Header.Get(sitestandin.Headers.RequestID), "held") {
+					<-released
+				}
+				return false
+			}
+			s.add(replica)
+			waitUntil(t, "the service's latency is known", func() bool {
+				status, _, _ := s.call("/plain/x", fmt.Sprint("first-", time.Now().UnixNano()))
+				return status == http.StatusOK
+			})
+			first := len(replica.Arrivals())
+			for i := range connections {
+				go s.call("/once/x", fmt.Sprint("held-", i))
+			}
+			waitUntil(t, "all connections are in use", func() bool { return len(replica.Arrivals()) == first+connections })
+			type answered struct {
+				status int
+				took   time.Duration
+			}
+			late, began := make(chan answered, 1), time.Now()
+			go func() {
+				status, _, _ := s.call(path, "late")
+				late <- answered{status, time.Since(began)}
+			}()
+			waitUntil(t, "the request waits", func() bool { return s.fronts[0].front.InFlight() == connections+1 })
+			now := time.Now()
+			s.fronts[0].front.Drain(front.PlannedStop{CallersAware: now.Add(time.Hour), AnswerBy: now.Add(remaining)})
+			time.AfterFunc(remaining-remaining/100, func() { close(released) })
+			if got := <-late; got.status != http.StatusServiceUnavailable || got.took > remaining+remaining/2 {
+				t.Errorf("status %d after %v", got.status, got.took)
+			}
+			for _, arrival := range replica.Arrivals() {
+				if arrival.ID == "late" {
+					t.Error("the request was sent")
+				}
+			}
+		})
+	}
+}
