httpserve: an aborted response does not look complete to an HTTP/1.0 client

What callers would see: a stream, or an answer that is not buffered, breaks off late; the front aborts the response. To HTTP/1.1 the last chunk is missing. A caller of HTTP/1.0 got the part as a complete answer. Not reported. Cause: net/http sends such a response without chunks, so that the close ends it, and closes an aborted one in order. Change: the server of all listeners resets the connection of an HTTP/1.0 client whose response is aborted. Evidence: TestAbortedResponseDoesNotLookComplete failed before for HTTP/1.0 (`received "HTTP/1.0 200 OK ... part", <nil>`), and passes; complete responses and HTTP/1.1 are as before.

--- a/internal/adapter/httpserve/connection.go
+++ b/internal/adapter/httpserve/connection.go
@@ -410,6 +410,13 @@
 	}
 }
 
+// resetOnClose makes Close reset the connection.
+func (c *connection) resetOnClose() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection
 // with unread data.
 func (c *connection) CloseWrite() error {
--- a/internal/adapter/httpserve/server.go
+++ b/internal/adapter/httpserve/server.go
@@ -50,7 +50,7 @@
 	}
 	s := &Server{guard: newGuard(config), idle: config.Idle}
 	s.Server = &http.Server{
-		Handler:                      limitBodies(config.Idle.handler(config.Handler)),
+		Handler:                      resetAborted(limitBodies(config.Idle.handler(config.Handler))),
 		MaxHeaderBytes:               maxHeaderBytes,
 		ReadHeaderTimeout:            maxHeaderTimeout,
 		IdleTimeout:                  maxIdleTimeout,
@@ -94,6 +94,21 @@
 	return nil
 }
 
+// resetAborted resets the connections of HTTP/1.0 clients whose responses are aborted: nothing but the close
+// ends the body of such a response unless its length is known.
+func resetAborted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		completed := false
+		defer func() {
+			if conn, ok := r.Context().Value(connectionKey{}).(*connection); ok && !completed && !r.ProtoAtLeast(1, 1) {
+				conn.resetOnClose()
+			}
+		}()
+		next.ServeHTTP(w, r)
+		completed = true
+	})
+}
+
 // limitBodies makes clients send the bodies of their requests within Limits.BodyTimeout.
 func limitBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
