--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/app/replicacall"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/testkit"
@@ -26,8 +27,20 @@
 	rawTries = 3
 )
 
+// unbuffered is the form of answers for which the memory budget has no space.
+const unbuffered = "unbuffered"
+
 // rawForms are the ways in which an answer is read.
-var rawForms = map[string]Request{"buffered": {}, "streamed": {Stream: true}, "discarded": {DiscardBody: true}}
+var rawForms = map[string]Request{"buffered": {}, unbuffered: {}, "streamed": {Stream: true}, "discarded": {DiscardBody: true}}
+
+// newRawProxy returns a proxy for requests of a form to the server.
+func newRawProxy(server *testkit.RawServer, form string) *Proxy {
+	sender := newTestProxy(server.Address(), new(atomic.Int64))
+	if form == unbuffered {
+		sender.memoryBudget = membudget.NewBudget(1)
+	}
+	return sender
+}
 
 // received is what the caller of Do receives of an answer.
 type received struct {
@@ -85,7 +98,7 @@
 					t.Parallel()
 					for try := 0; try == 0 || answer.Early && try < rawTries; try++ {
 						server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer })
-						sender := newTestProxy(server.Address(), new(atomic.Int64))
+						sender := newRawProxy(server, form)
 						got := doRaw(t, sender, request, upload)
 						switch {
 						case got.isWhole():
@@ -190,7 +203,7 @@
 				t.Run(fmt.Sprintf("%s/%s/%d", name, form, upload), func(t *testing.T) {
 					t.Parallel()
 					server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer.RawAnswer })
-					sender := newTestProxy(server.Address(), new(atomic.Int64))
+					sender := newRawProxy(server, form)
 					for i := range 2 {
 						request.ID = fmt.Sprint(i)
 						got := doRaw(t, sender, request, upload)
