httpcall: operators' calls and the lab read answers through the same check

What would be seen: an operator's change counted as not made by a refusal in a malformed head, or one that the close ended; the lab's load and stand-ins took such answers as whole. Cause: they use http.Client, not httpcall.Client. Change: httpcall.CheckedClient has the checks of Client.Send; the operators' client, explain, the lab's load, trainer and engine use it. What reads a status alone from its own fleet keeps http.DefaultClient.

--- a/cmd/loomgrade/cmd_explain.go
+++ b/cmd/loomgrade/cmd_explain.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/httpapi"
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/adapter/operatorapi"
 	"github.com/loomgrade/loomgrade/internal/core/registry"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -135,7 +136,8 @@
 		return explanation, usageError{err}
 	}
 	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := http.DefaultClient.Do(request)
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true}
+	response, err := httpcall.CheckedClient(transport, nodeTimeout).Do(request)
 	if err != nil {
 		return explanation, port.NewError(port.NotRun, port.CodeUnavailable, "%v", err)
 	}
--- a/internal/adapter/operatorapi/client.go
+++ b/internal/adapter/operatorapi/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/adapter/httpserve"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
@@ -54,7 +55,7 @@
 	}
 	dialer := &net.Dialer{Timeout: clientDialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	return &Client{servers: servers, token: token, http: &http.Client{Transport: transport, Timeout: clientAttemptTimeout}}, nil
+	return &Client{servers: servers, token: token, http: httpcall.CheckedClient(transport, clientAttemptTimeout)}, nil
 }
 
 // Config returns the current configuration.
--- a/internal/lab/load/config.go
+++ b/internal/lab/load/config.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 )
 
 // Class describes one kind of caller.
@@ -78,7 +80,7 @@
 	}
 	if c.Client == nil {
 		transport := &http.Transport{MaxIdleConnsPerHost: c.MaxInFlight, IdleConnTimeout: idleTimeout}
-		c.Client = &http.Client{Transport: transport}
+		c.Client = httpcall.CheckedClient(transport, 0)
 	}
 	return c
 }
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/lab/engine"
 	"github.com/loomgrade/loomgrade/internal/port"
@@ -79,7 +80,7 @@
 	}
 	config.Model.Store = nil // weights are downloaded from the source in the order
 	e := &Engine{
-		config: config, client: &http.Client{}, wake: make(chan struct{}, 1),
+		config: config, client: httpcall.CheckedClient(&http.Transport{DisableKeepAlives: true}, 0), wake: make(chan struct{}, 1),
 		model: engine.New(config.Model), origin: time.Now(),
 		streams: map[string]*stream{}, exports: map[string]chan exportResult{}, blobs: map[string]kvBlob{},
 		cacheFeed: engine.NewFeed(config.CacheLag, config.CacheGapEvery, maxCacheEvents),
--- a/internal/lab/standin/trainer.go
+++ b/internal/lab/standin/trainer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/httpcall"
 	"github.com/loomgrade/loomgrade/internal/lab/audit"
 	"github.com/loomgrade/loomgrade/internal/port"
 	"github.com/loomgrade/loomgrade/internal/port/api"
@@ -101,9 +102,7 @@
 	config.Wait = cmp.Or(config.Wait, 2*time.Second)
 	config.ResponseGrace = cmp.Or(config.ResponseGrace, 10*time.Second)
 	config.Prompts.applyDefaults()
-	t := &Trainer{config: config, client: &http.Client{
-		Timeout: config.Wait + config.ResponseGrace, Transport: &http.Transport{IdleConnTimeout: trainerIdleTimeout},
-	}}
+	t := &Trainer{config: config, client: httpcall.CheckedClient(&http.Transport{IdleConnTimeout: trainerIdleTimeout}, config.Wait+config.ResponseGrace)}
 	t.stats.Version = config.FirstVersion
 	t.restoreCheckpoint(config.Checkpoint)
 	t.server = newServer(ctx, config.Common, FaultCrash, FaultHang, FaultSlow, FaultRefuse,
