test/site: many answers without end at once fit the machine

Cause: the rows of answers without end play one at a time; each is bounded, and all of them together had no test. Change: 32 callers at four replicas without end, in five kinds, against the budget of a front of 284 MB. Nothing else is changed for it.

--- a/test/site/endless_test.go
+++ b/test/site/endless_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/loomgrade/loomgrade/internal/adapter/membudget"
 	"github.com/loomgrade/loomgrade/internal/testkit"
 	"github.com/loomgrade/loomgrade/test/sitestandin"
 )
@@ -124,6 +128,74 @@
 	}
 }
 
+// TestManyAnswersWithoutEndFitTheMachine guards against answers without end that each stay within their limits and
+// together take more memory than the machine of a front has.
+func TestManyAnswersWithoutEndFitTheMachine(t *testing.T) {
+	const replicas, callers, machineBytes = 4, 32, 284 << 20
+	for name, answer := range map[string]testkit.EndlessAnswer{
+		"chunks":  {Start: successHead + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "400\r\n" + strings.Repeat("b", 0x400) + "\r\n"},
+		"length":  {Start: successHead + "Content-Length: 9000000000000000000\r\n\r\n", Repeat: "b"},
+		"closed":  {Start: successHead + "\r\n", Repeat: "b"},
+		"fields":  {Start: "HTTP/1.1 200 OK\r\n", Repeat: "X-Many: a\r\n"},
+		"trailer": {Start: successHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X-Many: t\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 0)
+			s.budget = membudget.NewBudget(clientMemoryBytes)
+			s.start()
+			s.configure()
+			for i := range replicas {
+				s.addEndless(fmt.Sprint("i-endless-", i), plain, nil, func(int) testkit.EndlessAnswer { return answer })
+			}
+			var calls sync.WaitGroup
+			for i := range callers {
+				calls.Go(func() {
+					if status, _ := discard(t, s.fronts[0].http.URL+"/once/x", fmt.Sprint("endless-", i)); status/100 == 2 {
+						t.Error("an answer without end is complete")
+					}
+				})
+			}
+			ended := make(chan struct{})
+			go func() { calls.Wait(); close(ended) }()
+			for most := uint64(0); ; {
+				select {
+				case <-ended:
+					t.Logf("%d MiB at most", most>>20)
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				var memory runtime.MemStats
+				runtime.ReadMemStats(&memory)
+				if most = max(most, memory.HeapAlloc); memory.HeapAlloc > machineBytes {
+					t.Fatalf("%d MiB are in use", memory.HeapAlloc>>20)
+				}
+			}
+		})
+	}
+}
+
+// discard sends a request and reads its response without keeping it.
+func discard(t *testing.T, url, id string) (status int, err error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Error(err)
+		return 0, err
+	}
+	request.Host = host
+	request.Header.Set(sitestandin.Headers.RequestID, id)
+	client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, err
+	}
+	return response.StatusCode, nil
+}
+
 // sendWithoutEnd sends a start and then a text again and again, until the server closes the
 // connection or limit bytes are sent. It returns their number.
 func sendWithoutEnd(t *testing.T, address, start, repeat string, limit int) (sent int) {
