--- a/internal/adapter/contracttest/faults.go
+++ b/internal/adapter/contracttest/faults.go
@@ -96,6 +96,14 @@
 	})
 }
 
+// refuseMalformed refuses as not run in a head that is malformed.
+func refuseMalformed(server *faultServer, connection net.Conn, correct answer) bool {
+	return alterAnswer(func(a *answer) {
+		a.status, a.badName = http.StatusServiceUnavailable, true
+		a.header.Set(api.HeaderVerdict, port.NotRun.String())
+	})(server, connection, correct)
+}
+
 // oversize prepends twice as many spaces as the limit allows.
 func oversize(limit int) fault {
 	return alterAnswer(func(a *answer) {
@@ -112,6 +120,8 @@
 	wrongContent  = headerField("Content-Type", "text/html")
 	wrongID       = headerField(api.HeaderRequestID, "r-other-1")
 	noExplicitEnd = alterAnswer(func(a *answer) { a.noLength, a.chunked = true, false })
+	badName       = alterAnswer(func(a *answer) { a.badName = true })
+	badStatus     = alterAnswer(func(a *answer) { a.status = 0 })
 	malformed     = alterAnswer(func(a *answer) { a.pieces[0] = bytes.Replace(a.pieces[0], []byte("}"), []byte("]"), 1) })
 	swappedChunks = alterAnswer(func(a *answer) { a.pieces[0], a.pieces[1] = a.pieces[1], a.pieces[0] })
 	repeatedChunk = alterAnswer(func(a *answer) { a.pieces = append([][]byte{a.pieces[0]}, a.pieces...) })
--- a/internal/adapter/contracttest/server.go
+++ b/internal/adapter/contracttest/server.go
@@ -24,6 +24,8 @@
 	chunked bool
 	// noLength omits both Content-Length and chunked encoding.
 	noLength bool
+	// badName adds a field whose name holds a blank.
+	badName bool
 }
 
 // fault handles one request incorrectly; a nil fault sends the correct response.
@@ -180,7 +182,7 @@
 // bytes returns the encoded response.
 func (a answer) bytes() []byte {
 	var out bytes.Buffer
-	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	fmt.Fprintf(&out, "HTTP/1.1 %03d %s\r\n", a.status, http.StatusText(a.status))
 	header := a.header.Clone()
 	switch {
 	case a.noLength:
@@ -190,6 +192,9 @@
 		header.Set("Content-Length", strconv.Itoa(len(bytes.Join(a.pieces, nil))))
 	}
 	_ = header.Write(&out)
+	if a.badName {
+		out.WriteString("Bad Name: x\r\n") // header.Write omits such fields
+	}
 	out.WriteString("\r\n")
 	for _, piece := range a.pieces {
 		if a.chunked {
--- a/internal/app/replicacall/replicacall.go
+++ b/internal/app/replicacall/replicacall.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -129,13 +128,10 @@
 	if response.StatusCode != http.StatusOK {
 		return dialect.Report{}, httpcall.Malformed("report with status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	body, err := httpcall.ReadBody(response, maxReportBytes)
 	if err != nil {
 		return dialect.Report{}, eris.Wrap(err, "read report")
 	}
-	if len(body) > maxReportBytes {
-		return dialect.Report{}, httpcall.Malformed("report is longer than %d bytes", maxReportBytes)
-	}
 	return c.dialect.DecodeReport(body)
 }
 
