--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -205,8 +205,9 @@
 					server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer.RawAnswer })
 					sender := newRawProxy(server, form)
 					for i := range 2 {
-						request.ID = fmt.Sprint(i)
-						got := doRaw(t, sender, request, upload)
+						numbered := request
+						numbered.ID = fmt.Sprint(i)
+						got := doRaw(t, sender, numbered, upload)
 						if !got.isWhole() || got.status != answer.Status || got.body != answer.Body && !request.DiscardBody {
 							t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
 						}
