control: a test kills a member only once it has all changes

Cause, by its lines: logs of members that have all changes have 3,648 to 4,128 bytes. Changes are acknowledged by two members; the third was killed while it caught up, so that the flipped byte lay in an end that was neither synced nor acknowledged, which a log may cut off. Change: the test waits until the member has applied the last change, which it has synced then. What it checks of the damaged folder is as before.

--- a/internal/app/control/control_test.go
+++ b/internal/app/control/control_test.go
@@ -161,7 +161,7 @@
 	return w.observer.View().Revision
 }
 
-func (w *observerWatch) stop(t *testing.T) {
+func (w *observerWatch) stop(t testing.TB) {
 	t.Helper()
 	w.cancel()
 	<-w.done
--- a/internal/app/control/process_folder_test.go
+++ b/internal/app/control/process_folder_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/loomgrade/loomgrade/internal/adapter/controlclient"
+	"github.com/loomgrade/loomgrade/internal/core/controlstate"
 	"github.com/loomgrade/loomgrade/internal/port"
 )
 
@@ -40,6 +41,25 @@
 	}
 }
 
+// awaitRevision waits until a member has applied a revision. Its log is then synced that far; an end that is not
+// synced yet when the member is killed is a torn write if it is damaged.
+func (g *processGroup) awaitRevision(id uint64, revision port.Revision) {
+	g.t.Helper()
+	var addresses []string
+	for _, member := range g.members {
+		if member.ID == id {
+			addresses = append(addresses, member.Peer)
+		}
+	}
+	watch := startObserverWatch(g.clientOf(addresses), controlstate.NewObserver())
+	defer watch.stop(g.t)
+	for deadline := time.Now().Add(testTimeout); watch.revision() < revision; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("member %d is at revision %d, not %d", id, watch.revision(), revision)
+		}
+	}
+}
+
 // awaitFailure waits until a member's process exits and requires exit code 1 and a
 // message on stderr.
 func (g *processGroup) awaitFailure(id uint64, message string) {
@@ -88,6 +108,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			group, writing, client := startWithChanges(t, 20)
+			group.awaitRevision(3, writing.accepted)
 			group.kill(3)
 			group.logFolder(3)
 			test.damage(t, group)
--- a/internal/app/control/process_test.go
+++ b/internal/app/control/process_test.go
@@ -139,6 +139,12 @@
 	for _, member := range g.members {
 		addresses = append(addresses, member.Peer)
 	}
+	return g.clientOf(addresses)
+}
+
+// clientOf returns a client of the members at the addresses.
+func (g *processGroup) clientOf(addresses []string) *controlclient.Client {
+	g.t.Helper()
 	client, err := controlclient.New(controlclient.Config{
 		Addresses: addresses, Node: "tester", Wire: wire.Options{ClusterID: "test"},
 		AttemptTimeout: time.Second, WatchTimeout: 2 * time.Second,
