--- a/internal/testkit/rawserver.go
+++ b/internal/testkit/rawserver.go
@@ -45,8 +45,6 @@
 	mutex    sync.Mutex
 	open     map[net.Conn]struct{}
 	requests int
-	// reused counts the requests that were not the first on their connection.
-	reused int
 	// damaged counts the requests whose body was not whole, or that were no request.
 	damaged int
 }
@@ -76,13 +74,6 @@
 	return s.requests
 }
 
-// Reused returns the number of requests that were not the first on their connection.
-func (s *RawServer) Reused() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.reused
-}
-
 // Damaged returns the number of requests that ended early, and of bytes between requests that
 // begin no request.
 func (s *RawServer) Damaged() int {
@@ -117,7 +108,7 @@
 		delete(s.open, connection)
 	}()
 	reader := bufio.NewReader(connection)
-	for number := 0; ; number++ {
+	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			if err != io.EOF {
@@ -125,20 +116,17 @@
 			}
 			return
 		}
-		if !s.respond(connection, request, number > 0) {
+		if !s.respond(connection, request) {
 			return
 		}
 	}
 }
 
 // respond answers a request and reports whether another one may follow on the connection.
-func (s *RawServer) respond(connection net.Conn, request *http.Request, reused bool) bool {
+func (s *RawServer) respond(connection net.Conn, request *http.Request) bool {
 	s.mutex.Lock()
 	answer := s.answer(s.requests)
 	s.requests++
-	if reused {
-		s.reused++
-	}
 	s.mutex.Unlock()
 	readBody := func() {
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
