testkit, proxy, test/site: a test does not send while the server closes

Cause: the stand-in ends an answer with Content-Length, announces no close and closes its socket; the test sends its second request on the same connection at this moment. The bytes meet a closed socket, whose kernel answers with a reset. Callers are told "may have run", which is right: a client can't tell whether the server read the request before it closed (RFC 9112, section 9.5), and the test marks it as one that must not be repeated. So the test asked for what no client can keep.

Change: a stand-in that closes in order sends its end, reads until the client closes too, and counts what arrives meanwhile as damage; the tests wait for this before the next request. The check of the answer is as it was, and one is added: the client closes, and sends nothing after the end.

--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -209,9 +209,13 @@
 						numbered.ID = fmt.Sprint(i)
 						got := doRaw(t, sender, numbered, upload)
 						if !got.isWhole() || got.status != answer.Status || got.body != answer.Body && !request.DiscardBody {
-							t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+							t.Errorf("request %d: answered with status %d and %q, %v, failure %v", i, got.status, got.body, got.err, got.failure)
 						}
 						awaitFreeConnections(t, sender)
+						if answer.End == testkit.CloseAfter {
+							// A request that meets the close may have run.
+							server.AwaitClosed(t, endlessMargin)
+						}
 					}
 					if server.Damaged() != 0 && !answer.Early {
 						t.Errorf("%d requests were damaged", server.Damaged())
--- a/internal/testkit/rawserver.go
+++ b/internal/testkit/rawserver.go
@@ -28,7 +28,8 @@
 const (
 	// KeepOpen reads the rest of the request, then the next one.
 	KeepOpen RawEnd = iota
-	// CloseAfter reads the rest of the request and closes the connection in order.
+	// CloseAfter reads the rest of the request, closes the connection in order and waits until the client
+	// closes it too. What the client sends meanwhile is damaged.
 	CloseAfter
 	// CloseAtOnce closes the connection in order, while the request may still arrive.
 	CloseAtOnce
@@ -116,14 +117,14 @@
 			}
 			return
 		}
-		if !s.respond(connection, request) {
+		if !s.respond(connection, reader, request) {
 			return
 		}
 	}
 }
 
 // respond answers a request and reports whether another one may follow on the connection.
-func (s *RawServer) respond(connection net.Conn, request *http.Request) bool {
+func (s *RawServer) respond(connection net.Conn, reader io.Reader, request *http.Request) bool {
 	s.mutex.Lock()
 	answer := s.answer(s.requests)
 	s.requests++
@@ -149,6 +150,10 @@
 		return true
 	case CloseAfter:
 		readBody()
+		_ = connection.(*net.TCPConn).CloseWrite()
+		if count, _ := io.Copy(io.Discard, reader); count > 0 {
+			s.addDamaged()
+		}
 	case ResetAtOnce:
 		_ = connection.(*net.TCPConn).SetLinger(0)
 	}
--- a/test/site/brokenanswers_test.go
+++ b/test/site/brokenanswers_test.go
@@ -124,7 +124,7 @@
 	s.start()
 	s.configure()
 	var current atomic.Pointer[testkit.RawAnswer]
-	s.addRaw("i-raw", plain, nil, func(int) testkit.RawAnswer { return *current.Load() })
+	server := s.addRaw("i-raw", plain, nil, func(int) testkit.RawAnswer { return *current.Load() })
 	for name, answer := range testkit.LegalAnswers(replicaFields) {
 		current.Store(&answer.RawAnswer)
 		for _, path := range []string{"/once/x", "/fragile/x"} {
@@ -132,6 +132,10 @@
 			if status != answer.Status || body != answer.Body {
 				t.Errorf("%s, %s: status %d, %q", name, path, status, body)
 			}
+			if answer.End == testkit.CloseAfter {
+				// A request that meets the close may have run.
+				server.AwaitClosed(t, waitTimeout)
+			}
 		}
 	}
 }
