proxy: a test of broken answers on connections that carried sound ones

Held already; nothing is changed for it. So far the rows came on new connections only, where net/http never repeats a request.

--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -194,6 +194,60 @@
 	checkBroken(t, failures(testkit.InvalidValues))
 }
 
+// brokenRows returns broken answers of all kinds.
+func brokenRows() map[string]testkit.RawAnswer {
+	rows := map[string]testkit.RawAnswer{}
+	for _, group := range []map[string]testkit.RawAnswer{
+		testkit.AnswersWithoutEnd("200 OK", rawFields), testkit.CutHeads("200 OK", rawFields), testkit.CutBodies("200 OK", rawFields),
+		testkit.InvalidStatuses(rawFields), testkit.InvalidNames("200 OK", rawFields), testkit.InvalidTrailers("200 OK", rawFields),
+		testkit.InvalidNames("503 No", rawFields+"Not-Run: 1\r\n"),
+	} {
+		for name, answer := range group {
+			rows[fmt.Sprint(len(rows), " ", name)] = answer
+		}
+	}
+	return rows
+}
+
+// TestBrokenAnswerOnReusedConnection guards against a broken answer that is whole, or a request that is sent
+// again, on a connection that has carried a sound answer.
+func TestBrokenAnswerOnReusedConnection(t *testing.T) {
+	sound := testkit.LegalAnswers(rawFields)["length"].RawAnswer
+	for name, broken := range brokenRows() {
+		for form, request := range rawForms {
+			// net/http repeats a GET on a connection that ends before the answer, unless it can't.
+			request.Method = http.MethodGet
+			t.Run(name+"/"+form, func(t *testing.T) {
+				t.Parallel()
+				server := testkit.NewRawServer(t, "Id", func(number int) testkit.RawAnswer {
+					if number == 0 {
+						return sound
+					}
+					return broken
+				})
+				sender := newRawProxy(server, form)
+				if got := doRaw(t, sender, request, 10); !got.isWhole() {
+					t.Fatalf("%v, failure %v", got.err, got.failure)
+				}
+				awaitFreeConnections(t, sender)
+				numbered := request
+				numbered.ID = "2"
+				got := doRaw(t, sender, numbered, 10)
+				switch {
+				case got.isWhole():
+					t.Errorf("answered with status %d and %q", got.status, got.body)
+				case got.failure != nil && got.failure.Verdict != port.MayHaveRun:
+					t.Errorf("failed with %v", got.failure)
+				}
+				if server.Requests() != 2 {
+					t.Errorf("%d requests", server.Requests())
+				}
+				server.AwaitClosed(t, endlessMargin)
+			})
+		}
+	}
+}
+
 // TestLegalAnswerIsWhole guards against checks of answers that refuse what the protocol allows, or
 // lose connections that can be used again.
 func TestLegalAnswerIsWhole(t *testing.T) {
@@ -251,17 +305,7 @@
 // TestBrokenAnswerIsTriedElsewhere guards against a request that may run again and fails because one
 // replica sends broken answers.
 func TestBrokenAnswerIsTriedElsewhere(t *testing.T) {
-	rows := map[string]testkit.RawAnswer{}
-	for _, group := range []map[string]testkit.RawAnswer{
-		testkit.AnswersWithoutEnd("200 OK", rawFields), testkit.CutHeads("200 OK", rawFields), testkit.CutBodies("200 OK", rawFields),
-		testkit.InvalidStatuses(rawFields), testkit.InvalidNames("200 OK", rawFields), testkit.InvalidTrailers("200 OK", rawFields),
-		testkit.InvalidNames("503 No", rawFields+"Not-Run: 1\r\n"),
-	} {
-		for name, answer := range group {
-			rows[fmt.Sprint(len(rows), " ", name)] = answer
-		}
-	}
-	for name, broken := range rows {
+	for name, broken := range brokenRows() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			server := testkit.NewRawServer(t, "Id", func(request int) testkit.RawAnswer {
