proxy: an answer whose head announces no end is refused by its head

What callers saw: a stream of a replica that sends neither Content-Length nor chunks was passed on and cut at its end, also where another replica could have sent a whole one, and its head counted as served for the balancer. A caller without a stream waited for the end of the connection, up to its deadline, for an answer that is refused then.

Cause: the check of the end was in the body that Client.Send returns, so that it acts at the end only; streams and answers without memory are sent on before. The head shows it already.

Change: httpcall.CheckEnd, which ReadBody has used as hasExplicitEnd, before a front or a reward call takes an answer. It may have run: another replica where the route allows it, else 502, at once. A refusal as not run still needs no end.

--- a/internal/adapter/httpcall/answer.go
+++ b/internal/adapter/httpcall/answer.go
@@ -61,8 +61,8 @@
 	if response.ContentLength > limit && response.Request.Method != http.MethodHead {
 		return nil, tooLarge(limit)
 	}
-	if !hasExplicitEnd(response) {
-		return nil, Malformed("%v", ErrNoExplicitEnd)
+	if err := CheckEnd(response); err != nil {
+		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
--- a/internal/adapter/httpcall/wellformed.go
+++ b/internal/adapter/httpcall/wellformed.go
@@ -59,6 +59,14 @@
 	return nil
 }
 
+// CheckEnd rejects a response whose body can't be known to be whole, from its head alone.
+func CheckEnd(response *http.Response) error {
+	if !hasExplicitEnd(response) {
+		return Malformed("%v", ErrNoExplicitEnd)
+	}
+	return nil
+}
+
 // hasExplicitEnd reports whether the end of a response's body differs from the end of its connection.
 func hasExplicitEnd(response *http.Response) bool {
 	if response.ContentLength >= 0 || response.Request.Method == http.MethodHead {
--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -21,6 +21,8 @@
 	rawTimeout = 20 * time.Second
 	// rawFields are the fields of a replica's response.
 	rawFields = "Id: {id}\r\nSeal: seal\r\n"
+	// headLimit is the time to refuse an answer once its head has arrived.
+	headLimit = 5 * time.Second
 	// uploadBytes is the size of a body that takes long to send.
 	uploadBytes = 8 << 20
 	// rawTries is how often a row is played during an upload: its outcome depends on the order of events.
@@ -135,6 +137,52 @@
 	checkBroken(t, failures(testkit.AnswersWithoutEnd))
 }
 
+// TestAnswerWithoutEndIsRefusedByItsHead guards against a part of an answer that is passed on, and a caller
+// that waits for the end of the connection, though the head shows that the answer can't be whole.
+func TestAnswerWithoutEndIsRefusedByItsHead(t *testing.T) {
+	for name, answer := range failures(testkit.OpenWithoutEnd) {
+		for form, request := range rawForms {
+			for _, upload := range uploads(answer) {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, form, upload), func(t *testing.T) {
+					t.Parallel()
+					server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer })
+					sender := newRawProxy(server, form)
+					startedAt := time.Now()
+					got := doRaw(t, sender, request, upload)
+					if got.failure == nil || got.failure.Verdict != port.MayHaveRun {
+						t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+					}
+					if took := time.Since(startedAt); took > headLimit {
+						t.Errorf("refused after %v", took)
+					}
+					if server.Requests() != 1 {
+						t.Errorf("sent %d times", server.Requests())
+					}
+					server.AwaitClosed(t, endlessMargin)
+					awaitFreeConnections(t, sender)
+				})
+			}
+		}
+	}
+}
+
+// TestRefusalNeedsNoEnd guards against a refusal as not run that counts as a request that may have run
+// because of its body, which nobody needs.
+func TestRefusalNeedsNoEnd(t *testing.T) {
+	for name, answer := range testkit.OpenWithoutEnd("503 No", rawFields+"Not-Run: 1\r\n") {
+		for form, request := range rawForms {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				t.Parallel()
+				server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer })
+				if got := doRaw(t, newRawProxy(server, form), request, 10); got.failure == nil || got.failure.Verdict != port.NotRun {
+					t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+				}
+				server.AwaitClosed(t, endlessMargin)
+			})
+		}
+	}
+}
+
 // TestInvalidStatusIsNoAnswer guards against an answer whose status is none of a final response.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	checkBroken(t, testkit.InvalidStatuses(rawFields))
@@ -302,6 +350,35 @@
 	}
 }
 
+// TestStreamWithoutEndIsTriedElsewhere guards against a stream that is passed on, to be cut at its end,
+// though another replica could send a whole one.
+func TestStreamWithoutEndIsTriedElsewhere(t *testing.T) {
+	rows := testkit.OpenWithoutEnd("200 OK", rawFields)
+	maps.Copy(rows, testkit.AnswersWithoutEnd("200 OK", rawFields))
+	for name, broken := range rows {
+		for _, form := range []string{"streamed", unbuffered} {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				t.Parallel()
+				server := testkit.NewRawServer(t, "Id", func(request int) testkit.RawAnswer {
+					if request == 0 {
+						return broken
+					}
+					return testkit.LegalAnswers(rawFields)["chunks"].RawAnswer
+				})
+				sender := newTestProxyOf(server.Address(), 2, new(atomic.Int64)) // both replicas have one address
+				if form == unbuffered {
+					sender.memoryBudget = membudget.NewBudget(1)
+				}
+				request := rawForms[form]
+				request.Repeatable = true
+				if got := doRaw(t, sender, request, 10); !got.isWhole() || got.status != http.StatusOK || got.body != testkit.RawBody {
+					t.Errorf("answered with status %d and %q, %v, failure %v", got.status, got.body, got.err, got.failure)
+				}
+			})
+		}
+	}
+}
+
 // TestBrokenAnswerIsTriedElsewhere guards against a request that may run again and fails because one
 // replica sends broken answers.
 func TestBrokenAnswerIsTriedElsewhere(t *testing.T) {
--- a/internal/app/proxy/try.go
+++ b/internal/app/proxy/try.go
@@ -126,6 +126,10 @@
 			misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		}
 	}
+	if err := httpcall.CheckEnd(response); err != nil {
+		_ = response.Body.Close()
+		return result{class: classMayHaveRun, reason: err}
+	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Replica: replica, reservation: e.reservation}
 	succeeded := response.StatusCode/100 == 2
 	if succeeded && (response.Header.Get(e.proxy.headers.RequestID) == "" || response.Header.Get(e.proxy.headers.Signature) == "") {
--- a/internal/testkit/rawanswers.go
+++ b/internal/testkit/rawanswers.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// OpenWithoutEnd returns responses whose body only the end of the connection can end, on connections that
+// stay open, by name.
+func OpenWithoutEnd(status, fields string) map[string]RawAnswer {
+	head := "HTTP/1.1 " + status + "\r\n" + fields
+	return map[string]RawAnswer{
+		"part":         {Parts: []string{head + "\r\n" + RawBody}},
+		"no body":      {Parts: []string{head + "\r\n"}},
+		"early":        {Parts: []string{head + "\r\n" + RawBody}, Early: true},
+		"close":        {Parts: []string{head + "Connection: close\r\n\r\n" + RawBody}},
+		"HTTP/1.0":     {Parts: []string{"HTTP/1.0 " + status + "\r\n" + fields + "\r\n" + RawBody}},
+		"event stream": {Parts: []string{head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"}},
+	}
+}
+
 // CutBodies returns responses whose body ends before the end that the head announces, by name.
 func CutBodies(status, fields string) map[string]RawAnswer {
 	head := "HTTP/1.1 " + status + "\r\n" + fields
