--- a/internal/app/proxy/endless_test.go
+++ b/internal/app/proxy/endless_test.go
@@ -6,8 +6,8 @@
 	"io"
 	"net/http"
 	"runtime"
-	"sync/atomic"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
