test/site: one way to add a replica at another server's address

addEndless and addRaw were the same but for the kind of server; addAt serves both. Behaviour and checks are as they were; gofmt, vet and two tests that use them pass.

--- a/test/site/brokenanswers_test.go
+++ b/test/site/brokenanswers_test.go
@@ -26,9 +26,7 @@
 // addRaw adds a replica that sends raw responses.
 func (s *site) addRaw(id, service string, models []string, answer func(request int) testkit.RawAnswer) *testkit.RawServer {
 	server := testkit.NewRawServer(s.t, sitestandin.Headers.RequestID, answer)
-	replica := sitestandin.NewEngine(s.t, id, service, models...)
-	replica.ExternalAddress = server.Address()
-	s.add(replica)
+	s.addAt(server.Address(), id, service, models)
 	return server
 }
 
--- a/test/site/endless_test.go
+++ b/test/site/endless_test.go
@@ -25,10 +25,15 @@
 // addEndless adds a replica that gives one answer to every request.
 func (s *site) addEndless(id, service string, models []string, answer func(request int) testkit.EndlessAnswer) *testkit.EndlessServer {
 	server := testkit.NewEndlessServer(s.t, sitestandin.Headers.RequestID, answer)
+	s.addAt(server.Address(), id, service, models)
+	return server
+}
+
+// addAt adds a replica whose requests go to another server.
+func (s *site) addAt(address, id, service string, models []string) {
 	replica := sitestandin.NewEngine(s.t, id, service, models...)
-	replica.ExternalAddress = server.Address()
+	replica.ExternalAddress = address
 	s.add(replica)
-	return server
 }
 
 // TestItemsLeaveReplicaWithoutEnd guards against items that are held, or whose text is damaged, by
