--- a/internal/app/proxy/brokenanswer_test.go
+++ b/internal/app/proxy/brokenanswer_test.go
@@ -55,6 +55,17 @@
 // isWhole reports whether the answer looks complete to its caller.
 func (r received) isWhole() bool { return r.failure == nil && r.err == nil }
 
+// checkRefused fails the test unless an answer is refused, as to a request that may have run.
+func checkRefused(t *testing.T, got received) {
+	t.Helper()
+	switch {
+	case got.isWhole():
+		t.Errorf("answered with status %d and %q", got.status, got.body)
+	case got.failure != nil && got.failure.Verdict != port.MayHaveRun:
+		t.Errorf("failed with %v", got.failure)
+	}
+}
+
 // doRaw sends a request of a form and reads its answer.
 func doRaw(t *testing.T, sender *Proxy, request Request, upload int) received {
 	t.Helper()
@@ -101,13 +112,7 @@
 					for try := 0; try == 0 || answer.Early && try < rawTries; try++ {
 						server := testkit.NewRawServer(t, "Id", func(int) testkit.RawAnswer { return answer })
 						sender := newRawProxy(server, form)
-						got := doRaw(t, sender, request, upload)
-						switch {
-						case got.isWhole():
-							t.Errorf("answered with status %d and %q", got.status, got.body)
-						case got.failure != nil && got.failure.Verdict != port.MayHaveRun:
-							t.Errorf("failed with %v", got.failure)
-						}
+						checkRefused(t, doRaw(t, sender, request, upload))
 						if server.Requests() != 1 {
 							t.Errorf("sent %d times", server.Requests())
 						}
@@ -280,13 +285,7 @@
 				awaitFreeConnections(t, sender)
 				numbered := request
 				numbered.ID = "2"
-				got := doRaw(t, sender, numbered, 10)
-				switch {
-				case got.isWhole():
-					t.Errorf("answered with status %d and %q", got.status, got.body)
-				case got.failure != nil && got.failure.Verdict != port.MayHaveRun:
-					t.Errorf("failed with %v", got.failure)
-				}
+				checkRefused(t, doRaw(t, sender, numbered, 10))
 				if server.Requests() != 2 {
 					t.Errorf("%d requests", server.Requests())
 				}
