--- a/test/site/brokenanswers_test.go
+++ b/test/site/brokenanswers_test.go
@@ -30,18 +30,25 @@
 	return server
 }
 
-// brokenHeads returns responses that are broken whatever the method of the request.
-func brokenHeads() map[string]testkit.RawAnswer {
+// rawGroups are functions that return responses with a status and fields, by the name of the group.
+type rawGroups map[string]func(status, fields string) map[string]testkit.RawAnswer
+
+// withStatuses returns the responses of the groups with each status.
+func (g rawGroups) withStatuses(statuses ...string) map[string]testkit.RawAnswer {
 	rows := map[string]testkit.RawAnswer{}
-	for _, status := range []string{"200 OK", "404 Not Found", "503 No"} {
-		for group, answers := range map[string]map[string]testkit.RawAnswer{
-			"name": testkit.InvalidNames(status, replicaFields), "head": testkit.CutHeads(status, replicaFields), "version": testkit.InvalidVersions(status, replicaFields),
-		} {
-			for name, answer := range answers {
+	for _, status := range statuses {
+		for group, answers := range g {
+			for name, answer := range answers(status, replicaFields) {
 				rows[status+", "+group+", "+name] = answer
 			}
 		}
 	}
+	return rows
+}
+
+// brokenHeads returns responses that are broken whatever the method of the request.
+func brokenHeads() map[string]testkit.RawAnswer {
+	rows := rawGroups{"name": testkit.InvalidNames, "head": testkit.CutHeads, "version": testkit.InvalidVersions}.withStatuses("200 OK", "404 Not Found", "503 No")
 	for name, answer := range testkit.InvalidNames("503 No", replicaFields+sitestandin.Headers.NotRun+": 1\r\n") {
 		rows["refusal, name, "+name] = answer
 	}
@@ -53,17 +60,7 @@
 
 // brokenBodies returns responses whose bodies are broken.
 func brokenBodies() map[string]testkit.RawAnswer {
-	rows := map[string]testkit.RawAnswer{}
-	for _, status := range []string{"200 OK", "404 Not Found", "500 No"} {
-		for group, answers := range map[string]map[string]testkit.RawAnswer{
-			"no end": testkit.AnswersWithoutEnd(status, replicaFields), "cut": testkit.CutBodies(status, replicaFields), "trailer": testkit.InvalidTrailers(status, replicaFields),
-		} {
-			for name, answer := range answers {
-				rows[status+", "+group+", "+name] = answer
-			}
-		}
-	}
-	return rows
+	return rawGroups{"no end": testkit.AnswersWithoutEnd, "cut": testkit.CutBodies, "trailer": testkit.InvalidTrailers}.withStatuses("200 OK", "404 Not Found", "500 No")
 }
 
 // TestCallersGetNoBrokenAnswer guards against an answer of a replica that is broken and reaches a caller as an
